--- /dev/null
+++ b/Makefile
@@ -0,0 +1,138 @@
+# Build, checks and measurements. See README.md for the usual commands.
+
+BUILD ?= build
+CC ?= cc
+CXX ?= c++
+PROTOC_C ?= protoc-c
+# SAN=1 builds with the address and undefined-behaviour sanitizers.
+SAN ?= 0
+PREFIX ?= /usr/local
+DESTDIR ?=
+
+WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wpointer-arith -Wno-unused-parameter
+OPT ?= -O2
+COMMON := -g $(OPT) -Isrc -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -MMD -MP
+CFLAGS_ALL := -std=gnu11 $(WARN) $(COMMON) $(CFLAGS)
+CXXFLAGS_ALL := -std=gnu++17 -Wall -Wextra -Wno-unused-parameter \
+	-Wno-missing-field-initializers $(COMMON) $(CXXFLAGS)
+LDLIBS := -lh2o -luv -lssl -lcrypto -lprotobuf-c -ljansson -largtable2 \
+	-lxxhash -lm -lpthread
+ifeq ($(SAN),1)
+SANFLAGS := -fsanitize=address,undefined -fno-omit-frame-pointer
+BUILD := build/san
+CFLAGS_ALL += $(SANFLAGS)
+CXXFLAGS_ALL += $(SANFLAGS)
+LDFLAGS += $(SANFLAGS)
+endif
+
+# A program is a folder with a *_main.c; every other folder is library code.
+PROGRAMS := entry control ctl target load
+BIN_entry := tm-entry
+BIN_control := tm-control
+BIN_ctl := tmctl
+BIN_target := tm-target
+BIN_load := tm-load
+
+MAINS := $(wildcard src/*/*_main.c)
+LIB_SRCS := $(filter-out $(MAINS),$(wildcard src/*/*.c))
+LIB_OBJS := $(LIB_SRCS:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libtarragonmoor.a
+BINS := $(foreach p,$(PROGRAMS),$(if $(wildcard src/$(p)/$(p)_main.c),\
+	$(BUILD)/bin/$(BIN_$(p))))
+
+TEST_SRCS := $(wildcard test/unit/*.cc) $(wildcard test/scenario/*.cc)
+TEST_C_SRCS := $(wildcard test/scenario/*.c)
+TEST_OBJS := $(TEST_SRCS:%.cc=$(BUILD)/%.o) $(TEST_C_SRCS:%.c=$(BUILD)/%.o)
+TEST_BIN := $(BUILD)/bin/tm-unit
+
+FORMAT_SRCS := $(filter-out %.pb-c.c %.pb-c.h,\
+	$(wildcard src/*/*.c src/*/*.h test/*/*.c test/*/*.h test/*/*.cc))
+LINT_SRCS := $(filter-out %.pb-c.c,$(wildcard src/*/*.c))
+
+.PHONY: all deps proto check unit functional format format-check lint demo \
+	bench prove install clean
+
+all: $(BINS)
+
+deps:
+	@scripts/install-deps.sh
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS_ALL) -c -o $@ $<
+
+$(LIB): $(LIB_OBJS)
+	@rm -f $@
+	ar rcs $@ $(LIB_OBJS)
+
+define program_rule
+$(BUILD)/bin/$(BIN_$(1)): $(BUILD)/src/$(1)/$(1)_main.o $(LIB)
+	@mkdir -p $$(@D)
+	$(CC) $(LDFLAGS) -o $$@ $$< $(LIB) $(LDLIBS)
+endef
+$(foreach p,$(PROGRAMS),$(eval $(call program_rule,$(p))))
+
+$(TEST_BIN): $(TEST_OBJS) $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(LDFLAGS) -o $@ $(TEST_OBJS) $(LIB) -lgtest -lgtest_main \
+		$(LDLIBS)
+
+# Generated codecs are committed; run this after editing a .proto file.
+proto:
+	cd src/proto && $(PROTOC_C) --c_out=. *.proto
+
+format:
+	clang-format -i $(FORMAT_SRCS)
+
+format-check:
+	clang-format --dry-run -Werror $(FORMAT_SRCS)
+
+LINT_STAMPS := $(LINT_SRCS:%.c=$(BUILD)/lint/%.ok)
+$(BUILD)/lint/%.ok: %.c .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=gnu11 -Isrc -D_GNU_SOURCE \
+		-DH2O_USE_LIBUV=1 >$(@:.ok=.log) 2>&1 || \
+		{ cat $(@:.ok=.log); exit 1; }
+	@touch $@
+
+lint: $(LINT_STAMPS)
+	cppcheck --quiet --error-exitcode=1 --std=c11 -Isrc \
+		--enable=warning,portability --inline-suppr \
+		--suppress=missingIncludeSystem --suppress=*:*.pb-c.h \
+		-j 4 $(LINT_SRCS)
+
+unit: $(TEST_BIN)
+	scripts/run-unit.sh $(TEST_BIN) $(BUILD)
+
+functional: all
+	scripts/run-functional.sh $(BUILD)
+
+check: deps
+	@scripts/check.sh $(BUILD)
+
+demo: deps
+	@$(MAKE) -s -j8 all
+	@scripts/demo.sh $(BUILD)
+
+bench: deps
+	@$(MAKE) -s -j8 all $(TEST_BIN)
+	@scripts/bench.sh $(BUILD)
+
+prove: deps
+	@$(MAKE) -s -j8 all $(TEST_BIN)
+	@scripts/prove.sh $(BUILD)
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin
+	install -m 0755 $(BINS) $(DESTDIR)$(PREFIX)/bin
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(LIB_OBJS:.o=.d) $(TEST_OBJS:.o=.d)
+-include $(foreach p,$(PROGRAMS),$(BUILD)/src/$(p)/$(p)_main.d)
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+echo "bench: nothing to run yet" >&2
+exit 1
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,37 @@
+#!/bin/sh
+# Formatter, linter and every test. Ends with "N passed, N failed" over all
+# runners; a runner adds its counts to build/check/counts as "passed failed".
+# Tests named in KNOWN-RED.txt are passed over and printed.
+set -u
+build=$1
+counts=$build/check/counts
+mkdir -p "$build/check"
+: >"$counts"
+
+run_step() {
+	name=$1
+	shift
+	if "$@" >"$build/check/$name.log" 2>&1; then
+		echo "ok   $name"
+		echo "1 0" >>"$counts"
+	else
+		echo "FAIL $name"
+		tail -n 60 "$build/check/$name.log"
+		echo "0 1" >>"$counts"
+	fi
+}
+
+run_step format make -s format-check
+run_step build make -s -j8 all "$build/bin/tm-unit"
+run_step lint make -s -j8 lint
+scripts/run-unit.sh "$build/bin/tm-unit" "$build"
+scripts/run-functional.sh "$build"
+
+if [ -s KNOWN-RED.txt ]; then
+	echo "Known failures, passed over:"
+	cat KNOWN-RED.txt
+fi
+awk '{ p += $1; f += $2 } END {
+	printf "%d passed, %d failed\n", p, f
+	exit f > 0
+}' "$counts"
--- /dev/null
+++ b/scripts/run-unit.sh
@@ -0,0 +1,38 @@
+#!/bin/sh
+# Runs the GoogleTest binary and adds its counts to build/check/counts.
+# A line "unit: Suite.Name ..." in KNOWN-RED.txt passes over that test.
+set -u
+bin=$1
+build=$2
+mkdir -p "$build/check"
+report=$build/check/unit.json
+skip=
+if [ -f KNOWN-RED.txt ]; then
+	skip=$(sed -n 's/^unit: \([^ ]*\).*/\1/p' KNOWN-RED.txt | paste -sd: -)
+fi
+rm -f "$report"
+"$bin" --gtest_brief=1 --gtest_output="json:$report" \
+    --gtest_filter="-$skip" >"$build/check/unit.log" 2>&1
+rc=$?
+if [ ! -s "$report" ]; then
+	echo "FAIL unit: no report (exit $rc)"
+	tail -n 40 "$build/check/unit.log"
+	echo "0 1" >>"$build/check/counts"
+	exit 1
+fi
+python3 - "$report" "$build/check/counts" <<'PY'
+import json
+import sys
+
+with open(sys.argv[1]) as f:
+    report = json.load(f)
+failed = report["failures"] + report["errors"]
+passed = report["tests"] - failed
+with open(sys.argv[2], "a") as f:
+    f.write(f"{passed} {failed}\n")
+print(f"{'ok  ' if failed == 0 else 'FAIL'} unit: {passed} passed, {failed} failed")
+PY
+if [ $rc -ne 0 ]; then
+	grep -v '^\[  *OK' "$build/check/unit.log" | tail -n 60
+fi
+exit $rc
--- /dev/null
+++ b/test/unit/base_test.cc
@@ -0,0 +1,118 @@
+// Failures guarded against: wrong quantiles, unescaped log text, a generator
+// that does not repeat its sequence.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <string>
+
+extern "C" {
+#include "base/error.h"
+#include "base/hist.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/node_defs.h"
+#include "base/rng.h"
+}
+
+TEST(Hist, QuantileIsWithinOneSixteenth)
+{
+	hist_t hist;
+
+	hist_reset(&hist);
+	for (int i = 1; i <= 100000; i++)
+		hist_record(&hist, i);
+	for (double q : { 0.01, 0.5, 0.99, 0.999 }) {
+		double exact = q * 100000;
+		double found = (double)hist_get_quantile_us(&hist, q);
+		EXPECT_GE(found, exact);
+		EXPECT_LE(found, exact * (1 + 1.0 / 16) + 1);
+	}
+}
+
+TEST(Hist, BucketEdgesAreMonotonic)
+{
+	for (uint32_t i = 1; i < HIST_BUCKETS; i++)
+		EXPECT_GT(
+		    hist_get_bucket_edge_us(i), hist_get_bucket_edge_us(i - 1));
+}
+
+TEST(Hist, HugeAndNegativeValuesStayInRange)
+{
+	hist_t hist;
+
+	hist_reset(&hist);
+	hist_record(&hist, INT64_MAX);
+	hist_record(&hist, -5);
+	EXPECT_EQ(hist.count, 2u);
+	EXPECT_EQ(hist_get_quantile_us(&hist, 0.0), 0u);
+}
+
+TEST(Log, EscapesTextFromOutside)
+{
+	char *text = nullptr;
+	size_t len = 0;
+	FILE *out = open_memstream(&text, &len);
+
+	log_configure(out, LOG_LEVEL_INFO, "n1");
+	LOG_EVENT(100, LOG_LEVEL_WARN, "m", LOG_TEXT("f", "a\"b\n"),
+	    LOG_NUM("size_bytes", 7));
+	LOG_EVENT(100, LOG_LEVEL_DEBUG, "not written");
+	fclose(out);
+	log_configure(stderr, LOG_LEVEL_INFO, "");
+	std::string line(text);
+	free(text);
+	EXPECT_NE(line.find("\"f\":\"a\\\"b\\u000a\",\"size_bytes\":7}"),
+	    std::string::npos);
+	EXPECT_EQ(line.find("not written"), std::string::npos);
+}
+
+TEST(Rng, RepeatsItsSequenceAndStaysBelowTheBound)
+{
+	rng_t a;
+	rng_t b;
+
+	rng_init(&a, 7);
+	rng_init(&b, 7);
+	for (int i = 0; i < 1000; i++)
+		EXPECT_EQ(rng_next(&a), rng_next(&b));
+	for (int i = 0; i < 1000; i++)
+		EXPECT_LT(rng_below(&a, 3), 3u);
+	EXPECT_EQ(rng_below(&a, 0), 0u);
+}
+
+TEST(Metrics, WritesCountersAndHistograms)
+{
+	metrics_t *metrics = metrics_create();
+	metric_t *hist;
+	size_t len;
+
+	metric_add(metrics_get(metrics, "requests_total", "workspace=\"a\"",
+		       METRIC_COUNTER),
+	    3);
+	hist = metrics_get(metrics, "latency_us", "", METRIC_HISTOGRAM);
+	metric_record_us(hist, 5);
+	char *text = metrics_format(metrics, &len);
+	EXPECT_NE(strstr(text, "requests_total{workspace=\"a\"} 3\n"), nullptr);
+	EXPECT_NE(strstr(text, "latency_us{quantile=\"0.99\"} 5\n"), nullptr);
+	free(text);
+	metrics_destroy(metrics);
+}
+
+TEST(Node, NamesAreChecked)
+{
+	EXPECT_TRUE(node_name_is_valid("entry-1.a"));
+	EXPECT_FALSE(node_name_is_valid(""));
+	EXPECT_FALSE(node_name_is_valid("-a"));
+	EXPECT_FALSE(node_name_is_valid("a b"));
+	EXPECT_FALSE(node_name_is_valid(std::string(64, 'a').c_str()));
+	EXPECT_EQ(node_id_from_name(""), NODE_ID_NONE);
+}
+
+TEST(Error, EachNumberHasATextAndARemedy)
+{
+	for (int err = TM_ENOMEM; err >= TM_EEMPTY; err--)
+		EXPECT_STRNE(error_get_text(err), "unknown error");
+	EXPECT_STREQ(error_get_text(-1000), "unknown error");
+	EXPECT_STREQ(error_get_remedy(5), "");
+}
