--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 PROTOC_C ?= protoc-c
 # SAN=1 builds with the address and undefined-behaviour sanitizers.
 SAN ?= 0
+# TEST_HOOKS=0 leaves out the hooks that tests use to drop messages.
+TEST_HOOKS ?= 1
 PREFIX ?= /usr/local
 DESTDIR ?=
 
@@ -13,6 +15,9 @@
 	-Wpointer-arith -Wno-unused-parameter
 OPT ?= -O2
 COMMON := -g $(OPT) -Isrc -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -MMD -MP
+ifeq ($(TEST_HOOKS),1)
+COMMON += -DTM_TEST_HOOKS
+endif
 CFLAGS_ALL := -std=gnu11 $(WARN) $(COMMON) $(CFLAGS)
 CXXFLAGS_ALL := -std=gnu++17 -Wall -Wextra -Wno-unused-parameter \
 	-Wno-missing-field-initializers $(COMMON) $(CXXFLAGS)
@@ -51,7 +56,7 @@
 LINT_SRCS := $(filter-out %.pb-c.c,$(wildcard src/*/*.c))
 
 .PHONY: all deps proto check unit functional format format-check lint demo \
-	bench prove install clean
+	bench prove install install-files clean
 
 all: $(BINS)
 
@@ -127,7 +132,12 @@
 	@$(MAKE) -s -j8 all $(TEST_BIN)
 	@scripts/prove.sh $(BUILD)
 
-install: all
+# Installed programs are built without the test hooks.
+install:
+	$(MAKE) TEST_HOOKS=0 BUILD=build/release all
+	$(MAKE) TEST_HOOKS=0 BUILD=build/release install-files
+
+install-files: all
 	install -d $(DESTDIR)$(PREFIX)/bin
 	install -m 0755 $(BINS) $(DESTDIR)$(PREFIX)/bin
 
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -77,7 +77,7 @@
     peer_net_t *net, node_id_t node, const char *ip, uint16_t port);
 
 /** Forgets a node and closes its connection. */
-void peer_net_remove(peer_net_t *net, node_id_t node);
+void peer_net_remove(peer_net_t *net, node_id_t id);
 
 /**
  * Queues a message; connects if needed.
