--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -79,12 +79,11 @@
 	/** Replaces the term and the vote (NODE_ID_NONE for none). */
 	int (*save_vote)(void *ctx, uint64_t term, node_id_t vote);
 	/**
-	 * Replaces the snapshot. Entries with index <= keep_from - 1 may be
-	 * removed; if the log ends before snapshot->index, the next append
+	 * Replaces the snapshot; entries with index <= snapshot->index may be
+	 * removed. If the log ends before snapshot->index, the next append
 	 * starts at snapshot->index + 1.
 	 */
-	int (*save_snapshot)(
-	    void *ctx, const raft_snapshot_t *snapshot, uint64_t keep_from);
+	int (*save_snapshot)(void *ctx, const raft_snapshot_t *snapshot);
 } raft_storage_t;
 
 /** What the storage held at the start; all zero for an empty folder. */
@@ -96,7 +95,10 @@
 	size_t entry_count;
 } raft_restore_t;
 
-/** Applies a committed entry of kind RAFT_KIND_DATA, in order, once. */
+/**
+ * Applies a committed entry of kind RAFT_KIND_DATA, in order. It must not call
+ * raft_compact().
+ */
 typedef void (*raft_apply_cb)(
     void *ctx, uint64_t index, const uint8_t *data, size_t len);
 
@@ -279,7 +281,8 @@
 
 /**
  * Hands leadership to the voter that is most up to date, before a planned
- * stop. It is finished once raft_is_leader() returns 0; it is given up after an
+ * stop. Proposals are rejected from now on. It is finished once
+ * raft_is_leader() returns 0; it is given up if no voter catches up within an
  * election timeout, and may then be called again.
  *
  * @return 0; TM_ENOTLEADER; TM_EUNAVAIL if no other voter is reachable
