Add the data folder, scenarios and property runs of the replicated log

The storage callbacks get a context of their own, so that the control program can pass the data folder directly.

--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -48,7 +48,8 @@
 
 	if (raft->error != TM_OK)
 		return (raft->error);
-	err = raft->options.storage.save_vote(raft->options.ctx, term, vote);
+	err = raft->options.storage.save_vote(
+	    raft->options.storage.ctx, term, vote);
 	if (err != TM_OK) {
 		raft_fail(raft, err);
 		return (err);
@@ -108,7 +109,7 @@
 		return (raft->error);
 	if (last <= raft->persisted)
 		return (TM_OK);
-	err = raft->options.storage.append(raft->options.ctx,
+	err = raft->options.storage.append(raft->options.storage.ctx,
 	    raft_log_get(&raft->log, raft->persisted + 1),
 	    (size_t)(last - raft->persisted));
 	if (err != TM_OK) {
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -84,6 +84,7 @@
 	 * starts at snapshot->index + 1.
 	 */
 	int (*save_snapshot)(void *ctx, const raft_snapshot_t *snapshot);
+	void *ctx; /**< of these callbacks */
 } raft_storage_t;
 
 /** What the storage held at the start; all zero for an empty folder. */
@@ -141,7 +142,7 @@
 	raft_apply_cb apply;
 	raft_take_snapshot_cb take_snapshot;
 	raft_install_snapshot_cb install_snapshot;
-	void *ctx; /**< of the storage, apply and snapshot callbacks */
+	void *ctx; /**< of the apply and snapshot callbacks */
 } raft_options_t;
 
 /** Counts since the node was created. */
--- a/src/raft/raft_replicate.c
+++ b/src/raft/raft_replicate.c
@@ -249,7 +249,7 @@
 	/* A committed entry is never removed, whatever a message says. */
 	if (from <= raft->commit)
 		return (TM_EFORMAT);
-	err = raft->options.storage.truncate(raft->options.ctx, from);
+	err = raft->options.storage.truncate(raft->options.storage.ctx, from);
 	if (err != TM_OK) {
 		raft_fail(raft, err);
 		return (err);
--- a/src/raft/raft_snapshot.c
+++ b/src/raft/raft_snapshot.c
@@ -133,9 +133,9 @@
 
 	if (raft_log_get_last(&raft->log) >= snapshot->index &&
 	    term != snapshot->term)
-		err = storage->truncate(raft->options.ctx, snapshot->index);
+		err = storage->truncate(storage->ctx, snapshot->index);
 	if (err == TM_OK)
-		err = storage->save_snapshot(raft->options.ctx, snapshot);
+		err = storage->save_snapshot(storage->ctx, snapshot);
 	if (err == TM_OK)
 		err = raft_set_snapshot(raft, snapshot);
 	if (err != TM_OK) {
@@ -333,7 +333,8 @@
 	snapshot.voter_count = config.count;
 	memcpy(snapshot.voters, config.voters, sizeof(config.voters));
 	snapshot.data = data;
-	err = raft->options.storage.save_snapshot(raft->options.ctx, &snapshot);
+	err = raft->options.storage.save_snapshot(
+	    raft->options.storage.ctx, &snapshot);
 	if (err != TM_OK)
 		raft_fail(raft, err);
 	else
--- /dev/null
+++ b/src/store/store_io.h
@@ -0,0 +1,65 @@
+/**
+ * @file
+ * File operations of the store. All writes and syncs go through this layer, so
+ * that tests can make them fail.
+ */
+#ifndef TM_STORE_STORE_IO_H
+#define TM_STORE_STORE_IO_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** Longest path of a file in the data folder. */
+#define STORE_PATH_MAX 512
+
+/** Faults for tests; NULL stands for none. */
+typedef struct store_faults {
+	int64_t writable_bytes; /**< then writes are short; -1 is no limit */
+	int64_t good_syncs; /**< then fsync fails; -1 is no limit */
+	uint64_t sync_count;
+} store_faults_t;
+
+/** Writes all bytes. @return 0 or TM_EIO */
+int store_io_write(
+    store_faults_t *faults, int fd, const void *data, size_t len);
+
+/** Flushes a file or folder to disk. @return 0 or TM_EIO */
+int store_io_sync(store_faults_t *faults, int fd);
+
+/**
+ * Replaces a file atomically: temporary file, fsync, rename, fsync of the
+ * folder. The content is two parts, one after the other.
+ *
+ * @return 0 or TM_EIO
+ */
+int store_io_replace(store_faults_t *faults, int dir_fd, const char *name,
+    const void *head, size_t head_len, const void *body, size_t body_len);
+
+/**
+ * Reads a whole file.
+ *
+ * @param data  bytes that the caller frees
+ * @return      0; TM_ENOENT; TM_EIO; TM_ENOMEM
+ */
+int store_io_read(int dir_fd, const char *name, uint8_t **data, size_t *len);
+
+/** Calls back for each name in a folder. @return 0 or TM_EIO */
+int store_io_list(
+    int dir_fd, void (*found)(void *ctx, const char *name), void *ctx);
+
+/** Writes a little-endian number. @return the position after it */
+uint8_t *store_put_u64(uint8_t *at, uint64_t value);
+
+/** Writes a little-endian number. @return the position after it */
+uint8_t *store_put_u32(uint8_t *at, uint32_t value);
+
+/** @return the little-endian number at a position */
+uint64_t store_get_u64(const uint8_t *at);
+
+/** @return the little-endian number at a position */
+uint32_t store_get_u32(const uint8_t *at);
+
+/** Logs that a file is corrupt. @return TM_ECORRUPT */
+int store_report_corrupt(const char *file, uint64_t offset);
+
+#endif
--- /dev/null
+++ b/src/store/wal.h
@@ -0,0 +1,59 @@
+/**
+ * @file
+ * Write-ahead log: segments of frames. A frame is written at once, carries one
+ * xxHash64 checksum and is on disk when the call returns.
+ */
+#ifndef TM_STORE_WAL_H
+#define TM_STORE_WAL_H
+
+#include "raft/raft_log.h"
+#include "store/store_io.h"
+
+/** A new segment is started once one is longer than this. */
+#define WAL_SEGMENT_BYTES (8 * 1024 * 1024)
+
+typedef struct wal wal_t;
+
+/** Where a log is and how it is written. */
+typedef struct wal_options {
+	int dir_fd; /**< data folder; stays open as long as the log */
+	uint64_t disk_id;
+	uint64_t snapshot_index; /**< entries up to it may be missing */
+	uint64_t snapshot_term;
+	size_t segment_bytes; /**< 0 means WAL_SEGMENT_BYTES */
+	store_faults_t *faults; /**< NULL outside tests */
+} wal_options_t;
+
+/**
+ * Opens the log and reads it. An incomplete frame at the very end was never
+ * reported as written and is cut.
+ *
+ * @param log  receives the entries after the snapshot; starts empty
+ * @return 0; TM_ECORRUPT if a frame before the end fails its checksum, a
+ *         segment is missing or entries do not follow each other; TM_EIO;
+ *         TM_ENOMEM
+ */
+int wal_open(wal_t **out, const wal_options_t *options, raft_log_t *log);
+
+/** Closes the log; wal may be NULL. */
+void wal_close(wal_t *wal);
+
+/**
+ * Appends entries; they are on disk when the call returns. After a failure the
+ * log accepts nothing more, because the kernel may have dropped the bytes of a
+ * failed fsync.
+ *
+ * @return 0 or TM_EIO
+ */
+int wal_append(wal_t *wal, const raft_entry_t *entries, size_t count);
+
+/** Removes the entries with index >= from. @return 0 or TM_EIO */
+int wal_truncate(wal_t *wal, uint64_t from);
+
+/** Removes segments whose entries all have index <= to. @return 0 or TM_EIO */
+int wal_release(wal_t *wal, uint64_t to);
+
+/** @return number of segment files */
+int wal_get_segment_count(const wal_t *wal);
+
+#endif
--- /dev/null
+++ b/test/scenario/raft_cluster.h
@@ -0,0 +1,96 @@
+/**
+ * @file
+ * Control VMs with the real raft module on the in-memory network. A disk of a
+ * node survives kills; the cluster checks safety at each step.
+ */
+#ifndef TM_TEST_RAFT_CLUSTER_H
+#define TM_TEST_RAFT_CLUSTER_H
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/node_defs.h"
+#include "base/rng.h"
+#include "raft/raft.h"
+#include "store/store.h"
+}
+#include "fakenet.h"
+
+struct RaftDisk {
+	uint64_t disk_id = 0;
+	uint64_t term = 0;
+	node_id_t vote = NODE_ID_NONE;
+	struct Record {
+		uint64_t term;
+		raft_kind_t kind;
+		std::string data;
+	};
+	std::map<uint64_t, Record> entries;
+	raft_snapshot_t snapshot = {};
+	std::string snapshot_data;
+};
+
+class RaftCluster;
+
+struct RaftNode {
+	RaftCluster *cluster;
+	std::string name;
+	node_id_t id;
+	RaftDisk disk;
+	store_t *store = nullptr; /**< used instead of disk if set */
+	raft_t *raft = nullptr;
+	bool frozen = false;
+	bool wiped = false;
+	std::map<uint64_t, std::string> state; /**< applied data by index */
+};
+
+class RaftCluster {
+      public:
+	/**
+	 * @param forming    disk ids are not given to the nodes beforehand
+	 * @param data_path  if set, nodes use real data folders below it;
+	 *                   needs forming
+	 */
+	RaftCluster(const std::vector<std::string> &names, uint64_t seed,
+	    uint32_t switches, bool forming = false,
+	    const std::string &data_path = "");
+	~RaftCluster();
+
+	RaftNode *find(const std::string &name);
+	/** Leader with contact to a majority, or nullptr. */
+	RaftNode *leader();
+	void run(int64_t ms);
+	void start(RaftNode *node);
+	void kill(RaftNode *node);
+	/** Starts a killed node with an empty disk. */
+	void wipe(RaftNode *node);
+	void freeze(RaftNode *node, bool frozen);
+	void cut(RaftNode *from, RaftNode *to, bool is_cut);
+	void isolate(RaftNode *node, bool is_cut);
+	int propose(RaftNode *node, const std::string &text);
+	/** Number of nodes whose disk was lost and that have no vote yet. */
+	int count_repairing();
+	/** After healing: all nodes hold every committed entry. */
+	void check_converged();
+	void check();
+	void record_commit(RaftNode *node, uint64_t index, std::string text);
+	void violate(const std::string &what);
+
+	fakenet_t *net;
+	std::vector<std::unique_ptr<RaftNode>> nodes;
+	std::vector<std::string> violations;
+	std::map<uint64_t, std::string> committed;
+
+      private:
+	std::map<uint64_t, std::string> leaders; /* by term */
+	std::vector<raft_voter_t> initial;
+	uint64_t seed;
+	uint64_t next_disk = 1;
+	uint32_t switches;
+	std::string data_path;
+};
+
+#endif
--- /dev/null
+++ b/test/unit/raft_test.cc
@@ -0,0 +1,451 @@
+// Failures guarded against: malformed messages that abort or change state,
+// safety violations under random faults, slow recovery after a kill.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+#include "../scenario/raft_cluster.h"
+
+extern "C" {
+#include "base/error.h"
+#include "base/log.h"
+#include "raft/raft_internal.h"
+}
+
+#define PROPERTY_SEED 20261204u
+#ifndef PROPERTY_SCHEDULES
+#define PROPERTY_SCHEDULES 400
+#endif
+
+class Raft : public testing::Test {
+      protected:
+	void
+	SetUp() override
+	{
+		log_configure(stderr, LOG_LEVEL_ERROR, "test");
+	}
+};
+
+static raft_stats_t
+get_stats(RaftNode *node)
+{
+	raft_stats_t stats;
+
+	raft_get_stats(node->raft, &stats);
+	return (stats);
+}
+
+static void
+handle(RaftCluster &cluster, RaftNode *node, uint16_t type,
+    const ProtobufCMessage *message)
+{
+	std::string bytes(protobuf_c_message_get_packed_size(message), '\0');
+
+	protobuf_c_message_pack(message, (uint8_t *)&bytes[0]);
+	raft_handle(node->raft, cluster.nodes[1]->id, type,
+	    (const uint8_t *)bytes.data(), bytes.size(),
+	    fakenet_now_ms(cluster.net));
+}
+
+TEST_F(Raft, SingleNodeCommitsWithoutPeers)
+{
+	RaftCluster cluster({ "a" }, 1, 0);
+
+	cluster.run(2000);
+	ASSERT_NE(nullptr, cluster.leader());
+	EXPECT_EQ(TM_OK, cluster.propose(cluster.leader(), "x"));
+	cluster.run(20);
+	EXPECT_EQ(1u, cluster.committed.size());
+}
+
+TEST_F(Raft, RandomBytesAreRejected)
+{
+	RaftCluster cluster({ "a", "b", "c" }, 1, 0);
+	rng_t rng;
+
+	rng_init(&rng, PROPERTY_SEED);
+	cluster.run(3000);
+	for (int i = 0; i < 50000; i++) {
+		uint8_t bytes[64];
+		size_t len = rng_below(&rng, sizeof(bytes) + 1);
+		for (size_t k = 0; k < len; k++)
+			bytes[k] = (uint8_t)rng_next(&rng);
+		raft_handle(cluster.nodes[0]->raft, cluster.nodes[1]->id,
+		    (uint16_t)(10 + rng_below(&rng, 20)), bytes, len,
+		    fakenet_now_ms(cluster.net));
+	}
+	EXPECT_GT(get_stats(cluster.nodes[0].get()).malformed, 40000u);
+}
+
+// Valid encodings with impossible values have to leave the state as it is.
+TEST_F(Raft, ImpossibleValuesAreRejected)
+{
+	RaftCluster cluster({ "a", "b", "c" }, 1, 0);
+	RaftNode *node = cluster.find("a");
+	Tm__Raft__Append append = TM__RAFT__APPEND__INIT;
+	Tm__Raft__Entry entry = TM__RAFT__ENTRY__INIT;
+	Tm__Raft__Entry *list[] = { &entry };
+	Tm__Raft__SnapshotChunk chunk = TM__RAFT__SNAPSHOT_CHUNK__INIT;
+	Tm__Raft__VoteRequest vote = TM__RAFT__VOTE_REQUEST__INIT;
+
+	cluster.run(3000);
+	cluster.propose(cluster.leader(), "x");
+	cluster.run(1000);
+	uint64_t term = raft_get_term(node->raft);
+	uint64_t last = raft_get_last(node->raft);
+	uint64_t malformed = get_stats(node).malformed;
+
+	append.disk_id = 9;
+	append.term = UINT64_MAX;
+	handle(cluster, node, MSG_RAFT_APPEND, &append.base);
+	append.term = term + 1;
+	append.prev_index = 1;
+	handle(cluster, node, MSG_RAFT_APPEND, &append.base);
+	append.prev_term = 1;
+	append.n_entries = 1;
+	append.entries = list;
+	entry.term = term + 5;
+	entry.kind = RAFT_KIND_DATA;
+	handle(cluster, node, MSG_RAFT_APPEND, &append.base);
+	entry.term = term + 1;
+	entry.kind = 7;
+	handle(cluster, node, MSG_RAFT_APPEND, &append.base);
+	entry.kind = RAFT_KIND_CONFIG;
+	handle(cluster, node, MSG_RAFT_APPEND, &append.base);
+	chunk.disk_id = 9;
+	chunk.term = term + 1;
+	chunk.index = 100;
+	chunk.index_term = 1;
+	chunk.total_bytes = UINT64_MAX;
+	handle(cluster, node, MSG_RAFT_SNAPSHOT, &chunk.base);
+	vote.disk_id = 0;
+	vote.term = term + 1;
+	handle(cluster, node, MSG_RAFT_VOTE_REQUEST, &vote.base);
+	EXPECT_EQ(malformed + 7, get_stats(node).malformed);
+	EXPECT_EQ(term, raft_get_term(node->raft));
+	EXPECT_EQ(last, raft_get_last(node->raft));
+}
+
+// Even a leader's message must not remove what is committed.
+TEST_F(Raft, CommittedEntriesAreNeverTruncated)
+{
+	RaftCluster cluster({ "a", "b", "c" }, 1, 0);
+	RaftNode *node = cluster.find("a");
+	Tm__Raft__Append append = TM__RAFT__APPEND__INIT;
+	Tm__Raft__Entry entry = TM__RAFT__ENTRY__INIT;
+	Tm__Raft__Entry *list[] = { &entry };
+
+	cluster.run(3000);
+	cluster.propose(cluster.leader(), "x");
+	cluster.run(1000);
+	uint64_t last = raft_get_last(node->raft);
+	append.disk_id = 2;
+	append.term = raft_get_term(node->raft) + 1;
+	append.prev_index = 1;
+	append.prev_term = 1;
+	append.n_entries = 1;
+	append.entries = list;
+	entry.term = append.term;
+	entry.kind = RAFT_KIND_DATA;
+	handle(cluster, node, MSG_RAFT_APPEND, &append.base);
+	EXPECT_EQ(last, raft_get_last(node->raft));
+}
+
+TEST_F(Raft, StorageErrorStopsTheNodeOnly)
+{
+	RaftCluster cluster({ "a", "b", "c" }, 1, 0);
+
+	cluster.run(3000);
+	RaftNode *node = cluster.leader();
+	raft_fail(node->raft, TM_EIO);
+	uint64_t index;
+	EXPECT_EQ(TM_EIO, raft_propose(node->raft, nullptr, 0, &index));
+	cluster.run(5000);
+	ASSERT_NE(nullptr, cluster.leader());
+	EXPECT_NE(node, cluster.leader());
+}
+
+TEST_F(Raft, LargeSnapshotTravelsInChunksOverLossyNetwork)
+{
+	RaftCluster cluster({ "a", "b", "c" }, 1, 0);
+	std::string large(100 * 1024, 'x');
+
+	cluster.run(3000);
+	RaftNode *leader = cluster.leader();
+	RaftNode *late =
+	    leader == cluster.find("c") ? cluster.find("b") : cluster.find("c");
+	cluster.kill(late);
+	for (int i = 0; i < 30; i++)
+		ASSERT_EQ(TM_OK, cluster.propose(leader, large));
+	cluster.run(2000);
+	EXPECT_EQ(30u, leader->state.size());
+	ASSERT_EQ(TM_OK, raft_compact(leader->raft, 0));
+	fakenet_set_loss(cluster.net, 20);
+	cluster.start(late);
+	cluster.run(20000);
+	fakenet_set_loss(cluster.net, 0);
+	cluster.run(5000);
+	EXPECT_EQ(leader->state.size(), late->state.size());
+	EXPECT_EQ(1u, get_stats(late).snapshots_installed);
+}
+
+TEST_F(Raft, OversizedProposalIsRejected)
+{
+	RaftCluster cluster({ "a" }, 1, 0);
+
+	cluster.run(2000);
+	EXPECT_EQ(TM_ETOOBIG,
+	    cluster.propose(
+		cluster.leader(), std::string(RAFT_ENTRY_MAX_BYTES + 1, 'x')));
+}
+
+TEST_F(Raft, NodesAreAddedAndRemoved)
+{
+	RaftCluster cluster({ "a", "b", "c", "d" }, 1, 0);
+
+	cluster.run(3000);
+	RaftNode *leader = cluster.leader();
+	RaftNode *gone =
+	    leader == cluster.find("d") ? cluster.find("c") : cluster.find("d");
+	raft_voter_t voters[RAFT_VOTERS_MAX];
+	EXPECT_EQ(TM_EINVAL, raft_remove_node(leader->raft, leader->id));
+	EXPECT_EQ(TM_EEXIST, raft_add_node(leader->raft, gone->id));
+	EXPECT_EQ(TM_OK, raft_remove_node(leader->raft, gone->id));
+	EXPECT_EQ(TM_EUNAVAIL, raft_add_node(leader->raft, gone->id));
+	cluster.run(1000);
+	EXPECT_EQ(3, raft_get_voters(leader->raft, voters));
+	EXPECT_EQ(TM_OK, raft_add_node(leader->raft, gone->id));
+	cluster.run(2000);
+	EXPECT_EQ(4, raft_get_voters(leader->raft, voters));
+	EXPECT_TRUE(raft_is_voter(gone->raft));
+	EXPECT_TRUE(cluster.violations.empty());
+}
+
+// After a kill of the leader the others have a new one within 2 s.
+TEST_F(Raft, RecoveryAfterLeaderKill)
+{
+	int64_t worst_ms = 0;
+	int64_t sum_ms = 0;
+
+	for (uint64_t seed = 1; seed <= 100; seed++) {
+		RaftCluster cluster({ "a", "b", "c" }, seed, 0);
+		cluster.run(5000);
+		ASSERT_NE(nullptr, cluster.leader()) << seed;
+		cluster.kill(cluster.leader());
+		int64_t start_ms = fakenet_now_ms(cluster.net);
+		while (cluster.leader() == nullptr)
+			cluster.run(10);
+		int64_t took_ms = fakenet_now_ms(cluster.net) - start_ms;
+		sum_ms += took_ms;
+		worst_ms = took_ms > worst_ms ? took_ms : worst_ms;
+	}
+	printf("recovery after a kill of the leader: mean %d ms, "
+	       "longest %d ms of 100 seeds\n",
+	    (int)(sum_ms / 100), (int)worst_ms);
+	EXPECT_LE(worst_ms, 2000);
+}
+
+// Prints virtual catch-up times for docs/raft.md.
+TEST_F(Raft, CatchUpTime)
+{
+	for (int count : { 300, 3000 }) {
+		for (int compact : { 0, 1 }) {
+			RaftCluster cluster({ "a", "b", "c" }, 1, 0);
+			cluster.run(3000);
+			RaftNode *leader = cluster.leader();
+			RaftNode *late = cluster.nodes[0].get() == leader
+			    ? cluster.nodes[1].get()
+			    : cluster.nodes[0].get();
+			cluster.kill(late);
+			for (int i = 0; i < count; i++)
+				cluster.propose(leader, std::string(256, 'x'));
+			cluster.run(2000);
+			if (compact)
+				raft_compact(leader->raft, 0);
+			cluster.start(late);
+			int64_t start_ms = fakenet_now_ms(cluster.net);
+			while (late->state.size() < (size_t)count &&
+			    fakenet_now_ms(cluster.net) < start_ms + 10000)
+				cluster.run(1);
+			printf("catch-up of %d entries by %s: %d ms\n", count,
+			    compact ? "snapshot" : "log",
+			    (int)(fakenet_now_ms(cluster.net) - start_ms));
+			EXPECT_EQ((size_t)count, late->state.size());
+		}
+	}
+}
+
+class RaftSchedule {
+      public:
+	explicit RaftSchedule(uint64_t seed, uint32_t switches = 0)
+	    : cluster(get_names(seed), seed, switches, seed % 4 == 0)
+	{
+		rng_init(&rng, seed);
+		fakenet_set_loss(cluster.net, (int)rng_below(&rng, 10));
+	}
+
+	void
+	run()
+	{
+		cluster.run(3000);
+		for (int step = 0; step < 60; step++) {
+			fault();
+			load(step);
+			cluster.run((int64_t)rng_below(&rng, 1500));
+		}
+		heal();
+		cluster.run(30000);
+		cluster.check_converged();
+	}
+
+	RaftCluster cluster;
+
+      private:
+	static std::vector<std::string>
+	get_names(uint64_t seed)
+	{
+		if (seed % 2 == 0)
+			return { "a", "b", "c" };
+		return { "a", "b", "c", "d", "e" };
+	}
+
+	RaftNode *
+	pick()
+	{
+		return (
+		    cluster.nodes[rng_below(&rng, cluster.nodes.size())].get());
+	}
+
+	// Only a minority may be without its memory at a time.
+	bool
+	may_wipe()
+	{
+		int minority = ((int)cluster.nodes.size() - 1) / 2;
+
+		return (cluster.count_repairing() < minority &&
+		    cluster.leader() != nullptr);
+	}
+
+	void
+	fault()
+	{
+		RaftNode *node = pick();
+
+		switch (rng_below(&rng, 10)) {
+		case 0:
+		case 1:
+			cluster.cut(node, pick(), true);
+			break;
+		case 2:
+			cluster.cut(node, pick(), false);
+			break;
+		case 3:
+			for (auto &other : cluster.nodes)
+				cluster.isolate(other.get(), false);
+			break;
+		case 4:
+			cluster.isolate(node, rng_below(&rng, 2));
+			break;
+		case 5:
+			if (node->raft != nullptr)
+				cluster.kill(node);
+			else
+				cluster.start(node);
+			break;
+		case 6:
+			if (node->raft == nullptr)
+				break;
+			cluster.freeze(node, !node->frozen);
+			break;
+		case 7:
+			if (node->raft == nullptr || !may_wipe())
+				break;
+			cluster.kill(node);
+			cluster.wipe(node);
+			break;
+		case 8:
+			if (node->raft != nullptr)
+				raft_compact(node->raft, rng_below(&rng, 20));
+			break;
+		default:
+			if (node->raft != nullptr)
+				raft_transfer(
+				    node->raft, fakenet_now_ms(cluster.net));
+			break;
+		}
+	}
+
+	void
+	load(int step)
+	{
+		for (auto &node : cluster.nodes) {
+			if (node->raft == nullptr || node->frozen)
+				continue;
+			for (uint64_t i = rng_below(&rng, 5); i > 0; i--)
+				cluster.propose(node.get(),
+				    node->name + std::to_string(step) + "." +
+					std::to_string(i));
+		}
+	}
+
+	void
+	heal()
+	{
+		fakenet_set_loss(cluster.net, 0);
+		for (auto &node : cluster.nodes) {
+			cluster.isolate(node.get(), false);
+			if (node->raft == nullptr)
+				cluster.start(node.get());
+			cluster.freeze(node.get(), false);
+		}
+	}
+
+	rng_t rng;
+};
+
+TEST_F(Raft, RandomSchedulesAreSafe)
+{
+	size_t committed = 0;
+	uint64_t installed = 0;
+	int wiped = 0;
+
+	printf("seed %u, %d schedules\n", PROPERTY_SEED, PROPERTY_SCHEDULES);
+	for (int i = 0; i < PROPERTY_SCHEDULES; i++) {
+		RaftSchedule schedule(PROPERTY_SEED + (uint64_t)i);
+		schedule.run();
+		for (auto &what : schedule.cluster.violations)
+			ADD_FAILURE() << "schedule " << i << ": " << what;
+		if (HasFailure())
+			return;
+		committed += schedule.cluster.committed.size();
+		for (auto &node : schedule.cluster.nodes) {
+			installed += get_stats(node.get()).snapshots_installed;
+			wiped +=
+			    node->disk.disk_id > schedule.cluster.nodes.size();
+		}
+	}
+	printf("%zu entries committed, %d nodes with a replaced disk, "
+	       "%d snapshots installed by the last processes\n",
+	    committed, wiped, (int)installed);
+	EXPECT_GT(committed, 10u * PROPERTY_SCHEDULES);
+	EXPECT_GT(wiped, 100);
+}
+
+// The schedules are able to find a lost memory: without disk ids they do.
+TEST_F(Raft, RandomSchedulesFailWithoutDiskIds)
+{
+	int violated = 0;
+
+	for (int i = 0; i < PROPERTY_SCHEDULES; i++) {
+		RaftSchedule schedule(
+		    PROPERTY_SEED + (uint64_t)i, RAFT_TEST_IGNORE_DISK_ID);
+		schedule.run();
+		violated += !schedule.cluster.violations.empty();
+	}
+	printf("without disk ids %d of %d schedules fail\n", violated,
+	    PROPERTY_SCHEDULES);
+	EXPECT_GT(violated, 0);
+}
