Test a member whose disk lost acknowledged entries

Such a member gets no more entries and the others go on; after its folder is emptied it is repaired. Followers look up the seats again only if a seat entry or a truncation changed them: the lookup passes over the whole log.

--- a/src/raft/raft_replicate.c
+++ b/src/raft/raft_replicate.c
@@ -265,7 +265,7 @@
 {
 	uint64_t index = message->prev_index;
 	const Tm__Raft__Entry *entry;
-	int changed = 0;
+	int reload = 0;
 	int err = TM_OK;
 	size_t i;
 
@@ -275,15 +275,18 @@
 		if (index <= raft->log.base_index ||
 		    raft_log_get_term(&raft->log, index) == entry->term)
 			continue;
-		changed = 1;
-		if (index <= raft_log_get_last(&raft->log))
+		if (entry->kind == RAFT_KIND_CONFIG)
+			reload = 1;
+		if (index <= raft_log_get_last(&raft->log)) {
 			err = raft_truncate(raft, index);
+			reload = 1;
+		}
 		if (err == TM_OK)
 			err = raft_log_append(&raft->log, entry->term,
 			    (raft_kind_t)entry->kind, entry->data.data,
 			    entry->data.len);
 	}
-	if (changed)
+	if (reload)
 		raft_reload_config(raft);
 	if (err == TM_ENOMEM)
 		raft_fail(raft, err);
--- a/test/scenario/raft_scenario.cc
+++ b/test/scenario/raft_scenario.cc
@@ -94,28 +94,17 @@
 		cluster->freeze(node, verb == "freeze");
 	else if (verb == "isolate" || verb == "rejoin")
 		cluster->isolate(node, verb == "isolate");
+	else if (verb == "compact")
+		return (raft_compact(
+		    node->raft, (uint64_t)script_get_number(line, "keep", 0)));
+	else if (verb == "transfer")
+		return (
+		    raft_transfer(node->raft, fakenet_now_ms(cluster->net)));
 	else if (other != nullptr)
 		cluster->cut(node, other, verb == "cut");
 	return (TM_OK);
 }
 
-static int
-run_compact(void *ctx, const script_line_t *line)
-{
-	RaftNode *node = get_node(ctx, line, 1);
-
-	return (raft_compact(
-	    node->raft, (uint64_t)script_get_number(line, "keep", 0)));
-}
-
-static int
-run_transfer(void *ctx, const script_line_t *line)
-{
-	RaftNode *node = get_node(ctx, line, 1);
-
-	return (raft_transfer(node->raft, fakenet_now_ms(node->cluster->net)));
-}
-
 // Gives the leader a fixed name, so that the rest of the file can refer to it.
 static int
 run_elect(void *ctx, const script_line_t *line)
@@ -210,8 +199,8 @@
 	{ "rejoin", run_fault },
 	{ "cut", run_fault },
 	{ "heal", run_fault },
-	{ "compact", run_compact },
-	{ "transfer", run_transfer },
+	{ "compact", run_fault },
+	{ "transfer", run_fault },
 	{ "elect", run_elect },
 	{ "show", run_show },
 	{ "mark", run_leader },
--- a/test/unit/raft_test.cc
+++ b/test/unit/raft_test.cc
@@ -157,6 +157,36 @@
 	EXPECT_EQ(last, raft_get_last(node->raft));
 }
 
+// A disk that loses acknowledged entries gets no entries any more, and the
+// others go on.
+TEST_F(Raft, MemberThatLostEntriesStaysBehind)
+{
+	RaftCluster cluster({ "a", "b", "c" }, 1, 0);
+
+	cluster.run(3000);
+	RaftNode *leader = cluster.leader();
+	RaftNode *node = cluster.nodes[leader->name == "a"].get();
+	for (int i = 0; i < 20; i++)
+		cluster.propose(leader, std::to_string(i));
+	cluster.run(1000);
+	cluster.kill(node);
+	node->disk.entries.erase(
+	    node->disk.entries.find(10), node->disk.entries.end());
+	cluster.start(node);
+	cluster.run(2000);
+	EXPECT_EQ(9u, raft_get_last(node->raft));
+	EXPECT_EQ(leader, cluster.leader());
+	cluster.propose(leader, "after");
+	cluster.run(1000);
+	EXPECT_EQ(21u, cluster.committed.size());
+	cluster.kill(node);
+	cluster.wipe(node);
+	cluster.run(3000);
+	EXPECT_TRUE(raft_is_voter(node->raft));
+	cluster.check_converged();
+	EXPECT_TRUE(cluster.violations.empty());
+}
+
 TEST_F(Raft, StorageErrorStopsTheNodeOnly)
 {
 	RaftCluster cluster({ "a", "b", "c" }, 1, 0);
@@ -412,48 +442,27 @@
 	fault()
 	{
 		RaftNode *node = pick();
+		uint64_t choice = rng_below(&rng, 10);
+		bool up = node->raft != nullptr;
 
-		switch (rng_below(&rng, 10)) {
-		case 0:
-		case 1:
-			cluster.cut(node, pick(), true);
-			break;
-		case 2:
-			cluster.cut(node, pick(), false);
-			break;
-		case 3:
+		if (choice < 3) {
+			cluster.cut(node, pick(), choice < 2);
+		} else if (choice == 3) {
 			for (auto &other : cluster.nodes)
 				cluster.isolate(other.get(), false);
-			break;
-		case 4:
+		} else if (choice == 4) {
 			cluster.isolate(node, rng_below(&rng, 2));
-			break;
-		case 5:
-			if (node->raft != nullptr)
-				cluster.kill(node);
-			else
-				cluster.start(node);
-			break;
-		case 6:
-			if (node->raft == nullptr)
-				break;
+		} else if (choice == 5) {
+			up ? cluster.kill(node) : cluster.start(node);
+		} else if (choice == 6 && up) {
 			cluster.freeze(node, !node->frozen);
-			break;
-		case 7:
-			if (node->raft == nullptr || !may_wipe())
-				break;
+		} else if (choice == 7 && up && may_wipe()) {
 			cluster.kill(node);
 			cluster.wipe(node);
-			break;
-		case 8:
-			if (node->raft != nullptr)
-				raft_compact(node->raft, rng_below(&rng, 20));
-			break;
-		default:
-			if (node->raft != nullptr)
-				raft_transfer(
-				    node->raft, fakenet_now_ms(cluster.net));
-			break;
+		} else if (choice == 8 && up) {
+			raft_compact(node->raft, rng_below(&rng, 20));
+		} else if (choice == 9 && up) {
+			raft_transfer(node->raft, fakenet_now_ms(cluster.net));
 		}
 	}
 
