--- a/src/target/target_record.c
+++ b/src/target/target_record.c
@@ -36,7 +36,7 @@
 
 	if (text != NULL)
 		return (text);
-	copy = malloc(bytes.len);
+	copy = malloc(bytes.len + 1);
 	if (copy == NULL)
 		return (json_string(""));
 	for (i = 0; i < bytes.len; i++)
