--- /dev/null
+++ b/src/ctl/ctl_command.h
@@ -0,0 +1,37 @@
+/**
+ * @file
+ * Commands of tmctl.
+ */
+#ifndef TM_CTL_CTL_COMMAND_H
+#define TM_CTL_CTL_COMMAND_H
+
+#include <stdint.h>
+
+#include "ctl/ctl_api.h"
+
+/** Command with its options. */
+typedef struct ctl_options {
+	const char *const *words; /**< command and arguments */
+	int word_count;
+	int as_json;
+	int dry_run;
+	int64_t if_version; /**< -1: not given */
+	char change_id[CTL_CHANGE_ID_MAX + 1];
+	const char *after; /**< a name or a version; NULL: not given */
+	int64_t limit; /**< -1: not given */
+} ctl_options_t;
+
+/** Draws a random change id. @return 0 or TM_EIO */
+int ctl_change_id_draw(char out[CTL_CHANGE_ID_MAX + 1]);
+
+/**
+ * Checks the words of a command.
+ *
+ * @return 0, or TM_EINVAL after a message on standard error
+ */
+int ctl_command_check(const ctl_options_t *options);
+
+/** Runs a command that was checked. @return exit code */
+ctl_exit_t ctl_command_run(ctl_api_t *api, const ctl_options_t *options);
+
+#endif
--- /dev/null
+++ b/src/ctl/ctl_main.c
@@ -0,0 +1,201 @@
+/* tmctl: operators' command line over the admin API; see docs/tmctl.md. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+
+#include "base/error.h"
+#include "ctl/ctl_api.h"
+#include "ctl/ctl_command.h"
+
+#define SERVERS_VARIABLE "TMCTL_SERVERS"
+#define TOKEN_VARIABLE	 "TMCTL_TOKEN_FILE"
+
+typedef struct arguments {
+	struct arg_lit *help;
+	struct arg_str *server;
+	struct arg_file *token_file;
+	struct arg_lit *json;
+	struct arg_lit *dry_run;
+	struct arg_int *if_version;
+	struct arg_str *change_id;
+	struct arg_int *timeout_ms;
+	struct arg_str *after;
+	struct arg_int *limit;
+	struct arg_str *words;
+	struct arg_end *end;
+} arguments_t;
+
+static int
+fail(const char *what, const char *found, const char *remedy)
+{
+	fprintf(stderr, "tmctl: %s: found \"%s\"; remedy: %s\n", what, found,
+	    remedy);
+	return (CTL_EXIT_USAGE);
+}
+
+static int
+read_servers(const arguments_t *a, ctl_api_t *api)
+{
+	const char *list = getenv(SERVERS_VARIABLE);
+	int i, err = TM_OK;
+
+	for (i = 0; i < a->server->count && err == TM_OK; i++) {
+		list = a->server->sval[i];
+		err = ctl_api_add_servers(api, list);
+	}
+	if (a->server->count == 0 && list != NULL)
+		err = ctl_api_add_servers(api, list);
+	if (err != TM_OK)
+		return (fail("server", list,
+		    "give up to 16 addresses like 10.0.0.1:7000,10.0.0.2:7000"));
+	if (api->server_count == 0)
+		return (fail(
+		    "server", "", "give --server or set " SERVERS_VARIABLE));
+	return (0);
+}
+
+static int
+read_token(const arguments_t *a, ctl_api_t *api)
+{
+	const char *file = getenv(TOKEN_VARIABLE);
+
+	if (a->token_file->count > 0)
+		file = a->token_file->filename[0];
+	if (file == NULL)
+		return (fail("token file", "",
+		    "give --token-file or set " TOKEN_VARIABLE));
+	if (ctl_api_read_token(api, file) != TM_OK)
+		return (fail("token file", file,
+		    "give a readable file with the token of 1 to 254 printable "
+		    "characters on its first line"));
+	return (0);
+}
+
+static int
+is_change_id(const char *text)
+{
+	size_t len = strlen(text);
+
+	return (len > 0 && len <= CTL_CHANGE_ID_MAX &&
+	    strspn(text,
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+		"0123456789._-") == len);
+}
+
+static int
+read_options(const arguments_t *a, ctl_options_t *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->words = (const char *const *)a->words->sval;
+	o->word_count = a->words->count;
+	o->as_json = a->json->count > 0;
+	o->dry_run = a->dry_run->count > 0;
+	o->if_version = a->if_version->count > 0 ? a->if_version->ival[0] : -1;
+	o->after = a->after->count > 0 ? a->after->sval[0] : NULL;
+	o->limit = a->limit->count > 0 ? a->limit->ival[0] : -1;
+	if (a->if_version->count > 0 && o->if_version < 0)
+		return (fail("--if-version", "a negative number",
+		    "give the version that get prints, or 0 for a new object"));
+	if (a->change_id->count == 0)
+		return (ctl_change_id_draw(o->change_id) == TM_OK
+			? 0
+			: CTL_EXIT_USAGE);
+	if (!is_change_id(a->change_id->sval[0]))
+		return (fail("--change-id", a->change_id->sval[0],
+		    "use 1 to 64 characters A-Z a-z 0-9 . _ -"));
+	snprintf(
+	    o->change_id, sizeof(o->change_id), "%s", a->change_id->sval[0]);
+	return (0);
+}
+
+static int
+run(const arguments_t *a)
+{
+	static ctl_api_t api;
+	ctl_options_t options;
+	int status;
+
+	status = read_options(a, &options);
+	if (status != 0)
+		return (status);
+	if (ctl_command_check(&options) != TM_OK)
+		return (CTL_EXIT_USAGE);
+	ctl_api_init(&api);
+	status = read_servers(a, &api);
+	if (status == 0)
+		status = read_token(a, &api);
+	if (status != 0)
+		return (status);
+	if (a->timeout_ms->count > 0) {
+		api.timeout_ms = a->timeout_ms->ival[0];
+		if (api.timeout_ms < 1 || api.timeout_ms > 600000)
+			return (fail("--timeout-ms", "a number out of range",
+			    "use 1 to 600000"));
+	}
+	signal(SIGPIPE, SIG_IGN);
+	return (ctl_command_run(&api, &options));
+}
+
+static void
+print_help(void **table)
+{
+	printf("usage: tmctl");
+	arg_print_syntax(stdout, table, "\n");
+	arg_print_glossary(stdout, table, "  %-26s %s\n");
+	printf("commands: apply FILE | get KIND NAME | list KIND |\n"
+	       "  delete KIND NAME | key issue WORKSPACE | key withdraw ID |\n"
+	       "  rate set WORKSPACE RATE BURST | history | status |\n"
+	       "  explain request|workspace|target NAME\n"
+	       "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable,\n"
+	       "  4 version conflict\n");
+}
+
+int
+main(int argc, char **argv)
+{
+	arguments_t a = {
+		.help = arg_lit0("h", "help", "print this text"),
+		.server = arg_strn("s", "server", "IP:PORT[,...]", 0, 16,
+		    "control VMs; default: $" SERVERS_VARIABLE),
+		.token_file = arg_file0("t", "token-file", "FILE",
+		    "operator token; default: $" TOKEN_VARIABLE),
+		.json = arg_lit0("j", "json", "print the answer as JSON"),
+		.dry_run = arg_lit0("n", "dry-run", "check, change nothing"),
+		.if_version = arg_int0(NULL, "if-version", "N",
+		    "change only this version; 0: must not exist"),
+		.change_id = arg_str0(NULL, "change-id", "ID",
+		    "send a change again under its id"),
+		.timeout_ms = arg_int0(NULL, "timeout-ms", "MS",
+		    "limit with all retries; default 10000"),
+		.after =
+		    arg_str0(NULL, "after", "NAME", "list what follows this"),
+		.limit = arg_int0(NULL, "limit", "N", "list at most N"),
+		.words = arg_strn(NULL, NULL, "COMMAND", 1, 5, "see below"),
+		.end = arg_end(8),
+	};
+	void *table[] = { a.help, a.server, a.token_file, a.json, a.dry_run,
+		a.if_version, a.change_id, a.timeout_ms, a.after, a.limit,
+		a.words, a.end };
+	int status = CTL_EXIT_USAGE;
+
+	if (arg_nullcheck(table) != 0) {
+		fprintf(stderr, "tmctl: memory exhausted\n");
+		return (status);
+	}
+	if (arg_parse(argc, argv, table) == 0) {
+		status = a.help->count > 0 ? 0 : run(&a);
+		if (a.help->count > 0)
+			print_help(table);
+	} else if (a.help->count > 0) {
+		print_help(table);
+		status = CTL_EXIT_OK;
+	} else {
+		arg_print_errors(stderr, a.end, "tmctl");
+		fprintf(stderr, "tmctl: see tmctl --help\n");
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return (status);
+}
