--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -292,15 +292,14 @@
 	return (json_real(value));
 }
 
-/* Reads the workspace so that a name with a typing error changes nothing. */
+/* Asks for the workspace, so that a name with a typing error creates none. */
 static ctl_exit_t
-read_workspace(ctl_api_t *api, const ctl_options_t *o, int64_t *version)
+find_workspace(ctl_api_t *api, const ctl_options_t *o)
 {
 	char path[PATH_MAX_BYTES];
 	char name[PATH_MAX_BYTES / 2];
 	ctl_call_t call = { .method = "GET", .path = path, .if_version = -1 };
 	ctl_result_t result;
-	json_t *body;
 
 	escape(o->words[2], name, sizeof(name));
 	snprintf(path, sizeof(path), "/v1/workspaces/%s", name);
@@ -309,30 +308,25 @@
 		print_unreachable(&call, &result);
 	else if (result.exit != CTL_EXIT_OK)
 		print_refusal(o, &result);
-	body = result.body != NULL
-	    ? json_loadb(result.body, result.body_len, 0, NULL)
-	    : NULL;
-	if (json_is_integer(json_object_get(body, "version")))
-		*version = json_integer_value(json_object_get(body, "version"));
-	json_decref(body);
 	free(result.body);
 	return (result.exit);
 }
 
+/*
+ * The version that was read is not sent as If-Version: a command that is sent
+ * again with its change id would read a newer one, and the server would take
+ * it for another change.
+ */
 static ctl_exit_t
 run_rate_set(ctl_api_t *api, const ctl_options_t *o)
 {
-	ctl_options_t change = *o;
-	int64_t version = -1;
-	double rate, burst;
+	double rate = 0, burst = 0;
 	json_t *body;
 	char *text;
-	ctl_exit_t status = read_workspace(api, o, &version);
+	ctl_exit_t status = find_workspace(api, o);
 
 	if (status != CTL_EXIT_OK)
 		return (status);
-	if (change.if_version < 0)
-		change.if_version = version;
 	parse_number(o->words[3], 0, &rate);
 	parse_number(o->words[4], 1, &burst);
 	body = json_pack("{s:s, s:o, s:o}", "name", o->words[2], "rate_per_s",
@@ -341,7 +335,7 @@
 	status = CTL_EXIT_USAGE;
 	if (text != NULL)
 		status = send_change_of(
-		    api, &change, "PUT", "workspaces", o->words[2], "", text);
+		    api, o, "PUT", "workspaces", o->words[2], "", text);
 	free(text);
 	json_decref(body);
 	return (status);
--- a/src/target/target_http.c
+++ b/src/target/target_http.c
@@ -173,11 +173,30 @@
 	    name.len, 1, NULL, copy.base, copy.len);
 }
 
+const char *
+target_http_get_reason(int status)
+{
+	switch (status) {
+	case 200:
+		return ("OK");
+	case 400:
+		return ("Bad Request");
+	case 404:
+		return ("Not Found");
+	case 503:
+		return ("Service Unavailable");
+	case 504:
+		return ("Gateway Timeout");
+	default:
+		return (status < 500 ? "Error" : "Server Error");
+	}
+}
+
 void
 target_http_reply(h2o_req_t *req, int status, const char *body)
 {
 	req->res.status = status;
-	req->res.reason = "Status";
+	req->res.reason = target_http_get_reason(status);
 	target_http_add_header(req, "content-type", "application/json");
 	h2o_send_inline(req, body, strlen(body));
 }
--- a/src/target/target_http.h
+++ b/src/target/target_http.h
@@ -42,6 +42,9 @@
 void target_http_add_header(
     h2o_req_t *req, const char *lower_name, const char *value);
 
+/** @return reason phrase of a status */
+const char *target_http_get_reason(int status);
+
 /** Sends a complete response; the body is copied. */
 void target_http_reply(h2o_req_t *req, int status, const char *body);
 
--- a/src/target/target_job.c
+++ b/src/target/target_job.c
@@ -506,7 +506,7 @@
 	add_answer_headers(job, is_wrong);
 	req->res.status =
 	    job->act == TARGET_ACT_ERROR ? job->pool->fault.error_status : 200;
-	req->res.reason = req->res.status == 200 ? "OK" : "Error";
+	req->res.reason = target_http_get_reason(req->res.status);
 	req->res.content_length = job->body.len;
 	if (job->act == TARGET_ACT_TRUNCATE ||
 	    job->act == TARGET_ACT_STALL_BODY)
--- /dev/null
+++ b/test/functional/lib_tools.sh
@@ -0,0 +1,20 @@
+# Helpers for the tests of tm-target, tm-load and tmctl.
+dir=$BUILD/check/fleet-$(basename "$0" .sh)
+work=$dir.work
+rm -rf "$work"
+mkdir -p "$work"
+helper=
+cleanup() {
+	[ -f "$dir/env" ] && scripts/fleet.sh stop "$dir"
+	[ -n "$helper" ] && kill "$helper" 2>/dev/null
+}
+trap cleanup EXIT
+
+# wait_for FILE: until the file has content.
+wait_for() {
+	tries=200
+	while [ ! -s "$1" ] && [ $tries -gt 0 ]; do
+		sleep 0.05
+		tries=$((tries - 1))
+	done
+}
