--- /dev/null
+++ b/test/unit/response_test.cc
@@ -0,0 +1,140 @@
+// Failures guarded against: a response that is split at any byte is read
+// differently, bytes after the end go unnoticed, a malformed or oversized head
+// passes or is read outside its bounds.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+extern "C" {
+#include "base/error.h"
+#include "base/rng.h"
+#include "load/response.h"
+}
+
+namespace {
+
+void
+on_header(void *ctx, const char *name, size_t name_len, const char *value,
+    size_t value_len)
+{
+	auto *out = (std::string *)ctx;
+
+	*out += std::string(name, name_len) + "=" +
+	    std::string(value, value_len) + ";";
+}
+
+struct Result {
+	int rc = 0;
+	size_t rest = 0;
+	std::string headers, body;
+	response_t response = {};
+};
+
+/* Feeds a text in pieces of the given size. */
+Result
+feed(const std::string &text, size_t piece, int is_to_head = 0)
+{
+	Result r;
+
+	response_reset(&r.response, is_to_head, on_header, &r.headers);
+	for (size_t at = 0; at < text.size() && r.rc == 0; at += piece) {
+		std::string bytes = text.substr(at, piece);
+
+		r.rc = response_take(
+		    &r.response, &bytes[0], bytes.size(), &r.rest);
+		r.rest += r.rc == 1 ? text.size() - at - bytes.size() : 0;
+	}
+	r.body.assign(r.response.body, r.response.body_len);
+	response_release(&r.response);
+	return r;
+}
+
+const char *const with_length = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+				"X-A: b\r\n\r\nhello";
+const char *const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			    "\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+
+} // namespace
+
+TEST(Response, IsReadTheSameForEverySplit)
+{
+	for (std::string text : { with_length, chunked }) {
+		for (size_t piece = 1; piece <= text.size(); piece++) {
+			Result r = feed(text, piece);
+
+			ASSERT_EQ(r.rc, 1) << piece;
+			EXPECT_EQ(r.response.status, 200);
+			EXPECT_EQ(r.body, "hello");
+			EXPECT_EQ(r.rest, 0u);
+			EXPECT_EQ(r.response.keeps_alive, 1);
+		}
+	}
+	EXPECT_EQ(feed(with_length, 7).headers, "Content-Length=5;X-A=b;");
+}
+
+TEST(Response, ReportsBytesAfterItsEnd)
+{
+	for (size_t piece : { 1, 9, 1000 })
+		for (std::string text : { with_length, chunked })
+			EXPECT_EQ(feed(text + "extra", piece).rest, 5u);
+}
+
+TEST(Response, HandlesHeadInformationalAndClose)
+{
+	Result r = feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 3, 1);
+
+	EXPECT_EQ(r.rc, 1);
+	r = feed("HTTP/1.1 204 No Content\r\n\r\n", 100);
+	EXPECT_EQ(r.rc, 1);
+	for (size_t piece : { 1, 10, 1000 }) {
+		r = feed(
+		    std::string("HTTP/1.1 100 Continue\r\n\r\n") + with_length,
+		    piece);
+		EXPECT_EQ(r.rc, 1);
+		EXPECT_EQ(r.response.status, 200);
+		EXPECT_EQ(r.body, "hello");
+	}
+	r = feed("HTTP/1.0 200 OK\r\n\r\nuntil", 100);
+	EXPECT_EQ(r.rc, 0);
+	EXPECT_EQ(response_is_complete_at_close(&r.response), 1);
+	r = feed("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		 "Content-Length: 1\r\n\r\nx",
+	    100);
+	EXPECT_EQ(r.response.keeps_alive, 0);
+}
+
+TEST(Response, RejectsMalformedHeads)
+{
+	for (std::string text :
+	    { "HTTP/2 200 OK\r\n\r\n", "garbage\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" })
+		for (size_t piece : { 1, 5, 1000 })
+			EXPECT_EQ(feed(text, piece).rc, TM_EFORMAT) << text;
+	std::string large = "HTTP/1.1 200 OK\r\nX-A: ";
+
+	large.append(RESPONSE_HEAD_MAX, 'a');
+	for (size_t piece : { 100, 4096 })
+		EXPECT_EQ(feed(large, piece).rc, TM_ETOOBIG);
+}
+
+TEST(Response, SurvivesRandomDamage)
+{
+	const uint64_t seed = 20240601;
+	rng_t rng;
+
+	rng_init(&rng, seed);
+	for (int i = 0; i < 20000; i++) {
+		std::string text = i % 2 ? with_length : chunked;
+
+		for (int n = (int)rng_below(&rng, 4); n >= 0; n--)
+			text[rng_below(&rng, text.size())] =
+			    (char)rng_next(&rng);
+		Result r = feed(text, 1 + rng_below(&rng, text.size()));
+
+		ASSERT_LE(r.rc, 1) << "seed " << seed;
+		ASSERT_LE(r.rest, text.size()) << "seed " << seed;
+	}
+}
