--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -55,8 +55,8 @@
  *
  * @return 0 and the result; TM_EFORMAT if it holds no change
  */
-int config_state_check(config_state_t *state, const Feed__Change *change,
-    config_result_t *result);
+int config_state_check(
+    config_state_t *state, const Feed__Change *change, config_result_t *result);
 
 /**
  * Finds the result of a change among the last CONFIG_CHANGES_KEPT.
