--- a/src/config/config_json.c
+++ b/src/config/config_json.c
@@ -162,9 +162,8 @@
 config_read_name(json_node_t *node, Feed__Object *out, const char *name)
 {
 	const char *field = config_name_field((config_kind_t)out->kind);
-	const char *found = name != NULL ?
-	    json_opt_name(node, field, name) :
-	    json_need_name(node, field);
+	const char *found = name != NULL ? json_opt_name(node, field, name)
+					 : json_need_name(node, field);
 
 	if (name != NULL && strcmp(found, name) != 0)
 		json_node_add_error(node, field, found, name,
@@ -173,8 +172,7 @@
 }
 
 Feed__Object *
-config_json_read_object(
-    json_node_t *node, config_kind_t kind, const char *name)
+config_json_read_object(json_node_t *node, config_kind_t kind, const char *name)
 {
 	Feed__Object *out;
 	int err;
@@ -269,8 +267,8 @@
 		err = config_read_list(
 		    root, "services", CONFIG_KIND_SERVICE, change);
 	if (err == TM_OK)
-		err = config_read_list(
-		    root, "routes", CONFIG_KIND_ROUTE, change);
+		err =
+		    config_read_list(root, "routes", CONFIG_KIND_ROUTE, change);
 	if (err == TM_OK)
 		err = config_read_list(root, "keys", CONFIG_KIND_KEY, change);
 	json_node_finish(root);
@@ -328,12 +326,12 @@
 
 	switch (object->kind) {
 	case CONFIG_KIND_SERVICE:
-		config_check_name(check, "profile", CONFIG_KIND_PROFILE,
-		    object->profile);
+		config_check_name(
+		    check, "profile", CONFIG_KIND_PROFILE, object->profile);
 		break;
 	case CONFIG_KIND_ROUTE:
-		config_check_name(check, "service", CONFIG_KIND_SERVICE,
-		    object->service);
+		config_check_name(
+		    check, "service", CONFIG_KIND_SERVICE, object->service);
 		for (i = 0; i < object->n_workspaces; i++)
 			config_check_name(check, "workspaces",
 			    CONFIG_KIND_WORKSPACE, object->workspaces[i]);
@@ -373,8 +371,8 @@
 static json_t *
 config_write_route(const config_route_t *route)
 {
-	json_t *workspaces = route->all_workspaces ? json_string("all") :
-						     json_array();
+	json_t *workspaces =
+	    route->all_workspaces ? json_string("all") : json_array();
 	json_t *out;
 	uint32_t i;
 
--- /dev/null
+++ b/src/control/placement.h
@@ -0,0 +1,76 @@
+/**
+ * @file
+ * Choice of the holders of the shard groups, made by the control leader.
+ * Decision module: it reads the configuration and the heartbeats and returns
+ * new assignments; the caller puts them through the log.
+ */
+#ifndef TM_CONTROL_PLACEMENT_H
+#define TM_CONTROL_PLACEMENT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "config/config_state.h"
+
+/** A holder without a heartbeat for this time is replaced. */
+#define PLACEMENT_DEAD_MS 10000
+/**
+ * Time between two changes of one group, so that a new holder can read the
+ * state from the others; shorter if it reports that it is ready.
+ */
+#define PLACEMENT_SETTLE_MS 2000
+/** A holder replaced within this time counts as not ready unless it says so. */
+#define PLACEMENT_UNREADY_MS 5000
+/** A first group is made with fewer than CONFIG_HOLDERS nodes after this. */
+#define PLACEMENT_FIRST_WAIT_MS 5000
+/** Fewest holders of a first group, so that it has a quorum. */
+#define PLACEMENT_MIN_HOLDERS 3
+/** Most holders of a group in one of three or more data centres. */
+#define PLACEMENT_MAX_PER_DC 2
+
+typedef struct placement placement_t;
+
+/** A new assignment of one shard. */
+typedef struct placement_change {
+	uint32_t shard;
+	config_group_t group;
+} placement_change_t;
+
+/** Creates a module without heartbeats. @return NULL if memory is exhausted */
+placement_t *placement_create(void);
+
+/** Frees a module; NULL is allowed. */
+void placement_destroy(placement_t *placement);
+
+/**
+ * Starts over when this node becomes leader: all nodes count as alive now,
+ * because their heartbeats went to another leader.
+ */
+void placement_start(placement_t *placement, int64_t now_ms);
+
+/**
+ * Notes a heartbeat.
+ *
+ * @param reports_ready  0 if the node does not tell in which groups it is ready
+ * @param ready_shards   bit i: ready holder of shard i
+ * @param heard_ms       when it was received by a control VM
+ */
+void placement_note_heartbeat(placement_t *placement, node_id_t node,
+    uint64_t incarnation, int reports_ready, uint64_t ready_shards,
+    int64_t heard_ms);
+
+/** @return time since the last heartbeat or the start of this leader */
+int64_t placement_get_silence_ms(
+    const placement_t *placement, node_id_t node, int64_t now_ms);
+
+/**
+ * Computes the assignments that have to change now. Each shard is returned at
+ * most once until PLACEMENT_SETTLE_MS have passed.
+ *
+ * @param out  room for CONFIG_SHARDS changes
+ * @return     number of changes
+ */
+size_t placement_plan(placement_t *placement, const config_state_t *state,
+    int64_t now_ms, placement_change_t *out);
+
+#endif
--- a/src/proto/feed.pb-c.c
+++ b/src/proto/feed.pb-c.c
@@ -862,94 +862,94 @@
   assert(message->base.descriptor == &feed__blob__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   feed__heartbeat__init
-                     (Feed__Heartbeat         *message)
+void   feed__heartbeats__init
+                     (Feed__Heartbeats         *message)
 {
-  static const Feed__Heartbeat init_value = FEED__HEARTBEAT__INIT;
+  static const Feed__Heartbeats init_value = FEED__HEARTBEATS__INIT;
   *message = init_value;
 }
-size_t feed__heartbeat__get_packed_size
-                     (const Feed__Heartbeat *message)
+size_t feed__heartbeats__get_packed_size
+                     (const Feed__Heartbeats *message)
 {
-  assert(message->base.descriptor == &feed__heartbeat__descriptor);
+  assert(message->base.descriptor == &feed__heartbeats__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t feed__heartbeat__pack
-                     (const Feed__Heartbeat *message,
+size_t feed__heartbeats__pack
+                     (const Feed__Heartbeats *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &feed__heartbeat__descriptor);
+  assert(message->base.descriptor == &feed__heartbeats__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t feed__heartbeat__pack_to_buffer
-                     (const Feed__Heartbeat *message,
+size_t feed__heartbeats__pack_to_buffer
+                     (const Feed__Heartbeats *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &feed__heartbeat__descriptor);
+  assert(message->base.descriptor == &feed__heartbeats__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Feed__Heartbeat *
-       feed__heartbeat__unpack
+Feed__Heartbeats *
+       feed__heartbeats__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Feed__Heartbeat *)
-     protobuf_c_message_unpack (&feed__heartbeat__descriptor,
+  return (Feed__Heartbeats *)
+     protobuf_c_message_unpack (&feed__heartbeats__descriptor,
                                 allocator, len, data);
 }
-void   feed__heartbeat__free_unpacked
-                     (Feed__Heartbeat *message,
+void   feed__heartbeats__free_unpacked
+                     (Feed__Heartbeats *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &feed__heartbeat__descriptor);
+  assert(message->base.descriptor == &feed__heartbeats__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   feed__heartbeat_summary__init
-                     (Feed__HeartbeatSummary         *message)
+void   feed__leader_tick__init
+                     (Feed__LeaderTick         *message)
 {
-  static const Feed__HeartbeatSummary init_value = FEED__HEARTBEAT_SUMMARY__INIT;
+  static const Feed__LeaderTick init_value = FEED__LEADER_TICK__INIT;
   *message = init_value;
 }
-size_t feed__heartbeat_summary__get_packed_size
-                     (const Feed__HeartbeatSummary *message)
+size_t feed__leader_tick__get_packed_size
+                     (const Feed__LeaderTick *message)
 {
-  assert(message->base.descriptor == &feed__heartbeat_summary__descriptor);
+  assert(message->base.descriptor == &feed__leader_tick__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t feed__heartbeat_summary__pack
-                     (const Feed__HeartbeatSummary *message,
+size_t feed__leader_tick__pack
+                     (const Feed__LeaderTick *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &feed__heartbeat_summary__descriptor);
+  assert(message->base.descriptor == &feed__leader_tick__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t feed__heartbeat_summary__pack_to_buffer
-                     (const Feed__HeartbeatSummary *message,
+size_t feed__leader_tick__pack_to_buffer
+                     (const Feed__LeaderTick *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &feed__heartbeat_summary__descriptor);
+  assert(message->base.descriptor == &feed__leader_tick__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Feed__HeartbeatSummary *
-       feed__heartbeat_summary__unpack
+Feed__LeaderTick *
+       feed__leader_tick__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Feed__HeartbeatSummary *)
-     protobuf_c_message_unpack (&feed__heartbeat_summary__descriptor,
+  return (Feed__LeaderTick *)
+     protobuf_c_message_unpack (&feed__leader_tick__descriptor,
                                 allocator, len, data);
 }
-void   feed__heartbeat_summary__free_unpacked
-                     (Feed__HeartbeatSummary *message,
+void   feed__leader_tick__free_unpacked
+                     (Feed__LeaderTick *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &feed__heartbeat_summary__descriptor);
+  assert(message->base.descriptor == &feed__leader_tick__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 static const ProtobufCFieldDescriptor feed__object__field_descriptors[18] =
@@ -2136,7 +2136,7 @@
   (ProtobufCMessageInit) feed__tick__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__subscribe__field_descriptors[2] =
+static const ProtobufCFieldDescriptor feed__subscribe__field_descriptors[4] =
 {
   {
     "index",
@@ -2162,15 +2162,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reports_ready",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Subscribe, reports_ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready_shards",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Subscribe, ready_shards),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__subscribe__field_indices_by_name[] = {
   0,   /* field[0] = index */
   1,   /* field[1] = node */
+  3,   /* field[3] = ready_shards */
+  2,   /* field[2] = reports_ready */
 };
 static const ProtobufCIntRange feed__subscribe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor feed__subscribe__descriptor =
 {
@@ -2180,14 +2206,14 @@
   "Feed__Subscribe",
   "feed",
   sizeof(Feed__Subscribe),
-  2,
+  4,
   feed__subscribe__field_descriptors,
   feed__subscribe__field_indices_by_name,
   1,  feed__subscribe__number_ranges,
   (ProtobufCMessageInit) feed__subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__entries__field_descriptors[3] =
+static const ProtobufCFieldDescriptor feed__entries__field_descriptors[2] =
 {
   {
     "entries",
@@ -2213,28 +2239,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "via",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Feed__Entries, via),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned feed__entries__field_indices_by_name[] = {
   0,   /* field[0] = entries */
   1,   /* field[1] = tick */
-  2,   /* field[2] = via */
 };
 static const ProtobufCIntRange feed__entries__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor feed__entries__descriptor =
 {
@@ -2244,7 +2257,7 @@
   "Feed__Entries",
   "feed",
   sizeof(Feed__Entries),
-  3,
+  2,
   feed__entries__field_descriptors,
   feed__entries__field_indices_by_name,
   1,  feed__entries__number_ranges,
@@ -2662,105 +2675,92 @@
   (ProtobufCMessageInit) feed__blob__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__heartbeat__field_descriptors[2] =
+static const ProtobufCFieldDescriptor feed__heartbeats__field_descriptors[2] =
 {
   {
-    "node",
+    "nodes",
     1,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Feed__Heartbeat, node),
-    &feed__node__descriptor,
+    offsetof(Feed__Heartbeats, n_nodes),
+    offsetof(Feed__Heartbeats, nodes),
+    &feed__subscribe__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
+    "ages_ms",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Feed__Heartbeat, index),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Feed__Heartbeats, n_ages_ms),
+    offsetof(Feed__Heartbeats, ages_ms),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned feed__heartbeat__field_indices_by_name[] = {
-  1,   /* field[1] = index */
-  0,   /* field[0] = node */
+static const unsigned feed__heartbeats__field_indices_by_name[] = {
+  1,   /* field[1] = ages_ms */
+  0,   /* field[0] = nodes */
 };
-static const ProtobufCIntRange feed__heartbeat__number_ranges[1 + 1] =
+static const ProtobufCIntRange feed__heartbeats__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor feed__heartbeat__descriptor =
+const ProtobufCMessageDescriptor feed__heartbeats__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "feed.Heartbeat",
-  "Heartbeat",
-  "Feed__Heartbeat",
+  "feed.Heartbeats",
+  "Heartbeats",
+  "Feed__Heartbeats",
   "feed",
-  sizeof(Feed__Heartbeat),
+  sizeof(Feed__Heartbeats),
   2,
-  feed__heartbeat__field_descriptors,
-  feed__heartbeat__field_indices_by_name,
-  1,  feed__heartbeat__number_ranges,
-  (ProtobufCMessageInit) feed__heartbeat__init,
+  feed__heartbeats__field_descriptors,
+  feed__heartbeats__field_indices_by_name,
+  1,  feed__heartbeats__number_ranges,
+  (ProtobufCMessageInit) feed__heartbeats__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__heartbeat_summary__field_descriptors[2] =
+static const ProtobufCFieldDescriptor feed__leader_tick__field_descriptors[1] =
 {
   {
-    "heartbeats",
+    "tick",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Feed__HeartbeatSummary, n_heartbeats),
-    offsetof(Feed__HeartbeatSummary, heartbeats),
-    &feed__heartbeat__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Feed__LeaderTick, tick),
+    &feed__tick__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "ages_ms",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Feed__HeartbeatSummary, n_ages_ms),
-    offsetof(Feed__HeartbeatSummary, ages_ms),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned feed__heartbeat_summary__field_indices_by_name[] = {
-  1,   /* field[1] = ages_ms */
-  0,   /* field[0] = heartbeats */
+static const unsigned feed__leader_tick__field_indices_by_name[] = {
+  0,   /* field[0] = tick */
 };
-static const ProtobufCIntRange feed__heartbeat_summary__number_ranges[1 + 1] =
+static const ProtobufCIntRange feed__leader_tick__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor feed__heartbeat_summary__descriptor =
+const ProtobufCMessageDescriptor feed__leader_tick__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "feed.HeartbeatSummary",
-  "HeartbeatSummary",
-  "Feed__HeartbeatSummary",
+  "feed.LeaderTick",
+  "LeaderTick",
+  "Feed__LeaderTick",
   "feed",
-  sizeof(Feed__HeartbeatSummary),
-  2,
-  feed__heartbeat_summary__field_descriptors,
-  feed__heartbeat_summary__field_indices_by_name,
-  1,  feed__heartbeat_summary__number_ranges,
-  (ProtobufCMessageInit) feed__heartbeat_summary__init,
+  sizeof(Feed__LeaderTick),
+  1,
+  feed__leader_tick__field_descriptors,
+  feed__leader_tick__field_indices_by_name,
+  1,  feed__leader_tick__number_ranges,
+  (ProtobufCMessageInit) feed__leader_tick__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/feed.pb-c.h
+++ b/src/proto/feed.pb-c.h
@@ -34,8 +34,8 @@
 typedef struct Feed__Digest Feed__Digest;
 typedef struct Feed__Pull Feed__Pull;
 typedef struct Feed__Blob Feed__Blob;
-typedef struct Feed__Heartbeat Feed__Heartbeat;
-typedef struct Feed__HeartbeatSummary Feed__HeartbeatSummary;
+typedef struct Feed__Heartbeats Feed__Heartbeats;
+typedef struct Feed__LeaderTick Feed__LeaderTick;
 
 
 /* --- enums --- */
@@ -249,17 +249,24 @@
 
 
 /*
- * Type 30, entry VM to control VM.
+ * Type 30, entry VM to control VM, once a second: subscription, heartbeat and
+ * announcement of the node in one.
  */
 struct  Feed__Subscribe
 {
   ProtobufCMessage base;
   uint64_t index;
   Feed__Node *node;
+  /*
+   * Bit i of ready_shards: the node is a ready holder of shard i. Valid
+   * if reports_ready is set.
+   */
+  protobuf_c_boolean reports_ready;
+  uint64_t ready_shards;
 };
 #define FEED__SUBSCRIBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__subscribe__descriptor) \
-    , 0, NULL }
+    , 0, NULL, 0, 0 }
 
 
 /*
@@ -271,11 +278,10 @@
   size_t n_entries;
   Feed__LogEntry **entries;
   Feed__Tick *tick;
-  uint64_t via;
 };
 #define FEED__ENTRIES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__entries__descriptor) \
-    , 0,NULL, NULL, 0 }
+    , 0,NULL, NULL }
 
 
 /*
@@ -307,7 +313,7 @@
 
 
 /*
- * Type 33. ages has one byte for each node of the directory in ascending
+ * Type 33. ages has one byte for each entry VM of the directory in ascending
  * order of node ids: time since it was heard in units of 20 ms; 255: not
  * within 5 s. It is valid if both sides have the same directory_index.
  */
@@ -330,7 +336,8 @@
 
 
 /*
- * Type 34: asks for the entries after index or for a part of a snapshot.
+ * Type 34: asks for the entries after index, for a part of the snapshot
+ * snapshot_index (if it is set), or for blobs (if there are any).
  */
 struct  Feed__Pull
 {
@@ -363,33 +370,32 @@
 
 
 /*
- * Type 36, entry VM to any control VM, once a second.
+ * Type 36, control follower to the leader: nodes heard since the last one.
  */
-struct  Feed__Heartbeat
+struct  Feed__Heartbeats
 {
   ProtobufCMessage base;
-  Feed__Node *node;
-  uint64_t index;
+  size_t n_nodes;
+  Feed__Subscribe **nodes;
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
 };
-#define FEED__HEARTBEAT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&feed__heartbeat__descriptor) \
-    , NULL, 0 }
+#define FEED__HEARTBEATS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&feed__heartbeats__descriptor) \
+    , 0,NULL, 0,NULL }
 
 
 /*
- * Type 37, control follower to the leader.
+ * Type 37, control leader to its followers: a tick to pass on.
  */
-struct  Feed__HeartbeatSummary
+struct  Feed__LeaderTick
 {
   ProtobufCMessage base;
-  size_t n_heartbeats;
-  Feed__Heartbeat **heartbeats;
-  size_t n_ages_ms;
-  uint32_t *ages_ms;
+  Feed__Tick *tick;
 };
-#define FEED__HEARTBEAT_SUMMARY__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&feed__heartbeat_summary__descriptor) \
-    , 0,NULL, 0,NULL }
+#define FEED__LEADER_TICK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&feed__leader_tick__descriptor) \
+    , NULL }
 
 
 /* Feed__Object methods */
@@ -753,43 +759,43 @@
 void   feed__blob__free_unpacked
                      (Feed__Blob *message,
                       ProtobufCAllocator *allocator);
-/* Feed__Heartbeat methods */
-void   feed__heartbeat__init
-                     (Feed__Heartbeat         *message);
-size_t feed__heartbeat__get_packed_size
-                     (const Feed__Heartbeat   *message);
-size_t feed__heartbeat__pack
-                     (const Feed__Heartbeat   *message,
+/* Feed__Heartbeats methods */
+void   feed__heartbeats__init
+                     (Feed__Heartbeats         *message);
+size_t feed__heartbeats__get_packed_size
+                     (const Feed__Heartbeats   *message);
+size_t feed__heartbeats__pack
+                     (const Feed__Heartbeats   *message,
                       uint8_t             *out);
-size_t feed__heartbeat__pack_to_buffer
-                     (const Feed__Heartbeat   *message,
+size_t feed__heartbeats__pack_to_buffer
+                     (const Feed__Heartbeats   *message,
                       ProtobufCBuffer     *buffer);
-Feed__Heartbeat *
-       feed__heartbeat__unpack
+Feed__Heartbeats *
+       feed__heartbeats__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   feed__heartbeat__free_unpacked
-                     (Feed__Heartbeat *message,
+void   feed__heartbeats__free_unpacked
+                     (Feed__Heartbeats *message,
                       ProtobufCAllocator *allocator);
-/* Feed__HeartbeatSummary methods */
-void   feed__heartbeat_summary__init
-                     (Feed__HeartbeatSummary         *message);
-size_t feed__heartbeat_summary__get_packed_size
-                     (const Feed__HeartbeatSummary   *message);
-size_t feed__heartbeat_summary__pack
-                     (const Feed__HeartbeatSummary   *message,
+/* Feed__LeaderTick methods */
+void   feed__leader_tick__init
+                     (Feed__LeaderTick         *message);
+size_t feed__leader_tick__get_packed_size
+                     (const Feed__LeaderTick   *message);
+size_t feed__leader_tick__pack
+                     (const Feed__LeaderTick   *message,
                       uint8_t             *out);
-size_t feed__heartbeat_summary__pack_to_buffer
-                     (const Feed__HeartbeatSummary   *message,
+size_t feed__leader_tick__pack_to_buffer
+                     (const Feed__LeaderTick   *message,
                       ProtobufCBuffer     *buffer);
-Feed__HeartbeatSummary *
-       feed__heartbeat_summary__unpack
+Feed__LeaderTick *
+       feed__leader_tick__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   feed__heartbeat_summary__free_unpacked
-                     (Feed__HeartbeatSummary *message,
+void   feed__leader_tick__free_unpacked
+                     (Feed__LeaderTick *message,
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
@@ -850,11 +856,11 @@
 typedef void (*Feed__Blob_Closure)
                  (const Feed__Blob *message,
                   void *closure_data);
-typedef void (*Feed__Heartbeat_Closure)
-                 (const Feed__Heartbeat *message,
+typedef void (*Feed__Heartbeats_Closure)
+                 (const Feed__Heartbeats *message,
                   void *closure_data);
-typedef void (*Feed__HeartbeatSummary_Closure)
-                 (const Feed__HeartbeatSummary *message,
+typedef void (*Feed__LeaderTick_Closure)
+                 (const Feed__LeaderTick *message,
                   void *closure_data);
 
 /* --- services --- */
@@ -881,8 +887,8 @@
 extern const ProtobufCMessageDescriptor feed__digest__descriptor;
 extern const ProtobufCMessageDescriptor feed__pull__descriptor;
 extern const ProtobufCMessageDescriptor feed__blob__descriptor;
-extern const ProtobufCMessageDescriptor feed__heartbeat__descriptor;
-extern const ProtobufCMessageDescriptor feed__heartbeat_summary__descriptor;
+extern const ProtobufCMessageDescriptor feed__heartbeats__descriptor;
+extern const ProtobufCMessageDescriptor feed__leader_tick__descriptor;
 
 PROTOBUF_C__END_DECLS
 
