--- a/src/config/config_apply.c
+++ b/src/config/config_apply.c
@@ -91,6 +91,21 @@
 	return (0);
 }
 
+/* A withdrawn key stays withdrawn: an old file of objects that is applied
+ * again must not bring it back. */
+static int
+config_revives_key(const config_state_t *state, const config_object_t *object)
+{
+	const config_key_t *current;
+
+	if (object->kind != CONFIG_KIND_KEY ||
+	    ((const config_key_t *)object)->withdrawn)
+		return (0);
+	current = (const config_key_t *)config_state_find(
+	    state, CONFIG_KIND_KEY, object->name);
+	return (current != NULL && current->withdrawn);
+}
+
 static int
 config_put_item(config_state_t *state, uint64_t index, const Feed__Object *msg,
     config_undo_t *undo)
@@ -105,6 +120,10 @@
 		config_object_free(object);
 		return (TM_EREFERENCE);
 	}
+	if (config_revives_key(state, object)) {
+		config_object_free(object);
+		return (TM_EINVAL);
+	}
 	undo->before = config_state_take(state, object->kind, object->name);
 	err = config_state_insert(state, object);
 	if (err != TM_OK) {
@@ -233,22 +252,42 @@
 	    config_apply_change(state, state->index + 1, change, 0, result));
 }
 
+/* Answers a change that was sent before. @return 1 if it was */
+static int
+config_answer_repeat(
+    config_state_t *state, const Feed__Change *change, config_result_t *result)
+{
+	config_change_slot_t *slot = NULL;
+
+	HASH_FIND_STR(state->changes, change->change_id, slot);
+	if (slot == NULL)
+		return (0);
+	if (slot->fingerprint != change->fingerprint) {
+		result->err = TM_EEXIST;
+		result->version = slot->result.version;
+		return (1);
+	}
+	*result = slot->result;
+	result->is_repeat = 1;
+	return (1);
+}
+
 static void
 config_apply_operators(config_state_t *state, uint64_t index,
     const Feed__Change *change, config_result_t *result)
 {
-	if (strlen(change->change_id) > CONFIG_CHANGE_ID_MAX_BYTES) {
+	if (change->change_id[0] == '\0' ||
+	    strlen(change->change_id) > CONFIG_CHANGE_ID_MAX_BYTES) {
 		result->err = TM_EINVAL;
 		return;
 	}
-	if (change->change_id[0] != '\0' &&
-	    config_state_find_change(state, change->change_id, result) == TM_OK)
+	if (config_answer_repeat(state, change, result))
 		return;
 	/* Running out of memory here would let this replica diverge. */
 	if (config_apply_change(state, index, change, 1, result) != TM_OK)
 		abort();
-	if (change->change_id[0] != '\0' &&
-	    config_state_add_change(state, change->change_id, result) != TM_OK)
+	if (config_state_add_change(
+		state, change->change_id, change->fingerprint, result) != TM_OK)
 		abort();
 	if (result->err == TM_OK) {
 		config_record_items(state, index, change);
--- a/src/config/config_internal.h
+++ b/src/config/config_internal.h
@@ -34,6 +34,7 @@
 typedef struct config_change_slot {
 	UT_hash_handle hh;
 	char id[CONFIG_CHANGE_ID_MAX_BYTES + 1];
+	uint64_t fingerprint;
 	config_result_t result;
 } config_change_slot_t;
 
@@ -75,10 +76,8 @@
 void config_state_order_nodes(config_state_t *state);
 void config_state_add_audit(config_state_t *state, const config_audit_t *audit);
 int config_state_add_change(config_state_t *state, const char *change_id,
-    const config_result_t *result);
+    uint64_t fingerprint, const config_result_t *result);
 void config_state_reset(config_state_t *state);
-int config_node_decode(const Feed__Node *msg, config_node_t *out);
-void config_node_encode(const config_node_t *node, Feed__Node *out);
 int config_group_decode(const Feed__Group *msg, config_group_t *out);
 
 /* config_apply.c */
--- a/src/config/config_json.c
+++ b/src/config/config_json.c
@@ -319,6 +319,18 @@
 	    "create it first, or in the same file");
 }
 
+static void
+config_check_revival(reference_check_t *check, const Feed__Object *object)
+{
+	const config_key_t *key = config_state_find_key(
+	    check->state, object->name, strlen(object->name));
+
+	if (key == NULL || !key->withdrawn || object->withdrawn)
+		return;
+	json_node_add_error(check->node, "withdrawn", object->name,
+	    "true for a key that was withdrawn", "issue a new key");
+}
+
 static void
 config_check_object(reference_check_t *check, const Feed__Object *object)
 {
@@ -339,6 +351,7 @@
 	case CONFIG_KIND_KEY:
 		config_check_name(check, "workspace", CONFIG_KIND_WORKSPACE,
 		    object->workspace);
+		config_check_revival(check, object);
 		break;
 	default:
 		break;
--- a/src/config/config_json.h
+++ b/src/config/config_json.h
@@ -48,7 +48,7 @@
 
 /**
  * Adds an error for each reference to an object that neither the state nor
- * an item of the change holds.
+ * an item of the change holds, and for withdrawn keys that would come back.
  *
  * @param node  names the file and the path in the errors
  */
--- a/src/config/config_snapshot.c
+++ b/src/config/config_snapshot.c
@@ -151,6 +151,7 @@
 		build->changes[i].err = slot->result.err;
 		build->changes[i].version = slot->result.version;
 		build->changes[i].item = slot->result.item;
+		build->changes[i].fingerprint = slot->fingerprint;
 		build->msg.changes[i] = &build->changes[i];
 	}
 	build->msg.n_changes = count;
@@ -277,8 +278,8 @@
 		result.err = msg->changes[i]->err;
 		result.version = msg->changes[i]->version;
 		result.item = msg->changes[i]->item;
-		if (config_state_add_change(
-			state, msg->changes[i]->change_id, &result) != TM_OK)
+		if (config_state_add_change(state, msg->changes[i]->change_id,
+			msg->changes[i]->fingerprint, &result) != TM_OK)
 			return (TM_ENOMEM);
 	}
 	for (i = 0; i < msg->n_audit; i++) {
--- a/src/config/config_state.c
+++ b/src/config/config_state.c
@@ -483,8 +483,8 @@
 }
 
 int
-config_state_add_change(
-    config_state_t *state, const char *change_id, const config_result_t *result)
+config_state_add_change(config_state_t *state, const char *change_id,
+    uint64_t fingerprint, const config_result_t *result)
 {
 	config_change_slot_t *slot;
 
@@ -497,6 +497,7 @@
 	if (slot == NULL)
 		return (TM_ENOMEM);
 	strncpy(slot->id, change_id, CONFIG_CHANGE_ID_MAX_BYTES);
+	slot->fingerprint = fingerprint;
 	slot->result = *result;
 	slot->result.is_repeat = 0;
 	HASH_ADD_STR(state->changes, id, slot);
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -141,6 +141,16 @@
 size_t config_state_get_audit(const config_state_t *state, uint64_t before,
     config_audit_t *out, size_t limit);
 
+/**
+ * Checks and copies a node of the directory or of a heartbeat.
+ *
+ * @return 0 or TM_EINVAL
+ */
+int config_node_decode(const Feed__Node *msg, config_node_t *out);
+
+/** Fills a message, whose texts point into the node. */
+void config_node_encode(const config_node_t *node, Feed__Node *out);
+
 /**
  * Encodes an entry.
  *
--- /dev/null
+++ b/src/control/admin_api.c
@@ -0,0 +1,323 @@
+#include "control/admin_api.h"
+
+#include <openssl/rand.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "config/config_object.h"
+#include "control/admin_internal.h"
+
+#define ADMIN_BACKLOG	   128
+#define ADMIN_SEGMENTS_MAX 4
+
+/* A route; {kind} and {name} stand for one segment of the path. */
+typedef struct admin_route {
+	const char *text;
+	admin_handler_cb handle;
+	int any_node; /* answered by followers as well */
+} admin_route_t;
+
+static const admin_route_t admin_routes[] = {
+	{ "GET /v1/status", admin_handle_status, 1 },
+	{ "GET /v1/history", admin_handle_history, 0 },
+	{ "POST /v1/apply", admin_handle_apply, 0 },
+	{ "POST /v1/keys", admin_handle_issue, 0 },
+	{ "POST /v1/keys/{name}/withdraw", admin_handle_withdraw, 0 },
+	{ "GET /v1/{kind}", admin_handle_list, 0 },
+	{ "GET /v1/{kind}/{name}", admin_handle_get, 0 },
+	{ "PUT /v1/{kind}/{name}", admin_handle_put, 0 },
+	{ "DELETE /v1/{kind}/{name}", admin_handle_delete, 0 },
+};
+
+#define ADMIN_ROUTES (sizeof(admin_routes) / sizeof(admin_routes[0]))
+
+/* The handler of h2o with the API that it belongs to. */
+typedef struct admin_h2o_handler {
+	h2o_handler_t super;
+	admin_api_t *api;
+} admin_h2o_handler_t;
+
+size_t
+admin_api_get_route_count(void)
+{
+	return (ADMIN_ROUTES);
+}
+
+const char *
+admin_api_get_route(size_t index)
+{
+	return (index < ADMIN_ROUTES ? admin_routes[index].text : NULL);
+}
+
+/* Matches one segment. @return 1 and fills in the request, else 0 */
+static int
+admin_match_segment(const char *pattern, size_t pattern_len, const char *text,
+    size_t len, admin_request_t *request)
+{
+	if (pattern_len == 6 && memcmp(pattern, "{kind}", 6) == 0) {
+		request->kind = config_kind_from_path(text, len);
+		return (request->kind != CONFIG_KIND_NONE);
+	}
+	if (pattern_len == 6 && memcmp(pattern, "{name}", 6) == 0) {
+		if (len > NAME_MAX_BYTES)
+			return (0);
+		memcpy(request->name, text, len);
+		request->name[len] = '\0';
+		return (node_name_is_valid(request->name));
+	}
+	return (pattern_len == len && memcmp(pattern, text, len) == 0);
+}
+
+static size_t
+admin_get_segment_len(const char *at, const char *end)
+{
+	const char *slash = memchr(at, '/', (size_t)(end - at));
+
+	return ((size_t)((slash != NULL ? slash : end) - at));
+}
+
+static int
+admin_match_path(
+    const char *pattern, const char *path, size_t len, admin_request_t *request)
+{
+	const char *pattern_end = pattern + strlen(pattern);
+	const char *path_end = path + len;
+	size_t want;
+	size_t got;
+
+	while (pattern < pattern_end && path < path_end && *path == '/') {
+		pattern++;
+		path++;
+		want = admin_get_segment_len(pattern, pattern_end);
+		got = admin_get_segment_len(path, path_end);
+		if (!admin_match_segment(pattern, want, path, got, request))
+			return (0);
+		pattern += want;
+		path += got;
+	}
+	return (pattern == pattern_end && path == path_end);
+}
+
+/* @return the route; NULL with *known set if only the method is wrong */
+static const admin_route_t *
+admin_find_route(admin_request_t *request, int *known)
+{
+	const h2o_req_t *req = request->req;
+	size_t path_len =
+	    req->query_at != SIZE_MAX ? req->query_at : req->path.len;
+	const char *blank;
+	size_t i;
+
+	*known = 0;
+	for (i = 0; i < ADMIN_ROUTES; i++) {
+		blank = strchr(admin_routes[i].text, ' ');
+		if (!admin_match_path(
+			blank + 1, req->path.base, path_len, request))
+			continue;
+		*known = 1;
+		if ((size_t)(blank - admin_routes[i].text) == req->method.len &&
+		    memcmp(admin_routes[i].text, req->method.base,
+			req->method.len) == 0)
+			return (&admin_routes[i]);
+	}
+	return (NULL);
+}
+
+static int
+admin_is_change_id(const char *text)
+{
+	size_t i;
+
+	for (i = 0; text[i] != '\0'; i++) {
+		if (text[i] <= ' ' || text[i] > '~')
+			return (0);
+	}
+	return (i > 0);
+}
+
+static int
+admin_read_change_id(admin_request_t *request)
+{
+	uint8_t random[16];
+	int err = admin_get_header(request->req, "x-change-id",
+	    request->change_id, sizeof(request->change_id));
+	size_t i;
+
+	if (err == TM_OK && admin_is_change_id(request->change_id)) {
+		request->has_change_id = 1;
+		return (TM_OK);
+	}
+	if (err != TM_ENOENT) {
+		admin_send_error(request->req, TM_EINVAL,
+		    "X-Change-Id must be 1 to 64 printable characters", NULL);
+		return (TM_EINVAL);
+	}
+	if (RAND_bytes(random, sizeof(random)) != 1) {
+		admin_send_error(request->req, TM_EIO, "random bytes", NULL);
+		return (TM_EIO);
+	}
+	for (i = 0; i < sizeof(random); i++)
+		snprintf(request->change_id + 2 * i, 3, "%02x", random[i]);
+	return (TM_OK);
+}
+
+static int
+admin_read_parameters(admin_request_t *request)
+{
+	char text[ADMIN_TEXT_MAX];
+	int err;
+
+	if (admin_read_change_id(request) != TM_OK)
+		return (TM_EINVAL);
+	err = admin_get_header(request->req, "if-version", text, sizeof(text));
+	if (err != TM_ENOENT) {
+		request->has_if_version = 1;
+		if (err != TM_OK ||
+		    admin_parse_number(text, &request->if_version) != TM_OK) {
+			admin_send_error(request->req, TM_EINVAL,
+			    "If-Version must be a version; 0 means that the "
+			    "object must not exist",
+			    NULL);
+			return (TM_EINVAL);
+		}
+	}
+	err = admin_get_query(request->req, "dry_run", text, sizeof(text));
+	if (err == TM_ENOENT)
+		return (TM_OK);
+	if (err == TM_OK &&
+	    (strcmp(text, "0") == 0 || strcmp(text, "1") == 0)) {
+		request->dry_run = text[0] == '1';
+		return (TM_OK);
+	}
+	admin_send_error(
+	    request->req, TM_EINVAL, "dry_run must be 0 or 1", NULL);
+	return (TM_EINVAL);
+}
+
+static void
+admin_dispatch(admin_request_t *request)
+{
+	control_t *control = request->api->control;
+	const admin_route_t *route;
+	int known;
+
+	request->operator_ =
+	    admin_authenticate(control_get_settings(control), request->req);
+	if (request->operator_ == NULL) {
+		admin_send_error(request->req, TM_EAUTH,
+		    "missing or unknown operator token",
+		    json_pack("{s:s}", "remedy",
+			"send Authorization: Bearer <operator token>"));
+		return;
+	}
+	route = admin_find_route(request, &known);
+	if (route == NULL) {
+		admin_send_error(request->req, TM_ENOENT,
+		    known ? "the path does not support this method"
+			  : "no such path",
+		    json_pack("{s:s}", "remedy", "see docs/admin-api.md"));
+		return;
+	}
+	if (!route->any_node && !control_is_ready_leader(control)) {
+		const control_vm_t *leader = control_get_leader(control);
+
+		if (leader != NULL &&
+		    strcmp(leader->name, control_get_settings(control)->node) ==
+			0)
+			leader = NULL;
+		admin_redirect(request->req, leader);
+		return;
+	}
+	if (admin_read_parameters(request) == TM_OK)
+		route->handle(request);
+}
+
+static int
+admin_on_request(h2o_handler_t *handler, h2o_req_t *req)
+{
+	admin_request_t request = {
+		.api = ((admin_h2o_handler_t *)handler)->api,
+		.req = req,
+	};
+
+	admin_dispatch(&request);
+	return (0);
+}
+
+static void
+admin_on_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+static void
+admin_on_accept(uv_stream_t *listener, int status)
+{
+	admin_api_t *api = listener->data;
+	h2o_socket_t *sock;
+	uv_tcp_t *conn;
+
+	if (status != 0)
+		return;
+	conn = malloc(sizeof(*conn));
+	if (conn == NULL)
+		return;
+	uv_tcp_init(listener->loop, conn);
+	if (uv_accept(listener, (uv_stream_t *)conn) != 0) {
+		uv_close((uv_handle_t *)conn, admin_on_closed);
+		return;
+	}
+	sock = h2o_uv_socket_create((uv_stream_t *)conn, admin_on_closed);
+	h2o_accept(&api->accept, sock);
+}
+
+static void
+admin_configure(admin_api_t *api, uv_loop_t *loop)
+{
+	admin_h2o_handler_t *handler;
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+
+	h2o_config_init(&api->config);
+	api->config.max_request_entity_size = ADMIN_BODY_MAX_BYTES;
+	api->config.http1.upgrade_to_http2 = 0;
+	host = h2o_config_register_host(
+	    &api->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	path = h2o_config_register_path(host, "/", 0);
+	handler =
+	    (admin_h2o_handler_t *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = admin_on_request;
+	handler->api = api;
+	h2o_context_init(&api->context, loop, &api->config);
+	api->accept.ctx = &api->context;
+	api->accept.hosts = api->config.hosts;
+}
+
+int
+admin_api_create(admin_api_t **out, control_t *control, uv_loop_t *loop)
+{
+	const control_settings_t *settings = control_get_settings(control);
+	admin_api_t *api = calloc(1, sizeof(*api));
+
+	if (api == NULL)
+		return (TM_ENOMEM);
+	api->control = control;
+	uv_tcp_init(loop, &api->listener);
+	api->listener.data = api;
+	if (uv_tcp_bind(&api->listener,
+		(const struct sockaddr *)&settings->admin_listen, 0) != 0 ||
+	    uv_listen((uv_stream_t *)&api->listener, ADMIN_BACKLOG,
+		admin_on_accept) != 0)
+		return (TM_EIO);
+	admin_configure(api, loop);
+	*out = api;
+	return (TM_OK);
+}
+
+void
+admin_api_close(admin_api_t *api)
+{
+	if (!uv_is_closing((uv_handle_t *)&api->listener))
+		uv_close((uv_handle_t *)&api->listener, NULL);
+}
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -411,6 +411,9 @@
 	if (record->changed_ms == 0 ||
 	    view->now_ms - record->changed_ms >= PLACEMENT_SETTLE_MS)
 		return (1);
+	/* The assignment may not be applied yet. */
+	if (view->now_ms - record->changed_ms < PLACEMENT_APPLY_MS)
+		return (0);
 	for (i = 0; i < CONFIG_HOLDERS; i++) {
 		if (record->slot_ms[i] == record->changed_ms &&
 		    !placement_reports_ready(view, &group->holders[i], shard))
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -19,6 +19,8 @@
  * state from the others; shorter if it reports that it is ready.
  */
 #define PLACEMENT_SETTLE_MS 2000
+/** Time that an assignment is given to pass through the log. */
+#define PLACEMENT_APPLY_MS 300
 /** A holder replaced within this time counts as not ready unless it says so. */
 #define PLACEMENT_UNREADY_MS 5000
 /** A first group is made with fewer than CONFIG_HOLDERS nodes after this. */
--- a/src/proto/feed.pb-c.c
+++ b/src/proto/feed.pb-c.c
@@ -1288,7 +1288,7 @@
   (ProtobufCMessageInit) feed__change_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__change__field_descriptors[4] =
+static const ProtobufCFieldDescriptor feed__change__field_descriptors[5] =
 {
   {
     "change_id",
@@ -1338,17 +1338,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fingerprint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Change, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__change__field_indices_by_name[] = {
   1,   /* field[1] = actor */
   0,   /* field[0] = change_id */
+  4,   /* field[4] = fingerprint */
   3,   /* field[3] = items */
   2,   /* field[2] = wall_ms */
 };
 static const ProtobufCIntRange feed__change__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor feed__change__descriptor =
 {
@@ -1358,7 +1371,7 @@
   "Feed__Change",
   "feed",
   sizeof(Feed__Change),
-  4,
+  5,
   feed__change__field_descriptors,
   feed__change__field_indices_by_name,
   1,  feed__change__number_ranges,
@@ -1699,7 +1712,7 @@
   (ProtobufCMessageInit) feed__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__change_result__field_descriptors[4] =
+static const ProtobufCFieldDescriptor feed__change_result__field_descriptors[5] =
 {
   {
     "change_id",
@@ -1749,17 +1762,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fingerprint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__ChangeResult, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__change_result__field_indices_by_name[] = {
   0,   /* field[0] = change_id */
   1,   /* field[1] = err */
+  4,   /* field[4] = fingerprint */
   3,   /* field[3] = item */
   2,   /* field[2] = version */
 };
 static const ProtobufCIntRange feed__change_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor feed__change_result__descriptor =
 {
@@ -1769,7 +1795,7 @@
   "Feed__ChangeResult",
   "feed",
   sizeof(Feed__ChangeResult),
-  4,
+  5,
   feed__change_result__field_descriptors,
   feed__change_result__field_indices_by_name,
   1,  feed__change_result__number_ranges,
--- a/src/proto/feed.pb-c.h
+++ b/src/proto/feed.pb-c.h
@@ -98,10 +98,15 @@
   int64_t wall_ms;
   size_t n_items;
   Feed__ChangeItem **items;
+  /*
+   * Hash of the request; tells a change that is sent again from another
+   * one that uses the same change id by mistake.
+   */
+  uint64_t fingerprint;
 };
 #define FEED__CHANGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__change__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
 struct  Feed__Node
@@ -170,10 +175,11 @@
   int32_t err;
   uint64_t version;
   uint32_t item;
+  uint64_t fingerprint;
 };
 #define FEED__CHANGE_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__change_result__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Feed__Audit
