--- /dev/null
+++ b/src/rate/rate_client.h
@@ -0,0 +1,94 @@
+/**
+ * @file
+ * Tokens that this VM holds, and requests that wait for one. The rules are in
+ * docs/rates.md.
+ */
+#ifndef TM_RATE_RATE_CLIENT_H
+#define TM_RATE_RATE_CLIENT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/node_defs.h"
+#include "group/group.h"
+
+/** A request without an answer of the leader waits at most this long. */
+#define RATE_WAIT_MAX_MS 1500
+#define RATE_WAITERS_MAX 4096
+
+/** Decision on a request. */
+typedef enum rate_result {
+	RATE_GRANTED, /**< one token is spent: dispatch now */
+	RATE_PENDING, /**< the callback will follow */
+	RATE_REFUSED, /**< 429 with retry_after_ms */
+	RATE_UNAVAILABLE /**< no leader answered: 503, run no */
+} rate_result_t;
+
+typedef struct rate_client rate_client_t;
+
+/**
+ * Decides a pending request, once; never called from within
+ * rate_client_acquire(). For RATE_GRANTED the token is spent by this call;
+ * dispatch in it.
+ */
+typedef void (*rate_result_cb)(
+    void *ctx, void *request, rate_result_t result, int64_t retry_after_ms);
+
+typedef struct rate_client_options {
+	node_id_t self;
+	uint64_t incarnation;
+	group_t *group;
+	void *ctx;
+	node_send_cb send; /**< may be called with the VM itself */
+	rate_result_cb result;
+	/** Divide each rate evenly over the live VMs, without a leader. */
+	int baseline;
+	int test_skip_expiry; /**< proofs only: tokens never expire */
+} rate_client_options_t;
+
+/** @return 0, TM_EINVAL, TM_ENOMEM */
+int rate_client_create(
+    rate_client_t **out, const rate_client_options_t *options);
+void rate_client_destroy(rate_client_t *client);
+
+/** Sets or changes a workspace. @return 0, TM_EINVAL, TM_ENOMEM */
+int rate_client_set_workspace(rate_client_t *client, const char *workspace,
+    double rate_per_s, double burst, int64_t now_ms);
+
+/** Removes a workspace; its waiting requests become RATE_UNAVAILABLE. */
+void rate_client_remove_workspace(
+    rate_client_t *client, const char *workspace, int64_t now_ms);
+
+/** Sets the number of live VMs; used by the baseline only. */
+void rate_client_set_vm_count(rate_client_t *client, uint32_t count);
+
+/**
+ * Asks for a token for one dispatch. Call right before the dispatch; each
+ * retry and each hedged request needs its own.
+ *
+ * @param request         passed to the callback; not NULL
+ * @param deadline_ms     end of waiting, on the clock of now_ms
+ * @param now_ms          clock read for this call
+ * @param retry_after_ms  set for RATE_REFUSED
+ * @return                decision; RATE_UNAVAILABLE for an unknown workspace
+ */
+rate_result_t rate_client_acquire(rate_client_t *client, const char *workspace,
+    void *request, int64_t deadline_ms, int64_t now_ms,
+    int64_t *retry_after_ms);
+
+/**
+ * Withdraws a pending request whose caller went away; no callback follows.
+ *
+ * @return 0, TM_ENOENT if it is not pending
+ */
+int rate_client_cancel(
+    rate_client_t *client, const char *workspace, const void *request);
+
+/** Drives timers; call every 10 ms. */
+void rate_client_tick(rate_client_t *client, int64_t now_ms);
+
+/** Handles a message of types 85 to 89. @return 0, TM_EFORMAT */
+int rate_client_handle(rate_client_t *client, node_id_t from, uint16_t type,
+    const uint8_t *payload, size_t len, int64_t now_ms);
+
+#endif
