--- a/src/group/group.h
+++ b/src/group/group.h
@@ -123,6 +123,9 @@
 /** Registers a module whose state follows the shards. At most four. */
 int group_add_state(group_t *group, const group_state_ops_t *ops);
 
+/** @return number of shards */
+uint32_t group_get_shard_count(const group_t *group);
+
 /** @return shard of a key, such as a workspace or a service name */
 uint32_t group_shard_of(const group_t *group, const char *key);
 
