--- a/src/claim/claim_client.c
+++ b/src/claim/claim_client.c
@@ -443,6 +443,7 @@
 	}
 	if (call->state != CLAIM_STATE_ASKING)
 		return;
+	group_note_epoch(client->options.group, msg->shard, msg->epoch);
 	claim_start_epoch(client, call, now_ms);
 	place = claim_find_holder(client, msg->shard, from, msg->incarnation);
 	if (place < 0 || msg->epoch != call->epoch)
@@ -605,19 +606,34 @@
 		claim_send_finish(client, call, now_ms);
 }
 
+static void
+claim_tick_call(
+    claim_client_t *client, claim_call_state_t *call, int64_t now_ms)
+{
+	if (call->state == CLAIM_STATE_FINISHING)
+		claim_tick_finishing(client, call, now_ms);
+	else if (call->state != CLAIM_STATE_GRANTED)
+		claim_tick_asking(client, call, now_ms);
+}
+
 void
 claim_client_tick(claim_client_t *client, int64_t now_ms)
 {
+	static claim_call_t names[CLAIM_CALLS_MAX];
 	claim_call_state_t *call;
 	claim_call_state_t *next;
 	claim_released_t *released;
 	claim_released_t *next_released;
+	uint32_t count = 0;
+	uint32_t i;
 
-	HASH_ITER(hh, client->by_sequence, call, next) {
-		if (call->state == CLAIM_STATE_FINISHING)
-			claim_tick_finishing(client, call, now_ms);
-		else if (call->state != CLAIM_STATE_GRANTED)
-			claim_tick_asking(client, call, now_ms);
+	/* Result callbacks may end other calls, so names are looked up. */
+	HASH_ITER(hh, client->by_sequence, call, next)
+		names[count++] = call->name;
+	for (i = 0; i < count; i++) {
+		call = claim_find_name(client, names[i]);
+		if (call != NULL)
+			claim_tick_call(client, call, now_ms);
 	}
 	HASH_ITER(hh, client->released, released, next_released) {
 		if (now_ms < released->until_ms)
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -258,6 +258,17 @@
 	return (TM_OK);
 }
 
+void
+group_note_epoch(group_t *group, uint32_t shard, uint64_t epoch)
+{
+	const group_callbacks_t *callbacks = &group->options.callbacks;
+
+	if (shard < group->options.shard_count &&
+	    epoch > group->shards[shard].assignment.epoch &&
+	    callbacks->fetch_config != NULL)
+		callbacks->fetch_config(callbacks->ctx, shard, epoch);
+}
+
 uint64_t
 group_get_epoch(const group_t *group, uint32_t shard)
 {
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -80,7 +80,10 @@
 	void (*fetch_config)(void *ctx, uint32_t shard, uint64_t epoch);
 	/** This VM became the leader of a shard (leads != 0), or ceased. */
 	void (*leads)(void *ctx, uint32_t shard, int leads, int64_t now_ms);
-	/** A put of this leader is at a majority of the ready holders. */
+	/**
+	 * A put of this leader is at a majority of the ready holders. May put
+	 * the same key again, but no other.
+	 */
 	void (*committed)(void *ctx, uint32_t shard, const char *key,
 	    uint64_t version, int64_t now_ms);
 } group_callbacks_t;
@@ -137,6 +140,9 @@
 int group_set_assignment(
     group_t *group, const group_assignment_t *assignment, int64_t now_ms);
 
+/** Fetches the configuration if a peer's epoch is above the known one. */
+void group_note_epoch(group_t *group, uint32_t shard, uint64_t epoch);
+
 /** @return known epoch of a shard; 0 without an assignment */
 uint64_t group_get_epoch(const group_t *group, uint32_t shard);
 
--- a/src/group/group_handle.c
+++ b/src/group/group_handle.c
@@ -6,15 +6,12 @@
 group_check_epoch(
     group_t *group, group_shard_t *shard, node_id_t from, uint64_t epoch)
 {
-	const group_callbacks_t *callbacks = &group->options.callbacks;
 	Tm__GroupNewerEpoch msg = TM__GROUP_NEWER_EPOCH__INIT;
 
 	if (epoch == shard->assignment.epoch && epoch > 0)
 		return (TM_OK);
 	if (epoch > shard->assignment.epoch) {
-		if (callbacks->fetch_config != NULL)
-			callbacks->fetch_config(callbacks->ctx,
-			    group_shard_index(group, shard), epoch);
+		group_note_epoch(group, group_shard_index(group, shard), epoch);
 		return (TM_EEPOCH);
 	}
 	group->stats.stale_epochs++;
@@ -133,19 +130,6 @@
 			HANDLER(group, shard, from, msg, now_ms);     \
 	})
 
-static int
-group_handle_newer_epoch(group_t *group, const Tm__GroupNewerEpoch *msg)
-{
-	const group_callbacks_t *callbacks = &group->options.callbacks;
-
-	if (msg->shard >= group->options.shard_count)
-		return (TM_EFORMAT);
-	if (msg->epoch > group->shards[msg->shard].assignment.epoch &&
-	    callbacks->fetch_config != NULL)
-		callbacks->fetch_config(callbacks->ctx, msg->shard, msg->epoch);
-	return (TM_OK);
-}
-
 int
 group_handle(group_t *group, node_id_t from, uint16_t type,
     const uint8_t *payload, size_t len, int64_t now_ms)
@@ -201,7 +185,7 @@
 		break;
 	case MSG_GROUP_NEWER_EPOCH:
 		GROUP_DECODE(group_newer_epoch, Tm__GroupNewerEpoch,
-		    err = group_handle_newer_epoch(group, msg));
+		    group_note_epoch(group, msg->shard, msg->epoch));
 		break;
 	default:
 		group->stats.malformed++;
--- /dev/null
+++ b/src/rate/rate_bucket.c
@@ -0,0 +1,155 @@
+#include "rate/rate_bucket.h"
+
+#include <stdlib.h>
+
+#include <utlist.h>
+
+void
+rate_bucket_refill(
+    rate_bucket_t *bucket, int64_t now_ms, int ignore_outstanding)
+{
+	int64_t elapsed_ms = now_ms - bucket->refilled_ms;
+	int64_t out = bucket->granted_out + bucket->unknown_out;
+	int64_t room = bucket->burst - (ignore_outstanding ? 0 : out);
+	int64_t full_ms;
+	int64_t gain;
+
+	if (elapsed_ms <= 0)
+		return;
+	bucket->refilled_ms = now_ms;
+	/* Bounds the product for buckets that were idle for long. */
+	full_ms = bucket->burst / (bucket->rate_us / 1000 + 1) * 2 + 1000;
+	if (elapsed_ms > full_ms)
+		elapsed_ms = full_ms;
+	gain = bucket->rate_us * elapsed_ms + bucket->refill_rest;
+	bucket->refill_rest = gain % 1000;
+	bucket->level += gain / 1000;
+	if (bucket->level > room) {
+		bucket->level = room > 0 ? room : 0;
+		bucket->refill_rest = 0;
+	}
+}
+
+uint32_t
+rate_bucket_get_available(const rate_bucket_t *bucket)
+{
+	int64_t above = bucket->level - bucket->floor;
+
+	return (above > 0 ? (uint32_t)(above / RATE_UTOKENS) : 0);
+}
+
+uint32_t
+rate_grant_get_open(const rate_grant_t *grant)
+{
+	return (grant->tokens - grant->spent - grant->returned);
+}
+
+uint32_t
+rate_grant_get_idle(const rate_grant_t *grant)
+{
+	uint32_t used = grant->spent + grant->returned;
+
+	/* Waiting requests take the tokens of their grant first. */
+	if (used < grant->need)
+		used = grant->need;
+	return (used < grant->tokens ? grant->tokens - used : 0);
+}
+
+rate_grant_t *
+rate_bucket_grant(rate_bucket_t *bucket, uint64_t id, node_id_t vm,
+    uint32_t tokens, uint32_t need, int64_t now_ms)
+{
+	rate_grant_t *grant = calloc(1, sizeof(*grant));
+
+	if (grant == NULL)
+		return (NULL);
+	grant->id = id;
+	grant->vm = vm;
+	grant->tokens = tokens;
+	grant->need = need;
+	grant->reclaim_ms = now_ms + RATE_TOKEN_RECLAIM_MS;
+	DL_APPEND(bucket->grants, grant);
+	bucket->level -= tokens * RATE_UTOKENS;
+	bucket->granted_out += tokens * RATE_UTOKENS;
+	bucket->used_ms = now_ms;
+	return (grant);
+}
+
+static void
+rate_grant_free(rate_bucket_t *bucket, rate_grant_t *grant)
+{
+	bucket->granted_out -= rate_grant_get_open(grant) * RATE_UTOKENS;
+	DL_DELETE(bucket->grants, grant);
+	free(grant);
+}
+
+void
+rate_bucket_report(rate_bucket_t *bucket, node_id_t vm, uint64_t id,
+    uint32_t spent, uint32_t returned)
+{
+	rate_grant_t *grant;
+	uint32_t back;
+
+	DL_FOREACH(bucket->grants, grant) {
+		if (grant->id == id && grant->vm == vm)
+			break;
+	}
+	if (grant == NULL || spent < grant->spent ||
+	    returned < grant->returned || spent > grant->tokens ||
+	    returned > grant->tokens - spent)
+		return;
+	back = returned - grant->returned;
+	bucket->granted_out -= (spent - grant->spent + back) * RATE_UTOKENS;
+	bucket->level += back * RATE_UTOKENS;
+	grant->spent = spent;
+	grant->returned = returned;
+	if (rate_grant_get_open(grant) == 0)
+		rate_grant_free(bucket, grant);
+}
+
+void
+rate_bucket_reclaim(rate_bucket_t *bucket, int64_t now_ms)
+{
+	if (now_ms >= bucket->unknown_until_ms)
+		bucket->unknown_out = 0;
+	/* Grants are in the order of reclaim_ms. */
+	while (bucket->grants != NULL && bucket->grants->reclaim_ms <= now_ms)
+		rate_grant_free(bucket, bucket->grants);
+}
+
+int64_t
+rate_bucket_get_idle(const rate_bucket_t *bucket)
+{
+	const rate_grant_t *grant;
+	int64_t idle = 0;
+
+	DL_FOREACH(bucket->grants, grant)
+		idle += rate_grant_get_idle(grant);
+	return (idle);
+}
+
+int64_t
+rate_bucket_get_next_ms(const rate_bucket_t *bucket)
+{
+	int64_t missing = RATE_UTOKENS - bucket->level;
+	int64_t wait_ms;
+
+	if (missing <= 0)
+		return (1);
+	wait_ms = (missing * 1000 + bucket->rate_us - 1) / bucket->rate_us;
+	return (wait_ms > 0 ? wait_ms : 1);
+}
+
+void
+rate_bucket_clear(rate_bucket_t *bucket)
+{
+	rate_waiter_t *waiter;
+	rate_waiter_t *next;
+
+	while (bucket->grants != NULL)
+		rate_grant_free(bucket, bucket->grants);
+	DL_FOREACH_SAFE(bucket->waiters, waiter, next) {
+		DL_DELETE(bucket->waiters, waiter);
+		free(waiter);
+	}
+}
--- /dev/null
+++ b/src/rate/rate_bucket.h
@@ -0,0 +1,100 @@
+/**
+ * @file
+ * Token bucket of one workspace at its leader: level, tokens outstanding at
+ * VMs, and the floor that a new leader would start from.
+ */
+#ifndef TM_RATE_RATE_BUCKET_H
+#define TM_RATE_RATE_BUCKET_H
+
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "base/node_defs.h"
+#include "rate/rate_defs.h"
+#include "rate/rate_leader.h"
+
+/** Tokens granted to one VM in one message. */
+typedef struct rate_grant {
+	uint64_t id;
+	node_id_t vm;
+	uint32_t tokens;
+	uint32_t need; /**< of these, for requests that waited */
+	uint32_t spent; /**< reported totals */
+	uint32_t returned;
+	int64_t reclaim_ms;
+	int64_t recalled_ms; /**< 0: not recalled */
+	struct rate_grant *prev;
+	struct rate_grant *next;
+} rate_grant_t;
+
+/** A VM whose need could not be met yet. */
+typedef struct rate_waiter {
+	node_id_t vm;
+	uint64_t sequence;
+	int64_t sent_ms; /**< clock of the VM */
+	int64_t since_ms;
+	uint32_t need;
+	uint32_t granted; /**< sent for this sequence so far */
+	struct rate_waiter *prev;
+	struct rate_waiter *next;
+} rate_waiter_t;
+
+/** Bucket; amounts in utokens. */
+typedef struct rate_bucket {
+	char key[GROUP_STORE_KEY_MAX_BYTES + 1]; /**< of the store */
+	const char *workspace; /**< within key */
+	uint32_t shard;
+	int64_t rate_us; /**< utokens per second */
+	int64_t burst;
+	int64_t level;
+	int64_t refill_rest; /**< below one utoken, in thousandths */
+	int64_t refilled_ms;
+	rate_grant_t *grants;
+	int64_t granted_out; /**< sum of what grants have outstanding */
+	int64_t unknown_out; /**< tokens of an earlier leader */
+	int64_t unknown_until_ms;
+	rate_waiter_t *waiters;
+	int64_t floor; /**< highest floor that a new leader may find */
+	int64_t floor_pending; /**< put, not committed; -1 if none */
+	uint64_t version; /**< of the last put */
+	int64_t put_ms;
+	int64_t used_ms;
+	int stored; /**< the store has an entry */
+	UT_hash_handle hh;
+} rate_bucket_t;
+
+/** Adds the tokens accrued up to now, within the burst. */
+void rate_bucket_refill(
+    rate_bucket_t *bucket, int64_t now_ms, int ignore_outstanding);
+
+/** @return whole tokens that may be granted now */
+uint32_t rate_bucket_get_available(const rate_bucket_t *bucket);
+
+/** @return outstanding tokens of a grant */
+uint32_t rate_grant_get_open(const rate_grant_t *grant);
+
+/** @return tokens of a grant that a VM holds without a waiting request */
+uint32_t rate_grant_get_idle(const rate_grant_t *grant);
+
+/** Takes tokens from the level. @return the grant, NULL without memory */
+rate_grant_t *rate_bucket_grant(rate_bucket_t *bucket, uint64_t id,
+    node_id_t vm, uint32_t tokens, uint32_t need, int64_t now_ms);
+
+/** Applies totals that a VM reported for a grant. */
+void rate_bucket_report(rate_bucket_t *bucket, node_id_t vm, uint64_t id,
+    uint32_t spent, uint32_t returned);
+
+/** Drops grants whose tokens have expired everywhere. */
+void rate_bucket_reclaim(rate_bucket_t *bucket, int64_t now_ms);
+
+/** @return tokens of all grants that could be recalled */
+int64_t rate_bucket_get_idle(const rate_bucket_t *bucket);
+
+/** @return milliseconds until the next whole token, at least 1 */
+int64_t rate_bucket_get_next_ms(const rate_bucket_t *bucket);
+
+/** Frees grants and waiters. */
+void rate_bucket_clear(rate_bucket_t *bucket);
+
+#endif
--- /dev/null
+++ b/src/rate/rate_defs.h
@@ -0,0 +1,22 @@
+/**
+ * @file
+ * Message types and units of rates. Tokens are counted in millionths, so
+ * fractional rates lose nothing to rounding.
+ */
+#ifndef TM_RATE_RATE_DEFS_H
+#define TM_RATE_RATE_DEFS_H
+
+#include "net/msg_types.h"
+
+#define MSG_RATE_NEED	(MSG_RATE_BASE + 0)
+#define MSG_RATE_GRANT	(MSG_RATE_BASE + 5)
+#define MSG_RATE_RECALL (MSG_RATE_BASE + 6)
+
+#define RATE_UTOKENS INT64_C(1000000)
+/** Bounds of the configured values. */
+#define RATE_PER_S_MAX 1e9
+#define RATE_BURST_MAX 1e9
+/** A VM prefetches what it needs in this time. */
+#define RATE_PREFETCH_MS 500
+
+#endif
