--- a/src/claim/claim_client.h
+++ b/src/claim/claim_client.h
@@ -83,12 +83,13 @@
 /**
  * Checks a granted claim right before the write to the target.
  *
+ * @param name    call from claim_client_start()
  * @param now_ms  clock read for this check, not the loop's cached time
  * @return 1 if the request may be written; 0 if the claim is too old, then
  *         call claim_client_release() and answer 503, run "no"
  */
 int claim_client_may_dispatch(
-    const claim_client_t *client, claim_call_t call, int64_t now_ms);
+    const claim_client_t *client, claim_call_t name, int64_t now_ms);
 
 /**
  * Reports the outcome of a dispatched request and ends the call.
@@ -96,7 +97,7 @@
  * @param answer  encoded answer; NULL if the outcome is unknown
  * @return 0, TM_ENOENT
  */
-int claim_client_finish(claim_client_t *client, claim_call_t call,
+int claim_client_finish(claim_client_t *client, claim_call_t name,
     const uint8_t *answer, size_t len, int64_t now_ms);
 
 /**
@@ -105,7 +106,7 @@
  * @return 0, TM_ENOENT
  */
 int claim_client_release(
-    claim_client_t *client, claim_call_t call, int64_t now_ms);
+    claim_client_t *client, claim_call_t name, int64_t now_ms);
 
 /** Drives timers; call every 10 to 50 ms. */
 void claim_client_tick(claim_client_t *client, int64_t now_ms);
--- a/src/claim/claim_holder.c
+++ b/src/claim/claim_holder.c
@@ -53,8 +53,7 @@
 };
 
 static void
-claim_record_set_answer(claim_holder_t *holder, claim_record_t *record,
-    const uint8_t *answer, size_t len)
+claim_record_clear_answer(claim_holder_t *holder, claim_record_t *record)
 {
 	claim_shard_t *shard = &holder->shards[record->shard];
 
@@ -64,22 +63,29 @@
 	record->answer = NULL;
 	record->answer_len = 0;
 	record->has_answer = 0;
-	if (answer == NULL && len == 0)
-		return;
-	if (len > CLAIM_ANSWER_MAX_BYTES ||
-	    shard->answer_bytes + len > CLAIM_ANSWERS_MAX_BYTES) {
+}
+
+static void
+claim_record_set_answer(claim_holder_t *holder, claim_record_t *record,
+    const ProtobufCBinaryData *answer)
+{
+	claim_shard_t *shard = &holder->shards[record->shard];
+
+	claim_record_clear_answer(holder, record);
+	if (answer->len > CLAIM_ANSWER_MAX_BYTES ||
+	    shard->answer_bytes + answer->len > CLAIM_ANSWERS_MAX_BYTES) {
 		holder->stats.answers_dropped++;
 		return;
 	}
-	record->answer = malloc(len > 0 ? len : 1);
+	record->answer = malloc(answer->len + 1);
 	if (record->answer == NULL)
 		return;
-	if (len > 0)
-		memcpy(record->answer, answer, len);
-	record->answer_len = (uint32_t)len;
+	if (answer->len > 0)
+		memcpy(record->answer, answer->data, answer->len);
+	record->answer_len = (uint32_t)answer->len;
 	record->has_answer = 1;
-	shard->answer_bytes += len;
-	holder->stats.bytes += len;
+	shard->answer_bytes += answer->len;
+	holder->stats.bytes += answer->len;
 }
 
 static void
@@ -87,7 +93,7 @@
 {
 	claim_shard_t *shard = &holder->shards[record->shard];
 
-	claim_record_set_answer(holder, record, NULL, 0);
+	claim_record_clear_answer(holder, record);
 	DL_DELETE(shard->records, record);
 	HASH_DEL(holder->by_digest, record);
 	shard->count--;
@@ -96,18 +102,25 @@
 	free(record);
 }
 
-/* Puts a record last; its retention starts again. */
+/* Puts a record last in the order of changes. */
 static void
-claim_record_touch(
+claim_record_append(
     claim_holder_t *holder, claim_record_t *record, int64_t now_ms)
 {
-	claim_shard_t *shard = &holder->shards[record->shard];
-
-	if (record->index > 0)
-		DL_DELETE(shard->records, record);
 	record->index = ++holder->next_index;
 	record->expires_ms = now_ms + GROUP_RETENTION_MS;
-	DL_APPEND(shard->records, record);
+	DL_APPEND(holder->shards[record->shard].records, record);
+}
+
+/* Starts the retention of a known record again. */
+static void
+claim_record_touch(
+    claim_holder_t *holder, claim_record_t *record, int64_t now_ms)
+{
+	claim_record_t **list = &holder->shards[record->shard].records;
+
+	DL_DELETE(*list, record);
+	claim_record_append(holder, record, now_ms);
 }
 
 static claim_record_t *
@@ -137,7 +150,7 @@
 	holder->shards[shard].count++;
 	holder->stats.records++;
 	holder->stats.bytes += sizeof(*record);
-	claim_record_touch(holder, record, now_ms);
+	claim_record_append(holder, record, now_ms);
 	return (record);
 }
 
@@ -275,8 +288,7 @@
 		record->finished = 1;
 		claim_record_touch(holder, record, now_ms);
 		if (msg->has_answer)
-			claim_record_set_answer(
-			    holder, record, msg->answer.data, msg->answer.len);
+			claim_record_set_answer(holder, record, &msg->answer);
 	}
 	ack.shard = msg->shard;
 	ack.incarnation = holder->options.incarnation;
@@ -391,8 +403,7 @@
 		record->owner = owner;
 		record->finished = 1;
 		if (msg->has_answer)
-			claim_record_set_answer(
-			    holder, record, msg->answer.data, msg->answer.len);
+			claim_record_set_answer(holder, record, &msg->answer);
 	}
 	return (TM_OK);
 }
--- a/src/group/group_store.c
+++ b/src/group/group_store.c
@@ -152,7 +152,6 @@
 {
 	const group_entry_t *first = group_store_after(store, seq);
 	const group_entry_t *entry;
-	Tm__GroupStoreEntry *msgs;
 	size_t bytes = 0;
 	size_t i;
 
@@ -167,14 +166,16 @@
 	}
 	if (part->count == 0)
 		return (TM_OK);
-	part->entries =
-	    calloc(part->count, sizeof(*part->entries) + sizeof(*msgs));
-	if (part->entries == NULL)
+	part->entries = calloc(part->count, sizeof(void *));
+	part->buffer = calloc(part->count, sizeof(*part->buffer));
+	if (part->entries == NULL || part->buffer == NULL) {
+		group_store_part_free(part);
 		return (TM_ENOMEM);
-	msgs = (Tm__GroupStoreEntry *)(void *)(part->entries + part->count);
-	for (i = 0, entry = first; i < part->count; i++) {
-		group_store_fill(&msgs[i], entry);
-		part->entries[i] = &msgs[i];
+	}
+	entry = first;
+	for (i = 0; entry != NULL && i < part->count; i++) {
+		group_store_fill(&part->buffer[i], entry);
+		part->entries[i] = &part->buffer[i];
 		entry = entry->hh.next;
 	}
 	return (TM_OK);
@@ -184,6 +185,7 @@
 group_store_part_free(group_store_part_t *part)
 {
 	free(part->entries);
+	free(part->buffer);
 	memset(part, 0, sizeof(*part));
 }
 
--- a/src/group/group_store.h
+++ b/src/group/group_store.h
@@ -56,6 +56,7 @@
 /** Entries of a message, pointing into the store. */
 typedef struct group_store_part {
 	Tm__GroupStoreEntry **entries;
+	Tm__GroupStoreEntry *buffer;
 	size_t count;
 	uint64_t last_seq;
 } group_store_part_t;
--- a/src/rate/rate_defs.h
+++ b/src/rate/rate_defs.h
@@ -16,6 +16,10 @@
 /** Bounds of the configured values. */
 #define RATE_PER_S_MAX 1e9
 #define RATE_BURST_MAX 1e9
+/** Tokens are valid for this long after the VM sent its request. */
+#define RATE_TOKEN_VALID_MS 1000
+/** The leader counts tokens as outstanding for this long. */
+#define RATE_TOKEN_RECLAIM_MS 1200
 /** A VM prefetches what it needs in this time. */
 #define RATE_PREFETCH_MS 500
 
--- a/src/rate/rate_leader.h
+++ b/src/rate/rate_leader.h
@@ -11,11 +11,7 @@
 
 #include "base/node_defs.h"
 #include "group/group.h"
-
-/** Tokens are valid for this long after the VM sent its request. */
-#define RATE_TOKEN_VALID_MS 1000
-/** The leader counts tokens as outstanding for this long. */
-#define RATE_TOKEN_RECLAIM_MS 1200
+#include "rate/rate_defs.h"
 
 typedef struct rate_leader rate_leader_t;
 
