--- /dev/null
+++ b/src/service/service_defs.h
@@ -0,0 +1,148 @@
+/**
+ * @file
+ * Types shared by the leader of a service, the view of an entry VM and the
+ * balancer.
+ */
+#ifndef TM_SERVICE_DEFS_H
+#define TM_SERVICE_DEFS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/node_defs.h"
+#include "net/msg_types.h"
+
+/** Most targets of one service. */
+#define SERVICE_TARGETS_MAX 256
+/** Longest textual IP address with its terminator. */
+#define SERVICE_IP_BYTES 46
+/** Most blocked request fingerprints of one service. */
+#define SERVICE_BLOCKED_MAX 64
+/** Most data centres that avoid one target at the same time. */
+#define SERVICE_AVOID_MAX 8
+/** A share of 1000 is a full share. */
+#define SERVICE_SHARE_FULL 1000
+
+/** Message types of src/proto/service.proto. */
+enum service_msg_type {
+	MSG_SERVICE_REPORT = MSG_SERVICE_BASE, /**< view to leader */
+	MSG_SERVICE_TABLE, /**< leader to view, view to view */
+	MSG_SERVICE_SHARES, /**< leader to view */
+	MSG_SERVICE_ANNOUNCE, /**< view to leader, or to a view as relay */
+	MSG_SERVICE_ANNOUNCE_REPLY, /**< leader to the first view */
+	MSG_SERVICE_TRIAL, /**< leader to view: permit */
+	MSG_SERVICE_TRIAL_RESULT, /**< view to leader */
+	MSG_SERVICE_CRASH, /**< view to leader */
+	MSG_SERVICE_VERSION /**< view to view: table version */
+};
+
+/** How quickly bad evidence leads to ejection. */
+typedef enum service_eagerness {
+	SERVICE_EAGER,
+	SERVICE_NORMAL,
+	SERVICE_CAUTIOUS
+} service_eagerness_t;
+
+/** Values of the profile that these modules use. */
+typedef struct service_profile {
+	service_eagerness_t eagerness;
+	uint32_t floor_percent; /**< 0 to 100 */
+	int repeat_allowed;
+} service_profile_t;
+
+/** Reads the profile in force; may be called at any time. */
+typedef void (*service_profile_cb)(void *ctx, service_profile_t *out);
+
+/** State of a target in the table. */
+typedef enum service_target_state {
+	SERVICE_TARGET_ACTIVE,
+	SERVICE_TARGET_EJECTED,
+	SERVICE_TARGET_LEAVING,
+	SERVICE_TARGET_LAPSED
+} service_target_state_t;
+
+/** What an attempt at a target showed. */
+typedef enum service_outcome {
+	SERVICE_OUTCOME_OK,
+	/** Status 5xx other than a shed response. */
+	SERVICE_OUTCOME_ERROR,
+	/** Truncated, malformed, oversized or with a digest mismatch. */
+	SERVICE_OUTCOME_WRONG,
+	/** Connection refused, or broken; also reported as a crash. */
+	SERVICE_OUTCOME_BROKEN,
+	/** No response at the deadline. */
+	SERVICE_OUTCOME_TIMEOUT,
+	/** X-Tm-Shed: the target did not run the request. */
+	SERVICE_OUTCOME_SHED,
+	/** Status 4xx; judged only against the peers. */
+	SERVICE_OUTCOME_REJECTED,
+	/** Canceled by the caller or by a hedge: no evidence. */
+	SERVICE_OUTCOME_CANCELED
+} service_outcome_t;
+
+/** Announcement or renewal of a target. */
+typedef struct service_announcement {
+	char target[NAME_MAX_BYTES + 1];
+	uint64_t incarnation;
+	char ip[SERVICE_IP_BYTES];
+	uint16_t port;
+	uint32_t slots;
+	uint32_t connection_cap;
+	int leaving;
+} service_announcement_t;
+
+/** Counts of outcomes over some time. */
+typedef struct service_sample {
+	double count; /**< attempts that ended, except canceled and shed */
+	double bad; /**< errors, wrong, broken, timeouts and stalls */
+	double odd; /**< rejected and shed */
+	double latency_ms; /**< sum over good attempts */
+	double good; /**< attempts in latency_ms */
+} service_sample_t;
+
+/**
+ * A target as an entry VM sees it. The view owns it and keeps the pointer
+ * valid while in_flight > 0.
+ */
+typedef struct service_endpoint {
+	uint64_t id; /**< xxHash of the target name */
+	char target[NAME_MAX_BYTES + 1];
+	uint64_t incarnation;
+	char ip[SERVICE_IP_BYTES];
+	uint16_t port;
+	uint32_t slots;
+	uint32_t connection_cap;
+	uint32_t share; /**< 0 to SERVICE_SHARE_FULL */
+	int usable; /**< active in the table and not avoided by this VM */
+	uint32_t in_flight; /**< attempts of this VM */
+	uint32_t connections; /**< open connections; kept by the caller */
+	uint32_t load_running; /**< X-Tm-Load of the last response */
+	uint32_t load_queued;
+	int64_t load_at_ms; /**< when X-Tm-Load was received */
+	int64_t shed_until_ms; /**< no new attempts before, if avoidable */
+	uint32_t consecutive_errors; /**< for the baseline mode */
+	int64_t baseline_until_ms; /**< baseline ejection ends */
+	struct service_endpoint_state *state; /**< private to the view */
+} service_endpoint_t;
+
+/**
+ * Reads the service id out of any message of this range.
+ *
+ * @param id  xxHash of the service name
+ * @return    0, or TM_EFORMAT
+ */
+int service_message_get_service(
+    uint16_t type, const uint8_t *payload, size_t len, uint64_t *id);
+
+/** @return xxHash of a service, target or workspace name */
+uint64_t service_id_from_name(const char *name);
+
+/**
+ * Fingerprint of a request for crash reports.
+ *
+ * @param body_hash  xxHash of the body, 0 without one
+ */
+uint64_t service_fingerprint(const char *workspace, const char *route,
+    const char *method, const char *path, uint64_t body_hash);
+
+#endif
