--- a/src/service/service_defs.h
+++ b/src/service/service_defs.h
@@ -93,7 +93,7 @@
 
 /** Counts of outcomes over some time. */
 typedef struct service_sample {
-	double count; /**< attempts that ended, except canceled and shed */
+	double count; /**< attempts that ended, except canceled ones */
 	double bad; /**< errors, wrong, broken, timeouts and stalls */
 	double odd; /**< rejected and shed */
 	double latency_ms; /**< sum over good attempts */
@@ -118,6 +118,7 @@
 	uint32_t connections; /**< open connections; kept by the caller */
 	uint32_t load_running; /**< X-Tm-Load of the last response */
 	uint32_t load_queued;
+	uint32_t load_others; /**< its part from other VMs, as far as known */
 	int64_t load_at_ms; /**< when X-Tm-Load was received */
 	int64_t shed_until_ms; /**< no new attempts before, if avoidable */
 	uint32_t consecutive_errors; /**< for the baseline mode */
--- /dev/null
+++ b/src/service/service_evidence.c
@@ -0,0 +1,344 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "service/service_leader_internal.h"
+
+/* Attempts below this are no statement about the rest of the VMs. */
+#define EVIDENCE_REST_MIN 3.0
+#define EVIDENCE_AVOID_MS 10000
+/* Weight of one evaluation in the own past, every 100 ms: about a minute. */
+#define EVIDENCE_PAST_WEIGHT 0.0015
+
+/* Sums of one target by data centre, with the worst single VM of each. */
+typedef struct evidence_slot {
+	service_window_t dc[LEADER_DATA_CENTRES_MAX];
+	service_window_t dc_worst[LEADER_DATA_CENTRES_MAX];
+	service_window_t worst;
+} evidence_slot_t;
+
+void
+leader_evidence_clear(service_leader_t *leader)
+{
+	leader_vm_t *vm;
+	leader_vm_t *tmp;
+
+	HASH_ITER(hh, leader->vms, vm, tmp) {
+		HASH_DEL(leader->vms, vm);
+		free(vm->cells);
+		free(vm->demand);
+		free(vm);
+	}
+	memset(leader->totals, 0, sizeof(leader->totals));
+	leader->dc_count = 0;
+}
+
+void
+leader_evidence_clear_slot(service_leader_t *leader, uint32_t slot)
+{
+	leader_vm_t *vm;
+
+	for (vm = leader->vms; vm != NULL; vm = vm->hh.next) {
+		if (slot < vm->cell_count)
+			memset(&vm->cells[slot], 0, sizeof(vm->cells[slot]));
+	}
+	memset(&leader->totals[slot], 0, sizeof(leader->totals[slot]));
+}
+
+leader_vm_t *
+leader_vm_get(service_leader_t *leader, node_id_t id, uint32_t data_centre)
+{
+	leader_vm_t *vm;
+
+	HASH_FIND(hh, leader->vms, &id, sizeof(id), vm);
+	if (vm == NULL) {
+		vm = calloc(1, sizeof(*vm));
+		if (vm == NULL)
+			return (NULL);
+		vm->id = id;
+		HASH_ADD(hh, leader->vms, id, sizeof(vm->id), vm);
+	}
+	vm->data_centre = data_centre;
+	return (vm);
+}
+
+void
+leader_vm_add_sample(
+    leader_vm_t *vm, uint32_t slot, const service_sample_t *sample)
+{
+	uint32_t count = slot + 8;
+	service_window_t *cells;
+
+	if (slot >= vm->cell_count) {
+		cells = realloc(vm->cells, count * sizeof(cells[0]));
+		if (cells == NULL)
+			return;
+		memset(cells + vm->cell_count, 0,
+		    (count - vm->cell_count) * sizeof(cells[0]));
+		vm->cells = cells;
+		vm->cell_count = count;
+	}
+	service_window_add(&vm->cells[slot], sample);
+}
+
+static uint32_t
+evidence_get_dc_index(service_leader_t *leader, uint32_t data_centre)
+{
+	uint32_t i;
+
+	for (i = 0; i < leader->dc_count; i++) {
+		if (leader->dcs[i] == data_centre)
+			return (i);
+	}
+	if (i == LEADER_DATA_CENTRES_MAX)
+		return (i - 1);
+	leader->dcs[leader->dc_count++] = data_centre;
+	return (i);
+}
+
+/* Attempts that look bad, with slowness expressed in typical attempts. */
+static double
+evidence_get_excess(const service_window_t *window, double typical_ms)
+{
+	const service_sample_t *slow = &window->slow;
+	double excess = slow->bad + slow->odd;
+
+	if (typical_ms > 0.0)
+		excess += fmax(0.0, slow->latency_ms / typical_ms - slow->good);
+	return (excess);
+}
+
+static void
+evidence_take_worst(
+    service_window_t *worst, const service_window_t *window, double typical_ms)
+{
+	double a = evidence_get_excess(window, typical_ms);
+
+	if (a > evidence_get_excess(worst, typical_ms))
+		*worst = *window;
+}
+
+static void
+evidence_drop_silent(service_leader_t *leader, int64_t now_ms)
+{
+	leader_vm_t *vm;
+	leader_vm_t *tmp;
+
+	HASH_ITER(hh, leader->vms, vm, tmp) {
+		if (now_ms - vm->reported_ms <= LEADER_VM_TIMEOUT_MS)
+			continue;
+		HASH_DEL(leader->vms, vm);
+		free(vm->cells);
+		free(vm->demand);
+		free(vm);
+	}
+}
+
+static void
+evidence_sum(service_leader_t *leader, evidence_slot_t *slots, int64_t now_ms)
+{
+	const service_window_t *cell;
+	leader_vm_t *vm;
+	double fast;
+	double slow;
+	uint32_t dc;
+	uint32_t i;
+
+	service_window_get_decay(now_ms - leader->decayed_ms, &fast, &slow);
+	leader->decayed_ms = now_ms;
+	memset(leader->totals, 0, sizeof(leader->totals));
+	for (vm = leader->vms; vm != NULL; vm = vm->hh.next) {
+		dc = evidence_get_dc_index(leader, vm->data_centre);
+		for (i = 0; i < vm->cell_count; i++) {
+			if (i >= leader->target_count)
+				break;
+			service_window_scale(&vm->cells[i], fast, slow);
+			cell = &vm->cells[i];
+			service_window_merge(&leader->totals[i], cell);
+			service_window_merge(&slots[i].dc[dc], cell);
+			evidence_take_worst(
+			    &slots[i].dc_worst[dc], cell, leader->typical_ms);
+			evidence_take_worst(
+			    &slots[i].worst, cell, leader->typical_ms);
+		}
+	}
+}
+
+static double
+evidence_judge(service_leader_t *leader, uint32_t slot,
+    const service_window_t *window, const service_peers_t *peers,
+    int64_t now_ms)
+{
+	const leader_target_t *target = &leader->targets[slot];
+	int cold = now_ms - target->cold_started_ms < LEADER_COLD_MS;
+
+	return (service_judge(
+	    window, peers, leader->profile.eagerness, target->past_ms, cold));
+}
+
+/*
+ * Judges all VMs but a part of them. Without attempts elsewhere there is no
+ * sign of a path fault, so the part decides.
+ */
+static int
+evidence_is_rest_bad(service_leader_t *leader, uint32_t slot,
+    const service_window_t *part, const service_peers_t *peers, int64_t now_ms)
+{
+	service_window_t rest = leader->totals[slot];
+
+	if (leader->opt.test_off & SERVICE_OFF_PATH)
+		return (1);
+	service_window_subtract(&rest, part);
+	if (rest.slow.count < EVIDENCE_REST_MIN)
+		return (1);
+	return (evidence_judge(leader, slot, &rest, peers, now_ms) > 0.0);
+}
+
+static uint32_t
+evidence_find_worst_dc(
+    const service_leader_t *leader, const evidence_slot_t *sums)
+{
+	uint32_t worst = 0;
+	uint32_t i;
+
+	for (i = 1; i < leader->dc_count; i++) {
+		if (evidence_get_excess(&sums->dc[i], leader->typical_ms) >
+		    evidence_get_excess(&sums->dc[worst], leader->typical_ms))
+			worst = i;
+	}
+	return (worst);
+}
+
+static void
+evidence_avoid(
+    service_leader_t *leader, uint32_t slot, uint32_t dc, int64_t now_ms)
+{
+	leader_target_t *target = &leader->targets[slot];
+	uint32_t i;
+
+	for (i = 0; i < target->avoid_count; i++) {
+		if (target->avoid[i].data_centre == leader->dcs[dc])
+			return;
+	}
+	if (i == SERVICE_AVOID_MAX)
+		return;
+	target->avoid[target->avoid_count++] = (leader_avoid_t){
+		.data_centre = leader->dcs[dc],
+		.until_ms = now_ms + EVIDENCE_AVOID_MS,
+	};
+	leader->stats.path_faults++;
+	leader->dirty = 1;
+}
+
+/* A data centre is bad if it is bad without its worst VM, too. */
+static void
+evidence_check_dcs(service_leader_t *leader, uint32_t slot,
+    const evidence_slot_t *sums, const service_peers_t *peers, int64_t now_ms)
+{
+	service_window_t part;
+	uint32_t i;
+
+	if (leader->dc_count < 2 || (leader->opt.test_off & SERVICE_OFF_PATH))
+		return;
+	for (i = 0; i < leader->dc_count; i++) {
+		part = sums->dc[i];
+		service_window_subtract(&part, &sums->dc_worst[i]);
+		if (evidence_judge(leader, slot, &part, peers, now_ms) > 0.0)
+			evidence_avoid(leader, slot, i, now_ms);
+	}
+}
+
+static void
+evidence_expire_avoid(service_leader_t *leader, int64_t now_ms)
+{
+	leader_target_t *target;
+	uint32_t slot;
+	uint32_t i;
+
+	for (slot = 0; slot < leader->target_count; slot++) {
+		target = &leader->targets[slot];
+		for (i = 0; i < target->avoid_count;) {
+			if (target->avoid[i].until_ms > now_ms) {
+				i++;
+				continue;
+			}
+			target->avoid[i] = target->avoid[--target->avoid_count];
+			leader->dirty = 1;
+		}
+	}
+}
+
+/* A cold target is no measure for the others. */
+static void
+evidence_mark_peers(
+    const service_leader_t *leader, uint8_t *use, int64_t now_ms)
+{
+	const leader_target_t *target;
+	uint32_t i;
+
+	for (i = 0; i < leader->target_count; i++) {
+		target = &leader->targets[i];
+		use[i] = target->used &&
+		    target->state == SERVICE_TARGET_ACTIVE &&
+		    now_ms - target->cold_started_ms >= LEADER_COLD_MS;
+	}
+}
+
+static double
+evidence_check_target(service_leader_t *leader, uint32_t slot,
+    const evidence_slot_t *sums, const service_peers_t *peers, int64_t now_ms)
+{
+	leader_target_t *target = &leader->targets[slot];
+	const service_window_t *total = &leader->totals[slot];
+	const service_window_t *dc;
+	double badness;
+	double mean_ms;
+
+	badness = evidence_judge(leader, slot, total, peers, now_ms);
+	dc = &sums->dc[evidence_find_worst_dc(leader, sums)];
+	if (badness > 0.0 &&
+	    evidence_is_rest_bad(leader, slot, &sums->worst, peers, now_ms) &&
+	    evidence_is_rest_bad(leader, slot, dc, peers, now_ms))
+		return (badness);
+	evidence_check_dcs(leader, slot, sums, peers, now_ms);
+	mean_ms = service_sample_get_mean_ms(&total->slow);
+	if (target->past_ms <= 0.0 && total->slow.good > 20)
+		target->past_ms = mean_ms;
+	else if (badness <= 0.0 && mean_ms > 0.0)
+		target->past_ms +=
+		    EVIDENCE_PAST_WEIGHT * (mean_ms - target->past_ms);
+	return (0.0);
+}
+
+void
+leader_evidence_evaluate(service_leader_t *leader, int64_t now_ms)
+{
+	double badness[SERVICE_TARGETS_MAX] = { 0 };
+	uint8_t use[SERVICE_TARGETS_MAX] = { 0 };
+	service_peers_t peers;
+	evidence_slot_t *slots;
+	uint32_t i;
+
+	slots = calloc(leader->target_count + 1, sizeof(*slots));
+	if (slots == NULL)
+		return;
+	evidence_drop_silent(leader, now_ms);
+	evidence_sum(leader, slots, now_ms);
+	evidence_mark_peers(leader, use, now_ms);
+	service_peers_compute(&peers, leader->totals, use, leader->target_count,
+	    SERVICE_TARGETS_MAX);
+	if (peers.slow.count > 0)
+		leader->typical_ms = peers.slow.median_ms;
+	for (i = 0; i < leader->target_count; i++) {
+		if (!leader->targets[i].used ||
+		    leader->targets[i].state != SERVICE_TARGET_ACTIVE)
+			continue;
+		service_peers_compute(
+		    &peers, leader->totals, use, leader->target_count, i);
+		badness[i] =
+		    evidence_check_target(leader, i, &slots[i], &peers, now_ms);
+	}
+	free(slots);
+	evidence_expire_avoid(leader, now_ms);
+	leader_propose(leader, badness, now_ms);
+}
--- /dev/null
+++ b/src/service/service_judge.c
@@ -0,0 +1,244 @@
+#include "service/service_judge.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+/* Fewest good attempts for a mean that is compared. */
+#define JUDGE_GOOD_MIN 5.0
+/* Fewest bad attempts that count as evidence. */
+#define JUDGE_BAD_MIN 5.0
+/* Fewest attempts for the comparison of rejected and shed shares. */
+#define JUDGE_ODD_MIN	10.0
+#define JUDGE_ODD_SHARE 0.5
+#define JUDGE_ODD_PEERS 0.1
+/* MAD of a normal distribution times this is its standard deviation. */
+#define JUDGE_MAD_SCALE 1.4826
+/* Differences below this come from the millisecond clock. */
+#define JUDGE_DIFFERENCE_MIN_MS 3.0
+
+typedef struct judge_limits {
+	double ratio;
+	double bad_share;
+} judge_limits_t;
+
+static const judge_limits_t judge_limits[] = {
+	[SERVICE_EAGER] = { .ratio = 2.5, .bad_share = 0.05 },
+	[SERVICE_NORMAL] = { .ratio = 3.0, .bad_share = 0.08 },
+	[SERVICE_CAUTIOUS] = { .ratio = 4.0, .bad_share = 0.12 },
+};
+
+static void
+sample_add(service_sample_t *to, const service_sample_t *from, double factor)
+{
+	to->count += factor * from->count;
+	to->bad += factor * from->bad;
+	to->odd += factor * from->odd;
+	to->latency_ms += factor * from->latency_ms;
+	to->good += factor * from->good;
+}
+
+static void
+sample_scale(service_sample_t *sample, double factor)
+{
+	sample->count *= factor;
+	sample->bad *= factor;
+	sample->odd *= factor;
+	sample->latency_ms *= factor;
+	sample->good *= factor;
+}
+
+void
+service_window_add(service_window_t *window, const service_sample_t *add)
+{
+	sample_add(&window->fast, add, 1.0);
+	sample_add(&window->slow, add, 1.0);
+}
+
+void
+service_window_merge(service_window_t *window, const service_window_t *add)
+{
+	sample_add(&window->fast, &add->fast, 1.0);
+	sample_add(&window->slow, &add->slow, 1.0);
+}
+
+void
+service_window_subtract(
+    service_window_t *window, const service_window_t *remove)
+{
+	sample_add(&window->fast, &remove->fast, -1.0);
+	sample_add(&window->slow, &remove->slow, -1.0);
+}
+
+void
+service_window_scale(service_window_t *window, double fast, double slow)
+{
+	sample_scale(&window->fast, fast);
+	sample_scale(&window->slow, slow);
+}
+
+void
+service_window_get_decay(int64_t elapsed_ms, double *fast, double *slow)
+{
+	*fast = exp(-(double)elapsed_ms / SERVICE_FAST_MS);
+	*slow = exp(-(double)elapsed_ms / SERVICE_SLOW_MS);
+}
+
+double
+service_sample_get_mean_ms(const service_sample_t *sample)
+{
+	if (sample->good < 0.5)
+		return (0.0);
+	return (sample->latency_ms / sample->good);
+}
+
+static int
+judge_compare(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return ((x > y) - (x < y));
+}
+
+static double
+judge_get_median(double *values, uint32_t count)
+{
+	if (count == 0)
+		return (0.0);
+	qsort(values, count, sizeof(values[0]), judge_compare);
+	if (count % 2 == 1)
+		return (values[count / 2]);
+	return ((values[count / 2 - 1] + values[count / 2]) / 2);
+}
+
+static void
+peers_compute_window(service_peer_stats_t *stats,
+    const service_window_t *windows, const uint8_t *use, uint32_t count,
+    uint32_t skip, int fast)
+{
+	double means[SERVICE_TARGETS_MAX];
+	double bad[SERVICE_TARGETS_MAX];
+	double odd[SERVICE_TARGETS_MAX];
+	const service_sample_t *sample;
+	uint32_t shares = 0;
+	uint32_t i;
+
+	*stats = (service_peer_stats_t){ 0 };
+	for (i = 0; i < count && i < SERVICE_TARGETS_MAX; i++) {
+		if (i == skip || !use[i])
+			continue;
+		sample = fast ? &windows[i].fast : &windows[i].slow;
+		if (sample->good >= JUDGE_GOOD_MIN)
+			means[stats->count++] =
+			    service_sample_get_mean_ms(sample);
+		if (sample->count < JUDGE_GOOD_MIN)
+			continue;
+		bad[shares] = sample->bad / sample->count;
+		odd[shares++] = sample->odd / sample->count;
+	}
+	stats->bad_share = judge_get_median(bad, shares);
+	stats->odd_share = judge_get_median(odd, shares);
+	stats->median_ms = judge_get_median(means, stats->count);
+	for (i = 0; i < stats->count; i++)
+		means[i] = fabs(means[i] - stats->median_ms);
+	stats->mad_ms = judge_get_median(means, stats->count);
+}
+
+void
+service_peers_compute(service_peers_t *peers, const service_window_t *windows,
+    const uint8_t *use, uint32_t count, uint32_t skip)
+{
+	peers_compute_window(&peers->fast, windows, use, count, skip, 1);
+	peers_compute_window(&peers->slow, windows, use, count, skip, 0);
+}
+
+/*
+ * The limit on the count keeps chance out: with the peers' error share, a
+ * target exceeds it less than once in 10^7 windows.
+ */
+static double
+judge_bad(const service_sample_t *sample, const service_peer_stats_t *peers,
+    const judge_limits_t *limits)
+{
+	double expected = sample->count * peers->bad_share;
+	double share;
+
+	if (sample->bad < JUDGE_BAD_MIN)
+		return (0.0);
+	if (sample->bad < expected + 4 * sqrt(expected + 1))
+		return (0.0);
+	share = sample->bad / fmax(sample->count, 1.0);
+	if (share < limits->bad_share || share < 3 * peers->bad_share)
+		return (0.0);
+	return (share / limits->bad_share);
+}
+
+static double
+judge_odd(const service_sample_t *sample, const service_peer_stats_t *peers)
+{
+	double share;
+
+	if (sample->count < JUDGE_ODD_MIN || peers->count < 2)
+		return (0.0);
+	share = sample->odd / sample->count;
+	if (share < JUDGE_ODD_SHARE || peers->odd_share > JUDGE_ODD_PEERS)
+		return (0.0);
+	return (share / JUDGE_ODD_SHARE);
+}
+
+/* The ratio is wider for few samples, whose mean varies by chance. */
+static double
+judge_latency(const service_sample_t *sample, const service_peer_stats_t *peers,
+    const judge_limits_t *limits, double past_ms, int lenient)
+{
+	double base_ms = peers->count >= 2 ? peers->median_ms : past_ms;
+	double mean_ms = service_sample_get_mean_ms(sample);
+	double spread_ms = 3 * JUDGE_MAD_SCALE * peers->mad_ms;
+	double ratio;
+	double limit;
+
+	if (sample->good < JUDGE_GOOD_MIN || base_ms <= 0.0)
+		return (0.0);
+	base_ms = fmax(base_ms, 1.0);
+	ratio = mean_ms / base_ms;
+	limit = limits->ratio * (1 + 2 / sqrt(sample->good));
+	if (lenient)
+		limit *= 2;
+	if (ratio < limit || mean_ms - base_ms < JUDGE_DIFFERENCE_MIN_MS)
+		return (0.0);
+	if (peers->count >= 2 && mean_ms - base_ms < spread_ms)
+		return (0.0);
+	return (ratio / limits->ratio);
+}
+
+double
+service_judge(const service_window_t *window, const service_peers_t *peers,
+    service_eagerness_t eagerness, double past_ms, int lenient)
+{
+	const judge_limits_t *limits = &judge_limits[eagerness];
+	const service_sample_t *samples[] = { &window->fast, &window->slow };
+	const service_peer_stats_t *stats[] = { &peers->fast, &peers->slow };
+	double worst = 0.0;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		worst = fmax(worst, judge_bad(samples[i], stats[i], limits));
+		worst = fmax(worst, judge_odd(samples[i], stats[i]));
+		worst = fmax(worst,
+		    judge_latency(
+			samples[i], stats[i], limits, past_ms, lenient));
+	}
+	return (worst);
+}
+
+double
+service_judge_get_ratio(service_eagerness_t eagerness)
+{
+	return (judge_limits[eagerness].ratio);
+}
+
+uint32_t
+service_floor_count(uint32_t floor_percent, uint32_t targets)
+{
+	return ((uint32_t)(((uint64_t)floor_percent * targets + 99) / 100));
+}
--- /dev/null
+++ b/src/service/service_leader_internal.h
@@ -0,0 +1,154 @@
+/**
+ * @file
+ * State of a service leader, shared by its source files only.
+ */
+#ifndef TM_SERVICE_LEADER_INTERNAL_H
+#define TM_SERVICE_LEADER_INTERNAL_H
+
+#include <uthash.h>
+
+#include "proto/service.pb-c.h"
+#include "service/service_judge.h"
+#include "service/service_leader.h"
+
+#define LEADER_DATA_CENTRES_MAX 16
+#define LEADER_CRASHES_MAX	256
+/* A VM that has not reported for this long gets no more pushes. */
+#define LEADER_VM_TIMEOUT_MS 10000
+#define LEADER_COLD_MS	     10000
+
+/* A data centre that avoids a target. */
+typedef struct leader_avoid {
+	uint32_t data_centre;
+	int64_t until_ms;
+} leader_avoid_t;
+
+typedef struct leader_target {
+	int used;
+	uint64_t id;
+	service_announcement_t info;
+	service_target_state_t state;
+	int64_t cold_started_ms;
+	int64_t lease_until_ms;
+	int64_t left_ms; /* when leaving or lapsed */
+	int64_t answered_ms; /* last good response */
+	double badness; /* severity at the ejection */
+	double past_ms; /* own mean latency over about a minute */
+	uint32_t ejections; /* without 10 quiet minutes between them */
+	int64_t ejected_ms; /* last ejection */
+	int64_t next_trial_ms;
+	uint64_t permit; /* 0: none outstanding */
+	int64_t permit_until_ms;
+	uint32_t good_trials;
+	double trial_sum_ms;
+	int64_t first_break_ms; /* of this incarnation; 0: none */
+	uint32_t avoid_count;
+	leader_avoid_t avoid[SERVICE_AVOID_MAX];
+} leader_target_t;
+
+typedef struct leader_demand {
+	uint64_t workspace;
+	double demand;
+	double carry; /* share not yet given because of rounding */
+} leader_demand_t;
+
+/* Demand of all VMs for one workspace, at the last computation. */
+typedef struct leader_total {
+	uint64_t workspace;
+	double demand;
+	UT_hash_handle hh;
+} leader_total_t;
+
+typedef struct leader_vm {
+	node_id_t id;
+	uint32_t data_centre;
+	int64_t reported_ms;
+	int64_t traffic_ms; /* last report with attempts */
+	uint32_t cell_count;
+	service_window_t *cells; /* by target slot */
+	uint32_t demand_count;
+	leader_demand_t *demand; /* sorted by workspace */
+	UT_hash_handle hh;
+} leader_vm_t;
+
+typedef struct leader_crash {
+	uint64_t fingerprint;
+	uint64_t target;
+	int64_t at_ms;
+} leader_crash_t;
+
+typedef struct leader_blocked {
+	uint64_t fingerprint;
+	int64_t until_ms;
+} leader_blocked_t;
+
+struct service_leader {
+	service_leader_options_t opt;
+	char name[NAME_MAX_BYTES + 1];
+	uint64_t id;
+	rng_t rng;
+	uint64_t term; /* 0: not leading */
+	uint64_t sequence;
+	int dirty; /* the table changed since the last push */
+	service_profile_t profile;
+	uint32_t target_count; /* slots in use are below this */
+	leader_target_t targets[SERVICE_TARGETS_MAX];
+	service_window_t totals[SERVICE_TARGETS_MAX];
+	leader_vm_t *vms;
+	uint32_t dc_count;
+	uint32_t dcs[LEADER_DATA_CENTRES_MAX];
+	int64_t decayed_ms;
+	int64_t evaluated_ms;
+	double typical_ms;
+	uint64_t permits;
+	uint32_t crash_next;
+	leader_crash_t crashes[LEADER_CRASHES_MAX];
+	uint32_t blocked_count;
+	leader_blocked_t blocked[SERVICE_BLOCKED_MAX];
+	leader_total_t *demand;
+	double level; /* water level; negative without contention */
+	service_leader_stats_t stats;
+	uint8_t *encoded;
+	size_t encoded_len;
+};
+
+/* service_evidence.c */
+void leader_evidence_clear(service_leader_t *leader);
+void leader_evidence_clear_slot(service_leader_t *leader, uint32_t slot);
+leader_vm_t *leader_vm_get(
+    service_leader_t *leader, node_id_t id, uint32_t data_centre);
+void leader_vm_add_sample(
+    leader_vm_t *vm, uint32_t slot, const service_sample_t *sample);
+void leader_evidence_evaluate(service_leader_t *leader, int64_t now_ms);
+
+/* service_eject.c */
+uint32_t leader_count_in_use(const service_leader_t *leader);
+uint32_t leader_get_floor(const service_leader_t *leader);
+void leader_eject(
+    service_leader_t *leader, uint32_t slot, double badness, int64_t now_ms);
+void leader_return(service_leader_t *leader, uint32_t slot, int64_t now_ms);
+void leader_propose(
+    service_leader_t *leader, const double *badness, int64_t now_ms);
+void leader_keep_floor(service_leader_t *leader, int64_t now_ms);
+void leader_run_trials(service_leader_t *leader, int64_t now_ms);
+void leader_handle_trial_result(
+    service_leader_t *leader, const ServiceTrialResult *msg, int64_t now_ms);
+void leader_handle_crash(service_leader_t *leader, node_id_t from,
+    const ServiceCrash *msg, int64_t now_ms);
+
+/* service_table.c */
+void leader_table_publish(service_leader_t *leader, int64_t now_ms);
+void leader_table_restore(service_leader_t *leader, int64_t now_ms);
+void leader_table_send(service_leader_t *leader, node_id_t to, int64_t now_ms);
+void leader_shares_clear(service_leader_t *leader);
+void leader_shares_compute(service_leader_t *leader, int64_t now_ms);
+void leader_shares_send(service_leader_t *leader, leader_vm_t *vm);
+void leader_set_demand(
+    rng_t *rng, leader_vm_t *vm, ServiceDemand **demand, size_t count);
+
+/* service_leader.c */
+void leader_target_init(leader_target_t *target,
+    const service_announcement_t *info, int64_t now_ms);
+int leader_find_slot(const service_leader_t *leader, uint64_t target);
+
+#endif
--- /dev/null
+++ b/src/service/service_view_internal.h
@@ -0,0 +1,132 @@
+/**
+ * @file
+ * State of a service view, shared by its source files only.
+ */
+#ifndef TM_SERVICE_VIEW_INTERNAL_H
+#define TM_SERVICE_VIEW_INTERNAL_H
+
+#include <uthash.h>
+
+#include "proto/service.pb-c.h"
+#include "service/service_judge.h"
+#include "service/service_view.h"
+
+#define VIEW_ANNOUNCES_MAX 64
+#define VIEW_CRASHES_MAX   64
+#define VIEW_COLD_MS	   10000
+
+/** Private part of an endpoint. */
+typedef struct service_endpoint_state {
+	service_target_state_t state;
+	int retired; /* out of the table; freed when nothing is in flight */
+	int64_t cold_started_ms;
+	double badness; /* severity by the table or by this VM */
+	int avoid_dc; /* the table says so for this data centre */
+	/* Local judgement */
+	service_window_t window;
+	int avoided; /* by this VM's own judgement */
+	uint32_t avoidances;
+	int64_t avoided_ms;
+	int64_t local_trial_ms; /* next local trial */
+	uint32_t local_good;
+	/* Counts since the last report */
+	service_sample_t fresh;
+	/* Permit of the leader */
+	uint64_t permit;
+	int64_t permit_until_ms;
+	int local_trial_running;
+	service_attempt_t *oldest;
+	service_attempt_t *newest;
+} service_endpoint_state_t;
+
+typedef struct view_announce {
+	service_announcement_t info;
+	uint64_t target;
+	service_announce_result_t result;
+	int64_t until_ms; /* 0: not waiting for the leader */
+	int64_t next_ms;
+	uint32_t tries;
+} view_announce_t;
+
+typedef struct view_crash {
+	uint64_t fingerprint;
+	uint64_t target;
+	uint64_t incarnation;
+	int64_t at_ms;
+	int sent_again;
+} view_crash_t;
+
+typedef struct view_blocked {
+	uint64_t fingerprint;
+	int64_t until_ms;
+} view_blocked_t;
+
+typedef struct view_share {
+	uint64_t workspace;
+	uint32_t slots;
+	UT_hash_handle hh;
+} view_share_t;
+
+struct service_view {
+	service_view_options_t opt;
+	char name[NAME_MAX_BYTES + 1];
+	uint64_t id;
+	rng_t rng;
+	service_profile_t profile;
+	uint64_t term;
+	uint64_t sequence;
+	uint64_t generation;
+	uint32_t count;
+	service_endpoint_t *endpoints[SERVICE_TARGETS_MAX];
+	uint32_t retired_count;
+	service_endpoint_t *retired[SERVICE_TARGETS_MAX];
+	double typical_ms; /* of the peers, by the leader */
+	uint32_t vm_count;
+	int64_t acked_ms; /* last answer of the leader */
+	int64_t reported_ms;
+	int64_t decayed_ms;
+	int64_t gossiped_ms;
+	int urgent; /* bad evidence since the last report */
+	uint32_t attempts; /* since the last report */
+	uint32_t demand_count;
+	uint32_t demand_size;
+	service_demand_t *demand;
+	int64_t shares_until_ms;
+	view_share_t *shares;
+	view_share_t *share_pool;
+	view_announce_t announces[VIEW_ANNOUNCES_MAX];
+	uint32_t crash_next;
+	view_crash_t crashes[VIEW_CRASHES_MAX];
+	uint32_t blocked_count;
+	view_blocked_t blocked[SERVICE_BLOCKED_MAX];
+};
+
+/* service_view_table.c */
+void view_table_handle(
+    service_view_t *view, const ServiceTable *msg, int64_t now_ms);
+void view_table_send(service_view_t *view, node_id_t to, int64_t now_ms);
+void view_table_gossip(service_view_t *view, int64_t now_ms);
+void view_table_handle_version(service_view_t *view, node_id_t from,
+    const ServiceVersion *msg, int64_t now_ms);
+void view_free_retired(service_view_t *view);
+
+/* service_view_local.c */
+void view_local_run(service_view_t *view, int64_t now_ms);
+void view_local_update(service_view_t *view, int64_t now_ms);
+service_endpoint_t *view_local_take_trial(service_view_t *view, int64_t now_ms);
+void view_local_end_trial(service_view_t *view, service_endpoint_t *endpoint,
+    int good, int64_t latency_ms, int64_t now_ms);
+int64_t view_get_stall_ms(const service_view_t *view);
+
+/* service_view_report.c */
+void view_report_run(service_view_t *view, int64_t now_ms);
+void view_announce_run(service_view_t *view, int64_t now_ms);
+void view_announce_relay(
+    service_view_t *view, const ServiceAnnounce *msg, int64_t now_ms);
+void view_announce_reply(service_view_t *view, const ServiceAnnounceReply *msg);
+void view_crash_run(service_view_t *view, int64_t now_ms);
+void view_send_trial_result(service_view_t *view,
+    const service_endpoint_t *endpoint, uint64_t permit, int good,
+    int64_t latency_ms);
+
+#endif
--- /dev/null
+++ b/src/service/service_view_local.c
@@ -0,0 +1,247 @@
+#include <math.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "service/service_view_internal.h"
+
+#define LOCAL_DECAY_MS	     100
+#define LOCAL_WAIT_MS	     1000
+#define LOCAL_WAIT_MAX_MS    60000
+#define LOCAL_QUIET_MS	     600000
+#define LOCAL_TRIALS_GOOD    3
+#define LOCAL_TRIAL_SPACE_MS 200
+#define LOCAL_COLD_MIN	     100
+/* A stall is a request older than this many typical latencies. */
+#define LOCAL_STALL_FACTOR 8
+#define LOCAL_STALL_MIN_MS 100
+#define LOCAL_STALL_MAX_MS 2000
+
+int64_t
+view_get_stall_ms(const service_view_t *view)
+{
+	double limit_ms = view->typical_ms * LOCAL_STALL_FACTOR;
+
+	if (view->typical_ms <= 0.0)
+		return (LOCAL_STALL_MAX_MS);
+	if (limit_ms < LOCAL_STALL_MIN_MS)
+		return (LOCAL_STALL_MIN_MS);
+	if (limit_ms > LOCAL_STALL_MAX_MS)
+		return (LOCAL_STALL_MAX_MS);
+	return ((int64_t)limit_ms);
+}
+
+/* Counts requests as bad once they are too old, before they end. */
+static void
+local_count_stalls(
+    service_view_t *view, service_endpoint_t *endpoint, int64_t now_ms)
+{
+	const service_sample_t sample = { .count = 1, .bad = 1 };
+	int64_t limit_ms = view_get_stall_ms(view);
+	service_attempt_t *attempt = endpoint->state->oldest;
+
+	if (view->opt.test_off & SERVICE_VIEW_OFF_STALL)
+		return;
+	for (; attempt != NULL; attempt = attempt->next) {
+		if (now_ms - attempt->started_ms < limit_ms)
+			break;
+		if (attempt->stalled)
+			continue;
+		attempt->stalled = 1;
+		if (attempt->trial)
+			continue;
+		endpoint->state->fresh.count++;
+		endpoint->state->fresh.bad++;
+		service_window_add(&endpoint->state->window, &sample);
+		view->urgent = 1;
+	}
+}
+
+static uint32_t
+local_get_share(const service_endpoint_state_t *state, int64_t now_ms)
+{
+	int64_t age_ms = now_ms - state->cold_started_ms;
+
+	if (age_ms >= VIEW_COLD_MS)
+		return (SERVICE_SHARE_FULL);
+	if (age_ms < 0)
+		age_ms = 0;
+	return ((uint32_t)(LOCAL_COLD_MIN +
+	    (SERVICE_SHARE_FULL - LOCAL_COLD_MIN) * age_ms / VIEW_COLD_MS));
+}
+
+static int
+local_is_avoided(const service_endpoint_state_t *state)
+{
+	return (state->state == SERVICE_TARGET_ACTIVE &&
+	    (state->avoided || state->avoid_dc));
+}
+
+/* Avoids the worst targets, as many as the floor allows in this view. */
+static void
+local_apply_floor(service_view_t *view, uint32_t active)
+{
+	uint32_t floor =
+	    service_floor_count(view->profile.floor_percent, view->count);
+	service_endpoint_t *worst;
+	uint32_t i;
+
+	if (view->opt.test_off & SERVICE_VIEW_OFF_FLOOR)
+		floor = 0;
+	for (;;) {
+		worst = NULL;
+		for (i = 0; i < view->count; i++) {
+			if (!view->endpoints[i]->usable ||
+			    !local_is_avoided(view->endpoints[i]->state))
+				continue;
+			if (worst == NULL ||
+			    view->endpoints[i]->state->badness >
+				worst->state->badness)
+				worst = view->endpoints[i];
+		}
+		if (worst == NULL || active <= floor)
+			return;
+		worst->usable = 0;
+		active--;
+	}
+}
+
+void
+view_local_update(service_view_t *view, int64_t now_ms)
+{
+	service_endpoint_t *endpoint;
+	uint32_t active = 0;
+	uint32_t i;
+
+	for (i = 0; i < view->count; i++) {
+		endpoint = view->endpoints[i];
+		endpoint->usable =
+		    endpoint->state->state == SERVICE_TARGET_ACTIVE;
+		endpoint->share = local_get_share(endpoint->state, now_ms);
+		active += endpoint->usable != 0;
+	}
+	local_apply_floor(view, active);
+}
+
+static int64_t
+local_get_wait_ms(const service_endpoint_state_t *state)
+{
+	uint32_t doublings = state->avoidances > 0 ? state->avoidances - 1 : 0;
+	int64_t wait_ms = LOCAL_WAIT_MS << (doublings < 6 ? doublings : 6);
+
+	return (wait_ms < LOCAL_WAIT_MAX_MS ? wait_ms : LOCAL_WAIT_MAX_MS);
+}
+
+static void
+local_avoid(service_view_t *view, service_endpoint_t *endpoint, double badness,
+    int64_t now_ms)
+{
+	service_endpoint_state_t *state = endpoint->state;
+
+	if (now_ms - state->avoided_ms > LOCAL_QUIET_MS)
+		state->avoidances = 0;
+	state->avoided = 1;
+	state->avoided_ms = now_ms;
+	state->avoidances++;
+	state->badness = badness;
+	state->local_good = 0;
+	state->local_trial_ms = now_ms + local_get_wait_ms(state);
+	LOG_EVENT(610, LOG_LEVEL_WARN, "target avoided by this VM",
+	    LOG_TEXT("service", view->name),
+	    LOG_TEXT("target", endpoint->target),
+	    LOG_NUM("severity_percent", badness * 100));
+}
+
+static void
+local_judge(service_view_t *view, int64_t now_ms)
+{
+	service_window_t windows[SERVICE_TARGETS_MAX];
+	uint8_t use[SERVICE_TARGETS_MAX];
+	service_endpoint_state_t *state;
+	service_peers_t peers;
+	double badness;
+	uint32_t i;
+	int cold;
+
+	for (i = 0; i < view->count; i++) {
+		state = view->endpoints[i]->state;
+		windows[i] = state->window;
+		use[i] = view->endpoints[i]->usable &&
+		    now_ms - state->cold_started_ms >= VIEW_COLD_MS;
+	}
+	for (i = 0; i < view->count; i++) {
+		state = view->endpoints[i]->state;
+		if (state->state != SERVICE_TARGET_ACTIVE || state->avoided)
+			continue;
+		cold = now_ms - state->cold_started_ms < VIEW_COLD_MS;
+		service_peers_compute(&peers, windows, use, view->count, i);
+		badness = service_judge(
+		    &windows[i], &peers, view->profile.eagerness, 0.0, cold);
+		if (badness > 0.0)
+			local_avoid(view, view->endpoints[i], badness, now_ms);
+	}
+}
+
+void
+view_local_run(service_view_t *view, int64_t now_ms)
+{
+	double fast;
+	double slow;
+	uint32_t i;
+
+	for (i = 0; i < view->count; i++)
+		local_count_stalls(view, view->endpoints[i], now_ms);
+	if (now_ms - view->decayed_ms < LOCAL_DECAY_MS)
+		return;
+	service_window_get_decay(now_ms - view->decayed_ms, &fast, &slow);
+	view->decayed_ms = now_ms;
+	for (i = 0; i < view->count; i++)
+		service_window_scale(
+		    &view->endpoints[i]->state->window, fast, slow);
+	if (!(view->opt.test_off & SERVICE_VIEW_OFF_LOCAL))
+		local_judge(view, now_ms);
+	view_local_update(view, now_ms);
+}
+
+service_endpoint_t *
+view_local_take_trial(service_view_t *view, int64_t now_ms)
+{
+	service_endpoint_state_t *state;
+	uint32_t i;
+
+	for (i = 0; i < view->count; i++) {
+		state = view->endpoints[i]->state;
+		if (!state->avoided || view->endpoints[i]->usable ||
+		    state->state != SERVICE_TARGET_ACTIVE ||
+		    state->local_trial_running ||
+		    now_ms < state->local_trial_ms)
+			continue;
+		state->local_trial_running = 1;
+		return (view->endpoints[i]);
+	}
+	return (NULL);
+}
+
+void
+view_local_end_trial(service_view_t *view, service_endpoint_t *endpoint,
+    int good, int64_t latency_ms, int64_t now_ms)
+{
+	service_endpoint_state_t *state = endpoint->state;
+
+	state->local_trial_running = 0;
+	if (!state->avoided)
+		return;
+	state->local_trial_ms = now_ms + LOCAL_TRIAL_SPACE_MS;
+	if (!good || latency_ms >= view_get_stall_ms(view)) {
+		state->local_good = 0;
+		state->local_trial_ms = now_ms + local_get_wait_ms(state);
+		return;
+	}
+	if (++state->local_good < LOCAL_TRIALS_GOOD)
+		return;
+	state->avoided = 0;
+	memset(&state->window, 0, sizeof(state->window));
+	view_local_update(view, now_ms);
+	LOG_EVENT(611, LOG_LEVEL_INFO, "target used again by this VM",
+	    LOG_TEXT("service", view->name),
+	    LOG_TEXT("target", endpoint->target));
+}
