--- a/src/service/service_table.c
+++ b/src/service/service_table.c
@@ -352,7 +352,7 @@
 	msg.term = leader->term;
 	msg.typical_us = (uint32_t)(leader->typical_ms * 1000);
 	msg.vm_count = HASH_COUNT(leader->vms);
-	msg.shares = calloc(vm->demand_count + 1, sizeof(*msg.shares));
+	msg.shares = calloc(vm->demand_count + 1, sizeof(ServiceShare *));
 	if (shares != NULL && msg.shares != NULL)
 		shares_fill(leader, vm, &msg, shares);
 	leader->opt.send(
--- a/src/service/service_view_report.c
+++ b/src/service/service_view_report.c
@@ -69,8 +69,8 @@
 	msg.data_centre = view->opt.data_centre;
 	msg.term = view->term;
 	msg.sequence = view->sequence;
-	msg.targets = calloc(count, sizeof(*msg.targets));
-	msg.demand = calloc(demand_count, sizeof(*msg.demand));
+	msg.targets = calloc(count, sizeof(ServiceTargetReport *));
+	msg.demand = calloc(demand_count, sizeof(ServiceDemand *));
 	if (targets && demand && msg.targets && msg.demand) {
 		report_fill(view, &msg, targets, demand);
 		view->opt.send(
--- a/src/service/service_view_table.c
+++ b/src/service/service_view_table.c
@@ -123,7 +123,7 @@
 			view->generation++;
 		}
 	}
-	memcpy(view->endpoints, next, count * sizeof(next[0]));
+	memcpy(view->endpoints, next, count * sizeof(service_endpoint_t *));
 	view->count = count;
 }
 
@@ -205,7 +205,8 @@
 {
 	ServiceTable msg = SERVICE_TABLE__INIT;
 	ServiceTableTarget *rows = calloc(view->count + 1, sizeof(*rows));
-	ServiceTableTarget **ptrs = calloc(view->count + 1, sizeof(*ptrs));
+	ServiceTableTarget **ptrs =
+	    calloc(view->count + 1, sizeof(ServiceTableTarget *));
 	uint32_t *avoid = calloc(view->count + 1, sizeof(*avoid));
 	ServiceBlocked blocked[SERVICE_BLOCKED_MAX];
 	ServiceBlocked *blocked_ptrs[SERVICE_BLOCKED_MAX];
--- /dev/null
+++ b/test/scenario/service_sim.cc
@@ -0,0 +1,757 @@
+#include "service_sim.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+
+static const char *const kService = "atlas";
+static const char *const kFaults[] = { "none", "slow5", "slow20", "errors",
+	"wrong", "stall", "flapping", "lying", "coldslow", "shedding" };
+enum { EV_REACH, EV_RUN_END, EV_ANSWER, EV_DEADLINE };
+
+struct SimRequest {
+	fair_item_t item{};
+	service_attempt_t attempt{};
+	SimVm *vm = nullptr;
+	int workspace = 0;
+	int64_t arrived_ms = 0;
+	uint64_t tried[BALANCER_TRIED_MAX];
+	uint32_t tried_count = 0;
+	int target = -1;
+	uint64_t incarnation = 0; // of the attempt's target
+	uint32_t serial = 0; // of the attempt
+	service_outcome_t outcome = SERVICE_OUTCOME_OK;
+	bool crashes = false;
+	bool at_target = false;
+	bool done = false; // answered or given up at the VM
+	int pending = 0; // events that still refer to the request
+};
+
+struct SimVm {
+	ServiceSim *sim;
+	int index;
+	node_id_t id;
+	uint32_t dc;
+	void *port;
+	bool alive = true;
+	service_view_t *view = nullptr;
+	service_leader_t *leader = nullptr;
+	balancer_t balancer;
+	retry_budget_t budget;
+	fair_queue_t *queue;
+	rng_t rng;
+	uint32_t avoided = 0;
+};
+
+const char *
+faultName(Fault fault)
+{
+	return kFaults[(int)fault];
+}
+
+Fault
+faultFromName(const std::string &name)
+{
+	for (int i = 0; i < 10; i++)
+		if (name == kFaults[i])
+			return (Fault)i;
+	abort();
+}
+
+static void
+simSend(void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg)
+{
+	fakenet_send(((SimVm *)ctx)->port, to, type, msg);
+}
+
+static void
+simProfile(void *ctx, service_profile_t *out)
+{
+	const SimConfig &cfg = ((SimVm *)ctx)->sim->cfg;
+
+	*out = cfg.profile;
+	if (cfg.baseline)
+		out->floor_percent = 100;
+}
+
+static node_id_t
+simLeader(void *ctx)
+{
+	ServiceSim *sim = ((SimVm *)ctx)->sim;
+
+	if (sim->now() < sim->leader_from_ms)
+		return NODE_ID_NONE;
+	return sim->vms[sim->leader]->id;
+}
+
+static node_id_t
+simPeer(void *ctx)
+{
+	SimVm *vm = (SimVm *)ctx;
+	size_t count = vm->sim->vms.size();
+
+	if (count < 2)
+		return NODE_ID_NONE;
+	size_t skip = 1 + rng_below(&vm->rng, count - 1);
+	return vm->sim->vms[(vm->index + skip) % count]->id;
+}
+
+static uint64_t
+simTerm(void *ctx)
+{
+	SimVm *vm = (SimVm *)ctx;
+
+	if (vm->sim->leader != vm->index ||
+	    vm->sim->now() < vm->sim->leader_from_ms)
+		return 0;
+	return vm->sim->term;
+}
+
+static std::vector<uint8_t> *simStore(ServiceSim *sim);
+
+static void
+simSave(void *ctx, const uint8_t *table, size_t len)
+{
+	simStore(((SimVm *)ctx)->sim)->assign(table, table + len);
+}
+
+static const uint8_t *
+simRestore(void *ctx, size_t *len)
+{
+	auto *store = simStore(((SimVm *)ctx)->sim);
+
+	*len = store->size();
+	return store->empty() ? nullptr : store->data();
+}
+
+static void
+simReceive(void *node, node_id_t from, uint16_t type, const uint8_t *payload,
+    size_t len, int64_t now_ms)
+{
+	SimVm *vm = (SimVm *)node;
+
+	if (vm->leader != nullptr)
+		service_leader_handle(
+		    vm->leader, from, type, payload, len, now_ms);
+	service_view_handle(vm->view, from, type, payload, len, now_ms);
+}
+
+static void
+simTick(void *node, int64_t now_ms)
+{
+	SimVm *vm = (SimVm *)node;
+	fair_demand_t demand[64];
+	service_demand_t copy[64];
+	uint32_t n = fair_queue_get_waiting(vm->queue) == 0
+	    ? 0
+	    : fair_queue_get_demand(vm->queue, demand, 64);
+
+	for (uint32_t i = 0; i < n; i++)
+		copy[i] = { demand[i].workspace, demand[i].running,
+			demand[i].queued };
+	service_view_set_demand(vm->view, copy, n);
+	for (uint32_t i = 0; i < n && !vm->sim->cfg.baseline; i++)
+		fair_queue_set_share(vm->queue, demand[i].workspace,
+		    service_view_get_share(
+			vm->view, demand[i].workspace, now_ms),
+		    now_ms + 1000);
+	if (vm->leader != nullptr)
+		service_leader_tick(vm->leader, now_ms);
+	service_view_tick(vm->view, now_ms);
+	uint32_t avoided = service_view_get_avoided_count(vm->view);
+	if (avoided > vm->avoided)
+		vm->sim->local_avoidances += avoided - vm->avoided;
+	vm->avoided = avoided;
+}
+
+ServiceSim::ServiceSim(const SimConfig &config)
+    : cfg(config), boost(config.weights.size(), 1.0)
+{
+	rng_init(&rng_, cfg.seed);
+	net = fakenet_create(cfg.seed + 1, 10, 1, 2);
+	for (int i = 0; i < cfg.vms; i++) {
+		auto vm = std::make_unique<SimVm>();
+		vm->sim = this;
+		vm->index = i;
+		vm->id = node_id_from_name(("vm" + std::to_string(i)).c_str());
+		vm->dc = 1 + i % cfg.dcs;
+		rng_init(&vm->rng, cfg.seed * 1000 + i);
+		vm->port =
+		    fakenet_add(net, vm->id, vm.get(), simReceive, simTick);
+		service_view_options_t view = {};
+		view.service = kService;
+		view.self = vm->id;
+		view.data_centre = vm->dc;
+		view.ctx = vm.get();
+		view.send = simSend;
+		view.get_leader = simLeader;
+		view.get_peer = simPeer;
+		view.get_profile = simProfile;
+		view.seed = cfg.seed + i;
+		view.test_off = cfg.view_off |
+		    (cfg.baseline ? (uint32_t)SERVICE_VIEW_OFF_LOCAL : 0);
+		vm->view = service_view_create(&view);
+		balancer_init(&vm->balancer,
+		    cfg.baseline ? BALANCER_BASELINE : BALANCER_FLEET, vm->id,
+		    cfg.seed * 77 + i);
+		vm->balancer.next = (uint32_t)i;
+		retry_budget_init(&vm->budget);
+		vm->queue = fair_queue_create(1000000);
+		vms.push_back(std::move(vm));
+	}
+	for (int i = 0; i < 5 && i < cfg.vms; i++) {
+		service_leader_options_t options = {};
+		options.service = kService;
+		options.ctx = vms[i].get();
+		options.send = simSend;
+		options.get_term = simTerm;
+		options.get_profile = simProfile;
+		options.save_table = simSave;
+		options.restore_table = simRestore;
+		options.seed = cfg.seed;
+		options.test_off = cfg.leader_off;
+		vms[i]->leader = service_leader_create(&options);
+	}
+	targets.resize(cfg.targets);
+	for (int i = 0; i < cfg.targets; i++) {
+		targets[i].name = "t" + std::to_string(i);
+		targets[i].port = (uint16_t)(8000 + i);
+		targets[i].home = i % cfg.vms;
+		targets[i].started_ms = now() - 60000;
+	}
+	resetStats();
+}
+
+ServiceSim::~ServiceSim()
+{
+	std::set<SimRequest *> left;
+
+	while (!events_.empty()) {
+		left.insert(events_.top().request);
+		events_.pop();
+	}
+	for (auto *request : left) {
+		if (request->attempt.endpoint != nullptr)
+			service_view_finish(request->vm->view,
+			    &request->attempt, SERVICE_OUTCOME_CANCELED, now());
+		delete request;
+	}
+	for (auto &vm : vms) {
+		fair_queue_destroy(vm->queue);
+		service_view_destroy(vm->view);
+		service_leader_destroy(vm->leader);
+	}
+	fakenet_destroy(net);
+}
+
+static std::vector<uint8_t> *
+simStore(ServiceSim *sim)
+{
+	return &sim->store;
+}
+
+int64_t
+ServiceSim::now() const
+{
+	return fakenet_now_ms(net);
+}
+
+void
+ServiceSim::resetStats()
+{
+	stats = SimStats();
+	stats.offered.assign(cfg.weights.size(), 0);
+	stats.in_time.assign(cfg.weights.size(), 0);
+}
+
+void
+ServiceSim::schedule(int64_t at_ms, int kind, SimRequest *request)
+{
+	request->pending++;
+	events_.push({ at_ms, order_++, kind, request, request->serial });
+}
+
+void
+ServiceSim::arrive(double per_ms)
+{
+	double sum = 0;
+
+	for (double w : cfg.weights)
+		sum += w;
+	for (size_t w = 0; w < cfg.weights.size(); w++) {
+		double mean = per_ms * boost[w] * cfg.weights[w] / sum;
+		// Poisson by exponential gaps.
+		double left = -std::log(1 - rng_unit(&rng_));
+		for (; left < mean; left -= std::log(1 - rng_unit(&rng_))) {
+			auto *request = new SimRequest;
+			size_t v = rng_below(&rng_, vms.size());
+			while (!vms[v]->alive)
+				v = rng_below(&rng_, vms.size());
+			request->vm = vms[v].get();
+			request->workspace = (int)w;
+			request->arrived_ms = now();
+			request->item.data = request;
+			stats.offered[w]++;
+			retry_budget_add_request(&request->vm->budget);
+			if (fair_queue_push(request->vm->queue, &request->item,
+				w + 1, now() + cfg.deadline_ms, now()) != 0) {
+				stats.rejected++;
+				delete request;
+				continue;
+			}
+			schedule(now() + cfg.deadline_ms, EV_DEADLINE, request);
+			pump(*request->vm);
+		}
+	}
+}
+
+void
+ServiceSim::pump(SimVm &vm)
+{
+	uint32_t count;
+	auto *const *list = service_view_get_endpoints(vm.view, &count);
+	uint32_t capacity = service_view_get_capacity(vm.view);
+	fair_item_t *item;
+
+	if (!cfg.baseline)
+		fair_queue_set_limit(
+		    vm.queue, std::max(4u, 2 * capacity / (uint32_t)cfg.vms));
+	balancer_update_subset(&vm.balancer, list, count, (uint32_t)cfg.vms, 1,
+	    service_view_get_generation(vm.view));
+	while ((item = fair_queue_release(vm.queue, now())) != nullptr) {
+		if (!dispatch(vm, (SimRequest *)item->data)) {
+			fair_queue_return(vm.queue, item);
+			break;
+		}
+	}
+}
+
+bool
+ServiceSim::dispatch(SimVm &vm, SimRequest *request)
+{
+	uint32_t count;
+	auto *const *list = service_view_get_endpoints(vm.view, &count);
+	service_endpoint_t *endpoint = nullptr;
+	bool trial = false;
+
+	if (request->tried_count == 0 && !request->crashes) {
+		endpoint = service_view_take_trial(vm.view, now());
+		trial = endpoint != nullptr;
+	}
+	if (endpoint == nullptr)
+		endpoint = balancer_pick(&vm.balancer, list, count,
+		    request->tried, request->tried_count, now());
+	if (endpoint == nullptr)
+		return false;
+	request->target = atoi(endpoint->target + 1);
+	request->incarnation = endpoint->incarnation;
+	request->tried[request->tried_count++] = endpoint->id;
+	request->serial++;
+	request->at_target = false;
+	service_view_start(vm.view, &request->attempt, endpoint, trial, now());
+	SimTarget &target = targets[request->target];
+	if (!trial)
+		target.last_new_ms = now();
+	if (target.left_ms != 0 && now() - target.left_ms > 2000)
+		target.after_leave++;
+	schedule(now() + 1, EV_REACH, request);
+	return true;
+}
+
+void
+ServiceSim::reachTarget(SimRequest *request)
+{
+	SimTarget &target = targets[request->target];
+
+	if (!target.up ||
+	    broken_.count({ request->vm->index, request->target }) ||
+	    request->incarnation != target.incarnation) {
+		request->outcome = SERVICE_OUTCOME_BROKEN;
+		schedule(now() + 1, EV_ANSWER, request);
+		return;
+	}
+	target.received++;
+	if (request->crashes) {
+		crash(request);
+		return;
+	}
+	if ((target.fault == Fault::Shedding && rng_below(&rng_, 10) < 8) ||
+	    target.waiting.size() > 200) {
+		request->outcome = SERVICE_OUTCOME_SHED;
+		schedule(now() + 1, EV_ANSWER, request);
+		return;
+	}
+	request->at_target = true;
+	target.waiting.push_back(request);
+	startNext(target);
+}
+
+void
+ServiceSim::startNext(SimTarget &target)
+{
+	while (target.running < cfg.slots && !target.waiting.empty()) {
+		SimRequest *request = target.waiting.front();
+		target.waiting.pop_front();
+		if (request->done) { // cancelled by the VM
+			request->at_target = false;
+			if (request->pending == 0)
+				delete request;
+			continue;
+		}
+		double ms = cfg.service_ms *
+		    (0.5 - 0.5 * std::log(1 - rng_unit(&rng_)));
+		double age = (double)(now() - target.started_ms);
+		bool phase = (now() - target.fault_ms) / 3000 % 2 == 0;
+		double chance = rng_unit(&rng_);
+		if (age < 5000)
+			ms *= 1 + 2 * (1 - age / 5000);
+		request->outcome = chance < cfg.base_errors
+		    ? SERVICE_OUTCOME_ERROR
+		    : SERVICE_OUTCOME_OK;
+		if (target.fault == Fault::Slow5 ||
+		    target.fault == Fault::Lying ||
+		    target.fault == Fault::ColdSlow)
+			ms *= 5;
+		if (target.fault == Fault::Slow20 ||
+		    (target.fault == Fault::Flapping && phase))
+			ms *= 20;
+		if (target.fault == Fault::Errors && chance < 0.2)
+			request->outcome = SERVICE_OUTCOME_ERROR;
+		if (target.fault == Fault::Wrong && chance < 0.5)
+			request->outcome = SERVICE_OUTCOME_WRONG;
+		if (target.fault == Fault::Stall)
+			ms += 3000;
+		target.running++;
+		target.active.insert(request);
+		schedule(now() + std::max<int64_t>(1, (int64_t)(ms + 0.5)),
+		    EV_RUN_END, request);
+	}
+}
+
+void
+ServiceSim::finishRun(SimRequest *request)
+{
+	SimTarget &target = targets[request->target];
+
+	request->at_target = false;
+	target.active.erase(request);
+	target.running--;
+	startNext(target);
+	schedule(now() + 1, EV_ANSWER, request);
+}
+
+void
+ServiceSim::end(SimRequest *request, bool good)
+{
+	request->done = true;
+	if (good && now() - request->arrived_ms <= cfg.deadline_ms)
+		stats.in_time[request->workspace]++;
+	fair_queue_finish(request->vm->queue, &request->item);
+	pump(*request->vm);
+}
+
+void
+ServiceSim::answer(SimRequest *request, service_outcome_t outcome)
+{
+	SimVm &vm = *request->vm;
+	SimTarget &target = targets[request->target];
+	service_endpoint_t *endpoint = request->attempt.endpoint;
+	bool lying = target.fault == Fault::Lying;
+
+	if (outcome == SERVICE_OUTCOME_OK) {
+		service_view_set_load(endpoint, lying ? 0 : target.running,
+		    lying ? 0 : (uint32_t)target.waiting.size(), cfg.slots,
+		    now());
+		retry_budget_record(
+		    &vm.budget, now() - request->attempt.started_ms);
+	}
+	if (outcome == SERVICE_OUTCOME_CANCELED)
+		service_view_report_crash(
+		    vm.view, 0xf000 + order_, endpoint, now());
+	balancer_record(&vm.balancer, endpoint, outcome, now());
+	service_view_finish(vm.view, &request->attempt, outcome, now());
+	if (outcome == SERVICE_OUTCOME_OK) {
+		end(request, true);
+		return;
+	}
+	if (request->tried_count < 4 && !request->crashes &&
+	    (outcome == SERVICE_OUTCOME_SHED ||
+		retry_budget_take(&vm.budget) == 0)) {
+		stats.retries++;
+		if (dispatch(vm, request))
+			return;
+	}
+	end(request, false);
+}
+
+void
+ServiceSim::crash(SimRequest *request)
+{
+	SimTarget &target = targets[request->target];
+	SimVm &vm = *request->vm;
+	service_endpoint_t *endpoint = request->attempt.endpoint;
+
+	stats.crashed++;
+	if (endpoint != nullptr)
+		service_view_report_crash(vm.view, 0xbadULL, endpoint, now());
+	service_view_finish(
+	    vm.view, &request->attempt, SERVICE_OUTCOME_CANCELED, now());
+	end(request, false);
+	restart(request->target, target.incarnation + 1, target.port);
+}
+
+void
+ServiceSim::step()
+{
+	arrive(cfg.load * cfg.targets * cfg.slots / cfg.service_ms);
+	while (!events_.empty() && events_.top().at_ms <= now()) {
+		Event event = events_.top();
+		SimRequest *request = event.request;
+		events_.pop();
+		request->pending--;
+		if (event.kind == EV_DEADLINE && !request->done) {
+			if (request->item.heap_index != 0) {
+				fair_queue_remove(
+				    request->vm->queue, &request->item);
+				request->done = true;
+			} else {
+				service_view_finish(request->vm->view,
+				    &request->attempt, SERVICE_OUTCOME_TIMEOUT,
+				    now());
+				end(request, false);
+			}
+		} else if (event.kind != EV_DEADLINE &&
+		    event.serial != request->serial) {
+			// The attempt was broken off.
+		} else if (event.kind == EV_REACH) {
+			if (!request->done)
+				reachTarget(request);
+		} else if (event.kind == EV_RUN_END) {
+			finishRun(request);
+		} else if (event.kind == EV_ANSWER && !request->done) {
+			answer(request, request->outcome);
+		}
+		if (request->done && request->pending == 0 &&
+		    !request->at_target)
+			delete request;
+	}
+	if (now() % 1000 == 0) {
+		for (size_t i = 0; i < targets.size(); i++)
+			if (targets[i].up && targets[i].renewing)
+				announce((int)i, targets[i].incarnation,
+				    targets[i].port, targets[i].home);
+	}
+	if (now() % 50 == 0) {
+		for (auto &vm : vms)
+			pump(*vm);
+	}
+}
+
+void
+ServiceSim::run(int64_t ms)
+{
+	for (int64_t i = 0; i < ms; i++) {
+		step();
+		fakenet_run(net, 1);
+	}
+}
+
+void
+ServiceSim::announce(int target, uint64_t incarnation, uint16_t port, int vm)
+{
+	service_announcement_t info = {};
+
+	snprintf(info.target, sizeof(info.target), "%s",
+	    targets[target].name.c_str());
+	snprintf(info.ip, sizeof(info.ip), "10.0.0.%d", target + 1);
+	info.incarnation = incarnation;
+	info.port = port;
+	info.slots = cfg.slots;
+	info.connection_cap = 400;
+	info.leaving = targets[target].leaving;
+	service_view_announce(vms[vm]->view, &info, now());
+}
+
+void
+ServiceSim::setFault(int target, Fault fault)
+{
+	targets[target].fault = fault;
+	targets[target].fault_ms = now();
+	if (fault == Fault::ColdSlow)
+		restart(target, targets[target].incarnation + 1,
+		    targets[target].port);
+}
+
+void
+ServiceSim::setLeaving(int target)
+{
+	targets[target].leaving = true;
+	targets[target].left_ms = now();
+	announce(target, targets[target].incarnation, targets[target].port,
+	    targets[target].home);
+}
+
+// All connections break without a response.
+void
+ServiceSim::breakAll(SimTarget &target)
+{
+	target.active.insert(target.waiting.begin(), target.waiting.end());
+	for (auto *request : target.active) {
+		request->at_target = false;
+		request->serial++;
+		request->outcome = SERVICE_OUTCOME_CANCELED;
+		schedule(now() + 1, EV_ANSWER, request);
+	}
+	target.active.clear();
+	target.waiting.clear();
+	target.running = 0;
+}
+
+void
+ServiceSim::restart(int index, uint64_t incarnation, uint16_t port)
+{
+	SimTarget &target = targets[index];
+
+	breakAll(target);
+	target.up = true;
+	target.incarnation = incarnation;
+	target.port = port;
+	target.started_ms = now();
+	announce(index, incarnation, port, target.home);
+}
+
+void
+ServiceSim::setPath(int vm, int target, bool broken)
+{
+	if (broken)
+		broken_.insert({ vm, target });
+	else
+		broken_.erase({ vm, target });
+}
+
+void
+ServiceSim::killLeader(int64_t gap_ms)
+{
+	fakenet_kill(net, vms[leader]->id);
+	vms[leader]->alive = false;
+	leader = (leader + 1) % 5;
+	term++;
+	leader_from_ms = now() + gap_ms;
+}
+
+void
+ServiceSim::sendCrash(int index)
+{
+	SimVm &vm = *vms[index];
+	auto *request = new SimRequest;
+
+	if (service_view_is_blocked(vm.view, 0xbadULL, now())) {
+		stats.rejected++;
+		delete request;
+		return;
+	}
+	request->vm = &vm;
+	request->crashes = true;
+	request->arrived_ms = now();
+	request->item.data = request;
+	fair_queue_push(
+	    vm.queue, &request->item, 1, now() + cfg.deadline_ms, now());
+	schedule(now() + cfg.deadline_ms, EV_DEADLINE, request);
+	pump(vm);
+}
+
+static const service_endpoint_t *
+simFind(const SimVm &vm, const std::string &name)
+{
+	uint32_t count;
+	auto *const *list = service_view_get_endpoints(vm.view, &count);
+
+	for (uint32_t i = 0; i < count; i++)
+		if (name == list[i]->target)
+			return list[i];
+	return nullptr;
+}
+
+int
+ServiceSim::usableCount(int target) const
+{
+	int count = 0;
+
+	for (auto &vm : vms) {
+		auto *endpoint = simFind(*vm, targets[target].name);
+		if (!vm->alive || endpoint == nullptr)
+			continue;
+		count += endpoint->usable &&
+		    (!cfg.baseline || now() >= endpoint->baseline_until_ms);
+	}
+	return count;
+}
+
+bool
+ServiceSim::allAvoid(int target) const
+{
+	return usableCount(target) == 0;
+}
+
+int
+ServiceSim::usableIn(int vm) const
+{
+	uint32_t count;
+	auto *const *list = service_view_get_endpoints(vms[vm]->view, &count);
+	int usable = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		usable += list[i]->usable;
+	return usable;
+}
+
+std::string
+ServiceSim::describe(int target) const
+{
+	auto *endpoint = simFind(*vms[leader], targets[target].name);
+	int alive = 0;
+	char text[128];
+
+	for (auto &vm : vms)
+		alive += vm->alive;
+	snprintf(text, sizeof(text), "%s usable at %d of %d VMs, port %d",
+	    targets[target].name.c_str(), usableCount(target), alive,
+	    endpoint != nullptr ? endpoint->port : 0);
+	return text;
+}
+
+uint64_t
+ServiceSim::ejections() const
+{
+	uint64_t sum = 0;
+
+	for (auto &vm : vms)
+		if (vm->leader != nullptr)
+			sum += service_leader_get_stats(vm->leader)->ejections;
+	return sum;
+}
+
+uint64_t
+ServiceSim::avoidances() const
+{
+	return local_avoidances;
+}
+
+bool
+ServiceSim::floorHolds() const
+{
+	uint32_t count;
+	int left = 0;
+
+	for (auto &target : targets)
+		left += target.leaving;
+	for (auto &vm : vms) {
+		service_view_get_endpoints(vm->view, &count);
+		int floor =
+		    ((int)(cfg.profile.floor_percent * count) + 99) / 100;
+		if (vm->alive && count > 0 &&
+		    usableIn(vm->index) < std::min(floor, (int)count - left))
+			return false;
+	}
+	return true;
+}
