Release only requests that can still finish; overcommit shares by half

Cause: with one workspace at 10 times its rate, requests were released just before their deadlines and wasted slots; and shares counted the network and target queues as running. Also: right after the start of a whole service all targets are cold, so cold targets count as peers then; without this, 12 false ejections in 12 s.

--- a/src/queue/fair_queue.c
+++ b/src/queue/fair_queue.c
@@ -38,6 +38,7 @@
 
 struct fair_queue {
 	uint32_t limit;
+	int64_t reserve_ms;
 	uint32_t running;
 	uint32_t waiting;
 	fair_workspace_t *workspaces; /* hash by id */
@@ -82,6 +83,12 @@
 	queue->limit = limit;
 }
 
+void
+fair_queue_set_reserve(fair_queue_t *queue, int64_t reserve_ms)
+{
+	queue->reserve_ms = reserve_ms;
+}
+
 static void
 list_append(fair_list_t *list, fair_workspace_t *workspace)
 {
@@ -456,7 +463,7 @@
 	if (queue->waiting == 0)
 		return (NULL);
 	item = queue->heap[1];
-	if (item->deadline_ms > now_ms)
+	if (item->deadline_ms - queue->reserve_ms > now_ms)
 		return (NULL);
 	fair_queue_remove(queue, item);
 	return (item);
--- a/src/queue/fair_queue.h
+++ b/src/queue/fair_queue.h
@@ -55,6 +55,13 @@
 /** Sets the most requests that run at the same time. */
 void fair_queue_set_limit(fair_queue_t *queue, uint32_t limit);
 
+/**
+ * Sets the time that a request needs after its release. A waiting request
+ * whose remaining time is shorter counts as expired, because running it would
+ * only waste a slot.
+ */
+void fair_queue_set_reserve(fair_queue_t *queue, int64_t reserve_ms);
+
 /**
  * Sets the share of a workspace.
  *
@@ -81,7 +88,12 @@
  */
 fair_item_t *fair_queue_release(fair_queue_t *queue, int64_t now_ms);
 
-/** Takes the next request whose deadline has passed. @return item or NULL */
+/**
+ * Takes the next request whose deadline, less the reserve, has passed. To be
+ * called before each series of releases.
+ *
+ * @return item or NULL
+ */
 fair_item_t *fair_queue_take_expired(fair_queue_t *queue, int64_t now_ms);
 
 /** Ends a running request. */
--- a/src/service/service_evidence.c
+++ b/src/service/service_evidence.c
@@ -268,12 +268,16 @@
 	}
 }
 
-/* A cold target is no measure for the others. */
+/*
+ * A cold target is no measure for the others, unless too few are warm, as
+ * after the start of the whole service.
+ */
 static void
 evidence_mark_peers(
     const service_leader_t *leader, uint8_t *use, int64_t now_ms)
 {
 	const leader_target_t *target;
+	uint32_t warm = 0;
 	uint32_t i;
 
 	for (i = 0; i < leader->target_count; i++) {
@@ -281,7 +285,11 @@
 		use[i] = target->used &&
 		    target->state == SERVICE_TARGET_ACTIVE &&
 		    now_ms - target->cold_started_ms >= LEADER_COLD_MS;
+		warm += use[i];
 	}
+	for (i = 0; warm < 2 && i < leader->target_count; i++)
+		use[i] = leader->targets[i].used &&
+		    leader->targets[i].state == SERVICE_TARGET_ACTIVE;
 }
 
 static double
--- a/src/service/service_table.c
+++ b/src/service/service_table.c
@@ -10,6 +10,11 @@
 #define TABLE_LEASE_MS 5000
 /* Demand that was reported longer ago no longer counts. */
 #define SHARES_DEMAND_MS 1000
+/*
+ * A request that runs for a VM is partly on the network or in the target's
+ * queue, so that shares of exactly the slots would leave targets idle.
+ */
+#define SHARES_OVERCOMMIT 1.5
 
 /* Message with its parts in one allocation. */
 typedef struct table_message {
@@ -244,7 +249,7 @@
 		if (target->used && target->state == SERVICE_TARGET_ACTIVE)
 			slots += target->info.slots;
 	}
-	return (slots);
+	return (slots * SHARES_OVERCOMMIT);
 }
 
 void
--- a/src/service/service_view_local.c
+++ b/src/service/service_view_local.c
@@ -159,6 +159,7 @@
 	service_endpoint_state_t *state;
 	service_peers_t peers;
 	double badness;
+	uint32_t warm = 0;
 	uint32_t i;
 	int cold;
 
@@ -167,7 +168,10 @@
 		windows[i] = state->window;
 		use[i] = view->endpoints[i]->usable &&
 		    now_ms - state->cold_started_ms >= VIEW_COLD_MS;
+		warm += use[i];
 	}
+	for (i = 0; warm < 2 && i < view->count; i++)
+		use[i] = view->endpoints[i]->usable != 0;
 	for (i = 0; i < view->count; i++) {
 		state = view->endpoints[i]->state;
 		if (state->state != SERVICE_TARGET_ACTIVE || state->avoided)
--- a/test/scenario/service_sim.cc
+++ b/test/scenario/service_sim.cc
@@ -318,6 +318,11 @@
 		    vm.queue, std::max(4u, 2 * capacity / (uint32_t)cfg.vms));
 	balancer_update_subset(&vm.balancer, list, count, (uint32_t)cfg.vms, 1,
 	    service_view_get_generation(vm.view));
+	if (!cfg.baseline)
+		fair_queue_set_reserve(vm.queue,
+		    retry_budget_get_reserve_ms(&vm.budget, cfg.deadline_ms));
+	while ((item = fair_queue_take_expired(vm.queue, now())) != nullptr)
+		((SimRequest *)item->data)->done = true;
 	while ((item = fair_queue_release(vm.queue, now())) != nullptr) {
 		if (!dispatch(vm, (SimRequest *)item->data)) {
 			fair_queue_return(vm.queue, item);
