--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -53,7 +53,7 @@
 	[ -x "$bin" ] || die "$bin is missing; run make"
 	[ -f "$dir/$1.json" ] || die "$dir/$1.json is missing; run start first"
 	is_alive "$1" && die "$1 runs already"
-	"$bin" "$dir/$1.json" >>"$dir/$1.log" 2>&1 </dev/null &
+	"$bin" --settings "$dir/$1.json" >>"$dir/$1.log" 2>&1 </dev/null &
 	echo "$! $(start_of $!)" >"$dir/$1.pid"
 }
 
--- a/src/load/load_main.c
+++ b/src/load/load_main.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <argtable2.h>
 #include <jansson.h>
 
 #include "base/error.h"
@@ -12,6 +11,7 @@
 #include "load/load_run.h"
 #include "load/load_settings.h"
 #include "load/load_stats.h"
+#include "settings/program_args.h"
 
 #define EXIT_FAILED 1
 #define EXIT_USAGE  2
@@ -81,38 +81,40 @@
 	return (err == TM_OK ? status : EXIT_LOCAL);
 }
 
+static const char example[] =
+    "{\n"
+    "  \"entries\": [\"127.0.0.1:7300\"],\n"
+    "  \"duration_ms\": 10000,\n"
+    "  \"warmup_ms\": 1000,\n"
+    "  \"workspaces\": [\n"
+    "    {\"name\": \"w1\", \"key\": \"tmk_ID_SECRET\",\n"
+    "      \"rate_per_s\": 100,\n"
+    "      \"burst\": {\"period_ms\": 5000, \"on_ms\": 500, \"factor\": 3},\n"
+    "      \"paths\": [{\"path\": \"/s1/a\", \"weight\": 3},\n"
+    "        {\"path\": \"/s1/b\"}],\n"
+    "      \"request_ids\": \"fresh\", \"deadline_ms\": 1000}\n"
+    "  ]\n"
+    "}\n";
+
 int
 main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this text");
-	struct arg_lit *json =
-	    arg_lit0(NULL, "json", "print the report as JSON, not as text");
-	struct arg_file *file = arg_file1(
-	    NULL, NULL, "SETTINGS", "settings file (JSON), docs/load.md");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { help, json, file, end };
-	int errors = arg_parse(argc, argv, table);
 	load_settings_t settings = { 0 };
-	json_check_t *check = NULL;
+	program_args_t args;
+	json_check_t *check;
 	int status = EXIT_USAGE;
 
-	if (help->count > 0) {
-		printf("usage: tm-load");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-14s %s\n");
-		status = 0;
-	} else if (errors > 0) {
-		arg_print_errors(stderr, end, "tm-load");
-		fprintf(stderr, "usage: tm-load [--json] SETTINGS\n");
-	} else if ((check = json_check_create()) != NULL) {
-		signal(SIGPIPE, SIG_IGN);
-		if (load_settings_read(check, file->filename[0], &settings) > 0)
-			json_check_print(check, stderr);
-		else
-			status = run_and_report(&settings, json->count > 0);
-	}
+	if (!program_args_parse(argc, argv, "tm-load", example, 1, &args))
+		return (args.status);
+	check = json_check_create();
+	if (check == NULL)
+		return (EXIT_LOCAL);
+	signal(SIGPIPE, SIG_IGN);
+	if (load_settings_read(check, args.settings, &settings) > 0)
+		json_check_print(check, stderr);
+	else
+		status = args.check ? 0 : run_and_report(&settings, args.json);
 	load_settings_release(&settings);
 	json_check_destroy(check);
-	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return (status);
 }
--- a/src/target/target_main.c
+++ b/src/target/target_main.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <argtable2.h>
 #include <uv.h>
 
 #include <h2o.h>
@@ -12,6 +11,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "settings/program_args.h"
 #include "target/target_announce.h"
 #include "target/target_http.h"
 #include "target/target_job.h"
@@ -226,62 +226,56 @@
 	return (TM_OK);
 }
 
-static const char *
-parse_arguments(int argc, char **argv, int *status)
+static const char example[] =
+    "{\n"
+    "  \"id\": \"target-1\",\n"
+    "  \"service\": \"service-1\",\n"
+    "  \"data_centre\": \"dc-1\",\n"
+    "  \"listen\": \"127.0.0.1:8100\",\n"
+    "  \"admin_listen\": \"127.0.0.1:8101\",\n"
+    "  \"entries\": [\"127.0.0.1:7300\"],\n"
+    "  \"target_secret\": \"replace-with-32-random-bytes\",\n"
+    "  \"slots\": 6,\n"
+    "  \"queue\": 4,\n"
+    "  \"connection_cap\": 400,\n"
+    "  \"service_time\": {\"kind\": \"lognormal\", \"mean_ms\": 5},\n"
+    "  \"cold_start\": {\"duration_ms\": 10000, \"factor\": 3},\n"
+    "  \"record\": \"target-1.record\"\n"
+    "}\n";
+
+static int
+run(target_t *target, const char *file, int only_check)
 {
-	static char path[4096];
-	struct arg_lit *help = arg_lit0("h", "help", "print this text");
-	struct arg_file *file = arg_file1(
-	    NULL, NULL, "SETTINGS", "settings file (JSON), docs/target.md");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { help, file, end };
-	int errors = arg_parse(argc, argv, table);
-	const char *result = NULL;
+	json_check_t *check = json_check_create();
+	log_level_t level = LOG_LEVEL_INFO;
+	int status = EXIT_USAGE;
 
-	*status = EXIT_USAGE;
-	if (help->count > 0) {
-		printf("usage: tm-target");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-14s %s\n");
-		*status = 0;
-	} else if (errors > 0) {
-		arg_print_errors(stderr, end, "tm-target");
-		fprintf(stderr, "usage: tm-target SETTINGS\n");
+	if (check == NULL)
+		return (EXIT_FAILURE);
+	if (target_settings_load(check, file, &target->settings) > 0) {
+		json_check_print(check, stderr);
+	} else if (only_check) {
+		status = 0;
 	} else {
-		snprintf(path, sizeof(path), "%s", file->filename[0]);
-		result = path;
+		log_parse_level(target->settings.log_level, &level);
+		log_configure(stderr, level, target->settings.id);
+		target->incarnation = clock_wall_ms();
+		status = start(target) == TM_OK ? 0 : EXIT_FAILURE;
+		if (status == 0)
+			uv_run(&target->loop, UV_RUN_DEFAULT);
 	}
-	arg_freetable(table, sizeof(table) / sizeof(table[0]));
-	return (result);
+	json_check_destroy(check);
+	return (status);
 }
 
 int
 main(int argc, char **argv)
 {
 	static target_t target;
-	json_check_t *check;
-	log_level_t level = LOG_LEVEL_INFO;
-	const char *path;
-	int status;
+	program_args_t args;
 
-	path = parse_arguments(argc, argv, &status);
-	if (path == NULL)
-		return (status);
+	if (!program_args_parse(argc, argv, "tm-target", example, 0, &args))
+		return (args.status);
 	signal(SIGPIPE, SIG_IGN);
-	check = json_check_create();
-	if (check == NULL)
-		return (1);
-	if (target_settings_load(check, path, &target.settings) > 0) {
-		json_check_print(check, stderr);
-		json_check_destroy(check);
-		return (EXIT_USAGE);
-	}
-	log_parse_level(target.settings.log_level, &level);
-	log_configure(stderr, level, target.settings.id);
-	target.incarnation = clock_wall_ms();
-	status = start(&target);
-	if (status == TM_OK)
-		uv_run(&target.loop, UV_RUN_DEFAULT);
-	json_check_destroy(check);
-	return (status == TM_OK ? 0 : 1);
+	return (run(&target, args.settings, args.check));
 }
--- a/test/functional/load.sh
+++ b/test/functional/load.sh
@@ -15,7 +15,7 @@
 }
 run() {
 	cat >"$work/load.json"
-	"$BUILD/bin/tm-load" --json "$work/load.json" >"$work/report.json"
+	"$BUILD/bin/tm-load" --json --settings "$work/load.json" >"$work/report.json"
 	echo "exit $?"
 }
 # The settings for one workspace at 200/s for 1 s, with more fields in $1.
@@ -62,7 +62,7 @@
 show ok,by_run,errors
 echo "== nobody listens"
 sed "s/$first/127.0.0.1:1/" "$work/load.json" >"$work/none.json"
-"$BUILD/bin/tm-load" --json "$work/none.json" >"$work/report.json"
+"$BUILD/bin/tm-load" --json --settings "$work/none.json" >"$work/report.json"
 echo "exit $?"
 show ok,by_run,errors
 echo "== a frozen target counts from the intended send time"
@@ -105,9 +105,15 @@
 for w in r["workspaces"]:
     print(w["name"], w["offered"] // 10 * 10, w["ok"] == w["offered"])
 PY
+echo "== the examples are valid"
+for program in tm-load tm-target; do
+	"$BUILD/bin/$program" --print-default >"$work/default.json"
+	"$BUILD/bin/$program" --check --settings "$work/default.json"
+	echo "$program: exit $?"
+done
 echo "== malformed settings"
 echo '{"entries":["here"],"duration_ms":0,"speling":1,
 "workspaces":[{"name":"-","rate_per_s":"many"}]}' >"$work/bad.json"
-"$BUILD/bin/tm-load" "$work/bad.json" 2>&1 | sed "s|$work/||"
-"$BUILD/bin/tm-load" "$work/bad.json" 2>"$work/err"
+"$BUILD/bin/tm-load" --settings "$work/bad.json" 2>&1 | sed "s|$work/||"
+"$BUILD/bin/tm-load" --settings "$work/bad.json" 2>"$work/err"
 echo "exit $?"
