--- /dev/null
+++ b/src/entry/entry_defs.h
@@ -0,0 +1,215 @@
+/**
+ * @file
+ * State of tm-entry, shared by the files of src/entry.
+ */
+#ifndef TM_ENTRY_ENTRY_DEFS_H
+#define TM_ENTRY_ENTRY_DEFS_H
+
+#include <uthash.h>
+#include <uv.h>
+
+#include "base/metrics.h"
+#include "base/rng.h"
+#include "claim/claim_client.h"
+#include "claim/claim_holder.h"
+#include "config/config_state.h"
+#include "entry/entry_settings.h"
+#include "entry/upstream.h"
+#include "gossip/gossip.h"
+#include "group/group.h"
+#include "http/http_server.h"
+#include "net/peer.h"
+#include "queue/fair_queue.h"
+#include "rate/rate_client.h"
+#include "rate/rate_leader.h"
+#include "route/balancer.h"
+#include "route/retry_budget.h"
+#include "service/service_leader.h"
+#include "service/service_view.h"
+
+#define ENTRY_CONNECTIONS_MAX	10000
+#define ENTRY_IN_FLIGHT_MAX	2000
+#define ENTRY_HEADERS_MAX_BYTES (16 * 1024)
+#define ENTRY_BODY_MAX_BYTES	(1024 * 1024)
+/** Interval of the timers of the decision modules. */
+#define ENTRY_TICK_MS 10
+
+typedef struct entry entry_t;
+typedef struct entry_request entry_request_t;
+typedef struct entry_trace entry_trace_t;
+
+/** A service that this VM routes to. */
+typedef struct entry_service {
+	entry_t *entry;
+	char name[NAME_MAX_BYTES + 1];
+	uint64_t id;
+	uint32_t shard;
+	service_view_t *view;
+	service_leader_t *leader;
+	balancer_t balancer;
+	retry_budget_t budget;
+	fair_queue_t *queue;
+	uint64_t table_version; /**< of the last group_put() */
+	int needs_pump; /**< a request ended since the last release */
+	metric_t *attempts;
+	metric_t *retries;
+	metric_t *hedges;
+	metric_t *sheds;
+	UT_hash_handle hh;
+	UT_hash_handle hh_id;
+} entry_service_t;
+
+/** A workspace with its metrics. */
+typedef struct entry_workspace {
+	char name[NAME_MAX_BYTES + 1];
+	uint64_t id; /**< service_id_from_name() */
+	int is_present; /**< scratch of entry_fleet_sync_workspaces() */
+	metric_t *requests;
+	metric_t *refused_rate;
+	metric_t *refused_other;
+	metric_t *latency;
+	UT_hash_handle hh;
+} entry_workspace_t;
+
+/** Assignment of a shard as last passed to the group module. */
+typedef struct entry_group {
+	config_group_t assignment;
+	uint64_t since_epoch[CONFIG_HOLDERS];
+} entry_group_t;
+
+/** A message of this VM to itself. */
+typedef struct entry_local_message {
+	struct entry_local_message *next;
+	uint16_t type;
+	size_t len;
+	uint8_t payload[];
+} entry_local_message_t;
+
+/** Steps of a planned stop. */
+typedef enum entry_phase {
+	ENTRY_RUNNING,
+	ENTRY_NOTICE, /**< readiness fails, requests are still served */
+	ENTRY_DRAINING, /**< no new connections; waits for requests */
+	ENTRY_STOPPED
+} entry_phase_t;
+
+struct entry {
+	uv_loop_t *loop;
+	const entry_settings_t *settings;
+	node_id_t self;
+	uint64_t incarnation;
+	rng_t rng;
+
+	peer_net_t *net;
+	uv_prepare_t local_prepare;
+	entry_local_message_t *local_head;
+	entry_local_message_t *local_tail;
+	uv_timer_t tick;
+	int64_t slow_tick_ms;
+
+	config_state_t *state;
+	gossip_t *gossip;
+	group_t *group;
+	entry_group_t groups[CONFIG_SHARDS];
+	claim_client_t *claims;
+	claim_holder_t *claim_holder;
+	rate_client_t *rates;
+	rate_leader_t *rate_leader;
+	entry_service_t *services;
+	entry_service_t *services_by_id;
+	entry_workspace_t *workspaces;
+	node_id_t *peers; /**< other entry VMs */
+	size_t peer_count;
+
+	http_server_t *callers;
+	http_server_t *ops;
+	upstream_t *upstream;
+	entry_request_t *requests; /**< all that are not answered */
+	uint32_t in_flight;
+	entry_trace_t *trace;
+
+	entry_phase_t phase;
+	int64_t phase_since_ms;
+	int is_serving;
+
+	metrics_t *metrics;
+	metric_t *refusals[32]; /**< by refusal_t */
+	metric_t *added_latency; /**< time in this VM, without the target */
+	metric_t *claim_latency;
+	metric_t *rate_wait;
+};
+
+/* entry.c */
+
+/**
+ * Creates everything and listens.
+ *
+ * @return 0 or a negative error number, already logged
+ */
+int entry_create(
+    entry_t **out, const entry_settings_t *settings, uv_loop_t *loop);
+
+/** Starts a planned stop; a second call skips the notice time. */
+void entry_begin_stop(entry_t *entry);
+
+/** @return 1 when a planned stop is complete */
+int entry_is_stopped(const entry_t *entry);
+
+/* entry_fleet.c: wiring of the decision modules */
+
+/** Creates the modules. @return 0 or a negative error number, logged */
+int entry_fleet_create(entry_t *entry);
+
+/** Runs the timers of all modules. */
+void entry_fleet_tick(entry_t *entry, int64_t now_ms);
+
+/** node_send_cb; ctx is the entry_t; delivers to this VM as well. */
+void entry_fleet_send(
+    void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg);
+
+/** Delivers messages of this VM to itself. */
+void entry_fleet_deliver_local(entry_t *entry);
+
+/* entry_sync.c: configuration to the modules */
+
+/** config_change_cb; ctx is the entry_t. */
+void entry_sync_change(void *ctx, config_kind_t kind, const char *name);
+
+/** Passes everything that the configuration holds to the modules. */
+void entry_sync_all(entry_t *entry);
+
+/** @return a workspace of the configuration, or NULL */
+entry_workspace_t *entry_find_workspace(entry_t *entry, const char *name);
+
+/* entry_service.c */
+
+/** Finds or creates a service. @return NULL if memory is exhausted */
+entry_service_t *entry_service_get(entry_t *entry, const char *name);
+
+entry_service_t *entry_service_find(entry_t *entry, const char *name);
+entry_service_t *entry_service_find_id(entry_t *entry, uint64_t id);
+
+/** Runs the timers of a service and releases waiting requests. */
+void entry_service_tick(entry_service_t *service, int64_t now_ms);
+
+/** Releases waiting requests of the services where one ended. */
+void entry_service_pump_all(entry_t *entry);
+
+/** Releases waiting requests as far as limits and shares allow. */
+void entry_service_pump(entry_service_t *service, int64_t now_ms);
+
+/** @return profile of the service, or NULL */
+const config_profile_t *entry_service_get_profile(
+    const entry_service_t *service);
+
+/* frontend.c */
+
+/** http_server_cb of the callers' listener; ctx is the entry_t. */
+void frontend_handle(void *ctx, h2o_req_t *req);
+
+/* ops_api.c */
+
+/** http_server_cb of the ops listener; ctx is the entry_t. */
+void ops_api_handle(void *ctx, h2o_req_t *req);
+
+#endif
--- /dev/null
+++ b/src/entry/entry_service.c
@@ -0,0 +1,344 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "entry/entry_defs.h"
+#include "entry/request.h"
+
+#define DEMAND_MAX 1024
+/* A VM may always run this many requests of a service. */
+#define LIMIT_MIN 4
+/* Twice the VM's part of the capacity, because callers spread unevenly over
+ * the VMs and a running request is partly on the network. */
+#define LIMIT_FACTOR	 2
+#define BASELINE_LIMIT	 1000000
+#define TABLE_KEY_MAX	 (NAME_MAX_BYTES + 16)
+#define CONNECTIONS_EACH 9
+
+entry_service_t *
+entry_service_find(entry_t *entry, const char *name)
+{
+	entry_service_t *service;
+
+	HASH_FIND_STR(entry->services, name, service);
+	return (service);
+}
+
+entry_service_t *
+entry_service_find_id(entry_t *entry, uint64_t id)
+{
+	entry_service_t *service;
+
+	HASH_FIND(hh_id, entry->services_by_id, &id, sizeof(id), service);
+	return (service);
+}
+
+const config_profile_t *
+entry_service_get_profile(const entry_service_t *service)
+{
+	const config_state_t *state = service->entry->state;
+	const config_service_t *config;
+
+	config = config_state_find_service(state, service->name);
+	if (config == NULL)
+		return (NULL);
+	return (config_state_find_profile(state, config->profile));
+}
+
+static void
+service_read_profile(void *ctx, service_profile_t *out)
+{
+	const config_profile_t *profile = entry_service_get_profile(ctx);
+
+	*out = (service_profile_t){ .eagerness = SERVICE_CAUTIOUS,
+		.floor_percent = 100 };
+	if (profile == NULL)
+		return;
+	out->eagerness = (service_eagerness_t)profile->ejection;
+	out->floor_percent = profile->floor_percent;
+	out->repeat_allowed = profile->repeat_allowed;
+}
+
+static node_id_t
+service_find_leader(void *ctx)
+{
+	entry_service_t *service = ctx;
+
+	return (group_get_leader(
+	    service->entry->group, service->shard, clock_now_ms()));
+}
+
+static node_id_t
+service_find_peer(void *ctx)
+{
+	entry_service_t *service = ctx;
+	entry_t *entry = service->entry;
+
+	if (entry->peer_count == 0)
+		return (NODE_ID_NONE);
+	return (entry->peers[rng_below(&entry->rng, entry->peer_count)]);
+}
+
+static void
+service_send(
+    void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg)
+{
+	entry_service_t *service = ctx;
+
+	entry_fleet_send(service->entry, to, type, msg);
+}
+
+static uint64_t
+service_get_term(void *ctx)
+{
+	entry_service_t *service = ctx;
+	group_t *group = service->entry->group;
+
+	if (!group_is_leader(group, service->shard, clock_now_ms()))
+		return (0);
+	return (group_get_term(group, service->shard));
+}
+
+static void
+service_get_table_key(const entry_service_t *service, char *out)
+{
+	snprintf(out, TABLE_KEY_MAX, "service/%s", service->name);
+}
+
+static void
+service_save_table(void *ctx, const uint8_t *table, size_t len)
+{
+	entry_service_t *service = ctx;
+	char key[TABLE_KEY_MAX];
+
+	service_get_table_key(service, key);
+	group_put(service->entry->group, service->shard, key,
+	    ++service->table_version, table, len, clock_now_ms());
+}
+
+static const uint8_t *
+service_restore_table(void *ctx, size_t *len)
+{
+	entry_service_t *service = ctx;
+	char key[TABLE_KEY_MAX];
+
+	service_get_table_key(service, key);
+	return (group_get(service->entry->group, service->shard, key,
+	    &service->table_version, len));
+}
+
+static int
+service_create_modules(entry_service_t *service)
+{
+	entry_t *entry = service->entry;
+	service_view_options_t view = {
+		.service = service->name,
+		.self = entry->self,
+		.data_centre = (uint32_t)service_id_from_name(
+				   entry->settings->data_centre) |
+		    1,
+		.ctx = service,
+		.send = service_send,
+		.get_leader = service_find_leader,
+		.get_peer = service_find_peer,
+		.get_profile = service_read_profile,
+		.seed = rng_next(&entry->rng),
+	};
+	service_leader_options_t leader = {
+		.service = service->name,
+		.ctx = service,
+		.send = service_send,
+		.get_term = service_get_term,
+		.get_profile = service_read_profile,
+		.save_table = service_save_table,
+		.restore_table = service_restore_table,
+		.seed = rng_next(&entry->rng),
+	};
+
+	service->view = service_view_create(&view);
+	service->leader = service_leader_create(&leader);
+	service->queue = fair_queue_create(LIMIT_MIN);
+	if (service->view == NULL || service->leader == NULL ||
+	    service->queue == NULL)
+		return (TM_ENOMEM);
+	balancer_init(&service->balancer,
+	    entry->settings->mode == ENTRY_MODE_BASELINE ? BALANCER_BASELINE
+							 : BALANCER_FLEET,
+	    entry->self, rng_next(&entry->rng));
+	retry_budget_init(&service->budget);
+	return (TM_OK);
+}
+
+static void
+service_create_metrics(entry_service_t *service)
+{
+	metrics_t *metrics = service->entry->metrics;
+	char labels[NAME_MAX_BYTES + 16];
+
+	snprintf(labels, sizeof(labels), "service=\"%s\"", service->name);
+	service->attempts = metrics_get(
+	    metrics, "tm_entry_attempts_total", labels, METRIC_COUNTER);
+	service->retries = metrics_get(
+	    metrics, "tm_entry_retries_total", labels, METRIC_COUNTER);
+	service->hedges = metrics_get(
+	    metrics, "tm_entry_hedges_total", labels, METRIC_COUNTER);
+	service->sheds = metrics_get(
+	    metrics, "tm_entry_sheds_total", labels, METRIC_COUNTER);
+}
+
+static void
+service_destroy(entry_service_t *service)
+{
+	if (service->view != NULL)
+		service_view_destroy(service->view);
+	if (service->leader != NULL)
+		service_leader_destroy(service->leader);
+	if (service->queue != NULL)
+		fair_queue_destroy(service->queue);
+	free(service);
+}
+
+entry_service_t *
+entry_service_get(entry_t *entry, const char *name)
+{
+	entry_service_t *service = entry_service_find(entry, name);
+
+	if (service != NULL)
+		return (service);
+	service = calloc(1, sizeof(*service));
+	if (service == NULL)
+		return (NULL);
+	service->entry = entry;
+	snprintf(service->name, sizeof(service->name), "%s", name);
+	service->id = service_id_from_name(name);
+	service->shard = group_shard_of(entry->group, name);
+	if (service_create_modules(service) != TM_OK) {
+		service_destroy(service);
+		return (NULL);
+	}
+	service_create_metrics(service);
+	HASH_ADD_STR(entry->services, name, service);
+	HASH_ADD(
+	    hh_id, entry->services_by_id, id, sizeof(service->id), service);
+	return (service);
+}
+
+/* Demand goes to the leader only while requests wait. */
+static void
+service_report_demand(entry_service_t *service)
+{
+	fair_demand_t demand[DEMAND_MAX];
+	service_demand_t report[DEMAND_MAX];
+	uint32_t count = 0;
+	uint32_t i;
+
+	if (fair_queue_get_waiting(service->queue) > 0)
+		count =
+		    fair_queue_get_demand(service->queue, demand, DEMAND_MAX);
+	for (i = 0; i < count; i++) {
+		report[i] = (service_demand_t){
+			.workspace = demand[i].workspace,
+			.running = demand[i].running,
+			.queued = demand[i].queued,
+		};
+	}
+	service_view_set_demand(service->view, report, count);
+}
+
+/* Shares end at the next report of the leader at the latest. */
+static void
+service_apply_shares(entry_service_t *service, int64_t now_ms)
+{
+	fair_demand_t demand[DEMAND_MAX];
+	uint32_t count;
+	uint32_t i;
+
+	count = fair_queue_get_demand(service->queue, demand, DEMAND_MAX);
+	for (i = 0; i < count; i++)
+		fair_queue_set_share(service->queue, demand[i].workspace,
+		    service_view_get_share(
+			service->view, demand[i].workspace, now_ms),
+		    now_ms + MS_PER_SEC);
+}
+
+static void
+service_count_connections(entry_service_t *service)
+{
+	service_endpoint_t *const *endpoints;
+	struct sockaddr_in addr;
+	uint32_t count;
+	uint32_t i;
+
+	endpoints = service_view_get_endpoints(service->view, &count);
+	for (i = 0; i < count; i++) {
+		if (uv_ip4_addr(endpoints[i]->ip, endpoints[i]->port, &addr) ==
+		    0)
+			endpoints[i]->connections = upstream_get_connections(
+			    service->entry->upstream, &addr);
+	}
+}
+
+static void
+service_update_limits(entry_service_t *service)
+{
+	service_endpoint_t *const *endpoints;
+	const config_profile_t *profile = entry_service_get_profile(service);
+	uint32_t vms = service_view_get_vm_count(service->view);
+	uint32_t limit;
+	uint32_t count;
+
+	endpoints = service_view_get_endpoints(service->view, &count);
+	balancer_update_subset(&service->balancer, endpoints, count, vms,
+	    CONNECTIONS_EACH, service_view_get_generation(service->view));
+	if (service->balancer.mode == BALANCER_BASELINE) {
+		fair_queue_set_limit(service->queue, BASELINE_LIMIT);
+		return;
+	}
+	limit = LIMIT_FACTOR * service_view_get_capacity(service->view) / vms;
+	fair_queue_set_limit(
+	    service->queue, limit > LIMIT_MIN ? limit : LIMIT_MIN);
+	if (profile != NULL)
+		fair_queue_set_reserve(service->queue,
+		    retry_budget_get_reserve_ms(
+			&service->budget, profile->deadline_ms));
+}
+
+void
+entry_service_pump(entry_service_t *service, int64_t now_ms)
+{
+	fair_item_t *item;
+
+	service->needs_pump = 0;
+	if (fair_queue_get_waiting(service->queue) == 0)
+		return;
+	while ((item = fair_queue_take_expired(service->queue, now_ms)) != NULL)
+		request_expire(item->data);
+	while ((item = fair_queue_release(service->queue, now_ms)) != NULL)
+		request_release(item->data);
+}
+
+void
+entry_service_tick(entry_service_t *service, int64_t now_ms)
+{
+	service_view_tick(service->view, now_ms);
+	service_leader_tick(service->leader, now_ms);
+	service_report_demand(service);
+	service_apply_shares(service, now_ms);
+	service_count_connections(service);
+	service_update_limits(service);
+	entry_service_pump(service, now_ms);
+}
+
+void
+entry_service_pump_all(entry_t *entry)
+{
+	entry_service_t *service;
+
+	for (service = entry->services; service != NULL;
+	     service = service->hh.next) {
+		if (service->needs_pump)
+			entry_service_pump(service, clock_now_ms());
+	}
+}
--- /dev/null
+++ b/src/entry/entry_settings.c
@@ -0,0 +1,111 @@
+#include "entry/entry_settings.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "settings/json_check.h"
+
+#define NOTICE_MAX_MS 60000
+
+const char entry_default_settings[] =
+    "{\n"
+    "  \"node\": \"entry-1\",\n"
+    "  \"data_centre\": \"dc-1\",\n"
+    "  \"listen\": \"127.0.0.1:8080\",\n"
+    "  \"ops_listen\": \"127.0.0.1:8081\",\n"
+    "  \"peer_listen\": \"127.0.0.1:8082\",\n"
+    "  \"control_vms\": [\n"
+    "    {\"name\": \"control-1\", \"address\": \"127.0.0.1:7200\"},\n"
+    "    {\"name\": \"control-2\", \"address\": \"127.0.0.1:7201\"},\n"
+    "    {\"name\": \"control-3\", \"address\": \"127.0.0.1:7202\"}\n"
+    "  ],\n"
+    "  \"fleet_secrets\": [\"replace-with-32-random-bytes\"],\n"
+    "  \"target_secret\": \"replace-with-another-secret\",\n"
+    "  \"log_level\": \"info\"\n"
+    "}\n";
+
+static const char *const log_level_words[] = { "debug", "info", "warn", "error",
+	NULL };
+static const char *const mode_words[] = { "fleet", "baseline", NULL };
+
+static void
+read_control(json_node_t *node, entry_control_t *control)
+{
+	const char *name = json_need_name(node, "name");
+
+	strncpy(control->name, name, NAME_MAX_BYTES);
+	control->id = node_id_from_name(name);
+	json_need_address(node, "address", &control->peer);
+	json_node_finish(node);
+}
+
+static void
+read_controls(json_node_t *root, entry_settings_t *settings)
+{
+	json_node_t child;
+	int count;
+	int i;
+
+	count = json_need_list(
+	    root, "control_vms", 1, ENTRY_CONTROLS_MAX, "control VMs");
+	for (i = 0; i < count; i++) {
+		if (json_list_get_object(root, "control_vms", i, &child))
+			read_control(&child,
+			    &settings->controls[settings->control_count++]);
+	}
+}
+
+static void
+read_secrets(json_node_t *root, entry_settings_t *settings)
+{
+	const char *text;
+	int i;
+
+	settings->secret_count = json_need_list(
+	    root, "fleet_secrets", 1, PEER_SECRETS_MAX, "secrets");
+	for (i = 0; i < settings->secret_count; i++) {
+		text = json_list_get_text(root, "fleet_secrets", i,
+		    ENTRY_SECRET_MIN_BYTES, ENTRY_SECRET_MAX_BYTES);
+		strncpy(settings->secrets[i], text, ENTRY_SECRET_MAX_BYTES);
+	}
+	text = json_need_text(root, "target_secret", ENTRY_SECRET_MIN_BYTES,
+	    ENTRY_SECRET_MAX_BYTES);
+	strncpy(settings->target_secret, text, ENTRY_SECRET_MAX_BYTES);
+}
+
+static void
+read_settings(json_node_t *root, entry_settings_t *settings)
+{
+	strncpy(settings->node, json_need_name(root, "node"), NAME_MAX_BYTES);
+	strncpy(settings->data_centre, json_need_name(root, "data_centre"),
+	    NAME_MAX_BYTES);
+	json_need_address(root, "listen", &settings->listen);
+	json_need_address(root, "ops_listen", &settings->ops_listen);
+	json_need_address(root, "peer_listen", &settings->peer_listen);
+	read_controls(root, settings);
+	read_secrets(root, settings);
+	settings->log_level = (log_level_t)json_opt_enum(
+	    root, "log_level", log_level_words, LOG_LEVEL_INFO);
+	settings->mode = (entry_mode_t)json_opt_enum(
+	    root, "decision_mode", mode_words, ENTRY_MODE_FLEET);
+	settings->drain_notice_ms = json_opt_int(root, "drain_notice_ms", 0,
+	    NOTICE_MAX_MS, "ms", ENTRY_NOTICE_DEFAULT_MS);
+	json_node_finish(root);
+}
+
+int
+entry_settings_load(entry_settings_t *settings, const char *file, FILE *errors)
+{
+	json_check_t *check = json_check_create();
+	json_node_t root;
+	int count;
+
+	memset(settings, 0, sizeof(*settings));
+	if (check == NULL)
+		return (TM_ENOMEM);
+	if (json_check_load_file(check, file, &root) == TM_OK)
+		read_settings(&root, settings);
+	count = json_check_print(check, errors);
+	json_check_destroy(check);
+	return (count == 0 ? TM_OK : TM_EINVAL);
+}
--- /dev/null
+++ b/src/entry/entry_sync.c
@@ -0,0 +1,302 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "entry/entry_defs.h"
+
+#define LIST_PAGE 256
+
+static void
+sync_node_address(entry_t *entry, const config_node_t *node)
+{
+	if (node->id == entry->self)
+		return;
+	peer_net_set_address(
+	    entry->net, node->id, node->peer_ip, node->peer_port);
+}
+
+static int
+is_other_entry(const entry_t *entry, const config_node_t *node)
+{
+	return (node->role == CONFIG_ROLE_ENTRY && node->id != entry->self);
+}
+
+static void
+sync_directory(entry_t *entry)
+{
+	const config_node_t *const *nodes;
+	node_id_t *peers;
+	size_t count;
+	size_t i;
+
+	nodes = config_state_get_nodes(entry->state, &count);
+	peers = realloc(entry->peers, (count + 1) * sizeof(*peers));
+	if (peers == NULL)
+		return;
+	entry->peers = peers;
+	entry->peer_count = 0;
+	for (i = 0; i < count; i++) {
+		sync_node_address(entry, nodes[i]);
+		if (is_other_entry(entry, nodes[i]))
+			peers[entry->peer_count++] = nodes[i]->id;
+	}
+	rate_client_set_vm_count(entry->rates, (uint32_t)entry->peer_count + 1);
+}
+
+static int
+holder_equals(const config_holder_t *a, const config_holder_t *b)
+{
+	return (a->node == b->node && a->incarnation == b->incarnation);
+}
+
+static int
+group_find_place(const config_group_t *group, const config_holder_t *holder)
+{
+	int i;
+
+	for (i = 0; i < CONFIG_HOLDERS; i++) {
+		if (holder_equals(&group->holders[i], holder))
+			return (i);
+	}
+	return (-1);
+}
+
+/* Epoch since which a holder has been in the group; 0 if a gap hides it. */
+static uint64_t
+group_get_since(const entry_group_t *known, const config_group_t *next,
+    const config_holder_t *holder)
+{
+	int place = group_find_place(&known->assignment, holder);
+
+	if (next->epoch == 1)
+		return (1);
+	if (next->epoch != known->assignment.epoch + 1)
+		return (0);
+	if (place < 0)
+		return (next->epoch);
+	return (known->since_epoch[place]);
+}
+
+static void
+assignment_add_holders(group_assignment_t *out, const entry_group_t *known,
+    const config_group_t *next, uint64_t *since)
+{
+	const config_holder_t *holder;
+	int i;
+
+	for (i = 0; i < CONFIG_HOLDERS; i++) {
+		holder = &next->holders[i];
+		since[i] = group_get_since(known, next, holder);
+		if (holder->node == NODE_ID_NONE)
+			continue;
+		out->holders[out->holder_count++] = (group_holder_t){
+			.node = holder->node,
+			.incarnation = holder->incarnation,
+			.since_epoch = since[i],
+		};
+	}
+}
+
+/*
+ * Members from which a new holder reads. Where this VM missed the previous
+ * epoch, these are the other present holders: control changes one holder at a
+ * time, so any 3 ready ones of them overlap each majority of the group before.
+ */
+static void
+assignment_add_previous(entry_t *entry, group_assignment_t *out,
+    const entry_group_t *known, const config_group_t *next)
+{
+	int is_next = next->epoch == known->assignment.epoch + 1;
+	const config_group_t *source = is_next ? &known->assignment : next;
+	const config_holder_t *holder;
+	int i;
+
+	if (next->epoch == 1 || next->quarantine)
+		return;
+	for (i = 0; i < CONFIG_HOLDERS; i++) {
+		holder = &source->holders[i];
+		if (holder->node == NODE_ID_NONE ||
+		    (holder->node == entry->self && !is_next))
+			continue;
+		out->previous[out->previous_count++] = (group_holder_t){
+			.node = holder->node,
+			.incarnation = holder->incarnation,
+		};
+	}
+}
+
+static void
+sync_group(entry_t *entry, uint32_t shard)
+{
+	const config_group_t *next =
+	    config_state_get_group(entry->state, shard);
+	entry_group_t *known = &entry->groups[shard];
+	uint64_t since[CONFIG_HOLDERS] = { 0 };
+	group_assignment_t assignment = {
+		.shard = shard,
+		.epoch = next->epoch,
+		.quarantine = next->quarantine,
+	};
+
+	if (next->epoch <= known->assignment.epoch)
+		return;
+	assignment_add_holders(&assignment, known, next, since);
+	assignment_add_previous(entry, &assignment, known, next);
+	group_set_assignment(entry->group, &assignment, clock_now_ms());
+	known->assignment = *next;
+	memcpy(known->since_epoch, since, sizeof(since));
+}
+
+static void
+sync_groups(entry_t *entry)
+{
+	uint32_t shard;
+
+	for (shard = 0; shard < CONFIG_SHARDS; shard++)
+		sync_group(entry, shard);
+}
+
+entry_workspace_t *
+entry_find_workspace(entry_t *entry, const char *name)
+{
+	entry_workspace_t *workspace;
+
+	HASH_FIND_STR(entry->workspaces, name, workspace);
+	return (workspace);
+}
+
+static metric_t *
+workspace_get_metric(entry_t *entry, const char *name, const char *metric,
+    const char *more, metric_kind_t kind)
+{
+	char labels[NAME_MAX_BYTES + 64];
+
+	snprintf(labels, sizeof(labels), "workspace=\"%s\"%s", name, more);
+	return (metrics_get(entry->metrics, metric, labels, kind));
+}
+
+static entry_workspace_t *
+workspace_create(entry_t *entry, const char *name)
+{
+	entry_workspace_t *workspace = calloc(1, sizeof(*workspace));
+
+	if (workspace == NULL)
+		return (NULL);
+	snprintf(workspace->name, sizeof(workspace->name), "%s", name);
+	workspace->id = service_id_from_name(name);
+	workspace->requests = workspace_get_metric(
+	    entry, name, "tm_entry_requests_total", "", METRIC_COUNTER);
+	workspace->refused_rate = workspace_get_metric(entry, name,
+	    "tm_entry_refused_total", ",reason=\"rate\"", METRIC_COUNTER);
+	workspace->refused_other = workspace_get_metric(entry, name,
+	    "tm_entry_refused_total", ",reason=\"other\"", METRIC_COUNTER);
+	workspace->latency = workspace_get_metric(
+	    entry, name, "tm_entry_latency_us", "", METRIC_HISTOGRAM);
+	HASH_ADD_STR(entry->workspaces, name, workspace);
+	return (workspace);
+}
+
+static void
+sync_workspace(entry_t *entry, const char *name)
+{
+	const config_workspace_t *config;
+	entry_workspace_t *workspace;
+	int64_t now_ms = clock_now_ms();
+
+	config = config_state_find_workspace(entry->state, name);
+	workspace = entry_find_workspace(entry, name);
+	if (config == NULL) {
+		rate_client_remove_workspace(entry->rates, name, now_ms);
+		rate_leader_remove_workspace(entry->rate_leader, name);
+		return;
+	}
+	if (workspace == NULL)
+		workspace = workspace_create(entry, name);
+	if (workspace != NULL)
+		workspace->is_present = 1;
+	rate_client_set_workspace(
+	    entry->rates, name, config->rate_per_s, config->burst, now_ms);
+	rate_leader_set_workspace(entry->rate_leader, name, config->rate_per_s,
+	    config->burst, now_ms);
+}
+
+/* Calls visit for the name of each object of a kind. */
+static void
+sync_each(entry_t *entry, config_kind_t kind,
+    void (*visit)(entry_t *entry, const char *name))
+{
+	const config_object_t *page[LIST_PAGE];
+	char after[NAME_MAX_BYTES + 1] = "";
+	size_t count;
+	size_t i;
+
+	do {
+		count = config_state_list(
+		    entry->state, kind, after, page, LIST_PAGE);
+		for (i = 0; i < count; i++)
+			visit(entry, page[i]->name);
+		if (count > 0)
+			memcpy(after, page[count - 1]->name, sizeof(after));
+	} while (count == LIST_PAGE);
+}
+
+static void
+sync_workspaces(entry_t *entry)
+{
+	entry_workspace_t *workspace;
+	entry_workspace_t *next;
+
+	HASH_ITER(hh, entry->workspaces, workspace, next)
+		workspace->is_present = 0;
+	sync_each(entry, CONFIG_KIND_WORKSPACE, sync_workspace);
+	HASH_ITER(hh, entry->workspaces, workspace, next) {
+		if (!workspace->is_present)
+			sync_workspace(entry, workspace->name);
+	}
+}
+
+static void
+sync_service(entry_t *entry, const char *name)
+{
+	if (config_state_find_service(entry->state, name) != NULL)
+		entry_service_get(entry, name);
+}
+
+void
+entry_sync_all(entry_t *entry)
+{
+	sync_directory(entry);
+	sync_groups(entry);
+	sync_workspaces(entry);
+	sync_each(entry, CONFIG_KIND_SERVICE, sync_service);
+	LOG_EVENT(700, LOG_LEVEL_INFO, "configuration installed",
+	    LOG_NUM("index", config_state_get_index(entry->state)));
+}
+
+void
+entry_sync_change(void *ctx, config_kind_t kind, const char *name)
+{
+	entry_t *entry = ctx;
+
+	switch (kind) {
+	case CONFIG_KIND_ALL:
+		entry_sync_all(entry);
+		break;
+	case CONFIG_KIND_NODE:
+		sync_directory(entry);
+		break;
+	case CONFIG_KIND_GROUP:
+		sync_group(entry, (uint32_t)strtoul(name, NULL, 10));
+		break;
+	case CONFIG_KIND_WORKSPACE:
+		sync_workspace(entry, name);
+		break;
+	case CONFIG_KIND_SERVICE:
+		sync_service(entry, name);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/src/entry/request_wire.c
@@ -0,0 +1,318 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/error.h"
+#include "entry/request.h"
+#include "proto/entry.pb-c.h"
+
+static int
+append_text(buffer_t *out, const char *text)
+{
+	return (buffer_append(out, text, strlen(text)));
+}
+
+static int
+append_header(buffer_t *out, const char *name, size_t name_len,
+    const char *value, size_t value_len)
+{
+	int err = buffer_append(out, name, name_len);
+
+	if (err == TM_OK)
+		err = append_text(out, ": ");
+	if (err == TM_OK)
+		err = buffer_append(out, value, value_len);
+	return (err == TM_OK ? append_text(out, "\r\n") : err);
+}
+
+static int
+append_caller_headers(const entry_request_t *request, buffer_t *out)
+{
+	const h2o_headers_t *headers = &request->req->headers;
+	keyguard_header_t header;
+	int err = TM_OK;
+	size_t i;
+
+	for (i = 0; i < headers->size && err == TM_OK; i++) {
+		header.name.base = headers->entries[i].name->base;
+		header.name.len = headers->entries[i].name->len;
+		header.value.base = headers->entries[i].value.base;
+		header.value.len = headers->entries[i].value.len;
+		if (keyguard_may_forward(&header, &request->key))
+			err = append_header(out, header.name.base,
+			    header.name.len, header.value.base,
+			    header.value.len);
+	}
+	return (err);
+}
+
+static int
+append_own_headers(
+    const entry_request_t *request, int64_t remaining_ms, buffer_t *out)
+{
+	const h2o_req_t *req = request->req;
+	const char *name = request->workspace->name;
+	char text[256];
+	int has_body = req->entity.len > 0 ||
+	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("POST")) ||
+	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("PUT"));
+	int len;
+
+	len = snprintf(text, sizeof(text),
+	    "x-tm-workspace: %s\r\nx-request-id: %s\r\n"
+	    "x-tm-deadline-ms: %lld\r\n",
+	    name, request->id, (long long)remaining_ms);
+	if (buffer_append(out, text, (size_t)len) != TM_OK)
+		return (TM_ENOMEM);
+	if (!has_body)
+		return (TM_OK);
+	len = snprintf(
+	    text, sizeof(text), "content-length: %zu\r\n", req->entity.len);
+	return (buffer_append(out, text, (size_t)len));
+}
+
+static int
+append_request_line(const h2o_req_t *req, buffer_t *out)
+{
+	int err = buffer_append(out, req->method.base, req->method.len);
+
+	if (err == TM_OK)
+		err = append_text(out, " ");
+	if (err == TM_OK)
+		err = buffer_append(
+		    out, req->input.path.base, req->input.path.len);
+	if (err == TM_OK)
+		err = append_text(out, " HTTP/1.1\r\n");
+	return (err == TM_OK
+		? append_header(out, "host", 4, req->input.authority.base,
+		      req->input.authority.len)
+		: err);
+}
+
+int
+request_encode(
+    const entry_request_t *request, int64_t remaining_ms, buffer_t *out)
+{
+	const h2o_req_t *req = request->req;
+	int err = append_request_line(req, out);
+
+	if (err == TM_OK)
+		err = append_caller_headers(request, out);
+	if (err == TM_OK)
+		err = append_own_headers(request, remaining_ms, out);
+	if (err == TM_OK)
+		err = append_text(out, "\r\n");
+	if (err == TM_OK)
+		err = buffer_append(out, req->entity.base, req->entity.len);
+	return (err);
+}
+
+static int
+name_equals(const upstream_header_t *header, const char *name)
+{
+	return (header->name_len == strlen(name) &&
+	    strncasecmp(header->name, name, header->name_len) == 0);
+}
+
+/* Headers of the hop to the target, and those that this VM sets itself. */
+static int
+may_return_header(const upstream_header_t *header)
+{
+	keyguard_text_t name = { header->name, header->name_len };
+
+	return (!keyguard_is_hop_by_hop(name) &&
+	    !name_equals(header, "x-request-id") &&
+	    !name_equals(header, "server") && !name_equals(header, "date") &&
+	    !(header->name_len > 5 &&
+		strncasecmp(header->name, "x-tm-", 5) == 0));
+}
+
+static void
+add_lower_header(h2o_req_t *req, const upstream_header_t *header)
+{
+	h2o_iovec_t name =
+	    h2o_strdup(&req->pool, header->name, header->name_len);
+	h2o_iovec_t value =
+	    h2o_strdup(&req->pool, header->value, header->value_len);
+
+	h2o_strtolower(name.base, name.len);
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
+	    name.len, 1, NULL, value.base, value.len);
+}
+
+void
+request_reply(const entry_request_t *request, h2o_req_t *req,
+    const upstream_response_t *response)
+{
+	size_t i;
+
+	for (i = 0; i < response->header_count; i++) {
+		if (may_return_header(&response->headers[i]))
+			add_lower_header(req, &response->headers[i]);
+	}
+	http_request_add_header(
+	    req, "x-request-id", 12, request->id, strlen(request->id));
+	req->res.status = response->status;
+	req->res.reason = http_status_get_reason(response->status);
+	req->res.content_length =
+	    request->is_head ? response->content_length : response->body_len;
+	h2o_send_inline(req, (const char *)response->body, response->body_len);
+}
+
+static void
+answer_to_response(const Tm__Answer *answer, upstream_header_t *headers,
+    upstream_response_t *out)
+{
+	size_t i;
+
+	for (i = 0; i < answer->n_headers; i++) {
+		headers[i] = (upstream_header_t){
+			.name = answer->headers[i]->name,
+			.name_len = strlen(answer->headers[i]->name),
+			.value = (const char *)answer->headers[i]->value.data,
+			.value_len = answer->headers[i]->value.len,
+		};
+	}
+	*out = (upstream_response_t){
+		.status = (int)answer->status,
+		.headers = headers,
+		.header_count = answer->n_headers,
+		.body = answer->body.data,
+		.body_len = answer->body.len,
+	};
+}
+
+static Tm__Answer *
+answer_decode(const uint8_t *bytes, size_t len)
+{
+	Tm__Answer *answer = tm__answer__unpack(NULL, len, bytes);
+
+	if (answer == NULL)
+		return (NULL);
+	if (answer->status >= 200 && answer->status < 600 &&
+	    answer->n_headers <= UPSTREAM_HEADERS_MAX)
+		return (answer);
+	tm__answer__free_unpacked(answer, NULL);
+	return (NULL);
+}
+
+int
+request_is_valid_answer(const uint8_t *answer, size_t len)
+{
+	Tm__Answer *msg = answer_decode(answer, len);
+
+	if (msg == NULL)
+		return (0);
+	tm__answer__free_unpacked(msg, NULL);
+	return (1);
+}
+
+void
+request_reply_stored(const entry_request_t *request, h2o_req_t *req,
+    const uint8_t *answer, size_t len)
+{
+	upstream_header_t headers[UPSTREAM_HEADERS_MAX];
+	upstream_response_t response;
+	Tm__Answer *msg = answer_decode(answer, len);
+
+	if (msg == NULL) {
+		refusal_send(req, REFUSAL_OUTCOME_UNKNOWN, request->id, 0);
+		return;
+	}
+	answer_to_response(msg, headers, &response);
+	request_reply(request, req, &response);
+	tm__answer__free_unpacked(msg, NULL);
+}
+
+static size_t
+answer_add_headers(const upstream_response_t *response,
+    Tm__AnswerHeader *headers, Tm__AnswerHeader **list, char *names)
+{
+	const upstream_header_t *from;
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < response->header_count; i++) {
+		from = &response->headers[i];
+		if (!may_return_header(from))
+			continue;
+		tm__answer_header__init(&headers[count]);
+		headers[count].name = names;
+		memcpy(names, from->name, from->name_len);
+		names[from->name_len] = '\0';
+		names += from->name_len + 1;
+		headers[count].value.data = (uint8_t *)(uintptr_t)from->value;
+		headers[count].value.len = from->value_len;
+		list[count] = &headers[count];
+		count++;
+	}
+	return (count);
+}
+
+uint8_t *
+request_encode_answer(const upstream_response_t *response, size_t *len)
+{
+	Tm__Answer answer = TM__ANSWER__INIT;
+	Tm__AnswerHeader headers[UPSTREAM_HEADERS_MAX];
+	Tm__AnswerHeader *list[UPSTREAM_HEADERS_MAX];
+	char names[CLAIM_ANSWER_MAX_BYTES + UPSTREAM_HEADERS_MAX];
+	size_t name_bytes = 0;
+	uint8_t *out;
+	size_t i;
+
+	for (i = 0; i < response->header_count; i++)
+		name_bytes += response->headers[i].name_len;
+	if (name_bytes > CLAIM_ANSWER_MAX_BYTES)
+		return (NULL);
+	answer.status = (uint32_t)response->status;
+	answer.headers = list;
+	answer.n_headers = answer_add_headers(response, headers, list, names);
+	answer.body.data = (uint8_t *)(uintptr_t)response->body;
+	answer.body.len = response->body_len;
+	*len = tm__answer__get_packed_size(&answer);
+	if (*len > CLAIM_ANSWER_MAX_BYTES)
+		return (NULL);
+	out = malloc(*len);
+	if (out != NULL)
+		tm__answer__pack(&answer, out);
+	return (out);
+}
+
+static const upstream_header_t *
+response_find_header(const upstream_response_t *response, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < response->header_count; i++) {
+		if (name_equals(&response->headers[i], name))
+			return (&response->headers[i]);
+	}
+	return (NULL);
+}
+
+int
+response_has_header(
+    const upstream_response_t *response, const char *name, const char *value)
+{
+	const upstream_header_t *header = response_find_header(response, name);
+
+	return (header != NULL && header->value_len == strlen(value) &&
+	    memcmp(header->value, value, header->value_len) == 0);
+}
+
+int
+response_read_load(const upstream_response_t *response, uint32_t *running,
+    uint32_t *queued, uint32_t *slots)
+{
+	const upstream_header_t *header =
+	    response_find_header(response, "x-tm-load");
+	char text[96];
+
+	if (header == NULL || header->value_len >= sizeof(text))
+		return (0);
+	memcpy(text, header->value, header->value_len);
+	text[header->value_len] = '\0';
+	return (sscanf(text, "running=%9u;queued=%9u;slots=%9u", running,
+		    queued, slots) == 3);
+}
--- /dev/null
+++ b/src/entry/upstream.c
@@ -0,0 +1,491 @@
+#include "entry/upstream.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+#include <utlist.h>
+
+#include "base/buffer.h"
+#include "base/clock.h"
+#include "base/error.h"
+
+#define READ_BUFFER_BYTES 65536
+/* Idle connections are closed after this time. */
+#define IDLE_MAX_MS 30000
+/* A target may close a connection at the moment a request is sent on it. A
+ * request that may not be repeated does not take that risk on a connection
+ * that was idle for longer than this. */
+#define IDLE_FRESH_MS 1000
+/* Bounds the idle connections to one target. */
+#define IDLE_CONNS_MAX	      32
+#define HEADER_TEXT_MAX_BYTES 16384
+
+typedef struct upstream_conn upstream_conn_t;
+
+typedef struct upstream_target {
+	uint64_t key; /* address and port */
+	uint32_t connections;
+	uint32_t idle_count;
+	upstream_conn_t *idle; /* last used first */
+	UT_hash_handle hh;
+} upstream_target_t;
+
+struct upstream {
+	uv_loop_t *loop;
+	upstream_target_t *targets;
+	uint32_t connections;
+	char read_buffer[READ_BUFFER_BYTES];
+};
+
+struct upstream_call {
+	upstream_conn_t *conn;
+	upstream_cb done;
+	void *ctx;
+	int is_head;
+	int is_sent;
+};
+
+struct upstream_conn {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	upstream_t *upstream;
+	upstream_target_t *target;
+	upstream_call_t *call;
+	int is_idle;
+	int is_closing;
+	int is_writing;
+	int64_t idle_since_ms;
+	buffer_t out;
+	response_t response;
+	upstream_header_t headers[UPSTREAM_HEADERS_MAX];
+	size_t header_count;
+	char *header_text; /* names and values of headers */
+	size_t header_text_len;
+	int headers_overflow;
+	upstream_conn_t *prev;
+	upstream_conn_t *next;
+};
+
+upstream_t *
+upstream_create(uv_loop_t *loop)
+{
+	upstream_t *upstream = calloc(1, sizeof(*upstream));
+
+	if (upstream != NULL)
+		upstream->loop = loop;
+	return (upstream);
+}
+
+static uint64_t
+address_get_key(const struct sockaddr_in *addr)
+{
+	return ((uint64_t)addr->sin_addr.s_addr << 16 | addr->sin_port);
+}
+
+static upstream_target_t *
+upstream_find_target(const upstream_t *upstream, const struct sockaddr_in *addr)
+{
+	uint64_t key = address_get_key(addr);
+	upstream_target_t *target;
+
+	HASH_FIND(hh, upstream->targets, &key, sizeof(key), target);
+	return (target);
+}
+
+static upstream_target_t *
+upstream_get_target(upstream_t *upstream, const struct sockaddr_in *addr)
+{
+	upstream_target_t *target = upstream_find_target(upstream, addr);
+
+	if (target != NULL)
+		return (target);
+	target = calloc(1, sizeof(*target));
+	if (target == NULL)
+		return (NULL);
+	target->key = address_get_key(addr);
+	HASH_ADD(hh, upstream->targets, key, sizeof(target->key), target);
+	return (target);
+}
+
+static void
+upstream_release_target(upstream_t *upstream, upstream_target_t *target)
+{
+	if (target->connections > 0)
+		return;
+	HASH_DEL(upstream->targets, target);
+	free(target);
+}
+
+static void
+conn_on_closed(uv_handle_t *handle)
+{
+	upstream_conn_t *conn = handle->data;
+
+	conn->upstream->connections--;
+	conn->target->connections--;
+	upstream_release_target(conn->upstream, conn->target);
+	buffer_release(&conn->out);
+	response_release(&conn->response);
+	free(conn->header_text);
+	free(conn);
+}
+
+static void
+conn_leave_idle(upstream_conn_t *conn)
+{
+	if (!conn->is_idle)
+		return;
+	DL_DELETE(conn->target->idle, conn);
+	conn->target->idle_count--;
+	conn->is_idle = 0;
+}
+
+static void
+conn_close(upstream_conn_t *conn)
+{
+	if (conn->is_closing)
+		return;
+	conn->is_closing = 1;
+	conn_leave_idle(conn);
+	uv_close((uv_handle_t *)&conn->tcp, conn_on_closed);
+}
+
+static void
+conn_set_idle(upstream_conn_t *conn)
+{
+	if (conn->target->idle_count >= IDLE_CONNS_MAX) {
+		conn_close(conn);
+		return;
+	}
+	conn->is_idle = 1;
+	conn->idle_since_ms = clock_now_ms();
+	DL_PREPEND(conn->target->idle, conn);
+	conn->target->idle_count++;
+}
+
+/* Reports the end of the call of a connection and frees the call. */
+static void
+conn_finish_call(upstream_conn_t *conn, upstream_result_t result,
+    const upstream_response_t *response)
+{
+	upstream_call_t *call = conn->call;
+
+	if (call == NULL)
+		return;
+	conn->call = NULL;
+	call->done(call->ctx, result, response);
+	free(call);
+}
+
+static void
+conn_fail(upstream_conn_t *conn, upstream_result_t result)
+{
+	conn_finish_call(conn, result, NULL);
+	conn_close(conn);
+}
+
+static const char *
+conn_copy_text(upstream_conn_t *conn, const char *text, size_t len)
+{
+	char *copy = conn->header_text + conn->header_text_len;
+
+	memcpy(copy, text, len);
+	conn->header_text_len += len;
+	return (copy);
+}
+
+static void
+conn_on_header(void *ctx, const char *name, size_t name_len, const char *value,
+    size_t value_len)
+{
+	upstream_conn_t *conn = ctx;
+	upstream_header_t *header;
+
+	if (conn->header_text == NULL)
+		conn->header_text = malloc(HEADER_TEXT_MAX_BYTES);
+	if (conn->header_text == NULL ||
+	    conn->header_count == UPSTREAM_HEADERS_MAX ||
+	    conn->header_text_len + name_len + value_len >
+		HEADER_TEXT_MAX_BYTES) {
+		conn->headers_overflow = 1;
+		return;
+	}
+	header = &conn->headers[conn->header_count++];
+	header->name = conn_copy_text(conn, name, name_len);
+	header->name_len = name_len;
+	header->value = conn_copy_text(conn, value, value_len);
+	header->value_len = value_len;
+}
+
+static void
+conn_reset_response(upstream_conn_t *conn)
+{
+	response_reset(&conn->response, conn->call->is_head,
+	    UPSTREAM_BODY_MAX_BYTES, conn_on_header, conn);
+	conn->header_count = 0;
+	conn->header_text_len = 0;
+	conn->headers_overflow = 0;
+}
+
+static void
+conn_end_response(upstream_conn_t *conn, size_t rest)
+{
+	upstream_response_t response = {
+		.status = conn->response.status,
+		.headers = conn->headers,
+		.header_count = conn->header_count,
+		.body = conn->response.body.bytes,
+		.body_len = conn->response.body.len,
+		.content_length = conn->response.length,
+	};
+	int reuse = conn->response.keeps_alive && !conn->is_writing;
+
+	if (rest > 0 || conn->headers_overflow) {
+		conn_fail(conn, UPSTREAM_MALFORMED);
+		return;
+	}
+	conn_finish_call(conn, UPSTREAM_COMPLETE, &response);
+	if (conn->is_closing)
+		return;
+	if (reuse)
+		conn_set_idle(conn);
+	else
+		conn_close(conn);
+}
+
+static void
+conn_take(upstream_conn_t *conn, char *bytes, size_t len)
+{
+	size_t rest;
+	int rc = response_take(&conn->response, bytes, len, &rest);
+
+	if (rc < 0)
+		conn_fail(conn, UPSTREAM_MALFORMED);
+	else if (conn->response.body_total > UPSTREAM_BODY_MAX_BYTES ||
+	    conn->response.left > UPSTREAM_BODY_MAX_BYTES)
+		conn_fail(conn, UPSTREAM_OVERSIZED);
+	else if (rc == 1)
+		conn_end_response(conn, rest);
+}
+
+/*
+ * The connection ended. A response without length or chunks ends like this
+ * too, but then nothing tells a whole response from a part of one.
+ */
+static void
+conn_on_end(upstream_conn_t *conn)
+{
+	const response_t *response = &conn->response;
+
+	if (conn->call != NULL &&
+	    (response->has_head || response->head_len > 0))
+		conn_fail(conn, UPSTREAM_TRUNCATED);
+	else
+		conn_fail(conn, UPSTREAM_BROKEN);
+}
+
+static void
+conn_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	upstream_conn_t *conn = handle->data;
+
+	*buf = uv_buf_init(conn->upstream->read_buffer, READ_BUFFER_BYTES);
+}
+
+static void
+conn_on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buf)
+{
+	upstream_conn_t *conn = stream->data;
+
+	if (conn->is_closing || count == 0)
+		return;
+	if (count < 0)
+		conn_on_end(conn);
+	else if (conn->call == NULL)
+		conn_close(conn); /* bytes that nobody asked for */
+	else
+		conn_take(conn, buf->base, (size_t)count);
+}
+
+static void
+conn_on_written(uv_write_t *req, int status)
+{
+	upstream_conn_t *conn = req->data;
+
+	conn->is_writing = 0;
+	if (status != 0 && !conn->is_closing)
+		conn_on_end(conn);
+}
+
+static void
+conn_send(upstream_conn_t *conn)
+{
+	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
+	uv_buf_t buf =
+	    uv_buf_init((char *)conn->out.bytes, (unsigned)conn->out.len);
+	int count;
+
+	conn_reset_response(conn);
+	conn->call->is_sent = 1;
+	count = uv_try_write(stream, &buf, 1);
+	if (count == (int)conn->out.len)
+		return;
+	if (count > 0)
+		buffer_consume(&conn->out, (size_t)count);
+	buf = uv_buf_init((char *)conn->out.bytes, (unsigned)conn->out.len);
+	conn->is_writing = 1;
+	/* A failed write is reported by the callback or by the read side. */
+	if (uv_write(&conn->write, stream, &buf, 1, conn_on_written) != 0)
+		conn->is_writing = 0;
+}
+
+static void
+conn_on_connect(uv_connect_t *req, int status)
+{
+	upstream_conn_t *conn = req->data;
+
+	if (conn->is_closing)
+		return;
+	if (status != 0) {
+		conn_fail(conn, UPSTREAM_REFUSED);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_read_start((uv_stream_t *)&conn->tcp, conn_alloc, conn_on_read);
+	conn_send(conn);
+}
+
+static upstream_conn_t *
+conn_open(upstream_t *upstream, const struct sockaddr_in *to)
+{
+	upstream_target_t *target = upstream_get_target(upstream, to);
+	upstream_conn_t *conn;
+
+	if (target == NULL)
+		return (NULL);
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL) {
+		upstream_release_target(upstream, target);
+		return (NULL);
+	}
+	conn->upstream = upstream;
+	conn->target = target;
+	conn->tcp.data = conn;
+	conn->connect.data = conn;
+	conn->write.data = conn;
+	upstream->connections++;
+	target->connections++;
+	uv_tcp_init(upstream->loop, &conn->tcp);
+	if (uv_tcp_connect(&conn->connect, &conn->tcp,
+		(const struct sockaddr *)to, conn_on_connect) != 0) {
+		conn_close(conn);
+		return (NULL);
+	}
+	return (conn);
+}
+
+/* Takes an idle connection whose target has not closed it. */
+static upstream_conn_t *
+upstream_take_idle(upstream_t *upstream, const upstream_request_t *request)
+{
+	upstream_target_t *target =
+	    upstream_find_target(upstream, &request->to);
+	upstream_conn_t *conn;
+
+	if (target == NULL || target->idle == NULL)
+		return (NULL);
+	conn = target->idle;
+	if (request->is_fresh &&
+	    clock_now_ms() - conn->idle_since_ms > IDLE_FRESH_MS)
+		return (NULL);
+	conn_leave_idle(conn);
+	return (conn);
+}
+
+int
+upstream_call_start(upstream_t *upstream, const upstream_request_t *request,
+    upstream_call_t **out)
+{
+	upstream_conn_t *conn = upstream_take_idle(upstream, request);
+	int is_reused = conn != NULL;
+	upstream_call_t *call = calloc(1, sizeof(*call));
+
+	if (call == NULL)
+		return (TM_ENOMEM);
+	if (conn == NULL)
+		conn = conn_open(upstream, &request->to);
+	if (conn == NULL) {
+		free(call);
+		return (TM_ENOMEM);
+	}
+	conn->out.len = 0;
+	if (buffer_append(&conn->out, request->bytes, request->len) != TM_OK) {
+		conn_close(conn);
+		free(call);
+		return (TM_ENOMEM);
+	}
+	call->conn = conn;
+	call->done = request->done;
+	call->ctx = request->ctx;
+	call->is_head = request->is_head;
+	conn->call = call;
+	*out = call;
+	if (is_reused)
+		conn_send(conn);
+	return (TM_OK);
+}
+
+int
+upstream_call_is_sent(const upstream_call_t *call)
+{
+	return (call->is_sent);
+}
+
+void
+upstream_call_cancel(upstream_call_t *call)
+{
+	upstream_conn_t *conn = call->conn;
+
+	conn->call = NULL;
+	free(call);
+	conn_close(conn);
+}
+
+void
+upstream_tick(upstream_t *upstream, int64_t now_ms)
+{
+	upstream_target_t *target;
+	upstream_target_t *next_target;
+	upstream_conn_t *conn;
+	upstream_conn_t *next;
+
+	HASH_ITER(hh, upstream->targets, target, next_target) {
+		DL_FOREACH_SAFE(target->idle, conn, next) {
+			if (now_ms - conn->idle_since_ms > IDLE_MAX_MS)
+				conn_close(conn);
+		}
+	}
+}
+
+void
+upstream_close_idle(upstream_t *upstream)
+{
+	upstream_tick(upstream, INT64_MAX);
+}
+
+uint32_t
+upstream_get_connections(
+    const upstream_t *upstream, const struct sockaddr_in *to)
+{
+	const upstream_target_t *target = upstream_find_target(upstream, to);
+
+	return (target != NULL ? target->connections : 0);
+}
+
+uint32_t
+upstream_get_total(const upstream_t *upstream)
+{
+	return (upstream->connections);
+}
--- /dev/null
+++ b/src/entry/upstream.h
@@ -0,0 +1,104 @@
+/**
+ * @file
+ * Requests to targets over HTTP/1.1 connections that are reused. A response
+ * is reported only when it is complete; a connection is reused only after a
+ * complete response with nothing after it.
+ */
+#ifndef TM_ENTRY_UPSTREAM_H
+#define TM_ENTRY_UPSTREAM_H
+
+#include <netinet/in.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "http/response.h"
+
+/** Longest response body. */
+#define UPSTREAM_BODY_MAX_BYTES (8u * 1024 * 1024)
+/** Headers kept of a response. */
+#define UPSTREAM_HEADERS_MAX 64
+
+typedef struct upstream upstream_t;
+typedef struct upstream_call upstream_call_t;
+
+/** How a call ended. */
+typedef enum upstream_result {
+	UPSTREAM_COMPLETE, /**< the whole response was read */
+	UPSTREAM_REFUSED, /**< no connection; no byte was sent */
+	UPSTREAM_BROKEN, /**< ended without a byte of a response */
+	UPSTREAM_TRUNCATED, /**< ended within the response */
+	UPSTREAM_MALFORMED, /**< not HTTP, or bytes after the response */
+	UPSTREAM_OVERSIZED /**< longer than UPSTREAM_BODY_MAX_BYTES */
+} upstream_result_t;
+
+/** A header of a response. */
+typedef struct upstream_header {
+	const char *name;
+	size_t name_len;
+	const char *value;
+	size_t value_len;
+} upstream_header_t;
+
+/** A complete response; valid during the callback only. */
+typedef struct upstream_response {
+	int status;
+	const upstream_header_t *headers;
+	size_t header_count;
+	const uint8_t *body;
+	size_t body_len;
+	uint64_t content_length; /**< header of a response to HEAD */
+} upstream_response_t;
+
+/**
+ * Reports the end of a call, once, never from within upstream_call_start().
+ *
+ * @param response  NULL unless the result is UPSTREAM_COMPLETE
+ */
+typedef void (*upstream_cb)(
+    void *ctx, upstream_result_t result, const upstream_response_t *response);
+
+/** What to send. */
+typedef struct upstream_request {
+	struct sockaddr_in to;
+	const void *bytes; /**< head and body; copied */
+	size_t len;
+	int is_head; /**< the method is HEAD */
+	int is_fresh; /**< do not use a connection that was idle for long */
+	upstream_cb done;
+	void *ctx;
+} upstream_request_t;
+
+/** Creates the pool of connections. @return NULL if memory is exhausted */
+upstream_t *upstream_create(uv_loop_t *loop);
+
+/**
+ * Starts a call.
+ *
+ * @param out  the call, valid until its callback or its cancellation
+ * @return     0 or TM_ENOMEM
+ */
+int upstream_call_start(upstream_t *upstream, const upstream_request_t *request,
+    upstream_call_t **out);
+
+/** @return 1 once a byte of the request may have left this process */
+int upstream_call_is_sent(const upstream_call_t *call);
+
+/** Ends a call without a callback and closes its connection. */
+void upstream_call_cancel(upstream_call_t *call);
+
+/** Closes connections that were idle for too long. */
+void upstream_tick(upstream_t *upstream, int64_t now_ms);
+
+/** @return open connections to a target, idle ones included */
+uint32_t upstream_get_connections(
+    const upstream_t *upstream, const struct sockaddr_in *to);
+
+/** @return open connections to all targets */
+uint32_t upstream_get_total(const upstream_t *upstream);
+
+/** Closes all idle connections. */
+void upstream_close_idle(upstream_t *upstream);
+
+#endif
--- /dev/null
+++ b/src/http/http_server.c
@@ -0,0 +1,251 @@
+#include "http/http_server.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/error.h"
+
+#define LISTEN_BACKLOG 4096
+
+typedef struct server_handler {
+	h2o_handler_t super;
+	http_server_t *server;
+} server_handler_t;
+
+typedef struct server_filter {
+	h2o_filter_t super;
+	http_server_t *server;
+} server_filter_t;
+
+struct http_server {
+	http_server_options_t options;
+	h2o_globalconf_t config;
+	h2o_context_t context;
+	h2o_accept_ctx_t accept_ctx;
+	uv_tcp_t listener;
+	uint32_t connections;
+	uint64_t refused;
+};
+
+typedef struct server_conn {
+	uv_tcp_t tcp;
+	http_server_t *server;
+} server_conn_t;
+
+static void
+on_conn_closed(uv_handle_t *handle)
+{
+	server_conn_t *conn = (server_conn_t *)handle;
+
+	conn->server->connections--;
+	free(conn);
+}
+
+static void
+on_accept(uv_stream_t *listener, int status)
+{
+	http_server_t *server = listener->data;
+	server_conn_t *conn;
+	h2o_socket_t *sock;
+
+	if (status != 0)
+		return;
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL)
+		return;
+	conn->server = server;
+	server->connections++;
+	uv_tcp_init(listener->loop, &conn->tcp);
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0 ||
+	    server->connections > server->options.connections_max) {
+		server->refused++;
+		uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	sock = h2o_uv_socket_create(
+	    (uv_stream_t *)&conn->tcp, (uv_close_cb)on_conn_closed);
+	h2o_accept(&server->accept_ctx, sock);
+}
+
+static int
+on_request(h2o_handler_t *self, h2o_req_t *req)
+{
+	server_handler_t *handler = (server_handler_t *)self;
+
+	handler->server->options.handle(handler->server->options.ctx, req);
+	return (0);
+}
+
+/* Marks the responses that h2o makes itself, such as 400 and 413. */
+static void
+on_response(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+	http_server_t *server = ((server_filter_t *)self)->server;
+	const char *name = server->options.error_header;
+	const char *value = server->options.error_value;
+
+	if (req->res.status >= 400 &&
+	    h2o_find_header_by_str(
+		&req->res.headers, name, strlen(name), SIZE_MAX) < 0)
+		h2o_add_header_by_str(&req->pool, &req->res.headers, name,
+		    strlen(name), 1, NULL, value, strlen(value));
+	h2o_setup_next_ostream(req, slot);
+}
+
+static void
+add_filter(http_server_t *server, h2o_pathconf_t *path)
+{
+	server_filter_t *filter;
+
+	if (server->options.error_header == NULL)
+		return;
+	filter = (server_filter_t *)h2o_create_filter(path, sizeof(*filter));
+	filter->super.on_setup_ostream = on_response;
+	filter->server = server;
+}
+
+static void
+configure(http_server_t *server)
+{
+	const http_server_options_t *options = &server->options;
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	server_handler_t *handler;
+
+	h2o_config_init(&server->config);
+	server->config.server_name =
+	    h2o_iovec_init(options->server_name, strlen(options->server_name));
+	server->config.http1.req_timeout = options->idle_timeout_ms;
+	server->config.http1.upgrade_to_http2 = 0;
+	server->config.max_request_entity_size = options->body_max_bytes;
+	host = h2o_config_register_host(
+	    &server->config, h2o_iovec_init("default", 7), UINT16_MAX);
+	path = h2o_config_register_path(host, "/", 0);
+	handler =
+	    (server_handler_t *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = on_request;
+	handler->server = server;
+	add_filter(server, path);
+	add_filter(server, &host->fallback_path);
+	h2o_context_init(&server->context, options->loop, &server->config);
+	server->accept_ctx.ctx = &server->context;
+	server->accept_ctx.hosts = server->config.hosts;
+}
+
+int
+http_server_create(http_server_t **out, const http_server_options_t *options)
+{
+	http_server_t *server = calloc(1, sizeof(*server));
+	int rc;
+
+	if (server == NULL)
+		return (TM_ENOMEM);
+	server->options = *options;
+	configure(server);
+	uv_tcp_init(options->loop, &server->listener);
+	server->listener.data = server;
+	rc = uv_tcp_bind(
+	    &server->listener, (const struct sockaddr *)&options->addr, 0);
+	if (rc == 0)
+		rc = uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
+		    on_accept);
+	*out = server;
+	return (rc == 0 ? TM_OK : TM_EIO);
+}
+
+void
+http_server_stop(http_server_t *server)
+{
+	if (!uv_is_closing((uv_handle_t *)&server->listener))
+		uv_close((uv_handle_t *)&server->listener, NULL);
+}
+
+void
+http_server_drain(http_server_t *server)
+{
+	h2o_context_request_shutdown(&server->context);
+}
+
+uint32_t
+http_server_get_connections(const http_server_t *server)
+{
+	return (server->connections);
+}
+
+uint64_t
+http_server_get_refused(const http_server_t *server)
+{
+	return (server->refused);
+}
+
+h2o_iovec_t
+http_request_get_header(const h2o_req_t *req, const char *lower_name)
+{
+	ssize_t at = h2o_find_header_by_str(
+	    &req->headers, lower_name, strlen(lower_name), SIZE_MAX);
+
+	if (at < 0)
+		return (h2o_iovec_init(NULL, 0));
+	return (req->headers.entries[at].value);
+}
+
+void
+http_request_add_header(h2o_req_t *req, const char *lower_name, size_t name_len,
+    const char *value, size_t value_len)
+{
+	h2o_iovec_t name = h2o_strdup(&req->pool, lower_name, name_len);
+	h2o_iovec_t copy = h2o_strdup(&req->pool, value, value_len);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
+	    name.len, 1, NULL, copy.base, copy.len);
+}
+
+const char *
+http_status_get_reason(int status)
+{
+	static const struct {
+		int status;
+		const char *reason;
+	} reasons[] = { { 200, "OK" }, { 201, "Created" }, { 202, "Accepted" },
+		{ 204, "No Content" }, { 304, "Not Modified" },
+		{ 307, "Temporary Redirect" }, { 400, "Bad Request" },
+		{ 401, "Unauthorized" }, { 403, "Forbidden" },
+		{ 404, "Not Found" }, { 405, "Method Not Allowed" },
+		{ 409, "Conflict" }, { 412, "Precondition Failed" },
+		{ 413, "Payload Too Large" }, { 429, "Too Many Requests" },
+		{ 431, "Request Header Fields Too Large" },
+		{ 500, "Internal Server Error" }, { 502, "Bad Gateway" },
+		{ 503, "Service Unavailable" }, { 504, "Gateway Timeout" } };
+	size_t i;
+
+	for (i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++) {
+		if (reasons[i].status == status)
+			return (reasons[i].reason);
+	}
+	return ("Status");
+}
+
+void
+http_request_reply(
+    h2o_req_t *req, int status, const char *type, const char *body, size_t len)
+{
+	req->res.status = status;
+	req->res.reason = http_status_get_reason(status);
+	if (type != NULL)
+		http_request_add_header(
+		    req, "content-type", 12, type, strlen(type));
+	req->res.content_length = len;
+	h2o_send_inline(req, body, len);
+}
+
+int
+http_request_is_abandoned(const h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+	char byte;
+
+	return (recv(h2o_socket_get_fd(sock), &byte, 1,
+		    MSG_PEEK | MSG_DONTWAIT) == 0);
+}
--- /dev/null
+++ b/src/http/http_server.h
@@ -0,0 +1,79 @@
+/**
+ * @file
+ * HTTP/1.1 listener on h2o: accepts connections up to a cap and hands each
+ * request to one handler.
+ */
+#ifndef TM_HTTP_HTTP_SERVER_H
+#define TM_HTTP_HTTP_SERVER_H
+
+#include <netinet/in.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include <h2o.h>
+
+typedef struct http_server http_server_t;
+
+/** Handles a request; it may answer later. */
+typedef void (*http_server_cb)(void *ctx, h2o_req_t *req);
+
+/** What a listener needs; the texts live as long as the listener. */
+typedef struct http_server_options {
+	uv_loop_t *loop;
+	struct sockaddr_in addr;
+	const char *server_name; /**< value of the Server header */
+	uint32_t connections_max; /**< further connections are closed */
+	size_t body_max_bytes; /**< larger requests are answered with 413 */
+	uint32_t idle_timeout_ms;
+	/** Header added to the responses that h2o makes itself; may be NULL */
+	const char *error_header;
+	const char *error_value;
+	http_server_cb handle;
+	void *ctx;
+} http_server_options_t;
+
+/**
+ * Listens on an address.
+ *
+ * @return 0, TM_ENOMEM, or TM_EIO if the address cannot be bound
+ */
+int http_server_create(
+    http_server_t **out, const http_server_options_t *options);
+
+/** Stops accepting connections; open ones go on. */
+void http_server_stop(http_server_t *server);
+
+/** Lets each connection end after its current response. */
+void http_server_drain(http_server_t *server);
+
+/** @return number of open connections */
+uint32_t http_server_get_connections(const http_server_t *server);
+
+/** @return connections closed because of the cap */
+uint64_t http_server_get_refused(const http_server_t *server);
+
+/** Finds a request header. @return its value, or a NULL vector */
+h2o_iovec_t http_request_get_header(
+    const h2o_req_t *req, const char *lower_name);
+
+/** Adds a response header; name and value are copied. */
+void http_request_add_header(h2o_req_t *req, const char *lower_name,
+    size_t name_len, const char *value, size_t value_len);
+
+/** @return reason phrase of a status */
+const char *http_status_get_reason(int status);
+
+/**
+ * Sends a complete response; the body is copied.
+ *
+ * @param type  value of Content-Type; NULL if the caller added one
+ */
+void http_request_reply(
+    h2o_req_t *req, int status, const char *type, const char *body, size_t len);
+
+/** @return 1 if the caller has closed its side of the connection */
+int http_request_is_abandoned(const h2o_req_t *req);
+
+#endif
--- a/src/load/response.c
+++ b/src/http/response.c
@@ -1,4 +1,4 @@
-#include "load/response.h"
+#include "http/response.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -26,17 +26,20 @@
     response_chunks_t *decoder, char *buf, size_t *bufsz);
 
 void
-response_reset(response_t *r, int is_to_head, response_header_cb cb, void *ctx)
+response_reset(response_t *r, int is_to_head, size_t body_keep_bytes,
+    response_header_cb cb, void *ctx)
 {
-	char *head = r->head;
-
-	memset(r, 0, offsetof(response_t, body));
-	r->body_len = 0;
-	r->body_total = 0;
-	r->head = head;
-	r->is_to_head = is_to_head;
-	r->cb = cb;
-	r->ctx = ctx;
+	response_t fresh = {
+		.is_to_head = is_to_head,
+		.body_keep_bytes = body_keep_bytes,
+		.cb = cb,
+		.ctx = ctx,
+		.head = r->head,
+		.body = r->body,
+	};
+
+	fresh.body.len = 0;
+	*r = fresh;
 }
 
 void
@@ -44,6 +47,7 @@
 {
 	free(r->head);
 	r->head = NULL;
+	buffer_release(&r->body);
 }
 
 static int
@@ -57,20 +61,42 @@
 static int
 read_length(response_t *r, const struct phr_header *h)
 {
+	uint64_t length = 0;
 	size_t i;
 
-	r->left = 0;
 	if (h->value_len == 0 || h->value_len > 15)
 		return (TM_EFORMAT);
 	for (i = 0; i < h->value_len; i++) {
 		if (h->value[i] < '0' || h->value[i] > '9')
 			return (TM_EFORMAT);
-		r->left = r->left * 10 + (uint64_t)(h->value[i] - '0');
+		length = length * 10 + (uint64_t)(h->value[i] - '0');
 	}
+	/* Two different lengths leave the end of the response open. */
+	if (!r->until_close && length != r->left)
+		return (TM_EFORMAT);
+	r->left = length;
+	r->length = length;
 	r->until_close = 0;
 	return (TM_OK);
 }
 
+static int
+read_header(response_t *r, const struct phr_header *h)
+{
+	if (is_name(h, "content-length"))
+		return (read_length(r, h));
+	if (is_name(h, "transfer-encoding")) {
+		if (r->is_chunked || h->value_len != 7 ||
+		    strncasecmp(h->value, "chunked", 7) != 0)
+			return (TM_EFORMAT);
+		r->is_chunked = 1;
+	}
+	if (is_name(h, "connection") && h->value_len == 5 &&
+	    strncasecmp(h->value, "close", 5) == 0)
+		r->keeps_alive = 0;
+	return (TM_OK);
+}
+
 static int
 read_headers(response_t *r, const struct phr_header *headers, size_t count)
 {
@@ -80,17 +106,12 @@
 	for (i = 0; i < count; i++) {
 		const struct phr_header *h = &headers[i];
 
-		if (h->name == NULL)
-			continue;
-		if (is_name(h, "content-length") && read_length(r, h) != TM_OK)
+		if (h->name == NULL || read_header(r, h) != TM_OK)
 			return (TM_EFORMAT);
-		if (is_name(h, "transfer-encoding"))
-			r->is_chunked = 1;
-		if (is_name(h, "connection") && h->value_len == 5 &&
-		    strncasecmp(h->value, "close", 5) == 0)
-			r->keeps_alive = 0;
 		r->cb(r->ctx, h->name, h->name_len, h->value, h->value_len);
 	}
+	if (r->is_chunked && !r->until_close)
+		return (TM_EFORMAT);
 	if (r->is_chunked) {
 		r->until_close = 0;
 		r->chunks.consume_trailer = 1;
@@ -129,15 +150,14 @@
 	return (n);
 }
 
-static void
+static int
 keep_body(response_t *r, const char *bytes, size_t len)
 {
-	size_t room = sizeof(r->body) - r->body_len;
+	size_t room = r->body_keep_bytes - r->body.len;
 	size_t n = len < room ? len : room;
 
-	memcpy(r->body + r->body_len, bytes, n);
-	r->body_len += n;
 	r->body_total += len;
+	return (buffer_append(&r->body, bytes, n));
 }
 
 static int
@@ -151,19 +171,19 @@
 		n = phr_decode_chunked(&r->chunks, bytes, &size);
 		if (n == -1)
 			return (TM_EFORMAT);
-		keep_body(r, bytes, size);
+		if (keep_body(r, bytes, size) != TM_OK)
+			return (TM_ENOMEM);
 		if (n < 0)
 			return (0);
 		*rest = (size_t)n;
 		return (1);
 	}
-	if (r->until_close) {
-		keep_body(r, bytes, len);
-		return (0);
-	}
+	if (r->until_close)
+		return (keep_body(r, bytes, len));
 	if (size > r->left)
 		size = (size_t)r->left;
-	keep_body(r, bytes, size);
+	if (keep_body(r, bytes, size) != TM_OK)
+		return (TM_ENOMEM);
 	r->left -= size;
 	*rest = len - size;
 	return (r->left == 0);
--- a/src/load/response.h
+++ b/src/http/response.h
@@ -3,17 +3,16 @@
  * Incremental reader of one HTTP/1.1 response, over the parser that libh2o
  * contains.
  */
-#ifndef TM_LOAD_RESPONSE_H
-#define TM_LOAD_RESPONSE_H
+#ifndef TM_HTTP_RESPONSE_H
+#define TM_HTTP_RESPONSE_H
 
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/buffer.h"
+
 /** Longest status line with headers in bytes. */
 #define RESPONSE_HEAD_MAX 16384
-/** Bytes at the start of the body that are kept. */
-#define RESPONSE_BODY_KEEP 1536
-
 /** State of the parser's chunk decoder; the layout is that of libh2o. */
 typedef struct response_chunks {
 	size_t bytes_left_in_chunk;
@@ -39,14 +38,19 @@
 	response_chunks_t chunks;
 	char *head; /**< incomplete head */
 	size_t head_len;
-	char body[RESPONSE_BODY_KEEP];
-	size_t body_len; /**< bytes kept */
+	uint64_t length; /**< value of Content-Length; 0 without one */
+	buffer_t body; /**< bytes kept */
+	size_t body_keep_bytes;
 	uint64_t body_total;
 } response_t;
 
-/** Starts a new response; keeps the memory of the last one. */
-void response_reset(
-    response_t *response, int is_to_head, response_header_cb cb, void *ctx);
+/**
+ * Starts a new response; keeps the memory of the last one.
+ *
+ * @param body_keep_bytes  bytes at the start of the body that are kept
+ */
+void response_reset(response_t *response, int is_to_head,
+    size_t body_keep_bytes, response_header_cb cb, void *ctx);
 
 /** Frees the memory. */
 void response_release(response_t *response);
--- a/src/load/load_call.c
+++ b/src/load/load_call.c
@@ -12,6 +12,8 @@
 #include "base/error.h"
 
 #define REQUEST_HEAD_MAX 12288
+/* The part of a response's body that is searched for the echoed request. */
+#define BODY_KEEP_BYTES 1536
 
 struct load_conn {
 	uv_tcp_t tcp;
@@ -38,7 +40,7 @@
 static int
 has_text(const response_t *r, const char *text, size_t len)
 {
-	return (memmem(r->body, r->body_len, text, len) != NULL);
+	return (memmem(r->body.bytes, r->body.len, text, len) != NULL);
 }
 
 /*
@@ -221,7 +223,8 @@
 	int n;
 
 	response_reset(&conn->response,
-	    strcmp(call->plan.settings->method, "HEAD") == 0, on_header, call);
+	    strcmp(call->plan.settings->method, "HEAD") == 0, BODY_KEEP_BYTES,
+	    on_header, call);
 	call->sent_ns = clock_now_ns();
 	n = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
 	if (n < 0 && n != UV_EAGAIN) {
--- a/src/load/load_call.h
+++ b/src/load/load_call.h
@@ -10,7 +10,7 @@
 #include <uv.h>
 
 #include "load/load_stats.h"
-#include "load/response.h"
+#include "http/response.h"
 
 #define LOAD_ID_MAX	48
 #define LOAD_READ_BYTES 65536
--- a/test/unit/response_test.cc
+++ b/test/unit/response_test.cc
@@ -9,7 +9,7 @@
 extern "C" {
 #include "base/error.h"
 #include "base/rng.h"
-#include "load/response.h"
+#include "http/response.h"
 }
 
 namespace {
@@ -37,7 +37,7 @@
 {
 	Result r;
 
-	response_reset(&r.response, is_to_head, on_header, &r.headers);
+	response_reset(&r.response, is_to_head, 1536, on_header, &r.headers);
 	for (size_t at = 0; at < text.size() && r.rc == 0; at += piece) {
 		std::string bytes = text.substr(at, piece);
 
@@ -45,7 +45,7 @@
 		    &r.response, &bytes[0], bytes.size(), &r.rest);
 		r.rest += r.rc == 1 ? text.size() - at - bytes.size() : 0;
 	}
-	r.body.assign(r.response.body, r.response.body_len);
+	r.body.assign((const char *)r.response.body.bytes, r.response.body.len);
 	response_release(&r.response);
 	return r;
 }
