--- a/test/scenario/raft_scenario.cc
+++ b/test/scenario/raft_scenario.cc
@@ -242,7 +242,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Files, RaftScenario,
     testing::Values("split", "cutoff", "wiped_disk", "catch_up", "second_loss",
-	"freeze", "one_way", "transfer", "forming"));
+	"freeze", "one_way", "transfer", "forming", "late_acks"));
 
 // The same file with its mechanism off has to show the failure.
 static void
--- a/test/unit/raft_test.cc
+++ b/test/unit/raft_test.cc
@@ -157,6 +157,28 @@
 	EXPECT_EQ(last, raft_get_last(node->raft));
 }
 
+// A restarted follower has acknowledged the leader just before; if it voted at
+// once, there could be two nodes that count on a majority.
+TEST_F(Raft, RestartedFollowerWaitsBeforeItVotes)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		RaftCluster cluster({ "a", "b", "c" }, seed, 0);
+		cluster.run(3000);
+		RaftNode *leader = cluster.leader();
+		RaftNode *other = cluster.nodes[leader->name == "a"].get();
+		RaftNode *node =
+		    cluster.nodes[leader->name == "c" ? 1 : 2].get();
+		cluster.cut(leader, other, true);
+		cluster.run(5000);
+		cluster.isolate(leader, true);
+		cluster.kill(node);
+		cluster.start(node);
+		cluster.run(3000);
+		for (auto &what : cluster.violations)
+			ADD_FAILURE() << "seed " << seed << ": " << what;
+	}
+}
+
 // A disk that loses acknowledged entries gets no entries any more, and the
 // others go on.
 TEST_F(Raft, MemberThatLostEntriesStaysBehind)
