--- a/src/ctl/http_call.c
+++ b/src/ctl/http_call.c
@@ -82,6 +82,8 @@
 	size_t len = (*input)->size;
 	char *grown;
 
+	if (len == 0)
+		return (TM_OK);
 	if (call->body_len + len > HTTP_CALL_BODY_MAX)
 		return (TM_ETOOBIG);
 	grown = realloc(call->body, call->body_len + len + 1);
