--- a/src/target/target_job.c
+++ b/src/target/target_job.c
@@ -168,7 +168,7 @@
 {
 	target_job_t *job;
 
-	DL_FOREACH(pool->jobs, job) {
+	for (job = pool->jobs; job != NULL; job = job->next) {
 		if (job->act == TARGET_ACT_LATE || job->next_watch_ms > now_ms)
 			continue;
 		job->next_watch_ms = now_ms + WATCH_INTERVAL_MS;
