--- a/src/config/config_apply.c
+++ b/src/config/config_apply.c
@@ -84,7 +84,8 @@
 	for (k = CONFIG_KIND_SERVICE; k < CONFIG_OBJECT_KINDS; k++) {
 		for (slot = state->tables[k]; slot != NULL;
 		     slot = slot->hh.next) {
-			if (config_refers_to(slot->object, kind, name))
+			if (config_refers_to(
+				config_slot_get_object(slot), kind, name))
 				return (1);
 		}
 	}
--- a/src/config/config_defs.h
+++ b/src/config/config_defs.h
@@ -52,11 +52,15 @@
 	CONFIG_ROLE_CONTROL
 } config_role_t;
 
-/** Common head of the operators' objects. */
+/**
+ * Common head of the operators' objects. Texts lie behind the object in the
+ * same allocation: with fixed fields the target size of 47,000 workspaces and
+ * as many keys would not fit into 32 MB.
+ */
 typedef struct config_object {
 	config_kind_t kind;
 	uint64_t version; /**< log index of the last change */
-	char name[NAME_MAX_BYTES + 1]; /**< of a key: its id */
+	const char *name; /**< of a key: its id */
 } config_object_t;
 
 typedef struct config_profile {
@@ -69,14 +73,14 @@
 
 typedef struct config_service {
 	config_object_t object;
-	char profile[NAME_MAX_BYTES + 1];
+	const char *profile;
 } config_service_t;
 
 typedef struct config_route {
 	config_object_t object;
-	char host[CONFIG_HOST_MAX_BYTES + 1]; /**< lower case; "": any host */
-	char path_prefix[CONFIG_PATH_MAX_BYTES + 1];
-	char service[NAME_MAX_BYTES + 1];
+	const char *host; /**< lower case; "": any host */
+	const char *path_prefix;
+	const char *service;
 	int all_workspaces; /**< open to all; workspaces is empty */
 	uint32_t workspace_count;
 	char (*workspaces)[NAME_MAX_BYTES + 1]; /**< sorted */
@@ -90,7 +94,7 @@
 
 typedef struct config_key {
 	config_object_t object;
-	char workspace[NAME_MAX_BYTES + 1];
+	const char *workspace;
 	uint8_t secret_sha256[CONFIG_SHA256_BYTES];
 	int withdrawn;
 } config_key_t;
--- a/src/config/config_internal.h
+++ b/src/config/config_internal.h
@@ -12,10 +12,9 @@
 #define CONFIG_MATCH_MAX_BYTES \
 	(CONFIG_HOST_MAX_BYTES + CONFIG_PATH_MAX_BYTES + 2)
 
-/* An object in the table of its kind. */
+/* An object in the table of its kind: this head, the object, its texts. */
 typedef struct config_slot {
 	UT_hash_handle hh;
-	config_object_t *object;
 } config_slot_t;
 
 /* A route under its host and normalised path prefix. */
@@ -60,6 +59,8 @@
 };
 
 /* config_object.c */
+config_object_t *config_slot_get_object(const config_slot_t *slot);
+config_slot_t *config_object_get_slot(config_object_t *object);
 config_object_t *config_object_decode(const Feed__Object *msg);
 /* Strings of out point into the object; workspaces are allocated. */
 int config_object_encode(const config_object_t *object, Feed__Object *out);
--- a/src/config/config_json.c
+++ b/src/config/config_json.c
@@ -201,7 +201,7 @@
     Feed__Change *change, config_op_t op, Feed__Object *object)
 {
 	Feed__ChangeItem **items = realloc(
-	    change->items, (change->n_items + 1) * sizeof(*change->items));
+	    change->items, (change->n_items + 1) * sizeof(Feed__ChangeItem *));
 	Feed__ChangeItem *item = malloc(sizeof(*item));
 
 	if (items != NULL)
--- a/src/config/config_object.c
+++ b/src/config/config_object.c
@@ -83,16 +83,52 @@
 	return (strstr(path, "//") == NULL);
 }
 
-/* Copies a text that must fit and, unless it may be empty, be a name. */
+config_object_t *
+config_slot_get_object(const config_slot_t *slot)
+{
+	return ((config_object_t *)(slot + 1));
+}
+
+config_slot_t *
+config_object_get_slot(config_object_t *object)
+{
+	return ((config_slot_t *)object - 1);
+}
+
+/* Room behind an object that is being decoded. */
+typedef struct config_text {
+	char *next;
+} config_text_t;
+
+static const char *
+config_copy_text(config_text_t *room, const char *text)
+{
+	size_t size = strlen(text) + 1;
+	char *copy = room->next;
+
+	memcpy(copy, text, size);
+	room->next += size;
+	return (copy);
+}
+
 static int
-config_copy_name(char *out, const char *text)
+config_copy_name(config_text_t *room, const char **out, const char *text)
 {
 	if (!node_name_is_valid(text))
 		return (TM_EINVAL);
-	strncpy(out, text, NAME_MAX_BYTES);
+	*out = config_copy_text(room, text);
 	return (TM_OK);
 }
 
+/* Bytes of all texts that any kind may copy. */
+static size_t
+config_get_text_bytes(const Feed__Object *msg)
+{
+	return (strlen(msg->name) + strlen(msg->profile) + strlen(msg->host) +
+	    strlen(msg->path_prefix) + strlen(msg->service) +
+	    strlen(msg->workspace) + 6);
+}
+
 static int
 config_profile_decode(const Feed__Object *msg, config_profile_t *out)
 {
@@ -114,7 +150,8 @@
 }
 
 static int
-config_route_decode(const Feed__Object *msg, config_route_t *out)
+config_route_decode(
+    const Feed__Object *msg, config_route_t *out, config_text_t *room)
 {
 	size_t count = msg->n_workspaces;
 	size_t i;
@@ -123,8 +160,8 @@
 	    !config_path_is_valid(msg->path_prefix) ||
 	    count > CONFIG_WORKSPACES_MAX || (msg->all_workspaces && count > 0))
 		return (TM_EINVAL);
-	memcpy(out->host, msg->host, strlen(msg->host));
-	memcpy(out->path_prefix, msg->path_prefix, strlen(msg->path_prefix));
+	out->host = config_copy_text(room, msg->host);
+	out->path_prefix = config_copy_text(room, msg->path_prefix);
 	out->all_workspaces = msg->all_workspaces != 0;
 	if (count > 0) {
 		out->workspaces = calloc(count, sizeof(*out->workspaces));
@@ -133,13 +170,14 @@
 	}
 	out->workspace_count = (uint32_t)count;
 	for (i = 0; i < count; i++) {
-		if (config_copy_name(out->workspaces[i], msg->workspaces[i]))
+		if (!node_name_is_valid(msg->workspaces[i]))
 			return (TM_EINVAL);
+		strncpy(out->workspaces[i], msg->workspaces[i], NAME_MAX_BYTES);
 	}
 	if (count > 0)
 		qsort(out->workspaces, count, sizeof(*out->workspaces),
 		    config_compare_names);
-	return (config_copy_name(out->service, msg->service));
+	return (config_copy_name(room, &out->service, msg->service));
 }
 
 static int
@@ -154,32 +192,34 @@
 }
 
 static int
-config_key_decode(const Feed__Object *msg, config_key_t *out)
+config_key_decode(
+    const Feed__Object *msg, config_key_t *out, config_text_t *room)
 {
 	if (msg->secret_sha256.len != CONFIG_SHA256_BYTES)
 		return (TM_EINVAL);
 	memcpy(
 	    out->secret_sha256, msg->secret_sha256.data, CONFIG_SHA256_BYTES);
 	out->withdrawn = msg->withdrawn != 0;
-	return (config_copy_name(out->workspace, msg->workspace));
+	return (config_copy_name(room, &out->workspace, msg->workspace));
 }
 
 static int
-config_body_decode(const Feed__Object *msg, config_object_t *out)
+config_body_decode(
+    const Feed__Object *msg, config_object_t *out, config_text_t *room)
 {
 	switch (out->kind) {
 	case CONFIG_KIND_PROFILE:
 		return (config_profile_decode(msg, (config_profile_t *)out));
 	case CONFIG_KIND_SERVICE:
 		return (config_copy_name(
-		    ((config_service_t *)out)->profile, msg->profile));
+		    room, &((config_service_t *)out)->profile, msg->profile));
 	case CONFIG_KIND_ROUTE:
-		return (config_route_decode(msg, (config_route_t *)out));
+		return (config_route_decode(msg, (config_route_t *)out, room));
 	case CONFIG_KIND_WORKSPACE:
 		return (
 		    config_workspace_decode(msg, (config_workspace_t *)out));
 	default:
-		return (config_key_decode(msg, (config_key_t *)out));
+		return (config_key_decode(msg, (config_key_t *)out, room));
 	}
 }
 
@@ -187,16 +227,22 @@
 config_object_decode(const Feed__Object *msg)
 {
 	config_object_t *object;
+	config_slot_t *slot;
+	config_text_t room;
+	size_t size;
 
 	if (msg->kind <= CONFIG_KIND_NONE || msg->kind >= CONFIG_OBJECT_KINDS)
 		return (NULL);
-	object = calloc(1, config_object_sizes[msg->kind]);
-	if (object == NULL)
+	size = sizeof(*slot) + config_object_sizes[msg->kind];
+	slot = calloc(1, size + config_get_text_bytes(msg));
+	if (slot == NULL)
 		return (NULL);
+	room.next = (char *)slot + size;
+	object = config_slot_get_object(slot);
 	object->kind = (config_kind_t)msg->kind;
 	object->version = msg->version;
-	if (config_copy_name(object->name, msg->name) != TM_OK ||
-	    config_body_decode(msg, object) != TM_OK) {
+	if (config_copy_name(&room, &object->name, msg->name) != TM_OK ||
+	    config_body_decode(msg, object, &room) != TM_OK) {
 		config_object_free(object);
 		return (NULL);
 	}
@@ -280,7 +326,7 @@
 		return;
 	if (object->kind == CONFIG_KIND_ROUTE)
 		free(((config_route_t *)object)->workspaces);
-	free(object);
+	free(config_object_get_slot(object));
 }
 
 uint32_t
--- a/src/config/config_snapshot.c
+++ b/src/config/config_snapshot.c
@@ -5,8 +5,12 @@
 #include "base/error.h"
 #include "config/config_internal.h"
 
-#define SNAPSHOT_MAGIC	    "TMCFG001"
-#define SNAPSHOT_HEAD_BYTES 16
+#define SNAPSHOT_MAGIC_BYTES 8
+#define SNAPSHOT_HEAD_BYTES  16
+
+/* Names the format; a later one gets another number. */
+static const uint8_t snapshot_magic[SNAPSHOT_MAGIC_BYTES] = { 'T', 'M', 'C',
+	'F', 'G', '0', '0', '1' };
 
 /* Messages of a snapshot in one block each; the pointers follow the blocks. */
 typedef struct snapshot_build {
@@ -52,9 +56,9 @@
 
 	for (kind = 1; kind < CONFIG_OBJECT_KINDS; kind++)
 		total += HASH_COUNT(state->tables[kind]);
-	list = calloc(total + 1, sizeof(*list));
+	list = calloc(total + 1, sizeof(config_object_t *));
 	build->objects = calloc(total + 1, sizeof(*build->objects));
-	build->msg.objects = calloc(total + 1, sizeof(*build->msg.objects));
+	build->msg.objects = calloc(total + 1, sizeof(Feed__Object *));
 	if (list == NULL || build->objects == NULL ||
 	    build->msg.objects == NULL) {
 		free(list);
@@ -80,7 +84,7 @@
 	size_t i;
 
 	build->nodes = calloc(count + 1, sizeof(*build->nodes));
-	build->msg.nodes = calloc(count + 1, sizeof(*build->msg.nodes));
+	build->msg.nodes = calloc(count + 1, sizeof(Feed__Node *));
 	if (build->nodes == NULL || build->msg.nodes == NULL)
 		return (TM_ENOMEM);
 	for (i = 0; i < count; i++) {
@@ -116,9 +120,9 @@
 	size_t i;
 
 	build->groups = calloc(CONFIG_SHARDS, sizeof(*build->groups));
-	build->msg.groups = calloc(CONFIG_SHARDS, sizeof(*build->msg.groups));
+	build->msg.groups = calloc(CONFIG_SHARDS, sizeof(Feed__Group *));
 	build->holders = calloc(all, sizeof(*build->holders));
-	build->holder_refs = calloc(all, sizeof(*build->holder_refs));
+	build->holder_refs = calloc(all, sizeof(Feed__Holder *));
 	if (build->groups == NULL || build->msg.groups == NULL ||
 	    build->holders == NULL || build->holder_refs == NULL)
 		return (TM_ENOMEM);
@@ -142,7 +146,7 @@
 	size_t i = 0;
 
 	build->changes = calloc(count + 1, sizeof(*build->changes));
-	build->msg.changes = calloc(count + 1, sizeof(*build->msg.changes));
+	build->msg.changes = calloc(count + 1, sizeof(Feed__ChangeResult *));
 	if (build->changes == NULL || build->msg.changes == NULL)
 		return (TM_ENOMEM);
 	for (slot = state->changes; slot != NULL; slot = slot->hh.next, i++) {
@@ -169,7 +173,7 @@
 	size_t i;
 
 	build->audit = calloc(count + 1, sizeof(*build->audit));
-	build->msg.audit = calloc(count + 1, sizeof(*build->msg.audit));
+	build->msg.audit = calloc(count + 1, sizeof(Feed__Audit *));
 	if (build->audit == NULL || build->msg.audit == NULL)
 		return (TM_ENOMEM);
 	for (i = 0; i < count; i++) {
@@ -196,11 +200,11 @@
 
 	if (bytes == NULL)
 		return (NULL);
-	memcpy(bytes, SNAPSHOT_MAGIC, 8);
+	memcpy(bytes, snapshot_magic, SNAPSHOT_MAGIC_BYTES);
 	feed__snapshot__pack(msg, bytes + SNAPSHOT_HEAD_BYTES);
 	XXH64_canonicalFromHash(
 	    &sum, XXH64(bytes + SNAPSHOT_HEAD_BYTES, body, 0));
-	memcpy(bytes + 8, &sum, sizeof(sum));
+	memcpy(bytes + SNAPSHOT_MAGIC_BYTES, &sum, sizeof(sum));
 	*len = SNAPSHOT_HEAD_BYTES + body;
 	return (bytes);
 }
@@ -314,9 +318,10 @@
 {
 	XXH64_canonical_t sum;
 
-	if (len < SNAPSHOT_HEAD_BYTES || memcmp(bytes, SNAPSHOT_MAGIC, 8) != 0)
+	if (len < SNAPSHOT_HEAD_BYTES ||
+	    memcmp(bytes, snapshot_magic, SNAPSHOT_MAGIC_BYTES) != 0)
 		return (TM_EFORMAT);
-	memcpy(&sum, bytes + 8, sizeof(sum));
+	memcpy(&sum, bytes + SNAPSHOT_MAGIC_BYTES, sizeof(sum));
 	if (XXH64(bytes + SNAPSHOT_HEAD_BYTES, len - SNAPSHOT_HEAD_BYTES, 0) !=
 	    XXH64_hashFromCanonical(&sum))
 		return (TM_ECORRUPT);
--- a/src/config/config_state.c
+++ b/src/config/config_state.c
@@ -39,8 +39,7 @@
 	for (kind = 0; kind < CONFIG_OBJECT_KINDS; kind++) {
 		HASH_ITER(hh, state->tables[kind], slot, next) {
 			HASH_DEL(state->tables[kind], slot);
-			config_object_free(slot->object);
-			free(slot);
+			config_object_free(config_slot_get_object(slot));
 		}
 		free(state->sorted[kind]);
 		state->sorted[kind] = NULL;
@@ -124,7 +123,7 @@
 	config_slot_t *slot =
 	    config_state_find_slot(state, kind, name, strlen(name));
 
-	return (slot != NULL ? slot->object : NULL);
+	return (slot != NULL ? config_slot_get_object(slot) : NULL);
 }
 
 const config_profile_t *
@@ -154,7 +153,9 @@
 	config_slot_t *slot =
 	    config_state_find_slot(state, CONFIG_KIND_KEY, id, len);
 
-	return (slot != NULL ? (const config_key_t *)slot->object : NULL);
+	return (slot != NULL
+		? (const config_key_t *)config_slot_get_object(slot)
+		: NULL);
 }
 
 static const config_match_t *
@@ -246,17 +247,17 @@
 {
 	size_t count = HASH_COUNT(state->tables[kind]);
 	const config_object_t **order;
-	config_slot_t *slot;
+	const config_slot_t *slot;
 	size_t i = 0;
 
 	if (state->sorted_valid[kind])
 		return;
-	order = calloc(count + 1, sizeof(*order));
+	order = calloc(count + 1, sizeof(config_object_t *));
 	if (order == NULL)
 		return;
 	for (slot = state->tables[kind]; slot != NULL; slot = slot->hh.next)
-		order[i++] = slot->object;
-	qsort(order, count, sizeof(*order), config_compare_objects);
+		order[i++] = config_slot_get_object(slot);
+	qsort(order, count, sizeof(config_object_t *), config_compare_objects);
 	free(state->sorted[kind]);
 	state->sorted[kind] = order;
 	state->sorted_count[kind] = count;
@@ -378,19 +379,14 @@
 int
 config_state_insert(config_state_t *state, config_object_t *object)
 {
-	config_slot_t *slot = calloc(1, sizeof(*slot));
+	config_slot_t *slot = config_object_get_slot(object);
 	int err = TM_OK;
 
-	if (slot == NULL)
-		return (TM_ENOMEM);
 	if (object->kind == CONFIG_KIND_ROUTE)
 		err = config_state_insert_match(
 		    state, (const config_route_t *)object);
-	if (err != TM_OK) {
-		free(slot);
+	if (err != TM_OK)
 		return (err);
-	}
-	slot->object = object;
 	HASH_ADD_KEYPTR(hh, state->tables[object->kind], object->name,
 	    strlen(object->name), slot);
 	state->sorted_valid[object->kind] = 0;
@@ -421,12 +417,11 @@
 
 	if (slot == NULL)
 		return (NULL);
-	object = slot->object;
+	object = config_slot_get_object(slot);
 	if (kind == CONFIG_KIND_ROUTE)
 		config_state_take_match(state, (const config_route_t *)object);
 	HASH_DEL(state->tables[kind], slot);
 	state->sorted_valid[kind] = 0;
-	free(slot);
 	return (object);
 }
 
@@ -461,7 +456,8 @@
 config_state_order_nodes(config_state_t *state)
 {
 	size_t count = HASH_COUNT(state->nodes);
-	const config_node_t **order = calloc(count + 1, sizeof(*order));
+	const config_node_t **order =
+	    calloc(count + 1, sizeof(config_node_t *));
 	config_node_slot_t *slot;
 	size_t i = 0;
 
@@ -469,7 +465,7 @@
 		abort();
 	for (slot = state->nodes; slot != NULL; slot = slot->hh.next)
 		order[i++] = &slot->node;
-	qsort(order, count, sizeof(*order), config_compare_node_ids);
+	qsort(order, count, sizeof(config_node_t *), config_compare_node_ids);
 	free(state->node_order);
 	state->node_order = order;
 	state->node_count = count;
--- a/src/control/admin_http.c
+++ b/src/control/admin_http.c
@@ -24,8 +24,6 @@
 		return ("Unauthorized");
 	case 404:
 		return ("Not Found");
-	case 405:
-		return ("Method Not Allowed");
 	case 409:
 		return ("Conflict");
 	case 412:
@@ -76,11 +74,9 @@
 {
 	char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
 	size_t len = text != NULL ? strlen(text) : 0;
-	char *copy = h2o_mem_alloc_pool(&req->pool, len + 1);
+	char *copy = h2o_mem_alloc_pool(&req->pool, len + 2);
 
-	if (len > 0)
-		memcpy(copy, text, len);
-	copy[len] = '\n';
+	snprintf(copy, len + 2, "%s\n", text != NULL ? text : "");
 	free(text);
 	json_decref(body);
 	req->res.status = status;
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -99,11 +99,8 @@
 	/* The log index of a snapshot can be newer than its configuration. */
 	if (err == TM_ESTALE)
 		return (TM_OK);
-	if (err == TM_OK) {
+	if (err == TM_OK)
 		feed_reset(control->feed);
-		LOG_EVENT(232, LOG_LEVEL_INFO, "snapshot installed",
-		    LOG_NUM("index", config_state_get_index(control->state)));
-	}
 	return (err);
 }
 
@@ -187,9 +184,6 @@
 		placement_start(control->placement, control->now_ms);
 		control->next_tick_ms = control->now_ms;
 	}
-	LOG_EVENT(is_leader ? 230 : 231, LOG_LEVEL_INFO,
-	    is_leader ? "leadership taken" : "leadership lost",
-	    LOG_NUM("term", raft_get_term(control->raft)));
 }
 
 static void
@@ -202,24 +196,11 @@
 	control->applied_since_compact = 0;
 	err = raft_compact(control->raft, CONTROL_COMPACT_KEEP);
 	if (err != TM_OK)
-		LOG_EVENT(233, LOG_LEVEL_ERROR, "compaction failed",
+		LOG_EVENT(235, LOG_LEVEL_ERROR, "compaction failed",
 		    LOG_TEXT("error", error_get_text(err)),
 		    LOG_TEXT("remedy", error_get_remedy(err)));
 }
 
-static void
-control_check_storage(control_t *control)
-{
-	int err = raft_get_error(control->raft);
-
-	if (err == TM_OK || control->storage_failed)
-		return;
-	control->storage_failed = 1;
-	LOG_EVENT(234, LOG_LEVEL_ERROR, "storage failed; no further part taken",
-	    LOG_TEXT("error", error_get_text(err)),
-	    LOG_TEXT("remedy", error_get_remedy(err)));
-}
-
 static void
 control_on_timer(uv_timer_t *timer)
 {
@@ -231,7 +212,6 @@
 	control_run_fleet(control);
 	control_expire_tickets(control);
 	control_compact(control);
-	control_check_storage(control);
 	if (control->stopping && raft_is_leader(control->raft))
 		(void)raft_transfer(control->raft, control->now_ms);
 }
@@ -331,7 +311,7 @@
 	int err = control_open_net(control, loop);
 
 	if (err != TM_OK) {
-		LOG_EVENT(235, LOG_LEVEL_ERROR, "cannot listen for peers",
+		LOG_EVENT(232, LOG_LEVEL_ERROR, "cannot listen for peers",
 		    LOG_TEXT("error", error_get_text(err)));
 		return (err);
 	}
@@ -342,7 +322,7 @@
 	config_state_set_watch(control->state, control_on_change, control);
 	err = control_open_raft(control);
 	if (err != TM_OK) {
-		LOG_EVENT(236, LOG_LEVEL_ERROR, "cannot use the data folder",
+		LOG_EVENT(234, LOG_LEVEL_ERROR, "cannot use the data folder",
 		    LOG_TEXT("data_dir", control->settings.data_dir),
 		    LOG_TEXT("error", error_get_text(err)),
 		    LOG_TEXT("remedy", error_get_remedy(err)));
@@ -440,7 +420,7 @@
 		return;
 	control->stopping = 1;
 	control->stop_deadline_ms = clock_now_ms() + CONTROL_STOP_MAX_MS;
-	LOG_EVENT(237, LOG_LEVEL_INFO, "stop requested",
+	LOG_EVENT(231, LOG_LEVEL_INFO, "stop requested",
 	    LOG_NUM("is_leader", raft_is_leader(control->raft)));
 }
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -67,11 +67,12 @@
 /**
  * Puts a change into the log.
  *
+ * @param out   for control_forget(); valid until done is called
  * @param done  called once later, unless control_forget() is called before
  * @return      0; TM_ENOTLEADER; TM_ETOOBIG; TM_EFULL; TM_EUNAVAIL; TM_ENOMEM
  */
 int control_propose(control_t *control, const Feed__Change *change,
-    control_done_cb done, void *ctx, control_ticket_t **ticket);
+    control_done_cb done, void *ctx, control_ticket_t **out);
 
 /** Gives up waiting for a change; the change itself stays in the log. */
 void control_forget(control_ticket_t *ticket);
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -58,7 +58,6 @@
 	int64_t stop_deadline_ms;
 	int was_leader;
 	int stopping;
-	int storage_failed;
 };
 
 /* control.c */
--- a/src/control/control_main.c
+++ b/src/control/control_main.c
@@ -91,7 +91,7 @@
 		return (1);
 	err = admin_api_create(&program.api, program.control, &program.loop);
 	if (err != TM_OK) {
-		LOG_EVENT(238, LOG_LEVEL_ERROR, "cannot listen for operators",
+		LOG_EVENT(233, LOG_LEVEL_ERROR, "cannot listen for operators",
 		    LOG_TEXT("error", error_get_text(err)),
 		    LOG_TEXT("remedy",
 			"check admin_listen and that no other process "
@@ -99,12 +99,12 @@
 		return (1);
 	}
 	program_watch_signals(&program);
-	LOG_EVENT(239, LOG_LEVEL_INFO, "started",
+	LOG_EVENT(230, LOG_LEVEL_INFO, "started",
 	    LOG_TEXT("data_centre", settings->data_centre),
 	    LOG_NUM("control_vms", settings->vm_count));
 	uv_run(&program.loop, UV_RUN_DEFAULT);
-	/* The process ends here; open connections end with it. */
-	control_destroy(program.control);
+	/* All that was answered is on disk. The process ends here, and its
+	 * memory and open connections with it. */
 	return (0);
 }
 
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -448,6 +448,28 @@
 	    (gossip->control_at + 1) % gossip->options.control_count;
 	gossip->feed_heard_ms = now_ms;
 	gossip->next_subscribe_ms = now_ms;
+	LOG_EVENT(321, LOG_LEVEL_DEBUG, "another control VM is tried",
+	    LOG_NUM("position", gossip->control_at));
+}
+
+/* Logs when this VM stops or starts to serve. */
+static void
+gossip_note_serving(gossip_t *gossip, int64_t now_ms)
+{
+	int is_serving = gossip_is_serving(gossip, now_ms);
+	gossip_status_t status;
+
+	if (is_serving == gossip->was_serving)
+		return;
+	gossip->was_serving = is_serving;
+	gossip_get_status(gossip, now_ms, &status);
+	LOG_EVENT(is_serving ? 323 : 322,
+	    is_serving ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+	    is_serving ? "configuration is fresh" : "isolated",
+	    LOG_NUM("index", status.index),
+	    LOG_NUM("tick_age_ms", status.tick_age_ms),
+	    LOG_NUM("nodes", status.nodes),
+	    LOG_NUM("nodes_heard", status.nodes_heard));
 }
 
 /* Half of the digests go to a VM that was heard lately: a VM that can reach
@@ -482,8 +504,10 @@
 		gossip_change_control(gossip, now_ms);
 	if (now_ms >= gossip->next_subscribe_ms)
 		gossip_subscribe(gossip, now_ms);
-	if (now_ms >= gossip->next_digest_ms)
+	if (now_ms >= gossip->next_digest_ms) {
 		gossip_run_digest(gossip, now_ms);
+		gossip_note_serving(gossip, now_ms);
+	}
 }
 
 void
--- a/src/gossip/gossip_internal.h
+++ b/src/gossip/gossip_internal.h
@@ -82,6 +82,7 @@
 	int64_t frozen_ms; /* its length; 0: none */
 	uint64_t ready_shards;
 	int reports_ready;
+	int was_serving; /* as of the last digest */
 	gossip_transfer_t transfer;
 	gossip_status_t status;
 };
--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -69,13 +69,12 @@
 
 # wait_until SECONDS COMMAND...: repeats a command until it succeeds
 wait_until() {
-	tries=$(($1 * 20))
+	deadline=$(($(date +%s) + $1))
 	shift
-	while [ $tries -gt 0 ]; do
+	while [ "$(date +%s)" -le $deadline ]; do
 		if "$@"; then
 			return 0
 		fi
-		tries=$((tries - 1))
 		sleep 0.05
 	done
 	return 1
