--- /dev/null
+++ b/src/rate/rate_defs.h
@@ -0,0 +1,26 @@
+/**
+ * @file
+ * Message types and units of rates. Tokens are counted in millionths, so
+ * fractional rates lose nothing to rounding.
+ */
+#ifndef TM_RATE_RATE_DEFS_H
+#define TM_RATE_RATE_DEFS_H
+
+#include "net/msg_types.h"
+
+#define MSG_RATE_NEED	(MSG_RATE_BASE + 0)
+#define MSG_RATE_GRANT	(MSG_RATE_BASE + 5)
+#define MSG_RATE_RECALL (MSG_RATE_BASE + 6)
+
+#define RATE_UTOKENS INT64_C(1000000)
+/** Bounds of the configured values. */
+#define RATE_PER_S_MAX 1e9
+#define RATE_BURST_MAX 1e9
+/** Tokens are valid for this long after the VM sent its request. */
+#define RATE_TOKEN_VALID_MS 1000
+/** The leader counts tokens as outstanding for this long. */
+#define RATE_TOKEN_RECLAIM_MS 1200
+/** A VM prefetches what it needs in this time. */
+#define RATE_PREFETCH_MS 500
+
+#endif
