--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -98,6 +98,7 @@
 	const entry_settings_t *settings;
 	node_id_t self;
 	uint64_t incarnation;
+	int64_t started_ms; /**< boot time */
 	rng_t rng;
 
 	peer_net_t *net;
--- a/src/entry/ops_api.c
+++ b/src/entry/ops_api.c
@@ -12,9 +12,11 @@
 #include "entry/trace.h"
 #include "settings/json_check.h"
 
-#define BEARER		"Bearer "
-#define BEARER_BYTES	(sizeof(BEARER) - 1)
-#define QUERY_MAX	256
+#define BEARER	     "Bearer "
+#define BEARER_BYTES (sizeof(BEARER) - 1)
+#define QUERY_MAX    256
+/* A VM without the tables of all services is ready after this time. */
+#define WARM_UP_MAX_MS	10000
 #define SLOTS_MAX	100000
 #define CAP_MAX		1000000
 #define INCARNATION_MAX INT64_C(0x7fffffffffffffff)
@@ -139,6 +141,30 @@
 	json_check_destroy(check);
 }
 
+static int
+ops_has_tables(const entry_t *entry)
+{
+	const entry_service_t *service;
+	uint64_t term;
+	uint64_t sequence;
+
+	for (service = entry->services; service != NULL;
+	     service = service->hh.next) {
+		service_view_get_version(service->view, &term, &sequence);
+		if (term == 0)
+			return (0);
+	}
+	return (1);
+}
+
+/* A service without a leader must not keep a restarted VM out for ever. */
+static int
+ops_is_warm(const entry_t *entry)
+{
+	return (clock_now_ms() - entry->started_ms > WARM_UP_MAX_MS ||
+	    ops_has_tables(entry));
+}
+
 static const char *
 ops_get_unready_reason(const entry_t *entry)
 {
@@ -146,6 +172,8 @@
 		return ("draining");
 	if (config_state_get_index(entry->state) == 0)
 		return ("no configuration yet");
+	if (!ops_is_warm(entry))
+		return ("no service tables yet");
 	if (!entry->is_serving)
 		return ("isolated");
 	return (NULL);
