--- a/src/config/config_json.c
+++ b/src/config/config_json.c
@@ -415,6 +415,7 @@
 config_json_write_object(const config_object_t *object)
 {
 	const config_workspace_t *workspace;
+	json_t *named;
 	json_t *out;
 
 	switch (object->kind) {
@@ -437,11 +438,10 @@
 		out = config_write_key((const config_key_t *)object);
 		break;
 	}
-	if (out == NULL)
-		return (NULL);
-	json_object_set_new(
-	    out, config_name_field(object->kind), json_string(object->name));
-	json_object_set_new(
-	    out, "version", json_integer((json_int_t)object->version));
-	return (out);
+	named = json_pack("{s:s, s:I}", config_name_field(object->kind),
+	    object->name, "version", (json_int_t)object->version);
+	if (named != NULL && out != NULL)
+		json_object_update(named, out);
+	json_decref(out);
+	return (named);
 }
