--- a/src/rate/rate_client.c
+++ b/src/rate/rate_client.c
@@ -27,6 +27,8 @@
 /* Weight of the demand measurement per 100 ms. */
 #define RATE_DEMAND_MS	   100
 #define RATE_DEMAND_WEIGHT 0.1
+/* Requests per second below which a workspace counts as idle. */
+#define RATE_DEMAND_IDLE 0.01
 /* Reports in one message. */
 #define RATE_REPORTS_MAX 64
 
@@ -71,12 +73,16 @@
 	double demand_per_s;
 	double level; /* baseline */
 	int64_t level_ms;
+	int active; /* in the list of spaces that need ticks */
+	struct rate_space *prev;
+	struct rate_space *next;
 	UT_hash_handle hh;
 } rate_space_t;
 
 struct rate_client {
 	rate_client_options_t options;
 	rate_space_t *spaces;
+	rate_space_t *active; /* ticks cost nothing for idle workspaces */
 	uint32_t vm_count;
 };
 
@@ -123,9 +129,29 @@
 	free(pending);
 }
 
+static void
+rate_activate(rate_client_t *client, rate_space_t *space)
+{
+	if (space->active)
+		return;
+	space->active = 1;
+	space->demand_per_s = 0;
+	DL_APPEND(client->active, space);
+}
+
+static void
+rate_deactivate(rate_client_t *client, rate_space_t *space)
+{
+	if (!space->active)
+		return;
+	space->active = 0;
+	DL_DELETE(client->active, space);
+}
+
 static void
 rate_space_free(rate_client_t *client, rate_space_t *space)
 {
+	rate_deactivate(client, space);
 	HASH_DEL(client->spaces, space);
 	while (space->batches != NULL)
 		rate_batch_free(space, space->batches);
@@ -419,6 +445,7 @@
 	if (client->options.baseline)
 		return (rate_acquire_divided(
 		    client, space, now_ms, retry_after_ms));
+	rate_activate(client, space);
 	space->demand_count++;
 	if (space->pending == NULL && rate_spend(client, space, now_ms)) {
 		if (space->stock * 2 < rate_get_prefetch(space))
@@ -502,6 +529,7 @@
 	uint32_t asked = space->asked_count;
 	uint32_t before = space->pending_count;
 
+	rate_activate(client, space);
 	rate_add_batch(space, from, msg);
 	rate_serve_pending(client, space, now_ms);
 	if (space->dirty_ms != 0 && space->pending == NULL &&
@@ -611,14 +639,25 @@
 		rate_send_need(client, space, 0, now_ms);
 }
 
+static int
+rate_is_idle(const rate_space_t *space)
+{
+	return (space->batches == NULL && space->pending == NULL &&
+	    space->asked == NODE_ID_NONE && space->demand_count == 0 &&
+	    space->demand_per_s < RATE_DEMAND_IDLE);
+}
+
 void
 rate_client_tick(rate_client_t *client, int64_t now_ms)
 {
 	rate_space_t *space;
 	rate_space_t *next;
 
-	HASH_ITER(hh, client->spaces, space, next)
+	DL_FOREACH_SAFE(client->active, space, next) {
 		rate_tick_space(client, space, now_ms);
+		if (rate_is_idle(space))
+			rate_deactivate(client, space);
+	}
 }
 
 static int
--- a/src/rate/rate_client.h
+++ b/src/rate/rate_client.h
@@ -29,7 +29,7 @@
 /**
  * Decides a pending request, once; never called from within
  * rate_client_acquire(). For RATE_GRANTED the token is spent by this call;
- * dispatch in it.
+ * dispatch in it. Must not remove a workspace.
  */
 typedef void (*rate_result_cb)(
     void *ctx, void *request, rate_result_t result, int64_t retry_after_ms);
