--- a/src/rate/rate_client.c
+++ b/src/rate/rate_client.c
@@ -15,14 +15,20 @@
 /* A need without an answer is sent again after this time. */
 #define RATE_AGAIN_MS 250
 /* Another leader is tried this soon after "not leader". */
-#define RATE_OTHER_MS 20
+#define RATE_OTHER_MS 10
 /* Unspent tokens go back to the leader before they expire. */
 #define RATE_RETURN_MS 800
-/* Spent tokens are reported at the latest after this time. */
-#define RATE_REPORT_MS 20
+/*
+ * Spent tokens are reported at the latest after this time, and before they
+ * amount to this share of the burst: until then the bucket cannot refill them.
+ */
+#define RATE_REPORT_MS	  20
+#define RATE_REPORT_SHARE 0.02
 /* Weight of the demand measurement per 100 ms. */
 #define RATE_DEMAND_MS	   100
 #define RATE_DEMAND_WEIGHT 0.1
+/* Requests per second below which a workspace counts as idle. */
+#define RATE_DEMAND_IDLE 0.01
 /* Reports in one message. */
 #define RATE_REPORTS_MAX 64
 
@@ -67,12 +73,16 @@
 	double demand_per_s;
 	double level; /* baseline */
 	int64_t level_ms;
+	int active; /* in the list of spaces that need ticks */
+	struct rate_space *prev;
+	struct rate_space *next;
 	UT_hash_handle hh;
 } rate_space_t;
 
 struct rate_client {
 	rate_client_options_t options;
 	rate_space_t *spaces;
+	rate_space_t *active; /* ticks cost nothing for idle workspaces */
 	uint32_t vm_count;
 };
 
@@ -119,9 +129,29 @@
 	free(pending);
 }
 
+static void
+rate_activate(rate_client_t *client, rate_space_t *space)
+{
+	if (space->active)
+		return;
+	space->active = 1;
+	space->demand_per_s = 0;
+	DL_APPEND(client->active, space);
+}
+
+static void
+rate_deactivate(rate_client_t *client, rate_space_t *space)
+{
+	if (!space->active)
+		return;
+	space->active = 0;
+	DL_DELETE(client->active, space);
+}
+
 static void
 rate_space_free(rate_client_t *client, rate_space_t *space)
 {
+	rate_deactivate(client, space);
 	HASH_DEL(client->spaces, space);
 	while (space->batches != NULL)
 		rate_batch_free(space, space->batches);
@@ -254,6 +284,7 @@
 	return (0);
 }
 
+/* Collects changed totals; what does not fit goes with the next message. */
 static size_t
 rate_fill_reports(rate_space_t *space, node_id_t leader,
     Tm__RateReport *reports, Tm__RateReport **list)
@@ -263,8 +294,10 @@
 	size_t count = 0;
 
 	DL_FOREACH_SAFE(space->batches, batch, next) {
-		if (!batch->dirty || count == RATE_REPORTS_MAX)
+		if (!batch->dirty)
 			continue;
+		if (count == RATE_REPORTS_MAX)
+			return (count);
 		if (batch->leader == leader) {
 			tm__rate_report__init(&reports[count]);
 			reports[count].grant = batch->grant;
@@ -281,6 +314,15 @@
 	return (count);
 }
 
+static int64_t
+rate_get_report_ms(const rate_space_t *space)
+{
+	double share_ms =
+	    space->burst * RATE_REPORT_SHARE / space->rate_per_s * 1000;
+
+	return (share_ms < RATE_REPORT_MS ? (int64_t)share_ms : RATE_REPORT_MS);
+}
+
 static uint32_t
 rate_get_prefetch(const rate_space_t *space)
 {
@@ -323,6 +365,24 @@
 	    client->options.ctx, leader, MSG_RATE_NEED, &msg.base);
 }
 
+/* Sends reports alone; an answer that is due stays due. */
+static void
+rate_send_reports(rate_client_t *client, rate_space_t *space, node_id_t leader,
+    int64_t now_ms)
+{
+	Tm__RateReport reports[RATE_REPORTS_MAX];
+	Tm__RateReport *list[RATE_REPORTS_MAX];
+	Tm__RateNeed msg = TM__RATE_NEED__INIT;
+
+	msg.workspace = space->workspace;
+	msg.incarnation = client->options.incarnation;
+	msg.sent_ms = now_ms;
+	msg.n_reports = rate_fill_reports(space, leader, reports, list);
+	msg.reports = list;
+	client->options.send(
+	    client->options.ctx, leader, MSG_RATE_NEED, &msg.base);
+}
+
 static void
 rate_ask(rate_client_t *client, rate_space_t *space, int64_t now_ms)
 {
@@ -385,6 +445,7 @@
 	if (client->options.baseline)
 		return (rate_acquire_divided(
 		    client, space, now_ms, retry_after_ms));
+	rate_activate(client, space);
 	space->demand_count++;
 	if (space->pending == NULL && rate_spend(client, space, now_ms)) {
 		if (space->stock * 2 < rate_get_prefetch(space))
@@ -398,8 +459,10 @@
 	if (rate_add_pending(space, request, deadline_ms, now_ms) != TM_OK)
 		return (RATE_UNAVAILABLE);
 	/* An answer on prefetch alone must not delay a waiting request. */
-	if (space->asked_count == 0)
+	if (space->asked != NODE_ID_NONE && space->asked_count == 0) {
 		space->asked = NODE_ID_NONE;
+		space->next_ask_ms = 0;
+	}
 	rate_ask(client, space, now_ms);
 	return (RATE_PENDING);
 }
@@ -466,8 +529,12 @@
 	uint32_t asked = space->asked_count;
 	uint32_t before = space->pending_count;
 
+	rate_activate(client, space);
 	rate_add_batch(space, from, msg);
 	rate_serve_pending(client, space, now_ms);
+	if (space->dirty_ms != 0 && space->pending == NULL &&
+	    rate_get_report_ms(space) < RATE_REPORT_MS / 2)
+		rate_send_reports(client, space, from, now_ms);
 	if (!current)
 		return;
 	before -= space->pending_count < before ? space->pending_count : before;
@@ -568,18 +635,29 @@
 	if (space->pending != NULL)
 		rate_ask(client, space, now_ms);
 	else if (space->dirty_ms != 0 &&
-	    now_ms - space->dirty_ms >= RATE_REPORT_MS)
+	    now_ms - space->dirty_ms >= rate_get_report_ms(space))
 		rate_send_need(client, space, 0, now_ms);
 }
 
+static int
+rate_is_idle(const rate_space_t *space)
+{
+	return (space->batches == NULL && space->pending == NULL &&
+	    space->asked == NODE_ID_NONE && space->demand_count == 0 &&
+	    space->demand_per_s < RATE_DEMAND_IDLE);
+}
+
 void
 rate_client_tick(rate_client_t *client, int64_t now_ms)
 {
 	rate_space_t *space;
 	rate_space_t *next;
 
-	HASH_ITER(hh, client->spaces, space, next)
+	DL_FOREACH_SAFE(client->active, space, next) {
 		rate_tick_space(client, space, now_ms);
+		if (rate_is_idle(space))
+			rate_deactivate(client, space);
+	}
 }
 
 static int
