Let load reports count for one service time; smooth the water level

Cause: X-Tm-Load counted for 200 ms, so that 44 VMs chose the same target by the same old report and others were idle.

--- a/src/queue/fair_queue.h
+++ b/src/queue/fair_queue.h
@@ -58,7 +58,8 @@
 /**
  * Sets the time that a request needs after its release. A waiting request
  * whose remaining time is shorter counts as expired, because running it would
- * only waste a slot.
+ * only waste a slot. Half of the profile's deadline keeps a workspace that is
+ * far above its share from running only requests that end too late.
  */
 void fair_queue_set_reserve(fair_queue_t *queue, int64_t reserve_ms);
 
--- a/src/route/balancer.c
+++ b/src/route/balancer.c
@@ -5,8 +5,11 @@
 #include <xxhash.h>
 
 #define BALANCER_CAP_PERCENT 80
-/* X-Tm-Load says little about the present after this time. */
-#define BALANCER_LOAD_MS 200
+/*
+ * X-Tm-Load counts for about one service time. Many VMs that act on the same
+ * older report all choose the same target.
+ */
+#define BALANCER_LOAD_MS 20
 /* Baseline: errors in a row before ejection, and its length. */
 #define BALANCER_BASELINE_ERRORS 5
 #define BALANCER_BASELINE_MS	 10000
--- a/src/route/retry_budget.c
+++ b/src/route/retry_budget.c
@@ -53,17 +53,6 @@
 	budget->typical_ms += BUDGET_WEIGHT * (value - budget->typical_ms);
 }
 
-int64_t
-retry_budget_get_reserve_ms(const retry_budget_t *budget, int64_t deadline_ms)
-{
-	double need_ms =
-	    budget->typical_ms + BUDGET_DEVIATIONS * budget->spread_ms;
-
-	if (need_ms > (double)deadline_ms / 2)
-		return (deadline_ms / 2);
-	return ((int64_t)need_ms);
-}
-
 int64_t
 retry_budget_get_hedge_delay_ms(
     const retry_budget_t *budget, int64_t remaining_ms)
--- a/src/route/retry_budget.h
+++ b/src/route/retry_budget.h
@@ -38,15 +38,6 @@
 /** Records the latency of a good response, for the hedging delay. */
 void retry_budget_record(retry_budget_t *budget, int64_t latency_ms);
 
-/**
- * Time that a request needs once it is released, for
- * fair_queue_set_reserve().
- *
- * @param deadline_ms  profile's deadline; the result is at most half of it
- */
-int64_t retry_budget_get_reserve_ms(
-    const retry_budget_t *budget, int64_t deadline_ms);
-
 /**
  * Age at which a repeatable request may be hedged.
  *
--- a/src/service/service_table.c
+++ b/src/service/service_table.c
@@ -14,6 +14,8 @@
  * A request that runs for a VM is partly on the network or in the target's
  * queue, so that shares of exactly the slots would leave targets idle.
  */
+/* Weight of a new level, every 100 ms: smoothed over half a second. */
+#define SHARES_WEIGHT	  0.2
 #define SHARES_OVERCOMMIT 3.0
 
 /* Message with its parts in one allocation. */
@@ -283,9 +285,22 @@
 	total->demand += entry->demand;
 }
 
+/*
+ * Reports lag by up to 200 ms. Following them at once makes the large
+ * workspaces' share and the others' queues swing against each other.
+ */
+static void
+shares_set_level(service_leader_t *leader, double former, double level)
+{
+	leader->level = level;
+	if (former >= 0 && level >= 0)
+		leader->level = former + SHARES_WEIGHT * (level - former);
+}
+
 void
 leader_shares_compute(service_leader_t *leader, int64_t now_ms)
 {
+	double former = leader->level;
 	const leader_vm_t *vm;
 	leader_total_t *total;
 	double *demands;
@@ -304,8 +319,8 @@
 		return;
 	for (total = leader->demand; total != NULL; total = total->hh.next)
 		demands[count++] = total->demand;
-	leader->level =
-	    service_share_get_level(demands, count, shares_get_slots(leader));
+	shares_set_level(leader, former,
+	    service_share_get_level(demands, count, shares_get_slots(leader)));
 	free(demands);
 }
 
--- a/test/scenario/service_sim.h
+++ b/test/scenario/service_sim.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 extern "C" {
+#include "base/log.h"
 #include "base/node_defs.h"
 #include "base/rng.h"
 #include "queue/fair_queue.h"
