--- a/src/service/service_table.c
+++ b/src/service/service_table.c
@@ -16,7 +16,7 @@
  */
 /* Weight of a new level, every 100 ms: smoothed over half a second. */
 #define SHARES_WEIGHT	  0.2
-#define SHARES_OVERCOMMIT 3.0
+#define SHARES_OVERCOMMIT 4.0
 
 /* Message with its parts in one allocation. */
 typedef struct table_message {
