Keep all data centres that avoid a target when a view passes on the table

Cause: a view relayed only its own data centre's entry, so that a view of another data centre that got the table through it lost its own. Also: retired endpoints are linked instead of kept in a bounded array, X-Tm-Load cannot raise the slots above the announced ones, and the model is split into two files.

--- a/src/service/service_view.c
+++ b/src/service/service_view.c
@@ -420,7 +420,8 @@
 	    ? running + queued - endpoint->in_flight
 	    : 0;
 	endpoint->load_at_ms = now_ms;
-	if (slots > 0)
+	/* A target may only claim less than it announced. */
+	if (slots > 0 && slots <= endpoint->state->slots)
 		endpoint->slots = slots;
 }
 
--- a/src/service/service_view_internal.h
+++ b/src/service/service_view_internal.h
@@ -21,7 +21,11 @@
 	int retired; /* out of the table; freed when nothing is in flight */
 	int64_t cold_started_ms;
 	double badness; /* severity by the table or by this VM */
-	int avoid_dc; /* the table says so for this data centre */
+	uint32_t slots; /* as announced */
+	uint32_t avoid_count;
+	uint32_t avoid_dcs[SERVICE_AVOID_MAX]; /* by the table */
+	int avoid_dc; /* this data centre is one of them */
+	service_endpoint_t *next_retired;
 	/* Local judgement */
 	service_window_t window;
 	int avoided; /* by this VM's own judgement */
@@ -78,8 +82,7 @@
 	uint64_t generation;
 	uint32_t count;
 	service_endpoint_t *endpoints[SERVICE_TARGETS_MAX];
-	uint32_t retired_count;
-	service_endpoint_t *retired[SERVICE_TARGETS_MAX];
+	service_endpoint_t *retired;
 	double typical_ms; /* of the peers, by the leader */
 	uint32_t vm_count;
 	int64_t acked_ms; /* last answer of the leader */
--- a/src/service/service_view_table.c
+++ b/src/service/service_view_table.c
@@ -58,8 +58,14 @@
 	state->cold_started_ms = now_ms - row->cold_age_ms;
 	if (!state->avoided)
 		state->badness = row->badness;
+	state->slots = row->slots;
 	state->avoid_dc = 0;
+	state->avoid_count = 0;
 	for (i = 0; i < row->n_avoid_data_centres; i++) {
+		if (i == SERVICE_AVOID_MAX)
+			break;
+		state->avoid_dcs[state->avoid_count++] =
+		    row->avoid_data_centres[i];
 		if (row->avoid_data_centres[i] == view->opt.data_centre)
 			state->avoid_dc = 1;
 	}
@@ -70,25 +76,24 @@
 {
 	endpoint->usable = 0;
 	endpoint->state->retired = 1;
-	/* Beyond the bound the record leaks rather than dangles; with 256
-	 * retired targets still running requests this is not reached. */
-	if (view->retired_count < SERVICE_TARGETS_MAX)
-		view->retired[view->retired_count++] = endpoint;
+	endpoint->state->next_retired = view->retired;
+	view->retired = endpoint;
 }
 
 void
 view_free_retired(service_view_t *view)
 {
-	uint32_t i;
+	service_endpoint_t **link = &view->retired;
+	service_endpoint_t *endpoint;
 
-	for (i = 0; i < view->retired_count;) {
-		if (view->retired[i]->in_flight > 0) {
-			i++;
+	while ((endpoint = *link) != NULL) {
+		if (endpoint->in_flight > 0) {
+			link = &endpoint->state->next_retired;
 			continue;
 		}
-		free(view->retired[i]->state);
-		free(view->retired[i]);
-		view->retired[i] = view->retired[--view->retired_count];
+		*link = endpoint->state->next_retired;
+		free(endpoint->state);
+		free(endpoint);
 	}
 }
 
@@ -180,10 +185,10 @@
 }
 
 static void
-table_fill_row(ServiceTableTarget *row, uint32_t *avoid,
-    const service_view_t *view, service_endpoint_t *endpoint, int64_t now_ms)
+table_fill_row(
+    ServiceTableTarget *row, service_endpoint_t *endpoint, int64_t now_ms)
 {
-	const service_endpoint_state_t *state = endpoint->state;
+	service_endpoint_state_t *state = endpoint->state;
 	int64_t age_ms = now_ms - state->cold_started_ms;
 
 	service_table_target__init(row);
@@ -197,11 +202,8 @@
 	row->cold_age_ms =
 	    (uint32_t)(age_ms < VIEW_COLD_MS ? age_ms : VIEW_COLD_MS);
 	row->badness = state->badness;
-	if (!state->avoid_dc)
-		return;
-	avoid[0] = view->opt.data_centre;
-	row->avoid_data_centres = avoid;
-	row->n_avoid_data_centres = 1;
+	row->avoid_data_centres = state->avoid_dcs;
+	row->n_avoid_data_centres = state->avoid_count;
 }
 
 void
@@ -211,7 +213,6 @@
 	ServiceTableTarget *rows = calloc(view->count + 1, sizeof(*rows));
 	ServiceTableTarget **ptrs =
 	    calloc(view->count + 1, sizeof(ServiceTableTarget *));
-	uint32_t *avoid = calloc(view->count + 1, sizeof(*avoid));
 	ServiceBlocked blocked[SERVICE_BLOCKED_MAX];
 	ServiceBlocked *blocked_ptrs[SERVICE_BLOCKED_MAX];
 	uint32_t i;
@@ -221,9 +222,8 @@
 	msg.sequence = view->sequence;
 	msg.targets = ptrs;
 	msg.blocked = blocked_ptrs;
-	for (i = 0; rows && ptrs && avoid && i < view->count; i++) {
-		table_fill_row(
-		    &rows[i], &avoid[i], view, view->endpoints[i], now_ms);
+	for (i = 0; rows && ptrs && i < view->count; i++) {
+		table_fill_row(&rows[i], view->endpoints[i], now_ms);
 		ptrs[msg.n_targets++] = &rows[i];
 	}
 	for (i = 0; i < view->blocked_count; i++) {
@@ -239,7 +239,6 @@
 		view->opt.send(view->opt.ctx, to, MSG_SERVICE_TABLE, &msg.base);
 	free(rows);
 	free(ptrs);
-	free(avoid);
 }
 
 void
--- a/test/scenario/service_sim.cc
+++ b/test/scenario/service_sim.cc
@@ -1,48 +1,12 @@
-#include "service_sim.h"
+#include "service_sim_internal.h"
 
 #include <algorithm>
 #include <cmath>
-#include <cstring>
 
-static const char *const kService = "atlas";
 static const char *const kFaults[] = { "none", "slow5", "slow20", "errors",
 	"wrong", "stall", "flapping", "lying", "coldslow", "shedding" };
 enum { EV_REACH, EV_RUN_END, EV_ANSWER, EV_DEADLINE };
 
-struct SimRequest {
-	fair_item_t item{};
-	service_attempt_t attempt{};
-	SimVm *vm = nullptr;
-	int workspace = 0;
-	int64_t arrived_ms = 0;
-	uint64_t tried[BALANCER_TRIED_MAX];
-	uint32_t tried_count = 0;
-	int target = -1;
-	uint64_t incarnation = 0; // of the attempt's target
-	uint32_t serial = 0; // of the attempt
-	service_outcome_t outcome = SERVICE_OUTCOME_OK;
-	bool crashes = false;
-	bool at_target = false;
-	bool done = false; // answered or given up at the VM
-	int pending = 0; // events that still refer to the request
-};
-
-struct SimVm {
-	ServiceSim *sim;
-	int index;
-	node_id_t id;
-	uint32_t dc;
-	void *port;
-	bool alive = true;
-	service_view_t *view = nullptr;
-	service_leader_t *leader = nullptr;
-	balancer_t balancer;
-	retry_budget_t budget;
-	fair_queue_t *queue;
-	rng_t rng;
-	uint32_t avoided = 0;
-};
-
 const char *
 faultName(Fault fault)
 {
@@ -58,112 +22,6 @@
 	abort();
 }
 
-static void
-simSend(void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg)
-{
-	fakenet_send(((SimVm *)ctx)->port, to, type, msg);
-}
-
-static void
-simProfile(void *ctx, service_profile_t *out)
-{
-	const SimConfig &cfg = ((SimVm *)ctx)->sim->cfg;
-
-	*out = cfg.profile;
-	if (cfg.baseline)
-		out->floor_percent = 100;
-}
-
-static node_id_t
-simLeader(void *ctx)
-{
-	ServiceSim *sim = ((SimVm *)ctx)->sim;
-
-	if (sim->now() < sim->leader_from_ms)
-		return NODE_ID_NONE;
-	return sim->vms[sim->leader]->id;
-}
-
-static node_id_t
-simPeer(void *ctx)
-{
-	SimVm *vm = (SimVm *)ctx;
-	size_t count = vm->sim->vms.size();
-
-	if (count < 2)
-		return NODE_ID_NONE;
-	size_t skip = 1 + rng_below(&vm->rng, count - 1);
-	return vm->sim->vms[(vm->index + skip) % count]->id;
-}
-
-static uint64_t
-simTerm(void *ctx)
-{
-	SimVm *vm = (SimVm *)ctx;
-
-	if (vm->sim->leader != vm->index ||
-	    vm->sim->now() < vm->sim->leader_from_ms)
-		return 0;
-	return vm->sim->term;
-}
-
-static std::vector<uint8_t> *simStore(ServiceSim *sim);
-
-static void
-simSave(void *ctx, const uint8_t *table, size_t len)
-{
-	simStore(((SimVm *)ctx)->sim)->assign(table, table + len);
-}
-
-static const uint8_t *
-simRestore(void *ctx, size_t *len)
-{
-	auto *store = simStore(((SimVm *)ctx)->sim);
-
-	*len = store->size();
-	return store->empty() ? nullptr : store->data();
-}
-
-static void
-simReceive(void *node, node_id_t from, uint16_t type, const uint8_t *payload,
-    size_t len, int64_t now_ms)
-{
-	SimVm *vm = (SimVm *)node;
-
-	if (vm->leader != nullptr)
-		service_leader_handle(
-		    vm->leader, from, type, payload, len, now_ms);
-	service_view_handle(vm->view, from, type, payload, len, now_ms);
-}
-
-static void
-simTick(void *node, int64_t now_ms)
-{
-	SimVm *vm = (SimVm *)node;
-	fair_demand_t demand[64];
-	service_demand_t copy[64];
-	uint32_t n = fair_queue_get_waiting(vm->queue) == 0
-	    ? 0
-	    : fair_queue_get_demand(vm->queue, demand, 64);
-
-	for (uint32_t i = 0; i < n; i++)
-		copy[i] = { demand[i].workspace, demand[i].running,
-			demand[i].queued };
-	service_view_set_demand(vm->view, copy, n);
-	for (uint32_t i = 0; i < n && !vm->sim->cfg.baseline; i++)
-		fair_queue_set_share(vm->queue, demand[i].workspace,
-		    service_view_get_share(
-			vm->view, demand[i].workspace, now_ms),
-		    now_ms + 1000);
-	if (vm->leader != nullptr)
-		service_leader_tick(vm->leader, now_ms);
-	service_view_tick(vm->view, now_ms);
-	uint32_t avoided = service_view_get_avoided_count(vm->view);
-	if (avoided > vm->avoided)
-		vm->sim->local_avoidances += avoided - vm->avoided;
-	vm->avoided = avoided;
-}
-
 ServiceSim::ServiceSim(const SimConfig &config)
     : cfg(config), boost(config.weights.size(), 1.0)
 {
@@ -179,19 +37,7 @@
 		rng_init(&vm->rng, cfg.seed * 1000 + i);
 		vm->port =
 		    fakenet_add(net, vm->id, vm.get(), simReceive, simTick);
-		service_view_options_t view = {};
-		view.service = kService;
-		view.self = vm->id;
-		view.data_centre = vm->dc;
-		view.ctx = vm.get();
-		view.send = simSend;
-		view.get_leader = simLeader;
-		view.get_peer = simPeer;
-		view.get_profile = simProfile;
-		view.seed = cfg.seed + i;
-		view.test_off = cfg.view_off |
-		    (cfg.baseline ? (uint32_t)SERVICE_VIEW_OFF_LOCAL : 0);
-		vm->view = service_view_create(&view);
+		simInit(*vm);
 		balancer_init(&vm->balancer,
 		    cfg.baseline ? BALANCER_BASELINE : BALANCER_FLEET, vm->id,
 		    cfg.seed * 77 + i);
@@ -200,19 +46,6 @@
 		vm->queue = fair_queue_create(1000000);
 		vms.push_back(std::move(vm));
 	}
-	for (int i = 0; i < 5 && i < cfg.vms; i++) {
-		service_leader_options_t options = {};
-		options.service = kService;
-		options.ctx = vms[i].get();
-		options.send = simSend;
-		options.get_term = simTerm;
-		options.get_profile = simProfile;
-		options.save_table = simSave;
-		options.restore_table = simRestore;
-		options.seed = cfg.seed;
-		options.test_off = cfg.leader_off;
-		vms[i]->leader = service_leader_create(&options);
-	}
 	targets.resize(cfg.targets);
 	for (int i = 0; i < cfg.targets; i++) {
 		targets[i].name = "t" + std::to_string(i);
@@ -245,12 +78,6 @@
 	fakenet_destroy(net);
 }
 
-static std::vector<uint8_t> *
-simStore(ServiceSim *sim)
-{
-	return &sim->store;
-}
-
 int64_t
 ServiceSim::now() const
 {
@@ -664,106 +491,3 @@
 	schedule(now() + cfg.deadline_ms, EV_DEADLINE, request);
 	pump(vm);
 }
-
-static const service_endpoint_t *
-simFind(const SimVm &vm, const std::string &name)
-{
-	uint32_t count;
-	auto *const *list = service_view_get_endpoints(vm.view, &count);
-
-	for (uint32_t i = 0; i < count; i++)
-		if (name == list[i]->target)
-			return list[i];
-	return nullptr;
-}
-
-int
-ServiceSim::usableCount(int target) const
-{
-	int count = 0;
-
-	for (auto &vm : vms) {
-		auto *endpoint = simFind(*vm, targets[target].name);
-		if (!vm->alive || endpoint == nullptr)
-			continue;
-		count += endpoint->usable &&
-		    (!cfg.baseline || now() >= endpoint->baseline_until_ms);
-	}
-	return count;
-}
-
-bool
-ServiceSim::allAvoid(int target) const
-{
-	return usableCount(target) == 0;
-}
-
-int
-ServiceSim::usableIn(int vm) const
-{
-	uint32_t count;
-	auto *const *list = service_view_get_endpoints(vms[vm]->view, &count);
-	int usable = 0;
-
-	for (uint32_t i = 0; i < count; i++)
-		usable += list[i]->usable;
-	return usable;
-}
-
-std::string
-ServiceSim::describe(int target) const
-{
-	auto *endpoint = simFind(*vms[leader], targets[target].name);
-	int alive = 0;
-	char text[128];
-
-	for (auto &vm : vms)
-		alive += vm->alive;
-	snprintf(text, sizeof(text), "%s usable at %d of %d VMs, port %d",
-	    targets[target].name.c_str(), usableCount(target), alive,
-	    endpoint != nullptr ? endpoint->port : 0);
-	return text;
-}
-
-uint64_t
-ServiceSim::ejections() const
-{
-	uint64_t sum = 0;
-
-	for (auto &vm : vms)
-		if (vm->leader != nullptr)
-			sum += service_leader_get_stats(vm->leader)->ejections;
-	return sum;
-}
-
-uint64_t
-ServiceSim::avoidances() const
-{
-	return local_avoidances;
-}
-
-bool
-ServiceSim::floorHolds() const
-{
-	uint32_t count;
-	int left = 0;
-
-	for (auto &target : targets)
-		left += target.leaving;
-	for (auto &vm : vms) {
-		service_view_get_endpoints(vm->view, &count);
-		int floor =
-		    ((int)(cfg.profile.floor_percent * count) + 99) / 100;
-		if (vm->alive && count > 0 &&
-		    usableIn(vm->index) < std::min(floor, (int)count - left))
-			return false;
-	}
-	return true;
-}
-
-void
-ServiceSim::inject(int vm, uint16_t type, const uint8_t *bytes, size_t len)
-{
-	simReceive(
-	    vms[vm].get(), vms[0]->id, type, bytes, len, fakenet_now_ms(net));
-}
