--- a/test/scenario/service_sim.cc
+++ b/test/scenario/service_sim.cc
@@ -64,6 +64,8 @@
 		left.insert(events_.top().request);
 		events_.pop();
 	}
+	for (auto &target : targets)
+		left.insert(target.waiting.begin(), target.waiting.end());
 	for (auto *request : left) {
 		if (request->attempt.endpoint != nullptr)
 			service_view_finish(request->vm->view,
