Make the first shard groups once joins have settled

In a trial with 6 entry nodes over the real message layer the 64 groups were assigned to the first 5 nodes, before the sixth had joined. The leader now waits until no node joined for 1 s, at most 5 s.

--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -26,6 +26,9 @@
 struct placement {
 	placement_beat_t *beats;
 	int64_t start_ms;
+	uint64_t directory_index; /* as of the last plan */
+	int64_t directory_ms; /* when it changed last */
+	int64_t first_ms; /* when it was first seen with a node */
 	placement_shard_t shards[CONFIG_SHARDS];
 };
 
@@ -72,6 +75,9 @@
 	placement_clear(placement);
 	memset(placement->shards, 0, sizeof(placement->shards));
 	placement->start_ms = now_ms;
+	placement->directory_index = 0;
+	placement->directory_ms = now_ms;
+	placement->first_ms = now_ms;
 }
 
 static placement_beat_t *
@@ -253,9 +259,13 @@
 placement_plan_first(
     const placement_view_t *view, uint32_t shard, config_group_t *group)
 {
-	int64_t waited = view->now_ms - view->placement->start_ms;
-	int found = placement_fill(view, shard, group);
+	int64_t waited = view->now_ms - view->placement->first_ms;
+	int64_t quiet = view->now_ms - view->placement->directory_ms;
+	int found;
 
+	if (quiet < PLACEMENT_QUIET_MS && waited < PLACEMENT_FIRST_WAIT_MS)
+		return (0);
+	found = placement_fill(view, shard, group);
 	return (found == CONFIG_HOLDERS ||
 	    (found >= PLACEMENT_MIN_HOLDERS &&
 		waited >= PLACEMENT_FIRST_WAIT_MS));
@@ -438,6 +448,20 @@
 	    placement_plan_spread(view, shard, group));
 }
 
+static void
+placement_note_directory(
+    placement_t *placement, const config_state_t *state, int64_t now_ms)
+{
+	uint64_t index = config_state_get_directory_index(state);
+
+	if (index == placement->directory_index)
+		return;
+	if (placement->directory_index == 0)
+		placement->first_ms = now_ms;
+	placement->directory_index = index;
+	placement->directory_ms = now_ms;
+}
+
 size_t
 placement_plan(placement_t *placement, const config_state_t *state,
     int64_t now_ms, placement_change_t *out)
@@ -450,6 +474,7 @@
 	uint32_t shard;
 	size_t n = 0;
 
+	placement_note_directory(placement, state, now_ms);
 	view.nodes = config_state_get_nodes(state, &view.count);
 	view.data_centres = placement_count_data_centres(&view);
 	for (shard = 0; shard < CONFIG_SHARDS; shard++) {
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -23,6 +23,11 @@
 #define PLACEMENT_APPLY_MS 300
 /** A holder replaced within this time counts as not ready unless it says so. */
 #define PLACEMENT_UNREADY_MS 5000
+/**
+ * The first groups are made once no node joined for this time, so that they
+ * are spread over the whole fleet and not over the nodes that started first.
+ */
+#define PLACEMENT_QUIET_MS 1000
 /** A first group is made with fewer than CONFIG_HOLDERS nodes after this. */
 #define PLACEMENT_FIRST_WAIT_MS 5000
 /** Fewest holders of a first group, so that it has a quorum. */
--- a/test/unit/placement_test.cc
+++ b/test/unit/placement_test.cc
@@ -22,6 +22,8 @@
 		for (int i = 0; i < nodes; i++)
 			Join("n" + std::to_string(i), 1,
 			    "dc-" + std::to_string(i % data_centres));
+		EXPECT_EQ(Plan(), 0u);
+		Advance(PLACEMENT_QUIET_MS);
 		Plan();
 	}
 
