--- a/src/entry/entry_service.c
+++ b/src/entry/entry_service.c
@@ -300,9 +300,8 @@
 	fair_queue_set_limit(
 	    service->queue, limit > LIMIT_MIN ? limit : LIMIT_MIN);
 	if (profile != NULL)
-		fair_queue_set_reserve(service->queue,
-		    retry_budget_get_reserve_ms(
-			&service->budget, profile->deadline_ms));
+		fair_queue_set_reserve(
+		    service->queue, profile->deadline_ms / 2);
 }
 
 void
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -107,6 +107,18 @@
 	return (0);
 }
 
+/* The request id goes to the target. */
+static int
+id_has_secret(const frontend_check_t *check)
+{
+	keyguard_text_t secret = check->options.key.secret;
+
+	if (secret.base == NULL)
+		return (0);
+	return (memmem(check->id, strlen(check->id), secret.base, secret.len) !=
+	    NULL);
+}
+
 static int
 check_found_key(frontend_check_t *check)
 {
@@ -118,9 +130,7 @@
 	if (config == NULL || config->withdrawn ||
 	    !config_key_matches(config, key->secret.base, key->secret.len))
 		return (REFUSAL_KEY_UNKNOWN + 1);
-	if (check->options.id != NULL &&
-	    memmem(check->id, strlen(check->id), key->secret.base,
-		key->secret.len) != NULL)
+	if (id_has_secret(check))
 		return (REFUSAL_KEY_EXPOSED + 1);
 	check->options.workspace =
 	    entry_find_workspace(check->entry, config->workspace);
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -67,11 +67,14 @@
 		.latency_us = latency_us,
 	};
 
-	memcpy(record.request_id, request->id, sizeof(record.request_id));
-	memcpy(record.workspace, request->workspace->name,
-	    sizeof(record.workspace));
-	memcpy(record.service, request->service->name, sizeof(record.service));
-	memcpy(record.target, request->last_target, sizeof(record.target));
+	snprintf(
+	    record.request_id, sizeof(record.request_id), "%s", request->id);
+	snprintf(record.workspace, sizeof(record.workspace), "%s",
+	    request->workspace->name);
+	snprintf(record.service, sizeof(record.service), "%s",
+	    request->service->name);
+	snprintf(
+	    record.target, sizeof(record.target), "%s", request->last_target);
 	trace_add(request->entry->trace, &record);
 	metric_record_us(request->workspace->latency, latency_us);
 }
@@ -531,9 +534,9 @@
 
 void
 request_on_token(
-    void *ctx, void *opaque, rate_result_t result, int64_t retry_after_ms)
+    void *ctx, void *waiting, rate_result_t result, int64_t retry_after_ms)
 {
-	entry_request_t *request = opaque;
+	entry_request_t *request = waiting;
 
 	(void)ctx;
 	switch (result) {
@@ -590,10 +593,10 @@
 }
 
 void
-request_on_claim(void *ctx, claim_call_t call, void *opaque,
+request_on_claim(void *ctx, claim_call_t call, void *waiting,
     claim_result_t result, const uint8_t *answer, size_t len)
 {
-	entry_request_t *request = opaque;
+	entry_request_t *request = waiting;
 
 	(void)ctx;
 	(void)call;
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -91,12 +91,12 @@
 void request_expire(entry_request_t *request);
 
 /** claim_result_cb; ctx is the entry_t. */
-void request_on_claim(void *ctx, claim_call_t call, void *request,
+void request_on_claim(void *ctx, claim_call_t call, void *waiting,
     claim_result_t result, const uint8_t *answer, size_t len);
 
 /** rate_result_cb; ctx is the entry_t. */
 void request_on_token(
-    void *ctx, void *request, rate_result_t result, int64_t retry_after_ms);
+    void *ctx, void *waiting, rate_result_t result, int64_t retry_after_ms);
 
 /** Checks deadlines, hedging delays and callers that went away. */
 void request_tick_all(entry_t *entry, int64_t now_ms);
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -74,7 +74,7 @@
  * @return 0, TM_EINVAL for a bad address, TM_ENOMEM
  */
 int peer_net_set_address(
-    peer_net_t *net, node_id_t node, const char *ip, uint16_t port);
+    peer_net_t *net, node_id_t id, const char *ip, uint16_t port);
 
 /** Forgets a node and closes its connection. */
 void peer_net_remove(peer_net_t *net, node_id_t id);
