--- a/src/entry/entry_sync.c
+++ b/src/entry/entry_sync.c
@@ -238,8 +238,8 @@
 		for (i = 0; i < count; i++)
 			visit(entry, page[i]->name);
 		if (count > 0)
-			snprintf(after, sizeof(after), "%s",
-			    page[count - 1]->name);
+			snprintf(
+			    after, sizeof(after), "%s", page[count - 1]->name);
 	} while (count == LIST_PAGE);
 }
 
