--- a/src/service/service_leader.h
+++ b/src/service/service_leader.h
@@ -5,6 +5,8 @@
  * shares and fingerprints of requests that crash targets.
  *
  * Every VM may create the object; it acts only while get_term() is not 0.
+ * Messages of this range go to both the leader object and the view of the VM,
+ * and send() must deliver messages of a VM to itself.
  */
 #ifndef TM_SERVICE_LEADER_H
 #define TM_SERVICE_LEADER_H
