--- a/Makefile
+++ b/Makefile
@@ -108,6 +108,7 @@
 lint: $(LINT_STAMPS)
 	cppcheck --quiet --error-exitcode=1 --std=c11 -Isrc \
 		--enable=warning,portability --inline-suppr \
+		--include=scripts/cppcheck_macros.h \
 		--suppress=missingIncludeSystem --suppress=*:*.pb-c.h \
 		-j 4 $(LINT_SRCS)
 
