route: keep the connection limit per target; check that responses belong to their requests

Cause: the balancer sized the subset by connections per VM, but nothing kept a VM from opening more, and the pool kept 32 idle connections to each target: 44 VMs could hold 1,408 connections to a target with a cap of 350. A subset that was ejected as a whole left a VM without a target. Ruled out: closing connections at the cap in the pool, because the request then has already spent its token. A response with another X-Request-Id, or with a Content-Digest that does not match, now counts as wrong and does not reach the caller.

--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -55,6 +55,7 @@
 	metric_t *retries;
 	metric_t *hedges;
 	metric_t *sheds;
+	metric_t *wrong; /**< responses of another request, or altered */
 	UT_hash_handle hh;
 	UT_hash_handle hh_id;
 } entry_service_t;
--- a/src/entry/entry_service.c
+++ b/src/entry/entry_service.c
@@ -12,10 +12,16 @@
 #define LIMIT_MIN 4
 /* Twice the VM's part of the capacity, because callers spread unevenly over
  * the VMs and a running request is partly on the network. */
-#define LIMIT_FACTOR	 2
-#define BASELINE_LIMIT	 1000000
-#define TABLE_KEY_MAX	 (NAME_MAX_BYTES + 16)
-#define CONNECTIONS_EACH 9
+#define LIMIT_FACTOR   2
+#define BASELINE_LIMIT 1000000
+#define TABLE_KEY_MAX  (NAME_MAX_BYTES + 16)
+/*
+ * Connections of this VM to one target: its part of 80 % of the target's cap,
+ * within these bounds.
+ */
+#define CONNECTIONS_MIN	    4
+#define CONNECTIONS_MAX	    64
+#define CONNECTIONS_PERCENT 80
 
 entry_service_t *
 entry_service_find(entry_t *entry, const char *name)
@@ -184,6 +190,8 @@
 	    metrics, "tm_entry_retries_total", labels, METRIC_COUNTER);
 	service->hedges = metrics_get(
 	    metrics, "tm_entry_hedges_total", labels, METRIC_COUNTER);
+	service->wrong = metrics_get(
+	    metrics, "tm_entry_wrong_responses_total", labels, METRIC_COUNTER);
 	service->sheds = metrics_get(
 	    metrics, "tm_entry_sheds_total", labels, METRIC_COUNTER);
 }
@@ -280,6 +288,34 @@
 	}
 }
 
+static uint32_t
+service_count_usable(service_endpoint_t *const *endpoints, uint32_t count)
+{
+	uint32_t usable = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		usable += endpoints[i]->usable != 0;
+	return (usable);
+}
+
+static uint32_t
+service_get_connections_each(
+    service_endpoint_t *const *endpoints, uint32_t count, uint32_t vms)
+{
+	uint32_t each = CONNECTIONS_MAX;
+	uint32_t part;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		part = endpoints[i]->connection_cap * CONNECTIONS_PERCENT /
+		    (100 * vms);
+		if (part < each)
+			each = part;
+	}
+	return (each > CONNECTIONS_MIN ? each : CONNECTIONS_MIN);
+}
+
 static void
 service_update_limits(entry_service_t *service)
 {
@@ -288,10 +324,12 @@
 	uint32_t vms = service_view_get_vm_count(service->view);
 	uint32_t limit;
 	uint32_t count;
+	uint32_t each;
 
 	endpoints = service_view_get_endpoints(service->view, &count);
-	balancer_update_subset(&service->balancer, endpoints, count, vms,
-	    CONNECTIONS_EACH, service_view_get_generation(service->view));
+	each = service_get_connections_each(endpoints, count, vms);
+	balancer_update_subset(&service->balancer, endpoints, count, vms, each,
+	    service_view_get_generation(service->view));
 	if (service->balancer.mode == BALANCER_BASELINE) {
 		fair_queue_set_limit(service->queue, BASELINE_LIMIT);
 		return;
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "entry/trace.h"
+#include "entry/verify.h"
 
 /* Interval of the check that a caller still waits. */
 #define ABANDON_CHECK_MS 100
@@ -445,6 +446,13 @@
 
 	attempt->call = NULL;
 	request->target_ns += clock_now_ns() - attempt->started_ns;
+	if (response != NULL &&
+	    verify_response(response, request->id, request->is_head) !=
+		VERIFY_OK) {
+		metric_add(request->service->wrong, 1);
+		result = UPSTREAM_MALFORMED;
+		response = NULL;
+	}
 	attempt_report(attempt, result, response);
 	if (result == UPSTREAM_COMPLETE)
 		request_handle_complete(request, response);
--- a/src/route/balancer.c
+++ b/src/route/balancer.c
@@ -146,10 +146,21 @@
 	BALANCER_USABLE
 } balancer_need_t;
 
+/* Each attempt in flight has a connection of its own. */
 static int
-balancer_fits(
-    const service_endpoint_t *endpoint, balancer_need_t need, int64_t now_ms)
+balancer_has_connection(
+    const balancer_t *balancer, const service_endpoint_t *endpoint)
 {
+	return (balancer->connections_each == 0 ||
+	    endpoint->in_flight < balancer->connections_each);
+}
+
+static int
+balancer_fits(const balancer_t *balancer, const service_endpoint_t *endpoint,
+    balancer_need_t need, int64_t now_ms)
+{
+	if (!balancer_has_connection(balancer, endpoint))
+		return (0);
 	if (need == BALANCER_FREE_SLOT)
 		return (balancer_has_slot(endpoint, now_ms));
 	if (need == BALANCER_OPEN)
@@ -160,9 +171,8 @@
 static uint32_t
 balancer_collect(balancer_t *balancer, service_endpoint_t *const *endpoints,
     uint32_t count, const uint64_t *tried, uint32_t tried_count,
-    balancer_need_t need, int64_t now_ms, service_endpoint_t **out)
+    balancer_need_t need, int whole, int64_t now_ms, service_endpoint_t **out)
 {
-	int whole = balancer->subset_size == 0;
 	uint32_t size = whole ? count : balancer->subset_size;
 	service_endpoint_t *endpoint;
 	uint32_t found = 0;
@@ -175,7 +185,7 @@
 			continue;
 		endpoint = endpoints[index];
 		if (balancer_was_tried(endpoint, tried, tried_count) ||
-		    !balancer_fits(endpoint, need, now_ms))
+		    !balancer_fits(balancer, endpoint, need, now_ms))
 			continue;
 		out[found++] = endpoint;
 	}
@@ -209,14 +219,17 @@
 	service_endpoint_t *a;
 	service_endpoint_t *b;
 	uint32_t found = 0;
+	int whole = balancer->subset_size == 0;
 	int need;
 
-	for (need = BALANCER_FREE_SLOT; need <= BALANCER_USABLE; need++) {
+	for (need = BALANCER_FREE_SLOT; need <= BALANCER_USABLE && found == 0;
+	     need++)
 		found = balancer_collect(balancer, endpoints, count, tried,
-		    tried_count, (balancer_need_t)need, now_ms, list);
-		if (found > 0)
-			break;
-	}
+		    tried_count, (balancer_need_t)need, whole, now_ms, list);
+	/* All of a small subset can be ejected while other targets are well. */
+	if (found == 0 && !whole)
+		found = balancer_collect(balancer, endpoints, count, tried,
+		    tried_count, BALANCER_USABLE, 1, now_ms, list);
 	if (found == 0)
 		return (NULL);
 	a = balancer_draw(balancer, list, found);
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -49,7 +49,8 @@
     uint32_t connections_each, uint64_t generation);
 
 /**
- * Chooses a target.
+ * Chooses a target. None is chosen that has as many attempts of this VM in
+ * flight as it may have connections.
  *
  * @param tried  ids of targets that this request has tried already
  * @return       endpoint; NULL if no untried target is usable
--- a/test/scenario/service_sim.cc
+++ b/test/scenario/service_sim.cc
@@ -146,7 +146,7 @@
 	if (!cfg.baseline)
 		fair_queue_set_limit(
 		    vm.queue, std::max(4u, 4 * capacity / (uint32_t)cfg.vms));
-	balancer_update_subset(&vm.balancer, list, count, (uint32_t)cfg.vms, 1,
+	balancer_update_subset(&vm.balancer, list, count, (uint32_t)cfg.vms, 7,
 	    service_view_get_generation(vm.view));
 	if (!cfg.baseline)
 		fair_queue_set_reserve(vm.queue, cfg.deadline_ms / 2);
--- a/test/unit/route_test.cc
+++ b/test/unit/route_test.cc
@@ -157,3 +157,35 @@
 	EXPECT_LE(delay, 60);
 	EXPECT_EQ(retry_budget_get_hedge_delay_ms(&budget, 25), -1);
 }
+
+// Guards against more attempts, and so connections, than a target's cap
+// allows, and against a request without target while targets outside a small
+// subset are well.
+TEST(Balancer, KeepsTheConnectionLimitAndLeavesAnEjectedSubset)
+{
+	service_endpoint_t nodes[8] = {};
+	service_endpoint_t *list[8];
+	balancer_t balancer;
+
+	for (int i = 0; i < 8; i++) {
+		nodes[i].id = (uint64_t)i + 1;
+		nodes[i].slots = 6;
+		nodes[i].share = SERVICE_SHARE_FULL;
+		nodes[i].usable = 1;
+		nodes[i].connection_cap = 400;
+		list[i] = &nodes[i];
+	}
+	balancer_init(&balancer, BALANCER_FLEET, 1, 7);
+	balancer_update_subset(&balancer, list, 8, 740, 4, 1);
+	ASSERT_EQ(balancer.subset_size, 2u);
+	for (int i = 0; i < 8; i++) {
+		service_endpoint_t *pick =
+		    balancer_pick(&balancer, list, 8, nullptr, 0, 0);
+		ASSERT_NE(pick, nullptr);
+		ASSERT_LT(pick->in_flight, 4u);
+		pick->in_flight++;
+	}
+	nodes[balancer.subset[0]].usable = 0;
+	nodes[balancer.subset[1]].usable = 0;
+	EXPECT_NE(balancer_pick(&balancer, list, 8, nullptr, 0, 0), nullptr);
+}
