--- a/src/entry/entry_service.c
+++ b/src/entry/entry_service.c
@@ -335,6 +335,9 @@
 		return;
 	}
 	limit = LIMIT_FACTOR * service_view_get_capacity(service->view) / vms;
+	/* More would wait for a connection after they spent a token. */
+	if (limit > each * service_count_usable(endpoints, count))
+		limit = each * service_count_usable(endpoints, count);
 	fair_queue_set_limit(
 	    service->queue, limit > LIMIT_MIN ? limit : LIMIT_MIN);
 	if (profile != NULL)
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -344,9 +344,9 @@
 result_get_outcome(
     upstream_result_t result, const upstream_response_t *response)
 {
-	switch (result) {
-	case UPSTREAM_COMPLETE:
+	if (response != NULL)
 		return (response_get_outcome(response));
+	switch (result) {
 	case UPSTREAM_REFUSED:
 		return (SERVICE_OUTCOME_BROKEN);
 	case UPSTREAM_BROKEN:
@@ -454,7 +454,7 @@
 		response = NULL;
 	}
 	attempt_report(attempt, result, response);
-	if (result == UPSTREAM_COMPLETE)
+	if (response != NULL)
 		request_handle_complete(request, response);
 	else
 		request_handle_failure(request, result);
