net: read into one shared buffer per process

Cause: each connection grew its own input buffer to at least 64 KiB and kept it; 740 peers would hold 47 MB or more (computed, not measured), above the 32 MB that a node may spend for control. Frames that span reads are covered by a new test.

--- a/src/net/peer_conn.c
+++ b/src/net/peer_conn.c
@@ -18,9 +18,9 @@
 /* Bounds what a stranger can make this process hold before it is known. */
 #define HANDSHAKE_FRAME_MAX_BYTES 512
 #define HANDSHAKE_CONNS_MAX	  256
+#define KEEP_BUFFER_MAX_BYTES	  8192
 #define RETRY_MIN_MS		  200
 #define RETRY_MAX_MS		  5000
-#define READ_CHUNK_BYTES	  65536
 /* The kernel reports a peer that stops acknowledging after this time. */
 #define UNACKED_TIMEOUT_MS 5000
 
@@ -187,6 +187,14 @@
 	    peer_conn_put_message(conn, conn->tx, MSG_PEER_AUTH, &auth.base));
 }
 
+/* Frees an empty buffer that grew large. */
+static void
+peer_conn_trim(buffer_t *buffer)
+{
+	if (buffer->size > KEEP_BUFFER_MAX_BYTES)
+		buffer_release(buffer);
+}
+
 static void
 peer_conn_on_written(uv_write_t *req, int status)
 {
@@ -194,6 +202,7 @@
 
 	conn->is_writing = 0;
 	conn->writing.len = 0;
+	peer_conn_trim(&conn->writing);
 	if (conn->state == PEER_CONN_CLOSED)
 		return;
 	if (status != 0)
@@ -221,8 +230,10 @@
 		peer_conn_close(conn);
 		return;
 	}
-	if (conn->out.len == 0)
+	if (conn->out.len == 0) {
+		peer_conn_trim(&conn->out);
 		return;
+	}
 	swap = conn->writing;
 	conn->writing = conn->out;
 	conn->out = swap;
@@ -234,14 +245,14 @@
 		peer_conn_close(conn);
 }
 
+/* One buffer serves all connections: a VM can have 740 of them. */
 static void
 peer_conn_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
 	peer_conn_t *conn = handle->data;
-	uint8_t *room = buffer_reserve(&conn->in, READ_CHUNK_BYTES);
 
-	buf->base = (char *)room;
-	buf->len = room != NULL ? READ_CHUNK_BYTES : 0;
+	buf->base = (char *)conn->net->read_buffer;
+	buf->len = sizeof(conn->net->read_buffer);
 }
 
 /* Moves the messages that waited for the handshake into tagged frames. */
@@ -433,47 +444,75 @@
 	}
 }
 
-/* Handles all complete frames; the receiver may close the connection. */
-static void
-peer_conn_parse(peer_conn_t *conn)
+/*
+ * Handles all complete frames; the receiver may close the connection.
+ *
+ * @param used  bytes of the frames that were handled
+ * @return      0 or the error that ends the connection
+ */
+static int
+peer_conn_parse(
+    peer_conn_t *conn, const uint8_t *bytes, size_t len, size_t *used)
 {
-	size_t pos = 0;
 	frame_t frame;
 	size_t max;
-	int err = 1;
+	int err;
 
-	while (err > 0 && conn->state != PEER_CONN_CLOSED) {
+	*used = 0;
+	while (conn->state != PEER_CONN_CLOSED) {
 		max = conn->state == PEER_CONN_OPEN ? PEER_FRAME_MAX_BYTES
 						    : HANDSHAKE_FRAME_MAX_BYTES;
-		err = frame_decode(
-		    conn->in.bytes + pos, conn->in.len - pos, max, &frame);
+		err = frame_decode(bytes + *used, len - *used, max, &frame);
 		if (err != 1)
-			break;
-		pos += frame.total_bytes;
+			return (err);
+		*used += frame.total_bytes;
 		err = peer_conn_handle_frame(conn, &frame);
+		if (err != TM_OK)
+			return (err);
+	}
+	return (TM_OK);
+}
+
+/* Handles bytes from the shared buffer; keeps an incomplete frame. */
+static int
+peer_conn_take(peer_conn_t *conn, const uint8_t *bytes, size_t len)
+{
+	size_t used;
+	int err;
+
+	if (conn->in.len > 0) {
+		err = buffer_append(&conn->in, bytes, len);
 		if (err == TM_OK)
-			err = 1;
+			err = peer_conn_parse(
+			    conn, conn->in.bytes, conn->in.len, &used);
+		if (err == TM_OK && conn->state != PEER_CONN_CLOSED)
+			buffer_consume(&conn->in, used);
+	} else {
+		err = peer_conn_parse(conn, bytes, len, &used);
+		if (err == TM_OK && conn->state != PEER_CONN_CLOSED)
+			err =
+			    buffer_append(&conn->in, bytes + used, len - used);
 	}
-	if (conn->state == PEER_CONN_CLOSED)
-		return;
-	buffer_consume(&conn->in, pos);
-	if (err < 0)
-		peer_conn_fail(conn, err);
+	if (conn->in.len == 0)
+		buffer_release(&conn->in);
+	return (err);
 }
 
 static void
 peer_conn_on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buf)
 {
 	peer_conn_t *conn = stream->data;
+	int err;
 
-	if (conn->state == PEER_CONN_CLOSED)
+	if (conn->state == PEER_CONN_CLOSED || count == 0)
 		return;
 	if (count < 0) {
 		peer_conn_close(conn);
 		return;
 	}
-	conn->in.len += (size_t)count;
-	peer_conn_parse(conn);
+	err = peer_conn_take(conn, (const uint8_t *)buf->base, (size_t)count);
+	if (err != TM_OK && conn->state != PEER_CONN_CLOSED)
+		peer_conn_fail(conn, err);
 }
 
 static void
--- a/src/net/peer_conn.h
+++ b/src/net/peer_conn.h
@@ -15,6 +15,9 @@
 #define MSG_PEER_HELLO (MSG_NET_BASE)
 #define MSG_PEER_AUTH  (MSG_NET_BASE + 1)
 
+/** Bytes read at once. */
+#define PEER_READ_BYTES 65536
+
 typedef struct peer_conn peer_conn_t;
 
 /** State of a connection. */
@@ -55,7 +58,7 @@
 	frame_identity_t remote;
 	frame_auth_t *tx;
 	frame_auth_t *rx;
-	buffer_t in;
+	buffer_t in; /**< start of an incomplete frame */
 	buffer_t out; /**< tagged frames that wait for a write */
 	buffer_t writing; /**< bytes of the write in progress */
 	buffer_t pending; /**< frames without tag, until the handshake ends */
@@ -79,6 +82,7 @@
 	peer_node_t *nodes;
 	peer_conn_t *conns;
 	peer_stats_t stats;
+	uint8_t read_buffer[PEER_READ_BYTES];
 };
 
 /** Starts to connect to a node with an address. @return NULL on failure */
--- a/test/unit/peer_test.cc
+++ b/test/unit/peer_test.cc
@@ -131,6 +131,26 @@
 	EXPECT_EQ(a.received[0].incarnation, 7u);
 }
 
+// Guards against frames that are lost or mixed up when one read holds many of
+// them or only a part of one.
+TEST_F(Peer, DeliversFramesLargerThanOneRead)
+{
+	Node a, b;
+	std::string big(300000, 'x');
+
+	create(&a, "a", 1, "secret-0123456789");
+	create(&b, "b", 1, "secret-0123456789");
+	connect(&a, "b", &b);
+	for (int i = 0; i < 8; i++) {
+		ASSERT_EQ(send(&a, "b", big.c_str()), TM_OK);
+		ASSERT_EQ(send(&a, "b", "small"), TM_OK);
+	}
+	run_until([&] { return b.received.size() == 16; });
+	ASSERT_EQ(b.received.size(), 16u);
+	for (int i = 0; i < 16; i++)
+		EXPECT_EQ(b.received[i].text, i % 2 == 0 ? big : "small");
+}
+
 TEST_F(Peer, RefusesAStrangerWithoutTheSecret)
 {
 	Node a, b;
