entry: close gaps in the reading of responses and in the key guard

- An idle connection on which bytes had arrived, or that the target had closed, was used before the loop had seen it.
The bytes passed as the response to the next request.
The connection is now checked for unread bytes and for its end before it is used again.
- Connection: keep-alive, close was not read as close.
- A status below 100 or above 599, 101 and chunks in HTTP/1.0 passed; any number of informational responses was accepted; a head over 16 KiB passed when it came in one piece.
- A key in another letter case, or percent-encoded in a header, or encoded twice in the URL reached the target.
A key in the Host header or as the method did as well.
- Headers that Connection nominates were passed on in both directions.
- An idle connection kept buffers of up to 8 MiB.

--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -36,7 +36,8 @@
 check_limits(frontend_check_t *check)
 {
 	const h2o_headers_t *headers = &check->req->headers;
-	size_t bytes = check->req->input.path.len;
+	size_t bytes = check->req->input.path.len +
+	    check->req->input.authority.len + check->req->method.len;
 	size_t i;
 
 	if (check->entry->in_flight >= ENTRY_IN_FLIGHT_MAX)
@@ -107,16 +108,17 @@
 	return (0);
 }
 
-/* The request id goes to the target. */
+/* The method, the host and the request id go to the target. */
 static int
-id_has_secret(const frontend_check_t *check)
+parts_reveal_key(const frontend_check_t *check)
 {
-	keyguard_text_t secret = check->options.key.secret;
+	const keyguard_key_t *key = &check->options.key;
+	const h2o_req_t *req = check->req;
+	keyguard_text_t id = { check->id, strlen(check->id) };
 
-	if (secret.base == NULL)
-		return (0);
-	return (memmem(check->id, strlen(check->id), secret.base, secret.len) !=
-	    NULL);
+	return (keyguard_reveals(id, key) ||
+	    keyguard_reveals(text_from_iovec(req->input.authority), key) ||
+	    keyguard_reveals(text_from_iovec(req->method), key));
 }
 
 static int
@@ -130,7 +132,7 @@
 	if (config == NULL || config->withdrawn ||
 	    !config_key_matches(config, key->secret.base, key->secret.len))
 		return (REFUSAL_KEY_UNKNOWN + 1);
-	if (id_has_secret(check))
+	if (parts_reveal_key(check))
 		return (REFUSAL_KEY_EXPOSED + 1);
 	check->options.workspace =
 	    entry_find_workspace(check->entry, config->workspace);
--- a/src/entry/keyguard.c
+++ b/src/entry/keyguard.c
@@ -3,10 +3,13 @@
 #include <string.h>
 #include <strings.h>
 
-#define PREFIX_BYTES   (sizeof(KEYGUARD_PREFIX) - 1)
-#define BEARER	       "Bearer "
-#define BEARER_BYTES   (sizeof(BEARER) - 1)
-#define PATH_MAX_BYTES 8192
+#define PREFIX_BYTES (sizeof(KEYGUARD_PREFIX) - 1)
+#define BEARER	     "Bearer "
+#define BEARER_BYTES (sizeof(BEARER) - 1)
+/* The longest URL that passes the limit on headers. */
+#define DECODED_MAX_BYTES (16 * 1024)
+/* A target or a proxy before it may decode %xx more than once. */
+#define DECODE_ROUNDS 3
 
 static int
 text_equals(keyguard_text_t text, const char *other)
@@ -31,6 +34,22 @@
 	return (memmem(text.base, text.len, part.base, part.len) != NULL);
 }
 
+/* Letter case does not matter: a secret is hexadecimal, so it can be read in
+ * any case. */
+static int
+text_contains_any_case(keyguard_text_t text, keyguard_text_t part)
+{
+	size_t i;
+
+	if (part.len == 0 || text.len < part.len)
+		return (0);
+	for (i = 0; i <= text.len - part.len; i++) {
+		if (strncasecmp(text.base + i, part.base, part.len) == 0)
+			return (1);
+	}
+	return (0);
+}
+
 /* Splits "tmk_<id>_<secret>"; the secret has no underscore. */
 static int
 key_parse(keyguard_text_t text, keyguard_key_t *key)
@@ -94,41 +113,62 @@
 	return (-1);
 }
 
-/* Decodes %xx once, so that an encoded key is found too. */
+static int
+is_escape(keyguard_text_t text, size_t at)
+{
+	return (text.base[at] == '%' && at + 2 < text.len &&
+	    hex_value(text.base[at + 1]) >= 0 &&
+	    hex_value(text.base[at + 2]) >= 0);
+}
+
+/* Decodes %xx once; out may be the text itself. */
 static keyguard_text_t
-path_decode(keyguard_text_t path, char *out, size_t size)
+text_decode(keyguard_text_t text, char *out)
 {
 	keyguard_text_t decoded = { out, 0 };
 	size_t i;
 
-	for (i = 0; i < path.len && decoded.len < size; i++) {
-		if (path.base[i] == '%' && i + 2 < path.len &&
-		    hex_value(path.base[i + 1]) >= 0 &&
-		    hex_value(path.base[i + 2]) >= 0) {
+	for (i = 0; i < text.len; i++) {
+		if (is_escape(text, i)) {
 			out[decoded.len++] =
-			    (char)(hex_value(path.base[i + 1]) * 16 +
-				hex_value(path.base[i + 2]));
+			    (char)(hex_value(text.base[i + 1]) * 16 +
+				hex_value(text.base[i + 2]));
 			i += 2;
 		} else {
-			out[decoded.len++] = path.base[i];
+			out[decoded.len++] = text.base[i];
 		}
 	}
 	return (decoded);
 }
 
+/* Finds a part in any letter case, also if it is percent-encoded. */
 static int
-path_has_key(keyguard_text_t path, const keyguard_key_t *key)
+text_reveals(keyguard_text_t text, keyguard_text_t part)
 {
-	static const keyguard_text_t prefix = { KEYGUARD_PREFIX, PREFIX_BYTES };
-	char buffer[PATH_MAX_BYTES];
-	keyguard_text_t decoded;
+	char buffer[DECODED_MAX_BYTES];
+	int round;
 
-	if (path.len > sizeof(buffer))
+	if (text_contains_any_case(text, part))
 		return (1);
-	decoded = path_decode(path, buffer, sizeof(buffer));
-	if (text_contains(decoded, prefix))
+	if (text.len == 0 || memchr(text.base, '%', text.len) == NULL)
+		return (0);
+	if (text.len > sizeof(buffer))
 		return (1);
-	return (key != NULL && text_contains(decoded, key->secret));
+	for (round = 0; round < DECODE_ROUNDS; round++) {
+		text = text_decode(text, buffer);
+		if (text_contains_any_case(text, part))
+			return (1);
+	}
+	return (0);
+}
+
+static int
+path_has_key(keyguard_text_t path, const keyguard_key_t *key)
+{
+	static const keyguard_text_t prefix = { KEYGUARD_PREFIX, PREFIX_BYTES };
+
+	return (text_reveals(path, prefix) ||
+	    (key != NULL && text_reveals(path, key->secret)));
 }
 
 static keyguard_found_t
@@ -196,8 +236,46 @@
 	    text_equals(header->name, "x-request-id") ||
 	    text_starts_with(header->name, "x-tm-"))
 		return (0);
-	if (key == NULL)
-		return (1);
-	return (!text_contains(header->value, key->secret) &&
-	    !text_contains(header->name, key->secret));
+	return (!keyguard_reveals(header->value, key) &&
+	    !keyguard_reveals(header->name, key));
+}
+
+int
+keyguard_reveals(keyguard_text_t text, const keyguard_key_t *key)
+{
+	return (key != NULL && text_reveals(text, key->secret));
+}
+
+/* Takes the next element of a comma-separated list. */
+static int
+list_next(keyguard_text_t *list, keyguard_text_t *element)
+{
+	const char *comma;
+
+	if (list->len == 0)
+		return (0);
+	comma = memchr(list->base, ',', list->len);
+	element->base = list->base;
+	element->len = comma != NULL ? (size_t)(comma - list->base) : list->len;
+	list->base += element->len;
+	list->len -= element->len;
+	if (comma != NULL) {
+		list->base++;
+		list->len--;
+	}
+	*element = text_trim(*element);
+	return (1);
+}
+
+int
+keyguard_is_nominated(keyguard_text_t connection, keyguard_text_t name)
+{
+	keyguard_text_t element;
+
+	while (list_next(&connection, &element)) {
+		if (element.len == name.len &&
+		    strncasecmp(element.base, name.base, name.len) == 0)
+			return (1);
+	}
+	return (0);
 }
--- a/src/entry/keyguard.h
+++ b/src/entry/keyguard.h
@@ -51,14 +51,30 @@
 
 /**
  * Decides whether a header goes to the target: hop-by-hop headers,
- * credentials, X-Tm-* and any header whose value contains the key's secret do
- * not.
+ * credentials, X-Tm-* and any header that reveals the key's secret do not.
  *
  * @return 1 or 0
  */
 int keyguard_may_forward(
     const keyguard_header_t *header, const keyguard_key_t *key);
 
+/**
+ * Finds the key's secret in a text, in any letter case, also percent-encoded.
+ *
+ * @param key  NULL: none is known
+ * @return     1 or 0
+ */
+int keyguard_reveals(keyguard_text_t text, const keyguard_key_t *key);
+
+/**
+ * Finds a header that a Connection header nominates, so that it ends at this
+ * hop.
+ *
+ * @param connection  value of Connection
+ * @return            1 or 0
+ */
+int keyguard_is_nominated(keyguard_text_t connection, keyguard_text_t name);
+
 /** @return 1 for a header that ends at each HTTP hop */
 int keyguard_is_hop_by_hop(keyguard_text_t name);
 
--- a/src/entry/request_wire.c
+++ b/src/entry/request_wire.c
@@ -26,6 +26,34 @@
 	return (err == TM_OK ? append_text(out, "\r\n") : err);
 }
 
+static keyguard_header_t
+header_at(const h2o_headers_t *headers, size_t at)
+{
+	const h2o_header_t *header = &headers->entries[at];
+
+	return ((keyguard_header_t){
+	    .name = { header->name->base, header->name->len },
+	    .value = { header->value.base, header->value.len },
+	});
+}
+
+/* @return 1 for a header that Connection restricts to the caller's hop */
+static int
+is_nominated(const h2o_headers_t *headers, keyguard_text_t name)
+{
+	keyguard_header_t header;
+	size_t i;
+
+	for (i = 0; i < headers->size; i++) {
+		header = header_at(headers, i);
+		if (h2o_memis(header.name.base, header.name.len,
+			H2O_STRLIT("connection")) &&
+		    keyguard_is_nominated(header.value, name))
+			return (1);
+	}
+	return (0);
+}
+
 static int
 append_caller_headers(const entry_request_t *request, buffer_t *out)
 {
@@ -35,11 +63,9 @@
 	size_t i;
 
 	for (i = 0; i < headers->size && err == TM_OK; i++) {
-		header.name.base = headers->entries[i].name->base;
-		header.name.len = headers->entries[i].name->len;
-		header.value.base = headers->entries[i].value.base;
-		header.value.len = headers->entries[i].value.len;
-		if (keyguard_may_forward(&header, &request->key))
+		header = header_at(headers, i);
+		if (keyguard_may_forward(&header, &request->key) &&
+		    !is_nominated(headers, header.name))
 			err = append_header(out, header.name.base,
 			    header.name.len, header.value.base,
 			    header.value.len);
@@ -115,13 +141,33 @@
 	    strncasecmp(header->name, name, header->name_len) == 0);
 }
 
+/* @return 1 for a header that Connection restricts to the target's hop */
+static int
+is_target_hop(const upstream_response_t *response, keyguard_text_t name)
+{
+	const upstream_header_t *header;
+	keyguard_text_t value;
+	size_t i;
+
+	for (i = 0; i < response->header_count; i++) {
+		header = &response->headers[i];
+		value = (keyguard_text_t){ header->value, header->value_len };
+		if (name_equals(header, "connection") &&
+		    keyguard_is_nominated(value, name))
+			return (1);
+	}
+	return (0);
+}
+
 /* Headers of the hop to the target, and those that this VM sets itself. */
 static int
-may_return_header(const upstream_header_t *header)
+may_return_header(
+    const upstream_response_t *response, const upstream_header_t *header)
 {
 	keyguard_text_t name = { header->name, header->name_len };
 
 	return (!keyguard_is_hop_by_hop(name) &&
+	    !is_target_hop(response, name) &&
 	    !name_equals(header, "x-request-id") &&
 	    !name_equals(header, "server") && !name_equals(header, "date") &&
 	    !(header->name_len > 5 &&
@@ -148,7 +194,7 @@
 	size_t i;
 
 	for (i = 0; i < response->header_count; i++) {
-		if (may_return_header(&response->headers[i]))
+		if (may_return_header(response, &response->headers[i]))
 			add_lower_header(req, &response->headers[i]);
 	}
 	http_request_add_header(
@@ -235,7 +281,7 @@
 
 	for (i = 0; i < response->header_count; i++) {
 		from = &response->headers[i];
-		if (!may_return_header(from))
+		if (!may_return_header(response, from))
 			continue;
 		tm__answer_header__init(&headers[count]);
 		headers[count].name = names;
--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -1,7 +1,9 @@
 #include "entry/upstream.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <uthash.h>
 #include <utlist.h>
@@ -20,6 +22,8 @@
 /* Bounds the idle connections to one target. */
 #define IDLE_CONNS_MAX	      32
 #define HEADER_TEXT_MAX_BYTES 16384
+/* An idle connection keeps no larger buffer. */
+#define IDLE_BODY_MAX_BYTES 65536
 
 typedef struct upstream_conn upstream_conn_t;
 
@@ -159,6 +163,10 @@
 		conn_close(conn);
 		return;
 	}
+	if (conn->response.body.size > IDLE_BODY_MAX_BYTES)
+		response_release(&conn->response);
+	if (conn->out.size > IDLE_BODY_MAX_BYTES)
+		buffer_release(&conn->out);
 	conn->is_idle = 1;
 	conn->idle_since_ms = clock_now_ms();
 	DL_PREPEND(conn->target->idle, conn);
@@ -386,7 +394,23 @@
 	return (conn);
 }
 
-/* Takes an idle connection whose target has not closed it. */
+/*
+ * The loop may not have seen yet that the target closed the connection or sent
+ * bytes on it. Such bytes would pass as the response to the next request.
+ */
+static int
+conn_is_quiet(const upstream_conn_t *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+		return (0);
+	return (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+/* Takes an idle connection on which nothing has arrived. */
 static upstream_conn_t *
 upstream_take_idle(upstream_t *upstream, const upstream_request_t *request)
 {
@@ -394,14 +418,17 @@
 	    upstream_find_target(upstream, &request->to);
 	upstream_conn_t *conn;
 
-	if (target == NULL || target->idle == NULL)
-		return (NULL);
-	conn = target->idle;
-	if (request->is_fresh &&
-	    clock_now_ms() - conn->idle_since_ms > IDLE_FRESH_MS)
-		return (NULL);
-	conn_leave_idle(conn);
-	return (conn);
+	while (target != NULL && (conn = target->idle) != NULL) {
+		if (request->is_fresh &&
+		    clock_now_ms() - conn->idle_since_ms > IDLE_FRESH_MS)
+			return (NULL);
+		if (conn_is_quiet(conn)) {
+			conn_leave_idle(conn);
+			return (conn);
+		}
+		conn_close(conn);
+	}
+	return (NULL);
 }
 
 int
--- a/src/http/response.c
+++ b/src/http/response.c
@@ -8,6 +8,8 @@
 #include "base/error.h"
 
 #define HEADERS_MAX 100
+/* Bounds the recursion over informational responses in one read. */
+#define INFORMATIONAL_MAX 16
 
 /*
  * libh2o exports picohttpparser but does not install its header. These are
@@ -80,6 +82,29 @@
 	return (TM_OK);
 }
 
+/* @return 1 if a comma-separated list has the element "close" */
+static int
+has_close(const char *list, size_t len)
+{
+	const char *end = list + len;
+	const char *at = list;
+	const char *stop;
+
+	while (at < end) {
+		if (*at == ' ' || *at == '\t' || *at == ',') {
+			at++;
+			continue;
+		}
+		for (stop = at; stop < end && *stop != ',' && *stop != ' ' &&
+		     *stop != '\t';)
+			stop++;
+		if (stop - at == 5 && strncasecmp(at, "close", 5) == 0)
+			return (1);
+		at = stop;
+	}
+	return (0);
+}
+
 static int
 read_header(response_t *r, const struct phr_header *h)
 {
@@ -91,8 +116,7 @@
 			return (TM_EFORMAT);
 		r->is_chunked = 1;
 	}
-	if (is_name(h, "connection") && h->value_len == 5 &&
-	    strncasecmp(h->value, "close", 5) == 0)
+	if (is_name(h, "connection") && has_close(h->value, h->value_len))
 		r->keeps_alive = 0;
 	return (TM_OK);
 }
@@ -141,11 +165,20 @@
 		return (0);
 	if (n < 0)
 		return (TM_EFORMAT);
+	if (n > RESPONSE_HEAD_MAX)
+		return (TM_ETOOBIG);
+	/* No request asks for another protocol, so 101 has no meaning. */
+	if (r->status < 100 || r->status > 599 || r->status == 101)
+		return (TM_EFORMAT);
 	if (r->status < 200)
-		return (n);
+		return (
+		    ++r->informational > INFORMATIONAL_MAX ? TM_EFORMAT : n);
 	r->keeps_alive = minor >= 1;
 	if (read_headers(r, headers, count) != TM_OK)
 		return (TM_EFORMAT);
+	/* HTTP/1.0 has no chunks, so the end of this body is not certain. */
+	if (r->is_chunked && minor == 0)
+		return (TM_EFORMAT);
 	r->has_head = 1;
 	return (n);
 }
--- a/src/http/response.h
+++ b/src/http/response.h
@@ -34,6 +34,7 @@
 	int is_chunked;
 	int until_close; /**< the body ends with the connection */
 	int keeps_alive;
+	int informational; /**< responses 1xx so far */
 	uint64_t left; /**< bytes of the body that are missing */
 	response_chunks_t chunks;
 	char *head; /**< incomplete head */
--- a/test/unit/response_test.cc
+++ b/test/unit/response_test.cc
@@ -120,6 +120,131 @@
 		EXPECT_EQ(feed(large, piece).rc, TM_ETOOBIG);
 }
 
+TEST(Response, RefusesTwoFramings)
+{
+	const std::string ok = "HTTP/1.1 200 OK\r\n";
+
+	for (std::string head : { "Content-Length: 5\r\nContent-Length: 4\r\n",
+		 "Content-Length: 5, 5\r\n", "Content-Length: +5\r\n",
+		 "Content-Length: 0x5\r\n", "Content-Length: \r\n",
+		 "Content-Length: 9999999999999999999\r\n",
+		 "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+		 "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+		 "Transfer-Encoding: chunked\r\n"
+		 "Transfer-Encoding: chunked\r\n",
+		 "Transfer-Encoding: gzip, chunked\r\n",
+		 "Transfer-Encoding: identity\r\n", "X: a\r\n folded\r\n" })
+		for (size_t piece : { 1, 7, 1000 })
+			EXPECT_EQ(
+			    feed(ok + head + "\r\nhello", piece).rc, TM_EFORMAT)
+			    << head;
+	Result r =
+	    feed(ok + "Content-Length: 5\r\ncontent-length: 5\r\n\r\nhello", 3);
+
+	EXPECT_EQ(r.rc, 1);
+	EXPECT_EQ(r.body, "hello");
+	EXPECT_EQ(feed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		       "\r\n0\r\n\r\n",
+		      100)
+		      .rc,
+	    TM_EFORMAT);
+}
+
+TEST(Response, ReadsOddChunks)
+{
+	const std::string head =
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+	const std::string good[] = { "5;a=b\r\nhello\r\n0\r\n\r\n",
+		"0005\r\nhello\r\n00\r\n\r\n",
+		"5\r\nhello\r\n0\r\nX-Trailer: v\r\n\r\n",
+		"1\r\nh\r\n4\r\nello\r\n0;x\r\n\r\n" };
+	const std::string bad[] = { "-5\r\nhello\r\n0\r\n\r\n",
+		"g\r\nhello\r\n0\r\n\r\n", "\r\nhello\r\n0\r\n\r\n",
+		"5\r\nhelloX\r\n0\r\n\r\n",
+		"11111111111111111\r\nhello\r\n0\r\n\r\n" };
+
+	for (const std::string &body : good) {
+		for (size_t piece = 1; piece <= body.size(); piece++) {
+			Result r = feed(head + body, piece);
+
+			ASSERT_EQ(r.rc, 1) << body << " " << piece;
+			EXPECT_EQ(r.body, "hello") << body << " " << piece;
+			EXPECT_EQ(r.rest, 0u) << body << " " << piece;
+		}
+	}
+	for (const std::string &body : bad)
+		for (size_t piece : { 1, 3, 1000 })
+			EXPECT_EQ(feed(head + body, piece).rc, TM_EFORMAT)
+			    << body << " " << piece;
+	for (size_t cut = 0; cut < good[0].size(); cut++) {
+		Result r = feed(head + good[0].substr(0, cut), 1000);
+
+		EXPECT_EQ(r.rc, 0) << cut;
+		EXPECT_EQ(response_is_complete_at_close(&r.response), 0) << cut;
+	}
+}
+
+TEST(Response, ReadsCloseInAList)
+{
+	for (std::string value :
+	    { "close", "Close", "keep-alive, close", "close,x", " x ,\tCLOSE" })
+		EXPECT_EQ(
+		    feed("HTTP/1.1 204 N\r\nConnection: " + value + "\r\n\r\n",
+			1000)
+			.response.keeps_alive,
+		    0)
+		    << value;
+	for (std::string value : { "keep-alive", "closed", "x-close", "" })
+		EXPECT_EQ(
+		    feed("HTTP/1.1 204 N\r\nConnection: " + value + "\r\n\r\n",
+			1000)
+			.response.keeps_alive,
+		    1)
+		    << value;
+}
+
+TEST(Response, RefusesStatusesThatEndNoRequest)
+{
+	for (std::string status : { "000", "099", "101", "600", "999", "20" })
+		for (size_t piece : { 1, 1000 })
+			EXPECT_EQ(feed("HTTP/1.1 " + status +
+					  " X\r\nContent-Length: 0\r\n\r\n",
+				      piece)
+				      .rc,
+			    TM_EFORMAT)
+			    << status;
+}
+
+// Thousands of informational responses in one read must not use up the stack.
+TEST(Response, BoundsInformationalResponses)
+{
+	std::string text;
+
+	for (int i = 0; i < 4000; i++)
+		text += "HTTP/1.1 100 \r\n\r\n";
+	for (size_t piece : { (size_t)1, (size_t)65536 })
+		EXPECT_EQ(feed(text + with_length, piece).rc, TM_EFORMAT);
+	text.clear();
+	for (int i = 0; i < 10; i++)
+		text += "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+	for (size_t piece : { (size_t)1, (size_t)65536 }) {
+		Result r = feed(text + with_length, piece);
+
+		EXPECT_EQ(r.rc, 1);
+		EXPECT_EQ(r.headers, "Content-Length=5;X-A=b;");
+	}
+}
+
+TEST(Response, BoundsTheHeadInOnePiece)
+{
+	std::string text = "HTTP/1.1 200 OK\r\nX-A: ";
+
+	text.append(RESPONSE_HEAD_MAX, 'a');
+	text += "\r\nContent-Length: 0\r\n\r\n";
+	for (size_t piece : { (size_t)100, text.size() })
+		EXPECT_EQ(feed(text, piece).rc, TM_ETOOBIG) << piece;
+}
+
 TEST(Response, SurvivesRandomDamage)
 {
 	const uint64_t seed = 20240601;
--- /dev/null
+++ b/test/unit/upstream_test.cc
@@ -0,0 +1,480 @@
+// Failures guarded against: a part of a response passes as a whole one, a
+// connection is used again while bytes of another response may be on it, a
+// call that reached no target counts as one that may have run.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/clock.h"
+#include "entry/upstream.h"
+}
+
+namespace {
+
+struct Peer {
+	uv_tcp_t tcp = {};
+	std::string received;
+	int is_ended = 0;
+	int is_open = 1;
+
+	void
+	Send(const std::string &bytes)
+	{
+		ASSERT_TRUE(is_open);
+		uv_buf_t buf =
+		    uv_buf_init((char *)bytes.data(), (unsigned)bytes.size());
+
+		ASSERT_EQ(uv_try_write((uv_stream_t *)&tcp, &buf, 1),
+		    (int)bytes.size());
+	}
+
+	void
+	Close()
+	{
+		if (!is_open)
+			return;
+		is_open = 0;
+		uv_close((uv_handle_t *)&tcp, nullptr);
+	}
+};
+
+struct Outcome {
+	int done = 0;
+	upstream_result_t result = UPSTREAM_REFUSED;
+	int status = 0;
+	std::string headers, body;
+};
+
+void
+on_done(void *ctx, upstream_result_t result, const upstream_response_t *r)
+{
+	auto *out = (Outcome *)ctx;
+
+	out->done++;
+	out->result = result;
+	if (r == nullptr)
+		return;
+	out->status = r->status;
+	out->body.assign((const char *)r->body, r->body_len);
+	for (size_t i = 0; i < r->header_count; i++)
+		out->headers +=
+		    std::string(r->headers[i].name, r->headers[i].name_len) +
+		    "=" +
+		    std::string(r->headers[i].value, r->headers[i].value_len) +
+		    ";";
+}
+
+// A fake target and the pool on one loop.
+class Upstream : public ::testing::Test {
+      protected:
+	uv_loop_t loop;
+	uv_tcp_t listener;
+	uv_timer_t timer;
+	struct sockaddr_in addr;
+	upstream_t *upstream;
+	std::vector<std::unique_ptr<Peer>> peers;
+	Peer missing;
+	int reads = 1; // new peers are read from
+
+	static void
+	on_alloc(uv_handle_t *, size_t, uv_buf_t *buf)
+	{
+		static char bytes[65536];
+
+		*buf = uv_buf_init(bytes, sizeof(bytes));
+	}
+
+	static void
+	on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+	{
+		auto *peer = (Peer *)stream->data;
+
+		if (n > 0)
+			peer->received.append(buf->base, (size_t)n);
+		if (n < 0)
+			peer->is_ended = 1;
+	}
+
+	static void
+	on_accept(uv_stream_t *stream, int)
+	{
+		auto *self = (Upstream *)stream->data;
+		auto peer = std::make_unique<Peer>();
+
+		uv_tcp_init(&self->loop, &peer->tcp);
+		peer->tcp.data = peer.get();
+		uv_accept(stream, (uv_stream_t *)&peer->tcp);
+		if (self->reads)
+			uv_read_start(
+			    (uv_stream_t *)&peer->tcp, on_alloc, on_read);
+		self->peers.push_back(std::move(peer));
+	}
+
+	void
+	SetUp() override
+	{
+		int len = sizeof(addr);
+
+		uv_loop_init(&loop);
+		uv_tcp_init(&loop, &listener);
+		listener.data = this;
+		uv_ip4_addr("127.0.0.1", 0, &addr);
+		uv_tcp_bind(&listener, (struct sockaddr *)&addr, 0);
+		uv_listen((uv_stream_t *)&listener, 16, on_accept);
+		uv_tcp_getsockname(&listener, (struct sockaddr *)&addr, &len);
+		uv_timer_init(&loop, &timer);
+		upstream = upstream_create(&loop);
+	}
+
+	void
+	TearDown() override
+	{
+		upstream_close_idle(upstream);
+		uv_close((uv_handle_t *)&listener, nullptr);
+		uv_close((uv_handle_t *)&timer, nullptr);
+		for (auto &peer : peers)
+			peer->Close();
+		RunUntil([&] { return upstream_get_total(upstream) == 0; });
+		uv_run(&loop, UV_RUN_NOWAIT);
+		EXPECT_EQ(upstream_get_total(upstream), 0u);
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+		free(upstream);
+	}
+
+	// Runs the loop until a condition holds, at most 5 s.
+	void
+	RunUntil(std::function<bool()> condition)
+	{
+		int64_t end_ms = clock_now_ms() + 5000;
+
+		while (!condition() && clock_now_ms() < end_ms) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(200);
+		}
+		EXPECT_TRUE(condition());
+	}
+
+	void
+	RunFor(int64_t ms)
+	{
+		int64_t end_ms = clock_now_ms() + ms;
+
+		while (clock_now_ms() < end_ms) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(200);
+		}
+	}
+
+	upstream_call_t *
+	Start(Outcome *out, const std::string &bytes = "GET / HTTP/1.1\r\n\r\n",
+	    int is_head = 0, int is_fresh = 0)
+	{
+		upstream_request_t request = {};
+		upstream_call_t *call = nullptr;
+
+		request.to = addr;
+		request.bytes = bytes.data();
+		request.len = bytes.size();
+		request.is_head = is_head;
+		request.is_fresh = is_fresh;
+		request.done = on_done;
+		request.ctx = out;
+		EXPECT_EQ(upstream_call_start(upstream, &request, &call), 0);
+		return call;
+	}
+
+	// Waits until the target has received the nth request on a connection.
+	Peer *
+	Await(size_t peer, const std::string &text)
+	{
+		RunUntil([&] {
+			return peers.size() > peer &&
+			    peers[peer]->received.find(text) !=
+			    std::string::npos;
+		});
+		if (peers.size() > peer)
+			return peers[peer].get();
+		missing.is_open = 0;
+		return &missing;
+	}
+
+	// One call, answered with bytes; then the target closes if asked to.
+	Outcome
+	Exchange(const std::string &answer, int closes = 0, int is_head = 0)
+	{
+		Outcome out;
+		size_t before = peers.size();
+
+		Start(&out, "GET / HTTP/1.1\r\n\r\n", is_head, 0);
+		Peer *peer = Await(before, "\r\n\r\n");
+
+		if (!answer.empty())
+			peer->Send(answer);
+		if (closes)
+			peer->Close();
+		RunUntil([&] { return out.done > 0; });
+		EXPECT_EQ(out.done, 1);
+		upstream_close_idle(upstream);
+		RunUntil([&] { return upstream_get_total(upstream) == 0; });
+		return out;
+	}
+};
+
+const std::string ok = "HTTP/1.1 200 OK\r\n";
+const std::string hello = ok + "Content-Length: 5\r\n\r\nhello";
+const std::string get = "GET / HTTP/1.1\r\n\r\n";
+
+} // namespace
+
+TEST_F(Upstream, ReadsAWholeResponseAndUsesTheConnectionAgain)
+{
+	Outcome first, second;
+
+	Start(&first, get);
+	Await(0, get)->Send(hello);
+	RunUntil([&] { return first.done == 1; });
+	EXPECT_EQ(first.result, UPSTREAM_COMPLETE);
+	EXPECT_EQ(first.body, "hello");
+	EXPECT_EQ(upstream_get_connections(upstream, &addr), 1u);
+	Start(&second, get);
+	Await(0, get + get)->Send(ok + "Content-Length: 2\r\n\r\nno");
+	RunUntil([&] { return second.done == 1; });
+	EXPECT_EQ(second.body, "no");
+	EXPECT_EQ(peers.size(), 1u);
+}
+
+TEST_F(Upstream, ReportsEveryCutOfAResponse)
+{
+	const std::string chunked = ok +
+	    "Transfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
+
+	EXPECT_EQ(Exchange("", 1).result, UPSTREAM_BROKEN);
+	for (size_t cut = 1; cut < hello.size(); cut++)
+		EXPECT_EQ(Exchange(hello.substr(0, cut), 1).result,
+		    UPSTREAM_TRUNCATED)
+		    << cut;
+	for (size_t cut = 1; cut < chunked.size(); cut++)
+		EXPECT_EQ(Exchange(chunked.substr(0, cut), 1).result,
+		    UPSTREAM_TRUNCATED)
+		    << cut;
+	EXPECT_EQ(Exchange(chunked, 1).body, "hello");
+	// Without a length, a part cannot be told from the whole.
+	EXPECT_EQ(Exchange(ok + "\r\nhello", 1).result, UPSTREAM_TRUNCATED);
+}
+
+TEST_F(Upstream, RefusesAmbiguousAndMalformedResponses)
+{
+	for (std::string answer : {
+		 ok + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+		 ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 hello + "x",
+		 hello + hello,
+		 std::string("HTTP/1.1 101 Switching\r\n\r\n"),
+		 std::string("SSH-2.0-x\r\n\r\n"),
+		 std::string("HTTP/1.1 204 No\r\nContent-Length: 1\r\n\r\nx"),
+	     })
+		EXPECT_EQ(Exchange(answer).result, UPSTREAM_MALFORMED)
+		    << answer;
+	EXPECT_EQ(Exchange(hello, 0, 1).result, UPSTREAM_MALFORMED);
+	EXPECT_EQ(Exchange(ok + "Content-Length: 5\r\n\r\n", 0, 1).result,
+	    UPSTREAM_COMPLETE);
+}
+
+TEST_F(Upstream, BoundsBodyAndHeaders)
+{
+	std::string many = ok, large = ok + "X: ";
+
+	EXPECT_EQ(Exchange(ok + "Content-Length: 8388609\r\n\r\n").result,
+	    UPSTREAM_OVERSIZED);
+	for (int i = 0; i <= UPSTREAM_HEADERS_MAX; i++)
+		many += "X-" + std::to_string(i) + ": v\r\n";
+	EXPECT_EQ(Exchange(many + "Content-Length: 0\r\n\r\n").result,
+	    UPSTREAM_MALFORMED);
+	large.append(20000, 'a');
+	EXPECT_EQ(Exchange(large + "\r\nContent-Length: 0\r\n\r\n").result,
+	    UPSTREAM_MALFORMED);
+	// Chunks past the limit end the call before the response ends.
+	Outcome out;
+
+	Start(&out);
+	Peer *peer = Await(peers.size(), "\r\n\r\n");
+
+	peer->Send(ok + "Transfer-Encoding: chunked\r\n\r\n");
+	for (int i = 0; i < 400 && !out.done; i++) {
+		peer->Send("8000\r\n" + std::string(0x8000, 'b') + "\r\n");
+		RunFor(1);
+	}
+	EXPECT_EQ(out.result, UPSTREAM_OVERSIZED);
+}
+
+TEST_F(Upstream, PassesOverInformationalResponses)
+{
+	Outcome out = Exchange("HTTP/1.1 100 Continue\r\n\r\n"
+			       "HTTP/1.1 103 Early\r\nX-A: 1\r\n\r\n" +
+	    hello);
+
+	EXPECT_EQ(out.result, UPSTREAM_COMPLETE);
+	EXPECT_EQ(out.status, 200);
+	EXPECT_EQ(out.headers, "Content-Length=5;");
+	out = Exchange("HTTP/1.1 100 Continue\r\n\r\n", 1);
+	EXPECT_NE(out.result, UPSTREAM_COMPLETE);
+}
+
+TEST_F(Upstream, SaysWhenNothingWasSent)
+{
+	Outcome out;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in open = addr;
+	struct sockaddr_in closed = {};
+	socklen_t len = sizeof(closed);
+
+	// A bound port without a listener refuses connections.
+	uv_ip4_addr("127.0.0.1", 0, &closed);
+	ASSERT_EQ(bind(fd, (struct sockaddr *)&closed, len), 0);
+	getsockname(fd, (struct sockaddr *)&closed, &len);
+	addr = closed;
+	upstream_call_t *call = Start(&out);
+
+	EXPECT_EQ(upstream_call_is_sent(call), 0);
+	RunUntil([&] { return out.done == 1; });
+	EXPECT_EQ(out.result, UPSTREAM_REFUSED);
+	addr = open;
+	close(fd);
+}
+
+TEST_F(Upstream, DoesNotUseACancelledConnectionAgain)
+{
+	Outcome first, second;
+	upstream_call_t *call = Start(&first, get);
+	Peer *old = Await(0, get);
+
+	upstream_call_cancel(call);
+	Start(&second, get);
+	Await(1, get)->Send(ok + "Content-Length: 6\r\n\r\nsecond");
+	old->Send(hello); // late answer to the first call
+	RunUntil([&] { return second.done == 1; });
+	EXPECT_EQ(second.body, "second");
+	EXPECT_EQ(first.done, 0);
+	RunUntil([&] { return old->is_ended == 1; });
+}
+
+TEST_F(Upstream, DoesNotUseAConnectionThatAsksToClose)
+{
+	Outcome first, second;
+
+	Start(&first, get);
+	Await(0, get)->Send(ok +
+	    "Connection: keep-alive, close\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	RunUntil([&] { return first.done == 1; });
+	Start(&second, get);
+	Await(1, get)->Send(hello);
+	RunUntil([&] { return second.done == 1; });
+	EXPECT_EQ(second.result, UPSTREAM_COMPLETE);
+}
+
+// The loop has not yet seen that the target closed the idle connection.
+TEST_F(Upstream, DoesNotSendOnAnIdleConnectionThatTheTargetClosed)
+{
+	Outcome first, second;
+	int fd = -1;
+
+	Start(&first, get);
+	Await(0, get)->Send(hello);
+	RunUntil([&] { return first.done == 1; });
+	uv_fileno((uv_handle_t *)&peers[0]->tcp, &fd);
+	shutdown(fd, SHUT_RDWR);
+	usleep(20000);
+	Start(&second, get);
+	Await(1, get)->Send(hello);
+	RunUntil([&] { return second.done == 1; });
+	EXPECT_EQ(second.result, UPSTREAM_COMPLETE);
+}
+
+// Bytes after the first response are not the answer to the second request.
+TEST_F(Upstream, DoesNotSendOnAnIdleConnectionWithUnreadBytes)
+{
+	Outcome first, second;
+
+	Start(&first, get);
+	Await(0, get)->Send(hello);
+	RunUntil([&] { return first.done == 1; });
+	peers[0]->Send(ok + "Content-Length: 5\r\n\r\nwrong");
+	usleep(20000);
+	Start(&second, get);
+	Await(1, get)->Send(hello);
+	RunUntil([&] { return second.done == 1; });
+	EXPECT_EQ(second.body, "hello");
+}
+
+TEST_F(Upstream, ClosesAnIdleConnectionThatReceivesBytes)
+{
+	Outcome first;
+
+	Start(&first, get);
+	Await(0, get)->Send(hello);
+	RunUntil([&] { return first.done == 1; });
+	peers[0]->Send("HTTP");
+	RunUntil([&] { return upstream_get_total(upstream) == 0; });
+}
+
+TEST_F(Upstream, DoesNotUseAConnectionWithAHalfWrittenRequest)
+{
+	std::string request = "POST / HTTP/1.1\r\n\r\n";
+	Outcome first, second;
+
+	request.append(16 * 1024 * 1024, 'r');
+	reads = 0;
+	Start(&first, request);
+	RunUntil([&] { return peers.size() == 1; });
+	RunFor(20);
+	peers[0]->Send("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
+	RunUntil([&] { return first.done == 1; });
+	EXPECT_EQ(first.result, UPSTREAM_COMPLETE);
+	EXPECT_EQ(first.status, 413);
+	reads = 1;
+	Start(&second, get);
+	Await(1, get)->Send(hello);
+	RunUntil([&] { return second.done == 1; });
+	EXPECT_EQ(second.body, "hello");
+}
+
+TEST_F(Upstream, ReportsATargetThatClosesWithinTheRequest)
+{
+	std::string request = "POST / HTTP/1.1\r\n\r\n";
+	Outcome out;
+
+	request.append(16 * 1024 * 1024, 'r');
+	reads = 0;
+	Start(&out, request);
+	RunUntil([&] { return peers.size() == 1; });
+	RunFor(20);
+	peers[0]->Close();
+	RunUntil([&] { return out.done == 1; });
+	EXPECT_EQ(out.result, UPSTREAM_BROKEN);
+}
+
+// A claim that must run once does not go out on a connection that was idle.
+TEST_F(Upstream, OpensAFreshConnectionAfterAWait)
+{
+	Outcome first, second;
+
+	Start(&first, get);
+	Await(0, get)->Send(hello);
+	RunUntil([&] { return first.done == 1; });
+	RunFor(1100);
+	Start(&second, get, 0, 1);
+	Await(1, get)->Send(hello);
+	RunUntil([&] { return second.done == 1; });
+	EXPECT_EQ(peers.size(), 2u);
+}
