--- a/scripts/fleet_settings.py
+++ b/scripts/fleet_settings.py
@@ -4,7 +4,10 @@
 Usage: fleet_settings.py DIR [control=3] [entry=3] [dcs=3] [services=1]
        [targets=4] [workspaces=3] [rate=1000] [burst=500] [slots=4]
 
-targets is the number per service. FLEET_CONTROL_EXTRA, FLEET_ENTRY_EXTRA and
+targets is the number per service, or one number for each service with commas
+between, such as targets=8,20,6. FLEET_RATES holds a JSON object with the rate
+and the burst of single workspaces, such as {"w1": [100, 50]}.
+FLEET_CONTROL_EXTRA, FLEET_ENTRY_EXTRA and
 FLEET_TARGET_EXTRA hold JSON objects that are merged into the settings;
 FLEET_PROFILE_EXTRA into the profile "standard".
 """
@@ -19,14 +22,28 @@
             "workspaces": 3, "rate": 1000, "burst": 500, "slots": 4}
 
 
+def is_number_list(name, value):
+    return name == "targets" and all(v.isdigit() for v in value.split(","))
+
+
 def read_options(words):
     options = dict(DEFAULTS)
     for word in words:
         name, _, value = word.partition("=")
-        if name not in options or not value.isdigit():
+        if name not in options or not (
+                value.isdigit() or is_number_list(name, value)):
             sys.exit(f"fleet: found {word!r}; allowed: NAME=NUMBER with "
-                     f"NAME one of {', '.join(options)}")
-        options[name] = int(value)
+                     f"NAME one of {', '.join(options)}, or "
+                     "targets=NUMBER,NUMBER,...")
+        options[name] = int(value) if value.isdigit() else value
+    counts = [int(n) for n in str(options["targets"]).split(",")]
+    if len(counts) == 1:
+        counts *= options["services"]
+    if len(counts) != options["services"]:
+        sys.exit(f"fleet: found targets={options['targets']} with "
+                 f"services={options['services']}; allowed: one number, or "
+                 "one for each service")
+    options["targets"] = counts
     return options
 
 
@@ -57,14 +74,16 @@
     profile.update(read_extra("FLEET_PROFILE_EXTRA"))
     once = {**profile, "name": "once", "repeat": "forbidden"}
     services = [f"s{i}" for i in range(1, options["services"] + 1)]
+    rates = read_extra("FLEET_RATES")
+    usual = (options["rate"], options["burst"])
+    names = [f"w{i}" for i in range(1, options["workspaces"] + 1)]
     return {
         "profiles": [profile, once],
         "services": [{"name": s, "profile": "standard"} for s in services],
         "routes": [{"name": f"r-{s}", "path_prefix": f"/{s}", "service": s,
                     "workspaces": "all"} for s in services],
-        "workspaces": [{"name": f"w{i}", "rate_per_s": options["rate"],
-                        "burst": options["burst"]}
-                       for i in range(1, options["workspaces"] + 1)],
+        "workspaces": [{"name": w, "rate_per_s": rates.get(w, usual)[0],
+                        "burst": rates.get(w, usual)[1]} for w in names],
     }
 
 
@@ -86,7 +105,7 @@
                 "dc": dcs[i % len(dcs)], "listen": ports.draw(),
                 "admin": ports.draw()}
                for s in range(1, options["services"] + 1)
-               for i in range(options["targets"])]
+               for i in range(options["targets"][s - 1])]
     ports.release()
 
     def write(name, value):
