--- a/src/config/config_apply.c
+++ b/src/config/config_apply.c
@@ -303,6 +303,8 @@
 	if (!node_name_is_valid(msg->name) ||
 	    !node_name_is_valid(msg->data_centre) ||
 	    strlen(msg->peer_ip) > CONFIG_IP_MAX_BYTES ||
+	    strlen(msg->ops_ip) > CONFIG_IP_MAX_BYTES ||
+	    msg->ops_port > UINT16_MAX ||
 	    msg->peer_port > UINT16_MAX || msg->role > CONFIG_ROLE_CONTROL)
 		return (TM_EINVAL);
 	out->id = node_id_from_name(msg->name);
@@ -314,6 +316,8 @@
 	strncpy(out->name, msg->name, NAME_MAX_BYTES);
 	strncpy(out->data_centre, msg->data_centre, NAME_MAX_BYTES);
 	strncpy(out->peer_ip, msg->peer_ip, CONFIG_IP_MAX_BYTES);
+	strncpy(out->ops_ip, msg->ops_ip, CONFIG_IP_MAX_BYTES);
+	out->ops_port = (uint16_t)msg->ops_port;
 	return (TM_OK);
 }
 
@@ -325,6 +329,8 @@
 	out->incarnation = node->incarnation;
 	out->peer_ip = (char *)node->peer_ip;
 	out->peer_port = node->peer_port;
+	out->ops_ip = (char *)node->ops_ip;
+	out->ops_port = node->ops_port;
 	out->data_centre = (char *)node->data_centre;
 	out->role = node->role;
 	out->draining = node->draining;
--- a/src/config/config_defs.h
+++ b/src/config/config_defs.h
@@ -106,10 +106,12 @@
 	uint64_t version; /**< log index of the last change */
 	config_role_t role;
 	uint16_t peer_port;
+	uint16_t ops_port; /**< 0: unknown */
 	int draining; /**< gets no new shard group membership */
 	char name[NAME_MAX_BYTES + 1];
 	char data_centre[NAME_MAX_BYTES + 1];
 	char peer_ip[CONFIG_IP_MAX_BYTES + 1];
+	char ops_ip[CONFIG_IP_MAX_BYTES + 1]; /**< "": unknown */
 } config_node_t;
 
 typedef struct config_holder {
--- a/src/control/control_fleet.c
+++ b/src/control/control_fleet.c
@@ -63,6 +63,8 @@
 	    node->peer_port != known->peer_port ||
 	    node->draining != known->draining ||
 	    strcmp(node->peer_ip, known->peer_ip) != 0 ||
+	    node->ops_port != known->ops_port ||
+	    strcmp(node->ops_ip, known->ops_ip) != 0 ||
 	    strcmp(node->data_centre, known->data_centre) != 0);
 }
 
@@ -384,17 +386,51 @@
 	nodes = config_state_get_nodes(control->state, &count);
 	for (i = 0; i < count; i++)
 		json_array_append_new(list,
-		    json_pack("{s:s, s:s, s:I, s:s, s:i, s:b, s:I}", "name",
+		    json_pack("{s:s, s:s, s:I, s:s, s:i, s:s, s:i, s:b, s:I}",
+			"name",
 			nodes[i]->name, "data_centre", nodes[i]->data_centre,
 			"incarnation", (json_int_t)nodes[i]->incarnation,
 			"peer_ip", nodes[i]->peer_ip, "peer_port",
-			(int)nodes[i]->peer_port, "draining",
+			(int)nodes[i]->peer_port, "ops_ip", nodes[i]->ops_ip,
+			"ops_port", (int)nodes[i]->ops_port, "draining",
 			nodes[i]->draining, "silence_ms",
 			(json_int_t)placement_get_silence_ms(control->placement,
 			    nodes[i]->id, control->now_ms)));
 	return (list);
 }
 
+/* @return 1 if the newest heartbeat of a holder says that it is ready */
+static int
+control_is_holder_ready(
+    const control_t *control, const config_holder_t *holder, uint32_t shard)
+{
+	const control_beat_t *beat = control_find_beat(control, holder->node);
+
+	return (beat != NULL &&
+	    beat->node.incarnation == holder->incarnation &&
+	    beat->reports_ready &&
+	    control->now_ms - beat->heard_ms < PLACEMENT_DEAD_MS &&
+	    (beat->ready_shards >> shard & 1) != 0);
+}
+
+static json_t *
+control_write_vms(const control_t *control)
+{
+	const control_vm_t *vm;
+	json_t *list = json_array();
+	char admin[CONTROL_IP_TEXT_BYTES + 8];
+	int i;
+
+	for (i = 0; i < control->settings.vm_count; i++) {
+		vm = &control->settings.vms[i];
+		snprintf(admin, sizeof(admin), "%s:%u", vm->admin_ip,
+		    vm->admin_port);
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s}", "name", vm->name, "admin", admin));
+	}
+	return (list);
+}
+
 static json_t *
 control_write_groups(const control_t *control)
 {
@@ -403,12 +439,16 @@
 	const config_node_t *node;
 	json_t *holders;
 	uint32_t shard;
+	int ready;
 	int i;
 
 	for (shard = 0; shard < CONFIG_SHARDS; shard++) {
 		group = config_state_get_group(control->state, shard);
 		holders = json_array();
+		ready = 0;
 		for (i = 0; i < CONFIG_HOLDERS; i++) {
+			ready += control_is_holder_ready(
+			    control, &group->holders[i], shard);
 			node = config_state_find_node(
 			    control->state, group->holders[i].node);
 			if (node != NULL)
@@ -416,9 +456,10 @@
 				    holders, json_string(node->name));
 		}
 		json_array_append_new(list,
-		    json_pack("{s:i, s:I, s:b, s:o}", "shard", (int)shard,
+		    json_pack("{s:i, s:I, s:b, s:i, s:o}", "shard", (int)shard,
 			"epoch", (json_int_t)group->epoch, "quarantine",
-			group->quarantine, "holders", holders));
+			group->quarantine, "ready", ready, "holders",
+			holders));
 	}
 	return (list);
 }
@@ -429,7 +470,7 @@
 	const control_vm_t *leader = control_get_leader(control);
 
 	return (json_pack(
-	    "{s:s, s:s, s:s?, s:b, s:I, s:I, s:I, s:b, s:i, s:o, s:o}", "node",
+	    "{s:s, s:s, s:s?, s:b, s:I, s:I, s:I, s:b, s:i, s:o, s:o, s:o}", "node",
 	    control->settings.node, "role",
 	    raft_is_leader(control->raft) ? "leader" : "follower", "leader",
 	    leader != NULL ? leader->name : NULL, "ready",
@@ -438,7 +479,8 @@
 	    (json_int_t)raft_get_commit(control->raft), "version",
 	    (json_int_t)config_state_get_index(control->state), "voter",
 	    raft_is_voter(control->raft), "subscribers",
-	    (int)feed_get_subscriber_count(control->feed), "nodes",
+	    (int)feed_get_subscriber_count(control->feed), "control_vms",
+	    control_write_vms(control), "nodes",
 	    control_write_nodes(control), "groups",
 	    control_write_groups(control)));
 }
--- a/src/entry/entry_fleet.c
+++ b/src/entry/entry_fleet.c
@@ -211,6 +211,9 @@
 	    sizeof(options.self.data_centre));
 	uv_ip4_name(&settings->peer_listen, options.self.peer_ip,
 	    sizeof(options.self.peer_ip));
+	uv_ip4_name(&settings->ops_listen, options.self.ops_ip,
+	    sizeof(options.self.ops_ip));
+	options.self.ops_port = ntohs(settings->ops_listen.sin_port);
 	for (i = 0; i < settings->control_count; i++)
 		options.controls[i] = settings->controls[i].id;
 	return (gossip_create(&entry->gossip, &options, clock_now_ms()));
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -428,6 +428,8 @@
 	node.incarnation = self->incarnation;
 	node.peer_ip = (char *)self->peer_ip;
 	node.peer_port = self->peer_port;
+	node.ops_ip = (char *)self->ops_ip;
+	node.ops_port = self->ops_port;
 	node.data_centre = (char *)self->data_centre;
 	node.role = CONFIG_ROLE_ENTRY;
 	node.draining = self->draining;
--- a/src/proto/feed.pb-c.c
+++ b/src/proto/feed.pb-c.c
@@ -1378,7 +1378,7 @@
   (ProtobufCMessageInit) feed__change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__node__field_descriptors[8] =
+static const ProtobufCFieldDescriptor feed__node__field_descriptors[10] =
 {
   {
     "name",
@@ -1476,12 +1476,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ops_ip",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Node, ops_ip),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ops_port",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Node, ops_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__node__field_indices_by_name[] = {
   4,   /* field[4] = data_centre */
   6,   /* field[6] = draining */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
+  8,   /* field[8] = ops_ip */
+  9,   /* field[9] = ops_port */
   2,   /* field[2] = peer_ip */
   3,   /* field[3] = peer_port */
   5,   /* field[5] = role */
@@ -1490,7 +1516,7 @@
 static const ProtobufCIntRange feed__node__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor feed__node__descriptor =
 {
@@ -1500,7 +1526,7 @@
   "Feed__Node",
   "feed",
   sizeof(Feed__Node),
-  8,
+  10,
   feed__node__field_descriptors,
   feed__node__field_indices_by_name,
   1,  feed__node__number_ranges,
--- a/src/proto/feed.pb-c.h
+++ b/src/proto/feed.pb-c.h
@@ -120,10 +120,15 @@
   uint32_t role;
   protobuf_c_boolean draining;
   uint64_t version;
+  /*
+   * Ops listener, for the operators' tools.
+   */
+  char *ops_ip;
+  uint32_t ops_port;
 };
 #define FEED__NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__node__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Feed__Holder
--- a/src/proto/service.pb-c.c
+++ b/src/proto/service.pb-c.c
@@ -7,1361 +7,1958 @@
 #endif
 
 #include "service.pb-c.h"
-void
-service_target_report__init(ServiceTargetReport *message)
+void   service_target_report__init
+                     (ServiceTargetReport         *message)
 {
-	static const ServiceTargetReport init_value =
-	    SERVICE_TARGET_REPORT__INIT;
-	*message = init_value;
+  static const ServiceTargetReport init_value = SERVICE_TARGET_REPORT__INIT;
+  *message = init_value;
 }
-size_t
-service_target_report__get_packed_size(const ServiceTargetReport *message)
+size_t service_target_report__get_packed_size
+                     (const ServiceTargetReport *message)
 {
-	assert(message->base.descriptor == &service_target_report__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_target_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_target_report__pack(const ServiceTargetReport *message, uint8_t *out)
+size_t service_target_report__pack
+                     (const ServiceTargetReport *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_target_report__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_target_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_target_report__pack_to_buffer(
-    const ServiceTargetReport *message, ProtobufCBuffer *buffer)
+size_t service_target_report__pack_to_buffer
+                     (const ServiceTargetReport *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_target_report__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_target_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceTargetReport *
-service_target_report__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_target_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceTargetReport *)protobuf_c_message_unpack(
-	    &service_target_report__descriptor, allocator, len, data);
+  return (ServiceTargetReport *)
+     protobuf_c_message_unpack (&service_target_report__descriptor,
+                                allocator, len, data);
 }
-void
-service_target_report__free_unpacked(
-    ServiceTargetReport *message, ProtobufCAllocator *allocator)
+void   service_target_report__free_unpacked
+                     (ServiceTargetReport *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_target_report__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_target_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_demand__init(ServiceDemand *message)
+void   service_demand__init
+                     (ServiceDemand         *message)
 {
-	static const ServiceDemand init_value = SERVICE_DEMAND__INIT;
-	*message = init_value;
+  static const ServiceDemand init_value = SERVICE_DEMAND__INIT;
+  *message = init_value;
 }
-size_t
-service_demand__get_packed_size(const ServiceDemand *message)
+size_t service_demand__get_packed_size
+                     (const ServiceDemand *message)
 {
-	assert(message->base.descriptor == &service_demand__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_demand__pack(const ServiceDemand *message, uint8_t *out)
+size_t service_demand__pack
+                     (const ServiceDemand *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_demand__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_demand__pack_to_buffer(
-    const ServiceDemand *message, ProtobufCBuffer *buffer)
+size_t service_demand__pack_to_buffer
+                     (const ServiceDemand *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_demand__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceDemand *
-service_demand__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceDemand *)protobuf_c_message_unpack(
-	    &service_demand__descriptor, allocator, len, data);
+  return (ServiceDemand *)
+     protobuf_c_message_unpack (&service_demand__descriptor,
+                                allocator, len, data);
 }
-void
-service_demand__free_unpacked(
-    ServiceDemand *message, ProtobufCAllocator *allocator)
+void   service_demand__free_unpacked
+                     (ServiceDemand *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_demand__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_report__init(ServiceReport *message)
+void   service_report__init
+                     (ServiceReport         *message)
 {
-	static const ServiceReport init_value = SERVICE_REPORT__INIT;
-	*message = init_value;
+  static const ServiceReport init_value = SERVICE_REPORT__INIT;
+  *message = init_value;
 }
-size_t
-service_report__get_packed_size(const ServiceReport *message)
+size_t service_report__get_packed_size
+                     (const ServiceReport *message)
 {
-	assert(message->base.descriptor == &service_report__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_report__pack(const ServiceReport *message, uint8_t *out)
+size_t service_report__pack
+                     (const ServiceReport *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_report__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_report__pack_to_buffer(
-    const ServiceReport *message, ProtobufCBuffer *buffer)
+size_t service_report__pack_to_buffer
+                     (const ServiceReport *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_report__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceReport *
-service_report__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceReport *)protobuf_c_message_unpack(
-	    &service_report__descriptor, allocator, len, data);
+  return (ServiceReport *)
+     protobuf_c_message_unpack (&service_report__descriptor,
+                                allocator, len, data);
 }
-void
-service_report__free_unpacked(
-    ServiceReport *message, ProtobufCAllocator *allocator)
+void   service_report__free_unpacked
+                     (ServiceReport *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_report__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_table_target__init(ServiceTableTarget *message)
+void   service_table_target__init
+                     (ServiceTableTarget         *message)
 {
-	static const ServiceTableTarget init_value = SERVICE_TABLE_TARGET__INIT;
-	*message = init_value;
+  static const ServiceTableTarget init_value = SERVICE_TABLE_TARGET__INIT;
+  *message = init_value;
 }
-size_t
-service_table_target__get_packed_size(const ServiceTableTarget *message)
+size_t service_table_target__get_packed_size
+                     (const ServiceTableTarget *message)
 {
-	assert(message->base.descriptor == &service_table_target__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_table_target__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_table_target__pack(const ServiceTableTarget *message, uint8_t *out)
+size_t service_table_target__pack
+                     (const ServiceTableTarget *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_table_target__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_table_target__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_table_target__pack_to_buffer(
-    const ServiceTableTarget *message, ProtobufCBuffer *buffer)
+size_t service_table_target__pack_to_buffer
+                     (const ServiceTableTarget *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_table_target__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_table_target__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceTableTarget *
-service_table_target__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_table_target__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceTableTarget *)protobuf_c_message_unpack(
-	    &service_table_target__descriptor, allocator, len, data);
+  return (ServiceTableTarget *)
+     protobuf_c_message_unpack (&service_table_target__descriptor,
+                                allocator, len, data);
 }
-void
-service_table_target__free_unpacked(
-    ServiceTableTarget *message, ProtobufCAllocator *allocator)
+void   service_table_target__free_unpacked
+                     (ServiceTableTarget *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_table_target__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_table_target__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_blocked__init(ServiceBlocked *message)
+void   service_blocked__init
+                     (ServiceBlocked         *message)
 {
-	static const ServiceBlocked init_value = SERVICE_BLOCKED__INIT;
-	*message = init_value;
+  static const ServiceBlocked init_value = SERVICE_BLOCKED__INIT;
+  *message = init_value;
 }
-size_t
-service_blocked__get_packed_size(const ServiceBlocked *message)
+size_t service_blocked__get_packed_size
+                     (const ServiceBlocked *message)
 {
-	assert(message->base.descriptor == &service_blocked__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_blocked__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_blocked__pack(const ServiceBlocked *message, uint8_t *out)
+size_t service_blocked__pack
+                     (const ServiceBlocked *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_blocked__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_blocked__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_blocked__pack_to_buffer(
-    const ServiceBlocked *message, ProtobufCBuffer *buffer)
+size_t service_blocked__pack_to_buffer
+                     (const ServiceBlocked *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_blocked__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_blocked__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceBlocked *
-service_blocked__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_blocked__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceBlocked *)protobuf_c_message_unpack(
-	    &service_blocked__descriptor, allocator, len, data);
+  return (ServiceBlocked *)
+     protobuf_c_message_unpack (&service_blocked__descriptor,
+                                allocator, len, data);
 }
-void
-service_blocked__free_unpacked(
-    ServiceBlocked *message, ProtobufCAllocator *allocator)
+void   service_blocked__free_unpacked
+                     (ServiceBlocked *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_blocked__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_blocked__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_table__init(ServiceTable *message)
+void   service_table__init
+                     (ServiceTable         *message)
 {
-	static const ServiceTable init_value = SERVICE_TABLE__INIT;
-	*message = init_value;
+  static const ServiceTable init_value = SERVICE_TABLE__INIT;
+  *message = init_value;
 }
-size_t
-service_table__get_packed_size(const ServiceTable *message)
+size_t service_table__get_packed_size
+                     (const ServiceTable *message)
 {
-	assert(message->base.descriptor == &service_table__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_table__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_table__pack(const ServiceTable *message, uint8_t *out)
+size_t service_table__pack
+                     (const ServiceTable *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_table__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_table__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_table__pack_to_buffer(
-    const ServiceTable *message, ProtobufCBuffer *buffer)
+size_t service_table__pack_to_buffer
+                     (const ServiceTable *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_table__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_table__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceTable *
-service_table__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceTable *)protobuf_c_message_unpack(
-	    &service_table__descriptor, allocator, len, data);
+  return (ServiceTable *)
+     protobuf_c_message_unpack (&service_table__descriptor,
+                                allocator, len, data);
 }
-void
-service_table__free_unpacked(
-    ServiceTable *message, ProtobufCAllocator *allocator)
+void   service_table__free_unpacked
+                     (ServiceTable *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_table__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_table__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_share__init(ServiceShare *message)
+void   service_share__init
+                     (ServiceShare         *message)
 {
-	static const ServiceShare init_value = SERVICE_SHARE__INIT;
-	*message = init_value;
+  static const ServiceShare init_value = SERVICE_SHARE__INIT;
+  *message = init_value;
 }
-size_t
-service_share__get_packed_size(const ServiceShare *message)
+size_t service_share__get_packed_size
+                     (const ServiceShare *message)
 {
-	assert(message->base.descriptor == &service_share__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_share__pack(const ServiceShare *message, uint8_t *out)
+size_t service_share__pack
+                     (const ServiceShare *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_share__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_share__pack_to_buffer(
-    const ServiceShare *message, ProtobufCBuffer *buffer)
+size_t service_share__pack_to_buffer
+                     (const ServiceShare *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_share__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceShare *
-service_share__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceShare *)protobuf_c_message_unpack(
-	    &service_share__descriptor, allocator, len, data);
+  return (ServiceShare *)
+     protobuf_c_message_unpack (&service_share__descriptor,
+                                allocator, len, data);
 }
-void
-service_share__free_unpacked(
-    ServiceShare *message, ProtobufCAllocator *allocator)
+void   service_share__free_unpacked
+                     (ServiceShare *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_share__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_shares__init(ServiceShares *message)
+void   service_shares__init
+                     (ServiceShares         *message)
 {
-	static const ServiceShares init_value = SERVICE_SHARES__INIT;
-	*message = init_value;
+  static const ServiceShares init_value = SERVICE_SHARES__INIT;
+  *message = init_value;
 }
-size_t
-service_shares__get_packed_size(const ServiceShares *message)
+size_t service_shares__get_packed_size
+                     (const ServiceShares *message)
 {
-	assert(message->base.descriptor == &service_shares__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_shares__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_shares__pack(const ServiceShares *message, uint8_t *out)
+size_t service_shares__pack
+                     (const ServiceShares *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_shares__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_shares__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_shares__pack_to_buffer(
-    const ServiceShares *message, ProtobufCBuffer *buffer)
+size_t service_shares__pack_to_buffer
+                     (const ServiceShares *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_shares__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_shares__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceShares *
-service_shares__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_shares__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceShares *)protobuf_c_message_unpack(
-	    &service_shares__descriptor, allocator, len, data);
+  return (ServiceShares *)
+     protobuf_c_message_unpack (&service_shares__descriptor,
+                                allocator, len, data);
 }
-void
-service_shares__free_unpacked(
-    ServiceShares *message, ProtobufCAllocator *allocator)
+void   service_shares__free_unpacked
+                     (ServiceShares *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_shares__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_shares__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_announce__init(ServiceAnnounce *message)
+void   service_announce__init
+                     (ServiceAnnounce         *message)
 {
-	static const ServiceAnnounce init_value = SERVICE_ANNOUNCE__INIT;
-	*message = init_value;
+  static const ServiceAnnounce init_value = SERVICE_ANNOUNCE__INIT;
+  *message = init_value;
 }
-size_t
-service_announce__get_packed_size(const ServiceAnnounce *message)
+size_t service_announce__get_packed_size
+                     (const ServiceAnnounce *message)
 {
-	assert(message->base.descriptor == &service_announce__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_announce__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_announce__pack(const ServiceAnnounce *message, uint8_t *out)
+size_t service_announce__pack
+                     (const ServiceAnnounce *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_announce__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_announce__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_announce__pack_to_buffer(
-    const ServiceAnnounce *message, ProtobufCBuffer *buffer)
+size_t service_announce__pack_to_buffer
+                     (const ServiceAnnounce *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_announce__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_announce__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceAnnounce *
-service_announce__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_announce__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceAnnounce *)protobuf_c_message_unpack(
-	    &service_announce__descriptor, allocator, len, data);
+  return (ServiceAnnounce *)
+     protobuf_c_message_unpack (&service_announce__descriptor,
+                                allocator, len, data);
 }
-void
-service_announce__free_unpacked(
-    ServiceAnnounce *message, ProtobufCAllocator *allocator)
+void   service_announce__free_unpacked
+                     (ServiceAnnounce *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_announce__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_announce__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_announce_reply__init(ServiceAnnounceReply *message)
+void   service_announce_reply__init
+                     (ServiceAnnounceReply         *message)
 {
-	static const ServiceAnnounceReply init_value =
-	    SERVICE_ANNOUNCE_REPLY__INIT;
-	*message = init_value;
+  static const ServiceAnnounceReply init_value = SERVICE_ANNOUNCE_REPLY__INIT;
+  *message = init_value;
 }
-size_t
-service_announce_reply__get_packed_size(const ServiceAnnounceReply *message)
+size_t service_announce_reply__get_packed_size
+                     (const ServiceAnnounceReply *message)
 {
-	assert(message->base.descriptor == &service_announce_reply__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_announce_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_announce_reply__pack(const ServiceAnnounceReply *message, uint8_t *out)
+size_t service_announce_reply__pack
+                     (const ServiceAnnounceReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_announce_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_announce_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_announce_reply__pack_to_buffer(
-    const ServiceAnnounceReply *message, ProtobufCBuffer *buffer)
+size_t service_announce_reply__pack_to_buffer
+                     (const ServiceAnnounceReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_announce_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_announce_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceAnnounceReply *
-service_announce_reply__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_announce_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceAnnounceReply *)protobuf_c_message_unpack(
-	    &service_announce_reply__descriptor, allocator, len, data);
+  return (ServiceAnnounceReply *)
+     protobuf_c_message_unpack (&service_announce_reply__descriptor,
+                                allocator, len, data);
 }
-void
-service_announce_reply__free_unpacked(
-    ServiceAnnounceReply *message, ProtobufCAllocator *allocator)
+void   service_announce_reply__free_unpacked
+                     (ServiceAnnounceReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_announce_reply__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_announce_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_trial__init(ServiceTrial *message)
+void   service_trial__init
+                     (ServiceTrial         *message)
 {
-	static const ServiceTrial init_value = SERVICE_TRIAL__INIT;
-	*message = init_value;
+  static const ServiceTrial init_value = SERVICE_TRIAL__INIT;
+  *message = init_value;
 }
-size_t
-service_trial__get_packed_size(const ServiceTrial *message)
+size_t service_trial__get_packed_size
+                     (const ServiceTrial *message)
 {
-	assert(message->base.descriptor == &service_trial__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_trial__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_trial__pack(const ServiceTrial *message, uint8_t *out)
+size_t service_trial__pack
+                     (const ServiceTrial *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_trial__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_trial__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_trial__pack_to_buffer(
-    const ServiceTrial *message, ProtobufCBuffer *buffer)
+size_t service_trial__pack_to_buffer
+                     (const ServiceTrial *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_trial__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_trial__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceTrial *
-service_trial__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_trial__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceTrial *)protobuf_c_message_unpack(
-	    &service_trial__descriptor, allocator, len, data);
+  return (ServiceTrial *)
+     protobuf_c_message_unpack (&service_trial__descriptor,
+                                allocator, len, data);
 }
-void
-service_trial__free_unpacked(
-    ServiceTrial *message, ProtobufCAllocator *allocator)
+void   service_trial__free_unpacked
+                     (ServiceTrial *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_trial__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_trial__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_trial_result__init(ServiceTrialResult *message)
+void   service_trial_result__init
+                     (ServiceTrialResult         *message)
 {
-	static const ServiceTrialResult init_value = SERVICE_TRIAL_RESULT__INIT;
-	*message = init_value;
+  static const ServiceTrialResult init_value = SERVICE_TRIAL_RESULT__INIT;
+  *message = init_value;
 }
-size_t
-service_trial_result__get_packed_size(const ServiceTrialResult *message)
+size_t service_trial_result__get_packed_size
+                     (const ServiceTrialResult *message)
 {
-	assert(message->base.descriptor == &service_trial_result__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_trial_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_trial_result__pack(const ServiceTrialResult *message, uint8_t *out)
+size_t service_trial_result__pack
+                     (const ServiceTrialResult *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_trial_result__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_trial_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_trial_result__pack_to_buffer(
-    const ServiceTrialResult *message, ProtobufCBuffer *buffer)
+size_t service_trial_result__pack_to_buffer
+                     (const ServiceTrialResult *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_trial_result__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_trial_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceTrialResult *
-service_trial_result__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_trial_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceTrialResult *)protobuf_c_message_unpack(
-	    &service_trial_result__descriptor, allocator, len, data);
+  return (ServiceTrialResult *)
+     protobuf_c_message_unpack (&service_trial_result__descriptor,
+                                allocator, len, data);
 }
-void
-service_trial_result__free_unpacked(
-    ServiceTrialResult *message, ProtobufCAllocator *allocator)
+void   service_trial_result__free_unpacked
+                     (ServiceTrialResult *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_trial_result__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_trial_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_crash__init(ServiceCrash *message)
+void   service_crash__init
+                     (ServiceCrash         *message)
 {
-	static const ServiceCrash init_value = SERVICE_CRASH__INIT;
-	*message = init_value;
+  static const ServiceCrash init_value = SERVICE_CRASH__INIT;
+  *message = init_value;
 }
-size_t
-service_crash__get_packed_size(const ServiceCrash *message)
+size_t service_crash__get_packed_size
+                     (const ServiceCrash *message)
 {
-	assert(message->base.descriptor == &service_crash__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_crash__pack(const ServiceCrash *message, uint8_t *out)
+size_t service_crash__pack
+                     (const ServiceCrash *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_crash__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_crash__pack_to_buffer(
-    const ServiceCrash *message, ProtobufCBuffer *buffer)
+size_t service_crash__pack_to_buffer
+                     (const ServiceCrash *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_crash__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceCrash *
-service_crash__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+       service_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (ServiceCrash *)protobuf_c_message_unpack(
-	    &service_crash__descriptor, allocator, len, data);
+  return (ServiceCrash *)
+     protobuf_c_message_unpack (&service_crash__descriptor,
+                                allocator, len, data);
 }
-void
-service_crash__free_unpacked(
-    ServiceCrash *message, ProtobufCAllocator *allocator)
+void   service_crash__free_unpacked
+                     (ServiceCrash *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_crash__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-service_version__init(ServiceVersion *message)
+void   service_version__init
+                     (ServiceVersion         *message)
 {
-	static const ServiceVersion init_value = SERVICE_VERSION__INIT;
-	*message = init_value;
+  static const ServiceVersion init_value = SERVICE_VERSION__INIT;
+  *message = init_value;
 }
-size_t
-service_version__get_packed_size(const ServiceVersion *message)
+size_t service_version__get_packed_size
+                     (const ServiceVersion *message)
 {
-	assert(message->base.descriptor == &service_version__descriptor);
-	return protobuf_c_message_get_packed_size(
-	    (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &service_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-service_version__pack(const ServiceVersion *message, uint8_t *out)
+size_t service_version__pack
+                     (const ServiceVersion *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &service_version__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &service_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-service_version__pack_to_buffer(
-    const ServiceVersion *message, ProtobufCBuffer *buffer)
+size_t service_version__pack_to_buffer
+                     (const ServiceVersion *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &service_version__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-	    (const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &service_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 ServiceVersion *
-service_version__unpack(
-    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
-{
-	return (ServiceVersion *)protobuf_c_message_unpack(
-	    &service_version__descriptor, allocator, len, data);
-}
-void
-service_version__free_unpacked(
-    ServiceVersion *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &service_version__descriptor);
-	protobuf_c_message_free_unpacked(
-	    (ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor
-    service_target_report__field_descriptors[7] = {
-	    {
-		"target", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(ServiceTargetReport, target), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(ServiceTargetReport, incarnation), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"count", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTargetReport, count), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"bad", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTargetReport, bad), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"odd", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTargetReport, odd), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"good", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTargetReport, good), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"latency_ms", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(ServiceTargetReport, latency_ms), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-    };
+       service_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ServiceVersion *)
+     protobuf_c_message_unpack (&service_version__descriptor,
+                                allocator, len, data);
+}
+void   service_version__free_unpacked
+                     (ServiceVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor service_target_report__field_descriptors[7] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTargetReport, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTargetReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTargetReport, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bad",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTargetReport, bad),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "odd",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTargetReport, odd),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "good",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTargetReport, good),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTargetReport, latency_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned service_target_report__field_indices_by_name[] = {
-	3, /* field[3] = bad */
-	2, /* field[2] = count */
-	5, /* field[5] = good */
-	1, /* field[1] = incarnation */
-	6, /* field[6] = latency_ms */
-	4, /* field[4] = odd */
-	0, /* field[0] = target */
+  3,   /* field[3] = bad */
+  2,   /* field[2] = count */
+  5,   /* field[5] = good */
+  1,   /* field[1] = incarnation */
+  6,   /* field[6] = latency_ms */
+  4,   /* field[4] = odd */
+  0,   /* field[0] = target */
 };
-static const ProtobufCIntRange service_target_report__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 7 }
+static const ProtobufCIntRange service_target_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor service_target_report__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceTargetReport",
-	"ServiceTargetReport", "ServiceTargetReport", "",
-	sizeof(ServiceTargetReport), 7,
-	service_target_report__field_descriptors,
-	service_target_report__field_indices_by_name, 1,
-	service_target_report__number_ranges,
-	(ProtobufCMessageInit)service_target_report__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_target_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceTargetReport",
+  "ServiceTargetReport",
+  "ServiceTargetReport",
+  "",
+  sizeof(ServiceTargetReport),
+  7,
+  service_target_report__field_descriptors,
+  service_target_report__field_indices_by_name,
+  1,  service_target_report__number_ranges,
+  (ProtobufCMessageInit) service_target_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_demand__field_descriptors[3] = {
-	{
-	    "workspace", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceDemand, workspace), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "running", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceDemand, running), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "queued", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceDemand, queued), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor service_demand__field_descriptors[3] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceDemand, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceDemand, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceDemand, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_demand__field_indices_by_name[] = {
-	2, /* field[2] = queued */
-	1, /* field[1] = running */
-	0, /* field[0] = workspace */
+  2,   /* field[2] = queued */
+  1,   /* field[1] = running */
+  0,   /* field[0] = workspace */
 };
-static const ProtobufCIntRange service_demand__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 3 }
+static const ProtobufCIntRange service_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor service_demand__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceDemand", "ServiceDemand",
-	"ServiceDemand", "", sizeof(ServiceDemand), 3,
-	service_demand__field_descriptors,
-	service_demand__field_indices_by_name, 1, service_demand__number_ranges,
-	(ProtobufCMessageInit)service_demand__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceDemand",
+  "ServiceDemand",
+  "ServiceDemand",
+  "",
+  sizeof(ServiceDemand),
+  3,
+  service_demand__field_descriptors,
+  service_demand__field_indices_by_name,
+  1,  service_demand__number_ranges,
+  (ProtobufCMessageInit) service_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_report__field_descriptors[6] = {
-	{
-	    "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceReport, service), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "data_centre", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceReport, data_centre), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "term", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceReport, term), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "sequence", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceReport, sequence), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "targets", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(ServiceReport, n_targets),
-	    offsetof(ServiceReport, targets),
-	    &service_target_report__descriptor, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "demand", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(ServiceReport, n_demand), offsetof(ServiceReport, demand),
-	    &service_demand__descriptor, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor service_report__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceReport, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceReport, data_centre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceReport, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceReport, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ServiceReport, n_targets),
+    offsetof(ServiceReport, targets),
+    &service_target_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ServiceReport, n_demand),
+    offsetof(ServiceReport, demand),
+    &service_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_report__field_indices_by_name[] = {
-	1, /* field[1] = data_centre */
-	5, /* field[5] = demand */
-	3, /* field[3] = sequence */
-	0, /* field[0] = service */
-	4, /* field[4] = targets */
-	2, /* field[2] = term */
+  1,   /* field[1] = data_centre */
+  5,   /* field[5] = demand */
+  3,   /* field[3] = sequence */
+  0,   /* field[0] = service */
+  4,   /* field[4] = targets */
+  2,   /* field[2] = term */
 };
-static const ProtobufCIntRange service_report__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 6 }
+static const ProtobufCIntRange service_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor service_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceReport",
+  "ServiceReport",
+  "ServiceReport",
+  "",
+  sizeof(ServiceReport),
+  6,
+  service_report__field_descriptors,
+  service_report__field_indices_by_name,
+  1,  service_report__number_ranges,
+  (ProtobufCMessageInit) service_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-const ProtobufCMessageDescriptor service_report__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceReport", "ServiceReport",
-	"ServiceReport", "", sizeof(ServiceReport), 6,
-	service_report__field_descriptors,
-	service_report__field_indices_by_name, 1, service_report__number_ranges,
-	(ProtobufCMessageInit)service_report__init, NULL, NULL,
-	NULL /* reserved[123] */
+static const ProtobufCFieldDescriptor service_table_target__field_descriptors[15] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, ip),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connection_cap",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, connection_cap),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, cold_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "avoid_data_centres",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(ServiceTableTarget, n_avoid_data_centres),
+    offsetof(ServiceTableTarget, avoid_data_centres),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ejections",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, ejections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "badness",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, badness),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, evidence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence_value",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, evidence_value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence_limit",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, evidence_limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_age_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTableTarget, state_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    service_table_target__field_descriptors[11] = {
-	    {
-		"target", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, target), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, incarnation), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"ip", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, ip), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"port", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"slots", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, slots), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"connection_cap", 6, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, connection_cap), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"state", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, state), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"cold_age_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, cold_age_ms), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"avoid_data_centres", 9, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_UINT32,
-		offsetof(ServiceTableTarget, n_avoid_data_centres),
-		offsetof(ServiceTableTarget, avoid_data_centres), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"ejections", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, ejections), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"badness", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-		0, /* quantifier_offset */
-		offsetof(ServiceTableTarget, badness), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-    };
 static const unsigned service_table_target__field_indices_by_name[] = {
-	8, /* field[8] = avoid_data_centres */
-	10, /* field[10] = badness */
-	7, /* field[7] = cold_age_ms */
-	5, /* field[5] = connection_cap */
-	9, /* field[9] = ejections */
-	1, /* field[1] = incarnation */
-	2, /* field[2] = ip */
-	3, /* field[3] = port */
-	4, /* field[4] = slots */
-	6, /* field[6] = state */
-	0, /* field[0] = target */
+  8,   /* field[8] = avoid_data_centres */
+  10,   /* field[10] = badness */
+  7,   /* field[7] = cold_age_ms */
+  5,   /* field[5] = connection_cap */
+  9,   /* field[9] = ejections */
+  11,   /* field[11] = evidence */
+  13,   /* field[13] = evidence_limit */
+  12,   /* field[12] = evidence_value */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = ip */
+  3,   /* field[3] = port */
+  4,   /* field[4] = slots */
+  6,   /* field[6] = state */
+  14,   /* field[14] = state_age_ms */
+  0,   /* field[0] = target */
 };
-static const ProtobufCIntRange service_table_target__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 11 }
+static const ProtobufCIntRange service_table_target__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 15 }
 };
-const ProtobufCMessageDescriptor service_table_target__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceTableTarget",
-	"ServiceTableTarget", "ServiceTableTarget", "",
-	sizeof(ServiceTableTarget), 11, service_table_target__field_descriptors,
-	service_table_target__field_indices_by_name, 1,
-	service_table_target__number_ranges,
-	(ProtobufCMessageInit)service_table_target__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_table_target__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceTableTarget",
+  "ServiceTableTarget",
+  "ServiceTableTarget",
+  "",
+  sizeof(ServiceTableTarget),
+  15,
+  service_table_target__field_descriptors,
+  service_table_target__field_indices_by_name,
+  1,  service_table_target__number_ranges,
+  (ProtobufCMessageInit) service_table_target__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_blocked__field_descriptors[2] = {
-	{
-	    "fingerprint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceBlocked, fingerprint), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "remaining_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceBlocked, remaining_ms), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor service_blocked__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceBlocked, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceBlocked, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_blocked__field_indices_by_name[] = {
-	0, /* field[0] = fingerprint */
-	1, /* field[1] = remaining_ms */
+  0,   /* field[0] = fingerprint */
+  1,   /* field[1] = remaining_ms */
 };
-static const ProtobufCIntRange service_blocked__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 2 }
+static const ProtobufCIntRange service_blocked__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor service_blocked__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceBlocked",
-	"ServiceBlocked", "ServiceBlocked", "", sizeof(ServiceBlocked), 2,
-	service_blocked__field_descriptors,
-	service_blocked__field_indices_by_name, 1,
-	service_blocked__number_ranges,
-	(ProtobufCMessageInit)service_blocked__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_blocked__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceBlocked",
+  "ServiceBlocked",
+  "ServiceBlocked",
+  "",
+  sizeof(ServiceBlocked),
+  2,
+  service_blocked__field_descriptors,
+  service_blocked__field_indices_by_name,
+  1,  service_blocked__number_ranges,
+  (ProtobufCMessageInit) service_blocked__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_table__field_descriptors[5] = {
-	{
-	    "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceTable, service), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceTable, term), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "sequence", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceTable, sequence), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "targets", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(ServiceTable, n_targets), offsetof(ServiceTable, targets),
-	    &service_table_target__descriptor, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "blocked", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(ServiceTable, n_blocked), offsetof(ServiceTable, blocked),
-	    &service_blocked__descriptor, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor service_table__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTable, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTable, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTable, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ServiceTable, n_targets),
+    offsetof(ServiceTable, targets),
+    &service_table_target__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocked",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ServiceTable, n_blocked),
+    offsetof(ServiceTable, blocked),
+    &service_blocked__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_table__field_indices_by_name[] = {
-	4, /* field[4] = blocked */
-	2, /* field[2] = sequence */
-	0, /* field[0] = service */
-	3, /* field[3] = targets */
-	1, /* field[1] = term */
+  4,   /* field[4] = blocked */
+  2,   /* field[2] = sequence */
+  0,   /* field[0] = service */
+  3,   /* field[3] = targets */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange service_table__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
 };
-static const ProtobufCIntRange service_table__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 5 } };
-const ProtobufCMessageDescriptor service_table__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceTable", "ServiceTable",
-	"ServiceTable", "", sizeof(ServiceTable), 5,
-	service_table__field_descriptors, service_table__field_indices_by_name,
-	1, service_table__number_ranges,
-	(ProtobufCMessageInit)service_table__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_table__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceTable",
+  "ServiceTable",
+  "ServiceTable",
+  "",
+  sizeof(ServiceTable),
+  5,
+  service_table__field_descriptors,
+  service_table__field_indices_by_name,
+  1,  service_table__number_ranges,
+  (ProtobufCMessageInit) service_table__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_share__field_descriptors[2] = {
-	{
-	    "workspace", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceShare, workspace), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "slots", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceShare, slots), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor service_share__field_descriptors[2] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceShare, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceShare, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_share__field_indices_by_name[] = {
-	1, /* field[1] = slots */
-	0, /* field[0] = workspace */
+  1,   /* field[1] = slots */
+  0,   /* field[0] = workspace */
 };
-static const ProtobufCIntRange service_share__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 2 } };
-const ProtobufCMessageDescriptor service_share__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceShare", "ServiceShare",
-	"ServiceShare", "", sizeof(ServiceShare), 2,
-	service_share__field_descriptors, service_share__field_indices_by_name,
-	1, service_share__number_ranges,
-	(ProtobufCMessageInit)service_share__init, NULL, NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange service_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor service_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceShare",
+  "ServiceShare",
+  "ServiceShare",
+  "",
+  sizeof(ServiceShare),
+  2,
+  service_share__field_descriptors,
+  service_share__field_indices_by_name,
+  1,  service_share__number_ranges,
+  (ProtobufCMessageInit) service_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_shares__field_descriptors[5] = {
-	{
-	    "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceShares, service), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceShares, term), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "typical_us", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceShares, typical_us), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "vm_count", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceShares, vm_count), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "shares", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-	    offsetof(ServiceShares, n_shares), offsetof(ServiceShares, shares),
-	    &service_share__descriptor, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor service_shares__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceShares, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceShares, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "typical_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceShares, typical_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm_count",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceShares, vm_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ServiceShares, n_shares),
+    offsetof(ServiceShares, shares),
+    &service_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_shares__field_indices_by_name[] = {
-	0, /* field[0] = service */
-	4, /* field[4] = shares */
-	1, /* field[1] = term */
-	2, /* field[2] = typical_us */
-	3, /* field[3] = vm_count */
+  0,   /* field[0] = service */
+  4,   /* field[4] = shares */
+  1,   /* field[1] = term */
+  2,   /* field[2] = typical_us */
+  3,   /* field[3] = vm_count */
 };
-static const ProtobufCIntRange service_shares__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 5 }
+static const ProtobufCIntRange service_shares__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor service_shares__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceShares", "ServiceShares",
-	"ServiceShares", "", sizeof(ServiceShares), 5,
-	service_shares__field_descriptors,
-	service_shares__field_indices_by_name, 1, service_shares__number_ranges,
-	(ProtobufCMessageInit)service_shares__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_shares__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceShares",
+  "ServiceShares",
+  "ServiceShares",
+  "",
+  sizeof(ServiceShares),
+  5,
+  service_shares__field_descriptors,
+  service_shares__field_indices_by_name,
+  1,  service_shares__number_ranges,
+  (ProtobufCMessageInit) service_shares__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor service_announce__field_descriptors[10] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, ip),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connection_cap",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, connection_cap),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounce, origin),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    service_announce__field_descriptors[10] = {
-	    {
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, service), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, target), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, incarnation), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"ip", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, ip), NULL, &protobuf_c_empty_string,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"port", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"slots", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, slots), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"connection_cap", 7, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, connection_cap), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"leaving", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, leaving), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"relay", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, relay), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"origin", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounce, origin), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-    };
 static const unsigned service_announce__field_indices_by_name[] = {
-	6, /* field[6] = connection_cap */
-	2, /* field[2] = incarnation */
-	3, /* field[3] = ip */
-	7, /* field[7] = leaving */
-	9, /* field[9] = origin */
-	4, /* field[4] = port */
-	8, /* field[8] = relay */
-	0, /* field[0] = service */
-	5, /* field[5] = slots */
-	1, /* field[1] = target */
+  6,   /* field[6] = connection_cap */
+  2,   /* field[2] = incarnation */
+  3,   /* field[3] = ip */
+  7,   /* field[7] = leaving */
+  9,   /* field[9] = origin */
+  4,   /* field[4] = port */
+  8,   /* field[8] = relay */
+  0,   /* field[0] = service */
+  5,   /* field[5] = slots */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange service_announce__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
 };
-static const ProtobufCIntRange service_announce__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 10 }
+const ProtobufCMessageDescriptor service_announce__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceAnnounce",
+  "ServiceAnnounce",
+  "ServiceAnnounce",
+  "",
+  sizeof(ServiceAnnounce),
+  10,
+  service_announce__field_descriptors,
+  service_announce__field_indices_by_name,
+  1,  service_announce__number_ranges,
+  (ProtobufCMessageInit) service_announce__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-const ProtobufCMessageDescriptor service_announce__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceAnnounce",
-	"ServiceAnnounce", "ServiceAnnounce", "", sizeof(ServiceAnnounce), 10,
-	service_announce__field_descriptors,
-	service_announce__field_indices_by_name, 1,
-	service_announce__number_ranges,
-	(ProtobufCMessageInit)service_announce__init, NULL, NULL,
-	NULL /* reserved[123] */
+static const ProtobufCFieldDescriptor service_announce_reply__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounceReply, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounceReply, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounceReply, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stale",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ServiceAnnounceReply, stale),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    service_announce_reply__field_descriptors[4] = {
-	    {
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounceReply, service), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounceReply, target), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounceReply, incarnation), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"stale", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(ServiceAnnounceReply, stale), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-    };
 static const unsigned service_announce_reply__field_indices_by_name[] = {
-	2, /* field[2] = incarnation */
-	0, /* field[0] = service */
-	3, /* field[3] = stale */
-	1, /* field[1] = target */
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = service */
+  3,   /* field[3] = stale */
+  1,   /* field[1] = target */
 };
-static const ProtobufCIntRange service_announce_reply__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 4 }
+static const ProtobufCIntRange service_announce_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor service_announce_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceAnnounceReply",
-	"ServiceAnnounceReply", "ServiceAnnounceReply", "",
-	sizeof(ServiceAnnounceReply), 4,
-	service_announce_reply__field_descriptors,
-	service_announce_reply__field_indices_by_name, 1,
-	service_announce_reply__number_ranges,
-	(ProtobufCMessageInit)service_announce_reply__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_announce_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceAnnounceReply",
+  "ServiceAnnounceReply",
+  "ServiceAnnounceReply",
+  "",
+  sizeof(ServiceAnnounceReply),
+  4,
+  service_announce_reply__field_descriptors,
+  service_announce_reply__field_indices_by_name,
+  1,  service_announce_reply__number_ranges,
+  (ProtobufCMessageInit) service_announce_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_trial__field_descriptors[4] = {
-	{
-	    "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceTrial, service), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceTrial, target), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceTrial, incarnation), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "permit", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceTrial, permit), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor service_trial__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrial, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrial, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrial, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrial, permit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_trial__field_indices_by_name[] = {
-	2, /* field[2] = incarnation */
-	3, /* field[3] = permit */
-	0, /* field[0] = service */
-	1, /* field[1] = target */
+  2,   /* field[2] = incarnation */
+  3,   /* field[3] = permit */
+  0,   /* field[0] = service */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange service_trial__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
 };
-static const ProtobufCIntRange service_trial__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 4 } };
-const ProtobufCMessageDescriptor service_trial__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceTrial", "ServiceTrial",
-	"ServiceTrial", "", sizeof(ServiceTrial), 4,
-	service_trial__field_descriptors, service_trial__field_indices_by_name,
-	1, service_trial__number_ranges,
-	(ProtobufCMessageInit)service_trial__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_trial__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceTrial",
+  "ServiceTrial",
+  "ServiceTrial",
+  "",
+  sizeof(ServiceTrial),
+  4,
+  service_trial__field_descriptors,
+  service_trial__field_indices_by_name,
+  1,  service_trial__number_ranges,
+  (ProtobufCMessageInit) service_trial__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor service_trial_result__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrialResult, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrialResult, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrialResult, permit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "good",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrialResult, good),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrialResult, latency_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor
-    service_trial_result__field_descriptors[5] = {
-	    {
-		"service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(ServiceTrialResult, service), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(ServiceTrialResult, target), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"permit", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(ServiceTrialResult, permit), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"good", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(ServiceTrialResult, good), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-	    {
-		"latency_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(ServiceTrialResult, latency_ms), NULL, NULL,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	    },
-    };
 static const unsigned service_trial_result__field_indices_by_name[] = {
-	3, /* field[3] = good */
-	4, /* field[4] = latency_ms */
-	2, /* field[2] = permit */
-	0, /* field[0] = service */
-	1, /* field[1] = target */
+  3,   /* field[3] = good */
+  4,   /* field[4] = latency_ms */
+  2,   /* field[2] = permit */
+  0,   /* field[0] = service */
+  1,   /* field[1] = target */
 };
-static const ProtobufCIntRange service_trial_result__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 5 }
+static const ProtobufCIntRange service_trial_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor service_trial_result__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceTrialResult",
-	"ServiceTrialResult", "ServiceTrialResult", "",
-	sizeof(ServiceTrialResult), 5, service_trial_result__field_descriptors,
-	service_trial_result__field_indices_by_name, 1,
-	service_trial_result__number_ranges,
-	(ProtobufCMessageInit)service_trial_result__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_trial_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceTrialResult",
+  "ServiceTrialResult",
+  "ServiceTrialResult",
+  "",
+  sizeof(ServiceTrialResult),
+  5,
+  service_trial_result__field_descriptors,
+  service_trial_result__field_indices_by_name,
+  1,  service_trial_result__number_ranges,
+  (ProtobufCMessageInit) service_trial_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_crash__field_descriptors[4] = {
-	{
-	    "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceCrash, service), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceCrash, target), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceCrash, incarnation), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "fingerprint", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceCrash, fingerprint), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor service_crash__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceCrash, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceCrash, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceCrash, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fingerprint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceCrash, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_crash__field_indices_by_name[] = {
-	3, /* field[3] = fingerprint */
-	2, /* field[2] = incarnation */
-	0, /* field[0] = service */
-	1, /* field[1] = target */
+  3,   /* field[3] = fingerprint */
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = service */
+  1,   /* field[1] = target */
 };
-static const ProtobufCIntRange service_crash__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 4 } };
-const ProtobufCMessageDescriptor service_crash__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceCrash", "ServiceCrash",
-	"ServiceCrash", "", sizeof(ServiceCrash), 4,
-	service_crash__field_descriptors, service_crash__field_indices_by_name,
-	1, service_crash__number_ranges,
-	(ProtobufCMessageInit)service_crash__init, NULL, NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange service_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
 };
-static const ProtobufCFieldDescriptor service_version__field_descriptors[3] = {
-	{
-	    "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceVersion, service), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceVersion, term), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-	    "sequence", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-	    0, /* quantifier_offset */
-	    offsetof(ServiceVersion, sequence), NULL, NULL, 0, /* flags */
-	    0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor service_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceCrash",
+  "ServiceCrash",
+  "ServiceCrash",
+  "",
+  sizeof(ServiceCrash),
+  4,
+  service_crash__field_descriptors,
+  service_crash__field_indices_by_name,
+  1,  service_crash__number_ranges,
+  (ProtobufCMessageInit) service_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor service_version__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceVersion, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceVersion, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceVersion, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_version__field_indices_by_name[] = {
-	2, /* field[2] = sequence */
-	0, /* field[0] = service */
-	1, /* field[1] = term */
+  2,   /* field[2] = sequence */
+  0,   /* field[0] = service */
+  1,   /* field[1] = term */
 };
-static const ProtobufCIntRange service_version__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 3 }
+static const ProtobufCIntRange service_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor service_version__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "ServiceVersion",
-	"ServiceVersion", "ServiceVersion", "", sizeof(ServiceVersion), 3,
-	service_version__field_descriptors,
-	service_version__field_indices_by_name, 1,
-	service_version__number_ranges,
-	(ProtobufCMessageInit)service_version__init, NULL, NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor service_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceVersion",
+  "ServiceVersion",
+  "ServiceVersion",
+  "",
+  sizeof(ServiceVersion),
+  3,
+  service_version__field_descriptors,
+  service_version__field_indices_by_name,
+  1,  service_version__number_ranges,
+  (ProtobufCMessageInit) service_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/service/service_defs.h
+++ b/src/service/service_defs.h
@@ -80,6 +80,27 @@
 	SERVICE_OUTCOME_CANCELED
 } service_outcome_t;
 
+/** Kind of evidence on which a target was ejected or avoided. */
+typedef enum service_evidence {
+	SERVICE_EVIDENCE_NONE,
+	/** Errors, wrong or broken responses, timeouts and stalls. */
+	SERVICE_EVIDENCE_BAD,
+	/** Rejected and shed requests, compared with the peers. */
+	SERVICE_EVIDENCE_ODD,
+	/** Mean latency, compared with the peers or its own past. */
+	SERVICE_EVIDENCE_SLOW,
+	SERVICE_EVIDENCE_COUNT
+} service_evidence_t;
+
+/** Result of a judgement. */
+typedef struct service_verdict {
+	double badness; /**< 0: no reason to eject; otherwise at least 1 */
+	service_evidence_t evidence;
+	/** Share of attempts, or ratio of latencies for SLOW. */
+	double value;
+	double limit; /**< that the value reached, in the same unit */
+} service_verdict_t;
+
 /** Announcement or renewal of a target. */
 typedef struct service_announcement {
 	char target[NAME_MAX_BYTES + 1];
@@ -135,6 +156,15 @@
 int service_message_get_service(
     uint16_t type, const uint8_t *payload, size_t len, uint64_t *id);
 
+/** @return word for logs and status pages; "none" for an unknown number */
+const char *service_evidence_get_name(service_evidence_t evidence);
+
+/** @return the kind, SERVICE_EVIDENCE_NONE for an unknown number */
+service_evidence_t service_evidence_from_number(uint32_t number);
+
+/** @return word for status pages */
+const char *service_target_state_get_name(service_target_state_t state);
+
 /** @return xxHash of a service, target or workspace name */
 uint64_t service_id_from_name(const char *name);
 
--- a/src/service/service_eject.c
+++ b/src/service/service_eject.c
@@ -71,7 +71,9 @@
 	target->ejections++;
 	target->state = SERVICE_TARGET_EJECTED;
 	target->ejected_ms = now_ms;
-	target->badness = badness;
+	target->verdict = target->found;
+	target->verdict.badness = badness;
+	target->state_since_ms = now_ms;
 	target->good_trials = 0;
 	target->trial_sum_ms = 0;
 	target->permit = 0;
@@ -81,6 +83,10 @@
 	LOG_EVENT(601, LOG_LEVEL_WARN, "target ejected",
 	    LOG_TEXT("service", leader->name),
 	    LOG_TEXT("target", target->info.target),
+	    LOG_TEXT("evidence",
+		service_evidence_get_name(target->verdict.evidence)),
+	    LOG_NUM("value_percent", target->verdict.value * 100),
+	    LOG_NUM("limit_percent", target->verdict.limit * 100),
 	    LOG_NUM("severity_percent", badness * 100),
 	    LOG_NUM("ejections", target->ejections));
 }
@@ -91,6 +97,7 @@
 	leader_target_t *target = &leader->targets[slot];
 
 	target->state = SERVICE_TARGET_ACTIVE;
+	target->state_since_ms = now_ms;
 	target->cold_started_ms = now_ms;
 	target->permit = 0;
 	leader_evidence_clear_slot(leader, slot);
@@ -113,7 +120,7 @@
 		if (!target->used || target->state != SERVICE_TARGET_EJECTED)
 			continue;
 		if (found < 0 ||
-		    target->badness < leader->targets[found].badness)
+		    target->verdict.badness < leader->targets[found].verdict.badness)
 			found = (int)i;
 	}
 	return (found);
@@ -129,7 +136,7 @@
 	leader->stats.floor_kept++;
 	if (least < 0)
 		return;
-	if (badness < EJECT_SWAP_FACTOR * leader->targets[least].badness)
+	if (badness < EJECT_SWAP_FACTOR * leader->targets[least].verdict.badness)
 		return;
 	leader_return(leader, (uint32_t)least, now_ms);
 	leader_eject(leader, slot, badness, now_ms);
--- a/src/service/service_evidence.c
+++ b/src/service/service_evidence.c
@@ -167,13 +167,14 @@
 static double
 evidence_judge(service_leader_t *leader, uint32_t slot,
     const service_window_t *window, const service_peers_t *peers,
-    int64_t now_ms)
+    int64_t now_ms, service_verdict_t *out)
 {
 	const leader_target_t *target = &leader->targets[slot];
 	int cold = now_ms - target->cold_started_ms < LEADER_COLD_MS;
 
-	return (service_judge(
-	    window, peers, leader->profile.eagerness, target->past_ms, cold));
+	service_judge_explain(window, peers, leader->profile.eagerness,
+	    target->past_ms, cold, out);
+	return (out->badness);
 }
 
 /*
@@ -236,6 +237,7 @@
 evidence_check_dcs(service_leader_t *leader, uint32_t slot,
     const evidence_slot_t *sums, const service_peers_t *peers, int64_t now_ms)
 {
+	service_verdict_t verdict;
 	service_window_t part;
 	uint32_t i;
 
@@ -244,7 +246,8 @@
 	for (i = 0; i < leader->dc_count; i++) {
 		part = sums->dc[i];
 		service_window_subtract(&part, &sums->dc_worst[i]);
-		if (evidence_judge(leader, slot, &part, peers, now_ms) > 0.0)
+		if (evidence_judge(leader, slot, &part, peers, now_ms,
+			&verdict) > 0.0)
 			evidence_avoid(leader, slot, i, now_ms);
 	}
 }
@@ -303,7 +306,8 @@
 	double badness;
 	double mean_ms;
 
-	badness = evidence_judge(leader, slot, total, peers, now_ms);
+	badness = evidence_judge(
+	    leader, slot, total, peers, now_ms, &target->found);
 	dc = &sums->dc[evidence_find_worst_dc(leader, sums)];
 	if (badness > 0.0 &&
 	    evidence_is_rest_suspect(leader, slot, &sums->worst, peers) &&
--- a/src/service/service_id.c
+++ b/src/service/service_id.c
@@ -28,6 +28,41 @@
 	return (hash);
 }
 
+const char *
+service_evidence_get_name(service_evidence_t evidence)
+{
+	static const char *const names[SERVICE_EVIDENCE_COUNT] = {
+		[SERVICE_EVIDENCE_NONE] = "none",
+		[SERVICE_EVIDENCE_BAD] = "failures",
+		[SERVICE_EVIDENCE_ODD] = "rejections",
+		[SERVICE_EVIDENCE_SLOW] = "latency",
+	};
+
+	return (names[service_evidence_from_number((uint32_t)evidence)]);
+}
+
+service_evidence_t
+service_evidence_from_number(uint32_t number)
+{
+	return (number < SERVICE_EVIDENCE_COUNT ? (service_evidence_t)number
+						: SERVICE_EVIDENCE_NONE);
+}
+
+const char *
+service_target_state_get_name(service_target_state_t state)
+{
+	switch (state) {
+	case SERVICE_TARGET_EJECTED:
+		return ("ejected");
+	case SERVICE_TARGET_LEAVING:
+		return ("leaving");
+	case SERVICE_TARGET_LAPSED:
+		return ("lapsed");
+	default:
+		return ("active");
+	}
+}
+
 int
 service_message_get_service(
     uint16_t type, const uint8_t *payload, size_t len, uint64_t *id)
--- a/src/service/service_judge.c
+++ b/src/service/service_judge.c
@@ -154,44 +154,62 @@
 	peers_compute_window(&peers->slow, windows, use, count, skip, 0);
 }
 
+static void
+judge_keep_worst(service_verdict_t *worst, service_evidence_t evidence,
+    double badness, double value, double limit)
+{
+	if (badness <= worst->badness)
+		return;
+	*worst = (service_verdict_t){
+		.badness = badness,
+		.evidence = evidence,
+		.value = value,
+		.limit = limit,
+	};
+}
+
 /*
  * The limit on the count keeps chance out: with the peers' error share, a
  * target exceeds it less than once in 10^7 windows.
  */
-static double
+static void
 judge_bad(const service_sample_t *sample, const service_peer_stats_t *peers,
-    const judge_limits_t *limits)
+    const judge_limits_t *limits, service_verdict_t *worst)
 {
 	double expected = sample->count * peers->bad_share;
 	double share;
 
 	if (sample->bad < JUDGE_BAD_MIN)
-		return (0.0);
+		return;
 	if (sample->bad < expected + 4 * sqrt(expected + 1))
-		return (0.0);
+		return;
 	share = sample->bad / fmax(sample->count, 1.0);
 	if (share < limits->bad_share || share < 3 * peers->bad_share)
-		return (0.0);
-	return (share / limits->bad_share);
+		return;
+	judge_keep_worst(worst, SERVICE_EVIDENCE_BAD, share / limits->bad_share,
+	    share, limits->bad_share);
 }
 
-static double
-judge_odd(const service_sample_t *sample, const service_peer_stats_t *peers)
+static void
+judge_odd(const service_sample_t *sample, const service_peer_stats_t *peers,
+    service_verdict_t *worst)
 {
 	double share;
 
 	if (sample->count < JUDGE_ODD_MIN || peers->count < 2)
-		return (0.0);
+		return;
 	share = sample->odd / sample->count;
 	if (share < JUDGE_ODD_SHARE || peers->odd_share > JUDGE_ODD_PEERS)
-		return (0.0);
-	return (share / JUDGE_ODD_SHARE);
+		return;
+	judge_keep_worst(worst, SERVICE_EVIDENCE_ODD, share / JUDGE_ODD_SHARE,
+	    share, JUDGE_ODD_SHARE);
 }
 
 /* The ratio is wider for few samples, whose mean varies by chance. */
-static double
+static void
 judge_latency(const service_sample_t *sample, const service_peer_stats_t *peers,
-    const judge_limits_t *limits, double past_ms, int lenient)
+    const judge_limits_t *limits, double past_ms, int lenient,
+    service_verdict_t *worst)
 {
 	double base_ms = peers->count >= 2 ? peers->median_ms : past_ms;
 	double mean_ms = service_sample_get_mean_ms(sample);
@@ -200,37 +218,48 @@
 	double limit;
 
 	if (sample->good < JUDGE_GOOD_MIN || base_ms <= 0.0)
-		return (0.0);
+		return;
 	base_ms = fmax(base_ms, 1.0);
 	ratio = mean_ms / base_ms;
 	limit = limits->ratio * (1 + 2 / sqrt(sample->good));
 	if (lenient)
 		limit *= 2;
 	if (ratio < limit || mean_ms - base_ms < JUDGE_DIFFERENCE_MIN_MS)
-		return (0.0);
+		return;
 	if (peers->count >= 2 && mean_ms - base_ms < spread_ms)
-		return (0.0);
-	return (ratio / limits->ratio);
+		return;
+	judge_keep_worst(
+	    worst, SERVICE_EVIDENCE_SLOW, ratio / limits->ratio, ratio, limit);
 }
 
-double
-service_judge(const service_window_t *window, const service_peers_t *peers,
-    service_eagerness_t eagerness, double past_ms, int lenient)
+void
+service_judge_explain(const service_window_t *window,
+    const service_peers_t *peers, service_eagerness_t eagerness, double past_ms,
+    int lenient, service_verdict_t *out)
 {
 	const judge_limits_t *limits = &judge_limits[eagerness];
 	const service_sample_t *samples[] = { &window->fast, &window->slow };
 	const service_peer_stats_t *stats[] = { &peers->fast, &peers->slow };
-	double worst = 0.0;
 	int i;
 
+	*out = (service_verdict_t){ 0 };
 	for (i = 0; i < 2; i++) {
-		worst = fmax(worst, judge_bad(samples[i], stats[i], limits));
-		worst = fmax(worst, judge_odd(samples[i], stats[i]));
-		worst = fmax(worst,
-		    judge_latency(
-			samples[i], stats[i], limits, past_ms, lenient));
+		judge_bad(samples[i], stats[i], limits, out);
+		judge_odd(samples[i], stats[i], out);
+		judge_latency(
+		    samples[i], stats[i], limits, past_ms, lenient, out);
 	}
-	return (worst);
+}
+
+double
+service_judge(const service_window_t *window, const service_peers_t *peers,
+    service_eagerness_t eagerness, double past_ms, int lenient)
+{
+	service_verdict_t verdict;
+
+	service_judge_explain(
+	    window, peers, eagerness, past_ms, lenient, &verdict);
+	return (verdict.badness);
 }
 
 static int
--- a/src/service/service_judge.h
+++ b/src/service/service_judge.h
@@ -75,6 +75,15 @@
     const service_peers_t *peers, service_eagerness_t eagerness, double past_ms,
     int lenient);
 
+/**
+ * The same with the evidence behind it.
+ *
+ * @param out  the most severe finding; all 0 without one
+ */
+void service_judge_explain(const service_window_t *window,
+    const service_peers_t *peers, service_eagerness_t eagerness, double past_ms,
+    int lenient, service_verdict_t *out);
+
 /**
  * Whether a part of the evidence supports a verdict that the whole gave: half
  * the distance to the limits of service_judge() is enough.
--- a/src/service/service_leader.c
+++ b/src/service/service_leader.c
@@ -72,6 +72,7 @@
 		.id = service_id_from_name(info->target),
 		.info = *info,
 		.state = SERVICE_TARGET_ACTIVE,
+		.state_since_ms = now_ms,
 		.cold_started_ms = now_ms,
 		.answered_ms = now_ms,
 		.lease_until_ms = now_ms + LEADER_LEASE_MS,
@@ -99,6 +100,7 @@
 	if (target->state == SERVICE_TARGET_LEAVING)
 		return;
 	target->state = SERVICE_TARGET_LEAVING;
+	target->state_since_ms = now_ms;
 	target->left_ms = now_ms;
 	leader->dirty = 1;
 }
@@ -143,6 +145,7 @@
 		leader_set_leaving(leader, target, now_ms);
 	if (target->state == SERVICE_TARGET_LAPSED) {
 		target->state = SERVICE_TARGET_ACTIVE;
+		target->state_since_ms = now_ms;
 		leader->dirty = 1;
 	}
 	return (TM_OK);
@@ -351,6 +354,7 @@
 		    leader_count_in_use(leader) <= leader_get_floor(leader))
 			continue;
 		target->state = SERVICE_TARGET_LAPSED;
+		target->state_since_ms = now_ms;
 		target->left_ms = now_ms;
 		leader->stats.lapses++;
 		leader->dirty = 1;
--- a/src/service/service_leader_internal.h
+++ b/src/service/service_leader_internal.h
@@ -32,7 +32,9 @@
 	int64_t lease_until_ms;
 	int64_t left_ms; /* when leaving or lapsed */
 	int64_t answered_ms; /* last good response */
-	double badness; /* severity at the ejection */
+	service_verdict_t found; /* of the last evaluation */
+	service_verdict_t verdict; /* on which it was ejected */
+	int64_t state_since_ms;
 	double past_ms; /* own mean latency over about a minute */
 	uint32_t ejections; /* without 10 quiet minutes between them */
 	int64_t ejected_ms; /* last ejection */
--- a/src/service/service_table.c
+++ b/src/service/service_table.c
@@ -46,7 +46,11 @@
 	out->cold_age_ms =
 	    (uint32_t)(age_ms < LEADER_COLD_MS ? age_ms : LEADER_COLD_MS);
 	out->ejections = target->ejections;
-	out->badness = target->badness;
+	out->badness = target->verdict.badness;
+	out->evidence = (uint32_t)target->verdict.evidence;
+	out->evidence_value = target->verdict.value;
+	out->evidence_limit = target->verdict.limit;
+	out->state_age_ms = (uint64_t)(now_ms - target->state_since_ms);
 	for (i = 0; i < target->avoid_count; i++)
 		avoid[i] = target->avoid[i].data_centre;
 	out->avoid_data_centres = avoid;
@@ -150,7 +154,13 @@
 	target->state = (service_target_state_t)saved->state;
 	target->cold_started_ms = now_ms - saved->cold_age_ms;
 	target->ejections = saved->ejections;
-	target->badness = saved->badness;
+	target->verdict = (service_verdict_t){
+		.badness = saved->badness,
+		.evidence = service_evidence_from_number(saved->evidence),
+		.value = saved->evidence_value,
+		.limit = saved->evidence_limit,
+	};
+	target->state_since_ms = now_ms - (int64_t)saved->state_age_ms;
 	target->left_ms = now_ms;
 	if (saved->ejections > 0)
 		target->ejected_ms = now_ms;
--- a/src/service/service_view.c
+++ b/src/service/service_view.c
@@ -237,6 +237,24 @@
 	return (SERVICE_ANNOUNCE_PENDING);
 }
 
+void
+service_view_get_info(const service_endpoint_t *endpoint, int64_t now_ms,
+    service_endpoint_info_t *out)
+{
+	const service_endpoint_state_t *state = endpoint->state;
+
+	*out = (service_endpoint_info_t){
+		.state = state->state,
+		.state_age_ms = now_ms - state->state_since_ms,
+		.ejections = state->ejections,
+		.verdict = state->verdict,
+		.avoided = state->avoided,
+		.avoided_age_ms = now_ms - state->avoided_ms,
+		.local = state->local,
+		.avoided_by_data_centre = state->avoid_dc,
+	};
+}
+
 service_endpoint_t *const *
 service_view_get_endpoints(const service_view_t *view, uint32_t *count)
 {
--- a/src/service/service_view.h
+++ b/src/service/service_view.h
@@ -100,6 +100,22 @@
 service_endpoint_t *const *service_view_get_endpoints(
     const service_view_t *view, uint32_t *count);
 
+/** What a view knows about the state of an endpoint. */
+typedef struct service_endpoint_info {
+	service_target_state_t state; /**< by the table */
+	int64_t state_age_ms; /**< time since the last change of state */
+	uint32_t ejections; /**< within 10 min of each other */
+	service_verdict_t verdict; /**< of the last ejection */
+	int avoided; /**< by this VM's own judgement */
+	int64_t avoided_age_ms; /**< valid if avoided */
+	service_verdict_t local; /**< valid if avoided */
+	int avoided_by_data_centre; /**< by the table, for this data centre */
+} service_endpoint_info_t;
+
+/** Describes an endpoint of a view, for status pages. */
+void service_view_get_info(const service_endpoint_t *endpoint, int64_t now_ms,
+    service_endpoint_info_t *out);
+
 /** Changes whenever the set of endpoints changes; for subset caches. */
 uint64_t service_view_get_generation(const service_view_t *view);
 
--- a/src/service/service_view_internal.h
+++ b/src/service/service_view_internal.h
@@ -21,6 +21,10 @@
 	int retired; /* out of the table; freed when nothing is in flight */
 	int64_t cold_started_ms;
 	double badness; /* severity by the table or by this VM */
+	service_verdict_t verdict; /* by the table */
+	service_verdict_t local; /* on which this VM avoids it */
+	int64_t state_since_ms;
+	uint32_t ejections;
 	uint32_t slots; /* as announced */
 	uint32_t avoid_count;
 	uint32_t avoid_dcs[SERVICE_AVOID_MAX]; /* by the table */
--- a/src/service/service_view_local.c
+++ b/src/service/service_view_local.c
@@ -132,8 +132,8 @@
 }
 
 static void
-local_avoid(service_view_t *view, service_endpoint_t *endpoint, double badness,
-    int64_t now_ms)
+local_avoid(service_view_t *view, service_endpoint_t *endpoint,
+    const service_verdict_t *verdict, int64_t now_ms)
 {
 	service_endpoint_state_t *state = endpoint->state;
 
@@ -142,13 +142,17 @@
 	state->avoided = 1;
 	state->avoided_ms = now_ms;
 	state->avoidances++;
-	state->badness = badness;
+	state->badness = verdict->badness;
+	state->local = *verdict;
 	state->local_good = 0;
 	state->local_trial_ms = now_ms + local_get_wait_ms(state);
 	LOG_EVENT(610, LOG_LEVEL_WARN, "target avoided by this VM",
 	    LOG_TEXT("service", view->name),
 	    LOG_TEXT("target", endpoint->target),
-	    LOG_NUM("severity_percent", badness * 100));
+	    LOG_TEXT("evidence", service_evidence_get_name(verdict->evidence)),
+	    LOG_NUM("value_percent", verdict->value * 100),
+	    LOG_NUM("limit_percent", verdict->limit * 100),
+	    LOG_NUM("severity_percent", verdict->badness * 100));
 }
 
 static void
@@ -158,7 +162,7 @@
 	uint8_t use[SERVICE_TARGETS_MAX];
 	service_endpoint_state_t *state;
 	service_peers_t peers;
-	double badness;
+	service_verdict_t verdict;
 	uint32_t warm = 0;
 	uint32_t i;
 	int cold;
@@ -178,10 +182,11 @@
 			continue;
 		cold = now_ms - state->cold_started_ms < VIEW_COLD_MS;
 		service_peers_compute(&peers, windows, use, view->count, i);
-		badness = service_judge(
-		    &windows[i], &peers, view->profile.eagerness, 0.0, cold);
-		if (badness > 0.0)
-			local_avoid(view, view->endpoints[i], badness, now_ms);
+		service_judge_explain(&windows[i], &peers,
+		    view->profile.eagerness, 0.0, cold, &verdict);
+		if (verdict.badness > 0.0)
+			local_avoid(
+			    view, view->endpoints[i], &verdict, now_ms);
 	}
 }
 
--- a/src/service/service_view_table.c
+++ b/src/service/service_view_table.c
@@ -58,6 +58,14 @@
 	state->cold_started_ms = now_ms - row->cold_age_ms;
 	if (!state->avoided)
 		state->badness = row->badness;
+	state->verdict = (service_verdict_t){
+		.badness = row->badness,
+		.evidence = service_evidence_from_number(row->evidence),
+		.value = row->evidence_value,
+		.limit = row->evidence_limit,
+	};
+	state->state_since_ms = now_ms - (int64_t)row->state_age_ms;
+	state->ejections = row->ejections;
 	state->slots = row->slots;
 	state->avoid_dc = 0;
 	state->avoid_count = 0;
@@ -202,6 +210,11 @@
 	row->cold_age_ms =
 	    (uint32_t)(age_ms < VIEW_COLD_MS ? age_ms : VIEW_COLD_MS);
 	row->badness = state->badness;
+	row->evidence = (uint32_t)state->verdict.evidence;
+	row->evidence_value = state->verdict.value;
+	row->evidence_limit = state->verdict.limit;
+	row->state_age_ms = (uint64_t)(now_ms - state->state_since_ms);
+	row->ejections = state->ejections;
 	row->avoid_data_centres = state->avoid_dcs;
 	row->n_avoid_data_centres = state->avoid_count;
 }
