--- a/src/control/control_fleet.c
+++ b/src/control/control_fleet.c
@@ -387,10 +387,10 @@
 	for (i = 0; i < count; i++)
 		json_array_append_new(list,
 		    json_pack("{s:s, s:s, s:I, s:s, s:i, s:s, s:i, s:b, s:I}",
-			"name",
-			nodes[i]->name, "data_centre", nodes[i]->data_centre,
-			"incarnation", (json_int_t)nodes[i]->incarnation,
-			"peer_ip", nodes[i]->peer_ip, "peer_port",
+			"name", nodes[i]->name, "data_centre",
+			nodes[i]->data_centre, "incarnation",
+			(json_int_t)nodes[i]->incarnation, "peer_ip",
+			nodes[i]->peer_ip, "peer_port",
 			(int)nodes[i]->peer_port, "ops_ip", nodes[i]->ops_ip,
 			"ops_port", (int)nodes[i]->ops_port, "draining",
 			nodes[i]->draining, "silence_ms",
@@ -406,8 +406,7 @@
 {
 	const control_beat_t *beat = control_find_beat(control, holder->node);
 
-	return (beat != NULL &&
-	    beat->node.incarnation == holder->incarnation &&
+	return (beat != NULL && beat->node.incarnation == holder->incarnation &&
 	    beat->reports_ready &&
 	    control->now_ms - beat->heard_ms < PLACEMENT_DEAD_MS &&
 	    (beat->ready_shards >> shard & 1) != 0);
@@ -458,8 +457,7 @@
 		json_array_append_new(list,
 		    json_pack("{s:i, s:I, s:b, s:i, s:o}", "shard", (int)shard,
 			"epoch", (json_int_t)group->epoch, "quarantine",
-			group->quarantine, "ready", ready, "holders",
-			holders));
+			group->quarantine, "ready", ready, "holders", holders));
 	}
 	return (list);
 }
@@ -470,8 +468,8 @@
 	const control_vm_t *leader = control_get_leader(control);
 
 	return (json_pack(
-	    "{s:s, s:s, s:s?, s:b, s:I, s:I, s:I, s:b, s:i, s:o, s:o, s:o}", "node",
-	    control->settings.node, "role",
+	    "{s:s, s:s, s:s?, s:b, s:I, s:I, s:I, s:b, s:i, s:o, s:o, s:o}",
+	    "node", control->settings.node, "role",
 	    raft_is_leader(control->raft) ? "leader" : "follower", "leader",
 	    leader != NULL ? leader->name : NULL, "ready",
 	    control_is_ready_leader(control), "term",
@@ -480,7 +478,6 @@
 	    (json_int_t)config_state_get_index(control->state), "voter",
 	    raft_is_voter(control->raft), "subscribers",
 	    (int)feed_get_subscriber_count(control->feed), "control_vms",
-	    control_write_vms(control), "nodes",
-	    control_write_nodes(control), "groups",
-	    control_write_groups(control)));
+	    control_write_vms(control), "nodes", control_write_nodes(control),
+	    "groups", control_write_groups(control)));
 }
