--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/test_hooks.h"
 #include "entry/entry_defs.h"
 #include "entry/request.h"
 
@@ -121,6 +122,12 @@
 	    keyguard_reveals(text_from_iovec(req->method), key));
 }
 
+static int
+key_is_withdrawn(const config_key_t *key)
+{
+	return (key->withdrawn && !test_hooks_is_off("key_withdrawn"));
+}
+
 static int
 check_found_key(frontend_check_t *check)
 {
@@ -129,7 +136,7 @@
 
 	config = config_state_find_key(
 	    check->entry->state, key->id.base, key->id.len);
-	if (config == NULL || config->withdrawn ||
+	if (config == NULL || key_is_withdrawn(config) ||
 	    !config_key_matches(config, key->secret.base, key->secret.len))
 		return (REFUSAL_KEY_UNKNOWN + 1);
 	if (parts_reveal_key(check))
--- a/src/entry/request_wire.c
+++ b/src/entry/request_wire.c
@@ -4,6 +4,7 @@
 #include <strings.h>
 
 #include "base/error.h"
+#include "base/test_hooks.h"
 #include "entry/request.h"
 #include "proto/entry.pb-c.h"
 
@@ -64,8 +65,9 @@
 
 	for (i = 0; i < headers->size && err == TM_OK; i++) {
 		header = header_at(headers, i);
-		if (keyguard_may_forward(&header, &request->key) &&
-		    !is_nominated(headers, header.name))
+		if ((keyguard_may_forward(&header, &request->key) &&
+			!is_nominated(headers, header.name)) ||
+		    test_hooks_is_off("key_removal"))
 			err = append_header(out, header.name.base,
 			    header.name.len, header.value.base,
 			    header.value.len);
