Make the metrics and tokens of a workspace at its first request

An entry VM made four metrics, a token client and a leader's record for each workspace of the configuration. A group change sets the rates before any message of the new group is handled, because a leader that does not know a rate at take-over would take the bucket for an unused one.

Ruled out: asking the configuration from the rate leader for each need, which ties two decision modules together.

--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -59,11 +59,10 @@
 	UT_hash_handle hh_id;
 } entry_service_t;
 
-/** A workspace with its metrics. */
+/** A workspace that had a request at this VM, with its metrics. */
 typedef struct entry_workspace {
 	char name[NAME_MAX_BYTES + 1];
 	uint64_t id; /**< service_id_from_name() */
-	int is_present; /**< scratch of entry_fleet_sync_workspaces() */
 	metric_t *requests;
 	metric_t *refused_rate;
 	metric_t *refused_other;
@@ -179,9 +178,12 @@
 /** Passes everything that the configuration holds to the modules. */
 void entry_sync_all(entry_t *entry);
 
-/** @return a workspace of the configuration, or NULL */
+/** @return a workspace that had a request at this VM, or NULL */
 entry_workspace_t *entry_find_workspace(entry_t *entry, const char *name);
 
+/** Finds or makes a workspace of the configuration. @return NULL if none */
+entry_workspace_t *entry_get_workspace(entry_t *entry, const char *name);
+
 /* entry_service.c */
 
 /** Finds or creates a service. @return NULL if memory is exhausted */
--- a/src/entry/entry_sync.c
+++ b/src/entry/entry_sync.c
@@ -127,7 +127,69 @@
 	}
 }
 
+/* Calls visit for the name of each object of a kind. */
+static void
+sync_each(entry_t *entry, config_kind_t kind,
+    void (*visit)(entry_t *entry, const char *name))
+{
+	const config_object_t *page[LIST_PAGE];
+	char after[NAME_MAX_BYTES + 1] = "";
+	size_t count;
+	size_t i;
+
+	do {
+		count = config_state_list(
+		    entry->state, kind, after, page, LIST_PAGE);
+		for (i = 0; i < count; i++)
+			visit(entry, page[i]->name);
+		if (count > 0)
+			snprintf(
+			    after, sizeof(after), "%s", page[count - 1]->name);
+	} while (count == LIST_PAGE);
+}
+
+/* The token buckets of a shard are kept by its holders only. */
+static int
+is_rate_holder(entry_t *entry, const char *workspace)
+{
+	return (group_is_holder(
+	    entry->group, group_shard_of(entry->group, workspace)));
+}
+
+/* rate_keep_cb; ctx is the entry_t. */
+static int
+keeps_bucket(void *ctx, const char *workspace)
+{
+	entry_t *entry = ctx;
+
+	return (config_state_find_workspace(entry->state, workspace) != NULL &&
+	    is_rate_holder(entry, workspace));
+}
+
+static void
+sync_bucket(entry_t *entry, const char *name)
+{
+	const config_workspace_t *config;
+
+	config = config_state_find_workspace(entry->state, name);
+	if (config != NULL && is_rate_holder(entry, name))
+		rate_leader_set_workspace(entry->rate_leader, name,
+		    config->rate_per_s, config->burst, clock_now_ms());
+}
+
+/*
+ * Runs before any message of a new group is handled: a leader without the
+ * rate of a workspace would take its bucket for an unused one.
+ */
 static void
+sync_buckets(entry_t *entry)
+{
+	rate_leader_keep(entry->rate_leader, keeps_bucket, entry);
+	sync_each(entry, CONFIG_KIND_WORKSPACE, sync_bucket);
+}
+
+/* @return 1 if this VM became or ceased to be a holder of the shard */
+static int
 sync_group(entry_t *entry, uint32_t shard)
 {
 	const config_group_t *next =
@@ -140,13 +202,16 @@
 		.quarantine = next->quarantine,
 	};
 
+	int was_holder = group_is_holder(entry->group, shard);
+
 	if (next->epoch <= known->assignment.epoch)
-		return;
+		return (0);
 	assignment_add_holders(&assignment, known, next, since);
 	assignment_add_previous(entry, &assignment, known, next);
 	group_set_assignment(entry->group, &assignment, clock_now_ms());
 	known->assignment = *next;
 	memcpy(known->since_epoch, since, sizeof(since));
+	return (was_holder != group_is_holder(entry->group, shard));
 }
 
 static void
@@ -199,48 +264,54 @@
 }
 
 static void
-sync_workspace(entry_t *entry, const char *name)
+sync_rate(entry_t *entry, const config_workspace_t *config)
 {
+	rate_client_set_workspace(entry->rates, config->object.name,
+	    config->rate_per_s, config->burst, clock_now_ms());
+}
+
+/*
+ * Metrics and tokens of a workspace are made at its first request: for all
+ * 47,000 workspaces of the target size they take 250 MB.
+ */
+entry_workspace_t *
+entry_get_workspace(entry_t *entry, const char *name)
+{
+	entry_workspace_t *workspace = entry_find_workspace(entry, name);
 	const config_workspace_t *config;
-	entry_workspace_t *workspace;
-	int64_t now_ms = clock_now_ms();
 
+	if (workspace != NULL)
+		return (workspace);
 	config = config_state_find_workspace(entry->state, name);
-	workspace = entry_find_workspace(entry, name);
-	if (config == NULL) {
-		rate_client_remove_workspace(entry->rates, name, now_ms);
-		rate_leader_remove_workspace(entry->rate_leader, name);
-		return;
-	}
-	if (workspace == NULL)
-		workspace = workspace_create(entry, name);
+	if (config == NULL)
+		return (NULL);
+	workspace = workspace_create(entry, name);
 	if (workspace != NULL)
-		workspace->is_present = 1;
-	rate_client_set_workspace(
-	    entry->rates, name, config->rate_per_s, config->burst, now_ms);
-	rate_leader_set_workspace(entry->rate_leader, name, config->rate_per_s,
-	    config->burst, now_ms);
+		sync_rate(entry, config);
+	return (workspace);
 }
 
-/* Calls visit for the name of each object of a kind. */
 static void
-sync_each(entry_t *entry, config_kind_t kind,
-    void (*visit)(entry_t *entry, const char *name))
+sync_used_workspace(entry_t *entry, const char *name)
 {
-	const config_object_t *page[LIST_PAGE];
-	char after[NAME_MAX_BYTES + 1] = "";
-	size_t count;
-	size_t i;
+	const config_workspace_t *config;
 
-	do {
-		count = config_state_list(
-		    entry->state, kind, after, page, LIST_PAGE);
-		for (i = 0; i < count; i++)
-			visit(entry, page[i]->name);
-		if (count > 0)
-			snprintf(
-			    after, sizeof(after), "%s", page[count - 1]->name);
-	} while (count == LIST_PAGE);
+	config = config_state_find_workspace(entry->state, name);
+	if (config == NULL)
+		rate_client_remove_workspace(
+		    entry->rates, name, clock_now_ms());
+	else
+		sync_rate(entry, config);
+}
+
+static void
+sync_workspace(entry_t *entry, const char *name)
+{
+	if (entry_find_workspace(entry, name) != NULL)
+		sync_used_workspace(entry, name);
+	if (config_state_find_workspace(entry->state, name) == NULL)
+		rate_leader_remove_workspace(entry->rate_leader, name);
+	sync_bucket(entry, name);
 }
 
 static void
@@ -250,12 +321,8 @@
 	entry_workspace_t *next;
 
 	HASH_ITER(hh, entry->workspaces, workspace, next)
-		workspace->is_present = 0;
-	sync_each(entry, CONFIG_KIND_WORKSPACE, sync_workspace);
-	HASH_ITER(hh, entry->workspaces, workspace, next) {
-		if (!workspace->is_present)
-			sync_workspace(entry, workspace->name);
-	}
+		sync_used_workspace(entry, workspace->name);
+	sync_buckets(entry);
 }
 
 static void
@@ -289,7 +356,8 @@
 		sync_directory(entry);
 		break;
 	case CONFIG_KIND_GROUP:
-		sync_group(entry, (uint32_t)strtoul(name, NULL, 10));
+		if (sync_group(entry, (uint32_t)strtoul(name, NULL, 10)))
+			sync_buckets(entry);
 		break;
 	case CONFIG_KIND_WORKSPACE:
 		sync_workspace(entry, name);
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -133,7 +133,7 @@
 	if (id_has_secret(check))
 		return (REFUSAL_KEY_EXPOSED + 1);
 	check->options.workspace =
-	    entry_find_workspace(check->entry, config->workspace);
+	    entry_get_workspace(check->entry, config->workspace);
 	if (check->options.workspace == NULL)
 		return (REFUSAL_KEY_UNKNOWN + 1);
 	if (!config_route_is_allowed(check->route, config->workspace))
--- a/src/entry/ops_api.c
+++ b/src/entry/ops_api.c
@@ -378,20 +378,23 @@
 	uint32_t shard = group_shard_of(entry->group, name);
 	int64_t now_ms = clock_now_ms();
 	json_t *list = json_array();
+	entry_workspace_t counts = { .requests = NULL };
 
+	if (workspace != NULL)
+		counts = *workspace;
 	config = config_state_find_workspace(entry->state, name);
-	if (workspace == NULL || config == NULL)
+	if (config == NULL)
 		return (list);
 	json_array_append_new(list,
 	    json_pack("{s:s, s:i, s:i, s:i, s:b, s:I, s:I, s:I}", "workspace",
 		name, "rate_per_s", (int)config->rate_per_s, "burst",
 		(int)config->burst, "shard", (int)shard, "has_leader",
 		group_get_leader(entry->group, shard, now_ms) != NODE_ID_NONE,
-		"requests", (json_int_t)metric_get_value(workspace->requests),
+		"requests", (json_int_t)metric_get_value(counts.requests),
 		"refused_rate",
-		(json_int_t)metric_get_value(workspace->refused_rate),
+		(json_int_t)metric_get_value(counts.refused_rate),
 		"refused_other",
-		(json_int_t)metric_get_value(workspace->refused_other)));
+		(json_int_t)metric_get_value(counts.refused_other)));
 	return (list);
 }
 
--- a/src/rate/rate_leader.c
+++ b/src/rate/rate_leader.c
@@ -164,6 +164,20 @@
 	free(config);
 }
 
+void
+rate_leader_keep(rate_leader_t *leader, rate_keep_cb keep, void *ctx)
+{
+	rate_config_t *config;
+	rate_config_t *next;
+
+	HASH_ITER(hh, leader->configs, config, next) {
+		if (keep(ctx, config->workspace))
+			continue;
+		HASH_DEL(leader->configs, config);
+		free(config);
+	}
+}
+
 static rate_bucket_t *
 rate_leader_add_bucket(
     rate_leader_t *leader, const rate_config_t *config, int64_t now_ms)
--- a/src/rate/rate_leader.h
+++ b/src/rate/rate_leader.h
@@ -43,6 +43,12 @@
 
 void rate_leader_remove_workspace(rate_leader_t *leader, const char *workspace);
 
+/** @return 1 if the leader is to know a workspace */
+typedef int (*rate_keep_cb)(void *ctx, const char *workspace);
+
+/** Forgets the workspaces that keep does not name. */
+void rate_leader_keep(rate_leader_t *leader, rate_keep_cb keep, void *ctx);
+
 /** Forward group_callbacks_t.leads of the group to this function. */
 void rate_leader_set_leading(
     rate_leader_t *leader, uint32_t shard, int leads, int64_t now_ms);
--- /dev/null
+++ b/test/scenario/target_size.c
@@ -0,0 +1,276 @@
+#include "target_size.h"
+
+#include <malloc.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "entry/entry_defs.h"
+#include "net/msg_types.h"
+#include "proto/service.pb-c.h"
+
+#define SERVICE_TICKS	 500
+#define SERVICE_ROWS_MAX 256
+
+static uint64_t load_index;
+
+static double
+heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return ((double)info.uordblks + (double)info.hblkhd);
+}
+
+static double
+cpu_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return ((double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3);
+}
+
+static void
+apply_entry(entry_t *entry, const Feed__Entry *msg)
+{
+	size_t len;
+	uint8_t *bytes = config_entry_encode(msg, &len);
+
+	config_state_apply(entry->state, ++load_index, bytes, len, NULL);
+	free(bytes);
+}
+
+static void
+apply_object(entry_t *entry, Feed__Object *object)
+{
+	Feed__ChangeItem item = FEED__CHANGE_ITEM__INIT;
+	Feed__ChangeItem *items[] = { &item };
+	Feed__Change change = FEED__CHANGE__INIT;
+	Feed__Entry msg = FEED__ENTRY__INIT;
+	char id[32];
+
+	snprintf(id, sizeof(id), "c%llu", (unsigned long long)load_index);
+	item.op = CONFIG_OP_PUT;
+	item.object = object;
+	change.change_id = id;
+	change.actor = "load";
+	change.items = items;
+	change.n_items = 1;
+	msg.change = &change;
+	apply_entry(entry, &msg);
+}
+
+static void
+load_nodes(entry_t *entry, uint32_t count)
+{
+	char name[NAME_MAX_BYTES + 1];
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		Feed__Node node = FEED__NODE__INIT;
+		Feed__Entry msg = FEED__ENTRY__INIT;
+
+		snprintf(name, sizeof(name), "node-%u", i);
+		node.name = name;
+		node.incarnation = 1;
+		node.peer_ip = "127.0.0.1";
+		node.peer_port = 9;
+		node.data_centre = "dc-1";
+		node.role = CONFIG_ROLE_ENTRY;
+		msg.join = &node;
+		apply_entry(entry, &msg);
+	}
+}
+
+static void
+load_services(entry_t *entry, uint32_t count)
+{
+	Feed__Object profile = FEED__OBJECT__INIT;
+	char name[NAME_MAX_BYTES + 1];
+	uint32_t i;
+
+	profile.kind = CONFIG_KIND_PROFILE;
+	profile.name = "standard";
+	profile.floor_percent = 50;
+	profile.deadline_ms = 1000;
+	apply_object(entry, &profile);
+	for (i = 0; i < count; i++) {
+		Feed__Object object = FEED__OBJECT__INIT;
+
+		snprintf(name, sizeof(name), "service-%u", i);
+		object.kind = CONFIG_KIND_SERVICE;
+		object.name = name;
+		object.profile = "standard";
+		apply_object(entry, &object);
+	}
+}
+
+static void
+load_routes(entry_t *entry, const target_size_t *size)
+{
+	char service[NAME_MAX_BYTES + 1];
+	char name[NAME_MAX_BYTES + 1];
+	char path[64];
+	uint32_t i;
+
+	for (i = 0; i < size->routes; i++) {
+		Feed__Object object = FEED__OBJECT__INIT;
+
+		snprintf(name, sizeof(name), "route-%u", i);
+		snprintf(path, sizeof(path), "/api/part-%u", i);
+		snprintf(
+		    service, sizeof(service), "service-%u", i % size->services);
+		object.kind = CONFIG_KIND_ROUTE;
+		object.name = name;
+		object.path_prefix = path;
+		object.service = service;
+		object.all_workspaces = 1;
+		apply_object(entry, &object);
+	}
+}
+
+static void
+load_workspaces(entry_t *entry, uint32_t count)
+{
+	uint8_t digest[CONFIG_SHA256_BYTES] = { 1 };
+	char key[NAME_MAX_BYTES + 1];
+	char name[NAME_MAX_BYTES + 1];
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		Feed__Object space = FEED__OBJECT__INIT;
+		Feed__Object object = FEED__OBJECT__INIT;
+
+		snprintf(name, sizeof(name), "workspace-%u", i);
+		space.kind = CONFIG_KIND_WORKSPACE;
+		space.name = name;
+		space.rate_per_s = 100;
+		space.burst = 100;
+		apply_object(entry, &space);
+		snprintf(key, sizeof(key), "key%u", i);
+		object.kind = CONFIG_KIND_KEY;
+		object.name = key;
+		object.workspace = name;
+		object.secret_sha256.data = digest;
+		object.secret_sha256.len = sizeof(digest);
+		apply_object(entry, &object);
+	}
+}
+
+static void
+load_table(entry_service_t *service, uint32_t targets, int64_t now_ms)
+{
+	static ServiceTableTarget rows[SERVICE_ROWS_MAX];
+	static ServiceTableTarget *list[SERVICE_ROWS_MAX];
+	static char names[SERVICE_ROWS_MAX][NAME_MAX_BYTES + 1];
+	ServiceTable msg = SERVICE_TABLE__INIT;
+	uint8_t *bytes;
+	size_t len;
+	uint32_t i;
+
+	for (i = 0; i < targets && i < SERVICE_ROWS_MAX; i++) {
+		service_table_target__init(&rows[i]);
+		snprintf(names[i], sizeof(names[i]), "target-%u", i);
+		rows[i].target = names[i];
+		rows[i].incarnation = 1;
+		rows[i].ip = "127.0.0.1";
+		rows[i].port = 9;
+		rows[i].slots = 6;
+		rows[i].connection_cap = 400;
+		rows[i].cold_age_ms = 10000;
+		list[i] = &rows[i];
+	}
+	msg.service = service->id;
+	msg.term = 1;
+	msg.sequence = 1;
+	msg.targets = list;
+	msg.n_targets = i;
+	len = service_table__get_packed_size(&msg);
+	bytes = malloc(len);
+	service_table__pack(&msg, bytes);
+	service_view_handle(
+	    service->view, 1, MSG_SERVICE_TABLE, bytes, len, now_ms);
+	free(bytes);
+}
+
+static void
+load_tables(entry_t *entry, const target_size_t *size)
+{
+	entry_service_t *service;
+	int64_t now_ms = clock_now_ms();
+
+	for (service = entry->services; service != NULL;
+	     service = service->hh.next)
+		load_table(service, size->targets / size->services, now_ms);
+}
+
+static void
+use_workspaces(entry_t *entry, uint32_t count)
+{
+	entry_workspace_t *workspace;
+	char name[NAME_MAX_BYTES + 1];
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(name, sizeof(name), "workspace-%u", i);
+		workspace = entry_get_workspace(entry, name);
+		if (workspace == NULL)
+			continue;
+		metric_add(workspace->requests, 1);
+		metric_record_us(workspace->latency, 1000);
+	}
+}
+
+static double
+measure_tick(entry_t *entry)
+{
+	int64_t now_ms = clock_now_ms();
+	double began = cpu_us();
+	int i;
+
+	for (i = 0; i < SERVICE_TICKS; i++)
+		entry_fleet_tick(entry, now_ms + (int64_t)i * ENTRY_TICK_MS);
+	return ((cpu_us() - began) / SERVICE_TICKS);
+}
+
+int
+target_size_measure(const target_size_t *size, target_size_result_t *result)
+{
+	/* Reachable until the end of the process; there is no destructor. */
+	static entry_t *entry;
+	static entry_settings_t settings;
+	double before = heap_bytes();
+	double loaded;
+	int err;
+
+	memset(&settings, 0, sizeof(settings));
+	snprintf(settings.node, sizeof(settings.node), "entry-1");
+	snprintf(settings.data_centre, sizeof(settings.data_centre), "dc-1");
+	snprintf(settings.secrets[0], sizeof(settings.secrets[0]),
+	    "secret-of-this-test");
+	settings.secret_count = 1;
+	uv_ip4_addr("127.0.0.1", 0, &settings.listen);
+	uv_ip4_addr("127.0.0.1", 0, &settings.ops_listen);
+	uv_ip4_addr("127.0.0.1", 0, &settings.peer_listen);
+	err = entry_create(&entry, &settings, uv_default_loop());
+	if (err != TM_OK)
+		return (err);
+	load_index = 0;
+	result->base_bytes = heap_bytes() - before;
+	load_nodes(entry, size->nodes);
+	load_services(entry, size->services);
+	load_routes(entry, size);
+	load_workspaces(entry, size->workspaces);
+	loaded = heap_bytes();
+	result->config_bytes = loaded - before - result->base_bytes;
+	load_tables(entry, size);
+	result->table_bytes = heap_bytes() - loaded;
+	result->tick_us = measure_tick(entry);
+	loaded = heap_bytes();
+	use_workspaces(entry, size->used_workspaces);
+	result->used_bytes = heap_bytes() - loaded;
+	return (TM_OK);
+}
