Run the timers of idle services less often and skip empty evidence

At the target size the timers took 665 us each 10 ms, 6.6 % of a core (TargetSize.OneEntryVmFitsTheBudget, 160 services, 6,100 targets). A profile showed the parsing of each target's address to count connections that only /status uses, two configuration look-ups per service, and the peers' statistics, whose cost grows with the square of the targets, for windows without a sample.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -165,6 +165,7 @@
 	entry->self = node_id_from_name(settings->node);
 	entry->incarnation = (uint64_t)clock_wall_ms();
 	entry->started_ms = clock_now_ms();
+	entry->profile_changes = 1;
 	rng_init(&entry->rng,
 	    entry->self ^ entry->incarnation ^ (uint64_t)clock_now_ns());
 	entry->upstream = upstream_create(loop);
--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -51,6 +51,10 @@
 	fair_queue_t *queue;
 	uint64_t table_version; /**< of the last group_put() */
 	int needs_pump; /**< a request ended since the last release */
+	int64_t used_ms; /**< a request started or ended last */
+	int64_t ticked_ms;
+	const config_profile_t *profile; /**< as of profile_changes */
+	uint64_t profile_changes;
 	metric_t *attempts;
 	metric_t *retries;
 	metric_t *hedges;
@@ -111,6 +115,7 @@
 	gossip_t *gossip;
 	group_t *group;
 	entry_group_t groups[CONFIG_SHARDS];
+	uint64_t profile_changes; /**< of profiles and services, from 1 on */
 	claim_client_t *claims;
 	claim_holder_t *claim_holder;
 	rate_client_t *rates;
@@ -202,8 +207,7 @@
 void entry_service_pump(entry_service_t *service, int64_t now_ms);
 
 /** @return profile of the service, or NULL */
-const config_profile_t *entry_service_get_profile(
-    const entry_service_t *service);
+const config_profile_t *entry_service_get_profile(entry_service_t *service);
 
 /* frontend.c */
 
--- a/src/entry/entry_service.c
+++ b/src/entry/entry_service.c
@@ -16,6 +16,9 @@
 #define BASELINE_LIMIT	 1000000
 #define TABLE_KEY_MAX	 (NAME_MAX_BYTES + 16)
 #define CONNECTIONS_EACH 9
+/* A service without requests runs its timers less often. */
+#define IDLE_TICK_MS 50
+#define BUSY_MS	     1000
 
 entry_service_t *
 entry_service_find(entry_t *entry, const char *name)
@@ -35,8 +38,8 @@
 	return (service);
 }
 
-const config_profile_t *
-entry_service_get_profile(const entry_service_t *service)
+static const config_profile_t *
+service_find_profile(const entry_service_t *service)
 {
 	const config_state_t *state = service->entry->state;
 	const config_service_t *config;
@@ -47,6 +50,18 @@
 	return (config_state_find_profile(state, config->profile));
 }
 
+const config_profile_t *
+entry_service_get_profile(entry_service_t *service)
+{
+	uint64_t changes = service->entry->profile_changes;
+
+	if (service->profile_changes != changes) {
+		service->profile = service_find_profile(service);
+		service->profile_changes = changes;
+	}
+	return (service->profile);
+}
+
 static void
 service_read_profile(void *ctx, service_profile_t *out)
 {
@@ -263,23 +278,6 @@
 		    now_ms + MS_PER_SEC);
 }
 
-static void
-service_count_connections(entry_service_t *service)
-{
-	service_endpoint_t *const *endpoints;
-	struct sockaddr_in addr;
-	uint32_t count;
-	uint32_t i;
-
-	endpoints = service_view_get_endpoints(service->view, &count);
-	for (i = 0; i < count; i++) {
-		if (uv_ip4_addr(endpoints[i]->ip, endpoints[i]->port, &addr) ==
-		    0)
-			endpoints[i]->connections = upstream_get_connections(
-			    service->entry->upstream, &addr);
-	}
-}
-
 static void
 service_update_limits(entry_service_t *service)
 {
@@ -304,8 +302,8 @@
 		    service->queue, profile->deadline_ms / 2);
 }
 
-void
-entry_service_pump(entry_service_t *service, int64_t now_ms)
+static void
+service_release(entry_service_t *service, int64_t now_ms)
 {
 	fair_item_t *item;
 
@@ -318,16 +316,35 @@
 		request_release(item->data);
 }
 
+void
+entry_service_pump(entry_service_t *service, int64_t now_ms)
+{
+	service->used_ms = now_ms;
+	service_release(service, now_ms);
+}
+
+/* @return 1 while results or shares may have to leave this VM at once */
+static int
+service_is_busy(entry_service_t *service, int64_t now_ms)
+{
+	return (now_ms - service->used_ms < BUSY_MS ||
+	    fair_queue_get_running(service->queue) > 0 ||
+	    service_get_term(service) != 0);
+}
+
 void
 entry_service_tick(entry_service_t *service, int64_t now_ms)
 {
+	if (now_ms - service->ticked_ms < IDLE_TICK_MS &&
+	    !service_is_busy(service, now_ms))
+		return;
+	service->ticked_ms = now_ms;
 	service_view_tick(service->view, now_ms);
 	service_leader_tick(service->leader, now_ms);
 	service_report_demand(service);
 	service_apply_shares(service, now_ms);
-	service_count_connections(service);
 	service_update_limits(service);
-	entry_service_pump(service, now_ms);
+	service_release(service, now_ms);
 }
 
 void
--- a/src/entry/entry_sync.c
+++ b/src/entry/entry_sync.c
@@ -348,6 +348,9 @@
 {
 	entry_t *entry = ctx;
 
+	if (kind == CONFIG_KIND_ALL || kind == CONFIG_KIND_PROFILE ||
+	    kind == CONFIG_KIND_SERVICE)
+		entry->profile_changes++;
 	switch (kind) {
 	case CONFIG_KIND_ALL:
 		entry_sync_all(entry);
--- a/src/entry/ops_api.c
+++ b/src/entry/ops_api.c
@@ -237,18 +237,21 @@
 }
 
 static json_t *
-ops_describe_endpoint(const service_endpoint_t *endpoint)
+ops_describe_endpoint(const entry_t *entry, const service_endpoint_t *endpoint)
 {
 	char address[SERVICE_IP_BYTES + 8];
+	struct sockaddr_in to;
+	uint32_t connections = 0;
 
+	if (uv_ip4_addr(endpoint->ip, endpoint->port, &to) == 0)
+		connections = upstream_get_connections(entry->upstream, &to);
 	snprintf(
 	    address, sizeof(address), "%s:%u", endpoint->ip, endpoint->port);
 	return (json_pack("{s:s, s:I, s:s, s:b, s:i, s:i, s:i, s:i}", "target",
 	    endpoint->target, "incarnation", (json_int_t)endpoint->incarnation,
 	    "address", address, "usable", endpoint->usable, "share",
 	    (int)endpoint->share, "slots", (int)endpoint->slots, "in_flight",
-	    (int)endpoint->in_flight, "connections",
-	    (int)endpoint->connections));
+	    (int)endpoint->in_flight, "connections", (int)connections));
 }
 
 static json_t *
@@ -264,7 +267,7 @@
 	endpoints = service_view_get_endpoints(service->view, &count);
 	for (i = 0; i < count; i++)
 		json_array_append_new(
-		    list, ops_describe_endpoint(endpoints[i]));
+		    list, ops_describe_endpoint(service->entry, endpoints[i]));
 	service_view_get_version(service->view, &term, &sequence);
 	return (json_pack("{s:s, s:b, s:i, s:i, s:I, s:I, s:o}", "service",
 	    service->name, "has_leader",
@@ -361,7 +364,7 @@
 		for (i = 0; i < count; i++) {
 			if (strcmp(endpoints[i]->target, name) != 0)
 				continue;
-			found = ops_describe_endpoint(endpoints[i]);
+			found = ops_describe_endpoint(entry, endpoints[i]);
 			json_object_set_new(
 			    found, "service", json_string(service->name));
 			json_array_append_new(list, found);
--- a/src/service/service_defs.h
+++ b/src/service/service_defs.h
@@ -115,7 +115,6 @@
 	uint32_t share; /**< 0 to SERVICE_SHARE_FULL */
 	int usable; /**< active in the table and not avoided by this VM */
 	uint32_t in_flight; /**< attempts of this VM */
-	uint32_t connections; /**< open connections; kept by the caller */
 	uint32_t load_running; /**< X-Tm-Load of the last response */
 	uint32_t load_queued;
 	uint32_t load_others; /**< its part from other VMs, as far as known */
--- a/src/service/service_judge.c
+++ b/src/service/service_judge.c
@@ -213,6 +213,21 @@
 	return (ratio / limits->ratio);
 }
 
+int
+service_judge_has_samples(const service_window_t *window)
+{
+	const service_sample_t *samples[] = { &window->fast, &window->slow };
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		if (samples[i]->good >= JUDGE_GOOD_MIN ||
+		    samples[i]->bad >= JUDGE_BAD_MIN ||
+		    samples[i]->count >= JUDGE_ODD_MIN)
+			return (1);
+	}
+	return (0);
+}
+
 double
 service_judge(const service_window_t *window, const service_peers_t *peers,
     service_eagerness_t eagerness, double past_ms, int lenient)
--- a/src/service/service_judge.h
+++ b/src/service/service_judge.h
@@ -65,6 +65,14 @@
     const service_window_t *windows, const uint8_t *use, uint32_t count,
     uint32_t skip);
 
+/**
+ * Whether there is enough for a verdict; spares the peers' statistics, whose
+ * cost grows with the square of the targets.
+ *
+ * @return 0 if service_judge() gives 0 for any peers
+ */
+int service_judge_has_samples(const service_window_t *window);
+
 /**
  * @param past_ms  the target's own earlier mean; used with fewer than 2 peers
  * @param lenient  1 during the cold start: the latency threshold doubles
--- a/src/service/service_view_local.c
+++ b/src/service/service_view_local.c
@@ -174,7 +174,8 @@
 		use[i] = view->endpoints[i]->usable != 0;
 	for (i = 0; i < view->count; i++) {
 		state = view->endpoints[i]->state;
-		if (state->state != SERVICE_TARGET_ACTIVE || state->avoided)
+		if (state->state != SERVICE_TARGET_ACTIVE || state->avoided ||
+		    !service_judge_has_samples(&windows[i]))
 			continue;
 		cold = now_ms - state->cold_started_ms < VIEW_COLD_MS;
 		service_peers_compute(&peers, windows, use, view->count, i);
--- a/test/scenario/target_size.c
+++ b/test/scenario/target_size.c
@@ -1,9 +1,10 @@
 #include "target_size.h"
 
-#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -16,12 +17,21 @@
 
 static uint64_t load_index;
 
+/* Resident memory that belongs to this process alone. */
 static double
-heap_bytes(void)
+resident_bytes(void)
 {
-	struct mallinfo2 info = mallinfo2();
+	FILE *status = fopen("/proc/self/status", "r");
+	char line[256];
+	long long kb = 0;
 
-	return ((double)info.uordblks + (double)info.hblkhd);
+	while (status != NULL && fgets(line, sizeof(line), status) != NULL) {
+		if (sscanf(line, "RssAnon: %lld kB", &kb) == 1)
+			break;
+	}
+	if (status != NULL)
+		fclose(status);
+	return ((double)kb * 1024);
 }
 
 static double
@@ -236,13 +246,12 @@
 	return ((cpu_us() - began) / SERVICE_TICKS);
 }
 
-int
-target_size_measure(const target_size_t *size, target_size_result_t *result)
+static int
+measure(const target_size_t *size, target_size_result_t *result)
 {
-	/* Reachable until the end of the process; there is no destructor. */
 	static entry_t *entry;
 	static entry_settings_t settings;
-	double before = heap_bytes();
+	double before = resident_bytes();
 	double loaded;
 	int err;
 
@@ -259,18 +268,44 @@
 	if (err != TM_OK)
 		return (err);
 	load_index = 0;
-	result->base_bytes = heap_bytes() - before;
+	result->base_bytes = resident_bytes() - before;
 	load_nodes(entry, size->nodes);
 	load_services(entry, size->services);
 	load_routes(entry, size);
 	load_workspaces(entry, size->workspaces);
-	loaded = heap_bytes();
+	loaded = resident_bytes();
 	result->config_bytes = loaded - before - result->base_bytes;
 	load_tables(entry, size);
-	result->table_bytes = heap_bytes() - loaded;
+	result->table_bytes = resident_bytes() - loaded;
 	result->tick_us = measure_tick(entry);
-	loaded = heap_bytes();
+	loaded = resident_bytes();
 	use_workspaces(entry, size->used_workspaces);
-	result->used_bytes = heap_bytes() - loaded;
+	result->used_bytes = resident_bytes() - loaded;
 	return (TM_OK);
 }
+
+int
+target_size_measure(const target_size_t *size, target_size_result_t *result)
+{
+	int pipes[2];
+	int status = 0;
+	pid_t child;
+
+	if (pipe(pipes) != 0)
+		return (TM_EIO);
+	child = fork();
+	if (child == 0) {
+		if (measure(size, result) != TM_OK ||
+		    write(pipes[1], result, sizeof(*result)) !=
+			(ssize_t)sizeof(*result))
+			_exit(1);
+		_exit(0);
+	}
+	close(pipes[1]);
+	if (read(pipes[0], result, sizeof(*result)) != (ssize_t)sizeof(*result))
+		status = 1;
+	close(pipes[0]);
+	if (child > 0)
+		waitpid(child, NULL, 0);
+	return (status == 0 ? TM_OK : TM_EIO);
+}
--- a/test/scenario/target_size.h
+++ b/test/scenario/target_size.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * Loads one entry VM with a configuration and service tables of a given size
- * and measures memory and the cost of its timers.
+ * and measures memory and the cost of its timers. Each size is measured in a
+ * process of its own, so that the memory of one does not serve the next.
  */
 #ifndef TM_TEST_TARGET_SIZE_H
 #define TM_TEST_TARGET_SIZE_H
@@ -22,7 +23,7 @@
 	uint32_t used_workspaces; /**< that get a request at this VM */
 } target_size_t;
 
-/** Heap in bytes after each step, and processor time. */
+/** Resident memory that each step adds, and processor time. */
 typedef struct target_size_result {
 	double base_bytes; /**< program without configuration */
 	double config_bytes; /**< configuration and what follows from it */
