Measure the cost per service; draw ports below the ephemeral range

A fleet start failed because a port that had been chosen was taken by an outgoing connection before the process bound it. The fit of a deployment's cost is made over 1/VMs, because shards and services are divided over them.

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -228,10 +228,31 @@
                     points.setdefault((full, unit), []).append((entry, value))
             load.wait()
             report_done(out, f"sizes.{kind}.load.entry_{entry}", load)
+    # Work for shards and services is divided over the VMs.
+    put_fit(out, {key: [(1 / n, value) for n, value in line]
+                  for key, line in points.items()}, "share_of_one_vm")
+
+
+def put_fit(out, points, x_name):
     for (full, unit), line in points.items():
         base, slope = fit_line(line)
         out.put(f"{full}.fit_base", base, unit)
-        out.put(f"{full}.fit_slope_per_vm", slope, unit)
+        out.put(f"{full}.fit_slope_per_{x_name}", slope, unit)
+
+
+def part_services(build, out, sizes=(1, 40, 160)):
+    out.note(f"processes: 5 idle entry VMs with {sizes} services, no targets")
+    points = {}
+    for services in sizes:
+        words = ["control=3", "entry=5", "dcs=3", f"services={services}",
+                 "targets=0", "workspaces=1"]
+        with Fleet(build, "services", words) as fleet:
+            time.sleep(4)
+            for name, (value, unit) in measure_use(fleet, 6).items():
+                out.put(f"services.{name}.services_{services}", value, unit)
+                points.setdefault((f"services.{name}", unit), []).append(
+                    (services, value))
+    put_fit(out, points, "service")
 
 
 def report_done(out, name, load):
@@ -439,7 +460,8 @@
                 out.note("virtual " + line.strip())
 
 
-PARTS = {"latency": part_latency, "cpu": part_cpu, "memory": part_memory}
+PARTS = {"latency": part_latency, "cpu": part_cpu, "memory": part_memory,
+         "services": part_services}
 for _kind in DEPLOYMENTS:
     for _name, _part in (("sizes", part_sizes), ("refusals", part_refusals),
                          ("detect", part_detect), ("fair", part_fair),
--- a/scripts/fleet_settings.py
+++ b/scripts/fleet_settings.py
@@ -14,6 +14,7 @@
 import hashlib
 import json
 import os
+import random
 import secrets
 import socket
 import sys
@@ -21,6 +22,10 @@
 DEFAULTS = {"control": 3, "entry": 3, "dcs": 3, "services": 1, "targets": 4,
             "workspaces": 3, "rate": 1000, "burst": 500, "slots": 4}
 
+# Below the range from which the kernel takes ports of outgoing connections,
+# which could occupy a port between its choice and the start of the process.
+PORTS = (10000, 32000)
+
 
 def is_number_list(name, value):
     return name == "targets" and all(v.isdigit() for v in value.split(","))
@@ -54,10 +59,16 @@
         self.sockets = []
 
     def draw(self):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        self.sockets.append(sock)
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+        while True:
+            sock = socket.socket()
+            port = random.randrange(*PORTS)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                sock.close()
+                continue
+            self.sockets.append(sock)
+            return f"127.0.0.1:{port}"
 
     def release(self):
         for sock in self.sockets:
