--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -51,6 +51,10 @@
 	fair_queue_t *queue;
 	uint64_t table_version; /**< of the last group_put() */
 	int needs_pump; /**< a request ended since the last release */
+	int64_t used_ms; /**< a request started or ended last */
+	int64_t ticked_ms;
+	const config_profile_t *profile; /**< as of profile_changes */
+	uint64_t profile_changes;
 	metric_t *attempts;
 	metric_t *retries;
 	metric_t *hedges;
@@ -60,11 +64,10 @@
 	UT_hash_handle hh_id;
 } entry_service_t;
 
-/** A workspace with its metrics. */
+/** A workspace that had a request at this VM, with its metrics. */
 typedef struct entry_workspace {
 	char name[NAME_MAX_BYTES + 1];
 	uint64_t id; /**< service_id_from_name() */
-	int is_present; /**< scratch of entry_fleet_sync_workspaces() */
 	metric_t *requests;
 	metric_t *refused_rate;
 	metric_t *refused_other;
@@ -113,6 +116,7 @@
 	gossip_t *gossip;
 	group_t *group;
 	entry_group_t groups[CONFIG_SHARDS];
+	uint64_t profile_changes; /**< of profiles and services, from 1 on */
 	claim_client_t *claims;
 	claim_holder_t *claim_holder;
 	rate_client_t *rates;
@@ -180,9 +184,12 @@
 /** Passes everything that the configuration holds to the modules. */
 void entry_sync_all(entry_t *entry);
 
-/** @return a workspace of the configuration, or NULL */
+/** @return a workspace that had a request at this VM, or NULL */
 entry_workspace_t *entry_find_workspace(entry_t *entry, const char *name);
 
+/** Finds or makes a workspace of the configuration. @return NULL if none */
+entry_workspace_t *entry_get_workspace(entry_t *entry, const char *name);
+
 /* entry_service.c */
 
 /** Finds or creates a service. @return NULL if memory is exhausted */
@@ -201,8 +208,7 @@
 void entry_service_pump(entry_service_t *service, int64_t now_ms);
 
 /** @return profile of the service, or NULL */
-const config_profile_t *entry_service_get_profile(
-    const entry_service_t *service);
+const config_profile_t *entry_service_get_profile(entry_service_t *service);
 
 /* frontend.c */
 
