entry: refuse requests that two programs may read differently

- An error status of a target was passed on with X-Tm-Run: no, although the request ran.
The header is now set only on what h2o answers by itself.
- The body of an answer to HEAD was sent, so a caller took it for the next answer. tm-target did the same, so HEAD ended with 502.
- Two Hosts, two lengths, a length with chunks and folded headers were accepted with one of them; HTTP/1.1 without Host and URLs that are no path as well.
- Encoded slashes with dot segments, and repeated slashes, passed on the route of another path than the target may read.
Dot segments are refused; repeated slashes count as one for the choice of the route.
- A caller that reads nothing held its connection and answer for ever; the kernel now closes it after 30 s.

--- a/src/control/admin_http.c
+++ b/src/control/admin_http.c
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "control/admin_internal.h"
+#include "http/http_server.h"
 
 #define BEARER	      "Bearer "
 #define BEARER_BYTES  7
@@ -86,7 +87,7 @@
 	    NULL, H2O_STRLIT("application/json"));
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CACHE_CONTROL,
 	    NULL, H2O_STRLIT("no-store"));
-	h2o_send_inline(req, copy, len + 1);
+	http_request_send_body(req, copy, len + 1);
 }
 
 void
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -58,6 +58,21 @@
 	return (0);
 }
 
+/* Only a path is taken: no absolute URL, no authority and no asterisk. */
+static int
+check_form(frontend_check_t *check)
+{
+	h2o_req_t *req = check->req;
+
+	if (http_request_is_ambiguous(req)) {
+		req->http1_is_persistent = 0;
+		return (REFUSAL_MALFORMED + 1);
+	}
+	if (req->input.path.len == 0 || req->input.path.base[0] != '/')
+		return (REFUSAL_MALFORMED + 1);
+	return (0);
+}
+
 /* Visible ASCII without characters that JSON or a log would escape. */
 static int
 is_id_char(char c)
@@ -87,17 +102,96 @@
 	return (0);
 }
 
+/* @return 1 for "." or ".." between slashes or backslashes */
+static int
+has_dot_segment(h2o_iovec_t path)
+{
+	size_t start = 0;
+	size_t len;
+	size_t i;
+
+	for (i = 0; i <= path.len; i++) {
+		if (i < path.len && path.base[i] != '/' && path.base[i] != '\\')
+			continue;
+		len = i - start;
+		if ((len == 1 || len == 2) && path.base[start] == '.' &&
+		    path.base[i - 1] == '.')
+			return (1);
+		start = i + 1;
+	}
+	return (0);
+}
+
+static int
+hex_value(char c)
+{
+	if (c >= '0' && c <= '9')
+		return (c - '0');
+	c = (char)(c | 0x20);
+	return (c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1);
+}
+
+/* Decodes %xx in the path without its query. */
+static h2o_iovec_t
+decode_path(h2o_req_t *req)
+{
+	size_t len =
+	    req->query_at != SIZE_MAX ? req->query_at : req->input.path.len;
+	const char *from = req->input.path.base;
+	h2o_iovec_t out = { h2o_mem_alloc_pool(&req->pool, len + 1), 0 };
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (from[i] == '%' && i + 2 < len &&
+		    hex_value(from[i + 1]) >= 0 &&
+		    hex_value(from[i + 2]) >= 0) {
+			out.base[out.len++] =
+			    (char)(hex_value(from[i + 1]) * 16 +
+				hex_value(from[i + 2]));
+			i += 2;
+		} else {
+			out.base[out.len++] = from[i];
+		}
+	}
+	return (out);
+}
+
+/*
+ * Path for the choice of the route: decoded and without repeated slashes.
+ * Targets disagree about what dot segments and NUL mean, above all next to
+ * encoded slashes, so a path with them could pass on a route that is open to
+ * the workspace and be read as one that is not. They are refused.
+ */
+static int
+read_route_path(h2o_req_t *req, h2o_iovec_t *out)
+{
+	h2o_iovec_t path = decode_path(req);
+	size_t i;
+
+	if (memchr(path.base, '\0', path.len) != NULL || has_dot_segment(path))
+		return (TM_EINVAL);
+	*out = h2o_iovec_init(path.base, 0);
+	for (i = 0; i < path.len; i++) {
+		if (i == 0 || path.base[i] != '/' || path.base[i - 1] != '/')
+			out->base[out->len++] = path.base[i];
+	}
+	return (TM_OK);
+}
+
 static int
 check_route(frontend_check_t *check)
 {
 	h2o_req_t *req = check->req;
 	h2o_iovec_t host = req->input.authority;
 	const char *colon = memrchr(host.base, ':', host.len);
+	h2o_iovec_t path;
 
+	if (read_route_path(req, &path) != TM_OK)
+		return (REFUSAL_MALFORMED + 1);
 	if (colon != NULL)
 		host.len = (size_t)(colon - host.base);
-	check->route = config_state_find_route(check->entry->state, host.base,
-	    host.len, req->path_normalized.base, req->path_normalized.len);
+	check->route = config_state_find_route(
+	    check->entry->state, host.base, host.len, path.base, path.len);
 	if (check->route == NULL)
 		return (REFUSAL_NO_ROUTE + 1);
 	check->options.route = check->route->object.name;
@@ -225,8 +319,8 @@
 frontend_handle(void *ctx, h2o_req_t *req)
 {
 	typedef int (*check_fn)(frontend_check_t *);
-	static const check_fn checks[] = { check_limits, check_id, check_route,
-		check_key, check_phase };
+	static const check_fn checks[] = { check_limits, check_form, check_id,
+		check_route, check_key, check_phase };
 	frontend_check_t check = {
 		.entry = ctx,
 		.req = req,
--- a/src/entry/refusal.c
+++ b/src/entry/refusal.c
@@ -9,7 +9,8 @@
 
 static const refusal_info_t refusal_table[REFUSAL_COUNT] = {
 	[REFUSAL_MALFORMED] = { 400, 0, "malformed", "the request is malformed",
-	    "correct the request id, the host or the path" },
+	    "send one Host, one length and a plain path, and a request id of "
+	    "1 to 63 visible characters" },
 	[REFUSAL_KEY_EXPOSED] = { 400, 0, "key_exposed",
 	    "the workspace key is in the URL or in the body",
 	    "send the key in the Authorization header only; issue a new key "
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,5 +1,6 @@
 #include "http/http_server.h"
 
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -7,6 +8,9 @@
 #include "base/error.h"
 
 #define LISTEN_BACKLOG 4096
+/* h2o has no limit on the time of a write. The kernel closes a connection
+ * whose caller takes no bytes for this time. */
+#define WRITE_TIMEOUT_MS 30000u
 
 typedef struct server_handler {
 	h2o_handler_t super;
@@ -42,6 +46,17 @@
 	free(conn);
 }
 
+static void
+limit_writes(const uv_tcp_t *tcp)
+{
+	unsigned timeout_ms = WRITE_TIMEOUT_MS;
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)tcp, &fd) == 0)
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		    sizeof(timeout_ms));
+}
+
 static void
 on_accept(uv_stream_t *listener, int status)
 {
@@ -64,6 +79,7 @@
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
+	limit_writes(&conn->tcp);
 	sock = h2o_uv_socket_create(
 	    (uv_stream_t *)&conn->tcp, (uv_close_cb)on_conn_closed);
 	h2o_accept(&server->accept_ctx, sock);
@@ -78,7 +94,11 @@
 	return (0);
 }
 
-/* Marks the responses that h2o makes itself, such as 400 and 413. */
+/*
+ * Marks the responses that h2o makes itself, such as 400 and 413. They belong
+ * to the fallback path; what the handler sends, also a target's error, does
+ * not pass through here.
+ */
 static void
 on_response(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
 {
@@ -127,7 +147,6 @@
 	    (server_handler_t *)h2o_create_handler(path, sizeof(*handler));
 	handler->super.on_req = on_request;
 	handler->server = server;
-	add_filter(server, path);
 	add_filter(server, &host->fallback_path);
 	h2o_context_init(&server->context, options->loop, &server->config);
 	server->accept_ctx.ctx = &server->context;
@@ -237,6 +256,16 @@
 		http_request_add_header(
 		    req, "content-type", 12, type, strlen(type));
 	req->res.content_length = len;
+	http_request_send_body(req, body, len);
+}
+
+/* h2o sends the body of a response to HEAD if there is one, and the caller
+ * would take it for the next response. */
+void
+http_request_send_body(h2o_req_t *req, const char *body, size_t len)
+{
+	if (h2o_memis(req->method.base, req->method.len, H2O_STRLIT("HEAD")))
+		len = 0;
 	h2o_send_inline(req, body, len);
 }
 
@@ -249,3 +278,70 @@
 	return (recv(h2o_socket_get_fd(sock), &byte, 1,
 		    MSG_PEEK | MSG_DONTWAIT) == 0);
 }
+
+/* Headers of which a request may have one only. */
+typedef struct head_counts {
+	int hosts;
+	int lengths;
+	int encodings;
+	int folded; /* lines that continue the one before */
+} head_counts_t;
+
+static void
+count_header(const char *line, size_t len, head_counts_t *counts)
+{
+	const char *colon = memchr(line, ':', len);
+	size_t name_len = colon != NULL ? (size_t)(colon - line) : 0;
+
+	counts->folded += len > 0 && (*line == ' ' || *line == '\t');
+	counts->hosts += h2o_lcstris(line, name_len, H2O_STRLIT("host"));
+	counts->lengths +=
+	    h2o_lcstris(line, name_len, H2O_STRLIT("content-length"));
+	counts->encodings +=
+	    h2o_lcstris(line, name_len, H2O_STRLIT("transfer-encoding"));
+}
+
+/* Counts the headers from the request line to the empty line. */
+static int
+count_headers(const char *at, const char *end, head_counts_t *counts)
+{
+	const char *stop;
+	size_t len;
+	int is_first = 1;
+
+	for (; at < end; at = stop + 1) {
+		stop = memchr(at, '\n', (size_t)(end - at));
+		if (stop == NULL)
+			return (0);
+		len = (size_t)(stop - at);
+		if (len > 0 && at[len - 1] == '\r')
+			len--;
+		if (len == 0)
+			return (1);
+		if (!is_first)
+			count_header(at, len, counts);
+		is_first = 0;
+	}
+	return (0);
+}
+
+/*
+ * h2o keeps one Host and one length, and forgets that there were others. The
+ * head is still at the start of the socket's input.
+ */
+int
+http_request_is_ambiguous(const h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+	const char *start = sock->input->bytes;
+	const char *end = start + sock->input->size;
+	head_counts_t counts = { 0 };
+
+	while (start < end && (*start == '\r' || *start == '\n'))
+		start++;
+	if (!count_headers(start, end, &counts))
+		return (1);
+	if (counts.hosts > 1 || (counts.hosts == 0 && req->version >= 0x101))
+		return (1);
+	return (counts.folded > 0 || counts.lengths + counts.encodings > 1);
+}
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -58,6 +58,16 @@
 h2o_iovec_t http_request_get_header(
     const h2o_req_t *req, const char *lower_name);
 
+/**
+ * Finds requests whose end or host two programs may read differently: more
+ * than one Host, Content-Length or Transfer-Encoding, a header on two lines,
+ * or no Host in HTTP/1.1.
+ * To be called when the request is handed over.
+ *
+ * @return 1 or 0
+ */
+int http_request_is_ambiguous(const h2o_req_t *req);
+
 /** Adds a response header; name and value are copied. */
 void http_request_add_header(h2o_req_t *req, const char *lower_name,
     size_t name_len, const char *value, size_t value_len);
@@ -73,6 +83,9 @@
 void http_request_reply(
     h2o_req_t *req, int status, const char *type, const char *body, size_t len);
 
+/** Ends a response whose head is complete; sends no body for HEAD. */
+void http_request_send_body(h2o_req_t *req, const char *body, size_t len);
+
 /** @return 1 if the caller has closed its side of the connection */
 int http_request_is_abandoned(const h2o_req_t *req);
 
--- a/src/target/target_http.c
+++ b/src/target/target_http.c
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "http/http_server.h"
 
 #define LISTEN_BACKLOG 1024
 /* Callers keep connections idle for as long as they like. */
@@ -198,7 +199,8 @@
 	req->res.status = status;
 	req->res.reason = target_http_get_reason(status);
 	target_http_add_header(req, "content-type", "application/json");
-	h2o_send_inline(req, body, strlen(body));
+	req->res.content_length = strlen(body);
+	http_request_send_body(req, body, strlen(body));
 }
 
 int
--- a/src/target/target_job.c
+++ b/src/target/target_job.c
@@ -514,6 +514,11 @@
 	    job->act == TARGET_ACT_ERROR ? job->pool->fault.error_status : 200;
 	req->res.reason = target_http_get_reason(req->res.status);
 	req->res.content_length = job->body.len;
+	if (h2o_memis(req->method.base, req->method.len, H2O_STRLIT("HEAD"))) {
+		job->body.len = 0;
+		send_whole(job);
+		return;
+	}
 	if (job->act == TARGET_ACT_TRUNCATE ||
 	    job->act == TARGET_ACT_STALL_BODY)
 		send_half(job);
