--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -80,6 +80,12 @@
 	curl -sf "http://$1/status" | grep -q '"announced":[1-9]'
 }
 
+# The tables reach all entry VMs some time after the announcements.
+sees_targets() {
+	[ "$(curl -sf "http://$1/status" | grep -o '"usable":true' |
+	    wc -l)" = "$(echo $FLEET_TARGETS | wc -w)" ]
+}
+
 has_leader() {
 	ctl --timeout-ms 500 --json status | grep -q '"leader":"'
 }
@@ -122,6 +128,10 @@
 		wait_for "announcement of $address" has_announced "$address" ||
 		    return 1
 	done
+	for address in $FLEET_OPS; do
+		wait_for "targets at entry $address" sees_targets "$address" ||
+		    return 1
+	done
 }
 
 stop_all() {
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -111,8 +111,12 @@
 	return (metric != NULL ? metric->value : 0);
 }
 
+/* Upper edges of the exposed buckets: powers of two up to 67 s. */
+#define METRIC_EDGE_MIN_US UINT64_C(64)
+#define METRIC_EDGE_MAX_US (UINT64_C(1) << 26)
+
 static void
-metric_write_histogram(const metric_t *metric, FILE *out)
+metric_write_summary(const metric_t *metric, FILE *out)
 {
 	const char *separator = metric->labels[0] != '\0' ? "," : "";
 	size_t i;
@@ -129,13 +133,36 @@
 	    (unsigned long long)metric->hist->sum_us);
 }
 
+/* Quantiles of several VMs cannot be combined; counts per bucket can. */
 static void
-metric_write(const metric_t *metric, FILE *out)
+metric_write_buckets(const metric_t *metric, FILE *out)
 {
-	if (metric->kind == METRIC_HISTOGRAM) {
-		metric_write_histogram(metric, out);
-		return;
+	const char *separator = metric->labels[0] != '\0' ? "," : "";
+	const hist_t *hist = metric->hist;
+	uint64_t edge_us;
+	uint64_t count = 0;
+	uint32_t i = 0;
+
+	for (edge_us = METRIC_EDGE_MIN_US; edge_us <= METRIC_EDGE_MAX_US;
+	     edge_us *= 2) {
+		while (
+		    i < HIST_BUCKETS && hist_get_bucket_edge_us(i) <= edge_us)
+			count += hist->bucket[i++];
+		fprintf(out, "%s_hist_bucket{%s%sle=\"%llu\"} %llu\n",
+		    metric->name, metric->labels, separator,
+		    (unsigned long long)edge_us, (unsigned long long)count);
 	}
+	fprintf(out, "%s_hist_bucket{%s%sle=\"+Inf\"} %llu\n", metric->name,
+	    metric->labels, separator, (unsigned long long)hist->count);
+	fprintf(out, "%s_hist_count{%s} %llu\n", metric->name, metric->labels,
+	    (unsigned long long)hist->count);
+	fprintf(out, "%s_hist_sum{%s} %llu\n", metric->name, metric->labels,
+	    (unsigned long long)hist->sum_us);
+}
+
+static void
+metric_write_value(const metric_t *metric, FILE *out)
+{
 	if (metric->labels[0] == '\0')
 		fprintf(
 		    out, "%s %lld\n", metric->name, (long long)metric->value);
@@ -144,25 +171,74 @@
 		    (long long)metric->value);
 }
 
+/* Writes the metrics of one name, which have the same kind. */
+static void
+metric_write_family(metric_t *const *family, size_t count, FILE *out)
+{
+	static const char *const types[] = { "counter", "gauge", "summary" };
+	size_t i;
+
+	fprintf(out, "# TYPE %s %s\n", family[0]->name, types[family[0]->kind]);
+	for (i = 0; i < count; i++) {
+		if (family[0]->kind == METRIC_HISTOGRAM)
+			metric_write_summary(family[i], out);
+		else
+			metric_write_value(family[i], out);
+	}
+	if (family[0]->kind != METRIC_HISTOGRAM)
+		return;
+	fprintf(out, "# TYPE %s_hist histogram\n", family[0]->name);
+	for (i = 0; i < count; i++)
+		metric_write_buckets(family[i], out);
+}
+
+static int
+metric_compare(const void *a, const void *b)
+{
+	const metric_t *x = *(metric_t *const *)a;
+	const metric_t *y = *(metric_t *const *)b;
+	int order = strcmp(x->name, y->name);
+
+	return (order != 0 ? order : strcmp(x->labels, y->labels));
+}
+
+/* The format wants all metrics of a name together. */
+static void
+metrics_write(metric_t **sorted, size_t count, FILE *out)
+{
+	size_t first = 0;
+	size_t i;
+
+	qsort(sorted, count, sizeof(metric_t *), metric_compare);
+	for (i = 1; i <= count; i++) {
+		if (i < count &&
+		    strcmp(sorted[i]->name, sorted[first]->name) == 0)
+			continue;
+		metric_write_family(sorted + first, i - first, out);
+		first = i;
+	}
+}
+
 char *
 metrics_format(const metrics_t *metrics, size_t *out_len)
 {
-	static const char *const types[] = { "counter", "gauge", "summary" };
-	const metric_t *metric;
-	const char *last_name = "";
+	metric_t **sorted =
+	    calloc(HASH_COUNT(metrics->by_id) + 1, sizeof(metric_t *));
+	metric_t *metric;
+	size_t count = 0;
 	char *text = NULL;
 	FILE *out = open_memstream(&text, out_len);
 
+	if (sorted != NULL && out != NULL) {
+		for (metric = metrics->by_id; metric != NULL;
+		     metric = metric->hh.next)
+			sorted[count++] = metric;
+		if (count > 0)
+			metrics_write(sorted, count, out);
+	}
+	free(sorted);
 	if (out == NULL)
 		return (NULL);
-	for (metric = metrics->by_id; metric != NULL;
-	     metric = metric->hh.next) {
-		if (strcmp(metric->name, last_name) != 0)
-			fprintf(out, "# TYPE %s %s\n", metric->name,
-			    types[metric->kind]);
-		last_name = metric->name;
-		metric_write(metric, out);
-	}
 	fclose(out);
 	return (text);
 }
--- a/src/config/config_apply.c
+++ b/src/config/config_apply.c
@@ -304,8 +304,8 @@
 	    !node_name_is_valid(msg->data_centre) ||
 	    strlen(msg->peer_ip) > CONFIG_IP_MAX_BYTES ||
 	    strlen(msg->ops_ip) > CONFIG_IP_MAX_BYTES ||
-	    msg->ops_port > UINT16_MAX ||
-	    msg->peer_port > UINT16_MAX || msg->role > CONFIG_ROLE_CONTROL)
+	    msg->ops_port > UINT16_MAX || msg->peer_port > UINT16_MAX ||
+	    msg->role > CONFIG_ROLE_CONTROL)
 		return (TM_EINVAL);
 	out->id = node_id_from_name(msg->name);
 	out->incarnation = msg->incarnation;
--- a/src/control/admin_api.c
+++ b/src/control/admin_api.c
@@ -19,6 +19,7 @@
 } admin_route_t;
 
 static const admin_route_t admin_routes[] = {
+	{ "GET /metrics", admin_handle_metrics, 1 },
 	{ "GET /v1/status", admin_handle_status, 1 },
 	{ "GET /v1/history", admin_handle_history, 0 },
 	{ "POST /v1/apply", admin_handle_apply, 0 },
--- a/src/control/admin_internal.h
+++ b/src/control/admin_internal.h
@@ -79,5 +79,6 @@
 void admin_handle_get(admin_request_t *request);
 void admin_handle_history(admin_request_t *request);
 void admin_handle_status(admin_request_t *request);
+void admin_handle_metrics(admin_request_t *request);
 
 #endif
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -14,8 +14,11 @@
 #define CONTROL_STOP_MAX_MS 5000
 
 static void
-control_finish_ticket(control_ticket_t *ticket, const config_result_t *result)
+control_finish_ticket(
+    control_t *control, control_ticket_t *ticket, const config_result_t *result)
 {
+	control_count_change(
+	    control, ticket->deadline_ms - CONTROL_CHANGE_TIMEOUT_MS, result);
 	if (ticket->done != NULL)
 		ticket->done(ticket->ctx, result);
 	free(ticket);
@@ -41,7 +44,7 @@
 			continue;
 		}
 		*link = ticket->next;
-		control_finish_ticket(ticket,
+		control_finish_ticket(control, ticket,
 		    ticket->index == index && ticket->term == term ? result
 								   : &unknown);
 	}
@@ -60,7 +63,7 @@
 			continue;
 		}
 		*link = ticket->next;
-		control_finish_ticket(ticket, &unknown);
+		control_finish_ticket(control, ticket, &unknown);
 	}
 }
 
@@ -352,7 +355,8 @@
 	control->now_ms = clock_now_ms();
 	control->state = config_state_create();
 	control->placement = placement_create();
-	if (control->state != NULL && control->placement != NULL)
+	if (control->state != NULL && control->placement != NULL &&
+	    control_create_metrics(control) == TM_OK)
 		err = control_start(control, loop);
 	if (err == TM_OK) {
 		*out = control;
@@ -370,7 +374,7 @@
 
 	while ((ticket = control->tickets) != NULL) {
 		control->tickets = ticket->next;
-		control_finish_ticket(ticket, &unknown);
+		control_finish_ticket(control, ticket, &unknown);
 	}
 	raft_destroy(control->raft);
 	store_close(control->store);
@@ -378,6 +382,8 @@
 	placement_destroy(control->placement);
 	control_free_beats(control);
 	config_state_destroy(control->state);
+	if (control->metrics != NULL)
+		metrics_destroy(control->metrics);
 	free(control);
 }
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -80,6 +80,9 @@
 /** @return new reference to the status of this VM; NULL without memory */
 json_t *control_get_status(const control_t *control);
 
+/** @return metrics that the caller frees; NULL without memory */
+char *control_format_metrics(control_t *control, size_t *len);
+
 /** Begins a planned stop: hands over leadership, accepts no new changes. */
 void control_begin_stop(control_t *control);
 
--- a/src/control/control_fleet.c
+++ b/src/control/control_fleet.c
@@ -387,10 +387,10 @@
 	for (i = 0; i < count; i++)
 		json_array_append_new(list,
 		    json_pack("{s:s, s:s, s:I, s:s, s:i, s:s, s:i, s:b, s:I}",
-			"name",
-			nodes[i]->name, "data_centre", nodes[i]->data_centre,
-			"incarnation", (json_int_t)nodes[i]->incarnation,
-			"peer_ip", nodes[i]->peer_ip, "peer_port",
+			"name", nodes[i]->name, "data_centre",
+			nodes[i]->data_centre, "incarnation",
+			(json_int_t)nodes[i]->incarnation, "peer_ip",
+			nodes[i]->peer_ip, "peer_port",
 			(int)nodes[i]->peer_port, "ops_ip", nodes[i]->ops_ip,
 			"ops_port", (int)nodes[i]->ops_port, "draining",
 			nodes[i]->draining, "silence_ms",
@@ -406,13 +406,26 @@
 {
 	const control_beat_t *beat = control_find_beat(control, holder->node);
 
-	return (beat != NULL &&
-	    beat->node.incarnation == holder->incarnation &&
+	return (beat != NULL && beat->node.incarnation == holder->incarnation &&
 	    beat->reports_ready &&
 	    control->now_ms - beat->heard_ms < PLACEMENT_DEAD_MS &&
 	    (beat->ready_shards >> shard & 1) != 0);
 }
 
+int
+control_count_ready(const control_t *control, uint32_t shard)
+{
+	const config_group_t *group =
+	    config_state_get_group(control->state, shard);
+	int ready = 0;
+	int i;
+
+	for (i = 0; i < CONFIG_HOLDERS; i++)
+		ready +=
+		    control_is_holder_ready(control, &group->holders[i], shard);
+	return (ready);
+}
+
 static json_t *
 control_write_vms(const control_t *control)
 {
@@ -439,16 +452,12 @@
 	const config_node_t *node;
 	json_t *holders;
 	uint32_t shard;
-	int ready;
 	int i;
 
 	for (shard = 0; shard < CONFIG_SHARDS; shard++) {
 		group = config_state_get_group(control->state, shard);
 		holders = json_array();
-		ready = 0;
 		for (i = 0; i < CONFIG_HOLDERS; i++) {
-			ready += control_is_holder_ready(
-			    control, &group->holders[i], shard);
 			node = config_state_find_node(
 			    control->state, group->holders[i].node);
 			if (node != NULL)
@@ -458,7 +467,8 @@
 		json_array_append_new(list,
 		    json_pack("{s:i, s:I, s:b, s:i, s:o}", "shard", (int)shard,
 			"epoch", (json_int_t)group->epoch, "quarantine",
-			group->quarantine, "ready", ready, "holders",
+			group->quarantine, "ready",
+			control_count_ready(control, shard), "holders",
 			holders));
 	}
 	return (list);
@@ -470,8 +480,8 @@
 	const control_vm_t *leader = control_get_leader(control);
 
 	return (json_pack(
-	    "{s:s, s:s, s:s?, s:b, s:I, s:I, s:I, s:b, s:i, s:o, s:o, s:o}", "node",
-	    control->settings.node, "role",
+	    "{s:s, s:s, s:s?, s:b, s:I, s:I, s:I, s:b, s:i, s:o, s:o, s:o}",
+	    "node", control->settings.node, "role",
 	    raft_is_leader(control->raft) ? "leader" : "follower", "leader",
 	    leader != NULL ? leader->name : NULL, "ready",
 	    control_is_ready_leader(control), "term",
@@ -480,7 +490,6 @@
 	    (json_int_t)config_state_get_index(control->state), "voter",
 	    raft_is_voter(control->raft), "subscribers",
 	    (int)feed_get_subscriber_count(control->feed), "control_vms",
-	    control_write_vms(control), "nodes",
-	    control_write_nodes(control), "groups",
-	    control_write_groups(control)));
+	    control_write_vms(control), "nodes", control_write_nodes(control),
+	    "groups", control_write_groups(control)));
 }
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -8,6 +8,7 @@
 #include <uthash.h>
 
 #include "base/log.h"
+#include "base/metrics.h"
 #include "control/control.h"
 #include "control/feed.h"
 #include "control/placement.h"
@@ -40,6 +41,11 @@
 	node_id_t self;
 	int64_t now_ms;
 	config_state_t *state;
+	metrics_t *metrics;
+	metric_t *changes_accepted;
+	metric_t *changes_refused;
+	metric_t *changes_unknown;
+	metric_t *change_latency;
 	raft_t *raft;
 	store_t *store;
 	peer_net_t *net;
@@ -64,10 +70,17 @@
 int control_propose_entry(
     control_t *control, const Feed__Entry *entry, uint64_t *index);
 
+/* control_metrics.c */
+int control_create_metrics(control_t *control);
+void control_count_change(
+    control_t *control, int64_t asked_ms, const config_result_t *result);
+
 /* control_fleet.c */
 void control_handle_feed(control_t *control, node_id_t from, uint16_t type,
     const uint8_t *payload, size_t len);
 void control_run_fleet(control_t *control);
 void control_free_beats(control_t *control);
+/* Ready holders of a shard by the newest heartbeats. */
+int control_count_ready(const control_t *control, uint32_t shard);
 
 #endif
--- a/src/ctl/ctl_api.c
+++ b/src/ctl/ctl_api.c
@@ -13,6 +13,8 @@
 #define HEADERS_MAX   768
 /* Pause after all servers failed; the fleet elects a leader in about 1 s. */
 #define ROUND_PAUSE_MS 200
+/* A VM that does not answer a question within this time is passed over. */
+#define ASK_TIMEOUT_MS 1500
 
 /* State of one attempt. */
 typedef struct attempt {
@@ -31,8 +33,8 @@
 	api->attempt_ms = 3000;
 }
 
-int
-ctl_api_add_servers(ctl_api_t *api, const char *list)
+static int
+add_addresses(const char *list, struct sockaddr_in *out, int *count)
 {
 	char item[64];
 	const char *at = list;
@@ -44,12 +46,11 @@
 			return (TM_EFORMAT);
 		memcpy(item, at, len);
 		item[len] = '\0';
-		if (api->server_count == CTL_SERVERS_MAX)
+		if (*count == CTL_SERVERS_MAX)
 			return (TM_EFULL);
-		if (json_parse_address(
-			item, 0, &api->servers[api->server_count]) != TM_OK)
+		if (json_parse_address(item, 0, &out[*count]) != TM_OK)
 			return (TM_EFORMAT);
-		api->server_count++;
+		(*count)++;
 		at += len;
 		if (*at == ',')
 			at++;
@@ -57,6 +58,18 @@
 	return (TM_OK);
 }
 
+int
+ctl_api_add_servers(ctl_api_t *api, const char *list)
+{
+	return (add_addresses(list, api->servers, &api->server_count));
+}
+
+int
+ctl_api_add_entries(ctl_api_t *api, const char *list)
+{
+	return (add_addresses(list, api->entries, &api->entry_count));
+}
+
 int
 ctl_api_read_token(ctl_api_t *api, const char *file)
 {
@@ -151,6 +164,44 @@
 		uv_run(&api->loop, UV_RUN_ONCE);
 }
 
+void
+ctl_api_ask_all(ctl_api_t *api, const struct sockaddr_in *vms, int count,
+    const char *path, int with_token, ctl_result_t *results)
+{
+	ctl_call_t call = { .method = "GET", .path = path, .if_version = -1 };
+	attempt_t *attempts = calloc((size_t)count + 1, sizeof(*attempts));
+	char headers[HEADERS_MAX] = "Accept: application/json\r\n";
+	http_request_t request = { .method = "GET",
+		.path = path,
+		.headers = headers,
+		.timeout_ms =
+		    (int)(api->timeout_ms < ASK_TIMEOUT_MS ? api->timeout_ms
+							   : ASK_TIMEOUT_MS) };
+	int i;
+
+	memset(results, 0, (size_t)count * sizeof(*results));
+	if (attempts == NULL)
+		return;
+	if (with_token)
+		format_headers(api, &call, headers);
+	for (i = 0; i < count; i++) {
+		attempts[i].result = &results[i];
+		request.to = vms[i];
+		if (http_call_start(
+			&api->loop, &request, on_reply, &attempts[i]) != TM_OK)
+			attempts[i].done = 1;
+	}
+	for (i = 0; i < count; i++) {
+		while (!attempts[i].done)
+			uv_run(&api->loop, UV_RUN_ONCE);
+		if (attempts[i].err == TM_OK && results[i].status == 200)
+			results[i].exit = CTL_EXIT_OK;
+		else
+			results[i].exit = CTL_EXIT_UNREACHABLE;
+	}
+	free(attempts);
+}
+
 /* Takes the address out of "http://ip:port/path". */
 static int
 parse_location(const char *location, struct sockaddr_in *server)
--- a/src/ctl/ctl_api.h
+++ b/src/ctl/ctl_api.h
@@ -14,7 +14,9 @@
 
 #define CTL_SERVERS_MAX	  16
 #define CTL_CHANGE_ID_MAX 64
-#define CTL_TOKEN_MAX	  256
+/** Most VMs that are asked at the same time. */
+#define CTL_VMS_MAX   1024
+#define CTL_TOKEN_MAX 256
 
 /** Exit codes of tmctl; see man/tmctl.1. */
 typedef enum ctl_exit {
@@ -30,6 +32,8 @@
 	uv_loop_t loop;
 	struct sockaddr_in servers[CTL_SERVERS_MAX];
 	int server_count;
+	struct sockaddr_in entries[CTL_SERVERS_MAX]; /**< --entry */
+	int entry_count;
 	int next_server;
 	char token[CTL_TOKEN_MAX];
 	int64_t timeout_ms; /**< for a whole call with its retries */
@@ -72,6 +76,22 @@
  */
 int ctl_api_read_token(ctl_api_t *api, const char *file);
 
+/**
+ * Adds "ip:port" items of ops listeners of entry VMs.
+ *
+ * @return 0, TM_EFORMAT or TM_EFULL
+ */
+int ctl_api_add_entries(ctl_api_t *api, const char *list);
+
+/**
+ * Asks several VMs the same question at the same time; each is asked once.
+ *
+ * @param with_token  whether the operator token is sent
+ * @param results     one for each VM; the caller frees body
+ */
+void ctl_api_ask_all(ctl_api_t *api, const struct sockaddr_in *vms, int count,
+    const char *path, int with_token, ctl_result_t *results);
+
 /** Sends a call and waits for its result. */
 void ctl_api_send(ctl_api_t *api, const ctl_call_t *call, ctl_result_t *result);
 
--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -10,6 +10,7 @@
 #include <jansson.h>
 
 #include "base/error.h"
+#include "ctl/ctl_fleet.h"
 #include "ctl/ctl_print.h"
 #include "settings/json_check.h"
 
@@ -42,8 +43,8 @@
 	return (TM_OK);
 }
 
-static void
-escape(const char *text, char *out, size_t size)
+void
+ctl_escape(const char *text, char *out, size_t size)
 {
 	size_t used = 0;
 
@@ -94,8 +95,8 @@
 	json_decref(value);
 }
 
-static void
-print_refusal(const ctl_options_t *o, const ctl_result_t *result)
+void
+ctl_print_refusal(const ctl_options_t *o, const ctl_result_t *result)
 {
 	json_t *value = result->body != NULL
 	    ? json_loadb(result->body, result->body_len, 0, NULL)
@@ -107,8 +108,8 @@
 	json_decref(value);
 }
 
-static void
-print_unreachable(const ctl_call_t *call, const ctl_result_t *result)
+void
+ctl_print_unreachable(const ctl_call_t *call, const ctl_result_t *result)
 {
 	if (result->status != 0)
 		fprintf(stderr, "tmctl: the last answer was status %d%s%s\n",
@@ -134,9 +135,9 @@
 	if (result.exit == CTL_EXIT_OK)
 		print_body(o, &result);
 	else if (result.exit == CTL_EXIT_UNREACHABLE)
-		print_unreachable(call, &result);
+		ctl_print_unreachable(call, &result);
 	else
-		print_refusal(o, &result);
+		ctl_print_refusal(o, &result);
 	free(result.body);
 	return (result.exit);
 }
@@ -174,7 +175,7 @@
 	char path[PATH_MAX_BYTES];
 	char escaped[PATH_MAX_BYTES / 2];
 
-	escape(name, escaped, sizeof(escaped));
+	ctl_escape(name, escaped, sizeof(escaped));
 	snprintf(path, sizeof(path), "/v1/%s/%s%s", kind, escaped, suffix);
 	return (send_change(api, o, method, path, body));
 }
@@ -185,7 +186,7 @@
 	char path[PATH_MAX_BYTES];
 	char name[PATH_MAX_BYTES / 2];
 
-	escape(o->words[2], name, sizeof(name));
+	ctl_escape(o->words[2], name, sizeof(name));
 	snprintf(path, sizeof(path), "/v1/%s/%s", find_kind(o->words[1]), name);
 	return (send_query(api, o, path));
 }
@@ -197,7 +198,7 @@
 	size_t used = strlen(path);
 
 	if (o->after != NULL) {
-		escape(o->after, after, sizeof(after));
+		ctl_escape(o->after, after, sizeof(after));
 		used += (size_t)snprintf(
 		    path + used, size - used, "?after=%s", after);
 	}
@@ -225,24 +226,6 @@
 	return (send_query(api, o, path));
 }
 
-static ctl_exit_t
-run_status(ctl_api_t *api, const ctl_options_t *o)
-{
-	return (send_query(api, o, "/v1/status"));
-}
-
-static ctl_exit_t
-run_explain(ctl_api_t *api, const ctl_options_t *o)
-{
-	char path[PATH_MAX_BYTES];
-	char name[PATH_MAX_BYTES / 2];
-
-	escape(o->words[2], name, sizeof(name));
-	snprintf(path, sizeof(path), "/v1/explain?kind=%s&name=%s", o->words[1],
-	    name);
-	return (send_query(api, o, path));
-}
-
 static ctl_exit_t
 run_delete(ctl_api_t *api, const ctl_options_t *o)
 {
@@ -301,13 +284,13 @@
 	ctl_call_t call = { .method = "GET", .path = path, .if_version = -1 };
 	ctl_result_t result;
 
-	escape(o->words[2], name, sizeof(name));
+	ctl_escape(o->words[2], name, sizeof(name));
 	snprintf(path, sizeof(path), "/v1/workspaces/%s", name);
 	ctl_api_send(api, &call, &result);
 	if (result.exit == CTL_EXIT_UNREACHABLE)
-		print_unreachable(&call, &result);
+		ctl_print_unreachable(&call, &result);
 	else if (result.exit != CTL_EXIT_OK)
-		print_refusal(o, &result);
+		ctl_print_refusal(o, &result);
 	free(result.body);
 	return (result.exit);
 }
@@ -386,9 +369,9 @@
 	{ { "rate", "set" }, 3, 3, "rate set WORKSPACE RATE BURST",
 	    run_rate_set },
 	{ { "history", NULL }, 0, 0, "history", run_history },
-	{ { "status", NULL }, 0, 0, "status", run_status },
+	{ { "status", NULL }, 0, 0, "status", ctl_fleet_run_status },
 	{ { "explain", NULL }, 2, 2, "explain request|workspace|target NAME",
-	    run_explain },
+	    ctl_fleet_run_explain },
 };
 
 #define COMMANDS ((int)(sizeof(commands) / sizeof(commands[0])))
@@ -444,7 +427,8 @@
 	    find_kind(o->words[1]) == NULL)
 		return (reject("kind", o->words[1],
 		    "profiles, services, routes, workspaces or keys"));
-	if (c->run == run_explain && strcmp(o->words[1], "request") != 0 &&
+	if (c->run == ctl_fleet_run_explain &&
+	    strcmp(o->words[1], "request") != 0 &&
 	    strcmp(o->words[1], "workspace") != 0 &&
 	    strcmp(o->words[1], "target") != 0)
 		return (reject("what to explain", o->words[1],
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -16,6 +16,7 @@
 typedef struct arguments {
 	struct arg_lit *help;
 	struct arg_str *server;
+	struct arg_str *entry;
 	struct arg_file *token_file;
 	struct arg_lit *json;
 	struct arg_lit *dry_run;
@@ -51,12 +52,25 @@
 	if (err != TM_OK)
 		return (fail("server", list,
 		    "give up to 16 addresses like 10.0.0.1:7000,10.0.0.2:7000"));
-	if (api->server_count == 0)
+	if (api->server_count == 0 && api->entry_count == 0)
 		return (fail(
 		    "server", "", "give --server or set " SERVERS_VARIABLE));
 	return (0);
 }
 
+static int
+read_entries(const arguments_t *a, ctl_api_t *api)
+{
+	int i;
+
+	for (i = 0; i < a->entry->count; i++) {
+		if (ctl_api_add_entries(api, a->entry->sval[i]) != TM_OK)
+			return (fail("entry", a->entry->sval[i],
+			    "give up to 16 ops listeners like 10.0.1.1:8081"));
+	}
+	return (0);
+}
+
 static int
 read_token(const arguments_t *a, ctl_api_t *api)
 {
@@ -64,6 +78,8 @@
 
 	if (a->token_file->count > 0)
 		file = a->token_file->filename[0];
+	if (file == NULL && api->entry_count > 0)
+		return (0);
 	if (file == NULL)
 		return (fail("token file", "",
 		    "give --token-file or set " TOKEN_VARIABLE));
@@ -124,7 +140,9 @@
 	if (ctl_command_check(&options) != TM_OK)
 		return (CTL_EXIT_USAGE);
 	ctl_api_init(&api);
-	status = read_servers(a, &api);
+	status = read_entries(a, &api);
+	if (status == 0)
+		status = read_servers(a, &api);
 	if (status == 0)
 		status = read_token(a, &api);
 	if (status != 0)
@@ -160,6 +178,8 @@
 		.help = arg_lit0("h", "help", "print this text"),
 		.server = arg_strn("s", "server", "IP:PORT[,...]", 0, 16,
 		    "control VMs; default: $" SERVERS_VARIABLE),
+		.entry = arg_strn("e", "entry", "IP:PORT[,...]", 0, 16,
+		    "status, explain: ops listeners instead of the directory"),
 		.token_file = arg_file0("t", "token-file", "FILE",
 		    "operator token; default: $" TOKEN_VARIABLE),
 		.json = arg_lit0("j", "json", "print the answer as JSON"),
@@ -176,9 +196,9 @@
 		.words = arg_strn(NULL, NULL, "COMMAND", 1, 5, "see below"),
 		.end = arg_end(8),
 	};
-	void *table[] = { a.help, a.server, a.token_file, a.json, a.dry_run,
-		a.if_version, a.change_id, a.timeout_ms, a.after, a.limit,
-		a.words, a.end };
+	void *table[] = { a.help, a.server, a.entry, a.token_file, a.json,
+		a.dry_run, a.if_version, a.change_id, a.timeout_ms, a.after,
+		a.limit, a.words, a.end };
 	int status = CTL_EXIT_USAGE;
 
 	if (arg_nullcheck(table) != 0) {
--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -5,6 +5,7 @@
 #ifndef TM_ENTRY_ENTRY_DEFS_H
 #define TM_ENTRY_ENTRY_DEFS_H
 
+#include <jansson.h>
 #include <uthash.h>
 #include <uv.h>
 
@@ -51,6 +52,9 @@
 	fair_queue_t *queue;
 	uint64_t table_version; /**< of the last group_put() */
 	int needs_pump; /**< a request ended since the last release */
+	metric_t *requests;
+	metric_t *refused;
+	metric_t *latency;
 	metric_t *attempts;
 	metric_t *retries;
 	metric_t *hedges;
@@ -208,6 +212,24 @@
 /** http_server_cb of the callers' listener; ctx is the entry_t. */
 void frontend_handle(void *ctx, h2o_req_t *req);
 
+/* ops_describe.c: the state of this VM for operators */
+
+/** @return new JSON object for /status */
+json_t *ops_describe_status(entry_t *entry, const char *state, int64_t now_ms);
+
+/**
+ * Answers a question about a request, a target or a workspace.
+ *
+ * @return new JSON list of what this VM knows; NULL for an unknown kind
+ */
+json_t *ops_explain(
+    entry_t *entry, const char *kind, const char *name, int64_t now_ms);
+
+/* ops_metrics.c */
+
+/** Sets the metrics that are read from the modules. */
+void ops_metrics_update(entry_t *entry, int64_t now_ms);
+
 /* ops_api.c */
 
 /** http_server_cb of the ops listener; ctx is the entry_t. */
--- a/src/entry/entry_service.c
+++ b/src/entry/entry_service.c
@@ -178,6 +178,12 @@
 	char labels[NAME_MAX_BYTES + 16];
 
 	snprintf(labels, sizeof(labels), "service=\"%s\"", service->name);
+	service->requests = metrics_get(
+	    metrics, "tm_entry_service_requests_total", labels, METRIC_COUNTER);
+	service->refused = metrics_get(
+	    metrics, "tm_entry_service_refused_total", labels, METRIC_COUNTER);
+	service->latency = metrics_get(
+	    metrics, "tm_entry_service_latency_us", labels, METRIC_HISTOGRAM);
 	service->attempts = metrics_get(
 	    metrics, "tm_entry_attempts_total", labels, METRIC_COUNTER);
 	service->retries = metrics_get(
--- a/src/entry/ops_api.c
+++ b/src/entry/ops_api.c
@@ -9,7 +9,6 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "entry/entry_defs.h"
-#include "entry/trace.h"
 #include "settings/json_check.h"
 
 #define BEARER	     "Bearer "
@@ -188,45 +187,13 @@
 	    json_pack("{s:s}", "state", reason == NULL ? "ready" : reason));
 }
 
-static void
-ops_update_gauges(entry_t *entry)
-{
-	const peer_stats_t *peers = peer_net_get_stats(entry->net);
-	const claim_holder_stats_t *claims =
-	    claim_holder_get_stats(entry->claim_holder);
-	const struct {
-		const char *name;
-		int64_t value;
-	} gauges[] = {
-		{ "tm_entry_in_flight", entry->in_flight },
-		{ "tm_entry_connections",
-		    http_server_get_connections(entry->callers) },
-		{ "tm_entry_target_connections",
-		    upstream_get_total(entry->upstream) },
-		{ "tm_entry_config_index",
-		    (int64_t)config_state_get_index(entry->state) },
-		{ "tm_peer_sent_bytes", (int64_t)peers->sent_bytes },
-		{ "tm_peer_sent_messages", (int64_t)peers->sent_count },
-		{ "tm_peer_received_bytes", (int64_t)peers->received_bytes },
-		{ "tm_peer_dropped_messages", (int64_t)peers->dropped_count },
-		{ "tm_claim_records", (int64_t)claims->records },
-		{ "tm_claim_bytes", (int64_t)claims->bytes },
-	};
-	size_t i;
-
-	for (i = 0; i < sizeof(gauges) / sizeof(gauges[0]); i++)
-		metric_set(metrics_get(entry->metrics, gauges[i].name, "",
-			       METRIC_GAUGE),
-		    gauges[i].value);
-}
-
 static void
 ops_handle_metrics(entry_t *entry, h2o_req_t *req)
 {
 	size_t len;
 	char *text;
 
-	ops_update_gauges(entry);
+	ops_metrics_update(entry, clock_now_ms());
 	text = metrics_format(entry->metrics, &len);
 	if (text == NULL) {
 		ops_reply_error(req, 500, TM_ENOMEM, "out of memory");
@@ -236,86 +203,47 @@
 	free(text);
 }
 
-static json_t *
-ops_describe_endpoint(const service_endpoint_t *endpoint)
+static void
+ops_handle_status(entry_t *entry, h2o_req_t *req)
 {
-	char address[SERVICE_IP_BYTES + 8];
-
-	snprintf(
-	    address, sizeof(address), "%s:%u", endpoint->ip, endpoint->port);
-	return (json_pack("{s:s, s:I, s:s, s:b, s:i, s:i, s:i, s:i}", "target",
-	    endpoint->target, "incarnation", (json_int_t)endpoint->incarnation,
-	    "address", address, "usable", endpoint->usable, "share",
-	    (int)endpoint->share, "slots", (int)endpoint->slots, "in_flight",
-	    (int)endpoint->in_flight, "connections",
-	    (int)endpoint->connections));
-}
+	const char *reason = ops_get_unready_reason(entry);
 
-static json_t *
-ops_describe_service(const entry_service_t *service, int64_t now_ms)
-{
-	service_endpoint_t *const *endpoints;
-	json_t *list = json_array();
-	uint64_t term;
-	uint64_t sequence;
-	uint32_t count;
-	uint32_t i;
-
-	endpoints = service_view_get_endpoints(service->view, &count);
-	for (i = 0; i < count; i++)
-		json_array_append_new(
-		    list, ops_describe_endpoint(endpoints[i]));
-	service_view_get_version(service->view, &term, &sequence);
-	return (json_pack("{s:s, s:b, s:i, s:i, s:I, s:I, s:o}", "service",
-	    service->name, "has_leader",
-	    service_view_has_leader(service->view, now_ms), "waiting",
-	    (int)fair_queue_get_waiting(service->queue), "running",
-	    (int)fair_queue_get_running(service->queue), "table_term",
-	    (json_int_t)term, "table_sequence", (json_int_t)sequence, "targets",
-	    list));
+	ops_reply_json(req, 200,
+	    ops_describe_status(
+		entry, reason == NULL ? "ready" : reason, clock_now_ms()));
 }
 
-static json_t *
-ops_describe_groups(const entry_t *entry, int64_t now_ms)
+static int
+ops_get_hex(char c)
 {
-	uint32_t holders = 0;
-	uint32_t ready = 0;
-	uint32_t leads = 0;
-	uint32_t shard;
-
-	for (shard = 0; shard < CONFIG_SHARDS; shard++) {
-		holders += group_is_holder(entry->group, shard) != 0;
-		ready += group_is_ready(entry->group, shard) != 0;
-		leads += group_is_leader(entry->group, shard, now_ms) != 0;
-	}
-	return (json_pack("{s:i, s:i, s:i}", "holder_of", (int)holders,
-	    "ready_for", (int)ready, "leader_of", (int)leads));
+	if (c >= '0' && c <= '9')
+		return (c - '0');
+	if (c >= 'a' && c <= 'f')
+		return (c - 'a' + 10);
+	if (c >= 'A' && c <= 'F')
+		return (c - 'A' + 10);
+	return (-1);
 }
 
+/* Decodes %XX in place; anything else stays as it is. */
 static void
-ops_handle_status(entry_t *entry, h2o_req_t *req)
+ops_decode_query(char *text)
 {
-	int64_t now_ms = clock_now_ms();
-	const entry_service_t *service;
-	json_t *services = json_array();
-	const char *unready = ops_get_unready_reason(entry);
-	gossip_status_t gossip;
-
-	gossip_get_status(entry->gossip, now_ms, &gossip);
-	for (service = entry->services; service != NULL;
-	     service = service->hh.next)
-		json_array_append_new(
-		    services, ops_describe_service(service, now_ms));
-	ops_reply_json(req, 200,
-	    json_pack("{s:s, s:s, s:s, s:I, s:I, s:i, s:i, s:i, s:o, s:o}",
-		"node", entry->settings->node, "data_centre",
-		entry->settings->data_centre, "state",
-		unready == NULL ? "ready" : unready, "config_index",
-		(json_int_t)gossip.index, "tick_age_ms",
-		(json_int_t)gossip.tick_age_ms, "entry_vms", (int)gossip.nodes,
-		"entry_vms_heard", (int)gossip.nodes_heard, "in_flight",
-		(int)entry->in_flight, "groups",
-		ops_describe_groups(entry, now_ms), "services", services));
+	char *to = text;
+	int high;
+	int low;
+
+	while (*text != '\0') {
+		high = *text == '%' ? ops_get_hex(text[1]) : -1;
+		low = high >= 0 ? ops_get_hex(text[2]) : -1;
+		if (low > 0 || (low == 0 && high > 0)) {
+			*to++ = (char)(high << 4 | low);
+			text += 3;
+		} else {
+			*to++ = *text++;
+		}
+	}
+	*to = '\0';
 }
 
 /* Reads a query parameter. @return 1 if present and short enough */
@@ -339,62 +267,13 @@
 			at += name_len + 1;
 			memcpy(out, at, (size_t)(stop - at));
 			out[stop - at] = '\0';
+			ops_decode_query(out);
 			return (1);
 		}
 	}
 	return (0);
 }
 
-static json_t *
-ops_explain_target(entry_t *entry, const char *name)
-{
-	service_endpoint_t *const *endpoints;
-	const entry_service_t *service;
-	json_t *list = json_array();
-	json_t *found;
-	uint32_t count;
-	uint32_t i;
-
-	for (service = entry->services; service != NULL;
-	     service = service->hh.next) {
-		endpoints = service_view_get_endpoints(service->view, &count);
-		for (i = 0; i < count; i++) {
-			if (strcmp(endpoints[i]->target, name) != 0)
-				continue;
-			found = ops_describe_endpoint(endpoints[i]);
-			json_object_set_new(
-			    found, "service", json_string(service->name));
-			json_array_append_new(list, found);
-		}
-	}
-	return (list);
-}
-
-static json_t *
-ops_explain_workspace(entry_t *entry, const char *name)
-{
-	const entry_workspace_t *workspace = entry_find_workspace(entry, name);
-	const config_workspace_t *config;
-	uint32_t shard = group_shard_of(entry->group, name);
-	int64_t now_ms = clock_now_ms();
-	json_t *list = json_array();
-
-	config = config_state_find_workspace(entry->state, name);
-	if (workspace == NULL || config == NULL)
-		return (list);
-	json_array_append_new(list,
-	    json_pack("{s:s, s:i, s:i, s:i, s:b, s:I, s:I, s:I}", "workspace",
-		name, "rate_per_s", (int)config->rate_per_s, "burst",
-		(int)config->burst, "shard", (int)shard, "has_leader",
-		group_get_leader(entry->group, shard, now_ms) != NODE_ID_NONE,
-		"requests", (json_int_t)metric_get_value(workspace->requests),
-		"refused_rate",
-		(json_int_t)metric_get_value(workspace->refused_rate),
-		"refused_other",
-		(json_int_t)metric_get_value(workspace->refused_other)));
-	return (list);
-}
-
 static void
 ops_handle_explain(entry_t *entry, h2o_req_t *req)
 {
@@ -403,14 +282,8 @@
 	json_t *found = NULL;
 
 	if (ops_get_query(req, "kind", kind, sizeof(kind)) &&
-	    ops_get_query(req, "name", name, sizeof(name))) {
-		if (strcmp(kind, "request") == 0)
-			found = trace_find(entry->trace, name, clock_now_ms());
-		else if (strcmp(kind, "target") == 0)
-			found = ops_explain_target(entry, name);
-		else if (strcmp(kind, "workspace") == 0)
-			found = ops_explain_workspace(entry, name);
-	}
+	    ops_get_query(req, "name", name, sizeof(name)))
+		found = ops_explain(entry, kind, name, clock_now_ms());
 	if (found == NULL) {
 		ops_reply_error(req, 400, TM_EINVAL,
 		    "kind must be request, workspace or target, with a name");
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -8,7 +8,6 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
-#include "entry/trace.h"
 
 /* Interval of the check that a caller still waits. */
 #define ABANDON_CHECK_MS 100
@@ -52,33 +51,6 @@
 	return (0);
 }
 
-static void
-request_record(
-    entry_request_t *request, int status, const char *reason, int unknown)
-{
-	int64_t now_ns = clock_now_ns();
-	int64_t latency_us = (now_ns - request->started_ns) / NS_PER_US;
-	trace_record_t record = {
-		.reason = reason,
-		.status = status,
-		.is_run_unknown = unknown,
-		.attempts = request->tried_count,
-		.ended_ms = now_ns / NS_PER_MS,
-		.latency_us = latency_us,
-	};
-
-	snprintf(
-	    record.request_id, sizeof(record.request_id), "%s", request->id);
-	snprintf(record.workspace, sizeof(record.workspace), "%s",
-	    request->workspace->name);
-	snprintf(record.service, sizeof(record.service), "%s",
-	    request->service->name);
-	snprintf(
-	    record.target, sizeof(record.target), "%s", request->last_target);
-	trace_add(request->entry->trace, &record);
-	metric_record_us(request->workspace->latency, latency_us);
-}
-
 /* Cuts the tie to h2o's request, which the answer is about to end. */
 static h2o_req_t *
 request_take_caller(entry_request_t *request)
@@ -159,18 +131,6 @@
 	request->claim = 0;
 }
 
-static void
-request_count_refusal(
-    entry_t *entry, entry_workspace_t *workspace, refusal_t refusal)
-{
-	metric_add(entry->refusals[refusal], 1);
-	if (workspace == NULL)
-		return;
-	metric_add(refusal == REFUSAL_RATE ? workspace->refused_rate
-					   : workspace->refused_other,
-	    1);
-}
-
 /*
  * Refuses and frees a request. What is said about an earlier attempt goes
  * before the refusal's own "not run".
@@ -179,16 +139,12 @@
 request_refuse(
     entry_request_t *request, refusal_t refusal, int64_t retry_after_ms)
 {
-	const refusal_info_t *info;
 	h2o_req_t *req;
 
 	if (request->may_have_run && !refusal_get_info(refusal)->is_run_unknown)
 		refusal = REFUSAL_TARGET_FAILED;
-	info = refusal_get_info(refusal);
 	request_end_claim(request, NULL, 0, request->may_have_run);
-	request_count_refusal(request->entry, request->workspace, refusal);
-	request_record(
-	    request, info->status, info->error, info->is_run_unknown);
+	request_record_refusal(request, refusal, retry_after_ms);
 	if (!request_is_answered(request)) {
 		req = request_take_caller(request);
 		refusal_send(req, refusal, request->id, retry_after_ms);
@@ -196,15 +152,6 @@
 	request_destroy(request);
 }
 
-void
-request_refuse_early(entry_t *entry, h2o_req_t *req, refusal_t refusal,
-    const char *id, int64_t started_ns)
-{
-	(void)started_ns;
-	request_count_refusal(entry, NULL, refusal);
-	refusal_send(req, refusal, id, 0);
-}
-
 static void
 request_finish_ok(entry_request_t *request, const upstream_response_t *response)
 {
@@ -219,7 +166,7 @@
 	total_ns = clock_now_ns() - request->started_ns;
 	metric_record_us(request->entry->added_latency,
 	    (total_ns - request->target_ns) / NS_PER_US);
-	request_record(request, response->status, "answered", 1);
+	request_record_answer(request, response->status, "answered");
 	if (!request_is_answered(request))
 		request_reply(request, request_take_caller(request), response);
 	request_destroy(request);
@@ -252,7 +199,7 @@
 	}
 	request_cancel_attempts(request, SERVICE_OUTCOME_CANCELED);
 	request_end_claim(request, NULL, 0, request->may_have_run);
-	request_record(request, 499, "gone", request->may_have_run);
+	request_record_gone(request);
 	request_destroy(request);
 }
 
@@ -586,7 +533,7 @@
 		request_refuse(request, REFUSAL_OUTCOME_UNKNOWN, 0);
 		return;
 	}
-	request_record(request, 200, "answered_before", 1);
+	request_record_answer(request, 200, "answered_before");
 	request_reply_stored(
 	    request, request_take_caller(request), answer, len);
 	request_destroy(request);
@@ -718,6 +665,7 @@
 	request_set_id(request, options->id);
 	request_set_fingerprint(request, options);
 	metric_add(request->workspace->requests, 1);
+	metric_add(service->requests, 1);
 	if (service_view_is_blocked(
 		service->view, request->fingerprint, now_ms)) {
 		request_refuse(request, REFUSAL_BLOCKED, 0);
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -105,6 +105,19 @@
 void request_refuse_early(entry_t *entry, h2o_req_t *req, refusal_t refusal,
     const char *id, int64_t started_ns);
 
+/* request_record.c: trace, counters and latencies */
+
+/** @param reason  "answered", or "answered_before" from a claim's record */
+void request_record_answer(
+    entry_request_t *request, int status, const char *reason);
+
+/** The caller closed the connection before the answer. */
+void request_record_gone(entry_request_t *request);
+
+/** @param retry_after_ms  as sent to the caller; 0: none */
+void request_record_refusal(
+    entry_request_t *request, refusal_t refusal, int64_t retry_after_ms);
+
 /* request_wire.c: conversion of requests and responses */
 
 /**
--- a/src/entry/trace.c
+++ b/src/entry/trace.c
@@ -23,17 +23,32 @@
 	trace->count++;
 }
 
+static const char *
+trace_get_run(const trace_record_t *record)
+{
+	if (record->is_answered)
+		return ("yes");
+	return (record->is_run_unknown ? "unknown" : "no");
+}
+
 static json_t *
 trace_describe(const trace_record_t *record, int64_t now_ms)
 {
-	return (json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:I}",
-	    "request_id", record->request_id, "workspace", record->workspace,
-	    "service", record->service, "target", record->target, "reason",
-	    record->reason, "status", record->status, "run",
-	    record->is_run_unknown ? "unknown" : "no", "attempts",
+	json_t *value = json_pack(
+	    "{s:s, s:s, s:s, s:s, s:i, s:s, s:s, s:i, s:I, s:I}", "request_id",
+	    record->request_id, "workspace", record->workspace, "service",
+	    record->service, "target", record->target, "status", record->status,
+	    "outcome", record->reason, "run", trace_get_run(record), "attempts",
 	    (int)record->attempts, "age_ms",
 	    (json_int_t)(now_ms - record->ended_ms), "latency_us",
-	    (json_int_t)record->latency_us));
+	    (json_int_t)record->latency_us);
+
+	if (record->retry_after_ms > 0)
+		json_object_set_new(value, "retry_after_ms",
+		    json_integer(record->retry_after_ms));
+	json_object_set_new(value, "reason", json_string(record->detail));
+	json_object_set_new(value, "remedy", json_string(record->remedy));
+	return (value);
 }
 
 json_t *
--- a/src/entry/trace.h
+++ b/src/entry/trace.h
@@ -24,11 +24,15 @@
 	char target[NAME_MAX_BYTES + 1]; /**< last one tried; "" if none */
 	const char
 	    *reason; /**< error word of a refusal, "answered" or "gone" */
+	const char *detail; /**< sentence on the reason; "" if answered */
+	const char *remedy; /**< "" if answered */
 	int status;
-	int is_run_unknown;
+	int is_run_unknown; /**< 0 for a refusal that was not run */
+	int is_answered; /**< the caller got the answer of a target */
 	uint32_t attempts;
 	int64_t ended_ms; /**< boot time */
 	int64_t latency_us;
+	int64_t retry_after_ms; /**< 0: none */
 } trace_record_t;
 
 typedef struct entry_trace entry_trace_t;
--- a/src/rate/rate_client.c
+++ b/src/rate/rate_client.c
@@ -467,6 +467,24 @@
 	return (RATE_PENDING);
 }
 
+int
+rate_client_get_info(const rate_client_t *client, const char *workspace,
+    int64_t now_ms, rate_client_info_t *out)
+{
+	const rate_space_t *space = rate_find_space(client, workspace);
+
+	if (space == NULL)
+		return (TM_ENOENT);
+	*out = (rate_client_info_t){
+		.tokens = space->stock,
+		.waiting = space->pending_count,
+		.demand_per_s = space->demand_per_s,
+	};
+	if (space->empty_until_ms > now_ms)
+		out->empty_ms = space->empty_until_ms - now_ms;
+	return (TM_OK);
+}
+
 int
 rate_client_cancel(
     rate_client_t *client, const char *workspace, const void *request)
--- a/src/rate/rate_client.h
+++ b/src/rate/rate_client.h
@@ -84,6 +84,19 @@
 int rate_client_cancel(
     rate_client_t *client, const char *workspace, const void *request);
 
+/** What this VM knows about the tokens of a workspace. */
+typedef struct rate_client_info {
+	uint32_t tokens; /**< held, unspent */
+	uint32_t waiting; /**< requests that wait for a token */
+	double demand_per_s; /**< measured on this VM */
+	int64_t
+	    empty_ms; /**< until the next token by the leader's word; or 0 */
+} rate_client_info_t;
+
+/** @return 0, TM_ENOENT for an unknown workspace */
+int rate_client_get_info(const rate_client_t *client, const char *workspace,
+    int64_t now_ms, rate_client_info_t *out);
+
 /** Drives timers; call every 10 ms. */
 void rate_client_tick(rate_client_t *client, int64_t now_ms);
 
--- a/src/rate/rate_leader.c
+++ b/src/rate/rate_leader.c
@@ -109,6 +109,27 @@
 	return (rate_find_key(leader, key));
 }
 
+int
+rate_leader_get_info(
+    const rate_leader_t *leader, const char *workspace, rate_leader_info_t *out)
+{
+	const rate_bucket_t *bucket = rate_find_bucket(leader, workspace);
+	const rate_waiter_t *waiter;
+
+	if (bucket == NULL)
+		return (TM_ENOENT);
+	*out = (rate_leader_info_t){
+		.level = (double)bucket->level / RATE_UTOKENS,
+		.outstanding =
+		    (double)(bucket->granted_out + bucket->unknown_out) /
+		    RATE_UTOKENS,
+		.floor = (double)bucket->floor / RATE_UTOKENS,
+	};
+	DL_FOREACH(bucket->waiters, waiter)
+		out->waiting_vms++;
+	return (TM_OK);
+}
+
 static void
 rate_leader_refill(
     const rate_leader_t *leader, rate_bucket_t *bucket, int64_t now_ms)
--- a/src/rate/rate_leader.h
+++ b/src/rate/rate_leader.h
@@ -57,6 +57,18 @@
  */
 void rate_leader_stop(rate_leader_t *leader, int64_t now_ms);
 
+/** Bucket of a workspace whose shard this VM leads; amounts in tokens. */
+typedef struct rate_leader_info {
+	double level;
+	double outstanding; /**< at VMs, unspent as far as known */
+	double floor; /**< at which a new leader would start */
+	uint32_t waiting_vms; /**< VMs whose need could not be met yet */
+} rate_leader_info_t;
+
+/** @return 0, TM_ENOENT if this VM has no bucket of the workspace */
+int rate_leader_get_info(const rate_leader_t *leader, const char *workspace,
+    rate_leader_info_t *out);
+
 /** Drives timers; call every 10 ms. */
 void rate_leader_tick(rate_leader_t *leader, int64_t now_ms);
 
--- a/src/service/service_eject.c
+++ b/src/service/service_eject.c
@@ -120,7 +120,8 @@
 		if (!target->used || target->state != SERVICE_TARGET_EJECTED)
 			continue;
 		if (found < 0 ||
-		    target->verdict.badness < leader->targets[found].verdict.badness)
+		    target->verdict.badness <
+			leader->targets[found].verdict.badness)
 			found = (int)i;
 	}
 	return (found);
@@ -136,7 +137,8 @@
 	leader->stats.floor_kept++;
 	if (least < 0)
 		return;
-	if (badness < EJECT_SWAP_FACTOR * leader->targets[least].verdict.badness)
+	if (badness <
+	    EJECT_SWAP_FACTOR * leader->targets[least].verdict.badness)
 		return;
 	leader_return(leader, (uint32_t)least, now_ms);
 	leader_eject(leader, slot, badness, now_ms);
--- a/src/service/service_evidence.c
+++ b/src/service/service_evidence.c
@@ -246,8 +246,8 @@
 	for (i = 0; i < leader->dc_count; i++) {
 		part = sums->dc[i];
 		service_window_subtract(&part, &sums->dc_worst[i]);
-		if (evidence_judge(leader, slot, &part, peers, now_ms,
-			&verdict) > 0.0)
+		if (evidence_judge(
+			leader, slot, &part, peers, now_ms, &verdict) > 0.0)
 			evidence_avoid(leader, slot, i, now_ms);
 	}
 }
@@ -306,8 +306,8 @@
 	double badness;
 	double mean_ms;
 
-	badness = evidence_judge(
-	    leader, slot, total, peers, now_ms, &target->found);
+	badness =
+	    evidence_judge(leader, slot, total, peers, now_ms, &target->found);
 	dc = &sums->dc[evidence_find_worst_dc(leader, sums)];
 	if (badness > 0.0 &&
 	    evidence_is_rest_suspect(leader, slot, &sums->worst, peers) &&
--- a/src/service/service_view_local.c
+++ b/src/service/service_view_local.c
@@ -185,8 +185,7 @@
 		service_judge_explain(&windows[i], &peers,
 		    view->profile.eagerness, 0.0, cold, &verdict);
 		if (verdict.badness > 0.0)
-			local_avoid(
-			    view, view->endpoints[i], &verdict, now_ms);
+			local_avoid(view, view->endpoints[i], &verdict, now_ms);
 	}
 }
 
--- a/test/functional/tmctl.sh
+++ b/test/functional/tmctl.sh
@@ -13,6 +13,51 @@
 folder = sys.argv[1]
 workspace = {"name": "w1", "rate_per_s": 100, "burst": 50, "version": 7}
 lost = set()
+VERDICT = {"evidence": "latency", "unit": "times the peers", "value": 8.25,
+           "limit": 3.5}
+EXPLAINED = {
+    "kind=target&name=s1-t1": [
+        {"target": "s1-t1", "service": "s1", "state": "ejected",
+         "state_age_ms": 2500, "usable": False, "ejections": 2,
+         "verdict": VERDICT}],
+    "kind=request&name=a%2Fb": [
+        {"request_id": "a/b", "status": 502, "outcome": "target_failed",
+         "run": "unknown", "target": "s1-t1", "attempts": 2,
+         "latency_us": 1500, "age_ms": 700, "reason": "it failed",
+         "remedy": "check it"}],
+    "kind=workspace&name=w1": [
+        {"workspace": "w1", "rate_per_s": 5, "burst": 2, "shard": 7,
+         "leader": "entry-1", "tokens": 1, "waiting": 3, "demand_per_s": 9.5,
+         "empty_ms": 120, "requests": 40, "refused_rate": 30,
+         "refused_other": 1, "bucket": {"level": 0.5, "outstanding": 1.0}}]}
+ENTRY_STATUS = {
+    "node": "entry-2", "data_centre": "dc1", "state": "isolated",
+    "config_index": 9, "tick_age_ms": 6000, "in_flight": 1,
+    "groups": {"holder_of": 3, "ready_for": 2, "leader_of": 1},
+    "services": [{"service": "s1", "leader": "entry-1", "waiting": 4,
+                  "table_term": 2, "table_sequence": 5, "counts": {
+                      "usable": 2, "ejected": 1, "leaving": 1, "lapsed": 0,
+                      "avoided": 1}}]}
+
+
+def status():
+    """Status of control; entry-1 does not run."""
+    return {"role": "leader", "leader": "c2", "ready": True, "term": 4,
+            "version": 9, "voter": True, "subscribers": 1,
+            "control_vms": [
+                {"name": "c2",
+                 "admin": "127.0.0.1:%d" % servers[1].server_port},
+                {"name": "c1", "admin": "127.0.0.1:1"}],
+            "nodes": [
+                {"name": "entry-2", "ops_ip": "127.0.0.1",
+                 "ops_port": servers[1].server_port},
+                {"name": "entry-1", "ops_ip": "127.0.0.1", "ops_port": 1}],
+            "groups": [
+                {"shard": 0, "epoch": 1, "ready": 2, "quarantine": False,
+                 "holders": ["entry-1", "entry-2"]},
+                {"shard": 1, "epoch": 3, "ready": 1, "quarantine": True,
+                 "holders": ["entry-1", "entry-2"]}]}
+
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -29,7 +74,7 @@
         length = int(self.headers.get("Content-Length", 0))
         body = self.rfile.read(length).decode()
         change = self.headers.get("X-Change-Id", "")
-        if self.server is servers[0]:
+        if self.server is servers[0] and self.path != "/v1/status":
             self.reply(307, {}, Location="http://127.0.0.1:%d%s" % (
                 servers[1].server_port, self.path))
             return
@@ -58,6 +103,13 @@
                              "remedy": "correct them", "problems": [
                                  {"field": "profiles[0].name", "found": "3",
                                   "allowed": "a name", "remedy": "set it"}]})
+        elif self.path == "/v1/status":
+            self.reply(200, status())
+        elif self.path == "/status":
+            self.reply(200, ENTRY_STATUS)
+        elif self.path.startswith("/v1/explain?"):
+            self.reply(200, {"node": "entry-2", "found": EXPLAINED.get(
+                self.path.split("?")[1], [])})
         elif "missing" in self.path:
             self.reply(404, {"error": "no such object", "reason": "missing",
                              "remedy": "check the name"})
@@ -87,10 +139,11 @@
 export TMCTL_SERVERS="127.0.0.1:1,127.0.0.1:$follower"
 
 ctl() {
-	echo "\$ tmctl $*" | sed "s|$work/||"
+	echo "\$ tmctl $*" | sed "s|$work/||; s/:$leader/:PORT/"
 	"$BUILD/bin/tmctl" "$@" >"$work/out" 2>"$work/err"
 	code=$?
-	sed "s|$work/||; s/[0-9a-f]\{32\}/RANDOM/" "$work/out" "$work/err"
+	sed "s|$work/||; s/[0-9a-f]\{32\}/RANDOM/; s/:$leader/:PORT/g; \
+	    s/\"ops_port\":$leader/\"ops_port\":PORT/" "$work/out" "$work/err"
 	echo "exit $code"
 }
 
@@ -108,7 +161,13 @@
 ctl key withdraw k1
 ctl history --after 3
 ctl status
+ctl --json status
 ctl explain target s1-t1
+ctl explain request a/b
+ctl explain workspace w1
+ctl explain workspace w2
+ctl --entry "127.0.0.1:$leader" --json explain target s1-t1
+ctl --entry nowhere explain target s1-t1
 ctl explain target
 ctl explain door x
 echo '{"profiles":[{"name":3}]}' >"$work/objects.json"
--- a/test/unit/base_test.cc
+++ b/test/unit/base_test.cc
@@ -99,6 +99,43 @@
 	metrics_destroy(metrics);
 }
 
+// Guards against a family that is split by another one, which readers of the
+// format reject, and against buckets that do not add up.
+TEST(Metrics, KeepsFamiliesTogetherAndBucketsCumulative)
+{
+	metrics_t *metrics = metrics_create();
+	size_t len;
+
+	metrics_get(metrics, "b_us", "w=\"1\"", METRIC_HISTOGRAM);
+	metrics_get(metrics, "a_total", "", METRIC_COUNTER);
+	metric_t *hist =
+	    metrics_get(metrics, "b_us", "w=\"0\"", METRIC_HISTOGRAM);
+	for (int64_t value_us : { 1, 60, 100, 1000, 1 << 30 })
+		metric_record_us(hist, value_us);
+	char *text = metrics_format(metrics, &len);
+	std::string all(text, len);
+	free(text);
+	metrics_destroy(metrics);
+	EXPECT_EQ(all.find("# TYPE a_total counter"), 0u);
+	size_t summary = all.find("# TYPE b_us summary");
+	ASSERT_NE(summary, std::string::npos);
+	EXPECT_EQ(
+	    all.find("# TYPE b_us summary", summary + 1), std::string::npos);
+	EXPECT_LT(all.find("b_us{w=\"0\",quantile=\"0.5\"}"),
+	    all.find("b_us{w=\"1\",quantile=\"0.5\"}"));
+	EXPECT_LT(all.find("b_us_count{w=\"1\"} 0"),
+	    all.find("# TYPE b_us_hist histogram"));
+	EXPECT_NE(all.find("b_us_hist_bucket{w=\"0\",le=\"64\"} 2\n"),
+	    std::string::npos);
+	EXPECT_NE(all.find("b_us_hist_bucket{w=\"0\",le=\"1024\"} 4\n"),
+	    std::string::npos);
+	EXPECT_NE(all.find("b_us_hist_bucket{w=\"0\",le=\"67108864\"} 4\n"),
+	    std::string::npos);
+	EXPECT_NE(all.find("b_us_hist_bucket{w=\"0\",le=\"+Inf\"} 5\n"),
+	    std::string::npos);
+	EXPECT_NE(all.find("b_us_hist_count{w=\"0\"} 5\n"), std::string::npos);
+}
+
 TEST(Node, NamesAreChecked)
 {
 	EXPECT_TRUE(node_name_is_valid("entry-1.a"));
--- a/test/unit/service_test.cc
+++ b/test/unit/service_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 #include "../scenario/service_sim.h"
@@ -52,6 +53,37 @@
 	EXPECT_GE(judge(makeWindow(100, 20, 20), SERVICE_CAUTIOUS), 1.0);
 }
 
+// Guards against an ejection whose stated reason is not the one that counted.
+TEST(ServiceJudge, NamesTheEvidenceBehindTheVerdict)
+{
+	std::vector<service_window_t> all(8, makeWindow(200, 0, 20));
+	std::vector<uint8_t> use(8, 1);
+	service_peers_t peers;
+	service_verdict_t verdict;
+
+	service_peers_compute(&peers, all.data(), use.data(), 8, 0);
+	service_window_t slow = makeWindow(200, 0, 200);
+	service_judge_explain(&slow, &peers, SERVICE_NORMAL, 0, 0, &verdict);
+	EXPECT_EQ(verdict.evidence, SERVICE_EVIDENCE_SLOW);
+	EXPECT_NEAR(verdict.value, 10, 1e-9);
+	EXPECT_NEAR(verdict.limit, 3 * (1 + 2 / std::sqrt(200.0)), 1e-9);
+	service_window_t bad = makeWindow(100, 40, 20);
+	service_judge_explain(&bad, &peers, SERVICE_NORMAL, 0, 0, &verdict);
+	EXPECT_EQ(verdict.evidence, SERVICE_EVIDENCE_BAD);
+	EXPECT_NEAR(verdict.value, 0.4, 1e-9);
+	EXPECT_NEAR(verdict.limit, 0.08, 1e-9);
+	service_window_t odd = {};
+	const service_sample_t shed = { 20, 0, 15, 100, 5 };
+	service_window_add(&odd, &shed);
+	service_judge_explain(&odd, &peers, SERVICE_NORMAL, 0, 0, &verdict);
+	EXPECT_EQ(verdict.evidence, SERVICE_EVIDENCE_ODD);
+	service_window_t good = makeWindow(200, 0, 20);
+	service_judge_explain(&good, &peers, SERVICE_NORMAL, 0, 0, &verdict);
+	EXPECT_EQ(verdict.badness, 0.0);
+	EXPECT_EQ(verdict.evidence, SERVICE_EVIDENCE_NONE);
+	EXPECT_STREQ(service_evidence_get_name((service_evidence_t)99), "none");
+}
+
 TEST(ServiceJudge, FewSamplesAreNoEvidence)
 {
 	EXPECT_EQ(judge(makeWindow(4, 4, 0)), 0.0);
