--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "entry/verify.h"
 
 /* Interval of the check that a caller still waits. */
 #define ABANDON_CHECK_MS 100
@@ -290,9 +291,9 @@
 result_get_outcome(
     upstream_result_t result, const upstream_response_t *response)
 {
-	switch (result) {
-	case UPSTREAM_COMPLETE:
+	if (response != NULL)
 		return (response_get_outcome(response));
+	switch (result) {
 	case UPSTREAM_REFUSED:
 		return (SERVICE_OUTCOME_BROKEN);
 	case UPSTREAM_BROKEN:
@@ -392,8 +393,15 @@
 
 	attempt->call = NULL;
 	request->target_ns += clock_now_ns() - attempt->started_ns;
+	if (response != NULL &&
+	    verify_response(response, request->id, request->is_head) !=
+		VERIFY_OK) {
+		metric_add(request->service->wrong, 1);
+		result = UPSTREAM_MALFORMED;
+		response = NULL;
+	}
 	attempt_report(attempt, result, response);
-	if (result == UPSTREAM_COMPLETE)
+	if (response != NULL)
 		request_handle_complete(request, response);
 	else
 		request_handle_failure(request, result);
