--- a/test/functional/examples.sh
+++ b/test/functional/examples.sh
@@ -36,7 +36,7 @@
         r"(\w+)_settings", source)[1])[1].split("\n## ")[0]
     text = open(source, encoding="utf-8").read()
     fields = set(re.findall(
-        r"(?:json_\w+|control_read_\w+)\(\s*\w+,\s*"
+        r"(?:json_\w+|control_read_\w+)\(\s*&?\w+,\s*"
         r'"(\w+)"', text))
     listed = set(re.findall(r"^\| `(?:\w+\[\]\.)?(\w+)`", section, re.M))
     print(source, len(fields) > 8, sorted(fields ^ listed))
