--- a/src/control/admin_internal.h
+++ b/src/control/admin_internal.h
@@ -83,5 +83,6 @@
 /* Drops messages to a VM: POST /v1/test/drop?to=NAME&on=1 */
 void admin_handle_drop(admin_request_t *request);
 #endif
+void admin_handle_metrics(admin_request_t *request);
 
 #endif
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -86,6 +86,8 @@
  * @return 0, TM_EINVAL if the build has no drop rules, TM_ENOMEM
  */
 int control_set_drop(control_t *control, node_id_t to, int drop);
+/** @return metrics that the caller frees; NULL without memory */
+char *control_format_metrics(control_t *control, size_t *len);
 
 /** Begins a planned stop: hands over leadership, accepts no new changes. */
 void control_begin_stop(control_t *control);
--- a/src/control/control_fleet.c
+++ b/src/control/control_fleet.c
@@ -412,6 +412,20 @@
 	    (beat->ready_shards >> shard & 1) != 0);
 }
 
+int
+control_count_ready(const control_t *control, uint32_t shard)
+{
+	const config_group_t *group =
+	    config_state_get_group(control->state, shard);
+	int ready = 0;
+	int i;
+
+	for (i = 0; i < CONFIG_HOLDERS; i++)
+		ready +=
+		    control_is_holder_ready(control, &group->holders[i], shard);
+	return (ready);
+}
+
 static json_t *
 control_write_vms(const control_t *control)
 {
@@ -438,16 +452,12 @@
 	const config_node_t *node;
 	json_t *holders;
 	uint32_t shard;
-	int ready;
 	int i;
 
 	for (shard = 0; shard < CONFIG_SHARDS; shard++) {
 		group = config_state_get_group(control->state, shard);
 		holders = json_array();
-		ready = 0;
 		for (i = 0; i < CONFIG_HOLDERS; i++) {
-			ready += control_is_holder_ready(
-			    control, &group->holders[i], shard);
 			node = config_state_find_node(
 			    control->state, group->holders[i].node);
 			if (node != NULL)
@@ -457,7 +467,9 @@
 		json_array_append_new(list,
 		    json_pack("{s:i, s:I, s:b, s:i, s:o}", "shard", (int)shard,
 			"epoch", (json_int_t)group->epoch, "quarantine",
-			group->quarantine, "ready", ready, "holders", holders));
+			group->quarantine, "ready",
+			control_count_ready(control, shard), "holders",
+			holders));
 	}
 	return (list);
 }
--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -5,6 +5,7 @@
 #ifndef TM_ENTRY_ENTRY_DEFS_H
 #define TM_ENTRY_ENTRY_DEFS_H
 
+#include <jansson.h>
 #include <uthash.h>
 #include <uv.h>
 
@@ -55,6 +56,9 @@
 	int64_t ticked_ms;
 	const config_profile_t *profile; /**< as of profile_changes */
 	uint64_t profile_changes;
+	metric_t *requests;
+	metric_t *refused;
+	metric_t *latency;
 	metric_t *attempts;
 	metric_t *retries;
 	metric_t *hedges;
@@ -215,6 +219,24 @@
 /** http_server_cb of the callers' listener; ctx is the entry_t. */
 void frontend_handle(void *ctx, h2o_req_t *req);
 
+/* ops_describe.c: the state of this VM for operators */
+
+/** @return new JSON object for /status */
+json_t *ops_describe_status(entry_t *entry, const char *state, int64_t now_ms);
+
+/**
+ * Answers a question about a request, a target or a workspace.
+ *
+ * @return new JSON list of what this VM knows; NULL for an unknown kind
+ */
+json_t *ops_explain(
+    entry_t *entry, const char *kind, const char *name, int64_t now_ms);
+
+/* ops_metrics.c */
+
+/** Sets the metrics that are read from the modules. */
+void ops_metrics_update(entry_t *entry, int64_t now_ms);
+
 /* ops_api.c */
 
 /** http_server_cb of the ops listener; ctx is the entry_t. */
