Store a metric in one allocation and its histogram at the first value

A metric held its name, its labels and both together in fixed arrays, 600 bytes, and each histogram 2.1 KB from the start.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -9,14 +9,14 @@
 #define METRIC_NAME_MAX	  64
 #define METRIC_LABELS_MAX 192
 
+/* A VM has four metrics for each workspace it serves, so they are small. */
 struct metric {
-	char id[METRIC_NAME_MAX + METRIC_LABELS_MAX];
-	char name[METRIC_NAME_MAX];
-	char labels[METRIC_LABELS_MAX];
 	metric_kind_t kind;
 	int64_t value;
-	hist_t *hist;
+	hist_t *hist; /* made by the first value */
 	UT_hash_handle hh;
+	uint8_t name_len;
+	char id[]; /* name, "{", labels */
 };
 
 struct metrics {
@@ -46,22 +46,15 @@
 }
 
 static metric_t *
-metric_create(const char *name, const char *labels, metric_kind_t kind)
+metric_create(const char *id, size_t name_len, metric_kind_t kind)
 {
-	metric_t *metric = calloc(1, sizeof(*metric));
+	metric_t *metric = calloc(1, sizeof(*metric) + strlen(id) + 1);
 
 	if (metric == NULL)
 		return (NULL);
-	snprintf(metric->name, sizeof(metric->name), "%s", name);
-	snprintf(metric->labels, sizeof(metric->labels), "%s", labels);
+	memcpy(metric->id, id, strlen(id) + 1);
+	metric->name_len = (uint8_t)name_len;
 	metric->kind = kind;
-	if (kind == METRIC_HISTOGRAM) {
-		metric->hist = calloc(1, sizeof(hist_t));
-		if (metric->hist == NULL) {
-			free(metric);
-			return (NULL);
-		}
-	}
 	return (metric);
 }
 
@@ -72,14 +65,15 @@
 	metric_t *metric;
 	char id[METRIC_NAME_MAX + METRIC_LABELS_MAX];
 
+	if (strlen(name) >= METRIC_NAME_MAX)
+		return (NULL);
 	snprintf(id, sizeof(id), "%s{%s", name, labels);
 	HASH_FIND_STR(metrics->by_id, id, metric);
 	if (metric != NULL)
 		return (metric);
-	metric = metric_create(name, labels, kind);
+	metric = metric_create(id, strlen(name), kind);
 	if (metric == NULL)
 		return (NULL);
-	snprintf(metric->id, sizeof(metric->id), "%s", id);
 	HASH_ADD_STR(metrics->by_id, id, metric);
 	return (metric);
 }
@@ -101,7 +95,11 @@
 void
 metric_record_us(metric_t *metric, int64_t value_us)
 {
-	if (metric != NULL && metric->hist != NULL)
+	if (metric == NULL || metric->kind != METRIC_HISTOGRAM)
+		return;
+	if (metric->hist == NULL)
+		metric->hist = calloc(1, sizeof(hist_t));
+	if (metric->hist != NULL)
 		hist_record(metric->hist, value_us);
 }
 
@@ -111,45 +109,63 @@
 	return (metric != NULL ? metric->value : 0);
 }
 
+static const char *
+metric_get_labels(const metric_t *metric)
+{
+	return (metric->id + metric->name_len + 1);
+}
+
 static void
 metric_write_histogram(const metric_t *metric, FILE *out)
 {
-	const char *separator = metric->labels[0] != '\0' ? "," : "";
+	static const hist_t empty;
+	const hist_t *hist = metric->hist != NULL ? metric->hist : &empty;
+	const char *labels = metric_get_labels(metric);
+	const char *separator = labels[0] != '\0' ? "," : "";
+	int name_len = metric->name_len;
 	size_t i;
 
 	for (i = 0; i < sizeof(metric_quantiles) / sizeof(double); i++) {
-		fprintf(out, "%s{%s%squantile=\"%g\"} %llu\n", metric->name,
-		    metric->labels, separator, metric_quantiles[i],
+		fprintf(out, "%.*s{%s%squantile=\"%g\"} %llu\n", name_len,
+		    metric->id, labels, separator, metric_quantiles[i],
 		    (unsigned long long)hist_get_quantile_us(
-			metric->hist, metric_quantiles[i]));
+			hist, metric_quantiles[i]));
 	}
-	fprintf(out, "%s_count{%s} %llu\n", metric->name, metric->labels,
-	    (unsigned long long)metric->hist->count);
-	fprintf(out, "%s_sum{%s} %llu\n", metric->name, metric->labels,
-	    (unsigned long long)metric->hist->sum_us);
+	fprintf(out, "%.*s_count{%s} %llu\n", name_len, metric->id, labels,
+	    (unsigned long long)hist->count);
+	fprintf(out, "%.*s_sum{%s} %llu\n", name_len, metric->id, labels,
+	    (unsigned long long)hist->sum_us);
 }
 
 static void
 metric_write(const metric_t *metric, FILE *out)
 {
-	if (metric->kind == METRIC_HISTOGRAM) {
+	const char *labels = metric_get_labels(metric);
+	int name_len = metric->name_len;
+
+	if (metric->kind == METRIC_HISTOGRAM)
 		metric_write_histogram(metric, out);
-		return;
-	}
-	if (metric->labels[0] == '\0')
-		fprintf(
-		    out, "%s %lld\n", metric->name, (long long)metric->value);
+	else if (labels[0] == '\0')
+		fprintf(out, "%.*s %lld\n", name_len, metric->id,
+		    (long long)metric->value);
 	else
-		fprintf(out, "%s{%s} %lld\n", metric->name, metric->labels,
+		fprintf(out, "%.*s{%s} %lld\n", name_len, metric->id, labels,
 		    (long long)metric->value);
 }
 
+static int
+metric_has_name_of(const metric_t *metric, const metric_t *other)
+{
+	return (other != NULL && metric->name_len == other->name_len &&
+	    memcmp(metric->id, other->id, metric->name_len) == 0);
+}
+
 char *
 metrics_format(const metrics_t *metrics, size_t *out_len)
 {
 	static const char *const types[] = { "counter", "gauge", "summary" };
 	const metric_t *metric;
-	const char *last_name = "";
+	const metric_t *last = NULL;
 	char *text = NULL;
 	FILE *out = open_memstream(&text, out_len);
 
@@ -157,10 +173,10 @@
 		return (NULL);
 	for (metric = metrics->by_id; metric != NULL;
 	     metric = metric->hh.next) {
-		if (strcmp(metric->name, last_name) != 0)
-			fprintf(out, "# TYPE %s %s\n", metric->name,
-			    types[metric->kind]);
-		last_name = metric->name;
+		if (!metric_has_name_of(metric, last))
+			fprintf(out, "# TYPE %.*s %s\n", metric->name_len,
+			    metric->id, types[metric->kind]);
+		last = metric;
 		metric_write(metric, out);
 	}
 	fclose(out);
