--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -9,14 +9,14 @@
 #define METRIC_NAME_MAX	  64
 #define METRIC_LABELS_MAX 192
 
+/* A VM has four metrics for each workspace it serves, so they are small. */
 struct metric {
-	char id[METRIC_NAME_MAX + METRIC_LABELS_MAX];
-	char name[METRIC_NAME_MAX];
-	char labels[METRIC_LABELS_MAX];
 	metric_kind_t kind;
 	int64_t value;
-	hist_t *hist;
+	hist_t *hist; /* made by the first value */
 	UT_hash_handle hh;
+	uint8_t name_len;
+	char id[]; /* name, "{", labels */
 };
 
 struct metrics {
@@ -46,22 +46,15 @@
 }
 
 static metric_t *
-metric_create(const char *name, const char *labels, metric_kind_t kind)
+metric_create(const char *id, size_t name_len, metric_kind_t kind)
 {
-	metric_t *metric = calloc(1, sizeof(*metric));
+	metric_t *metric = calloc(1, sizeof(*metric) + strlen(id) + 1);
 
 	if (metric == NULL)
 		return (NULL);
-	snprintf(metric->name, sizeof(metric->name), "%s", name);
-	snprintf(metric->labels, sizeof(metric->labels), "%s", labels);
+	memcpy(metric->id, id, strlen(id) + 1);
+	metric->name_len = (uint8_t)name_len;
 	metric->kind = kind;
-	if (kind == METRIC_HISTOGRAM) {
-		metric->hist = calloc(1, sizeof(hist_t));
-		if (metric->hist == NULL) {
-			free(metric);
-			return (NULL);
-		}
-	}
 	return (metric);
 }
 
@@ -72,14 +65,15 @@
 	metric_t *metric;
 	char id[METRIC_NAME_MAX + METRIC_LABELS_MAX];
 
+	if (strlen(name) >= METRIC_NAME_MAX)
+		return (NULL);
 	snprintf(id, sizeof(id), "%s{%s", name, labels);
 	HASH_FIND_STR(metrics->by_id, id, metric);
 	if (metric != NULL)
 		return (metric);
-	metric = metric_create(name, labels, kind);
+	metric = metric_create(id, strlen(name), kind);
 	if (metric == NULL)
 		return (NULL);
-	snprintf(metric->id, sizeof(metric->id), "%s", id);
 	HASH_ADD_STR(metrics->by_id, id, metric);
 	return (metric);
 }
@@ -101,7 +95,11 @@
 void
 metric_record_us(metric_t *metric, int64_t value_us)
 {
-	if (metric != NULL && metric->hist != NULL)
+	if (metric == NULL || metric->kind != METRIC_HISTOGRAM)
+		return;
+	if (metric->hist == NULL)
+		metric->hist = calloc(1, sizeof(hist_t));
+	if (metric->hist != NULL)
 		hist_record(metric->hist, value_us);
 }
 
@@ -115,30 +113,50 @@
 #define METRIC_EDGE_MIN_US UINT64_C(64)
 #define METRIC_EDGE_MAX_US (UINT64_C(1) << 26)
 
+static const char *
+metric_get_labels(const metric_t *metric)
+{
+	return (metric->id + metric->name_len + 1);
+}
+
+/* A histogram without values has no memory of its own. */
+static const hist_t *
+metric_get_hist(const metric_t *metric)
+{
+	static const hist_t empty;
+
+	return (metric->hist != NULL ? metric->hist : &empty);
+}
+
 static void
 metric_write_summary(const metric_t *metric, FILE *out)
 {
-	const char *separator = metric->labels[0] != '\0' ? "," : "";
+	const hist_t *hist = metric_get_hist(metric);
+	const char *labels = metric_get_labels(metric);
+	const char *separator = labels[0] != '\0' ? "," : "";
+	int name_len = metric->name_len;
 	size_t i;
 
 	for (i = 0; i < sizeof(metric_quantiles) / sizeof(double); i++) {
-		fprintf(out, "%s{%s%squantile=\"%g\"} %llu\n", metric->name,
-		    metric->labels, separator, metric_quantiles[i],
+		fprintf(out, "%.*s{%s%squantile=\"%g\"} %llu\n", name_len,
+		    metric->id, labels, separator, metric_quantiles[i],
 		    (unsigned long long)hist_get_quantile_us(
-			metric->hist, metric_quantiles[i]));
+			hist, metric_quantiles[i]));
 	}
-	fprintf(out, "%s_count{%s} %llu\n", metric->name, metric->labels,
-	    (unsigned long long)metric->hist->count);
-	fprintf(out, "%s_sum{%s} %llu\n", metric->name, metric->labels,
-	    (unsigned long long)metric->hist->sum_us);
+	fprintf(out, "%.*s_count{%s} %llu\n", name_len, metric->id, labels,
+	    (unsigned long long)hist->count);
+	fprintf(out, "%.*s_sum{%s} %llu\n", name_len, metric->id, labels,
+	    (unsigned long long)hist->sum_us);
 }
 
 /* Quantiles of several VMs cannot be combined; counts per bucket can. */
 static void
 metric_write_buckets(const metric_t *metric, FILE *out)
 {
-	const char *separator = metric->labels[0] != '\0' ? "," : "";
-	const hist_t *hist = metric->hist;
+	const hist_t *hist = metric_get_hist(metric);
+	const char *labels = metric_get_labels(metric);
+	const char *separator = labels[0] != '\0' ? "," : "";
+	int name_len = metric->name_len;
 	uint64_t edge_us;
 	uint64_t count = 0;
 	uint32_t i = 0;
@@ -148,26 +166,29 @@
 		while (
 		    i < HIST_BUCKETS && hist_get_bucket_edge_us(i) <= edge_us)
 			count += hist->bucket[i++];
-		fprintf(out, "%s_hist_bucket{%s%sle=\"%llu\"} %llu\n",
-		    metric->name, metric->labels, separator,
+		fprintf(out, "%.*s_hist_bucket{%s%sle=\"%llu\"} %llu\n",
+		    name_len, metric->id, labels, separator,
 		    (unsigned long long)edge_us, (unsigned long long)count);
 	}
-	fprintf(out, "%s_hist_bucket{%s%sle=\"+Inf\"} %llu\n", metric->name,
-	    metric->labels, separator, (unsigned long long)hist->count);
-	fprintf(out, "%s_hist_count{%s} %llu\n", metric->name, metric->labels,
+	fprintf(out, "%.*s_hist_bucket{%s%sle=\"+Inf\"} %llu\n", name_len,
+	    metric->id, labels, separator, (unsigned long long)hist->count);
+	fprintf(out, "%.*s_hist_count{%s} %llu\n", name_len, metric->id, labels,
 	    (unsigned long long)hist->count);
-	fprintf(out, "%s_hist_sum{%s} %llu\n", metric->name, metric->labels,
+	fprintf(out, "%.*s_hist_sum{%s} %llu\n", name_len, metric->id, labels,
 	    (unsigned long long)hist->sum_us);
 }
 
 static void
 metric_write_value(const metric_t *metric, FILE *out)
 {
-	if (metric->labels[0] == '\0')
-		fprintf(
-		    out, "%s %lld\n", metric->name, (long long)metric->value);
+	const char *labels = metric_get_labels(metric);
+	int name_len = metric->name_len;
+
+	if (labels[0] == '\0')
+		fprintf(out, "%.*s %lld\n", name_len, metric->id,
+		    (long long)metric->value);
 	else
-		fprintf(out, "%s{%s} %lld\n", metric->name, metric->labels,
+		fprintf(out, "%.*s{%s} %lld\n", name_len, metric->id, labels,
 		    (long long)metric->value);
 }
 
@@ -176,30 +197,46 @@
 metric_write_family(metric_t *const *family, size_t count, FILE *out)
 {
 	static const char *const types[] = { "counter", "gauge", "summary" };
+	const metric_t *first = family[0];
 	size_t i;
 
-	fprintf(out, "# TYPE %s %s\n", family[0]->name, types[family[0]->kind]);
+	fprintf(out, "# TYPE %.*s %s\n", first->name_len, first->id,
+	    types[first->kind]);
 	for (i = 0; i < count; i++) {
-		if (family[0]->kind == METRIC_HISTOGRAM)
+		if (first->kind == METRIC_HISTOGRAM)
 			metric_write_summary(family[i], out);
 		else
 			metric_write_value(family[i], out);
 	}
-	if (family[0]->kind != METRIC_HISTOGRAM)
+	if (first->kind != METRIC_HISTOGRAM)
 		return;
-	fprintf(out, "# TYPE %s_hist histogram\n", family[0]->name);
+	fprintf(
+	    out, "# TYPE %.*s_hist histogram\n", first->name_len, first->id);
 	for (i = 0; i < count; i++)
 		metric_write_buckets(family[i], out);
 }
 
+static int
+metric_has_name_of(const metric_t *metric, const metric_t *other)
+{
+	return (metric->name_len == other->name_len &&
+	    memcmp(metric->id, other->id, metric->name_len) == 0);
+}
+
+/* Orders by name, then by labels. */
 static int
 metric_compare(const void *a, const void *b)
 {
 	const metric_t *x = *(metric_t *const *)a;
 	const metric_t *y = *(metric_t *const *)b;
-	int order = strcmp(x->name, y->name);
+	size_t shorter = x->name_len < y->name_len ? x->name_len : y->name_len;
+	int order = memcmp(x->id, y->id, shorter);
 
-	return (order != 0 ? order : strcmp(x->labels, y->labels));
+	if (order != 0)
+		return (order);
+	if (x->name_len != y->name_len)
+		return (x->name_len < y->name_len ? -1 : 1);
+	return (strcmp(metric_get_labels(x), metric_get_labels(y)));
 }
 
 /* The format wants all metrics of a name together. */
@@ -211,8 +248,7 @@
 
 	qsort(sorted, count, sizeof(metric_t *), metric_compare);
 	for (i = 1; i <= count; i++) {
-		if (i < count &&
-		    strcmp(sorted[i]->name, sorted[first]->name) == 0)
+		if (i < count && metric_has_name_of(sorted[i], sorted[first]))
 			continue;
 		metric_write_family(sorted + first, i - first, out);
 		first = i;
--- a/src/entry/entry_service.c
+++ b/src/entry/entry_service.c
@@ -202,6 +202,7 @@
 		.get_profile = service_read_profile,
 		.seed = rng_next(&entry->rng),
 		.test_off = service_get_view_test_off(),
+		.has_batched_versions = 1,
 	};
 	service_leader_options_t leader = {
 		.service = service->name,
