Do not write a request to a connection that opened late

A token is spent and a claim is checked before the connection to the target is asked for. A VM that was frozen in between wrote the request when it resumed, however old token and claim were by then. Such a call now ends as refused, with no byte sent, after 500 ms; the request then needs another token.

--- a/src/entry/upstream.c
+++ b/src/entry/upstream.c
@@ -18,6 +18,11 @@
  * request that may not be repeated does not take that risk on a connection
  * that was idle for longer than this. */
 #define IDLE_FRESH_MS 1000
+/*
+ * A request is not written to a connection that took longer to open. Its token
+ * and its claim were checked before, and this VM may have been frozen since.
+ */
+#define CONNECT_MAX_MS 500
 /* Bounds the idle connections to one target. */
 #define IDLE_CONNS_MAX	      32
 #define HEADER_TEXT_MAX_BYTES 16384
@@ -58,6 +63,7 @@
 	int is_closing;
 	int is_writing;
 	int64_t idle_since_ms;
+	int64_t opened_ms; /* when the connection was asked for */
 	buffer_t out;
 	response_t response;
 	upstream_header_t headers[UPSTREAM_HEADERS_MAX];
@@ -353,7 +359,7 @@
 
 	if (conn->is_closing)
 		return;
-	if (status != 0) {
+	if (status != 0 || clock_now_ms() - conn->opened_ms > CONNECT_MAX_MS) {
 		conn_fail(conn, UPSTREAM_REFUSED);
 		return;
 	}
@@ -377,6 +383,7 @@
 	}
 	conn->upstream = upstream;
 	conn->target = target;
+	conn->opened_ms = clock_now_ms();
 	conn->tcp.data = conn;
 	conn->connect.data = conn;
 	conn->write.data = conn;
--- a/src/entry/upstream.h
+++ b/src/entry/upstream.h
@@ -26,7 +26,7 @@
 /** How a call ended. */
 typedef enum upstream_result {
 	UPSTREAM_COMPLETE, /**< the whole response was read */
-	UPSTREAM_REFUSED, /**< no connection; no byte was sent */
+	UPSTREAM_REFUSED, /**< no connection in time; no byte was sent */
 	UPSTREAM_BROKEN, /**< ended without a byte of a response */
 	UPSTREAM_TRUNCATED, /**< ended within the response */
 	UPSTREAM_MALFORMED, /**< not HTTP, or bytes after the response */
