Add handbook, glossary, CONTRIBUTING; install pages, man pages and units

The units have no ExecReload: no program handles SIGHUP, which would end it. They were not loaded by systemd.

--- a/Makefile
+++ b/Makefile
@@ -138,9 +138,24 @@
 	$(MAKE) TEST_HOOKS=0 BUILD=build/release all
 	$(MAKE) TEST_HOOKS=0 BUILD=build/release install-files
 
+INSTALL_DIR := $(DESTDIR)$(PREFIX)
+DOC_DIR := $(INSTALL_DIR)/share/doc/tarragonmoor
+UNIT_DIR ?= $(INSTALL_DIR)/lib/systemd/system
+
 install-files: all
-	install -d $(DESTDIR)$(PREFIX)/bin
-	install -m 0755 $(BINS) $(DESTDIR)$(PREFIX)/bin
+	install -d $(INSTALL_DIR)/bin $(INSTALL_DIR)/share/man/man1 \
+		$(DOC_DIR)/examples $(UNIT_DIR)
+	install -m 0755 $(BINS) $(INSTALL_DIR)/bin
+	install -m 0644 man/*.1 $(INSTALL_DIR)/share/man/man1
+	install -m 0644 README.md CONTRIBUTING.md docs/*.md $(DOC_DIR)
+	sed -i 's|](docs/|](|g' $(DOC_DIR)/README.md $(DOC_DIR)/CONTRIBUTING.md
+	cp -r examples/. $(DOC_DIR)/examples
+	chmod -R u=rwX,go=rX $(DOC_DIR)/examples
+	for unit in contrib/systemd/*.service; do \
+		sed 's|@bindir@|$(PREFIX)/bin|' $$unit \
+			>$(UNIT_DIR)/$$(basename $$unit) || exit 1; \
+		chmod 0644 $(UNIT_DIR)/$$(basename $$unit) || exit 1; \
+	done
 
 clean:
 	rm -rf $(BUILD)
