--- a/src/proto/rate.pb-c.c
+++ b/src/proto/rate.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) tm__rate_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__rate_need__field_descriptors[9] =
+static const ProtobufCFieldDescriptor tm__rate_need__field_descriptors[8] =
 {
   {
     "workspace",
@@ -394,18 +394,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "seen",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Tm__RateNeed, seen),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned tm__rate_need__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
@@ -413,7 +401,6 @@
   5,   /* field[5] = prefetch */
   6,   /* field[6] = reply */
   7,   /* field[7] = reports */
-  8,   /* field[8] = seen */
   3,   /* field[3] = sent_ms */
   2,   /* field[2] = sequence */
   0,   /* field[0] = workspace */
@@ -421,7 +408,7 @@
 static const ProtobufCIntRange tm__rate_need__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor tm__rate_need__descriptor =
 {
@@ -431,7 +418,7 @@
   "Tm__RateNeed",
   "tm",
   sizeof(Tm__RateNeed),
-  9,
+  8,
   tm__rate_need__field_descriptors,
   tm__rate_need__field_indices_by_name,
   1,  tm__rate_need__number_ranges,
--- a/src/proto/rate.pb-c.h
+++ b/src/proto/rate.pb-c.h
@@ -60,14 +60,10 @@
   protobuf_c_boolean reply;
   size_t n_reports;
   Tm__RateReport **reports;
-  /*
-   * highest grant received from this leader
-   */
-  uint64_t seen;
 };
 #define TM__RATE_NEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__rate_need__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Tm__RateGrant
--- a/src/rate/rate_bucket.c
+++ b/src/rate/rate_bucket.c
@@ -123,20 +123,6 @@
 		rate_grant_free(bucket, bucket->grants);
 }
 
-uint32_t
-rate_bucket_get_in_flight(
-    const rate_bucket_t *bucket, node_id_t vm, uint64_t seen)
-{
-	const rate_grant_t *grant;
-	uint32_t tokens = 0;
-
-	DL_FOREACH(bucket->grants, grant) {
-		if (grant->vm == vm && grant->id > seen)
-			tokens += rate_grant_get_open(grant);
-	}
-	return (tokens);
-}
-
 int64_t
 rate_bucket_get_idle(const rate_bucket_t *bucket)
 {
--- a/src/rate/rate_bucket.h
+++ b/src/rate/rate_bucket.h
@@ -93,10 +93,6 @@
 /** Drops grants whose tokens have expired everywhere. */
 void rate_bucket_reclaim(rate_bucket_t *bucket, int64_t now_ms);
 
-/** @return tokens granted to a VM that had not arrived when it asked */
-uint32_t rate_bucket_get_in_flight(
-    const rate_bucket_t *bucket, node_id_t vm, uint64_t seen);
-
 /** @return tokens of all grants that could be recalled */
 int64_t rate_bucket_get_idle(const rate_bucket_t *bucket);
 
--- a/src/rate/rate_client.c
+++ b/src/rate/rate_client.c
@@ -65,8 +65,6 @@
 	rate_pending_t *pending;
 	uint32_t pending_count;
 	uint64_t sequence; /* of the last need */
-	node_id_t seen_from;
-	uint64_t seen; /* highest grant received from that leader */
 	node_id_t asked; /* leader that owes an answer */
 	uint32_t asked_count; /* waiting requests in that need */
 	int64_t heard_ms; /* a leader last answered a need for requests */
@@ -359,8 +357,6 @@
 	msg.sent_ms = now_ms;
 	msg.need = space->pending_count;
 	msg.prefetch = prefetch;
-	if (space->seen_from == leader)
-		msg.seen = space->seen;
 	msg.n_reports = rate_fill_reports(space, leader, reports, list);
 	msg.reports = list;
 	if (msg.need > 0 || msg.prefetch > 0) {
@@ -510,11 +506,6 @@
 	batch = calloc(1, sizeof(*batch));
 	if (batch == NULL)
 		return;
-	if (space->seen_from != leader)
-		space->seen = 0;
-	space->seen_from = leader;
-	if (msg->grant > space->seen)
-		space->seen = msg->grant;
 	batch->grant = msg->grant;
 	batch->leader = leader;
 	batch->left = msg->tokens;
--- a/src/rate/rate_leader.c
+++ b/src/rate/rate_leader.c
@@ -617,9 +617,8 @@
 
 static void
 rate_leader_need(rate_leader_t *leader, rate_bucket_t *bucket, node_id_t vm,
-    Tm__RateNeed *need, int64_t now_ms)
+    const Tm__RateNeed *need, int64_t now_ms)
 {
-	uint32_t in_flight;
 	size_t i;
 
 	rate_leader_refill(leader, bucket, now_ms);
@@ -628,9 +627,6 @@
 		    need->reports[i]->spent, need->reports[i]->returned);
 	if (leader->stopping)
 		return;
-	/* A repeated need must not get a token twice. */
-	in_flight = rate_bucket_get_in_flight(bucket, vm, need->seen);
-	need->need -= in_flight < need->need ? in_flight : need->need;
 	if (need->need == 0 && need->prefetch == 0) {
 		rate_leader_serve(leader, bucket, now_ms);
 		return;
@@ -660,8 +656,8 @@
 }
 
 static void
-rate_leader_dispatch(
-    rate_leader_t *leader, node_id_t from, Tm__RateNeed *need, int64_t now_ms)
+rate_leader_dispatch(rate_leader_t *leader, node_id_t from,
+    const Tm__RateNeed *need, int64_t now_ms)
 {
 	rate_config_t *config = rate_find_config(leader, need->workspace);
 	rate_bucket_t *bucket;
