--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/test_hooks.h"
 #include "entry/entry_defs.h"
 #include "entry/request.h"
 #include "entry/trace.h"
@@ -165,6 +166,7 @@
 	entry->self = node_id_from_name(settings->node);
 	entry->incarnation = (uint64_t)clock_wall_ms();
 	entry->started_ms = clock_now_ms();
+	entry->profile_changes = 1;
 	rng_init(&entry->rng,
 	    entry->self ^ entry->incarnation ^ (uint64_t)clock_now_ns());
 	entry->upstream = upstream_create(loop);
@@ -203,7 +205,8 @@
 	LOG_EVENT(704, LOG_LEVEL_INFO, "stopping",
 	    LOG_NUM("in_flight", entry->in_flight),
 	    LOG_NUM("notice_ms", entry->settings->drain_notice_ms));
-	entry_set_phase(entry, ENTRY_NOTICE, now_ms);
+	entry_set_phase(entry,
+	    test_hooks_is_off("drain") ? ENTRY_STOPPED : ENTRY_NOTICE, now_ms);
 	http_server_drain(entry->callers);
 	gossip_set_draining(entry->gossip, now_ms);
 	rate_leader_stop(entry->rate_leader, now_ms);
--- a/src/entry/ops_api.c
+++ b/src/entry/ops_api.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/test_hooks.h"
 #include "entry/entry_defs.h"
 #include "settings/json_check.h"
 
@@ -77,7 +78,8 @@
 	out->connection_cap = (uint32_t)json_need_int(
 	    root, "connection_cap", 1, CAP_MAX, "connections");
 	json_node_ignore(root, "data_centre");
-	out->leaving = json_opt_enum(root, "state", states, 0) == 1;
+	out->leaving = json_opt_enum(root, "state", states, 0) == 1 &&
+	    !test_hooks_is_off("leave");
 	json_node_finish(root);
 	return (json_check_get_error_count(check));
 }
--- a/src/entry/ops_describe.c
+++ b/src/entry/ops_describe.c
@@ -63,20 +63,24 @@
 }
 
 static json_t *
-describe_endpoint(const service_endpoint_t *endpoint, int64_t now_ms)
+describe_endpoint(
+    const entry_t *entry, const service_endpoint_t *endpoint, int64_t now_ms)
 {
 	char address[SERVICE_IP_BYTES + 8];
 	service_endpoint_info_t info;
+	struct sockaddr_in to;
+	uint32_t connections = 0;
 	json_t *out;
 
+	if (uv_ip4_addr(endpoint->ip, endpoint->port, &to) == 0)
+		connections = upstream_get_connections(entry->upstream, &to);
 	snprintf(
 	    address, sizeof(address), "%s:%u", endpoint->ip, endpoint->port);
 	out = json_pack("{s:s, s:I, s:s, s:b, s:i, s:i, s:i, s:i}", "target",
 	    endpoint->target, "incarnation", (json_int_t)endpoint->incarnation,
 	    "address", address, "usable", endpoint->usable, "share",
 	    (int)endpoint->share, "slots", (int)endpoint->slots, "in_flight",
-	    (int)endpoint->in_flight, "connections",
-	    (int)endpoint->connections);
+	    (int)endpoint->in_flight, "connections", (int)connections);
 	if (out == NULL)
 		return (NULL);
 	service_view_get_info(endpoint, now_ms, &info);
@@ -122,8 +126,8 @@
 	endpoints = service_view_get_endpoints(service->view, &count);
 	for (i = 0; i < count; i++) {
 		count_target(&counts, endpoints[i], now_ms);
-		json_array_append_new(
-		    list, describe_endpoint(endpoints[i], now_ms));
+		json_array_append_new(list,
+		    describe_endpoint(service->entry, endpoints[i], now_ms));
 	}
 	leader =
 	    group_get_leader(service->entry->group, service->shard, now_ms);
@@ -196,7 +200,7 @@
 		for (i = 0; i < count; i++) {
 			if (strcmp(endpoints[i]->target, name) != 0)
 				continue;
-			found = describe_endpoint(endpoints[i], now_ms);
+			found = describe_endpoint(entry, endpoints[i], now_ms);
 			json_object_update_new(found,
 			    json_pack("{s:s, s:I, s:I}", "service",
 				service->name, "table_term", (json_int_t)term,
@@ -229,24 +233,27 @@
 	uint32_t shard = group_shard_of(entry->group, name);
 	node_id_t leader = group_get_leader(entry->group, shard, now_ms);
 	rate_client_info_t info = { 0 };
+	entry_workspace_t counts = { .requests = NULL };
 	json_t *list = json_array();
 	json_t *found;
 
+	if (workspace != NULL)
+		counts = *workspace;
 	config = config_state_find_workspace(entry->state, name);
-	if (workspace == NULL || config == NULL)
+	if (config == NULL)
 		return (list);
 	rate_client_get_info(entry->rates, name, now_ms, &info);
 	found = json_pack(
-	    "{s:s, s:i, s:i, s:i, s:s?, s:i, s:i, s:f, s:I, s:I, s:I, s:I}",
+	    "{s:s, s:i, s:i, s:i, s:s?, s:b, s:i, s:i, s:f, s:I, s:I, s:I, s:I}",
 	    "workspace", name, "rate_per_s", (int)config->rate_per_s, "burst",
 	    (int)config->burst, "shard", (int)shard, "leader",
-	    describe_node(entry, leader), "tokens", (int)info.tokens, "waiting",
-	    (int)info.waiting, "demand_per_s", info.demand_per_s, "empty_ms",
+	    describe_node(entry, leader), "has_leader", leader != NODE_ID_NONE,
+	    "tokens", (int)info.tokens, "waiting", (int)info.waiting,
+	    "demand_per_s", info.demand_per_s, "empty_ms",
 	    (json_int_t)info.empty_ms, "requests",
-	    (json_int_t)metric_get_value(workspace->requests), "refused_rate",
-	    (json_int_t)metric_get_value(workspace->refused_rate),
-	    "refused_other",
-	    (json_int_t)metric_get_value(workspace->refused_other));
+	    (json_int_t)metric_get_value(counts.requests), "refused_rate",
+	    (json_int_t)metric_get_value(counts.refused_rate), "refused_other",
+	    (json_int_t)metric_get_value(counts.refused_other));
 	explain_bucket(entry, name, found);
 	json_array_append_new(list, found);
 	return (list);
--- a/src/entry/refusal.c
+++ b/src/entry/refusal.c
@@ -3,13 +3,15 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/test_hooks.h"
 #include "http/http_server.h"
 
 #define BODY_MAX_BYTES 1024
 
 static const refusal_info_t refusal_table[REFUSAL_COUNT] = {
 	[REFUSAL_MALFORMED] = { 400, 0, "malformed", "the request is malformed",
-	    "correct the request id, the host or the path" },
+	    "send one Host, one length and a plain path, and a request id of "
+	    "1 to 63 visible characters" },
 	[REFUSAL_KEY_EXPOSED] = { 400, 0, "key_exposed",
 	    "the workspace key is in the URL or in the body",
 	    "send the key in the Authorization header only; issue a new key "
@@ -97,7 +99,10 @@
     int64_t retry_after_ms)
 {
 	const refusal_info_t *info = &refusal_table[refusal];
-	const char *run = info->is_run_unknown ? "unknown" : "no";
+	const char *run =
+	    info->is_run_unknown && !test_hooks_is_off("run_unknown")
+	    ? "unknown"
+	    : "no";
 	char body[BODY_MAX_BYTES];
 	int len;
 
