--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -52,13 +52,13 @@
 	fair_queue_t *queue;
 	uint64_t table_version; /**< of the last group_put() */
 	int needs_pump; /**< a request ended since the last release */
+	metric_t *requests;
+	metric_t *refused;
+	metric_t *latency;
 	int64_t used_ms; /**< a request started or ended last */
 	int64_t ticked_ms;
 	const config_profile_t *profile; /**< as of profile_changes */
 	uint64_t profile_changes;
-	metric_t *requests;
-	metric_t *refused;
-	metric_t *latency;
 	metric_t *attempts;
 	metric_t *retries;
 	metric_t *hedges;
--- a/src/entry/ops_describe.c
+++ b/src/entry/ops_describe.c
@@ -62,32 +62,25 @@
 	    json_boolean(info->avoided_by_data_centre));
 }
 
-static uint32_t
-count_connections(const entry_t *entry, const service_endpoint_t *endpoint)
-{
-	struct sockaddr_in to;
-
-	if (uv_ip4_addr(endpoint->ip, endpoint->port, &to) != 0)
-		return (0);
-	return (upstream_get_connections(entry->upstream, &to));
-}
-
 static json_t *
 describe_endpoint(
     const entry_t *entry, const service_endpoint_t *endpoint, int64_t now_ms)
 {
 	char address[SERVICE_IP_BYTES + 8];
 	service_endpoint_info_t info;
+	struct sockaddr_in to;
+	uint32_t connections = 0;
 	json_t *out;
 
+	if (uv_ip4_addr(endpoint->ip, endpoint->port, &to) == 0)
+		connections = upstream_get_connections(entry->upstream, &to);
 	snprintf(
 	    address, sizeof(address), "%s:%u", endpoint->ip, endpoint->port);
 	out = json_pack("{s:s, s:I, s:s, s:b, s:i, s:i, s:i, s:i}", "target",
 	    endpoint->target, "incarnation", (json_int_t)endpoint->incarnation,
 	    "address", address, "usable", endpoint->usable, "share",
 	    (int)endpoint->share, "slots", (int)endpoint->slots, "in_flight",
-	    (int)endpoint->in_flight, "connections",
-	    (int)count_connections(entry, endpoint));
+	    (int)endpoint->in_flight, "connections", (int)connections);
 	if (out == NULL)
 		return (NULL);
 	service_view_get_info(endpoint, now_ms, &info);
@@ -236,31 +229,31 @@
 explain_workspace(entry_t *entry, const char *name, int64_t now_ms)
 {
 	const entry_workspace_t *workspace = entry_find_workspace(entry, name);
-	const entry_workspace_t unused = { .name = "" };
 	const config_workspace_t *config;
 	uint32_t shard = group_shard_of(entry->group, name);
 	node_id_t leader = group_get_leader(entry->group, shard, now_ms);
 	rate_client_info_t info = { 0 };
+	entry_workspace_t counts = { .requests = NULL };
 	json_t *list = json_array();
 	json_t *found;
 
+	if (workspace != NULL)
+		counts = *workspace;
 	config = config_state_find_workspace(entry->state, name);
 	if (config == NULL)
 		return (list);
-	if (workspace == NULL) /* no request yet on this VM */
-		workspace = &unused;
 	rate_client_get_info(entry->rates, name, now_ms, &info);
 	found = json_pack(
-	    "{s:s, s:i, s:i, s:i, s:s?, s:i, s:i, s:f, s:I, s:I, s:I, s:I}",
+	    "{s:s, s:i, s:i, s:i, s:s?, s:b, s:i, s:i, s:f, s:I, s:I, s:I, s:I}",
 	    "workspace", name, "rate_per_s", (int)config->rate_per_s, "burst",
 	    (int)config->burst, "shard", (int)shard, "leader",
-	    describe_node(entry, leader), "tokens", (int)info.tokens, "waiting",
-	    (int)info.waiting, "demand_per_s", info.demand_per_s, "empty_ms",
+	    describe_node(entry, leader), "has_leader", leader != NODE_ID_NONE,
+	    "tokens", (int)info.tokens, "waiting", (int)info.waiting,
+	    "demand_per_s", info.demand_per_s, "empty_ms",
 	    (json_int_t)info.empty_ms, "requests",
-	    (json_int_t)metric_get_value(workspace->requests), "refused_rate",
-	    (json_int_t)metric_get_value(workspace->refused_rate),
-	    "refused_other",
-	    (json_int_t)metric_get_value(workspace->refused_other));
+	    (json_int_t)metric_get_value(counts.requests), "refused_rate",
+	    (json_int_t)metric_get_value(counts.refused_rate), "refused_other",
+	    (json_int_t)metric_get_value(counts.refused_other));
 	explain_bucket(entry, name, found);
 	json_array_append_new(list, found);
 	return (list);
--- a/src/queue/fair_queue.c
+++ b/src/queue/fair_queue.c
@@ -455,6 +455,18 @@
 	}
 }
 
+/*
+ * A caller may ask for less time than the profile allows. Its request must not
+ * count as expired at once, so at most half of its own time is reserved.
+ */
+static int64_t
+item_get_reserve_ms(const fair_queue_t *queue, const fair_item_t *item)
+{
+	int64_t half_ms = (item->deadline_ms - item->queued_ms) / 2;
+
+	return (half_ms < queue->reserve_ms ? half_ms : queue->reserve_ms);
+}
+
 fair_item_t *
 fair_queue_take_expired(fair_queue_t *queue, int64_t now_ms)
 {
@@ -463,7 +475,7 @@
 	if (queue->waiting == 0)
 		return (NULL);
 	item = queue->heap[1];
-	if (item->deadline_ms - queue->reserve_ms > now_ms)
+	if (item->deadline_ms - item_get_reserve_ms(queue, item) > now_ms)
 		return (NULL);
 	fair_queue_remove(queue, item);
 	return (item);
--- a/test/unit/queue_test.cc
+++ b/test/unit/queue_test.cc
@@ -94,6 +94,19 @@
 	EXPECT_EQ(fair_queue_push(queue, &items[9], 1, 5, 5), TM_ETIMEDOUT);
 }
 
+// Guards against a request with a short deadline of its caller that is refused
+// on an idle VM, because half of the profile's deadline is reserved.
+TEST_F(QueueTest, ShortDeadlinesOfCallersAreServed)
+{
+	fair_queue_set_reserve(queue, 750);
+	push(1, 300);
+	EXPECT_EQ(fair_queue_take_expired(queue, 0), nullptr);
+	EXPECT_EQ(fair_queue_take_expired(queue, 149), nullptr);
+	EXPECT_EQ(fair_queue_take_expired(queue, 150), &items[0]);
+	push(1, 300);
+	EXPECT_EQ(fair_queue_release(queue, 0), &items[1]);
+}
+
 TEST_F(QueueTest, BoundsRejectInsteadOfGrowing)
 {
 	for (int i = 0; i < FAIR_QUEUE_WORKSPACE_MAX; i++)
