--- a/Makefile
+++ b/Makefile
@@ -51,11 +51,17 @@
 TEST_OBJS := $(TEST_SRCS:%.cc=$(BUILD)/%.o) $(TEST_C_SRCS:%.c=$(BUILD)/%.o)
 TEST_BIN := $(BUILD)/bin/tm-unit
 
+# Fuzz targets with a driver that needs no libFuzzer.
+FUZZ_SRCS := $(filter-out test/fuzz/fuzz_driver.c,\
+	$(wildcard test/fuzz/fuzz_*.c))
+FUZZ_BINS := $(FUZZ_SRCS:test/fuzz/%.c=$(BUILD)/bin/%)
+FUZZ_OBJS := $(FUZZ_SRCS:%.c=$(BUILD)/%.o) $(BUILD)/test/fuzz/fuzz_driver.o
+
 FORMAT_SRCS := $(filter-out %.pb-c.c %.pb-c.h,\
 	$(wildcard src/*/*.c src/*/*.h test/*/*.c test/*/*.h test/*/*.cc))
 LINT_SRCS := $(filter-out %.pb-c.c,$(wildcard src/*/*.c))
 
-.PHONY: all deps proto check unit functional format format-check lint demo \
+.PHONY: all deps proto check unit functional fuzz fuzz-bins valgrind format format-check lint demo \
 	bench prove install install-files clean
 
 all: $(BINS)
@@ -87,6 +93,13 @@
 	$(CXX) $(LDFLAGS) -o $@ $(TEST_OBJS) $(LIB) -lgtest -lgtest_main \
 		$(LDLIBS)
 
+$(BUILD)/bin/fuzz_%: $(BUILD)/test/fuzz/fuzz_%.o \
+		$(BUILD)/test/fuzz/fuzz_driver.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
+
+fuzz-bins: $(FUZZ_BINS)
+
 # Generated codecs are committed; run this after editing a .proto file.
 proto:
 	cd src/proto && $(PROTOC_C) --c_out=. *.proto
@@ -118,6 +131,20 @@
 functional: all
 	scripts/run-functional.sh $(BUILD)
 
+# Longer runs than in check, with a seed that is printed. FUZZ_S is the time
+# for each target with libFuzzer, if clang has it.
+FUZZ_RUNS ?= 200000
+FUZZ_S ?= 60
+FUZZ_SEED ?= $(shell date +%s)
+fuzz: deps
+	@$(MAKE) -s -j4 SAN=1 fuzz-bins
+	scripts/run-fuzz.sh build/san $(FUZZ_RUNS) $(FUZZ_SEED)
+	scripts/run-libfuzzer.sh build/fuzz $(FUZZ_S) $(FUZZ_SEED)
+
+# A short selection; valgrind runs it some 30 times slower.
+valgrind: deps $(TEST_BIN)
+	scripts/run-valgrind.sh $(TEST_BIN)
+
 check: deps
 	@scripts/check.sh $(BUILD)
 
@@ -145,5 +172,5 @@
 clean:
 	rm -rf $(BUILD)
 
--include $(LIB_OBJS:.o=.d) $(TEST_OBJS:.o=.d)
+-include $(LIB_OBJS:.o=.d) $(TEST_OBJS:.o=.d) $(FUZZ_OBJS:.o=.d)
 -include $(foreach p,$(PROGRAMS),$(BUILD)/src/$(p)/$(p)_main.d)
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -27,6 +27,15 @@
 scripts/run-unit.sh "$build/bin/tm-unit" "$build"
 scripts/run-functional.sh "$build"
 
+# The same tests without the benches, and the fuzz corpus with the same
+# mutations each time, under the address and undefined-behaviour sanitizers.
+run_step build-san make -s -j8 SAN=1 build/san/bin/tm-unit fuzz-bins
+ASAN_OPTIONS=abort_on_error=1 \
+    UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
+    UNIT_SKIP='*Bench*:RaftOnDisk.CommitRate' \
+    scripts/run-unit.sh build/san/bin/tm-unit build/san "$counts"
+scripts/run-fuzz.sh build/san 3000 1 "$counts"
+
 if [ -s KNOWN-RED.txt ]; then
 	echo "Known failures, passed over:"
 	cat KNOWN-RED.txt
--- a/scripts/run-unit.sh
+++ b/scripts/run-unit.sh
@@ -1,14 +1,16 @@
 #!/bin/sh
-# Runs the GoogleTest binary and adds its counts to build/check/counts.
+# Runs the GoogleTest binary and adds its counts to build/check/counts, or to
+# a third argument. UNIT_SKIP holds a filter of further tests to leave out.
 # A line "unit: Suite.Name ..." in KNOWN-RED.txt passes over that test.
 set -u
 bin=$1
 build=$2
+counts=${3:-$build/check/counts}
 mkdir -p "$build/check"
 report=$build/check/unit.json
-skip=
+skip=${UNIT_SKIP:-}
 if [ -f KNOWN-RED.txt ]; then
-	skip=$(sed -n 's/^unit: \([^ ]*\).*/\1/p' KNOWN-RED.txt | paste -sd: -)
+	skip=$skip:$(sed -n 's/^unit: \([^ ]*\).*/\1/p' KNOWN-RED.txt | paste -sd: -)
 fi
 rm -f "$report"
 "$bin" --gtest_brief=1 --gtest_output="json:$report" \
@@ -17,10 +19,10 @@
 if [ ! -s "$report" ]; then
 	echo "FAIL unit: no report (exit $rc)"
 	tail -n 40 "$build/check/unit.log"
-	echo "0 1" >>"$build/check/counts"
+	echo "0 1" >>"$counts"
 	exit 1
 fi
-python3 - "$report" "$build/check/counts" <<'PY'
+python3 - "$report" "$counts" <<'PY'
 import json
 import sys
 
