TLS for callers and operators; secrets and tokens replaced on SIGHUP

tm-entry's and tm-control's settings take tls {certificate_file, key_file}, checked when the settings are read.

On SIGHUP both programs read certificates, fleet secrets, the target secret and the operators again. Open connections go on; a bad file is logged (709, 239) and changes nothing. peer_net_set_secrets() replaces the secrets for new handshakes.

Over TLS, a caller that closes while its request runs is found when the request ends, not before.

--- a/src/control/admin_api.c
+++ b/src/control/admin_api.c
@@ -8,8 +8,9 @@
 #include "config/config_object.h"
 #include "control/admin_internal.h"
 
-#define ADMIN_BACKLOG	   128
-#define ADMIN_SEGMENTS_MAX 4
+#define ADMIN_CONNECTIONS_MAX 1024
+#define ADMIN_IDLE_MS	      10000
+#define ADMIN_SEGMENTS_MAX    4
 
 /* A route; {kind} and {name} stand for one segment of the path. */
 typedef struct admin_route {
@@ -32,12 +33,6 @@
 
 #define ADMIN_ROUTES (sizeof(admin_routes) / sizeof(admin_routes[0]))
 
-/* The handler of h2o with the API that it belongs to. */
-typedef struct admin_h2o_handler {
-	h2o_handler_t super;
-	admin_api_t *api;
-} admin_h2o_handler_t;
-
 size_t
 admin_api_get_route_count(void)
 {
@@ -226,72 +221,25 @@
 		    strcmp(leader->name, control_get_settings(control)->node) ==
 			0)
 			leader = NULL;
-		admin_redirect(request->req, leader);
+		admin_redirect(request->req, leader,
+		    http_tls_is_set(&control_get_settings(control)->tls)
+			? "https"
+			: "http");
 		return;
 	}
 	if (admin_read_parameters(request) == TM_OK)
 		route->handle(request);
 }
 
-static int
-admin_on_request(h2o_handler_t *handler, h2o_req_t *req)
+static void
+admin_on_request(void *ctx, h2o_req_t *req)
 {
 	admin_request_t request = {
-		.api = ((admin_h2o_handler_t *)handler)->api,
+		.api = ctx,
 		.req = req,
 	};
 
 	admin_dispatch(&request);
-	return (0);
-}
-
-static void
-admin_on_closed(uv_handle_t *handle)
-{
-	free(handle);
-}
-
-static void
-admin_on_accept(uv_stream_t *listener, int status)
-{
-	admin_api_t *api = listener->data;
-	h2o_socket_t *sock;
-	uv_tcp_t *conn;
-
-	if (status != 0)
-		return;
-	conn = malloc(sizeof(*conn));
-	if (conn == NULL)
-		return;
-	uv_tcp_init(listener->loop, conn);
-	if (uv_accept(listener, (uv_stream_t *)conn) != 0) {
-		uv_close((uv_handle_t *)conn, admin_on_closed);
-		return;
-	}
-	sock = h2o_uv_socket_create((uv_stream_t *)conn, admin_on_closed);
-	h2o_accept(&api->accept, sock);
-}
-
-static void
-admin_configure(admin_api_t *api, uv_loop_t *loop)
-{
-	admin_h2o_handler_t *handler;
-	h2o_hostconf_t *host;
-	h2o_pathconf_t *path;
-
-	h2o_config_init(&api->config);
-	api->config.max_request_entity_size = ADMIN_BODY_MAX_BYTES;
-	api->config.http1.upgrade_to_http2 = 0;
-	host = h2o_config_register_host(
-	    &api->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
-	path = h2o_config_register_path(host, "/", 0);
-	handler =
-	    (admin_h2o_handler_t *)h2o_create_handler(path, sizeof(*handler));
-	handler->super.on_req = admin_on_request;
-	handler->api = api;
-	h2o_context_init(&api->context, loop, &api->config);
-	api->accept.ctx = &api->context;
-	api->accept.hosts = api->config.hosts;
 }
 
 int
@@ -299,25 +247,34 @@
 {
 	const control_settings_t *settings = control_get_settings(control);
 	admin_api_t *api = calloc(1, sizeof(*api));
+	http_server_options_t options = {
+		.loop = loop,
+		.addr = settings->admin_listen,
+		.server_name = "tarragonmoor",
+		.connections_max = ADMIN_CONNECTIONS_MAX,
+		.body_max_bytes = ADMIN_BODY_MAX_BYTES,
+		.idle_timeout_ms = ADMIN_IDLE_MS,
+		.tls = &settings->tls,
+		.handle = admin_on_request,
+		.ctx = api,
+	};
 
 	if (api == NULL)
 		return (TM_ENOMEM);
 	api->control = control;
-	uv_tcp_init(loop, &api->listener);
-	api->listener.data = api;
-	if (uv_tcp_bind(&api->listener,
-		(const struct sockaddr *)&settings->admin_listen, 0) != 0 ||
-	    uv_listen((uv_stream_t *)&api->listener, ADMIN_BACKLOG,
-		admin_on_accept) != 0)
-		return (TM_EIO);
-	admin_configure(api, loop);
 	*out = api;
-	return (TM_OK);
+	return (http_server_create(&api->server, &options));
+}
+
+int
+admin_api_reload_tls(
+    admin_api_t *api, const http_tls_files_t *files, http_tls_error_t *error)
+{
+	return (http_server_reload_tls(api->server, files, error));
 }
 
 void
 admin_api_close(admin_api_t *api)
 {
-	if (!uv_is_closing((uv_handle_t *)&api->listener))
-		uv_close((uv_handle_t *)&api->listener, NULL);
+	http_server_stop(api->server);
 }
--- a/src/control/admin_api.h
+++ b/src/control/admin_api.h
@@ -25,10 +25,14 @@
 /**
  * Starts to listen.
  *
- * @return 0; TM_EIO if the address cannot be bound; TM_ENOMEM
+ * @return 0; TM_EIO if the address cannot be bound; TM_EFORMAT; TM_ENOMEM
  */
 int admin_api_create(admin_api_t **out, control_t *control, uv_loop_t *loop);
 
+/** Reads the TLS files again; see http_server_reload_tls(). */
+int admin_api_reload_tls(
+    admin_api_t *api, const http_tls_files_t *files, http_tls_error_t *error);
+
 /** Stops listening; open connections stay. */
 void admin_api_close(admin_api_t *api);
 
--- a/src/control/admin_http.c
+++ b/src/control/admin_http.c
@@ -111,7 +111,7 @@
 }
 
 void
-admin_redirect(h2o_req_t *req, const control_vm_t *leader)
+admin_redirect(h2o_req_t *req, const control_vm_t *leader, const char *scheme)
 {
 	char location[LOCATION_SIZE];
 	int len;
@@ -121,7 +121,7 @@
 		    "no leader that a majority acknowledges", NULL);
 		return;
 	}
-	len = snprintf(location, sizeof(location), "http://%s:%u%.*s",
+	len = snprintf(location, sizeof(location), "%s://%s:%u%.*s", scheme,
 	    leader->admin_ip, leader->admin_port, (int)req->path.len,
 	    req->path.base);
 	if (len >= (int)sizeof(location)) {
--- a/src/control/admin_internal.h
+++ b/src/control/admin_internal.h
@@ -10,6 +10,7 @@
 #include <h2o.h>
 
 #include "control/admin_api.h"
+#include "http/http_server.h"
 #include "settings/json_check.h"
 
 #define ADMIN_TEXT_MAX	   128
@@ -27,10 +28,7 @@
 
 struct admin_api {
 	control_t *control;
-	uv_tcp_t listener;
-	h2o_globalconf_t config;
-	h2o_context_t context;
-	h2o_accept_ctx_t accept;
+	http_server_t *server;
 	admin_issued_t issued[ADMIN_ISSUED_MAX];
 	size_t issued_next;
 };
@@ -58,7 +56,8 @@
 void admin_send_error(
     h2o_req_t *req, int err, const char *reason, json_t *more);
 void admin_send_problems(h2o_req_t *req, const json_check_t *check);
-void admin_redirect(h2o_req_t *req, const control_vm_t *leader);
+void admin_redirect(
+    h2o_req_t *req, const control_vm_t *leader, const char *scheme);
 int admin_get_header(
     h2o_req_t *req, const char *name, char *out, size_t out_size);
 int admin_get_query(
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -387,6 +387,26 @@
 	return (control->state);
 }
 
+void
+control_reload(control_t *control, const control_settings_t *fresh)
+{
+	control_settings_t *settings = &control->settings;
+	const char *secrets[PEER_SECRETS_MAX] = { NULL };
+	int i;
+
+	for (i = 0; i < fresh->secret_count; i++)
+		secrets[i] = fresh->secrets[i];
+	if (peer_net_set_secrets(control->net, secrets) == TM_OK) {
+		memcpy(settings->secrets, fresh->secrets,
+		    sizeof(settings->secrets));
+		settings->secret_count = fresh->secret_count;
+	}
+	memcpy(
+	    settings->operators, fresh->operators, sizeof(settings->operators));
+	settings->operator_count = fresh->operator_count;
+	settings->tls = fresh->tls;
+}
+
 const control_settings_t *
 control_get_settings(const control_t *control)
 {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -53,6 +53,12 @@
 /** @return settings that control_create() got */
 const control_settings_t *control_get_settings(const control_t *control);
 
+/**
+ * Takes over the fleet secrets, the operators and the TLS files of fresh
+ * settings; other fields need a restart.
+ */
+void control_reload(control_t *control, const control_settings_t *fresh);
+
 /** @return the leader as far as known, or NULL */
 const control_vm_t *control_get_leader(const control_t *control);
 
--- a/src/control/control_main.c
+++ b/src/control/control_main.c
@@ -19,7 +19,9 @@
 	uv_loop_t loop;
 	control_t *control;
 	admin_api_t *api;
+	const char *settings_file;
 	uv_signal_t signals[2];
+	uv_signal_t hangup;
 	uv_timer_t stop_timer;
 	int flushing;
 } program_t;
@@ -61,6 +63,43 @@
 		    &program->stop_timer, program_poll_stop, 0, STOP_POLL_MS);
 }
 
+static void
+program_reload(program_t *program, control_settings_t *fresh)
+{
+	http_tls_error_t error = { .field = "tls",
+		.reason = "switching TLS on or off needs a restart" };
+
+	if (admin_api_reload_tls(program->api, &fresh->tls, &error) != TM_OK) {
+		LOG_EVENT(237, LOG_LEVEL_ERROR,
+		    "the old certificate stays in use",
+		    LOG_TEXT("field", error.field),
+		    LOG_TEXT("reason", error.reason));
+		fresh->tls = control_get_settings(program->control)->tls;
+	}
+	control_reload(program->control, fresh);
+	LOG_EVENT(238, LOG_LEVEL_INFO, "settings read again",
+	    LOG_NUM("fleet_secrets", fresh->secret_count),
+	    LOG_NUM("operators", fresh->operator_count));
+}
+
+/* Reads secrets, operators and certificates again; a bad file changes
+ * nothing. */
+static void
+program_on_hangup(uv_signal_t *signal, int number)
+{
+	static control_settings_t fresh;
+	program_t *program = signal->data;
+
+	(void)number;
+	if (control_settings_load(&fresh, program->settings_file, stderr) ==
+	    TM_OK)
+		program_reload(program, &fresh);
+	else
+		LOG_EVENT(239, LOG_LEVEL_ERROR,
+		    "the settings file has problems, the old settings stay",
+		    LOG_TEXT("file", program->settings_file));
+}
+
 static void
 program_watch_signals(program_t *program)
 {
@@ -74,17 +113,21 @@
 		uv_signal_start(
 		    &program->signals[i], program_on_signal, numbers[i]);
 	}
+	uv_signal_init(&program->loop, &program->hangup);
+	program->hangup.data = program;
+	uv_signal_start(&program->hangup, program_on_hangup, SIGHUP);
 	uv_timer_init(&program->loop, &program->stop_timer);
 	program->stop_timer.data = program;
 }
 
 static int
-program_run(const control_settings_t *settings)
+program_run(const control_settings_t *settings, const char *file)
 {
 	static program_t program;
 	int err;
 
 	log_configure(stderr, settings->log_level, settings->node);
+	program.settings_file = file;
 	uv_loop_init(&program.loop);
 	err = control_create(&program.control, settings, &program.loop);
 	if (err != TM_OK)
@@ -120,7 +163,7 @@
 		printf("%s: ok\n", file);
 		return (0);
 	}
-	return (program_run(&settings));
+	return (program_run(&settings, file));
 }
 
 static int
--- a/src/control/control_settings.c
+++ b/src/control/control_settings.c
@@ -151,6 +151,7 @@
 	    CONTROL_PATH_MAX_BYTES);
 	json_need_address(root, "admin_listen", &settings->admin_listen);
 	json_need_address(root, "peer_listen", &settings->peer_listen);
+	http_tls_read_settings(root, &settings->tls);
 	settings->log_level = (log_level_t)json_opt_enum(
 	    root, "log_level", log_level_words, LOG_LEVEL_INFO);
 	control_read_vms(root, settings);
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -11,6 +11,7 @@
 
 #include "base/log.h"
 #include "base/node_defs.h"
+#include "http/http_tls.h"
 #include "net/peer.h"
 #include "raft/raft.h"
 
@@ -45,6 +46,7 @@
 	struct sockaddr_in peer_listen;
 	int vm_count;
 	control_vm_t vms[RAFT_VOTERS_MAX];
+	http_tls_files_t tls; /**< of admin_listen */
 	int secret_count;
 	char secrets[PEER_SECRETS_MAX][CONTROL_SECRET_MAX_BYTES + 1];
 	int operator_count;
--- a/src/ctl/ctl_api.c
+++ b/src/ctl/ctl_api.c
@@ -137,7 +137,8 @@
 		.headers = headers,
 		.body = call->body,
 		.body_len = call->body_len,
-		.timeout_ms = (int)limit_ms };
+		.timeout_ms = (int)limit_ms,
+		.tls = api->tls };
 
 	format_headers(api, call, headers);
 	attempt->done = 0;
@@ -151,16 +152,18 @@
 		uv_run(&api->loop, UV_RUN_ONCE);
 }
 
-/* Takes the address out of "http://ip:port/path". */
+/* Takes the address out of "http://ip:port/path", or "https" with TLS. */
 static int
-parse_location(const char *location, struct sockaddr_in *server)
+parse_location(
+    const ctl_api_t *api, const char *location, struct sockaddr_in *server)
 {
+	const char *scheme = api->tls != NULL ? "https://" : "http://";
 	char address[64];
 	size_t len;
 
-	if (strncmp(location, "http://", 7) != 0)
+	if (strncmp(location, scheme, strlen(scheme)) != 0)
 		return (TM_EFORMAT);
-	location += 7;
+	location += strlen(scheme);
 	len = strcspn(location, "/");
 	if (len >= sizeof(address))
 		return (TM_EFORMAT);
@@ -211,7 +214,7 @@
 		    api, call, &server, get_limit(api, end_ms), attempt);
 		if (attempt->err != TM_OK || attempt->result->status != 307)
 			return;
-		if (parse_location(attempt->location, &server) != TM_OK)
+		if (parse_location(api, attempt->location, &server) != TM_OK)
 			return;
 	}
 }
--- a/src/ctl/ctl_api.h
+++ b/src/ctl/ctl_api.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <openssl/ssl.h>
 #include <uv.h>
 
 #define CTL_SERVERS_MAX	  16
@@ -32,6 +33,7 @@
 	int server_count;
 	int next_server;
 	char token[CTL_TOKEN_MAX];
+	SSL_CTX *tls; /**< NULL: plain HTTP */
 	int64_t timeout_ms; /**< for a whole call with its retries */
 	int64_t attempt_ms; /**< for one attempt */
 } ctl_api_t;
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "ctl/ctl_api.h"
 #include "ctl/ctl_command.h"
+#include "ctl/http_call.h"
 
 #define SERVERS_VARIABLE "TMCTL_SERVERS"
 #define TOKEN_VARIABLE	 "TMCTL_TOKEN_FILE"
@@ -17,6 +18,7 @@
 	struct arg_lit *help;
 	struct arg_str *server;
 	struct arg_file *token_file;
+	struct arg_file *ca_file;
 	struct arg_lit *json;
 	struct arg_lit *dry_run;
 	struct arg_int *if_version;
@@ -64,6 +66,10 @@
 
 	if (a->token_file->count > 0)
 		file = a->token_file->filename[0];
+	if (a->ca_file->count > 0 &&
+	    http_call_load_ca(a->ca_file->filename[0], &api->tls) != TM_OK)
+		return (fail("--ca-file", a->ca_file->filename[0],
+		    "give a readable PEM file with certificates"));
 	if (file == NULL)
 		return (fail("token file", "",
 		    "give --token-file or set " TOKEN_VARIABLE));
@@ -162,6 +168,8 @@
 		    "control VMs; default: $" SERVERS_VARIABLE),
 		.token_file = arg_file0("t", "token-file", "FILE",
 		    "operator token; default: $" TOKEN_VARIABLE),
+		.ca_file = arg_file0(NULL, "ca-file", "FILE",
+		    "use HTTPS and trust these certificates"),
 		.json = arg_lit0("j", "json", "print the answer as JSON"),
 		.dry_run = arg_lit0("n", "dry-run", "check, change nothing"),
 		.if_version = arg_int0(NULL, "if-version", "N",
@@ -176,9 +184,9 @@
 		.words = arg_strn(NULL, NULL, "COMMAND", 1, 5, "see below"),
 		.end = arg_end(8),
 	};
-	void *table[] = { a.help, a.server, a.token_file, a.json, a.dry_run,
-		a.if_version, a.change_id, a.timeout_ms, a.after, a.limit,
-		a.words, a.end };
+	void *table[] = { a.help, a.server, a.token_file, a.ca_file, a.json,
+		a.dry_run, a.if_version, a.change_id, a.timeout_ms, a.after,
+		a.limit, a.words, a.end };
 	int status = CTL_EXIT_USAGE;
 
 	if (arg_nullcheck(table) != 0) {
--- a/src/ctl/http_call.c
+++ b/src/ctl/http_call.c
@@ -157,6 +157,35 @@
 	return (on_head);
 }
 
+/*
+ * h2o compares names only, not IP addresses, and accepts another name only if
+ * the context does not verify. OpenSSL verifies each connection instead, with
+ * the IP address, and ends the handshake if that fails.
+ */
+static void
+on_tls_state(const SSL *ssl, int where, int ret)
+{
+	if ((where & SSL_CB_HANDSHAKE_START) != 0)
+		SSL_set_verify((SSL *)(uintptr_t)ssl, SSL_VERIFY_PEER, NULL);
+}
+
+int
+http_call_load_ca(const char *file, SSL_CTX **out)
+{
+	SSL_CTX *ctx = SSL_CTX_new(TLS_client_method());
+
+	if (ctx == NULL)
+		return (TM_ENOMEM);
+	if (SSL_CTX_load_verify_locations(ctx, file, NULL) != 1) {
+		SSL_CTX_free(ctx);
+		return (TM_EFORMAT);
+	}
+	SSL_CTX_set_min_proto_version(ctx, TLS1_2_VERSION);
+	SSL_CTX_set_info_callback(ctx, on_tls_state);
+	*out = ctx;
+	return (TM_OK);
+}
+
 static int
 format_request(http_call_t *call, const http_request_t *request)
 {
@@ -187,8 +216,8 @@
 
 	uv_timer_start(timer, on_timeout, call->timeout_ms, 0);
 	h2o_http1client_connect(&call->client, call, &call->client_ctx,
-	    h2o_iovec_init(call->host, strlen(call->host)), call->port, 0,
-	    on_connect);
+	    h2o_iovec_init(call->host, strlen(call->host)), call->port,
+	    call->client_ctx.ssl_ctx != NULL, on_connect);
 }
 
 int
@@ -215,6 +244,10 @@
 	}
 	call->client_ctx.loop = loop;
 	call->client_ctx.io_timeout = &io_timeout;
+	call->client_ctx.ssl_ctx = request->tls;
+	if (request->tls != NULL)
+		X509_VERIFY_PARAM_set1_ip_asc(
+		    SSL_CTX_get0_param(request->tls), call->host);
 	call->port = ntohs(request->to.sin_port);
 	uv_timer_init(loop, &call->timer);
 	call->timer.data = call;
--- a/src/ctl/http_call.h
+++ b/src/ctl/http_call.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <stddef.h>
 
+#include <openssl/ssl.h>
 #include <uv.h>
 
 /** Longest reply body in bytes. */
@@ -33,8 +34,17 @@
 	const char *body;
 	size_t body_len;
 	int timeout_ms;
+	SSL_CTX *tls; /**< NULL: plain HTTP; outlives the call */
 } http_request_t;
 
+/**
+ * Makes a context that trusts the certificates of a PEM file. The server's
+ * certificate must name the IP address that is called.
+ *
+ * @return 0, TM_EFORMAT, TM_ENOMEM
+ */
+int http_call_load_ca(const char *file, SSL_CTX **out);
+
 typedef void (*http_call_cb)(void *ctx, const http_reply_t *reply);
 
 /**
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -51,6 +51,7 @@
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
 		.error_header = "x-tm-run",
 		.error_value = "no",
+		.tls = &entry->settings->tls,
 		.handle = frontend_handle,
 		.ctx = entry,
 	};
@@ -153,7 +154,7 @@
 }
 
 int
-entry_create(entry_t **out, const entry_settings_t *settings, uv_loop_t *loop)
+entry_create(entry_t **out, entry_settings_t *settings, uv_loop_t *loop)
 {
 	entry_t *entry = calloc(1, sizeof(*entry));
 	int err;
@@ -189,6 +190,42 @@
 	return (TM_OK);
 }
 
+static void
+entry_reload_tls(entry_t *entry, const entry_settings_t *fresh)
+{
+	http_tls_error_t error = { .field = "tls",
+		.reason = "switching TLS on or off needs a restart" };
+	int err = http_server_reload_tls(entry->callers, &fresh->tls, &error);
+
+	if (err == TM_OK) {
+		entry->settings->tls = fresh->tls;
+		return;
+	}
+	LOG_EVENT(708, LOG_LEVEL_ERROR, "the old certificate stays in use",
+	    LOG_TEXT("field", error.field), LOG_TEXT("reason", error.reason));
+}
+
+void
+entry_reload(entry_t *entry, const entry_settings_t *fresh)
+{
+	entry_settings_t *settings = entry->settings;
+	const char *secrets[PEER_SECRETS_MAX] = { NULL };
+	int i;
+
+	for (i = 0; i < fresh->secret_count; i++)
+		secrets[i] = fresh->secrets[i];
+	if (peer_net_set_secrets(entry->net, secrets) == TM_OK) {
+		memcpy(settings->secrets, fresh->secrets,
+		    sizeof(settings->secrets));
+		settings->secret_count = fresh->secret_count;
+	}
+	memcpy(settings->target_secret, fresh->target_secret,
+	    sizeof(settings->target_secret));
+	entry_reload_tls(entry, fresh);
+	LOG_EVENT(707, LOG_LEVEL_INFO, "settings read again",
+	    LOG_NUM("fleet_secrets", fresh->secret_count));
+}
+
 void
 entry_begin_stop(entry_t *entry)
 {
--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -95,7 +95,7 @@
 
 struct entry {
 	uv_loop_t *loop;
-	const entry_settings_t *settings;
+	entry_settings_t *settings;
 	node_id_t self;
 	uint64_t incarnation;
 	int64_t started_ms; /**< boot time */
@@ -147,8 +147,14 @@
  *
  * @return 0 or a negative error number, already logged
  */
-int entry_create(
-    entry_t **out, const entry_settings_t *settings, uv_loop_t *loop);
+int entry_create(entry_t **out, entry_settings_t *settings, uv_loop_t *loop);
+
+/**
+ * Takes over the fleet secrets, the target secret and the TLS files of fresh
+ * settings; other fields need a restart. What cannot be used stays as it was
+ * and is logged.
+ */
+void entry_reload(entry_t *entry, const entry_settings_t *fresh);
 
 /** Starts a planned stop; a second call skips the notice time. */
 void entry_begin_stop(entry_t *entry);
--- a/src/entry/entry_main.c
+++ b/src/entry/entry_main.c
@@ -14,7 +14,9 @@
 typedef struct program {
 	uv_loop_t loop;
 	entry_t *entry;
+	const char *settings_file;
 	uv_signal_t signals[2];
+	uv_signal_t hangup;
 	uv_timer_t stop_timer;
 } program_t;
 
@@ -38,6 +40,23 @@
 	    &program->stop_timer, program_poll_stop, 0, STOP_POLL_MS);
 }
 
+/* Reads secrets and certificates again; a bad file changes nothing. */
+static void
+program_on_hangup(uv_signal_t *signal, int number)
+{
+	static entry_settings_t fresh;
+	program_t *program = signal->data;
+
+	(void)number;
+	if (entry_settings_load(&fresh, program->settings_file, stderr) ==
+	    TM_OK)
+		entry_reload(program->entry, &fresh);
+	else
+		LOG_EVENT(709, LOG_LEVEL_ERROR,
+		    "the settings file has problems, the old settings stay",
+		    LOG_TEXT("file", program->settings_file));
+}
+
 static void
 program_watch_signals(program_t *program)
 {
@@ -51,16 +70,20 @@
 		uv_signal_start(
 		    &program->signals[i], program_on_signal, numbers[i]);
 	}
+	uv_signal_init(&program->loop, &program->hangup);
+	program->hangup.data = program;
+	uv_signal_start(&program->hangup, program_on_hangup, SIGHUP);
 	uv_timer_init(&program->loop, &program->stop_timer);
 	program->stop_timer.data = program;
 }
 
 static int
-program_run(const entry_settings_t *settings)
+program_run(entry_settings_t *settings, const char *file)
 {
 	static program_t program;
 
 	log_configure(stderr, settings->log_level, settings->node);
+	program.settings_file = file;
 	uv_loop_init(&program.loop);
 	if (entry_create(&program.entry, settings, &program.loop) != TM_OK)
 		return (1);
@@ -87,5 +110,5 @@
 		printf("%s: ok\n", args.settings);
 		return (0);
 	}
-	return (program_run(&settings));
+	return (program_run(&settings, args.settings));
 }
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -82,6 +82,7 @@
 	json_need_address(root, "listen", &settings->listen);
 	json_need_address(root, "ops_listen", &settings->ops_listen);
 	json_need_address(root, "peer_listen", &settings->peer_listen);
+	http_tls_read_settings(root, &settings->tls);
 	read_controls(root, settings);
 	read_secrets(root, settings);
 	settings->log_level = (log_level_t)json_opt_enum(
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -11,6 +11,7 @@
 
 #include "base/log.h"
 #include "base/node_defs.h"
+#include "http/http_tls.h"
 #include "net/peer.h"
 
 #define ENTRY_CONTROLS_MAX	7
@@ -41,6 +42,7 @@
 	int control_count;
 	char secrets[PEER_SECRETS_MAX][ENTRY_SECRET_MAX_BYTES + 1];
 	int secret_count;
+	http_tls_files_t tls; /**< of listen */
 	char target_secret[ENTRY_SECRET_MAX_BYTES + 1];
 	log_level_t log_level;
 	entry_mode_t mode;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -75,6 +75,8 @@
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0 ||
 	    server->connections > server->options.connections_max) {
 		server->refused++;
+		if (server->options.refused != NULL)
+			server->options.refused(server->options.ctx);
 		uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 		return;
 	}
@@ -153,16 +155,42 @@
 	server->accept_ctx.hosts = server->config.hosts;
 }
 
+int
+http_server_reload_tls(http_server_t *server, const http_tls_files_t *files,
+    http_tls_error_t *error)
+{
+	SSL_CTX *ctx;
+	int err;
+
+	if (http_tls_is_set(files) != (server->accept_ctx.ssl_ctx != NULL))
+		return (TM_EINVAL);
+	if (!http_tls_is_set(files))
+		return (TM_OK);
+	err = http_tls_load(files, &ctx, error);
+	if (err != TM_OK)
+		return (err);
+	/* Open connections hold their own reference. */
+	SSL_CTX_free(server->accept_ctx.ssl_ctx);
+	server->accept_ctx.ssl_ctx = ctx;
+	return (TM_OK);
+}
+
 int
 http_server_create(http_server_t **out, const http_server_options_t *options)
 {
 	http_server_t *server = calloc(1, sizeof(*server));
-	int rc;
+	http_tls_error_t error;
+	int rc = TM_OK;
 
 	if (server == NULL)
 		return (TM_ENOMEM);
 	server->options = *options;
 	configure(server);
+	if (options->tls != NULL && http_tls_is_set(options->tls))
+		rc = http_tls_load(
+		    options->tls, &server->accept_ctx.ssl_ctx, &error);
+	if (rc != TM_OK)
+		return (rc);
 	uv_tcp_init(options->loop, &server->listener);
 	server->listener.data = server;
 	rc = uv_tcp_bind(
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -14,6 +14,8 @@
 
 #include <h2o.h>
 
+#include "http/http_tls.h"
+
 typedef struct http_server http_server_t;
 
 /** Handles a request; it may answer later. */
@@ -30,18 +32,31 @@
 	/** Header added to the responses that h2o makes itself; may be NULL */
 	const char *error_header;
 	const char *error_value;
+	const http_tls_files_t *tls; /**< NULL or unset: plain HTTP */
 	http_server_cb handle;
-	void *ctx;
+	void (*refused)(void *ctx); /**< a connection over the cap; or NULL */
+	void *ctx; /**< of the callbacks */
 } http_server_options_t;
 
 /**
  * Listens on an address.
  *
- * @return 0, TM_ENOMEM, or TM_EIO if the address cannot be bound
+ * @return 0, TM_ENOMEM, TM_EFORMAT for bad TLS files, or TM_EIO if the address
+ *         cannot be bound
  */
 int http_server_create(
     http_server_t **out, const http_server_options_t *options);
 
+/**
+ * Reads the TLS files again. New connections use them; open ones go on. After
+ * an error everything stays as it is.
+ *
+ * @return 0; TM_EINVAL if TLS would be switched on or off, which needs a
+ *         restart; TM_EFORMAT with the error; TM_ENOMEM
+ */
+int http_server_reload_tls(http_server_t *server, const http_tls_files_t *files,
+    http_tls_error_t *error);
+
 /** Stops accepting connections; open ones go on. */
 void http_server_stop(http_server_t *server);
 
--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <openssl/crypto.h>
 #include <utlist.h>
 
 #include "base/clock.h"
@@ -67,19 +68,39 @@
 	return (TM_OK);
 }
 
-static int
-peer_net_copy_secrets(peer_net_t *net, const peer_options_t *options)
+static void
+peer_free_secrets(char *secrets[PEER_SECRETS_MAX])
 {
 	int i;
 
 	for (i = 0; i < PEER_SECRETS_MAX; i++) {
-		if (options->secrets[i] == NULL)
+		if (secrets[i] != NULL)
+			OPENSSL_cleanse(secrets[i], strlen(secrets[i]));
+		free(secrets[i]);
+	}
+}
+
+int
+peer_net_set_secrets(
+    peer_net_t *net, const char *const secrets[PEER_SECRETS_MAX])
+{
+	char *copies[PEER_SECRETS_MAX] = { NULL };
+	int i;
+
+	if (secrets[0] == NULL)
+		return (TM_EINVAL);
+	for (i = 0; i < PEER_SECRETS_MAX; i++) {
+		if (secrets[i] == NULL)
 			continue;
-		net->secrets[i] = strdup(options->secrets[i]);
-		if (net->secrets[i] == NULL)
+		copies[i] = strdup(secrets[i]);
+		if (copies[i] == NULL) {
+			peer_free_secrets(copies);
 			return (TM_ENOMEM);
+		}
 	}
-	return (net->secrets[0] != NULL ? TM_OK : TM_EINVAL);
+	peer_free_secrets(net->secrets);
+	memcpy(net->secrets, copies, sizeof(copies));
+	return (TM_OK);
 }
 
 static void
@@ -87,14 +108,12 @@
 {
 	peer_node_t *node;
 	peer_node_t *next;
-	int i;
 
 	HASH_ITER(hh, net->nodes, node, next) {
 		HASH_DEL(net->nodes, node);
 		free(node);
 	}
-	for (i = 0; i < PEER_SECRETS_MAX; i++)
-		free(net->secrets[i]);
+	peer_free_secrets(net->secrets);
 	free(net);
 }
 
@@ -128,7 +147,7 @@
 	net->receive = options->receive;
 	net->ctx = options->ctx;
 	snprintf(net->name, sizeof(net->name), "%s", options->node_name);
-	err = peer_net_copy_secrets(net, options);
+	err = peer_net_set_secrets(net, options->secrets);
 	if (err != TM_OK) {
 		peer_net_free(net);
 		return (err);
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -64,6 +64,16 @@
  */
 int peer_net_create(peer_net_t **out, const peer_options_t *options);
 
+/**
+ * Replaces the secrets. New handshakes use them; open connections go on.
+ *
+ * @param secrets  as in the options
+ * @return         0, TM_EINVAL without a first secret, TM_ENOMEM; after an
+ *                 error the old secrets stay
+ */
+int peer_net_set_secrets(
+    peer_net_t *net, const char *const secrets[PEER_SECRETS_MAX]);
+
 /** @return port that the layer listens on */
 uint16_t peer_net_get_port(const peer_net_t *net);
 
--- a/test/unit/peer_test.cc
+++ b/test/unit/peer_test.cc
@@ -190,6 +190,41 @@
 	EXPECT_TRUE(b.received.empty());
 }
 
+// A rotation without a restart must keep open connections and refuse the old
+// secret in new handshakes once it is gone.
+TEST_F(Peer, ReplacesSecretsForNewHandshakesOnly)
+{
+	const char *const both[PEER_SECRETS_MAX] = { "new", "old" };
+	const char *const fresh[PEER_SECRETS_MAX] = { "new", nullptr };
+	const char *const none[PEER_SECRETS_MAX] = { nullptr, "new" };
+	Node a, b, late;
+
+	create(&a, "a", 1, "old");
+	create(&b, "b", 1, "old");
+	connect(&a, "b", &b);
+	send(&a, "b", "1");
+	run_until([&] { return b.received.size() == 1; });
+	EXPECT_EQ(peer_net_set_secrets(b.net, none), TM_EINVAL);
+	EXPECT_EQ(peer_net_set_secrets(b.net, both), TM_OK);
+	EXPECT_EQ(peer_net_set_secrets(b.net, fresh), TM_OK);
+	send(&a, "b", "2");
+	run_until([&] { return b.received.size() == 2; });
+	EXPECT_EQ(b.received.size(), 2u);
+	create(&late, "late", 1, "old");
+	connect(&late, "b", &b);
+	send(&late, "b", "3");
+	run_until([&] { return false; }, 500);
+	EXPECT_EQ(b.received.size(), 2u);
+	EXPECT_EQ(peer_net_set_secrets(late.net, both), TM_OK);
+	run_until(
+	    [&] {
+		    send(&late, "b", "4");
+		    return b.received.size() > 2;
+	    },
+	    8000);
+	EXPECT_GT(b.received.size(), 2u);
+}
+
 TEST(PeerFrame, DetectsAlteredAndReplayedFrames)
 {
 	frame_identity_t client = { "a", 1, { 1 } };
--- a/test/unit/request_wire_test.cc
+++ b/test/unit/request_wire_test.cc
@@ -67,10 +67,13 @@
 			"x-tm-deadline-ms: 1500\r\n";
 
 struct Response {
+	Headers list;
+	std::string body;
 	std::vector<upstream_header_t> headers;
 	upstream_response_t response = {};
 
-	Response(const Headers &list, const std::string &body)
+	Response(const Headers &from, const std::string &bytes)
+	    : list(from), body(bytes)
 	{
 		for (const auto &h : list)
 			headers.push_back({ h.first.data(), h.first.size(),
