--- a/scripts/bench_lib.py
+++ b/scripts/bench_lib.py
@@ -40,7 +40,14 @@
 
     def __enter__(self):
         os.makedirs(os.path.dirname(self.dir), exist_ok=True)
-        self.script("start", *self.words)
+        for left in (2, 1, 0):
+            try:
+                self.script("start", *self.words)
+                break
+            except subprocess.CalledProcessError:
+                # Another fleet on this machine may have taken a port.
+                if left == 0:
+                    raise
         with open(os.path.join(self.dir, "fleet.json"),
                   encoding="utf-8") as text:
             self.plan = json.load(text)
