Parse X-Tm-Load without sscanf

In a profile of tm-entry at 4,000 requests/s (perf, 2,000 samples/s) sscanf took 0.9 % and its scan of the text more. A value of more than 9 digits or text behind the last field is no longer accepted.

--- a/src/entry/request_wire.c
+++ b/src/entry/request_wire.c
@@ -7,6 +7,9 @@
 #include "entry/request.h"
 #include "proto/entry.pb-c.h"
 
+/* So that a value fits 32 bits. */
+#define LOAD_DIGITS_MAX 9
+
 static int
 append_text(buffer_t *out, const char *text)
 {
@@ -301,18 +304,41 @@
 	    memcmp(header->value, value, header->value_len) == 0);
 }
 
+/* Reads "NAME=DIGITS" at *at. @return 1 and moves *at behind it */
+static int
+load_read_field(
+    const char **at, const char *end, const char *name, uint32_t *out)
+{
+	size_t name_len = strlen(name);
+	const char *first;
+	uint32_t value = 0;
+
+	if ((size_t)(end - *at) <= name_len || memcmp(*at, name, name_len) != 0)
+		return (0);
+	*at += name_len;
+	for (first = *at; *at < end && **at >= '0' && **at <= '9'; (*at)++) {
+		if (*at - first == LOAD_DIGITS_MAX)
+			return (0);
+		value = value * 10 + (uint32_t)(**at - '0');
+	}
+	*out = value;
+	return (*at > first);
+}
+
 int
 response_read_load(const upstream_response_t *response, uint32_t *running,
     uint32_t *queued, uint32_t *slots)
 {
 	const upstream_header_t *header =
 	    response_find_header(response, "x-tm-load");
-	char text[96];
+	const char *at;
+	const char *end;
 
-	if (header == NULL || header->value_len >= sizeof(text))
+	if (header == NULL)
 		return (0);
-	memcpy(text, header->value, header->value_len);
-	text[header->value_len] = '\0';
-	return (sscanf(text, "running=%9u;queued=%9u;slots=%9u", running,
-		    queued, slots) == 3);
+	at = header->value;
+	end = at + header->value_len;
+	return (load_read_field(&at, end, "running=", running) &&
+	    load_read_field(&at, end, ";queued=", queued) &&
+	    load_read_field(&at, end, ";slots=", slots) && at == end);
 }
