Skip the shards of an empty claim holder in each tick

claim_holder_tick() was the largest function of tm-entry in a profile at idle, 4.1 % of the samples: it visits 1,024 lists every 10 ms. Without a record it returns at once. With records the visit remains.

--- a/src/claim/claim_holder.c
+++ b/src/claim/claim_holder.c
@@ -496,6 +496,8 @@
 {
 	uint32_t i;
 
+	if (holder->stats.records == 0)
+		return;
 	for (i = 0; i < GROUP_SHARDS_MAX; i++) {
 		claim_shard_t *shard = &holder->shards[i];
 
