--- a/src/config/config_defs.h
+++ b/src/config/config_defs.h
@@ -19,10 +19,11 @@
 #define CONFIG_IP_MAX_BYTES	   45
 #define CONFIG_CHANGE_ID_MAX_BYTES 64
 #define CONFIG_SHA256_BYTES	   32
-#define CONFIG_WORKSPACES_MAX	   4096
-#define CONFIG_RATE_MAX_PER_S	   1000000
-#define CONFIG_BURST_MAX	   10000000
-#define CONFIG_DEADLINE_MAX_MS	   600000
+/** Names in the list of one route; the number of workspaces has no limit. */
+#define CONFIG_ROUTE_WORKSPACES_MAX 4096
+#define CONFIG_RATE_MAX_PER_S	    1000000
+#define CONFIG_BURST_MAX	    10000000
+#define CONFIG_DEADLINE_MAX_MS	    600000
 
 /** What an entry changed; the first five are the operators' objects. */
 typedef enum config_kind {
--- a/src/config/config_json.c
+++ b/src/config/config_json.c
@@ -69,8 +69,8 @@
 	int count;
 	int i;
 
-	count = json_need_list(
-	    node, "workspaces", 0, CONFIG_WORKSPACES_MAX, "workspace names");
+	count = json_need_list(node, "workspaces", 0,
+	    CONFIG_ROUTE_WORKSPACES_MAX, "workspace names");
 	if (count == 0)
 		return (TM_OK);
 	out->workspaces = calloc((size_t)count, sizeof(char *));
--- a/src/config/config_object.c
+++ b/src/config/config_object.c
@@ -158,7 +158,8 @@
 
 	if (!config_host_is_valid(msg->host) ||
 	    !config_path_is_valid(msg->path_prefix) ||
-	    count > CONFIG_WORKSPACES_MAX || (msg->all_workspaces && count > 0))
+	    count > CONFIG_ROUTE_WORKSPACES_MAX ||
+	    (msg->all_workspaces && count > 0))
 		return (TM_EINVAL);
 	out->host = config_copy_text(room, msg->host);
 	out->path_prefix = config_copy_text(room, msg->path_prefix);
