--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -12,7 +12,8 @@
 import sys
 import time
 
-from bench_lib import (Fleet, Load, TARGET_CAP, boot_ms, fetch, fit_line, quantile)
+from bench_lib import (Fleet, Load, TARGET_CAP, boot_ms, fetch, fit_line,
+                       quantile)
 
 DEPLOYMENTS = {"M": {"targets": "8,20,6", "slots": 6, "dcs": 3},
                "G": {"targets": "8,20,8", "slots": 4, "dcs": 4}}
@@ -276,7 +277,7 @@
 def first_quiet_ms(starts, fault_ms, until_ms):
     """Last start before the first gap of QUIET_MS; None without a gap."""
     last = fault_ms
-    for start in [s for s in starts if s > fault_ms] + [until_ms]:
+    for start in [s for s in starts if fault_ms < s < until_ms] + [until_ms]:
         if start - last >= QUIET_MS:
             return last - fault_ms
         last = start
@@ -287,8 +288,9 @@
     label = f"detect.{kind}" + ("" if mode is None else "." + mode)
     out.note("processes: from the fault to the last start in the target's "
              f"record before a gap of {QUIET_MS} ms; one target of each "
-             "service at a time, load 30 %; requests that a stalled target "
-             "queues are not starts")
+             "service at a time, load 30 %; the start of a request "
+             "that waited in a slow target's queue is late by that wait, and "
+             "a stalled target starts none of its queue")
     seconds = trials * len(FAULTS) * 6 + 8
     marks = []
     with deployment(build, kind, "detect-" + kind, mode=mode) as fleet:
@@ -369,7 +371,7 @@
     label = f"fair.{kind}" + ("" if mode is None else "." + mode)
     capacity = capacity_per_s(kind)
     weights = [4, 4, 1, 1, 1, 1, 1, 1]
-    rates = {f"w{i + 1}": capacity * 0.3 * w / sum(weights)
+    rates = {f"w{i + 1}": round(capacity * 0.3 * w / sum(weights))
              for i, w in enumerate(weights)}
     noisy = "w1"
     out.note("processes: w1 (a large workspace) sends 10 times its rate, the "
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -164,7 +164,7 @@
 start)
 	if ! start_all; then
 		for name in $FLEET_CONTROLS $FLEET_ENTRIES $FLEET_TARGETS; do
-			is_alive "$name" || {
+			is_alive "$name" || [ ! -f "$dir/$name.log" ] || {
 				echo "fleet: $name does not run:" >&2
 				tail -n 5 "$dir/$name.log" >&2
 			}
