--- a/src/entry/keyguard.c
+++ b/src/entry/keyguard.c
@@ -39,12 +39,16 @@
 static int
 text_contains_any_case(keyguard_text_t text, keyguard_text_t part)
 {
+	char first;
 	size_t i;
 
 	if (part.len == 0 || text.len < part.len)
 		return (0);
+	/* This bit is the only one in which the cases of a letter differ. */
+	first = (char)(part.base[0] | 0x20);
 	for (i = 0; i <= text.len - part.len; i++) {
-		if (strncasecmp(text.base + i, part.base, part.len) == 0)
+		if ((char)(text.base[i] | 0x20) == first &&
+		    strncasecmp(text.base + i, part.base, part.len) == 0)
 			return (1);
 	}
 	return (0);
