rate: decide who may wait by a reference bucket of the leader

The leader drains a virtual bucket by arrivals; what it admits may wait up to 2 s of the rate, anything else is refused at once. Drift is allowed for by 500 ms of the rate since the reference was last full.

--- a/src/proto/rate.pb-c.c
+++ b/src/proto/rate.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) tm__rate_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__rate_need__field_descriptors[8] =
+static const ProtobufCFieldDescriptor tm__rate_need__field_descriptors[10] =
 {
   {
     "workspace",
@@ -394,8 +394,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fresh",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__RateNeed, fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__RateNeed, used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__rate_need__field_indices_by_name[] = {
+  8,   /* field[8] = fresh */
   1,   /* field[1] = incarnation */
   4,   /* field[4] = need */
   5,   /* field[5] = prefetch */
@@ -403,12 +428,13 @@
   7,   /* field[7] = reports */
   3,   /* field[3] = sent_ms */
   2,   /* field[2] = sequence */
+  9,   /* field[9] = used */
   0,   /* field[0] = workspace */
 };
 static const ProtobufCIntRange tm__rate_need__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor tm__rate_need__descriptor =
 {
@@ -418,7 +444,7 @@
   "Tm__RateNeed",
   "tm",
   sizeof(Tm__RateNeed),
-  8,
+  10,
   tm__rate_need__field_descriptors,
   tm__rate_need__field_indices_by_name,
   1,  tm__rate_need__number_ranges,
--- a/src/proto/rate.pb-c.h
+++ b/src/proto/rate.pb-c.h
@@ -60,10 +60,18 @@
   protobuf_c_boolean reply;
   size_t n_reports;
   Tm__RateReport **reports;
+  /*
+   * of need, not named to this leader before
+   */
+  uint32_t fresh;
+  /*
+   * requests that found a token at the VM
+   */
+  uint32_t used;
 };
 #define TM__RATE_NEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__rate_need__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Tm__RateGrant
--- a/src/rate/rate_bucket.c
+++ b/src/rate/rate_bucket.c
@@ -4,6 +4,32 @@
 
 #include <utlist.h>
 
+/* Whole tokens of an amount, at most limit. */
+static uint32_t
+rate_whole(int64_t amount, uint32_t limit)
+{
+	int64_t whole = amount / RATE_UTOKENS;
+
+	return (whole < limit ? (uint32_t)whole : limit);
+}
+
+int64_t
+rate_bucket_get_spare_max(const rate_bucket_t *bucket)
+{
+	return (RATE_UTOKENS + bucket->rate_us / 1000 * RATE_DRIFT_MS);
+}
+
+static void
+rate_bucket_refill_reference(rate_bucket_t *bucket, int64_t gain)
+{
+	if (bucket->reference < bucket->burst)
+		bucket->reference += gain;
+	if (bucket->reference < bucket->burst)
+		return;
+	bucket->reference = bucket->burst;
+	bucket->spare = rate_bucket_get_spare_max(bucket);
+}
+
 void
 rate_bucket_refill(
     rate_bucket_t *bucket, int64_t now_ms, int ignore_outstanding)
@@ -24,6 +50,7 @@
 	gain = bucket->rate_us * elapsed_ms + bucket->refill_rest;
 	bucket->refill_rest = gain % 1000;
 	bucket->level += gain / 1000;
+	rate_bucket_refill_reference(bucket, gain / 1000);
 	if (bucket->level > room) {
 		bucket->level = room > 0 ? room : 0;
 		bucket->refill_rest = 0;
@@ -145,26 +172,33 @@
 	return (waiting);
 }
 
-int64_t
-rate_bucket_get_queue_ms(const rate_bucket_t *bucket, int64_t now_ms)
+void
+rate_bucket_count(rate_bucket_t *bucket, uint32_t arrivals)
 {
-	if (bucket->taken_over_ms > 0 &&
-	    now_ms - bucket->taken_over_ms < RATE_CATCH_UP_MS)
-		return (RATE_CATCH_UP_QUEUE_MS);
-	return (RATE_QUEUE_MS);
+	bucket->reference -=
+	    rate_whole(bucket->reference, arrivals) * RATE_UTOKENS;
+}
+
+uint32_t
+rate_bucket_admit(rate_bucket_t *bucket, uint32_t arrivals)
+{
+	uint32_t admitted = rate_whole(bucket->reference, arrivals);
+	uint32_t spare = rate_whole(bucket->spare, arrivals - admitted);
+
+	bucket->reference -= admitted * RATE_UTOKENS;
+	bucket->spare -= spare * RATE_UTOKENS;
+	return (admitted + spare);
 }
 
 int64_t
-rate_bucket_get_next_ms(const rate_bucket_t *bucket, int64_t now_ms)
+rate_bucket_get_next_ms(const rate_bucket_t *bucket)
 {
-	int64_t missing = (rate_bucket_get_waiting(bucket) + 1) * RATE_UTOKENS -
-	    bucket->level;
+	int64_t missing = RATE_UTOKENS - bucket->reference;
 	int64_t wait_ms;
 
 	if (missing <= 0)
 		return (1);
-	wait_ms = (missing * 1000 + bucket->rate_us - 1) / bucket->rate_us -
-	    rate_bucket_get_queue_ms(bucket, now_ms);
+	wait_ms = (missing * 1000 + bucket->rate_us - 1) / bucket->rate_us;
 	return (wait_ms > 0 ? wait_ms : 1);
 }
 
--- a/src/rate/rate_bucket.h
+++ b/src/rate/rate_bucket.h
@@ -35,6 +35,7 @@
 	int64_t sent_ms; /**< clock of the VM */
 	int64_t since_ms;
 	uint32_t need; /**< requests that still wait */
+	uint32_t allowed; /**< of these, admitted by the reference bucket */
 	uint32_t tokens; /**< for the next message */
 	uint32_t refuse; /**< for the next message */
 	int ack; /**< the VM has no answer to this sequence yet */
@@ -50,13 +51,19 @@
 	int64_t rate_us; /**< utokens per second */
 	int64_t burst;
 	int64_t level;
+	/**
+	 * Level of a bucket with the same rate and burst that arrivals drain
+	 * without delay and that nothing holds up. It decides which requests
+	 * may wait for a token; it never grants one.
+	 */
+	int64_t reference;
+	int64_t spare; /**< arrivals admitted for the lag of the reference */
 	int64_t refill_rest; /**< below one utoken, in thousandths */
 	int64_t refilled_ms;
 	rate_grant_t *grants;
 	int64_t granted_out; /**< sum of what grants have outstanding */
 	int64_t unknown_out; /**< tokens of an earlier leader */
 	int64_t unknown_until_ms;
-	int64_t taken_over_ms; /**< from another leader; 0 if new */
 	rate_waiter_t *waiters;
 	int64_t short_ms; /**< start of the present queue; 0 without one */
 	int64_t floor; /**< highest floor that a new leader may find */
@@ -99,11 +106,21 @@
 /** @return requests that wait at all VMs */
 int64_t rate_bucket_get_waiting(const rate_bucket_t *bucket);
 
-/** @return time of tokens that may be waited for in place of a refusal, ms */
-int64_t rate_bucket_get_queue_ms(const rate_bucket_t *bucket, int64_t now_ms);
+/** @return most utokens that make up for the drift of the reference */
+int64_t rate_bucket_get_spare_max(const rate_bucket_t *bucket);
 
-/** @return ms until the queue accepts another request, at least 1 */
-int64_t rate_bucket_get_next_ms(const rate_bucket_t *bucket, int64_t now_ms);
+/** Counts arrivals that were served without waiting. */
+void rate_bucket_count(rate_bucket_t *bucket, uint32_t arrivals);
+
+/**
+ * Counts arrivals in the reference bucket.
+ *
+ * @return arrivals that the rate and the burst allow
+ */
+uint32_t rate_bucket_admit(rate_bucket_t *bucket, uint32_t arrivals);
+
+/** @return ms until the rate allows another request, at least 1 */
+int64_t rate_bucket_get_next_ms(const rate_bucket_t *bucket);
 
 /**
  * Max-min share: the largest count per VM for which the waiting requests up to
--- a/src/rate/rate_client.c
+++ b/src/rate/rate_client.c
@@ -51,6 +51,7 @@
 	void *request;
 	int64_t since_ms;
 	int64_t deadline_ms;
+	node_id_t named_to; /* leader that knows the request */
 	struct rate_pending *prev;
 	struct rate_pending *next;
 } rate_pending_t;
@@ -73,6 +74,7 @@
 	int64_t next_ask_ms;
 	int64_t empty_until_ms;
 	int64_t dirty_ms; /* oldest unreported change; 0 if none */
+	uint32_t used; /* requests that found a token here, unreported */
 	uint32_t demand_count; /* requests since demand_ms */
 	int64_t demand_ms;
 	double demand_per_s;
@@ -337,6 +339,21 @@
 	return (whole > space->stock ? whole - space->stock : 0);
 }
 
+/* Counts the requests that the leader does not know yet, and marks them. */
+static uint32_t
+rate_name_pending(rate_space_t *space, node_id_t leader)
+{
+	rate_pending_t *pending;
+	uint32_t fresh = 0;
+
+	DL_FOREACH(space->pending, pending) {
+		if (pending->named_to != leader)
+			fresh++;
+		pending->named_to = leader;
+	}
+	return (fresh);
+}
+
 /* Sends waiting requests, wanted prefetch and reports to the leader. */
 static void
 rate_send_need(rate_client_t *client, rate_space_t *space, uint32_t prefetch,
@@ -356,6 +373,9 @@
 	msg.sequence = ++space->sequence;
 	msg.sent_ms = now_ms;
 	msg.need = space->pending_count;
+	msg.used = space->used;
+	space->used = 0;
+	msg.fresh = rate_name_pending(space, leader);
 	msg.prefetch = prefetch;
 	msg.n_reports = rate_fill_reports(space, leader, reports, list);
 	msg.reports = list;
@@ -382,6 +402,8 @@
 	msg.workspace = space->workspace;
 	msg.incarnation = client->options.incarnation;
 	msg.sent_ms = now_ms;
+	msg.used = space->used;
+	space->used = 0;
 	msg.n_reports = rate_fill_reports(space, leader, reports, list);
 	msg.reports = list;
 	client->options.send(
@@ -452,6 +474,7 @@
 	rate_activate(client, space);
 	space->demand_count++;
 	if (space->pending == NULL && rate_spend(client, space, now_ms)) {
+		space->used++;
 		if (space->stock * 2 < rate_get_prefetch(space))
 			rate_ask(client, space, now_ms);
 		return (RATE_GRANTED);
@@ -492,8 +515,11 @@
 static void
 rate_serve_pending(rate_client_t *client, rate_space_t *space, int64_t now_ms)
 {
-	while (space->pending != NULL && rate_spend(client, space, now_ms))
+	while (space->pending != NULL && rate_spend(client, space, now_ms)) {
+		if (space->pending->named_to == NODE_ID_NONE)
+			space->used++;
 		rate_decide(client, space, space->pending, RATE_GRANTED, 0);
+	}
 }
 
 static void
--- a/src/rate/rate_defs.h
+++ b/src/rate/rate_defs.h
@@ -25,16 +25,18 @@
 /** A VM prefetches what it needs in this time. */
 #define RATE_PREFETCH_MS 500
 /**
- * A request waits at the leader in place of a refusal while the tokens ahead of
- * it accrue in this time. A waiting request occupies a place of its service's
- * queue, so the time is short.
+ * A request that the reference bucket admits waits at the leader while the
+ * tokens ahead of it accrue in this time. A change of the leader loses about
+ * 1.2 s of refill.
  */
-#define RATE_QUEUE_MS 100
+#define RATE_QUEUE_MS 2000
 /**
- * A change of the leader loses about 1 s of refill, which a workspace close to
- * its rate makes up for slowly; until then the queue is longer.
+ * The leader learns of arrivals late and in another order, so its reference
+ * bucket drifts from the true one until both are full. Since it was last full,
+ * the tokens of this time admit arrivals beyond it.
  */
-#define RATE_CATCH_UP_QUEUE_MS 1000
-#define RATE_CATCH_UP_MS       60000
+#define RATE_DRIFT_MS 500
+/** Arrivals during a change of the leader, credited to the reference bucket. */
+#define RATE_CHANGE_MS 1500
 
 #endif
--- a/src/rate/rate_leader.c
+++ b/src/rate/rate_leader.c
@@ -179,6 +179,7 @@
 	bucket->rate_us = config->rate_us;
 	bucket->burst = config->burst;
 	bucket->level = config->burst;
+	bucket->reference = config->burst;
 	bucket->floor = config->burst;
 	bucket->floor_pending = -1;
 	bucket->refilled_ms = now_ms;
@@ -213,7 +214,9 @@
 	    ? rate_min(entry->outstanding_utokens, bucket->burst - floor)
 	    : bucket->burst - floor;
 	bucket->unknown_until_ms = now_ms + RATE_TOKEN_RECLAIM_MS;
-	bucket->taken_over_ms = now_ms;
+	bucket->spare = rate_bucket_get_spare_max(bucket);
+	bucket->reference =
+	    bucket->burst + bucket->rate_us / 1000 * RATE_CHANGE_MS;
 }
 
 typedef struct rate_visit {
@@ -389,8 +392,8 @@
 	int64_t capacity = bucket->level + bucket->unknown_out;
 
 	if (!leader->options.test_skip_queue)
-		capacity += bucket->rate_us *
-		    rate_bucket_get_queue_ms(bucket, now_ms) / 1000;
+		capacity += bucket->rate_us / 1000 * RATE_QUEUE_MS +
+		    bucket->rate_us % 1000 * RATE_QUEUE_MS / 1000;
 	if (!leader->options.test_skip_recall &&
 	    now_ms - bucket->short_ms < RATE_RECALL_WAIT_MS)
 		capacity += rate_bucket_get_idle(bucket) * RATE_UTOKENS;
@@ -419,6 +422,24 @@
 	}
 }
 
+/* Marks requests that neither a token nor the reference bucket admits. */
+static void
+rate_leader_refuse(rate_bucket_t *bucket)
+{
+	rate_waiter_t *waiter;
+
+	DL_FOREACH(bucket->waiters, waiter) {
+		if (waiter->allowed > waiter->tokens)
+			waiter->allowed -= waiter->tokens;
+		else
+			waiter->allowed = 0;
+		if (waiter->need > waiter->allowed) {
+			waiter->refuse = waiter->need - waiter->allowed;
+			waiter->need = waiter->allowed;
+		}
+	}
+}
+
 /* Marks requests beyond the capacity; the VMs with the most lose them. */
 static void
 rate_leader_limit(rate_bucket_t *bucket, int64_t capacity)
@@ -440,7 +461,7 @@
 			keep++;
 			spare--;
 		}
-		waiter->refuse = waiter->need - keep;
+		waiter->refuse += waiter->need - keep;
 		waiter->need = keep;
 	}
 }
@@ -471,7 +492,7 @@
 	if (msg.tokens > 0)
 		msg.grant = leader->next_grant;
 	if (msg.refuse > 0)
-		msg.retry_after_ms = rate_bucket_get_next_ms(bucket, now_ms);
+		msg.retry_after_ms = rate_bucket_get_next_ms(bucket);
 	msg.sequence = waiter->sequence;
 	msg.sent_ms = waiter->sent_ms;
 	waiter->tokens = 0;
@@ -516,6 +537,7 @@
 	else if (bucket->short_ms == 0)
 		bucket->short_ms = now_ms;
 	rate_leader_divide(bucket);
+	rate_leader_refuse(bucket);
 	rate_leader_limit(bucket,
 	    rate_leader_get_capacity(leader, bucket, now_ms) -
 		rate_bucket_get_divided(bucket));
@@ -611,6 +633,8 @@
 	waiter->sequence = need->sequence;
 	waiter->sent_ms = need->sent_ms;
 	waiter->need = need->need;
+	waiter->allowed =
+	    need->need - need->fresh + rate_bucket_admit(bucket, need->fresh);
 	waiter->ack = 1;
 	rate_leader_serve(leader, bucket, now_ms);
 }
@@ -625,6 +649,7 @@
 	for (i = 0; i < need->n_reports; i++)
 		rate_bucket_report(bucket, vm, need->reports[i]->grant,
 		    need->reports[i]->spent, need->reports[i]->returned);
+	rate_bucket_count(bucket, need->used);
 	if (leader->stopping)
 		return;
 	if (need->need == 0 && need->prefetch == 0) {
@@ -634,6 +659,7 @@
 	if (need->need == 0 ||
 	    (bucket->waiters == NULL &&
 		need->need <= rate_bucket_get_available(bucket))) {
+		rate_bucket_count(bucket, need->fresh);
 		rate_leader_answer(leader, bucket, vm, need, now_ms);
 		rate_leader_serve(leader, bucket, now_ms);
 		return;
@@ -689,7 +715,8 @@
 	if (need == NULL)
 		return (TM_EFORMAT);
 	if (node_name_is_valid(need->workspace) &&
-	    need->need <= RATE_NEED_MAX && need->prefetch <= RATE_NEED_MAX) {
+	    need->need <= RATE_NEED_MAX && need->fresh <= need->need &&
+	    need->prefetch <= RATE_NEED_MAX) {
 		rate_leader_dispatch(leader, from, need, now_ms);
 		err = TM_OK;
 	}
