test: end the threads of a fleet scenario before its processes

Cause: the thread that restarts crashed targets still ran while the fleet was stopped, so 2 to 5 tm-target processes were left behind by each run of crash.fleet and slowed down what ran later. Ruled out: fleet.sh stop, which stops every process whose id file it finds. After: none is left.

--- a/test/functional/fleet_scenario.py
+++ b/test/functional/fleet_scenario.py
@@ -228,7 +228,7 @@
         def run(stop):
             while not stop.wait(0.1):
                 for target in self.names(names):
-                    if not self.is_running(target):
+                    if not stop.is_set() and not self.is_running(target):
                         self.script("run", target, check=False)
         self.start_thread(name, run)
 
@@ -362,6 +362,11 @@
         for stops in self.stops.values():
             for stop in stops:
                 stop.set()
+        # A thread that starts processes again must end before they are
+        # stopped, or it leaves processes behind.
+        for threads in self.threads.values():
+            for thread in threads:
+                thread.join(10)
         for process in [p for p, _ in self.loads.values()] + self.twins:
             if process.poll() is None:
                 process.kill()
