entry: a request that waits long for a token gives its place in the queue back

Cause: since requests wait at the leader for the next tokens, a workspace above its rate keeps about half a second of its rate waiting, and each of these requests counted as running; with 44 VMs a VM has 4 to 5 places per service, so the others could wait behind it (seen by reading the code, not measured). Ruled out: taking the token before the queue, because tokens would then be spent in bunches when the queue moves, which breaks the bound on the targets' records; not counting any waiting request, because the first token of a workspace always takes a round trip and the queue would let everything pass. After 50 ms without a token the place goes to the next request; with the token the request runs even above the limit, bounded by the rate. The demo now sends its 200 requests at once; with 50 at a time callers were served at the rate and nothing had to be refused.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -100,7 +100,7 @@
 	echo "output = /dev/null"
 	n=$((n + 1))
 done >"$dir/burst.curl"
-curl -s -Z --parallel-max 50 -H "X-Api-Key: $(cat "$dir/key.w3")" \
+curl -s -Z --parallel-max 200 --parallel-immediate -H "X-Api-Key: $(cat "$dir/key.w3")" \
     -w '%{http_code}\n' -K "$dir/burst.curl" >"$dir/burst.out" 2>/dev/null
 passed=$(grep -c 200 "$dir/burst.out")
 refused=$(grep -c 429 "$dir/burst.out")
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -13,7 +13,9 @@
 
 /* Interval of the check that a caller still waits. */
 #define ABANDON_CHECK_MS 100
-#define NS_PER_US	 1000
+/* A request keeps its place in the queue for this long without a token. */
+#define TOKEN_PLACE_MS 50
+#define NS_PER_US      1000
 
 int
 request_is_answered(const entry_request_t *request)
@@ -177,6 +179,7 @@
 	rate_result_t result;
 
 	request->state = REQUEST_TOKEN;
+	request->token_since_ms = now_ms;
 	if (test_hooks_is_off("rate")) {
 		request_dispatch(request);
 		return;
@@ -189,6 +192,32 @@
 		    request->entry, request, result, retry_after_ms);
 }
 
+/*
+ * A request that waits long for a token gives its place in the queue back, so
+ * that a workspace above its rate does not hold the places of the others.
+ */
+static void
+request_suspend(entry_request_t *request, int64_t now_ms)
+{
+	if (!request->is_released ||
+	    now_ms - request->token_since_ms < TOKEN_PLACE_MS)
+		return;
+	fair_queue_finish(request->service->queue, &request->item);
+	request->is_released = 0;
+	request->service->needs_pump = 1;
+}
+
+/* The token is spent, so the request runs even above the limit. */
+static void
+request_resume(entry_request_t *request)
+{
+	if (request->is_released)
+		return;
+	request->is_released =
+	    fair_queue_resume(request->service->queue, &request->item,
+		request->workspace->id) == TM_OK;
+}
+
 void
 request_on_token(
     void *ctx, void *waiting, rate_result_t result, int64_t retry_after_ms)
@@ -198,6 +227,7 @@
 	(void)ctx;
 	switch (result) {
 	case RATE_GRANTED:
+		request_resume(request);
 		request_dispatch(request);
 		break;
 	case RATE_REFUSED:
@@ -419,5 +449,7 @@
 			request_abandon(request);
 		else if (request->state == REQUEST_SENT)
 			request_hedge(request, now_ms);
+		else if (request->state == REQUEST_TOKEN)
+			request_suspend(request, now_ms);
 	}
 }
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -54,6 +54,7 @@
 	request_state_t state;
 	fair_item_t item;
 	int is_released; /**< counts as running in the queue */
+	int64_t token_since_ms; /**< start of the wait for a token */
 	claim_call_t claim; /**< 0: none */
 	request_attempt_t attempts[REQUEST_ATTEMPTS];
 	uint64_t tried[REQUEST_TRIES_MAX];
--- a/src/queue/fair_queue.c
+++ b/src/queue/fair_queue.c
@@ -428,6 +428,20 @@
 	workspace_place(queue, workspace);
 }
 
+int
+fair_queue_resume(fair_queue_t *queue, fair_item_t *item, uint64_t workspace_id)
+{
+	fair_workspace_t *workspace = workspace_get(queue, workspace_id);
+
+	if (workspace == NULL)
+		return (TM_ENOMEM);
+	item->workspace = workspace;
+	workspace->running++;
+	queue->running++;
+	workspace_place(queue, workspace);
+	return (TM_OK);
+}
+
 void
 fair_queue_return(fair_queue_t *queue, fair_item_t *item)
 {
--- a/src/queue/fair_queue.h
+++ b/src/queue/fair_queue.h
@@ -101,6 +101,15 @@
 /** Ends a running request. */
 void fair_queue_finish(fair_queue_t *queue, fair_item_t *item);
 
+/**
+ * Counts a request as running again after fair_queue_finish(), whatever the
+ * limit and the shares are.
+ *
+ * @return 0 or TM_ENOMEM
+ */
+int fair_queue_resume(
+    fair_queue_t *queue, fair_item_t *item, uint64_t workspace_id);
+
 /** Puts a released request back at the front of its queue. */
 void fair_queue_return(fair_queue_t *queue, fair_item_t *item);
 
--- a/test/unit/queue_test.cc
+++ b/test/unit/queue_test.cc
@@ -201,3 +201,25 @@
 		.count();
 	printf("queue_cycle_47000_workspaces %.0f ns\n", ns / (double)next);
 }
+
+// Guards against a workspace that waits for tokens and keeps the places that
+// other workspaces need, and against counts that drift when it goes on.
+TEST(QueuePlaces, GivesAPlaceBackAndTakesItAgain)
+{
+	fair_queue_t *queue = fair_queue_create(1);
+	fair_item_t waiting = {};
+	fair_item_t other = {};
+
+	ASSERT_EQ(fair_queue_push(queue, &waiting, 1, 1000, 0), 0);
+	ASSERT_EQ(fair_queue_push(queue, &other, 2, 1000, 0), 0);
+	ASSERT_EQ(fair_queue_release(queue, 0), &waiting);
+	EXPECT_EQ(fair_queue_release(queue, 0), nullptr);
+	fair_queue_finish(queue, &waiting);
+	EXPECT_EQ(fair_queue_release(queue, 0), &other);
+	ASSERT_EQ(fair_queue_resume(queue, &waiting, 1), 0);
+	EXPECT_EQ(fair_queue_get_running(queue), 2u);
+	fair_queue_finish(queue, &waiting);
+	fair_queue_finish(queue, &other);
+	EXPECT_EQ(fair_queue_get_running(queue), 0u);
+	fair_queue_destroy(queue);
+}
