group: go on with the last known leader while asking again

Cause: a VM that is no holder dropped the name of the leader after 2 s and then waited for a lookup, which was the p99 of the wait for a token. Ruled out: a longer cache alone, because a former leader would be asked for longer; it now answers that it is none, or the background lookup replaces it.

--- a/src/group/group.c
+++ b/src/group/group.c
@@ -397,7 +397,7 @@
 		if (leader != NODE_ID_NONE)
 			return (leader);
 	}
-	if (now_ms >= found->cached_until_ms)
+	if (now_ms >= found->cached_until_ms + GROUP_CACHE_STALE_MS)
 		found->cached_leader = NODE_ID_NONE;
 	if (found->cached_leader == NODE_ID_NONE ||
 	    now_ms >= found->cached_until_ms - GROUP_CACHE_MS / 4)
--- a/src/group/group_defs.h
+++ b/src/group/group_defs.h
@@ -30,6 +30,12 @@
 #define GROUP_RESEND_MS 300
 /** Answers of holders about the leader are kept for this long. */
 #define GROUP_CACHE_MS 2000
+/**
+ * An older answer is still used for this long while a holder is asked again,
+ * so that a rare request does not wait for the lookup. A former leader answers
+ * that it is none.
+ */
+#define GROUP_CACHE_STALE_MS 10000
 /** A lost group's leases and tokens have run out after this time. */
 #define GROUP_LOST_LEAD_MS 5000
 
