Share the command line and the signals of tm-control and tm-entry

The two programs had the same signal code, and tm-control its own copy of the command line that the others share.

--- a/src/control/control_settings.c
+++ b/src/control/control_settings.c
@@ -9,7 +9,7 @@
 static const char *const log_level_words[] = { "debug", "info", "warn", "error",
 	NULL };
 
-static const char control_default_settings[] =
+const char control_default_settings[] =
     "{\n"
     "  \"node\": \"control-1\",\n"
     "  \"data_centre\": \"dc-1\",\n"
@@ -33,12 +33,6 @@
     "  \"log_level\": \"info\"\n"
     "}\n";
 
-void
-control_settings_print_default(FILE *out)
-{
-	fputs(control_default_settings, out);
-}
-
 const control_vm_t *
 control_settings_find_vm(const control_settings_t *settings, node_id_t id)
 {
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -63,8 +63,8 @@
 int control_settings_load(
     control_settings_t *settings, const char *file, FILE *errors);
 
-/** Writes an example that only needs its secrets and tokens replaced. */
-void control_settings_print_default(FILE *out);
+/** Example for --print-default. */
+extern const char control_default_settings[];
 
 /** @return the VM of an id, or NULL */
 const control_vm_t *control_settings_find_vm(
--- a/src/entry/entry_main.c
+++ b/src/entry/entry_main.c
@@ -1,5 +1,4 @@
 /* tm-entry: accepts callers' requests and sends them to targets. */
-#include <signal.h>
 #include <stdio.h>
 
 #include <uv.h>
@@ -8,6 +7,7 @@
 #include "base/log.h"
 #include "entry/entry_defs.h"
 #include "settings/program_args.h"
+#include "settings/program_signals.h"
 
 #define STOP_POLL_MS 20
 
@@ -15,8 +15,7 @@
 	uv_loop_t loop;
 	entry_t *entry;
 	const char *settings_file;
-	uv_signal_t signals[2];
-	uv_signal_t hangup;
+	program_signals_t signals;
 	uv_timer_t stop_timer;
 } program_t;
 
@@ -30,11 +29,10 @@
 }
 
 static void
-program_on_signal(uv_signal_t *signal, int number)
+program_stop(void *ctx)
 {
-	program_t *program = signal->data;
+	program_t *program = ctx;
 
-	(void)number;
 	entry_begin_stop(program->entry);
 	uv_timer_start(
 	    &program->stop_timer, program_poll_stop, 0, STOP_POLL_MS);
@@ -42,12 +40,11 @@
 
 /* Reads secrets and certificates again; a bad file changes nothing. */
 static void
-program_on_hangup(uv_signal_t *signal, int number)
+program_reload(void *ctx)
 {
 	static entry_settings_t fresh;
-	program_t *program = signal->data;
+	program_t *program = ctx;
 
-	(void)number;
 	if (entry_settings_load(&fresh, program->settings_file, stderr) ==
 	    TM_OK)
 		entry_reload(program->entry, &fresh);
@@ -57,26 +54,6 @@
 		    LOG_TEXT("file", program->settings_file));
 }
 
-static void
-program_watch_signals(program_t *program)
-{
-	static const int numbers[] = { SIGTERM, SIGINT };
-	int i;
-
-	signal(SIGPIPE, SIG_IGN);
-	for (i = 0; i < 2; i++) {
-		uv_signal_init(&program->loop, &program->signals[i]);
-		program->signals[i].data = program;
-		uv_signal_start(
-		    &program->signals[i], program_on_signal, numbers[i]);
-	}
-	uv_signal_init(&program->loop, &program->hangup);
-	program->hangup.data = program;
-	uv_signal_start(&program->hangup, program_on_hangup, SIGHUP);
-	uv_timer_init(&program->loop, &program->stop_timer);
-	program->stop_timer.data = program;
-}
-
 static int
 program_run(entry_settings_t *settings, const char *file)
 {
@@ -87,7 +64,10 @@
 	uv_loop_init(&program.loop);
 	if (entry_create(&program.entry, settings, &program.loop) != TM_OK)
 		return (1);
-	program_watch_signals(&program);
+	program_watch_signals(&program.signals, &program.loop, program_stop,
+	    program_reload, &program);
+	uv_timer_init(&program.loop, &program.stop_timer);
+	program.stop_timer.data = &program;
 	LOG_EVENT(703, LOG_LEVEL_INFO, "started",
 	    LOG_TEXT("data_centre", settings->data_centre));
 	uv_run(&program.loop, UV_RUN_DEFAULT);
