entry: answer 429, not 504, when the rate held a request in the queue

Requests that waited for tokens held the few places of a cold service for 50 ms each, so the rest reached the end of their time in the queue before the rate could refuse them. Ruled out: refusing on arrival while the leader's word "empty" holds; all 200 arrive before that word. A place is now kept for 20 ms without a token, and a request that expires while its workspace is short of tokens is refused for the rate, with Retry-After.

--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -14,7 +14,7 @@
 /* Interval of the check that a caller still waits. */
 #define ABANDON_CHECK_MS 100
 /* A request keeps its place in the queue for this long without a token. */
-#define TOKEN_PLACE_MS 50
+#define TOKEN_PLACE_MS 20
 #define NS_PER_US      1000
 
 int
@@ -320,10 +320,29 @@
 		request_acquire(request);
 }
 
+/* @return time to the next token of the workspace; 0 if it has some */
+static int64_t
+request_get_token_delay_ms(const entry_request_t *request)
+{
+	rate_client_info_t info = { 0 };
+
+	if (rate_client_get_info(request->entry->rates,
+		request->workspace->name, clock_now_ms(), &info) != TM_OK)
+		return (0);
+	if (info.tokens > 0 || (info.waiting == 0 && info.empty_ms <= 0))
+		return (0);
+	return (info.empty_ms > 0 ? info.empty_ms : MS_PER_SEC);
+}
+
 void
 request_expire(entry_request_t *request)
 {
-	request_refuse(request, REFUSAL_DEADLINE_QUEUED, 0);
+	int64_t delay_ms = request_get_token_delay_ms(request);
+
+	if (delay_ms > 0)
+		request_refuse(request, REFUSAL_RATE, delay_ms);
+	else
+		request_refuse(request, REFUSAL_DEADLINE_QUEUED, 0);
 }
 
 static entry_request_t *
