test: measure the target size in a process of its own, by the fastest of 7 rounds

Cause: within the whole suite the measurement of memory printed 0 MB, because memory that earlier tests had freed was used again, and the cost of a tick was 128.8 us (1.29 %, above 1.2 %) on a busy machine, 54 to 85 us otherwise. Ruled out: malloc_trim() before the measurement, which then counts 52 MB, because pages of the test process itself come back. The bounds are the same. The sanitizer run leaves this measurement out.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -25,15 +25,19 @@
 run_step events python3 scripts/check-events.py
 run_step build make -s -j8 all "$build/bin/tm-unit"
 run_step lint make -s -j8 lint
-scripts/run-unit.sh "$build/bin/tm-unit" "$build"
+# Resident memory can only be measured in a process that has run no other test:
+# what those freed is used again and does not count.
+UNIT_SKIP='TargetSize.*' scripts/run-unit.sh "$build/bin/tm-unit" "$build"
+run_step target-size "$build/bin/tm-unit" --gtest_filter='TargetSize.*'
 scripts/run-functional.sh "$build"
 
-# The same tests without the benches, and the fuzz corpus with the same
+# The same tests without the benches and the measurement of memory and time,
+# which the sanitizers distort, and the fuzz corpus with the same
 # mutations each time, under the address and undefined-behaviour sanitizers.
 run_step build-san make -s -j8 SAN=1 build/san/bin/tm-unit fuzz-bins
 ASAN_OPTIONS=abort_on_error=1 \
     UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
-    UNIT_SKIP='*Bench*:RaftOnDisk.CommitRate' \
+    UNIT_SKIP='*Bench*:RaftOnDisk.CommitRate:TargetSize.*' \
     scripts/run-unit.sh build/san/bin/tm-unit build/san "$counts"
 scripts/run-fuzz.sh build/san 3000 1 "$counts"
 
--- a/test/scenario/target_size.c
+++ b/test/scenario/target_size.c
@@ -13,6 +13,7 @@
 #include "proto/service.pb-c.h"
 
 #define SERVICE_TICKS	 500
+#define TICK_ROUNDS	 7
 #define SERVICE_ROWS_MAX 256
 
 static uint64_t load_index;
@@ -235,9 +236,8 @@
 }
 
 static double
-measure_tick(entry_t *entry)
+measure_ticks(entry_t *entry, int64_t now_ms)
 {
-	int64_t now_ms = clock_now_ms();
 	double began = cpu_us();
 	int i;
 
@@ -246,6 +246,27 @@
 	return ((cpu_us() - began) / SERVICE_TICKS);
 }
 
+/*
+ * The fastest of several rounds: other processes that share caches and cores
+ * make a round slower, never faster.
+ */
+static double
+measure_tick(entry_t *entry)
+{
+	int64_t now_ms = clock_now_ms();
+	double best = measure_ticks(entry, now_ms);
+	double next;
+	int round;
+
+	for (round = 1; round < TICK_ROUNDS; round++) {
+		now_ms += SERVICE_TICKS * ENTRY_TICK_MS;
+		next = measure_ticks(entry, now_ms);
+		if (next < best)
+			best = next;
+	}
+	return (best);
+}
+
 static int
 measure(const target_size_t *size, target_size_result_t *result)
 {
