entry: remove a metric field that nothing sets

The wait for a token is measured by the rate client; rate_wait was never registered. Build, formatter and linter are clean and the demo ran after the removal.

--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -148,7 +148,6 @@
 	metric_t *refusals[32]; /**< by refusal_t */
 	metric_t *added_latency; /**< time in this VM, without the target */
 	metric_t *claim_latency;
-	metric_t *rate_wait;
 };
 
 /* entry.c */
