http: say in libh2o's own 400 that nothing was run

Cause: libh2o 2.2.5 answers bytes that it cannot parse with a fixed response that it hands to h2o_socket_write() itself, past all filters and loggers, so the response lacked X-Tm-Run.

Ruled out: an error filter (never called), a reader in front of h2o (each request would be parsed twice), h2o_uv_socket_create() with a stream of our own (writes go to libuv directly).

Change: http_unparsed defines h2o_socket_write(), replaces exactly this response and passes every other write on. The response is prepared once for each listener.

--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "base/error.h"
+#include "http/http_unparsed.h"
 
 #define LISTEN_BACKLOG 4096
 /* h2o has no limit on the time of a write. The kernel closes a connection
@@ -24,7 +25,7 @@
 
 struct http_server {
 	http_server_options_t options;
-	h2o_globalconf_t config;
+	http_config_t config;
 	h2o_context_t context;
 	h2o_accept_ctx_t accept_ctx;
 	uv_tcp_t listener;
@@ -136,23 +137,26 @@
 	h2o_pathconf_t *path;
 	server_handler_t *handler;
 
-	h2o_config_init(&server->config);
-	server->config.server_name =
+	h2o_config_init(&server->config.h2o);
+	server->config.h2o.server_name =
 	    h2o_iovec_init(options->server_name, strlen(options->server_name));
-	server->config.http1.req_timeout = options->idle_timeout_ms;
-	server->config.http1.upgrade_to_http2 = 0;
-	server->config.max_request_entity_size = options->body_max_bytes;
+	server->config.h2o.http1.req_timeout = options->idle_timeout_ms;
+	server->config.h2o.http1.upgrade_to_http2 = 0;
+	server->config.h2o.max_request_entity_size = options->body_max_bytes;
 	host = h2o_config_register_host(
-	    &server->config, h2o_iovec_init("default", 7), UINT16_MAX);
+	    &server->config.h2o, h2o_iovec_init("default", 7), UINT16_MAX);
 	path = h2o_config_register_path(host, "/", 0);
 	handler =
 	    (server_handler_t *)h2o_create_handler(path, sizeof(*handler));
 	handler->super.on_req = on_request;
 	handler->server = server;
 	add_filter(server, &host->fallback_path);
-	h2o_context_init(&server->context, options->loop, &server->config);
+	if (options->error_header != NULL)
+		http_unparsed_set_header(&server->config, options->error_header,
+		    options->error_value);
+	h2o_context_init(&server->context, options->loop, &server->config.h2o);
 	server->accept_ctx.ctx = &server->context;
-	server->accept_ctx.hosts = server->config.hosts;
+	server->accept_ctx.hosts = server->config.h2o.hosts;
 }
 
 int
