net: free a peer_net only after all of its handles are closed

Cause: libuv runs the close callbacks in reverse order and reads each handle after it, so the callback of the timer, which is closed last, freed the listener and the flush handle before libuv had read them. Valgrind reports an invalid read of 8 and of 4 bytes in uv_run() for each test of the suite Peer; the address sanitizer does not see it, because libuv is not instrumented.

Ruled out: connections, which have memory of their own and return at once when they are closed.

Now each callback counts; the last one frees.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -29,6 +29,7 @@
 # what those freed is used again and does not count.
 UNIT_SKIP='TargetSize.*' scripts/run-unit.sh "$build/bin/tm-unit" "$build"
 run_step target-size "$build/bin/tm-unit" --gtest_filter='TargetSize.*'
+run_step valgrind scripts/run-valgrind.sh "$build/bin/tm-unit"
 scripts/run-functional.sh "$build"
 
 # The same tests without the benches and the measurement of memory and time,
--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -123,6 +123,7 @@
 	net->listener.data = net;
 	net->flush.data = net;
 	net->timer.data = net;
+	net->handle_count = 3;
 	uv_tcp_init(net->loop, &net->listener);
 	uv_prepare_init(net->loop, &net->flush);
 	uv_timer_init(net->loop, &net->timer);
@@ -320,10 +321,14 @@
 #endif
 }
 
+/* libuv reads each handle once more after the callback of another one. */
 static void
 peer_net_on_closed(uv_handle_t *handle)
 {
-	peer_net_free(handle->data);
+	peer_net_t *net = handle->data;
+
+	if (--net->handle_count == 0)
+		peer_net_free(net);
 }
 
 void
@@ -335,7 +340,7 @@
 	net->is_closing = 1;
 	DL_FOREACH_SAFE(net->conns, conn, next)
 		peer_conn_close(conn);
-	uv_close((uv_handle_t *)&net->listener, NULL);
-	uv_close((uv_handle_t *)&net->flush, NULL);
+	uv_close((uv_handle_t *)&net->listener, peer_net_on_closed);
+	uv_close((uv_handle_t *)&net->flush, peer_net_on_closed);
 	uv_close((uv_handle_t *)&net->timer, peer_net_on_closed);
 }
--- a/src/net/peer_conn.h
+++ b/src/net/peer_conn.h
@@ -76,6 +76,7 @@
 	uv_tcp_t listener;
 	uv_prepare_t flush;
 	uv_timer_t timer;
+	uint32_t handle_count; /**< libuv handles that are not closed */
 	uint16_t port;
 	int is_closing;
 	int unauthenticated;
