service: let the switch target_incarnation cover the view as well

prove.sh printed UNPROVED move/target_incarnation: without the mechanism the older process of a target still got no request. The mechanism has guards in two places. The leader of a service refuses an older incarnation, and so does service_view_announce() on the entry VM that the target talks to: once the table holds the newer process, the older one gets 409 there and its announcement never reaches the leader. The switch reached the leader only. The scenario on the virtual clock cuts its second VM from the news, so that the announcement passes the view and the leader's guard alone decides.

SERVICE_VIEW_OFF_INCARNATION switches both tests of the view off, and TM_TEST_OFF=target_incarnation sets it.

'check newest' compared with the newest incarnation among the runs of its own time window, so an older process that took over all requests would have passed. It now compares with the newest one among all runs.

--- a/src/entry/entry_service.c
+++ b/src/entry/entry_service.c
@@ -182,6 +182,8 @@
 		off |= SERVICE_VIEW_OFF_FLOOR;
 	if (test_hooks_is_off("service_local"))
 		off |= SERVICE_VIEW_OFF_LOCAL;
+	if (test_hooks_is_off("target_incarnation"))
+		off |= SERVICE_VIEW_OFF_INCARNATION;
 	return (off);
 }
 
--- a/src/service/service_view.c
+++ b/src/service/service_view.c
@@ -196,19 +196,20 @@
 {
 	uint64_t id = service_id_from_name(announcement->target);
 	const service_endpoint_t *endpoint = view_find(view, id);
+	int check = !(view->opt.test_off & SERVICE_VIEW_OFF_INCARNATION);
 	view_announce_t *pending;
 
 	if (!node_name_is_valid(announcement->target) ||
 	    announcement->ip[0] == '\0' || announcement->port == 0 ||
 	    announcement->slots == 0)
 		return (TM_EINVAL);
-	if (endpoint != NULL &&
+	if (check && endpoint != NULL &&
 	    endpoint->incarnation > announcement->incarnation)
 		return (TM_ESTALE);
 	pending = view_get_announce(view, id);
 	if (pending == NULL)
 		return (TM_EFULL);
-	if (pending->target == id &&
+	if (check && pending->target == id &&
 	    pending->info.incarnation > announcement->incarnation)
 		return (TM_ESTALE);
 	if (pending->target != id ||
--- a/test/functional/fleet_checks.py
+++ b/test/functional/fleet_checks.py
@@ -189,7 +189,9 @@
         last = self.marks[target] + read_time_s(within) * 1000
         runs = [r["incarnation"] for r in self.starts()
                 if r["target"] == target and r["start_ms"] > last]
-        old = sum(i != max(runs) for i in runs)
+        newest = max(r["incarnation"] for r in self.starts()
+                     if r["target"] == target)
+        old = sum(i != newest for i in runs)
         return runs and old == 0, f"{old} of {len(runs)} at an older one"
 
     def check_uncut(self, *names, least=1):
