raft: start a new epoch from one surviving disk

A majority of lost disks left the group without a way to accept changes again. raft_recover() makes one surviving disk the only voter of a new epoch. The epoch stands in the upper half of terms and indexes, so that every message, vote, tick and entry of the old group compares as older without a new field. With an empty folder it comes back through the existing repair of lost disks.

A recovery is refused while a leader or a majority of voting disks was heard within 10 s, and while a voter with a more advanced log is heard. Two survivors that cannot hear each other may both be recovered; a part of the epoch that is drawn from the disk id orders the two, and the lower one stops when they meet (raft_recovery_twice.scn).

The cluster of the scenarios counted two leaders in contact as a violation at any time. It now does so within an epoch: after a recovery, an old majority that is cut off from the new group has a leader until it hears of it. Entries that such a majority accepts later are not counted as committed. Both are the same as before as long as there is no recovery.

Tried first: raising the term and the index by one.

--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -64,6 +64,8 @@
 {
 	int was_leader = raft->role == RAFT_LEADER;
 
+	if (raft_check_epoch(raft, term) != TM_OK)
+		return;
 	if (term > raft->term &&
 	    raft_save_vote(raft, term, NODE_ID_NONE) != TM_OK)
 		return;
@@ -230,6 +232,7 @@
 raft_restore(raft_t *raft)
 {
 	const raft_restore_t *restore = &raft->options.restore;
+	uint64_t restore_term = restore->term;
 	int err;
 
 	raft->term = restore->term;
@@ -242,6 +245,11 @@
 	if (err != TM_OK)
 		return (err);
 	raft_reload_config(raft);
+	if (restore_term < raft->snapshot.term &&
+	    raft_save_vote(raft, raft->snapshot.term, NODE_ID_NONE) != TM_OK)
+		return (raft->error);
+	if (raft_check_epoch(raft, raft->term) != TM_OK)
+		return (TM_OK);
 	return (raft_bootstrap(raft));
 }
 
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -30,6 +30,15 @@
 #define RAFT_TEST_IGNORE_DISK_ID  1u
 #define RAFT_TEST_NO_CHECK_QUORUM 2u
 #define RAFT_TEST_NO_PRE_VOTE	  4u
+#define RAFT_TEST_NO_EPOCH	  8u
+
+/**
+ * Terms and indexes of a recovered log start at epoch << RAFT_EPOCH_SHIFT, so
+ * that all of them are above those of the log before.
+ */
+#define RAFT_EPOCH_SHIFT 32
+/** A recovery needs this silence of leaders and of a majority. */
+#define RAFT_RECOVER_SILENCE_MS 10000
 
 typedef struct raft raft_t;
 
@@ -291,4 +300,47 @@
  */
 int raft_transfer(raft_t *raft, int64_t now_ms);
 
+/** What a recovery would start from. */
+typedef struct raft_recovery {
+	uint64_t last_index; /**< last entry on this disk */
+	uint64_t last_term;
+	uint64_t commit; /**< entries after it may not have been accepted */
+	uint64_t epoch; /**< of the recovered log */
+	int voters;
+	int voters_heard; /**< lately, with this node */
+	node_id_t ahead; /**< a voter with a more advanced log, if heard */
+	int64_t
+	    leader_silence_ms; /**< since a leader was heard, or the start */
+} raft_recovery_t;
+
+/** @return epoch of a term or of an index; 0 before any recovery */
+uint64_t raft_epoch_of(uint64_t term_or_index);
+
+/**
+ * Describes a recovery and checks whether it is allowed.
+ *
+ * @return 0; TM_EINUSE while a leader or a majority of the voters was heard
+ *         within RAFT_RECOVER_SILENCE_MS; TM_ESTALE if a voter was heard that
+ *         has a more advanced log; TM_EINVAL if this disk holds no vote;
+ *         TM_EEPOCH if a newer epoch exists; TM_EIO after a storage error
+ */
+int raft_plan_recovery(raft_t *raft, raft_recovery_t *out, int64_t now_ms);
+
+/**
+ * Reports that the state continues in a new epoch at an index.
+ */
+typedef void (*raft_epoch_cb)(void *ctx, uint64_t epoch, uint64_t index);
+
+/**
+ * Starts a new epoch after a majority was lost for good: this disk is its
+ * only voter, other members become learners once their folders are empty.
+ * Members with an older log take no further part once they hear of it.
+ *
+ * @param keep_tail  1 if entries after the commit index are applied
+ * @param begin      called with options.ctx before the snapshot is taken
+ * @return           as raft_plan_recovery(), or the error of a callback
+ */
+int raft_recover(
+    raft_t *raft, int keep_tail, raft_epoch_cb begin, int64_t now_ms);
+
 #endif
--- a/src/raft/raft_election.c
+++ b/src/raft/raft_election.c
@@ -204,6 +204,11 @@
 	int err = raft_check_vote_request(request);
 
 	/* A disk that holds no vote may have forgotten earlier votes. */
+	if (err == TM_OK) {
+		raft_note_voter(raft, from, request->disk_id);
+		raft_note_log(
+		    raft, from, request->last_term, request->last_index);
+	}
 	if (err == TM_OK && raft_is_voter(raft)) {
 		reply.granted = raft_decide_vote(raft, from, request);
 		reply.pre_vote = request->pre_vote;
@@ -251,8 +256,10 @@
 		return (TM_EFORMAT);
 	if (reply->disk_id == RAFT_DISK_NONE || reply->term == UINT64_MAX)
 		err = TM_EFORMAT;
-	else
+	else {
+		raft_note_voter(raft, from, reply->disk_id);
 		raft_take_vote(raft, from, reply);
+	}
 	tm__raft__vote_reply__free_unpacked(reply, NULL);
 	return (err);
 }
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -75,6 +75,9 @@
 	int64_t round_ms; /**< start of this round */
 	int64_t hello_ms; /**< while forming; 0 if never */
 	int hello_fresh;
+	int64_t voter_ms; /**< last message of a voter about elections */
+	uint64_t seen_term; /**< end of its log as far as known */
+	uint64_t seen_index;
 } raft_peer_t;
 
 /** A snapshot that is being received. */
@@ -150,6 +153,14 @@
 void raft_step_down(raft_t *raft, const char *reason);
 int64_t raft_get_quorum_ack_ms(const raft_t *raft);
 
+/* raft_recover.c */
+/** Notes a sign of life of a disk that holds a vote. */
+void raft_note_voter(raft_t *raft, node_id_t from, uint64_t disk_id);
+void raft_note_log(
+    raft_t *raft, node_id_t from, uint64_t last_term, uint64_t last_index);
+/** Ends the part of a node whose log is older than the epoch of a term. */
+int raft_check_epoch(raft_t *raft, uint64_t term);
+
 /* raft_replicate.c */
 void raft_tick_leader(raft_t *raft);
 void raft_send_to_peers(raft_t *raft);
--- a/test/scenario/raft_cluster.h
+++ b/test/scenario/raft_cluster.h
@@ -71,6 +71,8 @@
 	void cut(RaftNode *from, RaftNode *to, bool is_cut);
 	void isolate(RaftNode *node, bool is_cut);
 	int propose(RaftNode *node, const std::string &text);
+	/** Starts a new epoch; entries that the node lacks count as lost. */
+	int recover(RaftNode *node, int *lost);
 	/** Number of nodes whose disk was lost and that have no vote yet. */
 	int count_repairing();
 	/** After healing: all nodes hold every committed entry. */
@@ -83,6 +85,7 @@
 	std::vector<std::unique_ptr<RaftNode>> nodes;
 	std::vector<std::string> violations;
 	std::map<uint64_t, std::string> committed;
+	uint64_t epoch = 0; /**< newest one that was started */
 
       private:
 	std::map<uint64_t, std::string> leaders; /* by term */
