config: never take a recovered configuration over newer accepted changes

After a recovery the configuration goes on at the index epoch << 32, so an entry VM would install it over whatever it holds, also over accepted changes that the surviving disk had missed. A withdrawn key would be valid again without any notice.

The entry VM keeps its configuration and, as it knows that control lives without covering its index, does not serve (324). Restarting it is the operator's acceptance of the loss.

A first run of the scenario with all links healed at once showed that a VM with the newer configuration passes it on to all others before control reaches them, and then all refuse. Entry VMs that have heard a tick of the new epoch now take no entries of an older one, which keeps the refusal to those that held the change before; VMs that hear of the change first still refuse.

--- a/src/config/config_internal.h
+++ b/src/config/config_internal.h
@@ -40,6 +40,7 @@
 struct config_state {
 	uint64_t index;
 	uint64_t directory_index;
+	config_epochs_t epochs;
 	config_slot_t *tables[CONFIG_OBJECT_KINDS];
 	/* Objects in order of their names; rebuilt when needed. */
 	const config_object_t **sorted[CONFIG_OBJECT_KINDS];
@@ -81,6 +82,15 @@
 void config_state_reset(config_state_t *state);
 int config_group_decode(const Feed__Group *msg, config_group_t *out);
 
+/* config_epoch.c */
+size_t config_epochs_get_bytes(const config_epochs_t *epochs);
+void config_epochs_write(const config_epochs_t *epochs, uint8_t *out);
+/* @return 0 or TM_EFORMAT */
+int config_epochs_read(
+    config_epochs_t *epochs, const uint8_t *bytes, size_t len);
+/* @return 0; TM_EEPOCH if a state at this index cannot be continued */
+int config_epochs_check(const config_epochs_t *epochs, uint64_t index);
+
 /* config_apply.c */
 int config_apply_change(config_state_t *state, uint64_t index,
     const Feed__Change *change, int keep, config_result_t *result);
--- a/src/config/config_snapshot.c
+++ b/src/config/config_snapshot.c
@@ -11,6 +11,10 @@
 /* Names the format; a later one gets another number. */
 static const uint8_t snapshot_magic[SNAPSHOT_MAGIC_BYTES] = { 'T', 'M', 'C',
 	'F', 'G', '0', '0', '1' };
+/* With the list of recoveries before the message. Used only if there are any,
+ * so that VMs of the version before still read all other snapshots. */
+static const uint8_t snapshot_magic_epochs[SNAPSHOT_MAGIC_BYTES] = { 'T', 'M',
+	'C', 'F', 'G', '0', '0', '2' };
 
 /* Messages of a snapshot in one block each; the pointers follow the blocks. */
 typedef struct snapshot_build {
@@ -192,16 +196,21 @@
 }
 
 static uint8_t *
-snapshot_pack(const Feed__Snapshot *msg, size_t *len)
+snapshot_pack(
+    const Feed__Snapshot *msg, const config_epochs_t *epochs, size_t *len)
 {
-	size_t body = feed__snapshot__get_packed_size(msg);
+	size_t head = epochs->count > 0 ? config_epochs_get_bytes(epochs) : 0;
+	size_t body = head + feed__snapshot__get_packed_size(msg);
 	uint8_t *bytes = malloc(SNAPSHOT_HEAD_BYTES + body);
 	XXH64_canonical_t sum;
 
 	if (bytes == NULL)
 		return (NULL);
-	memcpy(bytes, snapshot_magic, SNAPSHOT_MAGIC_BYTES);
-	feed__snapshot__pack(msg, bytes + SNAPSHOT_HEAD_BYTES);
+	memcpy(bytes, head > 0 ? snapshot_magic_epochs : snapshot_magic,
+	    SNAPSHOT_MAGIC_BYTES);
+	if (head > 0)
+		config_epochs_write(epochs, bytes + SNAPSHOT_HEAD_BYTES);
+	feed__snapshot__pack(msg, bytes + SNAPSHOT_HEAD_BYTES + head);
 	XXH64_canonicalFromHash(
 	    &sum, XXH64(bytes + SNAPSHOT_HEAD_BYTES, body, 0));
 	memcpy(bytes + SNAPSHOT_MAGIC_BYTES, &sum, sizeof(sum));
@@ -224,7 +233,7 @@
 	    snapshot_add_groups(&build, state) == TM_OK &&
 	    snapshot_add_changes(&build, state) == TM_OK &&
 	    snapshot_add_audit(&build, state) == TM_OK)
-		bytes = snapshot_pack(&build.msg, len);
+		bytes = snapshot_pack(&build.msg, &state->epochs, len);
 	snapshot_free(&build);
 	return (bytes);
 }
@@ -313,19 +322,32 @@
 	return (err);
 }
 
+/* Checks the head. @return 0 and where the message starts */
 static int
-snapshot_check(const uint8_t *bytes, size_t len)
+snapshot_check(
+    const uint8_t *bytes, size_t len, config_epochs_t *epochs, size_t *start)
 {
 	XXH64_canonical_t sum;
+	int err;
 
-	if (len < SNAPSHOT_HEAD_BYTES ||
-	    memcmp(bytes, snapshot_magic, SNAPSHOT_MAGIC_BYTES) != 0)
+	memset(epochs, 0, sizeof(*epochs));
+	*start = SNAPSHOT_HEAD_BYTES;
+	if (len < SNAPSHOT_HEAD_BYTES)
+		return (TM_EFORMAT);
+	if (memcmp(bytes, snapshot_magic, SNAPSHOT_MAGIC_BYTES) != 0 &&
+	    memcmp(bytes, snapshot_magic_epochs, SNAPSHOT_MAGIC_BYTES) != 0)
 		return (TM_EFORMAT);
 	memcpy(&sum, bytes + SNAPSHOT_MAGIC_BYTES, sizeof(sum));
 	if (XXH64(bytes + SNAPSHOT_HEAD_BYTES, len - SNAPSHOT_HEAD_BYTES, 0) !=
 	    XXH64_hashFromCanonical(&sum))
 		return (TM_ECORRUPT);
-	return (TM_OK);
+	if (memcmp(bytes, snapshot_magic, SNAPSHOT_MAGIC_BYTES) == 0)
+		return (TM_OK);
+	err = config_epochs_read(
+	    epochs, bytes + SNAPSHOT_HEAD_BYTES, len - SNAPSHOT_HEAD_BYTES);
+	if (err == TM_OK)
+		*start += config_epochs_get_bytes(epochs);
+	return (err);
 }
 
 /* Replaces the content of a state by that of another, which is freed. */
@@ -343,26 +365,40 @@
 		state->change(state->ctx, CONFIG_KIND_ALL, "");
 }
 
+/* @return 0 if the snapshot continues the state */
+static int
+snapshot_compare(const config_state_t *state, const Feed__Snapshot *msg,
+    const config_epochs_t *epochs)
+{
+	if (epochs->count > 0 &&
+	    msg->index < epochs->items[epochs->count - 1].first_index)
+		return (TM_EFORMAT);
+	if (msg->index <= state->index)
+		return (TM_ESTALE);
+	return (config_epochs_check(epochs, state->index));
+}
+
 int
 config_snapshot_install(config_state_t *state, const uint8_t *bytes, size_t len)
 {
 	config_state_t *loaded;
+	config_epochs_t epochs;
 	Feed__Snapshot *msg;
-	int err = snapshot_check(bytes, len);
+	size_t start;
+	int err = snapshot_check(bytes, len, &epochs, &start);
 
 	if (err != TM_OK)
 		return (err);
-	msg = feed__snapshot__unpack(
-	    NULL, len - SNAPSHOT_HEAD_BYTES, bytes + SNAPSHOT_HEAD_BYTES);
+	msg = feed__snapshot__unpack(NULL, len - start, bytes + start);
 	if (msg == NULL)
 		return (TM_EFORMAT);
 	loaded = config_state_create();
-	if (loaded == NULL)
-		err = TM_ENOMEM;
-	else if (msg->index <= state->index)
-		err = TM_ESTALE;
-	else
+	err =
+	    loaded == NULL ? TM_ENOMEM : snapshot_compare(state, msg, &epochs);
+	if (err == TM_OK)
 		err = snapshot_load(loaded, msg);
+	if (err == TM_OK)
+		loaded->epochs = epochs;
 	feed__snapshot__free_unpacked(msg, NULL);
 	if (err == TM_OK)
 		snapshot_swap(state, loaded);
--- a/src/config/config_state.c
+++ b/src/config/config_state.c
@@ -72,6 +72,7 @@
 	state->audit_total = 0;
 	state->index = 0;
 	state->directory_index = 0;
+	memset(&state->epochs, 0, sizeof(state->epochs));
 }
 
 void
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -14,6 +14,24 @@
 
 typedef struct config_state config_state_t;
 
+/** Recoveries that a state remembers. */
+#define CONFIG_EPOCHS_MAX 64
+/** Indexes of an epoch start at epoch << CONFIG_EPOCH_SHIFT. */
+#define CONFIG_EPOCH_SHIFT 32
+
+/** A new epoch that an operator started after a majority was lost. */
+typedef struct config_epoch {
+	uint64_t epoch;
+	uint64_t base_index; /**< last index of the log before that is kept */
+	uint64_t first_index;
+} config_epoch_t;
+
+/** Recoveries, oldest first. */
+typedef struct config_epochs {
+	config_epoch_t items[CONFIG_EPOCHS_MAX];
+	int count;
+} config_epochs_t;
+
 /**
  * Reports what an applied entry changed.
  *
@@ -171,9 +189,18 @@
  * Replaces the state by a snapshot.
  *
  * @return 0; TM_ESTALE, without effect, if the snapshot is not newer;
- *         TM_ECORRUPT if the checksum fails; TM_EFORMAT; TM_ENOMEM
+ *         TM_EEPOCH, without effect, if the state holds accepted changes that
+ *         a recovery did not keep; TM_ECORRUPT if the checksum fails;
+ *         TM_EFORMAT; TM_ENOMEM
  */
 int config_snapshot_install(
     config_state_t *state, const uint8_t *bytes, size_t len);
 
+/** Continues the state in a new epoch, whose first index is given. */
+void config_state_begin_epoch(
+    config_state_t *state, uint64_t epoch, uint64_t index);
+
+/** @return recoveries in the past of this state */
+const config_epochs_t *config_state_get_epochs(const config_state_t *state);
+
 #endif
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -192,6 +192,17 @@
 	    gossip->options.send_ctx, from, MSG_FEED_PULL, &msg.base);
 }
 
+/*
+ * Entries of an older epoch than that of control are not taken: the epoch may
+ * continue from before them, and this VM could not go on from there.
+ */
+static int
+gossip_is_old_epoch(const gossip_t *gossip, uint64_t index)
+{
+	return (index >> CONFIG_EPOCH_SHIFT < gossip->tick.term >>
+	    CONFIG_EPOCH_SHIFT);
+}
+
 static int
 gossip_apply_entry(
     gossip_t *gossip, const Feed__LogEntry *entry, int64_t now_ms)
@@ -215,7 +226,8 @@
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (entries[i]->index <= config_state_get_index(state))
+		if (entries[i]->index <= config_state_get_index(state) ||
+		    gossip_is_old_epoch(gossip, entries[i]->index))
 			continue;
 		if (entries[i]->prev_index != config_state_get_index(state)) {
 			gossip_pull(gossip, from, now_ms);
@@ -257,11 +269,29 @@
 	memset(&gossip->transfer, 0, sizeof(gossip->transfer));
 }
 
+/*
+ * Control lives in a newer epoch, so this VM does not serve with what it has.
+ * Installing the snapshot would silently undo an accepted change.
+ */
+static void
+gossip_note_diverged(gossip_t *gossip, uint64_t index)
+{
+	if (gossip->diverged_epoch == index >> CONFIG_EPOCH_SHIFT)
+		return;
+	gossip->diverged_epoch = index >> CONFIG_EPOCH_SHIFT;
+	LOG_EVENT(324, LOG_LEVEL_ERROR,
+	    "this VM holds accepted changes that the recovered configuration "
+	    "lacks",
+	    LOG_NUM("index", config_state_get_index(gossip->options.state)),
+	    LOG_NUM("recovered_index", index));
+}
+
 static void
 gossip_install(gossip_t *gossip, int64_t now_ms)
 {
 	gossip_transfer_t *transfer = &gossip->transfer;
 	node_id_t from = transfer->from;
+	uint64_t index = transfer->index;
 	int err = config_snapshot_install(
 	    gossip->options.state, transfer->bytes, transfer->len);
 
@@ -272,6 +302,8 @@
 		gossip_check_tick(gossip);
 		gossip_prune_peers(gossip);
 		gossip_pull(gossip, from, now_ms);
+	} else if (err == TM_EEPOCH) {
+		gossip_note_diverged(gossip, index);
 	} else if (err != TM_ESTALE) {
 		LOG_EVENT(320, LOG_LEVEL_ERROR, "snapshot rejected",
 		    LOG_NUM("err", err), LOG_TEXT("why", error_get_text(err)));
@@ -290,6 +322,7 @@
 		return (TM_EFULL);
 	gossip_end_transfer(gossip);
 	if (msg->index <= config_state_get_index(gossip->options.state) ||
+	    gossip_is_old_epoch(gossip, msg->index) ||
 	    msg->total_bytes > GOSSIP_SNAPSHOT_MAX_BYTES)
 		return (TM_ESTALE);
 	transfer->bytes = malloc((size_t)msg->total_bytes + 1);
--- a/src/gossip/gossip_internal.h
+++ b/src/gossip/gossip_internal.h
@@ -84,6 +84,7 @@
 	int reports_ready;
 	int was_serving; /* as of the last digest */
 	gossip_transfer_t transfer;
+	uint64_t diverged_epoch; /* of the last snapshot refused for that */
 	gossip_status_t status;
 };
 
--- a/test/fuzz/fuzz_config_snapshot.c
+++ b/test/fuzz/fuzz_config_snapshot.c
@@ -12,14 +12,18 @@
 
 /* Gives the bytes a valid head, so that more than the checksum is tested. */
 static void
-install_with_head(config_state_t *state, const uint8_t *data, size_t size)
+install_with_head(
+    config_state_t *state, int recovered, const uint8_t *data, size_t size)
 {
 	config_state_t *empty = config_state_create();
 	XXH64_canonical_t sum;
 	size_t len;
-	uint8_t *valid = config_snapshot_encode(empty, &len);
 	uint8_t *bytes = malloc(HEAD_BYTES + size);
+	uint8_t *valid;
 
+	if (recovered)
+		config_state_begin_epoch(empty, 1, 1);
+	valid = config_snapshot_encode(empty, &len);
 	memcpy(bytes, valid, MAGIC_BYTES);
 	memcpy(bytes + HEAD_BYTES, data, size);
 	XXH64_canonicalFromHash(&sum, XXH64(bytes + HEAD_BYTES, size, 0));
@@ -61,7 +65,7 @@
 
 	config_snapshot_install(state, data, size);
 	if (size > 0 && data[0] & 1) {
-		install_with_head(state, data + 1, size - 1);
+		install_with_head(state, data[0] & 2, data + 1, size - 1);
 	} else {
 		while (fuzz_next_message(&data, &size, &msg))
 			config_state_apply(
--- a/test/scenario/gossip_scenario.cc
+++ b/test/scenario/gossip_scenario.cc
@@ -42,6 +42,19 @@
 	return TM_OK;
 }
 
+// recover NAME: control starts again with the configuration of an entry VM
+int
+RunRecover(void *ctx, const script_line_t *line)
+{
+	GossipWorld *world = static_cast<Scenario *>(ctx)->world.get();
+	GossipWorld::Entry *entry = world->Find(line->argv[1]);
+
+	if (entry == nullptr)
+		return TM_ENOENT;
+	world->Recover(*entry);
+	return TM_OK;
+}
+
 int
 RunFreeze(void *ctx, const script_line_t *line)
 {
@@ -132,6 +145,7 @@
 	{ "cut", RunCut },
 	{ "heal", RunCut },
 	{ "control", RunControl },
+	{ "recover", RunRecover },
 	{ "freeze", RunFreeze },
 	{ "resume", RunFreeze },
 	{ "issue", RunKey },
@@ -160,7 +174,8 @@
 
 INSTANTIATE_TEST_SUITE_P(All, GossipScenario,
     testing::Values("hears_only", "cut_from_control", "one_way_feed",
-	"control_down", "isolated", "far_behind", "frozen"),
+	"control_down", "isolated", "far_behind", "frozen", "recovered",
+	"recovered_behind"),
     [](const testing::TestParamInfo<const char *> &param) {
 	    return std::string(param.param);
     });
--- a/test/scenario/gossip_world.h
+++ b/test/scenario/gossip_world.h
@@ -158,6 +158,28 @@
 		}
 	}
 
+	// New control VMs that continue the state of one VM in a new epoch.
+	void
+	Recover(const Entry &from)
+	{
+		size_t len;
+
+		epoch++;
+		index = epoch << CONFIG_EPOCH_SHIFT;
+		for (auto &control : controls) {
+			uint8_t *bytes =
+			    config_snapshot_encode(from.state, &len);
+			feed_destroy(control->feed);
+			config_state_destroy(control->state);
+			control->state = config_state_create();
+			config_snapshot_install(control->state, bytes, len);
+			config_state_begin_epoch(control->state, epoch, index);
+			control->feed = feed_create(
+			    control->state, fakenet_send, control->slot);
+			free(bytes);
+		}
+	}
+
 	// Stops all control VMs, or starts them again with their state.
 	void
 	SetControl(bool up)
@@ -217,6 +239,7 @@
 
 	fakenet_t *net;
 	uint64_t index = 0;
+	uint64_t epoch = 0;
 	std::vector<std::unique_ptr<Control>> controls;
 	std::vector<std::unique_ptr<Entry>> entries;
 
@@ -316,7 +339,8 @@
 		if (!control->up)
 			return;
 		if (now_ms % FEED_TICK_MS < 20) {
-			tick.term = 1;
+			tick.term =
+			    (control->world->epoch << CONFIG_EPOCH_SHIFT) + 1;
 			tick.number = (uint64_t)(now_ms / FEED_TICK_MS);
 			tick.index = control->world->index;
 			feed_set_tick(control->feed, &tick, now_ms);
