rate: keep the reference's credit for a change of the leader

A new leader starts the reference bucket at burst + 1.5 s of the rate, for the requests that arrived without a leader. The first refill cut it to the burst, so it counted only for needs of the same millisecond.

--- a/src/rate/rate_bucket.c
+++ b/src/rate/rate_bucket.c
@@ -22,11 +22,13 @@
 static void
 rate_bucket_refill_reference(rate_bucket_t *bucket, int64_t gain)
 {
-	if (bucket->reference < bucket->burst)
+	/* Above the burst stands the credit for a change of the leader. */
+	if (bucket->reference < bucket->burst) {
 		bucket->reference += gain;
-	if (bucket->reference < bucket->burst)
-		return;
-	bucket->reference = bucket->burst;
+		if (bucket->reference < bucket->burst)
+			return;
+		bucket->reference = bucket->burst;
+	}
 	bucket->spare = rate_bucket_get_spare_max(bucket);
 }
 
--- a/test/unit/rate_test.cc
+++ b/test/unit/rate_test.cc
@@ -85,6 +85,22 @@
 	EXPECT_LE(admitted, 6000u + 10 + 100 * RATE_DRIFT_MS / 1000 + 1);
 }
 
+// Guards against requests of an outage refused by the new leader: the first
+// refill must not take the credit for the change away.
+TEST(RateBucket, ReferenceKeepsTheCreditOfALeaderChange)
+{
+	rate_bucket_t bucket = {};
+
+	bucket.rate_us = 100 * RATE_UTOKENS;
+	bucket.burst = 10 * RATE_UTOKENS;
+	bucket.reference = 160 * RATE_UTOKENS;
+	rate_bucket_refill(&bucket, 1000, 0);
+	EXPECT_EQ(bucket.reference, 160 * RATE_UTOKENS);
+	EXPECT_EQ(rate_bucket_admit(&bucket, 160), 160u);
+	rate_bucket_refill(&bucket, 3600000, 0);
+	EXPECT_EQ(bucket.reference, bucket.burst);
+}
+
 struct Rates : testing::Test {
 	Fleet fleet{ 8, 1, 7 };
 
