rate: let a new leader refill after 0.5 s, when only prefetch can be out

A new leader counted burst - floor as outstanding for 1.2 s. With a burst of 10 (floor 0) nothing refilled in that time; with the 1.1 s without a leader, 2.3 s of the load waited, more than the queue of 2 s of the rate.

Tokens for waiting requests are spent on arrival, so they need no validity of 1 s. A grant now names its prefetch apart, and what is above it is dead 0.4 s after the need was sent. All prefetch together is at most a quarter of the burst, so after 0.5 s a new leader counts at most that. A frozen VM drops its tokens by its own clock, as before. A need that is silent for 0.4 s is forgotten: its tokens would be dead on arrival. Reports alone carry no sequence and time, which nothing read; this pays for the new field.

Ruled out: reports of all VMs at a takeover (the set of VMs that may hold tokens is not in the store, and one silent VM, such as the dead leader, keeps it unknown); hindsight credit at the end of the 1.2 s (capped at the burst, here 0.1 s of load); a longer queue (hides the outage in longer waits).

--- a/src/proto/rate.pb-c.c
+++ b/src/proto/rate.pb-c.c
@@ -451,7 +451,7 @@
   (ProtobufCMessageInit) tm__rate_need__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__rate_grant__field_descriptors[9] =
+static const ProtobufCFieldDescriptor tm__rate_grant__field_descriptors[10] =
 {
   {
     "workspace",
@@ -561,8 +561,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "extra",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__RateGrant, extra),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__rate_grant__field_indices_by_name[] = {
+  9,   /* field[9] = extra */
   5,   /* field[5] = final */
   3,   /* field[3] = grant */
   8,   /* field[8] = not_leader */
@@ -576,7 +589,7 @@
 static const ProtobufCIntRange tm__rate_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor tm__rate_grant__descriptor =
 {
@@ -586,7 +599,7 @@
   "Tm__RateGrant",
   "tm",
   sizeof(Tm__RateGrant),
-  9,
+  10,
   tm__rate_grant__field_descriptors,
   tm__rate_grant__field_indices_by_name,
   1,  tm__rate_grant__number_ranges,
--- a/src/proto/rate.pb-c.h
+++ b/src/proto/rate.pb-c.h
@@ -92,10 +92,14 @@
   uint32_t refuse;
   int64_t retry_after_ms;
   protobuf_c_boolean not_leader;
+  /*
+   * prefetch on top of tokens
+   */
+  uint32_t extra;
 };
 #define TM__RATE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__rate_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Tm__RateRecall
--- a/src/rate/rate_bucket.c
+++ b/src/rate/rate_bucket.c
@@ -142,9 +142,18 @@
 		rate_grant_free(bucket, grant);
 }
 
+int64_t
+rate_bucket_get_prefetch_max(const rate_bucket_t *bucket)
+{
+	return (bucket->burst / RATE_PREFETCH_PART);
+}
+
 void
 rate_bucket_reclaim(rate_bucket_t *bucket, int64_t now_ms)
 {
+	if (now_ms >= bucket->unknown_need_ms &&
+	    bucket->unknown_out > bucket->unknown_extra)
+		bucket->unknown_out = bucket->unknown_extra;
 	if (now_ms >= bucket->unknown_until_ms)
 		bucket->unknown_out = 0;
 	/* Grants are in the order of reclaim_ms. */
--- a/src/rate/rate_bucket.h
+++ b/src/rate/rate_bucket.h
@@ -72,6 +72,8 @@
 	int64_t granted_out; /**< sum of what grants have outstanding */
 	int64_t unknown_out; /**< tokens of an earlier leader */
 	int64_t unknown_until_ms;
+	int64_t unknown_extra; /**< prefetch, the most of unknown_out */
+	int64_t unknown_need_ms; /**< when only prefetch is left of it */
 	rate_waiter_t *waiters;
 	int64_t short_ms; /**< start of the present queue; 0 without one */
 	int64_t floor; /**< highest floor that a new leader may find */
@@ -105,6 +107,9 @@
 void rate_bucket_report(rate_bucket_t *bucket, node_id_t vm, uint64_t id,
     uint32_t spent, uint32_t returned);
 
+/** @return most utokens of prefetch that all VMs may hold */
+int64_t rate_bucket_get_prefetch_max(const rate_bucket_t *bucket);
+
 /** Drops grants whose tokens have expired everywhere. */
 void rate_bucket_reclaim(rate_bucket_t *bucket, int64_t now_ms);
 
--- a/src/rate/rate_client.c
+++ b/src/rate/rate_client.c
@@ -354,7 +354,7 @@
 	rate_space_expire(client, space, now_ms);
 	DL_FOREACH(space->batches, batch) {
 		if (batch->leader == from)
-			rate_space_return_batch(space, batch, now_ms);
+			rate_space_return_batch(space, batch, 0, now_ms);
 	}
 	if (space->dirty_ms != 0 && space->pending == NULL)
 		rate_space_send_need(client, space, 0, now_ms);
--- a/src/rate/rate_client_internal.h
+++ b/src/rate/rate_client_internal.h
@@ -18,7 +18,8 @@
 /* Another leader is tried this soon after "not leader". */
 #define RATE_OTHER_MS 10
 /* Unspent tokens go back to the leader before they expire. */
-#define RATE_RETURN_MS 800
+#define RATE_RETURN_MS	    800
+#define RATE_NEED_RETURN_MS 300
 /*
  * Spent tokens are reported at the latest after this time, and before they
  * amount to this share of the burst: until then the bucket cannot refill them.
@@ -38,6 +39,7 @@
 	uint64_t grant;
 	node_id_t leader;
 	uint32_t left;
+	uint32_t extra; /* prefetch; what is left above it was for requests */
 	uint32_t spent;
 	uint32_t returned;
 	int64_t sent_ms; /* of the request; the tokens' age counts from here */
@@ -99,7 +101,7 @@
 void rate_space_expire(
     rate_client_t *client, rate_space_t *space, int64_t now_ms);
 void rate_space_return_batch(
-    rate_space_t *space, rate_batch_t *batch, int64_t now_ms);
+    rate_space_t *space, rate_batch_t *batch, uint32_t keep, int64_t now_ms);
 int rate_space_spend(
     rate_client_t *client, rate_space_t *space, int64_t now_ms);
 int64_t rate_space_get_report_ms(const rate_space_t *space);
--- a/src/rate/rate_defs.h
+++ b/src/rate/rate_defs.h
@@ -18,6 +18,19 @@
 #define RATE_BURST_MAX 1e9
 /** Tokens are valid for this long after the VM sent its request. */
 #define RATE_TOKEN_VALID_MS 1000
+/**
+ * Tokens for waiting requests are spent on arrival. They are valid for a
+ * shorter time than prefetch, so that a new leader need not count them for as
+ * long: at its start they are at most this old.
+ */
+#define RATE_NEED_VALID_MS 400
+/**
+ * A new leader counts them as outstanding for this long, and after that only
+ * the prefetch.
+ */
+#define RATE_NEED_RECLAIM_MS 500
+/** All prefetch together is at most the burst divided by this. */
+#define RATE_PREFETCH_PART 4
 /** The leader counts tokens as outstanding for this long. */
 #define RATE_TOKEN_RECLAIM_MS 1200
 /** Most requests in one need. */
--- a/src/rate/rate_leader.c
+++ b/src/rate/rate_leader.c
@@ -227,6 +227,8 @@
 	    ? rate_min(entry->outstanding_utokens, bucket->burst - floor)
 	    : bucket->burst - floor;
 	bucket->unknown_until_ms = now_ms + RATE_TOKEN_RECLAIM_MS;
+	bucket->unknown_extra = rate_bucket_get_prefetch_max(bucket);
+	bucket->unknown_need_ms = now_ms + RATE_NEED_RECLAIM_MS;
 	bucket->spare = rate_bucket_get_spare_max(bucket);
 	bucket->reference =
 	    bucket->burst + bucket->rate_us / 1000 * RATE_CHANGE_MS;
--- a/src/rate/rate_serve.c
+++ b/src/rate/rate_serve.c
@@ -13,8 +13,11 @@
 #define RATE_RECALL_WAIT_MS 100
 /* A VM that does not answer a recall is asked again after this time. */
 #define RATE_RECALL_AGAIN_MS 50
-/* Silence after which a VM's need is forgotten; it repeats within 250 ms. */
-#define RATE_WAITER_MS 2000
+/*
+ * Silence after which a VM's need is forgotten; it repeats within 250 ms. Later
+ * tokens would expire on arrival.
+ */
+#define RATE_WAITER_MS RATE_NEED_VALID_MS
 
 static void
 rate_leader_send_grant(rate_leader_t *leader, const rate_bucket_t *bucket,
@@ -221,8 +224,10 @@
 rate_leader_get_prefetch(
     const rate_bucket_t *bucket, uint32_t need, uint32_t wanted)
 {
-	int64_t room =
-	    bucket->burst / 4 / RATE_UTOKENS - rate_bucket_get_idle(bucket);
+	int64_t unknown =
+	    (bucket->unknown_out + RATE_UTOKENS - 1) / RATE_UTOKENS;
+	int64_t room = rate_bucket_get_prefetch_max(bucket) / RATE_UTOKENS -
+	    rate_bucket_get_idle(bucket) - unknown;
 	uint32_t available = rate_bucket_get_available(bucket);
 
 	if (bucket->waiters != NULL || room <= 0 || available <= need)
@@ -250,7 +255,8 @@
 	}
 	msg.sequence = need->sequence;
 	msg.sent_ms = need->sent_ms;
-	msg.tokens = tokens;
+	msg.tokens = need->need;
+	msg.extra = extra;
 	msg.final = 1;
 	rate_leader_send_grant(leader, bucket, vm, &msg);
 }
--- a/src/rate/rate_space.c
+++ b/src/rate/rate_space.c
@@ -29,26 +29,53 @@
 void
 rate_space_expire(rate_client_t *client, rate_space_t *space, int64_t now_ms)
 {
+	rate_batch_t *batch;
+
 	if (client->options.test_skip_expiry)
 		return;
 	while (space->batches != NULL &&
 	    now_ms - space->batches->sent_ms >= RATE_TOKEN_VALID_MS)
 		rate_space_free_batch(space, space->batches);
+	DL_FOREACH(space->batches, batch) {
+		if (batch->left <= batch->extra ||
+		    now_ms - batch->sent_ms < RATE_NEED_VALID_MS)
+			continue;
+		space->stock -= batch->left - batch->extra;
+		batch->left = batch->extra;
+	}
 }
 
-/* Gives unspent tokens of a batch back. */
+/* Gives unspent tokens of a batch back, but for those to keep. */
 void
 rate_space_return_batch(
-    rate_space_t *space, rate_batch_t *batch, int64_t now_ms)
+    rate_space_t *space, rate_batch_t *batch, uint32_t keep, int64_t now_ms)
 {
-	if (batch->left == 0)
+	if (batch->left <= keep)
 		return;
-	space->stock -= batch->left;
-	batch->returned += batch->left;
-	batch->left = 0;
+	space->stock -= batch->left - keep;
+	batch->returned += batch->left - keep;
+	batch->left = keep;
 	rate_mark_dirty(space, batch, now_ms);
 }
 
+/* @return batch to spend from: tokens of short validity first */
+static rate_batch_t *
+rate_pick_batch(rate_space_t *space)
+{
+	rate_batch_t *batch;
+	rate_batch_t *found = NULL;
+
+	if (space->stock == 0)
+		return (NULL);
+	DL_FOREACH(space->batches, batch) {
+		if (batch->left > batch->extra)
+			return (batch);
+		if (found == NULL && batch->left > 0)
+			found = batch;
+	}
+	return (found);
+}
+
 /* Spends one token. @return 1, or 0 if there is none */
 int
 rate_space_spend(rate_client_t *client, rate_space_t *space, int64_t now_ms)
@@ -56,16 +83,14 @@
 	rate_batch_t *batch;
 
 	rate_space_expire(client, space, now_ms);
-	DL_FOREACH(space->batches, batch) {
-		if (batch->left == 0)
-			continue;
-		batch->left--;
-		batch->spent++;
-		space->stock--;
-		rate_mark_dirty(space, batch, now_ms);
-		return (1);
-	}
-	return (0);
+	batch = rate_pick_batch(space);
+	if (batch == NULL)
+		return (0);
+	batch->left--;
+	batch->spent++;
+	space->stock--;
+	rate_mark_dirty(space, batch, now_ms);
+	return (1);
 }
 
 /* Collects changed totals; what does not fit goes with the next message. */
@@ -148,8 +173,6 @@
 		return;
 	msg.workspace = space->workspace;
 	msg.incarnation = client->options.incarnation;
-	msg.sequence = ++space->sequence;
-	msg.sent_ms = now_ms;
 	msg.need = space->pending_count;
 	msg.used = space->used;
 	space->used = 0;
@@ -157,7 +180,10 @@
 	msg.prefetch = prefetch;
 	msg.n_reports = rate_fill_reports(space, leader, reports, list);
 	msg.reports = list;
+	/* Reports alone get no answer. */
 	if (msg.need > 0 || msg.prefetch > 0) {
+		msg.sequence = ++space->sequence;
+		msg.sent_ms = now_ms;
 		space->asked = leader;
 		space->asked_count = msg.need;
 		space->asked_heard = 0;
@@ -179,7 +205,6 @@
 
 	msg.workspace = space->workspace;
 	msg.incarnation = client->options.incarnation;
-	msg.sent_ms = now_ms;
 	msg.used = space->used;
 	space->used = 0;
 	msg.n_reports = rate_fill_reports(space, leader, reports, list);
@@ -194,17 +219,18 @@
 {
 	rate_batch_t *batch;
 
-	if (msg->tokens == 0)
+	if (msg->tokens == 0 && msg->extra == 0)
 		return;
 	batch = calloc(1, sizeof(*batch));
 	if (batch == NULL)
 		return;
 	batch->grant = msg->grant;
 	batch->leader = leader;
-	batch->left = msg->tokens;
+	batch->left = msg->tokens + msg->extra;
+	batch->extra = msg->extra;
 	batch->sent_ms = msg->sent_ms;
 	DL_APPEND(space->batches, batch);
-	space->stock += msg->tokens;
+	space->stock += batch->left;
 }
 
 void
@@ -232,6 +258,9 @@
 	rate_space_expire(client, space, now_ms);
 	DL_FOREACH(space->batches, batch) {
 		if (now_ms - batch->sent_ms >= RATE_RETURN_MS)
-			rate_space_return_batch(space, batch, now_ms);
+			rate_space_return_batch(space, batch, 0, now_ms);
+		else if (now_ms - batch->sent_ms >= RATE_NEED_RETURN_MS)
+			rate_space_return_batch(
+			    space, batch, batch->extra, now_ms);
 	}
 }
--- a/test/unit/rate_test.cc
+++ b/test/unit/rate_test.cc
@@ -101,6 +101,25 @@
 	EXPECT_EQ(bucket.reference, bucket.burst);
 }
 
+// Guards against a new leader that grants tokens which prefetch of the earlier
+// one may still spend.
+TEST(RateBucket, NewLeaderCountsPrefetchLongerThanNeed)
+{
+	rate_bucket_t bucket = {};
+
+	bucket.burst = 8 * RATE_UTOKENS;
+	bucket.unknown_out = bucket.burst;
+	bucket.unknown_extra = rate_bucket_get_prefetch_max(&bucket);
+	bucket.unknown_need_ms = RATE_NEED_RECLAIM_MS;
+	bucket.unknown_until_ms = RATE_TOKEN_RECLAIM_MS;
+	rate_bucket_reclaim(&bucket, RATE_NEED_RECLAIM_MS - 1);
+	EXPECT_EQ(bucket.unknown_out, bucket.burst);
+	rate_bucket_reclaim(&bucket, RATE_NEED_RECLAIM_MS);
+	EXPECT_EQ(bucket.unknown_out, 2 * RATE_UTOKENS);
+	rate_bucket_reclaim(&bucket, RATE_TOKEN_RECLAIM_MS);
+	EXPECT_EQ(bucket.unknown_out, 0);
+}
+
 struct Rates : testing::Test {
 	Fleet fleet{ 8, 1, 7 };
 
