rate: pass a need that got no answer through another holder

The VM asked the same leader again every 250 ms.

A need of which nothing was heard for 200 ms now goes to another holder of the group, which passes it to the leader once and the answers back. The way back through the holder covers a cut in the other direction and one in both. Messages take this way for 5 s, so that reports of spent tokens arrive too; then the straight way is tried again.

--- a/src/proto/rate.pb-c.c
+++ b/src/proto/rate.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) tm__rate_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__rate_need__field_descriptors[10] =
+static const ProtobufCFieldDescriptor tm__rate_need__field_descriptors[11] =
 {
   {
     "workspace",
@@ -418,11 +418,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origin",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__RateNeed, origin),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__rate_need__field_indices_by_name[] = {
   8,   /* field[8] = fresh */
   1,   /* field[1] = incarnation */
   4,   /* field[4] = need */
+  10,   /* field[10] = origin */
   5,   /* field[5] = prefetch */
   6,   /* field[6] = reply */
   7,   /* field[7] = reports */
@@ -434,7 +447,7 @@
 static const ProtobufCIntRange tm__rate_need__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor tm__rate_need__descriptor =
 {
@@ -444,14 +457,14 @@
   "Tm__RateNeed",
   "tm",
   sizeof(Tm__RateNeed),
-  10,
+  11,
   tm__rate_need__field_descriptors,
   tm__rate_need__field_indices_by_name,
   1,  tm__rate_need__number_ranges,
   (ProtobufCMessageInit) tm__rate_need__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__rate_grant__field_descriptors[10] =
+static const ProtobufCFieldDescriptor tm__rate_grant__field_descriptors[12] =
 {
   {
     "workspace",
@@ -573,23 +586,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__RateGrant, vm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__RateGrant, leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__rate_grant__field_indices_by_name[] = {
   9,   /* field[9] = extra */
   5,   /* field[5] = final */
   3,   /* field[3] = grant */
+  11,   /* field[11] = leader */
   8,   /* field[8] = not_leader */
   6,   /* field[6] = refuse */
   7,   /* field[7] = retry_after_ms */
   2,   /* field[2] = sent_ms */
   1,   /* field[1] = sequence */
   4,   /* field[4] = tokens */
+  10,   /* field[10] = vm */
   0,   /* field[0] = workspace */
 };
 static const ProtobufCIntRange tm__rate_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor tm__rate_grant__descriptor =
 {
@@ -599,7 +638,7 @@
   "Tm__RateGrant",
   "tm",
   sizeof(Tm__RateGrant),
-  10,
+  12,
   tm__rate_grant__field_descriptors,
   tm__rate_grant__field_indices_by_name,
   1,  tm__rate_grant__number_ranges,
--- a/src/proto/rate.pb-c.h
+++ b/src/proto/rate.pb-c.h
@@ -68,10 +68,14 @@
    * requests that found a token at the VM
    */
   uint32_t used;
+  /*
+   * VM of a need that a holder passes on; 0: direct
+   */
+  uint64_t origin;
 };
 #define TM__RATE_NEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__rate_need__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Tm__RateGrant
@@ -96,10 +100,18 @@
    * prefetch on top of tokens
    */
   uint32_t extra;
+  /*
+   * a holder passes this on to the VM; 0: direct
+   */
+  uint64_t vm;
+  /*
+   * set by that holder
+   */
+  uint64_t leader;
 };
 #define TM__RATE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__rate_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Tm__RateRecall
--- a/src/rate/rate_bucket.h
+++ b/src/rate/rate_bucket.h
@@ -39,6 +39,7 @@
 /** A VM whose need could not be met yet. */
 typedef struct rate_waiter {
 	node_id_t vm;
+	node_id_t relay; /**< holder that passes answers on; or none */
 	uint64_t sequence;
 	int64_t sent_ms; /**< clock of the VM */
 	int64_t since_ms;
--- a/src/rate/rate_client.c
+++ b/src/rate/rate_client.c
@@ -308,7 +308,9 @@
 rate_client_grant(rate_client_t *client, rate_space_t *space, node_id_t from,
     const Tm__RateGrant *msg, int64_t now_ms)
 {
-	int current = msg->sequence == space->sequence && space->asked == from;
+	int relayed = msg->leader != NODE_ID_NONE;
+	int current = msg->sequence == space->sequence &&
+	    (space->asked == from || (relayed && space->asked != NODE_ID_NONE));
 	uint32_t asked = space->asked_count;
 	uint32_t before = space->pending_count;
 
@@ -324,8 +326,10 @@
 	asked -= before < asked ? before : asked;
 	space->asked_count = asked;
 	space->asked_heard = 1;
-	if (!msg->not_leader)
+	if (!msg->not_leader) {
 		space->heard_ms = now_ms;
+		rate_space_set_heard(space, from, relayed, now_ms);
+	}
 	if (msg->refuse > 0) {
 		space->empty_until_ms = space->ask_ms + msg->retry_after_ms;
 		rate_refuse_asked(
@@ -401,11 +405,15 @@
 	if (space->asked_heard && space->pending_count > space->asked_count &&
 	    now_ms - space->ask_ms >= RATE_UPDATE_MS)
 		space->next_ask_ms = now_ms;
+	if (!space->asked_heard && now_ms - space->ask_ms >= RATE_SILENT_MS)
+		space->next_ask_ms = now_ms;
 	if (now_ms < space->next_ask_ms)
 		return;
-	if (!space->asked_heard)
+	if (!space->asked_heard) {
+		rate_space_set_silent(client, space, now_ms);
 		group_forget_leader(
 		    client->options.group, space->shard, space->asked);
+	}
 	space->asked = NODE_ID_NONE;
 }
 
@@ -451,6 +459,18 @@
 	}
 }
 
+/* Passes a grant on to a VM that the leader does not reach. */
+static void
+rate_client_relay(rate_client_t *client, node_id_t from, Tm__RateGrant *msg)
+{
+	node_id_t vm = msg->vm;
+
+	msg->vm = NODE_ID_NONE;
+	msg->leader = from;
+	client->options.send(
+	    client->options.ctx, vm, MSG_RATE_GRANT, &msg->base);
+}
+
 static int
 rate_client_handle_grant(rate_client_t *client, node_id_t from,
     const uint8_t *payload, size_t len, int64_t now_ms)
@@ -460,6 +480,13 @@
 
 	if (msg == NULL)
 		return (TM_EFORMAT);
+	if (msg->vm != NODE_ID_NONE) {
+		rate_client_relay(client, from, msg);
+		tm__rate_grant__free_unpacked(msg, NULL);
+		return (TM_OK);
+	}
+	if (msg->leader != NODE_ID_NONE)
+		from = msg->leader;
 	space = rate_find_space(client, msg->workspace);
 	if (space != NULL)
 		rate_client_grant(client, space, from, msg, now_ms);
--- a/src/rate/rate_client.h
+++ b/src/rate/rate_client.h
@@ -44,6 +44,7 @@
 	rate_result_cb result;
 	/** Divide each rate evenly over the live VMs, without a leader. */
 	int baseline;
+	int test_skip_relay; /**< proofs only: needs go to the leader only */
 	int test_skip_expiry; /**< proofs only: tokens never expire */
 } rate_client_options_t;
 
--- a/src/rate/rate_client_internal.h
+++ b/src/rate/rate_client_internal.h
@@ -13,6 +13,13 @@
 
 /* A need without an answer is sent again after this time. */
 #define RATE_AGAIN_MS 250
+/*
+ * A need of which nothing was heard after this time goes to another holder,
+ * which passes it on: the way to or from the leader may be cut.
+ */
+#define RATE_SILENT_MS 200
+/* After such a need was answered, others go the same way for this long. */
+#define RATE_RELAY_MS 5000
 /* New requests join a need that is still queued after this time. */
 #define RATE_UPDATE_MS 20
 /* Another leader is tried this soon after "not leader". */
@@ -69,6 +76,9 @@
 	uint64_t sequence; /* of the last need */
 	node_id_t asked; /* leader that owes an answer */
 	uint32_t asked_count; /* waiting requests in that need */
+	node_id_t silent; /* leader that left the last need unanswered */
+	int64_t relay_until_ms; /* messages to it go through a holder */
+	uint32_t relay_place; /* of that holder in the group */
 	int64_t heard_ms; /* a leader last answered a need for requests */
 	int asked_heard; /* the leader has answered that need in part */
 	int64_t ask_ms; /* clock of the last need */
@@ -94,7 +104,13 @@
 	uint32_t vm_count;
 };
 
-/* rate_client.c */
+/* rate_relay.c */
+void rate_space_post(rate_client_t *client, rate_space_t *space,
+    node_id_t leader, Tm__RateNeed *msg, int64_t now_ms);
+void rate_space_set_silent(
+    rate_client_t *client, rate_space_t *space, int64_t now_ms);
+void rate_space_set_heard(
+    rate_space_t *space, node_id_t leader, int relayed, int64_t now_ms);
 
 /* rate_space.c */
 void rate_space_free_batch(rate_space_t *space, rate_batch_t *batch);
--- a/src/rate/rate_serve.c
+++ b/src/rate/rate_serve.c
@@ -21,11 +21,17 @@
 
 static void
 rate_leader_send_grant(rate_leader_t *leader, const rate_bucket_t *bucket,
-    node_id_t vm, Tm__RateGrant *msg)
+    node_id_t vm, node_id_t relay, Tm__RateGrant *msg)
 {
+	node_id_t to = vm;
+
 	msg->workspace = (char *)bucket->workspace;
+	if (relay != NODE_ID_NONE) {
+		msg->vm = vm;
+		to = relay;
+	}
 	leader->options.send(
-	    leader->options.ctx, vm, MSG_RATE_GRANT, &msg->base);
+	    leader->options.ctx, to, MSG_RATE_GRANT, &msg->base);
 }
 
 static void
@@ -169,7 +175,7 @@
 	waiter->tokens = 0;
 	waiter->refuse = 0;
 	waiter->ack = 0;
-	rate_leader_send_grant(leader, bucket, waiter->vm, &msg);
+	rate_leader_send_grant(leader, bucket, waiter->vm, waiter->relay, &msg);
 	return (msg.final);
 }
 
@@ -240,7 +246,7 @@
 /* Answers a VM that has no request waiting, or whose need is met. */
 static void
 rate_leader_answer(rate_leader_t *leader, rate_bucket_t *bucket, node_id_t vm,
-    const Tm__RateNeed *need, int64_t now_ms)
+    node_id_t relay, const Tm__RateNeed *need, int64_t now_ms)
 {
 	Tm__RateGrant msg = TM__RATE_GRANT__INIT;
 	uint32_t extra =
@@ -258,7 +264,7 @@
 	msg.tokens = need->need;
 	msg.extra = extra;
 	msg.final = 1;
-	rate_leader_send_grant(leader, bucket, vm, &msg);
+	rate_leader_send_grant(leader, bucket, vm, relay, &msg);
 }
 
 static rate_waiter_t *
@@ -276,7 +282,7 @@
 /* Queues a need; a repeated one keeps its place in the queue. */
 static void
 rate_leader_queue(rate_leader_t *leader, rate_bucket_t *bucket, node_id_t vm,
-    const Tm__RateNeed *need, int64_t now_ms)
+    node_id_t relay, const Tm__RateNeed *need, int64_t now_ms)
 {
 	rate_waiter_t *waiter = rate_leader_find_waiter(bucket, vm);
 
@@ -289,6 +295,7 @@
 	} else if (need->sequence <= waiter->sequence) {
 		return;
 	}
+	waiter->relay = relay;
 	waiter->since_ms = now_ms;
 	waiter->sequence = need->sequence;
 	waiter->sent_ms = need->sent_ms;
@@ -300,9 +307,12 @@
 }
 
 static void
-rate_leader_need(rate_leader_t *leader, rate_bucket_t *bucket, node_id_t vm,
+rate_leader_need(rate_leader_t *leader, rate_bucket_t *bucket, node_id_t from,
     const Tm__RateNeed *need, int64_t now_ms)
 {
+	int relayed = need->origin != NODE_ID_NONE && need->origin != from;
+	node_id_t vm = relayed ? need->origin : from;
+	node_id_t relay = relayed ? from : NODE_ID_NONE;
 	size_t i;
 
 	rate_leader_refill(leader, bucket, now_ms);
@@ -320,11 +330,11 @@
 	    (bucket->waiters == NULL &&
 		need->need <= rate_bucket_get_available(bucket))) {
 		rate_bucket_count(bucket, need->fresh);
-		rate_leader_answer(leader, bucket, vm, need, now_ms);
+		rate_leader_answer(leader, bucket, vm, relay, need, now_ms);
 		rate_leader_serve(leader, bucket, now_ms);
 		return;
 	}
-	rate_leader_queue(leader, bucket, vm, need, now_ms);
+	rate_leader_queue(leader, bucket, vm, relay, need, now_ms);
 }
 
 static void
@@ -341,6 +351,23 @@
 	    leader->options.ctx, vm, MSG_RATE_GRANT, &msg.base);
 }
 
+/*
+ * Passes a need on that a VM could not bring to the leader. One that another
+ * holder passed on goes no further, so that messages do not circle.
+ */
+static void
+rate_leader_relay(rate_leader_t *leader, node_id_t from, uint32_t shard,
+    const Tm__RateNeed *need, int64_t now_ms)
+{
+	node_id_t to = group_get_leader(leader->options.group, shard, now_ms);
+
+	if (need->origin != from || to == NODE_ID_NONE || to == from ||
+	    to == leader->options.self)
+		return;
+	leader->options.send(
+	    leader->options.ctx, to, MSG_RATE_NEED, &need->base);
+}
+
 static void
 rate_leader_dispatch(rate_leader_t *leader, node_id_t from,
     const Tm__RateNeed *need, int64_t now_ms)
@@ -352,7 +379,10 @@
 	shard = group_shard_of(leader->options.group, need->workspace);
 	if (config == NULL ||
 	    !group_is_leader(leader->options.group, shard, now_ms)) {
-		rate_leader_deny(leader, from, need);
+		if (need->origin != NODE_ID_NONE)
+			rate_leader_relay(leader, from, shard, need, now_ms);
+		else
+			rate_leader_deny(leader, from, need);
 		return;
 	}
 	bucket = rate_find_bucket(leader, need->workspace);
--- a/src/rate/rate_space.c
+++ b/src/rate/rate_space.c
@@ -190,8 +190,7 @@
 		space->ask_ms = now_ms;
 		space->next_ask_ms = now_ms + RATE_AGAIN_MS;
 	}
-	client->options.send(
-	    client->options.ctx, leader, MSG_RATE_NEED, &msg.base);
+	rate_space_post(client, space, leader, &msg, now_ms);
 }
 
 /* Sends reports alone; an answer that is due stays due. */
@@ -209,8 +208,7 @@
 	space->used = 0;
 	msg.n_reports = rate_fill_reports(space, leader, reports, list);
 	msg.reports = list;
-	client->options.send(
-	    client->options.ctx, leader, MSG_RATE_NEED, &msg.base);
+	rate_space_post(client, space, leader, &msg, now_ms);
 }
 
 void
--- a/test/scenario/shards_fleet.cc
+++ b/test/scenario/shards_fleet.cc
@@ -187,6 +187,7 @@
 	rates.send = send;
 	rates.result = on_rate_result;
 	rates.baseline = off.baseline;
+	rates.test_skip_relay = off.skip_relay;
 	rates.test_skip_expiry = off.skip_expiry;
 	int err = group_create(&v.group, &group);
 	holder.group = claims.group = leader.group = rates.group = v.group;
--- a/test/scenario/shards_fleet.h
+++ b/test/scenario/shards_fleet.h
@@ -67,7 +67,7 @@
 	bool skip_validity = false, skip_quorum = false, fixed_retry = false;
 	bool mixed_epochs = false, skip_floors = false, skip_recall = false;
 	bool skip_queue = false, skip_outstanding = false, skip_expiry = false,
-	     baseline = false;
+	     skip_relay = false, baseline = false;
 };
 
 struct Fleet;
--- a/test/scenario/shards_scenario.cc
+++ b/test/scenario/shards_scenario.cc
@@ -413,7 +413,7 @@
 	"group_leader_frozen", "group_leader_one_way", "group_hand_over",
 	"group_no_majority", "rate_frozen_tokens", "rate_burst_many_vms",
 	"rate_traffic_moves", "rate_leader_killed", "rate_leader_frozen",
-	"rate_changed", "rate_queue"));
+	"rate_changed", "rate_queue", "rate_relay"));
 
 // A proof: with a mechanism off, the script breaks what it guards.
 struct Proof {
@@ -498,6 +498,12 @@
 		    return output.find("refused 0, unavailable 0") ==
 			std::string::npos;
 	    } },
+	Proof{ "rate_relay", "rate_relay",
+	    [](Switches &s) { s.skip_relay = true; },
+	    [](Scenario &, const std::string &output) {
+		    return output.find("refused 0, unavailable 0") ==
+			std::string::npos;
+	    } },
 	Proof{ "rate_recall", "rate_traffic_moves",
 	    [](Switches &s) { s.skip_recall = true; },
 	    [](Scenario &, const std::string &output) {
