--- a/test/unit/rate_test.cc
+++ b/test/unit/rate_test.cc
@@ -85,6 +85,41 @@
 	EXPECT_LE(admitted, 6000u + 10 + 100 * RATE_DRIFT_MS / 1000 + 1);
 }
 
+// Guards against requests of an outage refused by the new leader: the first
+// refill must not take the credit for the change away.
+TEST(RateBucket, ReferenceKeepsTheCreditOfALeaderChange)
+{
+	rate_bucket_t bucket = {};
+
+	bucket.rate_us = 100 * RATE_UTOKENS;
+	bucket.burst = 10 * RATE_UTOKENS;
+	bucket.reference = 160 * RATE_UTOKENS;
+	rate_bucket_refill(&bucket, 1000, 0);
+	EXPECT_EQ(bucket.reference, 160 * RATE_UTOKENS);
+	EXPECT_EQ(rate_bucket_admit(&bucket, 160), 160u);
+	rate_bucket_refill(&bucket, 3600000, 0);
+	EXPECT_EQ(bucket.reference, bucket.burst);
+}
+
+// Guards against a new leader that grants tokens which prefetch of the earlier
+// one may still spend.
+TEST(RateBucket, NewLeaderCountsPrefetchLongerThanNeed)
+{
+	rate_bucket_t bucket = {};
+
+	bucket.burst = 8 * RATE_UTOKENS;
+	bucket.unknown_out = bucket.burst;
+	bucket.unknown_extra = rate_bucket_get_prefetch_max(&bucket);
+	bucket.unknown_need_ms = RATE_NEED_RECLAIM_MS;
+	bucket.unknown_until_ms = RATE_TOKEN_RECLAIM_MS;
+	rate_bucket_reclaim(&bucket, RATE_NEED_RECLAIM_MS - 1);
+	EXPECT_EQ(bucket.unknown_out, bucket.burst);
+	rate_bucket_reclaim(&bucket, RATE_NEED_RECLAIM_MS);
+	EXPECT_EQ(bucket.unknown_out, 2 * RATE_UTOKENS);
+	rate_bucket_reclaim(&bucket, RATE_TOKEN_RECLAIM_MS);
+	EXPECT_EQ(bucket.unknown_out, 0);
+}
+
 struct Rates : testing::Test {
 	Fleet fleet{ 8, 1, 7 };
 
