target, bench: record arrivals; measure detection by them

The record held the start of a run. A slow target starts its queue after it got no more requests, and sheds and cancels requests that never start, so the times of scripts/bench.sh detect-* were neither upper nor lower bounds.

tm-target writes arrival_ms with each run, and with record_arrivals a line for each request that arrives. tm-entry logs trial requests (event 710, debug). The bench takes arrivals without those of trials, and prints false ejections and avoidances per target-hour, the load of the machine and the generator's lag in the same run.

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -18,9 +18,10 @@
 DEPLOYMENTS = {"M": {"targets": "8,20,6", "slots": 6, "dcs": 3},
                "G": {"targets": "8,20,8", "slots": 4, "dcs": 4}}
 QUANTILES = (("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999))
-# A target that serves a share of the load gets a request far more often than
-# this; the first trial request comes 1 s after an ejection.
+# A target that serves a share of the load gets a request far more often.
 QUIET_MS = 900
+# The longer window in which the decisions weigh evidence.
+EVIDENCE_MS = 4000
 FAULTS = {
     "slow_x5": {"slow_factor": 5},
     "slow_x20": {"slow_factor": 20},
@@ -274,27 +275,57 @@
     out.put(f"{name}.p99", quantile(latencies_us(load), 0.99), "us")
 
 
-def first_quiet_ms(starts, fault_ms, until_ms):
-    """Last start before the first gap of QUIET_MS; None without a gap."""
+def first_quiet_ms(arrivals, fault_ms, until_ms):
+    """Last arrival before the first gap of QUIET_MS; None without a gap."""
     last = fault_ms
-    for start in [s for s in starts if fault_ms < s < until_ms] + [until_ms]:
-        if start - last >= QUIET_MS:
+    for at in [a for a in arrivals if fault_ms < a < until_ms] + [until_ms]:
+        if at - last >= QUIET_MS:
             return last - fault_ms
-        last = start
+        last = at
     return None
 
 
+def put_false_verdicts(out, label, fleet, marks, since_ms, until_ms):
+    """Ejections and avoidances of targets that had no fault. The evidence
+    of a fault decays with 4 s; a target counts as faulty for that long."""
+    faulty = {}
+    for _, target, began, ended in marks:
+        faulty.setdefault(target, []).append((began, ended + EVIDENCE_MS))
+    hours = len(fleet.plan["targets"]) * (until_ms - since_ms) / 3600e3
+    hours -= sum(e - b for spans in faulty.values()
+                 for b, e in spans) / 3600e3
+    for name, event in (("ejections", 601), ("avoidances", 610)):
+        false = [e for e in fleet.events({event})
+                 if since_ms < e["at_ms"] < until_ms and
+                 not any(b <= e["at_ms"] <= u
+                         for b, u in faulty.get(e["target"], []))]
+        for e in false:
+            out.note(f"false {name}: {e['node']} {e['target']} "
+                     f"{e['evidence']} {e['value_percent']} of "
+                     f"{e['limit_percent']} % at "
+                     f"{(e['at_ms'] - since_ms) / 1000:.1f} s")
+        out.put(f"{label}.false_{name}", len(false), "targets")
+        out.put(f"{label}.false_{name}_per_target_hour", len(false) / hours,
+                "1/h")
+    out.put(f"{label}.target_hours_without_fault", hours, "h")
+
+
 def part_detect(build, out, kind, mode=None, trials=2):
     label = f"detect.{kind}" + ("" if mode is None else "." + mode)
-    out.note("processes: from the fault to the last start in the target's "
-             f"record before a gap of {QUIET_MS} ms; one target of each "
-             "service at a time, load 30 %; the start of a request "
-             "that waited in a slow target's queue is late by that wait, and "
-             "a stalled target starts none of its queue")
+    out.note("processes: from the fault to the last arrival in the target's "
+             f"record before a gap of {QUIET_MS} ms, without trial requests; "
+             "one target of each service at a time, load 30 %")
     seconds = trials * len(FAULTS) * 6 + 8
     marks = []
-    with deployment(build, kind, "detect-" + kind, mode=mode) as fleet:
+    more = {"FLEET_TARGET_EXTRA": {
+        "service_time": {"kind": "exponential", "mean_ms": 20},
+        "connection_cap": TARGET_CAP[kind], "record_arrivals": True},
+        "FLEET_ENTRY_EXTRA": {"log_level": "debug"}}
+    if mode is not None:
+        more["FLEET_ENTRY_EXTRA"]["decision_mode"] = mode
+    with deployment(build, kind, "detect-" + kind, **more) as fleet:
         time.sleep(11)  # until cold starts are over
+        began_ms = boot_ms()
         load = spread_load(build, fleet, "load", kind, 0.3, seconds)
         time.sleep(2)
         turn = 0
@@ -312,12 +343,23 @@
                 marks[-3:] = [(*m, ended) for m in marks[-3:]]
                 turn += 1
                 time.sleep(2)
+        ended_ms = boot_ms()
+        out.put(f"{label}.machine_load", os.getloadavg()[0], "processes")
         load.wait()
+        requests = {(e["target"], e["request_id"])
+                    for e in fleet.events({710})}
         found = {fault: [] for fault in FAULTS}
         for fault, target, began, ended in marks:
-            found[fault].append(first_quiet_ms(
-                fleet.starts_ms(target), began, ended))
+            quiet = first_quiet_ms(
+                fleet.arrivals_ms(target, requests), began, ended)
+            found[fault].append(quiet)
+            out.note(f"{fault} {target} at {began:.0f}: "
+                     + ("not detected" if quiet is None
+                        else f"{quiet:.0f} ms"))
+        put_false_verdicts(out, label, fleet, marks, began_ms, ended_ms)
         report_done(out, label, load)
+        out.put(f"{label}.generator_lag_p99",
+                load.report.get("send_lag_us", {}).get("p99", 0), "us")
     for fault, times in found.items():
         seen = [t for t in times if t is not None]
         out.put(f"{label}.{fault}.samples", len(times), "targets")
--- a/scripts/bench_lib.py
+++ b/scripts/bench_lib.py
@@ -102,15 +102,28 @@
             if t["name"] == target:
                 fetch(t["admin"], "/faults", "PUT", faults)
 
-    def starts_ms(self, target):
-        """Times at which the target began to run a request."""
-        times = []
-        path = os.path.join(self.dir, target + ".record")
-        with open(path, encoding="utf-8") as lines:
-            for line in lines:
-                if '"phase":"start"' in line:
-                    times.append(json.loads(line)["start_ms"])
-        return sorted(times)
+    def lines(self, name):
+        """JSON lines of a file of the fleet; a line may be incomplete."""
+        with open(os.path.join(self.dir, name), encoding="utf-8") as lines:
+            return [json.loads(line) for line in lines
+                    if line.endswith("}\n")]
+
+    def events(self, numbers):
+        """Log events of the entry VMs, with the boot time in at_ms."""
+        offset = time.time() * 1000 - boot_ms()
+        found = []
+        for name in self.names("entries"):
+            found += [{**e, "at_ms": e["ts_ms"] - offset}
+                      for e in self.lines(name + ".log")
+                      if e["event"] in numbers]
+        return sorted(found, key=lambda e: e["at_ms"])
+
+    def arrivals_ms(self, target, trials):
+        """Arrivals at the target, but for those in trials, a set of
+        (target, request id)."""
+        return sorted(r["arrival_ms"] for r in self.lines(target + ".record")
+                      if r["phase"] == "arrival" and
+                      (target, r["request_id"]) not in trials)
 
 
 class Load:
--- a/src/entry/request_attempt.c
+++ b/src/entry/request_attempt.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/log.h"
 #include "base/test_hooks.h"
 #include "entry/verify.h"
 
@@ -279,6 +280,11 @@
 	service_view_start(
 	    service->view, &attempt->view, endpoint, is_trial, now_ms);
 	metric_add(service->attempts, 1);
+	if (is_trial)
+		LOG_EVENT(710, LOG_LEVEL_DEBUG, "trial request sent",
+		    LOG_TEXT("service", service->name),
+		    LOG_TEXT("target", endpoint->target),
+		    LOG_TEXT("request_id", request->id));
 	request->state = REQUEST_SENT;
 	return (TM_OK);
 }
--- a/src/target/target_job.c
+++ b/src/target/target_job.c
@@ -39,6 +39,7 @@
 	int64_t deadline_ms;
 	target_act_t act;
 	int crashes;
+	int64_t arrived_ms;
 	int64_t started_ms;
 	int64_t next_watch_ms; /* when to look whether the caller is there */
 	json_t *line;
@@ -359,7 +360,8 @@
 	job->started_ms = now_ms;
 	job->act = target_fault_draw(&pool->fault, &pool->rng, now_ms);
 	job->crashes = pool->fault.crash_on_mark && is_crash_marked(job->req);
-	job->line = target_record_start(&pool->record, job->req, now_ms);
+	job->line = target_record_start(
+	    &pool->record, job->req, job->arrived_ms, now_ms);
 	service_ms = get_service_ms(job, now_ms);
 	if (job->act == TARGET_ACT_STALL_HEAD)
 		service_ms += (uint64_t)pool->fault.stall_ms;
@@ -576,6 +578,7 @@
 		return (NULL);
 	job->pool = pool;
 	job->req = req;
+	job->arrived_ms = now_ms;
 	job->guard = h2o_mem_alloc_shared(
 	    &req->pool, sizeof(*job->guard), on_request_released);
 	job->guard->job = job;
@@ -593,6 +596,7 @@
 {
 	target_job_t *job;
 
+	target_record_arrival(&pool->record, req, clock_now_ms());
 	if (pool->refusing) {
 		req->http1_is_persistent = 0;
 		shed_request(pool, req, "the target is leaving");
--- a/src/target/target_main.c
+++ b/src/target/target_main.c
@@ -196,6 +196,7 @@
 	record->incarnation = target->incarnation;
 	record->marker = s->marker;
 	record->with_starts = s->record_starts;
+	record->with_arrivals = s->record_arrivals;
 	if (target_record_open(record, s->record) != TM_OK) {
 		LOG_EVENT(802, LOG_LEVEL_ERROR, "cannot open the record",
 		    LOG_TEXT("path", s->record));
--- a/src/target/target_record.c
+++ b/src/target/target_record.c
@@ -86,18 +86,36 @@
 	return (names);
 }
 
+void
+target_record_arrival(target_record_t *record, h2o_req_t *req, int64_t now_ms)
+{
+	json_t *line;
+
+	if (record->out == NULL || !record->with_arrivals)
+		return;
+	line = json_pack("{s:s, s:I, s:s, s:I, s:o}", "target", record->id,
+	    "incarnation", (json_int_t)record->incarnation, "phase", "arrival",
+	    "arrival_ms", (json_int_t)now_ms, "request_id",
+	    make_text(target_http_get_header(req, "x-request-id")));
+	if (line == NULL)
+		return;
+	write_line(record, line);
+	json_decref(line);
+}
+
 json_t *
-target_record_start(target_record_t *record, h2o_req_t *req, int64_t now_ms)
+target_record_start(
+    target_record_t *record, h2o_req_t *req, int64_t arrived_ms, int64_t now_ms)
 {
 	json_t *line;
 
 	if (record->out == NULL)
 		return (NULL);
-	line = json_pack("{s:s, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o, s:b}",
-	    "target", record->id, "incarnation",
-	    (json_int_t)record->incarnation, "run",
-	    (json_int_t)++record->next_run, "start_ms", (json_int_t)now_ms,
-	    "workspace",
+	line = json_pack(
+	    "{s:s, s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o, s:b}", "target",
+	    record->id, "incarnation", (json_int_t)record->incarnation, "run",
+	    (json_int_t)++record->next_run, "arrival_ms",
+	    (json_int_t)arrived_ms, "start_ms", (json_int_t)now_ms, "workspace",
 	    make_text(target_http_get_header(req, "x-tm-workspace")),
 	    "request_id",
 	    make_text(target_http_get_header(req, "x-request-id")), "method",
--- a/src/target/target_record.h
+++ b/src/target/target_record.h
@@ -21,6 +21,7 @@
 	int64_t incarnation;
 	const char *marker; /**< NULL: not searched */
 	int with_starts;
+	int with_arrivals;
 	uint64_t next_run;
 } target_record_t;
 
@@ -32,14 +33,22 @@
  */
 int target_record_open(target_record_t *record, const char *path);
 
+/**
+ * Writes a line with "phase":"arrival" if the settings ask for it, also for a
+ * request that will be shed or cancelled before it runs.
+ */
+void target_record_arrival(
+    target_record_t *record, h2o_req_t *req, int64_t now_ms);
+
 /**
  * Describes a request when it starts to run, and writes a line with
  * "phase":"start" if the settings ask for it.
  *
+ * @param arrived_ms  when the request arrived, before it waited for a slot
  * @return the line to finish, or NULL if nothing is recorded
  */
-json_t *target_record_start(
-    target_record_t *record, h2o_req_t *req, int64_t now_ms);
+json_t *target_record_start(target_record_t *record, h2o_req_t *req,
+    int64_t arrived_ms, int64_t now_ms);
 
 /**
  * Writes the line of a request that ran and releases it.
--- a/src/target/target_settings.c
+++ b/src/target/target_settings.c
@@ -82,6 +82,7 @@
 	read_announcement(&root, s);
 	s->record = json_opt_text(&root, "record", 1, 4096, NULL);
 	s->record_starts = json_opt_bool(&root, "record_starts", 0);
+	s->record_arrivals = json_opt_bool(&root, "record_arrivals", 0);
 	s->marker = json_opt_text(&root, "marker", 4, 256, NULL);
 	s->slots = (int)json_opt_int(&root, "slots", 1, 10000, "", 6);
 	s->queue = (int)json_opt_int(&root, "queue", 0, 10000, "", 4);
--- a/src/target/target_settings.h
+++ b/src/target/target_settings.h
@@ -33,6 +33,7 @@
 	const char *target_secret;
 	const char *record; /**< file for the record, or NULL */
 	int record_starts;
+	int record_arrivals;
 	const char *marker; /**< text that must never arrive, or NULL */
 	int slots;
 	int queue;
--- a/test/functional/target_faults.sh
+++ b/test/functional/target_faults.sh
@@ -3,6 +3,7 @@
 # slot, an announced key that goes unnoticed.
 . test/functional/lib_tools.sh
 export FLEET_TARGET_EXTRA='{"queue":1,"leave_notice_ms":200,
+"record_arrivals":true,
 "service_time":{"mean_ms":5}}'
 scripts/fleet.sh start "$dir" control=0 entry=0 targets=1 slots=1 || exit 1
 . "$dir/env"
@@ -93,8 +94,13 @@
 starts = [x for x in lines if x["phase"] == "start"]
 ends = [x for x in lines if x["phase"] == "end"]
 for x in ends:
-    assert x["end_ms"] >= x["start_ms"] > 0
+    assert x["end_ms"] >= x["start_ms"] >= x["arrival_ms"] > 0
     print(x["path"], x["outcome"], x["status"], x["request_id"],
           x["workspace"], "key" if x["marker"] else "")
 print("starts without end:", len(starts) - len(ends))
+arrivals = [x["arrival_ms"] for x in lines if x["phase"] == "arrival"]
+assert set(x["arrival_ms"] for x in starts) <= set(arrivals)
+print("arrivals without start:", len(arrivals) - len(starts))
+waited = [x["path"] for x in ends if x["start_ms"] - x["arrival_ms"] > 100]
+print("waited for a slot:", *waited)
 PY
