service: count attempts that a hedge overtook

A hedged request whose second attempt answers first cancels the first attempt, and a canceled attempt was no evidence. The budget of 10 % of the requests covers most requests of one slow target of 20, so its mean latency was that of its quick requests only, and its stalled requests ended before they counted as stalls. The record of a target slow x5 showed half of its requests canceled and no verdict in 4 s. The virtual-time model had no hedges and did not show it.

An outrun attempt now adds its age to the sum of latencies but not to the number of good attempts: the usual estimate of a mean from censored times, which is exact for exponential times. The baseline still ignores it. The model has hedges (setup hedges=1, always in ServiceBench). The scenarios outrun_slow and outrun_stall fail without the change: no VM avoids the target.

--- a/src/entry/request_attempt.c
+++ b/src/entry/request_attempt.c
@@ -197,7 +197,7 @@
 	default:
 		break;
 	}
-	request_cancel_attempts(request, SERVICE_OUTCOME_CANCELED);
+	request_cancel_attempts(request, SERVICE_OUTCOME_OUTRUN);
 	request_finish_ok(request, response);
 }
 
--- a/src/route/balancer.c
+++ b/src/route/balancer.c
@@ -279,7 +279,8 @@
     service_outcome_t outcome, int64_t now_ms)
 {
 	if (balancer->mode != BALANCER_BASELINE ||
-	    outcome == SERVICE_OUTCOME_CANCELED)
+	    outcome == SERVICE_OUTCOME_CANCELED ||
+	    outcome == SERVICE_OUTCOME_OUTRUN)
 		return;
 	if (outcome == SERVICE_OUTCOME_OK ||
 	    outcome == SERVICE_OUTCOME_REJECTED ||
--- a/src/service/service_defs.h
+++ b/src/service/service_defs.h
@@ -77,8 +77,10 @@
 	SERVICE_OUTCOME_SHED,
 	/** Status 4xx; judged only against the peers. */
 	SERVICE_OUTCOME_REJECTED,
-	/** Canceled by the caller or by a hedge: no evidence. */
-	SERVICE_OUTCOME_CANCELED
+	/** Canceled by the caller: no evidence. */
+	SERVICE_OUTCOME_CANCELED,
+	/** Canceled because another attempt of the request was quicker. */
+	SERVICE_OUTCOME_OUTRUN
 } service_outcome_t;
 
 /** Kind of evidence on which a target was ejected or avoided. */
@@ -118,8 +120,9 @@
 	double count; /**< attempts that ended, except canceled ones */
 	double bad; /**< errors, wrong, broken, timeouts and stalls */
 	double odd; /**< rejected and shed */
-	double latency_ms; /**< sum over good attempts */
-	double good; /**< attempts in latency_ms */
+	/** Sum over good attempts, and over outrun ones up to their end. */
+	double latency_ms;
+	double good; /**< attempts with a good response */
 } service_sample_t;
 
 /**
--- a/src/service/service_evidence.c
+++ b/src/service/service_evidence.c
@@ -317,7 +317,7 @@
 	mean_ms = service_sample_get_mean_ms(&total->slow);
 	if (target->past_ms <= 0.0 && total->slow.good > 20)
 		target->past_ms = mean_ms;
-	else if (badness <= 0.0 && mean_ms > 0.0)
+	else if (badness <= 0.0 && total->slow.good >= 1.0)
 		target->past_ms +=
 		    EVIDENCE_PAST_WEIGHT * (mean_ms - target->past_ms);
 	return (0.0);
--- a/src/service/service_judge.c
+++ b/src/service/service_judge.c
@@ -85,12 +85,25 @@
 	*slow = exp(-(double)elapsed_ms / SERVICE_SLOW_MS);
 }
 
+/* Attempts whose latency, or whose age when they were outrun, is known. */
+static double
+sample_get_timed(const service_sample_t *sample)
+{
+	return (fmax(sample->good, sample->count - sample->bad - sample->odd));
+}
+
+/*
+ * An outrun attempt would have taken longer than its age. Its age counts in
+ * the sum but not in the number, which is the usual estimate of a mean from
+ * censored times. Left out, the mean would hold the quick attempts of a slow
+ * target only.
+ */
 double
 service_sample_get_mean_ms(const service_sample_t *sample)
 {
-	if (sample->good < 0.5)
+	if (sample_get_timed(sample) < 0.5)
 		return (0.0);
-	return (sample->latency_ms / sample->good);
+	return (sample->latency_ms / fmax(sample->good, 1.0));
 }
 
 static int
@@ -217,11 +230,11 @@
 	double ratio;
 	double limit;
 
-	if (sample->good < JUDGE_GOOD_MIN || base_ms <= 0.0)
+	if (sample_get_timed(sample) < JUDGE_GOOD_MIN || base_ms <= 0.0)
 		return;
 	base_ms = fmax(base_ms, 1.0);
 	ratio = mean_ms / base_ms;
-	limit = limits->ratio * (1 + 2 / sqrt(sample->good));
+	limit = limits->ratio * (1 + 2 / sqrt(fmax(sample->good, 1.0)));
 	if (lenient)
 		limit *= 2;
 	if (ratio < limit || mean_ms - base_ms < JUDGE_DIFFERENCE_MIN_MS)
@@ -258,7 +271,7 @@
 	int i;
 
 	for (i = 0; i < 2; i++) {
-		if (samples[i]->good >= JUDGE_GOOD_MIN ||
+		if (sample_get_timed(samples[i]) >= JUDGE_GOOD_MIN ||
 		    samples[i]->bad >= JUDGE_BAD_MIN ||
 		    samples[i]->count >= JUDGE_ODD_MIN)
 			return (1);
@@ -291,7 +304,7 @@
 		return (1);
 	if (sample->odd / count >= JUDGE_ODD_SHARE / 2)
 		return (1);
-	return (sample->good >= JUDGE_GOOD_MIN && base_ms > 0.0 &&
+	return (sample_get_timed(sample) >= JUDGE_GOOD_MIN && base_ms > 0.0 &&
 	    service_sample_get_mean_ms(sample) >=
 		(1 + limits->ratio) / 2 * base_ms);
 }
--- a/src/service/service_judge.h
+++ b/src/service/service_judge.h
@@ -51,7 +51,7 @@
 /** Factors for elapsed_ms. */
 void service_window_get_decay(int64_t elapsed_ms, double *fast, double *slow);
 
-/** @return mean latency of good attempts in ms; 0 without samples */
+/** @return mean latency in ms, with outrun attempts; 0 without samples */
 double service_sample_get_mean_ms(const service_sample_t *sample);
 
 /**
--- a/src/service/service_view.c
+++ b/src/service/service_view.c
@@ -339,7 +339,10 @@
 	state->permit = 0;
 }
 
-/* A stalled attempt was counted before its end; only its latency is added. */
+/*
+ * A stalled attempt was counted before its end; only its latency is added. An
+ * outrun attempt adds its age to the latency, but is no good attempt.
+ */
 static void
 view_add_outcome(service_view_t *view, const service_attempt_t *attempt,
     service_outcome_t outcome, int64_t latency_ms)
@@ -350,6 +353,8 @@
 	if (outcome == SERVICE_OUTCOME_OK) {
 		sample.good = 1;
 		sample.latency_ms = (double)latency_ms;
+	} else if (outcome == SERVICE_OUTCOME_OUTRUN) {
+		sample.latency_ms = (double)latency_ms;
 	} else if (outcome == SERVICE_OUTCOME_SHED ||
 	    outcome == SERVICE_OUTCOME_REJECTED) {
 		sample.odd = sample.count;
@@ -365,6 +370,14 @@
 	state->fresh.latency_ms += sample.latency_ms;
 }
 
+static int
+view_is_evidence(const service_view_t *view, service_outcome_t outcome)
+{
+	if (outcome == SERVICE_OUTCOME_OUTRUN)
+		return (!(view->opt.test_off & SERVICE_VIEW_OFF_OUTRUN));
+	return (outcome != SERVICE_OUTCOME_CANCELED);
+}
+
 void
 service_view_finish(service_view_t *view, service_attempt_t *attempt,
     service_outcome_t outcome, int64_t now_ms)
@@ -381,7 +394,7 @@
 	if (attempt->trial) {
 		view_finish_trial(view, endpoint, outcome == SERVICE_OUTCOME_OK,
 		    latency_ms, now_ms);
-	} else if (outcome != SERVICE_OUTCOME_CANCELED) {
+	} else if (view_is_evidence(view, outcome)) {
 		attempt->endpoint = endpoint;
 		view_add_outcome(view, attempt, outcome, latency_ms);
 		attempt->endpoint = NULL;
--- a/test/scenario/service_bench.cc
+++ b/test/scenario/service_bench.cc
@@ -40,6 +40,7 @@
 	cfg.slots = deployment.slots;
 	cfg.targets = targets;
 	cfg.weights = deployment.weights;
+	cfg.hedges = true;
 	cfg.seed = seed;
 	return cfg;
 }
--- a/test/scenario/service_scenario.cc
+++ b/test/scenario/service_scenario.cc
@@ -32,6 +32,8 @@
 	cfg.load = (double)script_get_number(line, "load", 50) / 100;
 	cfg.profile.floor_percent =
 	    (uint32_t)script_get_number(line, "floor", 50);
+	cfg.hedges = script_get_number(line, "hedges", 0) != 0;
+	cfg.slots = (uint32_t)script_get_number(line, "slots", 4);
 	cfg.seed = (uint64_t)script_get_number(line, "seed", 1);
 	cfg.leader_off = s->leader_off;
 	cfg.view_off = s->view_off;
@@ -232,6 +234,8 @@
 	{ "leader_absent", 0, SERVICE_VIEW_OFF_LOCAL },
 	{ "crash", SERVICE_OFF_CRASH_BLOCK, SERVICE_VIEW_OFF_LOCAL },
 	{ "new_address", SERVICE_OFF_INCARNATION, 0 },
+	{ "outrun_slow", 0, SERVICE_VIEW_OFF_OUTRUN },
+	{ "outrun_stall", 0, SERVICE_VIEW_OFF_OUTRUN },
 };
 
 class ServiceScenario : public testing::TestWithParam<Case> {};
--- a/test/scenario/service_sim.cc
+++ b/test/scenario/service_sim.cc
@@ -5,7 +5,7 @@
 
 static const char *const kFaults[] = { "none", "slow5", "slow20", "errors",
 	"wrong", "stall", "flapping", "lying", "coldslow", "shedding" };
-enum { EV_REACH, EV_RUN_END, EV_ANSWER, EV_DEADLINE };
+enum { EV_REACH, EV_RUN_END, EV_ANSWER, EV_DEADLINE, EV_HEDGE };
 
 const char *
 faultName(Fault fault)
@@ -189,6 +189,11 @@
 	if (target.left_ms != 0 && now() - target.left_ms > 2000)
 		target.after_leave++;
 	schedule(now() + 1, EV_REACH, request);
+	int64_t delay_ms =
+	    retry_budget_get_hedge_delay_ms(&vm.budget, cfg.deadline_ms);
+	if (cfg.hedges && delay_ms >= 0 && !request->crashes &&
+	    !request->hedged)
+		schedule(now() + delay_ms, EV_HEDGE, request);
 	return true;
 }
 
@@ -284,6 +289,82 @@
 	pump(*request->vm);
 }
 
+// Sends a second attempt of a request that takes unusually long.
+void
+ServiceSim::hedge(SimRequest *request)
+{
+	SimVm &vm = *request->vm;
+
+	if (request->hedged || request->attempt.endpoint == nullptr)
+		return;
+	request->hedged = true;
+	auto *second = new SimRequest;
+	second->vm = &vm;
+	second->workspace = request->workspace;
+	second->arrived_ms = request->arrived_ms;
+	second->hedged = true;
+	second->is_hedge = true;
+	std::copy(request->tried, request->tried + request->tried_count,
+	    second->tried);
+	second->tried_count = request->tried_count;
+	if (retry_budget_take(&vm.budget) != 0 || !dispatch(vm, second)) {
+		delete second;
+		return;
+	}
+	request->twin = second;
+	second->twin = request;
+}
+
+// Ends an attempt whose answer is of no use any more.
+void
+ServiceSim::cancelRun(SimRequest *request, service_outcome_t outcome)
+{
+	SimTarget &target = targets[request->target];
+
+	request->serial++;
+	request->done = true;
+	service_view_finish(
+	    request->vm->view, &request->attempt, outcome, now());
+	if (!request->at_target)
+		return;
+	request->at_target = false;
+	if (target.active.erase(request) > 0) {
+		target.running--;
+		startNext(target);
+		return;
+	}
+	target.waiting.erase(
+	    std::find(target.waiting.begin(), target.waiting.end(), request));
+	if (request->pending == 0)
+		delete request;
+}
+
+// The first good answer of two attempts ends the request; true if handled.
+bool
+ServiceSim::answerTwin(SimRequest *request, service_outcome_t outcome)
+{
+	SimRequest *twin = request->twin;
+
+	if (twin == nullptr)
+		return false;
+	request->twin = nullptr;
+	twin->twin = nullptr;
+	if (outcome == SERVICE_OUTCOME_OK) {
+		SimRequest *first = request->is_hedge ? twin : request;
+		cancelRun(twin, SERVICE_OUTCOME_OUTRUN);
+		request->done = true;
+		end(first, true);
+		return true;
+	}
+	// The other attempt goes on; the first one holds the caller.
+	if (request->is_hedge) {
+		request->done = true;
+		return true;
+	}
+	cancelRun(twin, SERVICE_OUTCOME_CANCELED);
+	return false;
+}
+
 void
 ServiceSim::answer(SimRequest *request, service_outcome_t outcome)
 {
@@ -304,6 +385,8 @@
 		    vm.view, 0xf000 + order_, endpoint, now());
 	balancer_record(&vm.balancer, endpoint, outcome, now());
 	service_view_finish(vm.view, &request->attempt, outcome, now());
+	if (answerTwin(request, outcome))
+		return;
 	if (outcome == SERVICE_OUTCOME_OK) {
 		end(request, true);
 		return;
@@ -352,6 +435,12 @@
 				service_view_finish(request->vm->view,
 				    &request->attempt, SERVICE_OUTCOME_TIMEOUT,
 				    now());
+				if (request->twin != nullptr) {
+					request->twin->twin = nullptr;
+					cancelRun(request->twin,
+					    SERVICE_OUTCOME_TIMEOUT);
+					request->twin = nullptr;
+				}
 				end(request, false);
 			}
 		} else if (event.kind != EV_DEADLINE &&
@@ -360,6 +449,9 @@
 		} else if (event.kind == EV_REACH) {
 			if (!request->done)
 				reachTarget(request);
+		} else if (event.kind == EV_HEDGE) {
+			if (!request->done)
+				hedge(request);
 		} else if (event.kind == EV_RUN_END) {
 			finishRun(request);
 		} else if (event.kind == EV_ANSWER && !request->done) {
--- a/test/scenario/service_sim.h
+++ b/test/scenario/service_sim.h
@@ -52,6 +52,7 @@
 	std::vector<double> weights = std::vector<double>(8, 1.0);
 	service_profile_t profile = { SERVICE_NORMAL, 50, 1 };
 	bool baseline = false;
+	bool hedges = false; // slow attempts get a second one
 	uint32_t leader_off = 0;
 	uint32_t view_off = 0;
 	uint64_t seed = 1;
@@ -143,6 +144,9 @@
 	void finishRun(SimRequest *request);
 	void answer(SimRequest *request, service_outcome_t outcome);
 	void end(SimRequest *request, bool good);
+	void hedge(SimRequest *request);
+	void cancelRun(SimRequest *request, service_outcome_t outcome);
+	bool answerTwin(SimRequest *request, service_outcome_t outcome);
 	void crash(SimRequest *request);
 	void breakAll(SimTarget &target);
 	void step();
--- a/test/scenario/service_sim_internal.h
+++ b/test/scenario/service_sim_internal.h
@@ -17,6 +17,9 @@
 	uint32_t serial = 0; // of the attempt
 	service_outcome_t outcome = SERVICE_OUTCOME_OK;
 	bool crashes = false;
+	bool hedged = false;
+	bool is_hedge = false;
+	SimRequest *twin = nullptr; // the other attempt of a hedged request
 	bool at_target = false;
 	bool done = false; // answered or given up at the VM
 	int pending = 0; // events that still refer to the request
