config: store objects without hash links and without room for texts of other kinds

Cause: each of the 94,000 workspaces and keys of the target size carried 56 bytes of uthash links and a terminator for five texts that its kind lacks, and each of the 10,000 remembered change ids had room for the longest id.

An object takes exactly its own texts.

Ruled out: one allocation for a workspace and its key. A workspace may have several keys and each put replaces the object, so a shared allocation would have to be rebuilt by each change of either; it would save about 32 bytes a key.

--- a/src/config/config_apply.c
+++ b/src/config/config_apply.c
@@ -79,14 +79,15 @@
 config_is_in_use(
     const config_state_t *state, config_kind_t kind, const char *name)
 {
-	const config_slot_t *slot;
+	const config_object_t *object;
+	size_t place;
 	int k;
 
 	for (k = CONFIG_KIND_SERVICE; k < CONFIG_OBJECT_KINDS; k++) {
-		for (slot = state->tables[k]; slot != NULL;
-		     slot = slot->hh.next) {
-			if (config_refers_to(
-				config_slot_get_object(slot), kind, name))
+		place = 0;
+		while ((object = config_table_next(
+			    &state->tables[k], &place)) != NULL) {
+			if (config_refers_to(object, kind, name))
 				return (1);
 		}
 	}
--- a/src/config/config_internal.h
+++ b/src/config/config_internal.h
@@ -8,15 +8,11 @@
 #include <uthash.h>
 
 #include "config/config_state.h"
+#include "config/config_table.h"
 
 #define CONFIG_MATCH_MAX_BYTES \
 	(CONFIG_HOST_MAX_BYTES + CONFIG_PATH_MAX_BYTES + 2)
 
-/* An object in the table of its kind: this head, the object, its texts. */
-typedef struct config_slot {
-	UT_hash_handle hh;
-} config_slot_t;
-
 /* A route under its host and normalised path prefix. */
 typedef struct config_match {
 	UT_hash_handle hh;
@@ -32,15 +28,15 @@
 
 typedef struct config_change_slot {
 	UT_hash_handle hh;
-	char id[CONFIG_CHANGE_ID_MAX_BYTES + 1];
 	uint64_t fingerprint;
 	config_result_t result;
+	char id[];
 } config_change_slot_t;
 
 struct config_state {
 	uint64_t index;
 	uint64_t directory_index;
-	config_slot_t *tables[CONFIG_OBJECT_KINDS];
+	config_table_t tables[CONFIG_OBJECT_KINDS];
 	/* Objects in order of their names; rebuilt when needed. */
 	const config_object_t **sorted[CONFIG_OBJECT_KINDS];
 	size_t sorted_count[CONFIG_OBJECT_KINDS];
@@ -59,8 +55,6 @@
 };
 
 /* config_object.c */
-config_object_t *config_slot_get_object(const config_slot_t *slot);
-config_slot_t *config_object_get_slot(config_object_t *object);
 config_object_t *config_object_decode(const Feed__Object *msg);
 /* Strings of out point into the object; workspaces are allocated. */
 int config_object_encode(const config_object_t *object, Feed__Object *out);
--- a/src/config/config_object.c
+++ b/src/config/config_object.c
@@ -83,18 +83,6 @@
 	return (strstr(path, "//") == NULL);
 }
 
-config_object_t *
-config_slot_get_object(const config_slot_t *slot)
-{
-	return ((config_object_t *)(slot + 1));
-}
-
-config_slot_t *
-config_object_get_slot(config_object_t *object)
-{
-	return ((config_slot_t *)object - 1);
-}
-
 /* Room behind an object that is being decoded. */
 typedef struct config_text {
 	char *next;
@@ -120,13 +108,23 @@
 	return (TM_OK);
 }
 
-/* Bytes of all texts that any kind may copy. */
+/* Bytes of the texts that the kind copies. */
 static size_t
 config_get_text_bytes(const Feed__Object *msg)
 {
-	return (strlen(msg->name) + strlen(msg->profile) + strlen(msg->host) +
-	    strlen(msg->path_prefix) + strlen(msg->service) +
-	    strlen(msg->workspace) + 6);
+	size_t name_bytes = strlen(msg->name) + 1;
+
+	switch (msg->kind) {
+	case CONFIG_KIND_SERVICE:
+		return (name_bytes + strlen(msg->profile) + 1);
+	case CONFIG_KIND_ROUTE:
+		return (name_bytes + strlen(msg->host) +
+		    strlen(msg->path_prefix) + strlen(msg->service) + 3);
+	case CONFIG_KIND_KEY:
+		return (name_bytes + strlen(msg->workspace) + 1);
+	default:
+		return (name_bytes);
+	}
 }
 
 static int
@@ -228,18 +226,16 @@
 config_object_decode(const Feed__Object *msg)
 {
 	config_object_t *object;
-	config_slot_t *slot;
 	config_text_t room;
 	size_t size;
 
 	if (msg->kind <= CONFIG_KIND_NONE || msg->kind >= CONFIG_OBJECT_KINDS)
 		return (NULL);
-	size = sizeof(*slot) + config_object_sizes[msg->kind];
-	slot = calloc(1, size + config_get_text_bytes(msg));
-	if (slot == NULL)
+	size = config_object_sizes[msg->kind];
+	object = calloc(1, size + config_get_text_bytes(msg));
+	if (object == NULL)
 		return (NULL);
-	room.next = (char *)slot + size;
-	object = config_slot_get_object(slot);
+	room.next = (char *)object + size;
 	object->kind = (config_kind_t)msg->kind;
 	object->version = msg->version;
 	if (config_copy_name(&room, &object->name, msg->name) != TM_OK ||
@@ -327,7 +323,7 @@
 		return;
 	if (object->kind == CONFIG_KIND_ROUTE)
 		free(((config_route_t *)object)->workspaces);
-	free(config_object_get_slot(object));
+	free(object);
 }
 
 uint32_t
--- a/src/config/config_snapshot.c
+++ b/src/config/config_snapshot.c
@@ -55,7 +55,7 @@
 	int kind;
 
 	for (kind = 1; kind < CONFIG_OBJECT_KINDS; kind++)
-		total += HASH_COUNT(state->tables[kind]);
+		total += state->tables[kind].count;
 	list = calloc(total + 1, sizeof(config_object_t *));
 	build->objects = calloc(total + 1, sizeof(*build->objects));
 	build->msg.objects = calloc(total + 1, sizeof(Feed__Object *));
--- a/src/config/config_state.c
+++ b/src/config/config_state.c
@@ -26,10 +26,10 @@
 static void
 config_state_free_tables(config_state_t *state)
 {
-	config_slot_t *slot;
-	config_slot_t *next;
+	config_object_t *object;
 	config_match_t *match;
 	config_match_t *next_match;
+	size_t place;
 	int kind;
 
 	HASH_ITER(hh, state->matches, match, next_match) {
@@ -37,10 +37,11 @@
 		free(match);
 	}
 	for (kind = 0; kind < CONFIG_OBJECT_KINDS; kind++) {
-		HASH_ITER(hh, state->tables[kind], slot, next) {
-			HASH_DEL(state->tables[kind], slot);
-			config_object_free(config_slot_get_object(slot));
-		}
+		place = 0;
+		while ((object = config_table_next(
+			    &state->tables[kind], &place)) != NULL)
+			config_object_free(object);
+		config_table_clear(&state->tables[kind]);
 		free(state->sorted[kind]);
 		state->sorted[kind] = NULL;
 		state->sorted_count[kind] = 0;
@@ -104,26 +105,20 @@
 	return (state->directory_index);
 }
 
-static config_slot_t *
-config_state_find_slot(const config_state_t *state, config_kind_t kind,
+static config_object_t *
+config_state_find_object(const config_state_t *state, config_kind_t kind,
     const char *name, size_t len)
 {
-	config_slot_t *slot = NULL;
-
 	if (kind <= CONFIG_KIND_NONE || kind >= CONFIG_OBJECT_KINDS)
 		return (NULL);
-	HASH_FIND(hh, state->tables[kind], name, len, slot);
-	return (slot);
+	return (config_table_find(&state->tables[kind], name, len));
 }
 
 const config_object_t *
 config_state_find(
     const config_state_t *state, config_kind_t kind, const char *name)
 {
-	config_slot_t *slot =
-	    config_state_find_slot(state, kind, name, strlen(name));
-
-	return (slot != NULL ? config_slot_get_object(slot) : NULL);
+	return (config_state_find_object(state, kind, name, strlen(name)));
 }
 
 const config_profile_t *
@@ -150,12 +145,8 @@
 const config_key_t *
 config_state_find_key(const config_state_t *state, const char *id, size_t len)
 {
-	config_slot_t *slot =
-	    config_state_find_slot(state, CONFIG_KIND_KEY, id, len);
-
-	return (slot != NULL
-		? (const config_key_t *)config_slot_get_object(slot)
-		: NULL);
+	return ((const config_key_t *)config_state_find_object(
+	    state, CONFIG_KIND_KEY, id, len));
 }
 
 static const config_match_t *
@@ -245,18 +236,18 @@
 static void
 config_state_sort(config_state_t *state, config_kind_t kind)
 {
-	size_t count = HASH_COUNT(state->tables[kind]);
+	size_t count = state->tables[kind].count;
 	const config_object_t **order;
-	const config_slot_t *slot;
-	size_t i = 0;
+	size_t place = 0;
+	size_t i;
 
 	if (state->sorted_valid[kind])
 		return;
 	order = calloc(count + 1, sizeof(config_object_t *));
 	if (order == NULL)
 		return;
-	for (slot = state->tables[kind]; slot != NULL; slot = slot->hh.next)
-		order[i++] = config_slot_get_object(slot);
+	for (i = 0; i < count; i++)
+		order[i] = config_table_next(&state->tables[kind], &place);
 	qsort(order, count, sizeof(config_object_t *), config_compare_objects);
 	free(state->sorted[kind]);
 	state->sorted[kind] = order;
@@ -298,7 +289,7 @@
 		return (state->node_count);
 	if (kind <= CONFIG_KIND_NONE || kind >= CONFIG_OBJECT_KINDS)
 		return (0);
-	return (HASH_COUNT(state->tables[kind]));
+	return (state->tables[kind].count);
 }
 
 const config_node_t *
@@ -376,23 +367,6 @@
 	return (TM_OK);
 }
 
-int
-config_state_insert(config_state_t *state, config_object_t *object)
-{
-	config_slot_t *slot = config_object_get_slot(object);
-	int err = TM_OK;
-
-	if (object->kind == CONFIG_KIND_ROUTE)
-		err = config_state_insert_match(
-		    state, (const config_route_t *)object);
-	if (err != TM_OK)
-		return (err);
-	HASH_ADD_KEYPTR(hh, state->tables[object->kind], object->name,
-	    strlen(object->name), slot);
-	state->sorted_valid[object->kind] = 0;
-	return (TM_OK);
-}
-
 static void
 config_state_take_match(config_state_t *state, const config_route_t *route)
 {
@@ -408,19 +382,36 @@
 	free(match);
 }
 
+int
+config_state_insert(config_state_t *state, config_object_t *object)
+{
+	int err = TM_OK;
+
+	if (object->kind == CONFIG_KIND_ROUTE)
+		err = config_state_insert_match(
+		    state, (const config_route_t *)object);
+	if (err != TM_OK)
+		return (err);
+	err = config_table_add(&state->tables[object->kind], object);
+	if (err != TM_OK && object->kind == CONFIG_KIND_ROUTE)
+		config_state_take_match(state, (const config_route_t *)object);
+	if (err == TM_OK)
+		state->sorted_valid[object->kind] = 0;
+	return (err);
+}
+
 config_object_t *
 config_state_take(config_state_t *state, config_kind_t kind, const char *name)
 {
-	config_slot_t *slot =
-	    config_state_find_slot(state, kind, name, strlen(name));
 	config_object_t *object;
 
-	if (slot == NULL)
+	if (kind <= CONFIG_KIND_NONE || kind >= CONFIG_OBJECT_KINDS)
+		return (NULL);
+	object = config_table_take(&state->tables[kind], name, strlen(name));
+	if (object == NULL)
 		return (NULL);
-	object = config_slot_get_object(slot);
 	if (kind == CONFIG_KIND_ROUTE)
 		config_state_take_match(state, (const config_route_t *)object);
-	HASH_DEL(state->tables[kind], slot);
 	state->sorted_valid[kind] = 0;
 	return (object);
 }
@@ -482,6 +473,7 @@
 config_state_add_change(config_state_t *state, const char *change_id,
     uint64_t fingerprint, const config_result_t *result)
 {
+	size_t len = strnlen(change_id, CONFIG_CHANGE_ID_MAX_BYTES);
 	config_change_slot_t *slot;
 
 	if (HASH_COUNT(state->changes) >= CONFIG_CHANGES_KEPT) {
@@ -489,10 +481,10 @@
 		HASH_DEL(state->changes, slot);
 		free(slot);
 	}
-	slot = calloc(1, sizeof(*slot));
+	slot = calloc(1, sizeof(*slot) + len + 1);
 	if (slot == NULL)
 		return (TM_ENOMEM);
-	strncpy(slot->id, change_id, CONFIG_CHANGE_ID_MAX_BYTES);
+	memcpy(slot->id, change_id, len);
 	slot->fingerprint = fingerprint;
 	slot->result = *result;
 	slot->result.is_repeat = 0;
