settings: read secrets and the log level in one place

Cause: control_settings.c and entry_settings.c read these fields with the same lines, and their limits had drifted apart: tm-entry took a fleet secret of 255 bytes that tm-control refused (128), so a fleet could be given a secret that half of its programs do not start with.

functional/examples checks 255 and 256 bytes with both programs.

--- a/src/control/control_settings.c
+++ b/src/control/control_settings.c
@@ -6,9 +6,6 @@
 #include "base/error.h"
 #include "settings/json_check.h"
 
-static const char *const log_level_words[] = { "debug", "info", "warn", "error",
-	NULL };
-
 const char control_default_settings[] =
     "{\n"
     "  \"node\": \"control-1\",\n"
@@ -96,23 +93,6 @@
 		    "add this VM to control_vms, or correct the name");
 }
 
-static void
-control_read_secrets(json_node_t *root, control_settings_t *settings)
-{
-	const char *text;
-	int count;
-	int i;
-
-	count = json_need_list(
-	    root, "fleet_secrets", 1, PEER_SECRETS_MAX, "secrets");
-	for (i = 0; i < count; i++) {
-		text = json_list_get_text(root, "fleet_secrets", i,
-		    CONTROL_SECRET_MIN_BYTES, CONTROL_SECRET_MAX_BYTES);
-		strncpy(settings->secrets[i], text, CONTROL_SECRET_MAX_BYTES);
-	}
-	settings->secret_count = count;
-}
-
 static void
 control_read_operators(json_node_t *root, control_settings_t *settings)
 {
@@ -146,10 +126,10 @@
 	json_need_address(root, "admin_listen", &settings->admin_listen);
 	json_need_address(root, "peer_listen", &settings->peer_listen);
 	http_tls_read_settings(root, &settings->tls);
-	settings->log_level = (log_level_t)json_opt_enum(
-	    root, "log_level", log_level_words, LOG_LEVEL_INFO);
+	settings->log_level = program_read_log_level(root);
 	control_read_vms(root, settings);
-	control_read_secrets(root, settings);
+	settings->secret_count =
+	    program_read_fleet_secrets(root, settings->secrets);
 	control_read_operators(root, settings);
 	json_node_finish(root);
 }
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -14,13 +14,12 @@
 #include "http/http_tls.h"
 #include "net/peer.h"
 #include "raft/raft.h"
+#include "settings/program_settings.h"
 
-#define CONTROL_OPERATORS_MAX	 64
-#define CONTROL_PATH_MAX_BYTES	 255
-#define CONTROL_SECRET_MIN_BYTES 16
-#define CONTROL_SECRET_MAX_BYTES 128
-#define CONTROL_DIGEST_BYTES	 32
-#define CONTROL_IP_TEXT_BYTES	 16
+#define CONTROL_OPERATORS_MAX  64
+#define CONTROL_PATH_MAX_BYTES 255
+#define CONTROL_DIGEST_BYTES   32
+#define CONTROL_IP_TEXT_BYTES  16
 
 /** One of the control VMs. */
 typedef struct control_vm {
@@ -48,7 +47,7 @@
 	control_vm_t vms[RAFT_VOTERS_MAX];
 	http_tls_files_t tls; /**< of admin_listen */
 	int secret_count;
-	char secrets[PEER_SECRETS_MAX][CONTROL_SECRET_MAX_BYTES + 1];
+	program_secret_t secrets[PEER_SECRETS_MAX];
 	int operator_count;
 	control_operator_t operators[CONTROL_OPERATORS_MAX];
 	log_level_t log_level;
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -24,8 +24,6 @@
     "  \"log_level\": \"info\"\n"
     "}\n";
 
-static const char *const log_level_words[] = { "debug", "info", "warn", "error",
-	NULL };
 static const char *const mode_words[] = { "fleet", "baseline", NULL };
 
 static void
@@ -59,18 +57,12 @@
 read_secrets(json_node_t *root, entry_settings_t *settings)
 {
 	const char *text;
-	int i;
 
-	settings->secret_count = json_need_list(
-	    root, "fleet_secrets", 1, PEER_SECRETS_MAX, "secrets");
-	for (i = 0; i < settings->secret_count; i++) {
-		text = json_list_get_text(root, "fleet_secrets", i,
-		    ENTRY_SECRET_MIN_BYTES, ENTRY_SECRET_MAX_BYTES);
-		strncpy(settings->secrets[i], text, ENTRY_SECRET_MAX_BYTES);
-	}
-	text = json_need_text(root, "target_secret", ENTRY_SECRET_MIN_BYTES,
-	    ENTRY_SECRET_MAX_BYTES);
-	strncpy(settings->target_secret, text, ENTRY_SECRET_MAX_BYTES);
+	settings->secret_count =
+	    program_read_fleet_secrets(root, settings->secrets);
+	text = json_need_text(root, "target_secret", PROGRAM_SECRET_MIN_BYTES,
+	    PROGRAM_SECRET_MAX_BYTES);
+	strncpy(settings->target_secret, text, PROGRAM_SECRET_MAX_BYTES);
 }
 
 static void
@@ -85,8 +77,7 @@
 	http_tls_read_settings(root, &settings->tls);
 	read_controls(root, settings);
 	read_secrets(root, settings);
-	settings->log_level = (log_level_t)json_opt_enum(
-	    root, "log_level", log_level_words, LOG_LEVEL_INFO);
+	settings->log_level = program_read_log_level(root);
 	settings->mode = (entry_mode_t)json_opt_enum(
 	    root, "decision_mode", mode_words, ENTRY_MODE_FLEET);
 	settings->drain_notice_ms = json_opt_int(root, "drain_notice_ms", 0,
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -13,10 +13,9 @@
 #include "base/node_defs.h"
 #include "http/http_tls.h"
 #include "net/peer.h"
+#include "settings/program_settings.h"
 
 #define ENTRY_CONTROLS_MAX	7
-#define ENTRY_SECRET_MIN_BYTES	16
-#define ENTRY_SECRET_MAX_BYTES	255
 #define ENTRY_NOTICE_DEFAULT_MS 2000
 
 /** A control VM. */
@@ -40,10 +39,10 @@
 	struct sockaddr_in peer_listen;
 	entry_control_t controls[ENTRY_CONTROLS_MAX];
 	int control_count;
-	char secrets[PEER_SECRETS_MAX][ENTRY_SECRET_MAX_BYTES + 1];
+	program_secret_t secrets[PEER_SECRETS_MAX];
 	int secret_count;
 	http_tls_files_t tls; /**< of listen */
-	char target_secret[ENTRY_SECRET_MAX_BYTES + 1];
+	program_secret_t target_secret;
 	log_level_t log_level;
 	entry_mode_t mode;
 	/** Time between a failing readiness check and closed listeners. */
--- /dev/null
+++ b/src/settings/program_settings.c
@@ -0,0 +1,29 @@
+#include "settings/program_settings.h"
+
+#include <string.h>
+
+static const char *const log_level_words[] = { "debug", "info", "warn", "error",
+	NULL };
+
+int
+program_read_fleet_secrets(json_node_t *root, program_secret_t *secrets)
+{
+	const char *text;
+	int count = json_need_list(
+	    root, "fleet_secrets", 1, PEER_SECRETS_MAX, "secrets");
+	int i;
+
+	for (i = 0; i < count; i++) {
+		text = json_list_get_text(root, "fleet_secrets", i,
+		    PROGRAM_SECRET_MIN_BYTES, PROGRAM_SECRET_MAX_BYTES);
+		strncpy(secrets[i], text, PROGRAM_SECRET_MAX_BYTES);
+	}
+	return (count);
+}
+
+log_level_t
+program_read_log_level(json_node_t *root)
+{
+	return ((log_level_t)json_opt_enum(
+	    root, "log_level", log_level_words, LOG_LEVEL_INFO));
+}
--- /dev/null
+++ b/src/settings/program_settings.h
@@ -0,0 +1,29 @@
+/**
+ * @file
+ * Settings that the programs of the fleet have in common.
+ */
+#ifndef TM_SETTINGS_PROGRAM_SETTINGS_H
+#define TM_SETTINGS_PROGRAM_SETTINGS_H
+
+#include "base/log.h"
+#include "net/peer.h"
+#include "settings/json_check.h"
+
+#define PROGRAM_SECRET_MIN_BYTES 16
+#define PROGRAM_SECRET_MAX_BYTES 255
+
+/** Text of a secret with its end. */
+typedef char program_secret_t[PROGRAM_SECRET_MAX_BYTES + 1];
+
+/**
+ * Reads "fleet_secrets". Errors go to the check of the node.
+ *
+ * @param secrets  PEER_SECRETS_MAX places
+ * @return         number of secrets
+ */
+int program_read_fleet_secrets(json_node_t *root, program_secret_t *secrets);
+
+/** Reads "log_level". @return info if it is not set */
+log_level_t program_read_log_level(json_node_t *root);
+
+#endif
--- a/src/settings/program_signals.c
+++ b/src/settings/program_signals.c
@@ -41,6 +41,7 @@
 	    signals, loop, &signals->stops[0], program_on_stop, SIGTERM);
 	program_watch_signal(
 	    signals, loop, &signals->stops[1], program_on_stop, SIGINT);
-	program_watch_signal(
-	    signals, loop, &signals->hangup, program_on_hangup, SIGHUP);
+	if (reload != NULL)
+		program_watch_signal(
+		    signals, loop, &signals->hangup, program_on_hangup, SIGHUP);
 }
--- a/src/settings/program_signals.h
+++ b/src/settings/program_signals.h
@@ -24,7 +24,7 @@
  * Watches the signals until the process ends.
  *
  * @param stop    called for SIGTERM and SIGINT
- * @param reload  called for SIGHUP
+ * @param reload  called for SIGHUP; NULL: SIGHUP ends the process
  */
 void program_watch_signals(program_signals_t *signals, uv_loop_t *loop,
     program_signal_cb stop, program_signal_cb reload, void *ctx);
--- a/src/target/target_main.c
+++ b/src/target/target_main.c
@@ -1,5 +1,4 @@
 /* tm-target: stand-in target for tests and measurement; see docs/target.md. */
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +11,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "settings/program_args.h"
+#include "settings/program_signals.h"
 #include "target/target_announce.h"
 #include "target/target_http.h"
 #include "target/target_job.h"
@@ -34,8 +34,7 @@
 	target_announce_t *announce;
 	target_http_t *callers;
 	target_http_t *admin;
-	uv_signal_t on_term;
-	uv_signal_t on_int;
+	program_signals_t signals;
 	uv_timer_t drain;
 	int leaving;
 	int64_t leave_ms;
@@ -171,9 +170,9 @@
 }
 
 static void
-on_signal(uv_signal_t *handle, int signum)
+on_stop(void *ctx)
 {
-	target_t *target = handle->data;
+	target_t *target = ctx;
 
 	if (target->leaving)
 		return;
@@ -215,12 +214,8 @@
 		return (TM_ENOMEM);
 	uv_timer_init(&target->loop, &target->drain);
 	target->drain.data = target;
-	uv_signal_init(&target->loop, &target->on_term);
-	uv_signal_init(&target->loop, &target->on_int);
-	target->on_term.data = target;
-	target->on_int.data = target;
-	uv_signal_start(&target->on_term, on_signal, SIGTERM);
-	uv_signal_start(&target->on_int, on_signal, SIGINT);
+	program_watch_signals(
+	    &target->signals, &target->loop, on_stop, NULL, target);
 	LOG_EVENT(800, LOG_LEVEL_INFO, "target started",
 	    LOG_NUM("port", ntohs(s->listen.sin_port)),
 	    LOG_NUM("incarnation", target->incarnation));
@@ -277,6 +272,5 @@
 
 	if (!program_args_parse(argc, argv, "tm-target", example, 0, &args))
 		return (args.status);
-	signal(SIGPIPE, SIG_IGN);
 	return (run(&target, args.settings, args.check));
 }
--- a/test/functional/examples.sh
+++ b/test/functional/examples.sh
@@ -1,5 +1,6 @@
 # Failures guarded against: example settings that the programs refuse, example
-# objects that control refuses, a settings field without documentation.
+# objects that control refuses, a settings field without documentation, a secret
+# that one program takes and the other refuses.
 . test/functional/lib_tools.sh
 for deployment in m g; do
 	folder=examples/deployment-$deployment
@@ -8,6 +9,20 @@
 	"$BUILD/bin/tm-entry" --check --settings $folder/entry-1.json
 	echo "deployment $deployment: tm-entry --check exit $?"
 done
+for program in control entry; do
+	for length in 255 256; do
+		python3 - $program $length >"$work/long.json" <<'PY'
+import json
+import sys
+settings = json.load(open(f"examples/deployment-m/{sys.argv[1]}-1.json"))
+settings["fleet_secrets"] = ["s" * int(sys.argv[2])]
+json.dump(settings, sys.stdout)
+PY
+		"$BUILD/bin/tm-$program" --check --settings "$work/long.json" \
+		    >"$work/out" 2>&1
+		echo "tm-$program, secret of $length bytes: --check exit $?"
+	done
+done
 scripts/fleet.sh start "$dir" control=3 entry=0 targets=0 workspaces=0 ||
     exit 1
 . "$dir/env"
@@ -38,9 +53,10 @@
     fields = set(re.findall(
         r"(?:json_\w+|control_read_\w+)\(\s*&?\w+,\s*"
         r'"(\w+)"', text))
-    # Both programs read the field for TLS with the same function.
-    fields |= set(re.findall(r'json_\w+\(root, "(\w+)"',
-                             open("src/http/http_tls.c").read()))
+    # Both programs read these fields with the same functions.
+    for shared in ("src/http/http_tls.c", "src/settings/program_settings.c"):
+        fields |= set(re.findall(r'json_\w+\(\s*root,\s*"(\w+)"',
+                                 open(shared).read()))
     listed = set(re.findall(r"^\| `(?:\w+\[\]\.)?(\w+)`", section, re.M))
     print(source, len(fields) > 8, sorted(fields ^ listed))
 PY
