control: recover the configuration after most control disks are lost

tmctl recover (POST /v1/recovery) starts a new epoch from the control VM that is named alone. A dry run gives the end of its log (index, term, commit), the version that is continued, how many indexes known to exist lie above it, and a confirmation: a hash of exactly that. The recovery itself needs it.

While no leader is heard the survivor reads newer configuration from the entry VMs that report to it, with the messages that entry VMs use among themselves. Entry VMs receive accepted entries only, so the newest one is continued. Entries of the own log after its commit index are kept if no entry VM is newer or if replaying them gives exactly the bytes of the newest one.

Only direct reports of the last 3 s count now, and until 60 s after the last leader all entry VMs of the directory have to be heard.

raft_is_voter() is 0 after an error, as the handbook says of event 210.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -214,6 +214,7 @@
 	raft_tick(control->raft, control->now_ms);
 	control_note_leader(control);
 	control_run_fleet(control);
+	recovery_tick(control->recovery);
 	control_expire_tickets(control);
 	control_compact(control);
 	if (control->stopping && raft_is_leader(control->raft))
@@ -378,7 +379,9 @@
 	control->now_ms = clock_now_ms();
 	control->state = config_state_create();
 	control->placement = placement_create();
+	control->recovery = recovery_create(control);
 	if (control->state != NULL && control->placement != NULL &&
+	    control->recovery != NULL &&
 	    control_create_metrics(control) == TM_OK)
 		err = control_start(control, loop);
 	if (err == TM_OK) {
@@ -399,6 +402,7 @@
 		control->tickets = ticket->next;
 		control_finish_ticket(control, ticket, &unknown);
 	}
+	recovery_destroy(control->recovery);
 	raft_destroy(control->raft);
 	store_close(control->store);
 	feed_destroy(control->feed);
--- a/src/control/control_fleet.c
+++ b/src/control/control_fleet.c
@@ -121,11 +121,17 @@
     control_t *control, node_id_t from, const uint8_t *payload, size_t len)
 {
 	Feed__Subscribe *msg = feed__subscribe__unpack(NULL, len, payload);
+	control_beat_t *beat;
 
 	if (msg == NULL)
 		return;
 	if (msg->node != NULL && node_id_from_name(msg->node->name) == from) {
 		control_take_beat(control, msg, control->now_ms);
+		beat = control_find_beat(control, from);
+		if (beat != NULL) {
+			beat->index = msg->index;
+			beat->direct_ms = control->now_ms;
+		}
 		feed_subscribe(
 		    control->feed, from, msg->index, control->now_ms);
 	}
@@ -189,6 +195,12 @@
 	case MSG_FEED_PULL:
 		control_handle_pull(control, from, payload, len);
 		break;
+	case MSG_FEED_ENTRIES:
+	case MSG_FEED_CHUNK:
+		if (!is_control)
+			recovery_handle(
+			    control->recovery, from, type, payload, len);
+		break;
 	case MSG_FEED_HEARTBEATS:
 		if (is_control)
 			control_handle_heartbeats(control, payload, len);
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -12,6 +12,7 @@
 #include "control/control.h"
 #include "control/feed.h"
 #include "control/placement.h"
+#include "control/recovery.h"
 #include "net/peer.h"
 #include "store/store.h"
 
@@ -33,6 +34,8 @@
 	uint64_t ready_shards;
 	int64_t heard_ms;
 	int64_t join_ms; /* when its join was last proposed */
+	uint64_t index; /* of its configuration */
+	int64_t direct_ms; /* when it sent the index; 0: never */
 	int is_reported; /* a follower told the leader */
 } control_beat_t;
 
@@ -51,6 +54,7 @@
 	peer_net_t *net;
 	feed_t *feed;
 	placement_t *placement;
+	recovery_t *recovery;
 	control_beat_t *beats;
 	control_ticket_t *tickets;
 	uv_timer_t timer;
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -179,3 +179,9 @@
 {
 	return (HASH_COUNT(feed->subscribers));
 }
+
+uint64_t
+feed_get_tick_index(const feed_t *feed)
+{
+	return (feed->tick.term != 0 ? feed->tick.index : 0);
+}
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -57,6 +57,9 @@
 /** Sends new entries to the subscribers; call it every 10 to 50 ms. */
 void feed_tick(feed_t *feed, int64_t now_ms);
 
+/** @return version that the newest tick of a leader covers; 0 if none */
+uint64_t feed_get_tick_index(const feed_t *feed);
+
 /** @return number of subscribers */
 size_t feed_get_subscriber_count(const feed_t *feed);
 
--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -359,6 +359,35 @@
 	return (status);
 }
 
+/* Only one control VM may be named: the one whose disk is to be used. */
+static ctl_exit_t
+run_recover(ctl_api_t *api, const ctl_options_t *o)
+{
+	ctl_call_t call = { .method = "POST",
+		.path = "/v1/recovery?dry_run=1",
+		.body = "{}",
+		.body_len = 2,
+		.if_version = -1 };
+	char body[PATH_MAX_BYTES];
+	char confirm[PATH_MAX_BYTES / 2];
+
+	if (api->server_count != 1) {
+		fprintf(stderr,
+		    "tmctl: recover: found %d servers; remedy: name the "
+		    "surviving control VM alone with --server\n",
+		    api->server_count);
+		return (CTL_EXIT_USAGE);
+	}
+	if (o->word_count > 1 && !o->dry_run) {
+		ctl_escape(o->words[1], confirm, sizeof(confirm));
+		snprintf(body, sizeof(body), "{\"confirm\":\"%s\"}", confirm);
+		call.path = "/v1/recovery";
+		call.body = body;
+		call.body_len = strlen(body);
+	}
+	return (send_and_print(api, o, &call));
+}
+
 static const command_t commands[] = {
 	{ { "apply", NULL }, 1, 1, "apply FILE", run_apply },
 	{ { "get", NULL }, 2, 2, "get KIND NAME", run_get },
@@ -368,6 +397,7 @@
 	{ { "key", "withdraw" }, 1, 1, "key withdraw ID", run_withdraw },
 	{ { "rate", "set" }, 3, 3, "rate set WORKSPACE RATE BURST",
 	    run_rate_set },
+	{ { "recover", NULL }, 0, 1, "recover [CONFIRMATION]", run_recover },
 	{ { "history", NULL }, 0, 0, "history", run_history },
 	{ { "status", NULL }, 0, 0, "status", ctl_fleet_run_status },
 	{ { "explain", NULL }, 2, 2, "explain request|workspace|target NAME",
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -172,6 +172,7 @@
 	printf("commands: apply FILE | get KIND NAME | list KIND |\n"
 	       "  delete KIND NAME | key issue WORKSPACE | key withdraw ID |\n"
 	       "  rate set WORKSPACE RATE BURST | history | status |\n"
+	       "  recover [CONFIRMATION] |\n"
 	       "  explain request|workspace|target NAME\n"
 	       "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable,\n"
 	       "  4 version conflict\n");
--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -436,6 +436,12 @@
 	return (raft_log_get_term(&raft->log, index));
 }
 
+const raft_entry_t *
+raft_get_entry(const raft_t *raft, uint64_t index)
+{
+	return (raft_log_get(&raft->log, index));
+}
+
 int
 raft_get_error(const raft_t *raft)
 {
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -246,6 +246,9 @@
  */
 uint64_t raft_get_entry_term(const raft_t *raft, uint64_t index);
 
+/** @return entry that is in memory, or NULL; valid until the next call */
+const raft_entry_t *raft_get_entry(const raft_t *raft, uint64_t index);
+
 /** @return 0, or the storage error after which the node takes no part */
 int raft_get_error(const raft_t *raft);
 
@@ -257,7 +260,7 @@
  */
 int raft_get_voters(const raft_t *raft, raft_voter_t *voters);
 
-/** @return 1 if this node and its disk hold a vote */
+/** @return 1 if this node takes part and its disk holds a vote */
 int raft_is_voter(const raft_t *raft);
 
 /** Copies the counts. */
--- a/src/raft/raft_member.c
+++ b/src/raft/raft_member.c
@@ -51,7 +51,7 @@
 int
 raft_is_voter(const raft_t *raft)
 {
-	return (
+	return (raft->error == TM_OK &&
 	    raft_is_voting(raft, raft->options.self, raft->options.disk_id));
 }
 
--- a/test/functional/fleet_checks.py
+++ b/test/functional/fleet_checks.py
@@ -69,6 +69,20 @@
         self.report(self.poll(read_time_s(within), lambda: self.admin(
             vm, "GET", path, timeout=1)[0] == int(status)))
 
+    def expect_recovery(self, vm, status, within="1s"):
+        """Status of a dry run of a recovery."""
+        vm = self.names(vm)[0]
+        path = "/v1/recovery?dry_run=1"
+        self.report(self.poll(read_time_s(within), lambda: self.admin(
+            vm, "POST", path, "{}")[0] == int(status)))
+
+    def expect_logged(self, vm, event, within="10s"):
+        """A process logged an event."""
+        def is_so():
+            with open(f"{self.dir}/{vm}.log", encoding="utf-8") as file:
+                return f'"event":{event},' in file.read()
+        self.report(self.poll(read_time_s(within), is_so))
+
     def expect_one_of(self, *names):
         """Exactly one of several changes was accepted."""
         self.do_wait(*names)
--- a/test/functional/fleet_scenario.py
+++ b/test/functional/fleet_scenario.py
@@ -191,6 +191,16 @@
             shutil.rmtree(folder)
             os.mkdir(folder)
 
+    def do_stash(self, name):
+        """Puts the data folder of a killed process aside."""
+        self.poll(5, lambda: not self.is_running(name))
+        os.rename(f"{self.dir}/{name}.data", f"{self.dir}/{name}.stash")
+        os.mkdir(f"{self.dir}/{name}.data")
+
+    def do_unstash(self, name):
+        shutil.rmtree(f"{self.dir}/{name}.data")
+        os.rename(f"{self.dir}/{name}.stash", f"{self.dir}/{name}.data")
+
     def change_address(self, name, path, **more):
         """Writes a target's settings with other ports to a file."""
         with open(f"{self.dir}/{name}.json", encoding="utf-8") as file:
@@ -293,6 +303,23 @@
             raise RuntimeError(f"withdraw: {status}")
         self.marks["withdrawn " + workspace] = boot_ms()
 
+    def do_recover(self, vm):
+        """Recovers the configuration from a disk, as an operator does."""
+        path = "/v1/recovery"
+        plan = {}
+
+        def is_allowed():
+            status, reply = self.admin(vm, "POST", path + "?dry_run=1", "{}")
+            plan.update(reply)
+            return status == 200
+        if not self.poll(40, is_allowed):
+            raise RuntimeError(f"recovery refused: {plan}")
+        print(f"recover {vm}: {plan}", file=sys.stderr)
+        status, body = self.admin(vm, "POST", path, json.dumps(
+            {"confirm": plan["confirm"]}))
+        if status != 200:
+            raise RuntimeError(f"recovery failed: {status} {body}")
+
     def do_rate(self, name, vm, workspace, value, *words):
         """Sets a workspace's rate through a control VM, in the background."""
         options = dict(w.split("=") for w in words)
