service: judge the share of requests that were outrun late

A target that stalls half of its requests was found by its mean latency, in which the good requests before the fault weigh for about a second. Outrun requests are rare at a good target (about 2 % with exponential times), so their share shows the fault earlier.

An outrun attempt counts as late if its age is above the ratio of the profile times the typical latency. The limit is the share that a target slow by that ratio has, 14, 20 and 29 %, with the same test against the peers as for failures; evidence 'outrun' in events and tmctl. Reports need no new field: attempts that are neither bad, odd nor good are late ones. Late attempts make the next report urgent, as bad ones do.

Ruled out: half of these limits. Detection would gain 0.1 to 0.2 s, but a target slow by 2.3 would be ejected with a limit of 3.

--- a/src/service/service_defs.h
+++ b/src/service/service_defs.h
@@ -92,6 +92,8 @@
 	SERVICE_EVIDENCE_ODD,
 	/** Mean latency, compared with the peers or its own past. */
 	SERVICE_EVIDENCE_SLOW,
+	/** Attempts that were outrun at an age far above the peers' latency. */
+	SERVICE_EVIDENCE_LATE,
 	SERVICE_EVIDENCE_COUNT
 } service_evidence_t;
 
@@ -117,7 +119,12 @@
 
 /** Counts of outcomes over some time. */
 typedef struct service_sample {
-	double count; /**< attempts that ended, except canceled ones */
+	/**
+	 * Attempts that ended, except canceled ones and those that were outrun
+	 * at an age that is not yet slow. What is neither bad, odd nor good was
+	 * outrun late.
+	 */
+	double count;
 	double bad; /**< errors, wrong, broken, timeouts and stalls */
 	double odd; /**< rejected and shed */
 	/** Sum over good attempts, and over outrun ones up to their end. */
--- a/src/service/service_id.c
+++ b/src/service/service_id.c
@@ -36,6 +36,7 @@
 		[SERVICE_EVIDENCE_BAD] = "failures",
 		[SERVICE_EVIDENCE_ODD] = "rejections",
 		[SERVICE_EVIDENCE_SLOW] = "latency",
+		[SERVICE_EVIDENCE_LATE] = "outrun",
 	};
 
 	return (names[service_evidence_from_number((uint32_t)evidence)]);
--- a/src/service/service_judge.c
+++ b/src/service/service_judge.c
@@ -21,12 +21,24 @@
 typedef struct judge_limits {
 	double ratio;
 	double bad_share;
+	double late_share;
 } judge_limits_t;
 
+/*
+ * With exponential service times, a hedge goes out at 4 typical latencies and
+ * takes one. late_share is the share of the requests that it outruns at a
+ * target that is slow by the ratio r: exp(-4 / r) r / (1 + r).
+ */
 static const judge_limits_t judge_limits[] = {
-	[SERVICE_EAGER] = { .ratio = 2.5, .bad_share = 0.05 },
-	[SERVICE_NORMAL] = { .ratio = 3.0, .bad_share = 0.08 },
-	[SERVICE_CAUTIOUS] = { .ratio = 4.0, .bad_share = 0.12 },
+	[SERVICE_EAGER] = { .ratio = 2.5,
+	    .bad_share = 0.05,
+	    .late_share = 0.14 },
+	[SERVICE_NORMAL] = { .ratio = 3.0,
+	    .bad_share = 0.08,
+	    .late_share = 0.20 },
+	[SERVICE_CAUTIOUS] = { .ratio = 4.0,
+	    .bad_share = 0.12,
+	    .late_share = 0.29 },
 };
 
 static void
@@ -85,6 +97,15 @@
 	*slow = exp(-(double)elapsed_ms / SERVICE_SLOW_MS);
 }
 
+/* An attempt that stalled before its good response makes this smaller. */
+static double
+sample_get_late(const service_sample_t *sample)
+{
+	double late = sample->count - sample->bad - sample->odd - sample->good;
+
+	return (fmax(late, 0.0));
+}
+
 /* Attempts whose latency, or whose age when they were outrun, is known. */
 static double
 sample_get_timed(const service_sample_t *sample)
@@ -134,6 +155,7 @@
 	double means[SERVICE_TARGETS_MAX];
 	double bad[SERVICE_TARGETS_MAX];
 	double odd[SERVICE_TARGETS_MAX];
+	double late[SERVICE_TARGETS_MAX];
 	const service_sample_t *sample;
 	uint32_t shares = 0;
 	uint32_t i;
@@ -149,10 +171,12 @@
 		if (sample->count < JUDGE_GOOD_MIN)
 			continue;
 		bad[shares] = sample->bad / sample->count;
-		odd[shares++] = sample->odd / sample->count;
+		odd[shares] = sample->odd / sample->count;
+		late[shares++] = sample_get_late(sample) / sample->count;
 	}
 	stats->bad_share = judge_get_median(bad, shares);
 	stats->odd_share = judge_get_median(odd, shares);
+	stats->late_share = judge_get_median(late, shares);
 	stats->median_ms = judge_get_median(means, stats->count);
 	for (i = 0; i < stats->count; i++)
 		means[i] = fabs(means[i] - stats->median_ms);
@@ -186,21 +210,42 @@
  * target exceeds it less than once in 10^7 windows.
  */
 static void
-judge_bad(const service_sample_t *sample, const service_peer_stats_t *peers,
-    const judge_limits_t *limits, service_verdict_t *worst)
+judge_share(double found, double count, double peers_share, double limit,
+    service_evidence_t evidence, service_verdict_t *worst)
 {
-	double expected = sample->count * peers->bad_share;
+	double expected = count * peers_share;
 	double share;
 
-	if (sample->bad < JUDGE_BAD_MIN)
+	if (found < JUDGE_BAD_MIN)
 		return;
-	if (sample->bad < expected + 4 * sqrt(expected + 1))
+	if (found < expected + 4 * sqrt(expected + 1))
 		return;
-	share = sample->bad / fmax(sample->count, 1.0);
-	if (share < limits->bad_share || share < 3 * peers->bad_share)
+	share = found / fmax(count, 1.0);
+	if (share < limit || share < 3 * peers_share)
 		return;
-	judge_keep_worst(worst, SERVICE_EVIDENCE_BAD, share / limits->bad_share,
-	    share, limits->bad_share);
+	judge_keep_worst(worst, evidence, share / limit, share, limit);
+}
+
+static void
+judge_bad(const service_sample_t *sample, const service_peer_stats_t *peers,
+    const judge_limits_t *limits, service_verdict_t *worst)
+{
+	judge_share(sample->bad, sample->count, peers->bad_share,
+	    limits->bad_share, SERVICE_EVIDENCE_BAD, worst);
+}
+
+/*
+ * A target that stalls a part of its requests has a mean that grows late,
+ * because the requests before the fault count in it.
+ */
+static void
+judge_late(const service_sample_t *sample, const service_peer_stats_t *peers,
+    const judge_limits_t *limits, service_verdict_t *worst)
+{
+	if (peers->count < 2)
+		return;
+	judge_share(sample_get_late(sample), sample->count, peers->late_share,
+	    limits->late_share, SERVICE_EVIDENCE_LATE, worst);
 }
 
 static void
@@ -259,6 +304,7 @@
 	for (i = 0; i < 2; i++) {
 		judge_bad(samples[i], stats[i], limits, out);
 		judge_odd(samples[i], stats[i], out);
+		judge_late(samples[i], stats[i], limits, out);
 		judge_latency(
 		    samples[i], stats[i], limits, past_ms, lenient, out);
 	}
@@ -298,12 +344,17 @@
 	double base_ms = peers->count >= 2 ? peers->median_ms : past_ms;
 	double count = fmax(sample->count, 1.0);
 	double bad = sample->bad / count;
+	double late = sample_get_late(sample);
 
 	if (sample->bad >= JUDGE_SUSPECT_BAD_MIN &&
 	    bad >= limits->bad_share / 2 && bad >= 3 * peers->bad_share)
 		return (1);
 	if (sample->odd / count >= JUDGE_ODD_SHARE / 2)
 		return (1);
+	if (late >= JUDGE_SUSPECT_BAD_MIN &&
+	    late / count >= limits->late_share / 2 &&
+	    late / count >= 3 * peers->late_share)
+		return (1);
 	return (sample_get_timed(sample) >= JUDGE_GOOD_MIN && base_ms > 0.0 &&
 	    service_sample_get_mean_ms(sample) >=
 		(1 + limits->ratio) / 2 * base_ms);
@@ -321,6 +372,15 @@
 		&window->slow, &peers->slow, limits, past_ms));
 }
 
+double
+service_judge_get_late_ms(service_eagerness_t eagerness, double typical_ms)
+{
+	if (typical_ms <= 0.0)
+		return (0.0);
+	return (fmax(typical_ms, 1.0) * judge_limits[eagerness].ratio +
+	    JUDGE_DIFFERENCE_MIN_MS);
+}
+
 double
 service_judge_get_ratio(service_eagerness_t eagerness)
 {
--- a/src/service/service_judge.h
+++ b/src/service/service_judge.h
@@ -26,6 +26,7 @@
 	double mad_ms;
 	double bad_share;
 	double odd_share;
+	double late_share;
 } service_peer_stats_t;
 
 /** The peers in both windows, so that a change of load hits all alike. */
@@ -100,6 +101,15 @@
     const service_peers_t *peers, service_eagerness_t eagerness,
     double past_ms);
 
+/**
+ * Age from which an outrun attempt counts as late.
+ *
+ * @param typical_ms  of the peers; 0: not known
+ * @return            in ms; 0 if it is not known
+ */
+double service_judge_get_late_ms(
+    service_eagerness_t eagerness, double typical_ms);
+
 /** @return ratio of latencies that counts as slow */
 double service_judge_get_ratio(service_eagerness_t eagerness);
 
--- a/src/service/service_view.c
+++ b/src/service/service_view.c
@@ -339,6 +339,17 @@
 	state->permit = 0;
 }
 
+static int
+view_is_late(const service_view_t *view, int64_t latency_ms)
+{
+	double late_ms = service_judge_get_late_ms(
+	    view->profile.eagerness, view->typical_ms);
+
+	if (view->opt.test_off & SERVICE_VIEW_OFF_LATE)
+		return (0);
+	return (late_ms > 0.0 && (double)latency_ms >= late_ms);
+}
+
 /*
  * A stalled attempt was counted before its end; only its latency is added. An
  * outrun attempt adds its age to the latency, but is no good attempt.
@@ -355,6 +366,10 @@
 		sample.latency_ms = (double)latency_ms;
 	} else if (outcome == SERVICE_OUTCOME_OUTRUN) {
 		sample.latency_ms = (double)latency_ms;
+		if (view_is_late(view, latency_ms))
+			view->urgent = 1;
+		else
+			sample.count = 0;
 	} else if (outcome == SERVICE_OUTCOME_SHED ||
 	    outcome == SERVICE_OUTCOME_REJECTED) {
 		sample.odd = sample.count;
--- a/test/scenario/service_sim.cc
+++ b/test/scenario/service_sim.cc
@@ -4,7 +4,8 @@
 #include <cmath>
 
 static const char *const kFaults[] = { "none", "slow5", "slow20", "errors",
-	"wrong", "stall", "flapping", "lying", "coldslow", "shedding" };
+	"wrong", "stall", "flapping", "lying", "coldslow", "shedding",
+	"stallhalf" };
 enum { EV_REACH, EV_RUN_END, EV_ANSWER, EV_DEADLINE, EV_HEDGE };
 
 const char *
@@ -16,7 +17,7 @@
 Fault
 faultFromName(const std::string &name)
 {
-	for (int i = 0; i < 10; i++)
+	for (int i = 0; i < 11; i++)
 		if (name == kFaults[i])
 			return (Fault)i;
 	abort();
@@ -258,7 +259,8 @@
 			request->outcome = SERVICE_OUTCOME_ERROR;
 		if (target.fault == Fault::Wrong && chance < 0.5)
 			request->outcome = SERVICE_OUTCOME_WRONG;
-		if (target.fault == Fault::Stall)
+		if (target.fault == Fault::Stall ||
+		    (target.fault == Fault::StallHalf && chance < 0.5))
 			ms += 3000;
 		target.running++;
 		target.active.insert(request);
--- a/test/scenario/service_sim.h
+++ b/test/scenario/service_sim.h
@@ -34,7 +34,8 @@
 	Flapping,
 	Lying,
 	ColdSlow,
-	Shedding
+	Shedding,
+	StallHalf
 };
 
 const char *faultName(Fault fault);
