entry: accept two target secrets, so that they rotate without a refused announcement

Cause: tm-entry accepted one target secret. During a change, targets with the other one were refused (701, 401) and stayed only while their lease lasted or while they answered requests.

target_secrets is a list of one or two, as fleet_secrets is. It replaces target_secret of tm-entry; a file with the old field is refused with its name.

--- a/scripts/fleet_settings.py
+++ b/scripts/fleet_settings.py
@@ -142,7 +142,7 @@
             "ops_listen": e["ops"], "peer_listen": e["peer"],
             "control_vms": [{"name": o["name"], "address": o["peer"]}
                             for o in controls],
-            "fleet_secrets": [fleet_secret], "target_secret": target_secret,
+            "fleet_secrets": [fleet_secret], "target_secrets": [target_secret],
             **read_extra("FLEET_ENTRY_EXTRA")})
     for t in targets:
         write(t["name"] + ".json", {
--- a/src/control/control_settings.c
+++ b/src/control/control_settings.c
@@ -129,7 +129,7 @@
 	settings->log_level = program_read_log_level(root);
 	control_read_vms(root, settings);
 	settings->secret_count =
-	    program_read_fleet_secrets(root, settings->secrets);
+	    program_read_secrets(root, "fleet_secrets", settings->secrets);
 	control_read_operators(root, settings);
 	json_node_finish(root);
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -222,8 +222,9 @@
 		    sizeof(settings->secrets));
 		settings->secret_count = fresh->secret_count;
 	}
-	memcpy(settings->target_secret, fresh->target_secret,
-	    sizeof(settings->target_secret));
+	memcpy(settings->target_secrets, fresh->target_secrets,
+	    sizeof(settings->target_secrets));
+	settings->target_secret_count = fresh->target_secret_count;
 	entry_reload_tls(entry, fresh);
 	LOG_EVENT(707, LOG_LEVEL_INFO, "settings read again",
 	    LOG_NUM("fleet_secrets", fresh->secret_count));
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -20,7 +20,7 @@
     "    {\"name\": \"control-3\", \"address\": \"127.0.0.1:7202\"}\n"
     "  ],\n"
     "  \"fleet_secrets\": [\"replace-with-32-random-bytes\"],\n"
-    "  \"target_secret\": \"replace-with-another-secret\",\n"
+    "  \"target_secrets\": [\"replace-with-another-secret\"],\n"
     "  \"log_level\": \"info\"\n"
     "}\n";
 
@@ -56,13 +56,10 @@
 static void
 read_secrets(json_node_t *root, entry_settings_t *settings)
 {
-	const char *text;
-
 	settings->secret_count =
-	    program_read_fleet_secrets(root, settings->secrets);
-	text = json_need_text(root, "target_secret", PROGRAM_SECRET_MIN_BYTES,
-	    PROGRAM_SECRET_MAX_BYTES);
-	strncpy(settings->target_secret, text, PROGRAM_SECRET_MAX_BYTES);
+	    program_read_secrets(root, "fleet_secrets", settings->secrets);
+	settings->target_secret_count = program_read_secrets(
+	    root, "target_secrets", settings->target_secrets);
 }
 
 static void
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -42,7 +42,8 @@
 	program_secret_t secrets[PEER_SECRETS_MAX];
 	int secret_count;
 	http_tls_files_t tls; /**< of listen */
-	program_secret_t target_secret;
+	program_secret_t target_secrets[PEER_SECRETS_MAX];
+	int target_secret_count;
 	log_level_t log_level;
 	entry_mode_t mode;
 	/** Time between a failing readiness check and closed listeners. */
--- a/src/entry/ops_api.c
+++ b/src/entry/ops_api.c
@@ -45,16 +45,32 @@
 		reason, "remedy", error_get_remedy(err)));
 }
 
+static int
+ops_is_secret(h2o_iovec_t value, const char *secret)
+{
+	size_t len = strlen(secret);
+
+	return (
+	    value.len == len && CRYPTO_memcmp(value.base, secret, len) == 0);
+}
+
 static int
 ops_is_target(const entry_t *entry, const h2o_req_t *req)
 {
 	h2o_iovec_t value = http_request_get_header(req, "authorization");
-	const char *secret = entry->settings->target_secret;
-	size_t len = strlen(secret);
+	const entry_settings_t *settings = entry->settings;
+	int i;
 
-	return (value.len == BEARER_BYTES + len &&
-	    memcmp(value.base, BEARER, BEARER_BYTES) == 0 &&
-	    CRYPTO_memcmp(value.base + BEARER_BYTES, secret, len) == 0);
+	if (value.len < BEARER_BYTES ||
+	    memcmp(value.base, BEARER, BEARER_BYTES) != 0)
+		return (0);
+	value.base += BEARER_BYTES;
+	value.len -= BEARER_BYTES;
+	for (i = 0; i < settings->target_secret_count; i++) {
+		if (ops_is_secret(value, settings->target_secrets[i]))
+			return (1);
+	}
+	return (0);
 }
 
 /* Reads an announcement. @return number of errors */
--- a/src/settings/program_settings.c
+++ b/src/settings/program_settings.c
@@ -6,15 +6,15 @@
 	NULL };
 
 int
-program_read_fleet_secrets(json_node_t *root, program_secret_t *secrets)
+program_read_secrets(
+    json_node_t *root, const char *field, program_secret_t *secrets)
 {
 	const char *text;
-	int count = json_need_list(
-	    root, "fleet_secrets", 1, PEER_SECRETS_MAX, "secrets");
+	int count = json_need_list(root, field, 1, PEER_SECRETS_MAX, "secrets");
 	int i;
 
 	for (i = 0; i < count; i++) {
-		text = json_list_get_text(root, "fleet_secrets", i,
+		text = json_list_get_text(root, field, i,
 		    PROGRAM_SECRET_MIN_BYTES, PROGRAM_SECRET_MAX_BYTES);
 		strncpy(secrets[i], text, PROGRAM_SECRET_MAX_BYTES);
 	}
--- a/src/settings/program_settings.h
+++ b/src/settings/program_settings.h
@@ -16,12 +16,14 @@
 typedef char program_secret_t[PROGRAM_SECRET_MAX_BYTES + 1];
 
 /**
- * Reads "fleet_secrets". Errors go to the check of the node.
+ * Reads a list of 1 to PEER_SECRETS_MAX secrets. Errors go to the check of the
+ * node.
  *
  * @param secrets  PEER_SECRETS_MAX places
  * @return         number of secrets
  */
-int program_read_fleet_secrets(json_node_t *root, program_secret_t *secrets);
+int program_read_secrets(
+    json_node_t *root, const char *field, program_secret_t *secrets);
 
 /** Reads "log_level". @return info if it is not set */
 log_level_t program_read_log_level(json_node_t *root);
