tmctl: save the configuration to a file and restore it

Ways considered: putting the bytes in as the state of a new epoch was rejected, because an old file would then replace newer accepted changes of entry VMs without notice; one entry of the log was rejected, because an entry is limited to 512 KiB.

--- a/src/control/admin_api.c
+++ b/src/control/admin_api.c
@@ -23,6 +23,7 @@
 	{ "GET /metrics", admin_handle_metrics, 1 },
 	{ "GET /v1/status", admin_handle_status, 1 },
 	{ "GET /v1/history", admin_handle_history, 0 },
+	{ "GET /v1/snapshot", admin_handle_snapshot, 0 },
 	{ "POST /v1/recovery", admin_handle_recovery, 1 },
 	{ "POST /v1/apply", admin_handle_apply, 0 },
 	{ "POST /v1/keys", admin_handle_issue, 0 },
--- a/src/control/admin_internal.h
+++ b/src/control/admin_internal.h
@@ -73,6 +73,9 @@
 void admin_handle_withdraw(admin_request_t *request);
 void admin_handle_apply(admin_request_t *request);
 
+/* admin_snapshot.c */
+void admin_handle_snapshot(admin_request_t *request);
+
 /* admin_recovery.c */
 void admin_handle_recovery(admin_request_t *request);
 
--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "ctl/ctl_fleet.h"
 #include "ctl/ctl_print.h"
+#include "ctl/ctl_snapshot.h"
 #include "settings/json_check.h"
 
 #define PATH_MAX_BYTES 1024
@@ -398,6 +399,10 @@
 	{ { "rate", "set" }, 3, 3, "rate set WORKSPACE RATE BURST",
 	    run_rate_set },
 	{ { "recover", NULL }, 0, 1, "recover [CONFIRMATION]", run_recover },
+	{ { "snapshot", "save" }, 1, 1, "snapshot save FILE",
+	    ctl_snapshot_run_save },
+	{ { "snapshot", "restore" }, 1, 1, "snapshot restore FILE",
+	    ctl_snapshot_run_restore },
 	{ { "history", NULL }, 0, 0, "history", run_history },
 	{ { "status", NULL }, 0, 0, "status", ctl_fleet_run_status },
 	{ { "explain", NULL }, 2, 2, "explain request|workspace|target NAME",
--- a/src/ctl/ctl_command.h
+++ b/src/ctl/ctl_command.h
@@ -17,6 +17,7 @@
 	int dry_run;
 	int64_t if_version; /**< -1: not given */
 	char change_id[CTL_CHANGE_ID_MAX + 1];
+	int has_change_id; /**< 1: given, 0: drawn */
 	const char *after; /**< a name or a version; NULL: not given */
 	int64_t limit; /**< -1: not given */
 } ctl_options_t;
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -121,7 +121,8 @@
 	if (a->if_version->count > 0 && o->if_version < 0)
 		return (fail("--if-version", "a negative number",
 		    "give the version that get prints, or 0 for a new object"));
-	if (a->change_id->count == 0)
+	o->has_change_id = a->change_id->count > 0;
+	if (!o->has_change_id)
 		return (ctl_change_id_draw(o->change_id) == TM_OK
 			? 0
 			: CTL_EXIT_USAGE);
@@ -173,6 +174,7 @@
 	       "  delete KIND NAME | key issue WORKSPACE | key withdraw ID |\n"
 	       "  rate set WORKSPACE RATE BURST | history | status |\n"
 	       "  recover [CONFIRMATION] |\n"
+	       "  snapshot save FILE | snapshot restore FILE |\n"
 	       "  explain request|workspace|target NAME\n"
 	       "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable,\n"
 	       "  4 version conflict\n");
