rate: let the reference follow both outcomes of a close case

With a burst of 1, 16 % of the requests were refused and half of those wrongfully. And every arrival over the rate took from the spare tokens for drift, 6 with a burst of 1, and these came back whenever the reference was full. So nearly all of the 9.5 arrivals per second waited, although the rate and burst admit about half; the queue of 2 s stayed full, and its limit refused any of them. All refusals left were by that limit.

Spare tokens now admit only an arrival that a reference of the same rate and burst could have admitted: within 15 ms of the moment of a token both outcomes are followed, as up to 8 more levels that meet again when they are full. An arrival that the VM held for 8 ms before it named it (late_ms) may have changed places with others, and takes from the spare tokens too. Retry-After names the earliest possible moment.

--- a/src/proto/rate.pb-c.c
+++ b/src/proto/rate.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) tm__rate_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__rate_need__field_descriptors[11] =
+static const ProtobufCFieldDescriptor tm__rate_need__field_descriptors[12] =
 {
   {
     "workspace",
@@ -430,10 +430,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__RateNeed, late_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__rate_need__field_indices_by_name[] = {
   8,   /* field[8] = fresh */
   1,   /* field[1] = incarnation */
+  11,   /* field[11] = late_ms */
   4,   /* field[4] = need */
   10,   /* field[10] = origin */
   5,   /* field[5] = prefetch */
@@ -447,7 +460,7 @@
 static const ProtobufCIntRange tm__rate_need__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor tm__rate_need__descriptor =
 {
@@ -457,7 +470,7 @@
   "Tm__RateNeed",
   "tm",
   sizeof(Tm__RateNeed),
-  11,
+  12,
   tm__rate_need__field_descriptors,
   tm__rate_need__field_indices_by_name,
   1,  tm__rate_need__number_ranges,
--- a/src/proto/rate.pb-c.h
+++ b/src/proto/rate.pb-c.h
@@ -72,10 +72,14 @@
    * VM of a need that a holder passes on; 0: direct
    */
   uint64_t origin;
+  /*
+   * age of the oldest fresh request, if high
+   */
+  uint32_t late_ms;
 };
 #define TM__RATE_NEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__rate_need__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Tm__RateGrant
--- a/src/rate/rate_bucket.c
+++ b/src/rate/rate_bucket.c
@@ -1,6 +1,7 @@
 #include "rate/rate_bucket.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include <utlist.h>
 
@@ -19,17 +20,75 @@
 	return (RATE_UTOKENS + bucket->rate_us / 1000 * RATE_DRIFT_MS);
 }
 
+static int64_t
+rate_bucket_get_slack(const rate_bucket_t *bucket)
+{
+	return (bucket->rate_us / 1000 * RATE_LATE_MS);
+}
+
+/* A level above the burst has been full for so long that it surely admits. */
+static int64_t
+rate_bucket_get_top(const rate_bucket_t *bucket)
+{
+	return (bucket->burst + rate_bucket_get_slack(bucket));
+}
+
+/* @return level after tokens were taken from it */
+static int64_t
+rate_bucket_take(const rate_bucket_t *bucket, int64_t level, int64_t amount)
+{
+	if (level > bucket->burst && level <= rate_bucket_get_top(bucket))
+		level = bucket->burst;
+	return (level - amount);
+}
+
+/* Adds a level that differs enough from those that are followed. */
+static void
+rate_bucket_add_possible(rate_bucket_t *bucket, int64_t level)
+{
+	int64_t same = rate_bucket_get_slack(bucket) / 4;
+	uint32_t i;
+
+	if (bucket->possible_count == RATE_POSSIBLE_MAX ||
+	    llabs(level - bucket->reference) <= same)
+		return;
+	for (i = 0; i < bucket->possible_count; i++) {
+		if (llabs(level - bucket->possible[i]) <= same)
+			return;
+	}
+	bucket->possible[bucket->possible_count++] = level;
+}
+
+static void
+rate_bucket_refill_possible(rate_bucket_t *bucket, int64_t gain)
+{
+	int64_t levels[RATE_POSSIBLE_MAX];
+	uint32_t count = bucket->possible_count;
+	uint32_t i;
+
+	memcpy(levels, bucket->possible, sizeof(levels));
+	bucket->possible_count = 0;
+	for (i = 0; i < count; i++) {
+		int64_t level = levels[i] + gain;
+		int64_t top = rate_bucket_get_top(bucket);
+
+		rate_bucket_add_possible(bucket, level < top ? level : top);
+	}
+}
+
 static void
 rate_bucket_refill_reference(rate_bucket_t *bucket, int64_t gain)
 {
 	/* Above the burst stands the credit for a change of the leader. */
-	if (bucket->reference < bucket->burst) {
+	int64_t top = rate_bucket_get_top(bucket);
+
+	if (bucket->reference < top) {
 		bucket->reference += gain;
-		if (bucket->reference < bucket->burst)
-			return;
-		bucket->reference = bucket->burst;
+		if (bucket->reference > top)
+			bucket->reference = top;
 	}
-	bucket->spare = rate_bucket_get_spare_max(bucket);
+	if (bucket->reference >= bucket->burst)
+		bucket->spare = rate_bucket_get_spare_max(bucket);
 }
 
 void
@@ -53,6 +112,7 @@
 	bucket->refill_rest = gain % 1000;
 	bucket->level += gain / 1000;
 	rate_bucket_refill_reference(bucket, gain / 1000);
+	rate_bucket_refill_possible(bucket, gain / 1000);
 	if (bucket->level > room) {
 		bucket->level = room > 0 ? room : 0;
 		bucket->refill_rest = 0;
@@ -183,29 +243,135 @@
 	return (waiting);
 }
 
+/* Lets one arrival drain a level that may have been any within the slack. */
+static int
+rate_bucket_step_possible(rate_bucket_t *bucket, int64_t level, int both)
+{
+	int64_t slack = rate_bucket_get_slack(bucket);
+	int admits = level >= RATE_UTOKENS - slack;
+
+	if (both && admits)
+		rate_bucket_add_possible(
+		    bucket, rate_bucket_take(bucket, level, RATE_UTOKENS));
+	if (level < RATE_UTOKENS + slack)
+		rate_bucket_add_possible(bucket, level);
+	return (admits);
+}
+
+/*
+ * Counts one arrival.
+ *
+ * @return 1 if the reference admits it, 2 if only a possible level does, else 0
+ */
+static int
+rate_bucket_step(rate_bucket_t *bucket)
+{
+	int64_t levels[RATE_POSSIBLE_MAX];
+	uint32_t count = bucket->possible_count;
+	int64_t level = bucket->reference;
+	int admits = level >= RATE_UTOKENS;
+	int possible;
+	uint32_t i;
+
+	memcpy(levels, bucket->possible, sizeof(levels));
+	bucket->possible_count = 0;
+	if (admits)
+		bucket->reference =
+		    rate_bucket_take(bucket, level, RATE_UTOKENS);
+	possible = rate_bucket_step_possible(bucket, level, !admits);
+	for (i = 0; i < count; i++)
+		possible |= rate_bucket_step_possible(bucket, levels[i], 1);
+	if (admits)
+		return (1);
+	return (possible ? 2 : 0);
+}
+
+/* Without spare arrivals the possible levels admit nothing. */
+static uint32_t
+rate_bucket_drain(rate_bucket_t *bucket, uint32_t arrivals)
+{
+	uint32_t admitted = rate_whole(bucket->reference, arrivals);
+
+	if (arrivals == 0)
+		return (0);
+	bucket->possible_count = 0;
+	bucket->reference = rate_bucket_take(
+	    bucket, bucket->reference, admitted * RATE_UTOKENS);
+	return (admitted);
+}
+
+/* @return 1 if every level is far above the arrivals, which drain them all */
+static int
+rate_bucket_drain_all(rate_bucket_t *bucket, uint32_t arrivals)
+{
+	int64_t amount = arrivals * RATE_UTOKENS;
+	int64_t least = amount + rate_bucket_get_slack(bucket);
+	uint32_t i;
+
+	if (arrivals == 0)
+		return (1);
+	if (bucket->reference < least)
+		return (0);
+	for (i = 0; i < bucket->possible_count; i++) {
+		if (bucket->possible[i] < least)
+			return (0);
+	}
+	bucket->reference = rate_bucket_take(bucket, bucket->reference, amount);
+	for (i = 0; i < bucket->possible_count; i++)
+		bucket->possible[i] =
+		    rate_bucket_take(bucket, bucket->possible[i], amount);
+	return (1);
+}
+
 void
 rate_bucket_count(rate_bucket_t *bucket, uint32_t arrivals)
 {
-	bucket->reference -=
-	    rate_whole(bucket->reference, arrivals) * RATE_UTOKENS;
+	if (rate_bucket_drain_all(bucket, arrivals))
+		return;
+	for (; arrivals > 0 && bucket->spare >= RATE_UTOKENS; arrivals--)
+		rate_bucket_step(bucket);
+	rate_bucket_drain(bucket, arrivals);
 }
 
 uint32_t
 rate_bucket_admit(rate_bucket_t *bucket, uint32_t arrivals)
 {
-	uint32_t admitted = rate_whole(bucket->reference, arrivals);
-	uint32_t spare = rate_whole(bucket->spare, arrivals - admitted);
+	uint32_t admitted = 0;
+
+	if (rate_bucket_drain_all(bucket, arrivals))
+		return (arrivals);
+	for (; arrivals > 0 && bucket->spare >= RATE_UTOKENS; arrivals--) {
+		int result = rate_bucket_step(bucket);
+
+		if (result == 2)
+			bucket->spare -= RATE_UTOKENS;
+		admitted += result != 0;
+	}
+	return (admitted + rate_bucket_drain(bucket, arrivals));
+}
 
-	bucket->reference -= admitted * RATE_UTOKENS;
-	bucket->spare -= spare * RATE_UTOKENS;
-	return (admitted + spare);
+uint32_t
+rate_bucket_admit_late(rate_bucket_t *bucket, uint32_t arrivals)
+{
+	uint32_t admitted = rate_whole(bucket->spare, arrivals);
+
+	bucket->spare -= admitted * RATE_UTOKENS;
+	return (admitted);
 }
 
 int64_t
 rate_bucket_get_next_ms(const rate_bucket_t *bucket)
 {
-	int64_t missing = RATE_UTOKENS - bucket->reference;
+	int64_t highest = bucket->reference;
+	int64_t missing;
 	int64_t wait_ms;
+	uint32_t i;
+
+	for (i = 0; i < bucket->possible_count; i++) {
+		if (bucket->possible[i] > highest)
+			highest = bucket->possible[i];
+	}
+	missing = RATE_UTOKENS - rate_bucket_get_slack(bucket) - highest;
 
 	if (missing <= 0)
 		return (1);
--- a/src/rate/rate_bucket.h
+++ b/src/rate/rate_bucket.h
@@ -66,6 +66,9 @@
 	 * may wait for a token; it never grants one.
 	 */
 	int64_t reference;
+	/** Levels it would have if it had decided close cases otherwise. */
+	int64_t possible[RATE_POSSIBLE_MAX];
+	uint32_t possible_count;
 	int64_t spare; /**< arrivals admitted for the lag of the reference */
 	int64_t refill_rest; /**< below one utoken, in thousandths */
 	int64_t refilled_ms;
@@ -133,6 +136,14 @@
  */
 uint32_t rate_bucket_admit(rate_bucket_t *bucket, uint32_t arrivals);
 
+/**
+ * Admits arrivals that were reported so late that others may have taken their
+ * tokens in the reference bucket; only from the spare ones.
+ *
+ * @return admitted arrivals
+ */
+uint32_t rate_bucket_admit_late(rate_bucket_t *bucket, uint32_t arrivals);
+
 /** @return ms until the rate allows another request, at least 1 */
 int64_t rate_bucket_get_next_ms(const rate_bucket_t *bucket);
 
--- a/src/rate/rate_defs.h
+++ b/src/rate/rate_defs.h
@@ -49,6 +49,13 @@
  * the tokens of this time admit arrivals beyond it.
  */
 #define RATE_DRIFT_MS 500
+/**
+ * An arrival may have found the level of up to this much earlier or later: it is
+ * reported late and out of order. Within it the reference follows both decisions.
+ */
+#define RATE_LATE_MS 15
+/** Most levels that it follows besides its own. */
+#define RATE_POSSIBLE_MAX 8
 /** Arrivals during a change of the leader, credited to the reference bucket. */
 #define RATE_CHANGE_MS 1500
 
--- a/src/rate/rate_serve.c
+++ b/src/rate/rate_serve.c
@@ -285,6 +285,7 @@
     node_id_t relay, const Tm__RateNeed *need, int64_t now_ms)
 {
 	rate_waiter_t *waiter = rate_leader_find_waiter(bucket, vm);
+	uint32_t admitted;
 
 	if (waiter == NULL) {
 		waiter = calloc(1, sizeof(*waiter));
@@ -300,8 +301,11 @@
 	waiter->sequence = need->sequence;
 	waiter->sent_ms = need->sent_ms;
 	waiter->need = need->need;
-	waiter->allowed =
-	    need->need - need->fresh + rate_bucket_admit(bucket, need->fresh);
+	admitted = rate_bucket_admit(bucket, need->fresh);
+	if (need->late_ms > 0)
+		admitted +=
+		    rate_bucket_admit_late(bucket, need->fresh - admitted);
+	waiter->allowed = need->need - need->fresh + admitted;
 	waiter->ack = 1;
 	rate_leader_serve(leader, bucket, now_ms);
 }
--- a/src/rate/rate_space.c
+++ b/src/rate/rate_space.c
@@ -143,18 +143,22 @@
 }
 
 /* Counts the requests that the leader does not know yet, and marks them. */
-static uint32_t
-rate_name_pending(rate_space_t *space, node_id_t leader)
+static void
+rate_name_pending(
+    rate_space_t *space, node_id_t leader, Tm__RateNeed *msg, int64_t now_ms)
 {
 	rate_pending_t *pending;
-	uint32_t fresh = 0;
 
 	DL_FOREACH(space->pending, pending) {
-		if (pending->named_to != leader)
-			fresh++;
+		if (pending->named_to == leader)
+			continue;
 		pending->named_to = leader;
+		msg->fresh++;
+		/* The oldest comes first. */
+		if (msg->fresh == 1 &&
+		    now_ms - pending->since_ms >= RATE_LATE_MS / 2)
+			msg->late_ms = (uint32_t)(now_ms - pending->since_ms);
 	}
-	return (fresh);
 }
 
 /* Sends waiting requests, wanted prefetch and reports to the leader. */
@@ -176,7 +180,7 @@
 	msg.need = space->pending_count;
 	msg.used = space->used;
 	space->used = 0;
-	msg.fresh = rate_name_pending(space, leader);
+	rate_name_pending(space, leader, &msg, now_ms);
 	msg.prefetch = prefetch;
 	msg.n_reports = rate_fill_reports(space, leader, reports, list);
 	msg.reports = list;
