feed: name the ready shards in a byte string

Cause: the heartbeat carried the ready shards as a 64-bit set, so that there could be no more than 64 shards.

The list has two bytes for each shard of which the VM is a ready holder. The list has a new field number, because a changed type under the old one would make a control VM drop the heartbeats of entry VMs that are one version behind. Such a VM counts as ready for nothing, and its groups take no part in moves.

protoc-c was not at hand: feed.pb-c.[ch] were changed by hand in the form in which it writes them. Run `make proto` and compare.

The number of shards is still 64.

--- a/src/control/control_fleet.c
+++ b/src/control/control_fleet.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "control/control_internal.h"
 #include "gossip/feed_msgs.h"
+#include "gossip/shard_list.h"
 
 #define CONTROL_REPORT_MS     250
 #define CONTROL_PLAN_MS	      100
@@ -44,6 +45,7 @@
 
 	HASH_ITER(hh, control->beats, beat, next) {
 		HASH_DEL(control->beats, beat);
+		free(beat->ready_shards);
 		free(beat);
 	}
 }
@@ -88,6 +90,24 @@
 		    LOG_NUM("draining", beat->node.draining));
 }
 
+/* Keeps the list of a heartbeat; without memory the older one stays. */
+static void
+control_keep_list(control_beat_t *beat, const ProtobufCBinaryData *list)
+{
+	uint8_t *kept;
+
+	if (list->len == 0) {
+		beat->ready_len = 0;
+		return;
+	}
+	kept = realloc(beat->ready_shards, list->len);
+	if (kept == NULL)
+		return;
+	memcpy(kept, list->data, list->len);
+	beat->ready_shards = kept;
+	beat->ready_len = list->len;
+}
+
 /* Takes a heartbeat that some control VM received at heard_ms. */
 static void
 control_take_beat(
@@ -108,10 +128,10 @@
 	beat->node = node;
 	beat->heard_ms = heard_ms;
 	beat->reports_ready = msg->reports_ready;
-	beat->ready_shards = msg->ready_shards;
+	control_keep_list(beat, &msg->shards);
 	beat->is_reported = 0;
 	placement_note_heartbeat(control->placement, node.id, node.incarnation,
-	    msg->reports_ready, msg->ready_shards, heard_ms);
+	    msg->reports_ready, msg->shards.data, msg->shards.len, heard_ms);
 	if (raft_is_leader(control->raft))
 		control_join(control, beat);
 }
@@ -253,7 +273,8 @@
 		config_node_encode(&beat->node, &nodes[n]);
 		beats[n].node = &nodes[n];
 		beats[n].reports_ready = beat->reports_ready;
-		beats[n].ready_shards = beat->ready_shards;
+		beats[n].shards.data = beat->ready_shards;
+		beats[n].shards.len = beat->ready_len;
 		beat_refs[n] = &beats[n];
 		ages[n++] = (uint32_t)(control->now_ms - beat->heard_ms);
 	}
@@ -415,7 +436,7 @@
 	return (beat != NULL && beat->node.incarnation == holder->incarnation &&
 	    beat->reports_ready &&
 	    control->now_ms - beat->heard_ms < PLACEMENT_DEAD_MS &&
-	    (beat->ready_shards >> shard & 1) != 0);
+	    shard_list_has(beat->ready_shards, beat->ready_len, shard));
 }
 
 int
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -30,7 +30,8 @@
 	node_id_t id;
 	config_node_t node;
 	int reports_ready;
-	uint64_t ready_shards;
+	uint8_t *ready_shards; /* shard list */
+	size_t ready_len;
 	int64_t heard_ms;
 	int64_t join_ms; /* when its join was last proposed */
 	int is_reported; /* a follower told the leader */
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -3,6 +3,7 @@
 
 #include "base/error.h"
 #include "control/placement_internal.h"
+#include "gossip/shard_list.h"
 
 placement_t *
 placement_create(void)
@@ -51,10 +52,24 @@
 	placement->test_switches = switches;
 }
 
+static void
+placement_set_ready(placement_beat_t *beat, const uint8_t *list, size_t len)
+{
+	uint32_t shard;
+	size_t i;
+
+	memset(beat->ready, 0, sizeof(beat->ready));
+	for (i = 0; i < shard_list_count(len); i++) {
+		shard = shard_list_get(list, i);
+		if (shard < CONFIG_SHARDS)
+			beat->ready[shard] = 1;
+	}
+}
+
 void
 placement_note_heartbeat(placement_t *placement, node_id_t node,
-    uint64_t incarnation, int reports_ready, uint64_t ready_shards,
-    int64_t heard_ms)
+    uint64_t incarnation, int reports_ready, const uint8_t *ready,
+    size_t ready_len, int64_t heard_ms)
 {
 	placement_beat_t *beat = placement_find_beat(placement, node);
 
@@ -73,7 +88,7 @@
 	beat->incarnation = incarnation;
 	beat->heard_ms = heard_ms;
 	beat->reports_ready = reports_ready;
-	beat->ready_shards = ready_shards;
+	placement_set_ready(beat, ready, ready_len);
 }
 
 int64_t
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -84,12 +84,13 @@
  * Notes a heartbeat.
  *
  * @param reports_ready  0 if the node does not tell in which groups it is ready
- * @param ready_shards   bit i: ready holder of shard i
+ * @param ready          shard list: the node is a ready holder of these
+ * @param ready_len      bytes of ready
  * @param heard_ms       when it was received by a control VM
  */
 void placement_note_heartbeat(placement_t *placement, node_id_t node,
-    uint64_t incarnation, int reports_ready, uint64_t ready_shards,
-    int64_t heard_ms);
+    uint64_t incarnation, int reports_ready, const uint8_t *ready,
+    size_t ready_len, int64_t heard_ms);
 
 /** @return time since the last heartbeat or the start of this leader */
 int64_t placement_get_silence_ms(
--- a/src/control/placement_internal.h
+++ b/src/control/placement_internal.h
@@ -19,7 +19,7 @@
 	int64_t heard_ms;
 	int64_t since_ms; /**< first heartbeat of this incarnation */
 	int reports_ready;
-	uint64_t ready_shards;
+	uint8_t ready[CONFIG_SHARDS]; /**< 1: ready holder of the shard */
 } placement_beat_t;
 
 typedef struct placement_shard {
--- a/src/control/placement_view.c
+++ b/src/control/placement_view.c
@@ -196,8 +196,7 @@
 	    placement_find_beat(view->placement, holder->node);
 
 	return (beat != NULL && beat->reports_ready &&
-	    beat->incarnation == holder->incarnation &&
-	    (beat->ready_shards & (UINT64_C(1) << shard)) != 0);
+	    beat->incarnation == holder->incarnation && beat->ready[shard]);
 }
 
 /* Whether the holders that the last change brought report the state. */
--- a/src/entry/entry_fleet.c
+++ b/src/entry/entry_fleet.c
@@ -7,6 +7,7 @@
 #include "claim/claim_defs.h"
 #include "entry/entry_defs.h"
 #include "entry/request.h"
+#include "gossip/shard_list.h"
 #include "net/msg_types.h"
 #include "rate/rate_defs.h"
 
@@ -356,14 +357,15 @@
 static void
 fleet_report_ready_shards(entry_t *entry)
 {
-	uint64_t ready = 0;
+	uint8_t list[CONFIG_SHARDS * SHARD_LIST_ITEM_BYTES];
+	size_t len = 0;
 	uint32_t shard;
 
 	for (shard = 0; shard < CONFIG_SHARDS; shard++) {
 		if (group_is_ready(entry->group, shard))
-			ready |= UINT64_C(1) << shard;
+			shard_list_add(list, &len, shard);
 	}
-	gossip_set_ready_shards(entry->gossip, ready);
+	gossip_set_ready_shards(entry->gossip, list, len);
 }
 
 void
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -436,7 +436,8 @@
 	msg.index = config_state_get_index(gossip->options.state);
 	msg.node = &node;
 	msg.reports_ready = gossip->reports_ready;
-	msg.ready_shards = gossip->ready_shards;
+	msg.shards.data = gossip->ready_shards;
+	msg.shards.len = gossip->ready_len;
 	gossip->options.send(gossip->options.send_ctx,
 	    gossip_get_control(gossip), MSG_FEED_SUBSCRIBE, &msg.base);
 }
@@ -525,10 +526,13 @@
 }
 
 void
-gossip_set_ready_shards(gossip_t *gossip, uint64_t shards)
+gossip_set_ready_shards(gossip_t *gossip, const uint8_t *list, size_t len)
 {
+	if (len > sizeof(gossip->ready_shards))
+		return;
 	gossip->reports_ready = 1;
-	gossip->ready_shards = shards;
+	memcpy(gossip->ready_shards, list, len);
+	gossip->ready_len = len;
 }
 
 int
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -95,7 +95,7 @@
  *
  * @param shards  bit i is set for shard i
  */
-void gossip_set_ready_shards(gossip_t *gossip, uint64_t shards);
+void gossip_set_ready_shards(gossip_t *gossip, const uint8_t *list, size_t len);
 
 /**
  * Stores a blob if it is newer than the one kept.
--- a/src/gossip/gossip_internal.h
+++ b/src/gossip/gossip_internal.h
@@ -11,6 +11,7 @@
 #include "gossip/entry_log.h"
 #include "gossip/feed_msgs.h"
 #include "gossip/gossip.h"
+#include "gossip/shard_list.h"
 
 #define GOSSIP_RECENT_MAX   8
 #define GOSSIP_RECENT_BYTES 2048
@@ -80,7 +81,8 @@
 	int64_t last_call_ms; /* last tick or message */
 	int64_t resumed_ms; /* end of the last freeze of this process */
 	int64_t frozen_ms; /* its length; 0: none */
-	uint64_t ready_shards;
+	uint8_t ready_shards[CONFIG_SHARDS * SHARD_LIST_ITEM_BYTES];
+	size_t ready_len;
 	int reports_ready;
 	int was_serving; /* as of the last digest */
 	gossip_transfer_t transfer;
--- a/src/proto/feed.pb-c.c
+++ b/src/proto/feed.pb-c.c
@@ -2227,12 +2227,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ready_shards",
-    4,
+    "shards",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Feed__Subscribe, ready_shards),
+    offsetof(Feed__Subscribe, shards),
     NULL,
     NULL,
     0,             /* flags */
@@ -2242,12 +2242,13 @@
 static const unsigned feed__subscribe__field_indices_by_name[] = {
   0,   /* field[0] = index */
   1,   /* field[1] = node */
-  3,   /* field[3] = ready_shards */
   2,   /* field[2] = reports_ready */
+  3,   /* field[3] = shards */
 };
-static const ProtobufCIntRange feed__subscribe__number_ranges[1 + 1] =
+static const ProtobufCIntRange feed__subscribe__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 5, 3 },
   { 0, 4 }
 };
 const ProtobufCMessageDescriptor feed__subscribe__descriptor =
@@ -2261,7 +2262,7 @@
   4,
   feed__subscribe__field_descriptors,
   feed__subscribe__field_indices_by_name,
-  1,  feed__subscribe__number_ranges,
+  2,  feed__subscribe__number_ranges,
   (ProtobufCMessageInit) feed__subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/feed.pb-c.h
+++ b/src/proto/feed.pb-c.h
@@ -269,15 +269,15 @@
   uint64_t index;
   Feed__Node *node;
   /*
-   * Bit i of ready_shards: the node is a ready holder of shard i. Valid
-   * if reports_ready is set.
+   * Shards of which the node is a ready holder, two bytes each in network
+   * order. Valid if reports_ready is set.
    */
   protobuf_c_boolean reports_ready;
-  uint64_t ready_shards;
+  ProtobufCBinaryData shards;
 };
 #define FEED__SUBSCRIBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__subscribe__descriptor) \
-    , 0, NULL, 0, 0 }
+    , 0, NULL, 0, {0,NULL} }
 
 
 /*
--- a/test/unit/placement_days.h
+++ b/test/unit/placement_days.h
@@ -201,19 +201,22 @@
 	void
 	Beat()
 	{
-		std::vector<uint64_t> ready(vms.size());
+		std::vector<std::vector<uint8_t>> ready(vms.size());
 
 		beat_ms = now;
 		for (uint32_t i = 0; i < CONFIG_SHARDS; i++) {
 			for (const Holder &holder : shards[i].holders) {
 				if (holder.complete && IsAlive(holder))
-					ready[holder.vm] |= UINT64_C(1) << i;
+					ready[holder.vm].insert(
+					    ready[holder.vm].end(),
+					    { (uint8_t)(i >> 8), (uint8_t)i });
 			}
 		}
 		for (size_t i = 0; i < vms.size(); i++) {
 			if (vms[i].alive)
 				placement_note_heartbeat(placement, vms[i].id,
-				    vms[i].incarnation, 1, ready[i], now);
+				    vms[i].incarnation, 1, ready[i].data(),
+				    ready[i].size(), now);
 		}
 	}
 
--- a/test/unit/placement_test.cc
+++ b/test/unit/placement_test.cc
@@ -8,6 +8,7 @@
 
 extern "C" {
 #include "control/placement.h"
+#include "gossip/shard_list.h"
 }
 
 #include "../scenario/gossip_world.h"
@@ -49,9 +50,13 @@
 	Beat(const std::string &name, uint64_t incarnation)
 	{
 		alive[name] = incarnation;
+		uint8_t all[CONFIG_SHARDS * SHARD_LIST_ITEM_BYTES];
+		size_t len = 0;
+		for (uint32_t shard = 0; shard < CONFIG_SHARDS; shard++)
+			shard_list_add(all, &len, shard);
 		placement_note_heartbeat(placement,
 		    node_id_from_name(name.c_str()), incarnation, reports_ready,
-		    ~UINT64_C(0), now);
+		    all, len, now);
 	}
 
 	// Advances the clock; all live nodes send heartbeats.
@@ -319,4 +324,18 @@
 	EXPECT_EQ(fleet.quarantines, 0);
 }
 
+// A list from another VM may end within an item or name an unknown shard.
+TEST(Placement, ReadyListIsChecked)
+{
+	const uint8_t list[] = { 0, 3, 1, 2, 0xff, 0xff, 7 };
+
+	EXPECT_EQ(shard_list_count(sizeof(list)), 3u);
+	EXPECT_TRUE(shard_list_has(list, sizeof(list), 3));
+	EXPECT_TRUE(shard_list_has(list, sizeof(list), 258));
+	EXPECT_FALSE(shard_list_has(list, sizeof(list), 7));
+	Fleet fleet(5, 5);
+	placement_note_heartbeat(fleet.placement, node_id_from_name("n0"), 2, 1,
+	    list, sizeof(list), fleet.now);
+}
+
 } // namespace
