--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -31,7 +31,8 @@
 	node_id_t id;
 	config_node_t node;
 	int reports_ready;
-	uint64_t ready_shards;
+	uint8_t *ready_shards; /* shard list */
+	size_t ready_len;
 	int64_t heard_ms;
 	int64_t join_ms; /* when its join was last proposed */
 	uint64_t index; /* of its configuration */
@@ -49,6 +50,7 @@
 	metric_t *changes_refused;
 	metric_t *changes_unknown;
 	metric_t *change_latency;
+	metric_t *group_moves;
 	raft_t *raft;
 	store_t *store;
 	peer_net_t *net;
