--- a/test/unit/shards_bench.cc
+++ b/test/unit/shards_bench.cc
@@ -265,6 +265,20 @@
 	EXPECT_LE(wrongful_percent(outcome), kRefusalTargetPercent);
 }
 
+// Guards against close cases that the seed of BurstOfOne does not meet.
+TEST(RefusalTarget, BurstOfOneOverSeeds)
+{
+	Outcome sum;
+
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		Outcome outcome = run_load({ "burst1", 10, 1 }, seed);
+		EXPECT_TRUE(outcome.bound) << "seed " << seed;
+		sum.arrivals += outcome.arrivals;
+		sum.wrongful += outcome.wrongful;
+	}
+	EXPECT_LE(wrongful_percent(sum), kRefusalTargetPercent);
+}
+
 // The same with other seeds, where the faults meet other moments.
 TEST(ShardsBench, WrongfulRefusalsOverSeeds)
 {
