--- a/src/target/target_job.c
+++ b/src/target/target_job.c
@@ -569,10 +569,9 @@
 }
 
 static target_job_t *
-create_job(target_pool_t *pool, h2o_req_t *req)
+create_job(target_pool_t *pool, h2o_req_t *req, int64_t now_ms)
 {
 	target_job_t *job = calloc(1, sizeof(*job));
-	int64_t now_ms = clock_now_ms();
 
 	if (job == NULL)
 		return (NULL);
@@ -595,8 +594,9 @@
 target_pool_submit(target_pool_t *pool, h2o_req_t *req)
 {
 	target_job_t *job;
+	int64_t now_ms = clock_now_ms();
 
-	target_record_arrival(&pool->record, req, clock_now_ms());
+	target_record_arrival(&pool->record, req, now_ms);
 	if (pool->refusing) {
 		req->http1_is_persistent = 0;
 		shed_request(pool, req, "the target is leaving");
@@ -607,7 +607,7 @@
 		shed_request(pool, req, "all slots and the queue are full");
 		return;
 	}
-	job = create_job(pool, req);
+	job = create_job(pool, req, now_ms);
 	if (job == NULL) {
 		shed_request(pool, req, error_get_text(TM_ENOMEM));
 		return;
