--- a/src/service/service_evidence.c
+++ b/src/service/service_evidence.c
@@ -390,8 +390,8 @@
 
 	evidence_judge(leader, slot, total, peers, now_ms, &target->found);
 	evidence_sum_second(leader, slot, UINT32_MAX, &second);
-	service_judge_shares(
-	    &second, &peers->slow, leader->profile.eagerness, &target->found);
+	service_judge_shares(&second, &peers->slow, leader->profile.eagerness,
+	    now_ms - target->cold_started_ms < LEADER_COLD_MS, &target->found);
 	badness = target->found.badness;
 	worst_dc = evidence_find_worst_dc(leader, sums);
 	if (badness > 0.0 &&
--- a/src/service/service_judge.h
+++ b/src/service/service_judge.h
@@ -101,12 +101,13 @@
  * attempts at once. In a decaying window, those before a fault hide it for long
  * when few requests arrive.
  *
- * @param peers  with the shares of the peers over a longer time
- * @param worst  kept if it is more severe
+ * @param peers    with the shares of the peers over a longer time
+ * @param lenient  1 during the cold start: late attempts do not count
+ * @param worst    kept if it is more severe
  */
 void service_judge_shares(const service_sample_t *sample,
     const service_peer_stats_t *peers, service_eagerness_t eagerness,
-    service_verdict_t *worst);
+    int lenient, service_verdict_t *worst);
 
 /** The same limits for a part of the sample as service_judge_is_suspect(). */
 int service_judge_are_shares_suspect(const service_sample_t *sample,
