service: short idle reports, and those to one leader VM in one message

Cause: an idle report repeated the table version, the data centre and the term every 2 s, and each report and each answer was a frame of its own.

An idle report holds the service only (9 bytes) while the leader has acknowledged, by the new seen_next of its answer, the table version of the VM. A leader without a record of the VM answers with seen_next 0, and a full report follows at once. Idle services of one leader VM report at the same time, VMs at different times; entry_batch sends them, and the answers, as one MSG_SERVICE_BATCH. A VM of an older version ignores that message.

--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -124,6 +124,7 @@
 	uv_prepare_t local_prepare;
 	entry_local_message_t *local_head;
 	entry_local_message_t *local_tail;
+	struct entry_batch *batches; /**< by receiver */
 	uv_timer_t tick;
 	int64_t slow_tick_ms;
 
@@ -268,6 +269,23 @@
 /** @return profile of the service, or NULL */
 const config_profile_t *entry_service_get_profile(entry_service_t *service);
 
+/* entry_batch.c: messages of several services to one VM */
+
+/** Keeps a message for the next entry_batch_flush(). */
+void entry_batch_add(
+    entry_t *entry, node_id_t to, uint16_t type, const ProtobufCMessage *msg);
+
+/** Sends what was kept, in one message for each VM. */
+void entry_batch_flush(entry_t *entry);
+
+/** Passes the parts of a MSG_SERVICE_BATCH on. */
+void entry_batch_handle(entry_t *entry, node_id_t from, const uint8_t *payload,
+    size_t len, int64_t now_ms);
+
+/** Handles a message of the services; see entry_fleet.c. */
+void entry_fleet_dispatch_service(entry_t *entry, node_id_t from, uint16_t type,
+    const uint8_t *payload, size_t len, int64_t now_ms);
+
 /* entry_tables.c */
 
 /** Sends the versions of some service tables to a random peer. */
--- a/src/entry/entry_fleet.c
+++ b/src/entry/entry_fleet.c
@@ -12,8 +12,8 @@
 
 #define SLOW_TICK_MS 500
 
-static void
-fleet_dispatch_service(entry_t *entry, node_id_t from, uint16_t type,
+void
+entry_fleet_dispatch_service(entry_t *entry, node_id_t from, uint16_t type,
     const uint8_t *payload, size_t len, int64_t now_ms)
 {
 	entry_service_t *service;
@@ -23,6 +23,10 @@
 		entry_tables_handle(entry, from, payload, len, now_ms);
 		return;
 	}
+	if (type == MSG_SERVICE_BATCH) {
+		entry_batch_handle(entry, from, payload, len, now_ms);
+		return;
+	}
 	if (service_message_get_service(type, payload, len, &id) != TM_OK)
 		return;
 	service = entry_service_find_id(entry, id);
@@ -89,7 +93,8 @@
 	if (type >= MSG_TYPE_LIMIT)
 		return;
 	if (type >= MSG_SERVICE_BASE)
-		fleet_dispatch_service(entry, from, type, payload, len, now_ms);
+		entry_fleet_dispatch_service(
+		    entry, from, type, payload, len, now_ms);
 	else if (type >= MSG_RATE_BASE)
 		fleet_dispatch_rate(entry, from, type, payload, len, now_ms);
 	else if (type >= MSG_CLAIM_BASE)
@@ -159,6 +164,7 @@
 	entry_fleet_deliver_local(handle->data);
 	entry_service_pump_all(handle->data);
 	entry_fleet_deliver_local(handle->data);
+	entry_batch_flush(handle->data);
 }
 
 static void
--- a/src/entry/entry_service.c
+++ b/src/entry/entry_service.c
@@ -115,8 +115,13 @@
     void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg)
 {
 	entry_service_t *service = ctx;
+	entry_t *entry = service->entry;
 
-	entry_fleet_send(service->entry, to, type, msg);
+	if (to != entry->self &&
+	    (type == MSG_SERVICE_REPORT || type == MSG_SERVICE_SHARES))
+		entry_batch_add(entry, to, type, msg);
+	else
+		entry_fleet_send(entry, to, type, msg);
 }
 
 static uint64_t
--- a/src/proto/service.pb-c.c
+++ b/src/proto/service.pb-c.c
@@ -142,6 +142,96 @@
   assert(message->base.descriptor == &service_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   service_part__init
+                     (ServicePart         *message)
+{
+  static const ServicePart init_value = SERVICE_PART__INIT;
+  *message = init_value;
+}
+size_t service_part__get_packed_size
+                     (const ServicePart *message)
+{
+  assert(message->base.descriptor == &service_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t service_part__pack
+                     (const ServicePart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &service_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t service_part__pack_to_buffer
+                     (const ServicePart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &service_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ServicePart *
+       service_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ServicePart *)
+     protobuf_c_message_unpack (&service_part__descriptor,
+                                allocator, len, data);
+}
+void   service_part__free_unpacked
+                     (ServicePart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   service_batch__init
+                     (ServiceBatch         *message)
+{
+  static const ServiceBatch init_value = SERVICE_BATCH__INIT;
+  *message = init_value;
+}
+size_t service_batch__get_packed_size
+                     (const ServiceBatch *message)
+{
+  assert(message->base.descriptor == &service_batch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t service_batch__pack
+                     (const ServiceBatch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &service_batch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t service_batch__pack_to_buffer
+                     (const ServiceBatch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &service_batch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ServiceBatch *
+       service_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ServiceBatch *)
+     protobuf_c_message_unpack (&service_batch__descriptor,
+                                allocator, len, data);
+}
+void   service_batch__free_unpacked
+                     (ServiceBatch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &service_batch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   service_table_target__init
                      (ServiceTableTarget         *message)
 {
@@ -965,6 +1055,95 @@
   (ProtobufCMessageInit) service_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor service_part__field_descriptors[2] =
+{
+  {
+    "type",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ServicePart, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(ServicePart, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned service_part__field_indices_by_name[] = {
+  1,   /* field[1] = payload */
+  0,   /* field[0] = type */
+};
+static const ProtobufCIntRange service_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor service_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServicePart",
+  "ServicePart",
+  "ServicePart",
+  "",
+  sizeof(ServicePart),
+  2,
+  service_part__field_descriptors,
+  service_part__field_indices_by_name,
+  1,  service_part__number_ranges,
+  (ProtobufCMessageInit) service_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor service_batch__field_descriptors[1] =
+{
+  {
+    "parts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ServiceBatch, n_parts),
+    offsetof(ServiceBatch, parts),
+    &service_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned service_batch__field_indices_by_name[] = {
+  0,   /* field[0] = parts */
+};
+static const ProtobufCIntRange service_batch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor service_batch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ServiceBatch",
+  "ServiceBatch",
+  "ServiceBatch",
+  "",
+  sizeof(ServiceBatch),
+  1,
+  service_batch__field_descriptors,
+  service_batch__field_indices_by_name,
+  1,  service_batch__number_ranges,
+  (ProtobufCMessageInit) service_batch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor service_table_target__field_descriptors[15] =
 {
   {
@@ -1377,7 +1556,7 @@
   (ProtobufCMessageInit) service_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_shares__field_descriptors[5] =
+static const ProtobufCFieldDescriptor service_shares__field_descriptors[6] =
 {
   {
     "service",
@@ -1439,8 +1618,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen_next",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ServiceShares, seen_next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_shares__field_indices_by_name[] = {
+  5,   /* field[5] = seen_next */
   0,   /* field[0] = service */
   4,   /* field[4] = shares */
   1,   /* field[1] = term */
@@ -1450,7 +1642,7 @@
 static const ProtobufCIntRange service_shares__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor service_shares__descriptor =
 {
@@ -1460,7 +1652,7 @@
   "ServiceShares",
   "",
   sizeof(ServiceShares),
-  5,
+  6,
   service_shares__field_descriptors,
   service_shares__field_indices_by_name,
   1,  service_shares__number_ranges,
--- a/src/proto/service.pb-c.h
+++ b/src/proto/service.pb-c.h
@@ -18,6 +18,8 @@
 typedef struct ServiceTargetReport ServiceTargetReport;
 typedef struct ServiceDemand ServiceDemand;
 typedef struct ServiceReport ServiceReport;
+typedef struct ServicePart ServicePart;
+typedef struct ServiceBatch ServiceBatch;
 typedef struct ServiceTableTarget ServiceTableTarget;
 typedef struct ServiceBlocked ServiceBlocked;
 typedef struct ServiceTable ServiceTable;
@@ -65,6 +67,10 @@
     , 0, 0, 0 }
 
 
+/*
+ * Without data_centre: nothing has changed since the last full report, which
+ * this leader has acknowledged; only service is set.
+ */
 struct  ServiceReport
 {
   ProtobufCMessage base;
@@ -82,6 +88,31 @@
     , 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
+struct  ServicePart
+{
+  ProtobufCMessage base;
+  uint32_t type;
+  ProtobufCBinaryData payload;
+};
+#define SERVICE_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&service_part__descriptor) \
+    , 0, {0,NULL} }
+
+
+/*
+ * Reports and answers of several services that go to one VM.
+ */
+struct  ServiceBatch
+{
+  ProtobufCMessage base;
+  size_t n_parts;
+  ServicePart **parts;
+};
+#define SERVICE_BATCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&service_batch__descriptor) \
+    , 0,NULL }
+
+
 struct  ServiceTableTarget
 {
   ProtobufCMessage base;
@@ -167,10 +198,15 @@
   uint32_t vm_count;
   size_t n_shares;
   ServiceShare **shares;
+  /*
+   * 1 + sequence of the table in the last full report of the receiver; 0
+   * from a leader that knows none in its term, and so needs one.
+   */
+  uint64_t seen_next;
 };
 #define SERVICE_SHARES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&service_shares__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  ServiceAnnounce
@@ -335,6 +371,44 @@
 void   service_report__free_unpacked
                      (ServiceReport *message,
                       ProtobufCAllocator *allocator);
+/* ServicePart methods */
+void   service_part__init
+                     (ServicePart         *message);
+size_t service_part__get_packed_size
+                     (const ServicePart   *message);
+size_t service_part__pack
+                     (const ServicePart   *message,
+                      uint8_t             *out);
+size_t service_part__pack_to_buffer
+                     (const ServicePart   *message,
+                      ProtobufCBuffer     *buffer);
+ServicePart *
+       service_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   service_part__free_unpacked
+                     (ServicePart *message,
+                      ProtobufCAllocator *allocator);
+/* ServiceBatch methods */
+void   service_batch__init
+                     (ServiceBatch         *message);
+size_t service_batch__get_packed_size
+                     (const ServiceBatch   *message);
+size_t service_batch__pack
+                     (const ServiceBatch   *message,
+                      uint8_t             *out);
+size_t service_batch__pack_to_buffer
+                     (const ServiceBatch   *message,
+                      ProtobufCBuffer     *buffer);
+ServiceBatch *
+       service_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   service_batch__free_unpacked
+                     (ServiceBatch *message,
+                      ProtobufCAllocator *allocator);
 /* ServiceTableTarget methods */
 void   service_table_target__init
                      (ServiceTableTarget         *message);
@@ -574,6 +648,12 @@
 typedef void (*ServiceReport_Closure)
                  (const ServiceReport *message,
                   void *closure_data);
+typedef void (*ServicePart_Closure)
+                 (const ServicePart *message,
+                  void *closure_data);
+typedef void (*ServiceBatch_Closure)
+                 (const ServiceBatch *message,
+                  void *closure_data);
 typedef void (*ServiceTableTarget_Closure)
                  (const ServiceTableTarget *message,
                   void *closure_data);
@@ -619,6 +699,8 @@
 extern const ProtobufCMessageDescriptor service_target_report__descriptor;
 extern const ProtobufCMessageDescriptor service_demand__descriptor;
 extern const ProtobufCMessageDescriptor service_report__descriptor;
+extern const ProtobufCMessageDescriptor service_part__descriptor;
+extern const ProtobufCMessageDescriptor service_batch__descriptor;
 extern const ProtobufCMessageDescriptor service_table_target__descriptor;
 extern const ProtobufCMessageDescriptor service_blocked__descriptor;
 extern const ProtobufCMessageDescriptor service_table__descriptor;
--- a/src/service/service_defs.h
+++ b/src/service/service_defs.h
@@ -34,7 +34,8 @@
 	MSG_SERVICE_TRIAL_RESULT, /**< view to leader */
 	MSG_SERVICE_CRASH, /**< view to leader */
 	MSG_SERVICE_VERSION, /**< view to view: table version */
-	MSG_SERVICE_VERSIONS /**< VM to VM: versions of several tables */
+	MSG_SERVICE_VERSIONS, /**< VM to VM: versions of several tables */
+	MSG_SERVICE_BATCH /**< VM to VM: reports and answers of services */
 };
 
 /** How quickly bad evidence leads to ejection. */
--- a/src/service/service_evidence.c
+++ b/src/service/service_evidence.c
@@ -45,6 +45,15 @@
 	memset(&leader->totals[slot], 0, sizeof(leader->totals[slot]));
 }
 
+leader_vm_t *
+leader_vm_find(const service_leader_t *leader, node_id_t id)
+{
+	leader_vm_t *vm;
+
+	HASH_FIND(hh, leader->vms, &id, sizeof(id), vm);
+	return (vm);
+}
+
 leader_vm_t *
 leader_vm_get(service_leader_t *leader, node_id_t id, uint32_t data_centre)
 {
--- a/src/service/service_leader.c
+++ b/src/service/service_leader.c
@@ -246,16 +246,41 @@
 	leader_vm_add_sample(vm, (uint32_t)slot, &sample);
 }
 
+/* A VM that this leader does not know is asked for a full report. */
+static void
+leader_handle_short_report(
+    service_leader_t *leader, node_id_t from, int64_t now_ms)
+{
+	leader_vm_t *vm = leader_vm_find(leader, from);
+
+	if (vm == NULL) {
+		leader_shares_send_unknown(leader, from);
+		return;
+	}
+	vm->reported_ms = now_ms;
+	leader_set_demand(&leader->rng, vm, NULL, 0);
+	if (vm->term != leader->term || vm->sequence != leader->sequence)
+		leader_table_send(leader, from, now_ms);
+	leader_shares_send(leader, vm);
+}
+
 static void
 leader_handle_report(service_leader_t *leader, node_id_t from,
     const ServiceReport *msg, int64_t now_ms)
 {
-	leader_vm_t *vm = leader_vm_get(leader, from, msg->data_centre);
+	leader_vm_t *vm;
 	size_t i;
 
+	if (msg->data_centre == 0) {
+		leader_handle_short_report(leader, from, now_ms);
+		return;
+	}
+	vm = leader_vm_get(leader, from, msg->data_centre);
 	if (vm == NULL)
 		return;
 	vm->reported_ms = now_ms;
+	vm->term = msg->term;
+	vm->sequence = msg->sequence;
 	if (msg->n_targets > 0)
 		vm->traffic_ms = now_ms;
 	for (i = 0; i < msg->n_targets && i < SERVICE_TARGETS_MAX; i++)
--- a/src/service/service_leader_internal.h
+++ b/src/service/service_leader_internal.h
@@ -66,6 +66,8 @@
 	uint32_t data_centre;
 	int64_t reported_ms;
 	int64_t traffic_ms; /* last report with attempts */
+	uint64_t term; /* of its table, by the last full report */
+	uint64_t sequence;
 	uint32_t cell_count;
 	service_window_t *cells; /* by target slot */
 	uint32_t demand_count;
@@ -117,6 +119,7 @@
 /* service_evidence.c */
 void leader_evidence_clear(service_leader_t *leader);
 void leader_evidence_clear_slot(service_leader_t *leader, uint32_t slot);
+leader_vm_t *leader_vm_find(const service_leader_t *leader, node_id_t id);
 leader_vm_t *leader_vm_get(
     service_leader_t *leader, node_id_t id, uint32_t data_centre);
 void leader_vm_add_sample(
@@ -145,6 +148,7 @@
 void leader_shares_clear(service_leader_t *leader);
 void leader_shares_compute(service_leader_t *leader, int64_t now_ms);
 void leader_shares_send(service_leader_t *leader, leader_vm_t *vm);
+void leader_shares_send_unknown(service_leader_t *leader, node_id_t to);
 void leader_set_demand(
     rng_t *rng, leader_vm_t *vm, ServiceDemand **demand, size_t count);
 
--- a/src/service/service_table.c
+++ b/src/service/service_table.c
@@ -372,6 +372,18 @@
 	}
 }
 
+void
+leader_shares_send_unknown(service_leader_t *leader, node_id_t to)
+{
+	ServiceShares msg = SERVICE_SHARES__INIT;
+
+	msg.service = leader->id;
+	msg.term = leader->term;
+	msg.typical_us = (uint32_t)(leader->typical_ms * 1000);
+	msg.vm_count = HASH_COUNT(leader->vms);
+	leader->opt.send(leader->opt.ctx, to, MSG_SERVICE_SHARES, &msg.base);
+}
+
 void
 leader_shares_send(service_leader_t *leader, leader_vm_t *vm)
 {
@@ -382,6 +394,8 @@
 	msg.term = leader->term;
 	msg.typical_us = (uint32_t)(leader->typical_ms * 1000);
 	msg.vm_count = HASH_COUNT(leader->vms);
+	if (vm->term == leader->term)
+		msg.seen_next = vm->sequence + 1;
 	msg.shares = calloc(vm->demand_count + 1, sizeof(ServiceShare *));
 	if (shares != NULL && msg.shares != NULL)
 		shares_fill(leader, vm, &msg, shares);
--- a/src/service/service_view.c
+++ b/src/service/service_view.c
@@ -66,15 +66,27 @@
 	free(view);
 }
 
+/* A leader that knows no full report of this VM gets one at once. */
 static void
-view_handle_shares(
-    service_view_t *view, const ServiceShares *msg, int64_t now_ms)
+view_handle_ack(service_view_t *view, node_id_t from, const ServiceShares *msg)
+{
+	view->acked_leader = msg->seen_next > 0 ? from : NODE_ID_NONE;
+	view->acked_term = msg->term;
+	view->acked_sequence = msg->seen_next - 1;
+	if (msg->seen_next == 0 && view->is_report_short)
+		view->reported_ms = 0;
+}
+
+static void
+view_handle_shares(service_view_t *view, node_id_t from,
+    const ServiceShares *msg, int64_t now_ms)
 {
 	view_share_t *share;
 	size_t i;
 
 	if (msg->term < view->term)
 		return;
+	view_handle_ack(view, from, msg);
 	view->acked_ms = now_ms;
 	view->typical_ms = msg->typical_us / 1000.0;
 	view->vm_count = msg->vm_count > 0 ? msg->vm_count : 1;
@@ -145,7 +157,7 @@
 	if (type == MSG_SERVICE_TABLE)
 		view_table_handle(view, (ServiceTable *)msg, now_ms);
 	else if (type == MSG_SERVICE_SHARES)
-		view_handle_shares(view, (ServiceShares *)msg, now_ms);
+		view_handle_shares(view, from, (ServiceShares *)msg, now_ms);
 	else if (type == MSG_SERVICE_ANNOUNCE)
 		view_announce_relay(view, (ServiceAnnounce *)msg, now_ms);
 	else if (type == MSG_SERVICE_ANNOUNCE_REPLY)
--- a/src/service/service_view_internal.h
+++ b/src/service/service_view_internal.h
@@ -91,6 +91,11 @@
 	double typical_ms; /* of the peers, by the leader */
 	uint32_t vm_count;
 	int64_t acked_ms; /* last answer of the leader */
+	node_id_t acked_leader; /* has acknowledged a full report */
+	uint64_t acked_term; /* of that leader, and of the table it saw */
+	uint64_t acked_sequence;
+	node_id_t report_leader; /* of the last report */
+	int is_report_short; /* the last report */
 	int64_t reported_ms;
 	int64_t active_ms; /* last time with attempts, or the start */
 	int64_t decayed_ms;
--- a/src/service/service_view_report.c
+++ b/src/service/service_view_report.c
@@ -13,6 +13,8 @@
 #define REPORT_QUIET_MS	 2000
 #define QUIET_AFTER_MS	 10000
 #define REPORT_URGENT_MS 50
+/* A multiple of the idle intervals. */
+#define REPORT_GRID_MS 2000
 
 #define ANNOUNCE_RETRY_MS 200
 /* Tries at the leader alone before other VMs pass the message on. */
@@ -63,6 +65,32 @@
 	}
 }
 
+/* @return 1 if the leader has acknowledged all that a report would say */
+static int
+report_is_known(const service_view_t *view, node_id_t leader)
+{
+	uint32_t i;
+
+	if (view->acked_leader != leader || view->acked_term != view->term ||
+	    view->acked_sequence != view->sequence || view->demand_count > 0)
+		return (0);
+	for (i = 0; i < view->count; i++) {
+		if (view->endpoints[i]->state->fresh.count > 0.0 ||
+		    view->endpoints[i]->state->fresh.good > 0.0)
+			return (0);
+	}
+	return (1);
+}
+
+static void
+report_send_short(service_view_t *view, node_id_t leader)
+{
+	ServiceReport msg = SERVICE_REPORT__INIT;
+
+	msg.service = view->id;
+	view->opt.send(view->opt.ctx, leader, MSG_SERVICE_REPORT, &msg.base);
+}
+
 static void
 report_send(service_view_t *view, node_id_t leader)
 {
@@ -104,7 +132,19 @@
 int64_t
 view_report_get_due_ms(const service_view_t *view, int64_t now_ms)
 {
-	return (view->reported_ms + report_get_interval_ms(view, now_ms));
+	int64_t interval_ms = report_get_interval_ms(view, now_ms);
+	uint64_t phase = view->opt.self ^ view->report_leader;
+	int64_t due_ms = view->reported_ms + interval_ms;
+
+	/*
+	 * Idle services of one leader report together, VMs at different times.
+	 * A report with outcomes does not wait for others.
+	 */
+	if (interval_ms >= REPORT_IDLE_MS && view->reported_ms > 0)
+		due_ms -=
+		    (int64_t)(((uint64_t)due_ms + phase % REPORT_GRID_MS) %
+			(uint64_t)interval_ms);
+	return (due_ms);
 }
 
 void
@@ -120,9 +160,14 @@
 	if (leader == NODE_ID_NONE)
 		return;
 	view->reported_ms = now_ms;
+	view->report_leader = leader;
 	view->urgent = 0;
 	view->attempts = 0;
-	report_send(view, leader);
+	view->is_report_short = report_is_known(view, leader);
+	if (view->is_report_short)
+		report_send_short(view, leader);
+	else
+		report_send(view, leader);
 }
 
 static void
--- a/test/unit/service_test.cc
+++ b/test/unit/service_test.cc
@@ -10,6 +10,8 @@
 extern "C" {
 #include "base/error.h"
 #include "proto/service.pb-c.h"
+#include "service/service_leader.h"
+#include "service/service_view.h"
 #include "service/service_judge.h"
 #include "service/service_share.h"
 }
@@ -126,6 +128,119 @@
 	    TM_EFORMAT);
 }
 
+/* A view and leaders that it may report to, without a network. */
+struct Pair {
+	service_view_t *view = nullptr;
+	service_leader_t *leader = nullptr;
+	uint64_t term = 1;
+	int64_t now_ms = 1000;
+	std::vector<size_t> reports; /* packed lengths */
+	std::vector<std::pair<uint16_t, std::vector<uint8_t>>> queue;
+};
+
+void
+pair_send(void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg)
+{
+	Pair *pair = (Pair *)ctx;
+	std::vector<uint8_t> bytes(protobuf_c_message_get_packed_size(msg));
+
+	protobuf_c_message_pack(msg, bytes.data());
+	if (type == MSG_SERVICE_REPORT)
+		pair->reports.push_back(bytes.size());
+	pair->queue.push_back({ type, bytes });
+}
+
+void
+pair_profile(void *ctx, service_profile_t *out)
+{
+	*out = { SERVICE_NORMAL, 50, 1 };
+}
+
+service_leader_t *
+pair_make_leader(Pair *pair)
+{
+	service_leader_options_t options = {};
+
+	options.service = "s";
+	options.ctx = pair;
+	options.send = pair_send;
+	options.get_term = [](void *ctx) { return ((Pair *)ctx)->term; };
+	options.get_profile = pair_profile;
+	options.save_table = [](void *, const uint8_t *, size_t) {};
+	options.restore_table = [](void *, size_t *) {
+		return (const uint8_t *)nullptr;
+	};
+	return service_leader_create(&options);
+}
+
+void
+pair_run(Pair *pair, int64_t until_ms)
+{
+	for (; pair->now_ms < until_ms; pair->now_ms += 10) {
+		service_leader_tick(pair->leader, pair->now_ms);
+		service_view_tick(pair->view, pair->now_ms);
+		for (size_t i = 0; i < pair->queue.size(); i++) {
+			auto message = pair->queue[i];
+			service_leader_handle(pair->leader, 7, message.first,
+			    message.second.data(), message.second.size(),
+			    pair->now_ms);
+			service_view_handle(pair->view, 8, message.first,
+			    message.second.data(), message.second.size(),
+			    pair->now_ms);
+		}
+		pair->queue.clear();
+	}
+}
+
+// Guards against idle reports that repeat what the leader knows, and against a
+// new leader that knows no version of its VMs because they say nothing.
+TEST(ServiceReport, IdleReportsAreShortUntilALeaderAsks)
+{
+	const size_t short_bytes = 9;
+	Pair pair;
+	service_view_options_t options = {};
+
+	options.service = "s";
+	options.self = 7;
+	options.data_centre = 5;
+	options.ctx = &pair;
+	options.send = pair_send;
+	options.get_leader = [](void *) { return (node_id_t)8; };
+	options.get_peer = [](void *) { return (node_id_t)NODE_ID_NONE; };
+	options.get_profile = pair_profile;
+	options.has_batched_versions = 1;
+	pair.view = service_view_create(&options);
+	pair.leader = pair_make_leader(&pair);
+	pair_run(&pair, 30000);
+	ASSERT_GT(pair.reports.size(), 10u);
+	EXPECT_GT(pair.reports.front(), short_bytes);
+	EXPECT_EQ(pair.reports.back(), short_bytes);
+	EXPECT_LE(std::count_if(pair.reports.begin(), pair.reports.end(),
+		      [](size_t bytes) { return bytes > 9; }),
+	    3);
+
+	/* The same term without its memory: a frozen or restarted leader. */
+	pair.reports.clear();
+	service_leader_destroy(pair.leader);
+	pair.leader = pair_make_leader(&pair);
+	pair_run(&pair, 33000);
+	ASSERT_GE(pair.reports.size(), 2u);
+	EXPECT_EQ(pair.reports[0], short_bytes);
+	EXPECT_GT(pair.reports[1], short_bytes);
+	EXPECT_TRUE(service_view_has_leader(pair.view, pair.now_ms));
+
+	/* A new term pushes its table once a VM has reported. */
+	pair.term = 2;
+	pair_run(&pair, 36000);
+	uint64_t term, sequence;
+	service_view_get_version(pair.view, &term, &sequence);
+	EXPECT_EQ(term, 2u);
+	pair_run(&pair, 42000);
+	EXPECT_EQ(pair.reports.back(), short_bytes);
+	service_view_destroy(pair.view);
+	service_leader_destroy(pair.leader);
+}
+
 // Random and mutated bytes must not crash a module; the seed is printed.
 TEST(ServiceMessage, MalformedBytesAreRejected)
 {
