Share code that stood twice: hex digits, failed calls, replies, settings files

Found by reading the whole change for lines that stand twice. Behaviour stays as it is; no test and no expected output changes.

- base/hex: digits, escapes and writing.
Four modules had a function for a hex digit, two of them the same decoding of %xx, and two wrote hex themselves.
- ctl_print_failure(): six callers chose between two ways to report a call that failed. ctl_get_text() stood in ctl_print.c and ctl_fleet.c.
- group_count_roles() for the status and the metrics of an entry VM.
- program_load_settings() for tm-control and tm-entry.
- rate_space: what every message to the leader carries is filled in one place.
- wait_usable() for three functional tests.

Looked at and left: the two walks over all holders in placement (one runs ten times a second, the other twice), the messages of claims (different types), and the listener of the stand-in target, whose status reasons differ.

--- a/src/config/config_json.c
+++ b/src/config/config_json.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/hex.h"
 #include "config/config_object.h"
 
 static const char *const ejection_words[] = { "eager", "normal", "cautious",
@@ -403,10 +404,8 @@
 config_write_key(const config_key_t *key)
 {
 	char hex[2 * CONFIG_SHA256_BYTES + 1];
-	size_t i;
 
-	for (i = 0; i < CONFIG_SHA256_BYTES; i++)
-		snprintf(hex + 2 * i, 3, "%02x", key->secret_sha256[i]);
+	hex_write(hex, key->secret_sha256, CONFIG_SHA256_BYTES);
 	return (json_pack("{s:s, s:s, s:b}", "workspace", key->workspace,
 	    "secret_sha256", hex, "withdrawn", key->withdrawn));
 }
--- a/src/control/admin_change.c
+++ b/src/control/admin_change.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/hex.h"
 #include "config/config_json.h"
 #include "config/config_object.h"
 #include "control/admin_internal.h"
@@ -342,15 +343,6 @@
 	admin_submit(request, &change, admin_create_wait(request));
 }
 
-static void
-admin_write_hex(char *out, const uint8_t *bytes, size_t len)
-{
-	size_t i;
-
-	for (i = 0; i < len; i++)
-		snprintf(out + 2 * i, 3, "%02x", bytes[i]);
-}
-
 /* Key that was drawn for this change id before, so that a caller who lost the
  * response gets the same one. */
 static const admin_issued_t *
@@ -385,11 +377,11 @@
 	memcpy(
 	    issued->change_id, request->change_id, sizeof(issued->change_id));
 	memcpy(issued->actor, request->operator_->name, NAME_MAX_BYTES);
-	admin_write_hex(issued->secret, secret, sizeof(secret));
+	hex_write(issued->secret, secret, sizeof(secret));
 	if (id != NULL)
 		strncpy(issued->id, id, NAME_MAX_BYTES);
 	else
-		admin_write_hex(issued->id, key_id, sizeof(key_id));
+		hex_write(issued->id, key_id, sizeof(key_id));
 	issued->issued_ms = clock_now_ms();
 	return (issued);
 }
--- a/src/control/admin_http.c
+++ b/src/control/admin_http.c
@@ -11,35 +11,6 @@
 #define BEARER_BYTES  7
 #define LOCATION_SIZE 2048
 
-static const char *
-admin_get_reason(int status)
-{
-	switch (status) {
-	case 200:
-		return ("OK");
-	case 307:
-		return ("Temporary Redirect");
-	case 400:
-		return ("Bad Request");
-	case 401:
-		return ("Unauthorized");
-	case 404:
-		return ("Not Found");
-	case 409:
-		return ("Conflict");
-	case 412:
-		return ("Precondition Failed");
-	case 413:
-		return ("Payload Too Large");
-	case 503:
-		return ("Service Unavailable");
-	case 504:
-		return ("Gateway Timeout");
-	default:
-		return ("Internal Server Error");
-	}
-}
-
 static int
 admin_get_status(int err)
 {
@@ -81,7 +52,7 @@
 	free(text);
 	json_decref(body);
 	req->res.status = status;
-	req->res.reason = admin_get_reason(status);
+	req->res.reason = http_status_get_reason(status);
 	req->res.content_length = len + 1;
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
 	    NULL, H2O_STRLIT("application/json"));
--- a/src/control/admin_read.c
+++ b/src/control/admin_read.c
@@ -114,23 +114,16 @@
 void
 admin_handle_metrics(admin_request_t *request)
 {
-	h2o_req_t *req = request->req;
 	size_t len;
 	char *text = control_format_metrics(request->api->control, &len);
-	char *copy;
 
 	if (text == NULL) {
-		admin_send_error(req, TM_ENOMEM, "metrics", NULL);
+		admin_send_error(request->req, TM_ENOMEM, "metrics", NULL);
 		return;
 	}
-	copy = h2o_strdup(&req->pool, text, len).base;
+	http_request_reply(
+	    request->req, 200, "text/plain; version=0.0.4", text, len);
 	free(text);
-	req->res.status = 200;
-	req->res.reason = "OK";
-	req->res.content_length = len;
-	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
-	    NULL, H2O_STRLIT("text/plain; version=0.0.4"));
-	h2o_send_inline(req, copy, len);
 }
 
 #ifdef TM_TEST_HOOKS
--- a/src/control/control_settings.c
+++ b/src/control/control_settings.c
@@ -115,8 +115,10 @@
 }
 
 static void
-control_read_settings(json_node_t *root, control_settings_t *settings)
+control_read_settings(json_node_t *root, void *out)
 {
+	control_settings_t *settings = out;
+
 	strncpy(settings->node, json_need_name(root, "node"), NAME_MAX_BYTES);
 	strncpy(settings->data_centre, json_need_name(root, "data_centre"),
 	    NAME_MAX_BYTES);
@@ -138,16 +140,7 @@
 control_settings_load(
     control_settings_t *settings, const char *file, FILE *errors)
 {
-	json_check_t *check = json_check_create();
-	json_node_t root;
-	int count;
-
 	memset(settings, 0, sizeof(*settings));
-	if (check == NULL)
-		return (TM_ENOMEM);
-	if (json_check_load_file(check, file, &root) == TM_OK)
-		control_read_settings(&root, settings);
-	count = json_check_print(check, errors);
-	json_check_destroy(check);
-	return (count == 0 ? TM_OK : TM_EINVAL);
+	return (program_load_settings(
+	    file, errors, control_read_settings, settings));
 }
--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -96,8 +96,8 @@
 	json_decref(value);
 }
 
-void
-ctl_print_refusal(const ctl_options_t *o, const ctl_result_t *result)
+static void
+print_refusal(const ctl_options_t *o, const ctl_result_t *result)
 {
 	json_t *value = result->body != NULL
 	    ? json_loadb(result->body, result->body_len, 0, NULL)
@@ -109,8 +109,8 @@
 	json_decref(value);
 }
 
-void
-ctl_print_unreachable(const ctl_call_t *call, const ctl_result_t *result)
+static void
+print_unreachable(const ctl_call_t *call, const ctl_result_t *result)
 {
 	if (result->status != 0)
 		fprintf(stderr, "tmctl: the last answer was status %d%s%s\n",
@@ -127,6 +127,16 @@
 		    call->change_id);
 }
 
+void
+ctl_print_failure(
+    const ctl_options_t *o, const ctl_call_t *call, const ctl_result_t *result)
+{
+	if (result->exit == CTL_EXIT_UNREACHABLE)
+		print_unreachable(call, result);
+	else if (result->exit != CTL_EXIT_OK)
+		print_refusal(o, result);
+}
+
 static ctl_exit_t
 send_and_print(ctl_api_t *api, const ctl_options_t *o, ctl_call_t *call)
 {
@@ -135,10 +145,8 @@
 	ctl_api_send(api, call, &result);
 	if (result.exit == CTL_EXIT_OK)
 		print_body(o, &result);
-	else if (result.exit == CTL_EXIT_UNREACHABLE)
-		ctl_print_unreachable(call, &result);
 	else
-		ctl_print_refusal(o, &result);
+		ctl_print_failure(o, call, &result);
 	free(result.body);
 	return (result.exit);
 }
@@ -288,10 +296,7 @@
 	ctl_escape(o->words[2], name, sizeof(name));
 	snprintf(path, sizeof(path), "/v1/workspaces/%s", name);
 	ctl_api_send(api, &call, &result);
-	if (result.exit == CTL_EXIT_UNREACHABLE)
-		ctl_print_unreachable(&call, &result);
-	else if (result.exit != CTL_EXIT_OK)
-		ctl_print_refusal(o, &result);
+	ctl_print_failure(o, &call, &result);
 	free(result.body);
 	return (result.exit);
 }
--- a/src/ctl/ctl_command.h
+++ b/src/ctl/ctl_command.h
@@ -35,12 +35,12 @@
 /** Percent-encodes a path segment or a query value. */
 void ctl_escape(const char *text, char *out, size_t size);
 
-/** Reports a rejection on standard error; with --json its body as well. */
-void ctl_print_refusal(
-    const ctl_options_t *options, const ctl_result_t *result);
-
-/** Reports a call without a final answer on standard error. */
-void ctl_print_unreachable(const ctl_call_t *call, const ctl_result_t *result);
+/**
+ * Reports a call that failed on standard error: a rejection, with --json its
+ * body on standard output as well, or that no server gave a final answer.
+ */
+void ctl_print_failure(const ctl_options_t *options, const ctl_call_t *call,
+    const ctl_result_t *result);
 
 /** Runs a command that was checked. @return exit code */
 ctl_exit_t ctl_command_run(ctl_api_t *api, const ctl_options_t *options);
--- a/src/ctl/ctl_fleet.c
+++ b/src/ctl/ctl_fleet.c
@@ -69,14 +69,6 @@
 	free(vms);
 }
 
-static const char *
-get_text(const json_t *object, const char *field)
-{
-	const char *text = json_string_value(json_object_get(object, field));
-
-	return (text != NULL ? text : "");
-}
-
 static json_int_t
 get_int(const json_t *object, const char *field)
 {
@@ -104,8 +96,9 @@
 	json_array_foreach(json_object_get(status, "nodes"), i, node)
 	{
 		snprintf(address, sizeof(address), "%s:%d",
-		    get_text(node, "ops_ip"), (int)get_int(node, "ops_port"));
-		vms_add(vms, get_text(node, "name"), address);
+		    ctl_get_text(node, "ops_ip"),
+		    (int)get_int(node, "ops_port"));
+		vms_add(vms, ctl_get_text(node, "name"), address);
 	}
 }
 
@@ -124,10 +117,8 @@
 	ctl_api_send(api, &call, &result);
 	if (result.exit == CTL_EXIT_OK)
 		*status = json_loadb(result.body, result.body_len, 0, NULL);
-	else if (result.exit == CTL_EXIT_UNREACHABLE)
-		ctl_print_unreachable(&call, &result);
 	else
-		ctl_print_refusal(o, &result);
+		ctl_print_failure(o, &call, &result);
 	free(result.body);
 	return (api->entry_count > 0 ? CTL_EXIT_OK : result.exit);
 }
@@ -147,7 +138,8 @@
 		json_array_append_new(rows,
 		    json_pack("{s:s, s:s, s:I, s:I, s:b, s:i}", "name",
 			vms->name[i], "state",
-			answer != NULL ? get_text(answer, "role") : "no answer",
+			answer != NULL ? ctl_get_text(answer, "role")
+				       : "no answer",
 			"term", get_int(answer, "term"), "version",
 			get_int(answer, "version"), "voter",
 			json_is_true(json_object_get(answer, "voter")),
@@ -178,10 +170,11 @@
 		json_array_append_new(rows,
 		    json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I}",
 			"name",
-			answer != NULL ? get_text(answer, "node")
+			answer != NULL ? ctl_get_text(answer, "node")
 				       : vms->name[i],
-			"data_centre", get_text(answer, "data_centre"), "state",
-			answer != NULL ? get_text(answer, "state")
+			"data_centre", ctl_get_text(answer, "data_centre"),
+			"state",
+			answer != NULL ? ctl_get_text(answer, "state")
 				       : "no answer",
 			"config_index", get_int(answer, "config_index"),
 			"tick_age_ms", get_int(answer, "tick_age_ms"),
@@ -227,7 +220,7 @@
 
 	json_array_foreach(rows, i, row)
 	{
-		if (strcmp(get_text(row, field), value) == 0)
+		if (strcmp(ctl_get_text(row, field), value) == 0)
 			return (row);
 	}
 	return (NULL);
@@ -245,13 +238,14 @@
 add_service(json_t *rows, const json_t *service)
 {
 	const json_t *counts = json_object_get(service, "counts");
-	json_t *row = find_row(rows, "service", get_text(service, "service"));
+	json_t *row =
+	    find_row(rows, "service", ctl_get_text(service, "service"));
 	json_int_t avoided = get_int(counts, "avoided");
 	json_int_t waiting = get_int(service, "waiting");
 
 	if (row == NULL) {
 		row = json_pack("{s:s, s:I, s:I}", "service",
-		    get_text(service, "service"), "avoided", (json_int_t)0,
+		    ctl_get_text(service, "service"), "avoided", (json_int_t)0,
 		    "waiting", (json_int_t)0);
 		json_array_append_new(rows, row);
 	}
@@ -354,8 +348,8 @@
 		json_array_foreach(
 		    json_object_get(status, "control_vms"), i, vm)
 		{
-			vms_add(controls, get_text(vm, "name"),
-			    get_text(vm, "admin"));
+			vms_add(controls, ctl_get_text(vm, "name"),
+			    ctl_get_text(vm, "admin"));
 		}
 		add_entries(api, status, entries);
 		vms_ask(api, controls, "/v1/status", 1);
@@ -392,7 +386,7 @@
 		    json_object_get(vms->answer[i], "found"), k, found)
 		{
 			row = json_pack("{s:s}", "entry_vm",
-			    get_text(vms->answer[i], "node"));
+			    ctl_get_text(vms->answer[i], "node"));
 			json_object_update(row, found);
 			json_array_append_new(rows, row);
 		}
@@ -403,12 +397,12 @@
 static void
 explain_request(json_t *row, char *out, size_t size)
 {
-	const char *target = get_text(row, "target");
+	const char *target = ctl_get_text(row, "target");
 	size_t used;
 
 	used = (size_t)snprintf(out, size, "%s: status %d (%s), run: %s, ",
-	    get_text(row, "entry_vm"), (int)get_int(row, "status"),
-	    get_text(row, "outcome"), get_text(row, "run"));
+	    ctl_get_text(row, "entry_vm"), (int)get_int(row, "status"),
+	    ctl_get_text(row, "outcome"), ctl_get_text(row, "run"));
 	if (target[0] != '\0')
 		used += (size_t)snprintf(out + used, size - used,
 		    "%d attempts, last at %s, ", (int)get_int(row, "attempts"),
@@ -416,18 +410,18 @@
 	used += (size_t)snprintf(out + used, size - used, "%.1f ms, %.1f s ago",
 	    (double)get_int(row, "latency_us") / 1000,
 	    (double)get_int(row, "age_ms") / 1000);
-	if (get_text(row, "reason")[0] != '\0')
+	if (ctl_get_text(row, "reason")[0] != '\0')
 		snprintf(out + used, size - used, "; %s; remedy: %s",
-		    get_text(row, "reason"), get_text(row, "remedy"));
+		    ctl_get_text(row, "reason"), ctl_get_text(row, "remedy"));
 }
 
 static size_t
 explain_verdict(const json_t *verdict, char *out, size_t size)
 {
 	return ((size_t)snprintf(out, size, "%s, %.1f %s (limit %.1f)",
-	    get_text(verdict, "evidence"),
+	    ctl_get_text(verdict, "evidence"),
 	    json_number_value(json_object_get(verdict, "value")),
-	    get_text(verdict, "unit"),
+	    ctl_get_text(verdict, "unit"),
 	    json_number_value(json_object_get(verdict, "limit"))));
 }
 
@@ -439,8 +433,8 @@
 	size_t used;
 
 	used = (size_t)snprintf(out, size, "%s: %s of %s is %s for %.1f s, %s",
-	    get_text(row, "entry_vm"), get_text(row, "target"),
-	    get_text(row, "service"), get_text(row, "state"),
+	    ctl_get_text(row, "entry_vm"), ctl_get_text(row, "target"),
+	    ctl_get_text(row, "service"), ctl_get_text(row, "state"),
 	    (double)get_int(row, "state_age_ms") / 1000,
 	    json_is_true(json_object_get(row, "usable")) ? "used here"
 							 : "not used here");
@@ -466,14 +460,14 @@
 explain_workspace(json_t *row, char *out, size_t size)
 {
 	const json_t *bucket = json_object_get(row, "bucket");
-	const char *leader = get_text(row, "leader");
+	const char *leader = ctl_get_text(row, "leader");
 	size_t used;
 
 	used = (size_t)snprintf(out, size,
 	    "%s: rate %d/s, burst %d, shard %d led by %s; requests %lld, "
 	    "refused over the rate %lld, refused otherwise %lld; tokens here "
 	    "%d, waiting %d, demand %.1f/s",
-	    get_text(row, "entry_vm"), (int)get_int(row, "rate_per_s"),
+	    ctl_get_text(row, "entry_vm"), (int)get_int(row, "rate_per_s"),
 	    (int)get_int(row, "burst"), (int)get_int(row, "shard"),
 	    leader[0] != '\0' ? leader : "none",
 	    (long long)get_int(row, "requests"),
@@ -520,11 +514,11 @@
 	}
 	if (json_array_size(found) == 0)
 		printf("%s %s: not known to the %d entry VMs that answered\n",
-		    get_text(out, "kind"), get_text(out, "name"),
+		    ctl_get_text(out, "kind"), ctl_get_text(out, "name"),
 		    (int)get_int(out, "answered"));
 	json_array_foreach(found, i, row)
 	{
-		print_row(get_text(out, "kind"), row);
+		print_row(ctl_get_text(out, "kind"), row);
 	}
 	json_array_foreach(silent, i, row)
 	{
--- a/src/ctl/ctl_print.c
+++ b/src/ctl/ctl_print.c
@@ -156,8 +156,8 @@
 	}
 }
 
-static const char *
-get_text(const json_t *object, const char *field)
+const char *
+ctl_get_text(const json_t *object, const char *field)
 {
 	const char *text = json_string_value(json_object_get(object, field));
 
@@ -174,8 +174,8 @@
 		return;
 	}
 	fprintf(out, "  %s: found %s; allowed: %s; remedy: %s\n",
-	    get_text(item, "field"), get_text(item, "found"),
-	    get_text(item, "allowed"), get_text(item, "remedy"));
+	    ctl_get_text(item, "field"), ctl_get_text(item, "found"),
+	    ctl_get_text(item, "allowed"), ctl_get_text(item, "remedy"));
 }
 
 void
@@ -186,15 +186,15 @@
 	size_t index;
 
 	fprintf(out, "tmctl: refused with status %d", status);
-	if (get_text(body, "error")[0] != '\0')
-		fprintf(out, ": %s", get_text(body, "error"));
-	if (get_text(body, "reason")[0] != '\0')
-		fprintf(out, ": %s", get_text(body, "reason"));
+	if (ctl_get_text(body, "error")[0] != '\0')
+		fprintf(out, ": %s", ctl_get_text(body, "error"));
+	if (ctl_get_text(body, "reason")[0] != '\0')
+		fprintf(out, ": %s", ctl_get_text(body, "reason"));
 	if (status == 412 && json_is_integer(version))
 		fprintf(out, "; current version %lld",
 		    (long long)json_integer_value(version));
-	if (get_text(body, "remedy")[0] != '\0')
-		fprintf(out, "; remedy: %s", get_text(body, "remedy"));
+	if (ctl_get_text(body, "remedy")[0] != '\0')
+		fprintf(out, "; remedy: %s", ctl_get_text(body, "remedy"));
 	fputc('\n', out);
 	problems = json_object_get(body, "problems");
 	json_array_foreach(problems, index, item)
--- a/src/ctl/ctl_print.h
+++ b/src/ctl/ctl_print.h
@@ -15,6 +15,9 @@
  */
 void ctl_print_value(FILE *out, const json_t *value);
 
+/** @return text of a field; "" if there is none */
+const char *ctl_get_text(const json_t *object, const char *field);
+
 /** Prints a rejection: error, reason, remedy and single errors. */
 void ctl_print_error(FILE *out, int status, const json_t *body);
 
--- a/src/ctl/ctl_snapshot.c
+++ b/src/ctl/ctl_snapshot.c
@@ -172,12 +172,10 @@
 
 	ctl_api_send(api, &call, &result);
 	status = result.exit;
-	if (status == CTL_EXIT_UNREACHABLE)
-		ctl_print_unreachable(&call, &result);
-	else if (status != CTL_EXIT_OK)
-		ctl_print_refusal(o, &result);
-	else
+	if (status == CTL_EXIT_OK)
 		status = snapshot_keep(o->words[2], &result);
+	else
+		ctl_print_failure(o, &call, &result);
 	free(result.body);
 	return (status);
 }
@@ -281,10 +279,7 @@
 
 	ctl_api_send(api, &call, &result);
 	status = result.exit;
-	if (status == CTL_EXIT_UNREACHABLE)
-		ctl_print_unreachable(&call, &result);
-	else if (status != CTL_EXIT_OK)
-		ctl_print_refusal(o, &result);
+	ctl_print_failure(o, &call, &result);
 	body = status == CTL_EXIT_OK ? json_loads(result.body, 0, NULL) : NULL;
 	if (status == CTL_EXIT_OK &&
 	    json_array_size(json_object_get(body, "items")) > 0) {
@@ -314,10 +309,7 @@
 
 	snprintf(id, sizeof(id), "%s.%d", o->change_id, number);
 	ctl_api_send(api, &call, &result);
-	if (result.exit == CTL_EXIT_UNREACHABLE)
-		ctl_print_unreachable(&call, &result);
-	else if (result.exit != CTL_EXIT_OK)
-		ctl_print_refusal(o, &result);
+	ctl_print_failure(o, &call, &result);
 	if (result.exit != CTL_EXIT_OK)
 		fprintf(stderr,
 		    "tmctl: part %d was not confirmed; go on with --change-id "
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -63,8 +63,10 @@
 }
 
 static void
-read_settings(json_node_t *root, entry_settings_t *settings)
+read_settings(json_node_t *root, void *out)
 {
+	entry_settings_t *settings = out;
+
 	strncpy(settings->node, json_need_name(root, "node"), NAME_MAX_BYTES);
 	strncpy(settings->data_centre, json_need_name(root, "data_centre"),
 	    NAME_MAX_BYTES);
@@ -85,16 +87,6 @@
 int
 entry_settings_load(entry_settings_t *settings, const char *file, FILE *errors)
 {
-	json_check_t *check = json_check_create();
-	json_node_t root;
-	int count;
-
 	memset(settings, 0, sizeof(*settings));
-	if (check == NULL)
-		return (TM_ENOMEM);
-	if (json_check_load_file(check, file, &root) == TM_OK)
-		read_settings(&root, settings);
-	count = json_check_print(check, errors);
-	json_check_destroy(check);
-	return (count == 0 ? TM_OK : TM_EINVAL);
+	return (program_load_settings(file, errors, read_settings, settings));
 }
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/hex.h"
 #include "base/test_hooks.h"
 #include "entry/entry_defs.h"
 #include "entry/request.h"
@@ -123,37 +124,15 @@
 	return (0);
 }
 
-static int
-hex_value(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	c = (char)(c | 0x20);
-	return (c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1);
-}
-
 /* Decodes %xx in the path without its query. */
 static h2o_iovec_t
 decode_path(h2o_req_t *req)
 {
 	size_t len =
 	    req->query_at != SIZE_MAX ? req->query_at : req->input.path.len;
-	const char *from = req->input.path.base;
 	h2o_iovec_t out = { h2o_mem_alloc_pool(&req->pool, len + 1), 0 };
-	size_t i;
 
-	for (i = 0; i < len; i++) {
-		if (from[i] == '%' && i + 2 < len &&
-		    hex_value(from[i + 1]) >= 0 &&
-		    hex_value(from[i + 2]) >= 0) {
-			out.base[out.len++] =
-			    (char)(hex_value(from[i + 1]) * 16 +
-				hex_value(from[i + 2]));
-			i += 2;
-		} else {
-			out.base[out.len++] = from[i];
-		}
-	}
+	out.len = hex_decode_escapes(out.base, req->input.path.base, len);
 	return (out);
 }
 
--- a/src/entry/keyguard.c
+++ b/src/entry/keyguard.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/hex.h"
+
 #define PREFIX_BYTES (sizeof(KEYGUARD_PREFIX) - 1)
 #define BEARER	     "Bearer "
 #define BEARER_BYTES (sizeof(BEARER) - 1)
@@ -105,44 +107,12 @@
 	return (text_trim(value));
 }
 
-static int
-hex_value(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	if (c >= 'a' && c <= 'f')
-		return (c - 'a' + 10);
-	if (c >= 'A' && c <= 'F')
-		return (c - 'A' + 10);
-	return (-1);
-}
-
-static int
-is_escape(keyguard_text_t text, size_t at)
-{
-	return (text.base[at] == '%' && at + 2 < text.len &&
-	    hex_value(text.base[at + 1]) >= 0 &&
-	    hex_value(text.base[at + 2]) >= 0);
-}
-
 /* Decodes %xx once; out may be the text itself. */
 static keyguard_text_t
 text_decode(keyguard_text_t text, char *out)
 {
-	keyguard_text_t decoded = { out, 0 };
-	size_t i;
-
-	for (i = 0; i < text.len; i++) {
-		if (is_escape(text, i)) {
-			out[decoded.len++] =
-			    (char)(hex_value(text.base[i + 1]) * 16 +
-				hex_value(text.base[i + 2]));
-			i += 2;
-		} else {
-			out[decoded.len++] = text.base[i];
-		}
-	}
-	return (decoded);
+	return ((keyguard_text_t){
+	    out, hex_decode_escapes(out, text.base, text.len) });
 }
 
 /* Finds a part in any letter case, also if it is percent-encoded. */
--- a/src/entry/ops_api.c
+++ b/src/entry/ops_api.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/hex.h"
 #include "base/log.h"
 #include "base/test_hooks.h"
 #include "entry/entry_defs.h"
@@ -231,37 +232,21 @@
 		entry, reason == NULL ? "ready" : reason, clock_now_ms()));
 }
 
-static int
-ops_get_hex(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	if (c >= 'a' && c <= 'f')
-		return (c - 'a' + 10);
-	if (c >= 'A' && c <= 'F')
-		return (c - 'A' + 10);
-	return (-1);
-}
-
-/* Decodes %XX in place; anything else stays as it is. */
+/* Decodes %XX in place; anything else, and %00, stays as it is. */
 static void
 ops_decode_query(char *text)
 {
-	char *to = text;
-	int high;
-	int low;
-
-	while (*text != '\0') {
-		high = *text == '%' ? ops_get_hex(text[1]) : -1;
-		low = high >= 0 ? ops_get_hex(text[2]) : -1;
-		if (low > 0 || (low == 0 && high > 0)) {
-			*to++ = (char)(high << 4 | low);
-			text += 3;
-		} else {
-			*to++ = *text++;
-		}
+	const char *from = text;
+	size_t left = strlen(text);
+	int byte;
+
+	while (left > 0) {
+		byte = hex_get_escape(from, left, 0);
+		*text++ = byte > 0 ? (char)byte : *from;
+		from += byte > 0 ? 3 : 1;
+		left -= byte > 0 ? 3 : 1;
 	}
-	*to = '\0';
+	*text = '\0';
 }
 
 /* Reads a query parameter. @return 1 if present and short enough */
--- a/src/entry/ops_describe.c
+++ b/src/entry/ops_describe.c
@@ -145,18 +145,11 @@
 static json_t *
 describe_groups(const entry_t *entry, int64_t now_ms)
 {
-	uint32_t holders = 0;
-	uint32_t ready = 0;
-	uint32_t leads = 0;
-	uint32_t shard;
+	group_roles_t roles = group_count_roles(entry->group, now_ms);
 
-	for (shard = 0; shard < CONFIG_SHARDS; shard++) {
-		holders += group_is_holder(entry->group, shard) != 0;
-		ready += group_is_ready(entry->group, shard) != 0;
-		leads += group_is_leader(entry->group, shard, now_ms) != 0;
-	}
-	return (json_pack("{s:i, s:i, s:i}", "holder_of", (int)holders,
-	    "ready_for", (int)ready, "leader_of", (int)leads));
+	return (json_pack("{s:i, s:i, s:i}", "holder_of", (int)roles.holder_of,
+	    "ready_for", (int)roles.ready_for, "leader_of",
+	    (int)roles.leader_of));
 }
 
 json_t *
--- a/src/entry/ops_metrics.c
+++ b/src/entry/ops_metrics.c
@@ -70,20 +70,11 @@
 update_groups(entry_t *entry, int64_t now_ms)
 {
 	const group_stats_t *stats = group_get_stats(entry->group);
-	int64_t holders = 0;
-	int64_t ready = 0;
-	int64_t leads = 0;
-	uint32_t shard;
-
-	for (shard = 0; shard < CONFIG_SHARDS; shard++) {
-		holders += group_is_holder(entry->group, shard) != 0;
-		ready += group_is_ready(entry->group, shard) != 0;
-		leads += group_is_leader(entry->group, shard, now_ms) != 0;
-	}
+	group_roles_t roles = group_count_roles(entry->group, now_ms);
 	const ops_value_t values[] = {
-		{ "tm_group_holder_shards", METRIC_GAUGE, holders },
-		{ "tm_group_ready_shards", METRIC_GAUGE, ready },
-		{ "tm_group_leader_shards", METRIC_GAUGE, leads },
+		{ "tm_group_holder_shards", METRIC_GAUGE, roles.holder_of },
+		{ "tm_group_ready_shards", METRIC_GAUGE, roles.ready_for },
+		{ "tm_group_leader_shards", METRIC_GAUGE, roles.leader_of },
 		{ "tm_group_elections_won_total", METRIC_COUNTER,
 		    (int64_t)stats->elections_won },
 		{ "tm_group_leases_lost_total", METRIC_COUNTER,
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -534,3 +534,17 @@
 {
 	return (&group->stats);
 }
+
+group_roles_t
+group_count_roles(const group_t *group, int64_t now_ms)
+{
+	group_roles_t roles = { 0 };
+	uint32_t shard;
+
+	for (shard = 0; shard < group->options.shard_count; shard++) {
+		roles.holder_of += group_is_holder(group, shard) != 0;
+		roles.ready_for += group_is_ready(group, shard) != 0;
+		roles.leader_of += group_is_leader(group, shard, now_ms) != 0;
+	}
+	return (roles);
+}
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -117,6 +117,13 @@
 	uint64_t transfers_done;
 } group_stats_t;
 
+/** Numbers of shards by the role of this VM. */
+typedef struct group_roles {
+	uint32_t holder_of;
+	uint32_t ready_for;
+	uint32_t leader_of;
+} group_roles_t;
+
 typedef struct group group_t;
 
 /** @return 0, TM_EINVAL, TM_ENOMEM */
@@ -228,4 +235,7 @@
 
 const group_stats_t *group_get_stats(const group_t *group);
 
+/** Counts the shards that this VM holds, is ready for and leads. */
+group_roles_t group_count_roles(const group_t *group, int64_t now_ms);
+
 #endif
--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -180,6 +180,18 @@
 	return (TM_OK);
 }
 
+void
+raft_start_from_snapshot(raft_t *raft, const raft_snapshot_t *snapshot)
+{
+	raft_log_reset(&raft->log, snapshot->index, snapshot->term);
+	raft->base_config.count = snapshot->voter_count;
+	memcpy(raft->base_config.voters, snapshot->voters,
+	    sizeof(snapshot->voters));
+	raft->base_config.index = snapshot->index;
+	raft->commit = snapshot->index;
+	raft->applied = snapshot->index;
+}
+
 static int
 raft_restore_snapshot(raft_t *raft, const raft_snapshot_t *snapshot)
 {
@@ -193,13 +205,7 @@
 	err = raft_set_snapshot(raft, snapshot);
 	if (err != TM_OK)
 		return (err);
-	raft_log_reset(&raft->log, snapshot->index, snapshot->term);
-	raft->base_config.count = snapshot->voter_count;
-	memcpy(raft->base_config.voters, snapshot->voters,
-	    sizeof(snapshot->voters));
-	raft->base_config.index = snapshot->index;
-	raft->commit = snapshot->index;
-	raft->applied = snapshot->index;
+	raft_start_from_snapshot(raft, snapshot);
 	return (raft->options.install_snapshot(
 	    raft->options.ctx, snapshot->index, snapshot->data, snapshot->len));
 }
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -181,6 +181,8 @@
 int raft_handle_snapshot_reply(
     raft_t *raft, node_id_t from, const uint8_t *payload, size_t len);
 int raft_set_snapshot(raft_t *raft, const raft_snapshot_t *snapshot);
+/* Makes a snapshot, already set, the start of an empty log. */
+void raft_start_from_snapshot(raft_t *raft, const raft_snapshot_t *snapshot);
 
 /* raft_member.c */
 int raft_quorum_size(const raft_t *raft);
--- a/src/raft/raft_recover.c
+++ b/src/raft/raft_recover.c
@@ -147,14 +147,8 @@
 		raft_fail(raft, err);
 		return (err);
 	}
-	raft_log_reset(&raft->log, snapshot->index, snapshot->term);
-	raft->base_config.count = snapshot->voter_count;
-	memcpy(raft->base_config.voters, snapshot->voters,
-	    sizeof(snapshot->voters));
-	raft->base_config.index = snapshot->index;
+	raft_start_from_snapshot(raft, snapshot);
 	raft->persisted = snapshot->index;
-	raft->commit = snapshot->index;
-	raft->applied = snapshot->index;
 	raft->role = RAFT_FOLLOWER;
 	raft_reload_config(raft);
 	return (raft_save_vote(raft, snapshot->term, NODE_ID_NONE));
--- a/src/rate/rate_space.c
+++ b/src/rate/rate_space.c
@@ -161,6 +161,19 @@
 	}
 }
 
+/* Fills what each message to the leader carries; msg->reports has room. */
+static void
+rate_start_need(const rate_client_t *client, rate_space_t *space,
+    node_id_t leader, Tm__RateReport *reports, Tm__RateNeed *msg)
+{
+	msg->workspace = space->workspace;
+	msg->incarnation = client->options.incarnation;
+	msg->used = space->used;
+	space->used = 0;
+	msg->n_reports =
+	    rate_fill_reports(space, leader, reports, msg->reports);
+}
+
 /* Sends waiting requests, wanted prefetch and reports to the leader. */
 void
 rate_space_send_need(rate_client_t *client, rate_space_t *space,
@@ -175,15 +188,11 @@
 	space->next_ask_ms = now_ms + RATE_OTHER_MS;
 	if (leader == NODE_ID_NONE)
 		return;
-	msg.workspace = space->workspace;
-	msg.incarnation = client->options.incarnation;
+	msg.reports = list;
+	rate_start_need(client, space, leader, reports, &msg);
 	msg.need = space->pending_count;
-	msg.used = space->used;
-	space->used = 0;
 	rate_name_pending(space, leader, &msg, now_ms);
 	msg.prefetch = prefetch;
-	msg.n_reports = rate_fill_reports(space, leader, reports, list);
-	msg.reports = list;
 	/* Reports alone get no answer. */
 	if (msg.need > 0 || msg.prefetch > 0) {
 		msg.sequence = ++space->sequence;
@@ -206,12 +215,8 @@
 	Tm__RateReport *list[RATE_REPORTS_MAX];
 	Tm__RateNeed msg = TM__RATE_NEED__INIT;
 
-	msg.workspace = space->workspace;
-	msg.incarnation = client->options.incarnation;
-	msg.used = space->used;
-	space->used = 0;
-	msg.n_reports = rate_fill_reports(space, leader, reports, list);
 	msg.reports = list;
+	rate_start_need(client, space, leader, reports, &msg);
 	rate_space_post(client, space, leader, &msg, now_ms);
 }
 
--- a/src/settings/json_fields.c
+++ b/src/settings/json_fields.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/hex.h"
 #include "base/node_defs.h"
 
 #define FOUND_MAX   96
@@ -320,18 +321,6 @@
 	return (json_need_address(node, field, addr));
 }
 
-static int
-hex_digit(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	if (c >= 'a' && c <= 'f')
-		return (c - 'a' + 10);
-	if (c >= 'A' && c <= 'F')
-		return (c - 'A' + 10);
-	return (-1);
-}
-
 int
 json_need_sha256(
     json_node_t *node, const char *field, uint8_t digest[JSON_SHA256_BYTES])
@@ -342,8 +331,8 @@
 
 	if (strlen(text) == (size_t)2 * JSON_SHA256_BYTES) {
 		for (i = 0; i < JSON_SHA256_BYTES; i++) {
-			high = hex_digit(text[2 * i]);
-			low = hex_digit(text[2 * i + 1]);
+			high = hex_get_digit(text[2 * i]);
+			low = hex_get_digit(text[2 * i + 1]);
 			if (high < 0 || low < 0)
 				break;
 			digest[i] = (uint8_t)(high << 4 | low);
--- a/src/settings/program_settings.c
+++ b/src/settings/program_settings.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/error.h"
+
 static const char *const log_level_words[] = { "debug", "info", "warn", "error",
 	NULL };
 
@@ -27,3 +29,20 @@
 	return ((log_level_t)json_opt_enum(
 	    root, "log_level", log_level_words, LOG_LEVEL_INFO));
 }
+
+int
+program_load_settings(
+    const char *file, FILE *errors, program_read_cb read, void *settings)
+{
+	json_check_t *check = json_check_create();
+	json_node_t root;
+	int count;
+
+	if (check == NULL)
+		return (TM_ENOMEM);
+	if (json_check_load_file(check, file, &root) == TM_OK)
+		read(&root, settings);
+	count = json_check_print(check, errors);
+	json_check_destroy(check);
+	return (count == 0 ? TM_OK : TM_EINVAL);
+}
--- a/src/settings/program_settings.h
+++ b/src/settings/program_settings.h
@@ -5,6 +5,8 @@
 #ifndef TM_SETTINGS_PROGRAM_SETTINGS_H
 #define TM_SETTINGS_PROGRAM_SETTINGS_H
 
+#include <stdio.h>
+
 #include "base/log.h"
 #include "net/peer.h"
 #include "settings/json_check.h"
@@ -25,6 +27,17 @@
 int program_read_secrets(
     json_node_t *root, const char *field, program_secret_t *secrets);
 
+/** Reads the fields of a settings file; errors go to the check of root. */
+typedef void (*program_read_cb)(json_node_t *root, void *settings);
+
+/**
+ * Loads a settings file and prints all of its errors.
+ *
+ * @return 0, TM_EINVAL after an error, TM_ENOMEM
+ */
+int program_load_settings(
+    const char *file, FILE *errors, program_read_cb read, void *settings);
+
 /** Reads "log_level". @return info if it is not set */
 log_level_t program_read_log_level(json_node_t *root);
 
--- a/test/functional/lib_tools.sh
+++ b/test/functional/lib_tools.sh
@@ -18,3 +18,14 @@
 		tries=$((tries - 1))
 	done
 }
+
+# wait_usable OPS: until the entry VM with this ops listener may use a target,
+# which announced itself, perhaps through another VM.
+wait_usable() {
+	tries=100
+	until curl -s "http://$1/status" | grep -q '"usable":true' ||
+	    [ $tries -eq 0 ]; do
+		sleep 0.05
+		tries=$((tries - 1))
+	done
+}
--- a/test/functional/request_unparsed.sh
+++ b/test/functional/request_unparsed.sh
@@ -4,12 +4,6 @@
 scripts/fleet.sh start "$dir" control=1 entry=3 dcs=1 targets=1 workspaces=1 ||
     exit 1
 . "$dir/env"
-# The target announced itself, perhaps through another VM.
-tries=100
-until curl -s "http://${FLEET_OPS%% *}/status" | grep -q '"usable":true' ||
-    [ $tries -eq 0 ]; do
-	sleep 0.05
-	tries=$((tries - 1))
-done
+wait_usable "${FLEET_OPS%% *}"
 python3 test/functional/request_shapes.py "${FLEET_LISTEN%% *}" \
     "$(cat "$dir/key.w1")" "$dir/s1-t1.record" "$FLEET_TARGET_ADMIN" unparsed
--- a/test/functional/tls_entry.sh
+++ b/test/functional/tls_entry.sh
@@ -41,12 +41,7 @@
 json.dump(settings, open(sys.argv[1], "w"))
 PY
 }
-tries=100
-until curl -s "http://$ops/status" | grep -q '"usable":true' ||
-    [ $tries -eq 0 ]; do
-	sleep 0.05
-	tries=$((tries - 1))
-done
+wait_usable "$ops"
 
 echo "== requests"
 ask() {
