--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wpointer-arith -Wno-unused-parameter
 OPT ?= -O2
-COMMON := -g $(OPT) -Isrc -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -MMD -MP
+COMMON := -g $(OPT) -Isrc -I. -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -MMD -MP
 ifeq ($(TEST_HOOKS),1)
 COMMON += -DTM_TEST_HOOKS
 endif
@@ -22,7 +22,7 @@
 CXXFLAGS_ALL := -std=gnu++17 -Wall -Wextra -Wno-unused-parameter \
 	-Wno-missing-field-initializers $(COMMON) $(CXXFLAGS)
 LDLIBS := -lh2o -luv -lssl -lcrypto -lprotobuf-c -ljansson -largtable2 \
-	-lxxhash -lm -lpthread
+	-lxxhash -lz -lm -lpthread
 ifeq ($(SAN),1)
 SANFLAGS := -O1 -fsanitize=address,undefined -fno-omit-frame-pointer
 BUILD := build/san
@@ -32,15 +32,18 @@
 endif
 
 # A program is a folder with a *_main.c; every other folder is library code.
-PROGRAMS := entry control ctl target load
+PROGRAMS := entry control gate hub ctl target load
 BIN_entry := tm-entry
 BIN_control := tm-control
+BIN_gate := tm-gate
+BIN_hub := tm-hub
 BIN_ctl := tmctl
 BIN_target := tm-target
 BIN_load := tm-load
 
 MAINS := $(wildcard src/*/*_main.c)
-LIB_SRCS := $(filter-out $(MAINS),$(wildcard src/*/*.c))
+LIB_SRCS := $(filter-out $(MAINS),$(wildcard src/*/*.c)) \
+	$(wildcard platform/*.c)
 LIB_OBJS := $(LIB_SRCS:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libtarragonmoor.a
 BINS := $(foreach p,$(PROGRAMS),$(if $(wildcard src/$(p)/$(p)_main.c),\
@@ -58,8 +61,8 @@
 FUZZ_OBJS := $(FUZZ_SRCS:%.c=$(BUILD)/%.o) $(BUILD)/test/fuzz/fuzz_driver.o
 
 FORMAT_SRCS := $(filter-out %.pb-c.c %.pb-c.h,\
-	$(wildcard src/*/*.c src/*/*.h test/*/*.c test/*/*.h test/*/*.cc))
-LINT_SRCS := $(filter-out %.pb-c.c,$(wildcard src/*/*.c))
+	$(wildcard src/*/*.c src/*/*.h platform/*.[ch] test/*/*.c test/*/*.h test/*/*.cc))
+LINT_SRCS := $(filter-out %.pb-c.c,$(wildcard src/*/*.c platform/*.c))
 
 .PHONY: all deps proto check unit functional fuzz fuzz-bins valgrind format format-check lint demo \
 	bench prove install install-files clean
@@ -113,13 +116,13 @@
 LINT_STAMPS := $(LINT_SRCS:%.c=$(BUILD)/lint/%.ok)
 $(BUILD)/lint/%.ok: %.c .clang-tidy
 	@mkdir -p $(@D)
-	@clang-tidy --quiet $< -- -std=gnu11 -Isrc -D_GNU_SOURCE \
+	@clang-tidy --quiet $< -- -std=gnu11 -Isrc -I. -D_GNU_SOURCE \
 		-DH2O_USE_LIBUV=1 >$(@:.ok=.log) 2>&1 || \
 		{ cat $(@:.ok=.log); exit 1; }
 	@touch $@
 
 lint: $(LINT_STAMPS)
-	cppcheck --quiet --error-exitcode=1 --std=c11 -Isrc \
+	cppcheck --quiet --error-exitcode=1 --std=c11 -Isrc -I. \
 		--enable=warning,portability --inline-suppr \
 		--include=scripts/cppcheck_macros.h \
 		--suppress=missingIncludeSystem --suppress=*:*.pb-c.h \
--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -16,7 +16,7 @@
 #include "claim/claim_holder.h"
 #include "config/config_state.h"
 #include "entry/entry_settings.h"
-#include "entry/upstream.h"
+#include "http/upstream.h"
 #include "gossip/gossip.h"
 #include "group/group.h"
 #include "http/http_server.h"
--- a/src/entry/verify.h
+++ b/src/entry/verify.h
@@ -6,7 +6,7 @@
 #ifndef TM_ENTRY_VERIFY_H
 #define TM_ENTRY_VERIFY_H
 
-#include "entry/upstream.h"
+#include "http/upstream.h"
 
 /** What a check found. */
 typedef enum verify_result {
--- /dev/null
+++ b/src/fleet/fleet_config.h
@@ -0,0 +1,155 @@
+/**
+ * @file
+ * One version of a fleet's whole configuration, as the gates use it. It is
+ * filled by a dialect, checked once, and then only read.
+ */
+#ifndef TM_FLEET_FLEET_CONFIG_H
+#define TM_FLEET_FLEET_CONFIG_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "base/node_defs.h"
+
+/** Room for the description of a problem. */
+#define FLEET_CONFIG_PROBLEM_BYTES 160
+/** A response is worth nothing this long after the route's timeout. */
+#define FLEET_CONFIG_AIM_OVER_MS 60000
+
+/** A service that gets a share of a route's requests. */
+typedef struct fleet_part {
+	char *service;
+	double weight;
+} fleet_part_t;
+
+/** Requests of one host and path prefix. */
+typedef struct fleet_route {
+	char *name;
+	char *host;
+	char *prefix;
+	size_t prefix_len;
+	int repeat_allowed; /**< 1: a request may run more than once */
+	int is_open; /**< needs no key */
+	int64_t timeout_ms; /**< 0: none */
+	int64_t aim_ms; /**< a later response is worth less */
+	int32_t priority; /**< 0 is the most urgent */
+	uint32_t attempts_max; /**< targets that one request may reach */
+	fleet_part_t *parts;
+	size_t part_count;
+	double weight_sum;
+} fleet_route_t;
+
+/** A service by its name. */
+typedef struct fleet_service {
+	char *name;
+	uint64_t id; /**< fleet_name_hash() of the name */
+	char *health_path;
+	uint32_t connections_max; /**< of a target, from all gates; 0: any */
+	UT_hash_handle hh;
+} fleet_service_t;
+
+/** A workspace with its rate over the whole fleet. */
+typedef struct fleet_workspace {
+	char *name;
+	uint64_t id; /**< fleet_name_hash() of the name */
+	int has_priority;
+	int32_t priority; /**< goes before that of the route */
+	double rate_per_s; /**< 0: unlimited */
+	double burst;
+	UT_hash_handle hh;
+	UT_hash_handle hh_id;
+} fleet_workspace_t;
+
+typedef struct fleet_key {
+	char *text;
+	fleet_workspace_t *workspace;
+	UT_hash_handle hh;
+} fleet_key_t;
+
+/** What callers may send; 0 stands for the program's own limit. */
+typedef struct fleet_limits {
+	uint64_t header_max_bytes;
+	uint64_t body_max_bytes;
+	int64_t header_timeout_ms;
+	int64_t idle_timeout_ms;
+} fleet_limits_t;
+
+typedef struct fleet_config {
+	uint64_t version;
+	fleet_route_t *routes; /**< longest prefix first within a host */
+	size_t route_count;
+	fleet_service_t *services;
+	int needs_keys; /**< workspaces are declared */
+	fleet_workspace_t *workspaces;
+	fleet_workspace_t *workspaces_by_id;
+	fleet_key_t *keys;
+	fleet_limits_t limits;
+} fleet_config_t;
+
+/** @return an empty configuration, or NULL if memory is exhausted */
+fleet_config_t *fleet_config_create(uint64_t version);
+
+/** Frees a configuration; NULL is allowed. */
+void fleet_config_destroy(fleet_config_t *config);
+
+/**
+ * Adds an empty route.
+ *
+ * @return the route, valid until the next one is added; NULL without memory
+ */
+fleet_route_t *fleet_config_add_route(fleet_config_t *config);
+
+/** Adds a service to a route. @return 0 or TM_ENOMEM */
+int fleet_route_add_part(
+    fleet_route_t *route, const char *service, double weight);
+
+/** Adds a service. @return NULL without memory or if the name is taken */
+fleet_service_t *fleet_config_add_service(
+    fleet_config_t *config, const char *name);
+
+/** Adds a workspace. @return NULL without memory or if the name is taken */
+fleet_workspace_t *fleet_config_add_workspace(
+    fleet_config_t *config, const char *name);
+
+/** Adds a key. @return 0, TM_EEXIST if another workspace has it, TM_ENOMEM */
+int fleet_config_add_key(
+    fleet_config_t *config, fleet_workspace_t *workspace, const char *text);
+
+/**
+ * Checks what concerns several objects, and prepares the lookups. To be called
+ * once, before the configuration is used.
+ *
+ * @param problem  receives what is wrong
+ * @return         0, TM_EINVAL, or TM_EREFERENCE for an unknown service
+ */
+int fleet_config_finish(
+    fleet_config_t *config, char problem[FLEET_CONFIG_PROBLEM_BYTES]);
+
+/**
+ * Finds the route of a request: the longest prefix of its host.
+ *
+ * @param host  without a port
+ * @param path  without a query
+ * @return      NULL if there is none
+ */
+const fleet_route_t *fleet_config_find_route(const fleet_config_t *config,
+    const char *host, size_t host_len, const char *path, size_t path_len);
+
+/** @return the workspace of a key, or NULL */
+const fleet_workspace_t *fleet_config_find_key(
+    const fleet_config_t *config, const char *text, size_t len);
+
+/** @return a workspace by its id, or NULL */
+const fleet_workspace_t *fleet_config_find_workspace(
+    const fleet_config_t *config, uint64_t id);
+
+/** @return a service, or NULL */
+const fleet_service_t *fleet_config_find_service(
+    const fleet_config_t *config, const char *name);
+
+/** @return id of a service, workspace or target name */
+uint64_t fleet_name_hash(const char *name);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_defs.h
@@ -0,0 +1,64 @@
+/**
+ * @file
+ * Message types and shared values of fleets whose state the hubs keep.
+ */
+#ifndef TM_FLEET_FLEET_DEFS_H
+#define TM_FLEET_FLEET_DEFS_H
+
+#include <stdint.h>
+
+#include "base/node_defs.h"
+#include "net/msg_types.h"
+
+#define MSG_FLEET_JOIN	   (MSG_FLEET_BASE + 0)
+#define MSG_FLEET_LEASE	   (MSG_FLEET_BASE + 1)
+#define MSG_FLEET_DOCUMENT (MSG_FLEET_BASE + 2)
+#define MSG_FLEET_TABLE	   (MSG_FLEET_BASE + 3)
+#define MSG_FLEET_SPENDS   (MSG_FLEET_BASE + 4)
+#define MSG_FLEET_PERMITS  (MSG_FLEET_BASE + 5)
+#define MSG_FLEET_EVIDENCE (MSG_FLEET_BASE + 6)
+#define MSG_FLEET_BLOCK	   (MSG_FLEET_BASE + 7)
+#define MSG_FLEET_HELLO	   (MSG_FLEET_BASE + 8)
+
+/** Longest text of an IPv4 address with its end. */
+#define FLEET_IP_BYTES 16
+/** Longest id of a target. */
+#define FLEET_TARGET_ID_MAX_BYTES 63
+/** Hubs and seeds that a process remembers. */
+#define FLEET_HUBS_MAX 32
+
+/** What a target says of itself. */
+typedef enum fleet_target_state {
+	FLEET_TARGET_READY = 0,
+	FLEET_TARGET_DRAINING = 1,
+	FLEET_TARGET_GONE = 2
+} fleet_target_state_t;
+
+/** What the leader says of a target. */
+typedef enum fleet_verdict {
+	FLEET_VERDICT_GOOD = 0,
+	FLEET_VERDICT_EJECTED = 1, /**< gets no requests */
+	FLEET_VERDICT_TRIAL = 2 /**< one request at a time, by permit */
+} fleet_verdict_t;
+
+/** What an attempt showed. */
+typedef enum fleet_evidence {
+	FLEET_EVIDENCE_GOOD = 0, /**< reported at once for trials only */
+	FLEET_EVIDENCE_UNREACHABLE = 1, /**< no connection; nothing was sent */
+	FLEET_EVIDENCE_BROKEN = 2, /**< the connection ended early */
+	FLEET_EVIDENCE_WRONG = 3, /**< bytes that are no proper response */
+	FLEET_EVIDENCE_ERROR = 4, /**< a failure status of the target */
+	FLEET_EVIDENCE_SHED = 5, /**< the target did not run the request */
+	FLEET_EVIDENCE_STALL = 6, /**< much slower than usual, still running */
+	FLEET_EVIDENCE_OTHER = 7, /**< another target answers there */
+	FLEET_EVIDENCE_UNUSED = 8 /**< a trial that was not sent */
+} fleet_evidence_t;
+
+/** What a gate spends. */
+typedef enum fleet_spend_kind {
+	FLEET_SPEND_REQUEST = 0, /**< token of the workspace */
+	FLEET_SPEND_RETRY = 1, /**< share of the service's retry budget */
+	FLEET_SPEND_TRIAL = 2 /**< the right to try a target */
+} fleet_spend_kind_t;
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_settings.c
@@ -0,0 +1,42 @@
+#include "fleet/fleet_settings.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+int
+fleet_read_seeds(json_node_t *root, char seeds[FLEET_HUBS_MAX][FLEET_IP_BYTES])
+{
+	struct sockaddr_in addr;
+	int count =
+	    json_opt_list(root, "seeds", 0, FLEET_HUBS_MAX, "hub addresses");
+	int used = 0;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (json_list_get_address(root, "seeds", i, &addr))
+			inet_ntop(AF_INET, &addr.sin_addr, seeds[used++],
+			    FLEET_IP_BYTES);
+	}
+	return (used);
+}
+
+const dialect_t *
+fleet_read_dialect(json_node_t *root)
+{
+	int index = json_opt_enum(root, "dialect", dialect_names, 0);
+
+	return (dialect_find(dialect_names[index]));
+}
+
+void
+fleet_read_ip(json_node_t *root, const char *field, char ip[FLEET_IP_BYTES])
+{
+	const char *text = json_need_text(root, field, 7, FLEET_IP_BYTES - 1);
+	struct in_addr addr;
+
+	if (inet_pton(AF_INET, text, &addr) == 1)
+		inet_ntop(AF_INET, &addr, ip, FLEET_IP_BYTES);
+	else
+		json_node_add_error(root, field, text, "an IPv4 address",
+		    "give the address of this VM, e.g. 127.0.0.1");
+}
--- /dev/null
+++ b/src/fleet/fleet_settings.h
@@ -0,0 +1,26 @@
+/**
+ * @file
+ * Settings that tm-hub and tm-gate have in common.
+ */
+#ifndef TM_FLEET_FLEET_SETTINGS_H
+#define TM_FLEET_FLEET_SETTINGS_H
+
+#include "fleet/dialect.h"
+#include "settings/json_check.h"
+
+/**
+ * Reads "seeds", addresses of hubs; only their IP addresses count.
+ *
+ * @return number of seeds
+ */
+int fleet_read_seeds(
+    json_node_t *root, char seeds[FLEET_HUBS_MAX][FLEET_IP_BYTES]);
+
+/** Reads "dialect". @return NULL after an error */
+const dialect_t *fleet_read_dialect(json_node_t *root);
+
+/** Reads an address whose IP address must be set, as a text. */
+void fleet_read_ip(
+    json_node_t *root, const char *field, char ip[FLEET_IP_BYTES]);
+
+#endif
--- /dev/null
+++ b/src/gate/gate.c
@@ -0,0 +1,440 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <openssl/rand.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "fleet/zip.h"
+#include "gate/gate_defs.h"
+#include "gate/gate_request.h"
+
+/* Part of the time for revocation that a lease may take. */
+#define KEY_LEASE_SHARE 0.8
+#define IDLE_TIMEOUT_MS 15000
+/* After the signal to stop, new connections are taken for this time: the load
+ * balancer asks once a second and wants two failures. */
+#define NOTICE_MS 2600
+/* Time left for the last responses before the process would be killed. */
+#define STOP_MARGIN_MS 300
+/* Time from closing the listener to the end, if no request is running. */
+#define CLOSED_MIN_MS 150
+
+int
+gate_is_ready(const gate_t *gate)
+{
+	int64_t now_ms = clock_now_ms();
+
+	return (gate->phase == GATE_RUNNING && gate->config != NULL &&
+	    gate_table_get_term(gate->table) != 0 &&
+	    gate_link_has_key_lease(gate->link, now_ms));
+}
+
+static void
+send_to_hub(void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg)
+{
+	gate_t *gate = ctx;
+
+	peer_net_send(gate->net, to, type, msg);
+}
+
+static void
+on_found(void *ctx, const char *name)
+{
+	gate_t *gate = ctx;
+
+	peer_net_set_address(
+	    gate->net, node_id_from_name(name), name, gate->settings.peer_port);
+}
+
+/* A connection may be dead without an error; a new one is opened. */
+static void
+on_reset(void *ctx, node_id_t hub)
+{
+	gate_t *gate = ctx;
+
+	peer_net_reset(gate->net, hub);
+}
+
+static void
+on_fill_join(void *ctx, Tm__Fleet__Join *join)
+{
+	gate_t *gate = ctx;
+	size_t count = 0;
+	size_t i;
+
+	join->config_version = gate->config != NULL ? gate->config->version : 0;
+	join->table_term = gate_table_get_term(gate->table);
+	join->table_sequence = gate_table_get_sequence(gate->table);
+	join->is_stopping = gate->phase != GATE_RUNNING;
+	if (gate->outcomes == NULL) {
+		gate->outcomes = gate_table_take_outcomes(gate->table, &count);
+		gate->outcome_pointers =
+		    calloc(count + 1, sizeof(*gate->outcome_pointers));
+		if (gate->outcome_pointers == NULL)
+			count = 0;
+		for (i = 0; i < count; i++)
+			gate->outcome_pointers[i] = &gate->outcomes[i];
+		join->outcomes = gate->outcome_pointers;
+		join->n_outcomes = count;
+	}
+}
+
+static void
+on_joined(void *ctx)
+{
+	gate_t *gate = ctx;
+
+	free(gate->outcome_pointers);
+	free(gate->outcomes);
+	gate->outcome_pointers = NULL;
+	gate->outcomes = NULL;
+}
+
+static void
+use_config(gate_t *gate, fleet_config_t *config)
+{
+	fleet_config_destroy(gate->config);
+	gate->config = config;
+	gate_allowance_reset(gate->allowance);
+	if (config->limits.idle_timeout_ms > 0)
+		http_server_set_idle_timeout(
+		    gate->callers, (uint32_t)config->limits.idle_timeout_ms);
+	gate_link_set_version(gate->link, config->version);
+	LOG_EVENT(950, LOG_LEVEL_INFO, "configuration in force",
+	    LOG_NUM("version", config->version),
+	    LOG_NUM("routes", config->route_count));
+}
+
+/* An older version never replaces a newer one. */
+static void
+handle_document(gate_t *gate, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Document *msg =
+	    tm__fleet__document__unpack(NULL, len, payload);
+	char problem[FLEET_CONFIG_PROBLEM_BYTES] = "";
+	fleet_config_t *config = NULL;
+	char *plain = NULL;
+	int err = TM_EFORMAT;
+
+	if (msg == NULL)
+		return;
+	if (gate->config != NULL && msg->version <= gate->config->version) {
+		tm__fleet__document__free_unpacked(msg, NULL);
+		return;
+	}
+	plain = zip_unpack(msg->zipped.data, msg->zipped.len, msg->plain_bytes);
+	if (plain != NULL)
+		err = gate_get_dialect(gate)->read_config(
+		    plain, msg->plain_bytes, &config, problem);
+	free(plain);
+	if (err == TM_OK)
+		use_config(gate, config);
+	else
+		LOG_EVENT(951, LOG_LEVEL_ERROR,
+		    "a configuration cannot be read, the old one stays",
+		    LOG_NUM("version", msg->version),
+		    LOG_TEXT("reason", &problem[0]),
+		    LOG_TEXT("error", error_get_text(err)));
+	tm__fleet__document__free_unpacked(msg, NULL);
+}
+
+static void
+handle_table(gate_t *gate, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Table *msg = tm__fleet__table__unpack(NULL, len, payload);
+
+	if (msg == NULL)
+		return;
+	gate_table_take(gate->table, msg, clock_now_ms());
+	tm__fleet__table__free_unpacked(msg, NULL);
+}
+
+/* peer_receive_cb */
+static void
+on_receive(void *ctx, node_id_t from, uint64_t incarnation, uint16_t type,
+    const uint8_t *payload, size_t len)
+{
+	gate_t *gate = ctx;
+
+	(void)incarnation;
+	switch (type) {
+	case MSG_FLEET_DOCUMENT:
+		handle_document(gate, payload, len);
+		break;
+	case MSG_FLEET_TABLE:
+		handle_table(gate, payload, len);
+		break;
+	default:
+		gate_link_handle(
+		    gate->link, from, type, payload, len, clock_now_ms());
+		break;
+	}
+}
+
+static void
+tick_stop(gate_t *gate, int64_t now_ms)
+{
+	int64_t passed_ms = now_ms - gate->phase_since_ms;
+
+	switch (gate->phase) {
+	case GATE_LEAVING:
+		if (passed_ms < NOTICE_MS)
+			return;
+		http_server_stop(gate->callers);
+		gate->phase = GATE_CLOSED;
+		LOG_EVENT(952, LOG_LEVEL_INFO, "listener closed",
+		    LOG_NUM("in_flight", gate->in_flight));
+		break;
+	case GATE_CLOSED:
+		if (passed_ms >=
+			gate->settings.stop_within_ms - STOP_MARGIN_MS ||
+		    (gate->in_flight == 0 &&
+			passed_ms >= NOTICE_MS + CLOSED_MIN_MS)) {
+			gate->phase = GATE_STOPPED;
+			LOG_EVENT(953, LOG_LEVEL_INFO, "stopped",
+			    LOG_NUM("in_flight", gate->in_flight));
+		}
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_timer(uv_timer_t *timer);
+
+/* Ticks more often while requests are running. */
+static void
+set_tick(gate_t *gate)
+{
+	uint64_t wanted_ms =
+	    gate->in_flight > 0 ? GATE_TICK_MS : GATE_IDLE_TICK_MS;
+
+	if (wanted_ms == gate->tick_ms)
+		return;
+	gate->tick_ms = wanted_ms;
+	uv_timer_start(&gate->timer, on_timer, wanted_ms, wanted_ms);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	gate_t *gate = timer->data;
+	int64_t now_ms = clock_now_ms();
+
+	gate_link_tick(gate->link, now_ms);
+	gate_request_tick_all(gate, now_ms);
+	upstream_tick(gate->upstream, now_ms);
+	metric_set(gate->metric_in_flight, gate->in_flight);
+	if (gate->phase != GATE_RUNNING)
+		tick_stop(gate, now_ms);
+}
+
+static void
+on_check(uv_check_t *check)
+{
+	gate_t *gate = check->data;
+
+	gate_link_flush(gate->link, clock_now_ms());
+	set_tick(gate);
+}
+
+/* http_server_cb */
+static void
+handle_ready(void *ctx, h2o_req_t *req)
+{
+	gate_t *gate = ctx;
+	const char *path = gate_get_dialect(gate)->ready_path;
+
+	if (!h2o_memis(req->path.base, req->path.len, path, strlen(path)))
+		http_request_reply(
+		    req, 404, "text/plain", "no such page\n", 13);
+	else if (gate_is_ready(gate))
+		http_request_reply(req, 200, "text/plain", "ready\n", 6);
+	else
+		http_request_reply(req, 503, "text/plain", "not ready\n", 10);
+}
+
+/* http_server_cb */
+static void
+handle_metrics(void *ctx, h2o_req_t *req)
+{
+	gate_t *gate = ctx;
+	size_t len = 0;
+	char *text = metrics_format(gate->metrics, &len);
+
+	http_request_reply(req, text != NULL ? 200 : 503,
+	    "text/plain; version=0.0.4", text != NULL ? text : "", len);
+	free(text);
+}
+
+static int
+open_net(gate_t *gate)
+{
+	const gate_settings_t *settings = &gate->settings;
+	char name[NAME_MAX_BYTES + 1];
+	peer_options_t options = {
+		.loop = gate->loop,
+		.node_name = name,
+		.incarnation = 1,
+		.listen_ip = settings->ip,
+		.listen_port = settings->peer_port,
+		.receive = on_receive,
+		.ctx = gate,
+	};
+	int i;
+
+	/* Each start is another node: its name needs no memory and no clock. */
+	snprintf(name, sizeof(name), "gate-%016llx",
+	    (unsigned long long)rng_next(&gate->rng));
+	for (i = 0; i < settings->secret_count; i++)
+		options.secrets[i] = settings->secrets[i];
+	return (peer_net_create(&gate->net, &options));
+}
+
+static int
+open_listeners(gate_t *gate)
+{
+	http_server_options_t options = {
+		.loop = gate->loop,
+		.addr = gate->settings.listen,
+		.server_name = "tarragonmoor",
+		.connections_max = GATE_CONNECTIONS_MAX,
+		.body_max_bytes = GATE_BODY_MAX_BYTES,
+		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+		.handle = gate_front_handle,
+		.ctx = gate,
+	};
+	int err = http_server_create(&gate->callers, &options);
+
+	options.addr = gate->settings.ready_listen;
+	options.connections_max = 64;
+	options.body_max_bytes = 1024;
+	options.handle = handle_ready;
+	if (err == TM_OK)
+		err = http_server_create(&gate->ready, &options);
+	if (err != TM_OK || gate->settings.metrics_port == 0)
+		return (err);
+	options.addr.sin_port = htons(gate->settings.metrics_port);
+	options.handle = handle_metrics;
+	return (http_server_create(&gate->metrics_server, &options));
+}
+
+static int
+create_modules(gate_t *gate)
+{
+	const gate_settings_t *settings = &gate->settings;
+	const char *seeds[FLEET_HUBS_MAX];
+	gate_link_options_t link = {
+		.seeds = seeds,
+		.seed_count = settings->seed_count,
+		.key_lease_ms = (int64_t)(KEY_LEASE_SHARE *
+		    (double)settings->revoke_within_ms),
+		.send = send_to_hub,
+		.send_ctx = gate,
+		.found = on_found,
+		.reset = on_reset,
+		.fill_join = on_fill_join,
+		.joined = on_joined,
+		.ctx = gate,
+	};
+	int i;
+
+	for (i = 0; i < settings->seed_count; i++)
+		seeds[i] = settings->seeds[i];
+	gate->table = gate_table_create(settings->zone, rng_next(&gate->rng));
+	gate->allowance = gate_allowance_create();
+	gate->link = gate_link_create(&link);
+	gate->upstream = upstream_create(gate->loop);
+	gate->metrics = metrics_create();
+	if (gate->table == NULL || gate->allowance == NULL ||
+	    gate->link == NULL || gate->upstream == NULL ||
+	    gate->metrics == NULL)
+		return (TM_ENOMEM);
+	gate->metric_requests = metrics_get(
+	    gate->metrics, "tm_gate_requests_total", "", METRIC_COUNTER);
+	gate->metric_attempts = metrics_get(
+	    gate->metrics, "tm_gate_attempts_total", "", METRIC_COUNTER);
+	gate->metric_in_flight = metrics_get(
+	    gate->metrics, "tm_gate_requests_in_flight", "", METRIC_GAUGE);
+	gate->metric_latency = metrics_get(gate->metrics,
+	    "tm_gate_request_duration_seconds", "", METRIC_HISTOGRAM);
+	return (TM_OK);
+}
+
+static void
+start_handles(gate_t *gate)
+{
+	uv_timer_init(gate->loop, &gate->timer);
+	gate->timer.data = gate;
+	gate->tick_ms = GATE_IDLE_TICK_MS;
+	uv_timer_start(
+	    &gate->timer, on_timer, GATE_IDLE_TICK_MS, GATE_IDLE_TICK_MS);
+	uv_check_init(gate->loop, &gate->check);
+	gate->check.data = gate;
+	uv_check_start(&gate->check, on_check);
+}
+
+int
+gate_create(gate_t **out, const gate_settings_t *settings, uv_loop_t *loop)
+{
+	gate_t *gate = calloc(1, sizeof(*gate));
+	uint64_t seed;
+	int err = TM_EIO;
+
+	if (gate == NULL)
+		return (TM_ENOMEM);
+	gate->settings = *settings;
+	gate->loop = loop;
+	if (RAND_bytes((unsigned char *)&seed, sizeof(seed)) == 1) {
+		rng_init(&gate->rng, seed);
+		err = open_net(gate);
+	}
+	if (err == TM_OK)
+		err = create_modules(gate);
+	if (err == TM_OK)
+		err = open_listeners(gate);
+	if (err != TM_OK) {
+		LOG_EVENT(954, LOG_LEVEL_ERROR, "cannot start",
+		    LOG_TEXT("error", error_get_text(err)),
+		    LOG_TEXT("remedy",
+			"check listen, ready_listen, peer_port and "
+			"metrics_port, and that no other process uses them"));
+		return (err);
+	}
+	start_handles(gate);
+	*out = gate;
+	return (TM_OK);
+}
+
+void
+gate_reload(gate_t *gate, const gate_settings_t *fresh)
+{
+	const char *secrets[PEER_SECRETS_MAX] = { NULL };
+	int i;
+
+	for (i = 0; i < fresh->seed_count; i++)
+		gate_link_add_seed(gate->link, fresh->seeds[i]);
+	for (i = 0; i < fresh->secret_count; i++)
+		secrets[i] = fresh->secrets[i];
+	peer_net_set_secrets(gate->net, secrets);
+}
+
+void
+gate_begin_stop(gate_t *gate)
+{
+	if (gate->phase != GATE_RUNNING)
+		return;
+	gate->phase = GATE_LEAVING;
+	gate->phase_since_ms = clock_now_ms();
+	LOG_EVENT(955, LOG_LEVEL_INFO, "stop requested",
+	    LOG_NUM("in_flight", gate->in_flight));
+}
+
+int
+gate_is_stopped(const gate_t *gate)
+{
+	return (gate->phase == GATE_STOPPED);
+}
--- /dev/null
+++ b/src/gate/gate_attempt.c
@@ -0,0 +1,450 @@
+#include "gate/gate_attempt.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+
+/* A connection that is not open by then is given up; nothing was sent on it. */
+#define CONNECT_MAX_MS 300
+/* An attempt that takes this many times the mean is reported as stalled, but
+ * not before the shorter bound, nor while the mean is unknown. */
+#define STALL_RATIO  4.0
+#define STALL_MIN_MS 700
+/* Idle connections are used up to this time before their target closes them;
+ * the first bound holds where a target does not tell. */
+#define IDLE_UNTOLD_MS 1000
+#define IDLE_MARGIN_MS 1500
+/* Fewer milliseconds are not worth an attempt. */
+#define REMAINING_MIN_MS 20
+
+static void
+report(const gate_request_t *request, const gate_target_t *target,
+    fleet_evidence_t kind, int is_trial, int64_t latency_ms)
+{
+	Tm__Fleet__Evidence evidence = TM__FLEET__EVIDENCE__INIT;
+
+	evidence.target = target->key;
+	evidence.born_ms = target->born_ms;
+	evidence.kind = kind;
+	evidence.is_trial = is_trial;
+	evidence.latency_ms = (uint32_t)latency_ms;
+	gate_link_report(request->gate->link, &evidence);
+}
+
+static const char *
+evidence_get_name(fleet_evidence_t kind)
+{
+	static const char *const names[] = { "good", "unreachable", "broken",
+		"wrong", "error", "shed", "stall", "other target", "unused" };
+
+	return (names[kind]);
+}
+
+void
+gate_attempt_release_trial(gate_request_t *request)
+{
+	if (request->trial == NULL)
+		return;
+	gate_target_end(request->gate->table, request->trial);
+	request->trial = NULL;
+}
+
+/* Detaches the target of the attempt that has ended. */
+static gate_target_t *
+end_attempt(gate_request_t *request)
+{
+	gate_target_t *target = request->target;
+
+	request->target = NULL;
+	request->call = NULL;
+	return (target);
+}
+
+void
+gate_attempt_cancel(gate_request_t *request)
+{
+	gate_target_t *target;
+
+	if (request->call == NULL)
+		return;
+	upstream_call_cancel(request->call);
+	target = end_attempt(request);
+	request->may_have_run = 1;
+	if (request->is_trial)
+		report(request, target, FLEET_EVIDENCE_UNUSED, 1, 0);
+	gate_target_end(request->gate->table, target);
+}
+
+static void
+log_attempt(const gate_request_t *request, const gate_target_t *target,
+    fleet_evidence_t kind, int status, int64_t latency_ms)
+{
+	LOG_EVENT(962, LOG_LEVEL_INFO, "attempt failed",
+	    LOG_TEXT("request_id", request->id), LOG_TEXT("target", target->id),
+	    LOG_NUM("verdict", target->verdict),
+	    LOG_NUM("term", gate_table_get_term(request->gate->table)),
+	    LOG_NUM("table", gate_table_get_sequence(request->gate->table)),
+	    LOG_TEXT("evidence", evidence_get_name(kind)),
+	    LOG_NUM("status", status), LOG_NUM("is_trial", request->is_trial),
+	    LOG_NUM("latency_ms", latency_ms));
+}
+
+/* Tells the leader and this gate's table what an attempt showed. */
+static void
+note(gate_request_t *request, gate_target_t *target, fleet_evidence_t kind,
+    int status)
+{
+	int64_t now_ms = clock_now_ms();
+	int64_t latency_ms = now_ms - request->sent_ms;
+
+	if (kind == FLEET_EVIDENCE_GOOD)
+		gate_target_note_good(target, latency_ms);
+	else
+		log_attempt(request, target, kind, status, latency_ms);
+	if (kind == FLEET_EVIDENCE_UNREACHABLE || kind == FLEET_EVIDENCE_OTHER)
+		gate_target_avoid(target, now_ms + GATE_AVOID_MS);
+	else if (kind == FLEET_EVIDENCE_SHED)
+		gate_target_avoid(target, now_ms + GATE_SHED_MS);
+	else if (kind == FLEET_EVIDENCE_BROKEN)
+		gate_target_avoid(target, now_ms + GATE_SHED_MS);
+	if (kind != FLEET_EVIDENCE_GOOD || request->is_trial)
+		report(request, target, kind, request->is_trial, latency_ms);
+}
+
+static int
+can_try_again(const gate_request_t *request)
+{
+	return (request->arrivals < request->attempts_max &&
+	    request->tried_count < GATE_TRIED_MAX &&
+	    !gate_request_is_answered(request) &&
+	    clock_now_ms() + REMAINING_MIN_MS < request->deadline_ms);
+}
+
+/* gate_permit_cb */
+static void
+on_retry(void *ctx, gate_permit_t result, uint32_t wait_ms)
+{
+	gate_request_t *request = ctx;
+
+	(void)wait_ms;
+	request->ask = 0;
+	if (result == GATE_PERMIT_GRANTED)
+		gate_request_proceed(request);
+	else
+		gate_request_refuse(request, request->failure, 0);
+}
+
+/* Asks for a share of the retry budget. */
+static void
+ask_for_retry(gate_request_t *request, gate_refusal_t failure)
+{
+	Tm__Fleet__Spend ask = TM__FLEET__SPEND__INIT;
+	gate_t *gate = request->gate;
+
+	ask.kind = FLEET_SPEND_RETRY;
+	ask.service = fleet_name_hash(request->service);
+	request->failure = failure;
+	request->state = GATE_STATE_RETRY;
+	request->ask =
+	    gate_link_ask(gate->link, &ask, on_retry, request, clock_now_ms());
+	if (request->ask == 0)
+		gate_request_refuse(request, failure, 0);
+}
+
+static fleet_evidence_t
+response_get_evidence(const dialect_t *dialect,
+    const upstream_response_t *response, int *is_not_run)
+{
+	const dialect_headers_t *names = &dialect->headers;
+
+	*is_not_run = gate_wire_find_header(response, names->not_run) != NULL ||
+	    response->status == 421;
+	if (response->status == 421)
+		return (FLEET_EVIDENCE_OTHER);
+	if (*is_not_run)
+		return (FLEET_EVIDENCE_SHED);
+	if (response->status < 300 &&
+	    gate_wire_find_header(response, names->signature) == NULL)
+		return (FLEET_EVIDENCE_WRONG);
+	return (response->status >= 500 ? FLEET_EVIDENCE_ERROR
+					: FLEET_EVIDENCE_GOOD);
+}
+
+/* The target said that it did not run the request. */
+static void
+handle_not_run(gate_request_t *request)
+{
+	request->arrivals++;
+	if (can_try_again(request))
+		ask_for_retry(request, GATE_REFUSAL_ALL_SHED);
+	else
+		gate_request_refuse(request, GATE_REFUSAL_ALL_SHED, 0);
+}
+
+static void
+handle_failure(gate_request_t *request, fleet_evidence_t kind,
+    const upstream_response_t *response)
+{
+	request->arrivals++;
+	request->may_have_run = 1;
+	if (request->repeat_allowed && can_try_again(request))
+		ask_for_retry(request, GATE_REFUSAL_TARGET_FAILED);
+	else if (kind == FLEET_EVIDENCE_ERROR)
+		gate_request_finish(request, response);
+	else
+		gate_request_refuse(request, GATE_REFUSAL_TARGET_FAILED, 0);
+}
+
+static void
+handle_response(gate_request_t *request, gate_target_t *target,
+    const upstream_response_t *response)
+{
+	const dialect_t *dialect = gate_get_dialect(request->gate);
+	fleet_evidence_t kind;
+	uint32_t load;
+	int is_not_run;
+
+	kind = response_get_evidence(dialect, response, &is_not_run);
+	if (gate_wire_read_load(dialect, response, &load))
+		gate_target_set_load(target, load, clock_now_ms());
+	target->idle_max_ms = gate_wire_read_keep_ms(response);
+	note(request, target, kind, response->status);
+	gate_target_end(request->gate->table, target);
+	if (is_not_run)
+		handle_not_run(request);
+	else if (kind == FLEET_EVIDENCE_GOOD)
+		gate_request_finish(request, response);
+	else
+		handle_failure(request, kind, response);
+}
+
+/* No connection: nothing was sent, so that another target can have it. */
+static void
+handle_unreachable(gate_request_t *request, gate_target_t *target)
+{
+	note(request, target, FLEET_EVIDENCE_UNREACHABLE, 0);
+	gate_target_end(request->gate->table, target);
+	if (gate_request_is_answered(request) ||
+	    request->tried_count >= GATE_TRIED_MAX)
+		gate_request_refuse(request, GATE_REFUSAL_NO_TARGET, 0);
+	else
+		gate_request_proceed(request);
+}
+
+/* upstream_cb */
+static void
+on_done(
+    void *ctx, upstream_result_t result, const upstream_response_t *response)
+{
+	gate_request_t *request = ctx;
+	gate_target_t *target = end_attempt(request);
+	fleet_evidence_t kind = FLEET_EVIDENCE_WRONG;
+
+	switch (result) {
+	case UPSTREAM_COMPLETE:
+		handle_response(request, target, response);
+		return;
+	case UPSTREAM_REFUSED:
+		handle_unreachable(request, target);
+		return;
+	case UPSTREAM_BROKEN:
+	case UPSTREAM_TRUNCATED:
+		kind = FLEET_EVIDENCE_BROKEN;
+		break;
+	default:
+		break;
+	}
+	note(request, target, kind, 0);
+	gate_target_end(request->gate->table, target);
+	handle_failure(request, kind, NULL);
+}
+
+/* upstream_foreign_cb: the response to an earlier request arrives late. */
+static int
+is_foreign(void *ctx, const upstream_response_t *response)
+{
+	const gate_request_t *request = ctx;
+	const upstream_header_t *header = gate_wire_find_header(
+	    response, gate_get_dialect(request->gate)->headers.request_id);
+
+	return (header != NULL && request->id[0] != '\0' &&
+	    (header->value_len != strlen(request->id) ||
+		memcmp(header->value, request->id, header->value_len) != 0));
+}
+
+/* Longest idle time of a connection that the request may use. */
+static int64_t
+get_idle_max_ms(const gate_target_t *target)
+{
+	if (target->idle_max_ms <= IDLE_MARGIN_MS)
+		return (IDLE_UNTOLD_MS);
+	return (target->idle_max_ms - IDLE_MARGIN_MS);
+}
+
+/* Writes the request to a target. @return 0 or a negative error number */
+static int
+start(gate_request_t *request, gate_target_t *target)
+{
+	int64_t now_ms = clock_now_ms();
+	buffer_t bytes = { 0 };
+	upstream_request_t call = {
+		.to = target->addr,
+		.is_head = request->is_head,
+		.idle_max_ms = get_idle_max_ms(target),
+		.is_lenient = 1,
+		.is_foreign = is_foreign,
+		.done = on_done,
+		.ctx = request,
+	};
+	int err = gate_wire_encode(
+	    request, target, request->deadline_ms - now_ms, &bytes);
+
+	call.bytes = bytes.bytes;
+	call.len = bytes.len;
+	if (err == TM_OK)
+		err = upstream_call_start(
+		    request->gate->upstream, &call, &request->call);
+	buffer_release(&bytes);
+	return (err);
+}
+
+static void
+send_to(gate_request_t *request, gate_target_t *target, int is_trial)
+{
+	gate_t *gate = request->gate;
+
+	if (start(request, target) != TM_OK) {
+		if (is_trial)
+			report(request, target, FLEET_EVIDENCE_UNUSED, 1, 0);
+		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
+		return;
+	}
+	gate_target_begin(target);
+	request->target = target;
+	request->is_trial = is_trial;
+	request->is_stall_reported = 0;
+	request->sent_ms = clock_now_ms();
+	request->tried[request->tried_count++] = target->key;
+	request->state = GATE_STATE_SENT;
+	metric_add(gate->metric_attempts, 1);
+	LOG_EVENT(963, LOG_LEVEL_DEBUG, "attempt started",
+	    LOG_TEXT("request_id", request->id), LOG_TEXT("target", target->id),
+	    LOG_NUM("verdict", target->verdict), LOG_NUM("is_trial", is_trial),
+	    LOG_NUM("in_flight", target->in_flight),
+	    LOG_NUM("load", target->load),
+	    LOG_NUM("load_age_ms", request->sent_ms - target->load_ms));
+}
+
+/* gate_permit_cb */
+static void
+on_trial(void *ctx, gate_permit_t result, uint32_t wait_ms)
+{
+	gate_request_t *request = ctx;
+	gate_target_t *target = request->trial;
+
+	(void)wait_ms;
+	request->ask = 0;
+	if (result != GATE_PERMIT_GRANTED || target->is_removed) {
+		target->trial_ask_ms = clock_now_ms() + GATE_TRIAL_ASK_MS;
+		gate_attempt_release_trial(request);
+		gate_attempt_dispatch(request);
+		return;
+	}
+	send_to(request, target, 1);
+}
+
+static void
+ask_for_trial(gate_request_t *request, gate_target_t *target)
+{
+	Tm__Fleet__Spend ask = TM__FLEET__SPEND__INIT;
+	gate_t *gate = request->gate;
+
+	ask.kind = FLEET_SPEND_TRIAL;
+	ask.target = target->key;
+	/* Other requests of this gate do not ask for the same one. */
+	target->trial_ask_ms = clock_now_ms() + GATE_TRIAL_ASK_MS;
+	gate_target_begin(target);
+	request->trial = target;
+	request->state = GATE_STATE_TRIAL;
+	request->ask =
+	    gate_link_ask(gate->link, &ask, on_trial, request, clock_now_ms());
+	if (request->ask == 0)
+		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
+}
+
+void
+gate_attempt_dispatch(gate_request_t *request)
+{
+	gate_t *gate = request->gate;
+	gate_need_t need = {
+		.tried = request->tried,
+		.tried_count = request->tried_count,
+		.may_repeat = request->repeat_allowed,
+		.now_ms = clock_now_ms(),
+	};
+	gate_service_t *service =
+	    gate_table_find_service(gate->table, request->service);
+	gate_choice_t choice = { .target = NULL };
+
+	if (service != NULL)
+		choice = gate_table_pick(gate->table, service, &need);
+	if (choice.target == NULL)
+		gate_request_hold(request, GATE_REFUSAL_NO_TARGET);
+	else if (choice.is_trial &&
+	    gate_link_has_leader(gate->link, need.now_ms))
+		ask_for_trial(request, choice.target);
+	else
+		send_to(request, choice.target, 0);
+}
+
+void
+gate_attempt_time_out(gate_request_t *request)
+{
+	gate_target_t *target;
+	int is_sent = upstream_call_is_sent(request->call);
+
+	upstream_call_cancel(request->call);
+	target = end_attempt(request);
+	note(request, target,
+	    is_sent ? FLEET_EVIDENCE_STALL : FLEET_EVIDENCE_UNREACHABLE, 0);
+	gate_target_end(request->gate->table, target);
+	request->may_have_run |= is_sent;
+	gate_request_refuse(request,
+	    is_sent ? GATE_REFUSAL_DEADLINE_SENT
+		    : GATE_REFUSAL_DEADLINE_WAITING,
+	    0);
+}
+
+static void
+check_stall(gate_request_t *request, int64_t now_ms)
+{
+	double mean_ms = request->target->service->latency_ms;
+	int64_t age_ms = now_ms - request->sent_ms;
+
+	if (request->is_stall_reported || mean_ms <= 0 ||
+	    age_ms < STALL_MIN_MS || (double)age_ms < STALL_RATIO * mean_ms)
+		return;
+	request->is_stall_reported = 1;
+	log_attempt(request, request->target, FLEET_EVIDENCE_STALL, 0, age_ms);
+	if (!request->is_trial)
+		report(
+		    request, request->target, FLEET_EVIDENCE_STALL, 0, age_ms);
+}
+
+void
+gate_attempt_tick(gate_request_t *request, int64_t now_ms)
+{
+	gate_target_t *target;
+
+	if (upstream_call_is_sent(request->call)) {
+		check_stall(request, now_ms);
+		return;
+	}
+	if (now_ms - request->sent_ms < CONNECT_MAX_MS)
+		return;
+	upstream_call_cancel(request->call);
+	target = end_attempt(request);
+	handle_unreachable(request, target);
+}
--- /dev/null
+++ b/src/gate/gate_defs.h
@@ -0,0 +1,103 @@
+/**
+ * @file
+ * State of tm-gate, shared by the files of src/gate.
+ */
+#ifndef TM_GATE_GATE_DEFS_H
+#define TM_GATE_GATE_DEFS_H
+
+#include <uv.h>
+
+#include "base/metrics.h"
+#include "base/rng.h"
+#include "gate/gate_allowance.h"
+#include "gate/gate_link.h"
+#include "gate/gate_settings.h"
+#include "gate/gate_table.h"
+#include "http/http_server.h"
+#include "http/upstream.h"
+#include "net/peer.h"
+
+#define GATE_CONNECTIONS_MAX   3000
+#define GATE_IN_FLIGHT_MAX     1000
+#define GATE_HEADERS_MAX_BYTES (16 * 1024)
+#define GATE_BODY_MAX_BYTES    (64 * 1024 * 1024)
+/** Interval of the timer while requests are running. */
+#define GATE_TICK_MS 20
+/** Interval of the timer otherwise. */
+#define GATE_IDLE_TICK_MS	  100
+#define GATE_REQUEST_ID_MAX_BYTES 127
+
+typedef struct gate gate_t;
+typedef struct gate_request gate_request_t;
+
+/** Steps of a planned stop. */
+typedef enum gate_phase {
+	GATE_RUNNING,
+	GATE_LEAVING, /**< not ready; new connections are still taken */
+	GATE_CLOSED, /**< no new connections; running requests go on */
+	GATE_STOPPED
+} gate_phase_t;
+
+struct gate {
+	gate_settings_t settings;
+	uv_loop_t *loop;
+	rng_t rng;
+	uv_timer_t timer;
+	uv_check_t check;
+	uint64_t tick_ms; /**< interval that the timer has now */
+	peer_net_t *net;
+	gate_link_t *link;
+	gate_table_t *table;
+	gate_allowance_t *allowance;
+	fleet_config_t *config; /**< NULL until the first one arrives */
+	Tm__Fleet__Outcome *outcomes; /**< of the join that is being sent */
+	Tm__Fleet__Outcome **outcome_pointers;
+	http_server_t *callers;
+	http_server_t *ready;
+	http_server_t *metrics_server;
+	upstream_t *upstream;
+	gate_request_t *requests;
+	uint32_t in_flight;
+	gate_phase_t phase;
+	int64_t phase_since_ms;
+	metrics_t *metrics;
+	metric_t *metric_requests;
+	metric_t *metric_in_flight;
+	metric_t *metric_latency;
+	metric_t *metric_attempts;
+};
+
+/* gate.c */
+
+/**
+ * Creates everything and listens.
+ *
+ * @return 0 or a negative error number, already logged
+ */
+int gate_create(gate_t **out, const gate_settings_t *settings, uv_loop_t *loop);
+
+/** Takes over seeds and secrets of fresh settings. */
+void gate_reload(gate_t *gate, const gate_settings_t *fresh);
+
+/** Starts a planned stop. */
+void gate_begin_stop(gate_t *gate);
+
+/** @return 1 when the process may end */
+int gate_is_stopped(const gate_t *gate);
+
+/** @return 1 if the load balancer should send callers */
+int gate_is_ready(const gate_t *gate);
+
+/* gate_front.c */
+
+/** http_server_cb of the callers' listener; ctx is the gate_t. */
+void gate_front_handle(void *ctx, h2o_req_t *req);
+
+/** Names and formats in force. */
+static inline const dialect_t *
+gate_get_dialect(const gate_t *gate)
+{
+	return (gate->settings.dialect);
+}
+
+#endif
--- /dev/null
+++ b/src/gate/gate_front.c
@@ -0,0 +1,196 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "gate/gate_request.h"
+
+/* Digits of a time in milliseconds. */
+#define DEADLINE_DIGITS_MAX 9
+/* Time for a request if neither its caller nor its route bounds it. */
+#define DEADLINE_DEFAULT_MS 30000
+
+/* A request while the front end checks it. */
+typedef struct front_check {
+	gate_t *gate;
+	h2o_req_t *req;
+	gate_request_options_t options;
+	gate_refusal_t refusal;
+} front_check_t;
+
+static int
+refuse(front_check_t *check, gate_refusal_t refusal)
+{
+	check->refusal = refusal;
+	return (0);
+}
+
+static size_t
+get_header_bytes(const h2o_req_t *req)
+{
+	size_t bytes = req->method.len + req->input.path.len;
+	size_t i;
+
+	for (i = 0; i < req->headers.size; i++)
+		bytes += req->headers.entries[i].name->len +
+		    req->headers.entries[i].value.len + 4;
+	return (bytes);
+}
+
+static int
+check_limits(front_check_t *check)
+{
+	const fleet_limits_t *limits = &check->gate->config->limits;
+	size_t max = limits->header_max_bytes > 0 ? limits->header_max_bytes
+						  : GATE_HEADERS_MAX_BYTES;
+
+	if (get_header_bytes(check->req) > max)
+		return (refuse(check, GATE_REFUSAL_HEADERS_TOO_LARGE));
+	if (limits->body_max_bytes > 0 &&
+	    check->req->entity.len > limits->body_max_bytes)
+		return (refuse(check, GATE_REFUSAL_BODY_TOO_LARGE));
+	return (1);
+}
+
+static h2o_iovec_t
+get_host(const h2o_req_t *req)
+{
+	h2o_iovec_t host = req->input.authority;
+	char *colon = memchr(host.base, ':', host.len);
+
+	if (colon != NULL)
+		host.len = (size_t)(colon - host.base);
+	return (host);
+}
+
+static h2o_iovec_t
+get_path(const h2o_req_t *req)
+{
+	h2o_iovec_t path = req->input.path;
+	char *query = memchr(path.base, '?', path.len);
+
+	if (query != NULL)
+		path.len = (size_t)(query - path.base);
+	return (path);
+}
+
+/* Chooses a service of the route by the weights. */
+static const char *
+choose_service(gate_t *gate, const fleet_route_t *route)
+{
+	double at = rng_unit(&gate->rng) * route->weight_sum;
+	size_t i;
+
+	for (i = 0; i < route->part_count; i++) {
+		at -= route->parts[i].weight;
+		if (at < 0)
+			return (route->parts[i].service);
+	}
+	return (NULL);
+}
+
+static int
+check_route(front_check_t *check)
+{
+	h2o_iovec_t host = get_host(check->req);
+	h2o_iovec_t path = get_path(check->req);
+
+	check->options.route = fleet_config_find_route(
+	    check->gate->config, host.base, host.len, path.base, path.len);
+	if (check->options.route == NULL)
+		return (refuse(check, GATE_REFUSAL_NO_ROUTE));
+	return (1);
+}
+
+static int
+check_key(front_check_t *check)
+{
+	const fleet_config_t *config = check->gate->config;
+	h2o_iovec_t key;
+
+	if (!config->needs_keys || check->options.route->is_open)
+		return (1);
+	key = http_request_get_header(
+	    check->req, gate_get_dialect(check->gate)->headers.key);
+	if (key.base != NULL)
+		check->options.workspace =
+		    fleet_config_find_key(config, key.base, key.len);
+	if (check->options.workspace == NULL)
+		return (refuse(check, GATE_REFUSAL_KEY_UNKNOWN));
+	return (1);
+}
+
+static int
+check_service(front_check_t *check)
+{
+	check->options.service =
+	    choose_service(check->gate, check->options.route);
+	if (check->options.service == NULL)
+		return (refuse(check, GATE_REFUSAL_NO_TARGET));
+	return (1);
+}
+
+static int
+check_form(front_check_t *check)
+{
+	if (http_request_is_ambiguous(check->req))
+		return (refuse(check, GATE_REFUSAL_MALFORMED));
+	if (check->gate->config == NULL)
+		return (refuse(check, GATE_REFUSAL_NO_CONFIG));
+	return (1);
+}
+
+/* @return time that the caller waits in ms; -1 if it does not tell */
+static int64_t
+read_deadline_ms(const front_check_t *check)
+{
+	h2o_iovec_t value = http_request_get_header(
+	    check->req, gate_get_dialect(check->gate)->headers.deadline);
+	int64_t deadline_ms = 0;
+	size_t i;
+
+	if (value.base == NULL || value.len == 0 ||
+	    value.len > DEADLINE_DIGITS_MAX)
+		return (-1);
+	for (i = 0; i < value.len; i++) {
+		if (value.base[i] < '0' || value.base[i] > '9')
+			return (-1);
+		deadline_ms = deadline_ms * 10 + (value.base[i] - '0');
+	}
+	return (deadline_ms);
+}
+
+static void
+set_deadline(front_check_t *check)
+{
+	int64_t timeout_ms = check->options.route->timeout_ms;
+	int64_t limit_ms = timeout_ms > 0 ? timeout_ms : DEADLINE_DEFAULT_MS;
+	int64_t asked_ms = read_deadline_ms(check);
+
+	if (asked_ms >= 0 && asked_ms < limit_ms)
+		limit_ms = asked_ms;
+	check->options.deadline_ms = check->options.started_ms + limit_ms;
+}
+
+void
+gate_front_handle(void *ctx, h2o_req_t *req)
+{
+	typedef int (*check_fn)(front_check_t *);
+	static const check_fn checks[] = { check_form, check_limits,
+		check_route, check_key, check_service };
+	front_check_t check = {
+		.gate = ctx,
+		.req = req,
+		.options.started_ms = clock_now_ms(),
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(checks) / sizeof(checks[0]); i++) {
+		if (!checks[i](&check)) {
+			gate_request_refuse_early(ctx, req, check.refusal);
+			return;
+		}
+	}
+	check.options.id = http_request_get_header(
+	    req, gate_get_dialect(check.gate)->headers.request_id);
+	set_deadline(&check);
+	gate_request_start(ctx, req, &check.options);
+}
--- /dev/null
+++ b/src/gate/gate_link.c
@@ -0,0 +1,451 @@
+#include "gate/gate_link.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/log.h"
+
+/* Spends that wait for a leader; older ones are dropped first. */
+#define SPENDS_MAX 2048
+/* Connections to a silent hub are renewed at most this often. */
+#define RESET_MS 1000
+
+typedef struct known_hub {
+	char name[FLEET_IP_BYTES];
+	node_id_t id;
+} known_hub_t;
+
+typedef struct pending_ask {
+	uint32_t id;
+	gate_permit_cb done;
+	void *ctx;
+	int64_t deadline_ms;
+	UT_hash_handle hh;
+} pending_ask_t;
+
+struct gate_link {
+	gate_link_options_t options;
+	known_hub_t hubs[FLEET_HUBS_MAX];
+	int hub_count;
+	int next_hub; /* asked next for the leader */
+	node_id_t leader;
+	uint64_t term;
+	uint32_t gates;
+	int64_t heard_ms; /* last answer of a leader */
+	int64_t join_due_ms;
+	int64_t reset_ms;
+	uint64_t version; /* in use at this gate */
+	uint64_t newest; /* as of the newest lease */
+	int64_t key_lease_until_ms;
+	int64_t
+	    waiting_lease_ms; /* sent time of a lease that waits for newest */
+	Tm__Fleet__Spend spends[SPENDS_MAX];
+	size_t spend_count;
+	pending_ask_t *asks;
+	uint32_t last_ask;
+	int has_scarce;
+	uint64_t *scarce; /* sorted as sent */
+	size_t scarce_count;
+};
+
+static int
+learn(gate_link_t *link, const char *name)
+{
+	node_id_t id = node_id_from_name(name);
+	known_hub_t *hub;
+	int i;
+
+	if (!node_name_is_valid(name) || strlen(name) >= FLEET_IP_BYTES)
+		return (-1);
+	for (i = 0; i < link->hub_count; i++) {
+		if (link->hubs[i].id == id)
+			return (i);
+	}
+	if (link->hub_count == FLEET_HUBS_MAX)
+		return (-1);
+	hub = &link->hubs[link->hub_count];
+	hub->id = id;
+	snprintf(hub->name, sizeof(hub->name), "%s", name);
+	link->options.found(link->options.ctx, hub->name);
+	return (link->hub_count++);
+}
+
+gate_link_t *
+gate_link_create(const gate_link_options_t *options)
+{
+	gate_link_t *link = calloc(1, sizeof(*link));
+	int i;
+
+	if (link == NULL)
+		return (NULL);
+	link->options = *options;
+	link->gates = 1;
+	for (i = 0; i < options->seed_count; i++)
+		learn(link, options->seeds[i]);
+	return (link);
+}
+
+void
+gate_link_destroy(gate_link_t *link)
+{
+	pending_ask_t *ask;
+	pending_ask_t *next;
+
+	if (link == NULL)
+		return;
+	HASH_ITER(hh, link->asks, ask, next) {
+		HASH_DELETE(hh, link->asks, ask);
+		free(ask);
+	}
+	free(link->scarce);
+	free(link);
+}
+
+void
+gate_link_add_seed(gate_link_t *link, const char *name)
+{
+	learn(link, name);
+}
+
+static void
+send_join(gate_link_t *link, node_id_t to, int64_t now_ms)
+{
+	Tm__Fleet__Join join = TM__FLEET__JOIN__INIT;
+
+	join.sent_ms = (uint64_t)now_ms;
+	link->options.fill_join(link->options.ctx, &join);
+	/* What was observed is for the leader alone. */
+	if (to != link->leader)
+		join.n_outcomes = 0;
+	link->options.send(
+	    link->options.send_ctx, to, MSG_FLEET_JOIN, &join.base);
+	if (to == link->leader)
+		link->options.joined(link->options.ctx);
+}
+
+static void
+search(gate_link_t *link, int64_t now_ms)
+{
+	if (link->hub_count == 0)
+		return;
+	link->next_hub = (link->next_hub + 1) % link->hub_count;
+	send_join(link, link->hubs[link->next_hub].id, now_ms);
+}
+
+static void
+check_leader(gate_link_t *link, int64_t now_ms)
+{
+	if (link->leader == NODE_ID_NONE ||
+	    now_ms - link->heard_ms <= GATE_LEADER_SILENT_MS)
+		return;
+	LOG_EVENT(940, LOG_LEVEL_WARN, "the leading hub is silent",
+	    LOG_NUM("term", link->term),
+	    LOG_NUM("silent_ms", now_ms - link->heard_ms));
+	if (now_ms - link->reset_ms > RESET_MS) {
+		link->reset_ms = now_ms;
+		link->options.reset(link->options.ctx, link->leader);
+	}
+	link->leader = NODE_ID_NONE;
+}
+
+static void
+expire_asks(gate_link_t *link, int64_t now_ms)
+{
+	pending_ask_t *ask;
+	pending_ask_t *next;
+
+	HASH_ITER(hh, link->asks, ask, next) {
+		if (now_ms < ask->deadline_ms)
+			continue;
+		HASH_DELETE(hh, link->asks, ask);
+		ask->done(ask->ctx, GATE_PERMIT_UNKNOWN, 0);
+		free(ask);
+	}
+}
+
+void
+gate_link_tick(gate_link_t *link, int64_t now_ms)
+{
+	check_leader(link, now_ms);
+	expire_asks(link, now_ms);
+	if (now_ms < link->join_due_ms)
+		return;
+	if (link->leader != NODE_ID_NONE) {
+		link->join_due_ms = now_ms + GATE_JOIN_MS;
+		send_join(link, link->leader, now_ms);
+	} else {
+		link->join_due_ms = now_ms + GATE_SEARCH_MS;
+		search(link, now_ms);
+	}
+}
+
+void
+gate_link_flush(gate_link_t *link, int64_t now_ms)
+{
+	Tm__Fleet__Spends msg = TM__FLEET__SPENDS__INIT;
+	Tm__Fleet__Spend *pointers[SPENDS_MAX];
+	size_t i;
+
+	(void)now_ms;
+	if (link->spend_count == 0 || link->leader == NODE_ID_NONE)
+		return;
+	for (i = 0; i < link->spend_count; i++)
+		pointers[i] = &link->spends[i];
+	msg.spends = pointers;
+	msg.n_spends = link->spend_count;
+	link->options.send(
+	    link->options.send_ctx, link->leader, MSG_FLEET_SPENDS, &msg.base);
+	link->spend_count = 0;
+}
+
+static void
+renew_key_lease(gate_link_t *link, int64_t sent_ms)
+{
+	int64_t until_ms = sent_ms + link->options.key_lease_ms;
+
+	if (until_ms > link->key_lease_until_ms)
+		link->key_lease_until_ms = until_ms;
+}
+
+void
+gate_link_set_version(gate_link_t *link, uint64_t version)
+{
+	link->version = version;
+	if (link->waiting_lease_ms != 0 && version >= link->newest) {
+		renew_key_lease(link, link->waiting_lease_ms);
+		link->waiting_lease_ms = 0;
+	}
+}
+
+static void
+take_lease(gate_link_t *link, node_id_t from, const Tm__Fleet__Lease *lease,
+    int64_t now_ms)
+{
+	int64_t sent_ms = (int64_t)lease->sent_ms;
+
+	/* An answer to an older asking of a leader that was replaced. */
+	if (lease->term < link->term || sent_ms > now_ms)
+		return;
+	if (link->leader != from || link->term != lease->term) {
+		LOG_EVENT(941, LOG_LEVEL_INFO, "follows a leading hub",
+		    LOG_TEXT("hub", lease->leader),
+		    LOG_NUM("term", lease->term),
+		    LOG_NUM("gates", lease->gates));
+		link->has_scarce =
+		    link->term == lease->term && link->has_scarce;
+		link->join_due_ms = now_ms + GATE_JOIN_MS;
+	}
+	link->leader = from;
+	link->term = lease->term;
+	link->heard_ms = now_ms;
+	link->gates = lease->gates > 0 ? lease->gates : 1;
+	link->newest = lease->config_version;
+	if (link->version >= link->newest)
+		renew_key_lease(link, sent_ms);
+	else
+		link->waiting_lease_ms = sent_ms;
+}
+
+static void
+handle_lease(gate_link_t *link, node_id_t from, const uint8_t *payload,
+    size_t len, int64_t now_ms)
+{
+	Tm__Fleet__Lease *lease = tm__fleet__lease__unpack(NULL, len, payload);
+	node_id_t leader;
+	size_t i;
+
+	if (lease == NULL)
+		return;
+	for (i = 0; i < lease->n_hubs; i++)
+		learn(link, lease->hubs[i]);
+	if (lease->is_leader) {
+		take_lease(link, from, lease, now_ms);
+	} else {
+		if (link->leader == from)
+			link->leader = NODE_ID_NONE;
+		leader = node_id_from_name(lease->leader);
+		if (link->leader == NODE_ID_NONE && leader != NODE_ID_NONE &&
+		    leader != from && learn(link, lease->leader) >= 0) {
+			link->join_due_ms = now_ms + GATE_SEARCH_MS;
+			send_join(link, leader, now_ms);
+		}
+	}
+	tm__fleet__lease__free_unpacked(lease, NULL);
+}
+
+static void
+take_scarce(gate_link_t *link, const Tm__Fleet__Permits *permits)
+{
+	uint64_t *copy = calloc(permits->n_scarce + 1, sizeof(*copy));
+
+	if (copy == NULL)
+		return;
+	if (permits->n_scarce > 0)
+		memcpy(
+		    copy, permits->scarce, permits->n_scarce * sizeof(*copy));
+	free(link->scarce);
+	link->scarce = copy;
+	link->scarce_count = permits->n_scarce;
+	link->has_scarce = 1;
+}
+
+static void
+answer_ask(gate_link_t *link, const Tm__Fleet__Permit *permit)
+{
+	pending_ask_t *ask;
+
+	HASH_FIND(hh, link->asks, &permit->id, sizeof(permit->id), ask);
+	if (ask == NULL)
+		return;
+	HASH_DELETE(hh, link->asks, ask);
+	ask->done(ask->ctx,
+	    permit->is_granted ? GATE_PERMIT_GRANTED : GATE_PERMIT_REFUSED,
+	    permit->retry_after_ms);
+	free(ask);
+}
+
+static void
+handle_permits(
+    gate_link_t *link, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Permits *permits =
+	    tm__fleet__permits__unpack(NULL, len, payload);
+	size_t i;
+
+	if (permits == NULL)
+		return;
+	if (from == link->leader && permits->has_scarce &&
+	    permits->term == link->term)
+		take_scarce(link, permits);
+	for (i = 0; i < permits->n_permits; i++)
+		answer_ask(link, permits->permits[i]);
+	tm__fleet__permits__free_unpacked(permits, NULL);
+}
+
+void
+gate_link_handle(gate_link_t *link, node_id_t from, uint16_t type,
+    const uint8_t *payload, size_t len, int64_t now_ms)
+{
+	if (type == MSG_FLEET_LEASE)
+		handle_lease(link, from, payload, len, now_ms);
+	else if (type == MSG_FLEET_PERMITS)
+		handle_permits(link, from, payload, len);
+}
+
+void
+gate_link_report(gate_link_t *link, const Tm__Fleet__Evidence *evidence)
+{
+	if (link->leader != NODE_ID_NONE)
+		link->options.send(link->options.send_ctx, link->leader,
+		    MSG_FLEET_EVIDENCE, &evidence->base);
+}
+
+static Tm__Fleet__Spend *
+add_spend(gate_link_t *link)
+{
+	Tm__Fleet__Spend *spend;
+
+	if (link->spend_count == SPENDS_MAX) {
+		memmove(&link->spends[0], &link->spends[1],
+		    sizeof(link->spends[0]) * (SPENDS_MAX - 1));
+		link->spend_count--;
+	}
+	spend = &link->spends[link->spend_count++];
+	tm__fleet__spend__init(spend);
+	return (spend);
+}
+
+void
+gate_link_spend(gate_link_t *link, uint64_t workspace, uint64_t service)
+{
+	Tm__Fleet__Spend *spend = add_spend(link);
+
+	spend->kind = FLEET_SPEND_REQUEST;
+	spend->workspace = workspace;
+	spend->service = service;
+}
+
+uint32_t
+gate_link_ask(gate_link_t *link, const Tm__Fleet__Spend *ask,
+    gate_permit_cb done, void *ctx, int64_t now_ms)
+{
+	pending_ask_t *pending = calloc(1, sizeof(*pending));
+	Tm__Fleet__Spend *spend;
+
+	if (pending == NULL)
+		return (0);
+	if (++link->last_ask == 0)
+		link->last_ask = 1;
+	pending->id = link->last_ask;
+	pending->done = done;
+	pending->ctx = ctx;
+	pending->deadline_ms = now_ms + GATE_ASK_MAX_MS;
+	HASH_ADD(hh, link->asks, id, sizeof(pending->id), pending);
+	/* Without a leader the ask ends by its deadline. */
+	if (link->leader != NODE_ID_NONE) {
+		spend = add_spend(link);
+		*spend = *ask;
+		spend->id = pending->id;
+	}
+	return (pending->id);
+}
+
+void
+gate_link_cancel(gate_link_t *link, uint32_t id)
+{
+	pending_ask_t *ask;
+
+	HASH_FIND(hh, link->asks, &id, sizeof(id), ask);
+	if (ask == NULL)
+		return;
+	HASH_DELETE(hh, link->asks, ask);
+	free(ask);
+}
+
+int
+gate_link_has_leader(const gate_link_t *link, int64_t now_ms)
+{
+	return (link->leader != NODE_ID_NONE &&
+	    now_ms - link->heard_ms <= GATE_LEADER_SILENT_MS);
+}
+
+int
+gate_link_has_key_lease(const gate_link_t *link, int64_t now_ms)
+{
+	return (now_ms < link->key_lease_until_ms);
+}
+
+int
+gate_link_is_scarce(const gate_link_t *link, uint64_t workspace)
+{
+	size_t i;
+
+	if (!link->has_scarce)
+		return (1);
+	for (i = 0; i < link->scarce_count; i++) {
+		if (link->scarce[i] == workspace)
+			return (1);
+	}
+	return (0);
+}
+
+uint32_t
+gate_link_get_gates(const gate_link_t *link)
+{
+	return (link->gates);
+}
+
+uint64_t
+gate_link_get_term(const gate_link_t *link)
+{
+	return (link->term);
+}
+
+int64_t
+gate_link_get_silence_ms(const gate_link_t *link, int64_t now_ms)
+{
+	return (now_ms - link->heard_ms);
+}
--- /dev/null
+++ b/src/gate/gate_main.c
@@ -0,0 +1,99 @@
+/* tm-gate: entry VM of a fleet whose shared state the hubs keep. */
+#include <stdio.h>
+
+#include <uv.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "gate/gate_defs.h"
+#include "settings/program_args.h"
+#include "settings/program_signals.h"
+
+#define STOP_POLL_MS 20
+
+typedef struct program {
+	uv_loop_t loop;
+	gate_t *gate;
+	const char *settings_file;
+	program_signals_t signals;
+	uv_timer_t stop_timer;
+} program_t;
+
+static void
+program_poll_stop(uv_timer_t *timer)
+{
+	program_t *program = timer->data;
+
+	if (gate_is_stopped(program->gate))
+		uv_stop(&program->loop);
+}
+
+static void
+program_stop(void *ctx)
+{
+	program_t *program = ctx;
+
+	gate_begin_stop(program->gate);
+	if (!uv_is_active((uv_handle_t *)&program->stop_timer))
+		uv_timer_start(
+		    &program->stop_timer, program_poll_stop, 0, STOP_POLL_MS);
+}
+
+/* Takes over seeds and secrets; a bad file changes nothing. */
+static void
+program_reload(void *ctx)
+{
+	static gate_settings_t fresh;
+	program_t *program = ctx;
+
+	if (gate_settings_load(&fresh, program->settings_file, stderr) !=
+	    TM_OK) {
+		LOG_EVENT(956, LOG_LEVEL_ERROR,
+		    "the settings file has problems, the old settings stay",
+		    LOG_TEXT("file", program->settings_file));
+		return;
+	}
+	gate_reload(program->gate, &fresh);
+	LOG_EVENT(957, LOG_LEVEL_INFO, "settings read again",
+	    LOG_NUM("seeds", fresh.seed_count),
+	    LOG_NUM("fleet_secrets", fresh.secret_count));
+}
+
+static int
+program_run(const gate_settings_t *settings, const char *file)
+{
+	static program_t program;
+
+	log_configure(stdout, settings->log_level, settings->node);
+	program.settings_file = file;
+	uv_loop_init(&program.loop);
+	if (gate_create(&program.gate, settings, &program.loop) != TM_OK)
+		return (1);
+	program_watch_signals(&program.signals, &program.loop, program_stop,
+	    program_reload, &program);
+	uv_timer_init(&program.loop, &program.stop_timer);
+	program.stop_timer.data = &program;
+	LOG_EVENT(958, LOG_LEVEL_INFO, "started",
+	    LOG_TEXT("zone", settings->zone),
+	    LOG_NUM("seeds", settings->seed_count));
+	uv_run(&program.loop, UV_RUN_DEFAULT);
+	return (0);
+}
+
+int
+main(int argc, char **argv)
+{
+	static gate_settings_t settings;
+	program_args_t args;
+
+	if (!program_args_parse(
+		argc, argv, "tm-gate", gate_default_settings, 0, &args))
+		return (args.status);
+	if (gate_settings_load(&settings, args.settings, stderr) != TM_OK)
+		return (2);
+	if (args.check) {
+		printf("%s: ok\n", args.settings);
+		return (0);
+	}
+	return (program_run(&settings, args.settings));
+}
--- /dev/null
+++ b/src/gate/gate_refusal.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * Answers that a gate gives itself. Each says whether the request was run.
+ */
+#ifndef TM_GATE_GATE_REFUSAL_H
+#define TM_GATE_GATE_REFUSAL_H
+
+#include <stdint.h>
+
+#include <uv.h>
+
+#include <h2o.h>
+
+/** Reasons; the table in gate_refusal.c has status, run and texts. */
+typedef enum gate_refusal {
+	GATE_REFUSAL_MALFORMED,
+	GATE_REFUSAL_KEY_UNKNOWN,
+	GATE_REFUSAL_NO_ROUTE,
+	GATE_REFUSAL_HEADERS_TOO_LARGE,
+	GATE_REFUSAL_BODY_TOO_LARGE,
+	GATE_REFUSAL_NO_CONFIG,
+	GATE_REFUSAL_OVERLOADED,
+	GATE_REFUSAL_KEYS_UNSURE,
+	GATE_REFUSAL_RATE,
+	GATE_REFUSAL_NO_LEADER,
+	GATE_REFUSAL_NO_TARGET,
+	GATE_REFUSAL_ALL_SHED,
+	GATE_REFUSAL_DEADLINE_WAITING,
+	GATE_REFUSAL_DEADLINE_SENT,
+	GATE_REFUSAL_TARGET_FAILED,
+	GATE_REFUSAL_COUNT
+} gate_refusal_t;
+
+/** What is known about a refusal. */
+typedef struct gate_refusal_info {
+	int status;
+	int is_run_unknown; /**< 0: the request was not run and will not be */
+	const char *error; /**< stable word for programs */
+	const char *reason;
+	const char *remedy;
+} gate_refusal_info_t;
+
+/** @return table entry of a refusal */
+const gate_refusal_info_t *gate_refusal_get_info(gate_refusal_t refusal);
+
+/**
+ * Answers a request.
+ *
+ * @param retry_after_ms  for Retry-After; 0: none
+ */
+void gate_refusal_send(
+    h2o_req_t *req, gate_refusal_t refusal, int64_t retry_after_ms);
+
+#endif
--- /dev/null
+++ b/src/gate/gate_request.c
@@ -0,0 +1,389 @@
+#include "gate/gate_request.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "fleet/fleet_config.h"
+#include "gate/gate_attempt.h"
+
+/* Interval of the check that a caller still waits. */
+#define ABANDON_CHECK_MS 100
+/* A request waits for a token, a leader or a target up to this part of the
+ * time within which its response is worth most. */
+#define HOLD_SHARE 0.6
+/* Bounds of that time. */
+#define HOLD_MIN_MS 300
+#define HOLD_MAX_MS 2000
+/* Interval at which a held request tries again. */
+#define HOLD_STEP_MS 60
+/* Callers come back after this time, if nothing tells a better one. */
+#define RETRY_AFTER_MS 400
+
+int
+gate_request_is_answered(const gate_request_t *request)
+{
+	return (request->req == NULL);
+}
+
+/* Cuts the tie to h2o's request, which the answer is about to end. */
+static h2o_req_t *
+take_caller(gate_request_t *request)
+{
+	h2o_req_t *req = request->req;
+
+	request->req = NULL;
+	if (request->link != NULL)
+		request->link->request = NULL;
+	request->link = NULL;
+	/* The caller's next request goes to another VM. */
+	if (request->gate->phase != GATE_RUNNING && req != NULL)
+		req->http1_is_persistent = 0;
+	return (req);
+}
+
+static void
+destroy(gate_request_t *request)
+{
+	gate_t *gate = request->gate;
+
+	if (request->ask != 0)
+		gate_link_cancel(gate->link, request->ask);
+	gate_attempt_release_trial(request);
+	DL_DELETE(gate->requests, request);
+	gate->in_flight--;
+	take_caller(request);
+	free(request);
+}
+
+static void
+log_answer(const gate_request_t *request, int status, const char *reason)
+{
+	int64_t total_ms = clock_now_ms() - request->started_ms;
+
+	metric_record_us(request->gate->metric_latency, total_ms * MS_PER_SEC);
+	LOG_EVENT(960, status < 400 ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
+	    "request ended", LOG_TEXT("request_id", request->id),
+	    LOG_TEXT("service", request->service),
+	    LOG_TEXT("workspace", request->workspace),
+	    LOG_NUM("status", status), LOG_TEXT("reason", reason),
+	    LOG_NUM("tries", request->tried_count),
+	    LOG_NUM("may_have_run", request->may_have_run),
+	    LOG_NUM("total_ms", total_ms));
+}
+
+void
+gate_request_refuse(
+    gate_request_t *request, gate_refusal_t refusal, int64_t retry_after_ms)
+{
+	const gate_refusal_info_t *info;
+	h2o_req_t *req;
+
+	if (request->may_have_run &&
+	    !gate_refusal_get_info(refusal)->is_run_unknown)
+		refusal = GATE_REFUSAL_TARGET_FAILED;
+	info = gate_refusal_get_info(refusal);
+	if (info->status != 503 && info->status != 429)
+		retry_after_ms = 0;
+	else if (retry_after_ms == 0)
+		retry_after_ms = RETRY_AFTER_MS;
+	log_answer(request, info->status, info->error);
+	if (!gate_request_is_answered(request)) {
+		req = take_caller(request);
+		gate_refusal_send(req, refusal, retry_after_ms);
+	}
+	destroy(request);
+}
+
+void
+gate_request_finish(
+    gate_request_t *request, const upstream_response_t *response)
+{
+	log_answer(request, response->status, "answered");
+	if (!gate_request_is_answered(request))
+		gate_wire_reply(request, take_caller(request), response);
+	destroy(request);
+}
+
+/* The caller's connection ended before the answer. */
+static void
+on_gone(gate_request_t *request)
+{
+	request->req = NULL;
+	request->link = NULL;
+	gate_attempt_cancel(request);
+	log_answer(request, 0, "the caller left");
+	destroy(request);
+}
+
+/*
+ * The caller closed its side while the request was running. h2o keeps the
+ * connection until a response is sent, so one is sent although nobody reads.
+ */
+static void
+abandon(gate_request_t *request)
+{
+	h2o_req_t *req = take_caller(request);
+
+	on_gone(request);
+	gate_refusal_send(req, GATE_REFUSAL_TARGET_FAILED, 0);
+}
+
+static void
+on_link_disposed(void *memory)
+{
+	gate_request_link_t *link = memory;
+
+	if (link->request != NULL)
+		on_gone(link->request);
+}
+
+/* Time up to which a request may wait here before it is sent. */
+static int64_t
+get_hold_end_ms(const gate_request_t *request)
+{
+	int64_t hold_ms = (int64_t)(HOLD_SHARE * (double)request->aim_ms);
+
+	if (hold_ms < HOLD_MIN_MS)
+		hold_ms = HOLD_MIN_MS;
+	if (hold_ms > HOLD_MAX_MS)
+		hold_ms = HOLD_MAX_MS;
+	return (request->started_ms + hold_ms);
+}
+
+void
+gate_request_hold(gate_request_t *request, gate_refusal_t reason)
+{
+	int64_t now_ms = clock_now_ms();
+
+	if (now_ms + HOLD_STEP_MS > get_hold_end_ms(request) ||
+	    now_ms + HOLD_STEP_MS > request->deadline_ms) {
+		gate_request_refuse(request, reason, 0);
+		return;
+	}
+	request->state = GATE_STATE_HELD;
+	request->failure = reason;
+	request->wake_ms = now_ms + HOLD_STEP_MS;
+}
+
+/* The token is there: sends the request, as soon as its keys are sure. */
+void
+gate_request_proceed(gate_request_t *request)
+{
+	gate_t *gate = request->gate;
+
+	if (request->workspace_id != 0 &&
+	    !gate_link_has_key_lease(gate->link, clock_now_ms())) {
+		gate_request_hold(request, GATE_REFUSAL_KEYS_UNSURE);
+		return;
+	}
+	gate_attempt_dispatch(request);
+}
+
+/* gate_permit_cb */
+static void
+on_token(void *ctx, gate_permit_t result, uint32_t wait_ms)
+{
+	gate_request_t *request = ctx;
+	gate_t *gate = request->gate;
+	const fleet_workspace_t *workspace;
+
+	request->ask = 0;
+	switch (result) {
+	case GATE_PERMIT_GRANTED:
+		request->has_token = 1;
+		if (wait_ms > 0) {
+			request->state = GATE_STATE_HELD;
+			request->failure = GATE_REFUSAL_RATE;
+			request->wake_ms = clock_now_ms() + wait_ms;
+			return;
+		}
+		gate_request_proceed(request);
+		return;
+	case GATE_PERMIT_REFUSED:
+		gate_request_refuse(request, GATE_REFUSAL_RATE, wait_ms);
+		return;
+	default:
+		break;
+	}
+	workspace =
+	    fleet_config_find_workspace(gate->config, request->workspace_id);
+	if (workspace != NULL &&
+	    gate_allowance_take(gate->allowance, workspace,
+		gate_link_get_gates(gate->link), clock_now_ms())) {
+		request->has_token = 1;
+		gate_request_proceed(request);
+		return;
+	}
+	gate_request_hold(request, GATE_REFUSAL_NO_LEADER);
+}
+
+static void
+ask_for_token(gate_request_t *request)
+{
+	Tm__Fleet__Spend ask = TM__FLEET__SPEND__INIT;
+	gate_t *gate = request->gate;
+
+	ask.kind = FLEET_SPEND_REQUEST;
+	ask.workspace = request->workspace_id;
+	ask.service = fleet_name_hash(request->service);
+	request->state = GATE_STATE_TOKEN;
+	request->ask =
+	    gate_link_ask(gate->link, &ask, on_token, request, clock_now_ms());
+	if (request->ask == 0)
+		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
+}
+
+/* Gets the request's token, then sends it. */
+static void
+admit(gate_request_t *request)
+{
+	gate_t *gate = request->gate;
+	int64_t now_ms = clock_now_ms();
+	const fleet_workspace_t *workspace;
+
+	if (request->has_token) {
+		gate_request_proceed(request);
+		return;
+	}
+	if (request->has_rate && !gate_link_has_leader(gate->link, now_ms)) {
+		workspace = fleet_config_find_workspace(
+		    gate->config, request->workspace_id);
+		if (workspace == NULL ||
+		    !gate_allowance_take(gate->allowance, workspace,
+			gate_link_get_gates(gate->link), now_ms)) {
+			gate_request_hold(request, GATE_REFUSAL_NO_LEADER);
+			return;
+		}
+	} else if (request->has_rate &&
+	    gate_link_is_scarce(gate->link, request->workspace_id)) {
+		ask_for_token(request);
+		return;
+	}
+	request->has_token = 1;
+	gate_link_spend(gate->link, request->workspace_id,
+	    fleet_name_hash(request->service));
+	gate_request_proceed(request);
+}
+
+static gate_request_t *
+create(gate_t *gate, h2o_req_t *req, const gate_request_options_t *options)
+{
+	gate_request_t *request = calloc(1, sizeof(*request));
+	const fleet_workspace_t *workspace = options->workspace;
+
+	if (request == NULL)
+		return (NULL);
+	request->gate = gate;
+	request->req = req;
+	if (options->id.len <= GATE_REQUEST_ID_MAX_BYTES)
+		memcpy(request->id, options->id.base, options->id.len);
+	snprintf(
+	    request->service, sizeof(request->service), "%s", options->service);
+	if (workspace != NULL) {
+		snprintf(request->workspace, sizeof(request->workspace), "%s",
+		    workspace->name);
+		request->workspace_id = workspace->id;
+		request->has_rate = workspace->rate_per_s > 0;
+	}
+	request->repeat_allowed = options->route->repeat_allowed;
+	request->attempts_max = options->route->attempts_max;
+	request->priority = workspace != NULL && workspace->has_priority
+	    ? workspace->priority
+	    : options->route->priority;
+	request->aim_ms = options->route->aim_ms > 0
+	    ? options->route->aim_ms
+	    : options->deadline_ms - options->started_ms;
+	request->started_ms = options->started_ms;
+	request->deadline_ms = options->deadline_ms;
+	request->checked_ms = options->started_ms;
+	request->is_head =
+	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("HEAD"));
+	request->link = h2o_mem_alloc_shared(
+	    &req->pool, sizeof(*request->link), on_link_disposed);
+	request->link->request = request;
+	DL_APPEND(gate->requests, request);
+	gate->in_flight++;
+	return (request);
+}
+
+void
+gate_request_refuse_early(gate_t *gate, h2o_req_t *req, gate_refusal_t refusal)
+{
+	const gate_refusal_info_t *info = gate_refusal_get_info(refusal);
+	h2o_iovec_t id = http_request_get_header(
+	    req, gate_get_dialect(gate)->headers.request_id);
+	char text[GATE_REQUEST_ID_MAX_BYTES + 1] = "";
+
+	if (id.len <= GATE_REQUEST_ID_MAX_BYTES && id.len > 0)
+		memcpy(text, id.base, id.len);
+	LOG_EVENT(961, LOG_LEVEL_INFO, "request refused",
+	    LOG_TEXT("request_id", &text[0]), LOG_NUM("status", info->status),
+	    LOG_TEXT("reason", info->error),
+	    LOG_NUM(
+		"version", gate->config != NULL ? gate->config->version : 0));
+	if (gate->phase != GATE_RUNNING)
+		req->http1_is_persistent = 0;
+	gate_refusal_send(
+	    req, refusal, info->status == 503 ? RETRY_AFTER_MS : 0);
+}
+
+void
+gate_request_start(
+    gate_t *gate, h2o_req_t *req, const gate_request_options_t *options)
+{
+	gate_request_t *request = NULL;
+
+	if (gate->in_flight < GATE_IN_FLIGHT_MAX)
+		request = create(gate, req, options);
+	if (request == NULL) {
+		gate_request_refuse_early(gate, req, GATE_REFUSAL_OVERLOADED);
+		return;
+	}
+	metric_add(gate->metric_requests, 1);
+	admit(request);
+}
+
+static int
+is_abandoned(gate_request_t *request, int64_t now_ms)
+{
+	if (request->req == NULL ||
+	    now_ms - request->checked_ms < ABANDON_CHECK_MS)
+		return (0);
+	request->checked_ms = now_ms;
+	return (http_request_is_abandoned(request->req));
+}
+
+static void
+expire(gate_request_t *request)
+{
+	if (request->state == GATE_STATE_SENT) {
+		gate_attempt_time_out(request);
+		return;
+	}
+	gate_request_refuse(request, GATE_REFUSAL_DEADLINE_WAITING, 0);
+}
+
+void
+gate_request_tick_all(gate_t *gate, int64_t now_ms)
+{
+	gate_request_t *request;
+	gate_request_t *next;
+
+	for (request = gate->requests; request != NULL; request = next) {
+		next = request->next;
+		if (now_ms >= request->deadline_ms)
+			expire(request);
+		else if (is_abandoned(request, now_ms))
+			abandon(request);
+		else if (request->state == GATE_STATE_SENT)
+			gate_attempt_tick(request, now_ms);
+		else if (request->state == GATE_STATE_HELD &&
+		    now_ms >= request->wake_ms)
+			admit(request);
+	}
+}
--- /dev/null
+++ b/src/gate/gate_request.h
@@ -0,0 +1,109 @@
+/**
+ * @file
+ * Life of one caller's request: token, choice of target, attempts, answer.
+ */
+#ifndef TM_GATE_GATE_REQUEST_H
+#define TM_GATE_GATE_REQUEST_H
+
+#include "gate/gate_defs.h"
+#include "gate/gate_refusal.h"
+
+/** What a request waits for. */
+typedef enum gate_state {
+	GATE_STATE_NEW,
+	GATE_STATE_TOKEN, /**< a permit of the workspace */
+	GATE_STATE_HELD, /**< until wake_ms; then the next step is taken */
+	GATE_STATE_TRIAL, /**< the right to try a target */
+	GATE_STATE_RETRY, /**< a permit to send the request again */
+	GATE_STATE_SENT /**< a target's response */
+} gate_state_t;
+
+/** Ties a request to the memory of h2o's request. */
+typedef struct gate_request_link {
+	gate_request_t *request;
+} gate_request_link_t;
+
+struct gate_request {
+	gate_t *gate;
+	h2o_req_t *req; /**< NULL once the caller is gone or answered */
+	gate_request_link_t *link;
+	char id[GATE_REQUEST_ID_MAX_BYTES + 1]; /**< "" if it has none */
+	char service[NAME_MAX_BYTES + 1];
+	char workspace[NAME_MAX_BYTES + 1]; /**< "" on open routes */
+	uint64_t workspace_id; /**< 0 on open routes */
+	int has_rate; /**< its workspace has a rate */
+	int repeat_allowed;
+	int is_head;
+	uint32_t attempts_max;
+	int32_t priority;
+	int64_t started_ms;
+	int64_t aim_ms; /**< after started_ms */
+	int64_t deadline_ms; /**< boot time; at it there is a final answer */
+	int64_t checked_ms; /**< last check that the caller is there */
+	gate_state_t state;
+	uint32_t ask; /**< 0: none is open */
+	int64_t wake_ms;
+	int64_t held_since_ms; /**< 0: it was not held yet */
+	int has_token; /**< its token is spent */
+	gate_target_t *trial; /**< held while a trial is asked for */
+	gate_target_t *target; /**< held while an attempt runs */
+	upstream_call_t *call;
+	int is_trial;
+	int is_stall_reported;
+	int64_t sent_ms;
+	uint64_t tried[GATE_TRIED_MAX];
+	uint32_t tried_count;
+	uint32_t arrivals; /**< attempts that may have reached a target */
+	int may_have_run;
+	gate_refusal_t failure; /**< what is said if no attempt follows */
+	gate_request_t *prev;
+	gate_request_t *next;
+};
+
+/** What the front end found out about a request. */
+typedef struct gate_request_options {
+	const fleet_route_t *route;
+	const fleet_workspace_t *workspace; /**< NULL on open routes */
+	const char *service; /**< that the route leads to */
+	h2o_iovec_t id;
+	int64_t started_ms;
+	int64_t deadline_ms;
+} gate_request_options_t;
+
+/** Takes over a request; it is answered or refused from here. */
+void gate_request_start(
+    gate_t *gate, h2o_req_t *req, const gate_request_options_t *options);
+
+/** Checks deadlines, waiting times and callers that went away. */
+void gate_request_tick_all(gate_t *gate, int64_t now_ms);
+
+/** Refuses a request before gate_request_start(). */
+void gate_request_refuse_early(
+    gate_t *gate, h2o_req_t *req, gate_refusal_t refusal);
+
+/* gate_wire.c */
+
+/**
+ * Encodes the request for a target.
+ *
+ * @return 0 or TM_ENOMEM; the caller releases out
+ */
+int gate_wire_encode(const gate_request_t *request, const gate_target_t *target,
+    int64_t remaining_ms, buffer_t *out);
+
+/** Sends a target's response to the caller. */
+void gate_wire_reply(const gate_request_t *request, h2o_req_t *req,
+    const upstream_response_t *response);
+
+/** @return value of a header, or NULL */
+const upstream_header_t *gate_wire_find_header(
+    const upstream_response_t *response, const char *lower_name);
+
+/** Reads the load header. @return 1 if it is well-formed */
+int gate_wire_read_load(const dialect_t *dialect,
+    const upstream_response_t *response, uint32_t *load);
+
+/** Reads how long the target keeps idle connections. @return 0: not told */
+int64_t gate_wire_read_keep_ms(const upstream_response_t *response);
+
+#endif
--- /dev/null
+++ b/src/gate/gate_settings.c
@@ -0,0 +1,66 @@
+#include "gate/gate_settings.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "fleet/fleet_settings.h"
+
+/* Longest time that a setting may hold. */
+#define SETTING_MAX_S 3600.0
+
+const char gate_default_settings[] =
+    "{\n"
+    "  \"node\": \"gate-1\",\n"
+    "  \"zone\": \"dc-1\",\n"
+    "  \"ip\": \"127.0.0.1\",\n"
+    "  \"listen\": \"127.0.0.1:7300\",\n"
+    "  \"ready_listen\": \"127.0.0.1:7301\",\n"
+    "  \"peer_port\": 7200,\n"
+    "  \"metrics_port\": 0,\n"
+    "  \"seeds\": [\"127.0.0.1:7100\"],\n"
+    "  \"fleet_secrets\": [\"replace-with-32-random-bytes\"],\n"
+    "  \"revoke_within_s\": 5,\n"
+    "  \"stop_within_s\": 6,\n"
+    "  \"dialect\": \"platform\",\n"
+    "  \"log_level\": \"info\"\n"
+    "}\n";
+
+static int64_t
+read_time_ms(json_node_t *root, const char *field, double def_s)
+{
+	return ((int64_t)lround((double)MS_PER_SEC *
+	    json_opt_real(root, field, 0.1, SETTING_MAX_S, "s", def_s)));
+}
+
+static void
+read_settings(json_node_t *root, void *out)
+{
+	gate_settings_t *settings = out;
+
+	strncpy(settings->node, json_need_name(root, "node"), NAME_MAX_BYTES);
+	strncpy(settings->zone, json_need_name(root, "zone"), NAME_MAX_BYTES);
+	fleet_read_ip(root, "ip", settings->ip);
+	json_need_address(root, "listen", &settings->listen);
+	json_need_address(root, "ready_listen", &settings->ready_listen);
+	settings->peer_port =
+	    (uint16_t)json_need_int(root, "peer_port", 1, UINT16_MAX, "");
+	settings->metrics_port =
+	    (uint16_t)json_opt_int(root, "metrics_port", 0, UINT16_MAX, "", 0);
+	settings->seed_count = fleet_read_seeds(root, settings->seeds);
+	settings->secret_count =
+	    program_read_secrets(root, "fleet_secrets", settings->secrets);
+	settings->revoke_within_ms = read_time_ms(root, "revoke_within_s", 5);
+	settings->stop_within_ms = read_time_ms(root, "stop_within_s", 6);
+	settings->dialect = fleet_read_dialect(root);
+	settings->log_level = program_read_log_level(root);
+	json_node_finish(root);
+}
+
+int
+gate_settings_load(gate_settings_t *settings, const char *file, FILE *errors)
+{
+	memset(settings, 0, sizeof(*settings));
+	return (program_load_settings(file, errors, read_settings, settings));
+}
--- /dev/null
+++ b/src/gate/gate_settings.h
@@ -0,0 +1,46 @@
+/**
+ * @file
+ * Settings of tm-gate.
+ */
+#ifndef TM_GATE_GATE_SETTINGS_H
+#define TM_GATE_GATE_SETTINGS_H
+
+#include <netinet/in.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "base/log.h"
+#include "fleet/dialect.h"
+#include "settings/program_settings.h"
+
+typedef struct gate_settings {
+	char node[NAME_MAX_BYTES + 1]; /**< for logs */
+	char zone[NAME_MAX_BYTES + 1];
+	char ip[FLEET_IP_BYTES];
+	struct sockaddr_in listen; /**< callers */
+	struct sockaddr_in ready_listen; /**< the load balancer */
+	uint16_t peer_port; /**< the same on all VMs */
+	uint16_t metrics_port; /**< 0: none */
+	char seeds[FLEET_HUBS_MAX][FLEET_IP_BYTES];
+	int seed_count;
+	int secret_count;
+	program_secret_t secrets[PEER_SECRETS_MAX];
+	int64_t revoke_within_ms; /**< a withdrawn key works no longer */
+	int64_t stop_within_ms; /**< from the signal to the end */
+	const dialect_t *dialect;
+	log_level_t log_level;
+} gate_settings_t;
+
+/**
+ * Reads and checks a settings file; all problems are written at once.
+ *
+ * @param errors  receives one line for each problem
+ * @return        0, TM_EINVAL if there was a problem, TM_ENOMEM
+ */
+int gate_settings_load(
+    gate_settings_t *settings, const char *file, FILE *errors);
+
+/** Example for --print-default. */
+extern const char gate_default_settings[];
+
+#endif
--- /dev/null
+++ b/src/gate/gate_table.c
@@ -0,0 +1,458 @@
+#include "gate/gate_table.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/fleet_config.h"
+
+/* A load that a target told counts less and less, and not after this time. */
+#define LOAD_MAX_AGE_MS 1500.0
+/* A target in the zone of the gate is preferred while it has this many free
+ * slots of ten more than others. */
+#define NEAR_BONUS 0.35
+/* A cold target counts as this much busier. */
+#define COLD_MALUS 0.5
+/* A target that waits for a trial gets safe requests at first, and any request
+ * once it has waited for so long. */
+#define TRIAL_ANY_MS 1500
+/* Weight of a new response in the mean latency of a service. */
+#define LATENCY_WEIGHT 0.05
+
+struct gate_table {
+	char zone[NAME_MAX_BYTES + 1];
+	rng_t rng;
+	gate_target_t *targets;
+	gate_service_t *services;
+	uint64_t term;
+	uint64_t sequence;
+};
+
+gate_table_t *
+gate_table_create(const char *zone, uint64_t seed)
+{
+	gate_table_t *table = calloc(1, sizeof(*table));
+
+	if (table == NULL)
+		return (NULL);
+	snprintf(table->zone, sizeof(table->zone), "%s", zone);
+	rng_init(&table->rng, seed);
+	return (table);
+}
+
+void
+gate_table_destroy(gate_table_t *table)
+{
+	gate_target_t *target;
+	gate_target_t *next;
+	gate_service_t *service;
+	gate_service_t *next_service;
+
+	if (table == NULL)
+		return;
+	HASH_ITER(hh, table->targets, target, next) {
+		HASH_DELETE(hh, table->targets, target);
+		free(target);
+	}
+	HASH_ITER(hh, table->services, service, next_service) {
+		HASH_DELETE(hh, table->services, service);
+		free(service->targets);
+		free(service);
+	}
+	free(table);
+}
+
+uint64_t
+gate_table_get_term(const gate_table_t *table)
+{
+	return (table->term);
+}
+
+uint64_t
+gate_table_get_sequence(const gate_table_t *table)
+{
+	return (table->sequence);
+}
+
+uint32_t
+gate_table_count(const gate_table_t *table)
+{
+	return (HASH_COUNT(table->targets));
+}
+
+gate_service_t *
+gate_table_find_service(const gate_table_t *table, const char *name)
+{
+	uint64_t id = fleet_name_hash(name);
+	gate_service_t *service;
+
+	HASH_FIND(hh, table->services, &id, sizeof(id), service);
+	return (service);
+}
+
+gate_target_t *
+gate_table_find_target(const gate_table_t *table, uint64_t key)
+{
+	gate_target_t *target;
+
+	HASH_FIND(hh, table->targets, &key, sizeof(key), target);
+	return (target);
+}
+
+static gate_service_t *
+get_service(gate_table_t *table, const char *name)
+{
+	gate_service_t *service = gate_table_find_service(table, name);
+
+	if (service != NULL)
+		return (service);
+	service = calloc(1, sizeof(*service));
+	if (service == NULL)
+		return (NULL);
+	service->id = fleet_name_hash(name);
+	snprintf(service->name, sizeof(service->name), "%s", name);
+	HASH_ADD(hh, table->services, id, sizeof(service->id), service);
+	return (service);
+}
+
+static int
+service_add(gate_service_t *service, gate_target_t *target)
+{
+	gate_target_t **grown;
+	uint32_t room;
+
+	if (service->count == service->room) {
+		room = service->room == 0 ? 8 : service->room * 2;
+		grown = realloc(service->targets, room * sizeof(*grown));
+		if (grown == NULL)
+			return (0);
+		service->targets = grown;
+		service->room = room;
+	}
+	service->targets[service->count++] = target;
+	target->service = service;
+	return (1);
+}
+
+static void
+service_remove(gate_service_t *service, const gate_target_t *target)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		if (service->targets[i] != target)
+			continue;
+		service->targets[i] = service->targets[--service->count];
+		return;
+	}
+}
+
+/* Its memory stays until the last request at it has ended. */
+static void
+remove_target(gate_table_t *table, gate_target_t *target)
+{
+	HASH_DELETE(hh, table->targets, target);
+	service_remove(target->service, target);
+	target->is_removed = 1;
+	if (target->holders == 0)
+		free(target);
+}
+
+static gate_target_t *
+add_target(gate_table_t *table, const Tm__Fleet__Target *msg, uint64_t key)
+{
+	gate_service_t *service = get_service(table, msg->service);
+	gate_target_t *target = calloc(1, sizeof(*target));
+
+	if (service == NULL || target == NULL ||
+	    !service_add(service, target)) {
+		free(target);
+		return (NULL);
+	}
+	target->key = key;
+	snprintf(target->id, sizeof(target->id), "%s", msg->id);
+	target->born_ms = msg->born_ms;
+	HASH_ADD(hh, table->targets, key, sizeof(target->key), target);
+	return (target);
+}
+
+static void
+take_target(gate_table_t *table, const Tm__Fleet__Target *msg, int64_t now_ms)
+{
+	uint64_t key = fleet_name_hash(msg->id);
+	gate_target_t *target = gate_table_find_target(table, key);
+
+	/* A new incarnation knows nothing of the one before. */
+	if (target != NULL &&
+	    (target->born_ms != msg->born_ms ||
+		strcmp(target->service->name, msg->service) != 0)) {
+		remove_target(table, target);
+		target = NULL;
+	}
+	if (target == NULL) {
+		target = add_target(table, msg, key);
+		if (target == NULL)
+			return;
+		target->cold_until_ms = now_ms + msg->cold_left_ms;
+	}
+	target->addr.sin_family = AF_INET;
+	target->addr.sin_addr.s_addr = msg->ip;
+	target->addr.sin_port = htons((uint16_t)msg->port);
+	target->is_near = strcmp(msg->zone, table->zone) == 0;
+	target->slots = msg->slots > 0 ? msg->slots : 1;
+	target->state = (fleet_target_state_t)msg->state;
+	if (target->verdict != (fleet_verdict_t)msg->verdict &&
+	    msg->verdict == FLEET_VERDICT_TRIAL)
+		target->trial_since_ms = now_ms;
+	if (target->verdict != (fleet_verdict_t)msg->verdict &&
+	    msg->verdict == FLEET_VERDICT_GOOD)
+		target->avoid_until_ms = 0;
+	target->verdict = (fleet_verdict_t)msg->verdict;
+}
+
+static int
+is_listed(const Tm__Fleet__Table *msg, uint64_t key)
+{
+	size_t i;
+
+	for (i = 0; i < msg->n_targets; i++) {
+		if (fleet_name_hash(msg->targets[i]->id) == key)
+			return (1);
+	}
+	return (0);
+}
+
+static void
+remove_unlisted(gate_table_t *table, const Tm__Fleet__Table *msg)
+{
+	gate_target_t *target;
+	gate_target_t *next;
+
+	HASH_ITER(hh, table->targets, target, next) {
+		if (!is_listed(msg, target->key))
+			remove_target(table, target);
+	}
+}
+
+int
+gate_table_take(
+    gate_table_t *table, const Tm__Fleet__Table *msg, int64_t now_ms)
+{
+	gate_target_t *target;
+	size_t i;
+
+	if (msg->term < table->term)
+		return (0);
+	/* Changes on top of something that this gate does not have. */
+	if (msg->since != 0 &&
+	    (msg->term != table->term || msg->since > table->sequence ||
+		msg->sequence <= table->sequence))
+		return (0);
+	if (msg->since == 0)
+		remove_unlisted(table, msg);
+	for (i = 0; i < msg->n_removed; i++) {
+		target = gate_table_find_target(table, msg->removed[i]);
+		if (target != NULL)
+			remove_target(table, target);
+	}
+	for (i = 0; i < msg->n_targets; i++)
+		take_target(table, msg->targets[i], now_ms);
+	table->term = msg->term;
+	table->sequence = msg->sequence;
+	return (1);
+}
+
+static int
+is_tried(const gate_need_t *need, const gate_target_t *target)
+{
+	uint32_t i;
+
+	for (i = 0; i < need->tried_count; i++) {
+		if (need->tried[i] == target->key)
+			return (1);
+	}
+	return (0);
+}
+
+/* Requests at a target as far as this gate knows. */
+static double
+estimate_load(const gate_target_t *target, int64_t now_ms)
+{
+	double age_ms = (double)(now_ms - target->load_ms);
+	double told = 0;
+
+	if (target->load_ms != 0 && age_ms < LOAD_MAX_AGE_MS)
+		told = target->load * (1 - age_ms / LOAD_MAX_AGE_MS);
+	return (told > target->in_flight ? told : target->in_flight);
+}
+
+/* Lower is better. */
+static double
+get_score(const gate_target_t *target, int64_t now_ms)
+{
+	double score = estimate_load(target, now_ms) / target->slots;
+
+	if (now_ms < target->cold_until_ms)
+		score += COLD_MALUS;
+	if (target->is_near)
+		score -= NEAR_BONUS;
+	return (score);
+}
+
+/* How willingly a target is used; 0: not at all. */
+static int
+get_rank(const gate_target_t *target, const gate_need_t *need)
+{
+	if (target->state != FLEET_TARGET_READY || is_tried(need, target))
+		return (0);
+	if (target->verdict == FLEET_VERDICT_EJECTED)
+		return (1);
+	if (target->verdict == FLEET_VERDICT_TRIAL)
+		return (2);
+	return (need->now_ms < target->avoid_until_ms ? 3 : 4);
+}
+
+static gate_target_t *
+pick_better(gate_target_t *a, gate_target_t *b, int64_t now_ms)
+{
+	return (get_score(a, now_ms) <= get_score(b, now_ms) ? a : b);
+}
+
+/* Power of two choices among the targets of the best rank. */
+static gate_target_t *
+pick_ranked(gate_table_t *table, const gate_service_t *service,
+    const gate_need_t *need, int *rank)
+{
+	gate_target_t *picked[2] = { NULL, NULL };
+	uint32_t seen = 0;
+	uint32_t i;
+	int own;
+
+	*rank = 0;
+	for (i = 0; i < service->count; i++) {
+		own = get_rank(service->targets[i], need);
+		if (own == 0 || own < *rank)
+			continue;
+		if (own > *rank) {
+			*rank = own;
+			seen = 0;
+			picked[0] = NULL;
+			picked[1] = NULL;
+		}
+		/* A sample of two without replacement. */
+		seen++;
+		if (seen <= 2)
+			picked[seen - 1] = service->targets[i];
+		else if (rng_below(&table->rng, seen) < 2)
+			picked[rng_below(&table->rng, 2)] = service->targets[i];
+	}
+	if (picked[1] == NULL)
+		return (picked[0]);
+	return (pick_better(picked[0], picked[1], need->now_ms));
+}
+
+static gate_target_t *
+find_trial(const gate_service_t *service, const gate_need_t *need)
+{
+	gate_target_t *target;
+	int64_t waited_ms;
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		target = service->targets[i];
+		waited_ms = need->now_ms - target->trial_since_ms;
+		if (target->verdict == FLEET_VERDICT_TRIAL &&
+		    target->state == FLEET_TARGET_READY &&
+		    !is_tried(need, target) &&
+		    need->now_ms >= target->trial_ask_ms &&
+		    waited_ms >= (need->may_repeat ? 0 : TRIAL_ANY_MS))
+			return (target);
+	}
+	return (NULL);
+}
+
+gate_choice_t
+gate_table_pick(
+    gate_table_t *table, gate_service_t *service, const gate_need_t *need)
+{
+	gate_choice_t choice = { .target = NULL };
+	int rank;
+
+	choice.target = find_trial(service, need);
+	if (choice.target != NULL) {
+		choice.is_trial = 1;
+		return (choice);
+	}
+	choice.target = pick_ranked(table, service, need, &rank);
+	return (choice);
+}
+
+void
+gate_target_begin(gate_target_t *target)
+{
+	target->in_flight++;
+	target->holders++;
+}
+
+void
+gate_target_end(gate_table_t *table, gate_target_t *target)
+{
+	(void)table;
+	target->in_flight--;
+	if (--target->holders == 0 && target->is_removed)
+		free(target);
+}
+
+void
+gate_target_note_good(gate_target_t *target, int64_t latency_ms)
+{
+	gate_service_t *service = target->service;
+
+	target->good++;
+	target->latency_sum_ms += (uint32_t)latency_ms;
+	if (service->latency_ms <= 0)
+		service->latency_ms = (double)latency_ms;
+	else
+		service->latency_ms +=
+		    LATENCY_WEIGHT * ((double)latency_ms - service->latency_ms);
+}
+
+void
+gate_target_set_load(gate_target_t *target, uint32_t load, int64_t now_ms)
+{
+	target->load = load;
+	target->load_ms = now_ms;
+}
+
+void
+gate_target_avoid(gate_target_t *target, int64_t until_ms)
+{
+	if (until_ms > target->avoid_until_ms)
+		target->avoid_until_ms = until_ms;
+}
+
+Tm__Fleet__Outcome *
+gate_table_take_outcomes(gate_table_t *table, size_t *count)
+{
+	Tm__Fleet__Outcome *outcomes = NULL;
+	gate_target_t *target;
+	gate_target_t *next;
+
+	*count = 0;
+	HASH_ITER(hh, table->targets, target, next) {
+		if (target->good == 0)
+			continue;
+		if (outcomes == NULL)
+			outcomes = calloc(
+			    HASH_COUNT(table->targets), sizeof(*outcomes));
+		if (outcomes == NULL)
+			return (NULL);
+		tm__fleet__outcome__init(&outcomes[*count]);
+		outcomes[*count].target = target->key;
+		outcomes[*count].good = target->good;
+		outcomes[(*count)++].latency_sum_ms = target->latency_sum_ms;
+		target->good = 0;
+		target->latency_sum_ms = 0;
+	}
+	return (outcomes);
+}
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -206,6 +206,13 @@
 	return (rc == 0 ? TM_OK : TM_EIO);
 }
 
+void
+http_server_set_idle_timeout(http_server_t *server, uint32_t timeout_ms)
+{
+	server->config.h2o.http1.req_timeout = timeout_ms;
+	server->context.http1.req_timeout.timeout = timeout_ms;
+}
+
 void
 http_server_stop(http_server_t *server)
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -57,6 +57,9 @@
 int http_server_reload_tls(http_server_t *server, const http_tls_files_t *files,
     http_tls_error_t *error);
 
+/** Changes the time after which a connection without a request is closed. */
+void http_server_set_idle_timeout(http_server_t *server, uint32_t timeout_ms);
+
 /** Stops accepting connections; open ones go on. */
 void http_server_stop(http_server_t *server);
 
--- a/src/entry/upstream.c
+++ b/src/http/upstream.c
@@ -1,4 +1,4 @@
-#include "entry/upstream.h"
+#include "http/upstream.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -51,8 +51,10 @@
 struct upstream_call {
 	upstream_conn_t *conn;
 	upstream_cb done;
+	upstream_foreign_cb is_foreign;
 	void *ctx;
 	int is_head;
+	int is_lenient;
 	int is_sent;
 };
 
@@ -244,8 +246,24 @@
 	conn->headers_overflow = 0;
 }
 
+/* @return 1 if the response belongs to an earlier request */
+static int
+conn_has_foreign(
+    const upstream_conn_t *conn, const upstream_response_t *response)
+{
+	const upstream_call_t *call = conn->call;
+
+	return (
+	    call->is_foreign != NULL && call->is_foreign(call->ctx, response));
+}
+
+static void conn_take(upstream_conn_t *conn, char *bytes, size_t len);
+
+/*
+ * @param bytes  what follows the response
+ */
 static void
-conn_end_response(upstream_conn_t *conn, size_t rest)
+conn_end_response(upstream_conn_t *conn, char *bytes, size_t rest)
 {
 	upstream_response_t response = {
 		.status = conn->response.status,
@@ -255,9 +273,17 @@
 		.body_len = conn->response.body.len,
 		.content_length = conn->response.length,
 	};
-	int reuse = conn->response.keeps_alive && !conn->is_writing;
+	int reuse = conn->response.keeps_alive && !conn->is_writing &&
+	    !conn->response.until_close && rest == 0;
 
-	if ((rest > 0 && !test_hooks_is_off("response_check")) ||
+	if (conn_has_foreign(conn, &response)) {
+		conn_reset_response(conn);
+		if (rest > 0)
+			conn_take(conn, bytes, rest);
+		return;
+	}
+	if ((rest > 0 && !conn->call->is_lenient &&
+		!test_hooks_is_off("response_check")) ||
 	    conn->headers_overflow) {
 		conn_fail(conn, UPSTREAM_MALFORMED);
 		return;
@@ -283,21 +309,26 @@
 	    conn->response.left > UPSTREAM_BODY_MAX_BYTES)
 		conn_fail(conn, UPSTREAM_OVERSIZED);
 	else if (rc == 1)
-		conn_end_response(conn, rest);
+		conn_end_response(conn, bytes + len - rest, rest);
 }
 
 /*
  * The connection ended. A response without length or chunks ends like this
  * too, but then nothing tells a whole response from a part of one.
+ *
+ * @param is_reset  the connection ended with an error
  */
 static void
-conn_on_end(upstream_conn_t *conn)
+conn_on_end(upstream_conn_t *conn, int is_reset)
 {
 	const response_t *response = &conn->response;
 
-	if (conn->call != NULL && response->has_head &&
+	if (conn->call != NULL && !is_reset && conn->call->is_lenient &&
+	    response_is_complete_at_close(response))
+		conn_end_response(conn, NULL, 0);
+	else if (conn->call != NULL && response->has_head &&
 	    test_hooks_is_off("response_check"))
-		conn_end_response(conn, 0);
+		conn_end_response(conn, NULL, 0);
 	else if (conn->call != NULL &&
 	    (response->has_head || response->head_len > 0))
 		conn_fail(conn, UPSTREAM_TRUNCATED);
@@ -321,7 +352,7 @@
 	if (conn->is_closing || count == 0)
 		return;
 	if (count < 0)
-		conn_on_end(conn);
+		conn_on_end(conn, count != UV_EOF);
 	else if (conn->call == NULL)
 		conn_close(conn); /* bytes that nobody asked for */
 	else
@@ -335,7 +366,7 @@
 
 	conn->is_writing = 0;
 	if (status != 0 && !conn->is_closing)
-		conn_on_end(conn);
+		conn_on_end(conn, 1);
 }
 
 static void
@@ -422,6 +453,14 @@
 	    (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
+static int64_t
+request_get_idle_max_ms(const upstream_request_t *request)
+{
+	if (request->idle_max_ms > 0)
+		return (request->idle_max_ms);
+	return (request->is_fresh ? IDLE_FRESH_MS : INT64_MAX);
+}
+
 /* Takes an idle connection on which nothing has arrived. */
 static upstream_conn_t *
 upstream_take_idle(upstream_t *upstream, const upstream_request_t *request)
@@ -431,8 +470,8 @@
 	upstream_conn_t *conn;
 
 	while (target != NULL && (conn = target->idle) != NULL) {
-		if (request->is_fresh &&
-		    clock_now_ms() - conn->idle_since_ms > IDLE_FRESH_MS)
+		if (clock_now_ms() - conn->idle_since_ms >
+		    request_get_idle_max_ms(request))
 			return (NULL);
 		if (conn_is_quiet(conn)) {
 			conn_leave_idle(conn);
@@ -469,6 +508,8 @@
 	call->done = request->done;
 	call->ctx = request->ctx;
 	call->is_head = request->is_head;
+	call->is_lenient = request->is_lenient;
+	call->is_foreign = request->is_foreign;
 	conn->call = call;
 	*out = call;
 	if (is_reused)
--- a/src/entry/upstream.h
+++ b/src/http/upstream.h
@@ -2,10 +2,11 @@
  * @file
  * Requests to targets over HTTP/1.1 connections that are reused. A response
  * is reported only when it is complete; a connection is reused only after a
- * complete response with nothing after it.
+ * complete response with nothing after it. How strict that is, and which idle
+ * connections may be used, is up to the caller.
  */
-#ifndef TM_ENTRY_UPSTREAM_H
-#define TM_ENTRY_UPSTREAM_H
+#ifndef TM_HTTP_UPSTREAM_H
+#define TM_HTTP_UPSTREAM_H
 
 #include <netinet/in.h>
 #include <stddef.h>
@@ -59,6 +60,14 @@
 typedef void (*upstream_cb)(
     void *ctx, upstream_result_t result, const upstream_response_t *response);
 
+/**
+ * Recognises the response to an earlier request, which is then skipped.
+ *
+ * @return 1 if the response belongs to another request
+ */
+typedef int (*upstream_foreign_cb)(
+    void *ctx, const upstream_response_t *response);
+
 /** What to send. */
 typedef struct upstream_request {
 	struct sockaddr_in to;
@@ -66,6 +75,14 @@
 	size_t len;
 	int is_head; /**< the method is HEAD */
 	int is_fresh; /**< do not use a connection that was idle for long */
+	/** Take no connection idle for longer; 0: decided by is_fresh. */
+	int64_t idle_max_ms;
+	/**
+	 * Accept a response without a length that ends with its connection,
+	 * and one that is followed by further bytes.
+	 */
+	int is_lenient;
+	upstream_foreign_cb is_foreign; /**< NULL: no response is */
 	upstream_cb done;
 	void *ctx;
 } upstream_request_t;
--- /dev/null
+++ b/src/hub/hub.c
@@ -0,0 +1,830 @@
+#include "hub/hub.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <openssl/rand.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "hub/hub_feed.h"
+#include "hub/hub_judge.h"
+#include "hub/hub_members.h"
+#include "hub/hub_quota.h"
+#include "net/peer.h"
+#include "raft/raft.h"
+#include "store/store.h"
+
+#define TICK_MS 50
+/* Interval of slow checks: members, gates, buckets. */
+#define SLOW_TICK_MS 250
+/* Entries after which the log is compacted, and entries kept then. */
+#define COMPACT_ENTRIES 400
+#define COMPACT_KEEP	64
+/* A stop waits so long for another leader. */
+#define STOP_MAX_MS 2000
+/* Followers cannot learn the term of a remembered target; a gone target is
+ * remembered so long that no late announcement brings it back. */
+#define GONE_KEPT_MS 60000
+#define SCARCE_MAX   1024
+#define SPENDS_MAX   4096
+
+typedef struct ticket {
+	uint64_t index;
+	uint64_t term;
+	int64_t deadline_ms;
+	hub_done_cb done;
+	void *ctx;
+	struct ticket *prev;
+	struct ticket *next;
+} ticket_t;
+
+struct hub {
+	hub_settings_t settings;
+	node_id_t self;
+	uv_loop_t *loop;
+	uv_timer_t timer;
+	uv_check_t check;
+	peer_net_t *net;
+	store_t *store;
+	raft_t *raft;
+	hub_state_t *state;
+	hub_members_t *members;
+	hub_judge_t *judge;
+	hub_quota_t *quota;
+	hub_feed_t *feed;
+	fleet_config_t *config; /* of the newest document */
+	ticket_t *tickets;
+	int was_leading;
+	int64_t leading_since_ms;
+	uint64_t led_term;
+	int64_t slow_due_ms;
+	int64_t member_due_ms;
+	uint64_t compacted;
+	int is_stopping;
+	int64_t stop_deadline_ms;
+	metrics_t *metrics;
+	metric_t *metric_leading;
+	metric_t *metric_commits;
+	metric_t *metric_verdicts;
+	metric_t *metric_gates;
+};
+
+const hub_state_t *
+hub_get_state(const hub_t *hub)
+{
+	return (hub->state);
+}
+
+const hub_settings_t *
+hub_get_settings(const hub_t *hub)
+{
+	return (&hub->settings);
+}
+
+metrics_t *
+hub_get_metrics(hub_t *hub)
+{
+	return (hub->metrics);
+}
+
+/* Entries of earlier terms are known to be committed only once an entry of the
+ * own term is. */
+int
+hub_is_leading(const hub_t *hub)
+{
+	uint64_t commit = raft_get_commit(hub->raft);
+
+	return (raft_has_quorum_contact(hub->raft, clock_now_ms()) &&
+	    raft_get_applied(hub->raft) == commit &&
+	    raft_get_entry_term(hub->raft, commit) == raft_get_term(hub->raft));
+}
+
+const char *
+hub_get_leader(const hub_t *hub)
+{
+	node_id_t leader = raft_get_leader(hub->raft);
+
+	if (leader == NODE_ID_NONE)
+		return (NULL);
+	return (hub_members_find_name(hub->members, leader));
+}
+
+static void
+finish_ticket(hub_t *hub, ticket_t *ticket, int err)
+{
+	DL_DELETE(hub->tickets, ticket);
+	ticket->done(ticket->ctx, err);
+	free(ticket);
+}
+
+int
+hub_propose(hub_t *hub, uint8_t *bytes, size_t len, hub_done_cb done, void *ctx)
+{
+	ticket_t *ticket = calloc(1, sizeof(*ticket));
+	int err = TM_ENOMEM;
+
+	if (ticket != NULL && bytes != NULL)
+		err = raft_propose(hub->raft, bytes, len, &ticket->index);
+	free(bytes);
+	if (err != TM_OK) {
+		free(ticket);
+		return (err);
+	}
+	ticket->term = raft_get_term(hub->raft);
+	ticket->deadline_ms = clock_now_ms() + HUB_PROPOSAL_MAX_MS;
+	ticket->done = done;
+	ticket->ctx = ctx;
+	DL_APPEND(hub->tickets, ticket);
+	return (TM_OK);
+}
+
+static void
+finish_tickets(hub_t *hub, uint64_t applied, int64_t now_ms)
+{
+	ticket_t *ticket;
+	ticket_t *next;
+
+	DL_FOREACH_SAFE(hub->tickets, ticket, next) {
+		if (raft_get_term(hub->raft) != ticket->term)
+			finish_ticket(hub, ticket, TM_ENOTLEADER);
+		else if (ticket->index <= applied)
+			finish_ticket(hub, ticket, TM_OK);
+		else if (now_ms >= ticket->deadline_ms)
+			finish_ticket(hub, ticket, TM_ETIMEDOUT);
+	}
+}
+
+static const char *
+verdict_get_name(fleet_verdict_t verdict)
+{
+	static const char *const names[] = { "good", "ejected", "trial" };
+
+	return (names[verdict]);
+}
+
+static void
+on_verdict(void *ctx, uint64_t key, fleet_verdict_t verdict, const char *reason)
+{
+	hub_t *hub = ctx;
+	const hub_target_t *target = hub_state_find_target(hub->state, key);
+	hub_judge_info_t info = { .verdict = verdict };
+
+	hub_judge_get_info(hub->judge, key, &info);
+	hub_feed_touch_target(hub->feed, key);
+	metric_add(hub->metric_verdicts, 1);
+	LOG_EVENT(910, LOG_LEVEL_INFO, "verdict on a target",
+	    LOG_TEXT("target", target != NULL ? target->as.id : ""),
+	    LOG_TEXT("service", target != NULL ? target->as.service : ""),
+	    LOG_TEXT("verdict", verdict_get_name(verdict)),
+	    LOG_TEXT("reason", reason), LOG_NUM("ejections", info.ejections));
+}
+
+/* Makes the newest document the one in force at this hub. */
+static void
+use_document(hub_t *hub)
+{
+	char problem[FLEET_CONFIG_PROBLEM_BYTES] = "";
+	fleet_config_t *config = NULL;
+	char *plain;
+	int err = TM_ENOMEM;
+
+	if (!hub->state->has_document)
+		return;
+	plain = hub_document_unpack(&hub->state->document);
+	if (plain != NULL)
+		err = hub->settings.dialect->read_config(
+		    plain, hub->state->document.plain_len, &config, problem);
+	free(plain);
+	if (err != TM_OK) {
+		LOG_EVENT(911, LOG_LEVEL_ERROR,
+		    "a stored document cannot be read",
+		    LOG_NUM("version", hub->state->document.version),
+		    LOG_TEXT("reason", &problem[0]),
+		    LOG_TEXT("error", error_get_text(err)));
+		return;
+	}
+	fleet_config_destroy(hub->config);
+	hub->config = config;
+	hub_quota_configure(hub->quota, config, clock_now_ms());
+	LOG_EVENT(912, LOG_LEVEL_INFO, "document in force",
+	    LOG_NUM("version", config->version),
+	    LOG_NUM("routes", config->route_count));
+}
+
+static void
+on_target_change(hub_t *hub, const hub_target_t *target)
+{
+	if (target->as.state == FLEET_TARGET_GONE)
+		hub_judge_remove(hub->judge, target->key);
+	else
+		hub_judge_add(hub->judge, target->key,
+		    fleet_name_hash(target->as.service), target->as.born_ms);
+	hub_feed_touch_target(hub->feed, target->key);
+}
+
+/* raft_apply_cb */
+static void
+on_apply(void *ctx, uint64_t index, const uint8_t *data, size_t len)
+{
+	hub_t *hub = ctx;
+	hub_target_t *target;
+
+	(void)index;
+	metric_add(hub->metric_commits, 1);
+	switch (hub_state_apply(hub->state, data, len, &target)) {
+	case HUB_CHANGE_DOCUMENT:
+		use_document(hub);
+		hub_feed_touch_document(hub->feed);
+		break;
+	case HUB_CHANGE_TARGET:
+		on_target_change(hub, target);
+		break;
+	case HUB_CHANGE_HUBS:
+		hub_members_learn(hub->members, hub->state);
+		break;
+	default:
+		break;
+	}
+}
+
+/* raft_take_snapshot_cb */
+static int
+on_take_snapshot(void *ctx, uint8_t **data, size_t *len)
+{
+	hub_t *hub = ctx;
+
+	*data = hub_state_encode(hub->state, len);
+	return (*data != NULL ? TM_OK : TM_ENOMEM);
+}
+
+/* raft_install_snapshot_cb */
+static int
+on_install_snapshot(void *ctx, uint64_t index, const uint8_t *data, size_t len)
+{
+	hub_t *hub = ctx;
+	int err = hub_state_restore(hub->state, data, len);
+
+	(void)index;
+	if (err != TM_OK)
+		return (err);
+	hub_members_learn(hub->members, hub->state);
+	use_document(hub);
+	return (TM_OK);
+}
+
+/* hub_found_cb */
+static void
+on_hub_found(void *ctx, const char *name)
+{
+	hub_t *hub = ctx;
+
+	peer_net_set_address(
+	    hub->net, node_id_from_name(name), name, hub->settings.peer_port);
+}
+
+/* Everything soft starts afresh when this hub begins to lead. */
+static void
+begin_to_lead(hub_t *hub, int64_t now_ms)
+{
+	const hub_target_t *target;
+
+	hub->leading_since_ms = now_ms;
+	hub->led_term = raft_get_term(hub->raft);
+	hub_judge_reset(hub->judge);
+	for (target = hub->state->targets; target != NULL;
+	     target = target->hh.next) {
+		if (target->as.state != FLEET_TARGET_GONE)
+			hub_judge_add(hub->judge, target->key,
+			    fleet_name_hash(target->as.service),
+			    target->as.born_ms);
+	}
+	hub_quota_reset(hub->quota, now_ms);
+	hub_feed_reset(hub->feed, hub->led_term);
+	LOG_EVENT(913, LOG_LEVEL_INFO, "serving as the leader",
+	    LOG_NUM("term", hub->led_term),
+	    LOG_NUM("version", hub->state->document.version),
+	    LOG_NUM("targets", HASH_COUNT(hub->state->targets)));
+}
+
+static void
+update_role(hub_t *hub, int64_t now_ms)
+{
+	int leads = hub_is_leading(hub);
+
+	if (leads &&
+	    (!hub->was_leading || hub->led_term != raft_get_term(hub->raft)))
+		begin_to_lead(hub, now_ms);
+	else if (!leads && hub->was_leading)
+		LOG_EVENT(914, LOG_LEVEL_INFO,
+		    "no longer serving as the leader",
+		    LOG_NUM("term", raft_get_term(hub->raft)));
+	hub->was_leading = leads;
+	metric_set(hub->metric_leading, leads);
+}
+
+static void
+ignore_outcome(void *ctx, int err)
+{
+	(void)ctx;
+	(void)err;
+}
+
+static void
+propose_hub(hub_t *hub, const char *name, int is_lost)
+{
+	size_t len;
+	uint8_t *bytes = hub_entry_encode_hub(name, is_lost, &len);
+
+	hub_propose(hub, bytes, len, ignore_outcome, NULL);
+}
+
+/* One change of members at a time. */
+static void
+plan_members(hub_t *hub, int64_t now_ms)
+{
+	raft_voter_t seats[RAFT_VOTERS_MAX];
+	hub_members_view_t view = {
+		.state = hub->state,
+		.seats = seats,
+		.seat_count = raft_get_voters(hub->raft, seats),
+		.leading_ms = now_ms - hub->leading_since_ms,
+	};
+	const char *name = "";
+	hub_step_t step;
+	int err = TM_OK;
+
+	if (hub->is_stopping)
+		return;
+	step = hub_members_plan(hub->members, &view, now_ms, &name);
+	if (step == HUB_STEP_NONE)
+		return;
+	switch (step) {
+	case HUB_STEP_RECORD:
+	case HUB_STEP_FORGET:
+		propose_hub(hub, name, step == HUB_STEP_FORGET);
+		break;
+	case HUB_STEP_SEAT:
+		err = raft_add_node(hub->raft, node_id_from_name(name));
+		break;
+	default:
+		err = raft_remove_node(hub->raft, node_id_from_name(name));
+		break;
+	}
+	if (err == TM_EUNAVAIL)
+		return;
+	LOG_EVENT(915, LOG_LEVEL_INFO, "members of the log change",
+	    LOG_TEXT("hub", name), LOG_NUM("step", step),
+	    LOG_NUM("seats", view.seat_count),
+	    LOG_TEXT("error", error_get_text(err)));
+}
+
+static void
+send_permits_state(hub_t *hub, int64_t now_ms)
+{
+	Tm__Fleet__Permits msg = TM__FLEET__PERMITS__INIT;
+	uint64_t scarce[SCARCE_MAX];
+
+	msg.term = hub->led_term;
+	msg.has_scarce = 1;
+	msg.scarce = scarce;
+	msg.n_scarce = hub_quota_list_scarce(hub->quota, scarce, SCARCE_MAX);
+	hub_feed_broadcast(hub->feed, MSG_FLEET_PERMITS, &msg.base, now_ms);
+}
+
+static void
+compact(hub_t *hub)
+{
+	uint64_t applied = raft_get_applied(hub->raft);
+	int err;
+
+	if (applied < hub->compacted + COMPACT_ENTRIES)
+		return;
+	hub->compacted = applied;
+	err = raft_compact(hub->raft, COMPACT_KEEP);
+	if (err != TM_OK)
+		LOG_EVENT(916, LOG_LEVEL_ERROR, "compaction failed",
+		    LOG_TEXT("error", error_get_text(err)));
+}
+
+static void
+tick_leader(hub_t *hub, int64_t now_ms)
+{
+	hub_judge_tick(hub->judge, now_ms);
+	if (hub_quota_tick(hub->quota, now_ms))
+		send_permits_state(hub, now_ms);
+	if (now_ms >= hub->member_due_ms) {
+		hub->member_due_ms = now_ms + SLOW_TICK_MS;
+		plan_members(hub, now_ms);
+		hub_feed_tick(hub->feed, now_ms);
+		metric_set(
+		    hub->metric_gates, hub_feed_count_gates(hub->feed, now_ms));
+	}
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	hub_t *hub = timer->data;
+	int64_t now_ms = clock_now_ms();
+
+	raft_tick(hub->raft, now_ms);
+	update_role(hub, now_ms);
+	hub_members_tick(hub->members, now_ms);
+	if (hub->was_leading)
+		tick_leader(hub, now_ms);
+	finish_tickets(hub, raft_get_applied(hub->raft), now_ms);
+	compact(hub);
+}
+
+/* Proposals of one loop iteration are written together. */
+static void
+on_check(uv_check_t *check)
+{
+	hub_t *hub = check->data;
+	int64_t now_ms = clock_now_ms();
+
+	raft_flush(hub->raft, now_ms);
+	update_role(hub, now_ms);
+	if (hub->was_leading)
+		hub_feed_flush(hub->feed, now_ms);
+	finish_tickets(hub, raft_get_applied(hub->raft), now_ms);
+}
+
+static void
+send_redirect(hub_t *hub, node_id_t to, const Tm__Fleet__Join *join)
+{
+	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
+	const char *names[FLEET_HUBS_MAX];
+	const char *leader = hub_get_leader(hub);
+
+	msg.sent_ms = join->sent_ms;
+	msg.leader = (char *)(leader != NULL ? leader : "");
+	msg.n_hubs = (size_t)hub_members_list(hub->members, names);
+	msg.hubs = (char **)names;
+	peer_net_send(hub->net, to, MSG_FLEET_LEASE, &msg.base);
+}
+
+static void
+note_outcomes(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < join->n_outcomes; i++)
+		hub_judge_note_good(hub->judge, join->outcomes[i]->target,
+		    join->outcomes[i]->good, join->outcomes[i]->latency_sum_ms,
+		    now_ms);
+}
+
+static void
+handle_join(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Join *join = tm__fleet__join__unpack(NULL, len, payload);
+	const char *names[FLEET_HUBS_MAX];
+	hub_feed_lease_t lease = { .hubs = names };
+	int64_t now_ms = clock_now_ms();
+
+	if (join == NULL)
+		return;
+	if (!hub_is_leading(hub) || hub->is_stopping) {
+		send_redirect(hub, from, join);
+	} else {
+		update_role(hub, now_ms);
+		lease.term = hub->led_term;
+		lease.leader = hub->settings.ip;
+		lease.hub_count = (size_t)hub_members_list(hub->members, names);
+		note_outcomes(hub, join, now_ms);
+		hub_feed_join(hub->feed, from, join, &lease, now_ms);
+	}
+	tm__fleet__join__free_unpacked(join, NULL);
+}
+
+static hub_permit_t
+take_spend(
+    hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
+{
+	hub_permit_t permit = { .is_granted = 0 };
+
+	switch (spend->kind) {
+	case FLEET_SPEND_REQUEST:
+		if (spend->id != 0)
+			return (hub_quota_ask(hub->quota, spend->workspace,
+			    spend->service, now_ms));
+		hub_quota_spend(
+		    hub->quota, spend->workspace, spend->service, now_ms);
+		break;
+	case FLEET_SPEND_RETRY:
+		return (
+		    hub_quota_ask_retry(hub->quota, spend->service, now_ms));
+	case FLEET_SPEND_TRIAL:
+		permit.is_granted = hub_judge_ask_trial(
+		    hub->judge, spend->target, from, now_ms);
+		break;
+	default:
+		break;
+	}
+	return (permit);
+}
+
+static void
+handle_spends(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Spends *spends =
+	    tm__fleet__spends__unpack(NULL, len, payload);
+	Tm__Fleet__Permits reply = TM__FLEET__PERMITS__INIT;
+	Tm__Fleet__Permit *permits;
+	Tm__Fleet__Permit **pointers;
+	int64_t now_ms = clock_now_ms();
+	hub_permit_t permit;
+	size_t i;
+
+	if (spends == NULL)
+		return;
+	permits = calloc(spends->n_spends + 1, sizeof(*permits));
+	pointers = calloc(spends->n_spends + 1, sizeof(*pointers));
+	for (i = 0; permits != NULL && pointers != NULL &&
+	     i < spends->n_spends && i < SPENDS_MAX;
+	     i++) {
+		permit = take_spend(hub, from, spends->spends[i], now_ms);
+		if (spends->spends[i]->id == 0)
+			continue;
+		pointers[reply.n_permits] = &permits[reply.n_permits];
+		tm__fleet__permit__init(&permits[reply.n_permits]);
+		permits[reply.n_permits].id = spends->spends[i]->id;
+		permits[reply.n_permits].is_granted = permit.is_granted;
+		permits[reply.n_permits].retry_after_ms = permit.wait_ms;
+		reply.n_permits++;
+	}
+	reply.permits = pointers;
+	reply.term = hub->led_term;
+	if (reply.n_permits > 0)
+		peer_net_send(hub->net, from, MSG_FLEET_PERMITS, &reply.base);
+	free(pointers);
+	free(permits);
+	tm__fleet__spends__free_unpacked(spends, NULL);
+}
+
+static void
+handle_evidence(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Evidence *msg =
+	    tm__fleet__evidence__unpack(NULL, len, payload);
+	hub_evidence_t evidence;
+	const hub_target_t *target;
+
+	if (msg == NULL)
+		return;
+	evidence = (hub_evidence_t){
+		.target = msg->target,
+		.gate = from,
+		.kind = (fleet_evidence_t)msg->kind,
+		.is_trial = msg->is_trial,
+		.latency_ms = msg->latency_ms,
+	};
+	target = hub_state_find_target(hub->state, msg->target);
+	/* Evidence against an earlier incarnation says nothing. */
+	if (target != NULL && target->as.born_ms == msg->born_ms)
+		hub_judge_note(hub->judge, &evidence, clock_now_ms());
+	tm__fleet__evidence__free_unpacked(msg, NULL);
+}
+
+/* peer_receive_cb */
+static void
+on_receive(void *ctx, node_id_t from, uint64_t incarnation, uint16_t type,
+    const uint8_t *payload, size_t len)
+{
+	hub_t *hub = ctx;
+	int64_t now_ms = clock_now_ms();
+
+	(void)incarnation;
+	if (type >= MSG_RAFT_BASE && type < MSG_RAFT_BASE + 20) {
+		raft_handle(hub->raft, from, type, payload, len, now_ms);
+		return;
+	}
+	switch (type) {
+	case MSG_FLEET_HELLO:
+		hub_members_handle(hub->members, from, payload, len, now_ms);
+		break;
+	case MSG_FLEET_JOIN:
+		handle_join(hub, from, payload, len);
+		break;
+	case MSG_FLEET_SPENDS:
+		if (hub->was_leading)
+			handle_spends(hub, from, payload, len);
+		break;
+	case MSG_FLEET_EVIDENCE:
+		if (hub->was_leading)
+			handle_evidence(hub, from, payload, len);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+hub_note_announced(hub_t *hub, uint64_t target)
+{
+	hub_judge_note_announced(hub->judge, target, clock_now_ms());
+}
+
+static int
+open_net(hub_t *hub)
+{
+	const hub_settings_t *settings = &hub->settings;
+	peer_options_t options = {
+		.loop = hub->loop,
+		.node_name = settings->ip,
+		.incarnation = (uint64_t)clock_wall_ms(),
+		.listen_ip = settings->ip,
+		.listen_port = settings->peer_port,
+		.receive = on_receive,
+		.ctx = hub,
+	};
+	int i;
+
+	for (i = 0; i < settings->secret_count; i++)
+		options.secrets[i] = settings->secrets[i];
+	return (peer_net_create(&hub->net, &options));
+}
+
+/*
+ * The disk of a first start has an id that the other hubs know, so that the
+ * seeds form one log without asking each other.
+ */
+static uint64_t
+get_first_disk_id(const char *name)
+{
+	uint64_t id = XXH64(name, strlen(name), 1);
+
+	return (id != RAFT_DISK_NONE ? id : 1);
+}
+
+static int
+open_raft(hub_t *hub)
+{
+	const hub_settings_t *settings = &hub->settings;
+	store_options_t store = { .path = settings->data_dir };
+	raft_options_t options = {
+		.self = hub->self,
+		.send = peer_net_send_cb,
+		.send_ctx = hub->net,
+		.apply = on_apply,
+		.take_snapshot = on_take_snapshot,
+		.install_snapshot = on_install_snapshot,
+		.ctx = hub,
+	};
+	int err;
+	int i;
+
+	if (settings->is_first_start)
+		store.first_disk_id = get_first_disk_id(settings->ip);
+	err = store_open(&hub->store, &store);
+	if (err != TM_OK)
+		return (err);
+	options.disk_id = store_get_disk_id(hub->store);
+	options.restore = *store_get_restore(hub->store);
+	options.storage = store_get_storage(hub->store);
+	for (i = 0; settings->is_first_start && i < settings->seed_count &&
+	     i < RAFT_VOTERS_MAX;
+	     i++) {
+		options.voters[i].node = node_id_from_name(settings->seeds[i]);
+		options.voters[i].disk_id =
+		    get_first_disk_id(settings->seeds[i]);
+		options.voter_count++;
+	}
+	if (RAND_bytes((unsigned char *)&options.seed, sizeof(options.seed)) !=
+	    1)
+		return (TM_EIO);
+	err = raft_create(&hub->raft, &options, clock_now_ms());
+	store_release_restore(hub->store);
+	return (err);
+}
+
+static int
+create_modules(hub_t *hub)
+{
+	const hub_settings_t *settings = &hub->settings;
+	const char *seeds[FLEET_HUBS_MAX];
+	hub_quota_options_t quota = {
+		.retry_ratio = settings->retry_ratio,
+		.retry_burst = settings->retry_burst,
+	};
+	hub_members_options_t members = {
+		.self = settings->ip,
+		.seeds = seeds,
+		.seed_count = settings->seed_count,
+		.send = peer_net_send_cb,
+		.send_ctx = hub->net,
+		.found = on_hub_found,
+		.ctx = hub,
+	};
+	hub_feed_options_t feed = {
+		.send = peer_net_send_cb,
+		.send_ctx = hub->net,
+	};
+	int i;
+
+	for (i = 0; i < settings->seed_count; i++)
+		seeds[i] = settings->seeds[i];
+	hub->state = hub_state_create();
+	hub->members = hub_members_create(&members);
+	hub->judge = hub_judge_create(on_verdict, hub);
+	hub->quota = hub_quota_create(&quota);
+	feed.state = hub->state;
+	feed.judge = hub->judge;
+	hub->feed = hub_feed_create(&feed);
+	hub->metrics = metrics_create();
+	if (hub->state == NULL || hub->members == NULL || hub->judge == NULL ||
+	    hub->quota == NULL || hub->feed == NULL || hub->metrics == NULL)
+		return (TM_ENOMEM);
+	hub->metric_leading =
+	    metrics_get(hub->metrics, "tm_hub_is_leading", "", METRIC_GAUGE);
+	hub->metric_commits = metrics_get(
+	    hub->metrics, "tm_hub_entries_total", "", METRIC_COUNTER);
+	hub->metric_verdicts = metrics_get(
+	    hub->metrics, "tm_hub_verdicts_total", "", METRIC_COUNTER);
+	hub->metric_gates =
+	    metrics_get(hub->metrics, "tm_hub_gates", "", METRIC_GAUGE);
+	return (TM_OK);
+}
+
+static void
+start_handles(hub_t *hub)
+{
+	uv_timer_init(hub->loop, &hub->timer);
+	hub->timer.data = hub;
+	uv_timer_start(&hub->timer, on_timer, TICK_MS, TICK_MS);
+	uv_check_init(hub->loop, &hub->check);
+	hub->check.data = hub;
+	uv_check_start(&hub->check, on_check);
+}
+
+int
+hub_create(hub_t **out, const hub_settings_t *settings, uv_loop_t *loop)
+{
+	hub_t *hub = calloc(1, sizeof(*hub));
+	int err;
+
+	if (hub == NULL)
+		return (TM_ENOMEM);
+	hub->settings = *settings;
+	hub->loop = loop;
+	hub->self = node_id_from_name(settings->ip);
+	err = open_net(hub);
+	if (err == TM_OK)
+		err = create_modules(hub);
+	if (err == TM_OK)
+		err = open_raft(hub);
+	if (err != TM_OK) {
+		LOG_EVENT(917, LOG_LEVEL_ERROR, "cannot start",
+		    LOG_TEXT("data_dir", settings->data_dir),
+		    LOG_NUM("peer_port", settings->peer_port),
+		    LOG_TEXT("error", error_get_text(err)),
+		    LOG_TEXT("remedy", error_get_remedy(err)));
+		return (err);
+	}
+	start_handles(hub);
+	*out = hub;
+	return (TM_OK);
+}
+
+void
+hub_reload(hub_t *hub, const hub_settings_t *fresh)
+{
+	const char *secrets[PEER_SECRETS_MAX] = { NULL };
+	int i;
+
+	for (i = 0; i < fresh->seed_count; i++)
+		hub_members_add_seed(hub->members, fresh->seeds[i]);
+	for (i = 0; i < fresh->secret_count; i++)
+		secrets[i] = fresh->secrets[i];
+	peer_net_set_secrets(hub->net, secrets);
+}
+
+void
+hub_begin_stop(hub_t *hub)
+{
+	if (hub->is_stopping)
+		return;
+	hub->is_stopping = 1;
+	hub->stop_deadline_ms = clock_now_ms() + STOP_MAX_MS;
+	hub_members_set_stopping(hub->members);
+	LOG_EVENT(918, LOG_LEVEL_INFO, "stop requested",
+	    LOG_NUM("is_leader", raft_is_leader(hub->raft)));
+	if (raft_is_leader(hub->raft))
+		raft_transfer(hub->raft, clock_now_ms());
+}
+
+int
+hub_is_stopped(const hub_t *hub)
+{
+	if (!hub->is_stopping)
+		return (0);
+	if (clock_now_ms() >= hub->stop_deadline_ms)
+		return (1);
+	return (hub->tickets == NULL && !raft_is_leader(hub->raft));
+}
--- /dev/null
+++ b/src/hub/hub.h
@@ -0,0 +1,70 @@
+/**
+ * @file
+ * Program core of tm-hub: replicated log, targets, verdicts, quotas and gates.
+ */
+#ifndef TM_HUB_HUB_H
+#define TM_HUB_HUB_H
+
+#include <uv.h>
+
+#include "base/metrics.h"
+#include "hub/hub_settings.h"
+#include "hub/hub_state.h"
+
+/** Time after which the outcome of a proposal is given up. */
+#define HUB_PROPOSAL_MAX_MS 3000
+
+typedef struct hub hub_t;
+
+/**
+ * Outcome of a proposal.
+ *
+ * @param err  0 once it is committed; TM_ENOTLEADER or TM_ETIMEDOUT if that is
+ *             not known
+ */
+typedef void (*hub_done_cb)(void *ctx, int err);
+
+/**
+ * Opens the data folder and takes part.
+ *
+ * @return 0 or a negative error number, already logged
+ */
+int hub_create(hub_t **out, const hub_settings_t *settings, uv_loop_t *loop);
+
+/** Takes over the seeds of fresh settings. */
+void hub_reload(hub_t *hub, const hub_settings_t *fresh);
+
+/** Hands over leadership before a planned stop. */
+void hub_begin_stop(hub_t *hub);
+
+/** @return 1 when the process may end */
+int hub_is_stopped(const hub_t *hub);
+
+/** @return 1 if this hub leads and no newer leader can exist */
+int hub_is_leading(const hub_t *hub);
+
+/** @return name, which is the address, of the leader; NULL if not known */
+const char *hub_get_leader(const hub_t *hub);
+
+/** @return the replicated state, to be read only */
+const hub_state_t *hub_get_state(const hub_t *hub);
+
+/** @return the settings in force */
+const hub_settings_t *hub_get_settings(const hub_t *hub);
+
+/** @return the metrics of the process */
+metrics_t *hub_get_metrics(hub_t *hub);
+
+/**
+ * Proposes an entry; done is called once, never from within.
+ *
+ * @param bytes  from malloc(); taken over
+ * @return       0 or a negative error number, then done is not called
+ */
+int hub_propose(
+    hub_t *hub, uint8_t *bytes, size_t len, hub_done_cb done, void *ctx);
+
+/** A target has announced itself to this leader. */
+void hub_note_announced(hub_t *hub, uint64_t target);
+
+#endif
--- /dev/null
+++ b/src/hub/hub_api.h
@@ -0,0 +1,24 @@
+/**
+ * @file
+ * Calls of targets and operators to a hub. Only the leader answers them; the
+ * other hubs name it.
+ */
+#ifndef TM_HUB_HUB_API_H
+#define TM_HUB_HUB_API_H
+
+#include <uv.h>
+
+#include "hub/hub.h"
+
+/** Longest document that is accepted; it must fit into one entry. */
+#define HUB_DOCUMENT_MAX_BYTES (8 * 1024 * 1024)
+
+typedef struct hub_api hub_api_t;
+
+/** Listens. @return 0, TM_ENOMEM, TM_EIO if the address cannot be bound */
+int hub_api_create(hub_api_t **out, hub_t *hub, uv_loop_t *loop);
+
+/** Takes no more calls. */
+void hub_api_close(hub_api_t *api);
+
+#endif
--- /dev/null
+++ b/src/hub/hub_feed.c
@@ -0,0 +1,352 @@
+#include "hub/hub_feed.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+typedef struct feed_gate {
+	node_id_t id;
+	int64_t heard_ms;
+	int is_stopping;
+	uint64_t config_version; /* as the gate reports it */
+	uint64_t sent_version;
+	int64_t document_sent_ms;
+	uint64_t table_sequence; /* of what it has, or was sent */
+	UT_hash_handle hh;
+} feed_gate_t;
+
+/* A target with the number of its last change in this term. */
+typedef struct feed_row {
+	uint64_t key;
+	uint64_t sequence;
+	UT_hash_handle hh;
+} feed_row_t;
+
+struct hub_feed {
+	hub_feed_options_t options;
+	feed_gate_t *gates;
+	feed_row_t *rows;
+	uint64_t term;
+	uint64_t sequence;
+	uint64_t flushed;
+	int has_new_document;
+};
+
+hub_feed_t *
+hub_feed_create(const hub_feed_options_t *options)
+{
+	hub_feed_t *feed = calloc(1, sizeof(*feed));
+
+	if (feed != NULL)
+		feed->options = *options;
+	return (feed);
+}
+
+static void
+clear(hub_feed_t *feed)
+{
+	feed_gate_t *gate;
+	feed_gate_t *next_gate;
+	feed_row_t *row;
+	feed_row_t *next_row;
+
+	HASH_ITER(hh, feed->gates, gate, next_gate) {
+		HASH_DELETE(hh, feed->gates, gate);
+		free(gate);
+	}
+	HASH_ITER(hh, feed->rows, row, next_row) {
+		HASH_DELETE(hh, feed->rows, row);
+		free(row);
+	}
+}
+
+void
+hub_feed_destroy(hub_feed_t *feed)
+{
+	if (feed == NULL)
+		return;
+	clear(feed);
+	free(feed);
+}
+
+void
+hub_feed_reset(hub_feed_t *feed, uint64_t term)
+{
+	clear(feed);
+	feed->term = term;
+	/* Sequence 0 stands for a gate without a table of this term. */
+	feed->sequence = 1;
+	feed->flushed = 1;
+	feed->has_new_document = 0;
+}
+
+void
+hub_feed_touch_target(hub_feed_t *feed, uint64_t key)
+{
+	feed_row_t *row;
+
+	HASH_FIND(hh, feed->rows, &key, sizeof(key), row);
+	if (row == NULL) {
+		row = calloc(1, sizeof(*row));
+		if (row == NULL)
+			return;
+		row->key = key;
+		HASH_ADD(hh, feed->rows, key, sizeof(key), row);
+	}
+	row->sequence = ++feed->sequence;
+}
+
+void
+hub_feed_touch_document(hub_feed_t *feed)
+{
+	feed->has_new_document = 1;
+}
+
+static void
+fill_target(
+    const hub_feed_t *feed, Tm__Fleet__Target *msg, const hub_target_t *target)
+{
+	hub_target_fill(msg, &target->as);
+	msg->verdict = hub_judge_get(feed->options.judge, target->key);
+}
+
+/* A whole table; targets that are gone are left out. */
+static void
+send_whole_table(hub_feed_t *feed, node_id_t to)
+{
+	Tm__Fleet__Table table = TM__FLEET__TABLE__INIT;
+	const hub_state_t *state = feed->options.state;
+	size_t count = HASH_COUNT(state->targets);
+	Tm__Fleet__Target *msgs = calloc(count + 1, sizeof(*msgs));
+	Tm__Fleet__Target **pointers = calloc(count + 1, sizeof(*pointers));
+	const hub_target_t *target;
+
+	table.term = feed->term;
+	table.sequence = feed->sequence;
+	table.targets = pointers;
+	for (target = state->targets;
+	     msgs != NULL && pointers != NULL && target != NULL;
+	     target = target->hh.next) {
+		if (target->as.state == FLEET_TARGET_GONE)
+			continue;
+		fill_target(feed, &msgs[table.n_targets], target);
+		pointers[table.n_targets] = &msgs[table.n_targets];
+		table.n_targets++;
+	}
+	if (msgs != NULL && pointers != NULL)
+		feed->options.send(
+		    feed->options.send_ctx, to, MSG_FLEET_TABLE, &table.base);
+	free(pointers);
+	free(msgs);
+}
+
+/* Fills a table with the rows that changed after a sequence. */
+static void
+fill_changes(const hub_feed_t *feed, Tm__Fleet__Table *table, uint64_t base,
+    Tm__Fleet__Target *msgs, Tm__Fleet__Target **pointers, uint64_t *removed)
+{
+	const hub_target_t *target;
+	const feed_row_t *row;
+
+	table->term = feed->term;
+	table->since = base;
+	table->sequence = feed->sequence;
+	table->targets = pointers;
+	table->removed = removed;
+	for (row = feed->rows; row != NULL; row = row->hh.next) {
+		if (row->sequence <= base)
+			continue;
+		target = hub_state_find_target(feed->options.state, row->key);
+		if (target == NULL || target->as.state == FLEET_TARGET_GONE) {
+			removed[table->n_removed++] = row->key;
+			continue;
+		}
+		fill_target(feed, &msgs[table->n_targets], target);
+		pointers[table->n_targets] = &msgs[table->n_targets];
+		table->n_targets++;
+	}
+}
+
+/* Sends what changed after base to one gate, or to all that have base. */
+static void
+send_changes(hub_feed_t *feed, feed_gate_t *only, uint64_t base, int64_t now_ms)
+{
+	Tm__Fleet__Table table = TM__FLEET__TABLE__INIT;
+	size_t count = HASH_COUNT(feed->rows);
+	Tm__Fleet__Target *msgs = calloc(count + 1, sizeof(*msgs));
+	Tm__Fleet__Target **pointers = calloc(count + 1, sizeof(*pointers));
+	uint64_t *removed = calloc(count + 1, sizeof(*removed));
+	feed_gate_t *gate;
+	feed_gate_t *next;
+
+	if (msgs != NULL && pointers != NULL && removed != NULL) {
+		fill_changes(feed, &table, base, msgs, pointers, removed);
+		HASH_ITER(hh, feed->gates, gate, next) {
+			if ((only != NULL && gate != only) ||
+			    gate->table_sequence != base ||
+			    now_ms - gate->heard_ms > HUB_GATE_SILENT_MS)
+				continue;
+			gate->table_sequence = feed->sequence;
+			feed->options.send(feed->options.send_ctx, gate->id,
+			    MSG_FLEET_TABLE, &table.base);
+		}
+	}
+	free(removed);
+	free(pointers);
+	free(msgs);
+}
+
+static void
+send_document(hub_feed_t *feed, feed_gate_t *gate, int64_t now_ms)
+{
+	Tm__Fleet__Document msg = TM__FLEET__DOCUMENT__INIT;
+	const hub_document_t *document = &feed->options.state->document;
+
+	msg.version = document->version;
+	msg.zipped.data = document->zipped;
+	msg.zipped.len = document->zipped_len;
+	msg.plain_bytes = (uint32_t)document->plain_len;
+	gate->sent_version = document->version;
+	gate->document_sent_ms = now_ms;
+	feed->options.send(
+	    feed->options.send_ctx, gate->id, MSG_FLEET_DOCUMENT, &msg.base);
+}
+
+static feed_gate_t *
+get_gate(hub_feed_t *feed, node_id_t id)
+{
+	feed_gate_t *gate;
+
+	HASH_FIND(hh, feed->gates, &id, sizeof(id), gate);
+	if (gate != NULL)
+		return (gate);
+	gate = calloc(1, sizeof(*gate));
+	if (gate == NULL)
+		return (NULL);
+	gate->id = id;
+	HASH_ADD(hh, feed->gates, id, sizeof(gate->id), gate);
+	return (gate);
+}
+
+static void
+send_lease(hub_feed_t *feed, const feed_gate_t *gate,
+    const Tm__Fleet__Join *join, const hub_feed_lease_t *lease, int64_t now_ms)
+{
+	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
+
+	msg.sent_ms = join->sent_ms;
+	msg.is_leader = 1;
+	msg.leader = (char *)lease->leader;
+	msg.hubs = (char **)lease->hubs;
+	msg.n_hubs = lease->hub_count;
+	msg.term = lease->term;
+	msg.config_version = feed->options.state->document.version;
+	msg.gates = hub_feed_count_gates(feed, now_ms);
+	feed->options.send(
+	    feed->options.send_ctx, gate->id, MSG_FLEET_LEASE, &msg.base);
+}
+
+static void
+bring_document(hub_feed_t *feed, feed_gate_t *gate, int64_t now_ms)
+{
+	const hub_state_t *state = feed->options.state;
+
+	if (!state->has_document ||
+	    gate->config_version >= state->document.version)
+		return;
+	if (gate->sent_version == state->document.version &&
+	    now_ms - gate->document_sent_ms < HUB_RESEND_MS)
+		return;
+	send_document(feed, gate, now_ms);
+}
+
+void
+hub_feed_join(hub_feed_t *feed, node_id_t id, const Tm__Fleet__Join *join,
+    const hub_feed_lease_t *lease, int64_t now_ms)
+{
+	feed_gate_t *gate = get_gate(feed, id);
+	uint64_t has;
+
+	if (gate == NULL)
+		return;
+	gate->heard_ms = now_ms;
+	gate->is_stopping = join->is_stopping;
+	gate->config_version = join->config_version;
+	/* The document goes first, as the lease tells its version. */
+	bring_document(feed, gate, now_ms);
+	send_lease(feed, gate, join, lease, now_ms);
+	has = join->table_term == feed->term ? join->table_sequence : 0;
+	if (has == 0) {
+		gate->table_sequence = feed->sequence;
+		send_whole_table(feed, id);
+		return;
+	}
+	gate->table_sequence = has;
+	if (has < feed->sequence)
+		send_changes(feed, gate, has, now_ms);
+}
+
+static void
+flush_document(hub_feed_t *feed, int64_t now_ms)
+{
+	feed_gate_t *gate;
+	feed_gate_t *next;
+
+	if (!feed->has_new_document)
+		return;
+	feed->has_new_document = 0;
+	HASH_ITER(hh, feed->gates, gate, next) {
+		if (now_ms - gate->heard_ms <= HUB_GATE_SILENT_MS)
+			bring_document(feed, gate, now_ms);
+	}
+}
+
+void
+hub_feed_flush(hub_feed_t *feed, int64_t now_ms)
+{
+	flush_document(feed, now_ms);
+	if (feed->sequence == feed->flushed)
+		return;
+	send_changes(feed, NULL, feed->flushed, now_ms);
+	feed->flushed = feed->sequence;
+}
+
+void
+hub_feed_broadcast(hub_feed_t *feed, uint16_t type, const ProtobufCMessage *msg,
+    int64_t now_ms)
+{
+	feed_gate_t *gate;
+	feed_gate_t *next;
+
+	HASH_ITER(hh, feed->gates, gate, next) {
+		if (now_ms - gate->heard_ms <= HUB_GATE_SILENT_MS)
+			feed->options.send(
+			    feed->options.send_ctx, gate->id, type, msg);
+	}
+}
+
+void
+hub_feed_tick(hub_feed_t *feed, int64_t now_ms)
+{
+	feed_gate_t *gate;
+	feed_gate_t *next;
+
+	HASH_ITER(hh, feed->gates, gate, next) {
+		if (now_ms - gate->heard_ms < HUB_GATE_FORGOTTEN_MS)
+			continue;
+		HASH_DELETE(hh, feed->gates, gate);
+		free(gate);
+	}
+}
+
+uint32_t
+hub_feed_count_gates(const hub_feed_t *feed, int64_t now_ms)
+{
+	const feed_gate_t *gate;
+	uint32_t count = 0;
+
+	for (gate = feed->gates; gate != NULL; gate = gate->hh.next)
+		count += now_ms - gate->heard_ms <= HUB_GATE_SILENT_MS;
+	return (count);
+}
--- /dev/null
+++ b/src/hub/hub_judge.c
@@ -0,0 +1,351 @@
+#include "hub/hub_judge.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/error.h"
+
+/* Evidence adds up to badness; a target whose badness reaches 1 is ejected. */
+#define BADNESS_LIMIT 1.0
+/* Badness that is not confirmed fades with this time constant. */
+#define BADNESS_FADE_MS 3000.0
+/* Each good response leaves this share of the badness. */
+#define GOOD_KEEPS 0.6
+/* The same gate adds little within this time: it may have lost its path. */
+#define SAME_GATE_MS	 2000
+#define SAME_GATE_WEIGHT 0.1
+/* First ejection, and the longest after repeated ones. */
+#define EJECT_MIN_MS 1500
+#define EJECT_MAX_MS 6000
+/* Ejections further apart than this do not lengthen each other. */
+#define EJECT_MEMORY_MS 10000
+/* A trial without a result is over after this time. */
+#define TRIAL_MAX_MS 4000
+/* Good trials in a row that end an ejection. */
+#define TRIALS_NEEDED 1
+/* Share of a service's targets that stay in use, whatever they do. */
+#define KEPT_SHARE 0.4
+/* A target that neither announces itself nor answers for so long is tried by
+ * a trial before it gets more. */
+#define SILENT_MS 5000
+
+typedef struct judged {
+	uint64_t key;
+	uint64_t service;
+	uint64_t born_ms;
+	fleet_verdict_t verdict;
+	double badness;
+	int64_t faded_ms; /* when the badness was computed */
+	node_id_t last_gate; /* of the last evidence */
+	int64_t last_gate_ms;
+	int64_t until_ms;
+	int64_t ejected_ms;
+	uint32_t ejections; /* in close succession */
+	uint32_t good_trials;
+	node_id_t trial_gate; /* NODE_ID_NONE: no trial runs */
+	int64_t trial_ms;
+	int64_t announced_ms;
+	int64_t good_ms; /* last good response */
+	UT_hash_handle hh;
+} judged_t;
+
+struct hub_judge {
+	judged_t *targets;
+	hub_judge_cb changed;
+	void *ctx;
+};
+
+static const struct {
+	const char *name;
+	double weight;
+} evidence_info[] = {
+	[FLEET_EVIDENCE_GOOD] = { "good", 0 },
+	[FLEET_EVIDENCE_UNREACHABLE] = { "unreachable", 0.5 },
+	[FLEET_EVIDENCE_BROKEN] = { "connection broken", 1.0 },
+	[FLEET_EVIDENCE_WRONG] = { "wrong response", 0.7 },
+	[FLEET_EVIDENCE_ERROR] = { "error response", 0.45 },
+	[FLEET_EVIDENCE_SHED] = { "request shed", 0.34 },
+	[FLEET_EVIDENCE_STALL] = { "stall", 0.55 },
+	[FLEET_EVIDENCE_OTHER] = { "another target answers", 1.0 },
+	[FLEET_EVIDENCE_UNUSED] = { "trial not sent", 0 },
+};
+
+hub_judge_t *
+hub_judge_create(hub_judge_cb changed, void *ctx)
+{
+	hub_judge_t *judge = calloc(1, sizeof(*judge));
+
+	if (judge != NULL) {
+		judge->changed = changed;
+		judge->ctx = ctx;
+	}
+	return (judge);
+}
+
+void
+hub_judge_reset(hub_judge_t *judge)
+{
+	judged_t *target;
+	judged_t *next;
+
+	HASH_ITER(hh, judge->targets, target, next) {
+		HASH_DELETE(hh, judge->targets, target);
+		free(target);
+	}
+}
+
+void
+hub_judge_destroy(hub_judge_t *judge)
+{
+	if (judge == NULL)
+		return;
+	hub_judge_reset(judge);
+	free(judge);
+}
+
+static judged_t *
+find(const hub_judge_t *judge, uint64_t key)
+{
+	judged_t *target;
+
+	HASH_FIND(hh, judge->targets, &key, sizeof(key), target);
+	return (target);
+}
+
+void
+hub_judge_add(
+    hub_judge_t *judge, uint64_t key, uint64_t service, uint64_t born_ms)
+{
+	judged_t *target = find(judge, key);
+
+	if (target != NULL && target->born_ms == born_ms)
+		return;
+	if (target != NULL)
+		hub_judge_remove(judge, key);
+	target = calloc(1, sizeof(*target));
+	if (target == NULL)
+		return;
+	target->key = key;
+	target->service = service;
+	target->born_ms = born_ms;
+	HASH_ADD(hh, judge->targets, key, sizeof(target->key), target);
+}
+
+void
+hub_judge_remove(hub_judge_t *judge, uint64_t key)
+{
+	judged_t *target = find(judge, key);
+
+	if (target == NULL)
+		return;
+	HASH_DELETE(hh, judge->targets, target);
+	free(target);
+}
+
+static void
+set_verdict(hub_judge_t *judge, judged_t *target, fleet_verdict_t verdict,
+    const char *reason)
+{
+	if (target->verdict == verdict)
+		return;
+	target->verdict = verdict;
+	target->trial_gate = NODE_ID_NONE;
+	target->good_trials = 0;
+	judge->changed(judge->ctx, target->key, verdict, reason);
+}
+
+static void
+fade(judged_t *target, int64_t now_ms)
+{
+	if (now_ms > target->faded_ms)
+		target->badness *=
+		    exp((double)(target->faded_ms - now_ms) / BADNESS_FADE_MS);
+	target->faded_ms = now_ms;
+}
+
+/* Ejections must leave a share of the service in use. */
+static int
+may_eject(const hub_judge_t *judge, const judged_t *candidate)
+{
+	const judged_t *target;
+	uint32_t total = 0;
+	uint32_t used = 0;
+
+	for (target = judge->targets; target != NULL;
+	     target = target->hh.next) {
+		if (target->service != candidate->service)
+			continue;
+		total++;
+		used += target->verdict == FLEET_VERDICT_GOOD;
+	}
+	return ((double)used - 1 >= ceil(KEPT_SHARE * total) ||
+	    candidate->verdict != FLEET_VERDICT_GOOD);
+}
+
+static void
+eject(hub_judge_t *judge, judged_t *target, const char *reason, int64_t now_ms)
+{
+	int64_t length_ms = EJECT_MIN_MS;
+
+	if (!may_eject(judge, target))
+		return;
+	if (target->ejections > 0 &&
+	    now_ms - target->ejected_ms < EJECT_MEMORY_MS)
+		length_ms <<= target->ejections < 2 ? target->ejections : 2;
+	else
+		target->ejections = 0;
+	if (length_ms > EJECT_MAX_MS)
+		length_ms = EJECT_MAX_MS;
+	target->ejections++;
+	target->ejected_ms = now_ms;
+	target->until_ms = now_ms + length_ms;
+	target->badness = 0;
+	set_verdict(judge, target, FLEET_VERDICT_EJECTED, reason);
+}
+
+void
+hub_judge_note_announced(hub_judge_t *judge, uint64_t key, int64_t now_ms)
+{
+	judged_t *target = find(judge, key);
+
+	if (target != NULL)
+		target->announced_ms = now_ms;
+}
+
+void
+hub_judge_note_good(hub_judge_t *judge, uint64_t key, uint32_t count,
+    uint32_t latency_sum_ms, int64_t now_ms)
+{
+	judged_t *target = find(judge, key);
+
+	(void)latency_sum_ms;
+	if (target == NULL || count == 0)
+		return;
+	fade(target, now_ms);
+	target->badness *= pow(GOOD_KEEPS, count);
+	target->good_ms = now_ms;
+}
+
+static void
+note_trial(hub_judge_t *judge, judged_t *target, const hub_evidence_t *evidence,
+    int64_t now_ms)
+{
+	if (target->verdict != FLEET_VERDICT_TRIAL ||
+	    target->trial_gate != evidence->gate)
+		return;
+	target->trial_gate = NODE_ID_NONE;
+	switch (evidence->kind) {
+	case FLEET_EVIDENCE_UNUSED:
+		return;
+	case FLEET_EVIDENCE_GOOD:
+		target->good_ms = now_ms;
+		if (++target->good_trials >= TRIALS_NEEDED)
+			set_verdict(judge, target, FLEET_VERDICT_GOOD,
+			    "trials were good");
+		return;
+	default:
+		eject(
+		    judge, target, evidence_info[evidence->kind].name, now_ms);
+	}
+}
+
+void
+hub_judge_note(
+    hub_judge_t *judge, const hub_evidence_t *evidence, int64_t now_ms)
+{
+	judged_t *target = find(judge, evidence->target);
+	double weight;
+
+	if (target == NULL || evidence->kind > FLEET_EVIDENCE_UNUSED)
+		return;
+	if (evidence->is_trial) {
+		note_trial(judge, target, evidence, now_ms);
+		return;
+	}
+	if (target->verdict != FLEET_VERDICT_GOOD)
+		return;
+	weight = evidence_info[evidence->kind].weight;
+	if (evidence->kind == FLEET_EVIDENCE_UNREACHABLE &&
+	    evidence->gate == target->last_gate &&
+	    now_ms - target->last_gate_ms < SAME_GATE_MS)
+		weight *= SAME_GATE_WEIGHT;
+	target->last_gate = evidence->gate;
+	target->last_gate_ms = now_ms;
+	fade(target, now_ms);
+	target->badness += weight;
+	if (target->badness >= BADNESS_LIMIT)
+		eject(
+		    judge, target, evidence_info[evidence->kind].name, now_ms);
+}
+
+int
+hub_judge_ask_trial(
+    hub_judge_t *judge, uint64_t key, node_id_t gate, int64_t now_ms)
+{
+	judged_t *target = find(judge, key);
+
+	if (target == NULL || target->verdict != FLEET_VERDICT_TRIAL ||
+	    target->trial_gate != NODE_ID_NONE)
+		return (0);
+	target->trial_gate = gate;
+	target->trial_ms = now_ms;
+	return (1);
+}
+
+static int
+is_silent(const judged_t *target, int64_t now_ms)
+{
+	int64_t heard_ms = target->announced_ms > target->good_ms
+	    ? target->announced_ms
+	    : target->good_ms;
+
+	return (heard_ms != 0 && now_ms - heard_ms > SILENT_MS);
+}
+
+void
+hub_judge_tick(hub_judge_t *judge, int64_t now_ms)
+{
+	judged_t *target;
+	judged_t *next;
+
+	HASH_ITER(hh, judge->targets, target, next) {
+		if (target->trial_gate != NODE_ID_NONE &&
+		    now_ms - target->trial_ms > TRIAL_MAX_MS)
+			target->trial_gate = NODE_ID_NONE;
+		if (target->verdict == FLEET_VERDICT_EJECTED &&
+		    now_ms >= target->until_ms)
+			set_verdict(judge, target, FLEET_VERDICT_TRIAL,
+			    "the ejection is over");
+		else if (target->verdict == FLEET_VERDICT_GOOD &&
+		    is_silent(target, now_ms))
+			eject(judge, target, "silent", now_ms);
+	}
+}
+
+fleet_verdict_t
+hub_judge_get(const hub_judge_t *judge, uint64_t key)
+{
+	const judged_t *target = find(judge, key);
+
+	return (target != NULL ? target->verdict : FLEET_VERDICT_GOOD);
+}
+
+int
+hub_judge_get_info(
+    const hub_judge_t *judge, uint64_t key, hub_judge_info_t *info)
+{
+	const judged_t *target = find(judge, key);
+
+	if (target == NULL)
+		return (TM_ENOENT);
+	*info = (hub_judge_info_t){
+		.verdict = target->verdict,
+		.badness = target->badness,
+		.ejections = target->ejections,
+		.until_ms = target->until_ms,
+	};
+	return (TM_OK);
+}
--- /dev/null
+++ b/src/hub/hub_main.c
@@ -0,0 +1,121 @@
+/* tm-hub: shared state of a fleet whose entry VMs keep none. */
+#include <stdio.h>
+
+#include <uv.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "hub/hub.h"
+#include "hub/hub_api.h"
+#include "settings/program_args.h"
+#include "settings/program_signals.h"
+
+#define STOP_POLL_MS 20
+/* Time for the last responses to leave the process. */
+#define STOP_FLUSH_MS 200
+
+typedef struct program {
+	uv_loop_t loop;
+	hub_t *hub;
+	hub_api_t *api;
+	const char *settings_file;
+	program_signals_t signals;
+	uv_timer_t stop_timer;
+	int is_flushing;
+} program_t;
+
+static void
+program_poll_stop(uv_timer_t *timer)
+{
+	program_t *program = timer->data;
+
+	if (program->is_flushing) {
+		uv_stop(&program->loop);
+		return;
+	}
+	if (!hub_is_stopped(program->hub))
+		return;
+	program->is_flushing = 1;
+	uv_timer_start(timer, program_poll_stop, STOP_FLUSH_MS, 0);
+}
+
+static void
+program_stop(void *ctx)
+{
+	program_t *program = ctx;
+
+	hub_begin_stop(program->hub);
+	hub_api_close(program->api);
+	if (!uv_is_active((uv_handle_t *)&program->stop_timer))
+		uv_timer_start(
+		    &program->stop_timer, program_poll_stop, 0, STOP_POLL_MS);
+}
+
+/* Takes over seeds and secrets; a bad file changes nothing. */
+static void
+program_reload(void *ctx)
+{
+	static hub_settings_t fresh;
+	program_t *program = ctx;
+
+	if (hub_settings_load(&fresh, program->settings_file, stderr) !=
+	    TM_OK) {
+		LOG_EVENT(921, LOG_LEVEL_ERROR,
+		    "the settings file has problems, the old settings stay",
+		    LOG_TEXT("file", program->settings_file));
+		return;
+	}
+	hub_reload(program->hub, &fresh);
+	LOG_EVENT(922, LOG_LEVEL_INFO, "settings read again",
+	    LOG_NUM("seeds", fresh.seed_count),
+	    LOG_NUM("fleet_secrets", fresh.secret_count));
+}
+
+static int
+program_run(const hub_settings_t *settings, const char *file)
+{
+	static program_t program;
+
+	log_configure(stdout, settings->log_level, settings->node);
+	program.settings_file = file;
+	uv_loop_init(&program.loop);
+	if (hub_create(&program.hub, settings, &program.loop) != TM_OK)
+		return (1);
+	if (hub_api_create(&program.api, program.hub, &program.loop) != TM_OK) {
+		LOG_EVENT(923, LOG_LEVEL_ERROR, "cannot listen for calls",
+		    LOG_TEXT("remedy",
+			"check listen and metrics_port, and that no other "
+			"process uses the ports"));
+		return (1);
+	}
+	program_watch_signals(&program.signals, &program.loop, program_stop,
+	    program_reload, &program);
+	uv_timer_init(&program.loop, &program.stop_timer);
+	program.stop_timer.data = &program;
+	LOG_EVENT(920, LOG_LEVEL_INFO, "started",
+	    LOG_TEXT("zone", settings->zone),
+	    LOG_NUM("seeds", settings->seed_count),
+	    LOG_NUM("is_first_start", settings->is_first_start));
+	uv_run(&program.loop, UV_RUN_DEFAULT);
+	/* All that was answered is on disk. The process ends here, and its
+	 * memory and open connections with it. */
+	return (0);
+}
+
+int
+main(int argc, char **argv)
+{
+	static hub_settings_t settings;
+	program_args_t args;
+
+	if (!program_args_parse(
+		argc, argv, "tm-hub", hub_default_settings, 0, &args))
+		return (args.status);
+	if (hub_settings_load(&settings, args.settings, stderr) != TM_OK)
+		return (2);
+	if (args.check) {
+		printf("%s: ok\n", args.settings);
+		return (0);
+	}
+	return (program_run(&settings, args.settings));
+}
--- /dev/null
+++ b/src/hub/hub_members.c
@@ -0,0 +1,340 @@
+#include "hub/hub_members.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "proto/fleet.pb-c.h"
+
+typedef struct member {
+	char name[FLEET_IP_BYTES];
+	node_id_t id;
+	int64_t heard_ms; /* 0: never */
+	int is_stopping;
+} member_t;
+
+struct hub_members {
+	hub_members_options_t options;
+	char self[FLEET_IP_BYTES];
+	node_id_t self_id;
+	member_t members[FLEET_HUBS_MAX];
+	int count;
+	int64_t due_ms;
+	int is_stopping;
+};
+
+static member_t *
+find(const hub_members_t *members, node_id_t id)
+{
+	int i;
+
+	for (i = 0; i < members->count; i++) {
+		if (members->members[i].id == id)
+			return ((member_t *)&members->members[i]);
+	}
+	return (NULL);
+}
+
+/* A hub that was never heard gives way to a new one. */
+static member_t *
+take_place(hub_members_t *members)
+{
+	int i;
+
+	if (members->count < FLEET_HUBS_MAX)
+		return (&members->members[members->count++]);
+	for (i = 0; i < members->count; i++) {
+		if (members->members[i].heard_ms == 0)
+			return (&members->members[i]);
+	}
+	return (NULL);
+}
+
+static member_t *
+learn(hub_members_t *members, const char *name)
+{
+	node_id_t id = node_id_from_name(name);
+	member_t *member;
+
+	if (id == members->self_id || strlen(name) >= FLEET_IP_BYTES ||
+	    !node_name_is_valid(name))
+		return (NULL);
+	member = find(members, id);
+	if (member != NULL)
+		return (member);
+	member = take_place(members);
+	if (member == NULL)
+		return (NULL);
+	*member = (member_t){ .id = id };
+	snprintf(member->name, sizeof(member->name), "%s", name);
+	members->options.found(members->options.ctx, member->name);
+	return (member);
+}
+
+hub_members_t *
+hub_members_create(const hub_members_options_t *options)
+{
+	hub_members_t *members = calloc(1, sizeof(*members));
+	int i;
+
+	if (members == NULL)
+		return (NULL);
+	members->options = *options;
+	snprintf(members->self, sizeof(members->self), "%s", options->self);
+	members->self_id = node_id_from_name(members->self);
+	for (i = 0; i < options->seed_count; i++)
+		learn(members, options->seeds[i]);
+	return (members);
+}
+
+void
+hub_members_destroy(hub_members_t *members)
+{
+	free(members);
+}
+
+void
+hub_members_learn(hub_members_t *members, const hub_state_t *state)
+{
+	int i;
+
+	for (i = 0; i < state->hub_count; i++)
+		learn(members, state->hubs[i]);
+}
+
+void
+hub_members_add_seed(hub_members_t *members, const char *name)
+{
+	learn(members, name);
+}
+
+int
+hub_members_list(const hub_members_t *members, const char **names)
+{
+	int count = 0;
+	int i;
+
+	names[count++] = members->self;
+	for (i = 0; i < members->count && count < FLEET_HUBS_MAX; i++)
+		names[count++] = members->members[i].name;
+	return (count);
+}
+
+static void
+send_hello(hub_members_t *members)
+{
+	Tm__Fleet__Hello hello = TM__FLEET__HELLO__INIT;
+	const char *names[FLEET_HUBS_MAX];
+	int i;
+
+	hello.name = members->self;
+	hello.n_hubs = (size_t)hub_members_list(members, names);
+	hello.hubs = (char **)names;
+	hello.is_stopping = members->is_stopping;
+	for (i = 0; i < members->count; i++)
+		members->options.send(members->options.send_ctx,
+		    members->members[i].id, MSG_FLEET_HELLO, &hello.base);
+}
+
+void
+hub_members_tick(hub_members_t *members, int64_t now_ms)
+{
+	if (now_ms < members->due_ms)
+		return;
+	members->due_ms = now_ms + HUB_HELLO_MS;
+	send_hello(members);
+}
+
+void
+hub_members_set_stopping(hub_members_t *members)
+{
+	members->is_stopping = 1;
+	send_hello(members);
+}
+
+void
+hub_members_handle(hub_members_t *members, node_id_t from,
+    const uint8_t *payload, size_t len, int64_t now_ms)
+{
+	Tm__Fleet__Hello *hello = tm__fleet__hello__unpack(NULL, len, payload);
+	member_t *member;
+	size_t i;
+
+	if (hello == NULL)
+		return;
+	if (node_id_from_name(hello->name) == from) {
+		member = learn(members, hello->name);
+		if (member != NULL) {
+			member->heard_ms = now_ms;
+			member->is_stopping = hello->is_stopping;
+		}
+		for (i = 0; i < hello->n_hubs && i < FLEET_HUBS_MAX; i++)
+			learn(members, hello->hubs[i]);
+	}
+	tm__fleet__hello__free_unpacked(hello, NULL);
+}
+
+const char *
+hub_members_find_name(const hub_members_t *members, node_id_t id)
+{
+	const member_t *member = find(members, id);
+
+	if (id == members->self_id)
+		return (members->self);
+	return (member != NULL ? member->name : NULL);
+}
+
+static int64_t
+get_silence_ms(const hub_members_t *members, node_id_t id, int64_t now_ms)
+{
+	const member_t *member = find(members, id);
+
+	if (id == members->self_id)
+		return (0);
+	if (member == NULL || member->heard_ms == 0)
+		return (INT64_MAX);
+	return (now_ms - member->heard_ms);
+}
+
+int
+hub_members_is_fresh(const hub_members_t *members, node_id_t id, int64_t now_ms)
+{
+	return (get_silence_ms(members, id, now_ms) <= HUB_FRESH_MS);
+}
+
+static int
+is_seated(const hub_members_view_t *view, node_id_t id)
+{
+	int i;
+
+	for (i = 0; i < view->seat_count; i++) {
+		if (view->seats[i].node == id)
+			return (1);
+	}
+	return (0);
+}
+
+static hub_step_t
+plan_record(hub_members_t *members, const hub_members_view_t *view,
+    int64_t now_ms, const char **name)
+{
+	const member_t *member;
+	int i;
+
+	if (!hub_state_has_hub(view->state, members->self)) {
+		*name = members->self;
+		return (HUB_STEP_RECORD);
+	}
+	for (i = 0; i < members->count; i++) {
+		member = &members->members[i];
+		if (now_ms - member->heard_ms <= HUB_FRESH_MS &&
+		    member->heard_ms != 0 && !member->is_stopping &&
+		    !hub_state_has_hub(view->state, member->name)) {
+			*name = member->name;
+			return (HUB_STEP_RECORD);
+		}
+	}
+	return (HUB_STEP_NONE);
+}
+
+static const member_t *
+find_candidate(const hub_members_t *members, const hub_members_view_t *view,
+    int64_t now_ms)
+{
+	const member_t *member;
+	int i;
+
+	for (i = 0; i < members->count; i++) {
+		member = &members->members[i];
+		if (!member->is_stopping &&
+		    hub_members_is_fresh(members, member->id, now_ms) &&
+		    hub_state_has_hub(view->state, member->name) &&
+		    !is_seated(view, member->id))
+			return (member);
+	}
+	return (NULL);
+}
+
+/*
+ * The seat of the hub that is silent for longest. The seats that are left must
+ * have a majority that is well.
+ */
+static const raft_voter_t *
+find_silent_seat(const hub_members_t *members, const hub_members_view_t *view,
+    int64_t limit_ms, int64_t now_ms)
+{
+	const raft_voter_t *worst = NULL;
+	int64_t worst_ms = limit_ms;
+	int64_t silence_ms;
+	int fresh = 0;
+	int i;
+
+	for (i = 0; i < view->seat_count; i++) {
+		silence_ms =
+		    get_silence_ms(members, view->seats[i].node, now_ms);
+		fresh += silence_ms <= HUB_FRESH_MS;
+		if (silence_ms > worst_ms) {
+			worst_ms = silence_ms;
+			worst = &view->seats[i];
+		}
+	}
+	if (fresh <= (view->seat_count - 1) / 2)
+		return (NULL);
+	return (worst);
+}
+
+static hub_step_t
+plan_seats(hub_members_t *members, const hub_members_view_t *view,
+    int64_t now_ms, const char **name)
+{
+	const member_t *candidate = find_candidate(members, view, now_ms);
+	const raft_voter_t *silent = NULL;
+
+	if (candidate != NULL && view->seat_count < HUB_SEATS_MAX) {
+		*name = candidate->name;
+		return (HUB_STEP_SEAT);
+	}
+	if (candidate != NULL && view->leading_ms > HUB_REPLACED_MS)
+		silent =
+		    find_silent_seat(members, view, HUB_REPLACED_MS, now_ms);
+	else if (view->seat_count > HUB_SEATS_MIN &&
+	    view->leading_ms > HUB_LOST_MS)
+		silent = find_silent_seat(members, view, HUB_LOST_MS, now_ms);
+	if (silent == NULL)
+		return (HUB_STEP_NONE);
+	*name = hub_members_find_name(members, silent->node);
+	return (*name != NULL ? HUB_STEP_UNSEAT : HUB_STEP_NONE);
+}
+
+static hub_step_t
+plan_forget(hub_members_t *members, const hub_members_view_t *view,
+    int64_t now_ms, const char **name)
+{
+	node_id_t id;
+	int i;
+
+	if (view->leading_ms < HUB_FORGOTTEN_MS)
+		return (HUB_STEP_NONE);
+	for (i = 0; i < view->state->hub_count; i++) {
+		id = node_id_from_name(view->state->hubs[i]);
+		if (is_seated(view, id) ||
+		    get_silence_ms(members, id, now_ms) < HUB_FORGOTTEN_MS)
+			continue;
+		*name = view->state->hubs[i];
+		return (HUB_STEP_FORGET);
+	}
+	return (HUB_STEP_NONE);
+}
+
+hub_step_t
+hub_members_plan(hub_members_t *members, const hub_members_view_t *view,
+    int64_t now_ms, const char **name)
+{
+	hub_step_t step = plan_record(members, view, now_ms, name);
+
+	if (step == HUB_STEP_NONE)
+		step = plan_seats(members, view, now_ms, name);
+	if (step == HUB_STEP_NONE)
+		step = plan_forget(members, view, now_ms, name);
+	return (step);
+}
--- /dev/null
+++ b/src/hub/hub_quota.h
@@ -0,0 +1,77 @@
+/**
+ * @file
+ * Token buckets at the leading hub: rates of workspaces and retry budgets of
+ * services, each over the whole fleet. A decision module.
+ *
+ * A gate spends freely on a workspace that has plenty and reports what it
+ * spent; it asks first for one that is scarce. A new leader does not know what
+ * was spent before, so that its buckets start empty and scarce.
+ */
+#ifndef TM_HUB_HUB_QUOTA_H
+#define TM_HUB_HUB_QUOTA_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "fleet/fleet_config.h"
+
+/** Longest time for which a permit may lie in the future. */
+#define HUB_QUOTA_WAIT_MAX_MS 400
+
+typedef struct hub_quota hub_quota_t;
+
+/** Budget of repeated sendings for each service. */
+typedef struct hub_quota_options {
+	double retry_ratio; /**< repeats for each request */
+	double retry_burst; /**< repeats beyond that share */
+} hub_quota_options_t;
+
+/** What an ask gets. */
+typedef struct hub_permit {
+	int is_granted;
+	/** Granted: wait so long first. Else: ask again no sooner. */
+	uint32_t wait_ms;
+} hub_permit_t;
+
+/** @return NULL if memory is exhausted */
+hub_quota_t *hub_quota_create(const hub_quota_options_t *options);
+
+/** Frees the buckets; NULL is allowed. */
+void hub_quota_destroy(hub_quota_t *quota);
+
+/** Empties all buckets: this hub begins to lead. */
+void hub_quota_reset(hub_quota_t *quota, int64_t now_ms);
+
+/** Takes over the rates of a configuration. */
+void hub_quota_configure(
+    hub_quota_t *quota, const fleet_config_t *config, int64_t now_ms);
+
+/** Counts a request that a gate has sent without asking. */
+void hub_quota_spend(
+    hub_quota_t *quota, uint64_t workspace, uint64_t service, int64_t now_ms);
+
+/** Asks for a token of a workspace. */
+hub_permit_t hub_quota_ask(
+    hub_quota_t *quota, uint64_t workspace, uint64_t service, int64_t now_ms);
+
+/** Asks for a repeated sending at a service. */
+hub_permit_t hub_quota_ask_retry(
+    hub_quota_t *quota, uint64_t service, int64_t now_ms);
+
+/**
+ * Lists the workspaces that gates must ask for.
+ *
+ * @param ids  room for max ids
+ * @return     their number
+ */
+size_t hub_quota_list_scarce(
+    const hub_quota_t *quota, uint64_t *ids, size_t max);
+
+/**
+ * Moves the buckets on.
+ *
+ * @return 1 if the list of scarce workspaces has changed since the last call
+ */
+int hub_quota_tick(hub_quota_t *quota, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/hub/hub_settings.c
@@ -0,0 +1,64 @@
+#include "hub/hub_settings.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "fleet/fleet_settings.h"
+
+/* Bounds of the retry budget; larger ones would not bound anything. */
+#define RETRY_RATIO_MAX 1.0
+#define RETRY_BURST_MAX 10000.0
+
+const char hub_default_settings[] =
+    "{\n"
+    "  \"node\": \"hub-1\",\n"
+    "  \"zone\": \"dc-1\",\n"
+    "  \"data_dir\": \"/var/lib/tarragonmoor\",\n"
+    "  \"ip\": \"127.0.0.1\",\n"
+    "  \"listen\": \"127.0.0.1:7100\",\n"
+    "  \"peer_port\": 7200,\n"
+    "  \"metrics_port\": 0,\n"
+    "  \"seeds\": [\"127.0.0.1:7100\"],\n"
+    "  \"is_first_start\": true,\n"
+    "  \"fleet_secrets\": [\"replace-with-32-random-bytes\"],\n"
+    "  \"retry_ratio\": 0.15,\n"
+    "  \"retry_burst\": 30,\n"
+    "  \"dialect\": \"platform\",\n"
+    "  \"log_level\": \"info\"\n"
+    "}\n";
+
+static void
+read_settings(json_node_t *root, void *out)
+{
+	hub_settings_t *settings = out;
+
+	strncpy(settings->node, json_need_name(root, "node"), NAME_MAX_BYTES);
+	strncpy(settings->zone, json_need_name(root, "zone"), NAME_MAX_BYTES);
+	strncpy(settings->data_dir,
+	    json_need_text(root, "data_dir", 1, HUB_PATH_MAX_BYTES),
+	    HUB_PATH_MAX_BYTES);
+	fleet_read_ip(root, "ip", settings->ip);
+	json_need_address(root, "listen", &settings->listen);
+	settings->peer_port =
+	    (uint16_t)json_need_int(root, "peer_port", 1, UINT16_MAX, "");
+	settings->metrics_port =
+	    (uint16_t)json_opt_int(root, "metrics_port", 0, UINT16_MAX, "", 0);
+	settings->seed_count = fleet_read_seeds(root, settings->seeds);
+	settings->is_first_start = json_opt_bool(root, "is_first_start", 0);
+	settings->secret_count =
+	    program_read_secrets(root, "fleet_secrets", settings->secrets);
+	settings->retry_ratio =
+	    json_opt_real(root, "retry_ratio", 0, RETRY_RATIO_MAX, "", 0.15);
+	settings->retry_burst = json_opt_real(
+	    root, "retry_burst", 0, RETRY_BURST_MAX, "requests", 30);
+	settings->dialect = fleet_read_dialect(root);
+	settings->log_level = program_read_log_level(root);
+	json_node_finish(root);
+}
+
+int
+hub_settings_load(hub_settings_t *settings, const char *file, FILE *errors)
+{
+	memset(settings, 0, sizeof(*settings));
+	return (program_load_settings(file, errors, read_settings, settings));
+}
--- /dev/null
+++ b/src/hub/hub_settings.h
@@ -0,0 +1,48 @@
+/**
+ * @file
+ * Settings of tm-hub.
+ */
+#ifndef TM_HUB_HUB_SETTINGS_H
+#define TM_HUB_HUB_SETTINGS_H
+
+#include <netinet/in.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "base/log.h"
+#include "fleet/dialect.h"
+#include "settings/program_settings.h"
+
+#define HUB_PATH_MAX_BYTES 255
+
+typedef struct hub_settings {
+	char node[NAME_MAX_BYTES + 1]; /**< for logs */
+	char zone[NAME_MAX_BYTES + 1];
+	char data_dir[HUB_PATH_MAX_BYTES + 1];
+	char ip[FLEET_IP_BYTES]; /**< address and name among the hubs */
+	struct sockaddr_in listen; /**< targets and operators */
+	uint16_t peer_port; /**< the same on all VMs */
+	uint16_t metrics_port; /**< 0: none */
+	char seeds[FLEET_HUBS_MAX][FLEET_IP_BYTES];
+	int seed_count;
+	int is_first_start; /**< the fleet starts, and no hub has a log yet */
+	int secret_count;
+	program_secret_t secrets[PEER_SECRETS_MAX];
+	double retry_ratio; /**< repeats of a service for each request */
+	double retry_burst; /**< repeats beyond that share */
+	const dialect_t *dialect;
+	log_level_t log_level;
+} hub_settings_t;
+
+/**
+ * Reads and checks a settings file; all problems are written at once.
+ *
+ * @param errors  receives one line for each problem
+ * @return        0, TM_EINVAL if there was a problem, TM_ENOMEM
+ */
+int hub_settings_load(hub_settings_t *settings, const char *file, FILE *errors);
+
+/** Example for --print-default. */
+extern const char hub_default_settings[];
+
+#endif
--- /dev/null
+++ b/src/hub/hub_state.c
@@ -0,0 +1,416 @@
+#include "hub/hub_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "fleet/zip.h"
+
+hub_state_t *
+hub_state_create(void)
+{
+	return (calloc(1, sizeof(hub_state_t)));
+}
+
+void
+hub_document_release(hub_document_t *document)
+{
+	free(document->zipped);
+	*document = (hub_document_t){ .version = 0 };
+}
+
+static void
+state_clear(hub_state_t *state)
+{
+	hub_target_t *target;
+	hub_target_t *next;
+
+	HASH_ITER(hh, state->targets, target, next) {
+		HASH_DELETE(hh, state->targets, target);
+		free(target);
+	}
+	hub_document_release(&state->document);
+	state->has_document = 0;
+	state->hub_count = 0;
+}
+
+void
+hub_state_destroy(hub_state_t *state)
+{
+	if (state == NULL)
+		return;
+	state_clear(state);
+	free(state);
+}
+
+hub_target_t *
+hub_state_find_target(const hub_state_t *state, uint64_t key)
+{
+	hub_target_t *target;
+
+	HASH_FIND(hh, state->targets, &key, sizeof(key), target);
+	return (target);
+}
+
+hub_target_t *
+hub_state_find_address(const hub_state_t *state, uint32_t ip, uint16_t port)
+{
+	hub_target_t *target;
+	hub_target_t *next;
+
+	HASH_ITER(hh, state->targets, target, next) {
+		if (target->as.ip == ip && target->as.port == port &&
+		    target->as.state != FLEET_TARGET_GONE)
+			return (target);
+	}
+	return (NULL);
+}
+
+int
+hub_state_has_hub(const hub_state_t *state, const char *name)
+{
+	int i;
+
+	for (i = 0; i < state->hub_count; i++) {
+		if (strcmp(state->hubs[i], name) == 0)
+			return (1);
+	}
+	return (0);
+}
+
+static int
+copy_name(char *out, size_t size, const char *text)
+{
+	size_t len = strlen(text);
+
+	if (len == 0 || len >= size)
+		return (0);
+	memcpy(out, text, len + 1);
+	return (1);
+}
+
+static int
+read_target(const Tm__Fleet__Target *msg, dialect_announcement_t *as)
+{
+	memset(as, 0, sizeof(*as));
+	if (!copy_name(as->id, sizeof(as->id), msg->id) ||
+	    !copy_name(as->service, sizeof(as->service), msg->service) ||
+	    !copy_name(as->zone, sizeof(as->zone), msg->zone) ||
+	    msg->state > FLEET_TARGET_GONE || msg->port == 0 ||
+	    msg->port > UINT16_MAX)
+		return (0);
+	as->born_ms = msg->born_ms;
+	as->sequence = msg->sequence;
+	as->ip = msg->ip;
+	as->port = (uint16_t)msg->port;
+	as->slots = msg->slots;
+	as->state = (fleet_target_state_t)msg->state;
+	as->cold_left_ms = msg->cold_left_ms;
+	return (1);
+}
+
+/* The newest incarnation holds an address. */
+static void
+retire_address(hub_state_t *state, const hub_target_t *owner)
+{
+	hub_target_t *target;
+	hub_target_t *next;
+
+	HASH_ITER(hh, state->targets, target, next) {
+		if (target == owner || target->as.ip != owner->as.ip ||
+		    target->as.port != owner->as.port ||
+		    target->as.state == FLEET_TARGET_GONE)
+			continue;
+		target->as.state = FLEET_TARGET_GONE;
+		target->changed = ++state->changes;
+	}
+}
+
+static hub_change_t
+apply_target(
+    hub_state_t *state, const Tm__Fleet__Target *msg, hub_target_t **out)
+{
+	dialect_announcement_t as;
+	const hub_target_t *owner;
+	hub_target_t *target;
+	uint64_t key;
+
+	if (!read_target(msg, &as))
+		return (HUB_CHANGE_NONE);
+	key = fleet_name_hash(as.id);
+	target = hub_state_find_target(state, key);
+	if (target != NULL && as.born_ms < target->as.born_ms)
+		return (HUB_CHANGE_NONE);
+	owner = hub_state_find_address(state, as.ip, as.port);
+	if (owner != NULL && owner->key != key &&
+	    as.born_ms < owner->as.born_ms)
+		return (HUB_CHANGE_NONE);
+	if (target == NULL) {
+		if (HASH_COUNT(state->targets) >= HUB_TARGETS_MAX)
+			return (HUB_CHANGE_NONE);
+		target = calloc(1, sizeof(*target));
+		if (target == NULL)
+			return (HUB_CHANGE_NONE);
+		target->key = key;
+		HASH_ADD(hh, state->targets, key, sizeof(key), target);
+	}
+	target->as = as;
+	target->changed = ++state->changes;
+	if (as.state != FLEET_TARGET_GONE)
+		retire_address(state, target);
+	*out = target;
+	return (HUB_CHANGE_TARGET);
+}
+
+static hub_change_t
+apply_forgotten(hub_state_t *state, const Tm__Fleet__Target *msg)
+{
+	hub_target_t *target =
+	    hub_state_find_target(state, fleet_name_hash(msg->id));
+
+	if (target == NULL || target->as.born_ms != msg->born_ms ||
+	    target->as.state != FLEET_TARGET_GONE)
+		return (HUB_CHANGE_NONE);
+	HASH_DELETE(hh, state->targets, target);
+	free(target);
+	return (HUB_CHANGE_NONE);
+}
+
+static int
+set_document(hub_state_t *state, const Tm__Fleet__Document *msg)
+{
+	uint8_t *copy = malloc(msg->zipped.len + 1);
+
+	if (copy == NULL)
+		return (TM_ENOMEM);
+	if (msg->zipped.len > 0)
+		memcpy(copy, msg->zipped.data, msg->zipped.len);
+	free(state->document.zipped);
+	state->document = (hub_document_t){
+		.version = msg->version,
+		.zipped = copy,
+		.zipped_len = msg->zipped.len,
+		.plain_len = msg->plain_bytes,
+	};
+	state->has_document = 1;
+	return (TM_OK);
+}
+
+static hub_change_t
+apply_document(hub_state_t *state, const Tm__Fleet__Document *msg)
+{
+	if (state->has_document && msg->version <= state->document.version)
+		return (HUB_CHANGE_NONE);
+	return (set_document(state, msg) == TM_OK ? HUB_CHANGE_DOCUMENT
+						  : HUB_CHANGE_NONE);
+}
+
+static int
+add_hub(hub_state_t *state, const char *name)
+{
+	if (hub_state_has_hub(state, name) ||
+	    state->hub_count == FLEET_HUBS_MAX ||
+	    !copy_name(state->hubs[state->hub_count], FLEET_IP_BYTES, name))
+		return (0);
+	state->hub_count++;
+	return (1);
+}
+
+static hub_change_t
+apply_lost_hub(hub_state_t *state, const char *name)
+{
+	int i;
+
+	for (i = 0; i < state->hub_count; i++) {
+		if (strcmp(state->hubs[i], name) != 0)
+			continue;
+		state->hub_count--;
+		memmove(state->hubs[i], state->hubs[state->hub_count],
+		    FLEET_IP_BYTES);
+		return (HUB_CHANGE_HUBS);
+	}
+	return (HUB_CHANGE_NONE);
+}
+
+hub_change_t
+hub_state_apply(
+    hub_state_t *state, const uint8_t *bytes, size_t len, hub_target_t **target)
+{
+	Tm__Fleet__Entry *entry = tm__fleet__entry__unpack(NULL, len, bytes);
+	hub_change_t change = HUB_CHANGE_NONE;
+
+	*target = NULL;
+	if (entry == NULL)
+		return (HUB_CHANGE_NONE);
+	if (entry->document != NULL)
+		change = apply_document(state, entry->document);
+	else if (entry->target != NULL)
+		change = apply_target(state, entry->target, target);
+	else if (entry->gone != NULL)
+		change = apply_forgotten(state, entry->gone);
+	else if (entry->hub[0] != '\0')
+		change = add_hub(state, entry->hub) ? HUB_CHANGE_HUBS
+						    : HUB_CHANGE_NONE;
+	else if (entry->lost_hub[0] != '\0')
+		change = apply_lost_hub(state, entry->lost_hub);
+	tm__fleet__entry__free_unpacked(entry, NULL);
+	return (change);
+}
+
+void
+hub_target_fill(Tm__Fleet__Target *msg, const dialect_announcement_t *as)
+{
+	tm__fleet__target__init(msg);
+	msg->id = (char *)as->id;
+	msg->service = (char *)as->service;
+	msg->zone = (char *)as->zone;
+	msg->born_ms = as->born_ms;
+	msg->sequence = as->sequence;
+	msg->ip = as->ip;
+	msg->port = as->port;
+	msg->slots = as->slots;
+	msg->state = as->state;
+	msg->cold_left_ms = as->cold_left_ms;
+}
+
+static uint8_t *
+encode(const ProtobufCMessage *msg, size_t *len)
+{
+	uint8_t *bytes;
+
+	*len = protobuf_c_message_get_packed_size(msg);
+	bytes = malloc(*len + 1);
+	if (bytes != NULL)
+		protobuf_c_message_pack(msg, bytes);
+	return (bytes);
+}
+
+static void
+fill_document(Tm__Fleet__Document *msg, const hub_document_t *document)
+{
+	tm__fleet__document__init(msg);
+	msg->version = document->version;
+	msg->zipped.data = document->zipped;
+	msg->zipped.len = document->zipped_len;
+	msg->plain_bytes = (uint32_t)document->plain_len;
+}
+
+uint8_t *
+hub_entry_encode_document(const hub_document_t *document, size_t *len)
+{
+	Tm__Fleet__Entry entry = TM__FLEET__ENTRY__INIT;
+	Tm__Fleet__Document msg;
+
+	fill_document(&msg, document);
+	entry.document = &msg;
+	return (encode(&entry.base, len));
+}
+
+uint8_t *
+hub_entry_encode_target(const dialect_announcement_t *as, size_t *len)
+{
+	Tm__Fleet__Entry entry = TM__FLEET__ENTRY__INIT;
+	Tm__Fleet__Target msg;
+
+	hub_target_fill(&msg, as);
+	entry.target = &msg;
+	return (encode(&entry.base, len));
+}
+
+uint8_t *
+hub_entry_encode_forgotten(const dialect_announcement_t *as, size_t *len)
+{
+	Tm__Fleet__Entry entry = TM__FLEET__ENTRY__INIT;
+	Tm__Fleet__Target msg;
+
+	hub_target_fill(&msg, as);
+	entry.gone = &msg;
+	return (encode(&entry.base, len));
+}
+
+uint8_t *
+hub_entry_encode_hub(const char *name, int is_lost, size_t *len)
+{
+	Tm__Fleet__Entry entry = TM__FLEET__ENTRY__INIT;
+
+	if (is_lost)
+		entry.lost_hub = (char *)name;
+	else
+		entry.hub = (char *)name;
+	return (encode(&entry.base, len));
+}
+
+uint8_t *
+hub_state_encode(const hub_state_t *state, size_t *len)
+{
+	Tm__Fleet__Snapshot snapshot = TM__FLEET__SNAPSHOT__INIT;
+	size_t count = HASH_COUNT(state->targets);
+	Tm__Fleet__Target *msgs = calloc(count + 1, sizeof(*msgs));
+	Tm__Fleet__Target **pointers = calloc(count + 1, sizeof(*pointers));
+	char *hubs[FLEET_HUBS_MAX];
+	Tm__Fleet__Document document;
+	hub_target_t *target;
+	hub_target_t *next;
+	uint8_t *bytes = NULL;
+	int i;
+
+	for (i = 0; i < state->hub_count; i++)
+		hubs[i] = (char *)state->hubs[i];
+	snapshot.hubs = hubs;
+	snapshot.n_hubs = (size_t)state->hub_count;
+	if (state->has_document) {
+		fill_document(&document, &state->document);
+		snapshot.document = &document;
+	}
+	if (msgs != NULL && pointers != NULL) {
+		HASH_ITER(hh, state->targets, target, next) {
+			hub_target_fill(&msgs[snapshot.n_targets], &target->as);
+			pointers[snapshot.n_targets] =
+			    &msgs[snapshot.n_targets];
+			snapshot.n_targets++;
+		}
+		snapshot.targets = pointers;
+		bytes = encode(&snapshot.base, len);
+	}
+	free(pointers);
+	free(msgs);
+	return (bytes);
+}
+
+int
+hub_state_restore(hub_state_t *state, const uint8_t *bytes, size_t len)
+{
+	Tm__Fleet__Snapshot *snapshot =
+	    tm__fleet__snapshot__unpack(NULL, len, bytes);
+	hub_target_t *unused;
+	int err = TM_OK;
+	size_t i;
+
+	if (snapshot == NULL)
+		return (TM_EFORMAT);
+	state_clear(state);
+	for (i = 0; i < snapshot->n_targets; i++)
+		apply_target(state, snapshot->targets[i], &unused);
+	for (i = 0; i < snapshot->n_hubs; i++)
+		add_hub(state, snapshot->hubs[i]);
+	if (snapshot->document != NULL)
+		err = set_document(state, snapshot->document);
+	tm__fleet__snapshot__free_unpacked(snapshot, NULL);
+	return (err);
+}
+
+int
+hub_document_pack(
+    hub_document_t *document, uint64_t version, const char *plain, size_t len)
+{
+	*document = (hub_document_t){ .version = version, .plain_len = len };
+	document->zipped = zip_pack(plain, len, &document->zipped_len);
+	return (document->zipped != NULL ? TM_OK : TM_ENOMEM);
+}
+
+char *
+hub_document_unpack(const hub_document_t *document)
+{
+	return (zip_unpack(
+	    document->zipped, document->zipped_len, document->plain_len));
+}
--- a/src/net/msg_types.h
+++ b/src/net/msg_types.h
@@ -13,6 +13,7 @@
 #define MSG_CLAIM_BASE	 70
 #define MSG_RATE_BASE	 80
 #define MSG_SERVICE_BASE 90
-#define MSG_TYPE_LIMIT	 120
+#define MSG_FLEET_BASE	 120
+#define MSG_TYPE_LIMIT	 140
 
 #endif
--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -218,7 +218,7 @@
 }
 
 void
-peer_net_remove(peer_net_t *net, node_id_t id)
+peer_net_reset(peer_net_t *net, node_id_t id)
 {
 	peer_node_t *node = peer_net_find_node(net, id);
 
@@ -228,6 +228,18 @@
 		peer_conn_close(node->out);
 	if (node->in != NULL)
 		peer_conn_close(node->in);
+	node->retry_at_ms = 0;
+	node->backoff_ms = 0;
+}
+
+void
+peer_net_remove(peer_net_t *net, node_id_t id)
+{
+	peer_node_t *node = peer_net_find_node(net, id);
+
+	if (node == NULL)
+		return;
+	peer_net_reset(net, id);
 	HASH_DEL(net->nodes, node);
 	free(node);
 }
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -86,6 +86,9 @@
 int peer_net_set_address(
     peer_net_t *net, node_id_t id, const char *ip, uint16_t port);
 
+/** Closes the connections of a node, which may be dead; its address stays. */
+void peer_net_reset(peer_net_t *net, node_id_t id);
+
 /** Forgets a node and closes its connection. */
 void peer_net_remove(peer_net_t *net, node_id_t id);
 
--- a/test/unit/upstream_freeze_test.cc
+++ b/test/unit/upstream_freeze_test.cc
@@ -13,7 +13,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "entry/upstream.h"
+#include "http/upstream.h"
 }
 
 namespace {
--- a/test/unit/upstream_test.cc
+++ b/test/unit/upstream_test.cc
@@ -15,7 +15,7 @@
 
 extern "C" {
 #include "base/clock.h"
-#include "entry/upstream.h"
+#include "http/upstream.h"
 }
 
 namespace {
