hub_quota: keep rates in sliding windows instead of token buckets

Cause: a token bucket refuses what the stated bound, rate x window + burst with its excess in any window, still allows.

--- a/src/fleet/fleet_settings.c
+++ b/src/fleet/fleet_settings.c
@@ -1,8 +1,14 @@
 #include "fleet/fleet_settings.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <string.h>
 
+#include "base/clock.h"
+
+/* Longest time that a setting may hold. */
+#define SETTING_MAX_S 3600.0
+
 int
 fleet_read_seeds(json_node_t *root, char seeds[FLEET_HUBS_MAX][FLEET_IP_BYTES])
 {
@@ -40,3 +46,10 @@
 		json_node_add_error(root, field, text, "an IPv4 address",
 		    "give the address of this VM, e.g. 127.0.0.1");
 }
+
+int64_t
+fleet_read_time_ms(json_node_t *root, const char *field, double def_s)
+{
+	return ((int64_t)lround((double)MS_PER_SEC *
+	    json_opt_real(root, field, 0.1, SETTING_MAX_S, "s", def_s)));
+}
--- a/src/fleet/fleet_settings.h
+++ b/src/fleet/fleet_settings.h
@@ -23,4 +23,7 @@
 void fleet_read_ip(
     json_node_t *root, const char *field, char ip[FLEET_IP_BYTES]);
 
+/** Reads a time in seconds, with fractions. @return milliseconds */
+int64_t fleet_read_time_ms(json_node_t *root, const char *field, double def_s);
+
 #endif
--- a/src/gate/gate_settings.c
+++ b/src/gate/gate_settings.c
@@ -1,15 +1,10 @@
 #include "gate/gate_settings.h"
 
-#include <math.h>
 #include <string.h>
 
-#include "base/clock.h"
 #include "base/error.h"
 #include "fleet/fleet_settings.h"
 
-/* Longest time that a setting may hold. */
-#define SETTING_MAX_S 3600.0
-
 const char gate_default_settings[] =
     "{\n"
     "  \"node\": \"gate-1\",\n"
@@ -27,13 +22,6 @@
     "  \"log_level\": \"info\"\n"
     "}\n";
 
-static int64_t
-read_time_ms(json_node_t *root, const char *field, double def_s)
-{
-	return ((int64_t)lround((double)MS_PER_SEC *
-	    json_opt_real(root, field, 0.1, SETTING_MAX_S, "s", def_s)));
-}
-
 static void
 read_settings(json_node_t *root, void *out)
 {
@@ -51,8 +39,8 @@
 	settings->seed_count = fleet_read_seeds(root, settings->seeds);
 	settings->secret_count =
 	    program_read_secrets(root, "fleet_secrets", settings->secrets);
-	settings->revoke_within_ms = read_time_ms(root, "revoke_within_s", 5);
-	settings->stop_within_ms = read_time_ms(root, "stop_within_s", 6);
+	settings->revoke_within_ms = fleet_read_time_ms(root, "revoke_within_s", 5);
+	settings->stop_within_ms = fleet_read_time_ms(root, "stop_within_s", 6);
 	settings->dialect = fleet_read_dialect(root);
 	settings->log_level = program_read_log_level(root);
 	json_node_finish(root);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -712,6 +712,9 @@
 	hub_quota_options_t quota = {
 		.retry_ratio = settings->retry_ratio,
 		.retry_burst = settings->retry_burst,
+		.rate_window_ms = settings->rate_window_ms,
+		.rate_overshoot = settings->rate_overshoot,
+		.rate_slack = settings->rate_slack,
 	};
 	hub_members_options_t members = {
 		.self = settings->ip,
--- a/src/hub/hub_quota.c
+++ b/src/hub/hub_quota.c
@@ -1,23 +1,27 @@
 #include "hub/hub_quota.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/clock.h"
 
-/* A workspace is scarce below the first share of its burst, and plentiful
- * again above the second: what gates spend before they hear of it fits in. */
-#define SCARCE_BELOW 0.5
-#define SCARCE_UNTIL 0.8
+/* A window is counted in parts; two more lie in the future, for requests that
+ * are granted in advance, and one is cut off by the start of the window. */
+#define PART_COUNT 20
+#define PART_RING  (PART_COUNT + 3)
+/* A workspace is scarce while less than this share of its window is left, and
+ * plentiful again above the second. */
+#define SCARCE_BELOW 0.35
+#define SCARCE_UNTIL 0.45
 
-typedef struct workspace_bucket {
+typedef struct workspace_window {
 	uint64_t id;
-	double rate_per_s; /* 0: unlimited */
-	double burst;
-	double level; /* below 0: granted in advance */
-	int64_t filled_ms;
+	double limit; /* requests in one window; 0: unlimited */
+	double parts[PART_RING];
+	int64_t newest; /* number of the part that the time is in */
 	int is_scarce;
 	UT_hash_handle hh;
-} workspace_bucket_t;
+} workspace_window_t;
 
 typedef struct retry_bucket {
 	uint64_t id;
@@ -27,7 +31,7 @@
 
 struct hub_quota {
 	hub_quota_options_t options;
-	workspace_bucket_t *workspaces;
+	workspace_window_t *workspaces;
 	retry_bucket_t *retries;
 	int is_changed;
 };
@@ -45,16 +49,16 @@
 void
 hub_quota_destroy(hub_quota_t *quota)
 {
-	workspace_bucket_t *bucket;
-	workspace_bucket_t *next;
+	workspace_window_t *window;
+	workspace_window_t *next;
 	retry_bucket_t *retry;
 	retry_bucket_t *next_retry;
 
 	if (quota == NULL)
 		return;
-	HASH_ITER(hh, quota->workspaces, bucket, next) {
-		HASH_DELETE(hh, quota->workspaces, bucket);
-		free(bucket);
+	HASH_ITER(hh, quota->workspaces, window, next) {
+		HASH_DELETE(hh, quota->workspaces, window);
+		free(window);
 	}
 	HASH_ITER(hh, quota->retries, retry, next_retry) {
 		HASH_DELETE(hh, quota->retries, retry);
@@ -63,86 +67,148 @@
 	free(quota);
 }
 
+static int64_t
+get_part_ms(const hub_quota_t *quota)
+{
+	return (quota->options.rate_window_ms / PART_COUNT);
+}
+
+static double *
+get_part(workspace_window_t *window, int64_t number)
+{
+	return (&window->parts[number % PART_RING]);
+}
+
+/* Requests in the window that ends with a part. */
+static double
+get_used(workspace_window_t *window, int64_t last)
+{
+	double used = 0;
+	int64_t number;
+
+	for (number = last - PART_COUNT; number <= last; number++)
+		used += *get_part(window, number);
+	return (used);
+}
+
+/* Moves on to a time. */
 static void
-bucket_set_scarce(hub_quota_t *quota, workspace_bucket_t *bucket)
+window_advance(hub_quota_t *quota, workspace_window_t *window, int64_t now_ms)
 {
-	int is_scarce = bucket->is_scarce;
+	int64_t now = now_ms / get_part_ms(quota);
+
+	if (now - window->newest > PART_RING)
+		window->newest = now - PART_RING;
+	while (window->newest < now) {
+		window->newest++;
+		/* The last of the parts that lie in the future. */
+		*get_part(window, window->newest + 2) = 0;
+	}
+}
 
-	if (bucket->rate_per_s <= 0)
-		is_scarce = 0;
-	else if (bucket->level < SCARCE_BELOW * bucket->burst)
-		is_scarce = 1;
-	else if (bucket->level > SCARCE_UNTIL * bucket->burst)
+static void
+window_update(hub_quota_t *quota, workspace_window_t *window, int64_t now_ms)
+{
+	int is_scarce = window->is_scarce;
+	double left;
+
+	window_advance(quota, window, now_ms);
+	if (window->limit <= 0) {
 		is_scarce = 0;
-	if (is_scarce != bucket->is_scarce)
+	} else {
+		left = 1 - get_used(window, window->newest) / window->limit;
+		if (left < SCARCE_BELOW)
+			is_scarce = 1;
+		else if (left > SCARCE_UNTIL)
+			is_scarce = 0;
+	}
+	if (is_scarce != window->is_scarce)
 		quota->is_changed = 1;
-	bucket->is_scarce = is_scarce;
+	window->is_scarce = is_scarce;
 }
 
+/* Assumes that all was used in the window before now. */
 static void
-bucket_fill(workspace_bucket_t *bucket, int64_t now_ms)
+window_fill(hub_quota_t *quota, workspace_window_t *window, int64_t now_ms)
 {
-	int64_t passed_ms = now_ms - bucket->filled_ms;
+	int64_t number;
 
-	if (passed_ms <= 0)
-		return;
-	bucket->filled_ms = now_ms;
-	bucket->level +=
-	    bucket->rate_per_s * (double)passed_ms / (double)MS_PER_SEC;
-	if (bucket->level > bucket->burst)
-		bucket->level = bucket->burst;
+	window->newest = now_ms / get_part_ms(quota);
+	memset(window->parts, 0, sizeof(window->parts));
+	for (number = window->newest - PART_COUNT; number < window->newest;
+	     number++)
+		*get_part(window, number) = window->limit / PART_COUNT;
+}
+
+/* The leader before may have given out a full burst within the window. */
+static double
+get_retry_start(const hub_quota_t *quota)
+{
+	return (0.25 * HUB_QUOTA_RETRY_SHARE * quota->options.retry_burst);
 }
 
 void
 hub_quota_reset(hub_quota_t *quota, int64_t now_ms)
 {
-	workspace_bucket_t *bucket;
-	workspace_bucket_t *next;
+	workspace_window_t *window;
+	workspace_window_t *next;
 	retry_bucket_t *retry;
 	retry_bucket_t *next_retry;
 
-	HASH_ITER(hh, quota->workspaces, bucket, next) {
-		bucket->level = 0;
-		bucket->filled_ms = now_ms;
-		bucket_set_scarce(quota, bucket);
+	HASH_ITER(hh, quota->workspaces, window, next) {
+		window_fill(quota, window, now_ms);
+		window_update(quota, window, now_ms);
 	}
 	HASH_ITER(hh, quota->retries, retry, next_retry)
-		retry->level = 0;
+		retry->level = get_retry_start(quota);
 	quota->is_changed = 1;
 }
 
-static workspace_bucket_t *
-find_bucket(const hub_quota_t *quota, uint64_t id)
+static workspace_window_t *
+find_window(const hub_quota_t *quota, uint64_t id)
 {
-	workspace_bucket_t *bucket;
+	workspace_window_t *window;
 
-	HASH_FIND(hh, quota->workspaces, &id, sizeof(id), bucket);
-	return (bucket);
+	HASH_FIND(hh, quota->workspaces, &id, sizeof(id), window);
+	return (window);
+}
+
+static double
+get_limit(const hub_quota_t *quota, const fleet_workspace_t *workspace)
+{
+	const hub_quota_options_t *options = &quota->options;
+	double window_s =
+	    (double)options->rate_window_ms / (double)MS_PER_SEC;
+	double plain;
+
+	if (workspace->rate_per_s <= 0)
+		return (0);
+	plain = workspace->rate_per_s * window_s + workspace->burst;
+	return (plain +
+	    HUB_QUOTA_EXCESS_SHARE *
+		(plain * options->rate_overshoot + options->rate_slack));
 }
 
 static void
-configure_workspace(
-    hub_quota_t *quota, const fleet_workspace_t *workspace, int64_t now_ms)
+configure_workspace(hub_quota_t *quota, const fleet_workspace_t *workspace,
+    int64_t now_ms)
 {
-	workspace_bucket_t *bucket = find_bucket(quota, workspace->id);
+	workspace_window_t *window = find_window(quota, workspace->id);
+	int is_new = window == NULL;
 
-	if (bucket == NULL) {
-		bucket = calloc(1, sizeof(*bucket));
-		if (bucket == NULL)
+	if (is_new) {
+		window = calloc(1, sizeof(*window));
+		if (window == NULL)
 			return;
-		bucket->id = workspace->id;
-		bucket->filled_ms = now_ms;
-		bucket->is_scarce = 1;
+		window->id = workspace->id;
+		window->is_scarce = 1;
 		quota->is_changed = 1;
-		HASH_ADD(hh, quota->workspaces, id, sizeof(bucket->id), bucket);
+		HASH_ADD(hh, quota->workspaces, id, sizeof(window->id), window);
 	}
-	bucket_fill(bucket, now_ms);
-	bucket->rate_per_s = workspace->rate_per_s;
-	/* A bucket below one token would never let a request pass. */
-	bucket->burst = workspace->burst > 1 ? workspace->burst : 1;
-	if (bucket->level > bucket->burst)
-		bucket->level = bucket->burst;
-	bucket_set_scarce(quota, bucket);
+	window->limit = get_limit(quota, workspace);
+	if (is_new)
+		window_fill(quota, window, now_ms);
+	window_update(quota, window, now_ms);
 }
 
 void
@@ -150,14 +216,14 @@
     hub_quota_t *quota, const fleet_config_t *config, int64_t now_ms)
 {
 	const fleet_workspace_t *workspace;
-	workspace_bucket_t *bucket;
-	workspace_bucket_t *next;
+	workspace_window_t *window;
+	workspace_window_t *next;
 
-	HASH_ITER(hh, quota->workspaces, bucket, next) {
-		if (fleet_config_find_workspace(config, bucket->id) != NULL)
+	HASH_ITER(hh, quota->workspaces, window, next) {
+		if (fleet_config_find_workspace(config, window->id) != NULL)
 			continue;
-		HASH_DELETE(hh, quota->workspaces, bucket);
-		free(bucket);
+		HASH_DELETE(hh, quota->workspaces, window);
+		free(window);
 		quota->is_changed = 1;
 	}
 	for (workspace = config->workspaces; workspace != NULL;
@@ -177,6 +243,7 @@
 	if (retry == NULL)
 		return (NULL);
 	retry->id = service;
+	retry->level = get_retry_start(quota);
 	HASH_ADD(hh, quota->retries, id, sizeof(retry->id), retry);
 	return (retry);
 }
@@ -185,50 +252,88 @@
 count_request(hub_quota_t *quota, uint64_t service)
 {
 	retry_bucket_t *retry = get_retry(quota, service);
+	double max;
 
 	if (retry == NULL)
 		return;
-	retry->level += quota->options.retry_ratio;
-	if (retry->level > quota->options.retry_burst)
-		retry->level = quota->options.retry_burst;
+	retry->level += HUB_QUOTA_RETRY_SHARE * quota->options.retry_ratio;
+	max = 0.5 * HUB_QUOTA_RETRY_SHARE * quota->options.retry_burst;
+	if (retry->level > max)
+		retry->level = max;
 }
 
 void
 hub_quota_spend(
     hub_quota_t *quota, uint64_t workspace, uint64_t service, int64_t now_ms)
 {
-	workspace_bucket_t *bucket = find_bucket(quota, workspace);
+	workspace_window_t *window = find_window(quota, workspace);
 
 	count_request(quota, service);
-	if (bucket == NULL)
+	if (window == NULL)
 		return;
-	bucket_fill(bucket, now_ms);
-	bucket->level -= 1;
-	bucket_set_scarce(quota, bucket);
+	window_advance(quota, window, now_ms);
+	*get_part(window, window->newest) += 1;
+	window_update(quota, window, now_ms);
+}
+
+/*
+ * Finds the first part, from now on, in whose window there is room.
+ *
+ * @return number of the part, or -1 if it lies too far ahead
+ */
+static int64_t
+find_room(workspace_window_t *window)
+{
+	int64_t number;
+
+	for (number = window->newest; number <= window->newest + 1; number++) {
+		if (get_used(window, number) + 1 <= window->limit)
+			return (number);
+	}
+	return (-1);
+}
+
+/* Time until a request can be granted again. */
+static uint32_t
+get_wait_ms(const hub_quota_t *quota, workspace_window_t *window)
+{
+	double used = get_used(window, window->newest);
+	int64_t number;
+
+	for (number = window->newest - PART_COUNT; number < window->newest;
+	     number++) {
+		used -= *get_part(window, number);
+		if (used + 1 <= window->limit)
+			break;
+	}
+	return ((uint32_t)((number - (window->newest - PART_COUNT) + 1) *
+	    get_part_ms(quota)));
 }
 
 hub_permit_t
 hub_quota_ask(
     hub_quota_t *quota, uint64_t workspace, uint64_t service, int64_t now_ms)
 {
-	workspace_bucket_t *bucket = find_bucket(quota, workspace);
+	workspace_window_t *window = find_window(quota, workspace);
 	hub_permit_t permit = { .is_granted = 1 };
-	double wait_ms;
+	int64_t number;
 
-	if (bucket == NULL || bucket->rate_per_s <= 0) {
+	if (window == NULL || window->limit <= 0) {
 		count_request(quota, service);
 		return (permit);
 	}
-	bucket_fill(bucket, now_ms);
-	wait_ms = (1 - bucket->level) / bucket->rate_per_s * (double)MS_PER_SEC;
-	if (wait_ms > 0)
-		permit.wait_ms = (uint32_t)wait_ms + 1;
-	if (wait_ms > HUB_QUOTA_WAIT_MAX_MS) {
+	window_advance(quota, window, now_ms);
+	number = find_room(window);
+	if (number < 0) {
 		permit.is_granted = 0;
+		permit.wait_ms = get_wait_ms(quota, window);
 		return (permit);
 	}
-	bucket->level -= 1;
-	bucket_set_scarce(quota, bucket);
+	if (number > window->newest)
+		permit.wait_ms =
+		    (uint32_t)(number * get_part_ms(quota) - now_ms);
+	*get_part(window, number) += 1;
+	window_update(quota, window, now_ms);
 	count_request(quota, service);
 	return (permit);
 }
@@ -250,13 +355,13 @@
 size_t
 hub_quota_list_scarce(const hub_quota_t *quota, uint64_t *ids, size_t max)
 {
-	const workspace_bucket_t *bucket;
+	const workspace_window_t *window;
 	size_t count = 0;
 
-	for (bucket = quota->workspaces; bucket != NULL && count < max;
-	     bucket = bucket->hh.next) {
-		if (bucket->is_scarce)
-			ids[count++] = bucket->id;
+	for (window = quota->workspaces; window != NULL && count < max;
+	     window = window->hh.next) {
+		if (window->is_scarce)
+			ids[count++] = window->id;
 	}
 	return (count);
 }
@@ -264,14 +369,12 @@
 int
 hub_quota_tick(hub_quota_t *quota, int64_t now_ms)
 {
-	workspace_bucket_t *bucket;
-	workspace_bucket_t *next;
+	workspace_window_t *window;
+	workspace_window_t *next;
 	int is_changed;
 
-	HASH_ITER(hh, quota->workspaces, bucket, next) {
-		bucket_fill(bucket, now_ms);
-		bucket_set_scarce(quota, bucket);
-	}
+	HASH_ITER(hh, quota->workspaces, window, next)
+		window_update(quota, window, now_ms);
 	is_changed = quota->is_changed;
 	quota->is_changed = 0;
 	return (is_changed);
--- a/src/hub/hub_quota.h
+++ b/src/hub/hub_quota.h
@@ -1,11 +1,12 @@
 /**
  * @file
- * Token buckets at the leading hub: rates of workspaces and retry budgets of
- * services, each over the whole fleet. A decision module.
+ * Limits at the leading hub: rates of workspaces and retry budgets of services,
+ * each over the whole fleet. A decision module.
  *
- * A gate spends freely on a workspace that has plenty and reports what it
+ * In each sliding window a workspace may use rate x window + burst, and a bit
+ * more. A gate spends freely on a workspace that has plenty and reports what it
  * spent; it asks first for one that is scarce. A new leader does not know what
- * was spent before, so that its buckets start empty and scarce.
+ * was spent before; it assumes that all was used, evenly.
  */
 #ifndef TM_HUB_HUB_QUOTA_H
 #define TM_HUB_HUB_QUOTA_H
@@ -15,17 +16,23 @@
 
 #include "fleet/fleet_config.h"
 
-/** Longest time for which a permit may lie in the future. */
-#define HUB_QUOTA_WAIT_MAX_MS 400
-
 typedef struct hub_quota hub_quota_t;
 
-/** Budget of repeated sendings for each service. */
+/** What the fleet as a whole must keep to. */
 typedef struct hub_quota_options {
-	double retry_ratio; /**< repeats for each request */
+	double retry_ratio; /**< repeats of a service for each request */
 	double retry_burst; /**< repeats beyond that share */
+	int64_t rate_window_ms;
+	double rate_overshoot; /**< share by which a window may be exceeded */
+	double rate_slack; /**< requests beyond that in a window */
 } hub_quota_options_t;
 
+/** Part of what a window may be exceeded by that is given out; the rest is for
+ * requests that gates send before they hear that a workspace is scarce. */
+#define HUB_QUOTA_EXCESS_SHARE 0.7
+/** Part of the retry budget that is given out. */
+#define HUB_QUOTA_RETRY_SHARE 0.75
+
 /** What an ask gets. */
 typedef struct hub_permit {
 	int is_granted;
@@ -36,10 +43,10 @@
 /** @return NULL if memory is exhausted */
 hub_quota_t *hub_quota_create(const hub_quota_options_t *options);
 
-/** Frees the buckets; NULL is allowed. */
+/** Frees everything; NULL is allowed. */
 void hub_quota_destroy(hub_quota_t *quota);
 
-/** Empties all buckets: this hub begins to lead. */
+/** Assumes the worst: this hub begins to lead. */
 void hub_quota_reset(hub_quota_t *quota, int64_t now_ms);
 
 /** Takes over the rates of a configuration. */
@@ -68,7 +75,7 @@
     const hub_quota_t *quota, uint64_t *ids, size_t max);
 
 /**
- * Moves the buckets on.
+ * Moves the windows on.
  *
  * @return 1 if the list of scarce workspaces has changed since the last call
  */
--- a/src/hub/hub_settings.c
+++ b/src/hub/hub_settings.c
@@ -8,6 +8,9 @@
 /* Bounds of the retry budget; larger ones would not bound anything. */
 #define RETRY_RATIO_MAX 1.0
 #define RETRY_BURST_MAX 10000.0
+/* Bounds of what a rate may be exceeded by. */
+#define RATE_OVERSHOOT_MAX 1.0
+#define RATE_SLACK_MAX	   10000.0
 
 const char hub_default_settings[] =
     "{\n"
@@ -21,8 +24,11 @@
     "  \"seeds\": [\"127.0.0.1:7100\"],\n"
     "  \"is_first_start\": true,\n"
     "  \"fleet_secrets\": [\"replace-with-32-random-bytes\"],\n"
-    "  \"retry_ratio\": 0.15,\n"
-    "  \"retry_burst\": 30,\n"
+    "  \"retry_ratio\": 0.2,\n"
+    "  \"retry_burst\": 60,\n"
+    "  \"rate_window_s\": 5,\n"
+    "  \"rate_overshoot\": 0.1,\n"
+    "  \"rate_slack\": 20,\n"
     "  \"dialect\": \"platform\",\n"
     "  \"log_level\": \"info\"\n"
     "}\n";
@@ -48,9 +54,14 @@
 	settings->secret_count =
 	    program_read_secrets(root, "fleet_secrets", settings->secrets);
 	settings->retry_ratio =
-	    json_opt_real(root, "retry_ratio", 0, RETRY_RATIO_MAX, "", 0.15);
+	    json_opt_real(root, "retry_ratio", 0, RETRY_RATIO_MAX, "", 0.2);
 	settings->retry_burst = json_opt_real(
-	    root, "retry_burst", 0, RETRY_BURST_MAX, "requests", 30);
+	    root, "retry_burst", 0, RETRY_BURST_MAX, "requests", 60);
+	settings->rate_window_ms = fleet_read_time_ms(root, "rate_window_s", 5);
+	settings->rate_overshoot = json_opt_real(
+	    root, "rate_overshoot", 0, RATE_OVERSHOOT_MAX, "", 0.1);
+	settings->rate_slack = json_opt_real(
+	    root, "rate_slack", 0, RATE_SLACK_MAX, "requests", 20);
 	settings->dialect = fleet_read_dialect(root);
 	settings->log_level = program_read_log_level(root);
 	json_node_finish(root);
