hub_judge: rest ejected targets, try repeatable requests first

Cause: an ejected target was tried after 1.5 s by any request; of 97 trials 63 broke a request that could not be repeated. Faults were seen to last 8 to 9 s (trials by repeatable requests, each second). When the share of targets that stay in use was reached, a broken target stayed in use: 30 requests in a row.

--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -38,7 +38,9 @@
 typedef enum fleet_verdict {
 	FLEET_VERDICT_GOOD = 0,
 	FLEET_VERDICT_EJECTED = 1, /**< gets no requests */
-	FLEET_VERDICT_TRIAL = 2 /**< one request at a time, by permit */
+	/** One request at a time, by permit, and only if it may be repeated. */
+	FLEET_VERDICT_TRIAL_SAFE = 2,
+	FLEET_VERDICT_TRIAL = 3 /**< one request at a time, by permit */
 } fleet_verdict_t;
 
 /** What an attempt showed. */
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -18,6 +18,8 @@
 #define IDLE_MARGIN_MS 1500
 /* Fewer milliseconds are not worth an attempt. */
 #define REMAINING_MIN_MS 20
+/* A target stops this early at most for the deadline that it was given. */
+#define DEADLINE_SLACK_MS 50
 
 static void
 report(const gate_request_t *request, const gate_target_t *target,
@@ -154,10 +156,11 @@
 }
 
 static fleet_evidence_t
-response_get_evidence(const dialect_t *dialect,
+response_get_evidence(const gate_request_t *request,
     const upstream_response_t *response, int *is_not_run)
 {
-	const dialect_headers_t *names = &dialect->headers;
+	const dialect_headers_t *names =
+	    &gate_get_dialect(request->gate)->headers;
 
 	*is_not_run = gate_wire_find_header(response, names->not_run) != NULL ||
 	    response->status == 421;
@@ -172,6 +175,16 @@
 					: FLEET_EVIDENCE_GOOD);
 }
 
+/* The target stopped at the deadline that it was given: no fault of its own. */
+static int
+is_own_deadline(
+    const gate_request_t *request, const upstream_response_t *response)
+{
+	return (response->status == 504 && !request->is_trial &&
+	    clock_now_ms() - request->sent_ms + DEADLINE_SLACK_MS >=
+		request->given_ms);
+}
+
 /* The target said that it did not run the request. */
 static void
 handle_not_run(gate_request_t *request)
@@ -206,11 +219,12 @@
 	uint32_t load;
 	int is_not_run;
 
-	kind = response_get_evidence(dialect, response, &is_not_run);
+	kind = response_get_evidence(request, response, &is_not_run);
 	if (gate_wire_read_load(dialect, response, &load))
 		gate_target_set_load(target, load, clock_now_ms());
 	target->idle_max_ms = gate_wire_read_keep_ms(response);
-	note(request, target, kind, response->status);
+	if (!is_own_deadline(request, response))
+		note(request, target, kind, response->status);
 	gate_target_end(request->gate->table, target);
 	if (is_not_run)
 		handle_not_run(request);
@@ -298,8 +312,10 @@
 		.done = on_done,
 		.ctx = request,
 	};
-	int err = gate_wire_encode(
-	    request, target, request->deadline_ms - now_ms, &bytes);
+	int err;
+
+	request->given_ms = request->deadline_ms - now_ms;
+	err = gate_wire_encode(request, target, request->given_ms, &bytes);
 
 	call.bytes = bytes.bytes;
 	call.len = bytes.len;
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -51,6 +51,7 @@
 	int is_trial;
 	int is_stall_reported;
 	int64_t sent_ms;
+	int64_t given_ms; /**< time that the target was given */
 	uint64_t tried[GATE_TRIED_MAX];
 	uint32_t tried_count;
 	uint32_t arrivals; /**< attempts that may have reached a target */
--- a/src/gate/gate_settings.c
+++ b/src/gate/gate_settings.c
@@ -39,7 +39,8 @@
 	settings->seed_count = fleet_read_seeds(root, settings->seeds);
 	settings->secret_count =
 	    program_read_secrets(root, "fleet_secrets", settings->secrets);
-	settings->revoke_within_ms = fleet_read_time_ms(root, "revoke_within_s", 5);
+	settings->revoke_within_ms =
+	    fleet_read_time_ms(root, "revoke_within_s", 5);
 	settings->stop_within_ms = fleet_read_time_ms(root, "stop_within_s", 6);
 	settings->dialect = fleet_read_dialect(root);
 	settings->log_level = program_read_log_level(root);
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -13,9 +13,6 @@
 #define NEAR_BONUS 0.35
 /* A cold target counts as this much busier. */
 #define COLD_MALUS 0.5
-/* A target that waits for a trial gets safe requests at first, and any request
- * once it has waited for so long. */
-#define TRIAL_ANY_MS 1500
 /* Weight of a new response in the mean latency of a service. */
 #define LATENCY_WEIGHT 0.05
 
@@ -201,9 +198,6 @@
 	target->is_near = strcmp(msg->zone, table->zone) == 0;
 	target->slots = msg->slots > 0 ? msg->slots : 1;
 	target->state = (fleet_target_state_t)msg->state;
-	if (target->verdict != (fleet_verdict_t)msg->verdict &&
-	    msg->verdict == FLEET_VERDICT_TRIAL)
-		target->trial_since_ms = now_ms;
 	if (target->verdict != (fleet_verdict_t)msg->verdict &&
 	    msg->verdict == FLEET_VERDICT_GOOD)
 		target->avoid_until_ms = 0;
@@ -307,7 +301,7 @@
 		return (0);
 	if (target->verdict == FLEET_VERDICT_EJECTED)
 		return (1);
-	if (target->verdict == FLEET_VERDICT_TRIAL)
+	if (target->verdict != FLEET_VERDICT_GOOD)
 		return (2);
 	return (need->now_ms < target->avoid_until_ms ? 3 : 4);
 }
@@ -351,21 +345,25 @@
 	return (pick_better(picked[0], picked[1], need->now_ms));
 }
 
+static int
+offers_trial(const gate_target_t *target, const gate_need_t *need)
+{
+	return (target->verdict == FLEET_VERDICT_TRIAL ||
+	    (target->verdict == FLEET_VERDICT_TRIAL_SAFE && need->may_repeat));
+}
+
 static gate_target_t *
 find_trial(const gate_service_t *service, const gate_need_t *need)
 {
 	gate_target_t *target;
-	int64_t waited_ms;
 	uint32_t i;
 
 	for (i = 0; i < service->count; i++) {
 		target = service->targets[i];
-		waited_ms = need->now_ms - target->trial_since_ms;
-		if (target->verdict == FLEET_VERDICT_TRIAL &&
+		if (offers_trial(target, need) &&
 		    target->state == FLEET_TARGET_READY &&
 		    !is_tried(need, target) &&
-		    need->now_ms >= target->trial_ask_ms &&
-		    waited_ms >= (need->may_repeat ? 0 : TRIAL_ANY_MS))
+		    need->now_ms >= target->trial_ask_ms)
 			return (target);
 	}
 	return (NULL);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -42,7 +42,6 @@
 	uint32_t load; /**< running and waiting, as it last told */
 	int64_t load_ms; /**< when it told so */
 	int64_t avoid_until_ms; /**< this gate alone leaves it out */
-	int64_t trial_since_ms; /**< a trial is offered since */
 	int64_t trial_ask_ms; /**< none is asked for before */
 	int64_t cold_until_ms; /**< it is slow until then */
 	int64_t idle_max_ms; /**< longest idle time it keeps connections */
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -162,7 +162,8 @@
 static const char *
 verdict_get_name(fleet_verdict_t verdict)
 {
-	static const char *const names[] = { "good", "ejected", "trial" };
+	static const char *const names[] = { "good", "ejected", "safe trial",
+		"trial" };
 
 	return (names[verdict]);
 }
--- a/src/hub/hub_judge.c
+++ b/src/hub/hub_judge.c
@@ -17,17 +17,21 @@
 /* The same gate adds little within this time: it may have lost its path. */
 #define SAME_GATE_MS	 2000
 #define SAME_GATE_WEIGHT 0.1
-/* First ejection, and the longest after repeated ones. */
-#define EJECT_MIN_MS 1500
-#define EJECT_MAX_MS 6000
-/* Ejections further apart than this do not lengthen each other. */
+/* After its last failure an ejected target gets no request for this time. */
+#define REST_MS 1000
+/* Then it is tried by requests that may be repeated, and by any request once
+ * the ejection has lasted so long: most faults that come and go have passed. */
+#define SAFE_ONLY_MS 8000
+/* Time after a failed trial before a request that may not be repeated. */
+#define UNSAFE_REST_MS 4000
+/* Ejections further apart than this are not counted together. */
 #define EJECT_MEMORY_MS 10000
 /* A trial without a result is over after this time. */
 #define TRIAL_MAX_MS 4000
 /* Good trials in a row that end an ejection. */
 #define TRIALS_NEEDED 1
 /* Share of a service's targets that stay in use, whatever they do. */
-#define KEPT_SHARE 0.4
+#define KEPT_SHARE 0.35
 /* A target that neither announces itself nor answers for so long is tried by
  * a trial before it gets more. */
 #define SILENT_MS 5000
@@ -41,8 +45,8 @@
 	int64_t faded_ms; /* when the badness was computed */
 	node_id_t last_gate; /* of the last evidence */
 	int64_t last_gate_ms;
-	int64_t until_ms;
-	int64_t ejected_ms;
+	int64_t ejected_ms; /* when it left use */
+	int64_t failed_ms; /* last failure since */
 	uint32_t ejections; /* in close succession */
 	uint32_t good_trials;
 	node_id_t trial_gate; /* NODE_ID_NONE: no trial runs */
@@ -185,23 +189,46 @@
 	    candidate->verdict != FLEET_VERDICT_GOOD);
 }
 
+/*
+ * Makes room for an ejection: the target that has been out for longest comes
+ * back, as it is the most likely one to be well again.
+ */
 static void
-eject(hub_judge_t *judge, judged_t *target, const char *reason, int64_t now_ms)
+return_oldest(hub_judge_t *judge, const judged_t *candidate)
 {
-	int64_t length_ms = EJECT_MIN_MS;
+	judged_t *oldest = NULL;
+	judged_t *target;
 
-	if (!may_eject(judge, target))
-		return;
-	if (target->ejections > 0 &&
-	    now_ms - target->ejected_ms < EJECT_MEMORY_MS)
-		length_ms <<= target->ejections < 2 ? target->ejections : 2;
-	else
-		target->ejections = 0;
-	if (length_ms > EJECT_MAX_MS)
-		length_ms = EJECT_MAX_MS;
-	target->ejections++;
-	target->ejected_ms = now_ms;
-	target->until_ms = now_ms + length_ms;
+	for (target = judge->targets; target != NULL;
+	     target = target->hh.next) {
+		if (target->service == candidate->service &&
+		    target->verdict != FLEET_VERDICT_GOOD &&
+		    (oldest == NULL || target->failed_ms < oldest->failed_ms))
+			oldest = target;
+	}
+	if (oldest != NULL)
+		set_verdict(
+		    judge, oldest, FLEET_VERDICT_GOOD, "others are worse");
+}
+
+static void
+eject(
+    hub_judge_t *judge, judged_t *target, fleet_evidence_t kind, int64_t now_ms)
+{
+	const char *reason = evidence_info[kind].name;
+
+	if (!may_eject(judge, target)) {
+		if (kind != FLEET_EVIDENCE_BROKEN)
+			return;
+		return_oldest(judge, target);
+	}
+	if (target->verdict == FLEET_VERDICT_GOOD) {
+		if (now_ms - target->failed_ms >= EJECT_MEMORY_MS)
+			target->ejections = 0;
+		target->ejections++;
+		target->ejected_ms = now_ms;
+	}
+	target->failed_ms = now_ms;
 	target->badness = 0;
 	set_verdict(judge, target, FLEET_VERDICT_EJECTED, reason);
 }
@@ -233,8 +260,7 @@
 note_trial(hub_judge_t *judge, judged_t *target, const hub_evidence_t *evidence,
     int64_t now_ms)
 {
-	if (target->verdict != FLEET_VERDICT_TRIAL ||
-	    target->trial_gate != evidence->gate)
+	if (target->trial_gate != evidence->gate)
 		return;
 	target->trial_gate = NODE_ID_NONE;
 	switch (evidence->kind) {
@@ -247,8 +273,7 @@
 			    "trials were good");
 		return;
 	default:
-		eject(
-		    judge, target, evidence_info[evidence->kind].name, now_ms);
+		eject(judge, target, evidence->kind, now_ms);
 	}
 }
 
@@ -277,8 +302,14 @@
 	fade(target, now_ms);
 	target->badness += weight;
 	if (target->badness >= BADNESS_LIMIT)
-		eject(
-		    judge, target, evidence_info[evidence->kind].name, now_ms);
+		eject(judge, target, evidence->kind, now_ms);
+}
+
+static int
+is_on_trial(const judged_t *target)
+{
+	return (target->verdict == FLEET_VERDICT_TRIAL ||
+	    target->verdict == FLEET_VERDICT_TRIAL_SAFE);
 }
 
 int
@@ -287,7 +318,7 @@
 {
 	judged_t *target = find(judge, key);
 
-	if (target == NULL || target->verdict != FLEET_VERDICT_TRIAL ||
+	if (target == NULL || !is_on_trial(target) ||
 	    target->trial_gate != NODE_ID_NONE)
 		return (0);
 	target->trial_gate = gate;
@@ -305,6 +336,23 @@
 	return (heard_ms != 0 && now_ms - heard_ms > SILENT_MS);
 }
 
+static void
+offer_trial(hub_judge_t *judge, judged_t *target, int64_t now_ms)
+{
+	int64_t rested_ms = now_ms - target->failed_ms;
+
+	if (target->trial_gate != NODE_ID_NONE)
+		return;
+	if (now_ms - target->ejected_ms >= SAFE_ONLY_MS &&
+	    rested_ms >= UNSAFE_REST_MS)
+		set_verdict(judge, target, FLEET_VERDICT_TRIAL,
+		    "any request may try it");
+	else if (target->verdict == FLEET_VERDICT_EJECTED &&
+	    rested_ms >= REST_MS)
+		set_verdict(judge, target, FLEET_VERDICT_TRIAL_SAFE,
+		    "repeatable requests may try it");
+}
+
 void
 hub_judge_tick(hub_judge_t *judge, int64_t now_ms)
 {
@@ -315,13 +363,11 @@
 		if (target->trial_gate != NODE_ID_NONE &&
 		    now_ms - target->trial_ms > TRIAL_MAX_MS)
 			target->trial_gate = NODE_ID_NONE;
-		if (target->verdict == FLEET_VERDICT_EJECTED &&
-		    now_ms >= target->until_ms)
-			set_verdict(judge, target, FLEET_VERDICT_TRIAL,
-			    "the ejection is over");
-		else if (target->verdict == FLEET_VERDICT_GOOD &&
-		    is_silent(target, now_ms))
-			eject(judge, target, "silent", now_ms);
+		if (target->verdict != FLEET_VERDICT_GOOD)
+			offer_trial(judge, target, now_ms);
+		else if (is_silent(target, now_ms))
+			eject(
+			    judge, target, FLEET_EVIDENCE_UNREACHABLE, now_ms);
 	}
 }
 
@@ -345,7 +391,7 @@
 		.verdict = target->verdict,
 		.badness = target->badness,
 		.ejections = target->ejections,
-		.until_ms = target->until_ms,
+		.failed_ms = target->failed_ms,
 	};
 	return (TM_OK);
 }
--- a/src/hub/hub_judge.h
+++ b/src/hub/hub_judge.h
@@ -32,7 +32,7 @@
 	fleet_verdict_t verdict;
 	double badness;
 	uint32_t ejections;
-	int64_t until_ms; /**< end of the ejection */
+	int64_t failed_ms; /**< last failure of an ejected target */
 } hub_judge_info_t;
 
 /** @return NULL if memory is exhausted */
--- a/src/hub/hub_quota.c
+++ b/src/hub/hub_quota.c
@@ -177,8 +177,7 @@
 get_limit(const hub_quota_t *quota, const fleet_workspace_t *workspace)
 {
 	const hub_quota_options_t *options = &quota->options;
-	double window_s =
-	    (double)options->rate_window_ms / (double)MS_PER_SEC;
+	double window_s = (double)options->rate_window_ms / (double)MS_PER_SEC;
 	double plain;
 
 	if (workspace->rate_per_s <= 0)
@@ -190,8 +189,8 @@
 }
 
 static void
-configure_workspace(hub_quota_t *quota, const fleet_workspace_t *workspace,
-    int64_t now_ms)
+configure_workspace(
+    hub_quota_t *quota, const fleet_workspace_t *workspace, int64_t now_ms)
 {
 	workspace_window_t *window = find_window(quota, workspace->id);
 	int is_new = window == NULL;
