--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -225,6 +225,7 @@
 	int64_t now_ms = clock_now_ms();
 
 	gate_link_tick(gate->link, now_ms);
+	gate_front_tick(gate, now_ms);
 	gate_request_tick_all(gate, now_ms);
 	upstream_tick(gate->upstream, now_ms);
 	metric_set(gate->metric_in_flight, gate->in_flight);
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -29,6 +29,7 @@
 
 typedef struct gate gate_t;
 typedef struct gate_request gate_request_t;
+typedef struct gate_waiting gate_waiting_t;
 
 /** Steps of a planned stop. */
 typedef enum gate_phase {
@@ -57,6 +58,7 @@
 	http_server_t *metrics_server;
 	upstream_t *upstream;
 	gate_request_t *requests;
+	gate_waiting_t *waiting; /**< requests before the first config */
 	uint32_t in_flight;
 	gate_phase_t phase;
 	int64_t phase_since_ms;
@@ -93,6 +95,12 @@
 /** http_server_cb of the callers' listener; ctx is the gate_t. */
 void gate_front_handle(void *ctx, h2o_req_t *req);
 
+/**
+ * Goes on with requests that waited for the first configuration, and refuses
+ * those that have waited for too long.
+ */
+void gate_front_tick(gate_t *gate, int64_t now_ms);
+
 /** Names and formats in force. */
 static inline const dialect_t *
 gate_get_dialect(const gate_t *gate)
--- a/src/gate/gate_front.c
+++ b/src/gate/gate_front.c
@@ -1,5 +1,8 @@
+#include <stdlib.h>
 #include <string.h>
 
+#include <utlist.h>
+
 #include "base/clock.h"
 #include "gate/gate_request.h"
 
@@ -8,6 +11,23 @@
 /* Time for a request if neither its caller nor its route bounds it. */
 #define DEADLINE_DEFAULT_MS 30000
 
+/* A process that starts needs about so long for its first configuration. */
+#define WAIT_CONFIG_MS 2500
+#define WAITING_MAX    500
+
+/* A request that came before the first configuration. */
+struct gate_waiting {
+	h2o_req_t *req; /* NULL: the caller is gone */
+	struct gate_waiting_link *link;
+	int64_t started_ms;
+	gate_waiting_t *prev;
+	gate_waiting_t *next;
+};
+
+typedef struct gate_waiting_link {
+	gate_waiting_t *waiting;
+} gate_waiting_link_t;
+
 /* A request while the front end checks it. */
 typedef struct front_check {
 	gate_t *gate;
@@ -133,8 +153,6 @@
 {
 	if (http_request_is_ambiguous(check->req))
 		return (refuse(check, GATE_REFUSAL_MALFORMED));
-	if (check->gate->config == NULL)
-		return (refuse(check, GATE_REFUSAL_NO_CONFIG));
 	return (1);
 }
 
@@ -170,27 +188,100 @@
 	check->options.deadline_ms = check->options.started_ms + limit_ms;
 }
 
-void
-gate_front_handle(void *ctx, h2o_req_t *req)
+static void
+on_link_disposed(void *memory)
+{
+	gate_waiting_link_t *link = memory;
+
+	if (link->waiting != NULL)
+		link->waiting->req = NULL;
+}
+
+/* @return 1 if the request waits; else it is to be refused */
+static int
+wait_for_config(gate_t *gate, h2o_req_t *req)
+{
+	gate_waiting_t *waiting;
+	int count;
+
+	DL_COUNT(gate->waiting, waiting, count);
+	if (count >= WAITING_MAX)
+		return (0);
+	waiting = calloc(1, sizeof(*waiting));
+	if (waiting == NULL)
+		return (0);
+	waiting->req = req;
+	waiting->started_ms = clock_now_ms();
+	waiting->link = h2o_mem_alloc_shared(
+	    &req->pool, sizeof(*waiting->link), on_link_disposed);
+	waiting->link->waiting = waiting;
+	DL_APPEND(gate->waiting, waiting);
+	return (1);
+}
+
+static void
+handle(gate_t *gate, h2o_req_t *req, int64_t started_ms)
 {
 	typedef int (*check_fn)(front_check_t *);
 	static const check_fn checks[] = { check_form, check_limits,
 		check_route, check_key, check_service };
 	front_check_t check = {
-		.gate = ctx,
+		.gate = gate,
 		.req = req,
-		.options.started_ms = clock_now_ms(),
+		.options.started_ms = started_ms,
 	};
 	size_t i;
 
 	for (i = 0; i < sizeof(checks) / sizeof(checks[0]); i++) {
 		if (!checks[i](&check)) {
-			gate_request_refuse_early(ctx, req, check.refusal);
+			gate_request_refuse_early(gate, req, check.refusal);
 			return;
 		}
 	}
 	check.options.id = http_request_get_header(
 	    req, gate_get_dialect(check.gate)->headers.request_id);
 	set_deadline(&check);
-	gate_request_start(ctx, req, &check.options);
+	gate_request_start(gate, req, &check.options);
+}
+
+void
+gate_front_handle(void *ctx, h2o_req_t *req)
+{
+	gate_t *gate = ctx;
+
+	if (gate->config != NULL)
+		handle(gate, req, clock_now_ms());
+	else if (!wait_for_config(gate, req))
+		gate_request_refuse_early(gate, req, GATE_REFUSAL_NO_CONFIG);
+}
+
+static void
+end_wait(gate_t *gate, gate_waiting_t *waiting)
+{
+	h2o_req_t *req = waiting->req;
+	int64_t started_ms = waiting->started_ms;
+
+	DL_DELETE(gate->waiting, waiting);
+	if (req != NULL)
+		waiting->link->waiting = NULL;
+	free(waiting);
+	if (req == NULL)
+		return;
+	if (gate->config != NULL)
+		handle(gate, req, started_ms);
+	else
+		gate_request_refuse_early(gate, req, GATE_REFUSAL_NO_CONFIG);
+}
+
+void
+gate_front_tick(gate_t *gate, int64_t now_ms)
+{
+	gate_waiting_t *waiting;
+	gate_waiting_t *next;
+
+	DL_FOREACH_SAFE(gate->waiting, waiting, next) {
+		if (gate->config != NULL ||
+		    now_ms - waiting->started_ms >= WAIT_CONFIG_MS)
+			end_wait(gate, waiting);
+	}
 }
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -17,7 +17,7 @@
 #include "proto/fleet.pb-c.h"
 
 /** A target that this gate found unreachable is left out for this time. */
-#define GATE_AVOID_MS 2000
+#define GATE_AVOID_MS 4000
 /** A target that shed a request is left out for this time. */
 #define GATE_SHED_MS 250
 /** A refused trial is not asked for again within this time. */
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -20,6 +20,8 @@
 #include "store/store.h"
 
 #define TICK_MS 50
+/* Shortest election timeout: some heartbeats may be lost or late. */
+#define ELECTION_MS 400
 /* Interval of slow checks: members, gates, buckets. */
 #define SLOW_TICK_MS 250
 /* Entries after which the log is compacted, and entries kept then. */
@@ -675,8 +677,9 @@
 		.send_ctx = hub->net,
 		.apply = on_apply,
 		.take_snapshot = on_take_snapshot,
-		.install_snapshot = on_install_snapshot,
+			.install_snapshot = on_install_snapshot,
 		.ctx = hub,
+		.election_ms = ELECTION_MS,
 	};
 	int err;
 	int i;
--- a/src/hub/hub_judge.c
+++ b/src/hub/hub_judge.c
@@ -32,9 +32,11 @@
 #define TRIALS_NEEDED 1
 /* Share of a service's targets that stay in use, whatever they do. */
 #define KEPT_SHARE 0.35
-/* A target that neither announces itself nor answers for so long is tried by
- * a trial before it gets more. */
-#define SILENT_MS 5000
+/* A target that neither announces itself nor answers for so long is lost, as
+ * far as the leader can tell. */
+#define SILENT_MS 4500
+/* A lost target is tried this often: gates may reach it all the same. */
+#define LOST_REST_MS 3000
 
 typedef struct judged {
 	uint64_t key;
@@ -51,6 +53,7 @@
 	uint32_t good_trials;
 	node_id_t trial_gate; /* NODE_ID_NONE: no trial runs */
 	int64_t trial_ms;
+	int is_lost; /* silent for long */
 	int64_t announced_ms;
 	int64_t good_ms; /* last good response */
 	UT_hash_handle hh;
@@ -180,7 +183,7 @@
 
 	for (target = judge->targets; target != NULL;
 	     target = target->hh.next) {
-		if (target->service != candidate->service)
+		if (target->service != candidate->service || target->is_lost)
 			continue;
 		total++;
 		used += target->verdict == FLEET_VERDICT_GOOD;
@@ -203,6 +206,7 @@
 	     target = target->hh.next) {
 		if (target->service == candidate->service &&
 		    target->verdict != FLEET_VERDICT_GOOD &&
+		    !target->is_lost &&
 		    (oldest == NULL || target->failed_ms < oldest->failed_ms))
 			oldest = target;
 	}
@@ -217,7 +221,7 @@
 {
 	const char *reason = evidence_info[kind].name;
 
-	if (!may_eject(judge, target)) {
+	if (!target->is_lost && !may_eject(judge, target)) {
 		if (kind != FLEET_EVIDENCE_BROKEN)
 			return;
 		return_oldest(judge, target);
@@ -343,6 +347,12 @@
 
 	if (target->trial_gate != NODE_ID_NONE)
 		return;
+	if (target->is_lost) {
+		if (rested_ms >= LOST_REST_MS)
+			set_verdict(judge, target, FLEET_VERDICT_TRIAL,
+			    "a gate may still reach it");
+		return;
+	}
 	if (now_ms - target->ejected_ms >= SAFE_ONLY_MS &&
 	    rested_ms >= UNSAFE_REST_MS)
 		set_verdict(judge, target, FLEET_VERDICT_TRIAL,
@@ -363,9 +373,10 @@
 		if (target->trial_gate != NODE_ID_NONE &&
 		    now_ms - target->trial_ms > TRIAL_MAX_MS)
 			target->trial_gate = NODE_ID_NONE;
+		target->is_lost = is_silent(target, now_ms);
 		if (target->verdict != FLEET_VERDICT_GOOD)
 			offer_trial(judge, target, now_ms);
-		else if (is_silent(target, now_ms))
+		else if (target->is_lost)
 			eject(
 			    judge, target, FLEET_EVIDENCE_UNREACHABLE, now_ms);
 	}
--- a/src/hub/hub_quota.c
+++ b/src/hub/hub_quota.c
@@ -144,7 +144,7 @@
 static double
 get_retry_start(const hub_quota_t *quota)
 {
-	return (0.25 * HUB_QUOTA_RETRY_SHARE * quota->options.retry_burst);
+	return (HUB_QUOTA_RETRY_START_SHARE * quota->options.retry_burst);
 }
 
 void
@@ -255,8 +255,9 @@
 
 	if (retry == NULL)
 		return;
-	retry->level += HUB_QUOTA_RETRY_SHARE * quota->options.retry_ratio;
-	max = 0.5 * HUB_QUOTA_RETRY_SHARE * quota->options.retry_burst;
+	retry->level +=
+	    HUB_QUOTA_RETRY_RATIO_SHARE * quota->options.retry_ratio;
+	max = HUB_QUOTA_RETRY_BURST_SHARE * quota->options.retry_burst;
 	if (retry->level > max)
 		retry->level = max;
 }
--- a/src/hub/hub_quota.h
+++ b/src/hub/hub_quota.h
@@ -30,8 +30,11 @@
 /** Part of what a window may be exceeded by that is given out; the rest is for
  * requests that gates send before they hear that a workspace is scarce. */
 #define HUB_QUOTA_EXCESS_SHARE 0.7
-/** Part of the retry budget that is given out. */
-#define HUB_QUOTA_RETRY_SHARE 0.75
+/** Parts of the retry budget that are given out: of its share of the requests,
+ * and of what it allows beyond that, at once and by a new leader. */
+#define HUB_QUOTA_RETRY_RATIO_SHARE 0.9
+#define HUB_QUOTA_RETRY_BURST_SHARE 0.5
+#define HUB_QUOTA_RETRY_START_SHARE 0.2
 
 /** What an ask gets. */
 typedef struct hub_permit {
