--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -19,8 +19,9 @@
 #define NOTICE_MS 2600
 /* Time left for the last responses before the process would be killed. */
 #define STOP_MARGIN_MS 300
-/* Time from closing the listener to the end, if no request is running. */
-#define CLOSED_MIN_MS 150
+/* The process ends once no request has run for this time: callers get their
+ * responses, and those that were told to go elsewhere have read it. */
+#define QUIET_MS 150
 
 int
 gate_is_ready(const gate_t *gate)
@@ -182,30 +183,15 @@
 static void
 tick_stop(gate_t *gate, int64_t now_ms)
 {
-	int64_t passed_ms = now_ms - gate->phase_since_ms;
-
-	switch (gate->phase) {
-	case GATE_LEAVING:
-		if (passed_ms < NOTICE_MS)
-			return;
-		http_server_stop(gate->callers);
-		gate->phase = GATE_CLOSED;
-		LOG_EVENT(952, LOG_LEVEL_INFO, "listener closed",
-		    LOG_NUM("in_flight", gate->in_flight));
-		break;
-	case GATE_CLOSED:
-		if (passed_ms >=
-			gate->settings.stop_within_ms - STOP_MARGIN_MS ||
-		    (gate->in_flight == 0 &&
-			passed_ms >= NOTICE_MS + CLOSED_MIN_MS)) {
-			gate->phase = GATE_STOPPED;
-			LOG_EVENT(953, LOG_LEVEL_INFO, "stopped",
-			    LOG_NUM("in_flight", gate->in_flight));
-		}
-		break;
-	default:
-		break;
-	}
+	if (gate->in_flight > 0)
+		gate->busy_ms = now_ms;
+	if (gate->phase != GATE_LEAVING ||
+	    now_ms - gate->phase_since_ms < NOTICE_MS)
+		return;
+	http_server_stop(gate->callers);
+	gate->phase = GATE_CLOSED;
+	LOG_EVENT(952, LOG_LEVEL_INFO, "listener closed",
+	    LOG_NUM("in_flight", gate->in_flight));
 }
 
 static void on_timer(uv_timer_t *timer);
@@ -443,5 +429,12 @@
 int
 gate_is_stopped(const gate_t *gate)
 {
-	return (gate->phase == GATE_STOPPED);
+	int64_t now_ms = clock_now_ms();
+
+	if (gate->phase != GATE_CLOSED)
+		return (0);
+	if (now_ms - gate->phase_since_ms >=
+	    gate->settings.stop_within_ms - STOP_MARGIN_MS)
+		return (1);
+	return (gate->in_flight == 0 && now_ms - gate->busy_ms >= QUIET_MS);
 }
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -36,8 +36,7 @@
 typedef enum gate_phase {
 	GATE_RUNNING,
 	GATE_LEAVING, /**< not ready; new connections are still taken */
-	GATE_CLOSED, /**< no new connections; running requests go on */
-	GATE_STOPPED
+	GATE_CLOSED /**< no new connections; running requests go on */
 } gate_phase_t;
 
 struct gate {
@@ -62,6 +61,7 @@
 	gate_request_t *requests;
 	gate_waiting_t *waiting; /**< requests before the first config */
 	uint32_t in_flight;
+	int64_t busy_ms; /**< a request was running last */
 	gate_phase_t phase;
 	int64_t phase_since_ms;
 	metrics_t *metrics;
@@ -86,7 +86,7 @@
 /** Starts a planned stop. */
 void gate_begin_stop(gate_t *gate);
 
-/** @return 1 when the process may end */
+/** @return 1 when the process may end; it must end before it reads again */
 int gate_is_stopped(const gate_t *gate);
 
 /** @return 1 if the load balancer should send callers */
--- a/src/gate/gate_main.c
+++ b/src/gate/gate_main.c
@@ -1,5 +1,6 @@
 /* tm-gate: entry VM of a fleet whose shared state the hubs keep. */
 #include <stdio.h>
+#include <stdlib.h>
 
 #include <uv.h>
 
@@ -24,8 +25,12 @@
 {
 	program_t *program = timer->data;
 
-	if (gate_is_stopped(program->gate))
-		uv_stop(&program->loop);
+	if (!gate_is_stopped(program->gate))
+		return;
+	LOG_EVENT(953, LOG_LEVEL_INFO, "stopped",
+	    LOG_NUM("in_flight", program->gate->in_flight));
+	/* Another turn of the loop could read a request that nobody answers. */
+	exit(0);
 }
 
 static void
