--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -211,6 +211,16 @@
 			return (TM_EREFERENCE);
 		}
 	}
+	if (route->weight_sum <= 0) {
+		snprintf(problem, FLEET_CONFIG_PROBLEM_BYTES,
+		    "route %s gives weight to no service", route->name);
+		return (TM_EINVAL);
+	}
+	if (route->timeout_ms == 0) {
+		snprintf(problem, FLEET_CONFIG_PROBLEM_BYTES,
+		    "route %s has a timeout of 0", route->name);
+		return (TM_EINVAL);
+	}
 	if (route->timeout_ms > 0 &&
 	    route->aim_ms >= route->timeout_ms + FLEET_CONFIG_AIM_OVER_MS) {
 		snprintf(problem, FLEET_CONFIG_PROBLEM_BYTES,
--- a/src/fleet/fleet_config.h
+++ b/src/fleet/fleet_config.h
@@ -32,7 +32,7 @@
 	size_t prefix_len;
 	int repeat_allowed; /**< 1: a request may run more than once */
 	int is_open; /**< needs no key */
-	int64_t timeout_ms; /**< 0: none */
+	int64_t timeout_ms; /**< -1: none */
 	int64_t aim_ms; /**< a later response is worth less */
 	int32_t priority; /**< 0 is the most urgent */
 	uint32_t attempts_max; /**< targets that one request may reach */
