--- a/scripts/run-functional.sh
+++ b/scripts/run-functional.sh
@@ -1,31 +1,23 @@
 #!/bin/sh
 # Runs each test/functional/NAME.sh and NAME.fleet and compares its output with
 # test/functional/NAME.expected. Adds the counts to build/check/counts. A .fleet
-# file with the line "#long" runs under "make prove" only.
+# file with the line "#long" runs under "make prove" only. FUNCTIONAL_JOBS tests
+# run at the same time (1).
 # A line "functional: NAME ..." in KNOWN-RED.txt passes over that test.
 set -u
 build=$1
 only=${2:-}
 out=$build/check/functional
-mkdir -p "$out"
-passed=0
-failed=0
-for script in test/functional/*.sh test/functional/*.fleet; do
-	[ -e "$script" ] || continue
+jobs=${FUNCTIONAL_JOBS:-1}
+
+# Runs one script and keeps its verdict in a file.
+run_one() {
+	script=$1
 	name=$(basename "${script%.*}")
 	case $script in
-	*/lib*) continue ;;
 	*.sh) runner=sh ;;
 	*) runner="python3 test/functional/fleet_scenario.py" ;;
 	esac
-	grep -q '^#long$' "$script" && continue
-	if [ -n "$only" ] && [ "$only" != "$name" ]; then
-		continue
-	fi
-	if grep -qs "^functional: $name\( \|$\)" KNOWN-RED.txt; then
-		echo "skip functional $name (KNOWN-RED.txt)"
-		continue
-	fi
 	# shellcheck disable=SC2086
 	BUILD=$build timeout 120 $runner "$script" >"$out/$name.out" 2>"$out/$name.err"
 	rc=$?
@@ -33,13 +25,42 @@
 	    diff -u "test/functional/$name.expected" "$out/$name.out" \
 	    >"$out/$name.diff" 2>&1; then
 		echo "ok   functional $name"
-		passed=$((passed + 1))
+		echo ok >"$out/$name.verdict"
 	else
 		echo "FAIL functional $name (exit $rc)"
 		cat "$out/$name.diff"
 		tail -n 20 "$out/$name.err"
-		failed=$((failed + 1))
+		echo failed >"$out/$name.verdict"
+	fi
+}
+
+if [ "$only" = --one ]; then
+	run_one "$3"
+	exit 0
+fi
+rm -rf "$out"
+mkdir -p "$out"
+for script in test/functional/*.sh test/functional/*.fleet; do
+	[ -e "$script" ] || continue
+	name=$(basename "${script%.*}")
+	case $script in
+	*/lib*) continue ;;
+	esac
+	grep -q '^#long$' "$script" && continue
+	if [ -n "$only" ] && [ "$only" != "$name" ]; then
+		continue
+	fi
+	if grep -qs "^functional: $name\( \|$\)" KNOWN-RED.txt; then
+		echo "skip functional $name (KNOWN-RED.txt)"
+		continue
 	fi
-done
+	echo "$script"
+done >"$out/list"
+grep '^skip' "$out/list"
+grep -v '^skip' "$out/list" |
+    xargs -P "$jobs" -n 1 "$0" "$build" --one
+passed=$(cat "$out"/*.verdict 2>/dev/null | grep -c '^ok$')
+wanted=$(grep -vc '^skip' "$out/list")
+failed=$((wanted - passed))
 echo "$passed $failed" >>"$build/check/counts"
 [ "$failed" -eq 0 ]
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -10,8 +10,8 @@
 #define CONNECT_MAX_MS 300
 /* An attempt that takes this many times the mean is reported as stalled, but
  * not before the shorter bound, nor while the mean is unknown. */
-#define STALL_RATIO  4.0
-#define STALL_MIN_MS 700
+#define STALL_RATIO  2.5
+#define STALL_MIN_MS 600
 /* Idle connections are used up to this time before their target closes them;
  * the first bound holds where a target does not tell. */
 #define IDLE_UNTOLD_MS 1000
--- a/src/hub/hub_judge.c
+++ b/src/hub/hub_judge.c
@@ -26,6 +26,11 @@
 #define UNSAFE_REST_MS 4000
 /* Ejections further apart than this are not counted together. */
 #define EJECT_MEMORY_MS 10000
+/* Stalls and shed requests of so many targets of a service at the same time
+ * come from its load and not from the targets. */
+#define COMMON_SHARE   0.4
+#define COMMON_TIME_MS 2000
+#define COMMON_WEIGHT  0.2
 /* A trial without a result is over after this time. */
 #define TRIAL_MAX_MS 4000
 /* Good trials in a row that end an ejection. */
@@ -45,6 +50,7 @@
 	fleet_verdict_t verdict;
 	double badness;
 	int64_t faded_ms; /* when the badness was computed */
+	int64_t strained_ms; /* last stall or shed request */
 	node_id_t last_gate; /* of the last evidence */
 	int64_t last_gate_ms;
 	int64_t ejected_ms; /* when it left use */
@@ -280,6 +286,25 @@
 	}
 }
 
+/* @return 1 if many targets of the service show the same */
+static int
+is_common(const hub_judge_t *judge, judged_t *target, int64_t now_ms)
+{
+	const judged_t *other;
+	uint32_t total = 0;
+	uint32_t strained = 0;
+
+	target->strained_ms = now_ms;
+	for (other = judge->targets; other != NULL; other = other->hh.next) {
+		if (other->service != target->service || other->is_lost)
+			continue;
+		total++;
+		strained += other->strained_ms != 0 &&
+		    now_ms - other->strained_ms <= COMMON_TIME_MS;
+	}
+	return ((double)strained > COMMON_SHARE * total);
+}
+
 void
 hub_judge_note(
     hub_judge_t *judge, const hub_evidence_t *evidence, int64_t now_ms)
@@ -300,6 +325,10 @@
 	    evidence->gate == target->last_gate &&
 	    now_ms - target->last_gate_ms < SAME_GATE_MS)
 		weight *= SAME_GATE_WEIGHT;
+	if ((evidence->kind == FLEET_EVIDENCE_STALL ||
+		evidence->kind == FLEET_EVIDENCE_SHED) &&
+	    is_common(judge, target, now_ms))
+		weight *= COMMON_WEIGHT;
 	target->last_gate = evidence->gate;
 	target->last_gate_ms = now_ms;
 	fade(target, now_ms);
