gate_table: equal targets are chosen at random; tests of hubs and gates

Cause: of two targets with the same score the first in the list was always taken (GateTable.LeavingAndEjectedTargetsGetNothing, failed first): a service with two usable targets used one until its load was told.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -49,7 +49,7 @@
 {
 	if (request->trial == NULL)
 		return;
-	gate_target_end(request->gate->table, request->trial);
+	gate_target_end(request->trial);
 	request->trial = NULL;
 }
 
@@ -76,7 +76,7 @@
 	request->may_have_run = 1;
 	if (request->is_trial)
 		report(request, target, FLEET_EVIDENCE_UNUSED, 1, 0);
-	gate_target_end(request->gate->table, target);
+	gate_target_end(target);
 }
 
 static void
@@ -225,7 +225,7 @@
 	target->idle_max_ms = gate_wire_read_keep_ms(response);
 	if (!is_own_deadline(request, response))
 		note(request, target, kind, response->status);
-	gate_target_end(request->gate->table, target);
+	gate_target_end(target);
 	if (is_not_run)
 		handle_not_run(request);
 	else if (kind == FLEET_EVIDENCE_GOOD)
@@ -239,7 +239,7 @@
 handle_unreachable(gate_request_t *request, gate_target_t *target)
 {
 	note(request, target, FLEET_EVIDENCE_UNREACHABLE, 0);
-	gate_target_end(request->gate->table, target);
+	gate_target_end(target);
 	if (gate_request_is_answered(request) ||
 	    request->tried_count >= GATE_TRIED_MAX)
 		gate_request_refuse(request, GATE_REFUSAL_NO_TARGET, 0);
@@ -271,7 +271,7 @@
 		break;
 	}
 	note(request, target, kind, 0);
-	gate_target_end(request->gate->table, target);
+	gate_target_end(target);
 	handle_failure(request, kind, NULL);
 }
 
@@ -425,7 +425,7 @@
 	target = end_attempt(request);
 	note(request, target,
 	    is_sent ? FLEET_EVIDENCE_STALL : FLEET_EVIDENCE_UNREACHABLE, 0);
-	gate_target_end(request->gate->table, target);
+	gate_target_end(target);
 	request->may_have_run |= is_sent;
 	gate_request_refuse(request,
 	    is_sent ? GATE_REFUSAL_DEADLINE_SENT
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -307,9 +307,15 @@
 }
 
 static gate_target_t *
-pick_better(gate_target_t *a, gate_target_t *b, int64_t now_ms)
+pick_better(
+    gate_table_t *table, gate_target_t *a, gate_target_t *b, int64_t now_ms)
 {
-	return (get_score(a, now_ms) <= get_score(b, now_ms) ? a : b);
+	double score_a = get_score(a, now_ms);
+	double score_b = get_score(b, now_ms);
+
+	if (score_a == score_b)
+		return (rng_below(&table->rng, 2) == 0 ? a : b);
+	return (score_a < score_b ? a : b);
 }
 
 /* Power of two choices among the targets of the best rank. */
@@ -342,7 +348,7 @@
 	}
 	if (picked[1] == NULL)
 		return (picked[0]);
-	return (pick_better(picked[0], picked[1], need->now_ms));
+	return (pick_better(table, picked[0], picked[1], need->now_ms));
 }
 
 static int
@@ -393,9 +399,8 @@
 }
 
 void
-gate_target_end(gate_table_t *table, gate_target_t *target)
+gate_target_end(gate_target_t *target)
 {
-	(void)table;
 	target->in_flight--;
 	if (--target->holders == 0 && target->is_removed)
 		free(target);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -107,7 +107,7 @@
 void gate_target_begin(gate_target_t *target);
 
 /** A request at a target has ended. */
-void gate_target_end(gate_table_t *table, gate_target_t *target);
+void gate_target_end(gate_target_t *target);
 
 /** Records a good response. */
 void gate_target_note_good(gate_target_t *target, int64_t latency_ms);
--- /dev/null
+++ b/test/unit/gate_table_test.cc
@@ -0,0 +1,246 @@
+// Failures guarded against: a request goes to a target that leaves, is ejected
+// or was tried; a gap in the changes goes unnoticed; a target that is removed
+// while a request runs there is used after it was freed; load and zone are
+// ignored.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "fleet/fleet_config.h"
+#include "gate/gate_table.h"
+}
+
+namespace {
+
+struct Row {
+	std::string id;
+	std::string zone = "z1";
+	uint32_t state = FLEET_TARGET_READY;
+	uint32_t verdict = FLEET_VERDICT_GOOD;
+	uint64_t born_ms = 1;
+	uint32_t cold_left_ms = 0;
+};
+
+class GateTable : public testing::Test {
+      protected:
+	~GateTable() override
+	{
+		gate_table_destroy(table_);
+	}
+
+	int
+	Take(uint64_t term, uint64_t since, uint64_t sequence,
+	    std::vector<Row> rows, std::vector<uint64_t> removed = {})
+	{
+		Tm__Fleet__Table msg = TM__FLEET__TABLE__INIT;
+		std::vector<Tm__Fleet__Target> targets(rows.size());
+		std::vector<Tm__Fleet__Target *> pointers;
+		char service[] = "s1";
+
+		for (size_t i = 0; i < rows.size(); i++) {
+			tm__fleet__target__init(&targets[i]);
+			targets[i].id = (char *)rows[i].id.c_str();
+			targets[i].zone = (char *)rows[i].zone.c_str();
+			targets[i].service = service;
+			targets[i].ip = htonl(0x7f000001);
+			targets[i].port = 80 + (uint32_t)i;
+			targets[i].slots = 4;
+			targets[i].state = rows[i].state;
+			targets[i].verdict = rows[i].verdict;
+			targets[i].born_ms = rows[i].born_ms;
+			targets[i].cold_left_ms = rows[i].cold_left_ms;
+			pointers.push_back(&targets[i]);
+		}
+		msg.term = term;
+		msg.since = since;
+		msg.sequence = sequence;
+		msg.targets = pointers.data();
+		msg.n_targets = pointers.size();
+		msg.removed = removed.data();
+		msg.n_removed = removed.size();
+		return (gate_table_take(table_, &msg, now_));
+	}
+
+	gate_choice_t
+	Pick(std::vector<uint64_t> tried = {}, int may_repeat = 0)
+	{
+		gate_need_t need = {};
+
+		need.tried = tried.data();
+		need.tried_count = (uint32_t)tried.size();
+		need.may_repeat = may_repeat;
+		need.now_ms = now_;
+		return (gate_table_pick(
+		    table_, gate_table_find_service(table_, "s1"), &need));
+	}
+
+	std::map<std::string, int>
+	PickOften(int times, int may_repeat = 0)
+	{
+		std::map<std::string, int> counts;
+
+		for (int i = 0; i < times; i++) {
+			gate_choice_t choice = Pick({}, may_repeat);
+
+			counts[choice.target != nullptr ? choice.target->id
+							: "none"]++;
+		}
+		return (counts);
+	}
+
+	gate_target_t *
+	Find(const char *id)
+	{
+		return (gate_table_find_target(table_, fleet_name_hash(id)));
+	}
+
+	gate_table_t *table_ = gate_table_create("z1", 1);
+	int64_t now_ = 1000000;
+};
+
+} // namespace
+
+TEST_F(GateTable, LeavingAndEjectedTargetsGetNothing)
+{
+	Take(1, 0, 1,
+	    { { "a" }, { "b", "z1", FLEET_TARGET_DRAINING },
+		{ "c", "z1", FLEET_TARGET_READY, FLEET_VERDICT_EJECTED },
+		{ "d" } });
+	std::map<std::string, int> counts = PickOften(200);
+
+	EXPECT_EQ(0, counts["b"]);
+	EXPECT_EQ(0, counts["c"]);
+	EXPECT_GT(counts["a"], 50);
+	EXPECT_GT(counts["d"], 50);
+}
+
+TEST_F(GateTable, TheLastResortIsAnEjectedTargetNeverALeavingOne)
+{
+	Take(1, 0, 1,
+	    { { "b", "z1", FLEET_TARGET_DRAINING },
+		{ "c", "z1", FLEET_TARGET_READY, FLEET_VERDICT_EJECTED } });
+	EXPECT_EQ(50, PickOften(50)["c"]);
+	EXPECT_EQ(nullptr, Pick({ fleet_name_hash("c") }).target);
+}
+
+TEST_F(GateTable, TriedTargetsAreLeftOut)
+{
+	Take(1, 0, 1, { { "a" }, { "b" } });
+	for (int i = 0; i < 50; i++)
+		EXPECT_STREQ("b", Pick({ fleet_name_hash("a") }).target->id);
+}
+
+TEST_F(GateTable, TrialsGoToRepeatableRequestsFirst)
+{
+	Take(1, 0, 1,
+	    { { "a" },
+		{ "b", "z1", FLEET_TARGET_READY, FLEET_VERDICT_TRIAL_SAFE } });
+	EXPECT_STREQ("a", Pick({}, 0).target->id);
+	gate_choice_t choice = Pick({}, 1);
+	EXPECT_STREQ("b", choice.target->id);
+	EXPECT_TRUE(choice.is_trial);
+	choice.target->trial_ask_ms = now_ + GATE_TRIAL_ASK_MS;
+	EXPECT_STREQ("a", Pick({}, 1).target->id);
+	Take(1, 1, 2,
+	    { { "b", "z1", FLEET_TARGET_READY, FLEET_VERDICT_TRIAL } });
+	now_ += GATE_TRIAL_ASK_MS;
+	EXPECT_TRUE(Pick({}, 0).is_trial);
+}
+
+TEST_F(GateTable, AvoidedTargetsComeAfterOthersOnly)
+{
+	Take(1, 0, 1, { { "a" }, { "b" } });
+	gate_target_avoid(Find("a"), now_ + 1000);
+	EXPECT_EQ(50, PickOften(50)["b"]);
+	EXPECT_STREQ("a", Pick({ fleet_name_hash("b") }).target->id);
+	now_ += 1001;
+	EXPECT_GT(PickOften(200)["a"], 50);
+}
+
+TEST_F(GateTable, BusyTargetsGetLess)
+{
+	Take(1, 0, 1, { { "a" }, { "b" } });
+	gate_target_set_load(Find("a"), 8, now_);
+	EXPECT_EQ(100, PickOften(100)["b"]);
+	/* What it told is outdated. */
+	now_ += 2000;
+	EXPECT_GT(PickOften(200)["a"], 50);
+	gate_target_begin(Find("b"));
+	EXPECT_EQ(100, PickOften(100)["a"]);
+	gate_target_end(Find("b"));
+}
+
+TEST_F(GateTable, NearTargetsArePreferredWhileTheyAreFree)
+{
+	Take(1, 0, 1, { { "near" }, { "far", "z2" } });
+	EXPECT_EQ(100, PickOften(100)["near"]);
+	gate_target_set_load(Find("near"), 4, now_);
+	EXPECT_EQ(100, PickOften(100)["far"]);
+}
+
+TEST_F(GateTable, ColdTargetsGetLess)
+{
+	Take(1, 0, 1,
+	    { { "a" },
+		{ "b", "z1", FLEET_TARGET_READY, FLEET_VERDICT_GOOD, 1,
+		    3000 } });
+	EXPECT_EQ(100, PickOften(100)["a"]);
+	now_ += 3000;
+	EXPECT_GT(PickOften(200)["b"], 50);
+}
+
+TEST_F(GateTable, ChangesNeedWhatTheyBuildOn)
+{
+	EXPECT_FALSE(Take(1, 5, 6, { { "a" } }));
+	EXPECT_TRUE(Take(1, 0, 5, { { "a" } }));
+	EXPECT_FALSE(Take(1, 6, 7, { { "b" } }));
+	EXPECT_FALSE(Take(2, 5, 6, { { "b" } }));
+	EXPECT_TRUE(Take(1, 5, 6, { { "b" } }));
+	EXPECT_EQ(2u, gate_table_count(table_));
+	/* Older than what the table holds. */
+	EXPECT_FALSE(Take(1, 4, 6, { { "c" } }));
+	EXPECT_TRUE(Take(2, 0, 1, { { "b" } }));
+	EXPECT_EQ(1u, gate_table_count(table_));
+	EXPECT_FALSE(Take(1, 0, 9, { { "a" } }));
+}
+
+TEST_F(GateTable, ARemovedTargetLivesUntilItsRequestsEnd)
+{
+	Take(1, 0, 1, { { "a" }, { "b" } });
+	gate_target_t *target = Find("a");
+
+	gate_target_begin(target);
+	Take(1, 1, 2, {}, { fleet_name_hash("a") });
+	EXPECT_EQ(nullptr, Find("a"));
+	EXPECT_TRUE(target->is_removed);
+	gate_target_note_good(target, 10);
+	gate_target_end(target);
+}
+
+TEST_F(GateTable, ANewIncarnationKnowsNothing)
+{
+	Take(1, 0, 1, { { "a" } });
+	gate_target_avoid(Find("a"), now_ + 10000);
+	Take(1, 1, 2, { { "a", "z1", 0, 0, 2 } });
+	EXPECT_EQ(0, Find("a")->avoid_until_ms);
+}
+
+TEST_F(GateTable, OutcomesAreReportedOnce)
+{
+	Take(1, 0, 1, { { "a" }, { "b" } });
+	gate_target_note_good(Find("a"), 10);
+	gate_target_note_good(Find("a"), 30);
+	size_t count;
+	Tm__Fleet__Outcome *outcomes = gate_table_take_outcomes(table_, &count);
+
+	ASSERT_EQ(1u, count);
+	EXPECT_EQ(2u, outcomes[0].good);
+	EXPECT_EQ(40u, outcomes[0].latency_sum_ms);
+	free(outcomes);
+	EXPECT_EQ(nullptr, gate_table_take_outcomes(table_, &count));
+}
--- /dev/null
+++ b/test/unit/hub_state_test.cc
@@ -0,0 +1,214 @@
+// Failures guarded against: hubs that apply the same entries differ; an old
+// announcement or document replaces a newer one; a snapshot loses something.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <string>
+
+extern "C" {
+#include "base/error.h"
+#include "fleet/zip.h"
+#include "hub/hub_state.h"
+}
+
+namespace {
+
+dialect_announcement_t
+MakeTarget(const char *id, uint64_t born_ms, uint32_t ip,
+    fleet_target_state_t state = FLEET_TARGET_READY)
+{
+	dialect_announcement_t as = {};
+
+	snprintf(as.id, sizeof(as.id), "%s", id);
+	snprintf(as.service, sizeof(as.service), "s1");
+	snprintf(as.zone, sizeof(as.zone), "z1");
+	as.born_ms = born_ms;
+	as.ip = ip;
+	as.port = 80;
+	as.slots = 4;
+	as.state = state;
+	return (as);
+}
+
+class HubState : public testing::Test {
+      protected:
+	~HubState() override
+	{
+		hub_state_destroy(state_);
+	}
+
+	hub_change_t
+	Apply(uint8_t *bytes, size_t len)
+	{
+		hub_target_t *target;
+		hub_change_t change =
+		    hub_state_apply(state_, bytes, len, &target);
+
+		free(bytes);
+		return (change);
+	}
+
+	hub_change_t
+	ApplyTarget(const dialect_announcement_t &as)
+	{
+		size_t len;
+		uint8_t *bytes = hub_entry_encode_target(&as, &len);
+
+		return (Apply(bytes, len));
+	}
+
+	hub_change_t
+	ApplyDocument(uint64_t version, const std::string &text)
+	{
+		hub_document_t document;
+		size_t len;
+
+		EXPECT_EQ(TM_OK,
+		    hub_document_pack(
+			&document, version, text.data(), text.size()));
+		uint8_t *bytes = hub_entry_encode_document(&document, &len);
+		hub_document_release(&document);
+		return (Apply(bytes, len));
+	}
+
+	std::string
+	GetDocument() const
+	{
+		char *plain = hub_document_unpack(&state_->document);
+		std::string text(plain, state_->document.plain_len);
+
+		free(plain);
+		return (text);
+	}
+
+	fleet_target_state_t
+	GetState(const char *id) const
+	{
+		const hub_target_t *target =
+		    hub_state_find_target(state_, fleet_name_hash(id));
+
+		return (
+		    target != nullptr ? target->as.state : FLEET_TARGET_GONE);
+	}
+
+	hub_state_t *state_ = hub_state_create();
+};
+
+} // namespace
+
+TEST_F(HubState, HighestVersionWins)
+{
+	EXPECT_EQ(HUB_CHANGE_DOCUMENT, ApplyDocument(5, "five"));
+	EXPECT_EQ(HUB_CHANGE_NONE, ApplyDocument(4, "four"));
+	EXPECT_EQ(HUB_CHANGE_NONE, ApplyDocument(5, "other five"));
+	EXPECT_EQ("five", GetDocument());
+	EXPECT_EQ(HUB_CHANGE_DOCUMENT, ApplyDocument(9, "nine"));
+	EXPECT_EQ("nine", GetDocument());
+}
+
+TEST_F(HubState, VersionZeroIsADocument)
+{
+	EXPECT_EQ(HUB_CHANGE_DOCUMENT, ApplyDocument(0, "zero"));
+	EXPECT_TRUE(state_->has_document);
+}
+
+TEST_F(HubState, NewerIncarnationTakesTheAddress)
+{
+	ApplyTarget(MakeTarget("a", 100, 7));
+	EXPECT_EQ(HUB_CHANGE_TARGET, ApplyTarget(MakeTarget("b", 200, 7)));
+	EXPECT_EQ(FLEET_TARGET_GONE, GetState("a"));
+	EXPECT_EQ(FLEET_TARGET_READY, GetState("b"));
+	/* It was delayed by a partition. */
+	EXPECT_EQ(HUB_CHANGE_NONE, ApplyTarget(MakeTarget("a", 100, 7)));
+	EXPECT_EQ(FLEET_TARGET_READY, GetState("b"));
+}
+
+TEST_F(HubState, OlderIncarnationOfAnIdChangesNothing)
+{
+	ApplyTarget(MakeTarget("a", 200, 7, FLEET_TARGET_DRAINING));
+	EXPECT_EQ(HUB_CHANGE_NONE, ApplyTarget(MakeTarget("a", 100, 8)));
+	EXPECT_EQ(FLEET_TARGET_DRAINING, GetState("a"));
+	EXPECT_EQ(HUB_CHANGE_TARGET, ApplyTarget(MakeTarget("a", 300, 8)));
+	EXPECT_EQ(FLEET_TARGET_READY, GetState("a"));
+}
+
+TEST_F(HubState, GoneTargetsAreRememberedUntilForgotten)
+{
+	dialect_announcement_t as = MakeTarget("a", 100, 7);
+	size_t len;
+
+	ApplyTarget(as);
+	uint8_t *bytes = hub_entry_encode_forgotten(&as, &len);
+	Apply(bytes, len);
+	EXPECT_EQ(FLEET_TARGET_READY, GetState("a"));
+	as.state = FLEET_TARGET_GONE;
+	ApplyTarget(as);
+	ASSERT_NE(nullptr, hub_state_find_target(state_, fleet_name_hash("a")));
+	bytes = hub_entry_encode_forgotten(&as, &len);
+	Apply(bytes, len);
+	EXPECT_EQ(nullptr, hub_state_find_target(state_, fleet_name_hash("a")));
+}
+
+TEST_F(HubState, HubsAreRecorded)
+{
+	size_t len;
+	uint8_t *bytes = hub_entry_encode_hub("10.0.0.1", 0, &len);
+
+	EXPECT_EQ(HUB_CHANGE_HUBS, Apply(bytes, len));
+	bytes = hub_entry_encode_hub("10.0.0.1", 0, &len);
+	EXPECT_EQ(HUB_CHANGE_NONE, Apply(bytes, len));
+	EXPECT_TRUE(hub_state_has_hub(state_, "10.0.0.1"));
+	bytes = hub_entry_encode_hub("10.0.0.1", 1, &len);
+	EXPECT_EQ(HUB_CHANGE_HUBS, Apply(bytes, len));
+	EXPECT_FALSE(hub_state_has_hub(state_, "10.0.0.1"));
+}
+
+TEST_F(HubState, MalformedEntriesChangeNothing)
+{
+	const uint8_t junk[] = { 0xff, 0x01, 0x80, 0x80 };
+	hub_target_t *target;
+
+	EXPECT_EQ(HUB_CHANGE_NONE,
+	    hub_state_apply(state_, junk, sizeof(junk), &target));
+	EXPECT_EQ(HUB_CHANGE_NONE, hub_state_apply(state_, junk, 0, &target));
+	EXPECT_EQ(HUB_CHANGE_NONE, ApplyTarget(MakeTarget("", 1, 1)));
+	EXPECT_NE(TM_OK, hub_state_restore(state_, junk, sizeof(junk)));
+}
+
+TEST_F(HubState, SnapshotKeepsEverything)
+{
+	hub_state_t *copy = hub_state_create();
+	size_t len;
+	uint8_t *bytes;
+
+	ApplyDocument(5, std::string(100000, 'x'));
+	ApplyTarget(MakeTarget("a", 100, 7));
+	ApplyTarget(MakeTarget("b", 100, 8, FLEET_TARGET_GONE));
+	bytes = hub_entry_encode_hub("10.0.0.1", 0, &len);
+	Apply(bytes, len);
+	bytes = hub_state_encode(state_, &len);
+	ASSERT_NE(nullptr, bytes);
+	EXPECT_LT(len, 5000u);
+	ASSERT_EQ(TM_OK, hub_state_restore(copy, bytes, len));
+	free(bytes);
+	std::swap(copy, state_);
+	EXPECT_EQ(std::string(100000, 'x'), GetDocument());
+	EXPECT_EQ(FLEET_TARGET_READY, GetState("a"));
+	EXPECT_NE(nullptr, hub_state_find_target(state_, fleet_name_hash("b")));
+	EXPECT_TRUE(hub_state_has_hub(state_, "10.0.0.1"));
+	hub_state_destroy(copy);
+}
+
+TEST(Zip, RefusesADamagedText)
+{
+	size_t len;
+	uint8_t *zipped = zip_pack("hello", 5, &len);
+
+	EXPECT_EQ(nullptr, zip_unpack(zipped, len, 4));
+	EXPECT_EQ(nullptr, zip_unpack(zipped, len - 1, 5));
+	EXPECT_EQ(nullptr, zip_unpack(zipped, len, (size_t)1 << 40));
+	zipped[2] ^= 0x55;
+	EXPECT_EQ(nullptr, zip_unpack(zipped, len, 5));
+	free(zipped);
+}
