--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -59,6 +59,23 @@
 	peer_net_reset(gate->net, hub);
 }
 
+static void
+fill_served(gate_t *gate, Tm__Fleet__Join *join)
+{
+	size_t count = 0;
+	size_t i;
+
+	gate->served = gate_table_take_served(gate->table, &count);
+	gate->served_pointers =
+	    calloc(count + 1, sizeof(*gate->served_pointers));
+	if (gate->served_pointers == NULL)
+		count = 0;
+	for (i = 0; i < count; i++)
+		gate->served_pointers[i] = &gate->served[i];
+	join->served = gate->served_pointers;
+	join->n_served = count;
+}
+
 static void
 on_fill_join(void *ctx, Tm__Fleet__Join *join, int wants_usage)
 {
@@ -75,6 +92,8 @@
 		join->n_usage =
 		    gate_usage_list(gate->usage, &join->usage, clock_now_ms());
 	}
+	if (gate->served == NULL)
+		fill_served(gate, join);
 	if (gate->outcomes == NULL) {
 		gate->outcomes = gate_table_take_outcomes(gate->table, &count);
 		gate->outcome_pointers =
@@ -93,6 +112,10 @@
 {
 	gate_t *gate = ctx;
 
+	free(gate->served_pointers);
+	free(gate->served);
+	gate->served_pointers = NULL;
+	gate->served = NULL;
 	free(gate->outcome_pointers);
 	free(gate->outcomes);
 	gate->outcome_pointers = NULL;
--- a/src/gate/gate_front.c
+++ b/src/gate/gate_front.c
@@ -249,7 +249,10 @@
 {
 	gate_t *gate = ctx;
 
-	if (gate->config != NULL)
+	/* Such a request may not be finished before the process ends. */
+	if (gate->phase == GATE_CLOSED)
+		gate_request_refuse_early(gate, req, GATE_REFUSAL_DRAINING);
+	else if (gate->config != NULL)
 		handle(gate, req, clock_now_ms());
 	else if (!wait_for_config(gate, req))
 		gate_request_refuse_early(gate, req, GATE_REFUSAL_NO_CONFIG);
--- a/src/gate/gate_refusal.c
+++ b/src/gate/gate_refusal.c
@@ -25,6 +25,8 @@
 	    "this VM has no configuration yet", "send the request again" },
 	[GATE_REFUSAL_OVERLOADED] = { 503, 0, "overloaded",
 	    "too many requests are running here", "send the request again" },
+	[GATE_REFUSAL_DRAINING] = { 503, 0, "draining", "this VM stops",
+	    "send the request again on a new connection" },
 	[GATE_REFUSAL_KEYS_UNSURE] = { 503, 0, "keys_unsure",
 	    "this VM cannot tell whether the key is still valid",
 	    "send the request again" },
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -23,6 +23,8 @@
 #define HOLD_STEP_MS 60
 /* Callers come back after this time, if nothing tells a better one. */
 #define RETRY_AFTER_MS 400
+/* The same if another VM can take the request right now. */
+#define RETRY_ELSEWHERE_MS 20
 
 int
 gate_request_is_answered(const gate_request_t *request)
@@ -60,11 +62,26 @@
 	free(request);
 }
 
+/* The leader keeps more of a service in use that leaves much unserved. */
+static void
+count_answer(const gate_request_t *request, int status)
+{
+	gate_service_t *service =
+	    gate_table_find_service(request->gate->table, request->service);
+
+	if (service == NULL)
+		return;
+	service->ended++;
+	service->unserved += status < 200 || status >= 300;
+}
+
 static void
 log_answer(const gate_request_t *request, int status, const char *reason)
 {
 	int64_t total_ms = clock_now_ms() - request->started_ms;
 
+	count_answer(request, status);
+
 	metric_record_us(request->gate->metric_latency, total_ms * MS_PER_SEC);
 	LOG_EVENT(960, status < 400 ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
 	    "request ended", LOG_TEXT("request_id", request->id),
@@ -321,6 +338,16 @@
 	return (request);
 }
 
+/* @return time for Retry-After; 0: none */
+static int64_t
+get_early_retry_ms(gate_refusal_t refusal)
+{
+	if (refusal == GATE_REFUSAL_DRAINING)
+		return (RETRY_ELSEWHERE_MS);
+	return (
+	    gate_refusal_get_info(refusal)->status == 503 ? RETRY_AFTER_MS : 0);
+}
+
 void
 gate_request_refuse_early(gate_t *gate, h2o_req_t *req, gate_refusal_t refusal)
 {
@@ -338,8 +365,7 @@
 		"version", gate->config != NULL ? gate->config->version : 0));
 	if (gate->phase != GATE_RUNNING)
 		req->http1_is_persistent = 0;
-	gate_refusal_send(
-	    req, refusal, info->status == 503 ? RETRY_AFTER_MS : 0);
+	gate_refusal_send(req, refusal, get_early_retry_ms(refusal));
 }
 
 void
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -483,6 +483,16 @@
 		    now_ms);
 }
 
+static void
+note_served(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < join->n_served; i++)
+		hub_judge_note_served(hub->judge, join->served[i]->service,
+		    join->served[i]->ended, join->served[i]->unserved, now_ms);
+}
+
 static void
 note_usage(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
 {
@@ -514,6 +524,7 @@
 		lease.leader = hub->settings.ip;
 		lease.hub_count = (size_t)hub_members_list(hub->members, names);
 		note_outcomes(hub, join, now_ms);
+		note_served(hub, join, now_ms);
 		note_usage(hub, join, now_ms);
 		hub_feed_join(hub->feed, from, join, &lease, now_ms);
 	}
--- a/test/unit/hub_judge_test.cc
+++ b/test/unit/hub_judge_test.cc
@@ -235,6 +235,30 @@
 	EXPECT_EQ(FLEET_VERDICT_EJECTED, Get(3));
 }
 
+// mwamba-gw-grown, trouble-1: 7 of 16 targets of a service got nothing for 2 s
+// while a tenth of it was not served.
+TEST_F(HubJudge, EjectedTargetsAreTriedSoonWhileMuchIsUnserved)
+{
+	const uint64_t kCount = 10;
+	uint64_t tried = 0;
+
+	for (uint32_t unserved : { 1u, 10u }) {
+		hub_judge_reset(judge_);
+		AddTargets(kCount);
+		for (uint64_t key = 1; key <= 5; key++)
+			Note(key, FLEET_EVIDENCE_BROKEN);
+		for (int i = 0; i < 14; i++) {
+			hub_judge_note_served(
+			    judge_, kService, 100, unserved, now_);
+			Pass(100, kCount);
+		}
+		tried = 0;
+		for (uint64_t key = 1; key <= 5; key++)
+			tried += Get(key) == FLEET_VERDICT_TRIAL;
+		EXPECT_EQ(unserved > 8 ? 3u : 0u, tried);
+	}
+}
+
 TEST_F(HubJudge, ANewIncarnationStartsAfresh)
 {
 	AddTargets(8);
