--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,8 +1,8 @@
 /**
  * @file
- * Structured log: one JSON object per line on standard error. Each event has
- * a number that is listed with its meaning in docs/events.md; a number is
- * never reused for another meaning.
+ * Structured log: one JSON object per line, on standard error unless a program
+ * says otherwise. Each event has a number that is listed with its meaning in
+ * docs/events.md; a number is never reused for another meaning.
  */
 #ifndef TM_BASE_LOG_H
 #define TM_BASE_LOG_H
@@ -41,6 +41,22 @@
  */
 void log_configure(FILE *out, log_level_t min, const char *node);
 
+/** Lines of one event in a second; further ones are only counted. */
+#define LOG_LINES_PER_S 100
+
+/**
+ * Bounds the log, so that it can neither slow the process down nor block it:
+ * lines go to a file descriptor, which is made non-blocking. Lines that a full
+ * pipe does not take are dropped, as are lines of an event beyond
+ * LOG_LINES_PER_S; event 110 tells their number once a second.
+ *
+ * @return 0, TM_EIO if the descriptor cannot be used, TM_ENOMEM
+ */
+int log_set_bounded(int fd);
+
+/** @return lines that were dropped because the reader was too slow */
+uint64_t log_get_dropped(void);
+
 /**
  * Parses the name of a severity.
  *
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "fleet/zip.h"
 #include "gate/gate_defs.h"
+#include "gate/gate_metrics.h"
 #include "gate/gate_request.h"
 
 /* Part of the time for revocation that a lease may take. */
@@ -220,7 +221,6 @@
 	gate_front_tick(gate, now_ms);
 	gate_request_tick_all(gate, now_ms);
 	upstream_tick(gate->upstream, now_ms);
-	metric_set(gate->metric_in_flight, gate->in_flight);
 	if (gate->phase != GATE_RUNNING)
 		tick_stop(gate, now_ms);
 }
@@ -256,8 +256,10 @@
 {
 	gate_t *gate = ctx;
 	size_t len = 0;
-	char *text = metrics_format(gate->metrics, &len);
+	char *text;
 
+	gate_metrics_update(gate);
+	text = metrics_format(gate->metrics, &len);
 	http_request_reply(req, text != NULL ? 200 : 503,
 	    "text/plain; version=0.0.4", text != NULL ? text : "", len);
 	free(text);
@@ -343,20 +345,10 @@
 	gate->usage = gate_usage_create();
 	gate->link = gate_link_create(&link);
 	gate->upstream = upstream_create(gate->loop);
-	gate->metrics = metrics_create();
 	if (gate->table == NULL || gate->allowance == NULL ||
-	    gate->usage == NULL || gate->link == NULL ||
-	    gate->upstream == NULL || gate->metrics == NULL)
+	    gate->usage == NULL || gate->link == NULL || gate->upstream == NULL)
 		return (TM_ENOMEM);
-	gate->metric_requests = metrics_get(
-	    gate->metrics, "tm_gate_requests_total", "", METRIC_COUNTER);
-	gate->metric_attempts = metrics_get(
-	    gate->metrics, "tm_gate_attempts_total", "", METRIC_COUNTER);
-	gate->metric_in_flight = metrics_get(
-	    gate->metrics, "tm_gate_requests_in_flight", "", METRIC_GAUGE);
-	gate->metric_latency = metrics_get(gate->metrics,
-	    "tm_gate_request_duration_seconds", "", METRIC_HISTOGRAM);
-	return (TM_OK);
+	return (gate_metrics_create(gate));
 }
 
 static void
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -1,4 +1,5 @@
 #include "gate/gate_attempt.h"
+#include "gate/gate_metrics.h"
 
 #include <string.h>
 
@@ -83,6 +84,7 @@
 log_attempt(const gate_request_t *request, const gate_target_t *target,
     fleet_evidence_t kind, int status, int64_t latency_ms)
 {
+	gate_metrics_count_evidence(request->gate, evidence_get_name(kind));
 	LOG_EVENT(962, LOG_LEVEL_INFO, "attempt failed",
 	    LOG_TEXT("request_id", request->id), LOG_TEXT("target", target->id),
 	    LOG_NUM("verdict", target->verdict),
@@ -345,9 +347,10 @@
 	request->tried[request->tried_count++] = target->key;
 	request->state = GATE_STATE_SENT;
 	metric_add(gate->metric_attempts, 1);
-	LOG_EVENT(963, LOG_LEVEL_DEBUG, "attempt started",
-	    LOG_TEXT("request_id", request->id), LOG_TEXT("target", target->id),
-	    LOG_NUM("verdict", target->verdict), LOG_NUM("is_trial", is_trial),
+	LOG_EVENT(963, request->is_sampled ? LOG_LEVEL_INFO : LOG_LEVEL_DEBUG,
+	    "attempt started", LOG_TEXT("request_id", request->id),
+	    LOG_TEXT("target", target->id), LOG_NUM("verdict", target->verdict),
+	    LOG_NUM("is_trial", is_trial),
 	    LOG_NUM("in_flight", target->in_flight),
 	    LOG_NUM("load", target->load),
 	    LOG_NUM("load_age_ms", request->sent_ms - target->load_ms));
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -69,6 +69,7 @@
 	metric_t *metric_in_flight;
 	metric_t *metric_latency;
 	metric_t *metric_attempts;
+	metric_t *metric_log_dropped;
 };
 
 /* gate.c */
--- a/src/gate/gate_main.c
+++ b/src/gate/gate_main.c
@@ -1,6 +1,7 @@
 /* tm-gate: entry VM of a fleet whose shared state the hubs keep. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <uv.h>
 
@@ -70,6 +71,7 @@
 	static program_t program;
 
 	log_configure(stdout, settings->log_level, settings->node);
+	log_set_bounded(STDOUT_FILENO);
 	program.settings_file = file;
 	uv_loop_init(&program.loop);
 	if (gate_create(&program.gate, settings, &program.loop) != TM_OK)
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "fleet/fleet_config.h"
 #include "gate/gate_attempt.h"
+#include "gate/gate_metrics.h"
 
 /* Interval of the check that a caller still waits. */
 #define ABANDON_CHECK_MS 100
@@ -23,6 +24,8 @@
 #define SHORT_HOLD_SHARE 0.6
 /* Interval at which a held request tries again. */
 #define HOLD_STEP_MS 60
+/* Of so many requests one is logged with all its steps. */
+#define SAMPLED_ONE_IN 64
 /* Callers come back after this time, if nothing tells a better one. */
 #define RETRY_AFTER_MS 400
 /* The same if another VM can take the request right now. */
@@ -69,8 +72,11 @@
 {
 	int64_t total_ms = clock_now_ms() - request->started_ms;
 
-	metric_record_us(request->gate->metric_latency, total_ms * MS_PER_SEC);
-	LOG_EVENT(960, status < 400 ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
+	gate_metrics_count_answer(
+	    request->gate, request->workspace, status, reason, total_ms);
+	LOG_EVENT(960,
+	    status < 400 && !request->is_sampled ? LOG_LEVEL_DEBUG
+						 : LOG_LEVEL_INFO,
 	    "request ended", LOG_TEXT("request_id", request->id),
 	    LOG_TEXT("service", request->service),
 	    LOG_TEXT("workspace", request->workspace),
@@ -325,6 +331,8 @@
 	request->checked_ms = options->started_ms;
 	request->is_head =
 	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("HEAD"));
+	request->is_sampled =
+	    fleet_name_hash(request->id) % SAMPLED_ONE_IN == 0;
 	request->link = h2o_mem_alloc_shared(
 	    &req->pool, sizeof(*request->link), on_link_disposed);
 	request->link->request = request;
@@ -358,6 +366,7 @@
 	    LOG_TEXT("reason", info->error),
 	    LOG_NUM(
 		"version", gate->config != NULL ? gate->config->version : 0));
+	gate_metrics_count_answer(gate, "", info->status, info->error, 0);
 	if (gate->phase != GATE_RUNNING)
 		req->http1_is_persistent = 0;
 	gate_refusal_send(req, refusal, get_early_retry_ms(refusal));
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -34,6 +34,7 @@
 	int has_rate; /**< its workspace has a rate */
 	int repeat_allowed;
 	int is_head;
+	int is_sampled; /**< all that happens to it is logged */
 	uint32_t attempts_max;
 	int32_t priority;
 	int64_t started_ms;
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -24,6 +24,8 @@
 #define ELECTION_MS 400
 /* Interval of slow checks: members, gates, buckets. */
 #define SLOW_TICK_MS 250
+/* Interval at which the ejected targets are written down, if they changed. */
+#define KEEP_EJECTED_MS 1000
 /* Entries after which the log is compacted, and entries kept then. */
 #define COMPACT_ENTRIES 400
 #define COMPACT_KEEP	64
@@ -66,6 +68,7 @@
 	uint64_t led_term;
 	int64_t slow_due_ms;
 	int64_t member_due_ms;
+	int64_t ejected_due_ms;
 	uint64_t compacted;
 	int is_stopping;
 	int64_t stop_deadline_ms;
@@ -295,6 +298,7 @@
 begin_to_lead(hub_t *hub, int64_t now_ms)
 {
 	const hub_target_t *target;
+	size_t i;
 
 	hub->leading_since_ms = now_ms;
 	hub->led_term = raft_get_term(hub->raft);
@@ -308,6 +312,8 @@
 	}
 	hub_quota_reset(hub->quota, now_ms);
 	hub_feed_reset(hub->feed, hub->led_term);
+	for (i = 0; i < hub->state->ejected_count; i++)
+		hub_judge_restore(hub->judge, hub->state->ejected[i], now_ms);
 	LOG_EVENT(913, LOG_LEVEL_INFO, "serving as the leader",
 	    LOG_NUM("term", hub->led_term),
 	    LOG_NUM("version", hub->state->document.version),
@@ -399,6 +405,28 @@
 	hub_feed_broadcast(hub->feed, MSG_FLEET_PERMITS, &msg.base, now_ms);
 }
 
+/* Keeps the list of ejected targets for the next leader, if it has changed. */
+static void
+keep_ejected(hub_t *hub)
+{
+	const hub_state_t *state = hub->state;
+	size_t max = HASH_COUNT(state->targets);
+	uint64_t *targets = calloc(max + 1, sizeof(*targets));
+	uint8_t *bytes;
+	size_t count;
+	size_t len;
+
+	if (targets == NULL)
+		return;
+	count = hub_judge_list_ejected(hub->judge, targets, max);
+	if (count != state->ejected_count ||
+	    memcmp(targets, state->ejected, count * sizeof(*targets)) != 0) {
+		bytes = hub_entry_encode_ejected(targets, count, &len);
+		hub_propose(hub, bytes, len, ignore_outcome, NULL);
+	}
+	free(targets);
+}
+
 static void
 compact(hub_t *hub)
 {
@@ -420,6 +448,10 @@
 	hub_judge_tick(hub->judge, now_ms);
 	if (hub_quota_tick(hub->quota, now_ms))
 		send_permits_state(hub, now_ms);
+	if (now_ms >= hub->ejected_due_ms) {
+		hub->ejected_due_ms = now_ms + KEEP_EJECTED_MS;
+		keep_ejected(hub);
+	}
 	if (now_ms >= hub->member_due_ms) {
 		hub->member_due_ms = now_ms + SLOW_TICK_MS;
 		plan_members(hub, now_ms);
--- a/src/hub/hub_judge.c
+++ b/src/hub/hub_judge.c
@@ -379,6 +379,33 @@
 	    target->verdict == FLEET_VERDICT_TRIAL_SAFE);
 }
 
+void
+hub_judge_restore(hub_judge_t *judge, uint64_t key, int64_t now_ms)
+{
+	judged_t *target = find(judge, key);
+
+	if (target == NULL)
+		return;
+	target->ejected_ms = now_ms;
+	target->failed_ms = now_ms;
+	set_verdict(judge, target, FLEET_VERDICT_EJECTED,
+	    "the leader before had ejected it");
+}
+
+size_t
+hub_judge_list_ejected(const hub_judge_t *judge, uint64_t *targets, size_t max)
+{
+	const judged_t *target;
+	size_t count = 0;
+
+	for (target = judge->targets; target != NULL && count < max;
+	     target = target->hh.next) {
+		if (target->verdict != FLEET_VERDICT_GOOD)
+			targets[count++] = target->key;
+	}
+	return (count);
+}
+
 int
 hub_judge_ask_trial(
     hub_judge_t *judge, uint64_t key, node_id_t gate, int64_t now_ms)
--- a/src/hub/hub_judge.h
+++ b/src/hub/hub_judge.h
@@ -54,6 +54,18 @@
 void hub_judge_add(
     hub_judge_t *judge, uint64_t target, uint64_t service, uint64_t born_ms);
 
+/** Ejects a target that the leader before had ejected. */
+void hub_judge_restore(hub_judge_t *judge, uint64_t target, int64_t now_ms);
+
+/**
+ * Lists the targets that are not in use.
+ *
+ * @param targets  room for max keys
+ * @return         their number
+ */
+size_t hub_judge_list_ejected(
+    const hub_judge_t *judge, uint64_t *targets, size_t max);
+
 /** Removes a target that leaves. */
 void hub_judge_remove(hub_judge_t *judge, uint64_t target);
 
--- a/src/hub/hub_main.c
+++ b/src/hub/hub_main.c
@@ -1,5 +1,6 @@
 /* tm-hub: shared state of a fleet whose entry VMs keep none. */
 #include <stdio.h>
+#include <unistd.h>
 
 #include <uv.h>
 
@@ -77,6 +78,7 @@
 	static program_t program;
 
 	log_configure(stdout, settings->log_level, settings->node);
+	log_set_bounded(STDOUT_FILENO);
 	program.settings_file = file;
 	uv_loop_init(&program.loop);
 	if (hub_create(&program.hub, settings, &program.loop) != TM_OK)
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -32,6 +32,9 @@
 	hub_document_release(&state->document);
 	state->has_document = 0;
 	state->hub_count = 0;
+	free(state->ejected);
+	state->ejected = NULL;
+	state->ejected_count = 0;
 }
 
 void
@@ -232,6 +235,20 @@
 	return (HUB_CHANGE_NONE);
 }
 
+static void
+set_ejected(hub_state_t *state, const uint64_t *targets, size_t count)
+{
+	uint64_t *copy = calloc(count + 1, sizeof(*copy));
+
+	if (copy == NULL)
+		return;
+	if (count > 0)
+		memcpy(copy, targets, count * sizeof(*copy));
+	free(state->ejected);
+	state->ejected = copy;
+	state->ejected_count = count;
+}
+
 hub_change_t
 hub_state_apply(
     hub_state_t *state, const uint8_t *bytes, size_t len, hub_target_t **target)
@@ -248,6 +265,9 @@
 		change = apply_target(state, entry->target, target);
 	else if (entry->gone != NULL)
 		change = apply_forgotten(state, entry->gone);
+	else if (entry->ejected != NULL)
+		set_ejected(
+		    state, entry->ejected->targets, entry->ejected->n_targets);
 	else if (entry->hub[0] != '\0')
 		change = add_hub(state, entry->hub) ? HUB_CHANGE_HUBS
 						    : HUB_CHANGE_NONE;
@@ -340,6 +360,18 @@
 	return (encode(&entry.base, len));
 }
 
+uint8_t *
+hub_entry_encode_ejected(const uint64_t *targets, size_t count, size_t *len)
+{
+	Tm__Fleet__Entry entry = TM__FLEET__ENTRY__INIT;
+	Tm__Fleet__Ejected msg = TM__FLEET__EJECTED__INIT;
+
+	msg.targets = (uint64_t *)targets;
+	msg.n_targets = count;
+	entry.ejected = &msg;
+	return (encode(&entry.base, len));
+}
+
 uint8_t *
 hub_state_encode(const hub_state_t *state, size_t *len)
 {
@@ -356,6 +388,8 @@
 
 	for (i = 0; i < state->hub_count; i++)
 		hubs[i] = (char *)state->hubs[i];
+	snapshot.ejected = state->ejected;
+	snapshot.n_ejected = state->ejected_count;
 	snapshot.hubs = hubs;
 	snapshot.n_hubs = (size_t)state->hub_count;
 	if (state->has_document) {
@@ -393,6 +427,7 @@
 		apply_target(state, snapshot->targets[i], &unused);
 	for (i = 0; i < snapshot->n_hubs; i++)
 		add_hub(state, snapshot->hubs[i]);
+	set_ejected(state, snapshot->ejected, snapshot->n_ejected);
 	if (snapshot->document != NULL)
 		err = set_document(state, snapshot->document);
 	tm__fleet__snapshot__free_unpacked(snapshot, NULL);
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -41,6 +41,8 @@
 	uint64_t changes; /**< grows with each change of targets */
 	char hubs[FLEET_HUBS_MAX][FLEET_IP_BYTES];
 	int hub_count;
+	uint64_t *ejected; /**< keys of targets that are kept out of use */
+	size_t ejected_count;
 } hub_state_t;
 
 /** What an entry changed. */
@@ -93,6 +95,8 @@
 uint8_t *hub_entry_encode_forgotten(
     const dialect_announcement_t *as, size_t *len);
 uint8_t *hub_entry_encode_hub(const char *name, int is_lost, size_t *len);
+uint8_t *hub_entry_encode_ejected(
+    const uint64_t *targets, size_t count, size_t *len);
 
 /**
  * Compresses a document.
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &tm__fleet__entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__ejected__init
+                     (Tm__Fleet__Ejected         *message)
+{
+  static const Tm__Fleet__Ejected init_value = TM__FLEET__EJECTED__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__ejected__get_packed_size
+                     (const Tm__Fleet__Ejected *message)
+{
+  assert(message->base.descriptor == &tm__fleet__ejected__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__ejected__pack
+                     (const Tm__Fleet__Ejected *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__ejected__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__ejected__pack_to_buffer
+                     (const Tm__Fleet__Ejected *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__ejected__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Ejected *
+       tm__fleet__ejected__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Ejected *)
+     protobuf_c_message_unpack (&tm__fleet__ejected__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__ejected__free_unpacked
+                     (Tm__Fleet__Ejected *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__ejected__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   tm__fleet__snapshot__init
                      (Tm__Fleet__Snapshot         *message)
 {
@@ -1909,7 +1954,7 @@
   (ProtobufCMessageInit) tm__fleet__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__entry__field_descriptors[5] =
+static const ProtobufCFieldDescriptor tm__fleet__entry__field_descriptors[6] =
 {
   {
     "document",
@@ -1971,9 +2016,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ejected",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Entry, ejected),
+    &tm__fleet__ejected__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__entry__field_indices_by_name[] = {
   0,   /* field[0] = document */
+  5,   /* field[5] = ejected */
   2,   /* field[2] = gone */
   3,   /* field[3] = hub */
   4,   /* field[4] = lost_hub */
@@ -1982,7 +2040,7 @@
 static const ProtobufCIntRange tm__fleet__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor tm__fleet__entry__descriptor =
 {
@@ -1992,14 +2050,52 @@
   "Tm__Fleet__Entry",
   "tm.fleet",
   sizeof(Tm__Fleet__Entry),
-  5,
+  6,
   tm__fleet__entry__field_descriptors,
   tm__fleet__entry__field_indices_by_name,
   1,  tm__fleet__entry__number_ranges,
   (ProtobufCMessageInit) tm__fleet__entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__snapshot__field_descriptors[3] =
+static const ProtobufCFieldDescriptor tm__fleet__ejected__field_descriptors[1] =
+{
+  {
+    "targets",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Ejected, n_targets),
+    offsetof(Tm__Fleet__Ejected, targets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__ejected__field_indices_by_name[] = {
+  0,   /* field[0] = targets */
+};
+static const ProtobufCIntRange tm__fleet__ejected__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor tm__fleet__ejected__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Ejected",
+  "Ejected",
+  "Tm__Fleet__Ejected",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Ejected),
+  1,
+  tm__fleet__ejected__field_descriptors,
+  tm__fleet__ejected__field_indices_by_name,
+  1,  tm__fleet__ejected__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__ejected__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__snapshot__field_descriptors[4] =
 {
   {
     "document",
@@ -2037,16 +2133,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ejected",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Snapshot, n_ejected),
+    offsetof(Tm__Fleet__Snapshot, ejected),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__snapshot__field_indices_by_name[] = {
   0,   /* field[0] = document */
+  3,   /* field[3] = ejected */
   2,   /* field[2] = hubs */
   1,   /* field[1] = targets */
 };
 static const ProtobufCIntRange tm__fleet__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor tm__fleet__snapshot__descriptor =
 {
@@ -2056,7 +2165,7 @@
   "Tm__Fleet__Snapshot",
   "tm.fleet",
   sizeof(Tm__Fleet__Snapshot),
-  3,
+  4,
   tm__fleet__snapshot__field_descriptors,
   tm__fleet__snapshot__field_indices_by_name,
   1,  tm__fleet__snapshot__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Tm__Fleet__Block Tm__Fleet__Block;
 typedef struct Tm__Fleet__Hello Tm__Fleet__Hello;
 typedef struct Tm__Fleet__Entry Tm__Fleet__Entry;
+typedef struct Tm__Fleet__Ejected Tm__Fleet__Ejected;
 typedef struct Tm__Fleet__Snapshot Tm__Fleet__Snapshot;
 
 
@@ -289,10 +290,25 @@
   Tm__Fleet__Target *gone;
   char *hub;
   char *lost_hub;
+  Tm__Fleet__Ejected *ejected;
 };
 #define TM__FLEET__ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__entry__descriptor) \
-    , NULL, NULL, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , NULL, NULL, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
+
+
+/*
+ * Targets that the leader keeps out of use, for the next leader.
+ */
+struct  Tm__Fleet__Ejected
+{
+  ProtobufCMessage base;
+  size_t n_targets;
+  uint64_t *targets;
+};
+#define TM__FLEET__EJECTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__ejected__descriptor) \
+    , 0,NULL }
 
 
 struct  Tm__Fleet__Snapshot
@@ -303,10 +319,12 @@
   Tm__Fleet__Target **targets;
   size_t n_hubs;
   char **hubs;
+  size_t n_ejected;
+  uint64_t *ejected;
 };
 #define TM__FLEET__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Tm__Fleet__Outcome methods */
@@ -594,6 +612,25 @@
 void   tm__fleet__entry__free_unpacked
                      (Tm__Fleet__Entry *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__Ejected methods */
+void   tm__fleet__ejected__init
+                     (Tm__Fleet__Ejected         *message);
+size_t tm__fleet__ejected__get_packed_size
+                     (const Tm__Fleet__Ejected   *message);
+size_t tm__fleet__ejected__pack
+                     (const Tm__Fleet__Ejected   *message,
+                      uint8_t             *out);
+size_t tm__fleet__ejected__pack_to_buffer
+                     (const Tm__Fleet__Ejected   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Ejected *
+       tm__fleet__ejected__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__ejected__free_unpacked
+                     (Tm__Fleet__Ejected *message,
+                      ProtobufCAllocator *allocator);
 /* Tm__Fleet__Snapshot methods */
 void   tm__fleet__snapshot__init
                      (Tm__Fleet__Snapshot         *message);
@@ -660,6 +697,9 @@
 typedef void (*Tm__Fleet__Entry_Closure)
                  (const Tm__Fleet__Entry *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__Ejected_Closure)
+                 (const Tm__Fleet__Ejected *message,
+                  void *closure_data);
 typedef void (*Tm__Fleet__Snapshot_Closure)
                  (const Tm__Fleet__Snapshot *message,
                   void *closure_data);
@@ -684,6 +724,7 @@
 extern const ProtobufCMessageDescriptor tm__fleet__block__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__hello__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__entry__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__ejected__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__snapshot__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/test/unit/base_test.cc
+++ b/test/unit/base_test.cc
@@ -2,6 +2,10 @@
 // that does not repeat its sequence.
 #include <gtest/gtest.h>
 
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <cstdlib>
 #include <cstring>
 #include <string>
@@ -209,3 +213,61 @@
 	EXPECT_STREQ(error_get_text(-1000), "unknown error");
 	EXPECT_STREQ(error_get_remedy(5), "");
 }
+
+// A reader that stops must not stop the process, and a flood of one event must
+// not hide the others.
+TEST(LogBounded, NeverBlocksAndCountsWhatIsLeftOut)
+{
+	int fds[2];
+	std::string text;
+	char buffer[65536];
+	ssize_t count;
+
+	ASSERT_EQ(0, pipe(fds));
+	ASSERT_EQ(0, fcntl(fds[0], F_SETFL, O_NONBLOCK));
+	log_configure(stdout, LOG_LEVEL_INFO, "n1");
+	pid_t child = fork();
+	ASSERT_GE(child, 0);
+	if (child == 0) {
+		std::string field(2000, 'x');
+
+		/* The pipe holds some 30 of these lines; nobody reads. */
+		if (log_set_bounded(fds[1]) != 0)
+			_exit(1);
+		for (int i = 0; i < 90; i++)
+			log_write(
+			    900 + i, LOG_LEVEL_INFO, field.c_str(), nullptr, 0);
+		_exit(log_get_dropped() > 20 ? 0 : 2);
+	}
+	int status = 0;
+	ASSERT_EQ(child, waitpid(child, &status, 0));
+	EXPECT_EQ(0, status);
+	while ((count = read(fds[0], buffer, sizeof(buffer))) > 0)
+		text.append(buffer, (size_t)count);
+	/* Whole lines only. */
+	ASSERT_FALSE(text.empty());
+	EXPECT_EQ('\n', text.back());
+	child = fork();
+	if (child == 0) {
+		if (log_set_bounded(fds[1]) != 0)
+			_exit(1);
+		for (int i = 0; i < 5 * LOG_LINES_PER_S; i++)
+			log_write(901, LOG_LEVEL_INFO, "flood", nullptr, 0);
+		log_write(902, LOG_LEVEL_INFO, "other", nullptr, 0);
+		_exit(0);
+	}
+	ASSERT_EQ(child, waitpid(child, &status, 0));
+	text.clear();
+	while ((count = read(fds[0], buffer, sizeof(buffer))) > 0)
+		text.append(buffer, (size_t)count);
+	size_t floods = 0;
+	for (size_t at = 0; (at = text.find("flood", at)) != std::string::npos;
+	     at++)
+		floods++;
+	/* The flood may have spanned the end of a second. */
+	EXPECT_GE(floods, (size_t)LOG_LINES_PER_S);
+	EXPECT_LE(floods, (size_t)2 * LOG_LINES_PER_S);
+	EXPECT_NE(std::string::npos, text.find("other"));
+	close(fds[0]);
+	close(fds[1]);
+}
--- a/test/unit/hub_judge_test.cc
+++ b/test/unit/hub_judge_test.cc
@@ -252,6 +252,24 @@
 		    << key;
 }
 
+// A new leader without the verdicts lost a request at each bad target.
+TEST_F(HubJudge, EjectionsOutliveTheLeader)
+{
+	uint64_t ejected[8];
+
+	AddTargets(8);
+	Note(3, FLEET_EVIDENCE_BROKEN);
+	ASSERT_EQ(1u, hub_judge_list_ejected(judge_, ejected, 8));
+	hub_judge_reset(judge_);
+	AddTargets(8);
+	EXPECT_EQ(FLEET_VERDICT_GOOD, Get(3));
+	hub_judge_restore(judge_, ejected[0], now_);
+	hub_judge_restore(judge_, 99, now_);
+	EXPECT_EQ(FLEET_VERDICT_EJECTED, Get(3));
+	Pass(1200, 8);
+	EXPECT_EQ(FLEET_VERDICT_TRIAL_SAFE, Get(3));
+}
+
 TEST_F(HubJudge, ANewIncarnationStartsAfresh)
 {
 	AddTargets(8);
--- a/test/unit/hub_state_test.cc
+++ b/test/unit/hub_state_test.cc
@@ -187,6 +187,9 @@
 	ApplyTarget(MakeTarget("b", 100, 8, FLEET_TARGET_GONE));
 	bytes = hub_entry_encode_hub("10.0.0.1", 0, &len);
 	Apply(bytes, len);
+	const uint64_t ejected[] = { 4, 5 };
+	bytes = hub_entry_encode_ejected(ejected, 2, &len);
+	Apply(bytes, len);
 	bytes = hub_state_encode(state_, &len);
 	ASSERT_NE(nullptr, bytes);
 	EXPECT_LT(len, 5000u);
@@ -197,6 +200,8 @@
 	EXPECT_EQ(FLEET_TARGET_READY, GetState("a"));
 	EXPECT_NE(nullptr, hub_state_find_target(state_, fleet_name_hash("b")));
 	EXPECT_TRUE(hub_state_has_hub(state_, "10.0.0.1"));
+	ASSERT_EQ(2u, state_->ejected_count);
+	EXPECT_EQ(5u, state_->ejected[1]);
 	hub_state_destroy(copy);
 }
 
