hub_load: gates refuse early when a service cannot answer in time, the less urgent first

Now gates report the loads that targets tell, the leader tells the load and the time of a request without waiting, and gates refuse by priority, before the response would miss its aim.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -89,6 +89,15 @@
 	}
 }
 
+static void
+on_pressure(void *ctx, const Tm__Fleet__Pressure *pressure)
+{
+	gate_t *gate = ctx;
+
+	gate_table_set_pressure(gate->table, pressure->service,
+	    pressure->load_percent / 100.0, pressure->work_ms, clock_now_ms());
+}
+
 static void
 on_joined(void *ctx)
 {
@@ -332,6 +341,7 @@
 		.found = on_found,
 		.reset = on_reset,
 		.fill_join = on_fill_join,
+		.pressure = on_pressure,
 		.joined = on_joined,
 		.ctx = gate,
 	};
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -249,6 +249,7 @@
     int64_t now_ms)
 {
 	int64_t sent_ms = (int64_t)lease->sent_ms;
+	size_t i;
 
 	/* An answer to an older asking of a leader that was replaced. */
 	if (lease->term < link->term || sent_ms > now_ms)
@@ -269,6 +270,9 @@
 	if (sent_ms > link->current_ms)
 		link->current_ms = sent_ms;
 	link->gates = lease->gates > 0 ? lease->gates : 1;
+	for (i = 0; i < lease->n_pressures; i++)
+		link->options.pressure(
+		    link->options.ctx, lease->pressures[i]);
 	link->newest = lease->config_version;
 	if (link->version >= link->newest)
 		renew_key_lease(link, sent_ms);
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -56,6 +56,8 @@
 	 * also what it spent lately.
 	 */
 	void (*fill_join)(void *ctx, Tm__Fleet__Join *join, int wants_usage);
+	/** The leader told how full a service is. */
+	void (*pressure)(void *ctx, const Tm__Fleet__Pressure *pressure);
 	/** The join that was filled is sent; its texts may be freed. */
 	void (*joined)(void *ctx);
 	void *ctx;
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -271,6 +271,20 @@
 		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
 }
 
+/* Decided once, when the request comes. */
+static int
+has_room(gate_request_t *request, int64_t now_ms)
+{
+	gate_table_t *table = request->gate->table;
+	const gate_service_t *service =
+	    gate_table_find_service(table, request->service);
+
+	if (request->state != GATE_STATE_NEW || service == NULL)
+		return (1);
+	return (gate_table_has_room(
+	    table, service, request->aim_ms, request->priority, now_ms));
+}
+
 /* Gets the request's token, then sends it. */
 static void
 admit(gate_request_t *request)
@@ -282,6 +296,10 @@
 		gate_request_proceed(request);
 		return;
 	}
+	if (!has_room(request, now_ms)) {
+		gate_request_refuse(request, GATE_REFUSAL_SERVICE_FULL, 0);
+		return;
+	}
 	if (request->has_rate && !gate_link_is_current(gate->link, now_ms)) {
 		if (!take_own_token(request)) {
 			gate_request_hold(request, GATE_REFUSAL_NO_LEADER);
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -13,6 +13,17 @@
 #define NEAR_BONUS 0.35
 /* A cold target counts as this much busier. */
 #define COLD_MALUS 0.5
+/* What the leader told counts for this time. */
+#define PRESSURE_MAX_AGE_MS 800
+/* A service is filled up to the load at which a response takes its aim. From the
+ * first share of that on some requests are refused, at the second all. */
+#define ROOM_FROM 0.6
+#define ROOM_TO	  1.25
+/* Each step of priority has so much less room; at most so many steps count. */
+#define ROOM_STEP      0.1
+#define ROOM_STEPS_MAX 3
+/* Share of requests that are sent however full a service is. */
+#define ROOM_MIN 0.3
 /* Weight of a new response in the mean latency of a service. */
 #define LATENCY_WEIGHT 0.05
 
@@ -391,6 +402,39 @@
 	return (choice);
 }
 
+void
+gate_table_set_pressure(gate_table_t *table, uint64_t id, double pressure,
+    double work_ms, int64_t now_ms)
+{
+	gate_service_t *service;
+
+	HASH_FIND(hh, table->services, &id, sizeof(id), service);
+	if (service == NULL)
+		return;
+	service->pressure = pressure;
+	service->work_ms = work_ms;
+	service->pressure_ms = now_ms;
+}
+
+int
+gate_table_has_room(gate_table_t *table, const gate_service_t *service,
+    int64_t aim_ms, int32_t priority, int64_t now_ms)
+{
+	int32_t steps = priority < ROOM_STEPS_MAX ? priority : ROOM_STEPS_MAX;
+	double full;
+	double share;
+
+	if (service->work_ms <= 0 || service->pressure <= 1 ||
+	    now_ms - service->pressure_ms > PRESSURE_MAX_AGE_MS)
+		return (1);
+	full = (double)aim_ms / service->work_ms * (1 - ROOM_STEP * steps);
+	share = (ROOM_TO * full - service->pressure) /
+	    ((ROOM_TO - ROOM_FROM) * full);
+	if (share < ROOM_MIN)
+		share = ROOM_MIN;
+	return (share >= 1 || rng_unit(&table->rng) < share);
+}
+
 void
 gate_target_begin(gate_target_t *target)
 {
@@ -425,6 +469,7 @@
 {
 	target->load = load;
 	target->load_ms = now_ms;
+	target->has_new_load = 1;
 }
 
 void
@@ -443,7 +488,7 @@
 
 	*count = 0;
 	HASH_ITER(hh, table->targets, target, next) {
-		if (target->good == 0)
+		if (target->good == 0 && !target->has_new_load)
 			continue;
 		if (outcomes == NULL)
 			outcomes = calloc(
@@ -454,6 +499,9 @@
 		outcomes[*count].target = target->key;
 		outcomes[*count].good = target->good;
 		outcomes[(*count)++].latency_sum_ms = target->latency_sum_ms;
+		if (target->has_new_load)
+			outcomes[*count - 1].load = target->load + 1;
+		target->has_new_load = 0;
 		target->good = 0;
 		target->latency_sum_ms = 0;
 	}
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -41,6 +41,7 @@
 	uint32_t in_flight; /**< requests of this gate */
 	uint32_t load; /**< running and waiting, as it last told */
 	int64_t load_ms; /**< when it told so */
+	int has_new_load; /**< not reported yet */
 	int64_t avoid_until_ms; /**< this gate alone leaves it out */
 	int64_t trial_ask_ms; /**< none is asked for before */
 	int64_t cold_until_ms; /**< it is slow until then */
@@ -59,6 +60,9 @@
 	uint32_t count;
 	uint32_t room;
 	double latency_ms; /**< mean of good responses; 0: not known */
+	double pressure; /**< requests per slot in the whole fleet */
+	double work_ms; /**< of a request without waiting; 0: not known */
+	int64_t pressure_ms; /**< when the leader told so */
 	UT_hash_handle hh;
 } gate_service_t;
 
@@ -99,6 +103,21 @@
 /** @return a target, or NULL */
 gate_target_t *gate_table_find_target(const gate_table_t *table, uint64_t key);
 
+/** The leader told how full a service is. */
+void gate_table_set_pressure(gate_table_t *table, uint64_t service,
+    double pressure, double work_ms, int64_t now_ms);
+
+/**
+ * Decides whether a service has room for a request, so that the requests that
+ * it takes are answered in time; the most urgent ones go first.
+ *
+ * @param aim_ms    time within which the response should come
+ * @param priority  0 is the most urgent
+ * @return          1 if the request should be sent
+ */
+int gate_table_has_room(gate_table_t *table, const gate_service_t *service,
+    int64_t aim_ms, int32_t priority, int64_t now_ms);
+
 /** Chooses a target. */
 gate_choice_t gate_table_pick(
     gate_table_t *table, gate_service_t *service, const gate_need_t *need);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "hub/hub_feed.h"
 #include "hub/hub_judge.h"
+#include "hub/hub_load.h"
 #include "hub/hub_members.h"
 #include "hub/hub_quota.h"
 #include "net/peer.h"
@@ -24,6 +25,8 @@
 #define ELECTION_MS 400
 /* Interval of slow checks: members, gates, buckets. */
 #define SLOW_TICK_MS 250
+/* Interval at which the load of the services is computed. */
+#define LOAD_MS 200
 /* Interval at which the ejected targets are written down, if they changed. */
 #define KEEP_EJECTED_MS 1000
 /* Entries after which the log is compacted, and entries kept then. */
@@ -60,6 +63,7 @@
 	hub_members_t *members;
 	hub_judge_t *judge;
 	hub_quota_t *quota;
+	hub_load_t *load;
 	hub_feed_t *feed;
 	fleet_config_t *config; /* of the newest document */
 	ticket_t *tickets;
@@ -69,6 +73,7 @@
 	int64_t slow_due_ms;
 	int64_t member_due_ms;
 	int64_t ejected_due_ms;
+	int64_t load_due_ms;
 	uint64_t compacted;
 	int is_stopping;
 	int64_t stop_deadline_ms;
@@ -448,6 +453,10 @@
 	hub_judge_tick(hub->judge, now_ms);
 	if (hub_quota_tick(hub->quota, now_ms))
 		send_permits_state(hub, now_ms);
+	if (now_ms >= hub->load_due_ms) {
+		hub->load_due_ms = now_ms + LOAD_MS;
+		hub_load_update(hub->load, hub->state, hub->judge, now_ms);
+	}
 	if (now_ms >= hub->ejected_due_ms) {
 		hub->ejected_due_ms = now_ms + KEEP_EJECTED_MS;
 		keep_ejected(hub);
@@ -504,15 +513,30 @@
 	peer_net_send(hub->net, to, MSG_FLEET_LEASE, &msg.base);
 }
 
+static void
+note_outcome(hub_t *hub, const Tm__Fleet__Outcome *outcome, int64_t now_ms)
+{
+	const hub_target_t *target =
+	    hub_state_find_target(hub->state, outcome->target);
+
+	if (target == NULL)
+		return;
+	hub_judge_note_good(hub->judge, outcome->target, outcome->good,
+	    outcome->latency_sum_ms, now_ms);
+	hub_load_note_good(hub->load, fleet_name_hash(target->as.service),
+	    outcome->good, outcome->latency_sum_ms);
+	if (outcome->load > 0)
+		hub_load_note(
+		    hub->load, outcome->target, outcome->load - 1, now_ms);
+}
+
 static void
 note_outcomes(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
 {
 	size_t i;
 
 	for (i = 0; i < join->n_outcomes; i++)
-		hub_judge_note_good(hub->judge, join->outcomes[i]->target,
-		    join->outcomes[i]->good, join->outcomes[i]->latency_sum_ms,
-		    now_ms);
+		note_outcome(hub, join->outcomes[i], now_ms);
 }
 
 static void
@@ -544,7 +568,10 @@
 		update_role(hub, now_ms);
 		lease.term = hub->led_term;
 		lease.leader = hub->settings.ip;
-		lease.hub_count = (size_t)hub_members_list(hub->members, names);
+		lease.hub_count =
+		    (size_t)hub_members_list(hub->members, names);
+		lease.pressures =
+		    hub_load_list(hub->load, &lease.pressure_count);
 		note_outcomes(hub, join, now_ms);
 		note_usage(hub, join, now_ms);
 		hub_feed_join(hub->feed, from, join, &lease, now_ms);
@@ -785,12 +812,13 @@
 	hub->members = hub_members_create(&members);
 	hub->judge = hub_judge_create(on_verdict, hub);
 	hub->quota = hub_quota_create(&quota);
+	hub->load = hub_load_create();
 	feed.state = hub->state;
 	feed.judge = hub->judge;
 	hub->feed = hub_feed_create(&feed);
 	hub->metrics = metrics_create();
 	if (hub->state == NULL || hub->members == NULL || hub->judge == NULL ||
-	    hub->quota == NULL || hub->feed == NULL || hub->metrics == NULL)
+	    hub->quota == NULL || hub->load == NULL || hub->feed == NULL || hub->metrics == NULL)
 		return (TM_ENOMEM);
 	hub->metric_leading =
 	    metrics_get(hub->metrics, "tm_hub_is_leading", "", METRIC_GAUGE);
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -5,6 +5,9 @@
 
 #include <uthash.h>
 
+/* Full services that a lease tells of. */
+#define PRESSURES_MAX 64
+
 typedef struct feed_gate {
 	node_id_t id;
 	int64_t heard_ms;
@@ -229,11 +232,35 @@
 	return (gate);
 }
 
+/* Only services that are full are worth a word. */
+static size_t
+fill_pressures(const hub_feed_lease_t *lease, Tm__Fleet__Pressure *msgs,
+    Tm__Fleet__Pressure **pointers)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < lease->pressure_count && count < PRESSURES_MAX; i++) {
+		if (lease->pressures[i].load < 1)
+			continue;
+		tm__fleet__pressure__init(&msgs[count]);
+		msgs[count].service = lease->pressures[i].service;
+		msgs[count].load_percent =
+		    (uint32_t)(100 * lease->pressures[i].load);
+		msgs[count].work_ms = (uint32_t)lease->pressures[i].work_ms;
+		pointers[count] = &msgs[count];
+		count++;
+	}
+	return (count);
+}
+
 static void
 send_lease(hub_feed_t *feed, const feed_gate_t *gate,
     const Tm__Fleet__Join *join, const hub_feed_lease_t *lease, int64_t now_ms)
 {
 	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
+	Tm__Fleet__Pressure pressures[PRESSURES_MAX];
+	Tm__Fleet__Pressure *pointers[PRESSURES_MAX];
 
 	msg.sent_ms = join->sent_ms;
 	msg.is_leader = 1;
@@ -243,6 +270,8 @@
 	msg.term = lease->term;
 	msg.config_version = feed->options.state->document.version;
 	msg.gates = hub_feed_count_gates(feed, now_ms);
+	msg.pressures = pointers;
+	msg.n_pressures = fill_pressures(lease, pressures, pointers);
 	feed->options.send(
 	    feed->options.send_ctx, gate->id, MSG_FLEET_LEASE, &msg.base);
 }
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "hub/hub_judge.h"
+#include "hub/hub_load.h"
 #include "hub/hub_state.h"
 #include "proto/fleet.pb-c.h"
 
@@ -39,6 +40,8 @@
 	const char *leader;
 	const char *const *hubs;
 	size_t hub_count;
+	const hub_pressure_t *pressures;
+	size_t pressure_count;
 } hub_feed_lease_t;
 
 /** @return NULL if memory is exhausted */
--- /dev/null
+++ b/src/hub/hub_load.c
@@ -0,0 +1,204 @@
+#include "hub/hub_load.h"
+
+#include <stdlib.h>
+
+/* An older load says nothing. */
+#define LOAD_MAX_AGE_MS 1500
+/* Weight of the responses of one update in the mean time of a request. */
+#define WORK_WEIGHT 0.1
+/* Services that are told of; the fullest ones matter. */
+#define SERVICES_MAX 256
+
+typedef struct target_load {
+	uint64_t key;
+	uint32_t requests;
+	int64_t noted_ms;
+	UT_hash_handle hh;
+} target_load_t;
+
+typedef struct service_load {
+	uint64_t id;
+	double requests; /* of targets in use with a fresh load */
+	double slots;
+	double work_ms;
+	uint32_t good; /* since the last update */
+	uint64_t latency_sum_ms;
+	UT_hash_handle hh;
+} service_load_t;
+
+struct hub_load {
+	target_load_t *targets;
+	service_load_t *services;
+	hub_pressure_t list[SERVICES_MAX];
+	size_t count;
+};
+
+hub_load_t *
+hub_load_create(void)
+{
+	return (calloc(1, sizeof(hub_load_t)));
+}
+
+void
+hub_load_destroy(hub_load_t *load)
+{
+	target_load_t *target;
+	target_load_t *next;
+	service_load_t *service;
+	service_load_t *next_service;
+
+	if (load == NULL)
+		return;
+	HASH_ITER(hh, load->targets, target, next) {
+		HASH_DELETE(hh, load->targets, target);
+		free(target);
+	}
+	HASH_ITER(hh, load->services, service, next_service) {
+		HASH_DELETE(hh, load->services, service);
+		free(service);
+	}
+	free(load);
+}
+
+static service_load_t *
+get_service(hub_load_t *load, uint64_t id)
+{
+	service_load_t *service;
+
+	HASH_FIND(hh, load->services, &id, sizeof(id), service);
+	if (service != NULL)
+		return (service);
+	service = calloc(1, sizeof(*service));
+	if (service == NULL)
+		return (NULL);
+	service->id = id;
+	HASH_ADD(hh, load->services, id, sizeof(service->id), service);
+	return (service);
+}
+
+void
+hub_load_note(
+    hub_load_t *load, uint64_t key, uint32_t requests, int64_t now_ms)
+{
+	target_load_t *target;
+
+	HASH_FIND(hh, load->targets, &key, sizeof(key), target);
+	if (target == NULL) {
+		target = calloc(1, sizeof(*target));
+		if (target == NULL)
+			return;
+		target->key = key;
+		HASH_ADD(hh, load->targets, key, sizeof(target->key), target);
+	}
+	target->requests = requests;
+	target->noted_ms = now_ms;
+}
+
+void
+hub_load_note_good(hub_load_t *load, uint64_t id, uint32_t count,
+    uint32_t latency_sum_ms)
+{
+	service_load_t *service = get_service(load, id);
+
+	if (service == NULL)
+		return;
+	service->good += count;
+	service->latency_sum_ms += latency_sum_ms;
+}
+
+/* A target that is gone leaves no load behind. */
+static void
+forget_old(hub_load_t *load, int64_t now_ms)
+{
+	target_load_t *target;
+	target_load_t *next;
+
+	HASH_ITER(hh, load->targets, target, next) {
+		if (now_ms - target->noted_ms <= LOAD_MAX_AGE_MS)
+			continue;
+		HASH_DELETE(hh, load->targets, target);
+		free(target);
+	}
+}
+
+static void
+add_target(hub_load_t *load, const hub_target_t *target)
+{
+	service_load_t *service =
+	    get_service(load, fleet_name_hash(target->as.service));
+	target_load_t *told;
+
+	HASH_FIND(
+	    hh, load->targets, &target->key, sizeof(target->key), told);
+	if (service == NULL || told == NULL)
+		return;
+	service->requests += told->requests;
+	service->slots += target->as.slots;
+}
+
+static double
+get_pressure(const service_load_t *service)
+{
+	return (service->slots > 0 ? service->requests / service->slots : 0);
+}
+
+/* In a full target a request takes its own time once for each request that
+ * shares its slot. */
+static void
+update_work(service_load_t *service)
+{
+	double pressure = get_pressure(service);
+	double work_ms;
+
+	if (service->good == 0)
+		return;
+	work_ms = (double)service->latency_sum_ms / service->good;
+	if (pressure > 1)
+		work_ms /= pressure;
+	if (service->work_ms <= 0)
+		service->work_ms = work_ms;
+	else
+		service->work_ms +=
+		    WORK_WEIGHT * (work_ms - service->work_ms);
+	service->good = 0;
+	service->latency_sum_ms = 0;
+}
+
+void
+hub_load_update(hub_load_t *load, const hub_state_t *state,
+    const hub_judge_t *judge, int64_t now_ms)
+{
+	const hub_target_t *target;
+	service_load_t *service;
+	service_load_t *next;
+
+	forget_old(load, now_ms);
+	HASH_ITER(hh, load->services, service, next) {
+		service->requests = 0;
+		service->slots = 0;
+	}
+	for (target = state->targets; target != NULL;
+	     target = target->hh.next) {
+		if (target->as.state == FLEET_TARGET_READY &&
+		    hub_judge_get(judge, target->key) == FLEET_VERDICT_GOOD)
+			add_target(load, target);
+	}
+	load->count = 0;
+	HASH_ITER(hh, load->services, service, next) {
+		update_work(service);
+		if (load->count == SERVICES_MAX)
+			continue;
+		load->list[load->count++] = (hub_pressure_t){
+			.service = service->id,
+			.load = get_pressure(service),
+			.work_ms = service->work_ms,
+		};
+	}
+}
+
+const hub_pressure_t *
+hub_load_list(const hub_load_t *load, size_t *count)
+{
+	*count = load->count;
+	return (load->list);
+}
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &tm__fleet__outcome__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__pressure__init
+                     (Tm__Fleet__Pressure         *message)
+{
+  static const Tm__Fleet__Pressure init_value = TM__FLEET__PRESSURE__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__pressure__get_packed_size
+                     (const Tm__Fleet__Pressure *message)
+{
+  assert(message->base.descriptor == &tm__fleet__pressure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__pressure__pack
+                     (const Tm__Fleet__Pressure *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__pressure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__pressure__pack_to_buffer
+                     (const Tm__Fleet__Pressure *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__pressure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Pressure *
+       tm__fleet__pressure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Pressure *)
+     protobuf_c_message_unpack (&tm__fleet__pressure__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__pressure__free_unpacked
+                     (Tm__Fleet__Pressure *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__pressure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   tm__fleet__usage__init
                      (Tm__Fleet__Usage         *message)
 {
@@ -772,7 +817,7 @@
   assert(message->base.descriptor == &tm__fleet__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor tm__fleet__outcome__field_descriptors[3] =
+static const ProtobufCFieldDescriptor tm__fleet__outcome__field_descriptors[4] =
 {
   {
     "target",
@@ -810,16 +855,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Outcome, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__outcome__field_indices_by_name[] = {
   1,   /* field[1] = good */
   2,   /* field[2] = latency_sum_ms */
+  3,   /* field[3] = load */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange tm__fleet__outcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor tm__fleet__outcome__descriptor =
 {
@@ -829,13 +887,77 @@
   "Tm__Fleet__Outcome",
   "tm.fleet",
   sizeof(Tm__Fleet__Outcome),
-  3,
+  4,
   tm__fleet__outcome__field_descriptors,
   tm__fleet__outcome__field_indices_by_name,
   1,  tm__fleet__outcome__number_ranges,
   (ProtobufCMessageInit) tm__fleet__outcome__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor tm__fleet__pressure__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Pressure, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_percent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Pressure, load_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Pressure, work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__pressure__field_indices_by_name[] = {
+  1,   /* field[1] = load_percent */
+  0,   /* field[0] = service */
+  2,   /* field[2] = work_ms */
+};
+static const ProtobufCIntRange tm__fleet__pressure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor tm__fleet__pressure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Pressure",
+  "Pressure",
+  "Tm__Fleet__Pressure",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Pressure),
+  3,
+  tm__fleet__pressure__field_descriptors,
+  tm__fleet__pressure__field_indices_by_name,
+  1,  tm__fleet__pressure__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__pressure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor tm__fleet__usage__field_descriptors[2] =
 {
   {
@@ -1016,7 +1138,7 @@
   (ProtobufCMessageInit) tm__fleet__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[7] =
+static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[8] =
 {
   {
     "sent_ms",
@@ -1102,6 +1224,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressures",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Lease, n_pressures),
+    offsetof(Tm__Fleet__Lease, pressures),
+    &tm__fleet__pressure__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__lease__field_indices_by_name[] = {
   5,   /* field[5] = config_version */
@@ -1109,13 +1243,14 @@
   3,   /* field[3] = hubs */
   1,   /* field[1] = is_leader */
   2,   /* field[2] = leader */
+  7,   /* field[7] = pressures */
   0,   /* field[0] = sent_ms */
   4,   /* field[4] = term */
 };
 static const ProtobufCIntRange tm__fleet__lease__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor tm__fleet__lease__descriptor =
 {
@@ -1125,7 +1260,7 @@
   "Tm__Fleet__Lease",
   "tm.fleet",
   sizeof(Tm__Fleet__Lease),
-  7,
+  8,
   tm__fleet__lease__field_descriptors,
   tm__fleet__lease__field_indices_by_name,
   1,  tm__fleet__lease__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Tm__Fleet__Outcome Tm__Fleet__Outcome;
+typedef struct Tm__Fleet__Pressure Tm__Fleet__Pressure;
 typedef struct Tm__Fleet__Usage Tm__Fleet__Usage;
 typedef struct Tm__Fleet__Join Tm__Fleet__Join;
 typedef struct Tm__Fleet__Lease Tm__Fleet__Lease;
@@ -48,9 +49,28 @@
   uint64_t target;
   uint32_t good;
   uint32_t latency_sum_ms;
+  /*
+   * Requests that the target told last, plus 1; 0: it told nothing.
+   */
+  uint32_t load;
 };
 #define TM__FLEET__OUTCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__outcome__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * How full a service is.
+ */
+struct  Tm__Fleet__Pressure
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  uint32_t load_percent;
+  uint32_t work_ms;
+};
+#define TM__FLEET__PRESSURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__pressure__descriptor) \
     , 0, 0, 0 }
 
 
@@ -111,10 +131,12 @@
   uint64_t term;
   uint64_t config_version;
   uint32_t gates;
+  size_t n_pressures;
+  Tm__Fleet__Pressure **pressures;
 };
 #define TM__FLEET__LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__lease__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -346,6 +368,25 @@
 void   tm__fleet__outcome__free_unpacked
                      (Tm__Fleet__Outcome *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__Pressure methods */
+void   tm__fleet__pressure__init
+                     (Tm__Fleet__Pressure         *message);
+size_t tm__fleet__pressure__get_packed_size
+                     (const Tm__Fleet__Pressure   *message);
+size_t tm__fleet__pressure__pack
+                     (const Tm__Fleet__Pressure   *message,
+                      uint8_t             *out);
+size_t tm__fleet__pressure__pack_to_buffer
+                     (const Tm__Fleet__Pressure   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Pressure *
+       tm__fleet__pressure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__pressure__free_unpacked
+                     (Tm__Fleet__Pressure *message,
+                      ProtobufCAllocator *allocator);
 /* Tm__Fleet__Usage methods */
 void   tm__fleet__usage__init
                      (Tm__Fleet__Usage         *message);
@@ -655,6 +696,9 @@
 typedef void (*Tm__Fleet__Outcome_Closure)
                  (const Tm__Fleet__Outcome *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__Pressure_Closure)
+                 (const Tm__Fleet__Pressure *message,
+                  void *closure_data);
 typedef void (*Tm__Fleet__Usage_Closure)
                  (const Tm__Fleet__Usage *message,
                   void *closure_data);
@@ -710,6 +754,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor tm__fleet__outcome__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__pressure__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__usage__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__join__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__lease__descriptor;
--- a/test/unit/gate_link_test.cc
+++ b/test/unit/gate_link_test.cc
@@ -38,6 +38,7 @@
 			static_cast<GateLink *>(ctx)->usage_wanted_ +=
 			    wants_usage;
 		};
+		options.pressure = [](void *, const Tm__Fleet__Pressure *) {};
 		options.joined = [](void *) {};
 		options.ctx = this;
 		link_ = gate_link_create(&options);
