http: chunk sizes are strict; a request hidden behind one is refused

Cause: the decoder of libh2o takes anything after the first digits of a size for an extension: "0x60" ends the body there, and the bytes that follow run as a request of their own, with the key and the name that they bring. functional/hub_gate shows it: without the decoder of this commit two answers, 200 first, and two requests run; with it one answer, 400, and none.

--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -271,8 +271,7 @@
 		link->current_ms = sent_ms;
 	link->gates = lease->gates > 0 ? lease->gates : 1;
 	for (i = 0; i < lease->n_pressures; i++)
-		link->options.pressure(
-		    link->options.ctx, lease->pressures[i]);
+		link->options.pressure(link->options.ctx, lease->pressures[i]);
 	link->newest = lease->config_version;
 	if (link->version >= link->newest)
 		renew_key_lease(link, sent_ms);
--- a/src/http/response.c
+++ b/src/http/response.c
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include "base/error.h"
+#include "http/http_chunks.h"
 
 #define HEADERS_MAX 100
 /* Bounds the recursion over informational responses in one read. */
@@ -24,8 +25,6 @@
 int phr_parse_response(const char *buf, size_t len, int *minor_version,
     int *status, const char **msg, size_t *msg_len, struct phr_header *headers,
     size_t *num_headers, size_t last_len);
-ssize_t phr_decode_chunked(
-    response_chunks_t *decoder, char *buf, size_t *bufsz);
 
 void
 response_reset(response_t *r, int is_to_head, size_t body_keep_bytes,
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -568,8 +568,7 @@
 		update_role(hub, now_ms);
 		lease.term = hub->led_term;
 		lease.leader = hub->settings.ip;
-		lease.hub_count =
-		    (size_t)hub_members_list(hub->members, names);
+		lease.hub_count = (size_t)hub_members_list(hub->members, names);
 		lease.pressures =
 		    hub_load_list(hub->load, &lease.pressure_count);
 		note_outcomes(hub, join, now_ms);
@@ -818,7 +817,8 @@
 	hub->feed = hub_feed_create(&feed);
 	hub->metrics = metrics_create();
 	if (hub->state == NULL || hub->members == NULL || hub->judge == NULL ||
-	    hub->quota == NULL || hub->load == NULL || hub->feed == NULL || hub->metrics == NULL)
+	    hub->quota == NULL || hub->load == NULL || hub->feed == NULL ||
+	    hub->metrics == NULL)
 		return (TM_ENOMEM);
 	hub->metric_leading =
 	    metrics_get(hub->metrics, "tm_hub_is_leading", "", METRIC_GAUGE);
--- a/src/hub/hub_load.c
+++ b/src/hub/hub_load.c
@@ -77,8 +77,7 @@
 }
 
 void
-hub_load_note(
-    hub_load_t *load, uint64_t key, uint32_t requests, int64_t now_ms)
+hub_load_note(hub_load_t *load, uint64_t key, uint32_t requests, int64_t now_ms)
 {
 	target_load_t *target;
 
@@ -95,8 +94,8 @@
 }
 
 void
-hub_load_note_good(hub_load_t *load, uint64_t id, uint32_t count,
-    uint32_t latency_sum_ms)
+hub_load_note_good(
+    hub_load_t *load, uint64_t id, uint32_t count, uint32_t latency_sum_ms)
 {
 	service_load_t *service = get_service(load, id);
 
@@ -128,8 +127,7 @@
 	    get_service(load, fleet_name_hash(target->as.service));
 	target_load_t *told;
 
-	HASH_FIND(
-	    hh, load->targets, &target->key, sizeof(target->key), told);
+	HASH_FIND(hh, load->targets, &target->key, sizeof(target->key), told);
 	if (service == NULL || told == NULL)
 		return;
 	service->requests += told->requests;
@@ -158,8 +156,7 @@
 	if (service->work_ms <= 0)
 		service->work_ms = work_ms;
 	else
-		service->work_ms +=
-		    WORK_WEIGHT * (work_ms - service->work_ms);
+		service->work_ms += WORK_WEIGHT * (work_ms - service->work_ms);
 	service->good = 0;
 	service->latency_sum_ms = 0;
 }
--- a/test/functional/hub_gate.py
+++ b/test/functional/hub_gate.py
@@ -243,6 +243,23 @@
     print("unknown path", request(0, path="/y/1")[0])
     print("open route", request(0, "/open/1", None, "GET")[0])
 
+    before = len(targets[0].ran) + len(targets[1].ran)
+    hidden = (b"POST /x/hidden HTTP/1.1\r\nHost: a.example\r\n"
+              b"Api-Key: key-one\r\nTarragonmoor-Attempt-Id: hidden\r\n"
+              b"Content-Length: 0\r\n\r\n")
+    with socket.create_connection((GATES[0], FRONT), 10) as sock:
+        sock.sendall(b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                     b"Api-Key: key-one\r\nTarragonmoor-Attempt-Id: front\r\n"
+                     b"Transfer-Encoding: chunked\r\n\r\n0x60\r\n\r\n" + hidden)
+        text = b""
+        while True:
+            part = sock.recv(65536)
+            if not part:
+                break
+            text += part
+    print("request hidden in a chunk size", text.count(b"HTTP/1.1 "),
+          text[9:12].decode(), len(targets[0].ran) + len(targets[1].ran) - before)
+
     print("key withdrawn", control("POST", "/tarragonmoor/config/put",
                                    document(12, ["key-two"]))[0])
     wait("it ends at both gates",
--- a/test/unit/response_test.cc
+++ b/test/unit/response_test.cc
@@ -9,6 +9,7 @@
 extern "C" {
 #include "base/error.h"
 #include "base/rng.h"
+#include "http/http_chunks.h"
 #include "http/response.h"
 }
 
@@ -263,3 +264,58 @@
 		ASSERT_LE(r.rest, text.size()) << "seed " << seed;
 	}
 }
+
+namespace {
+
+/* Decodes a body in pieces. @return the data, or why there is none */
+std::string
+DecodeChunks(const std::string &body, size_t piece, size_t *rest)
+{
+	response_chunks_t decoder = {};
+	std::string data;
+
+	decoder.consume_trailer = 1;
+	*rest = 0;
+	for (size_t at = 0; at < body.size(); at += piece) {
+		std::string part = body.substr(at, piece);
+		size_t len = part.size();
+		ssize_t rc = phr_decode_chunked(&decoder, &part[0], &len);
+
+		if (rc == -1)
+			return ("malformed");
+		data.append(part, 0, len);
+		if (rc >= 0) {
+			*rest = (size_t)rc + body.size() -
+			    std::min(body.size(), at + piece);
+			return (data);
+		}
+	}
+	return ("incomplete");
+}
+
+} // namespace
+
+// A size line that two programs read differently hides a request in a body.
+TEST(Chunks, SizeLinesAreStrict)
+{
+	const std::string next = "GET /hidden HTTP/1.1\r\n\r\n";
+	size_t rest;
+
+	for (size_t piece : { (size_t)1, (size_t)2, (size_t)7, (size_t)1000 }) {
+		EXPECT_EQ("hello world",
+		    DecodeChunks("5\r\nhello\r\n6;x=\"y\"\r\n world\r\n"
+				 "0\r\nT: 1\r\n\r\n" +
+			    next,
+			piece, &rest));
+		EXPECT_EQ(next.size(), rest);
+		EXPECT_EQ("", DecodeChunks("000\r\n\r\n", piece, &rest));
+		EXPECT_EQ("incomplete", DecodeChunks("0\r\n\r", piece, &rest));
+		for (const char *bad : { "0x60\r\n\r\n", "0 \r\n\r\n",
+			 " 0\r\n\r\n", "+5\r\nhello\r\n", "\r\n", ";x\r\n",
+			 "5\nhello\r\n", "5\rhello\r\n", "5\r\nhello\n",
+			 "5\r\nhelloX\r\n", "0\r\nT: 1\n\r\n", "0\r\n\n",
+			 "5;x\n", "1234567812345678\r\n", "g\r\n" })
+			EXPECT_EQ("malformed", DecodeChunks(bad, piece, &rest))
+			    << bad << " in pieces of " << piece;
+	}
+}
