--- a/test/functional/hub_gate.py
+++ b/test/functional/hub_gate.py
@@ -252,11 +252,12 @@
                      b"Api-Key: key-one\r\nTarragonmoor-Attempt-Id: front\r\n"
                      b"Transfer-Encoding: chunked\r\n\r\n0x60\r\n\r\n" + hidden)
         text = b""
-        while True:
-            part = sock.recv(65536)
-            if not part:
-                break
-            text += part
+        sock.settimeout(3)
+        try:
+            while part := sock.recv(65536):
+                text += part
+        except socket.timeout:
+            text += b"(open)"
     print("request hidden in a chunk size", text.count(b"HTTP/1.1 "),
           text[9:12].decode(), len(targets[0].ran) + len(targets[1].ran) - before)
 
