--- a/src/base/log.c
+++ b/src/base/log.c
@@ -167,8 +167,7 @@
 			LOG_NUM("most_of_event", worst),
 			LOG_NUM("dropped", dropped) };
 
-		bounded_put(
-		    110, LOG_LEVEL_WARN, "log lines were left out", fields, 3);
+		log_write(110, LOG_LEVEL_WARN, "log lines were left out", fields, 3);
 	}
 }
 
