--- a/src/base/log.c
+++ b/src/base/log.c
@@ -167,7 +167,8 @@
 			LOG_NUM("most_of_event", worst),
 			LOG_NUM("dropped", dropped) };
 
-		log_write(110, LOG_LEVEL_WARN, "log lines were left out", fields, 3);
+		log_write(
+		    110, LOG_LEVEL_WARN, "log lines were left out", fields, 3);
 	}
 }
 
--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -46,9 +46,9 @@
 	fleet_workspace_t *workspace;
 	fleet_workspace_t *next;
 
+	HASH_CLEAR(hh_id, config->workspaces_by_id);
 	HASH_ITER(hh, config->workspaces, workspace, next) {
 		HASH_DELETE(hh, config->workspaces, workspace);
-		HASH_DELETE(hh_id, config->workspaces_by_id, workspace);
 		free(workspace->name);
 		free(workspace);
 	}
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -79,7 +79,7 @@
 	if (gate->outcomes == NULL) {
 		gate->outcomes = gate_table_take_outcomes(gate->table, &count);
 		gate->outcome_pointers =
-		    calloc(count + 1, sizeof(*gate->outcome_pointers));
+		    calloc(count + 1, sizeof(Tm__Fleet__Outcome *));
 		if (gate->outcome_pointers == NULL)
 			count = 0;
 		for (i = 0; i < count; i++)
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -131,7 +131,8 @@
 
 	if (service->count == service->room) {
 		room = service->room == 0 ? 8 : service->room * 2;
-		grown = realloc(service->targets, room * sizeof(*grown));
+		grown =
+		    realloc(service->targets, room * sizeof(gate_target_t *));
 		if (grown == NULL)
 			return (0);
 		service->targets = grown;
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -104,8 +104,8 @@
 gate_target_t *gate_table_find_target(const gate_table_t *table, uint64_t key);
 
 /** The leader told how full a service is. */
-void gate_table_set_pressure(gate_table_t *table, uint64_t service,
-    double pressure, double work_ms, int64_t now_ms);
+void gate_table_set_pressure(gate_table_t *table, uint64_t id, double pressure,
+    double work_ms, int64_t now_ms);
 
 /**
  * Decides whether a service has room for a request, so that the requests that
--- a/src/gate/gate_usage.c
+++ b/src/gate/gate_usage.c
@@ -98,7 +98,8 @@
 	size_t count = 0;
 
 	free(usage->list);
-	usage->list = calloc(HASH_COUNT(usage->rows) + 1, sizeof(*usage->list));
+	usage->list =
+	    calloc(HASH_COUNT(usage->rows) + 1, sizeof(Tm__Fleet__Usage *));
 	if (usage->list == NULL)
 		return (0);
 	HASH_ITER(hh, usage->rows, row, next) {
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -620,7 +620,7 @@
 	if (spends == NULL)
 		return;
 	permits = calloc(spends->n_spends + 1, sizeof(*permits));
-	pointers = calloc(spends->n_spends + 1, sizeof(*pointers));
+	pointers = calloc(spends->n_spends + 1, sizeof(Tm__Fleet__Permit *));
 	for (i = 0; permits != NULL && pointers != NULL &&
 	     i < spends->n_spends && i < SPENDS_MAX;
 	     i++) {
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -122,7 +122,8 @@
 	const hub_state_t *state = feed->options.state;
 	size_t count = HASH_COUNT(state->targets);
 	Tm__Fleet__Target *msgs = calloc(count + 1, sizeof(*msgs));
-	Tm__Fleet__Target **pointers = calloc(count + 1, sizeof(*pointers));
+	Tm__Fleet__Target **pointers =
+	    calloc(count + 1, sizeof(Tm__Fleet__Target *));
 	const hub_target_t *target;
 
 	table.term = feed->term;
@@ -178,7 +179,8 @@
 	Tm__Fleet__Table table = TM__FLEET__TABLE__INIT;
 	size_t count = HASH_COUNT(feed->rows);
 	Tm__Fleet__Target *msgs = calloc(count + 1, sizeof(*msgs));
-	Tm__Fleet__Target **pointers = calloc(count + 1, sizeof(*pointers));
+	Tm__Fleet__Target **pointers =
+	    calloc(count + 1, sizeof(Tm__Fleet__Target *));
 	uint64_t *removed = calloc(count + 1, sizeof(*removed));
 	feed_gate_t *gate;
 	feed_gate_t *next;
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -54,11 +54,11 @@
 void hub_feed_reset(hub_feed_t *feed, uint64_t term);
 
 /** Answers a gate; this hub leads and knows so. */
-void hub_feed_join(hub_feed_t *feed, node_id_t gate,
-    const Tm__Fleet__Join *join, const hub_feed_lease_t *lease, int64_t now_ms);
+void hub_feed_join(hub_feed_t *feed, node_id_t id, const Tm__Fleet__Join *join,
+    const hub_feed_lease_t *lease, int64_t now_ms);
 
 /** A target or its verdict has changed. */
-void hub_feed_touch_target(hub_feed_t *feed, uint64_t target);
+void hub_feed_touch_target(hub_feed_t *feed, uint64_t key);
 
 /** The document has changed. */
 void hub_feed_touch_document(hub_feed_t *feed);
--- a/src/hub/hub_judge.h
+++ b/src/hub/hub_judge.h
@@ -52,10 +52,10 @@
  * @param born_ms  tells the incarnations apart
  */
 void hub_judge_add(
-    hub_judge_t *judge, uint64_t target, uint64_t service, uint64_t born_ms);
+    hub_judge_t *judge, uint64_t key, uint64_t service, uint64_t born_ms);
 
 /** Ejects a target that the leader before had ejected. */
-void hub_judge_restore(hub_judge_t *judge, uint64_t target, int64_t now_ms);
+void hub_judge_restore(hub_judge_t *judge, uint64_t key, int64_t now_ms);
 
 /**
  * Lists the targets that are not in use.
@@ -67,14 +67,13 @@
     const hub_judge_t *judge, uint64_t *targets, size_t max);
 
 /** Removes a target that leaves. */
-void hub_judge_remove(hub_judge_t *judge, uint64_t target);
+void hub_judge_remove(hub_judge_t *judge, uint64_t key);
 
 /** The target announced itself. */
-void hub_judge_note_announced(
-    hub_judge_t *judge, uint64_t target, int64_t now_ms);
+void hub_judge_note_announced(hub_judge_t *judge, uint64_t key, int64_t now_ms);
 
 /** Counts good responses. @param latency_sum_ms  over all of them */
-void hub_judge_note_good(hub_judge_t *judge, uint64_t target, uint32_t count,
+void hub_judge_note_good(hub_judge_t *judge, uint64_t key, uint32_t count,
     uint32_t latency_sum_ms, int64_t now_ms);
 
 /** Weighs a report. */
@@ -87,16 +86,16 @@
  * @return 1 if it is granted
  */
 int hub_judge_ask_trial(
-    hub_judge_t *judge, uint64_t target, node_id_t gate, int64_t now_ms);
+    hub_judge_t *judge, uint64_t key, node_id_t gate, int64_t now_ms);
 
 /** Ends ejections that are over, and trials without a result. */
 void hub_judge_tick(hub_judge_t *judge, int64_t now_ms);
 
 /** @return verdict on a target; FLEET_VERDICT_GOOD for an unknown one */
-fleet_verdict_t hub_judge_get(const hub_judge_t *judge, uint64_t target);
+fleet_verdict_t hub_judge_get(const hub_judge_t *judge, uint64_t key);
 
 /** Describes a target. @return 0 or TM_ENOENT */
 int hub_judge_get_info(
-    const hub_judge_t *judge, uint64_t target, hub_judge_info_t *info);
+    const hub_judge_t *judge, uint64_t key, hub_judge_info_t *info);
 
 #endif
--- a/src/hub/hub_load.h
+++ b/src/hub/hub_load.h
@@ -30,11 +30,11 @@
 
 /** A target told a gate how many requests it runs and holds. */
 void hub_load_note(
-    hub_load_t *load, uint64_t target, uint32_t requests, int64_t now_ms);
+    hub_load_t *load, uint64_t key, uint32_t requests, int64_t now_ms);
 
 /** Counts good responses. @param latency_sum_ms  over all of them */
-void hub_load_note_good(hub_load_t *load, uint64_t service, uint32_t count,
-    uint32_t latency_sum_ms);
+void hub_load_note_good(
+    hub_load_t *load, uint64_t id, uint32_t count, uint32_t latency_sum_ms);
 
 /** Computes the services anew. */
 void hub_load_update(hub_load_t *load, const hub_state_t *state,
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -378,7 +378,8 @@
 	Tm__Fleet__Snapshot snapshot = TM__FLEET__SNAPSHOT__INIT;
 	size_t count = HASH_COUNT(state->targets);
 	Tm__Fleet__Target *msgs = calloc(count + 1, sizeof(*msgs));
-	Tm__Fleet__Target **pointers = calloc(count + 1, sizeof(*pointers));
+	Tm__Fleet__Target **pointers =
+	    calloc(count + 1, sizeof(Tm__Fleet__Target *));
 	char *hubs[FLEET_HUBS_MAX];
 	Tm__Fleet__Document document;
 	hub_target_t *target;
--- a/test/unit/fleet_config_test.cc
+++ b/test/unit/fleet_config_test.cc
@@ -3,6 +3,7 @@
 // opens another workspace.
 #include <gtest/gtest.h>
 
+#include <ostream>
 #include <string>
 
 extern "C" {
@@ -123,6 +124,13 @@
 	std::string text;
 };
 
+/* Without this GoogleTest prints the bytes, padding included. */
+std::ostream &
+operator<<(std::ostream &out, const BadCase &bad)
+{
+	return (out << bad.name);
+}
+
 class PlatformConfigBad : public PlatformConfig,
 			  public testing::WithParamInterface<BadCase> {};
 
--- /dev/null
+++ b/test/unit/hub_load_test.cc
@@ -0,0 +1,173 @@
+// Failures guarded against: a full service makes all its requests late; one
+// with room refuses some; a request of little urgency goes before others; the
+// load of a target that is not in use counts.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+extern "C" {
+#include "gate/gate_table.h"
+#include "hub/hub_load.h"
+}
+
+namespace {
+
+class HubLoad : public testing::Test {
+      protected:
+	~HubLoad() override
+	{
+		hub_load_destroy(load_);
+		hub_judge_destroy(judge_);
+		hub_state_destroy(state_);
+	}
+
+	uint64_t
+	Add(const char *id)
+	{
+		dialect_announcement_t as = {};
+		hub_target_t *target;
+		size_t len;
+
+		snprintf(as.id, sizeof(as.id), "%s", id);
+		snprintf(as.service, sizeof(as.service), "s1");
+		snprintf(as.zone, sizeof(as.zone), "z1");
+		as.ip = fleet_name_hash(id) & 0xffffffff;
+		as.port = 80;
+		as.slots = 4;
+		uint8_t *bytes = hub_entry_encode_target(&as, &len);
+		hub_state_apply(state_, bytes, len, &target);
+		free(bytes);
+		hub_judge_add(judge_, target->key, fleet_name_hash("s1"), 0);
+		return (target->key);
+	}
+
+	hub_pressure_t
+	Update()
+	{
+		size_t count;
+
+		hub_load_update(load_, state_, judge_, now_);
+		const hub_pressure_t *list = hub_load_list(load_, &count);
+		return (count > 0 ? list[0] : hub_pressure_t{});
+	}
+
+	hub_state_t *state_ = hub_state_create();
+	hub_judge_t *judge_ = hub_judge_create(
+	    [](void *, uint64_t, fleet_verdict_t, const char *) {}, nullptr);
+	hub_load_t *load_ = hub_load_create();
+	int64_t now_ = 100000;
+};
+
+} // namespace
+
+TEST_F(HubLoad, CountsFreshLoadsOfTargetsInUse)
+{
+	uint64_t a = Add("a");
+	uint64_t b = Add("b");
+	hub_evidence_t evidence = {};
+
+	hub_load_note(load_, a, 8, now_);
+	hub_load_note(load_, b, 2, now_);
+	EXPECT_DOUBLE_EQ(10.0 / 8, Update().load);
+	evidence.target = b;
+	evidence.kind = FLEET_EVIDENCE_BROKEN;
+	hub_judge_note(judge_, &evidence, now_);
+	hub_load_note(load_, a, 8, now_);
+	/* The only target left must not be ejected. */
+	EXPECT_GE(Update().load, 1.0);
+	now_ += 2000;
+	EXPECT_DOUBLE_EQ(0, Update().load);
+}
+
+TEST_F(HubLoad, WorkIsTheTimeWithoutWaiting)
+{
+	uint64_t a = Add("a");
+
+	hub_load_note(load_, a, 8, now_);
+	Update();
+	hub_load_note(load_, a, 8, now_);
+	hub_load_note_good(load_, fleet_name_hash("s1"), 10, 6000);
+	EXPECT_NEAR(300, Update().work_ms, 1);
+}
+
+namespace {
+
+class GateRoom : public testing::Test {
+      protected:
+	GateRoom()
+	{
+		Tm__Fleet__Table msg = TM__FLEET__TABLE__INIT;
+		Tm__Fleet__Target target = TM__FLEET__TARGET__INIT;
+		Tm__Fleet__Target *targets[] = { &target };
+		char id[] = "a";
+		char service[] = "s1";
+		char zone[] = "z1";
+
+		target.id = id;
+		target.service = service;
+		target.zone = zone;
+		target.port = 80;
+		target.slots = 4;
+		msg.term = 1;
+		msg.sequence = 1;
+		msg.targets = targets;
+		msg.n_targets = 1;
+		gate_table_take(table_, &msg, now_);
+	}
+
+	~GateRoom() override
+	{
+		gate_table_destroy(table_);
+	}
+
+	/* @return share of 1,000 requests that have room, in percent */
+	int
+	GetShare(double pressure, int32_t priority, int64_t age_ms = 0)
+	{
+		const gate_service_t *service =
+		    gate_table_find_service(table_, "s1");
+		int sent = 0;
+
+		/* A response takes its aim of 1 s at a load of 4. */
+		gate_table_set_pressure(
+		    table_, service->id, pressure, 250, now_);
+		for (int i = 0; i < 1000; i++)
+			sent += gate_table_has_room(
+			    table_, service, 1000, priority, now_ + age_ms);
+		return (sent / 10);
+	}
+
+	gate_table_t *table_ = gate_table_create("z1", 1);
+	int64_t now_ = 100000;
+};
+
+} // namespace
+
+TEST_F(GateRoom, AllAreSentWhileTheAimIsWithinReach)
+{
+	EXPECT_EQ(100, GetShare(0.5, 3));
+	EXPECT_EQ(100, GetShare(1.6, 3));
+	EXPECT_EQ(100, GetShare(2.4, 0));
+}
+
+TEST_F(GateRoom, LessUrgentRequestsGiveWayFirst)
+{
+	int urgent = GetShare(3.2, 0);
+
+	EXPECT_GT(urgent, 60);
+	EXPECT_LT(urgent, 95);
+	EXPECT_LT(GetShare(3.2, 2), urgent - 10);
+	EXPECT_LT(GetShare(3.2, 9), urgent - 10);
+}
+
+TEST_F(GateRoom, NoKindOfRequestIsStarved)
+{
+	EXPECT_GT(GetShare(50, 9), 25);
+	EXPECT_LT(GetShare(50, 0), 35);
+}
+
+TEST_F(GateRoom, OldNewsCountsNothing)
+{
+	EXPECT_EQ(100, GetShare(50, 0, 1000));
+}
