hub: drop targets that died or left long ago; split hub.c; remove what nothing uses

Gone targets were kept in the state for ever, as the entry that forgets them was never proposed. Messages of gates are handled in hub_messages.c.

--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -17,7 +17,6 @@
 #define MSG_FLEET_SPENDS   (MSG_FLEET_BASE + 4)
 #define MSG_FLEET_PERMITS  (MSG_FLEET_BASE + 5)
 #define MSG_FLEET_EVIDENCE (MSG_FLEET_BASE + 6)
-#define MSG_FLEET_BLOCK	   (MSG_FLEET_BASE + 7)
 #define MSG_FLEET_HELLO	   (MSG_FLEET_BASE + 8)
 
 /** Longest text of an IPv4 address with its end. */
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -24,7 +24,7 @@
 
 static void
 report(const gate_request_t *request, const gate_target_t *target,
-    fleet_evidence_t kind, int is_trial, int64_t latency_ms)
+    fleet_evidence_t kind, int is_trial)
 {
 	Tm__Fleet__Evidence evidence = TM__FLEET__EVIDENCE__INIT;
 
@@ -32,7 +32,6 @@
 	evidence.born_ms = target->born_ms;
 	evidence.kind = kind;
 	evidence.is_trial = is_trial;
-	evidence.latency_ms = (uint32_t)latency_ms;
 	gate_link_report(request->gate->link, &evidence);
 }
 
@@ -76,7 +75,7 @@
 	target = end_attempt(request);
 	request->may_have_run = 1;
 	if (request->is_trial)
-		report(request, target, FLEET_EVIDENCE_UNUSED, 1, 0);
+		report(request, target, FLEET_EVIDENCE_UNUSED, 1);
 	gate_target_end(target);
 }
 
@@ -114,7 +113,7 @@
 	else if (kind == FLEET_EVIDENCE_BROKEN)
 		gate_target_avoid(target, now_ms + GATE_SHED_MS);
 	if (kind != FLEET_EVIDENCE_GOOD || request->is_trial)
-		report(request, target, kind, request->is_trial, latency_ms);
+		report(request, target, kind, request->is_trial);
 }
 
 static int
@@ -335,7 +334,7 @@
 
 	if (start(request, target) != TM_OK) {
 		if (is_trial)
-			report(request, target, FLEET_EVIDENCE_UNUSED, 1, 0);
+			report(request, target, FLEET_EVIDENCE_UNUSED, 1);
 		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
 		return;
 	}
@@ -448,8 +447,7 @@
 	request->is_stall_reported = 1;
 	log_attempt(request, request->target, FLEET_EVIDENCE_STALL, 0, age_ms);
 	if (!request->is_trial)
-		report(
-		    request, request->target, FLEET_EVIDENCE_STALL, 0, age_ms);
+		report(request, request->target, FLEET_EVIDENCE_STALL, 0);
 }
 
 void
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -44,7 +44,6 @@
 	gate_state_t state;
 	uint32_t ask; /**< 0: none is open */
 	int64_t wake_ms;
-	int64_t held_since_ms; /**< 0: it was not held yet */
 	int has_token; /**< its token is spent */
 	gate_target_t *trial; /**< held while a trial is asked for */
 	gate_target_t *target; /**< held while an attempt runs */
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -1,5 +1,3 @@
-#include "hub/hub.h"
-
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,14 +9,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
-#include "hub/hub_feed.h"
-#include "hub/hub_judge.h"
-#include "hub/hub_load.h"
-#include "hub/hub_members.h"
-#include "hub/hub_quota.h"
-#include "net/peer.h"
-#include "raft/raft.h"
-#include "store/store.h"
+#include "hub/hub_internal.h"
 
 #define TICK_MS 50
 /* Shortest election timeout: some heartbeats may be lost or late. */
@@ -34,55 +25,11 @@
 #define COMPACT_KEEP	64
 /* A stop waits so long for another leader. */
 #define STOP_MAX_MS 2000
-/* Followers cannot learn the term of a remembered target; a gone target is
- * remembered so long that no late announcement brings it back. */
+#define SCARCE_MAX  1024
+/* A target that left is remembered so long that no late announcement brings it
+ * back; one that died without a word is dropped after the second time. */
 #define GONE_KEPT_MS 60000
-#define SCARCE_MAX   1024
-#define SPENDS_MAX   4096
-
-typedef struct ticket {
-	uint64_t index;
-	uint64_t term;
-	int64_t deadline_ms;
-	hub_done_cb done;
-	void *ctx;
-	struct ticket *prev;
-	struct ticket *next;
-} ticket_t;
-
-struct hub {
-	hub_settings_t settings;
-	node_id_t self;
-	uv_loop_t *loop;
-	uv_timer_t timer;
-	uv_check_t check;
-	peer_net_t *net;
-	store_t *store;
-	raft_t *raft;
-	hub_state_t *state;
-	hub_members_t *members;
-	hub_judge_t *judge;
-	hub_quota_t *quota;
-	hub_load_t *load;
-	hub_feed_t *feed;
-	fleet_config_t *config; /* of the newest document */
-	ticket_t *tickets;
-	int was_leading;
-	int64_t leading_since_ms;
-	uint64_t led_term;
-	int64_t slow_due_ms;
-	int64_t member_due_ms;
-	int64_t ejected_due_ms;
-	int64_t load_due_ms;
-	uint64_t compacted;
-	int is_stopping;
-	int64_t stop_deadline_ms;
-	metrics_t *metrics;
-	metric_t *metric_leading;
-	metric_t *metric_commits;
-	metric_t *metric_verdicts;
-	metric_t *metric_gates;
-};
+#define LOST_KEPT_MS 30000
 
 const hub_state_t *
 hub_get_state(const hub_t *hub)
@@ -325,8 +272,8 @@
 	    LOG_NUM("targets", HASH_COUNT(hub->state->targets)));
 }
 
-static void
-update_role(hub_t *hub, int64_t now_ms)
+void
+hub_update_role(hub_t *hub, int64_t now_ms)
 {
 	int leads = hub_is_leading(hub);
 
@@ -432,6 +379,51 @@
 	free(targets);
 }
 
+static void
+propose_target(hub_t *hub, const hub_target_t *target, int is_forgotten)
+{
+	dialect_announcement_t as = target->as;
+	uint8_t *bytes;
+	size_t len;
+
+	as.state = FLEET_TARGET_GONE;
+	bytes = is_forgotten ? hub_entry_encode_forgotten(&as, &len)
+			     : hub_entry_encode_target(&as, &len);
+	hub_propose(hub, bytes, len, ignore_outcome, NULL);
+}
+
+/* @return 1 if a target is to be dropped: it died, or left long ago */
+static int
+is_over(hub_t *hub, hub_target_t *target, int64_t now_ms)
+{
+	hub_judge_info_t info = { .heard_ms = 0 };
+
+	if (target->as.state == FLEET_TARGET_GONE) {
+		if (target->gone_ms == 0)
+			target->gone_ms = now_ms;
+		return (now_ms - target->gone_ms > GONE_KEPT_MS);
+	}
+	target->gone_ms = 0;
+	hub_judge_get_info(hub->judge, target->key, &info);
+	return (info.heard_ms != 0 && now_ms - info.heard_ms > LOST_KEPT_MS);
+}
+
+/* Drops one target that is over, so that the list does not grow for ever. */
+static void
+drop_target(hub_t *hub, int64_t now_ms)
+{
+	hub_target_t *target;
+
+	for (target = hub->state->targets; target != NULL;
+	     target = target->hh.next) {
+		if (!is_over(hub, target, now_ms))
+			continue;
+		propose_target(
+		    hub, target, target->as.state == FLEET_TARGET_GONE);
+		return;
+	}
+}
+
 static void
 compact(hub_t *hub)
 {
@@ -464,6 +456,7 @@
 	if (now_ms >= hub->member_due_ms) {
 		hub->member_due_ms = now_ms + SLOW_TICK_MS;
 		plan_members(hub, now_ms);
+		drop_target(hub, now_ms);
 		hub_feed_tick(hub->feed, now_ms);
 		metric_set(
 		    hub->metric_gates, hub_feed_count_gates(hub->feed, now_ms));
@@ -477,7 +470,7 @@
 	int64_t now_ms = clock_now_ms();
 
 	raft_tick(hub->raft, now_ms);
-	update_role(hub, now_ms);
+	hub_update_role(hub, now_ms);
 	hub_members_tick(hub->members, now_ms);
 	if (hub->was_leading)
 		tick_leader(hub, now_ms);
@@ -493,213 +486,12 @@
 	int64_t now_ms = clock_now_ms();
 
 	raft_flush(hub->raft, now_ms);
-	update_role(hub, now_ms);
+	hub_update_role(hub, now_ms);
 	if (hub->was_leading)
 		hub_feed_flush(hub->feed, now_ms);
 	finish_tickets(hub, raft_get_applied(hub->raft), now_ms);
 }
 
-static void
-send_redirect(hub_t *hub, node_id_t to, const Tm__Fleet__Join *join)
-{
-	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
-	const char *names[FLEET_HUBS_MAX];
-	const char *leader = hub_get_leader(hub);
-
-	msg.sent_ms = join->sent_ms;
-	msg.leader = (char *)(leader != NULL ? leader : "");
-	msg.n_hubs = (size_t)hub_members_list(hub->members, names);
-	msg.hubs = (char **)names;
-	peer_net_send(hub->net, to, MSG_FLEET_LEASE, &msg.base);
-}
-
-static void
-note_outcome(hub_t *hub, const Tm__Fleet__Outcome *outcome, int64_t now_ms)
-{
-	const hub_target_t *target =
-	    hub_state_find_target(hub->state, outcome->target);
-
-	if (target == NULL)
-		return;
-	hub_judge_note_good(hub->judge, outcome->target, outcome->good,
-	    outcome->latency_sum_ms, now_ms);
-	hub_load_note_good(hub->load, fleet_name_hash(target->as.service),
-	    outcome->good, outcome->latency_sum_ms);
-	if (outcome->load > 0)
-		hub_load_note(
-		    hub->load, outcome->target, outcome->load - 1, now_ms);
-}
-
-static void
-note_outcomes(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
-{
-	size_t i;
-
-	for (i = 0; i < join->n_outcomes; i++)
-		note_outcome(hub, join->outcomes[i], now_ms);
-}
-
-static void
-note_usage(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
-{
-	size_t i;
-
-	if (join->usage_part_ms == 0)
-		return;
-	for (i = 0; i < join->n_usage; i++)
-		hub_quota_add_usage(hub->quota, join->usage[i]->workspace,
-		    join->usage[i]->parts, join->usage[i]->n_parts,
-		    join->usage_part_ms, now_ms);
-}
-
-static void
-handle_join(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
-{
-	Tm__Fleet__Join *join = tm__fleet__join__unpack(NULL, len, payload);
-	const char *names[FLEET_HUBS_MAX];
-	hub_feed_lease_t lease = { .hubs = names };
-	int64_t now_ms = clock_now_ms();
-
-	if (join == NULL)
-		return;
-	if (!hub_is_leading(hub) || hub->is_stopping) {
-		send_redirect(hub, from, join);
-	} else {
-		update_role(hub, now_ms);
-		lease.term = hub->led_term;
-		lease.leader = hub->settings.ip;
-		lease.hub_count = (size_t)hub_members_list(hub->members, names);
-		lease.pressures =
-		    hub_load_list(hub->load, &lease.pressure_count);
-		note_outcomes(hub, join, now_ms);
-		note_usage(hub, join, now_ms);
-		hub_feed_join(hub->feed, from, join, &lease, now_ms);
-	}
-	tm__fleet__join__free_unpacked(join, NULL);
-}
-
-static hub_permit_t
-take_spend(
-    hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
-{
-	hub_permit_t permit = { .is_granted = 0 };
-
-	switch (spend->kind) {
-	case FLEET_SPEND_REQUEST:
-		if (spend->id != 0)
-			return (hub_quota_ask(hub->quota, spend->workspace,
-			    spend->service, now_ms));
-		hub_quota_spend(
-		    hub->quota, spend->workspace, spend->service, now_ms);
-		break;
-	case FLEET_SPEND_RETRY:
-		return (
-		    hub_quota_ask_retry(hub->quota, spend->service, now_ms));
-	case FLEET_SPEND_TRIAL:
-		permit.is_granted = hub_judge_ask_trial(
-		    hub->judge, spend->target, from, now_ms);
-		break;
-	default:
-		break;
-	}
-	return (permit);
-}
-
-static void
-handle_spends(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
-{
-	Tm__Fleet__Spends *spends =
-	    tm__fleet__spends__unpack(NULL, len, payload);
-	Tm__Fleet__Permits reply = TM__FLEET__PERMITS__INIT;
-	Tm__Fleet__Permit *permits;
-	Tm__Fleet__Permit **pointers;
-	int64_t now_ms = clock_now_ms();
-	hub_permit_t permit;
-	size_t i;
-
-	if (spends == NULL)
-		return;
-	permits = calloc(spends->n_spends + 1, sizeof(*permits));
-	pointers = calloc(spends->n_spends + 1, sizeof(Tm__Fleet__Permit *));
-	for (i = 0; permits != NULL && pointers != NULL &&
-	     i < spends->n_spends && i < SPENDS_MAX;
-	     i++) {
-		permit = take_spend(hub, from, spends->spends[i], now_ms);
-		if (spends->spends[i]->id == 0)
-			continue;
-		pointers[reply.n_permits] = &permits[reply.n_permits];
-		tm__fleet__permit__init(&permits[reply.n_permits]);
-		permits[reply.n_permits].id = spends->spends[i]->id;
-		permits[reply.n_permits].is_granted = permit.is_granted;
-		permits[reply.n_permits].retry_after_ms = permit.wait_ms;
-		reply.n_permits++;
-	}
-	reply.permits = pointers;
-	reply.term = hub->led_term;
-	if (reply.n_permits > 0)
-		peer_net_send(hub->net, from, MSG_FLEET_PERMITS, &reply.base);
-	free(pointers);
-	free(permits);
-	tm__fleet__spends__free_unpacked(spends, NULL);
-}
-
-static void
-handle_evidence(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
-{
-	Tm__Fleet__Evidence *msg =
-	    tm__fleet__evidence__unpack(NULL, len, payload);
-	hub_evidence_t evidence;
-	const hub_target_t *target;
-
-	if (msg == NULL)
-		return;
-	evidence = (hub_evidence_t){
-		.target = msg->target,
-		.gate = from,
-		.kind = (fleet_evidence_t)msg->kind,
-		.is_trial = msg->is_trial,
-		.latency_ms = msg->latency_ms,
-	};
-	target = hub_state_find_target(hub->state, msg->target);
-	/* Evidence against an earlier incarnation says nothing. */
-	if (target != NULL && target->as.born_ms == msg->born_ms)
-		hub_judge_note(hub->judge, &evidence, clock_now_ms());
-	tm__fleet__evidence__free_unpacked(msg, NULL);
-}
-
-/* peer_receive_cb */
-static void
-on_receive(void *ctx, node_id_t from, uint64_t incarnation, uint16_t type,
-    const uint8_t *payload, size_t len)
-{
-	hub_t *hub = ctx;
-	int64_t now_ms = clock_now_ms();
-
-	(void)incarnation;
-	if (type >= MSG_RAFT_BASE && type < MSG_RAFT_BASE + 20) {
-		raft_handle(hub->raft, from, type, payload, len, now_ms);
-		return;
-	}
-	switch (type) {
-	case MSG_FLEET_HELLO:
-		hub_members_handle(hub->members, from, payload, len, now_ms);
-		break;
-	case MSG_FLEET_JOIN:
-		handle_join(hub, from, payload, len);
-		break;
-	case MSG_FLEET_SPENDS:
-		if (hub->was_leading)
-			handle_spends(hub, from, payload, len);
-		break;
-	case MSG_FLEET_EVIDENCE:
-		if (hub->was_leading)
-			handle_evidence(hub, from, payload, len);
-		break;
-	default:
-		break;
-	}
-}
-
 void
 hub_note_announced(hub_t *hub, uint64_t target)
 {
@@ -716,7 +508,7 @@
 		.incarnation = (uint64_t)clock_wall_ms(),
 		.listen_ip = settings->ip,
 		.listen_port = settings->peer_port,
-		.receive = on_receive,
+		.receive = hub_messages_receive,
 		.ctx = hub,
 	};
 	int i;
--- /dev/null
+++ b/src/hub/hub_internal.h
@@ -0,0 +1,70 @@
+/**
+ * @file
+ * State of tm-hub, shared by hub.c and hub_messages.c.
+ */
+#ifndef TM_HUB_HUB_INTERNAL_H
+#define TM_HUB_HUB_INTERNAL_H
+
+#include "hub/hub.h"
+#include "hub/hub_feed.h"
+#include "hub/hub_judge.h"
+#include "hub/hub_load.h"
+#include "hub/hub_members.h"
+#include "hub/hub_quota.h"
+#include "net/peer.h"
+#include "raft/raft.h"
+#include "store/store.h"
+
+/** A proposal that waits for its entry to be applied. */
+typedef struct ticket {
+	uint64_t index;
+	uint64_t term;
+	int64_t deadline_ms;
+	hub_done_cb done;
+	void *ctx;
+	struct ticket *prev;
+	struct ticket *next;
+} ticket_t;
+
+struct hub {
+	hub_settings_t settings;
+	node_id_t self;
+	uv_loop_t *loop;
+	uv_timer_t timer;
+	uv_check_t check;
+	peer_net_t *net;
+	store_t *store;
+	raft_t *raft;
+	hub_state_t *state;
+	hub_members_t *members;
+	hub_judge_t *judge;
+	hub_quota_t *quota;
+	hub_load_t *load;
+	hub_feed_t *feed;
+	fleet_config_t *config; /* of the newest document */
+	ticket_t *tickets;
+	int was_leading;
+	int64_t leading_since_ms;
+	uint64_t led_term;
+	int64_t slow_due_ms;
+	int64_t member_due_ms;
+	int64_t ejected_due_ms;
+	int64_t load_due_ms;
+	uint64_t compacted;
+	int is_stopping;
+	int64_t stop_deadline_ms;
+	metrics_t *metrics;
+	metric_t *metric_leading;
+	metric_t *metric_commits;
+	metric_t *metric_verdicts;
+	metric_t *metric_gates;
+};
+
+/** Begins or ends to serve as the leader, as the log says. */
+void hub_update_role(hub_t *hub, int64_t now_ms);
+
+/** peer_receive_cb; ctx is the hub_t. */
+void hub_messages_receive(void *ctx, node_id_t from, uint64_t incarnation,
+    uint16_t type, const uint8_t *payload, size_t len);
+
+#endif
--- a/src/hub/hub_judge.c
+++ b/src/hub/hub_judge.c
@@ -420,12 +420,17 @@
 	return (1);
 }
 
+static int64_t
+get_heard_ms(const judged_t *target)
+{
+	return (target->announced_ms > target->good_ms ? target->announced_ms
+						       : target->good_ms);
+}
+
 static int
 is_silent(const judged_t *target, int64_t now_ms)
 {
-	int64_t heard_ms = target->announced_ms > target->good_ms
-	    ? target->announced_ms
-	    : target->good_ms;
+	int64_t heard_ms = get_heard_ms(target);
 
 	return (heard_ms != 0 && now_ms - heard_ms > SILENT_MS);
 }
@@ -560,6 +565,7 @@
 		.badness = target->badness,
 		.ejections = target->ejections,
 		.failed_ms = target->failed_ms,
+		.heard_ms = get_heard_ms(target),
 	};
 	return (TM_OK);
 }
--- a/src/hub/hub_judge.h
+++ b/src/hub/hub_judge.h
@@ -24,7 +24,6 @@
 	node_id_t gate;
 	fleet_evidence_t kind;
 	int is_trial;
-	uint32_t latency_ms; /**< of a good trial */
 } hub_evidence_t;
 
 /** How a verdict came about, for logs and tests. */
@@ -33,6 +32,7 @@
 	double badness;
 	uint32_t ejections;
 	int64_t failed_ms; /**< last failure of an ejected target */
+	int64_t heard_ms; /**< last announcement or good answer; 0: none */
 } hub_judge_info_t;
 
 /** @return NULL if memory is exhausted */
--- /dev/null
+++ b/src/hub/hub_messages.c
@@ -0,0 +1,206 @@
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "hub/hub_internal.h"
+
+/* Spends of one message that are looked at. */
+#define SPENDS_MAX 4096
+
+static void
+send_redirect(hub_t *hub, node_id_t to, const Tm__Fleet__Join *join)
+{
+	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
+	const char *names[FLEET_HUBS_MAX];
+	const char *leader = hub_get_leader(hub);
+
+	msg.sent_ms = join->sent_ms;
+	msg.leader = (char *)(leader != NULL ? leader : "");
+	msg.n_hubs = (size_t)hub_members_list(hub->members, names);
+	msg.hubs = (char **)names;
+	peer_net_send(hub->net, to, MSG_FLEET_LEASE, &msg.base);
+}
+
+static void
+note_outcome(hub_t *hub, const Tm__Fleet__Outcome *outcome, int64_t now_ms)
+{
+	const hub_target_t *target =
+	    hub_state_find_target(hub->state, outcome->target);
+
+	if (target == NULL)
+		return;
+	hub_judge_note_good(hub->judge, outcome->target, outcome->good,
+	    outcome->latency_sum_ms, now_ms);
+	hub_load_note_good(hub->load, fleet_name_hash(target->as.service),
+	    outcome->good, outcome->latency_sum_ms);
+	if (outcome->load > 0)
+		hub_load_note(
+		    hub->load, outcome->target, outcome->load - 1, now_ms);
+}
+
+static void
+note_outcomes(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < join->n_outcomes; i++)
+		note_outcome(hub, join->outcomes[i], now_ms);
+}
+
+static void
+note_usage(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
+{
+	size_t i;
+
+	if (join->usage_part_ms == 0)
+		return;
+	for (i = 0; i < join->n_usage; i++)
+		hub_quota_add_usage(hub->quota, join->usage[i]->workspace,
+		    join->usage[i]->parts, join->usage[i]->n_parts,
+		    join->usage_part_ms, now_ms);
+}
+
+static void
+handle_join(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Join *join = tm__fleet__join__unpack(NULL, len, payload);
+	const char *names[FLEET_HUBS_MAX];
+	hub_feed_lease_t lease = { .hubs = names };
+	int64_t now_ms = clock_now_ms();
+
+	if (join == NULL)
+		return;
+	if (!hub_is_leading(hub) || hub->is_stopping) {
+		send_redirect(hub, from, join);
+	} else {
+		hub_update_role(hub, now_ms);
+		lease.term = hub->led_term;
+		lease.leader = hub->settings.ip;
+		lease.hub_count = (size_t)hub_members_list(hub->members, names);
+		lease.pressures =
+		    hub_load_list(hub->load, &lease.pressure_count);
+		note_outcomes(hub, join, now_ms);
+		note_usage(hub, join, now_ms);
+		hub_feed_join(hub->feed, from, join, &lease, now_ms);
+	}
+	tm__fleet__join__free_unpacked(join, NULL);
+}
+
+static hub_permit_t
+take_spend(
+    hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
+{
+	hub_permit_t permit = { .is_granted = 0 };
+
+	switch (spend->kind) {
+	case FLEET_SPEND_REQUEST:
+		if (spend->id != 0)
+			return (hub_quota_ask(hub->quota, spend->workspace,
+			    spend->service, now_ms));
+		hub_quota_spend(
+		    hub->quota, spend->workspace, spend->service, now_ms);
+		break;
+	case FLEET_SPEND_RETRY:
+		return (
+		    hub_quota_ask_retry(hub->quota, spend->service, now_ms));
+	case FLEET_SPEND_TRIAL:
+		permit.is_granted = hub_judge_ask_trial(
+		    hub->judge, spend->target, from, now_ms);
+		break;
+	default:
+		break;
+	}
+	return (permit);
+}
+
+static void
+handle_spends(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Spends *spends =
+	    tm__fleet__spends__unpack(NULL, len, payload);
+	Tm__Fleet__Permits reply = TM__FLEET__PERMITS__INIT;
+	Tm__Fleet__Permit *permits;
+	Tm__Fleet__Permit **pointers;
+	int64_t now_ms = clock_now_ms();
+	hub_permit_t permit;
+	size_t i;
+
+	if (spends == NULL)
+		return;
+	permits = calloc(spends->n_spends + 1, sizeof(*permits));
+	pointers = calloc(spends->n_spends + 1, sizeof(Tm__Fleet__Permit *));
+	for (i = 0; permits != NULL && pointers != NULL &&
+	     i < spends->n_spends && i < SPENDS_MAX;
+	     i++) {
+		permit = take_spend(hub, from, spends->spends[i], now_ms);
+		if (spends->spends[i]->id == 0)
+			continue;
+		pointers[reply.n_permits] = &permits[reply.n_permits];
+		tm__fleet__permit__init(&permits[reply.n_permits]);
+		permits[reply.n_permits].id = spends->spends[i]->id;
+		permits[reply.n_permits].is_granted = permit.is_granted;
+		permits[reply.n_permits].retry_after_ms = permit.wait_ms;
+		reply.n_permits++;
+	}
+	reply.permits = pointers;
+	reply.term = hub->led_term;
+	if (reply.n_permits > 0)
+		peer_net_send(hub->net, from, MSG_FLEET_PERMITS, &reply.base);
+	free(pointers);
+	free(permits);
+	tm__fleet__spends__free_unpacked(spends, NULL);
+}
+
+static void
+handle_evidence(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Evidence *msg =
+	    tm__fleet__evidence__unpack(NULL, len, payload);
+	hub_evidence_t evidence;
+	const hub_target_t *target;
+
+	if (msg == NULL)
+		return;
+	evidence = (hub_evidence_t){
+		.target = msg->target,
+		.gate = from,
+		.kind = (fleet_evidence_t)msg->kind,
+		.is_trial = msg->is_trial,
+	};
+	target = hub_state_find_target(hub->state, msg->target);
+	/* Evidence against an earlier incarnation says nothing. */
+	if (target != NULL && target->as.born_ms == msg->born_ms)
+		hub_judge_note(hub->judge, &evidence, clock_now_ms());
+	tm__fleet__evidence__free_unpacked(msg, NULL);
+}
+
+void
+hub_messages_receive(void *ctx, node_id_t from, uint64_t incarnation,
+    uint16_t type, const uint8_t *payload, size_t len)
+{
+	hub_t *hub = ctx;
+	int64_t now_ms = clock_now_ms();
+
+	(void)incarnation;
+	if (type >= MSG_RAFT_BASE && type < MSG_RAFT_BASE + 20) {
+		raft_handle(hub->raft, from, type, payload, len, now_ms);
+		return;
+	}
+	switch (type) {
+	case MSG_FLEET_HELLO:
+		hub_members_handle(hub->members, from, payload, len, now_ms);
+		break;
+	case MSG_FLEET_JOIN:
+		handle_join(hub, from, payload, len);
+		break;
+	case MSG_FLEET_SPENDS:
+		if (hub->was_leading)
+			handle_spends(hub, from, payload, len);
+		break;
+	case MSG_FLEET_EVIDENCE:
+		if (hub->was_leading)
+			handle_evidence(hub, from, payload, len);
+		break;
+	default:
+		break;
+	}
+}
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -23,6 +23,7 @@
 	uint64_t key; /**< fleet_name_hash() of the id */
 	dialect_announcement_t as; /**< state FLEET_TARGET_GONE: it left */
 	uint64_t changed; /**< sequence of its last change, from 1 */
+	int64_t gone_ms; /**< when this hub noticed that it left; 0: not yet */
 	UT_hash_handle hh;
 } hub_target_t;
 
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -592,51 +592,6 @@
   assert(message->base.descriptor == &tm__fleet__evidence__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   tm__fleet__block__init
-                     (Tm__Fleet__Block         *message)
-{
-  static const Tm__Fleet__Block init_value = TM__FLEET__BLOCK__INIT;
-  *message = init_value;
-}
-size_t tm__fleet__block__get_packed_size
-                     (const Tm__Fleet__Block *message)
-{
-  assert(message->base.descriptor == &tm__fleet__block__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t tm__fleet__block__pack
-                     (const Tm__Fleet__Block *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &tm__fleet__block__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t tm__fleet__block__pack_to_buffer
-                     (const Tm__Fleet__Block *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &tm__fleet__block__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Tm__Fleet__Block *
-       tm__fleet__block__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Tm__Fleet__Block *)
-     protobuf_c_message_unpack (&tm__fleet__block__descriptor,
-                                allocator, len, data);
-}
-void   tm__fleet__block__free_unpacked
-                     (Tm__Fleet__Block *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &tm__fleet__block__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   tm__fleet__hello__init
                      (Tm__Fleet__Hello         *message)
 {
@@ -1589,7 +1544,7 @@
   (ProtobufCMessageInit) tm__fleet__table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[6] =
+static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[5] =
 {
   {
     "id",
@@ -1651,31 +1606,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "waited_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Tm__Fleet__Spend, waited_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned tm__fleet__spend__field_indices_by_name[] = {
   0,   /* field[0] = id */
   3,   /* field[3] = kind */
   2,   /* field[2] = service */
   4,   /* field[4] = target */
-  5,   /* field[5] = waited_ms */
   1,   /* field[1] = workspace */
 };
 static const ProtobufCIntRange tm__fleet__spend__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor tm__fleet__spend__descriptor =
 {
@@ -1685,7 +1627,7 @@
   "Tm__Fleet__Spend",
   "tm.fleet",
   sizeof(Tm__Fleet__Spend),
-  6,
+  5,
   tm__fleet__spend__field_descriptors,
   tm__fleet__spend__field_indices_by_name,
   1,  tm__fleet__spend__number_ranges,
@@ -1871,7 +1813,7 @@
   (ProtobufCMessageInit) tm__fleet__permits__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__evidence__field_descriptors[6] =
+static const ProtobufCFieldDescriptor tm__fleet__evidence__field_descriptors[4] =
 {
   {
     "target",
@@ -1921,43 +1863,17 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "latency_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Tm__Fleet__Evidence, latency_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fingerprint",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Tm__Fleet__Evidence, fingerprint),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned tm__fleet__evidence__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
-  5,   /* field[5] = fingerprint */
   3,   /* field[3] = is_trial */
   2,   /* field[2] = kind */
-  4,   /* field[4] = latency_ms */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange tm__fleet__evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor tm__fleet__evidence__descriptor =
 {
@@ -1967,52 +1883,14 @@
   "Tm__Fleet__Evidence",
   "tm.fleet",
   sizeof(Tm__Fleet__Evidence),
-  6,
+  4,
   tm__fleet__evidence__field_descriptors,
   tm__fleet__evidence__field_indices_by_name,
   1,  tm__fleet__evidence__number_ranges,
   (ProtobufCMessageInit) tm__fleet__evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__block__field_descriptors[1] =
-{
-  {
-    "fingerprints",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Tm__Fleet__Block, n_fingerprints),
-    offsetof(Tm__Fleet__Block, fingerprints),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned tm__fleet__block__field_indices_by_name[] = {
-  0,   /* field[0] = fingerprints */
-};
-static const ProtobufCIntRange tm__fleet__block__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor tm__fleet__block__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "tm.fleet.Block",
-  "Block",
-  "Tm__Fleet__Block",
-  "tm.fleet",
-  sizeof(Tm__Fleet__Block),
-  1,
-  tm__fleet__block__field_descriptors,
-  tm__fleet__block__field_indices_by_name,
-  1,  tm__fleet__block__number_ranges,
-  (ProtobufCMessageInit) tm__fleet__block__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor tm__fleet__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor tm__fleet__hello__field_descriptors[3] =
 {
   {
     "name",
@@ -2026,18 +1904,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "has_state",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Tm__Fleet__Hello, has_state),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "hubs",
     3,
@@ -2064,15 +1930,15 @@
   },
 };
 static const unsigned tm__fleet__hello__field_indices_by_name[] = {
-  1,   /* field[1] = has_state */
-  2,   /* field[2] = hubs */
-  3,   /* field[3] = is_stopping */
+  1,   /* field[1] = hubs */
+  2,   /* field[2] = is_stopping */
   0,   /* field[0] = name */
 };
-static const ProtobufCIntRange tm__fleet__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange tm__fleet__hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 3, 1 },
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor tm__fleet__hello__descriptor =
 {
@@ -2082,10 +1948,10 @@
   "Tm__Fleet__Hello",
   "tm.fleet",
   sizeof(Tm__Fleet__Hello),
-  4,
+  3,
   tm__fleet__hello__field_descriptors,
   tm__fleet__hello__field_indices_by_name,
-  1,  tm__fleet__hello__number_ranges,
+  2,  tm__fleet__hello__number_ranges,
   (ProtobufCMessageInit) tm__fleet__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -28,7 +28,6 @@
 typedef struct Tm__Fleet__Permit Tm__Fleet__Permit;
 typedef struct Tm__Fleet__Permits Tm__Fleet__Permits;
 typedef struct Tm__Fleet__Evidence Tm__Fleet__Evidence;
-typedef struct Tm__Fleet__Block Tm__Fleet__Block;
 typedef struct Tm__Fleet__Hello Tm__Fleet__Hello;
 typedef struct Tm__Fleet__Entry Tm__Fleet__Entry;
 typedef struct Tm__Fleet__Ejected Tm__Fleet__Ejected;
@@ -204,11 +203,10 @@
   uint64_t service;
   uint32_t kind;
   uint64_t target;
-  uint32_t waited_ms;
 };
 #define TM__FLEET__SPEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__spend__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Tm__Fleet__Spends
@@ -262,26 +260,10 @@
   uint64_t born_ms;
   uint32_t kind;
   protobuf_c_boolean is_trial;
-  uint32_t latency_ms;
-  uint64_t fingerprint;
 };
 #define TM__FLEET__EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__evidence__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
-
-
-/*
- * Hub to gates: requests that crashed targets and must not be sent.
- */
-struct  Tm__Fleet__Block
-{
-  ProtobufCMessage base;
-  size_t n_fingerprints;
-  uint64_t *fingerprints;
-};
-#define TM__FLEET__BLOCK__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__block__descriptor) \
-    , 0,NULL }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -291,14 +273,13 @@
 {
   ProtobufCMessage base;
   char *name;
-  protobuf_c_boolean has_state;
   size_t n_hubs;
   char **hubs;
   protobuf_c_boolean is_stopping;
 };
 #define TM__FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 /*
@@ -596,25 +577,6 @@
 void   tm__fleet__evidence__free_unpacked
                      (Tm__Fleet__Evidence *message,
                       ProtobufCAllocator *allocator);
-/* Tm__Fleet__Block methods */
-void   tm__fleet__block__init
-                     (Tm__Fleet__Block         *message);
-size_t tm__fleet__block__get_packed_size
-                     (const Tm__Fleet__Block   *message);
-size_t tm__fleet__block__pack
-                     (const Tm__Fleet__Block   *message,
-                      uint8_t             *out);
-size_t tm__fleet__block__pack_to_buffer
-                     (const Tm__Fleet__Block   *message,
-                      ProtobufCBuffer     *buffer);
-Tm__Fleet__Block *
-       tm__fleet__block__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   tm__fleet__block__free_unpacked
-                     (Tm__Fleet__Block *message,
-                      ProtobufCAllocator *allocator);
 /* Tm__Fleet__Hello methods */
 void   tm__fleet__hello__init
                      (Tm__Fleet__Hello         *message);
@@ -732,9 +694,6 @@
 typedef void (*Tm__Fleet__Evidence_Closure)
                  (const Tm__Fleet__Evidence *message,
                   void *closure_data);
-typedef void (*Tm__Fleet__Block_Closure)
-                 (const Tm__Fleet__Block *message,
-                  void *closure_data);
 typedef void (*Tm__Fleet__Hello_Closure)
                  (const Tm__Fleet__Hello *message,
                   void *closure_data);
@@ -766,7 +725,6 @@
 extern const ProtobufCMessageDescriptor tm__fleet__permit__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__permits__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__evidence__descriptor;
-extern const ProtobufCMessageDescriptor tm__fleet__block__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__hello__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__entry__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__ejected__descriptor;
