gate_table: early refusal bounded for aims a service cannot meet

Their routes have an aim of 1 s on a service whose work alone takes most of it. The load at which the aim is taken up was then near 1, so nearly all of these requests were refused at the gate; those sent waited in queues that other routes with longer aims had filled.

Change: a service is filled to 0.6 of the load at which waiting takes the aim; an aim does not bound the load below 1.6; 0.45 of the requests are sent always.

--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -15,15 +15,18 @@
 #define COLD_MALUS 0.5
 /* What the leader told counts for this time. */
 #define PRESSURE_MAX_AGE_MS 800
-/* A service is filled up to the load at which a response takes its aim. From the
- * first share of that on some requests are refused, at the second all. */
-#define ROOM_FROM 0.6
-#define ROOM_TO	  1.25
+/* A service is filled up to the load at which waiting takes a part of the aim;
+ * around that a growing share of the requests is refused. */
+#define ROOM_AIM_SHARE 0.6
+#define ROOM_FROM      0.7
+#define ROOM_TO	       1.3
 /* Each step of priority has so much less room; at most so many steps count. */
 #define ROOM_STEP      0.1
 #define ROOM_STEPS_MAX 3
+/* An aim that hardly any response meets does not bound the load. */
+#define ROOM_LOAD_MIN 1.6
 /* Share of requests that are sent however full a service is. */
-#define ROOM_MIN 0.3
+#define ROOM_MIN 0.45
 /* Weight of a new response in the mean latency of a service. */
 #define LATENCY_WEIGHT 0.05
 
@@ -428,7 +431,10 @@
 	if (service->work_ms <= 0 || service->pressure <= 1 ||
 	    now_ms - service->pressure_ms > PRESSURE_MAX_AGE_MS)
 		return (1);
-	full = (double)aim_ms / service->work_ms * (1 - ROOM_STEP * steps);
+	full = ROOM_AIM_SHARE * (double)aim_ms / service->work_ms;
+	if (full < ROOM_LOAD_MIN)
+		full = ROOM_LOAD_MIN;
+	full *= 1 - ROOM_STEP * steps;
 	share = (ROOM_TO * full - service->pressure) /
 	    ((ROOM_TO - ROOM_FROM) * full);
 	if (share < ROOM_MIN)
