entry: one piece of code for headers and request lines of tm-entry and tm-gate

gate_wire.c and request_wire.c held the same functions: request line, header lines, headers that Connection restricts to a hop, what of a response goes back, search for a response header. They stand once in entry/forward.c now. http_chunks.c reads hexadecimal digits with hex_get_digit(), which existed.

Behaviour is unchanged.

--- a/src/entry/request_wire.c
+++ b/src/entry/request_wire.c
@@ -5,59 +5,13 @@
 
 #include "base/error.h"
 #include "base/test_hooks.h"
+#include "entry/forward.h"
 #include "entry/request.h"
 #include "proto/entry.pb-c.h"
 
 /* So that a value fits 32 bits. */
 #define LOAD_DIGITS_MAX 9
 
-static int
-append_text(buffer_t *out, const char *text)
-{
-	return (buffer_append(out, text, strlen(text)));
-}
-
-static int
-append_header(buffer_t *out, const char *name, size_t name_len,
-    const char *value, size_t value_len)
-{
-	int err = buffer_append(out, name, name_len);
-
-	if (err == TM_OK)
-		err = append_text(out, ": ");
-	if (err == TM_OK)
-		err = buffer_append(out, value, value_len);
-	return (err == TM_OK ? append_text(out, "\r\n") : err);
-}
-
-static keyguard_header_t
-header_at(const h2o_headers_t *headers, size_t at)
-{
-	const h2o_header_t *header = &headers->entries[at];
-
-	return ((keyguard_header_t){
-	    .name = { header->name->base, header->name->len },
-	    .value = { header->value.base, header->value.len },
-	});
-}
-
-/* @return 1 for a header that Connection restricts to the caller's hop */
-static int
-is_nominated(const h2o_headers_t *headers, keyguard_text_t name)
-{
-	keyguard_header_t header;
-	size_t i;
-
-	for (i = 0; i < headers->size; i++) {
-		header = header_at(headers, i);
-		if (h2o_memis(header.name.base, header.name.len,
-			H2O_STRLIT("connection")) &&
-		    keyguard_is_nominated(header.value, name))
-			return (1);
-	}
-	return (0);
-}
-
 static int
 append_caller_headers(const entry_request_t *request, buffer_t *out)
 {
@@ -67,13 +21,12 @@
 	size_t i;
 
 	for (i = 0; i < headers->size && err == TM_OK; i++) {
-		header = header_at(headers, i);
+		header = forward_get_header(headers, i);
 		if ((keyguard_may_forward(&header, &request->key) &&
-			!is_nominated(headers, header.name)) ||
+			!forward_is_caller_hop(headers, header.name)) ||
 		    test_hooks_is_off("key_removal"))
-			err = append_header(out, header.name.base,
-			    header.name.len, header.value.base,
-			    header.value.len);
+			err = forward_append_header(
+			    out, header.name, header.value);
 	}
 	return (err);
 }
@@ -85,9 +38,6 @@
 	const h2o_req_t *req = request->req;
 	const char *name = request->workspace->name;
 	char text[256];
-	int has_body = req->entity.len > 0 ||
-	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("POST")) ||
-	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("PUT"));
 	int len;
 
 	len = snprintf(text, sizeof(text),
@@ -96,102 +46,42 @@
 	    name, request->id, (long long)remaining_ms);
 	if (buffer_append(out, text, (size_t)len) != TM_OK)
 		return (TM_ENOMEM);
-	if (!has_body)
+	if (!forward_has_body(req))
 		return (TM_OK);
 	len = snprintf(
 	    text, sizeof(text), "content-length: %zu\r\n", req->entity.len);
 	return (buffer_append(out, text, (size_t)len));
 }
 
-static int
-append_request_line(const h2o_req_t *req, buffer_t *out)
-{
-	int err = buffer_append(out, req->method.base, req->method.len);
-
-	if (err == TM_OK)
-		err = append_text(out, " ");
-	if (err == TM_OK)
-		err = buffer_append(
-		    out, req->input.path.base, req->input.path.len);
-	if (err == TM_OK)
-		err = append_text(out, " HTTP/1.1\r\n");
-	return (err == TM_OK
-		? append_header(out, "host", 4, req->input.authority.base,
-		      req->input.authority.len)
-		: err);
-}
-
 int
 request_encode(
     const entry_request_t *request, int64_t remaining_ms, buffer_t *out)
 {
 	const h2o_req_t *req = request->req;
-	int err = append_request_line(req, out);
+	int err = forward_append_request_line(out, req);
 
 	if (err == TM_OK)
 		err = append_caller_headers(request, out);
 	if (err == TM_OK)
 		err = append_own_headers(request, remaining_ms, out);
 	if (err == TM_OK)
-		err = append_text(out, "\r\n");
+		err = forward_append_text(out, "\r\n");
 	if (err == TM_OK)
 		err = buffer_append(out, req->entity.base, req->entity.len);
 	return (err);
 }
 
-static int
-name_equals(const upstream_header_t *header, const char *name)
-{
-	return (header->name_len == strlen(name) &&
-	    strncasecmp(header->name, name, header->name_len) == 0);
-}
-
-/* @return 1 for a header that Connection restricts to the target's hop */
-static int
-is_target_hop(const upstream_response_t *response, keyguard_text_t name)
-{
-	const upstream_header_t *header;
-	keyguard_text_t value;
-	size_t i;
-
-	for (i = 0; i < response->header_count; i++) {
-		header = &response->headers[i];
-		value = (keyguard_text_t){ header->value, header->value_len };
-		if (name_equals(header, "connection") &&
-		    keyguard_is_nominated(value, name))
-			return (1);
-	}
-	return (0);
-}
-
 /* Headers of the hop to the target, and those that this VM sets itself. */
 static int
 may_return_header(
     const upstream_response_t *response, const upstream_header_t *header)
 {
-	keyguard_text_t name = { header->name, header->name_len };
-
-	return (!keyguard_is_hop_by_hop(name) &&
-	    !is_target_hop(response, name) &&
-	    !name_equals(header, "x-request-id") &&
-	    !name_equals(header, "server") && !name_equals(header, "date") &&
+	return (forward_may_return(response, header) &&
+	    !forward_name_equals(header, "x-request-id") &&
 	    !(header->name_len > 5 &&
 		strncasecmp(header->name, "x-tm-", 5) == 0));
 }
 
-static void
-add_lower_header(h2o_req_t *req, const upstream_header_t *header)
-{
-	h2o_iovec_t name =
-	    h2o_strdup(&req->pool, header->name, header->name_len);
-	h2o_iovec_t value =
-	    h2o_strdup(&req->pool, header->value, header->value_len);
-
-	h2o_strtolower(name.base, name.len);
-	h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
-	    name.len, 1, NULL, value.base, value.len);
-}
-
 void
 request_reply(const entry_request_t *request, h2o_req_t *req,
     const upstream_response_t *response)
@@ -200,7 +90,7 @@
 
 	for (i = 0; i < response->header_count; i++) {
 		if (may_return_header(response, &response->headers[i]))
-			add_lower_header(req, &response->headers[i]);
+			forward_add_header(req, &response->headers[i]);
 	}
 	http_request_add_header(
 	    req, "x-request-id", 12, request->id, strlen(request->id));
@@ -331,23 +221,11 @@
 	return (out);
 }
 
-static const upstream_header_t *
-response_find_header(const upstream_response_t *response, const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < response->header_count; i++) {
-		if (name_equals(&response->headers[i], name))
-			return (&response->headers[i]);
-	}
-	return (NULL);
-}
-
 int
 response_has_header(
     const upstream_response_t *response, const char *name, const char *value)
 {
-	const upstream_header_t *header = response_find_header(response, name);
+	const upstream_header_t *header = forward_find_header(response, name);
 
 	return (header != NULL && header->value_len == strlen(value) &&
 	    memcmp(header->value, value, header->value_len) == 0);
@@ -379,7 +257,7 @@
     uint32_t *queued, uint32_t *slots)
 {
 	const upstream_header_t *header =
-	    response_find_header(response, "x-tm-load");
+	    forward_find_header(response, "x-tm-load");
 	const char *at;
 	const char *end;
 
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "entry/forward.h"
 
 /* A connection that is not open by then is given up; nothing was sent on it. */
 #define CONNECT_MAX_MS 300
@@ -163,14 +164,14 @@
 	const dialect_headers_t *names =
 	    &gate_get_dialect(request->gate)->headers;
 
-	*is_not_run = gate_wire_find_header(response, names->not_run) != NULL ||
+	*is_not_run = forward_find_header(response, names->not_run) != NULL ||
 	    response->status == 421;
 	if (response->status == 421)
 		return (FLEET_EVIDENCE_OTHER);
 	if (*is_not_run)
 		return (FLEET_EVIDENCE_SHED);
 	if (response->status < 300 &&
-	    gate_wire_find_header(response, names->signature) == NULL)
+	    forward_find_header(response, names->signature) == NULL)
 		return (FLEET_EVIDENCE_WRONG);
 	return (response->status >= 500 ? FLEET_EVIDENCE_ERROR
 					: FLEET_EVIDENCE_GOOD);
@@ -281,7 +282,7 @@
 is_foreign(void *ctx, const upstream_response_t *response)
 {
 	const gate_request_t *request = ctx;
-	const upstream_header_t *header = gate_wire_find_header(
+	const upstream_header_t *header = forward_find_header(
 	    response, gate_get_dialect(request->gate)->headers.request_id);
 
 	return (header != NULL && request->id[0] != '\0' &&
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -111,10 +111,6 @@
 void gate_wire_reply(const gate_request_t *request, h2o_req_t *req,
     const upstream_response_t *response);
 
-/** @return value of a header, or NULL */
-const upstream_header_t *gate_wire_find_header(
-    const upstream_response_t *response, const char *lower_name);
-
 /** Reads the load header. @return 1 if it is well-formed */
 int gate_wire_read_load(const dialect_t *dialect,
     const upstream_response_t *response, uint32_t *load);
--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -4,7 +4,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "entry/keyguard.h"
+#include "entry/forward.h"
 #include "gate/gate_request.h"
 
 /* So that a value fits 32 bits. */
@@ -12,59 +12,23 @@
 /* Longer times of idle connections are cut to this one. */
 #define KEEP_MAX_S 3600
 
-static int
-append_text(buffer_t *out, const char *text)
-{
-	return (buffer_append(out, text, strlen(text)));
-}
-
-static int
-append_header(buffer_t *out, const char *name, size_t name_len,
-    const char *value, size_t value_len)
-{
-	int err = buffer_append(out, name, name_len);
-
-	if (err == TM_OK)
-		err = append_text(out, ": ");
-	if (err == TM_OK)
-		err = buffer_append(out, value, value_len);
-	return (err == TM_OK ? append_text(out, "\r\n") : err);
-}
-
 static int
 append_own(buffer_t *out, const char *name, const char *value)
 {
-	return (append_header(out, name, strlen(name), value, strlen(value)));
-}
-
-/* @return 1 for a header that Connection restricts to the caller's hop */
-static int
-is_nominated(const h2o_headers_t *headers, keyguard_text_t name)
-{
-	const h2o_header_t *header;
-	size_t i;
-
-	for (i = 0; i < headers->size; i++) {
-		header = &headers->entries[i];
-		if (h2o_memis(header->name->base, header->name->len,
-			H2O_STRLIT("connection")) &&
-		    keyguard_is_nominated((keyguard_text_t){ header->value.base,
-					      header->value.len },
-			name))
-			return (1);
-	}
-	return (0);
+	return (
+	    forward_append_header(out, (keyguard_text_t){ name, strlen(name) },
+		(keyguard_text_t){ value, strlen(value) }));
 }
 
 static int
-is_own_name(const dialect_headers_t *names, const h2o_iovec_t *name)
+is_own_name(const dialect_headers_t *names, keyguard_text_t name)
 {
 	const char *const own[] = { "host", names->deadline, names->key,
 		names->workspace, names->expect_target };
 	size_t i;
 
 	for (i = 0; i < sizeof(own) / sizeof(own[0]); i++) {
-		if (h2o_memis(name->base, name->len, own[i], strlen(own[i])))
+		if (h2o_memis(name.base, name.len, own[i], strlen(own[i])))
 			return (1);
 	}
 	return (0);
@@ -76,21 +40,17 @@
 	const dialect_headers_t *names =
 	    &gate_get_dialect(request->gate)->headers;
 	const h2o_headers_t *headers = &request->req->headers;
-	const h2o_header_t *header;
-	keyguard_text_t name;
+	keyguard_header_t header;
 	int err = TM_OK;
 	size_t i;
 
 	for (i = 0; i < headers->size && err == TM_OK; i++) {
-		header = &headers->entries[i];
-		name =
-		    (keyguard_text_t){ header->name->base, header->name->len };
-		if (keyguard_is_hop_by_hop(name) ||
-		    is_own_name(names, header->name) ||
-		    is_nominated(headers, name))
+		header = forward_get_header(headers, i);
+		if (keyguard_is_hop_by_hop(header.name) ||
+		    is_own_name(names, header.name) ||
+		    forward_is_caller_hop(headers, header.name))
 			continue;
-		err = append_header(out, header->name->base, header->name->len,
-		    header->value.base, header->value.len);
+		err = forward_append_header(out, header.name, header.value);
 	}
 	return (err);
 }
@@ -103,9 +63,6 @@
 	    &gate_get_dialect(request->gate)->headers;
 	const h2o_req_t *req = request->req;
 	char text[32];
-	int has_body = req->entity.len > 0 ||
-	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("POST")) ||
-	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("PUT"));
 	int err;
 
 	snprintf(text, sizeof(text), "%lld", (long long)remaining_ms);
@@ -114,107 +71,30 @@
 		err = append_own(out, names->expect_target, target->id);
 	if (err == TM_OK && request->workspace[0] != '\0')
 		err = append_own(out, names->workspace, request->workspace);
-	if (err != TM_OK || !has_body)
+	if (err != TM_OK || !forward_has_body(req))
 		return (err);
 	snprintf(text, sizeof(text), "%zu", req->entity.len);
 	return (append_own(out, "content-length", text));
 }
 
-static int
-append_request_line(const h2o_req_t *req, buffer_t *out)
-{
-	int err = buffer_append(out, req->method.base, req->method.len);
-
-	if (err == TM_OK)
-		err = append_text(out, " ");
-	if (err == TM_OK)
-		err = buffer_append(
-		    out, req->input.path.base, req->input.path.len);
-	if (err == TM_OK)
-		err = append_text(out, " HTTP/1.1\r\n");
-	return (err == TM_OK
-		? append_header(out, "host", 4, req->input.authority.base,
-		      req->input.authority.len)
-		: err);
-}
-
 int
 gate_wire_encode(const gate_request_t *request, const gate_target_t *target,
     int64_t remaining_ms, buffer_t *out)
 {
 	const h2o_req_t *req = request->req;
-	int err = append_request_line(req, out);
+	int err = forward_append_request_line(out, req);
 
 	if (err == TM_OK)
 		err = append_caller_headers(request, out);
 	if (err == TM_OK)
 		err = append_own_headers(request, target, remaining_ms, out);
 	if (err == TM_OK)
-		err = append_text(out, "\r\n");
+		err = forward_append_text(out, "\r\n");
 	if (err == TM_OK)
 		err = buffer_append(out, req->entity.base, req->entity.len);
 	return (err);
 }
 
-static int
-name_equals(const upstream_header_t *header, const char *name)
-{
-	return (header->name_len == strlen(name) &&
-	    strncasecmp(header->name, name, header->name_len) == 0);
-}
-
-const upstream_header_t *
-gate_wire_find_header(
-    const upstream_response_t *response, const char *lower_name)
-{
-	size_t i;
-
-	for (i = 0; i < response->header_count; i++) {
-		if (name_equals(&response->headers[i], lower_name))
-			return (&response->headers[i]);
-	}
-	return (NULL);
-}
-
-/* @return 1 for a header that Connection restricts to the target's hop */
-static int
-is_target_hop(const upstream_response_t *response, keyguard_text_t name)
-{
-	const upstream_header_t *header;
-	size_t i;
-
-	for (i = 0; i < response->header_count; i++) {
-		header = &response->headers[i];
-		if (name_equals(header, "connection") &&
-		    keyguard_is_nominated(
-			(keyguard_text_t){ header->value, header->value_len },
-			name))
-			return (1);
-	}
-	return (0);
-}
-
-static int
-may_return(const upstream_response_t *response, const upstream_header_t *header)
-{
-	keyguard_text_t name = { header->name, header->name_len };
-
-	return (!keyguard_is_hop_by_hop(name) &&
-	    !is_target_hop(response, name) && !name_equals(header, "server") &&
-	    !name_equals(header, "date"));
-}
-
-static void
-add_header(h2o_req_t *req, const upstream_header_t *header)
-{
-	h2o_iovec_t name =
-	    h2o_strdup(&req->pool, header->name, header->name_len);
-
-	h2o_strtolower(name.base, name.len);
-	http_request_add_header(
-	    req, name.base, name.len, header->value, header->value_len);
-}
-
 /*
  * Nothing tells whether a response without a length is whole, so that it must
  * not get one here. h2o adds no framing of its own for callers of HTTP/1.0.
@@ -234,8 +114,8 @@
 	size_t i;
 
 	for (i = 0; i < response->header_count; i++) {
-		if (may_return(response, &response->headers[i]))
-			add_header(req, &response->headers[i]);
+		if (forward_may_return(response, &response->headers[i]))
+			forward_add_header(req, &response->headers[i]);
 	}
 	req->res.status = response->status;
 	req->res.reason = http_status_get_reason(response->status);
@@ -266,7 +146,7 @@
     const upstream_response_t *response, uint32_t *load)
 {
 	const upstream_header_t *header =
-	    gate_wire_find_header(response, dialect->headers.load);
+	    forward_find_header(response, dialect->headers.load);
 	const char *at;
 	const char *end;
 	uint32_t running;
@@ -287,7 +167,7 @@
 gate_wire_read_keep_ms(const upstream_response_t *response)
 {
 	const upstream_header_t *header =
-	    gate_wire_find_header(response, "keep-alive");
+	    forward_find_header(response, "keep-alive");
 	const char *at;
 	const char *end;
 	uint32_t keep_s;
--- a/src/http/http_chunks.c
+++ b/src/http/http_chunks.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/hex.h"
+
 /* Results of phr_decode_chunked(). */
 #define CHUNKS_MALFORMED  (-1)
 #define CHUNKS_INCOMPLETE (-2)
@@ -20,22 +22,10 @@
 	AT_LAST /* LF of the empty line */
 };
 
-static int
-get_digit(char c)
-{
-	if (c >= '0' && c <= '9')
-		return (c - '0');
-	if (c >= 'a' && c <= 'f')
-		return (c - 'a' + 10);
-	if (c >= 'A' && c <= 'F')
-		return (c - 'A' + 10);
-	return (-1);
-}
-
 static int
 take_size(response_chunks_t *decoder, char c)
 {
-	int digit = get_digit(c);
+	int digit = hex_get_digit(c);
 
 	if (digit >= 0) {
 		if (decoder->hex_count == HTTP_CHUNK_DIGITS_MAX)
