run-functional: no run without a test when all named ones are passed over

GNU xargs runs its command once for an empty list; the script then failed with '3: parameter not set'.

--- a/scripts/run-functional.sh
+++ b/scripts/run-functional.sh
@@ -58,7 +58,7 @@
 done >"$out/list"
 grep '^skip' "$out/list"
 grep -v '^skip' "$out/list" |
-    xargs -P "$jobs" -n 1 "$0" "$build" --one
+    xargs -r -P "$jobs" -n 1 "$0" "$build" --one
 passed=$(cat "$out"/*.verdict 2>/dev/null | grep -c '^ok$')
 wanted=$(grep -vc '^skip' "$out/list")
 failed=$((wanted - passed))
