settings: list the fleet secrets in one place

Six places copied the secrets of a program into the list that the peer network takes. Behaviour is unchanged; unit tests of settings, peer, gate and hub and the functional tests hub_gate, tls_entry and session pass.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -267,8 +267,8 @@
 	int i;
 
 	inet_ntop(AF_INET, &settings->peer_listen.sin_addr, ip, sizeof(ip));
-	for (i = 0; i < settings->secret_count; i++)
-		options.secrets[i] = settings->secrets[i];
+	program_list_secrets(
+	    settings->secrets, settings->secret_count, options.secrets);
 	err = peer_net_create(&control->net, &options);
 	for (i = 0; err == TM_OK && i < settings->vm_count; i++) {
 		vm = &settings->vms[i];
@@ -428,11 +428,9 @@
 control_reload(control_t *control, const control_settings_t *fresh)
 {
 	control_settings_t *settings = &control->settings;
-	const char *secrets[PEER_SECRETS_MAX] = { NULL };
-	int i;
+	const char *secrets[PEER_SECRETS_MAX];
 
-	for (i = 0; i < fresh->secret_count; i++)
-		secrets[i] = fresh->secrets[i];
+	program_list_secrets(fresh->secrets, fresh->secret_count, secrets);
 	if (peer_net_set_secrets(control->net, secrets) == TM_OK) {
 		memcpy(settings->secrets, fresh->secrets,
 		    sizeof(settings->secrets));
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -212,11 +212,9 @@
 entry_reload(entry_t *entry, const entry_settings_t *fresh)
 {
 	entry_settings_t *settings = entry->settings;
-	const char *secrets[PEER_SECRETS_MAX] = { NULL };
-	int i;
+	const char *secrets[PEER_SECRETS_MAX];
 
-	for (i = 0; i < fresh->secret_count; i++)
-		secrets[i] = fresh->secrets[i];
+	program_list_secrets(fresh->secrets, fresh->secret_count, secrets);
 	if (peer_net_set_secrets(entry->net, secrets) == TM_OK) {
 		memcpy(settings->secrets, fresh->secrets,
 		    sizeof(settings->secrets));
--- a/src/entry/entry_fleet.c
+++ b/src/entry/entry_fleet.c
@@ -208,8 +208,8 @@
 	int i;
 
 	uv_ip4_name(&settings->peer_listen, ip, sizeof(ip));
-	for (i = 0; i < settings->secret_count; i++)
-		options.secrets[i] = settings->secrets[i];
+	program_list_secrets(
+	    settings->secrets, settings->secret_count, options.secrets);
 	err = peer_net_create(&entry->net, &options);
 	if (err != TM_OK)
 		return (err);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -299,13 +299,12 @@
 		.receive = on_receive,
 		.ctx = gate,
 	};
-	int i;
 
 	/* Each start is another node: its name needs no memory and no clock. */
 	snprintf(name, sizeof(name), "gate-%016llx",
 	    (unsigned long long)rng_next(&gate->rng));
-	for (i = 0; i < settings->secret_count; i++)
-		options.secrets[i] = settings->secrets[i];
+	program_list_secrets(
+	    settings->secrets, settings->secret_count, options.secrets);
 	return (peer_net_create(&gate->net, &options));
 }
 
@@ -420,13 +419,12 @@
 void
 gate_reload(gate_t *gate, const gate_settings_t *fresh)
 {
-	const char *secrets[PEER_SECRETS_MAX] = { NULL };
+	const char *secrets[PEER_SECRETS_MAX];
 	int i;
 
 	for (i = 0; i < fresh->seed_count; i++)
 		gate_link_add_seed(gate->link, fresh->seeds[i]);
-	for (i = 0; i < fresh->secret_count; i++)
-		secrets[i] = fresh->secrets[i];
+	program_list_secrets(fresh->secrets, fresh->secret_count, secrets);
 	peer_net_set_secrets(gate->net, secrets);
 }
 
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -511,10 +511,9 @@
 		.receive = hub_messages_receive,
 		.ctx = hub,
 	};
-	int i;
 
-	for (i = 0; i < settings->secret_count; i++)
-		options.secrets[i] = settings->secrets[i];
+	program_list_secrets(
+	    settings->secrets, settings->secret_count, options.secrets);
 	return (peer_net_create(&hub->net, &options));
 }
 
@@ -666,13 +665,12 @@
 void
 hub_reload(hub_t *hub, const hub_settings_t *fresh)
 {
-	const char *secrets[PEER_SECRETS_MAX] = { NULL };
+	const char *secrets[PEER_SECRETS_MAX];
 	int i;
 
 	for (i = 0; i < fresh->seed_count; i++)
 		hub_members_add_seed(hub->members, fresh->seeds[i]);
-	for (i = 0; i < fresh->secret_count; i++)
-		secrets[i] = fresh->secrets[i];
+	program_list_secrets(fresh->secrets, fresh->secret_count, secrets);
 	peer_net_set_secrets(hub->net, secrets);
 }
 
--- a/src/settings/program_settings.c
+++ b/src/settings/program_settings.c
@@ -30,6 +30,16 @@
 	    root, "log_level", log_level_words, LOG_LEVEL_INFO));
 }
 
+void
+program_list_secrets(const program_secret_t *secrets, int count,
+    const char *list[PEER_SECRETS_MAX])
+{
+	int i;
+
+	for (i = 0; i < PEER_SECRETS_MAX; i++)
+		list[i] = i < count ? secrets[i] : NULL;
+}
+
 int
 program_load_settings(
     const char *file, FILE *errors, program_read_cb read, void *settings)
--- a/src/settings/program_settings.h
+++ b/src/settings/program_settings.h
@@ -27,6 +27,14 @@
 int program_read_secrets(
     json_node_t *root, const char *field, program_secret_t *secrets);
 
+/**
+ * Lists secrets for peer_options_t or peer_net_set_secrets().
+ *
+ * @param list  filled up with NULL; points into secrets
+ */
+void program_list_secrets(const program_secret_t *secrets, int count,
+    const char *list[PEER_SECRETS_MAX]);
+
 /** Reads the fields of a settings file; errors go to the check of root. */
 typedef void (*program_read_cb)(json_node_t *root, void *settings);
 
