hub_judge: walk the targets of a service only; drop parameters that nothing read

Each tick went over all targets once for each service, and so did each stall, each ejection and each search for a target to bring back. A service now has a list of its targets, in the order in which they came, so that the choices are the same.

Four functions took a time or a sum that they did not use, and the hub kept a due time that nothing read. The tests call them with the new parameters; their assertions are as they were.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -250,7 +250,7 @@
 {
 	gate_t *gate = check->data;
 
-	gate_link_flush(gate->link, clock_now_ms());
+	gate_link_flush(gate->link);
 	set_tick(gate);
 }
 
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -207,13 +207,12 @@
 }
 
 void
-gate_link_flush(gate_link_t *link, int64_t now_ms)
+gate_link_flush(gate_link_t *link)
 {
 	Tm__Fleet__Spends msg = TM__FLEET__SPENDS__INIT;
 	Tm__Fleet__Spend *pointers[SPENDS_MAX];
 	size_t i;
 
-	(void)now_ms;
 	if (link->spend_count == 0 || link->leader == NODE_ID_NONE)
 		return;
 	for (i = 0; i < link->spend_count; i++)
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -76,7 +76,7 @@
 void gate_link_tick(gate_link_t *link, int64_t now_ms);
 
 /** Sends what was spent or asked in this iteration of the loop. */
-void gate_link_flush(gate_link_t *link, int64_t now_ms);
+void gate_link_flush(gate_link_t *link);
 
 /** Handles MSG_FLEET_LEASE and MSG_FLEET_PERMITS. */
 void gate_link_handle(gate_link_t *link, node_id_t from, uint16_t type,
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -46,7 +46,6 @@
 	int was_leading;
 	int64_t leading_since_ms;
 	uint64_t led_term;
-	int64_t slow_due_ms;
 	int64_t member_due_ms;
 	int64_t ejected_due_ms;
 	int64_t load_due_ms;
--- a/src/hub/hub_judge.c
+++ b/src/hub/hub_judge.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <uthash.h>
+#include <utlist.h>
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -48,9 +49,11 @@
 /* A lost target is tried this often: gates may reach it all the same. */
 #define LOST_REST_MS 3000
 
+typedef struct judged_service judged_service_t;
+
 typedef struct judged {
 	uint64_t key;
-	uint64_t service;
+	judged_service_t *service;
 	uint64_t born_ms;
 	fleet_verdict_t verdict;
 	double badness;
@@ -67,14 +70,17 @@
 	int is_lost; /* silent for long */
 	int64_t announced_ms;
 	int64_t good_ms; /* last good response */
+	struct judged *prev; /* of the service */
+	struct judged *next;
 	UT_hash_handle hh;
 } judged_t;
 
 /* A service that has, or had, targets. */
-typedef struct judged_service {
+struct judged_service {
 	uint64_t id;
+	judged_t *targets;
 	UT_hash_handle hh;
-} judged_service_t;
+};
 
 struct hub_judge {
 	judged_t *targets;
@@ -110,16 +116,22 @@
 	return (judge);
 }
 
+static void
+remove_target(hub_judge_t *judge, judged_t *target)
+{
+	HASH_DELETE(hh, judge->targets, target);
+	DL_DELETE(target->service->targets, target);
+	free(target);
+}
+
 void
 hub_judge_reset(hub_judge_t *judge)
 {
 	judged_t *target;
 	judged_t *next;
 
-	HASH_ITER(hh, judge->targets, target, next) {
-		HASH_DELETE(hh, judge->targets, target);
-		free(target);
-	}
+	HASH_ITER(hh, judge->targets, target, next)
+		remove_target(judge, target);
 }
 
 void
@@ -147,19 +159,20 @@
 	return (target);
 }
 
-static void
-note_service(hub_judge_t *judge, uint64_t id)
+static judged_service_t *
+get_service(hub_judge_t *judge, uint64_t id)
 {
 	judged_service_t *service;
 
 	HASH_FIND(hh, judge->services, &id, sizeof(id), service);
 	if (service != NULL)
-		return;
+		return (service);
 	service = calloc(1, sizeof(*service));
 	if (service == NULL)
-		return;
+		return (NULL);
 	service->id = id;
 	HASH_ADD(hh, judge->services, id, sizeof(service->id), service);
+	return (service);
 }
 
 void
@@ -171,15 +184,19 @@
 	if (target != NULL && target->born_ms == born_ms)
 		return;
 	if (target != NULL)
-		hub_judge_remove(judge, key);
+		remove_target(judge, target);
 	target = calloc(1, sizeof(*target));
 	if (target == NULL)
 		return;
-	note_service(judge, service);
+	target->service = get_service(judge, service);
+	if (target->service == NULL) {
+		free(target);
+		return;
+	}
 	target->key = key;
-	target->service = service;
 	target->born_ms = born_ms;
 	HASH_ADD(hh, judge->targets, key, sizeof(target->key), target);
+	DL_APPEND(target->service->targets, target);
 }
 
 void
@@ -187,10 +204,8 @@
 {
 	judged_t *target = find(judge, key);
 
-	if (target == NULL)
-		return;
-	HASH_DELETE(hh, judge->targets, target);
-	free(target);
+	if (target != NULL)
+		remove_target(judge, target);
 }
 
 static void
@@ -216,15 +231,14 @@
 
 /* Ejections must leave a share of the service in use. */
 static int
-may_eject(const hub_judge_t *judge, const judged_t *candidate)
+may_eject(const judged_t *candidate)
 {
 	const judged_t *target;
 	uint32_t total = 0;
 	uint32_t used = 0;
 
-	for (target = judge->targets; target != NULL;
-	     target = target->hh.next) {
-		if (target->service != candidate->service || target->is_lost)
+	DL_FOREACH(candidate->service->targets, target) {
+		if (target->is_lost)
 			continue;
 		total++;
 		used += target->verdict == FLEET_VERDICT_GOOD;
@@ -243,10 +257,8 @@
 	judged_t *oldest = NULL;
 	judged_t *target;
 
-	for (target = judge->targets; target != NULL;
-	     target = target->hh.next) {
-		if (target->service == candidate->service &&
-		    target->verdict != FLEET_VERDICT_GOOD && !target->is_lost &&
+	DL_FOREACH(candidate->service->targets, target) {
+		if (target->verdict != FLEET_VERDICT_GOOD && !target->is_lost &&
 		    (oldest == NULL || target->failed_ms < oldest->failed_ms))
 			oldest = target;
 	}
@@ -261,7 +273,7 @@
 {
 	const char *reason = evidence_info[kind].name;
 
-	if (!target->is_lost && !may_eject(judge, target)) {
+	if (!target->is_lost && !may_eject(target)) {
 		if (kind != FLEET_EVIDENCE_BROKEN)
 			return;
 		return_oldest(judge, target);
@@ -287,12 +299,11 @@
 }
 
 void
-hub_judge_note_good(hub_judge_t *judge, uint64_t key, uint32_t count,
-    uint32_t latency_sum_ms, int64_t now_ms)
+hub_judge_note_good(
+    hub_judge_t *judge, uint64_t key, uint32_t count, int64_t now_ms)
 {
 	judged_t *target = find(judge, key);
 
-	(void)latency_sum_ms;
 	if (target == NULL || count == 0)
 		return;
 	fade(target, now_ms);
@@ -323,15 +334,15 @@
 
 /* @return 1 if many targets of the service show the same */
 static int
-is_common(const hub_judge_t *judge, judged_t *target, int64_t now_ms)
+is_common(judged_t *target, int64_t now_ms)
 {
 	const judged_t *other;
 	uint32_t total = 0;
 	uint32_t strained = 0;
 
 	target->strained_ms = now_ms;
-	for (other = judge->targets; other != NULL; other = other->hh.next) {
-		if (other->service != target->service || other->is_lost)
+	DL_FOREACH(target->service->targets, other) {
+		if (other->is_lost)
 			continue;
 		total++;
 		strained += other->strained_ms != 0 &&
@@ -362,7 +373,7 @@
 		weight *= SAME_GATE_WEIGHT;
 	if ((evidence->kind == FLEET_EVIDENCE_STALL ||
 		evidence->kind == FLEET_EVIDENCE_SHED) &&
-	    is_common(judge, target, now_ms))
+	    is_common(target, now_ms))
 		weight *= COMMON_WEIGHT;
 	target->last_gate = evidence->gate;
 	target->last_gate_ms = now_ms;
@@ -469,16 +480,14 @@
 
 /* Targets of a service that get no requests at all. */
 static uint32_t
-count_unused(
-    const hub_judge_t *judge, uint64_t service, int64_t now_ms, uint32_t *total)
+count_unused(const judged_service_t *service, int64_t now_ms, uint32_t *total)
 {
 	const judged_t *target;
 	uint32_t unused = 0;
 
 	*total = 0;
-	for (target = judge->targets; target != NULL;
-	     target = target->hh.next) {
-		if (target->service != service || target->is_lost)
+	DL_FOREACH(service->targets, target) {
+		if (target->is_lost)
 			continue;
 		(*total)++;
 		unused += is_unused(target, now_ms);
@@ -488,14 +497,13 @@
 
 /* The unused target whose last failure is the longest ago. */
 static judged_t *
-find_rested(const hub_judge_t *judge, uint64_t service, int64_t now_ms)
+find_rested(const judged_service_t *service, int64_t now_ms)
 {
 	judged_t *rested = NULL;
 	judged_t *target;
 
-	for (target = judge->targets; target != NULL;
-	     target = target->hh.next) {
-		if (target->service == service && is_unused(target, now_ms) &&
+	DL_FOREACH(service->targets, target) {
+		if (is_unused(target, now_ms) &&
 		    target->trial_gate == NODE_ID_NONE &&
 		    (rested == NULL || target->failed_ms < rested->failed_ms))
 			rested = target;
@@ -505,15 +513,15 @@
 
 /* Not more than a share of a service's targets stays without any request. */
 static void
-keep_in_use(hub_judge_t *judge, uint64_t service, int64_t now_ms)
+keep_in_use(hub_judge_t *judge, const judged_service_t *service, int64_t now_ms)
 {
 	judged_t *target;
 	uint32_t total;
-	uint32_t unused = count_unused(judge, service, now_ms, &total);
+	uint32_t unused = count_unused(service, now_ms, &total);
 	uint32_t allowed = (uint32_t)(UNUSED_SHARE * total);
 
 	for (; unused > allowed; unused--) {
-		target = find_rested(judge, service, now_ms);
+		target = find_rested(service, now_ms);
 		if (target == NULL)
 			return;
 		set_verdict(judge, target, FLEET_VERDICT_TRIAL,
@@ -530,7 +538,7 @@
 	judged_t *next;
 
 	HASH_ITER(hh, judge->services, service, next_service)
-		keep_in_use(judge, service->id, now_ms);
+		keep_in_use(judge, service, now_ms);
 	HASH_ITER(hh, judge->targets, target, next) {
 		if (target->trial_gate != NODE_ID_NONE &&
 		    now_ms - target->trial_ms > TRIAL_MAX_MS)
--- a/src/hub/hub_judge.h
+++ b/src/hub/hub_judge.h
@@ -72,9 +72,9 @@
 /** The target announced itself. */
 void hub_judge_note_announced(hub_judge_t *judge, uint64_t key, int64_t now_ms);
 
-/** Counts good responses. @param latency_sum_ms  over all of them */
-void hub_judge_note_good(hub_judge_t *judge, uint64_t key, uint32_t count,
-    uint32_t latency_sum_ms, int64_t now_ms);
+/** Counts good responses. */
+void hub_judge_note_good(
+    hub_judge_t *judge, uint64_t key, uint32_t count, int64_t now_ms);
 
 /** Weighs a report. */
 void hub_judge_note(
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -28,8 +28,7 @@
 
 	if (target == NULL)
 		return;
-	hub_judge_note_good(hub->judge, outcome->target, outcome->good,
-	    outcome->latency_sum_ms, now_ms);
+	hub_judge_note_good(hub->judge, outcome->target, outcome->good, now_ms);
 	hub_load_note_good(hub->load, fleet_name_hash(target->as.service),
 	    outcome->good, outcome->latency_sum_ms);
 	if (outcome->load > 0)
@@ -100,8 +99,7 @@
 		    hub->quota, spend->workspace, spend->service, now_ms);
 		break;
 	case FLEET_SPEND_RETRY:
-		return (
-		    hub_quota_ask_retry(hub->quota, spend->service, now_ms));
+		return (hub_quota_ask_retry(hub->quota, spend->service));
 	case FLEET_SPEND_TRIAL:
 		permit.is_granted = hub_judge_ask_trial(
 		    hub->judge, spend->target, from, now_ms);
--- a/src/hub/hub_quota.c
+++ b/src/hub/hub_quota.c
@@ -381,12 +381,11 @@
 }
 
 hub_permit_t
-hub_quota_ask_retry(hub_quota_t *quota, uint64_t service, int64_t now_ms)
+hub_quota_ask_retry(hub_quota_t *quota, uint64_t service)
 {
 	retry_bucket_t *retry = get_retry(quota, service);
 	hub_permit_t permit = { .is_granted = 0 };
 
-	(void)now_ms;
 	if (retry == NULL || retry->level < 1)
 		return (permit);
 	retry->level -= 1;
--- a/src/hub/hub_quota.h
+++ b/src/hub/hub_quota.h
@@ -69,8 +69,7 @@
     hub_quota_t *quota, uint64_t workspace, uint64_t service, int64_t now_ms);
 
 /** Asks for a repeated sending at a service. */
-hub_permit_t hub_quota_ask_retry(
-    hub_quota_t *quota, uint64_t service, int64_t now_ms);
+hub_permit_t hub_quota_ask_retry(hub_quota_t *quota, uint64_t service);
 
 /**
  * Lists the workspaces that gates must ask for.
--- a/test/unit/gate_link_test.cc
+++ b/test/unit/gate_link_test.cc
@@ -201,12 +201,12 @@
 	EXPECT_EQ(1, usage_wanted_);
 	gate_link_spend(link_, 5, 6);
 	gate_link_spend(link_, 5, 6);
-	gate_link_flush(link_, now_);
+	gate_link_flush(link_);
 	EXPECT_EQ(2u, spends_);
 	Pass(GATE_LEADER_SILENT_MS + 200, "", 0);
 	gate_link_spend(link_, 5, 6);
 	Pass(2000, "10.0.0.2", 4);
-	gate_link_flush(link_, now_);
+	gate_link_flush(link_);
 	EXPECT_EQ(2, usage_wanted_);
 	/* The usage covers what could not be told before. */
 	EXPECT_EQ(2u, spends_);
--- a/test/unit/hub_judge_test.cc
+++ b/test/unit/hub_judge_test.cc
@@ -109,7 +109,7 @@
 	AddTargets(8);
 	for (int i = 0; i < 20; i++) {
 		Note(3, FLEET_EVIDENCE_ERROR);
-		hub_judge_note_good(judge_, 3, 4, 2000, now_);
+		hub_judge_note_good(judge_, 3, 4, now_);
 		now_ += 1000;
 	}
 	EXPECT_EQ(FLEET_VERDICT_GOOD, Get(3));
@@ -212,7 +212,7 @@
 	AddTargets(4);
 	for (int i = 0; i < 100; i++) {
 		AnnounceAll(3);
-		hub_judge_note_good(judge_, 4, 1, 500, now_);
+		hub_judge_note_good(judge_, 4, 1, now_);
 		hub_judge_tick(judge_, now_);
 		now_ += 100;
 	}
