gate_table: compare a whole table with the own one in one pass

For each target it knew, a gate looked through the whole message and hashed each name in it: with n targets n * n hashes, when each new term begins. Targets that the message lists are marked while they are taken over, and the others go.

--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -217,28 +217,27 @@
 	    msg->verdict == FLEET_VERDICT_GOOD)
 		target->avoid_until_ms = 0;
 	target->verdict = (fleet_verdict_t)msg->verdict;
+	target->is_listed = 1;
 }
 
-static int
-is_listed(const Tm__Fleet__Table *msg, uint64_t key)
+/* Before a whole table is taken: what it does not list goes. */
+static void
+begin_listing(gate_table_t *table)
 {
-	size_t i;
+	gate_target_t *target;
 
-	for (i = 0; i < msg->n_targets; i++) {
-		if (fleet_name_hash(msg->targets[i]->id) == key)
-			return (1);
-	}
-	return (0);
+	for (target = table->targets; target != NULL; target = target->hh.next)
+		target->is_listed = 0;
 }
 
 static void
-remove_unlisted(gate_table_t *table, const Tm__Fleet__Table *msg)
+remove_unlisted(gate_table_t *table)
 {
 	gate_target_t *target;
 	gate_target_t *next;
 
 	HASH_ITER(hh, table->targets, target, next) {
-		if (!is_listed(msg, target->key))
+		if (!target->is_listed)
 			remove_target(table, target);
 	}
 }
@@ -258,7 +257,7 @@
 		msg->sequence <= table->sequence))
 		return (0);
 	if (msg->since == 0)
-		remove_unlisted(table, msg);
+		begin_listing(table);
 	for (i = 0; i < msg->n_removed; i++) {
 		target = gate_table_find_target(table, msg->removed[i]);
 		if (target != NULL)
@@ -266,6 +265,8 @@
 	}
 	for (i = 0; i < msg->n_targets; i++)
 		take_target(table, msg->targets[i], now_ms);
+	if (msg->since == 0)
+		remove_unlisted(table);
 	table->term = msg->term;
 	table->sequence = msg->sequence;
 	return (1);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -49,6 +49,7 @@
 	uint32_t good; /**< since the last report */
 	uint32_t latency_sum_ms;
 	uint32_t holders; /**< requests that point here */
+	int is_listed; /**< in the newest whole table, or came since */
 	int is_removed;
 	UT_hash_handle hh;
 } gate_target_t;
