hub_state: one owner of an address; drop change counters that nothing read

An entry looked for the owner of its address and then went over all targets again to retire whoever held it. At most one target that has not left holds an address, as each entry retires the one before, so the owner found first is that one.

hub_state_t counted changes and hub_feed kept whether a gate stops; nothing read either. The message with the document is filled in one place.

--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -11,7 +11,6 @@
 typedef struct feed_gate {
 	node_id_t id;
 	int64_t heard_ms;
-	int is_stopping;
 	uint64_t config_version; /* as the gate reports it */
 	uint64_t sent_version;
 	int64_t document_sent_ms;
@@ -205,13 +204,10 @@
 static void
 send_document(hub_feed_t *feed, feed_gate_t *gate, int64_t now_ms)
 {
-	Tm__Fleet__Document msg = TM__FLEET__DOCUMENT__INIT;
 	const hub_document_t *document = &feed->options.state->document;
+	Tm__Fleet__Document msg;
 
-	msg.version = document->version;
-	msg.zipped.data = document->zipped;
-	msg.zipped.len = document->zipped_len;
-	msg.plain_bytes = (uint32_t)document->plain_len;
+	hub_document_fill(&msg, document);
 	gate->sent_version = document->version;
 	gate->document_sent_ms = now_ms;
 	feed->options.send(
@@ -302,7 +298,6 @@
 	if (gate == NULL)
 		return;
 	gate->heard_ms = now_ms;
-	gate->is_stopping = join->is_stopping;
 	gate->config_version = join->config_version;
 	/* The document goes first, as the lease tells its version. */
 	bring_document(feed, gate, now_ms);
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -112,29 +112,12 @@
 	return (1);
 }
 
-/* The newest incarnation holds an address. */
-static void
-retire_address(hub_state_t *state, const hub_target_t *owner)
-{
-	hub_target_t *target;
-	hub_target_t *next;
-
-	HASH_ITER(hh, state->targets, target, next) {
-		if (target == owner || target->as.ip != owner->as.ip ||
-		    target->as.port != owner->as.port ||
-		    target->as.state == FLEET_TARGET_GONE)
-			continue;
-		target->as.state = FLEET_TARGET_GONE;
-		target->changed = ++state->changes;
-	}
-}
-
 static hub_change_t
 apply_target(
     hub_state_t *state, const Tm__Fleet__Target *msg, hub_target_t **out)
 {
 	dialect_announcement_t as;
-	const hub_target_t *owner;
+	hub_target_t *owner;
 	hub_target_t *target;
 	uint64_t key;
 
@@ -158,9 +141,9 @@
 		HASH_ADD(hh, state->targets, key, sizeof(key), target);
 	}
 	target->as = as;
-	target->changed = ++state->changes;
-	if (as.state != FLEET_TARGET_GONE)
-		retire_address(state, target);
+	/* The newest incarnation holds an address. */
+	if (as.state != FLEET_TARGET_GONE && owner != NULL && owner != target)
+		owner->as.state = FLEET_TARGET_GONE;
 	*out = target;
 	return (HUB_CHANGE_TARGET);
 }
@@ -305,8 +288,8 @@
 	return (bytes);
 }
 
-static void
-fill_document(Tm__Fleet__Document *msg, const hub_document_t *document)
+void
+hub_document_fill(Tm__Fleet__Document *msg, const hub_document_t *document)
 {
 	tm__fleet__document__init(msg);
 	msg->version = document->version;
@@ -321,7 +304,7 @@
 	Tm__Fleet__Entry entry = TM__FLEET__ENTRY__INIT;
 	Tm__Fleet__Document msg;
 
-	fill_document(&msg, document);
+	hub_document_fill(&msg, document);
 	entry.document = &msg;
 	return (encode(&entry.base, len));
 }
@@ -394,7 +377,7 @@
 	snapshot.hubs = hubs;
 	snapshot.n_hubs = (size_t)state->hub_count;
 	if (state->has_document) {
-		fill_document(&document, &state->document);
+		hub_document_fill(&document, &state->document);
 		snapshot.document = &document;
 	}
 	if (msgs != NULL && pointers != NULL) {
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -22,7 +22,6 @@
 typedef struct hub_target {
 	uint64_t key; /**< fleet_name_hash() of the id */
 	dialect_announcement_t as; /**< state FLEET_TARGET_GONE: it left */
-	uint64_t changed; /**< sequence of its last change, from 1 */
 	int64_t gone_ms; /**< when this hub noticed that it left; 0: not yet */
 	UT_hash_handle hh;
 } hub_target_t;
@@ -39,7 +38,6 @@
 	hub_document_t document; /**< version 0: none */
 	int has_document;
 	hub_target_t *targets;
-	uint64_t changes; /**< grows with each change of targets */
 	char hubs[FLEET_HUBS_MAX][FLEET_IP_BYTES];
 	int hub_count;
 	uint64_t *ejected; /**< keys of targets that are kept out of use */
@@ -112,6 +110,10 @@
 
 void hub_document_release(hub_document_t *document);
 
+/** Fills a message with a document; its bytes are borrowed. */
+void hub_document_fill(
+    Tm__Fleet__Document *msg, const hub_document_t *document);
+
 /** Fills a message with a target; texts are borrowed. */
 void hub_target_fill(Tm__Fleet__Target *msg, const dialect_announcement_t *as);
 
