hub: what the leader alone does stands in hub_lead.c

It keeps the log, the proposals, start and stop; beginning to lead, members, permits, ejected and lost targets moved unchanged.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,22 +13,11 @@
 #define TICK_MS 50
 /* Shortest election timeout: some heartbeats may be lost or late. */
 #define ELECTION_MS 400
-/* Interval of slow checks: members, gates, buckets. */
-#define SLOW_TICK_MS 250
-/* Interval at which the load of the services is computed. */
-#define LOAD_MS 200
-/* Interval at which the ejected targets are written down, if they changed. */
-#define KEEP_EJECTED_MS 1000
 /* Entries after which the log is compacted, and entries kept then. */
 #define COMPACT_ENTRIES 400
 #define COMPACT_KEEP	64
 /* A stop waits so long for another leader. */
 #define STOP_MAX_MS 2000
-#define SCARCE_MAX  1024
-/* A target that left is remembered so long that no late announcement brings it
- * back; one that died without a word is dropped after the second time. */
-#define GONE_KEPT_MS 60000
-#define LOST_KEPT_MS 30000
 
 const hub_state_t *
 hub_get_state(const hub_t *hub)
@@ -245,185 +233,6 @@
 	    hub->net, node_id_from_name(name), name, hub->settings.peer_port);
 }
 
-/* Everything soft starts afresh when this hub begins to lead. */
-static void
-begin_to_lead(hub_t *hub, int64_t now_ms)
-{
-	const hub_target_t *target;
-	size_t i;
-
-	hub->leading_since_ms = now_ms;
-	hub->led_term = raft_get_term(hub->raft);
-	hub_judge_reset(hub->judge);
-	for (target = hub->state->targets; target != NULL;
-	     target = target->hh.next) {
-		if (target->as.state != FLEET_TARGET_GONE)
-			hub_judge_add(hub->judge, target->key,
-			    fleet_name_hash(target->as.service),
-			    target->as.born_ms);
-	}
-	hub_quota_reset(hub->quota, now_ms);
-	hub_feed_reset(hub->feed, hub->led_term);
-	for (i = 0; i < hub->state->ejected_count; i++)
-		hub_judge_restore(hub->judge, hub->state->ejected[i], now_ms);
-	LOG_EVENT(913, LOG_LEVEL_INFO, "serving as the leader",
-	    LOG_NUM("term", hub->led_term),
-	    LOG_NUM("version", hub->state->document.version),
-	    LOG_NUM("targets", HASH_COUNT(hub->state->targets)));
-}
-
-void
-hub_update_role(hub_t *hub, int64_t now_ms)
-{
-	int leads = hub_is_leading(hub);
-
-	if (leads &&
-	    (!hub->was_leading || hub->led_term != raft_get_term(hub->raft)))
-		begin_to_lead(hub, now_ms);
-	else if (!leads && hub->was_leading)
-		LOG_EVENT(914, LOG_LEVEL_INFO,
-		    "no longer serving as the leader",
-		    LOG_NUM("term", raft_get_term(hub->raft)));
-	hub->was_leading = leads;
-	metric_set(hub->metric_leading, leads);
-}
-
-static void
-ignore_outcome(void *ctx, int err)
-{
-	(void)ctx;
-	(void)err;
-}
-
-static void
-propose_hub(hub_t *hub, const char *name, int is_lost)
-{
-	size_t len;
-	uint8_t *bytes = hub_entry_encode_hub(name, is_lost, &len);
-
-	hub_propose(hub, bytes, len, ignore_outcome, NULL);
-}
-
-/* One change of members at a time. */
-static void
-plan_members(hub_t *hub, int64_t now_ms)
-{
-	raft_voter_t seats[RAFT_VOTERS_MAX];
-	hub_members_view_t view = {
-		.state = hub->state,
-		.seats = seats,
-		.seat_count = raft_get_voters(hub->raft, seats),
-		.leading_ms = now_ms - hub->leading_since_ms,
-	};
-	const char *name = "";
-	hub_step_t step;
-	int err = TM_OK;
-
-	if (hub->is_stopping)
-		return;
-	step = hub_members_plan(hub->members, &view, now_ms, &name);
-	if (step == HUB_STEP_NONE)
-		return;
-	switch (step) {
-	case HUB_STEP_RECORD:
-	case HUB_STEP_FORGET:
-		propose_hub(hub, name, step == HUB_STEP_FORGET);
-		break;
-	case HUB_STEP_SEAT:
-		err = raft_add_node(hub->raft, node_id_from_name(name));
-		break;
-	default:
-		err = raft_remove_node(hub->raft, node_id_from_name(name));
-		break;
-	}
-	if (err == TM_EUNAVAIL)
-		return;
-	LOG_EVENT(915, LOG_LEVEL_INFO, "members of the log change",
-	    LOG_TEXT("hub", name), LOG_NUM("step", step),
-	    LOG_NUM("seats", view.seat_count),
-	    LOG_TEXT("error", error_get_text(err)));
-}
-
-static void
-send_permits_state(hub_t *hub, int64_t now_ms)
-{
-	Tm__Fleet__Permits msg = TM__FLEET__PERMITS__INIT;
-	uint64_t scarce[SCARCE_MAX];
-
-	msg.term = hub->led_term;
-	msg.has_scarce = 1;
-	msg.scarce = scarce;
-	msg.n_scarce = hub_quota_list_scarce(hub->quota, scarce, SCARCE_MAX);
-	hub_feed_broadcast(hub->feed, MSG_FLEET_PERMITS, &msg.base, now_ms);
-}
-
-/* Keeps the list of ejected targets for the next leader, if it has changed. */
-static void
-keep_ejected(hub_t *hub)
-{
-	const hub_state_t *state = hub->state;
-	size_t max = HASH_COUNT(state->targets);
-	uint64_t *targets = calloc(max + 1, sizeof(*targets));
-	uint8_t *bytes;
-	size_t count;
-	size_t len;
-
-	if (targets == NULL)
-		return;
-	count = hub_judge_list_ejected(hub->judge, targets, max);
-	if (count != state->ejected_count ||
-	    memcmp(targets, state->ejected, count * sizeof(*targets)) != 0) {
-		bytes = hub_entry_encode_ejected(targets, count, &len);
-		hub_propose(hub, bytes, len, ignore_outcome, NULL);
-	}
-	free(targets);
-}
-
-static void
-propose_target(hub_t *hub, const hub_target_t *target, int is_forgotten)
-{
-	dialect_announcement_t as = target->as;
-	uint8_t *bytes;
-	size_t len;
-
-	as.state = FLEET_TARGET_GONE;
-	bytes = is_forgotten ? hub_entry_encode_forgotten(&as, &len)
-			     : hub_entry_encode_target(&as, &len);
-	hub_propose(hub, bytes, len, ignore_outcome, NULL);
-}
-
-/* @return 1 if a target is to be dropped: it died, or left long ago */
-static int
-is_over(hub_t *hub, hub_target_t *target, int64_t now_ms)
-{
-	hub_judge_info_t info = { .heard_ms = 0 };
-
-	if (target->as.state == FLEET_TARGET_GONE) {
-		if (target->gone_ms == 0)
-			target->gone_ms = now_ms;
-		return (now_ms - target->gone_ms > GONE_KEPT_MS);
-	}
-	target->gone_ms = 0;
-	hub_judge_get_info(hub->judge, target->key, &info);
-	return (info.heard_ms != 0 && now_ms - info.heard_ms > LOST_KEPT_MS);
-}
-
-/* Drops one target that is over, so that the list does not grow for ever. */
-static void
-drop_target(hub_t *hub, int64_t now_ms)
-{
-	hub_target_t *target;
-
-	for (target = hub->state->targets; target != NULL;
-	     target = target->hh.next) {
-		if (!is_over(hub, target, now_ms))
-			continue;
-		propose_target(
-		    hub, target, target->as.state == FLEET_TARGET_GONE);
-		return;
-	}
-}
-
 static void
 compact(hub_t *hub)
 {
@@ -439,30 +248,6 @@
 		    LOG_TEXT("error", error_get_text(err)));
 }
 
-static void
-tick_leader(hub_t *hub, int64_t now_ms)
-{
-	hub_judge_tick(hub->judge, now_ms);
-	if (hub_quota_tick(hub->quota, now_ms))
-		send_permits_state(hub, now_ms);
-	if (now_ms >= hub->load_due_ms) {
-		hub->load_due_ms = now_ms + LOAD_MS;
-		hub_load_update(hub->load, hub->state, hub->judge, now_ms);
-	}
-	if (now_ms >= hub->ejected_due_ms) {
-		hub->ejected_due_ms = now_ms + KEEP_EJECTED_MS;
-		keep_ejected(hub);
-	}
-	if (now_ms >= hub->member_due_ms) {
-		hub->member_due_ms = now_ms + SLOW_TICK_MS;
-		plan_members(hub, now_ms);
-		drop_target(hub, now_ms);
-		hub_feed_tick(hub->feed, now_ms);
-		metric_set(
-		    hub->metric_gates, hub_feed_count_gates(hub->feed, now_ms));
-	}
-}
-
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -473,7 +258,7 @@
 	hub_update_role(hub, now_ms);
 	hub_members_tick(hub->members, now_ms);
 	if (hub->was_leading)
-		tick_leader(hub, now_ms);
+		hub_tick_leader(hub, now_ms);
 	finish_tickets(hub, raft_get_applied(hub->raft), now_ms);
 	compact(hub);
 }
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * State of tm-hub, shared by hub.c and hub_messages.c.
+ * State of tm-hub, shared by hub.c, hub_lead.c and hub_messages.c.
  */
 #ifndef TM_HUB_HUB_INTERNAL_H
 #define TM_HUB_HUB_INTERNAL_H
@@ -62,6 +62,9 @@
 /** Begins or ends to serve as the leader, as the log says. */
 void hub_update_role(hub_t *hub, int64_t now_ms);
 
+/** What the leader alone does, on each tick. */
+void hub_tick_leader(hub_t *hub, int64_t now_ms);
+
 /** peer_receive_cb; ctx is the hub_t. */
 void hub_messages_receive(void *ctx, node_id_t from, uint64_t incarnation,
     uint16_t type, const uint8_t *payload, size_t len);
