--- a/src/hub/hub_judge.c
+++ b/src/hub/hub_judge.c
@@ -237,7 +237,8 @@
 	uint32_t total = 0;
 	uint32_t used = 0;
 
-	DL_FOREACH(candidate->service->targets, target) {
+	for (target = candidate->service->targets; target != NULL;
+	     target = target->next) {
 		if (target->is_lost)
 			continue;
 		total++;
@@ -257,7 +258,8 @@
 	judged_t *oldest = NULL;
 	judged_t *target;
 
-	DL_FOREACH(candidate->service->targets, target) {
+	for (target = candidate->service->targets; target != NULL;
+	     target = target->next) {
 		if (target->verdict != FLEET_VERDICT_GOOD && !target->is_lost &&
 		    (oldest == NULL || target->failed_ms < oldest->failed_ms))
 			oldest = target;
@@ -341,7 +343,8 @@
 	uint32_t strained = 0;
 
 	target->strained_ms = now_ms;
-	DL_FOREACH(target->service->targets, other) {
+	for (other = target->service->targets; other != NULL;
+	     other = other->next) {
 		if (other->is_lost)
 			continue;
 		total++;
@@ -486,7 +489,7 @@
 	uint32_t unused = 0;
 
 	*total = 0;
-	DL_FOREACH(service->targets, target) {
+	for (target = service->targets; target != NULL; target = target->next) {
 		if (target->is_lost)
 			continue;
 		(*total)++;
@@ -502,7 +505,7 @@
 	judged_t *rested = NULL;
 	judged_t *target;
 
-	DL_FOREACH(service->targets, target) {
+	for (target = service->targets; target != NULL; target = target->next) {
 		if (is_unused(target, now_ms) &&
 		    target->trial_gate == NODE_ID_NONE &&
 		    (rested == NULL || target->failed_ms < rested->failed_ms))
