hub_feed: a gate that was forgotten has still told what it spent

The leader forgets a gate after 10 s; when it came back within the term its new row had not told, and the gate does not tell twice in a term. So 40 of 44 shares of every limit counted as used until the next term, and asks were held till refused as no_leader, from 16 s to 32 s.

A join now names the term whose leader was told. The new test fails on the code before (171 refusals, wanted 0).

--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -146,6 +146,7 @@
 		link->reported_term = link->term;
 		drop_notes(link);
 	}
+	join.told_term = link->reported_term;
 	/* What was observed is for the leader alone. */
 	if (to != link->leader)
 		join.n_outcomes = 0;
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -307,11 +307,11 @@
 	gate->heard_ms = now_ms;
 	gate->config_version = join->config_version;
 	gate->is_stopping = join->is_stopping;
-	if (join->usage_part_ms != 0) {
-		gate->has_told = 1;
+	/* A gate that was forgotten does not tell again. */
+	gate->has_told = join->told_term == feed->term;
+	if (join->usage_part_ms != 0)
 		gate->is_restarted =
 		    join->up_ms < (uint64_t)feed->options.window_ms;
-	}
 	if (join->gates > feed->gates_before)
 		feed->gates_before = join->gates;
 	/* The document goes first, as the lease tells its version. */
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -964,7 +964,7 @@
   (ProtobufCMessageInit) tm__fleet__usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__join__field_descriptors[13] =
+static const ProtobufCFieldDescriptor tm__fleet__join__field_descriptors[14] =
 {
   {
     "sent_ms",
@@ -1122,6 +1122,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "told_term",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Join, told_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__join__field_indices_by_name[] = {
   1,   /* field[1] = config_version */
@@ -1133,6 +1145,7 @@
   0,   /* field[0] = sent_ms */
   3,   /* field[3] = table_sequence */
   2,   /* field[2] = table_term */
+  13,   /* field[13] = told_term */
   8,   /* field[8] = up_ms */
   6,   /* field[6] = usage */
   10,   /* field[10] = usage_ahead */
@@ -1141,7 +1154,7 @@
 static const ProtobufCIntRange tm__fleet__join__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor tm__fleet__join__descriptor =
 {
@@ -1151,7 +1164,7 @@
   "Tm__Fleet__Join",
   "tm.fleet",
   sizeof(Tm__Fleet__Join),
-  13,
+  14,
   tm__fleet__join__field_descriptors,
   tm__fleet__join__field_indices_by_name,
   1,  tm__fleet__join__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -127,10 +127,14 @@
    */
   uint64_t scarce_term;
   uint64_t scarce_sequence;
+  /*
+   * Whose leader was told what was spent before; by this join, too.
+   */
+  uint64_t told_term;
 };
 #define TM__FLEET__JOIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__join__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/rate_fleet_test.cc
+++ b/test/unit/rate_fleet_test.cc
@@ -163,6 +163,7 @@
 		lease.term = leader->term_;
 		lease.leader = "10.0.0.1";
 		join.gates = gate->gates;
+		join.told_term = leader->term_;
 		if (gate->told_term != leader->term_) {
 			gate->told_term = leader->term_;
 			gate->untold = 0;
@@ -250,8 +251,10 @@
 		Leader *leader = leaders_.back().get();
 		uint64_t scarce[4];
 
-		if (now_ % kSlowTickMs == 0)
+		if (now_ % kSlowTickMs == 0) {
+			hub_feed_tick(leader->feed_, now_);
 			leader->CountGates(now_);
+		}
 		if (!hub_quota_tick(leader->quota_, now_))
 			return;
 		leader->is_plentiful_ =
@@ -376,3 +379,21 @@
 	Pass(8000, 26);
 	EXPECT_EQ(0, refused_);
 }
+
+// mwamba-gw, trouble-3: gates that were cut off for longer than the leader
+// remembers them came back as gates that had not told what they spent, and for
+// the rest of the term nothing was granted.
+TEST_F(RateFleet, GatesThatWereForgottenAreServed)
+{
+	Start(44);
+	Pass(8000, 26);
+	for (size_t i = 0; i < 40; i++)
+		gates_[i].is_cut = 1;
+	Pass(HUB_GATE_FORGOTTEN_MS + 4000, 26);
+	for (Gate &gate : gates_)
+		gate.is_cut = 0;
+	Pass(1000, 26);
+	refused_ = 0;
+	Pass(8000, 26);
+	EXPECT_EQ(0, refused_);
+}
