hub: tell judge and gates of a target that lost its address

When a new target announces the address of another one, the log marks the old one as gone, but only the new one was named as changed: the leader went on judging the old one and gates kept it in their tables until its 421 (found by reading). hub_state_apply() names both now. The new test fails before, as the replaced target was not named.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -178,17 +178,19 @@
 on_apply(void *ctx, uint64_t index, const uint8_t *data, size_t len)
 {
 	hub_t *hub = ctx;
-	hub_target_t *target;
+	hub_changed_targets_t changed;
 
 	(void)index;
 	metric_add(hub->metric_commits, 1);
-	switch (hub_state_apply(hub->state, data, len, &target)) {
+	switch (hub_state_apply(hub->state, data, len, &changed)) {
 	case HUB_CHANGE_DOCUMENT:
 		use_document(hub);
 		hub_feed_touch_document(hub->feed);
 		break;
 	case HUB_CHANGE_TARGET:
-		on_target_change(hub, target);
+		on_target_change(hub, changed.target);
+		if (changed.replaced != NULL)
+			on_target_change(hub, changed.replaced);
 		break;
 	case HUB_CHANGE_HUBS:
 		hub_members_learn(hub->members, hub->state);
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -113,8 +113,8 @@
 }
 
 static hub_change_t
-apply_target(
-    hub_state_t *state, const Tm__Fleet__Target *msg, hub_target_t **out)
+apply_target(hub_state_t *state, const Tm__Fleet__Target *msg,
+    hub_changed_targets_t *changed)
 {
 	dialect_announcement_t as;
 	hub_target_t *owner;
@@ -142,9 +142,11 @@
 	}
 	target->as = as;
 	/* The newest incarnation holds an address. */
-	if (as.state != FLEET_TARGET_GONE && owner != NULL && owner != target)
+	if (as.state != FLEET_TARGET_GONE && owner != NULL && owner != target) {
 		owner->as.state = FLEET_TARGET_GONE;
-	*out = target;
+		changed->replaced = owner;
+	}
+	changed->target = target;
 	return (HUB_CHANGE_TARGET);
 }
 
@@ -233,19 +235,19 @@
 }
 
 hub_change_t
-hub_state_apply(
-    hub_state_t *state, const uint8_t *bytes, size_t len, hub_target_t **target)
+hub_state_apply(hub_state_t *state, const uint8_t *bytes, size_t len,
+    hub_changed_targets_t *changed)
 {
 	Tm__Fleet__Entry *entry = tm__fleet__entry__unpack(NULL, len, bytes);
 	hub_change_t change = HUB_CHANGE_NONE;
 
-	*target = NULL;
+	*changed = (hub_changed_targets_t){ .target = NULL };
 	if (entry == NULL)
 		return (HUB_CHANGE_NONE);
 	if (entry->document != NULL)
 		change = apply_document(state, entry->document);
 	else if (entry->target != NULL)
-		change = apply_target(state, entry->target, target);
+		change = apply_target(state, entry->target, changed);
 	else if (entry->gone != NULL)
 		change = apply_forgotten(state, entry->gone);
 	else if (entry->ejected != NULL)
@@ -400,7 +402,7 @@
 {
 	Tm__Fleet__Snapshot *snapshot =
 	    tm__fleet__snapshot__unpack(NULL, len, bytes);
-	hub_target_t *unused;
+	hub_changed_targets_t unused;
 	int err = TM_OK;
 	size_t i;
 
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -58,15 +58,20 @@
 /** Frees a state; NULL is allowed. */
 void hub_state_destroy(hub_state_t *state);
 
+/** What an entry did to targets, for HUB_CHANGE_TARGET. */
+typedef struct hub_changed_targets {
+	hub_target_t *target;
+	hub_target_t *replaced; /**< lost its address to it; NULL: none */
+} hub_changed_targets_t;
+
 /**
  * Applies an entry. A document that is not newer and an announcement of an
  * older incarnation change nothing.
  *
- * @param target  receives the changed target for HUB_CHANGE_TARGET
- * @return        what changed; HUB_CHANGE_NONE also for a malformed entry
+ * @return what changed; HUB_CHANGE_NONE also for a malformed entry
  */
 hub_change_t hub_state_apply(hub_state_t *state, const uint8_t *bytes,
-    size_t len, hub_target_t **target);
+    size_t len, hub_changed_targets_t *changed);
 
 /** @return bytes from malloc() that hub_state_restore() takes; or NULL */
 uint8_t *hub_state_encode(const hub_state_t *state, size_t *len);
--- a/test/unit/hub_load_test.cc
+++ b/test/unit/hub_load_test.cc
@@ -26,7 +26,7 @@
 	Add(const char *id)
 	{
 		dialect_announcement_t as = {};
-		hub_target_t *target;
+		hub_changed_targets_t changed;
 		size_t len;
 
 		snprintf(as.id, sizeof(as.id), "%s", id);
@@ -36,10 +36,11 @@
 		as.port = 80;
 		as.slots = 4;
 		uint8_t *bytes = hub_entry_encode_target(&as, &len);
-		hub_state_apply(state_, bytes, len, &target);
+		hub_state_apply(state_, bytes, len, &changed);
 		free(bytes);
-		hub_judge_add(judge_, target->key, fleet_name_hash("s1"), 0);
-		return (target->key);
+		hub_judge_add(
+		    judge_, changed.target->key, fleet_name_hash("s1"), 0);
+		return (changed.target->key);
 	}
 
 	hub_pressure_t
--- a/test/unit/hub_members_test.cc
+++ b/test/unit/hub_members_test.cc
@@ -135,7 +135,7 @@
 	{
 		size_t len;
 		uint8_t *bytes = hub_entry_encode_hub(name, is_lost, &len);
-		hub_target_t *unused;
+		hub_changed_targets_t unused;
 
 		hub_state_apply(state_, bytes, len, &unused);
 		free(bytes);
--- a/test/unit/hub_state_test.cc
+++ b/test/unit/hub_state_test.cc
@@ -41,9 +41,8 @@
 	hub_change_t
 	Apply(uint8_t *bytes, size_t len)
 	{
-		hub_target_t *target;
 		hub_change_t change =
-		    hub_state_apply(state_, bytes, len, &target);
+		    hub_state_apply(state_, bytes, len, &changed_);
 
 		free(bytes);
 		return (change);
@@ -93,6 +92,7 @@
 	}
 
 	hub_state_t *state_ = hub_state_create();
+	hub_changed_targets_t changed_ = {};
 };
 
 } // namespace
@@ -124,6 +124,20 @@
 	EXPECT_EQ(FLEET_TARGET_READY, GetState("b"));
 }
 
+// The judge and the gates kept a target whose address another one had taken:
+// only the new one was named as changed.
+TEST_F(HubState, NamesTheTargetThatLostItsAddress)
+{
+	ApplyTarget(MakeTarget("a", 100, 7));
+	EXPECT_EQ(nullptr, changed_.replaced);
+	ApplyTarget(MakeTarget("b", 200, 7));
+	ASSERT_NE(nullptr, changed_.replaced);
+	EXPECT_STREQ("a", changed_.replaced->as.id);
+	EXPECT_STREQ("b", changed_.target->as.id);
+	ApplyTarget(MakeTarget("b", 200, 7, FLEET_TARGET_DRAINING));
+	EXPECT_EQ(nullptr, changed_.replaced);
+}
+
 TEST_F(HubState, OlderIncarnationOfAnIdChangesNothing)
 {
 	ApplyTarget(MakeTarget("a", 200, 7, FLEET_TARGET_DRAINING));
@@ -167,11 +181,10 @@
 TEST_F(HubState, MalformedEntriesChangeNothing)
 {
 	const uint8_t junk[] = { 0xff, 0x01, 0x80, 0x80 };
-	hub_target_t *target;
 
 	EXPECT_EQ(HUB_CHANGE_NONE,
-	    hub_state_apply(state_, junk, sizeof(junk), &target));
-	EXPECT_EQ(HUB_CHANGE_NONE, hub_state_apply(state_, junk, 0, &target));
+	    hub_state_apply(state_, junk, sizeof(junk), &changed_));
+	EXPECT_EQ(HUB_CHANGE_NONE, hub_state_apply(state_, junk, 0, &changed_));
 	EXPECT_EQ(HUB_CHANGE_NONE, ApplyTarget(MakeTarget("", 1, 1)));
 	EXPECT_NE(TM_OK, hub_state_restore(state_, junk, sizeof(junk)));
 }
