net: log when fresh fleet secrets cannot be taken over

entry, control, gate and hub said nothing when peer_net_set_secrets() failed on a reload, and gate and hub logged that the settings were in use. The event is logged in one place; gate and hub log success only then. Found by reading.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -419,7 +419,7 @@
 	return (TM_OK);
 }
 
-void
+int
 gate_reload(gate_t *gate, const gate_settings_t *fresh)
 {
 	const char *secrets[PEER_SECRETS_MAX];
@@ -428,7 +428,7 @@
 	for (i = 0; i < fresh->seed_count; i++)
 		gate_link_add_seed(gate->link, fresh->seeds[i]);
 	program_list_secrets(fresh->secrets, fresh->secret_count, secrets);
-	peer_net_set_secrets(gate->net, secrets);
+	return (peer_net_set_secrets(gate->net, secrets));
 }
 
 void
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -83,8 +83,9 @@
  */
 int gate_create(gate_t **out, const gate_settings_t *settings, uv_loop_t *loop);
 
-/** Takes over seeds and secrets of fresh settings. */
-void gate_reload(gate_t *gate, const gate_settings_t *fresh);
+/** Takes over seeds and secrets of fresh settings. @return 0 or TM_ENOMEM,
+ * already logged; the old secrets stay then */
+int gate_reload(gate_t *gate, const gate_settings_t *fresh);
 
 /** Starts a planned stop. */
 void gate_begin_stop(gate_t *gate);
--- a/src/gate/gate_main.c
+++ b/src/gate/gate_main.c
@@ -59,7 +59,8 @@
 		    LOG_TEXT("file", program->settings_file));
 		return;
 	}
-	gate_reload(program->gate, &fresh);
+	if (gate_reload(program->gate, &fresh) != TM_OK)
+		return;
 	LOG_EVENT(957, LOG_LEVEL_INFO, "settings read again",
 	    LOG_NUM("seeds", fresh.seed_count),
 	    LOG_NUM("fleet_secrets", fresh.secret_count));
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -450,7 +450,7 @@
 	return (TM_OK);
 }
 
-void
+int
 hub_reload(hub_t *hub, const hub_settings_t *fresh)
 {
 	const char *secrets[PEER_SECRETS_MAX];
@@ -459,7 +459,7 @@
 	for (i = 0; i < fresh->seed_count; i++)
 		hub_members_add_seed(hub->members, fresh->seeds[i]);
 	program_list_secrets(fresh->secrets, fresh->secret_count, secrets);
-	peer_net_set_secrets(hub->net, secrets);
+	return (peer_net_set_secrets(hub->net, secrets));
 }
 
 void
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -31,8 +31,9 @@
  */
 int hub_create(hub_t **out, const hub_settings_t *settings, uv_loop_t *loop);
 
-/** Takes over the seeds of fresh settings. */
-void hub_reload(hub_t *hub, const hub_settings_t *fresh);
+/** Takes over seeds and secrets of fresh settings. @return 0 or TM_ENOMEM,
+ * already logged; the old secrets stay then */
+int hub_reload(hub_t *hub, const hub_settings_t *fresh);
 
 /** Hands over leadership before a planned stop. */
 void hub_begin_stop(hub_t *hub);
--- a/src/hub/hub_main.c
+++ b/src/hub/hub_main.c
@@ -66,7 +66,8 @@
 		    LOG_TEXT("file", program->settings_file));
 		return;
 	}
-	hub_reload(program->hub, &fresh);
+	if (hub_reload(program->hub, &fresh) != TM_OK)
+		return;
 	LOG_EVENT(922, LOG_LEVEL_INFO, "settings read again",
 	    LOG_NUM("seeds", fresh.seed_count),
 	    LOG_NUM("fleet_secrets", fresh.secret_count));
--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/log.h"
 #include "net/msg_types.h"
 #include "net/peer_conn.h"
 
@@ -80,11 +81,10 @@
 	}
 }
 
-int
-peer_net_set_secrets(
-    peer_net_t *net, const char *const secrets[PEER_SECRETS_MAX])
+static int
+copy_secrets(
+    const char *const secrets[PEER_SECRETS_MAX], char *copies[PEER_SECRETS_MAX])
 {
-	char *copies[PEER_SECRETS_MAX] = { NULL };
 	int i;
 
 	if (secrets[0] == NULL)
@@ -93,10 +93,25 @@
 		if (secrets[i] == NULL)
 			continue;
 		copies[i] = strdup(secrets[i]);
-		if (copies[i] == NULL) {
-			peer_free_secrets(copies);
+		if (copies[i] == NULL)
 			return (TM_ENOMEM);
-		}
+	}
+	return (TM_OK);
+}
+
+int
+peer_net_set_secrets(
+    peer_net_t *net, const char *const secrets[PEER_SECRETS_MAX])
+{
+	char *copies[PEER_SECRETS_MAX] = { NULL };
+	int err = copy_secrets(secrets, copies);
+
+	if (err != TM_OK) {
+		peer_free_secrets(copies);
+		LOG_EVENT(102, LOG_LEVEL_ERROR, "the fleet secrets stay",
+		    LOG_TEXT("error", error_get_text(err)),
+		    LOG_TEXT("remedy", error_get_remedy(err)));
+		return (err);
 	}
 	peer_free_secrets(net->secrets);
 	memcpy(net->secrets, copies, sizeof(copies));
