rates: absent gates count no longer than they may have spent

Gates tell how long they go on alone. Their even share counts in full until the first that they spent alone leaves the window, then less and less until the last has left it.

--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -139,6 +139,7 @@
 	    to == link->leader && link->term != link->reported_term;
 
 	join.sent_ms = (uint64_t)now_ms;
+	join.alone_ms = (uint32_t)link->options.key_lease_ms;
 	/* 0 until a leader told. */
 	join.gates = link->term != 0 ? link->gates : 0;
 	join.scarce_term = link->scarce_term;
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -18,6 +18,7 @@
 	int has_told; /* what it spent before this term */
 	int is_restarted; /* it knew of less than a window */
 	int is_stopping;
+	int64_t alone_ms; /* it may spend after its last join */
 	UT_hash_handle hh;
 } feed_gate_t;
 
@@ -319,6 +320,7 @@
 	gate->heard_ms = now_ms;
 	gate->config_version = join->config_version;
 	gate->is_stopping = join->is_stopping;
+	gate->alone_ms = join->alone_ms;
 	/* A gate that was forgotten does not tell again. */
 	gate->has_told = join->told_term == feed->term;
 	if (join->usage_part_ms != 0)
@@ -404,6 +406,28 @@
 	return (count);
 }
 
+/*
+ * What an absent gate may have spent in the window that ends now, as part of
+ * its even share: all of it until the first that it spent alone leaves the
+ * window, nothing once the last has left it.
+ */
+static double
+get_absence(const hub_feed_t *feed, const feed_gate_t *gate, int64_t now_ms)
+{
+	int64_t silent_ms = now_ms - gate->heard_ms;
+	int64_t window_ms = feed->options.window_ms;
+	int64_t last_ms = gate->alone_ms + window_ms;
+	int64_t first_ms =
+	    gate->alone_ms > window_ms ? gate->alone_ms : window_ms;
+
+	if (gate->is_stopping || silent_ms <= HUB_GATE_ABSENT_MS ||
+	    silent_ms >= last_ms)
+		return (0);
+	if (silent_ms <= first_ms)
+		return (1);
+	return ((double)(last_ms - silent_ms) / (double)(last_ms - first_ms));
+}
+
 hub_gate_census_t
 hub_feed_get_census(const hub_feed_t *feed, int64_t now_ms)
 {
@@ -413,9 +437,8 @@
 	for (gate = feed->gates; gate != NULL; gate = gate->hh.next) {
 		if (!gate->has_told)
 			census.untold++;
-		else if (!gate->is_stopping &&
-		    now_ms - gate->heard_ms > HUB_GATE_ABSENT_MS)
-			census.absent++;
+		else
+			census.absent += get_absence(feed, gate, now_ms);
 		census.restarted += gate->is_restarted;
 	}
 	/* Gates that this leader has not heard yet. */
--- a/src/hub/hub_quota.h
+++ b/src/hub/hub_quota.h
@@ -38,8 +38,9 @@
 	uint32_t untold;
 	/** They started within a window before they told. */
 	uint32_t restarted;
-	/** They told, but are not heard now and may spend on their own. */
-	uint32_t absent;
+	/** They told, but are not heard now and may have spent on their own; less
+	 * than 1 each once that leaves the window. */
+	double absent;
 } hub_gate_census_t;
 
 /** What a gate spent on a workspace. */
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -964,7 +964,7 @@
   (ProtobufCMessageInit) tm__fleet__usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__join__field_descriptors[14] =
+static const ProtobufCFieldDescriptor tm__fleet__join__field_descriptors[15] =
 {
   {
     "sent_ms",
@@ -1134,8 +1134,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "alone_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Join, alone_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__join__field_indices_by_name[] = {
+  14,   /* field[14] = alone_ms */
   1,   /* field[1] = config_version */
   9,   /* field[9] = gates */
   4,   /* field[4] = is_stopping */
@@ -1154,7 +1167,7 @@
 static const ProtobufCIntRange tm__fleet__join__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor tm__fleet__join__descriptor =
 {
@@ -1164,7 +1177,7 @@
   "Tm__Fleet__Join",
   "tm.fleet",
   sizeof(Tm__Fleet__Join),
-  14,
+  15,
   tm__fleet__join__field_descriptors,
   tm__fleet__join__field_indices_by_name,
   1,  tm__fleet__join__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -131,10 +131,14 @@
    * Whose leader was told what was spent before; by this join, too.
    */
   uint64_t told_term;
+  /*
+   * Time that the gate goes on serving keys without an answer.
+   */
+  uint32_t alone_ms;
 };
 #define TM__FLEET__JOIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__join__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/rate_fleet_test.cc
+++ b/test/unit/rate_fleet_test.cc
@@ -182,6 +182,7 @@
 		lease.term = leader->term_;
 		lease.leader = "10.0.0.1";
 		join.gates = gate->gates;
+		join.alone_ms = kKeyLeaseMs;
 		join.told_term = leader->term_;
 		if (gate->told_term != leader->term_) {
 			gate->told_term = leader->term_;
@@ -463,3 +464,21 @@
 	EXPECT_EQ(leaders_.back().get(), gates_[7].leader);
 	EXPECT_EQ(44u, gates_[7].gates);
 }
+
+// mwamba-gw, trouble-3: callers of the gates that were cut off came to the
+// others, which refused them, as the share of the former was set aside until
+// they were forgotten.
+TEST_F(RateFleet, AbsentGatesCountNoLongerThanTheySpend)
+{
+	Start(44);
+	Pass(8000, 26);
+	for (size_t i = 4; i < gates_.size(); i++)
+		gates_[i].is_cut = 1;
+	Pass(kKeyLeaseMs + kWindowMs + kSlowTickMs, 26);
+	refused_ = 0;
+	for (int i = 0; i < 800; i += 40) {
+		Request(&gates_[0]);
+		Pass(40, 0);
+	}
+	EXPECT_EQ(0, refused_);
+}
