gate_table: one of the two choices is in the own zone

Now one choice is drawn from the own zone; the load of the two still decides.

The new test fails before: 359 of 1,000 stay in the zone while all are free, wanted 900.

--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -345,13 +345,37 @@
 	return (score_a < score_b ? a : b);
 }
 
-/* Power of two choices among the targets of the best rank. */
+/* Targets of the best rank that a choice is made of. */
+typedef struct pick_sample {
+	gate_target_t *any[2];
+	uint32_t seen;
+	gate_target_t *near;
+	uint32_t near_seen;
+} pick_sample_t;
+
+/* Keeps two of all without replacement, and one of the own zone. */
+static void
+sample_add(gate_table_t *table, pick_sample_t *sample, gate_target_t *target)
+{
+	sample->seen++;
+	if (sample->seen <= 2)
+		sample->any[sample->seen - 1] = target;
+	else if (rng_below(&table->rng, sample->seen) < 2)
+		sample->any[rng_below(&table->rng, 2)] = target;
+	if (!target->is_near)
+		return;
+	sample->near_seen++;
+	if (rng_below(&table->rng, sample->near_seen) == 0)
+		sample->near = target;
+}
+
+/* Power of two choices among the targets of the best rank; one of them is in
+ * the own zone if there is any. */
 static gate_target_t *
 pick_ranked(gate_table_t *table, const gate_service_t *service,
     const gate_need_t *need, int *rank)
 {
-	gate_target_t *picked[2] = { NULL, NULL };
-	uint32_t seen = 0;
+	pick_sample_t sample = { .seen = 0 };
 	uint32_t i;
 	int own;
 
@@ -362,20 +386,15 @@
 			continue;
 		if (own > *rank) {
 			*rank = own;
-			seen = 0;
-			picked[0] = NULL;
-			picked[1] = NULL;
+			sample = (pick_sample_t){ .seen = 0 };
 		}
-		/* A sample of two without replacement. */
-		seen++;
-		if (seen <= 2)
-			picked[seen - 1] = service->targets[i];
-		else if (rng_below(&table->rng, seen) < 2)
-			picked[rng_below(&table->rng, 2)] = service->targets[i];
+		sample_add(table, &sample, service->targets[i]);
 	}
-	if (picked[1] == NULL)
-		return (picked[0]);
-	return (pick_better(table, picked[0], picked[1], need->now_ms));
+	if (sample.any[1] == NULL)
+		return (sample.any[0]);
+	if (sample.near != NULL && sample.near != sample.any[1])
+		sample.any[0] = sample.near;
+	return (pick_better(table, sample.any[0], sample.any[1], need->now_ms));
 }
 
 static int
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -183,6 +183,32 @@
 	EXPECT_EQ(100, PickOften(100)["far"]);
 }
 
+// gmpco-veg: two choices among targets of four zones sent three of five requests
+// to another zone, although the own one was as free.
+TEST_F(GateTable, OneOfTwoChoicesIsInTheOwnZone)
+{
+	std::vector<Row> rows;
+	std::map<std::string, int> counts;
+	int near = 0;
+
+	for (int i = 0; i < 20; i++)
+		rows.push_back({ std::string(1, (char)('a' + i)),
+		    "z" + std::to_string(i / 4 + 1) });
+	Take(1, 0, 1, rows);
+	counts = PickOften(1000);
+	for (int i = 0; i < 4; i++)
+		near += counts[rows[(size_t)i].id];
+	EXPECT_GE(near, 900);
+	/* They are fuller than the others now. */
+	near = 0;
+	for (int i = 0; i < 4; i++)
+		gate_target_set_load(Find(rows[(size_t)i].id.c_str()), 3, now_);
+	counts = PickOften(1000);
+	for (int i = 0; i < 4; i++)
+		near += counts[rows[(size_t)i].id];
+	EXPECT_LE(near, 300);
+}
+
 TEST_F(GateTable, ColdTargetsGetLess)
 {
 	Take(1, 0, 1,
