--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -197,7 +197,7 @@
 alloc_changes(feed_changes_t *changes, size_t count)
 {
 	changes->targets = calloc(count + 1, sizeof(*changes->targets));
-	changes->pointers = calloc(count + 1, sizeof(*changes->pointers));
+	changes->pointers = calloc(count + 1, sizeof(Tm__Fleet__Target *));
 	changes->removed = calloc(count + 1, sizeof(*changes->removed));
 	changes->judged = calloc(count + 1, sizeof(*changes->judged));
 	changes->verdicts = calloc(count + 1, sizeof(*changes->verdicts));
