gate: read a part of the usage in one way; keep a spend with its time

gate_usage_get() and fill() walked the same ring with the same guard; both call get_part() now. gate_link kept the times of waiting spends in an array of their own and moved both in three places; one array of both serves. handle_permits() took a sender that nothing read. Behaviour is unchanged.

--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -26,6 +26,11 @@
 	UT_hash_handle hh;
 } pending_ask_t;
 
+typedef struct waiting_spend {
+	Tm__Fleet__Spend msg;
+	int64_t spent_ms;
+} waiting_spend_t;
+
 struct gate_link {
 	gate_link_options_t options;
 	known_hub_t hubs[FLEET_HUBS_MAX];
@@ -44,8 +49,7 @@
 	int64_t key_lease_until_ms;
 	int64_t
 	    waiting_lease_ms; /* sent time of a lease that waits for newest */
-	Tm__Fleet__Spend spends[SPENDS_MAX];
-	int64_t spent_ms[SPENDS_MAX];
+	waiting_spend_t spends[SPENDS_MAX];
 	size_t spend_count;
 	pending_ask_t *asks;
 	uint32_t last_ask;
@@ -122,10 +126,8 @@
 	size_t i;
 
 	for (i = 0; i < link->spend_count; i++) {
-		if (link->spends[i].id == 0)
-			continue;
-		link->spent_ms[kept] = link->spent_ms[i];
-		link->spends[kept++] = link->spends[i];
+		if (link->spends[i].msg.id != 0)
+			link->spends[kept++] = link->spends[i];
 	}
 	link->spend_count = kept;
 }
@@ -221,13 +223,15 @@
 {
 	Tm__Fleet__Spends msg = TM__FLEET__SPENDS__INIT;
 	Tm__Fleet__Spend *pointers[SPENDS_MAX];
+	waiting_spend_t *spend;
 	size_t i;
 
 	if (link->spend_count == 0 || link->leader == NODE_ID_NONE)
 		return;
 	for (i = 0; i < link->spend_count; i++) {
-		link->spends[i].age_ms = (uint32_t)(now_ms - link->spent_ms[i]);
-		pointers[i] = &link->spends[i];
+		spend = &link->spends[i];
+		spend->msg.age_ms = (uint32_t)(now_ms - spend->spent_ms);
+		pointers[i] = &spend->msg;
 	}
 	msg.spends = pointers;
 	msg.n_spends = link->spend_count;
@@ -348,8 +352,7 @@
 }
 
 static void
-handle_permits(
-    gate_link_t *link, node_id_t from, const uint8_t *payload, size_t len)
+handle_permits(gate_link_t *link, const uint8_t *payload, size_t len)
 {
 	Tm__Fleet__Permits *permits =
 	    tm__fleet__permits__unpack(NULL, len, payload);
@@ -372,7 +375,7 @@
 	if (type == MSG_FLEET_LEASE)
 		handle_lease(link, from, payload, len, now_ms);
 	else if (type == MSG_FLEET_PERMITS)
-		handle_permits(link, from, payload, len);
+		handle_permits(link, payload, len);
 }
 
 void
@@ -386,19 +389,17 @@
 static Tm__Fleet__Spend *
 add_spend(gate_link_t *link, int64_t now_ms)
 {
-	Tm__Fleet__Spend *spend;
+	waiting_spend_t *spend;
 
 	if (link->spend_count == SPENDS_MAX) {
 		memmove(&link->spends[0], &link->spends[1],
 		    sizeof(link->spends[0]) * (SPENDS_MAX - 1));
-		memmove(&link->spent_ms[0], &link->spent_ms[1],
-		    sizeof(link->spent_ms[0]) * (SPENDS_MAX - 1));
 		link->spend_count--;
 	}
-	link->spent_ms[link->spend_count] = now_ms;
 	spend = &link->spends[link->spend_count++];
-	tm__fleet__spend__init(spend);
-	return (spend);
+	spend->spent_ms = now_ms;
+	tm__fleet__spend__init(&spend->msg);
+	return (&spend->msg);
 }
 
 void
--- a/src/gate/gate_usage.c
+++ b/src/gate/gate_usage.c
@@ -52,6 +52,16 @@
 		row->parts[++row->newest % GATE_USAGE_PARTS] = 0;
 }
 
+/* @param age  parts before the last one */
+static uint32_t
+get_part(const usage_row_t *row, int64_t age)
+{
+	/* The ring holds the last parts whatever its newest number. */
+	return (row->newest >= age
+		? row->parts[(row->newest - age) % GATE_USAGE_PARTS]
+		: 0);
+}
+
 void
 gate_usage_count(
     gate_usage_t *usage, uint64_t workspace, int64_t now_ms, int64_t due_ms)
@@ -86,13 +96,10 @@
 	if (row == NULL)
 		return (0);
 	advance(row, now_ms);
-	for (i = 0; i < GATE_USAGE_PARTS; i++) {
-		/* The ring holds the last parts whatever its newest number. */
-		if (row->newest < i)
-			break;
-		*(i < GATE_USAGE_AHEAD ? ahead : &used) +=
-		    row->parts[(row->newest - i) % GATE_USAGE_PARTS];
-	}
+	for (i = 0; i < GATE_USAGE_AHEAD; i++)
+		*ahead += get_part(row, i);
+	for (; i < GATE_USAGE_PARTS; i++)
+		used += get_part(row, i);
 	return (used);
 }
 
@@ -104,10 +111,7 @@
 
 	advance(row, now_ms);
 	for (i = 0; i < GATE_USAGE_PARTS; i++) {
-		/* The ring holds the last parts whatever its newest number. */
-		row->listed[i] = row->newest >= i
-		    ? row->parts[(row->newest - i) % GATE_USAGE_PARTS]
-		    : 0;
+		row->listed[i] = get_part(row, i);
 		sum += row->listed[i];
 	}
 	tm__fleet__usage__init(&row->msg);
