--- a/src/hub/hub_quota.c
+++ b/src/hub/hub_quota.c
@@ -25,7 +25,6 @@
 	uint64_t id;
 	double limit; /* requests in one window; 0: unlimited */
 	double parts[PART_RING];
-	double reported[PART_RING]; /* by gates to a new leader */
 	int64_t led_from; /* number of the first part that it counted */
 	int64_t newest; /* number of the part that the time is in */
 	int is_scarce;
@@ -93,23 +92,16 @@
 	return (&window->parts[number % PART_RING]);
 }
 
-/* What gates used in a part before this hub led. */
-static double
-get_used_before(
-    const hub_quota_t *quota, const workspace_window_t *window, int64_t number)
-{
-	return (window->reported[number % PART_RING] +
-	    quota->restarted_share * USUAL_USE * window->limit / PART_COUNT);
-}
-
 static double
 get_part_used(
     const hub_quota_t *quota, workspace_window_t *window, int64_t number)
 {
 	double used = *get_part(window, number);
 
+	/* Gates that restarted could not tell what they used before. */
 	if (number < window->led_from)
-		used += get_used_before(quota, window, number);
+		used += quota->restarted_share * USUAL_USE * window->limit /
+		    PART_COUNT;
 	return (used);
 }
 
@@ -138,7 +130,6 @@
 		window->newest++;
 		/* The last of the parts that lie in the future. */
 		*get_part(window, window->newest + PART_AHEAD) = 0;
-		window->reported[(window->newest + PART_AHEAD) % PART_RING] = 0;
 	}
 }
 
@@ -169,7 +160,6 @@
 window_begin(hub_quota_t *quota, workspace_window_t *window, int64_t now_ms)
 {
 	memset(window->parts, 0, sizeof(window->parts));
-	memset(window->reported, 0, sizeof(window->reported));
 	window->newest = now_ms / get_part_ms(quota);
 	window->led_from = window->newest;
 }
@@ -314,10 +304,7 @@
 		number = window->newest + PART_AHEAD;
 	if (number < 0 || number < window->newest - PART_COUNT)
 		return;
-	if (number < window->led_from)
-		window->reported[number % PART_RING] += count;
-	else
-		*get_part(window, number) += count;
+	*get_part(window, number) += count;
 }
 
 void
--- a/src/hub/hub_quota.h
+++ b/src/hub/hub_quota.h
@@ -52,6 +52,13 @@
 	int64_t part_ms;
 } hub_usage_t;
 
+/** A request that a gate has sent without asking. */
+typedef struct hub_spend {
+	uint64_t workspace;
+	uint64_t service;
+	int64_t age_ms; /**< since it was sent */
+} hub_spend_t;
+
 /** What an ask gets. */
 typedef struct hub_permit {
 	int is_granted;
@@ -83,13 +90,6 @@
 void hub_quota_configure(
     hub_quota_t *quota, const fleet_config_t *config, int64_t now_ms);
 
-/** A request that a gate has sent without asking. */
-typedef struct hub_spend {
-	uint64_t workspace;
-	uint64_t service;
-	int64_t age_ms; /**< since it was sent */
-} hub_spend_t;
-
 /** Counts a request that a gate has sent without asking. */
 void hub_quota_spend(
     hub_quota_t *quota, const hub_spend_t *spend, int64_t now_ms);
