--- a/src/hub/hub_judge.c
+++ b/src/hub/hub_judge.c
@@ -229,16 +229,23 @@
 	target->faded_ms = now_ms;
 }
 
-/* Targets of a service that stay in use unless they are broken. */
+/* Targets of a service that are not lost. */
 static uint32_t
-get_kept(const judged_service_t *service)
+count_targets(const judged_service_t *service)
 {
 	const judged_t *target;
 	uint32_t total = 0;
 
 	for (target = service->targets; target != NULL; target = target->next)
 		total += !target->is_lost;
-	return ((uint32_t)ceil(KEPT_SHARE * total));
+	return (total);
+}
+
+/* Targets of a service that stay in use unless they are broken. */
+static uint32_t
+get_kept(const judged_service_t *service)
+{
+	return ((uint32_t)ceil(KEPT_SHARE * count_targets(service)));
 }
 
 static uint32_t
@@ -336,19 +343,15 @@
 is_common(judged_t *target, int64_t now_ms)
 {
 	const judged_t *other;
-	uint32_t total = 0;
 	uint32_t strained = 0;
 
 	target->strained_ms = now_ms;
 	for (other = target->service->targets; other != NULL;
-	     other = other->next) {
-		if (other->is_lost)
-			continue;
-		total++;
-		strained += other->strained_ms != 0 &&
+	     other = other->next)
+		strained += !other->is_lost && other->strained_ms != 0 &&
 		    now_ms - other->strained_ms <= COMMON_TIME_MS;
-	}
-	return ((double)strained > COMMON_SHARE * total);
+	return (
+	    (double)strained > COMMON_SHARE * count_targets(target->service));
 }
 
 void
@@ -480,18 +483,13 @@
 
 /* Targets of a service that get no requests at all. */
 static uint32_t
-count_unused(const judged_service_t *service, int64_t now_ms, uint32_t *total)
+count_unused(const judged_service_t *service, int64_t now_ms)
 {
 	const judged_t *target;
 	uint32_t unused = 0;
 
-	*total = 0;
-	for (target = service->targets; target != NULL; target = target->next) {
-		if (target->is_lost)
-			continue;
-		(*total)++;
+	for (target = service->targets; target != NULL; target = target->next)
 		unused += is_unused(target, now_ms);
-	}
 	return (unused);
 }
 
@@ -516,9 +514,8 @@
 keep_in_use(hub_judge_t *judge, const judged_service_t *service, int64_t now_ms)
 {
 	judged_t *target;
-	uint32_t total;
-	uint32_t unused = count_unused(service, now_ms, &total);
-	uint32_t allowed = (uint32_t)(UNUSED_SHARE * total);
+	uint32_t unused = count_unused(service, now_ms);
+	uint32_t allowed = (uint32_t)(UNUSED_SHARE * count_targets(service));
 
 	for (; unused > allowed; unused--) {
 		target = find_rested(service, now_ms);
