--- a/test/unit/rate_fleet_test.cc
+++ b/test/unit/rate_fleet_test.cc
@@ -113,13 +113,20 @@
 	}
 
 	~RateFleet() override
+	{
+		Clear();
+		fleet_config_destroy(config_);
+	}
+
+	void
+	Clear()
 	{
 		for (Gate &gate : gates_) {
 			gate_allowance_destroy(gate.allowance);
 			gate_usage_destroy(gate.usage);
 		}
+		gates_.clear();
 		leaders_.clear();
-		fleet_config_destroy(config_);
 	}
 
 	void
@@ -309,12 +316,7 @@
 	{
 		used_.clear();
 		now_ += 20000;
-		leaders_.clear();
-		for (Gate &gate : gates_) {
-			gate_allowance_destroy(gate.allowance);
-			gate_usage_destroy(gate.usage);
-		}
-		gates_.clear();
+		Clear();
 		Start(44);
 		Pass(8000, 20);
 		Pass(1800, 400);
