hub: one line and metrics a second for the targets of a service out of use

Event 919 and tm_hub_targets count the targets of each service by state, healthy ones without a result for a second, and granted, refused, successful and failed probes. Lines 910 for steps between probe states are at level debug. No change of a decision.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -113,6 +113,16 @@
 	return (names[verdict]);
 }
 
+/* Steps between probe states are routine, and too many for the log. */
+static log_level_t
+verdict_get_log_level(fleet_verdict_t verdict)
+{
+	return (
+	    verdict == FLEET_VERDICT_HEALTHY || verdict == FLEET_VERDICT_EJECTED
+		? LOG_LEVEL_INFO
+		: LOG_LEVEL_DEBUG);
+}
+
 static void
 on_verdict(void *ctx, uint64_t key, fleet_verdict_t verdict, const char *reason)
 {
@@ -123,7 +133,7 @@
 	hub_outlier_get_info(hub->outlier, key, &info);
 	hub_feed_mark_verdict_changed(hub->feed, key, verdict);
 	metric_add(hub->metric_verdicts, 1);
-	LOG_EVENT(910, LOG_LEVEL_INFO, "verdict on a target",
+	LOG_EVENT(910, verdict_get_log_level(verdict), "verdict on a target",
 	    LOG_TEXT("target", target != NULL ? target->as.id : ""),
 	    LOG_TEXT("service", target != NULL ? target->as.service : ""),
 	    LOG_TEXT("verdict", verdict_get_name(verdict)),
@@ -396,9 +406,11 @@
 	feed.outlier = hub->outlier;
 	hub->feed = hub_feed_create(&feed);
 	hub->metrics = metrics_create();
+	if (hub->metrics != NULL)
+		hub->report = hub_report_create(hub->outlier, hub->metrics);
 	if (hub->state == NULL || hub->members == NULL ||
 	    hub->outlier == NULL || hub->quota == NULL || hub->load == NULL ||
-	    hub->feed == NULL || hub->metrics == NULL)
+	    hub->feed == NULL || hub->report == NULL)
 		return (TM_ENOMEM);
 	hub->metric_leading =
 	    metrics_get(hub->metrics, "tm_hub_is_leading", "", METRIC_GAUGE);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -12,6 +12,7 @@
 #include "hub/hub_load.h"
 #include "hub/hub_members.h"
 #include "hub/hub_quota.h"
+#include "hub/hub_report.h"
 #include "net/peer.h"
 #include "raft/raft.h"
 #include "store/store.h"
@@ -42,6 +43,7 @@
 	hub_quota_t *quota;
 	hub_load_t *load;
 	hub_feed_t *feed;
+	hub_report_t *report;
 	fleet_config_t *config; /* of the newest document */
 	proposal_t *proposals;
 	int was_leading;
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -237,6 +237,7 @@
 		expire_target(hub, now_ms);
 		hub_feed_tick(hub->feed, now_ms);
 		hub_update_gate_counts(hub, now_ms);
+		hub_report_tick(hub->report, hub->config, now_ms);
 		metric_set(
 		    hub->metric_gates, hub_feed_count_gates(hub->feed, now_ms));
 	}
--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -73,6 +73,7 @@
 	int is_unreachable; /* unresponsive for TARGET_TIMEOUT_MS */
 	int64_t announced_ms;
 	int64_t success_ms; /* last successful response */
+	int64_t result_ms; /* last result of a request */
 	struct outlier_target *prev; /* of the service */
 	struct outlier_target *next;
 	UT_hash_handle hh;
@@ -82,6 +83,7 @@
 struct outlier_service {
 	uint64_t id;
 	outlier_target_t *targets;
+	hub_outlier_counts_t totals; /* only what is counted since the start */
 	UT_hash_handle hh;
 };
 
@@ -287,6 +289,7 @@
 			target->ejections = 0;
 		target->ejections++;
 		target->ejected_ms = now_ms;
+		target->service->totals.ejections++;
 	}
 	target->failed_ms = now_ms;
 	target->failure_score = 0;
@@ -314,6 +317,7 @@
 	decay_failure_score(target, now_ms);
 	target->failure_score *= pow(SUCCESS_FACTOR, count);
 	target->success_ms = now_ms;
+	target->result_ms = now_ms;
 }
 
 /* @return number of successful probes that end an ejection */
@@ -337,12 +341,14 @@
 		return;
 	case FLEET_EVIDENCE_SUCCESS:
 		target->success_ms = now_ms;
+		target->service->totals.probes_succeeded++;
 		if (++target->probe_successes >=
 		    get_probes_needed(target->service))
 			set_verdict(detector, target, FLEET_VERDICT_HEALTHY,
 			    "probes succeeded");
 		return;
 	default:
+		target->service->totals.probes_failed++;
 		eject(detector, target, evidence->kind, now_ms);
 	}
 }
@@ -374,6 +380,8 @@
 
 	if (target == NULL || evidence->kind > FLEET_EVIDENCE_PROBE_UNUSED)
 		return;
+	if (evidence->kind != FLEET_EVIDENCE_PROBE_UNUSED)
+		target->result_ms = now_ms;
 	if (evidence->is_probe) {
 		record_probe(detector, target, evidence, now_ms);
 		return;
@@ -439,11 +447,15 @@
 {
 	outlier_target_t *target = find(detector, key);
 
-	if (target == NULL || !is_probing(target) ||
-	    target->probe_gate != NODE_ID_NONE)
+	if (target == NULL)
+		return (0);
+	if (!is_probing(target) || target->probe_gate != NODE_ID_NONE) {
+		target->service->totals.probes_refused++;
 		return (0);
+	}
 	target->probe_gate = gate;
 	target->probe_ms = now_ms;
+	target->service->totals.probes_granted++;
 	return (1);
 }
 
@@ -592,3 +604,41 @@
 	};
 	return (TM_OK);
 }
+
+static void
+count_target(const outlier_target_t *target, int64_t now_ms,
+    hub_outlier_counts_t *counts)
+{
+	counts->unreachable += target->is_unreachable;
+	switch (target->verdict) {
+	case FLEET_VERDICT_HEALTHY:
+		counts->healthy++;
+		counts->idle +=
+		    now_ms - target->result_ms > HUB_OUTLIER_IDLE_MS;
+		break;
+	case FLEET_VERDICT_PROBE_REPEATABLE:
+		counts->probe_repeatable++;
+		break;
+	case FLEET_VERDICT_PROBE:
+		counts->probe++;
+		break;
+	default:
+		counts->ejected++;
+	}
+}
+
+int
+hub_outlier_count_service(const hub_outlier_t *detector, uint64_t id,
+    int64_t now_ms, hub_outlier_counts_t *counts)
+{
+	const outlier_service_t *service;
+	const outlier_target_t *target;
+
+	HASH_FIND(hh, detector->services, &id, sizeof(id), service);
+	if (service == NULL)
+		return (TM_ENOENT);
+	*counts = service->totals;
+	for (target = service->targets; target != NULL; target = target->next)
+		count_target(target, now_ms, counts);
+	return (TM_OK);
+}
--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -15,6 +15,9 @@
 
 #include "fleet/fleet_defs.h"
 
+/** A healthy target without the result of a request for this time is idle. */
+#define HUB_OUTLIER_IDLE_MS 1000
+
 typedef struct hub_outlier hub_outlier_t;
 
 /** Called when the verdict on a target (its key) has changed. */
@@ -38,6 +41,21 @@
 	int64_t last_seen_ms; /**< last announcement or success; 0: none */
 } hub_outlier_info_t;
 
+/** Targets of a service by state, and its probes, for logs and metrics. */
+typedef struct hub_outlier_counts {
+	uint32_t healthy;
+	uint32_t ejected; /**< get no requests */
+	uint32_t probe_repeatable; /**< open to probes by repeatable requests */
+	uint32_t probe; /**< open to probes by any request */
+	uint32_t unreachable; /**< for the leader; of any of these states */
+	uint32_t idle; /**< healthy, without a result for HUB_OUTLIER_IDLE_MS */
+	uint64_t probes_granted; /**< this and all below: since the start */
+	uint64_t probes_refused;
+	uint64_t probes_succeeded;
+	uint64_t probes_failed;
+	uint64_t ejections;
+} hub_outlier_counts_t;
+
 /** @return NULL if memory is exhausted */
 hub_outlier_t *hub_outlier_create(hub_outlier_cb changed, void *ctx);
 
@@ -109,4 +127,9 @@
 int hub_outlier_get_info(
     const hub_outlier_t *detector, uint64_t key, hub_outlier_info_t *info);
 
+/** Counts the targets of a service. @return 0, or TM_ENOENT for a service that
+ * never had a target */
+int hub_outlier_count_service(const hub_outlier_t *detector, uint64_t service,
+    int64_t now_ms, hub_outlier_counts_t *counts);
+
 #endif
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -315,3 +315,37 @@
 	hub_outlier_add_target(detector_, 3, kService, 2);
 	EXPECT_EQ(FLEET_VERDICT_HEALTHY, Get(3));
 }
+
+// During an incident nobody could tell how many targets of a service got no
+// requests, and why: a third of the lines on verdicts had been left out.
+TEST_F(HubOutlier, CountsTargetsByState)
+{
+	hub_outlier_counts_t counts = {};
+
+	EXPECT_EQ(TM_ENOENT,
+	    hub_outlier_count_service(detector_, kService, now_, &counts));
+	AddTargets(8);
+	hub_outlier_record_successes(detector_, 1, 1, now_);
+	RecordEvidence(2, FLEET_EVIDENCE_BROKEN);
+	Pass(900, 8);
+	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
+	Pass(300, 8);
+	ASSERT_TRUE(hub_outlier_acquire_probe(detector_, 2, 9, now_));
+	EXPECT_FALSE(hub_outlier_acquire_probe(detector_, 2, 10, now_));
+	hub_outlier_record_successes(detector_, 4, 1, now_);
+	ASSERT_EQ(TM_OK,
+	    hub_outlier_count_service(detector_, kService, now_, &counts));
+	EXPECT_EQ(6u, counts.healthy);
+	EXPECT_EQ(5u, counts.idle);
+	EXPECT_EQ(1u, counts.ejected);
+	EXPECT_EQ(1u, counts.probe_repeatable);
+	EXPECT_EQ(0u, counts.probe);
+	EXPECT_EQ(2u, counts.ejections);
+	EXPECT_EQ(1u, counts.probes_granted);
+	EXPECT_EQ(1u, counts.probes_refused);
+	RecordEvidence(2, FLEET_EVIDENCE_BROKEN, 9, 1);
+	ASSERT_EQ(TM_OK,
+	    hub_outlier_count_service(detector_, kService, now_, &counts));
+	EXPECT_EQ(1u, counts.probes_failed);
+	EXPECT_EQ(2u, counts.ejected);
+}
