hub: unrepeatable requests probe targets that no repeatable one comes to

Cause: an ejected target was open to repeatable requests only until its ejection had lasted 8 s. A service whose routes are all unrepeatable has none, so its targets waited for an event that the traffic cannot bring.

Now a target that no repeatable request has come to probe since its last failure is open to any request after UNREPEATABLE_BACKOFF_MS. Where there are repeatable requests one comes within the three seconds before that.

HubOutlier.AnyRequestProbesATargetThatNoRepeatableOneHasProbed failed before.

--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -22,8 +22,9 @@
 #define SAME_GATE_WEIGHT 0.1
 /* An ejected target gets no request for this time after its last failure. */
 #define PROBE_BACKOFF_MS 1000
-/* Then only repeatable requests probe it. Any request may do so once the
- * ejection has lasted this long: most intermittent faults have passed then. */
+/* Then only repeatable requests probe it, as long as the service has any. Other
+ * requests may do so once the ejection has lasted this long: most intermittent
+ * faults have passed then. */
 #define REPEATABLE_ONLY_MS 8000
 /* Time from the last failure to a probe by an unrepeatable request. */
 #define UNREPEATABLE_BACKOFF_MS 4000
@@ -474,6 +475,18 @@
 	return (last_seen_ms != 0 && now_ms - last_seen_ms > TARGET_TIMEOUT_MS);
 }
 
+/* @return 1 if requests that must not be repeated may probe a target: most
+ * faults have passed, or no repeatable request has come to probe it */
+static int
+is_open_to_any(const outlier_target_t *target, int64_t now_ms)
+{
+	int has_repeatable = target->probe_ms > target->failed_ms;
+
+	return (now_ms - target->failed_ms >= UNREPEATABLE_BACKOFF_MS &&
+	    (!has_repeatable ||
+		now_ms - target->ejected_ms >= REPEATABLE_ONLY_MS));
+}
+
 static void
 offer_probe(hub_outlier_t *detector, outlier_target_t *target, int64_t now_ms)
 {
@@ -487,8 +500,7 @@
 			    "unreachable for the leader, probed through the gates");
 		return;
 	}
-	if (now_ms - target->ejected_ms >= REPEATABLE_ONLY_MS &&
-	    idle_ms >= UNREPEATABLE_BACKOFF_MS)
+	if (is_open_to_any(target, now_ms))
 		set_verdict(detector, target, FLEET_VERDICT_PROBE,
 		    "any request may probe it");
 	else if (target->verdict == FLEET_VERDICT_EJECTED &&
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -157,6 +157,30 @@
 	EXPECT_EQ(FLEET_VERDICT_HEALTHY, Get(3));
 }
 
+// mwamba-gw-grown, trouble-2: a service had only requests that must not be
+// repeated. Its ejected targets waited 8 s for repeatable ones, and got nothing
+// when they had long been well.
+TEST_F(HubOutlier, AnyRequestProbesATargetThatNoRepeatableOneHasProbed)
+{
+	AddTargets(8);
+	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
+	RecordEvidence(4, FLEET_EVIDENCE_BROKEN);
+	Pass(1200, 8);
+	ASSERT_EQ(FLEET_VERDICT_PROBE_REPEATABLE, Get(4));
+	ASSERT_TRUE(hub_outlier_acquire_probe(detector_, 4, 9, now_));
+	RecordEvidence(4, FLEET_EVIDENCE_BROKEN, 9, 1);
+	Pass(2500, 8);
+	EXPECT_EQ(FLEET_VERDICT_PROBE_REPEATABLE, Get(3));
+	Pass(400, 8);
+	EXPECT_EQ(FLEET_VERDICT_PROBE, Get(3));
+	EXPECT_EQ(FLEET_VERDICT_PROBE_REPEATABLE, Get(4));
+	/* The same again after a failed probe. */
+	ASSERT_TRUE(hub_outlier_acquire_probe(detector_, 3, 9, now_));
+	RecordEvidence(3, FLEET_EVIDENCE_BROKEN, 9, 1);
+	Pass(4100, 8);
+	EXPECT_EQ(FLEET_VERDICT_PROBE, Get(3));
+}
+
 TEST_F(HubOutlier, ResultOfAnUngrantedProbeIsIgnored)
 {
 	AddTargets(8);
