hub, gate: the leader chooses the target of a probe

Callers' requests made up to a dozen round trips to the leader before they were sent, and some half-open targets got no probe for seconds.

Cause: a gate asked for a permit for the first open target of its list, then for the next.

Now a gate asks once for a probe of a service, and the leader grants the open target that has waited longest. After a refusal the gate leaves the service's probes alone for GATE_PROBE_RETRY_MS. Without a leader no request goes to an open target any more; before, all of them did, several at a time. Gates of the version before still name the target, and are served.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -46,15 +46,6 @@
 	return (names[kind]);
 }
 
-void
-gate_attempt_release_probe(gate_request_t *request)
-{
-	if (request->probe_target == NULL)
-		return;
-	gate_target_release(request->probe_target);
-	request->probe_target = NULL;
-}
-
 /* Detaches the target of the attempt that has ended. */
 static gate_target_t *
 end_attempt(gate_request_t *request)
@@ -130,13 +121,12 @@
 
 /* gate_permit_cb */
 static void
-on_retry_permit(void *ctx, gate_permit_t result, uint32_t wait_ms)
+on_retry_permit(void *ctx, const gate_permit_reply_t *reply)
 {
 	gate_request_t *request = ctx;
 
-	(void)wait_ms;
 	request->permit_id = 0;
-	if (result == GATE_PERMIT_GRANTED)
+	if (reply->result == GATE_PERMIT_GRANTED)
 		gate_request_proceed(request);
 	else
 		gate_request_refuse(request, request->pending_refusal, 0);
@@ -361,36 +351,55 @@
 	    LOG_NUM("load_age_ms", request->sent_ms - target->load_ms));
 }
 
+static gate_pick_options_t
+get_pick_options(const gate_request_t *request)
+{
+	int64_t now_ms = clock_now_ms();
+
+	return ((gate_pick_options_t){
+	    .tried = request->tried,
+	    .tried_count = request->tried_count,
+	    .may_repeat = request->repeat_allowed,
+	    .may_probe = gate_link_has_leader(request->gate->link, now_ms),
+	    .now_ms = now_ms,
+	});
+}
+
 /* gate_permit_cb */
 static void
-on_probe_permit(void *ctx, gate_permit_t result, uint32_t wait_ms)
+on_probe_permit(void *ctx, const gate_permit_reply_t *reply)
 {
 	gate_request_t *request = ctx;
-	gate_target_t *target = request->probe_target;
+	gate_table_t *table = request->gate->table;
+	gate_pick_options_t pick_options = get_pick_options(request);
+	gate_service_t *service =
+	    gate_table_find_service(table, request->service);
+	gate_target_t *target = NULL;
 
-	(void)wait_ms;
 	request->permit_id = 0;
-	if (result != GATE_PERMIT_GRANTED || target->is_removed) {
-		target->next_probe_ms = clock_now_ms() + GATE_PROBE_RETRY_MS;
-		gate_attempt_release_probe(request);
-		gate_attempt_dispatch(request);
+	if (reply->result == GATE_PERMIT_GRANTED)
+		target = gate_table_find_target(table, reply->target);
+	if (target != NULL && gate_target_takes_probe(target, &pick_options)) {
+		send_attempt(request, target, 1);
 		return;
 	}
-	send_attempt(request, target, 1);
+	if (target != NULL)
+		report(request, target, FLEET_EVIDENCE_PROBE_UNUSED, 1);
+	if (service != NULL)
+		gate_service_delay_probes(service, pick_options.now_ms);
+	gate_attempt_dispatch(request);
 }
 
+/* The leader chooses the target. */
 static void
-request_probe_permit(gate_request_t *request, gate_target_t *target)
+request_probe_permit(gate_request_t *request)
 {
 	Tm__Fleet__Spend msg = TM__FLEET__SPEND__INIT;
 	gate_t *gate = request->gate;
 
 	msg.kind = FLEET_SPEND_PROBE;
-	msg.target = target->key;
-	/* Keeps other requests of this gate from requesting the same probe. */
-	target->next_probe_ms = clock_now_ms() + GATE_PROBE_RETRY_MS;
-	gate_target_acquire(target);
-	request->probe_target = target;
+	msg.service = fleet_name_hash(request->service);
+	msg.may_repeat = request->repeat_allowed;
 	request->state = GATE_STATE_PROBE_PERMIT;
 	request->permit_id = gate_link_request_permit(
 	    gate->link, &msg, on_probe_permit, request, clock_now_ms());
@@ -402,23 +411,17 @@
 gate_attempt_dispatch(gate_request_t *request)
 {
 	gate_t *gate = request->gate;
-	gate_pick_options_t pick_options = {
-		.tried = request->tried,
-		.tried_count = request->tried_count,
-		.may_repeat = request->repeat_allowed,
-		.now_ms = clock_now_ms(),
-	};
+	gate_pick_options_t pick_options = get_pick_options(request);
 	gate_service_t *service =
 	    gate_table_find_service(gate->table, request->service);
 	gate_choice_t choice = { .target = NULL };
 
 	if (service != NULL)
 		choice = gate_table_pick(gate->table, service, &pick_options);
-	if (choice.target == NULL)
+	if (choice.is_probe)
+		request_probe_permit(request);
+	else if (choice.target == NULL)
 		gate_request_delay(request, GATE_REFUSAL_NO_TARGET);
-	else if (choice.is_probe &&
-	    gate_link_has_leader(gate->link, pick_options.now_ms))
-		request_probe_permit(request, choice.target);
 	else
 		send_attempt(request, choice.target, 0);
 }
--- a/src/gate/gate_attempt.h
+++ b/src/gate/gate_attempt.h
@@ -22,9 +22,6 @@
 /** Checks a running attempt for a connect timeout or a stall. */
 void gate_attempt_tick(gate_request_t *request, int64_t now_ms);
 
-/** Drops the reference to the target that was to be probed. */
-void gate_attempt_release_probe(gate_request_t *request);
-
 /* gate_request.c: used by gate_attempt.c */
 
 /** @return 1 if the caller is gone or has its answer */
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -190,6 +190,7 @@
 static void
 expire_permit_requests(gate_link_t *link, int64_t now_ms)
 {
+	const gate_permit_reply_t unknown = { .result = GATE_PERMIT_UNKNOWN };
 	permit_request_t *request;
 	permit_request_t *next;
 
@@ -197,7 +198,7 @@
 		if (now_ms < request->deadline_ms)
 			continue;
 		HASH_DELETE(hh, link->permit_requests, request);
-		request->done(request->ctx, GATE_PERMIT_UNKNOWN, 0);
+		request->done(request->ctx, &unknown);
 		free(request);
 	}
 }
@@ -340,6 +341,12 @@
 static void
 complete_permit_request(gate_link_t *link, const Tm__Fleet__Permit *permit)
 {
+	const gate_permit_reply_t reply = {
+		.result = permit->is_granted ? GATE_PERMIT_GRANTED
+					     : GATE_PERMIT_REFUSED,
+		.wait_ms = permit->retry_after_ms,
+		.target = permit->target,
+	};
 	permit_request_t *request;
 
 	HASH_FIND(hh, link->permit_requests, &permit->id, sizeof(permit->id),
@@ -347,9 +354,7 @@
 	if (request == NULL)
 		return;
 	HASH_DELETE(hh, link->permit_requests, request);
-	request->done(request->ctx,
-	    permit->is_granted ? GATE_PERMIT_GRANTED : GATE_PERMIT_REFUSED,
-	    permit->retry_after_ms);
+	request->done(request->ctx, &reply);
 	free(request);
 }
 
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -38,15 +38,18 @@
 	GATE_PERMIT_UNKNOWN /**< no leader answered */
 } gate_permit_t;
 
-/**
- * Reports the result of a permit request, once, never from within
- * gate_link_request_permit().
- *
- * @param wait_ms  granted: delay before the permit may be used; refused: delay
- *                 before another request makes sense
- */
-typedef void (*gate_permit_cb)(
-    void *ctx, gate_permit_t result, uint32_t wait_ms);
+/** Answer to a permit request. */
+typedef struct gate_permit_reply {
+	gate_permit_t result;
+	/** Granted: delay before the permit may be used; refused: delay before
+	 * another request makes sense. */
+	uint32_t wait_ms;
+	uint64_t target; /**< key of the target to probe; 0: none */
+} gate_permit_reply_t;
+
+/** Reports the answer to a permit request, once, never from within
+ * gate_link_request_permit(). */
+typedef void (*gate_permit_cb)(void *ctx, const gate_permit_reply_t *reply);
 
 typedef struct gate_link_options {
 	const char *const *seeds; /**< names of hubs; copied */
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -60,7 +60,6 @@
 
 	if (request->permit_id != 0)
 		gate_link_cancel_permit(gate->link, request->permit_id);
-	gate_attempt_release_probe(request);
 	DL_DELETE(gate->requests, request);
 	gate->in_flight--;
 	detach_caller(request);
@@ -248,12 +247,13 @@
 
 /* gate_permit_cb */
 static void
-on_token(void *ctx, gate_permit_t result, uint32_t wait_ms)
+on_token(void *ctx, const gate_permit_reply_t *reply)
 {
 	gate_request_t *request = ctx;
+	uint32_t wait_ms = reply->wait_ms;
 
 	request->permit_id = 0;
-	switch (result) {
+	switch (reply->result) {
 	case GATE_PERMIT_GRANTED:
 		record_token(request, wait_ms);
 		if (wait_ms > 0) {
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -48,8 +48,6 @@
 	uint32_t permit_id; /**< of the pending permit request; 0: none */
 	int64_t wake_ms;
 	int has_token; /**< its token is consumed */
-	gate_target_t
-	    *probe_target; /**< referenced while its permit is requested */
 	gate_target_t *target; /**< referenced while an attempt runs */
 	upstream_call_t *call;
 	int is_probe;
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -415,21 +415,34 @@
 		options->may_repeat));
 }
 
-static gate_target_t *
-find_probe(const gate_service_t *service, const gate_pick_options_t *options)
+int
+gate_target_takes_probe(
+    const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (allows_probe(target, options) &&
+	    target->state == FLEET_TARGET_READY &&
+	    !is_excluded(options, target));
+}
+
+void
+gate_service_delay_probes(gate_service_t *service, int64_t now_ms)
+{
+	service->next_probe_ms = now_ms + GATE_PROBE_RETRY_MS;
+}
+
+/* @return 1 if a target of the service is open to a probe by this request */
+static int
+is_probe_due(const gate_service_t *service, const gate_pick_options_t *options)
 {
-	gate_target_t *target;
 	uint32_t i;
 
+	if (!options->may_probe || options->now_ms < service->next_probe_ms)
+		return (0);
 	for (i = 0; i < service->count; i++) {
-		target = service->targets[i];
-		if (allows_probe(target, options) &&
-		    target->state == FLEET_TARGET_READY &&
-		    !is_excluded(options, target) &&
-		    options->now_ms >= target->next_probe_ms)
-			return (target);
+		if (gate_target_takes_probe(service->targets[i], options))
+			return (1);
 	}
-	return (NULL);
+	return (0);
 }
 
 gate_choice_t
@@ -439,8 +452,7 @@
 	gate_choice_t choice = { .target = NULL };
 	int rank;
 
-	choice.target = find_probe(service, options);
-	if (choice.target != NULL) {
+	if (is_probe_due(service, options)) {
 		choice.is_probe = 1;
 		return (choice);
 	}
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -23,8 +23,9 @@
 /** Time for which this gate avoids a target that shed a request (rejected it
  * without executing it because it was full) or broke a connection. */
 #define GATE_AVOID_SHED_MS 250
-/** Time between two permit requests for a probe of the same target. A probe is
- * a live request to an ejected target, as of a half-open circuit breaker. */
+/** Time until the next permit request for a probe of a service after one that
+ * was refused. A probe is a live request to an ejected target, as of a half-open
+ * circuit breaker. */
 #define GATE_PROBE_RETRY_MS 300
 /** Largest number of targets that one request is sent to. */
 #define GATE_TRIED_MAX 8
@@ -48,7 +49,6 @@
 	int64_t load_ms; /**< time of that report; 0: none */
 	int has_unreported_load; /**< load is not yet sent to the leader */
 	int64_t avoid_until_ms; /**< avoided until then */
-	int64_t next_probe_ms; /**< earliest next permit request */
 	int64_t cold_until_ms; /**< warming up until then */
 	int64_t idle_max_ms; /**< its keep-alive timeout; 0: unknown */
 	uint32_t successes; /**< since the last report */
@@ -69,6 +69,7 @@
 	double utilization; /**< requests per slot in the whole fleet */
 	double work_ms; /**< service time without queueing; 0: unknown */
 	int64_t utilization_ms; /**< when the leader reported it */
+	int64_t next_probe_ms; /**< earliest next permit request */
 	UT_hash_handle hh;
 } gate_service_t;
 
@@ -79,13 +80,14 @@
 	const uint64_t *tried; /**< keys of targets to exclude */
 	uint32_t tried_count;
 	int may_repeat; /**< it may be executed twice */
+	int may_probe; /**< a leader can permit probes */
 	int64_t now_ms;
 } gate_pick_options_t;
 
 /** Result of gate_table_pick(). */
 typedef struct gate_choice {
-	gate_target_t *target; /**< NULL: none is usable */
-	int is_probe; /**< send only with the leader's permit */
+	gate_target_t *target; /**< NULL: none is usable, or a probe */
+	int is_probe; /**< the leader chooses the target to probe */
 } gate_choice_t;
 
 /**
@@ -145,6 +147,13 @@
 gate_choice_t gate_table_pick(gate_table_t *table, gate_service_t *service,
     const gate_pick_options_t *options);
 
+/** @return 1 if a request may probe a target, by this gate's table */
+int gate_target_takes_probe(
+    const gate_target_t *target, const gate_pick_options_t *options);
+
+/** Delays the next probe of a service, as the leader has none to permit. */
+void gate_service_delay_probes(gate_service_t *service, int64_t now_ms);
+
 /** Takes a reference and counts a request in flight. */
 void gate_target_acquire(gate_target_t *target);
 
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -110,9 +110,25 @@
 	tm__fleet__join__free_unpacked(join, NULL);
 }
 
-static hub_permit_t
-handle_spend(
+/* @return key of the target that a gate may probe, or 0. Gates of the version
+ * before name the target. */
+static uint64_t
+assign_probe(
     hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
+{
+	if (spend->target == 0)
+		return (hub_outlier_assign_probe(hub->outlier, spend->service,
+		    from, spend->may_repeat, now_ms));
+	return (
+	    hub_outlier_acquire_probe(hub->outlier, spend->target, from, now_ms)
+		? spend->target
+		: 0);
+}
+
+/* @param probe_target  receives the target to probe, or 0 */
+static hub_permit_t
+handle_spend(hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend,
+    uint64_t *probe_target, int64_t now_ms)
 {
 	hub_permit_t permit = { .is_granted = 0 };
 	hub_consumption_t request = {
@@ -131,8 +147,8 @@
 	case FLEET_SPEND_RETRY:
 		return (hub_quota_acquire_retry(hub->quota, spend->service));
 	case FLEET_SPEND_PROBE:
-		permit.is_granted = hub_outlier_acquire_probe(
-		    hub->outlier, spend->target, from, now_ms);
+		*probe_target = assign_probe(hub, from, spend, now_ms);
+		permit.is_granted = *probe_target != 0;
 		break;
 	default:
 		break;
@@ -150,6 +166,7 @@
 	Tm__Fleet__Permit **pointers;
 	int64_t now_ms = clock_now_ms();
 	hub_permit_t permit;
+	uint64_t probe_target;
 	size_t i;
 
 	if (spends == NULL)
@@ -159,7 +176,9 @@
 	for (i = 0; permits != NULL && pointers != NULL &&
 	     i < spends->n_spends && i < SPENDS_MAX;
 	     i++) {
-		permit = handle_spend(hub, from, spends->spends[i], now_ms);
+		probe_target = 0;
+		permit = handle_spend(
+		    hub, from, spends->spends[i], &probe_target, now_ms);
 		if (spends->spends[i]->id == 0 || permit.is_undecided)
 			continue;
 		pointers[reply.n_permits] = &permits[reply.n_permits];
@@ -167,6 +186,7 @@
 		permits[reply.n_permits].id = spends->spends[i]->id;
 		permits[reply.n_permits].is_granted = permit.is_granted;
 		permits[reply.n_permits].retry_after_ms = permit.wait_ms;
+		permits[reply.n_permits].target = probe_target;
 		reply.n_permits++;
 	}
 	reply.permits = pointers;
--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -442,6 +442,14 @@
 	return (count);
 }
 
+static void
+grant_probe(outlier_target_t *target, node_id_t gate, int64_t now_ms)
+{
+	target->probe_gate = gate;
+	target->probe_ms = now_ms;
+	target->service->totals.probes_granted++;
+}
+
 int
 hub_outlier_acquire_probe(
     hub_outlier_t *detector, uint64_t key, node_id_t gate, int64_t now_ms)
@@ -454,12 +462,52 @@
 		target->service->totals.probes_refused++;
 		return (0);
 	}
-	target->probe_gate = gate;
-	target->probe_ms = now_ms;
-	target->service->totals.probes_granted++;
+	grant_probe(target, gate, now_ms);
 	return (1);
 }
 
+static int
+is_open_to(const outlier_target_t *target, int may_repeat)
+{
+	return (target->probe_gate == NODE_ID_NONE &&
+	    (target->verdict == FLEET_VERDICT_PROBE ||
+		(may_repeat &&
+		    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE)));
+}
+
+/* @return time of the last request that the target got while not healthy */
+static int64_t
+get_last_tried_ms(const outlier_target_t *target)
+{
+	return (target->probe_ms > target->failed_ms ? target->probe_ms
+						     : target->failed_ms);
+}
+
+uint64_t
+hub_outlier_assign_probe(hub_outlier_t *detector, uint64_t id, node_id_t gate,
+    int may_repeat, int64_t now_ms)
+{
+	outlier_service_t *service;
+	outlier_target_t *chosen = NULL;
+	outlier_target_t *target;
+
+	HASH_FIND(hh, detector->services, &id, sizeof(id), service);
+	if (service == NULL)
+		return (0);
+	for (target = service->targets; target != NULL; target = target->next) {
+		if (is_open_to(target, may_repeat) &&
+		    (chosen == NULL ||
+			get_last_tried_ms(target) < get_last_tried_ms(chosen)))
+			chosen = target;
+	}
+	if (chosen == NULL) {
+		service->totals.probes_refused++;
+		return (0);
+	}
+	grant_probe(chosen, gate, now_ms);
+	return (chosen->key);
+}
+
 static int64_t
 get_last_seen_ms(const outlier_target_t *target)
 {
--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -115,6 +115,16 @@
 int hub_outlier_acquire_probe(
     hub_outlier_t *detector, uint64_t key, node_id_t gate, int64_t now_ms);
 
+/**
+ * Acquires the right to send a probe to the target of a service that has waited
+ * for one longest.
+ *
+ * @param may_repeat  1 if the request that probes may be repeated
+ * @return            key of the target; 0 if none is open to this request
+ */
+uint64_t hub_outlier_assign_probe(hub_outlier_t *detector, uint64_t service,
+    node_id_t gate, int may_repeat, int64_t now_ms);
+
 /** Expires probes without a result, opens ejected targets to probes, and ejects
  * targets that have become unreachable. */
 void hub_outlier_tick(hub_outlier_t *detector, int64_t now_ms);
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -1661,7 +1661,7 @@
   (ProtobufCMessageInit) tm__fleet__table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[6] =
+static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[7] =
 {
   {
     "id",
@@ -1735,11 +1735,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "may_repeat",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Spend, may_repeat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__spend__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   0,   /* field[0] = id */
   3,   /* field[3] = kind */
+  6,   /* field[6] = may_repeat */
   2,   /* field[2] = service */
   4,   /* field[4] = target */
   1,   /* field[1] = workspace */
@@ -1747,7 +1760,7 @@
 static const ProtobufCIntRange tm__fleet__spend__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor tm__fleet__spend__descriptor =
 {
@@ -1757,7 +1770,7 @@
   "Tm__Fleet__Spend",
   "tm.fleet",
   sizeof(Tm__Fleet__Spend),
-  6,
+  7,
   tm__fleet__spend__field_descriptors,
   tm__fleet__spend__field_indices_by_name,
   1,  tm__fleet__spend__number_ranges,
@@ -1802,7 +1815,7 @@
   (ProtobufCMessageInit) tm__fleet__spends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__permit__field_descriptors[3] =
+static const ProtobufCFieldDescriptor tm__fleet__permit__field_descriptors[4] =
 {
   {
     "id",
@@ -1840,16 +1853,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Permit, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__permit__field_indices_by_name[] = {
   0,   /* field[0] = id */
   1,   /* field[1] = is_granted */
   2,   /* field[2] = retry_after_ms */
+  3,   /* field[3] = target */
 };
 static const ProtobufCIntRange tm__fleet__permit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor tm__fleet__permit__descriptor =
 {
@@ -1859,7 +1885,7 @@
   "Tm__Fleet__Permit",
   "tm.fleet",
   sizeof(Tm__Fleet__Permit),
-  3,
+  4,
   tm__fleet__permit__field_descriptors,
   tm__fleet__permit__field_indices_by_name,
   1,  tm__fleet__permit__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -239,10 +239,14 @@
    * Time since it was spent, if no leader answered then.
    */
   uint32_t age_ms;
+  /*
+   * Of a probe without a target: the leader chooses one of the service.
+   */
+  protobuf_c_boolean may_repeat;
 };
 #define TM__FLEET__SPEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__spend__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Tm__Fleet__Spends
@@ -262,10 +266,14 @@
   uint32_t id;
   protobuf_c_boolean is_granted;
   uint32_t retry_after_ms;
+  /*
+   * The target to probe; 0: none.
+   */
+  uint64_t target;
 };
 #define TM__FLEET__PERMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__permit__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -181,6 +181,46 @@
 	EXPECT_EQ(FLEET_VERDICT_PROBE, Get(3));
 }
 
+// mwamba-gw-grown, trouble-2: 13 targets were open to probes, and gates took the
+// first of their list. One that had just passed a probe waited 3 s for the next.
+TEST_F(HubOutlier, TheTargetThatHasWaitedLongestIsProbedNext)
+{
+	std::map<uint64_t, int> probes;
+
+	AddTargets(12);
+	for (uint64_t key = 1; key <= 6; key++)
+		RecordEvidence(key, FLEET_EVIDENCE_BROKEN);
+	Pass(4100, 12);
+	EXPECT_EQ(0u, hub_outlier_assign_probe(detector_, 2, 9, 0, now_));
+	for (int i = 0; i < 12; i++) {
+		uint64_t key =
+		    hub_outlier_assign_probe(detector_, kService, 9, 0, now_);
+
+		ASSERT_NE(0u, key);
+		probes[key]++;
+		now_ += 10;
+		RecordEvidence(key, FLEET_EVIDENCE_SUCCESS, 9, 1);
+	}
+	EXPECT_EQ(6u, probes.size());
+	for (auto &count : probes)
+		EXPECT_EQ(2, count.second) << count.first;
+}
+
+// A request that must not be repeated gets no probe that only others may make,
+// and no target gets two at a time.
+TEST_F(HubOutlier, ProbesAreAssignedOneAtATimeToRequestsThatMayProbe)
+{
+	AddTargets(8);
+	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
+	Pass(1200, 8);
+	EXPECT_EQ(
+	    0u, hub_outlier_assign_probe(detector_, kService, 9, 0, now_));
+	EXPECT_EQ(
+	    3u, hub_outlier_assign_probe(detector_, kService, 9, 1, now_));
+	EXPECT_EQ(
+	    0u, hub_outlier_assign_probe(detector_, kService, 10, 1, now_));
+}
+
 TEST_F(HubOutlier, ResultOfAnUngrantedProbeIsIgnored)
 {
 	AddTargets(8);
