hub, gate: the leader gives requests to healthy targets that got none

Callers of a service with few requests for each target waited behind slow ones while healthy targets had nothing to do.

Cause: a gate knows only its own requests and chooses two targets at random. With 50 requests a second for 75 targets over 127 gates a quarter of the targets gets none for 2 s by chance. Class: a bound on the whole fleet that each gate tries to keep from what it alone has seen.

Gates report how many requests they sent to each target. The leader names the services with healthy targets that got no request for a second, and gates ask it for a target there, as they do for probes; it answers with the one that has waited longest. One round trip for a request, only while targets are idle, and not for GATE_ASK_RETRY_MS after it had none.

Tried first: the leases named up to eight idle targets to each gate.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -101,6 +101,14 @@
 	    pressure->load_percent / 100.0, pressure->work_ms, clock_now_ms());
 }
 
+static void
+on_set_idle(void *ctx, const uint64_t *services, size_t count)
+{
+	gate_t *gate = ctx;
+
+	gate_table_set_idle(gate->table, services, count, clock_now_ms());
+}
+
 static void
 on_renewal_sent(void *ctx)
 {
@@ -356,6 +364,7 @@
 		.reset_hub = on_reset_hub,
 		.fill_renewal = on_fill_renewal,
 		.set_utilization = on_set_utilization,
+		.set_idle = on_set_idle,
 		.renewal_sent = on_renewal_sent,
 		.ctx = gate,
 	};
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -360,14 +360,14 @@
 	    .tried = request->tried,
 	    .tried_count = request->tried_count,
 	    .may_repeat = request->repeat_allowed,
-	    .may_probe = gate_link_has_leader(request->gate->link, now_ms),
+	    .has_leader = gate_link_has_leader(request->gate->link, now_ms),
 	    .now_ms = now_ms,
 	});
 }
 
 /* gate_permit_cb */
 static void
-on_probe_permit(void *ctx, const gate_permit_reply_t *reply)
+on_assigned(void *ctx, const gate_permit_reply_t *reply)
 {
 	gate_request_t *request = ctx;
 	gate_table_t *table = request->gate->table;
@@ -379,20 +379,19 @@
 	request->permit_id = 0;
 	if (reply->result == GATE_PERMIT_GRANTED)
 		target = gate_table_find_target(table, reply->target);
-	if (target != NULL && gate_target_takes_probe(target, &pick_options)) {
-		send_attempt(request, target, 1);
+	if (target != NULL && gate_target_is_usable(target, &pick_options)) {
+		send_attempt(request, target, reply->is_probe);
 		return;
 	}
-	if (target != NULL)
+	if (target != NULL && reply->is_probe)
 		report(request, target, FLEET_EVIDENCE_PROBE_UNUSED, 1);
 	if (service != NULL)
-		gate_service_delay_probes(service, pick_options.now_ms);
+		gate_service_delay_asking(service, pick_options.now_ms);
 	gate_attempt_dispatch(request);
 }
 
-/* The leader chooses the target. */
 static void
-request_probe_permit(gate_request_t *request)
+ask_for_target(gate_request_t *request)
 {
 	Tm__Fleet__Spend msg = TM__FLEET__SPEND__INIT;
 	gate_t *gate = request->gate;
@@ -402,7 +401,7 @@
 	msg.may_repeat = request->repeat_allowed;
 	request->state = GATE_STATE_PROBE_PERMIT;
 	request->permit_id = gate_link_request_permit(
-	    gate->link, &msg, on_probe_permit, request, clock_now_ms());
+	    gate->link, &msg, on_assigned, request, clock_now_ms());
 	if (request->permit_id == 0)
 		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
 }
@@ -418,8 +417,8 @@
 
 	if (service != NULL)
 		choice = gate_table_pick(gate->table, service, &pick_options);
-	if (choice.is_probe)
-		request_probe_permit(request);
+	if (choice.is_leaders)
+		ask_for_target(request);
 	else if (choice.target == NULL)
 		gate_request_delay(request, GATE_REFUSAL_NO_TARGET);
 	else
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -287,6 +287,8 @@
 	for (i = 0; i < lease->n_pressures; i++)
 		link->options.set_utilization(
 		    link->options.ctx, lease->pressures[i]);
+	link->options.set_idle(
+	    link->options.ctx, lease->idle_services, lease->n_idle_services);
 	link->newest_version = lease->config_version;
 	if (link->version >= link->newest_version)
 		renew_key_lease(link, sent_ms);
@@ -346,6 +348,7 @@
 					     : GATE_PERMIT_REFUSED,
 		.wait_ms = permit->retry_after_ms,
 		.target = permit->target,
+		.is_probe = permit->is_trial,
 	};
 	permit_request_t *request;
 
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -44,7 +44,9 @@
 	/** Granted: delay before the permit may be used; refused: delay before
 	 * another request makes sense. */
 	uint32_t wait_ms;
-	uint64_t target; /**< key of the target to probe; 0: none */
+	uint64_t
+	    target; /**< key of the target that the leader chose; 0: none */
+	int is_probe; /**< that target is not healthy */
 } gate_permit_reply_t;
 
 /** Reports the answer to a permit request, once, never from within
@@ -68,6 +70,8 @@
 	void (*fill_renewal)(void *ctx, Tm__Fleet__Join *join, int needs_usage);
 	/** Applies the utilization of a service from a lease. */
 	void (*set_utilization)(void *ctx, const Tm__Fleet__Pressure *pressure);
+	/** Applies the services with idle targets of a lease. */
+	void (*set_idle)(void *ctx, const uint64_t *services, size_t count);
 	/** Called after a renewal was sent to the leader; memory that
 	 * fill_renewal set may be freed. */
 	void (*renewal_sent)(void *ctx);
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -34,6 +34,9 @@
 #define ADMIT_UTILIZATION_MIN 1.6
 /* Share of requests that is admitted however full a service is. */
 #define ADMIT_SHARE_MIN 0.45
+/* A service that the leader named longer ago no longer counts as having idle
+ * targets. Longer than the interval of the leases. */
+#define IDLE_MAX_AGE_MS 700
 /* Weight of a new response in the moving mean latency of a service. */
 #define LATENCY_WEIGHT 0.05
 
@@ -416,35 +419,61 @@
 }
 
 int
-gate_target_takes_probe(
+gate_target_is_usable(
     const gate_target_t *target, const gate_pick_options_t *options)
 {
-	return (allows_probe(target, options) &&
-	    target->state == FLEET_TARGET_READY &&
+	return (target->state == FLEET_TARGET_READY &&
 	    !is_excluded(options, target));
 }
 
 void
-gate_service_delay_probes(gate_service_t *service, int64_t now_ms)
+gate_service_delay_asking(gate_service_t *service, int64_t now_ms)
 {
-	service->next_probe_ms = now_ms + GATE_PROBE_RETRY_MS;
+	service->next_ask_ms = now_ms + GATE_ASK_RETRY_MS;
+}
+
+void
+gate_table_set_idle(
+    gate_table_t *table, const uint64_t *services, size_t count, int64_t now_ms)
+{
+	gate_service_t *service;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		HASH_FIND(hh, table->services, &services[i],
+		    sizeof(services[i]), service);
+		if (service != NULL)
+			service->idle_ms = now_ms;
+	}
 }
 
-/* @return 1 if a target of the service is open to a probe by this request */
 static int
-is_probe_due(const gate_service_t *service, const gate_pick_options_t *options)
+has_open_target(
+    const gate_service_t *service, const gate_pick_options_t *options)
 {
 	uint32_t i;
 
-	if (!options->may_probe || options->now_ms < service->next_probe_ms)
-		return (0);
 	for (i = 0; i < service->count; i++) {
-		if (gate_target_takes_probe(service->targets[i], options))
+		if (allows_probe(service->targets[i], options) &&
+		    gate_target_is_usable(service->targets[i], options))
 			return (1);
 	}
 	return (0);
 }
 
+/* @return 1 if a target of the service waits for a request like this one */
+static int
+should_ask_leader(
+    const gate_service_t *service, const gate_pick_options_t *options)
+{
+	int64_t idle_age_ms = options->now_ms - service->idle_ms;
+
+	return (options->has_leader &&
+	    options->now_ms >= service->next_ask_ms &&
+	    ((service->idle_ms != 0 && idle_age_ms <= IDLE_MAX_AGE_MS) ||
+		has_open_target(service, options)));
+}
+
 gate_choice_t
 gate_table_pick(gate_table_t *table, gate_service_t *service,
     const gate_pick_options_t *options)
@@ -452,11 +481,9 @@
 	gate_choice_t choice = { .target = NULL };
 	int rank;
 
-	if (is_probe_due(service, options)) {
-		choice.is_probe = 1;
-		return (choice);
-	}
-	choice.target = pick_ranked(table, service, options, &rank);
+	choice.is_leaders = should_ask_leader(service, options);
+	if (!choice.is_leaders)
+		choice.target = pick_ranked(table, service, options, &rank);
 	return (choice);
 }
 
@@ -503,6 +530,7 @@
 gate_target_acquire(gate_target_t *target)
 {
 	target->in_flight++;
+	target->sent++;
 	target->refs++;
 }
 
@@ -552,7 +580,8 @@
 
 	*count = 0;
 	HASH_ITER(hh, table->targets, target, next) {
-		if (target->successes == 0 && !target->has_unreported_load)
+		if (target->sent == 0 && target->successes == 0 &&
+		    !target->has_unreported_load)
 			continue;
 		if (outcomes == NULL)
 			outcomes = calloc(
@@ -561,11 +590,13 @@
 			return (NULL);
 		tm__fleet__outcome__init(&outcomes[*count]);
 		outcomes[*count].target = target->key;
+		outcomes[*count].sent = target->sent;
 		outcomes[*count].good = target->successes;
 		outcomes[(*count)++].latency_sum_ms = target->latency_sum_ms;
 		if (target->has_unreported_load)
 			outcomes[*count - 1].load = target->load + 1;
 		target->has_unreported_load = 0;
+		target->sent = 0;
 		target->successes = 0;
 		target->latency_sum_ms = 0;
 	}
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -23,10 +23,9 @@
 /** Time for which this gate avoids a target that shed a request (rejected it
  * without executing it because it was full) or broke a connection. */
 #define GATE_AVOID_SHED_MS 250
-/** Time until the next permit request for a probe of a service after one that
- * was refused. A probe is a live request to an ejected target, as of a half-open
- * circuit breaker. */
-#define GATE_PROBE_RETRY_MS 300
+/** Time until the leader is asked again for a target of a service after it had
+ * none. */
+#define GATE_ASK_RETRY_MS 300
 /** Largest number of targets that one request is sent to. */
 #define GATE_TRIED_MAX 8
 
@@ -51,6 +50,7 @@
 	int64_t avoid_until_ms; /**< avoided until then */
 	int64_t cold_until_ms; /**< warming up until then */
 	int64_t idle_max_ms; /**< its keep-alive timeout; 0: unknown */
+	uint32_t sent; /**< requests since the last report */
 	uint32_t successes; /**< since the last report */
 	uint32_t latency_sum_ms; /**< of these successes */
 	uint32_t refs; /**< requests that refer to it */
@@ -69,7 +69,9 @@
 	double utilization; /**< requests per slot in the whole fleet */
 	double work_ms; /**< service time without queueing; 0: unknown */
 	int64_t utilization_ms; /**< when the leader reported it */
-	int64_t next_probe_ms; /**< earliest next permit request */
+	int64_t next_ask_ms; /**< the leader is not asked before */
+	int64_t
+	    idle_ms; /**< when the leader last named it as having idle targets */
 	UT_hash_handle hh;
 } gate_service_t;
 
@@ -80,14 +82,14 @@
 	const uint64_t *tried; /**< keys of targets to exclude */
 	uint32_t tried_count;
 	int may_repeat; /**< it may be executed twice */
-	int may_probe; /**< a leader can permit probes */
+	int has_leader; /**< the leader can be asked for a target */
 	int64_t now_ms;
 } gate_pick_options_t;
 
 /** Result of gate_table_pick(). */
 typedef struct gate_choice {
-	gate_target_t *target; /**< NULL: none is usable, or a probe */
-	int is_probe; /**< the leader chooses the target to probe */
+	gate_target_t *target; /**< NULL: none is usable, or the leader's */
+	int is_leaders; /**< the leader is to be asked for a target */
 } gate_choice_t;
 
 /**
@@ -142,19 +144,25 @@
 int gate_table_admits(gate_table_t *table, const gate_service_t *service,
     int64_t soft_deadline_ms, int32_t priority, int64_t now_ms);
 
-/** Chooses a target: a probe if one is due, else the one with the lower score
- * of two random targets of the highest rank. */
+/** Records that services have idle targets: healthy ones that lately got no
+ * request from any gate. */
+void gate_table_set_idle(gate_table_t *table, const uint64_t *services,
+    size_t count, int64_t now_ms);
+
+/** Chooses a target: leaves the choice to the leader if targets wait for a
+ * request, else takes the one with the lower score of two random targets of the
+ * highest rank. */
 gate_choice_t gate_table_pick(gate_table_t *table, gate_service_t *service,
     const gate_pick_options_t *options);
 
-/** @return 1 if a request may probe a target, by this gate's table */
-int gate_target_takes_probe(
+/** @return 1 if a target is ready and the request has not tried it */
+int gate_target_is_usable(
     const gate_target_t *target, const gate_pick_options_t *options);
 
-/** Delays the next probe of a service, as the leader has none to permit. */
-void gate_service_delay_probes(gate_service_t *service, int64_t now_ms);
+/** Records that the leader had no target for a request of a service. */
+void gate_service_delay_asking(gate_service_t *service, int64_t now_ms);
 
-/** Takes a reference and counts a request in flight. */
+/** Takes a reference and counts a request that is sent. */
 void gate_target_acquire(gate_target_t *target);
 
 /** Ends a request and drops its reference; frees a removed target with the
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -172,14 +172,22 @@
 	    LOG_NUM("routes", config->route_count));
 }
 
+void
+hub_add_to_outlier(hub_t *hub, const hub_target_t *target)
+{
+	hub_outlier_add_target(hub->outlier, target->key,
+	    fleet_name_hash(target->as.service), target->as.born_ms);
+	if (target->as.state == FLEET_TARGET_DRAINING)
+		hub_outlier_set_draining(hub->outlier, target->key);
+}
+
 static void
 on_target_change(hub_t *hub, const hub_target_t *target)
 {
 	if (target->as.state == FLEET_TARGET_DEREGISTERED)
 		hub_outlier_remove_target(hub->outlier, target->key);
 	else
-		hub_outlier_add_target(hub->outlier, target->key,
-		    fleet_name_hash(target->as.service), target->as.born_ms);
+		hub_add_to_outlier(hub, target);
 	hub_feed_mark_target_changed(hub->feed, target->key);
 }
 
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -358,6 +358,8 @@
 	msg.gates = get_fleet_size(feed, now_ms);
 	msg.pressures = pointers;
 	msg.n_pressures = fill_loaded_services(lease, utilizations, pointers);
+	msg.idle_services = (uint64_t *)lease->idle_services;
+	msg.n_idle_services = lease->idle_service_count;
 	feed->options.send(
 	    feed->options.send_ctx, gate->id, MSG_FLEET_LEASE, &msg.base);
 }
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -53,6 +53,8 @@
 	size_t hub_count;
 	const hub_utilization_t *utilizations;
 	size_t utilization_count;
+	const uint64_t *idle_services; /**< services with idle targets */
+	size_t idle_service_count;
 } hub_feed_lease_t;
 
 /** @return NULL if memory is exhausted */
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -17,6 +17,9 @@
 #include "raft/raft.h"
 #include "store/store.h"
 
+/** Most services with idle targets that a lease names. */
+#define HUB_IDLE_SERVICES_MAX 64
+
 /** A proposal that waits for its entry to be applied. */
 typedef struct proposal {
 	uint64_t index;
@@ -43,6 +46,8 @@
 	hub_quota_t *quota;
 	hub_load_t *load;
 	hub_feed_t *feed;
+	uint64_t idle_services[HUB_IDLE_SERVICES_MAX];
+	size_t idle_service_count;
 	hub_report_t *report;
 	fleet_config_t *config; /* of the newest document */
 	proposal_t *proposals;
@@ -65,6 +70,9 @@
 /** Starts or stops to serve as the leader, following the replicated log. */
 void hub_update_role(hub_t *hub, int64_t now_ms);
 
+/** Adds a registered target to the outlier detector, or updates it. */
+void hub_add_to_outlier(hub_t *hub, const hub_target_t *target);
+
 /** Most workspaces near their limit that are sent to gates. */
 #define HUB_NEAR_LIMIT_MAX 1024
 
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -30,9 +30,7 @@
 	for (target = hub->state->targets; target != NULL;
 	     target = target->hh.next) {
 		if (target->as.state != FLEET_TARGET_DEREGISTERED)
-			hub_outlier_add_target(hub->outlier, target->key,
-			    fleet_name_hash(target->as.service),
-			    target->as.born_ms);
+			hub_add_to_outlier(hub, target);
 	}
 	hub_quota_reset(hub->quota, now_ms);
 	hub_feed_reset(hub->feed, hub->led_term, now_ms);
@@ -217,6 +215,26 @@
 	hub_quota_set_gate_counts(hub->quota, &counts, now_ms);
 }
 
+static void
+update_idle_services(hub_t *hub, int64_t now_ms)
+{
+	const fleet_service_t *service;
+	hub_outlier_counts_t counts;
+
+	hub->idle_service_count = 0;
+	if (hub->config == NULL)
+		return;
+	for (service = hub->config->services;
+	     service != NULL && hub->idle_service_count < HUB_IDLE_SERVICES_MAX;
+	     service = service->hh.next) {
+		if (hub_outlier_count_service(
+			hub->outlier, service->id, now_ms, &counts) == TM_OK &&
+		    counts.idle > 0)
+			hub->idle_services[hub->idle_service_count++] =
+			    service->id;
+	}
+}
+
 void
 hub_tick_leader(hub_t *hub, int64_t now_ms)
 {
@@ -226,6 +244,7 @@
 	if (now_ms >= hub->load_due_ms) {
 		hub->load_due_ms = now_ms + LOAD_MS;
 		hub_load_update(hub->load, hub->state, hub->outlier, now_ms);
+		update_idle_services(hub, now_ms);
 	}
 	if (now_ms >= hub->ejected_due_ms) {
 		hub->ejected_due_ms = now_ms + PROPOSE_EJECTED_MS;
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -28,6 +28,8 @@
 
 	if (target == NULL)
 		return;
+	if (outcome->sent > 0)
+		hub_outlier_record_sent(hub->outlier, outcome->target, now_ms);
 	hub_outlier_record_successes(
 	    hub->outlier, outcome->target, outcome->good, now_ms);
 	hub_load_record_successes(hub->load,
@@ -101,6 +103,8 @@
 		lease.utilizations =
 		    hub_load_list(hub->load, &lease.utilization_count);
 		record_outcomes(hub, join, now_ms);
+		lease.idle_services = hub->idle_services;
+		lease.idle_service_count = hub->idle_service_count;
 		merge_usage(hub, join, now_ms);
 		send_near_limit_if_due(hub, from, join);
 		hub_feed_renew_lease(hub->feed, from, join, &lease, now_ms);
@@ -110,25 +114,26 @@
 	tm__fleet__join__free_unpacked(join, NULL);
 }
 
-/* @return key of the target that a gate may probe, or 0. Gates of the version
- * before name the target. */
-static uint64_t
-assign_probe(
+/* Gates of the version before name the target. */
+static hub_assignment_t
+assign_target(
     hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
 {
+	hub_assignment_t assignment = { .is_probe = 1 };
+
 	if (spend->target == 0)
-		return (hub_outlier_assign_probe(hub->outlier, spend->service,
+		return (hub_outlier_assign_target(hub->outlier, spend->service,
 		    from, spend->may_repeat, now_ms));
-	return (
-	    hub_outlier_acquire_probe(hub->outlier, spend->target, from, now_ms)
-		? spend->target
-		: 0);
+	if (hub_outlier_acquire_probe(
+		hub->outlier, spend->target, from, now_ms))
+		assignment.target = spend->target;
+	return (assignment);
 }
 
-/* @param probe_target  receives the target to probe, or 0 */
+/* @param assignment  receives the target of a probe */
 static hub_permit_t
 handle_spend(hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend,
-    uint64_t *probe_target, int64_t now_ms)
+    hub_assignment_t *assignment, int64_t now_ms)
 {
 	hub_permit_t permit = { .is_granted = 0 };
 	hub_consumption_t request = {
@@ -147,8 +152,8 @@
 	case FLEET_SPEND_RETRY:
 		return (hub_quota_acquire_retry(hub->quota, spend->service));
 	case FLEET_SPEND_PROBE:
-		*probe_target = assign_probe(hub, from, spend, now_ms);
-		permit.is_granted = *probe_target != 0;
+		*assignment = assign_target(hub, from, spend, now_ms);
+		permit.is_granted = assignment->target != 0;
 		break;
 	default:
 		break;
@@ -166,7 +171,7 @@
 	Tm__Fleet__Permit **pointers;
 	int64_t now_ms = clock_now_ms();
 	hub_permit_t permit;
-	uint64_t probe_target;
+	hub_assignment_t assignment;
 	size_t i;
 
 	if (spends == NULL)
@@ -176,9 +181,9 @@
 	for (i = 0; permits != NULL && pointers != NULL &&
 	     i < spends->n_spends && i < SPENDS_MAX;
 	     i++) {
-		probe_target = 0;
+		assignment = (hub_assignment_t){ .target = 0 };
 		permit = handle_spend(
-		    hub, from, spends->spends[i], &probe_target, now_ms);
+		    hub, from, spends->spends[i], &assignment, now_ms);
 		if (spends->spends[i]->id == 0 || permit.is_undecided)
 			continue;
 		pointers[reply.n_permits] = &permits[reply.n_permits];
@@ -186,7 +191,8 @@
 		permits[reply.n_permits].id = spends->spends[i]->id;
 		permits[reply.n_permits].is_granted = permit.is_granted;
 		permits[reply.n_permits].retry_after_ms = permit.wait_ms;
-		permits[reply.n_permits].target = probe_target;
+		permits[reply.n_permits].target = assignment.target;
+		permits[reply.n_permits].is_trial = assignment.is_probe;
 		reply.n_permits++;
 	}
 	reply.permits = pointers;
--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -71,10 +71,12 @@
 	uint32_t probe_successes; /* consecutive */
 	node_id_t probe_gate; /* NODE_ID_NONE: no probe in flight */
 	int64_t probe_ms; /* when the probe was granted */
+	int is_draining;
 	int is_unreachable; /* unresponsive for TARGET_TIMEOUT_MS */
 	int64_t announced_ms;
 	int64_t success_ms; /* last successful response */
-	int64_t result_ms; /* last result of a request */
+	int64_t evidence_ms; /* last evidence against it */
+	int64_t used_ms; /* last request that a gate reported in any way */
 	struct outlier_target *prev; /* of the service */
 	struct outlier_target *next;
 	UT_hash_handle hh;
@@ -205,6 +207,15 @@
 	DL_APPEND(target->service->targets, target);
 }
 
+void
+hub_outlier_set_draining(hub_outlier_t *detector, uint64_t key)
+{
+	outlier_target_t *target = find(detector, key);
+
+	if (target != NULL)
+		target->is_draining = 1;
+}
+
 void
 hub_outlier_remove_target(hub_outlier_t *detector, uint64_t key)
 {
@@ -318,7 +329,16 @@
 	decay_failure_score(target, now_ms);
 	target->failure_score *= pow(SUCCESS_FACTOR, count);
 	target->success_ms = now_ms;
-	target->result_ms = now_ms;
+	target->used_ms = now_ms;
+}
+
+void
+hub_outlier_record_sent(hub_outlier_t *detector, uint64_t key, int64_t now_ms)
+{
+	outlier_target_t *target = find(detector, key);
+
+	if (target != NULL)
+		target->used_ms = now_ms;
 }
 
 /* @return number of successful probes that end an ejection */
@@ -382,7 +402,10 @@
 	if (target == NULL || evidence->kind > FLEET_EVIDENCE_PROBE_UNUSED)
 		return;
 	if (evidence->kind != FLEET_EVIDENCE_PROBE_UNUSED)
-		target->result_ms = now_ms;
+		target->used_ms = now_ms;
+	if (evidence->kind != FLEET_EVIDENCE_PROBE_UNUSED &&
+	    evidence->kind != FLEET_EVIDENCE_SUCCESS)
+		target->evidence_ms = now_ms;
 	if (evidence->is_probe) {
 		record_probe(detector, target, evidence, now_ms);
 		return;
@@ -466,46 +489,54 @@
 	return (1);
 }
 
+/* @return 1 if a healthy target gets too few requests. One that failed or
+ * stalled last is left to the ordinary choice. */
+static int
+is_idle(const outlier_target_t *target, int64_t now_ms)
+{
+	return (target->verdict == FLEET_VERDICT_HEALTHY &&
+	    !target->is_unreachable && !target->is_draining &&
+	    target->evidence_ms <= target->success_ms &&
+	    now_ms - target->used_ms > HUB_OUTLIER_IDLE_MS);
+}
+
 static int
 is_open_to(const outlier_target_t *target, int may_repeat)
 {
-	return (target->probe_gate == NODE_ID_NONE &&
+	return (target->probe_gate == NODE_ID_NONE && !target->is_draining &&
 	    (target->verdict == FLEET_VERDICT_PROBE ||
 		(may_repeat &&
 		    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE)));
 }
 
-/* @return time of the last request that the target got while not healthy */
-static int64_t
-get_last_tried_ms(const outlier_target_t *target)
-{
-	return (target->probe_ms > target->failed_ms ? target->probe_ms
-						     : target->failed_ms);
-}
-
-uint64_t
-hub_outlier_assign_probe(hub_outlier_t *detector, uint64_t id, node_id_t gate,
+hub_assignment_t
+hub_outlier_assign_target(hub_outlier_t *detector, uint64_t id, node_id_t gate,
     int may_repeat, int64_t now_ms)
 {
+	hub_assignment_t assignment = { .target = 0 };
 	outlier_service_t *service;
 	outlier_target_t *chosen = NULL;
 	outlier_target_t *target;
 
 	HASH_FIND(hh, detector->services, &id, sizeof(id), service);
 	if (service == NULL)
-		return (0);
+		return (assignment);
 	for (target = service->targets; target != NULL; target = target->next) {
-		if (is_open_to(target, may_repeat) &&
-		    (chosen == NULL ||
-			get_last_tried_ms(target) < get_last_tried_ms(chosen)))
+		if ((is_idle(target, now_ms) ||
+			is_open_to(target, may_repeat)) &&
+		    (chosen == NULL || target->used_ms < chosen->used_ms))
 			chosen = target;
 	}
 	if (chosen == NULL) {
 		service->totals.probes_refused++;
-		return (0);
+		return (assignment);
 	}
-	grant_probe(chosen, gate, now_ms);
-	return (chosen->key);
+	assignment.target = chosen->key;
+	assignment.is_probe = chosen->verdict != FLEET_VERDICT_HEALTHY;
+	if (assignment.is_probe)
+		grant_probe(chosen, gate, now_ms);
+	chosen->used_ms = now_ms;
+	return (assignment);
 }
 
 static int64_t
@@ -673,8 +704,7 @@
 	switch (target->verdict) {
 	case FLEET_VERDICT_HEALTHY:
 		counts->healthy++;
-		counts->idle +=
-		    now_ms - target->result_ms > HUB_OUTLIER_IDLE_MS;
+		counts->idle += now_ms - target->used_ms > HUB_OUTLIER_IDLE_MS;
 		break;
 	case FLEET_VERDICT_PROBE_REPEATABLE:
 		counts->probe_repeatable++;
--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -15,7 +15,7 @@
 
 #include "fleet/fleet_defs.h"
 
-/** A healthy target without the result of a request for this time is idle. */
+/** A healthy target that got no request for this time is idle. */
 #define HUB_OUTLIER_IDLE_MS 1000
 
 typedef struct hub_outlier hub_outlier_t;
@@ -32,6 +32,12 @@
 	int is_probe; /**< result of a probe */
 } hub_evidence_t;
 
+/** Choice of a target for one request. */
+typedef struct hub_assignment {
+	uint64_t target; /**< key; 0: none waits for a request */
+	int is_probe; /**< the target is not healthy */
+} hub_assignment_t;
+
 /** State of a target, for logs and tests. */
 typedef struct hub_outlier_info {
 	fleet_verdict_t verdict;
@@ -48,7 +54,7 @@
 	uint32_t probe_repeatable; /**< open to probes by repeatable requests */
 	uint32_t probe; /**< open to probes by any request */
 	uint32_t unreachable; /**< for the leader; of any of these states */
-	uint32_t idle; /**< healthy, without a result for HUB_OUTLIER_IDLE_MS */
+	uint32_t idle; /**< healthy, no request for HUB_OUTLIER_IDLE_MS */
 	uint64_t probes_granted; /**< this and all below: since the start */
 	uint64_t probes_refused;
 	uint64_t probes_succeeded;
@@ -76,6 +82,9 @@
 void hub_outlier_add_target(hub_outlier_t *detector, uint64_t key,
     uint64_t service, uint64_t incarnation_ms);
 
+/** Marks a target as draining: no request is assigned to it any more. */
+void hub_outlier_set_draining(hub_outlier_t *detector, uint64_t key);
+
 /** Ejects a target that the previous leader had ejected; ignores an unknown
  * one. */
 void hub_outlier_restore_ejection(
@@ -101,6 +110,10 @@
 void hub_outlier_record_successes(
     hub_outlier_t *detector, uint64_t key, uint32_t count, int64_t now_ms);
 
+/** Records that gates sent requests to a target. */
+void hub_outlier_record_sent(
+    hub_outlier_t *detector, uint64_t key, int64_t now_ms);
+
 /** Evaluates a report. The result of a probe counts only from the gate that
  * acquired the probe. */
 void hub_outlier_record_evidence(
@@ -116,14 +129,13 @@
     hub_outlier_t *detector, uint64_t key, node_id_t gate, int64_t now_ms);
 
 /**
- * Acquires the right to send a probe to the target of a service that has waited
- * for one longest.
+ * Assigns a request to the target of a service that has waited for one longest:
+ * an idle one, or one that is open to a probe by this request.
  *
- * @param may_repeat  1 if the request that probes may be repeated
- * @return            key of the target; 0 if none is open to this request
+ * @param may_repeat  1 if the request may be repeated
  */
-uint64_t hub_outlier_assign_probe(hub_outlier_t *detector, uint64_t service,
-    node_id_t gate, int may_repeat, int64_t now_ms);
+hub_assignment_t hub_outlier_assign_target(hub_outlier_t *detector,
+    uint64_t service, node_id_t gate, int may_repeat, int64_t now_ms);
 
 /** Expires probes without a result, opens ejected targets to probes, and ejects
  * targets that have become unreachable. */
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -772,7 +772,7 @@
   assert(message->base.descriptor == &tm__fleet__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor tm__fleet__outcome__field_descriptors[4] =
+static const ProtobufCFieldDescriptor tm__fleet__outcome__field_descriptors[5] =
 {
   {
     "target",
@@ -822,17 +822,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Outcome, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__outcome__field_indices_by_name[] = {
   1,   /* field[1] = good */
   2,   /* field[2] = latency_sum_ms */
   3,   /* field[3] = load */
+  4,   /* field[4] = sent */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange tm__fleet__outcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor tm__fleet__outcome__descriptor =
 {
@@ -842,7 +855,7 @@
   "Tm__Fleet__Outcome",
   "tm.fleet",
   sizeof(Tm__Fleet__Outcome),
-  4,
+  5,
   tm__fleet__outcome__field_descriptors,
   tm__fleet__outcome__field_indices_by_name,
   1,  tm__fleet__outcome__number_ranges,
@@ -1184,7 +1197,7 @@
   (ProtobufCMessageInit) tm__fleet__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[8] =
+static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[9] =
 {
   {
     "sent_ms",
@@ -1282,11 +1295,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idle_services",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Lease, n_idle_services),
+    offsetof(Tm__Fleet__Lease, idle_services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__lease__field_indices_by_name[] = {
   5,   /* field[5] = config_version */
   6,   /* field[6] = gates */
   3,   /* field[3] = hubs */
+  8,   /* field[8] = idle_services */
   1,   /* field[1] = is_leader */
   2,   /* field[2] = leader */
   7,   /* field[7] = pressures */
@@ -1296,7 +1322,7 @@
 static const ProtobufCIntRange tm__fleet__lease__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor tm__fleet__lease__descriptor =
 {
@@ -1306,7 +1332,7 @@
   "Tm__Fleet__Lease",
   "tm.fleet",
   sizeof(Tm__Fleet__Lease),
-  8,
+  9,
   tm__fleet__lease__field_descriptors,
   tm__fleet__lease__field_indices_by_name,
   1,  tm__fleet__lease__number_ranges,
@@ -1815,7 +1841,7 @@
   (ProtobufCMessageInit) tm__fleet__spends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__permit__field_descriptors[4] =
+static const ProtobufCFieldDescriptor tm__fleet__permit__field_descriptors[5] =
 {
   {
     "id",
@@ -1865,17 +1891,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_trial",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Permit, is_trial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__permit__field_indices_by_name[] = {
   0,   /* field[0] = id */
   1,   /* field[1] = is_granted */
+  4,   /* field[4] = is_trial */
   2,   /* field[2] = retry_after_ms */
   3,   /* field[3] = target */
 };
 static const ProtobufCIntRange tm__fleet__permit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor tm__fleet__permit__descriptor =
 {
@@ -1885,7 +1924,7 @@
   "Tm__Fleet__Permit",
   "tm.fleet",
   sizeof(Tm__Fleet__Permit),
-  4,
+  5,
   tm__fleet__permit__field_descriptors,
   tm__fleet__permit__field_indices_by_name,
   1,  tm__fleet__permit__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -52,10 +52,14 @@
    * Requests that the target told last, plus 1; 0: it told nothing.
    */
   uint32_t load;
+  /*
+   * Requests that were sent to it.
+   */
+  uint32_t sent;
 };
 #define TM__FLEET__OUTCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__outcome__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -157,10 +161,15 @@
   uint32_t gates;
   size_t n_pressures;
   Tm__Fleet__Pressure **pressures;
+  /*
+   * Services with healthy targets that lately got no requests.
+   */
+  size_t n_idle_services;
+  uint64_t *idle_services;
 };
 #define TM__FLEET__LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__lease__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -267,13 +276,15 @@
   protobuf_c_boolean is_granted;
   uint32_t retry_after_ms;
   /*
-   * The target to probe; 0: none.
+   * Of a probe: the target that the leader has chosen, and whether it is
+   * a trial; otherwise it is a healthy target that was idle.
    */
   uint64_t target;
+  protobuf_c_boolean is_trial;
 };
 #define TM__FLEET__PERMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__permit__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit/gate_link_test.cc
+++ b/test/unit/gate_link_test.cc
@@ -41,6 +41,7 @@
 			static_cast<GateLink *>(ctx)->usage_requests_ +=
 			    needs_usage;
 		};
+		options.set_idle = [](void *, const uint64_t *, size_t) {};
 		options.set_utilization = [](void *,
 					      const Tm__Fleet__Pressure *) {};
 		options.renewal_sent = [](void *) {};
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -68,14 +68,14 @@
 
 	gate_choice_t
 	Pick(std::vector<uint64_t> tried = {}, int may_repeat = 0,
-	    int may_probe = 1)
+	    int has_leader = 1)
 	{
 		gate_pick_options_t options = {};
 
 		options.tried = tried.data();
 		options.tried_count = (uint32_t)tried.size();
 		options.may_repeat = may_repeat;
-		options.may_probe = may_probe;
+		options.has_leader = has_leader;
 		options.now_ms = now_;
 		return (gate_table_pick(
 		    table_, gate_table_find_service(table_, "s1"), &options));
@@ -144,15 +144,34 @@
 		{ "b", "z1", FLEET_TARGET_READY,
 		    FLEET_VERDICT_PROBE_REPEATABLE } });
 	EXPECT_STREQ("a", Pick({}, 0).target->id);
-	EXPECT_TRUE(Pick({}, 1).is_probe);
+	EXPECT_TRUE(Pick({}, 1).is_leaders);
 	/* Tried already, so this request cannot probe it. */
 	EXPECT_STREQ("a", Pick({ fleet_name_hash("b") }, 1).target->id);
-	gate_service_delay_probes(gate_table_find_service(table_, "s1"), now_);
+	gate_service_delay_asking(gate_table_find_service(table_, "s1"), now_);
 	EXPECT_STREQ("a", Pick({}, 1).target->id);
 	Apply(1, 1, 2,
 	    { { "b", "z1", FLEET_TARGET_READY, FLEET_VERDICT_PROBE } });
-	now_ += GATE_PROBE_RETRY_MS;
-	EXPECT_TRUE(Pick({}, 0).is_probe);
+	now_ += GATE_ASK_RETRY_MS;
+	EXPECT_TRUE(Pick({}, 0).is_leaders);
+}
+
+// A gate asks the leader for a target while the service has idle ones, and for
+// some time not again if the leader had none.
+TEST_F(GateTable, TheLeaderIsAskedWhileAServiceHasIdleTargets)
+{
+	uint64_t services[] = { fleet_name_hash("s1"), fleet_name_hash("s2") };
+
+	Apply(1, 0, 1, { { "a" } });
+	EXPECT_FALSE(Pick().is_leaders);
+	gate_table_set_idle(table_, services, 2, now_);
+	EXPECT_TRUE(Pick().is_leaders);
+	EXPECT_FALSE(Pick({}, 0, 0).is_leaders);
+	gate_service_delay_asking(gate_table_find_service(table_, "s1"), now_);
+	EXPECT_STREQ("a", Pick().target->id);
+	now_ += GATE_ASK_RETRY_MS;
+	EXPECT_TRUE(Pick().is_leaders);
+	now_ += 1000;
+	EXPECT_FALSE(Pick().is_leaders);
 }
 
 // While no leader answered, all requests went to targets that were open to
@@ -163,7 +182,7 @@
 	    { { "a" },
 		{ "b", "z1", FLEET_TARGET_READY, FLEET_VERDICT_PROBE } });
 	gate_choice_t choice = Pick({}, 0, 0);
-	EXPECT_FALSE(choice.is_probe);
+	EXPECT_FALSE(choice.is_leaders);
 	EXPECT_STREQ("a", choice.target->id);
 }
 
--- a/test/unit/hub_floor_test.cc
+++ b/test/unit/hub_floor_test.cc
@@ -23,8 +23,9 @@
 const uint64_t kTerm = 1;
 const int64_t kStepMs = 10;
 const int64_t kWindowMs = 2000;
-/* A target that has been well for this long is sound. */
-const int64_t kSoundMs = 6000;
+/* A target is sound this long after it was slow, and after it failed. */
+const int64_t kSoundAfterSlowMs = 6000;
+const int64_t kSoundAfterFailureMs = 2000;
 /* Share of the sound targets that must get requests in a window. */
 const double kUsedShareMin = 0.7;
 /* A share says little of fewer sound targets. */
@@ -94,7 +95,8 @@
 		for (size_t i = 0; i < targets_.size(); i++) {
 			if (i % 5 < 2 && targets_[i].is_slow != is_on) {
 				targets_[i].is_slow = is_on;
-				targets_[i].well_since = now_;
+				targets_[i].sound_from =
+				    now_ + kSoundAfterSlowMs;
 			}
 		}
 	}
@@ -109,7 +111,8 @@
 
 		hub_outlier_reset(outlier_);
 		for (size_t i = 0; i < targets_.size(); i++)
-			hub_outlier_add_target(outlier_, targets_[i].key, 1, 1);
+			hub_outlier_add_target(
+			    outlier_, targets_[i].key, service_, 1);
 		hub_feed_reset(feed_, ++term_, now_);
 		for (size_t i = 0; i < count; i++)
 			hub_outlier_restore_ejection(
@@ -157,7 +160,7 @@
 		int is_broken = 0;
 		int is_slow = 0;
 		int64_t change_ms = 0; /* of is_broken */
-		int64_t well_since = -kSoundMs;
+		int64_t sound_from = 0;
 		int64_t used_ms = -1;
 	};
 	struct Attempt {
@@ -202,6 +205,14 @@
 		if (type == MSG_FLEET_TABLE)
 			gate_table_apply(self->gates_[to - 1],
 			    (const Tm__Fleet__Table *)msg, self->now_);
+		if (type == MSG_FLEET_LEASE) {
+			const Tm__Fleet__Lease *lease =
+			    (const Tm__Fleet__Lease *)msg;
+
+			gate_table_set_idle(self->gates_[to - 1],
+			    lease->idle_services, lease->n_idle_services,
+			    self->now_);
+		}
 	}
 
 	double
@@ -236,7 +247,7 @@
 		free(bytes);
 		targets_[i].key = changed.target->key;
 		targets_[i].change_ms = now_ + DrawMs(load_.well_ms);
-		hub_outlier_add_target(outlier_, targets_[i].key, 1, 1);
+		hub_outlier_add_target(outlier_, targets_[i].key, service_, 1);
 		hub_feed_mark_target_changed(feed_, targets_[i].key);
 	}
 
@@ -255,12 +266,18 @@
 		Tm__Fleet__Outcome *outcomes =
 		    gate_table_collect_outcomes(gates_[i], &count);
 
-		for (size_t k = 0; k < count; k++)
+		for (size_t k = 0; k < count; k++) {
+			if (outcomes[k].sent > 0)
+				hub_outlier_record_sent(
+				    outlier_, outcomes[k].target, now_);
 			hub_outlier_record_successes(outlier_,
 			    outcomes[k].target, outcomes[k].good, now_);
+		}
 		free(outcomes);
 		lease.term = term_;
 		lease.leader = "10.0.0.1";
+		lease.idle_services = &service_;
+		lease.idle_service_count = has_idle_;
 		join.table_term = gate_table_get_term(gates_[i]);
 		join.table_sequence = gate_table_get_sequence(gates_[i]);
 		hub_feed_renew_lease(feed_, i + 1, &join, &lease, now_);
@@ -286,20 +303,22 @@
 		gate_service_t *service =
 		    gate_table_find_service(gates_[gate], "ledger");
 		gate_choice_t choice;
-		uint64_t key;
+		hub_assignment_t assignment;
 
 		options.now_ms = now_;
-		options.may_probe = 1;
+		options.has_leader = 1;
 		choice = gate_table_pick(gates_[gate], service, &options);
-		*is_probe = choice.is_probe;
-		if (!choice.is_probe)
+		*is_probe = 0;
+		if (!choice.is_leaders)
 			return (choice.target);
 		asks_++;
-		key = hub_outlier_assign_probe(outlier_, 1, gate + 1, 0, now_);
-		if (key != 0)
-			return (gate_table_find_target(gates_[gate], key));
-		gate_service_delay_probes(service, now_);
-		*is_probe = 0;
+		assignment = hub_outlier_assign_target(
+		    outlier_, service_, gate + 1, 0, now_);
+		*is_probe = assignment.is_probe;
+		if (assignment.target != 0)
+			return (gate_table_find_target(
+			    gates_[gate], assignment.target));
+		gate_service_delay_asking(service, now_);
 		return (
 		    gate_table_pick(gates_[gate], service, &options).target);
 	}
@@ -391,7 +410,8 @@
 			if (now_ < target.change_ms)
 				continue;
 			target.is_broken = !target.is_broken;
-			target.well_since = now_;
+			target.sound_from = std::max(
+			    target.sound_from, now_ + kSoundAfterFailureMs);
 			target.change_ms = now_ +
 			    DrawMs(target.is_broken ? load_.broken_ms
 						    : load_.well_ms);
@@ -406,7 +426,7 @@
 		window_.used = 0;
 		for (const Target &target : targets_) {
 			if (target.is_broken || target.is_slow ||
-			    target.well_since > window_.start - kSoundMs)
+			    target.sound_from > window_.start)
 				continue;
 			window_.sound++;
 			window_.used += target.used_ms >= window_.start;
@@ -416,6 +436,15 @@
 		window_.start = now_;
 	}
 
+	void
+	UpdateIdle()
+	{
+		hub_outlier_counts_t counts;
+
+		hub_outlier_count_service(outlier_, service_, now_, &counts);
+		has_idle_ = counts.idle > 0;
+	}
+
 	void
 	Step()
 	{
@@ -428,6 +457,8 @@
 			SendRequest();
 		if (now_ % 50 == 0)
 			hub_outlier_tick(outlier_, now_);
+		if (now_ % 200 == 0)
+			UpdateIdle();
 		hub_feed_flush(feed_, now_);
 		for (size_t i = 0; i < gates_.size(); i++) {
 			if ((now_ + (int64_t)i * kStepMs) % 500 == 0)
@@ -444,6 +475,8 @@
 	hub_state_t *state_ = hub_state_create();
 	hub_outlier_t *outlier_;
 	hub_feed_t *feed_;
+	uint64_t service_ = fleet_name_hash("ledger");
+	int has_idle_ = 0;
 	std::vector<gate_table_t *> gates_;
 	std::vector<Target> targets_;
 	std::priority_queue<Attempt, std::vector<Attempt>, Later> running_;
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -62,6 +62,21 @@
 		hub_outlier_record_evidence(detector_, &evidence, now_);
 	}
 
+	void
+	RecordSent(uint64_t first, uint64_t last)
+	{
+		for (uint64_t key = first; key <= last; key++)
+			hub_outlier_record_sent(detector_, key, now_);
+	}
+
+	uint64_t
+	Assign(uint64_t service, node_id_t gate, int may_repeat)
+	{
+		return (hub_outlier_assign_target(
+		    detector_, service, gate, may_repeat, now_)
+			    .target);
+	}
+
 	/* Passes time in which all targets announce themselves. */
 	void
 	Pass(int64_t ms, uint64_t count)
@@ -188,13 +203,14 @@
 	std::map<uint64_t, int> probes;
 
 	AddTargets(12);
+	RecordSent(7, 12);
 	for (uint64_t key = 1; key <= 6; key++)
 		RecordEvidence(key, FLEET_EVIDENCE_BROKEN);
 	Pass(4100, 12);
-	EXPECT_EQ(0u, hub_outlier_assign_probe(detector_, 2, 9, 0, now_));
+	RecordSent(7, 12);
+	EXPECT_EQ(0u, Assign(2, 9, 0));
 	for (int i = 0; i < 12; i++) {
-		uint64_t key =
-		    hub_outlier_assign_probe(detector_, kService, 9, 0, now_);
+		uint64_t key = Assign(kService, 9, 0);
 
 		ASSERT_NE(0u, key);
 		probes[key]++;
@@ -213,12 +229,45 @@
 	AddTargets(8);
 	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
 	Pass(1200, 8);
-	EXPECT_EQ(
-	    0u, hub_outlier_assign_probe(detector_, kService, 9, 0, now_));
-	EXPECT_EQ(
-	    3u, hub_outlier_assign_probe(detector_, kService, 9, 1, now_));
-	EXPECT_EQ(
-	    0u, hub_outlier_assign_probe(detector_, kService, 10, 1, now_));
+	RecordSent(1, 8);
+	EXPECT_EQ(0u, Assign(kService, 9, 0));
+	EXPECT_EQ(3u, Assign(kService, 9, 1));
+	EXPECT_EQ(0u, Assign(kService, 10, 1));
+}
+
+// mwamba-gw-grown, trouble-2: a service had two requests for three targets a
+// second. Gates chose at random, so some healthy targets got none for seconds.
+TEST_F(HubOutlier, TheTargetThatHasBeenIdleLongestGetsTheNextRequest)
+{
+	hub_outlier_counts_t counts = {};
+
+	AddTargets(8);
+	for (uint64_t key = 1; key <= 8; key++) {
+		RecordSent(key, key);
+		now_ += 10;
+	}
+	EXPECT_EQ(0u, Assign(kService, 9, 0));
+	now_ += HUB_OUTLIER_IDLE_MS;
+	hub_outlier_count_service(detector_, kService, now_, &counts);
+	EXPECT_EQ(8u, counts.idle);
+	for (uint64_t key = 1; key <= 8; key++)
+		EXPECT_EQ(key, Assign(kService, 9, 0));
+	EXPECT_EQ(0u, Assign(kService, 9, 0));
+}
+
+// Requests are not directed to a target that stalls or drains.
+TEST_F(HubOutlier, StallingAndDrainingTargetsAreNotIdle)
+{
+	AddTargets(3);
+	RecordEvidence(1, FLEET_EVIDENCE_STALL);
+	hub_outlier_set_draining(detector_, 2);
+	now_ += HUB_OUTLIER_IDLE_MS + 1;
+	EXPECT_EQ(3u, Assign(kService, 9, 0));
+	EXPECT_EQ(0u, Assign(kService, 9, 0));
+	hub_outlier_record_successes(detector_, 1, 1, now_);
+	now_ += HUB_OUTLIER_IDLE_MS + 1;
+	RecordSent(3, 3);
+	EXPECT_EQ(1u, Assign(kService, 9, 0));
 }
 
 TEST_F(HubOutlier, ResultOfAnUngrantedProbeIsIgnored)
