--- /dev/null
+++ b/src/hub/hub_outlier_internal.h
@@ -0,0 +1,95 @@
+/**
+ * @file
+ * State of the outlier detector, shared by hub_outlier.c, which ejects targets,
+ * and hub_outlier_probe.c, which brings them back and gives requests to those
+ * that wait for one.
+ */
+#ifndef TM_HUB_HUB_OUTLIER_INTERNAL_H
+#define TM_HUB_HUB_OUTLIER_INTERNAL_H
+
+#include <uthash.h>
+
+#include "hub/hub_outlier.h"
+
+typedef struct outlier_service outlier_service_t;
+
+typedef struct outlier_target {
+	uint64_t key;
+	outlier_service_t *service;
+	uint64_t incarnation_ms;
+	fleet_verdict_t verdict;
+	double failure_score;
+	int64_t decayed_ms; /* time at which failure_score was computed */
+	int64_t overloaded_ms; /* last stall or shed request */
+	node_id_t last_gate; /* of the last evidence */
+	int64_t last_gate_ms;
+	int64_t ejected_ms; /* start of the ejection */
+	int64_t failed_ms; /* last failure since then */
+	uint32_t ejections; /* in close succession */
+	uint32_t probe_successes; /* consecutive */
+	node_id_t probe_gate; /* NODE_ID_NONE: no probe in flight */
+	int64_t probe_ms; /* when the probe was granted */
+	int is_draining;
+	int is_unreachable; /* unresponsive for TARGET_TIMEOUT_MS */
+	int64_t announced_ms;
+	int64_t success_ms; /* last successful response */
+	int64_t evidence_ms; /* last evidence against it */
+	int64_t used_ms; /* last request that a gate reported in any way */
+	struct outlier_target *prev; /* of the service */
+	struct outlier_target *next;
+	UT_hash_handle hh;
+} outlier_target_t;
+
+/* A service; kept after its last target is removed. */
+struct outlier_service {
+	uint64_t id;
+	outlier_target_t *targets;
+	hub_outlier_counts_t totals; /* only what is counted since the start */
+	UT_hash_handle hh;
+};
+
+struct hub_outlier {
+	outlier_target_t *targets;
+	outlier_service_t *services;
+	hub_outlier_cb changed;
+	void *ctx;
+};
+
+/** @return a target, or NULL */
+outlier_target_t *outlier_find(const hub_outlier_t *detector, uint64_t key);
+
+/** Changes the verdict on a target; its probe and successes are forgotten. */
+void outlier_set_verdict(hub_outlier_t *detector, outlier_target_t *target,
+    fleet_verdict_t verdict, const char *reason);
+
+/** Ejects a target, or starts its ejection anew; not if too few of its service
+ * would stay in use. */
+void outlier_eject(hub_outlier_t *detector, outlier_target_t *target,
+    fleet_evidence_t kind, int64_t now_ms);
+
+/** @return targets of a service that are not unreachable, and healthy ones */
+uint32_t outlier_count_targets(const outlier_service_t *service);
+uint32_t outlier_count_healthy(const outlier_service_t *service);
+
+/** @return number of targets that must stay in use, broken ones excepted */
+uint32_t outlier_get_min_in_use(const outlier_service_t *service);
+
+/** Evaluates the result of a probe. */
+void outlier_record_probe(hub_outlier_t *detector, outlier_target_t *target,
+    const hub_evidence_t *evidence, int64_t now_ms);
+
+/** Expires a probe without a result, and opens a target that is not healthy to
+ * probes once its backoff has passed. */
+void outlier_offer_probe(
+    hub_outlier_t *detector, outlier_target_t *target, int64_t now_ms);
+
+/** Opens unused targets to probes by any request until at most a share of the
+ * service's targets is unused. */
+void outlier_limit_unused(
+    hub_outlier_t *detector, const outlier_service_t *service, int64_t now_ms);
+
+/** @return 1 if a healthy target gets too few requests. One that failed or
+ * stalled last is left to the ordinary choice. */
+int outlier_is_idle(const outlier_target_t *target, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/hub/hub_outlier_probe.c
@@ -0,0 +1,231 @@
+#include "hub/hub_outlier_internal.h"
+
+/* An ejected target gets no request for this time after its last failure. */
+#define PROBE_BACKOFF_MS 1000
+/* Then only repeatable requests probe it, as long as the service has any. Other
+ * requests may do so once the ejection has lasted this long: most intermittent
+ * faults have passed then. */
+#define REPEATABLE_ONLY_MS 8000
+/* Time from the last failure to a probe by an unrepeatable request. */
+#define UNREPEATABLE_BACKOFF_MS 4000
+/* Share of a service's targets that may get no requests at all, and the time
+ * after its last failure at which a target counts as such. */
+#define UNUSED_SHARE 0.27
+#define UNUSED_MS    1200
+/* The right to probe a target expires after this time without a result. */
+#define PROBE_TIMEOUT_MS 4000
+/* Consecutive successful probes that end an ejection; one is enough while too
+ * few targets of the service are healthy. */
+#define PROBES_NEEDED 3
+/* Interval of the probes of an unreachable target: gates may still reach it. */
+#define UNREACHABLE_BACKOFF_MS 3000
+
+/* @return number of successful probes that end an ejection */
+static uint32_t
+get_probes_needed(const outlier_service_t *service)
+{
+	return (outlier_count_healthy(service) < outlier_get_min_in_use(service)
+		? 1
+		: PROBES_NEEDED);
+}
+
+void
+outlier_record_probe(hub_outlier_t *detector, outlier_target_t *target,
+    const hub_evidence_t *evidence, int64_t now_ms)
+{
+	if (target->probe_gate != evidence->gate)
+		return;
+	target->probe_gate = NODE_ID_NONE;
+	switch (evidence->kind) {
+	case FLEET_EVIDENCE_PROBE_UNUSED:
+		return;
+	case FLEET_EVIDENCE_SUCCESS:
+		target->success_ms = now_ms;
+		target->service->totals.probes_succeeded++;
+		if (++target->probe_successes >=
+		    get_probes_needed(target->service))
+			outlier_set_verdict(detector, target,
+			    FLEET_VERDICT_HEALTHY, "probes succeeded");
+		return;
+	default:
+		target->service->totals.probes_failed++;
+		outlier_eject(detector, target, evidence->kind, now_ms);
+	}
+}
+
+static int
+is_probing(const outlier_target_t *target)
+{
+	return (target->verdict == FLEET_VERDICT_PROBE ||
+	    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE);
+}
+
+static void
+grant_probe(outlier_target_t *target, node_id_t gate, int64_t now_ms)
+{
+	target->probe_gate = gate;
+	target->probe_ms = now_ms;
+	target->service->totals.probes_granted++;
+}
+
+int
+hub_outlier_acquire_probe(
+    hub_outlier_t *detector, uint64_t key, node_id_t gate, int64_t now_ms)
+{
+	outlier_target_t *target = outlier_find(detector, key);
+
+	if (target == NULL)
+		return (0);
+	if (!is_probing(target) || target->probe_gate != NODE_ID_NONE) {
+		target->service->totals.probes_refused++;
+		return (0);
+	}
+	grant_probe(target, gate, now_ms);
+	return (1);
+}
+
+int
+outlier_is_idle(const outlier_target_t *target, int64_t now_ms)
+{
+	return (target->verdict == FLEET_VERDICT_HEALTHY &&
+	    !target->is_unreachable && !target->is_draining &&
+	    target->evidence_ms <= target->success_ms &&
+	    now_ms - target->used_ms > HUB_OUTLIER_IDLE_MS);
+}
+
+static int
+is_open_to(const outlier_target_t *target, int may_repeat)
+{
+	return (target->probe_gate == NODE_ID_NONE && !target->is_draining &&
+	    (target->verdict == FLEET_VERDICT_PROBE ||
+		(may_repeat &&
+		    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE)));
+}
+
+hub_assignment_t
+hub_outlier_assign_target(hub_outlier_t *detector, uint64_t id, node_id_t gate,
+    int may_repeat, int64_t now_ms)
+{
+	hub_assignment_t assignment = { .target = 0 };
+	outlier_service_t *service;
+	outlier_target_t *chosen = NULL;
+	outlier_target_t *target;
+
+	HASH_FIND(hh, detector->services, &id, sizeof(id), service);
+	if (service == NULL)
+		return (assignment);
+	for (target = service->targets; target != NULL; target = target->next) {
+		if ((outlier_is_idle(target, now_ms) ||
+			is_open_to(target, may_repeat)) &&
+		    (chosen == NULL || target->used_ms < chosen->used_ms))
+			chosen = target;
+	}
+	if (chosen == NULL) {
+		service->totals.probes_refused++;
+		return (assignment);
+	}
+	assignment.target = chosen->key;
+	assignment.is_probe = chosen->verdict != FLEET_VERDICT_HEALTHY;
+	if (assignment.is_probe)
+		grant_probe(chosen, gate, now_ms);
+	chosen->used_ms = now_ms;
+	return (assignment);
+}
+
+/* @return 1 if requests that must not be repeated may probe a target: most
+ * faults have passed, or no repeatable request has come to probe it */
+static int
+is_open_to_any(const outlier_target_t *target, int64_t now_ms)
+{
+	int has_repeatable = target->probe_ms > target->failed_ms;
+
+	return (now_ms - target->failed_ms >= UNREPEATABLE_BACKOFF_MS &&
+	    (!has_repeatable ||
+		now_ms - target->ejected_ms >= REPEATABLE_ONLY_MS));
+}
+
+void
+outlier_offer_probe(
+    hub_outlier_t *detector, outlier_target_t *target, int64_t now_ms)
+{
+	int64_t idle_ms = now_ms - target->failed_ms;
+
+	if (target->probe_gate != NODE_ID_NONE &&
+	    now_ms - target->probe_ms > PROBE_TIMEOUT_MS)
+		target->probe_gate = NODE_ID_NONE;
+	if (target->probe_gate != NODE_ID_NONE)
+		return;
+	if (target->is_unreachable) {
+		if (idle_ms >= UNREACHABLE_BACKOFF_MS)
+			outlier_set_verdict(detector, target,
+			    FLEET_VERDICT_PROBE,
+			    "unreachable for the leader, probed through the gates");
+		return;
+	}
+	if (is_open_to_any(target, now_ms))
+		outlier_set_verdict(detector, target, FLEET_VERDICT_PROBE,
+		    "any request may probe it");
+	else if (target->verdict == FLEET_VERDICT_EJECTED &&
+	    idle_ms >= PROBE_BACKOFF_MS)
+		outlier_set_verdict(detector, target,
+		    FLEET_VERDICT_PROBE_REPEATABLE,
+		    "repeatable requests may probe it");
+}
+
+/* @return 1 if a target gets no requests at all: not healthy, and not open to
+ * probes by any request */
+static int
+is_unused(const outlier_target_t *target, int64_t now_ms)
+{
+	return (!target->is_unreachable &&
+	    target->verdict != FLEET_VERDICT_HEALTHY &&
+	    target->verdict != FLEET_VERDICT_PROBE &&
+	    now_ms - target->failed_ms > UNUSED_MS);
+}
+
+/* Counts the targets of a service that get no requests at all. */
+static uint32_t
+count_unused(const outlier_service_t *service, int64_t now_ms)
+{
+	const outlier_target_t *target;
+	uint32_t unused = 0;
+
+	for (target = service->targets; target != NULL; target = target->next)
+		unused += is_unused(target, now_ms);
+	return (unused);
+}
+
+/* Finds the unused target whose last failure is the longest ago. */
+static outlier_target_t *
+find_longest_idle(const outlier_service_t *service, int64_t now_ms)
+{
+	outlier_target_t *longest_idle = NULL;
+	outlier_target_t *target;
+
+	for (target = service->targets; target != NULL; target = target->next) {
+		if (is_unused(target, now_ms) &&
+		    target->probe_gate == NODE_ID_NONE &&
+		    (longest_idle == NULL ||
+			target->failed_ms < longest_idle->failed_ms))
+			longest_idle = target;
+	}
+	return (longest_idle);
+}
+
+void
+outlier_limit_unused(
+    hub_outlier_t *detector, const outlier_service_t *service, int64_t now_ms)
+{
+	outlier_target_t *target;
+	uint32_t unused = count_unused(service, now_ms);
+	uint32_t allowed =
+	    (uint32_t)(UNUSED_SHARE * outlier_count_targets(service));
+
+	for (; unused > allowed; unused--) {
+		target = find_longest_idle(service, now_ms);
+		if (target == NULL)
+			return;
+		outlier_set_verdict(detector, target, FLEET_VERDICT_PROBE,
+		    "too many targets of the service are unused");
+	}
+}
