hub: a new leader does not begin the wait for probes anew

Cause: the time of the last failure is not replicated, and the new leader took its own start for it. It now takes half of the backoff as passed, the mean of what has.

HubOutlier.ANewLeaderDoesNotBeginTheWaitForProbesAnew failed before.

--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -340,7 +340,9 @@
 	if (target == NULL)
 		return;
 	target->ejected_ms = now_ms;
-	target->failed_ms = now_ms;
+	/* The time of the failure is not known; half of the backoff has passed
+	 * on average. */
+	target->failed_ms = now_ms - OUTLIER_UNREPEATABLE_BACKOFF_MS / 2;
 	outlier_set_verdict(detector, target, FLEET_VERDICT_EJECTED,
 	    "ejected by the previous leader");
 }
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -11,6 +11,9 @@
 
 #include "hub/hub_outlier.h"
 
+/* Time from the last failure to a probe by an unrepeatable request. */
+#define OUTLIER_UNREPEATABLE_BACKOFF_MS 4000
+
 typedef struct outlier_service outlier_service_t;
 
 typedef struct outlier_target {
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -6,8 +6,6 @@
  * requests may do so once the ejection has lasted this long: most intermittent
  * faults have passed then. */
 #define REPEATABLE_ONLY_MS 8000
-/* Time from the last failure to a probe by an unrepeatable request. */
-#define UNREPEATABLE_BACKOFF_MS 4000
 /* Share of a service's targets that may get no requests at all, and the time
  * after its last failure at which a target counts as such. */
 #define UNUSED_SHARE 0.27
@@ -139,7 +137,7 @@
 {
 	int has_repeatable = target->probe_ms > target->failed_ms;
 
-	return (now_ms - target->failed_ms >= UNREPEATABLE_BACKOFF_MS &&
+	return (now_ms - target->failed_ms >= OUTLIER_UNREPEATABLE_BACKOFF_MS &&
 	    (!has_repeatable ||
 		now_ms - target->ejected_ms >= REPEATABLE_ONLY_MS));
 }
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -419,6 +419,19 @@
 	EXPECT_EQ(FLEET_VERDICT_PROBE_REPEATABLE, Get(3));
 }
 
+// gmpco-veg-grown, scale-2: a new leader took 16 ejected targets over and began
+// their waits anew; 5 of 11 sound targets of a service got nothing for 2 s.
+TEST_F(HubOutlier, ANewLeaderDoesNotBeginTheWaitForProbesAnew)
+{
+	AddTargets(8);
+	hub_outlier_restore_ejection(detector_, 3, now_);
+	EXPECT_EQ(FLEET_VERDICT_EJECTED, Get(3));
+	Pass(100, 8);
+	EXPECT_EQ(FLEET_VERDICT_PROBE_REPEATABLE, Get(3));
+	Pass(2100, 8);
+	EXPECT_EQ(FLEET_VERDICT_PROBE, Get(3));
+}
+
 TEST_F(HubOutlier, NewIncarnationHasNoEvidence)
 {
 	AddTargets(8);
