hub: idle targets of a full service are not offered; docs

A target with a full queue gets no new requests, as gates avoid it, and would have counted as idle. A service with as many requests as slots has none to offer.

--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -215,6 +215,22 @@
 	hub_quota_set_gate_counts(hub->quota, &counts, now_ms);
 }
 
+/* @return 1 if a service has as many requests as slots; targets that get no
+ * new ones are full then */
+static int
+is_service_full(const hub_t *hub, uint64_t service)
+{
+	size_t count;
+	const hub_utilization_t *list = hub_load_list(hub->load, &count);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (list[i].service == service)
+			return (list[i].load >= 1);
+	}
+	return (0);
+}
+
 static void
 update_idle_services(hub_t *hub, int64_t now_ms)
 {
@@ -229,7 +245,7 @@
 	     service = service->hh.next) {
 		if (hub_outlier_count_service(
 			hub->outlier, service->id, now_ms, &counts) == TM_OK &&
-		    counts.idle > 0)
+		    counts.idle > 0 && !is_service_full(hub, service->id))
 			hub->idle_services[hub->idle_service_count++] =
 			    service->id;
 	}
