hub: waits and shares of the detector follow the deployment's bounds

The wait for a probe by an unrepeatable request (4 s) and the share of unused targets (0.27) were constants that suit a connectivity window of 3 s and a floor of 0.7. With others, sound targets would go unused for longer than allowed.

HubOutlier.WaitsFollowTheBoundsOfTheDeployment could not be written before.

--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -62,12 +62,25 @@
 	uint64_t ejections;
 } hub_outlier_counts_t;
 
-/** @return NULL if memory is exhausted */
+/** What the deployment expects of the use of targets. */
+typedef struct hub_outlier_bounds {
+	/** A target without a failure for this time is sound: it must get
+	 * requests. */
+	int64_t sound_after_ms;
+	double used_share_min; /**< share of the targets that must get some */
+} hub_outlier_bounds_t;
+
+/** @return a detector with bounds of 6 s and 0.7; NULL if memory is exhausted
+ */
 hub_outlier_t *hub_outlier_create(hub_outlier_cb changed, void *ctx);
 
 /** Frees everything; NULL is allowed. */
 void hub_outlier_destroy(hub_outlier_t *detector);
 
+/** Sets the bounds; to be called before the first target is added. */
+void hub_outlier_set_bounds(
+    hub_outlier_t *detector, const hub_outlier_bounds_t *bounds);
+
 /** Removes all targets and their evidence: this hub begins to lead. */
 void hub_outlier_reset(hub_outlier_t *detector);
 
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -11,9 +11,6 @@
 
 #include "hub/hub_outlier.h"
 
-/* Time from the last failure to a probe by an unrepeatable request. */
-#define OUTLIER_UNREPEATABLE_BACKOFF_MS 4000
-
 typedef struct outlier_service outlier_service_t;
 
 typedef struct outlier_target {
@@ -54,6 +51,10 @@
 struct hub_outlier {
 	outlier_target_t *targets;
 	outlier_service_t *services;
+	/* Time from the last failure to a probe by an unrepeatable request. */
+	int64_t unrepeatable_backoff_ms;
+	/* Share of a service's targets that may get no requests at all. */
+	double unused_share_max;
 	hub_outlier_cb changed;
 	void *ctx;
 };
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -6,10 +6,9 @@
  * requests may do so once the ejection has lasted this long: most intermittent
  * faults have passed then. */
 #define REPEATABLE_ONLY_MS 8000
-/* Share of a service's targets that may get no requests at all, and the time
- * after its last failure at which a target counts as such. */
-#define UNUSED_SHARE 0.27
-#define UNUSED_MS    1200
+/* Time after its last failure at which a target without requests counts as
+ * unused. */
+#define UNUSED_MS 1200
 /* The right to probe a target expires after this time without a result. */
 #define PROBE_TIMEOUT_MS 4000
 /* Consecutive successful probes that end an ejection; one is enough while too
@@ -133,11 +132,13 @@
 /* @return 1 if requests that must not be repeated may probe a target: most
  * faults have passed, or no repeatable request has come to probe it */
 static int
-is_open_to_any(const outlier_target_t *target, int64_t now_ms)
+is_open_to_any(const hub_outlier_t *detector, const outlier_target_t *target,
+    int64_t now_ms)
 {
 	int has_repeatable = target->probe_ms > target->failed_ms;
 
-	return (now_ms - target->failed_ms >= OUTLIER_UNREPEATABLE_BACKOFF_MS &&
+	return (
+	    now_ms - target->failed_ms >= detector->unrepeatable_backoff_ms &&
 	    (!has_repeatable ||
 		now_ms - target->ejected_ms >= REPEATABLE_ONLY_MS));
 }
@@ -160,7 +161,7 @@
 			    "unreachable for the leader, probed through the gates");
 		return;
 	}
-	if (is_open_to_any(target, now_ms))
+	if (is_open_to_any(detector, target, now_ms))
 		outlier_set_verdict(detector, target, FLEET_VERDICT_PROBE,
 		    "any request may probe it");
 	else if (target->verdict == FLEET_VERDICT_EJECTED &&
@@ -216,8 +217,8 @@
 {
 	outlier_target_t *target;
 	uint32_t unused = count_unused(service, now_ms);
-	uint32_t allowed =
-	    (uint32_t)(UNUSED_SHARE * outlier_count_targets(service));
+	uint32_t allowed = (uint32_t)(detector->unused_share_max *
+	    outlier_count_targets(service));
 
 	for (; unused > allowed; unused--) {
 		target = find_longest_idle(service, now_ms);
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -400,6 +400,27 @@
 		    << key;
 }
 
+// The waits were constants that suited a window of 3 s: with a shorter one, sound
+// targets would have got nothing for longer than the deployment allows.
+TEST_F(HubOutlier, WaitsFollowTheBoundsOfTheDeployment)
+{
+	const hub_outlier_bounds_t bounds = { 3000, 0.9 };
+
+	hub_outlier_set_bounds(detector_, &bounds);
+	AddTargets(20);
+	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
+	Pass(2100, 20);
+	EXPECT_EQ(FLEET_VERDICT_PROBE, Get(3));
+	for (uint64_t key = 1; key <= 6; key++)
+		RecordEvidence(key, FLEET_EVIDENCE_BROKEN);
+	Pass(1500, 20);
+	for (uint64_t key = 1; key <= 6; key++)
+		EXPECT_EQ(key < 6 ? FLEET_VERDICT_PROBE
+				  : FLEET_VERDICT_PROBE_REPEATABLE,
+		    Get(key))
+		    << key;
+}
+
 // A new leader that did not know the verdicts lost a request at each failing
 // target.
 TEST_F(HubOutlier, EjectionsSurviveAChangeOfLeader)
