test: HubFloor checks every span of 2 s, not only spans end to end

A sound target that got nothing from the middle of one span to the middle of the next was not seen; the rule holds for any span. Every 100 ms now.

--- a/test/unit/hub_floor_test.cc
+++ b/test/unit/hub_floor_test.cc
@@ -22,7 +22,9 @@
 
 const uint64_t kTerm = 1;
 const int64_t kStepMs = 10;
+/* Any span of this length is a window; they are checked every kSlideMs. */
 const int64_t kWindowMs = 2000;
+const int64_t kSlideMs = 100;
 /* A target is sound this long after it was slow, and after it failed. */
 const int64_t kSoundAfterSlowMs = 6000;
 const int64_t kSoundAfterFailureMs = 2000;
@@ -186,6 +188,11 @@
 		int requests;
 		int unserved;
 	};
+	/* Requests within kSlideMs. */
+	struct Slide {
+		int requests;
+		int unserved;
+	};
 
 	static void
 	OnVerdict(
@@ -331,7 +338,7 @@
 		double work_ms;
 
 		requests_++;
-		window_.requests++;
+		slide_.requests++;
 		attempt.gate = (size_t)(Draw() * (double)gates_.size());
 		attempt.target = Choose(attempt.gate, &attempt.is_probe);
 		ASSERT_NE(nullptr, attempt.target);
@@ -359,7 +366,7 @@
 		}
 		if (attempt.kind != FLEET_EVIDENCE_SUCCESS) {
 			unserved_++;
-			window_.unserved++;
+			slide_.unserved++;
 		}
 		running_.push(attempt);
 		stalls_.push_back(attempt);
@@ -420,20 +427,35 @@
 
 	/* Sound targets that became unsound within the window do not count. */
 	void
-	EndWindow()
+	CountTargets(Window *window)
 	{
-		window_.sound = 0;
-		window_.used = 0;
 		for (const Target &target : targets_) {
 			if (target.is_broken || target.is_slow ||
-			    target.sound_from > window_.start)
+			    target.sound_from > window->start)
 				continue;
-			window_.sound++;
-			window_.used += target.used_ms >= window_.start;
+			window->sound++;
+			window->used += target.used_ms >= window->start;
+		}
+	}
+
+	/* Adds the window that ends now, if a whole one has passed. */
+	void
+	SlideWindow()
+	{
+		Window window = {};
+
+		slides_.push_back(slide_);
+		slide_ = {};
+		if (slides_.size() < (size_t)(kWindowMs / kSlideMs))
+			return;
+		window.start = now_ - kWindowMs;
+		for (const Slide &slide : slides_) {
+			window.requests += slide.requests;
+			window.unserved += slide.unserved;
 		}
-		windows_.push_back(window_);
-		window_ = {};
-		window_.start = now_;
+		CountTargets(&window);
+		windows_.push_back(window);
+		slides_.pop_front();
 	}
 
 	void
@@ -464,8 +486,8 @@
 			if ((now_ + (int64_t)i * kStepMs) % 500 == 0)
 				Renew(i);
 		}
-		if (now_ - window_.start >= kWindowMs)
-			EndWindow();
+		if (now_ % kSlideMs == 0)
+			SlideWindow();
 	}
 
 	Load load_;
@@ -483,7 +505,8 @@
 	std::deque<Attempt> stalls_;
 	std::deque<Attempt> ended_;
 	int in_trouble_ = 0;
-	Window window_ = { now_, 0, 0, 0, 0 };
+	Slide slide_ = {};
+	std::deque<Slide> slides_; /* of the window that ends now */
 	std::vector<Window> windows_;
 	int checked_ = 0;
 };
