service, entry: unrepeatable requests probe targets that no repeatable one comes to

Callers of a tm-entry service with only unrepeatable requests would lose a target for good after a fault: it stayed ejected, or avoided by a VM, when it had long recovered.

Cause: permits for probes were used by repeatable requests alone, and a service may have none.

After three permits that expired unused the leader opens the next one to any request, and a VM does so 3 s after a probe of a target that it avoids was due. A VM of the version before ignores the new field and waits as it did.

service_unrepeatable.scn and service_unrepeatable_path.scn: without the change (switches SERVICE_OFF_ANY_PROBE, SERVICE_VIEW_OFF_ANY_PROBE) the target is used by 0 of 6 and 5 of 6 VMs at the end, with it by 6 of 6.

--- a/src/entry/request_attempt.c
+++ b/src/entry/request_attempt.c
@@ -65,7 +65,7 @@
 }
 
 static service_endpoint_t *
-request_pick(entry_request_t *request, int allow_trial, int *is_trial)
+request_pick(entry_request_t *request, int allow_probe, int *is_trial)
 {
 	entry_service_t *service = request->service;
 	service_endpoint_t *const *endpoints;
@@ -73,8 +73,9 @@
 	int64_t now_ms = clock_now_ms();
 	uint32_t count;
 
-	if (allow_trial)
-		endpoint = service_view_take_probe(service->view, now_ms);
+	if (allow_probe)
+		endpoint = service_view_take_probe(
+		    service->view, request->repeat_allowed, now_ms);
 	*is_trial = endpoint != NULL;
 	if (endpoint != NULL)
 		return (endpoint);
@@ -305,8 +306,7 @@
 		request_refuse(request, REFUSAL_BLOCKED, 0);
 		return;
 	}
-	endpoint = request_pick(request,
-	    request->repeat_allowed && request->tried_count == 0, &is_trial);
+	endpoint = request_pick(request, request->tried_count == 0, &is_trial);
 	if (endpoint == NULL) {
 		request_refuse(request, REFUSAL_NO_TARGET, 0);
 		return;
--- a/src/proto/service.pb-c.c
+++ b/src/proto/service.pb-c.c
@@ -1891,7 +1891,7 @@
   (ProtobufCMessageInit) service_announce_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor service_trial__field_descriptors[4] =
+static const ProtobufCFieldDescriptor service_trial__field_descriptors[5] =
 {
   {
     "service",
@@ -1941,8 +1941,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "allows_unrepeatable",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ServiceTrial, allows_unrepeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned service_trial__field_indices_by_name[] = {
+  4,   /* field[4] = allows_unrepeatable */
   2,   /* field[2] = incarnation */
   3,   /* field[3] = permit */
   0,   /* field[0] = service */
@@ -1951,7 +1964,7 @@
 static const ProtobufCIntRange service_trial__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor service_trial__descriptor =
 {
@@ -1961,7 +1974,7 @@
   "ServiceTrial",
   "",
   sizeof(ServiceTrial),
-  4,
+  5,
   service_trial__field_descriptors,
   service_trial__field_indices_by_name,
   1,  service_trial__number_ranges,
--- a/src/proto/service.pb-c.h
+++ b/src/proto/service.pb-c.h
@@ -272,10 +272,14 @@
   uint64_t target;
   uint64_t incarnation;
   uint64_t permit;
+  /*
+   * Requests that must not be repeated may use it, too.
+   */
+  protobuf_c_boolean allows_unrepeatable;
 };
 #define SERVICE_TRIAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&service_trial__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  ServiceTrialResult
--- a/src/service/service_eject.c
+++ b/src/service/service_eject.c
@@ -10,6 +10,9 @@
 #define EJECT_PROBES_TO_RETURN	5
 #define EJECT_PROBE_INTERVAL_MS 200
 #define EJECT_PERMIT_TIMEOUT_MS 1000
+/* After this many unused permits the service seems to have no repeatable
+ * requests, and any request may use the next one. */
+#define EJECT_UNUSED_PERMITS 3
 /* A worse target replaces an ejected one only at this ratio of scores. */
 #define EJECT_SWAP_FACTOR 2.0
 
@@ -79,6 +82,7 @@
 	target->probe_successes = 0;
 	target->probe_latency_sum_ms = 0;
 	target->permit = 0;
+	target->unused_permits = 0;
 	target->next_probe_ms = now_ms + eject_get_backoff_ms(leader, target);
 	leader->stats.ejections++;
 	leader->dirty = 1;
@@ -211,6 +215,14 @@
 	return (found);
 }
 
+static int
+eject_is_open_to_any(
+    const service_leader_t *leader, const leader_target_t *target)
+{
+	return (target->unused_permits >= EJECT_UNUSED_PERMITS &&
+	    !(leader->opt.test_off & SERVICE_OFF_ANY_PROBE));
+}
+
 static void
 eject_send_probe_permit(
     service_leader_t *leader, leader_target_t *target, int64_t now_ms)
@@ -226,6 +238,7 @@
 	msg.target = target->id;
 	msg.incarnation = target->info.incarnation;
 	msg.permit = target->permit;
+	msg.allows_unrepeatable = eject_is_open_to_any(leader, target);
 	leader->opt.send(leader->opt.ctx, vm->id, MSG_SERVICE_TRIAL, &msg.base);
 }
 
@@ -239,8 +252,10 @@
 		target = &leader->targets[i];
 		if (!target->used || target->state != SERVICE_TARGET_EJECTED)
 			continue;
-		if (target->permit != 0 && now_ms >= target->permit_until_ms)
+		if (target->permit != 0 && now_ms >= target->permit_until_ms) {
 			target->permit = 0;
+			target->unused_permits++;
+		}
 		if (target->permit == 0 && now_ms >= target->next_probe_ms)
 			eject_send_probe_permit(leader, target, now_ms);
 	}
@@ -274,6 +289,8 @@
 	    target->state != SERVICE_TARGET_EJECTED)
 		return;
 	target->permit = 0;
+	if (!eject_is_open_to_any(leader, target))
+		target->unused_permits = 0;
 	target->next_probe_ms = now_ms + EJECT_PROBE_INTERVAL_MS;
 	target->probe_latency_sum_ms += msg->latency_ms;
 	target->probe_successes++;
--- a/src/service/service_leader.h
+++ b/src/service/service_leader.h
@@ -40,7 +40,8 @@
 	SERVICE_OFF_INCARNATION = 1 << 5,
 	SERVICE_OFF_RESTORE = 1 << 6,
 	SERVICE_OFF_PUSH = 1 << 7,
-	SERVICE_OFF_LAST_SECOND = 1 << 8 /**< evaluation of the last second */
+	SERVICE_OFF_LAST_SECOND = 1 << 8, /**< evaluation of the last second */
+	SERVICE_OFF_ANY_PROBE = 1 << 9 /**< probes by unrepeatable requests */
 } service_leader_off_t;
 
 /** Callbacks and settings of a leader. */
--- a/src/service/service_leader_internal.h
+++ b/src/service/service_leader_internal.h
@@ -56,6 +56,7 @@
 	int64_t next_probe_ms;
 	uint64_t permit; /* 0: none outstanding */
 	int64_t permit_until_ms;
+	uint32_t unused_permits; /* expired without a result, consecutive */
 	uint32_t probe_successes;
 	double probe_latency_sum_ms;
 	int64_t first_break_ms; /* of this incarnation; 0: none */
--- a/src/service/service_view.c
+++ b/src/service/service_view.c
@@ -124,6 +124,7 @@
 		return;
 	endpoint->state->permit = msg->permit;
 	endpoint->state->permit_until_ms = now_ms + VIEW_PERMIT_EXPIRY_MS;
+	endpoint->state->permit_allows_unrepeatable = msg->allows_unrepeatable;
 }
 
 void
@@ -301,7 +302,7 @@
 }
 
 service_endpoint_t *
-service_view_take_probe(service_view_t *view, int64_t now_ms)
+service_view_take_probe(service_view_t *view, int may_repeat, int64_t now_ms)
 {
 	service_endpoint_state_t *state;
 	uint32_t i;
@@ -309,12 +310,13 @@
 	for (i = 0; i < view->count; i++) {
 		state = view->endpoints[i]->state;
 		if (state->permit == 0 || now_ms >= state->permit_until_ms ||
-		    state->state != SERVICE_TARGET_EJECTED)
+		    state->state != SERVICE_TARGET_EJECTED ||
+		    (!may_repeat && !state->permit_allows_unrepeatable))
 			continue;
 		state->permit_until_ms = 0;
 		return (view->endpoints[i]);
 	}
-	return (view_local_take_probe(view, now_ms));
+	return (view_local_take_probe(view, may_repeat, now_ms));
 }
 
 void
--- a/src/service/service_view.h
+++ b/src/service/service_view.h
@@ -29,7 +29,9 @@
 	    << 5, /**< evidence of superseded attempts */
 	SERVICE_VIEW_OFF_LATE = 1 << 6, /**< count of late attempts */
 	/** Refusal of older processes */
-	SERVICE_VIEW_OFF_INCARNATION = 1 << 7
+	SERVICE_VIEW_OFF_INCARNATION = 1 << 7,
+	/** Probes by unrepeatable requests of targets that this VM avoids */
+	SERVICE_VIEW_OFF_ANY_PROBE = 1 << 8
 } service_view_off_t;
 
 /** Callbacks and settings of a view. */
@@ -149,12 +151,14 @@
 
 /**
  * Uses a permit for a probe (of the leader, or for a target that this VM
- * avoids), if there is one. Only for requests that may be repeated.
+ * avoids), if there is one. A request that must not be repeated gets one only
+ * after no repeatable request has come to use it: the service may have none.
  *
- * @return endpoint to probe, or NULL
+ * @param may_repeat  1 if the request may be repeated
+ * @return            endpoint to probe, or NULL
  */
 service_endpoint_t *service_view_take_probe(
-    service_view_t *view, int64_t now_ms);
+    service_view_t *view, int may_repeat, int64_t now_ms);
 
 /**
  * Starts an attempt; endpoint->in_flight grows.
--- a/src/service/service_view_internal.h
+++ b/src/service/service_view_internal.h
@@ -43,7 +43,10 @@
 	/* Permit of the leader */
 	uint64_t permit;
 	int64_t permit_until_ms;
+	int permit_allows_unrepeatable;
 	int local_probe_running;
+	/* No repeatable request came to probe it in time. */
+	int local_allows_unrepeatable;
 	service_attempt_t *oldest; /* attempts in flight, by their start */
 	service_attempt_t *newest;
 } service_endpoint_state_t;
@@ -131,7 +134,8 @@
 void view_local_decay(service_view_t *view, int64_t now_ms);
 int64_t view_local_get_due_ms(const service_view_t *view, int64_t now_ms);
 void view_local_update(service_view_t *view, int64_t now_ms);
-service_endpoint_t *view_local_take_probe(service_view_t *view, int64_t now_ms);
+service_endpoint_t *view_local_take_probe(
+    service_view_t *view, int may_repeat, int64_t now_ms);
 void view_local_end_probe(service_view_t *view, service_endpoint_t *endpoint,
     int success, int64_t latency_ms, int64_t now_ms);
 int64_t view_get_stall_ms(const service_view_t *view);
--- a/src/service/service_view_local.c
+++ b/src/service/service_view_local.c
@@ -10,7 +10,9 @@
 #define LOCAL_COUNT_RESET_MS	600000
 #define LOCAL_PROBES_TO_RETURN	3
 #define LOCAL_PROBE_INTERVAL_MS 200
-#define LOCAL_COLD_SHARE_MIN	100
+/* Without a repeatable request for this time any request may probe. */
+#define LOCAL_REPEATABLE_ONLY_MS 3000
+#define LOCAL_COLD_SHARE_MIN	 100
 /* A request older than this many typical latencies counts as a stall. */
 #define LOCAL_STALL_FACTOR 8
 #define LOCAL_STALL_MIN_MS 100
@@ -153,6 +155,7 @@
 	state->failure_score = verdict->failure_score;
 	state->local_finding = *verdict;
 	state->local_probe_successes = 0;
+	state->local_allows_unrepeatable = 0;
 	state->local_next_probe_ms = now_ms + local_get_backoff_ms(state);
 	LOG_EVENT(610, LOG_LEVEL_WARN, "target avoided by this VM",
 	    LOG_TEXT("service", view->name),
@@ -248,8 +251,20 @@
 	view_local_update(view, now_ms);
 }
 
+static int
+local_may_probe(const service_view_t *view,
+    const service_endpoint_state_t *state, int may_repeat, int64_t now_ms)
+{
+	int64_t due_ms = state->local_next_probe_ms;
+
+	if (may_repeat || state->local_allows_unrepeatable)
+		return (now_ms >= due_ms);
+	return (!(view->opt.test_off & SERVICE_VIEW_OFF_ANY_PROBE) &&
+	    now_ms >= due_ms + LOCAL_REPEATABLE_ONLY_MS);
+}
+
 service_endpoint_t *
-view_local_take_probe(service_view_t *view, int64_t now_ms)
+view_local_take_probe(service_view_t *view, int may_repeat, int64_t now_ms)
 {
 	service_endpoint_state_t *state;
 	uint32_t i;
@@ -259,8 +274,9 @@
 		if (!state->avoided || view->endpoints[i]->usable ||
 		    state->state != SERVICE_TARGET_ACTIVE ||
 		    state->local_probe_running ||
-		    now_ms < state->local_next_probe_ms)
+		    !local_may_probe(view, state, may_repeat, now_ms))
 			continue;
+		state->local_allows_unrepeatable |= !may_repeat;
 		state->local_probe_running = 1;
 		return (view->endpoints[i]);
 	}
--- a/test/scenario/service_scenario.cc
+++ b/test/scenario/service_scenario.cc
@@ -34,6 +34,7 @@
 	cfg.profile.floor_percent =
 	    (uint32_t)script_get_number(line, "floor", 50);
 	cfg.hedges = script_get_number(line, "hedges", 0) != 0;
+	cfg.repeatable = script_get_number(line, "repeatable", 1) != 0;
 	cfg.slots = (uint32_t)script_get_number(line, "slots", 4);
 	cfg.seed = (uint64_t)script_get_number(line, "seed", 1);
 	cfg.leader_off = s->leader_off;
@@ -239,6 +240,8 @@
 	{ "outrun_slow", 0, SERVICE_VIEW_OFF_SUPERSEDED },
 	{ "outrun_half", 0, SERVICE_VIEW_OFF_LATE },
 	{ "outrun_stall", 0, SERVICE_VIEW_OFF_SUPERSEDED },
+	{ "unrepeatable", SERVICE_OFF_ANY_PROBE, 0 },
+	{ "unrepeatable_path", 0, SERVICE_VIEW_OFF_ANY_PROBE },
 };
 
 class ServiceScenario : public testing::TestWithParam<Case> {};
--- a/test/scenario/service_sim.cc
+++ b/test/scenario/service_sim.cc
@@ -170,7 +170,8 @@
 	bool probe = false;
 
 	if (request->tried_count == 0 && !request->crashes) {
-		endpoint = service_view_take_probe(vm.view, now());
+		endpoint =
+		    service_view_take_probe(vm.view, cfg.repeatable, now());
 		probe = endpoint != nullptr;
 	}
 	if (endpoint == nullptr)
--- a/test/scenario/service_sim.h
+++ b/test/scenario/service_sim.h
@@ -54,6 +54,7 @@
 	service_profile_t profile = { SERVICE_NORMAL, 50, 1 };
 	bool baseline = false;
 	bool hedges = false; // slow attempts get a second one
+	bool repeatable = true; // requests may be sent again
 	uint32_t leader_off = 0;
 	uint32_t view_off = 0;
 	uint64_t seed = 1;
