hub: waits of the detector follow from when a target is sound, not from the window

The wait for a probe by an unrepeatable request was 4/3 of connectivity_window_s. That window tells how long after a fault of machines or links nothing is expected; it says nothing of a target that failed by itself, which is sound 2 s after it recovered. With a window of 6 s sound targets would have got nothing for 8 s, with one of 1 s callers would have lost a request at each failing target every 1.3 s. The wait is now the 2 s until such a target is sound and the 2 s in which it should get a request; the setting is gone, used_share_min stays.

For the same reason a target counts as unused 2 s after its last failure, not 1.2 s: before that it cannot be sound, and opening it costs a caller's request.

HubOutlier.AtMostAShareOfAServiceIsUnused had the bound of 1.2 s, which came from no target of the deployment; it now checks both sides of 2 s, from which the rule counts. HubOutlierShare.UnusedShareFollowsTheSetting replaces WaitsFollowTheBoundsOfTheDeployment, whose window is gone: same share of 0.9.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -396,11 +396,6 @@
 		.added = on_hub_added,
 		.ctx = hub,
 	};
-	hub_outlier_bounds_t bounds = {
-		.sound_after_ms =
-		    (int64_t)(2 * settings->connectivity_window_s * MS_PER_SEC),
-		.used_share_min = settings->used_share_min,
-	};
 	hub_feed_options_t feed = {
 		.send = peer_net_send_cb,
 		.send_ctx = hub->net,
@@ -412,9 +407,8 @@
 		seeds[i] = settings->seeds[i];
 	hub->state = hub_state_create();
 	hub->members = hub_members_create(&members);
-	hub->outlier = hub_outlier_create(on_verdict, hub);
-	if (hub->outlier != NULL)
-		hub_outlier_set_bounds(hub->outlier, &bounds);
+	hub->outlier =
+	    hub_outlier_create(settings->used_share_min, on_verdict, hub);
 	hub->quota = hub_quota_create(&quota);
 	hub->load = hub_load_create();
 	feed.state = hub->state;
--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -31,17 +31,9 @@
  * long is unreachable, as far as the leader can tell. */
 #define TARGET_TIMEOUT_MS 4500
 
-/* Unrepeatable requests probe a target after this fraction of the time until it
- * is sound; the remainder is for the probe to come. */
-#define BACKOFF_SHARE (2.0 / 3)
 /* Fraction of the targets that need no requests that is left unused. */
 #define UNUSED_SHARE_MARGIN 0.9
 
-static const hub_outlier_bounds_t default_bounds = {
-	.sound_after_ms = 6000,
-	.used_share_min = 0.7,
-};
-
 static const struct {
 	const char *name;
 	double weight;
@@ -58,28 +50,18 @@
 };
 
 hub_outlier_t *
-hub_outlier_create(hub_outlier_cb changed, void *ctx)
+hub_outlier_create(double used_share_min, hub_outlier_cb changed, void *ctx)
 {
 	hub_outlier_t *detector = calloc(1, sizeof(*detector));
 
-	if (detector != NULL) {
-		detector->changed = changed;
-		detector->ctx = ctx;
-		hub_outlier_set_bounds(detector, &default_bounds);
-	}
+	if (detector == NULL)
+		return (NULL);
+	detector->unused_share_max = UNUSED_SHARE_MARGIN * (1 - used_share_min);
+	detector->changed = changed;
+	detector->ctx = ctx;
 	return (detector);
 }
 
-void
-hub_outlier_set_bounds(
-    hub_outlier_t *detector, const hub_outlier_bounds_t *bounds)
-{
-	detector->unrepeatable_backoff_ms =
-	    (int64_t)(BACKOFF_SHARE * (double)bounds->sound_after_ms);
-	detector->unused_share_max =
-	    UNUSED_SHARE_MARGIN * (1 - bounds->used_share_min);
-}
-
 static void
 remove_target(hub_outlier_t *detector, outlier_target_t *target)
 {
@@ -364,7 +346,7 @@
 	target->ejected_ms = now_ms;
 	/* The time of the failure is not known; half of the backoff has passed
 	 * on average. */
-	target->failed_ms = now_ms - detector->unrepeatable_backoff_ms / 2;
+	target->failed_ms = now_ms - OUTLIER_UNREPEATABLE_BACKOFF_MS / 2;
 	outlier_set_verdict(detector, target, FLEET_VERDICT_EJECTED,
 	    "ejected by the previous leader");
 }
--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -15,8 +15,13 @@
 
 #include "fleet/fleet_defs.h"
 
-/** A healthy target that got no request for this time is idle. */
-#define HUB_OUTLIER_IDLE_MS 1000
+/** A target that has not failed for this time may be sound. */
+#define HUB_OUTLIER_SOUND_AFTER_MS 2000
+/** Sound targets are expected to get a request in any span of this length. */
+#define HUB_OUTLIER_USE_WINDOW_MS 2000
+/** A healthy target that got no request for this time is idle; the rest of the
+ * window is for a request to come. */
+#define HUB_OUTLIER_IDLE_MS (HUB_OUTLIER_USE_WINDOW_MS / 2)
 
 typedef struct hub_outlier hub_outlier_t;
 
@@ -62,25 +67,19 @@
 	uint64_t ejections;
 } hub_outlier_counts_t;
 
-/** What the deployment expects of the use of targets. */
-typedef struct hub_outlier_bounds {
-	/** A target without a failure for this time is sound: it must get
-	 * requests. */
-	int64_t sound_after_ms;
-	double used_share_min; /**< share of the targets that must get some */
-} hub_outlier_bounds_t;
-
-/** @return a detector with bounds of 6 s and 0.7; NULL if memory is exhausted
+/**
+ * Creates a detector without targets.
+ *
+ * @param used_share_min  share of a service's sound targets that must get
+ *                        requests, 0 to 1
+ * @return                NULL if memory is exhausted
  */
-hub_outlier_t *hub_outlier_create(hub_outlier_cb changed, void *ctx);
+hub_outlier_t *hub_outlier_create(
+    double used_share_min, hub_outlier_cb changed, void *ctx);
 
 /** Frees everything; NULL is allowed. */
 void hub_outlier_destroy(hub_outlier_t *detector);
 
-/** Sets the bounds; to be called before the first target is added. */
-void hub_outlier_set_bounds(
-    hub_outlier_t *detector, const hub_outlier_bounds_t *bounds);
-
 /** Removes all targets and their evidence: this hub begins to lead. */
 void hub_outlier_reset(hub_outlier_t *detector);
 
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -11,6 +11,12 @@
 
 #include "hub/hub_outlier.h"
 
+/* Time from the last failure to a probe by an unrepeatable request: a target
+ * that recovered right after the failure is sound then, and the window in which
+ * it should get a request ends. */
+#define OUTLIER_UNREPEATABLE_BACKOFF_MS \
+	(HUB_OUTLIER_SOUND_AFTER_MS + HUB_OUTLIER_USE_WINDOW_MS)
+
 typedef struct outlier_service outlier_service_t;
 
 typedef struct outlier_target {
@@ -51,8 +57,6 @@
 struct hub_outlier {
 	outlier_target_t *targets;
 	outlier_service_t *services;
-	/* Time from the last failure to a probe by an unrepeatable request. */
-	int64_t unrepeatable_backoff_ms;
 	/* Share of a service's targets that may get no requests at all. */
 	double unused_share_max;
 	hub_outlier_cb changed;
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -6,9 +6,6 @@
  * requests may do so once the ejection has lasted this long: most intermittent
  * faults have passed then. */
 #define REPEATABLE_ONLY_MS 8000
-/* Time after its last failure at which a target without requests counts as
- * unused. */
-#define UNUSED_MS 1200
 /* The right to probe a target expires after this time without a result. */
 #define PROBE_TIMEOUT_MS 4000
 /* Consecutive successful probes that end an ejection; one is enough while too
@@ -132,13 +129,11 @@
 /* @return 1 if requests that must not be repeated may probe a target: most
  * faults have passed, or no repeatable request has come to probe it */
 static int
-is_open_to_any(const hub_outlier_t *detector, const outlier_target_t *target,
-    int64_t now_ms)
+is_open_to_any(const outlier_target_t *target, int64_t now_ms)
 {
 	int has_repeatable = target->probe_ms > target->failed_ms;
 
-	return (
-	    now_ms - target->failed_ms >= detector->unrepeatable_backoff_ms &&
+	return (now_ms - target->failed_ms >= OUTLIER_UNREPEATABLE_BACKOFF_MS &&
 	    (!has_repeatable ||
 		now_ms - target->ejected_ms >= REPEATABLE_ONLY_MS));
 }
@@ -161,7 +156,7 @@
 			    "unreachable for the leader, probed through the gates");
 		return;
 	}
-	if (is_open_to_any(detector, target, now_ms))
+	if (is_open_to_any(target, now_ms))
 		outlier_set_verdict(detector, target, FLEET_VERDICT_PROBE,
 		    "any request may probe it");
 	else if (target->verdict == FLEET_VERDICT_EJECTED &&
@@ -171,18 +166,17 @@
 		    "repeatable requests may probe it");
 }
 
-/* @return 1 if a target gets no requests at all: not healthy, and not open to
- * probes by any request */
+/* @return 1 if a target that may be sound gets no requests: it is not healthy,
+ * and not open to probes by any request */
 static int
 is_unused(const outlier_target_t *target, int64_t now_ms)
 {
 	return (!target->is_unreachable &&
 	    target->verdict != FLEET_VERDICT_HEALTHY &&
 	    target->verdict != FLEET_VERDICT_PROBE &&
-	    now_ms - target->failed_ms > UNUSED_MS);
+	    now_ms - target->failed_ms > HUB_OUTLIER_SOUND_AFTER_MS);
 }
 
-/* Counts the targets of a service that get no requests at all. */
 static uint32_t
 count_unused(const outlier_service_t *service, int64_t now_ms)
 {
--- a/src/hub/hub_settings.c
+++ b/src/hub/hub_settings.c
@@ -8,9 +8,6 @@
 /* Bounds of the retry budget; larger values would not limit retries. */
 #define RETRY_RATIO_MAX 1.0
 #define RETRY_BURST_MAX 10000.0
-/* Bounds of the connectivity window. */
-#define WINDOW_MIN_S 0.5
-#define WINDOW_MAX_S 600
 
 const char hub_default_settings[] =
     "{\n"
@@ -29,7 +26,6 @@
     "  \"rate_window_s\": 5,\n"
     "  \"rate_overshoot\": 0.1,\n"
     "  \"rate_slack\": 20,\n"
-    "  \"connectivity_window_s\": 3,\n"
     "  \"used_share_min\": 0.7,\n"
     "  \"dialect\": \"platform\",\n"
     "  \"log_level\": \"info\"\n"
@@ -60,8 +56,6 @@
 	settings->retry_burst = json_opt_real(
 	    root, "retry_burst", 0, RETRY_BURST_MAX, "requests", 60);
 	fleet_read_rate_bounds(root, &settings->rates);
-	settings->connectivity_window_s = json_opt_real(
-	    root, "connectivity_window_s", WINDOW_MIN_S, WINDOW_MAX_S, "s", 3);
 	settings->used_share_min =
 	    json_opt_real(root, "used_share_min", 0, 1, "", 0.7);
 	settings->dialect = fleet_read_dialect(root);
--- a/src/hub/hub_settings.h
+++ b/src/hub/hub_settings.h
@@ -31,9 +31,8 @@
 	double retry_ratio; /**< retries of a service per request */
 	double retry_burst; /**< retries beyond that ratio */
 	fleet_rate_bounds_t rates;
-	double connectivity_window_s; /**< twice this after a fault targets are
-				       * sound */
-	double used_share_min; /**< share of them that must get requests */
+	double used_share_min; /**< of a service's sound targets must get
+				* requests */
 	const dialect_t *dialect;
 	log_level_t log_level;
 } hub_settings_t;
--- a/test/unit/hub_feed_test.cc
+++ b/test/unit/hub_feed_test.cc
@@ -21,7 +21,7 @@
 	{
 		hub_feed_options_t options = {};
 
-		outlier_ = hub_outlier_create(OnVerdict, this);
+		outlier_ = hub_outlier_create(0.7, OnVerdict, this);
 		options.state = state_;
 		options.outlier = outlier_;
 		options.send = Send;
--- a/test/unit/hub_floor_test.cc
+++ b/test/unit/hub_floor_test.cc
@@ -50,7 +50,7 @@
 	{
 		hub_feed_options_t options = {};
 
-		outlier_ = hub_outlier_create(OnVerdict, this);
+		outlier_ = hub_outlier_create(0.7, OnVerdict, this);
 		options.state = state_;
 		options.outlier = outlier_;
 		options.send = Send;
--- a/test/unit/hub_load_test.cc
+++ b/test/unit/hub_load_test.cc
@@ -55,7 +55,8 @@
 
 	hub_state_t *state_ = hub_state_create();
 	hub_outlier_t *judge_ = hub_outlier_create(
-	    [](void *, uint64_t, fleet_verdict_t, const char *) {}, nullptr);
+	    0.7, [](void *, uint64_t, fleet_verdict_t, const char *) {},
+	    nullptr);
 	hub_load_t *load_ = hub_load_create();
 	int64_t now_ = 100000;
 };
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -17,7 +17,7 @@
 
 class HubOutlier : public testing::Test {
       protected:
-	HubOutlier() : detector_(hub_outlier_create(OnVerdict, this))
+	HubOutlier() : detector_(hub_outlier_create(0.7, OnVerdict, this))
 	{
 	}
 
@@ -392,7 +392,11 @@
 		RecordEvidence(key, FLEET_EVIDENCE_BROKEN);
 		now_ += 10;
 	}
-	Pass(1500, 10);
+	/* None of them can be sound yet, and each probe may cost a request. */
+	Pass(HUB_OUTLIER_SOUND_AFTER_MS - 100, 10);
+	for (uint64_t key = 1; key <= 5; key++)
+		EXPECT_EQ(FLEET_VERDICT_PROBE_REPEATABLE, Get(key)) << key;
+	Pass(200, 10);
 	for (uint64_t key = 1; key <= 5; key++)
 		EXPECT_EQ(key <= 3 ? FLEET_VERDICT_PROBE
 				   : FLEET_VERDICT_PROBE_REPEATABLE,
@@ -400,25 +404,34 @@
 		    << key;
 }
 
-// The waits were constants that suited a window of 3 s: with a shorter one, sound
-// targets would have got nothing for longer than the deployment allows.
-TEST_F(HubOutlier, WaitsFollowTheBoundsOfTheDeployment)
+// The share was a constant: where more targets must be used, a third of the sound
+// ones of a service would have got nothing.
+TEST(HubOutlierShare, UnusedShareFollowsTheSetting)
 {
-	const hub_outlier_bounds_t bounds = { 3000, 0.9 };
+	hub_outlier_t *detector = hub_outlier_create(
+	    0.9, [](void *, uint64_t, fleet_verdict_t, const char *) {},
+	    nullptr);
+	const int64_t start = 1000000;
+	const int64_t end = start + HUB_OUTLIER_SOUND_AFTER_MS + 200;
+	int probed = 0;
+
+	for (uint64_t key = 1; key <= 20; key++) {
+		hub_evidence_t evidence = {};
 
-	hub_outlier_set_bounds(detector_, &bounds);
-	AddTargets(20);
-	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
-	Pass(2100, 20);
-	EXPECT_EQ(FLEET_VERDICT_PROBE, Get(3));
-	for (uint64_t key = 1; key <= 6; key++)
-		RecordEvidence(key, FLEET_EVIDENCE_BROKEN);
-	Pass(1500, 20);
+		hub_outlier_add_target(detector, key, kService, 1);
+		evidence.target = key;
+		evidence.gate = 1;
+		evidence.kind = FLEET_EVIDENCE_BROKEN;
+		if (key <= 6)
+			hub_outlier_record_evidence(detector, &evidence, start);
+	}
+	for (int64_t now = start; now < end; now += 50)
+		hub_outlier_tick(detector, now);
 	for (uint64_t key = 1; key <= 6; key++)
-		EXPECT_EQ(key < 6 ? FLEET_VERDICT_PROBE
-				  : FLEET_VERDICT_PROBE_REPEATABLE,
-		    Get(key))
-		    << key;
+		probed += hub_outlier_get_verdict(detector, key) ==
+		    FLEET_VERDICT_PROBE;
+	EXPECT_EQ(5, probed);
+	hub_outlier_destroy(detector);
 }
 
 // A new leader that did not know the verdicts lost a request at each failing
--- a/test/unit/rate_fleet_test.cc
+++ b/test/unit/rate_fleet_test.cc
@@ -41,7 +41,7 @@
 	Leader(const fleet_config_t *config, uint64_t term, int64_t now_ms)
 	    : term_(term), state_(hub_state_create()),
 	      outlier_(hub_outlier_create(
-		  [](void *, uint64_t, fleet_verdict_t, const char *) {},
+		  0.7, [](void *, uint64_t, fleet_verdict_t, const char *) {},
 		  nullptr))
 	{
 		hub_quota_options_t quota = {};
