gate, hub: a gate back from a cut gets its configuration from any hub, at once

The connection to each hub waits up to 2 s for a handshake and then up to 5 s until the next attempt, whatever the gate hears meanwhile.

Now a connection to a hub that has not answered for GATE_LEADER_TIMEOUT_MS is opened anew with the next message to it, a hub that does not lead sends its newer document before it names the leader, and a gate whose version no leader has confirmed for 1.8 s answers 503 (config_unsure) instead of 401 or 404: it can not know. Event 941 tells how long a gate was without a lease, and how many connections it reset.

GateLink.ConnectionsToHubsThatDoNotAnswerAreOpenedAnew and .OnlyAConfirmedVersionTellsWhatDoesNotExist are new. DropsAnUnresponsiveLeader counts the resets of the leader's connection now, as those of another hub that never answered come on top.

--- a/src/gate/gate_front.c
+++ b/src/gate/gate_front.c
@@ -44,6 +44,16 @@
 	return (0);
 }
 
+/* Refuses what the configuration does not have. A newer one that has not arrived
+ * may have it, and callers do not repeat a request after a 401 or 404. */
+static int
+refuse_unknown(front_check_t *check, gate_refusal_t refusal)
+{
+	if (!gate_link_is_confirmed(check->gate->link, clock_now_ms()))
+		refusal = GATE_REFUSAL_CONFIG_UNSURE;
+	return (refuse(check, refusal));
+}
+
 static size_t
 get_header_bytes(const h2o_req_t *req)
 {
@@ -117,7 +127,7 @@
 	check->options.route = fleet_config_find_route(
 	    check->gate->config, host.base, host.len, path.base, path.len);
 	if (check->options.route == NULL)
-		return (refuse(check, GATE_REFUSAL_NO_ROUTE));
+		return (refuse_unknown(check, GATE_REFUSAL_NO_ROUTE));
 	return (1);
 }
 
@@ -135,7 +145,7 @@
 		check->options.workspace =
 		    fleet_config_find_key(config, key.base, key.len);
 	if (check->options.workspace == NULL)
-		return (refuse(check, GATE_REFUSAL_KEY_UNKNOWN));
+		return (refuse_unknown(check, GATE_REFUSAL_KEY_UNKNOWN));
 	return (1);
 }
 
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -10,12 +10,14 @@
 
 /* Queue of spends that are not yet sent to a leader; the oldest is dropped. */
 #define PENDING_SPENDS_MAX 2048
-/* Shortest time between two resets of the connection to an unresponsive hub. */
-#define RESET_INTERVAL_MS 1000
+/* Time without an answer after which the connection to a hub is opened anew: a
+ * cut may have left it dead, or waiting for seconds until the next attempt. */
+#define HUB_ANSWER_TIMEOUT_MS GATE_LEADER_TIMEOUT_MS
 
 typedef struct known_hub {
 	char name[FLEET_IP_BYTES];
 	node_id_t id;
+	int64_t unanswered_ms; /* since then, or since the last reset; 0: no */
 } known_hub_t;
 
 typedef struct permit_request {
@@ -35,6 +37,7 @@
 	gate_link_options_t options;
 	known_hub_t hubs[FLEET_HUBS_MAX];
 	int hub_count;
+	uint32_t resets; /* of connections to hubs, since the last leader */
 	int next_hub; /* index of the hub queried last for the leader */
 	node_id_t leader;
 	uint64_t term;
@@ -43,10 +46,11 @@
 	uint32_t gates;
 	int64_t last_received_ms; /* last lease from a leader */
 	int64_t renewal_due_ms;
-	int64_t reset_ms;
 	uint64_t version; /* in use at this gate */
 	uint64_t newest_version; /* of the configuration, by the last lease */
 	int64_t key_lease_until_ms;
+	int64_t confirmed_ms; /* send time of the newest lease for the version
+			       * in use; 0: none */
 	int64_t pending_lease_ms; /* send time of its lease; 0: none waits */
 	pending_spend_t pending_spends[PENDING_SPENDS_MAX];
 	size_t pending_spend_count;
@@ -58,26 +62,38 @@
 	size_t near_limit_count;
 };
 
-static int
-add_hub(gate_link_t *link, const char *name)
+static known_hub_t *
+find_hub(gate_link_t *link, node_id_t id)
 {
-	node_id_t id = node_id_from_name(name);
-	known_hub_t *hub;
 	int i;
 
-	if (!node_name_is_valid(name) || strlen(name) >= FLEET_IP_BYTES)
-		return (-1);
 	for (i = 0; i < link->hub_count; i++) {
 		if (link->hubs[i].id == id)
-			return (i);
+			return (&link->hubs[i]);
 	}
+	return (NULL);
+}
+
+/* @return a known hub with that name; NULL if the name is invalid or there are
+ * too many */
+static known_hub_t *
+add_hub(gate_link_t *link, const char *name)
+{
+	node_id_t id = node_id_from_name(name);
+	known_hub_t *hub;
+
+	if (!node_name_is_valid(name) || strlen(name) >= FLEET_IP_BYTES)
+		return (NULL);
+	hub = find_hub(link, id);
+	if (hub != NULL)
+		return (hub);
 	if (link->hub_count == FLEET_HUBS_MAX)
-		return (-1);
-	hub = &link->hubs[link->hub_count];
+		return (NULL);
+	hub = &link->hubs[link->hub_count++];
 	hub->id = id;
 	snprintf(hub->name, sizeof(hub->name), "%s", name);
 	link->options.hub_found(link->options.ctx, hub->name);
-	return (link->hub_count++);
+	return (hub);
 }
 
 gate_link_t *
@@ -132,14 +148,35 @@
 	link->pending_spend_count = kept;
 }
 
+static void
+reset_hub(gate_link_t *link, known_hub_t *hub, int64_t now_ms)
+{
+	hub->unanswered_ms = now_ms;
+	link->resets++;
+	link->options.reset_hub(link->options.ctx, hub->id);
+}
+
+/* Records a message to a hub; opens the connection anew if the hub has not
+ * answered earlier ones. */
+static void
+expect_answer(gate_link_t *link, known_hub_t *hub, int64_t now_ms)
+{
+	if (hub->unanswered_ms == 0)
+		hub->unanswered_ms = now_ms;
+	else if (now_ms - hub->unanswered_ms >= HUB_ANSWER_TIMEOUT_MS)
+		reset_hub(link, hub, now_ms);
+}
+
 static void
 send_renewal(gate_link_t *link, node_id_t to, int64_t now_ms)
 {
 	Tm__Fleet__Join join = TM__FLEET__JOIN__INIT;
-
+	known_hub_t *hub = find_hub(link, to);
 	int needs_usage =
 	    to == link->leader && link->term != link->usage_reported_term;
 
+	if (hub != NULL)
+		expect_answer(link, hub, now_ms);
 	join.sent_ms = (uint64_t)now_ms;
 	join.alone_ms = (uint32_t)link->options.key_lease_ms;
 	/* 0 until a leader has reported the count. */
@@ -174,16 +211,16 @@
 static void
 check_leader(gate_link_t *link, int64_t now_ms)
 {
+	known_hub_t *hub = find_hub(link, link->leader);
+
 	if (link->leader == NODE_ID_NONE ||
 	    now_ms - link->last_received_ms <= GATE_LEADER_TIMEOUT_MS)
 		return;
 	LOG_EVENT(940, LOG_LEVEL_WARN, "the leading hub does not answer",
 	    LOG_NUM("term", link->term),
 	    LOG_NUM("silent_ms", now_ms - link->last_received_ms));
-	if (now_ms - link->reset_ms > RESET_INTERVAL_MS) {
-		link->reset_ms = now_ms;
-		link->options.reset_hub(link->options.ctx, link->leader);
-	}
+	if (hub != NULL)
+		reset_hub(link, hub, now_ms);
 	link->leader = NODE_ID_NONE;
 }
 
@@ -248,6 +285,8 @@
 
 	if (until_ms > link->key_lease_until_ms)
 		link->key_lease_until_ms = until_ms;
+	if (sent_ms > link->confirmed_ms)
+		link->confirmed_ms = sent_ms;
 }
 
 void
@@ -274,7 +313,13 @@
 		LOG_EVENT(941, LOG_LEVEL_INFO, "connected to the leading hub",
 		    LOG_TEXT("hub", lease->leader),
 		    LOG_NUM("term", lease->term),
-		    LOG_NUM("gates", lease->gates));
+		    LOG_NUM("gates", lease->gates),
+		    LOG_NUM("silent_ms",
+			link->last_received_ms != 0
+			    ? now_ms - link->last_received_ms
+			    : 0),
+		    LOG_NUM("resets", link->resets));
+		link->resets = 0;
 		/* Reports the usage to the new leader at once. */
 		link->renewal_due_ms = now_ms;
 	}
@@ -301,11 +346,14 @@
     size_t len, int64_t now_ms)
 {
 	Tm__Fleet__Lease *lease = tm__fleet__lease__unpack(NULL, len, payload);
+	known_hub_t *hub = find_hub(link, from);
 	node_id_t leader;
 	size_t i;
 
 	if (lease == NULL)
 		return;
+	if (hub != NULL)
+		hub->unanswered_ms = 0;
 	for (i = 0; i < lease->n_hubs; i++)
 		add_hub(link, lease->hubs[i]);
 	if (lease->is_leader) {
@@ -315,7 +363,7 @@
 			link->leader = NODE_ID_NONE;
 		leader = node_id_from_name(lease->leader);
 		if (link->leader == NODE_ID_NONE && leader != NODE_ID_NONE &&
-		    leader != from && add_hub(link, lease->leader) >= 0) {
+		    leader != from && add_hub(link, lease->leader) != NULL) {
 			link->renewal_due_ms = now_ms + GATE_LEADER_SEARCH_MS;
 			send_renewal(link, leader, now_ms);
 		}
@@ -486,6 +534,14 @@
 	return (now_ms < link->key_lease_until_ms);
 }
 
+int
+gate_link_is_confirmed(const gate_link_t *link, int64_t now_ms)
+{
+	return (link->confirmed_ms != 0 &&
+	    link->version >= link->newest_version &&
+	    now_ms - link->confirmed_ms <= GATE_CONFIRMATION_MAX_AGE_MS);
+}
+
 int
 gate_link_is_near_limit(const gate_link_t *link, uint64_t workspace)
 {
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -21,6 +21,10 @@
 #define GATE_LEASE_RENEWAL_MS 500
 /** Time without a lease after which the leader counts as unreachable. */
 #define GATE_LEADER_TIMEOUT_MS 1300
+/** A version counts as the newest for this time after the leader was asked: the
+ * leader counts as unreachable then. */
+#define GATE_CONFIRMATION_MAX_AGE_MS \
+	(GATE_LEADER_TIMEOUT_MS + GATE_LEASE_RENEWAL_MS)
 /** Interval between queries to other hubs for the leader. */
 #define GATE_LEADER_SEARCH_MS 150
 /** While the newest answered request is at most this old, the leader is assumed
@@ -136,6 +140,10 @@
 /** @return 1 while the configuration is known to hold all keys in force */
 int gate_link_has_key_lease(const gate_link_t *link, int64_t now_ms);
 
+/** @return 1 if a leader has said lately that the version in use is the newest;
+ *         otherwise what the configuration lacks may be in a newer one */
+int gate_link_is_confirmed(const gate_link_t *link, int64_t now_ms);
+
 /** @return 1 if the workspace is so near its rate limit that each request needs
  * a permit, also while the leader of this term has not sent its list */
 int gate_link_is_near_limit(const gate_link_t *link, uint64_t workspace);
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -428,6 +428,28 @@
 		send_changes(feed, gate, has, now_ms);
 }
 
+void
+hub_feed_redirect(const hub_feed_t *feed, node_id_t id,
+    const Tm__Fleet__Join *join, const hub_feed_lease_t *lease)
+{
+	const hub_state_t *state = feed->options.state;
+	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
+	Tm__Fleet__Document document;
+
+	if (state->has_document &&
+	    join->config_version < state->document.version) {
+		hub_document_to_message(&document, &state->document);
+		feed->options.send(feed->options.send_ctx, id,
+		    MSG_FLEET_DOCUMENT, &document.base);
+	}
+	msg.sent_ms = join->sent_ms;
+	msg.leader = (char *)lease->leader;
+	msg.hubs = (char **)lease->hubs;
+	msg.n_hubs = lease->hub_count;
+	feed->options.send(
+	    feed->options.send_ctx, id, MSG_FLEET_LEASE, &msg.base);
+}
+
 static void
 flush_document(hub_feed_t *feed, int64_t now_ms)
 {
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -71,6 +71,16 @@
 void hub_feed_renew_lease(hub_feed_t *feed, node_id_t id,
     const Tm__Fleet__Join *join, const hub_feed_lease_t *lease, int64_t now_ms);
 
+/**
+ * Answers a gate while another hub leads: names that hub, after a newer document
+ * than the gate has. All documents here are accepted, so the gate need not wait
+ * for the leader, to which all gates return at the same time after a cut.
+ *
+ * @param lease  leader ("": unknown) and hubs; the rest is not used
+ */
+void hub_feed_redirect(const hub_feed_t *feed, node_id_t id,
+    const Tm__Fleet__Join *join, const hub_feed_lease_t *lease);
+
 /** Marks a target as changed; sent urgently. */
 void hub_feed_mark_target_changed(hub_feed_t *feed, uint64_t key);
 
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -9,15 +9,15 @@
 static void
 send_redirect(hub_t *hub, node_id_t to, const Tm__Fleet__Join *join)
 {
-	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
 	const char *names[FLEET_HUBS_MAX];
 	const char *leader = hub_get_leader(hub);
+	hub_feed_lease_t lease = {
+		.leader = leader != NULL ? leader : "",
+		.hubs = names,
+		.hub_count = (size_t)hub_members_list(hub->members, names),
+	};
 
-	msg.sent_ms = join->sent_ms;
-	msg.leader = (char *)(leader != NULL ? leader : "");
-	msg.n_hubs = (size_t)hub_members_list(hub->members, names);
-	msg.hubs = (char **)names;
-	peer_net_send(hub->net, to, MSG_FLEET_LEASE, &msg.base);
+	hub_feed_redirect(hub->feed, to, join, &lease);
 }
 
 static void
--- a/test/unit/gate_link_test.cc
+++ b/test/unit/gate_link_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -33,8 +34,8 @@
 		options.send = Send;
 		options.send_ctx = this;
 		options.hub_found = [](void *, const char *) {};
-		options.reset_hub = [](void *ctx, node_id_t) {
-			static_cast<GateLink *>(ctx)->resets_++;
+		options.reset_hub = [](void *ctx, node_id_t hub) {
+			static_cast<GateLink *>(ctx)->resets_[hub]++;
 		};
 		options.fill_renewal = [](void *ctx, Tm__Fleet__Join *,
 					   int needs_usage) {
@@ -128,7 +129,7 @@
 
 	gate_link_t *link_;
 	int64_t now_ = 1000000;
-	int resets_ = 0;
+	std::map<node_id_t, int> resets_;
 	int usage_requests_ = 0;
 	size_t spends_ = 0;
 	std::vector<std::pair<node_id_t, uint64_t>> renewals_;
@@ -155,7 +156,7 @@
 	EXPECT_TRUE(gate_link_has_leader(link_, now_));
 	AdvanceTime(GATE_LEADER_TIMEOUT_MS + 200, "", 0);
 	EXPECT_FALSE(gate_link_has_leader(link_, now_));
-	EXPECT_EQ(1, resets_);
+	EXPECT_EQ(1, resets_[node_id_from_name("10.0.0.1")]);
 	AdvanceTime(1000, "10.0.0.2", 4);
 	EXPECT_TRUE(gate_link_has_leader(link_, now_));
 	EXPECT_EQ(4u, gate_link_get_term(link_));
@@ -180,6 +181,37 @@
 	EXPECT_TRUE(gate_link_has_key_lease(link_, now_));
 }
 
+// After a cut of 14 s a gate waited up to 7 s before it tried to connect to a hub
+// again.
+TEST_F(GateLink, ConnectionsToHubsThatDoNotAnswerAreOpenedAnew)
+{
+	AdvanceTime(10000, "", 0);
+	for (const char *hub : { "10.0.0.1", "10.0.0.2" }) {
+		EXPECT_GE(resets_[node_id_from_name(hub)], 5) << hub;
+		EXPECT_LE(resets_[node_id_from_name(hub)], 8) << hub;
+	}
+	AdvanceTime(10000, "10.0.0.2", 4);
+	resets_.clear();
+	AdvanceTime(10000, "10.0.0.2", 4);
+	EXPECT_TRUE(resets_.empty());
+}
+
+// A VM back from a long cut answered 404 for a route that had been added
+// meanwhile, and the caller gave up.
+TEST_F(GateLink, OnlyAConfirmedVersionTellsWhatDoesNotExist)
+{
+	EXPECT_FALSE(gate_link_is_confirmed(link_, now_));
+	gate_link_set_version(link_, 1);
+	AdvanceTime(1000, "10.0.0.1", 3);
+	EXPECT_TRUE(gate_link_is_confirmed(link_, now_));
+	AdvanceTime(GATE_CONFIRMATION_MAX_AGE_MS + 100, "", 0);
+	EXPECT_FALSE(gate_link_is_confirmed(link_, now_));
+	Lease("10.0.0.1", 3, now_, 2);
+	EXPECT_FALSE(gate_link_is_confirmed(link_, now_));
+	gate_link_set_version(link_, 2);
+	EXPECT_TRUE(gate_link_is_confirmed(link_, now_));
+}
+
 TEST_F(GateLink, AnOlderTermGivesNoLease)
 {
 	gate_link_set_version(link_, 1);
