hub: unrepeatable requests probe early only where a service needs its targets

Cause: the wait was one constant. What a probe costs and what it brings depends on how the targets in use do. Now an ejected target waits 8 s while they do well.

HubOutlier.UnrepeatableRequestsProbeLateWhileOthersSucceed and .TheWaitFollowsFailuresAndRequests failed before.

--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -11,6 +11,8 @@
 #define FAILURE_SCORE_LIMIT 1.0
 /* Time constant of the exponential decay of the failure score. */
 #define FAILURE_SCORE_DECAY_MS 3000.0
+/* Time constant of the failed share of a service's attempts. */
+#define FAILED_SHARE_DECAY_MS 2000.0
 /* Each successful response multiplies the failure score by this. */
 #define SUCCESS_FACTOR 0.6
 /* Repeated connection failures that one gate reports within this time have
@@ -257,6 +259,33 @@
 		target->announced_ms = now_ms;
 }
 
+static void
+count_attempts(outlier_service_t *service, uint32_t attempts, double failures,
+    int64_t now_ms)
+{
+	double factor = 1;
+
+	if (now_ms > service->decayed_ms)
+		factor = exp((double)(service->decayed_ms - now_ms) /
+		    FAILED_SHARE_DECAY_MS);
+	service->decayed_ms = now_ms;
+	service->attempts = service->attempts * factor + attempts;
+	service->failures = service->failures * factor + failures;
+}
+
+double
+outlier_get_failed_share(const outlier_service_t *service)
+{
+	return (
+	    service->attempts > 0 ? service->failures / service->attempts : 0);
+}
+
+double
+outlier_get_attempts_per_ms(const outlier_service_t *service)
+{
+	return (service->attempts / FAILED_SHARE_DECAY_MS);
+}
+
 void
 hub_outlier_record_successes(
     hub_outlier_t *detector, uint64_t key, uint32_t count, int64_t now_ms)
@@ -265,6 +294,7 @@
 
 	if (target == NULL || count == 0)
 		return;
+	count_attempts(target->service, count, 0, now_ms);
 	decay_failure_score(target, now_ms);
 	target->failure_score *= pow(SUCCESS_FACTOR, count);
 	target->success_ms = now_ms;
@@ -298,6 +328,23 @@
 	    COMMON_SHARE * outlier_count_targets(target->service));
 }
 
+static void
+record_use(
+    outlier_target_t *target, const hub_evidence_t *evidence, int64_t now_ms)
+{
+	int is_failure = evidence->kind != FLEET_EVIDENCE_SUCCESS;
+
+	if (evidence->kind == FLEET_EVIDENCE_PROBE_UNUSED)
+		return;
+	target->used_ms = now_ms;
+	if (is_failure)
+		target->evidence_ms = now_ms;
+	/* Probes are left out: more of them would cause more again. */
+	if (!evidence->is_probe)
+		count_attempts(target->service, 1,
+		    evidence_info[evidence->kind].weight, now_ms);
+}
+
 void
 hub_outlier_record_evidence(
     hub_outlier_t *detector, const hub_evidence_t *evidence, int64_t now_ms)
@@ -307,11 +354,7 @@
 
 	if (target == NULL || evidence->kind > FLEET_EVIDENCE_PROBE_UNUSED)
 		return;
-	if (evidence->kind != FLEET_EVIDENCE_PROBE_UNUSED)
-		target->used_ms = now_ms;
-	if (evidence->kind != FLEET_EVIDENCE_PROBE_UNUSED &&
-	    evidence->kind != FLEET_EVIDENCE_SUCCESS)
-		target->evidence_ms = now_ms;
+	record_use(target, evidence, now_ms);
 	if (evidence->is_probe) {
 		outlier_record_probe(detector, target, evidence, now_ms);
 		return;
@@ -343,9 +386,9 @@
 
 	if (target == NULL)
 		return;
-	target->ejected_ms = now_ms;
-	/* The time of the failure is not known; half of the backoff has passed
-	 * on average. */
+	/* Neither time is known: the ejection counts as one that has lasted,
+	 * and half of the backoff has passed on average. */
+	target->ejected_ms = now_ms - OUTLIER_REPEATABLE_ONLY_MS;
 	target->failed_ms = now_ms - OUTLIER_UNREPEATABLE_BACKOFF_MS / 2;
 	outlier_set_verdict(detector, target, FLEET_VERDICT_EJECTED,
 	    "ejected by the previous leader");
@@ -459,6 +502,7 @@
 	if (service == NULL)
 		return (TM_ENOENT);
 	*counts = service->totals;
+	counts->failed_share = outlier_get_failed_share(service);
 	for (target = service->targets; target != NULL; target = target->next)
 		count_target(target, now_ms, counts);
 	return (TM_OK);
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -17,6 +17,10 @@
 #define OUTLIER_UNREPEATABLE_BACKOFF_MS \
 	(HUB_OUTLIER_SOUND_AFTER_MS + HUB_OUTLIER_USE_WINDOW_MS)
 
+/* Once an ejection has lasted this long, any request may probe the target after
+ * that time: most intermittent faults have passed. */
+#define OUTLIER_REPEATABLE_ONLY_MS 8000
+
 typedef struct outlier_service outlier_service_t;
 
 typedef struct outlier_target {
@@ -50,6 +54,11 @@
 struct outlier_service {
 	uint64_t id;
 	outlier_target_t *targets;
+	/* Attempts at targets in use that ended or stalled lately, and the
+	 * weight of the evidence from them. */
+	double attempts;
+	double failures;
+	int64_t decayed_ms; /* time at which both were computed */
 	hub_outlier_counts_t totals; /* only what is counted since the start */
 	UT_hash_handle hh;
 };
@@ -82,6 +91,12 @@
 /** @return number of targets that must stay in use, broken ones excepted */
 uint32_t outlier_get_min_in_use(const outlier_service_t *service);
 
+/** @return failed share of the attempts that ended lately, 0 to 1 */
+double outlier_get_failed_share(const outlier_service_t *service);
+
+/** @return rate of the attempts that ended lately */
+double outlier_get_attempts_per_ms(const outlier_service_t *service);
+
 /** Evaluates the result of a probe. */
 void outlier_record_probe(hub_outlier_t *detector, outlier_target_t *target,
     const hub_evidence_t *evidence, int64_t now_ms);
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -1,11 +1,17 @@
 #include "hub/hub_outlier_internal.h"
 
+#include <math.h>
+
 /* An ejected target gets no request for this time after its last failure. */
 #define PROBE_BACKOFF_MS 1000
-/* Then only repeatable requests probe it, as long as the service has any. Other
- * requests may do so once the ejection has lasted this long: most intermittent
- * faults have passed then. */
-#define REPEATABLE_ONLY_MS 8000
+/* Share of a service's requests that may fail while sound targets are unused. */
+#define FAILURES_TOLERATED 0.1
+/* Then only repeatable requests probe it, and others while this share of the
+ * attempts at targets in use fails, if the service has no repeatable ones: those
+ * targets are not enough. The rest is for probes that fail. */
+#define FAILED_SHARE_MAX (FAILURES_TOLERATED / 2)
+/* Share of a service's requests that may be probes while it needs targets. */
+#define PROBE_SHARE_MAX 0.1
 /* The right to probe a target expires after this time without a result. */
 #define PROBE_TIMEOUT_MS 4000
 /* Consecutive successful probes that end an ejection; one is enough while too
@@ -126,16 +132,45 @@
 	return (assignment);
 }
 
+/* @return 1 if the targets in use are not enough for the service */
+static int
+needs_targets(const outlier_service_t *service)
+{
+	return (outlier_get_failed_share(service) >= FAILED_SHARE_MAX);
+}
+
+/* @return time from its last failure until any request may probe a target of a
+ * service that needs targets: the shorter the more of its requests fail anyway,
+ * within PROBE_SHARE_MAX, but not so long that a target which has recovered goes
+ * without requests */
+static int64_t
+get_backoff_ms(const outlier_service_t *service)
+{
+	double waiting = (double)outlier_count_targets(service) -
+	    outlier_count_healthy(service);
+	double budget_ms =
+	    waiting / (PROBE_SHARE_MAX * outlier_get_attempts_per_ms(service));
+	double backoff_ms = OUTLIER_UNREPEATABLE_BACKOFF_MS * FAILED_SHARE_MAX /
+	    outlier_get_failed_share(service);
+
+	backoff_ms = fmax(backoff_ms, budget_ms);
+	backoff_ms = fmax(backoff_ms, HUB_OUTLIER_SOUND_AFTER_MS);
+	return ((int64_t)fmin(backoff_ms, OUTLIER_UNREPEATABLE_BACKOFF_MS));
+}
+
 /* @return 1 if requests that must not be repeated may probe a target: most
- * faults have passed, or no repeatable request has come to probe it */
+ * faults have passed, or the service needs it and no repeatable request has come
+ * to probe it */
 static int
 is_open_to_any(const outlier_target_t *target, int64_t now_ms)
 {
 	int has_repeatable = target->probe_ms > target->failed_ms;
+	int64_t idle_ms = now_ms - target->failed_ms;
 
-	return (now_ms - target->failed_ms >= OUTLIER_UNREPEATABLE_BACKOFF_MS &&
-	    (!has_repeatable ||
-		now_ms - target->ejected_ms >= REPEATABLE_ONLY_MS));
+	if (!has_repeatable && needs_targets(target->service))
+		return (idle_ms >= get_backoff_ms(target->service));
+	return (idle_ms >= OUTLIER_UNREPEATABLE_BACKOFF_MS &&
+	    now_ms - target->ejected_ms >= OUTLIER_REPEATABLE_ONLY_MS);
 }
 
 void
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -196,6 +196,45 @@
 	EXPECT_EQ(FLEET_VERDICT_PROBE, Get(3));
 }
 
+// mwamba-gw-grown, quiet-1: callers lost requests to probes of targets that the
+// service did not need.
+TEST_F(HubOutlier, UnrepeatableRequestsProbeLateWhileOthersSucceed)
+{
+	AddTargets(20);
+	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
+	for (int i = 0; i < 79; i++) {
+		hub_outlier_record_successes(detector_, 4, 20, now_);
+		Pass(100, 20);
+	}
+	EXPECT_EQ(FLEET_VERDICT_PROBE_REPEATABLE, Get(3));
+	Pass(200, 20);
+	EXPECT_EQ(FLEET_VERDICT_PROBE, Get(3));
+}
+
+// gmpco-veg-grown, scale-2: a third of the targets of a service that lost many
+// requests waited 4 s after each failure, and 19 of 61 sound ones got nothing
+// for 2 s. With few requests the wait stays, as probes would take too many.
+TEST_F(HubOutlier, TheWaitFollowsFailuresAndRequests)
+{
+	for (int64_t interval_ms : { 50, 500 }) {
+		SCOPED_TRACE(interval_ms);
+		hub_outlier_reset(detector_);
+		AddTargets(20);
+		for (uint64_t key = 1; key <= 4; key++)
+			RecordEvidence(key, FLEET_EVIDENCE_BROKEN);
+		for (int64_t at = 0; at < 2500; at += interval_ms) {
+			uint64_t key = 5 + (uint64_t)(at / interval_ms) % 16;
+
+			RecordEvidence(key, FLEET_EVIDENCE_ERROR);
+			hub_outlier_record_successes(detector_, key, 2, now_);
+			Pass(interval_ms, 20);
+		}
+		EXPECT_EQ(interval_ms == 50 ? FLEET_VERDICT_PROBE
+					    : FLEET_VERDICT_PROBE_REPEATABLE,
+		    Get(1));
+	}
+}
+
 // mwamba-gw-grown, trouble-2: 13 targets were open to probes, and gates took the
 // first of their list. One that had just passed a probe waited 3 s for the next.
 TEST_F(HubOutlier, TheTargetThatHasWaitedLongestIsProbedNext)
