--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -432,8 +432,10 @@
 	outlier_target_t *target;
 	outlier_target_t *next;
 
-	HASH_ITER(hh, detector->services, service, next_service)
+	HASH_ITER(hh, detector->services, service, next_service) {
+		outlier_update_backoff(service);
 		outlier_limit_unused(detector, service, now_ms);
+	}
 	HASH_ITER(hh, detector->targets, target, next) {
 		target->is_unreachable = is_unresponsive(target, now_ms);
 		if (target->verdict != FLEET_VERDICT_HEALTHY)
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -59,6 +59,9 @@
 	double attempts;
 	double failures;
 	int64_t decayed_ms; /* time at which both were computed */
+	/* Time from its last failure until any request may probe a target; 0:
+	 * the targets in use are enough, probes wait longer. */
+	int64_t early_backoff_ms;
 	hub_outlier_counts_t totals; /* only what is counted since the start */
 	UT_hash_handle hh;
 };
@@ -106,6 +109,11 @@
 void outlier_offer_probe(
     hub_outlier_t *detector, outlier_target_t *target, int64_t now_ms);
 
+/** Decides whether a service needs its ejected targets, and how soon: the sooner
+ * the more of its requests fail anyway, as long as probes stay within a share of
+ * them, but not so late that a target which has recovered goes without any. */
+void outlier_update_backoff(outlier_service_t *service);
+
 /** Opens unused targets to probes by any request until at most a share of the
  * service's targets is unused. */
 void outlier_limit_unused(
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -132,30 +132,26 @@
 	return (assignment);
 }
 
-/* @return 1 if the targets in use are not enough for the service */
-static int
-needs_targets(const outlier_service_t *service)
-{
-	return (outlier_get_failed_share(service) >= FAILED_SHARE_MAX);
-}
-
-/* @return time from its last failure until any request may probe a target of a
- * service that needs targets: the shorter the more of its requests fail anyway,
- * within PROBE_SHARE_MAX, but not so long that a target which has recovered goes
- * without requests */
-static int64_t
-get_backoff_ms(const outlier_service_t *service)
+void
+outlier_update_backoff(outlier_service_t *service)
 {
+	double failed_share = outlier_get_failed_share(service);
 	double waiting = (double)outlier_count_targets(service) -
 	    outlier_count_healthy(service);
-	double budget_ms =
-	    waiting / (PROBE_SHARE_MAX * outlier_get_attempts_per_ms(service));
-	double backoff_ms = OUTLIER_UNREPEATABLE_BACKOFF_MS * FAILED_SHARE_MAX /
-	    outlier_get_failed_share(service);
+	double backoff_ms;
+	double budget_ms;
 
+	service->early_backoff_ms = 0;
+	if (failed_share < FAILED_SHARE_MAX)
+		return;
+	backoff_ms =
+	    OUTLIER_UNREPEATABLE_BACKOFF_MS * FAILED_SHARE_MAX / failed_share;
+	budget_ms =
+	    waiting / (PROBE_SHARE_MAX * outlier_get_attempts_per_ms(service));
 	backoff_ms = fmax(backoff_ms, budget_ms);
 	backoff_ms = fmax(backoff_ms, HUB_OUTLIER_SOUND_AFTER_MS);
-	return ((int64_t)fmin(backoff_ms, OUTLIER_UNREPEATABLE_BACKOFF_MS));
+	service->early_backoff_ms =
+	    (int64_t)fmin(backoff_ms, OUTLIER_UNREPEATABLE_BACKOFF_MS);
 }
 
 /* @return 1 if requests that must not be repeated may probe a target: most
@@ -167,8 +163,8 @@
 	int has_repeatable = target->probe_ms > target->failed_ms;
 	int64_t idle_ms = now_ms - target->failed_ms;
 
-	if (!has_repeatable && needs_targets(target->service))
-		return (idle_ms >= get_backoff_ms(target->service));
+	if (!has_repeatable && target->service->early_backoff_ms > 0)
+		return (idle_ms >= target->service->early_backoff_ms);
 	return (idle_ms >= OUTLIER_UNREPEATABLE_BACKOFF_MS &&
 	    now_ms - target->ejected_ms >= OUTLIER_REPEATABLE_ONLY_MS);
 }
