--- a/test/functional/hub_gate.py
+++ b/test/functional/hub_gate.py
@@ -1,177 +1,23 @@
 """Runs hubs, gates and stand-in targets as processes on loopback, and prints
 what callers, targets and operators see."""
-import http.client
 import json
 import os
-import random
 import signal
 import socket
-import subprocess
 import sys
 import threading
 import time
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from platform_fleet import WAIT_S, Fleet, Target, call, document
 
 BUILD, WORK = sys.argv[1], sys.argv[2]
 HUBS = ["127.0.1.1", "127.0.1.2", "127.0.1.3"]
 GATES = ["127.0.1.11", "127.0.1.12"]
-WAIT_S = 20
-
-
-def find_port(ips):
-    """A port that is free on all addresses."""
-    while True:
-        port = random.randrange(20000, 32000)
-        socks = []
-        try:
-            for ip in ips:
-                sock = socket.socket()
-                socks.append(sock)
-                sock.bind((ip, port))
-            return port
-        except OSError:
-            continue
-        finally:
-            for sock in socks:
-                sock.close()
-
-
-PEER = find_port(HUBS + GATES)
-CONTROL = find_port(HUBS)
-FRONT = find_port(GATES)
-READY = find_port(GATES)
-METRICS = find_port(HUBS + GATES)
-processes = {}
-
-
-def start(program, name, settings):
-    path = f"{WORK}/{name}.json"
-    with open(path, "w", encoding="utf-8") as out:
-        json.dump(settings, out)
-    with open(f"{WORK}/{name}.log", "ab") as log:
-        processes[name] = subprocess.Popen(
-            [f"{BUILD}/bin/{program}", "--settings", path], stdout=log,
-            stderr=log)
-
-
-def start_hub(i, first):
-    start("tm-hub", f"hub{i}", {
-        "node": f"hub{i}", "zone": "z1", "data_dir": f"{WORK}/data{i}",
-        "ip": HUBS[i], "listen": f"{HUBS[i]}:{CONTROL}", "peer_port": PEER,
-        "metrics_port": METRICS, "seeds": [f"{x}:{CONTROL}" for x in HUBS],
-        "is_first_start": first, "fleet_secrets": ["0123456789abcdef"]})
-
-
-def start_gate(i):
-    start("tm-gate", f"gate{i}", {
-        "node": f"gate{i}", "zone": "z1", "ip": GATES[i],
-        "listen": f"{GATES[i]}:{FRONT}", "ready_listen": f"{GATES[i]}:{READY}",
-        "peer_port": PEER, "metrics_port": METRICS,
-        "seeds": [f"{x}:{CONTROL}" for x in HUBS],
-        "fleet_secrets": ["0123456789abcdef"]})
-
-
-def call(host, port, method, path, body=None, headers=None, timeout=10):
-    conn = http.client.HTTPConnection(host, port, timeout=timeout)
-    conn.request(method, path, body, headers or {})
-    response = conn.getresponse()
-    return response.status, response.read(), response.headers
-
-
-def control(method, path, body=None):
-    """Asks hubs until one answers clearly, as callers of hubs do."""
-    text = json.dumps(body) if isinstance(body, dict) else body
-    end = time.monotonic() + WAIT_S
-    while time.monotonic() < end:
-        for ip in HUBS:
-            try:
-                status, answer, headers = call(ip, CONTROL, method, path, text)
-                if status == 307:
-                    host = headers["Location"].split("/")[2].split(":")[0]
-                    status, answer, _ = call(host, CONTROL, method, path, text)
-                if status < 500:
-                    return status, answer
-            except OSError:
-                pass
-        time.sleep(0.1)
-    return 0, b""
-
-
-class Target:
-    """Speaks the platform's protocol of targets, and records what it ran."""
-
-    def __init__(self, name):
-        self.id = name
-        self.sequence = 0
-        self.ran = []
-        self.break_next = 0
-        self.work_s = 0
-        target = self
-
-        class Handler(BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def log_message(self, *args):
-                pass
-
-            def answer(self, status, more):
-                body = b"from " + target.id.encode()
-                self.send_response(status)
-                for key, value in more.items():
-                    self.send_header(key, value)
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-
-            def do_POST(self):
-                self.rfile.read(int(self.headers.get("Content-Length", 0)))
-                self.do_GET()
-
-            def do_GET(self):
-                if self.headers["Tarragonmoor-Expect-Instance"] != target.id:
-                    self.answer(421, {"Tarragonmoor-Not-Executed": "1"})
-                    return
-                target.ran.append(dict(self.headers.items()))
-                if target.break_next:
-                    target.break_next -= 1
-                    self.close_connection = True
-                    self.connection.shutdown(socket.SHUT_RDWR)
-                    return
-                time.sleep(target.work_s)
-                self.answer(200, {
-                    "Tarragonmoor-Attempt-Id":
-                        self.headers["Tarragonmoor-Attempt-Id"],
-                    "Tarragonmoor-Server-Signature": "sig",
-                    "Tarragonmoor-Server-Load": "1,0,4"})
-
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
-        threading.Thread(target=self.server.serve_forever,
-                         daemon=True).start()
-
-    def beat(self, state="ready"):
-        self.sequence += 1
-        return control("POST", f"/tarragonmoor/instances/{self.id}/heartbeat", {
-            "Service": "s1",
-            "Address": f"127.0.0.1:{self.server.server_port}",
-            "Zone": "z1", "Version": "v1", "MaxConcurrency": 4,
-            "State": state, "WarmupLeftS": 0, "Sequence": self.sequence,
-            "born": 1000})[0]
-
-
-def document(version, keys, **route):
-    return {"Version": version, "Routes": {
-        "r1": {"Host": "a.example", "PathPrefix": "/x/", "Kind": "unsafe",
-               "TimeoutS": 5, "TargetLatencyS": 1, "Priority": 0,
-               "Service": "s1", "MaxAttempts": 2, "Anonymous": False, **route},
-        "r2": {"Host": "a.example", "PathPrefix": "/open/", "Kind": "safe",
-               "TimeoutS": 5, "TargetLatencyS": 1, "Priority": 0,
-               "Service": "s1", "MaxAttempts": 2, "Anonymous": True}},
-        "Services": {"s1": {"HealthPath": "/health", "MaxConns": 100}},
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000,
-                   "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
-        "Tenants": {"w1": {"ApiKeys": keys, "RatePerS": 100, "Burst": 100}}}
-
+fleet = Fleet(BUILD, WORK, HUBS, GATES)
+control = fleet.control
+log_has = fleet.log_has
+is_ready = fleet.is_ready
+processes = fleet.processes
 
 count = 0
 
@@ -183,7 +29,7 @@
                "Tarragonmoor-Deadline-Ms": "4000", **(more or {})}
     if key:
         headers["Api-Key"] = key
-    return call(GATES[gate], FRONT, method, path, None, headers)
+    return call(GATES[gate], fleet.front, method, path, None, headers)
 
 
 def wait(what, condition):
@@ -199,20 +45,11 @@
     print("FAILED:", what)
 
 
-def is_ready(gate):
-    return call(GATES[gate], READY, "GET", "/tarragonmoor/ready")[0] == 200
-
-
-def log_has(name, *texts):
-    with open(f"{WORK}/{name}.log", encoding="utf-8") as log:
-        return any(all(text in line for text in texts) for line in log)
-
-
 def main():
     for i in range(3):
-        start_hub(i, True)
+        fleet.start_hub(i, True)
     for i in range(2):
-        start_gate(i)
+        fleet.start_gate(i)
     print("put", control("POST", "/tarragonmoor/config/put",
                          document(7, ["key-one", "key-two"]))[0])
     print("put again", control("POST", "/tarragonmoor/config/put",
@@ -221,7 +58,7 @@
                                  document(8, ["key-one"], Service="s9"))[0])
     print("put cut short", control("POST", "/tarragonmoor/config/put",
                                    json.dumps(document(9, []))[:80])[0])
-    targets = [Target("t1"), Target("t2")]
+    targets = [Target(fleet, "t1"), Target(fleet, "t2")]
     print("announced", [t.beat() for t in targets])
     print("junk", control("POST", "/tarragonmoor/instances/t3/heartbeat",
                           {"Service": 7})[0])
@@ -247,7 +84,7 @@
     hidden = (b"POST /x/hidden HTTP/1.1\r\nHost: a.example\r\n"
               b"Api-Key: key-one\r\nTarragonmoor-Attempt-Id: hidden\r\n"
               b"Content-Length: 0\r\n\r\n")
-    with socket.create_connection((GATES[0], FRONT), 10) as sock:
+    with socket.create_connection((GATES[0], fleet.front), 10) as sock:
         sock.sendall(b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\n"
                      b"Api-Key: key-one\r\nTarragonmoor-Attempt-Id: front\r\n"
                      b"Transfer-Encoding: chunked\r\n\r\n0x60\r\n\r\n" + hidden)
@@ -307,7 +144,7 @@
     wait("the leader ejected it",
          lambda: any(log_has(f"hub{i}", '"event":910', '"t1"', "ejected",
                              "connection broken") for i in range(3)))
-    text = call(GATES[0], METRICS, "GET", "/metrics")[1].decode()
+    text = call(GATES[0], fleet.metrics, "GET", "/metrics")[1].decode()
     print("metrics", 'tm_gate_evidence_total{kind="broken"} 1' in text,
           "tm_gate_workspace_duration_us" in text)
 
@@ -316,7 +153,7 @@
         processes[f"hub{i}"].wait()
     print("without hubs", request(0, key="key-two")[0])
     for i in range(3):
-        start_hub(i, False)
+        fleet.start_hub(i, False)
     read = json.loads(control("GET", "/tarragonmoor/config/get")[1])
     print("after all hubs were killed", read == document(12, ["key-two"]))
     wait("gates are served again", lambda: is_ready(0) and is_ready(1))
@@ -341,8 +178,6 @@
 try:
     main()
 finally:
-    for process in processes.values():
-        if process.poll() is None:
-            process.kill()
+    fleet.kill_all()
     sys.stdout.flush()
     os._exit(0)
--- /dev/null
+++ b/test/functional/platform_fleet.py
@@ -0,0 +1,197 @@
+"""Hubs and gates as processes on loopback, and targets that speak the
+platform's protocol in threads. Shared by the tests of tm-hub and tm-gate."""
+import http.client
+import json
+import random
+import socket
+import subprocess
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+WAIT_S = 20
+
+
+def find_port(ips):
+    """A port that is free on all addresses."""
+    while True:
+        port = random.randrange(20000, 32000)
+        socks = []
+        try:
+            for ip in ips:
+                sock = socket.socket()
+                socks.append(sock)
+                sock.bind((ip, port))
+            return port
+        except OSError:
+            continue
+        finally:
+            for sock in socks:
+                sock.close()
+
+
+def call(host, port, method, path, body=None, headers=None, timeout=10):
+    conn = http.client.HTTPConnection(host, port, timeout=timeout)
+    conn.request(method, path, body, headers or {})
+    response = conn.getresponse()
+    return response.status, response.read(), response.headers
+
+
+class Fleet:
+    """Starts, calls and ends processes; hubs and gates are lists of IPs."""
+
+    def __init__(self, build, work, hubs, gates):
+        self.build = build
+        self.work = work
+        self.hubs = hubs
+        self.gates = gates
+        self.peer = find_port(hubs + gates)
+        self.control_port = find_port(hubs)
+        self.front = find_port(gates)
+        self.ready = find_port(gates)
+        self.metrics = find_port(hubs + gates)
+        self.processes = {}
+
+    def start(self, program, name, settings):
+        path = f"{self.work}/{name}.json"
+        with open(path, "w", encoding="utf-8") as out:
+            json.dump(settings, out)
+        with open(f"{self.work}/{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [f"{self.build}/bin/{program}", "--settings", path],
+                stdout=log, stderr=log)
+
+    def start_hub(self, i, first):
+        self.start("tm-hub", f"hub{i}", {
+            "node": f"hub{i}", "zone": "z1",
+            "data_dir": f"{self.work}/data{i}", "ip": self.hubs[i],
+            "listen": f"{self.hubs[i]}:{self.control_port}",
+            "peer_port": self.peer, "metrics_port": self.metrics,
+            "seeds": [f"{x}:{self.control_port}" for x in self.hubs],
+            "is_first_start": first, "fleet_secrets": ["0123456789abcdef"]})
+
+    def start_gate(self, i):
+        self.start("tm-gate", f"gate{i}", {
+            "node": f"gate{i}", "zone": "z1", "ip": self.gates[i],
+            "listen": f"{self.gates[i]}:{self.front}",
+            "ready_listen": f"{self.gates[i]}:{self.ready}",
+            "peer_port": self.peer, "metrics_port": self.metrics,
+            "seeds": [f"{x}:{self.control_port}" for x in self.hubs],
+            "fleet_secrets": ["0123456789abcdef"]})
+
+    def control(self, method, path, body=None):
+        """Asks hubs until one answers clearly, as callers of hubs do."""
+        text = json.dumps(body) if isinstance(body, dict) else body
+        end = time.monotonic() + WAIT_S
+        while time.monotonic() < end:
+            for ip in self.hubs:
+                try:
+                    status, answer, headers = call(
+                        ip, self.control_port, method, path, text)
+                    if status == 307:
+                        host = headers["Location"].split("/")[2].split(":")[0]
+                        status, answer, _ = call(
+                            host, self.control_port, method, path, text)
+                    if status < 500:
+                        return status, answer
+                except (OSError, http.client.HTTPException):
+                    pass
+            time.sleep(0.1)
+        return 0, b""
+
+    def is_ready(self, gate):
+        return call(self.gates[gate], self.ready, "GET",
+                    "/tarragonmoor/ready")[0] == 200
+
+    def log_has(self, name, *texts):
+        with open(f"{self.work}/{name}.log", encoding="utf-8") as log:
+            return any(all(text in line for text in texts) for line in log)
+
+    def kill_all(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+
+
+class Target:
+    """Speaks the platform's protocol of targets, and records what it ran."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.id = name
+        self.sequence = 0
+        self.ran = []
+        self.break_next = 0
+        self.work_s = 0
+        target = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def answer(self, status, more):
+                body = b"from " + target.id.encode()
+                self.send_response(status)
+                for key, value in more.items():
+                    self.send_header(key, value)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def do_POST(self):
+                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                self.do_GET()
+
+            def do_GET(self):
+                if self.headers["Tarragonmoor-Expect-Instance"] != target.id:
+                    self.answer(421, {"Tarragonmoor-Not-Executed": "1"})
+                    return
+                target.ran.append(dict(self.headers.items()))
+                if target.break_next:
+                    target.break_next -= 1
+                    self.close_connection = True
+                    self.connection.shutdown(socket.SHUT_RDWR)
+                    return
+                time.sleep(target.work_s)
+                self.answer(200, {
+                    "Tarragonmoor-Attempt-Id":
+                        self.headers["Tarragonmoor-Attempt-Id"],
+                    "Tarragonmoor-Server-Signature": "sig",
+                    "Tarragonmoor-Server-Load": "1,0,4"})
+
+        class Server(ThreadingHTTPServer):
+            daemon_threads = True
+            request_queue_size = 128
+
+            def handle_error(self, request, client_address):
+                """Connections are broken on purpose."""
+
+        self.server = Server(("127.0.0.1", 0), Handler)
+        self.port = self.server.server_port
+        threading.Thread(target=self.server.serve_forever,
+                         daemon=True).start()
+
+    def beat(self, state="ready"):
+        self.sequence += 1
+        return self.fleet.control(
+            "POST", f"/tarragonmoor/instances/{self.id}/heartbeat", {
+                "Service": "s1", "Address": f"127.0.0.1:{self.port}",
+                "Zone": "z1", "Version": "v1", "MaxConcurrency": 4,
+                "State": state, "WarmupLeftS": 0, "Sequence": self.sequence,
+                "born": 1000})[0]
+
+
+def document(version, keys, **route):
+    return {"Version": version, "Routes": {
+        "r1": {"Host": "a.example", "PathPrefix": "/x/", "Kind": "unsafe",
+               "TimeoutS": 5, "TargetLatencyS": 1, "Priority": 0,
+               "Service": "s1", "MaxAttempts": 2, "Anonymous": False, **route},
+        "r2": {"Host": "a.example", "PathPrefix": "/open/", "Kind": "safe",
+               "TimeoutS": 5, "TargetLatencyS": 1, "Priority": 0,
+               "Service": "s1", "MaxAttempts": 2, "Anonymous": True}},
+        "Services": {"s1": {"HealthPath": "/health", "MaxConns": 100}},
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000,
+                   "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
+        "Tenants": {"w1": {"ApiKeys": keys, "RatePerS": 100, "Burst": 100}}}
