settings: SIGHUP does not end a process that is still starting; soak by hand

An operator's SIGHUP right after a restart ended the gate.

Cause: SIGHUP had its default action until the loop watched it. It is deferred from the first statement of main() until then, so the settings are read again. Before main() it ends any program: the soak sends it to a process that has logged a line.

--- a/src/control/control_main.c
+++ b/src/control/control_main.c
@@ -127,6 +127,7 @@
 	static control_settings_t settings;
 	program_args_t args;
 
+	program_defer_hangup();
 	if (!program_args_parse(
 		argc, argv, "tm-control", control_default_settings, 0, &args))
 		return (args.status);
--- a/src/entry/entry_main.c
+++ b/src/entry/entry_main.c
@@ -81,6 +81,7 @@
 	static entry_settings_t settings;
 	program_args_t args;
 
+	program_defer_hangup();
 	if (!program_args_parse(
 		argc, argv, "tm-entry", entry_default_settings, 0, &args))
 		return (args.status);
--- a/src/hub/hub_main.c
+++ b/src/hub/hub_main.c
@@ -111,6 +111,7 @@
 	static hub_settings_t settings;
 	program_args_t args;
 
+	program_defer_hangup();
 	if (!program_args_parse(
 		argc, argv, "tm-hub", hub_default_settings, 0, &args))
 		return (args.status);
--- a/src/settings/program_signals.h
+++ b/src/settings/program_signals.h
@@ -20,6 +20,10 @@
 	void *ctx;
 } program_signals_t;
 
+/** Defers SIGHUP until program_watch_signals(): a process that is still starting
+ * would end. To be called first in main(). */
+void program_defer_hangup(void);
+
 /**
  * Watches the signals until the process ends.
  *
--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -2,6 +2,7 @@
 platform's protocol in threads. Shared by the tests of tm-hub and tm-gate."""
 import http.client
 import json
+import os
 import random
 import socket
 import subprocess
@@ -51,12 +52,19 @@
         self.ready = find_port(gates)
         self.metrics = find_port(hubs + gates)
         self.processes = {}
+        self.log_sizes = {}  # before the last start
+
+    def has_logged(self, name):
+        """Whether a process has written a line since its last start."""
+        size = os.path.getsize(f"{self.work}/{name}.log")
+        return size > self.log_sizes[name]
 
     def start(self, program, name, settings):
         path = f"{self.work}/{name}.json"
         with open(path, "w", encoding="utf-8") as out:
             json.dump(settings, out)
         with open(f"{self.work}/{name}.log", "ab") as log:
+            self.log_sizes[name] = log.tell()
             self.processes[name] = subprocess.Popen(
                 [f"{self.build}/bin/{program}", "--settings", path],
                 stdout=log, stderr=log)
--- a/test/functional/soak.py
+++ b/test/functional/soak.py
@@ -192,7 +192,9 @@
             return
         self.faults.append(f"{how} {name} {for_s:.1f}")
         if how == "hup":
-            self.signal(name, signal.SIGHUP)
+            # Before main() SIGHUP ends any program.
+            if self.fleet.has_logged(name):
+                self.signal(name, signal.SIGHUP)
         elif how == "freeze":
             self.signal(name, signal.SIGSTOP)
             self.end_later(for_s, lambda: self.signal(name, signal.SIGCONT))
@@ -376,6 +378,8 @@
     args = parser.parse_args()
     os.makedirs(args.work, exist_ok=True)
     soak = Soak(args)
+    # Processes are ended by their ids also when the soak itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     try:
         sent = soak.run()
     finally:
