http: a chunked response with an extension or trailers without end is refused

A head, informational responses and data without end were bounded already. An extension of a chunk or trailers were read until the deadline, as they are neither head nor data. They are counted now: 16 KiB, and eight bytes for each byte of data.

Response.EndsWithAnErrorWhereBytesHaveNoEnd feeds eight such streams in pieces of one byte, 1,000 bytes and the whole; before the change the extension without end was taken in each of them.

--- a/src/http/response.c
+++ b/src/http/response.c
@@ -11,6 +11,8 @@
 #define HEADERS_MAX 100
 /* Bounds the recursion over informational responses in one read. */
 #define INFORMATIONAL_MAX 16
+/* Frame of a chunk for each byte of data; one of a single byte has five. */
+#define CHUNK_FRAME_BYTES_MAX 8
 
 /*
  * libh2o exports picohttpparser but does not install its header. These are
@@ -193,23 +195,35 @@
 }
 
 static int
-take_body(response_t *r, char *bytes, size_t len, size_t *rest)
+take_chunks(response_t *r, char *bytes, size_t len, size_t *rest)
 {
 	size_t size = len;
-	ssize_t n;
+	ssize_t n = phr_decode_chunked(&r->chunks, bytes, &size);
 
-	*rest = 0;
-	if (r->is_chunked) {
-		n = phr_decode_chunked(&r->chunks, bytes, &size);
-		if (n == -1)
-			return (TM_EFORMAT);
-		if (keep_body(r, bytes, size) != TM_OK)
-			return (TM_ENOMEM);
-		if (n < 0)
-			return (0);
+	if (n == -1)
+		return (TM_EFORMAT);
+	if (keep_body(r, bytes, size) != TM_OK)
+		return (TM_ENOMEM);
+	if (n >= 0) {
 		*rest = (size_t)n;
 		return (1);
 	}
+	/* An extension or a trailer may have no end. */
+	r->frame_bytes += len - size;
+	return (r->frame_bytes >
+		    RESPONSE_HEAD_MAX + CHUNK_FRAME_BYTES_MAX * r->body_total
+		? TM_ETOOBIG
+		: 0);
+}
+
+static int
+take_body(response_t *r, char *bytes, size_t len, size_t *rest)
+{
+	size_t size = len;
+
+	*rest = 0;
+	if (r->is_chunked)
+		return (take_chunks(r, bytes, len, rest));
 	if (r->until_close)
 		return (keep_body(r, bytes, len));
 	if (size > r->left)
--- a/src/http/response.h
+++ b/src/http/response.h
@@ -43,6 +43,7 @@
 	buffer_t body; /**< bytes kept */
 	size_t body_keep_bytes;
 	uint64_t body_total;
+	uint64_t frame_bytes; /**< of a chunked body: what is no data */
 } response_t;
 
 /**
--- a/test/unit/response_test.cc
+++ b/test/unit/response_test.cc
@@ -246,6 +246,39 @@
 		EXPECT_EQ(feed(text, piece).rc, TM_ETOOBIG) << piece;
 }
 
+// A target in trouble sends bytes until the connection is closed. The reader must
+// not wait for an end that does not come, nor keep all of it. Data without an end
+// is the matter of Upstream.BoundsBodyAndHeaders.
+TEST(Response, EndsWithAnErrorWhereBytesHaveNoEnd)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\n";
+	const std::string with_chunks =
+	    head + "Transfer-Encoding: chunked\r\n\r\n";
+	const struct {
+		std::string start;
+		std::string repeated;
+	} streams[] = {
+		{ "", "x" },
+		{ "", "\r\n" },
+		{ head, "X-A: b\r\n" },
+		{ head + "X-A: ", "b" },
+		{ "", "HTTP/1.1 100 \r\n\r\n" },
+		{ with_chunks, "0" },
+		{ with_chunks + "4;", "x" },
+		{ with_chunks + "0\r\n", "X-A: b\r\n" },
+	};
+
+	for (const auto &stream : streams) {
+		std::string text = stream.start;
+
+		while (text.size() < (size_t)8 * RESPONSE_HEAD_MAX)
+			text += stream.repeated;
+		for (size_t piece : { (size_t)1, (size_t)1000, text.size() })
+			EXPECT_LT(feed(text, piece).rc, 0)
+			    << stream.start << "(" << stream.repeated << ")";
+	}
+}
+
 TEST(Response, SurvivesRandomDamage)
 {
 	const uint64_t seed = 20240601;
