--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -145,10 +145,11 @@
  * Assigns a request to the target of a service that has waited for one longest:
  * an idle one, or one that is open to a probe by this request.
  *
+ * @param id          of the service
  * @param may_repeat  1 if the request may be repeated
  */
 hub_assignment_t hub_outlier_assign_target(hub_outlier_t *detector,
-    uint64_t service, node_id_t gate, int may_repeat, int64_t now_ms);
+    uint64_t id, node_id_t gate, int may_repeat, int64_t now_ms);
 
 /** Expires probes without a result, opens ejected targets to probes, and ejects
  * targets that have become unreachable. */
@@ -162,9 +163,9 @@
 int hub_outlier_get_info(
     const hub_outlier_t *detector, uint64_t key, hub_outlier_info_t *info);
 
-/** Counts the targets of a service. @return 0, or TM_ENOENT for a service that
+/** Counts the targets of a service (its id). @return 0, or TM_ENOENT for a service that
  * never had a target */
-int hub_outlier_count_service(const hub_outlier_t *detector, uint64_t service,
+int hub_outlier_count_service(const hub_outlier_t *detector, uint64_t id,
     int64_t now_ms, hub_outlier_counts_t *counts);
 
 #endif
