--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -148,8 +148,8 @@
  * @param id          of the service
  * @param may_repeat  1 if the request may be repeated
  */
-hub_assignment_t hub_outlier_assign_target(hub_outlier_t *detector,
-    uint64_t id, node_id_t gate, int may_repeat, int64_t now_ms);
+hub_assignment_t hub_outlier_assign_target(hub_outlier_t *detector, uint64_t id,
+    node_id_t gate, int may_repeat, int64_t now_ms);
 
 /** Expires probes without a result, opens ejected targets to probes, and ejects
  * targets that have become unreachable. */
