--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -417,7 +417,7 @@
 
 	if (service != NULL)
 		choice = gate_table_pick(gate->table, service, &pick_options);
-	if (choice.is_leaders)
+	if (choice.must_ask_leader)
 		ask_for_target(request);
 	else if (choice.target == NULL)
 		gate_request_delay(request, GATE_REFUSAL_NO_TARGET);
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -481,8 +481,8 @@
 	gate_choice_t choice = { .target = NULL };
 	int rank;
 
-	choice.is_leaders = should_ask_leader(service, options);
-	if (!choice.is_leaders)
+	choice.must_ask_leader = should_ask_leader(service, options);
+	if (!choice.must_ask_leader)
 		choice.target = pick_ranked(table, service, options, &rank);
 	return (choice);
 }
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -144,7 +144,7 @@
 		{ "b", "z1", FLEET_TARGET_READY,
 		    FLEET_VERDICT_PROBE_REPEATABLE } });
 	EXPECT_STREQ("a", Pick({}, 0).target->id);
-	EXPECT_TRUE(Pick({}, 1).is_leaders);
+	EXPECT_TRUE(Pick({}, 1).must_ask_leader);
 	/* Tried already, so this request cannot probe it. */
 	EXPECT_STREQ("a", Pick({ fleet_name_hash("b") }, 1).target->id);
 	gate_service_delay_asking(gate_table_find_service(table_, "s1"), now_);
@@ -152,7 +152,7 @@
 	Apply(1, 1, 2,
 	    { { "b", "z1", FLEET_TARGET_READY, FLEET_VERDICT_PROBE } });
 	now_ += GATE_ASK_RETRY_MS;
-	EXPECT_TRUE(Pick({}, 0).is_leaders);
+	EXPECT_TRUE(Pick({}, 0).must_ask_leader);
 }
 
 // A gate asks the leader for a target while the service has idle ones, and for
@@ -162,16 +162,16 @@
 	uint64_t services[] = { fleet_name_hash("s1"), fleet_name_hash("s2") };
 
 	Apply(1, 0, 1, { { "a" } });
-	EXPECT_FALSE(Pick().is_leaders);
+	EXPECT_FALSE(Pick().must_ask_leader);
 	gate_table_set_idle(table_, services, 2, now_);
-	EXPECT_TRUE(Pick().is_leaders);
-	EXPECT_FALSE(Pick({}, 0, 0).is_leaders);
+	EXPECT_TRUE(Pick().must_ask_leader);
+	EXPECT_FALSE(Pick({}, 0, 0).must_ask_leader);
 	gate_service_delay_asking(gate_table_find_service(table_, "s1"), now_);
 	EXPECT_STREQ("a", Pick().target->id);
 	now_ += GATE_ASK_RETRY_MS;
-	EXPECT_TRUE(Pick().is_leaders);
+	EXPECT_TRUE(Pick().must_ask_leader);
 	now_ += 1000;
-	EXPECT_FALSE(Pick().is_leaders);
+	EXPECT_FALSE(Pick().must_ask_leader);
 }
 
 // While no leader answered, all requests went to targets that were open to
@@ -182,7 +182,7 @@
 	    { { "a" },
 		{ "b", "z1", FLEET_TARGET_READY, FLEET_VERDICT_PROBE } });
 	gate_choice_t choice = Pick({}, 0, 0);
-	EXPECT_FALSE(choice.is_leaders);
+	EXPECT_FALSE(choice.must_ask_leader);
 	EXPECT_STREQ("a", choice.target->id);
 }
 
--- a/test/unit/hub_floor_test.cc
+++ b/test/unit/hub_floor_test.cc
@@ -321,7 +321,7 @@
 		options.has_leader = 1;
 		choice = gate_table_pick(gates_[gate], service, &options);
 		*is_probe = 0;
-		if (!choice.is_leaders)
+		if (!choice.must_ask_leader)
 			return (choice.target);
 		asks_++;
 		assignment = hub_outlier_assign_target(
