--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -88,7 +88,8 @@
 
 /** Result of gate_table_pick(). */
 typedef struct gate_choice {
-	gate_target_t *target; /**< NULL: none is usable, or the leader chooses */
+	gate_target_t
+	    *target; /**< NULL: none is usable, or the leader chooses */
 	int must_ask_leader; /**< the leader is to be asked for a target */
 } gate_choice_t;
 
