--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -163,8 +163,8 @@
 int hub_outlier_get_info(
     const hub_outlier_t *detector, uint64_t key, hub_outlier_info_t *info);
 
-/** Counts the targets of a service (its id). @return 0, or TM_ENOENT for a service that
- * never had a target */
+/** Counts the targets of the service with an id. @return 0, or TM_ENOENT for a
+ * service that never had a target */
 int hub_outlier_count_service(const hub_outlier_t *detector, uint64_t id,
     int64_t now_ms, hub_outlier_counts_t *counts);
 
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -39,7 +39,9 @@
 	uint32_t probe_successes; /* consecutive */
 	node_id_t probe_gate; /* NODE_ID_NONE: no probe in flight */
 	int64_t probe_ms; /* when the probe was granted */
-	node_id_t doubted_gate; /* its probe hung; NODE_ID_NONE: none did */
+	/* Gate whose probe hung, until another gate has probed the target, as
+	 * the gate or its path may be the cause; NODE_ID_NONE: none. */
+	node_id_t doubted_gate;
 	int is_draining;
 	int is_unreachable; /* unresponsive for TARGET_TIMEOUT_MS */
 	int64_t announced_ms;
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -2,13 +2,14 @@
 
 #include <math.h>
 
-/* An ejected target gets no request for this time after its last failure. */
+/* An ejected target gets no request for this time after its last failure, then
+ * probes by repeatable requests. */
 #define PROBE_BACKOFF_MS 1000
 /* Share of a service's requests that may fail while sound targets are unused. */
 #define FAILURES_TOLERATED 0.1
-/* Then only repeatable requests probe it, and others while this share of the
- * attempts at targets in use fails, if the service has no repeatable ones: those
- * targets are not enough. The rest is for probes that fail. */
+/* From this failed share of the attempts at targets in use on, a service needs
+ * its ejected targets: unrepeatable requests probe them early if no repeatable
+ * one does. The rest of what is tolerated is for probes that fail. */
 #define FAILED_SHARE_MAX (FAILURES_TOLERATED / 2)
 /* Share of a service's requests that may be probes while it needs targets. */
 #define PROBE_SHARE_MAX 0.1
