--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import subprocess
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -115,12 +116,64 @@
         with open(f"{self.work}/{name}.log", encoding="utf-8") as log:
             return any(all(text in line for text in texts) for line in log)
 
+    def wait(self, what, condition, seconds=WAIT_S):
+        """Prints whether a condition holds within a time."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            try:
+                if condition():
+                    print(what)
+                    return
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.05)
+        print("FAILED:", what)
+
     def kill_all(self):
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
 
 
+class TargetProcess:
+    """A target as a process (platform_target.py); its id changes with each
+    start, its records are kept."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.starts = 0
+        self.id = ""
+        self.record = f"{fleet.work}/{name}.record"
+        self.answer = f"{fleet.work}/{name}.answer"
+        self.start_again()
+
+    def start_again(self):
+        self.starts += 1
+        self.id = f"{self.name}-{self.starts}"
+        controls = ",".join(f"{ip}:{self.fleet.control_port}"
+                            for ip in self.fleet.hubs)
+        here = os.path.dirname(os.path.abspath(__file__))
+        with open(f"{self.fleet.work}/{self.name}.log", "ab") as log:
+            self.fleet.processes[self.name] = subprocess.Popen(
+                [sys.executable, f"{here}/platform_target.py", "--id", self.id,
+                 "--control", controls, "--record", self.record,
+                 "--answer", self.answer], stdout=log, stderr=log)
+
+    def set_answer(self, **answer):
+        """Changes what each request is answered, see platform_target.py."""
+        with open(self.answer + ".new", "w", encoding="utf-8") as out:
+            json.dump(answer, out)
+        os.rename(self.answer + ".new", self.answer)
+
+    def has_ended(self):
+        return self.fleet.processes[self.name].poll() is not None
+
+    def read_records(self):
+        with open(self.record, encoding="utf-8") as file:
+            return [json.loads(line) for line in file]
+
+
 class Target:
     """Speaks the platform's protocol of targets, and records what it ran."""
 
