gate: the log tells which request ran when a target crashed

Event 962 has a request's id, which is new with each sending, and not whether the target ended or only the connection. Event 964 adds the request's fingerprint and the result of one connection to the target, 20 ms after the break: refused means that no process listens there.

service_fingerprint() becomes request_fingerprint_get() in src/route, as tm-entry and tm-gate share it; its values are unchanged.

--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -10,6 +10,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "base/test_hooks.h"
+#include "route/request_fingerprint.h"
 
 /* Interval of the check that a caller still waits. */
 #define ABANDON_CHECK_MS 100
@@ -400,8 +401,14 @@
 	h2o_iovec_t path =
 	    h2o_strdup(&req->pool, req->input.path.base, req->input.path.len);
 
-	request->fingerprint = service_fingerprint(request->workspace->name,
-	    options->route, method.base, path.base, options->body_hash);
+	request->fingerprint = request_fingerprint_get(
+	    &(request_fingerprint_parts_t){
+		.workspace = request->workspace->name,
+		.scope = options->route,
+		.method = method.base,
+		.path = path.base,
+	    },
+	    options->body_hash);
 }
 
 void
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "entry/forward.h"
+#include "gate/gate_crash_check.h"
 
 /* Connect timeout; nothing was sent by then. */
 #define CONNECT_MAX_MS 300
@@ -267,6 +268,8 @@
 		break;
 	}
 	record_outcome(request, target, kind, 0);
+	if (kind == FLEET_EVIDENCE_BROKEN && !gate_request_is_answered(request))
+		gate_crash_check_start(request, target);
 	gate_target_release(target);
 	handle_failure(request, kind, NULL);
 }
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -65,6 +65,7 @@
 	gate_request_t *requests;
 	gate_waiting_t *waiting; /**< requests before the first config */
 	uint32_t in_flight;
+	uint32_t crash_checks; /**< in progress */
 	int64_t last_busy_ms; /**< last time at which a request was running */
 	gate_phase_t phase;
 	int64_t started_ms;
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -58,6 +58,7 @@
 	uint32_t tried_count;
 	uint32_t attempts_sent; /**< attempts that may have reached a target */
 	int may_have_executed;
+	uint64_t fingerprint; /**< 0: not computed yet */
 	gate_refusal_t pending_refusal; /**< sent if no attempt follows */
 	gate_request_t *prev;
 	gate_request_t *next;
@@ -100,6 +101,9 @@
 
 /* gate_wire.c */
 
+/** @return fingerprint of a request that is not answered yet; never 0 */
+uint64_t gate_wire_get_fingerprint(gate_request_t *request);
+
 /**
  * Encodes the request for a target.
  *
--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -6,6 +6,7 @@
 #include "base/error.h"
 #include "entry/forward.h"
 #include "gate/gate_request.h"
+#include "route/request_fingerprint.h"
 
 /* Keeps a value within 32 bits. */
 #define LOAD_DIGITS_MAX 9
@@ -77,6 +78,32 @@
 	return (append_own(out, "content-length", text));
 }
 
+static char *
+copy_text(h2o_req_t *req, h2o_iovec_t text)
+{
+	return (h2o_strdup(&req->pool, text.base, text.len).base);
+}
+
+uint64_t
+gate_wire_get_fingerprint(gate_request_t *request)
+{
+	h2o_req_t *req = request->req;
+	request_fingerprint_parts_t parts = {
+		.workspace = request->workspace,
+	};
+
+	if (request->fingerprint != 0)
+		return (request->fingerprint);
+	parts.scope = copy_text(req, req->input.authority);
+	parts.method = copy_text(req, req->method);
+	parts.path = copy_text(req, req->input.path);
+	request->fingerprint = request_fingerprint_get(&parts,
+	    request_fingerprint_hash_body(req->entity.base, req->entity.len));
+	if (request->fingerprint == 0)
+		request->fingerprint = 1;
+	return (request->fingerprint);
+}
+
 int
 gate_wire_encode(const gate_request_t *request, const gate_target_t *target,
     int64_t remaining_ms, buffer_t *out)
--- a/src/service/service_defs.h
+++ b/src/service/service_defs.h
@@ -183,12 +183,4 @@
 /** @return xxHash of a service, target or workspace name */
 uint64_t service_id_from_name(const char *name);
 
-/**
- * Fingerprint of a request for crash reports.
- *
- * @param body_hash  xxHash of the body, 0 without one
- */
-uint64_t service_fingerprint(const char *workspace, const char *route,
-    const char *method, const char *path, uint64_t body_hash);
-
 #endif
--- a/src/service/service_id.c
+++ b/src/service/service_id.c
@@ -15,19 +15,6 @@
 	return (XXH64(name, strlen(name), 0));
 }
 
-uint64_t
-service_fingerprint(const char *workspace, const char *route,
-    const char *method, const char *path, uint64_t body_hash)
-{
-	const char *parts[] = { workspace, route, method, path };
-	uint64_t hash = body_hash;
-	size_t i;
-
-	for (i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
-		hash = XXH64(parts[i], strlen(parts[i]) + 1, hash);
-	return (hash);
-}
-
 const char *
 service_evidence_get_name(service_evidence_t evidence)
 {
