--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -19,6 +19,8 @@
 #define MSG_FLEET_PERMITS  (MSG_FLEET_BASE + 5)
 #define MSG_FLEET_EVIDENCE (MSG_FLEET_BASE + 6)
 #define MSG_FLEET_HELLO	   (MSG_FLEET_BASE + 8)
+#define MSG_FLEET_CRASH	   (MSG_FLEET_BASE + 9)
+#define MSG_FLEET_BLOCKS   (MSG_FLEET_BASE + 10)
 
 /** Size of the text of an IPv4 address with its NUL. */
 #define FLEET_IP_BYTES 16
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -71,6 +71,8 @@
 	join->table_term = gate_table_get_term(gate->table);
 	join->table_sequence = gate_table_get_sequence(gate->table);
 	join->is_stopping = gate->phase != GATE_RUNNING;
+	join->blocks_term = gate_crash_get_term(gate->crash);
+	join->blocks_sequence = gate_crash_get_sequence(gate->crash);
 	if (needs_usage) {
 		join->up_ms = (uint64_t)(clock_now_ms() - gate->started_ms);
 		join->usage_part_ms = GATE_USAGE_INTERVAL_MS;
@@ -178,6 +180,21 @@
 	tm__fleet__table__free_unpacked(msg, NULL);
 }
 
+static void
+handle_blocks(gate_t *gate, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Blocks *msg = tm__fleet__blocks__unpack(NULL, len, payload);
+
+	if (msg == NULL)
+		return;
+	gate_crash_apply(gate->crash, msg, clock_now_ms());
+	LOG_EVENT(965, LOG_LEVEL_INFO, "blocked requests in force",
+	    LOG_NUM("blocked", msg->n_blocks),
+	    LOG_NUM("suspected", msg->n_suspects), LOG_NUM("term", msg->term),
+	    LOG_NUM("sequence", msg->sequence));
+	tm__fleet__blocks__free_unpacked(msg, NULL);
+}
+
 /* peer_receive_cb */
 static void
 on_receive(void *ctx, node_id_t from, uint64_t incarnation, uint16_t type,
@@ -193,6 +210,9 @@
 	case MSG_FLEET_TABLE:
 		handle_table(gate, payload, len);
 		break;
+	case MSG_FLEET_BLOCKS:
+		handle_blocks(gate, payload, len);
+		break;
 	default:
 		gate_link_handle(
 		    gate->link, from, type, payload, len, clock_now_ms());
@@ -376,10 +396,12 @@
 	gate->allowance =
 	    gate_allowance_create(&settings->rates, rng_next(&gate->rng));
 	gate->usage = gate_usage_create();
+	gate->crash = gate_crash_create();
 	gate->link = gate_link_create(&link);
 	gate->upstream = upstream_create(gate->loop);
 	if (gate->table == NULL || gate->allowance == NULL ||
-	    gate->usage == NULL || gate->link == NULL || gate->upstream == NULL)
+	    gate->usage == NULL || gate->crash == NULL || gate->link == NULL ||
+	    gate->upstream == NULL)
 		return (TM_ENOMEM);
 	return (gate_metrics_create(gate));
 }
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -223,6 +223,8 @@
 	if (!stopped_at_deadline(request, response))
 		record_outcome(request, target, kind, response->status);
 	gate_target_release(target);
+	if (!is_not_executed && !gate_request_is_answered(request))
+		gate_crash_check_record_answer(request);
 	if (is_not_executed)
 		handle_not_executed(request);
 	else if (kind == FLEET_EVIDENCE_SUCCESS)
--- a/src/gate/gate_crash_check.c
+++ b/src/gate/gate_crash_check.c
@@ -34,6 +34,20 @@
 	return (names[result]);
 }
 
+static void
+report_crash(const crash_check_t *check)
+{
+	Tm__Fleet__Crash msg = TM__FLEET__CRASH__INIT;
+	int64_t now_ms = clock_now_ms();
+
+	msg.fingerprint = check->fingerprint;
+	msg.target = check->target_key;
+	msg.born_ms = check->incarnation_ms;
+	msg.sent_age_ms = (uint32_t)(now_ms - check->sent_ms);
+	msg.broken_age_ms = (uint32_t)(now_ms - check->broken_ms);
+	gate_link_report_crash(check->gate->link, &msg);
+}
+
 /* connect_check_cb */
 static void
 on_checked(void *ctx, connect_check_result_t result)
@@ -47,9 +61,34 @@
 	    LOG_TEXT("target", &check->target[0]),
 	    LOG_TEXT("result", get_result_name(result)),
 	    LOG_NUM("ran_ms", check->broken_ms - check->sent_ms));
+	if (result == CONNECT_CHECK_REFUSED)
+		report_crash(check);
 	free(check);
 }
 
+void
+gate_crash_check_record_answer(gate_request_t *request)
+{
+	Tm__Fleet__Crash msg = TM__FLEET__CRASH__INIT;
+
+	msg.fingerprint = gate_wire_get_fingerprint(request);
+	msg.is_harmless = 1;
+	if (gate_crash_record_answer(
+		request->gate->crash, msg.fingerprint, clock_now_ms()))
+		gate_link_report_crash(request->gate->link, &msg);
+}
+
+int64_t
+gate_crash_check_get_block_ms(gate_request_t *request)
+{
+	const gate_crash_t *crash = request->gate->crash;
+
+	if (!gate_crash_has_any(crash) || request->req == NULL)
+		return (0);
+	return (gate_crash_get_block_ms(
+	    crash, gate_wire_get_fingerprint(request), clock_now_ms()));
+}
+
 void
 gate_crash_check_start(gate_request_t *request, const gate_target_t *target)
 {
@@ -63,7 +102,9 @@
 		.done = on_checked,
 	};
 
-	if (gate->crash_checks >= CHECKS_MAX)
+	if (gate->crash_checks >= CHECKS_MAX ||
+	    gate_crash_is_harmless(gate->crash,
+		gate_wire_get_fingerprint(request), clock_now_ms()))
 		return;
 	check = calloc(1, sizeof(*check));
 	if (check == NULL)
--- a/src/gate/gate_crash_check.h
+++ b/src/gate/gate_crash_check.h
@@ -1,8 +1,9 @@
 /**
  * @file
- * Finds out whether a target has crashed when a connection to it broke while a
- * request was running: then no process listens at its address. A target that
- * only breaks connections still accepts new ones.
+ * Reports requests that crash targets to the leading hub, and recognises those
+ * that it blocks. When a connection breaks while a request is running, the
+ * target has crashed if no process listens at its address any more; a target
+ * that only breaks connections still accepts new ones.
  */
 #ifndef TM_GATE_GATE_CRASH_CHECK_H
 #define TM_GATE_GATE_CRASH_CHECK_H
@@ -16,4 +17,10 @@
 void gate_crash_check_start(
     gate_request_t *request, const gate_target_t *target);
 
+/** Records that a target executed an unanswered request to its end. */
+void gate_crash_check_record_answer(gate_request_t *request);
+
+/** @return time for which a request is blocked, in ms; 0: it is not */
+int64_t gate_crash_check_get_block_ms(gate_request_t *request);
+
 #endif
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "base/rng.h"
 #include "gate/gate_allowance.h"
+#include "gate/gate_crash.h"
 #include "gate/gate_link.h"
 #include "gate/gate_settings.h"
 #include "gate/gate_table.h"
@@ -55,6 +56,7 @@
 	gate_allowance_t *allowance;
 	int64_t allowance_ms; /**< lease request at its last reset */
 	gate_usage_t *usage;
+	gate_crash_t *crash;
 	fleet_config_t *config; /**< NULL until the first one arrives */
 	Tm__Fleet__Outcome *outcomes; /**< of the renewal that is being sent */
 	Tm__Fleet__Outcome **outcome_pointers;
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -444,6 +444,14 @@
 		    MSG_FLEET_EVIDENCE, &evidence->base);
 }
 
+void
+gate_link_report_crash(gate_link_t *link, const Tm__Fleet__Crash *crash)
+{
+	if (link->leader != NODE_ID_NONE)
+		link->options.send(link->options.send_ctx, link->leader,
+		    MSG_FLEET_CRASH, &crash->base);
+}
+
 static Tm__Fleet__Spend *
 queue_spend(gate_link_t *link, int64_t now_ms)
 {
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -108,6 +108,10 @@
 /** Sends evidence from an attempt to the leader; dropped without one. */
 void gate_link_report(gate_link_t *link, const Tm__Fleet__Evidence *evidence);
 
+/** Sends a report about a request that crashes targets to the leader; dropped
+ * without one. */
+void gate_link_report_crash(gate_link_t *link, const Tm__Fleet__Crash *crash);
+
 /** Queues the report of a token that was consumed without a permit. */
 void gate_link_report_consumed(
     gate_link_t *link, uint64_t workspace, uint64_t service, int64_t now_ms);
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "fleet/fleet_config.h"
 #include "gate/gate_attempt.h"
+#include "gate/gate_crash_check.h"
 #include "gate/gate_metrics.h"
 
 /* Interval of the check that the caller's connection is still open. */
@@ -185,8 +186,13 @@
 gate_request_proceed(gate_request_t *request)
 {
 	gate_t *gate = request->gate;
+	int64_t block_ms = gate_crash_check_get_block_ms(request);
 	gate_refusal_t refusal;
 
+	if (block_ms > 0) {
+		gate_request_refuse(request, GATE_REFUSAL_BLOCKED, block_ms);
+		return;
+	}
 	if (request->config_version != gate->config->version &&
 	    !gate_request_is_answered(request)) {
 		if (!gate_front_is_allowed(request, &refusal)) {
@@ -312,7 +318,12 @@
 {
 	gate_t *gate = request->gate;
 	int64_t now_ms = clock_now_ms();
+	int64_t block_ms = gate_crash_check_get_block_ms(request);
 
+	if (block_ms > 0) {
+		gate_request_refuse(request, GATE_REFUSAL_BLOCKED, block_ms);
+		return;
+	}
 	if (request->has_token) {
 		gate_request_proceed(request);
 		return;
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -411,6 +411,7 @@
 	    hub_outlier_create(settings->used_share_min, on_verdict, hub);
 	hub->quota = hub_quota_create(&quota);
 	hub->load = hub_load_create();
+	hub->crash = hub_crash_create();
 	feed.state = hub->state;
 	feed.outlier = hub->outlier;
 	hub->feed = hub_feed_create(&feed);
@@ -419,7 +420,7 @@
 		hub->report = hub_report_create(hub->outlier, hub->metrics);
 	if (hub->state == NULL || hub->members == NULL ||
 	    hub->outlier == NULL || hub->quota == NULL || hub->load == NULL ||
-	    hub->feed == NULL || hub->report == NULL)
+	    hub->crash == NULL || hub->feed == NULL || hub->report == NULL)
 		return (TM_ENOMEM);
 	hub->metric_leading =
 	    metrics_get(hub->metrics, "tm_hub_is_leading", "", METRIC_GAUGE);
@@ -429,6 +430,10 @@
 	    hub->metrics, "tm_hub_verdicts_total", "", METRIC_COUNTER);
 	hub->metric_gates =
 	    metrics_get(hub->metrics, "tm_hub_gates", "", METRIC_GAUGE);
+	hub->metric_crashes = metrics_get(
+	    hub->metrics, "tm_hub_target_crashes_total", "", METRIC_COUNTER);
+	hub->metric_blocked = metrics_get(
+	    hub->metrics, "tm_hub_blocked_requests", "", METRIC_GAUGE);
 	return (TM_OK);
 }
 
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -7,6 +7,7 @@
 #define TM_HUB_HUB_INTERNAL_H
 
 #include "hub/hub.h"
+#include "hub/hub_crash.h"
 #include "hub/hub_feed.h"
 #include "hub/hub_outlier.h"
 #include "hub/hub_load.h"
@@ -46,6 +47,8 @@
 	hub_quota_t *quota;
 	hub_load_t *load;
 	hub_feed_t *feed;
+	hub_crash_t *crash;
+	uint64_t blocks_sequence; /* of the blocks that gates were sent last */
 	uint64_t idle_services[HUB_IDLE_SERVICES_MAX];
 	size_t idle_service_count;
 	hub_report_t *report;
@@ -56,6 +59,7 @@
 	uint64_t led_term;
 	int64_t member_due_ms;
 	int64_t ejected_due_ms;
+	int64_t blocked_due_ms;
 	int64_t load_due_ms;
 	uint64_t compacted;
 	int is_stopping;
@@ -65,6 +69,8 @@
 	metric_t *metric_commits;
 	metric_t *metric_verdicts;
 	metric_t *metric_gates;
+	metric_t *metric_crashes;
+	metric_t *metric_blocked;
 };
 
 /** Starts or stops to serve as the leader, following the replicated log. */
@@ -85,6 +91,13 @@
 void hub_fill_near_limit(
     const hub_t *hub, Tm__Fleet__Permits *msg, uint64_t *near_limit);
 
+/** Sends the blocked and suspected requests to one gate. */
+void hub_send_blocks(hub_t *hub, node_id_t gate, int64_t now_ms);
+
+/** Sends them to all gates and records them for the next leader, if they have
+ * changed. */
+void hub_update_blocks(hub_t *hub, int64_t now_ms);
+
 /** Updates the reserve for gates that have not reported their usage. */
 void hub_update_gate_counts(hub_t *hub, int64_t now_ms);
 
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -11,6 +11,10 @@
 #define LOAD_MS 200
 /* Interval at which the list of ejected targets is proposed, if it changed. */
 #define PROPOSE_EJECTED_MS 1000
+/* Interval at which the list of blocked requests is proposed, if it changed. */
+#define PROPOSE_BLOCKED_MS 250
+/* Most blocked, and most suspected, requests that gates are sent. */
+#define BLOCKS_MAX 256
 /* A deregistered target is kept this long, so that a late announcement does not
  * register it again. */
 #define DEREGISTERED_EXPIRY_MS 60000
@@ -37,6 +41,10 @@
 	for (i = 0; i < hub->state->ejected_count; i++)
 		hub_outlier_restore_ejection(
 		    hub->outlier, hub->state->ejected[i], now_ms);
+	hub_crash_reset(hub->crash);
+	hub->blocks_sequence = 0;
+	for (i = 0; i < hub->state->blocked_count; i++)
+		hub_crash_restore(hub->crash, hub->state->blocked[i], now_ms);
 	LOG_EVENT(913, LOG_LEVEL_INFO, "serving as the leader",
 	    LOG_NUM("term", hub->led_term),
 	    LOG_NUM("version", hub->state->document.version),
@@ -160,6 +168,91 @@
 	free(targets);
 }
 
+/* Buffers that a message with blocks points to. */
+typedef struct blocks_message {
+	Tm__Fleet__Blocks msg;
+	hub_block_t blocks[BLOCKS_MAX];
+	Tm__Fleet__Block msgs[BLOCKS_MAX];
+	Tm__Fleet__Block *pointers[BLOCKS_MAX];
+	uint64_t suspects[BLOCKS_MAX];
+} blocks_message_t;
+
+static void
+fill_blocks(const hub_t *hub, blocks_message_t *out, int64_t now_ms)
+{
+	size_t count =
+	    hub_crash_list_blocks(hub->crash, out->blocks, BLOCKS_MAX, now_ms);
+	size_t i;
+
+	tm__fleet__blocks__init(&out->msg);
+	out->msg.term = hub->led_term;
+	out->msg.sequence = hub_crash_get_sequence(hub->crash);
+	for (i = 0; i < count; i++) {
+		tm__fleet__block__init(&out->msgs[i]);
+		out->msgs[i].fingerprint = out->blocks[i].fingerprint;
+		out->msgs[i].left_ms = (uint32_t)out->blocks[i].left_ms;
+		out->pointers[i] = &out->msgs[i];
+	}
+	out->msg.blocks = out->pointers;
+	out->msg.n_blocks = count;
+	out->msg.suspects = out->suspects;
+	out->msg.n_suspects =
+	    hub_crash_list_suspects(hub->crash, out->suspects, BLOCKS_MAX);
+}
+
+void
+hub_send_blocks(hub_t *hub, node_id_t gate, int64_t now_ms)
+{
+	blocks_message_t blocks;
+
+	fill_blocks(hub, &blocks, now_ms);
+	peer_net_send(hub->net, gate, MSG_FLEET_BLOCKS, &blocks.msg.base);
+}
+
+/* Proposes the list of blocked requests for the next leader, if it changed. */
+static void
+propose_blocked(hub_t *hub, int64_t now_ms)
+{
+	const hub_state_t *state = hub->state;
+	hub_block_t blocks[BLOCKS_MAX];
+	uint64_t fingerprints[BLOCKS_MAX];
+	size_t count =
+	    hub_crash_list_blocks(hub->crash, blocks, BLOCKS_MAX, now_ms);
+	uint8_t *bytes;
+	size_t len;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		fingerprints[i] = blocks[i].fingerprint;
+	metric_set(hub->metric_blocked, (int64_t)count);
+	if (count == state->blocked_count &&
+	    (count == 0 ||
+		memcmp(fingerprints, state->blocked,
+		    count * sizeof(fingerprints[0])) == 0))
+		return;
+	bytes = hub_entry_encode_blocked(fingerprints, count, &len);
+	hub_propose(hub, bytes, len, ignore_outcome, NULL);
+}
+
+void
+hub_update_blocks(hub_t *hub, int64_t now_ms)
+{
+	blocks_message_t blocks;
+	int has_changed =
+	    hub->blocks_sequence != hub_crash_get_sequence(hub->crash);
+
+	if (has_changed) {
+		fill_blocks(hub, &blocks, now_ms);
+		hub->blocks_sequence = blocks.msg.sequence;
+		hub_feed_broadcast(
+		    hub->feed, MSG_FLEET_BLOCKS, &blocks.msg.base, now_ms);
+	}
+	if (!has_changed && now_ms < hub->blocked_due_ms)
+		return;
+	hub->blocked_due_ms = now_ms + PROPOSE_BLOCKED_MS;
+	propose_blocked(hub, now_ms);
+}
+
 static void
 propose_target(hub_t *hub, const hub_target_t *target, int is_removed)
 {
@@ -262,6 +355,8 @@
 		hub_load_update(hub->load, hub->state, hub->outlier, now_ms);
 		update_idle_services(hub, now_ms);
 	}
+	hub_crash_tick(hub->crash, now_ms);
+	hub_update_blocks(hub, now_ms);
 	if (now_ms >= hub->ejected_due_ms) {
 		hub->ejected_due_ms = now_ms + PROPOSE_EJECTED_MS;
 		propose_ejected(hub);
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "hub/hub_internal.h"
 
 /* Further Spend records of one message are ignored. */
@@ -83,6 +84,16 @@
 	peer_net_send(hub->net, to, MSG_FLEET_PERMITS, &msg.base);
 }
 
+/* Sends the blocked requests to a gate that does not have the newest list. */
+static void
+send_blocks_if_due(
+    hub_t *hub, node_id_t to, const Tm__Fleet__Join *join, int64_t now_ms)
+{
+	if (join->blocks_term != hub->led_term ||
+	    join->blocks_sequence != hub_crash_get_sequence(hub->crash))
+		hub_send_blocks(hub, to, now_ms);
+}
+
 static void
 handle_join(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
 {
@@ -107,6 +118,7 @@
 		lease.idle_service_count = hub->idle_service_count;
 		merge_usage(hub, join, now_ms);
 		send_near_limit_if_due(hub, from, join);
+		send_blocks_if_due(hub, from, join, now_ms);
 		hub_feed_renew_lease(hub->feed, from, join, &lease, now_ms);
 		if (join->usage_part_ms != 0)
 			hub_update_gate_counts(hub, now_ms);
@@ -228,6 +240,47 @@
 	tm__fleet__evidence__free_unpacked(msg, NULL);
 }
 
+static void
+record_crash(
+    hub_t *hub, node_id_t from, const Tm__Fleet__Crash *msg, int64_t now_ms)
+{
+	const hub_target_t *target =
+	    hub_state_find_target(hub->state, msg->target);
+	const hub_crash_report_t report = {
+		.fingerprint = msg->fingerprint,
+		.target = msg->target,
+		.incarnation_ms = msg->born_ms,
+		.sent_ms = now_ms - msg->sent_age_ms,
+		.broken_ms = now_ms - msg->broken_age_ms,
+	};
+	uint32_t crashes = hub_crash_record(hub->crash, &report, now_ms);
+
+	metric_add(hub->metric_crashes, 1);
+	LOG_EVENT(924,
+	    crashes >= HUB_CRASHES_TO_BLOCK ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+	    "target crashed while a request ran",
+	    LOG_NUM("fingerprint", msg->fingerprint),
+	    LOG_TEXT("target", target != NULL ? target->as.id : ""),
+	    LOG_NUM("gate", from), LOG_NUM("crashes", crashes),
+	    LOG_NUM("is_blocked", crashes >= HUB_CRASHES_TO_BLOCK));
+}
+
+static void
+handle_crash(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Crash *msg = tm__fleet__crash__unpack(NULL, len, payload);
+	int64_t now_ms = clock_now_ms();
+
+	if (msg == NULL)
+		return;
+	if (msg->is_harmless)
+		hub_crash_clear(hub->crash, msg->fingerprint);
+	else
+		record_crash(hub, from, msg, now_ms);
+	hub_update_blocks(hub, now_ms);
+	tm__fleet__crash__free_unpacked(msg, NULL);
+}
+
 void
 hub_messages_receive(void *ctx, node_id_t from, uint64_t incarnation,
     uint16_t type, const uint8_t *payload, size_t len)
@@ -255,6 +308,10 @@
 		if (hub->was_leading)
 			handle_evidence(hub, from, payload, len);
 		break;
+	case MSG_FLEET_CRASH:
+		if (hub->was_leading)
+			handle_crash(hub, from, payload, len);
+		break;
 	default:
 		break;
 	}
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -35,6 +35,9 @@
 	free(state->ejected);
 	state->ejected = NULL;
 	state->ejected_count = 0;
+	free(state->blocked);
+	state->blocked = NULL;
+	state->blocked_count = 0;
 }
 
 void
@@ -221,18 +224,20 @@
 	return (HUB_CHANGE_NONE);
 }
 
+/* Replaces a list; it stays if memory is exhausted. */
 static void
-set_ejected(hub_state_t *state, const uint64_t *targets, size_t count)
+set_list(
+    uint64_t **list, size_t *list_count, const uint64_t *values, size_t count)
 {
 	uint64_t *copy = calloc(count + 1, sizeof(*copy));
 
 	if (copy == NULL)
 		return;
 	if (count > 0)
-		memcpy(copy, targets, count * sizeof(*copy));
-	free(state->ejected);
-	state->ejected = copy;
-	state->ejected_count = count;
+		memcpy(copy, values, count * sizeof(*copy));
+	free(*list);
+	*list = copy;
+	*list_count = count;
 }
 
 hub_change_t
@@ -252,8 +257,12 @@
 	else if (entry->gone != NULL)
 		change = apply_forgotten(state, entry->gone);
 	else if (entry->ejected != NULL)
-		set_ejected(
-		    state, entry->ejected->targets, entry->ejected->n_targets);
+		set_list(&state->ejected, &state->ejected_count,
+		    entry->ejected->targets, entry->ejected->n_targets);
+	else if (entry->blocked != NULL)
+		set_list(&state->blocked, &state->blocked_count,
+		    entry->blocked->fingerprints,
+		    entry->blocked->n_fingerprints);
 	else if (entry->hub[0] != '\0')
 		change = add_hub(state, entry->hub) ? HUB_CHANGE_HUBS
 						    : HUB_CHANGE_NONE;
@@ -359,6 +368,19 @@
 	return (encode(&entry.base, len));
 }
 
+uint8_t *
+hub_entry_encode_blocked(
+    const uint64_t *fingerprints, size_t count, size_t *len)
+{
+	Tm__Fleet__Entry entry = TM__FLEET__ENTRY__INIT;
+	Tm__Fleet__Blocked msg = TM__FLEET__BLOCKED__INIT;
+
+	msg.fingerprints = (uint64_t *)fingerprints;
+	msg.n_fingerprints = count;
+	entry.blocked = &msg;
+	return (encode(&entry.base, len));
+}
+
 uint8_t *
 hub_state_encode(const hub_state_t *state, size_t *len)
 {
@@ -378,6 +400,8 @@
 		hubs[i] = (char *)state->hubs[i];
 	snapshot.ejected = state->ejected;
 	snapshot.n_ejected = state->ejected_count;
+	snapshot.blocked = state->blocked;
+	snapshot.n_blocked = state->blocked_count;
 	snapshot.hubs = hubs;
 	snapshot.n_hubs = (size_t)state->hub_count;
 	if (state->has_document) {
@@ -416,7 +440,10 @@
 		apply_target(state, snapshot->targets[i], &unused);
 	for (i = 0; i < snapshot->n_hubs; i++)
 		add_hub(state, snapshot->hubs[i]);
-	set_ejected(state, snapshot->ejected, snapshot->n_ejected);
+	set_list(&state->ejected, &state->ejected_count, snapshot->ejected,
+	    snapshot->n_ejected);
+	set_list(&state->blocked, &state->blocked_count, snapshot->blocked,
+	    snapshot->n_blocked);
 	if (snapshot->document != NULL)
 		err = set_document(state, snapshot->document);
 	tm__fleet__snapshot__free_unpacked(snapshot, NULL);
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * Replicated state of the hubs: the newest configuration document, the
- * registered targets, the ejected ones and the addresses of the hubs. Entries
+ * registered targets, the ejected ones, the blocked requests and the addresses
+ * of the hubs. Entries
  * are applied in the order of the log, so that all hubs hold the same state.
  * The caller owns it. Does no I/O and reads no clock.
  */
@@ -44,6 +45,8 @@
 	int hub_count;
 	uint64_t *ejected; /**< keys of ejected targets */
 	size_t ejected_count;
+	uint64_t *blocked; /**< fingerprints of blocked requests */
+	size_t blocked_count;
 } hub_state_t;
 
 /** What an entry changed. */
@@ -104,6 +107,8 @@
 uint8_t *hub_entry_encode_hub(const char *name, int is_lost, size_t *len);
 uint8_t *hub_entry_encode_ejected(
     const uint64_t *targets, size_t count, size_t *len);
+uint8_t *hub_entry_encode_blocked(
+    const uint64_t *fingerprints, size_t count, size_t *len);
 
 /**
  * Compresses a document.
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -592,6 +592,141 @@
   assert(message->base.descriptor == &tm__fleet__evidence__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__crash__init
+                     (Tm__Fleet__Crash         *message)
+{
+  static const Tm__Fleet__Crash init_value = TM__FLEET__CRASH__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__crash__get_packed_size
+                     (const Tm__Fleet__Crash *message)
+{
+  assert(message->base.descriptor == &tm__fleet__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__crash__pack
+                     (const Tm__Fleet__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__crash__pack_to_buffer
+                     (const Tm__Fleet__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Crash *
+       tm__fleet__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Crash *)
+     protobuf_c_message_unpack (&tm__fleet__crash__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__crash__free_unpacked
+                     (Tm__Fleet__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   tm__fleet__block__init
+                     (Tm__Fleet__Block         *message)
+{
+  static const Tm__Fleet__Block init_value = TM__FLEET__BLOCK__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__block__get_packed_size
+                     (const Tm__Fleet__Block *message)
+{
+  assert(message->base.descriptor == &tm__fleet__block__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__block__pack
+                     (const Tm__Fleet__Block *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__block__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__block__pack_to_buffer
+                     (const Tm__Fleet__Block *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__block__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Block *
+       tm__fleet__block__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Block *)
+     protobuf_c_message_unpack (&tm__fleet__block__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__block__free_unpacked
+                     (Tm__Fleet__Block *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__block__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   tm__fleet__blocks__init
+                     (Tm__Fleet__Blocks         *message)
+{
+  static const Tm__Fleet__Blocks init_value = TM__FLEET__BLOCKS__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__blocks__get_packed_size
+                     (const Tm__Fleet__Blocks *message)
+{
+  assert(message->base.descriptor == &tm__fleet__blocks__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__blocks__pack
+                     (const Tm__Fleet__Blocks *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__blocks__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__blocks__pack_to_buffer
+                     (const Tm__Fleet__Blocks *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__blocks__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Blocks *
+       tm__fleet__blocks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Blocks *)
+     protobuf_c_message_unpack (&tm__fleet__blocks__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__blocks__free_unpacked
+                     (Tm__Fleet__Blocks *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__blocks__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   tm__fleet__hello__init
                      (Tm__Fleet__Hello         *message)
 {
@@ -727,6 +862,51 @@
   assert(message->base.descriptor == &tm__fleet__ejected__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__blocked__init
+                     (Tm__Fleet__Blocked         *message)
+{
+  static const Tm__Fleet__Blocked init_value = TM__FLEET__BLOCKED__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__blocked__get_packed_size
+                     (const Tm__Fleet__Blocked *message)
+{
+  assert(message->base.descriptor == &tm__fleet__blocked__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__blocked__pack
+                     (const Tm__Fleet__Blocked *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__blocked__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__blocked__pack_to_buffer
+                     (const Tm__Fleet__Blocked *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__blocked__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Blocked *
+       tm__fleet__blocked__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Blocked *)
+     protobuf_c_message_unpack (&tm__fleet__blocked__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__blocked__free_unpacked
+                     (Tm__Fleet__Blocked *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__blocked__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   tm__fleet__snapshot__init
                      (Tm__Fleet__Snapshot         *message)
 {
@@ -977,7 +1157,7 @@
   (ProtobufCMessageInit) tm__fleet__usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__join__field_descriptors[15] =
+static const ProtobufCFieldDescriptor tm__fleet__join__field_descriptors[17] =
 {
   {
     "sent_ms",
@@ -1159,9 +1339,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blocks_term",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Join, blocks_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocks_sequence",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Join, blocks_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__join__field_indices_by_name[] = {
   14,   /* field[14] = alone_ms */
+  16,   /* field[16] = blocks_sequence */
+  15,   /* field[15] = blocks_term */
   1,   /* field[1] = config_version */
   9,   /* field[9] = gates */
   4,   /* field[4] = is_stopping */
@@ -1180,7 +1386,7 @@
 static const ProtobufCIntRange tm__fleet__join__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor tm__fleet__join__descriptor =
 {
@@ -1190,7 +1396,7 @@
   "Tm__Fleet__Join",
   "tm.fleet",
   sizeof(Tm__Fleet__Join),
-  15,
+  17,
   tm__fleet__join__field_descriptors,
   tm__fleet__join__field_indices_by_name,
   1,  tm__fleet__join__number_ranges,
@@ -2098,6 +2304,237 @@
   (ProtobufCMessageInit) tm__fleet__evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor tm__fleet__crash__field_descriptors[6] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Crash, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_harmless",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Crash, is_harmless),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Crash, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Crash, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Crash, sent_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "broken_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Crash, broken_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__crash__field_indices_by_name[] = {
+  3,   /* field[3] = born_ms */
+  5,   /* field[5] = broken_age_ms */
+  0,   /* field[0] = fingerprint */
+  1,   /* field[1] = is_harmless */
+  4,   /* field[4] = sent_age_ms */
+  2,   /* field[2] = target */
+};
+static const ProtobufCIntRange tm__fleet__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor tm__fleet__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Crash",
+  "Crash",
+  "Tm__Fleet__Crash",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Crash),
+  6,
+  tm__fleet__crash__field_descriptors,
+  tm__fleet__crash__field_indices_by_name,
+  1,  tm__fleet__crash__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__block__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Block, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Block, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__block__field_indices_by_name[] = {
+  0,   /* field[0] = fingerprint */
+  1,   /* field[1] = left_ms */
+};
+static const ProtobufCIntRange tm__fleet__block__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor tm__fleet__block__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Block",
+  "Block",
+  "Tm__Fleet__Block",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Block),
+  2,
+  tm__fleet__block__field_descriptors,
+  tm__fleet__block__field_indices_by_name,
+  1,  tm__fleet__block__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__block__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__blocks__field_descriptors[4] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Blocks, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Blocks, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocks",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Blocks, n_blocks),
+    offsetof(Tm__Fleet__Blocks, blocks),
+    &tm__fleet__block__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Blocks, n_suspects),
+    offsetof(Tm__Fleet__Blocks, suspects),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__blocks__field_indices_by_name[] = {
+  2,   /* field[2] = blocks */
+  1,   /* field[1] = sequence */
+  3,   /* field[3] = suspects */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange tm__fleet__blocks__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor tm__fleet__blocks__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Blocks",
+  "Blocks",
+  "Tm__Fleet__Blocks",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Blocks),
+  4,
+  tm__fleet__blocks__field_descriptors,
+  tm__fleet__blocks__field_indices_by_name,
+  1,  tm__fleet__blocks__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__blocks__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor tm__fleet__hello__field_descriptors[3] =
 {
   {
@@ -2163,7 +2600,7 @@
   (ProtobufCMessageInit) tm__fleet__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__entry__field_descriptors[6] =
+static const ProtobufCFieldDescriptor tm__fleet__entry__field_descriptors[7] =
 {
   {
     "document",
@@ -2237,8 +2674,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blocked",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Entry, blocked),
+    &tm__fleet__blocked__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__entry__field_indices_by_name[] = {
+  6,   /* field[6] = blocked */
   0,   /* field[0] = document */
   5,   /* field[5] = ejected */
   2,   /* field[2] = gone */
@@ -2249,7 +2699,7 @@
 static const ProtobufCIntRange tm__fleet__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor tm__fleet__entry__descriptor =
 {
@@ -2259,7 +2709,7 @@
   "Tm__Fleet__Entry",
   "tm.fleet",
   sizeof(Tm__Fleet__Entry),
-  6,
+  7,
   tm__fleet__entry__field_descriptors,
   tm__fleet__entry__field_indices_by_name,
   1,  tm__fleet__entry__number_ranges,
@@ -2304,7 +2754,45 @@
   (ProtobufCMessageInit) tm__fleet__ejected__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor tm__fleet__blocked__field_descriptors[1] =
+{
+  {
+    "fingerprints",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Blocked, n_fingerprints),
+    offsetof(Tm__Fleet__Blocked, fingerprints),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__blocked__field_indices_by_name[] = {
+  0,   /* field[0] = fingerprints */
+};
+static const ProtobufCIntRange tm__fleet__blocked__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor tm__fleet__blocked__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Blocked",
+  "Blocked",
+  "Tm__Fleet__Blocked",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Blocked),
+  1,
+  tm__fleet__blocked__field_descriptors,
+  tm__fleet__blocked__field_indices_by_name,
+  1,  tm__fleet__blocked__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__blocked__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__snapshot__field_descriptors[5] =
 {
   {
     "document",
@@ -2354,8 +2842,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blocked",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Snapshot, n_blocked),
+    offsetof(Tm__Fleet__Snapshot, blocked),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__snapshot__field_indices_by_name[] = {
+  4,   /* field[4] = blocked */
   0,   /* field[0] = document */
   3,   /* field[3] = ejected */
   2,   /* field[2] = hubs */
@@ -2364,7 +2865,7 @@
 static const ProtobufCIntRange tm__fleet__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor tm__fleet__snapshot__descriptor =
 {
@@ -2374,7 +2875,7 @@
   "Tm__Fleet__Snapshot",
   "tm.fleet",
   sizeof(Tm__Fleet__Snapshot),
-  4,
+  5,
   tm__fleet__snapshot__field_descriptors,
   tm__fleet__snapshot__field_indices_by_name,
   1,  tm__fleet__snapshot__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -28,9 +28,13 @@
 typedef struct Tm__Fleet__Permit Tm__Fleet__Permit;
 typedef struct Tm__Fleet__Permits Tm__Fleet__Permits;
 typedef struct Tm__Fleet__Evidence Tm__Fleet__Evidence;
+typedef struct Tm__Fleet__Crash Tm__Fleet__Crash;
+typedef struct Tm__Fleet__Block Tm__Fleet__Block;
+typedef struct Tm__Fleet__Blocks Tm__Fleet__Blocks;
 typedef struct Tm__Fleet__Hello Tm__Fleet__Hello;
 typedef struct Tm__Fleet__Entry Tm__Fleet__Entry;
 typedef struct Tm__Fleet__Ejected Tm__Fleet__Ejected;
+typedef struct Tm__Fleet__Blocked Tm__Fleet__Blocked;
 typedef struct Tm__Fleet__Snapshot Tm__Fleet__Snapshot;
 
 
@@ -139,10 +143,15 @@
    * Time that the gate goes on serving keys without an answer.
    */
   uint32_t alone_ms;
+  /*
+   * Of the list of blocked requests that the gate has; 0: it has none.
+   */
+  uint64_t blocks_term;
+  uint64_t blocks_sequence;
 };
 #define TM__FLEET__JOIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__join__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -322,6 +331,63 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Gate to hub: a target crashed while a request ran, or it answered one that was
+ * suspected of that.
+ */
+struct  Tm__Fleet__Crash
+{
+  ProtobufCMessage base;
+  /*
+   * Of the request; the same whenever it comes again.
+   */
+  uint64_t fingerprint;
+  protobuf_c_boolean is_harmless;
+  uint64_t target;
+  uint64_t born_ms;
+  /*
+   * Times since the request was sent, and since its connection broke.
+   */
+  uint32_t sent_age_ms;
+  uint32_t broken_age_ms;
+};
+#define TM__FLEET__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__crash__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+struct  Tm__Fleet__Block
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  uint32_t left_ms;
+};
+#define TM__FLEET__BLOCK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__block__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Hub to gate: requests that crash targets; replaces the list before.
+ */
+struct  Tm__Fleet__Blocks
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  uint64_t sequence;
+  size_t n_blocks;
+  Tm__Fleet__Block **blocks;
+  /*
+   * One more crash blocks them; a gate reports if a target answers one.
+   */
+  size_t n_suspects;
+  uint64_t *suspects;
+};
+#define TM__FLEET__BLOCKS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__blocks__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
 /*
  * Hub to hub, periodically.
  */
@@ -350,10 +416,11 @@
   char *hub;
   char *lost_hub;
   Tm__Fleet__Ejected *ejected;
+  Tm__Fleet__Blocked *blocked;
 };
 #define TM__FLEET__ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__entry__descriptor) \
-    , NULL, NULL, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
+    , NULL, NULL, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL }
 
 
 /*
@@ -370,6 +437,20 @@
     , 0,NULL }
 
 
+/*
+ * Fingerprints of the requests that are blocked, for the next leader.
+ */
+struct  Tm__Fleet__Blocked
+{
+  ProtobufCMessage base;
+  size_t n_fingerprints;
+  uint64_t *fingerprints;
+};
+#define TM__FLEET__BLOCKED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__blocked__descriptor) \
+    , 0,NULL }
+
+
 struct  Tm__Fleet__Snapshot
 {
   ProtobufCMessage base;
@@ -380,10 +461,12 @@
   char **hubs;
   size_t n_ejected;
   uint64_t *ejected;
+  size_t n_blocked;
+  uint64_t *blocked;
 };
 #define TM__FLEET__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Tm__Fleet__Outcome methods */
@@ -633,6 +716,63 @@
 void   tm__fleet__evidence__free_unpacked
                      (Tm__Fleet__Evidence *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__Crash methods */
+void   tm__fleet__crash__init
+                     (Tm__Fleet__Crash         *message);
+size_t tm__fleet__crash__get_packed_size
+                     (const Tm__Fleet__Crash   *message);
+size_t tm__fleet__crash__pack
+                     (const Tm__Fleet__Crash   *message,
+                      uint8_t             *out);
+size_t tm__fleet__crash__pack_to_buffer
+                     (const Tm__Fleet__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Crash *
+       tm__fleet__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__crash__free_unpacked
+                     (Tm__Fleet__Crash *message,
+                      ProtobufCAllocator *allocator);
+/* Tm__Fleet__Block methods */
+void   tm__fleet__block__init
+                     (Tm__Fleet__Block         *message);
+size_t tm__fleet__block__get_packed_size
+                     (const Tm__Fleet__Block   *message);
+size_t tm__fleet__block__pack
+                     (const Tm__Fleet__Block   *message,
+                      uint8_t             *out);
+size_t tm__fleet__block__pack_to_buffer
+                     (const Tm__Fleet__Block   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Block *
+       tm__fleet__block__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__block__free_unpacked
+                     (Tm__Fleet__Block *message,
+                      ProtobufCAllocator *allocator);
+/* Tm__Fleet__Blocks methods */
+void   tm__fleet__blocks__init
+                     (Tm__Fleet__Blocks         *message);
+size_t tm__fleet__blocks__get_packed_size
+                     (const Tm__Fleet__Blocks   *message);
+size_t tm__fleet__blocks__pack
+                     (const Tm__Fleet__Blocks   *message,
+                      uint8_t             *out);
+size_t tm__fleet__blocks__pack_to_buffer
+                     (const Tm__Fleet__Blocks   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Blocks *
+       tm__fleet__blocks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__blocks__free_unpacked
+                     (Tm__Fleet__Blocks *message,
+                      ProtobufCAllocator *allocator);
 /* Tm__Fleet__Hello methods */
 void   tm__fleet__hello__init
                      (Tm__Fleet__Hello         *message);
@@ -690,6 +830,25 @@
 void   tm__fleet__ejected__free_unpacked
                      (Tm__Fleet__Ejected *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__Blocked methods */
+void   tm__fleet__blocked__init
+                     (Tm__Fleet__Blocked         *message);
+size_t tm__fleet__blocked__get_packed_size
+                     (const Tm__Fleet__Blocked   *message);
+size_t tm__fleet__blocked__pack
+                     (const Tm__Fleet__Blocked   *message,
+                      uint8_t             *out);
+size_t tm__fleet__blocked__pack_to_buffer
+                     (const Tm__Fleet__Blocked   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Blocked *
+       tm__fleet__blocked__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__blocked__free_unpacked
+                     (Tm__Fleet__Blocked *message,
+                      ProtobufCAllocator *allocator);
 /* Tm__Fleet__Snapshot methods */
 void   tm__fleet__snapshot__init
                      (Tm__Fleet__Snapshot         *message);
@@ -750,6 +909,15 @@
 typedef void (*Tm__Fleet__Evidence_Closure)
                  (const Tm__Fleet__Evidence *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__Crash_Closure)
+                 (const Tm__Fleet__Crash *message,
+                  void *closure_data);
+typedef void (*Tm__Fleet__Block_Closure)
+                 (const Tm__Fleet__Block *message,
+                  void *closure_data);
+typedef void (*Tm__Fleet__Blocks_Closure)
+                 (const Tm__Fleet__Blocks *message,
+                  void *closure_data);
 typedef void (*Tm__Fleet__Hello_Closure)
                  (const Tm__Fleet__Hello *message,
                   void *closure_data);
@@ -759,6 +927,9 @@
 typedef void (*Tm__Fleet__Ejected_Closure)
                  (const Tm__Fleet__Ejected *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__Blocked_Closure)
+                 (const Tm__Fleet__Blocked *message,
+                  void *closure_data);
 typedef void (*Tm__Fleet__Snapshot_Closure)
                  (const Tm__Fleet__Snapshot *message,
                   void *closure_data);
@@ -781,9 +952,13 @@
 extern const ProtobufCMessageDescriptor tm__fleet__permit__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__permits__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__evidence__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__crash__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__block__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__blocks__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__hello__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__entry__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__ejected__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__blocked__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__snapshot__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/test/functional/gate_crash.py
+++ b/test/functional/gate_crash.py
@@ -91,6 +91,23 @@
           float(last_headers.get("Retry-After", 0)) > 60)
 
 
+def restart_all():
+    """Kills all hubs and gates at once and starts them again."""
+    names = [x for x in fleet.processes if x.startswith(("hub", "gate"))]
+    for name in names:
+        fleet.processes[name].kill()
+    for name in names:
+        fleet.processes[name].wait()
+    for i in range(3):
+        fleet.start_hub(i, False)
+    for i in range(GATES):
+        fleet.start_gate(i)
+    for gate in range(GATES):
+        fleet.wait(f"gate {gate} serves again", lambda: request(
+            gate, f"again-{time.monotonic()}", "POST", "/x/1", None,
+            "key-one")[0] == 200, WAIT_S)
+
+
 def main():
     targets = []
     for i in range(3):
@@ -124,6 +141,10 @@
     print("other requests served:", statuses.count(200) >=
           SERVED_SHARE_MIN * len(statuses))
     print(statuses.count(200), "of", len(statuses), file=sys.stderr)
+    restart_all()
+    status = request(0, "after", "POST", "/x/1", b"crash", "key-one")[0]
+    print("still refused after all hubs and gates were killed:", status,
+          any(x["id"] == "after" for t in targets for x in t.read_records()))
 
 
 try:
