--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -21,6 +21,7 @@
 #define MSG_FLEET_HELLO	   (MSG_FLEET_BASE + 8)
 #define MSG_FLEET_CRASH	   (MSG_FLEET_BASE + 9)
 #define MSG_FLEET_BLOCKS   (MSG_FLEET_BASE + 10)
+#define MSG_FLEET_LIMIT	   (MSG_FLEET_BASE + 11)
 
 /** Size of the text of an IPv4 address with its NUL. */
 #define FLEET_IP_BYTES 16
@@ -66,7 +67,8 @@
 typedef enum fleet_spend_kind {
 	FLEET_SPEND_REQUEST = 0, /**< token of the workspace */
 	FLEET_SPEND_RETRY = 1, /**< share of the service's retry budget */
-	FLEET_SPEND_PROBE = 2 /**< the right to probe a target */
+	FLEET_SPEND_PROBE = 2, /**< the right to probe a target */
+	FLEET_SPEND_LIMITED = 3 /**< a request to a target with a limit */
 } fleet_spend_kind_t;
 
 #endif
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -21,6 +21,12 @@
 #define IDLE_MARGIN_MS	1500
 /* With less time left, a retry is not worth an attempt. */
 #define RETRY_REMAINING_MIN_MS 20
+/* Longest time for which a request waits for a permit of a target with a limit,
+ * as a fraction of its soft deadline. */
+#define LIMIT_WAIT_SHARE 0.25
+/* After so many targets without a permit, a request looks for one without a
+ * limit, or waits. */
+#define LIMIT_REFUSALS_MAX 4
 /* A 504 this long before the deadline that the target was given still counts
  * as caused by that deadline. */
 #define DEADLINE_SLACK_MS 50
@@ -207,6 +213,22 @@
 		gate_request_refuse(request, GATE_REFUSAL_TARGET_FAILED, 0);
 }
 
+/* Records the limit that a target names, and tells the leader what is new. */
+static void
+record_limit(const gate_request_t *request, gate_target_t *target,
+    const upstream_response_t *response)
+{
+	Tm__Fleet__Limit msg = TM__FLEET__LIMIT__INIT;
+
+	msg.target = target->key;
+	msg.born_ms = target->incarnation_ms;
+	msg.limit =
+	    gate_wire_read_limit(gate_get_dialect(request->gate), response);
+	if (gate_limit_record(
+		&target->limit, msg.limit, request->sent_ms, clock_now_ms()))
+		gate_link_report_limit(request->gate->link, &msg);
+}
+
 static void
 handle_response(gate_request_t *request, gate_target_t *target,
     const upstream_response_t *response)
@@ -220,6 +242,8 @@
 	if (gate_wire_read_load(dialect, response, &load))
 		gate_target_set_load(target, load, clock_now_ms());
 	target->idle_max_ms = gate_wire_read_keep_ms(response);
+	if (response->status != 421)
+		record_limit(request, target, response);
 	if (!stopped_at_deadline(request, response))
 		record_outcome(request, target, kind, response->status);
 	gate_target_release(target);
@@ -411,6 +435,141 @@
 		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
 }
 
+/* gate_permit_cb */
+static void
+on_limit_permit(void *ctx, const gate_permit_reply_t *reply)
+{
+	gate_request_t *request = ctx;
+	gate_t *gate = request->gate;
+	gate_pick_options_t pick_options = get_pick_options(request);
+	gate_target_t *target =
+	    gate_table_find_target(gate->table, request->permit_target);
+	int is_granted = reply->result == GATE_PERMIT_GRANTED;
+
+	request->permit_id = 0;
+	if (reply->result == GATE_PERMIT_UNKNOWN) {
+		request->is_leader_silent = 1;
+	} else if (target != NULL && is_granted &&
+	    gate_target_is_usable(target, &pick_options)) {
+		send_attempt(request, target, 0);
+		return;
+	} else {
+		request->limit_refusals++;
+	}
+	if (target != NULL && reply->result == GATE_PERMIT_REFUSED)
+		gate_limit_wait(
+		    &target->limit, reply->wait_ms, pick_options.now_ms);
+	gate_attempt_dispatch(request);
+}
+
+/* Sends a request to a target with a limit within this gate's share of it. */
+static void
+use_share(gate_request_t *request, gate_target_t *target)
+{
+	gate_t *gate = request->gate;
+
+	if (gate_limit_take_share(&target->limit,
+		gate_link_get_gate_count(gate->link), rng_unit(&gate->rng),
+		clock_now_ms())) {
+		send_attempt(request, target, 0);
+		return;
+	}
+	request->limit_refusals++;
+	gate_attempt_dispatch(request);
+}
+
+static void
+send_limit_request(
+    gate_request_t *request, const Tm__Fleet__Spend *msg, gate_permit_cb done)
+{
+	request->state = GATE_STATE_LIMIT_PERMIT;
+	request->permit_id = gate_link_request_permit(
+	    request->gate->link, msg, done, request, clock_now_ms());
+	if (request->permit_id == 0)
+		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
+}
+
+/* Requests a permit for a target with a limit. */
+static void
+request_limit_permit(gate_request_t *request, const gate_target_t *target)
+{
+	Tm__Fleet__Spend msg = TM__FLEET__SPEND__INIT;
+
+	msg.kind = FLEET_SPEND_LIMITED;
+	msg.service = fleet_name_hash(request->service);
+	msg.target = target->key;
+	msg.born_ms = target->incarnation_ms;
+	msg.limit = target->limit.value;
+	request->permit_target = target->key;
+	send_limit_request(request, &msg, on_limit_permit);
+}
+
+/* Waits for a leader, or for this gate's share of a limit. */
+static void
+delay_for_limit(gate_request_t *request)
+{
+	request->is_leader_silent = 0;
+	request->limit_refusals = 0;
+	gate_request_delay(request, GATE_REFUSAL_LIMITED);
+}
+
+/* gate_permit_cb. A request that would have to wait longer is refused, as its
+ * caller can use the time better. */
+static void
+on_reserved(void *ctx, const gate_permit_reply_t *reply)
+{
+	gate_request_t *request = ctx;
+
+	request->permit_id = 0;
+	if (reply->result == GATE_PERMIT_GRANTED) {
+		request->reserved_target = reply->target;
+		gate_request_wait(
+		    request, GATE_REFUSAL_LIMITED, reply->wait_ms);
+	} else if (reply->result == GATE_PERMIT_REFUSED) {
+		gate_request_refuse(
+		    request, GATE_REFUSAL_LIMITED, reply->wait_ms);
+	} else {
+		delay_for_limit(request);
+	}
+}
+
+/* Requests the next permit of any target of the service with a limit. */
+static void
+reserve_limit_permit(gate_request_t *request)
+{
+	Tm__Fleet__Spend msg = TM__FLEET__SPEND__INIT;
+	int64_t left_ms = request->deadline_ms - clock_now_ms();
+	int64_t wait_ms = (int64_t)(LIMIT_WAIT_SHARE *
+	    (double)(left_ms < request->soft_deadline_ms
+		    ? left_ms
+		    : request->soft_deadline_ms));
+
+	msg.kind = FLEET_SPEND_LIMITED;
+	msg.service = fleet_name_hash(request->service);
+	msg.excluded = request->tried;
+	msg.n_excluded = request->tried_count;
+	msg.wait_max_ms = wait_ms > 0 ? (uint32_t)wait_ms : 0;
+	request->permit_target = 0;
+	send_limit_request(request, &msg, on_reserved);
+}
+
+/* @return 1 if the request was sent to the target that holds a permit for it */
+static int
+use_reserved_target(gate_request_t *request)
+{
+	gate_pick_options_t pick_options = get_pick_options(request);
+	gate_target_t *target = NULL;
+
+	if (request->reserved_target != 0)
+		target = gate_table_find_target(
+		    request->gate->table, request->reserved_target);
+	request->reserved_target = 0;
+	if (target == NULL || !gate_target_is_usable(target, &pick_options))
+		return (0);
+	send_attempt(request, target, 0);
+	return (1);
+}
+
 void
 gate_attempt_dispatch(gate_request_t *request)
 {
@@ -419,13 +578,26 @@
 	gate_service_t *service =
 	    gate_table_find_service(gate->table, request->service);
 	gate_choice_t choice = { .target = NULL };
+	int has_leader = pick_options.has_leader && !request->is_leader_silent;
 
+	if (use_reserved_target(request))
+		return;
+	pick_options.skips_limited =
+	    request->limit_refusals >= LIMIT_REFUSALS_MAX;
 	if (service != NULL)
 		choice = gate_table_pick(gate->table, service, &pick_options);
 	if (choice.must_ask_leader)
 		ask_for_target(request);
+	else if (choice.must_reserve && has_leader)
+		reserve_limit_permit(request);
+	else if (choice.must_reserve)
+		delay_for_limit(request);
 	else if (choice.target == NULL)
 		gate_request_delay(request, GATE_REFUSAL_NO_TARGET);
+	else if (gate_limit_is_set(&choice.target->limit) && has_leader)
+		request_limit_permit(request, choice.target);
+	else if (gate_limit_is_set(&choice.target->limit))
+		use_share(request, choice.target);
 	else
 		send_attempt(request, choice.target, 0);
 }
--- a/src/gate/gate_attempt.h
+++ b/src/gate/gate_attempt.h
@@ -48,6 +48,13 @@
  */
 void gate_request_delay(gate_request_t *request, gate_refusal_t reason);
 
+/** Waits for a time before the request is sent.
+ *
+ * @param reason  of the refusal if the deadline is earlier
+ */
+void gate_request_wait(
+    gate_request_t *request, gate_refusal_t reason, int64_t wait_ms);
+
 /** Sends a request that has its token; delays it while its key is uncertain. */
 void gate_request_proceed(gate_request_t *request);
 
--- /dev/null
+++ b/src/gate/gate_limit.h
@@ -0,0 +1,57 @@
+/**
+ * @file
+ * The limit of one target at a gate: what the target names in its responses
+ * here, and what the leading hub knows. The table owns one for each target. Does
+ * no I/O and reads no clock.
+ */
+#ifndef TM_GATE_GATE_LIMIT_H
+#define TM_GATE_GATE_LIMIT_H
+
+#include <stdint.h>
+
+/** Zero for a target that has said nothing yet. */
+typedef struct gate_limit {
+	uint32_t value; /**< that the gate keeps to, as of fleet_limit.h */
+	uint32_t fleet_value; /**< that the leader knows */
+	int64_t set_ms; /**< when value was set */
+	int64_t wait_until_ms; /**< no permit before */
+	double share; /**< permits left without a leader */
+	int64_t share_ms; /**< when share was computed */
+} gate_limit_t;
+
+/** Applies what the leader knows. */
+void gate_limit_apply(
+    gate_limit_t *limit, uint32_t fleet_value, int64_t now_ms);
+
+/**
+ * Records what a response says.
+ *
+ * @param value    as of fleet_limit.h; none if the response names no limit
+ * @param sent_ms  time of its request: the end of a limit shows only in
+ *                 responses to requests that were sent since it was named
+ * @return         1 if the leader must be told
+ */
+int gate_limit_record(
+    gate_limit_t *limit, uint32_t value, int64_t sent_ms, int64_t now_ms);
+
+/** @return 1 if each request to the target needs a permit */
+int gate_limit_is_set(const gate_limit_t *limit);
+
+/** Records that the leader grants no permit for a time. */
+void gate_limit_wait(gate_limit_t *limit, int64_t wait_ms, int64_t now_ms);
+
+/** @return time until a permit can be expected, in ms; 0: now */
+int64_t gate_limit_get_wait_ms(const gate_limit_t *limit, int64_t now_ms);
+
+/**
+ * Consumes a permit of this gate's share of the limit, as no leader answers.
+ *
+ * @param gates  number of gates in the fleet
+ * @param phase  random, 0 to 1: part of a permit that the share starts with, so
+ *               that the gates do not have their first ones at the same time
+ * @return       1 if the request may be sent
+ */
+int gate_limit_take_share(
+    gate_limit_t *limit, uint32_t gates, double phase, int64_t now_ms);
+
+#endif
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -452,6 +452,14 @@
 		    MSG_FLEET_CRASH, &crash->base);
 }
 
+void
+gate_link_report_limit(gate_link_t *link, const Tm__Fleet__Limit *limit)
+{
+	if (link->leader != NODE_ID_NONE)
+		link->options.send(link->options.send_ctx, link->leader,
+		    MSG_FLEET_LIMIT, &limit->base);
+}
+
 static Tm__Fleet__Spend *
 queue_spend(gate_link_t *link, int64_t now_ms)
 {
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -112,6 +112,9 @@
  * without one. */
 void gate_link_report_crash(gate_link_t *link, const Tm__Fleet__Crash *crash);
 
+/** Reports the limit of a target to the leader; dropped without one. */
+void gate_link_report_limit(gate_link_t *link, const Tm__Fleet__Limit *limit);
+
 /** Queues the report of a token that was consumed without a permit. */
 void gate_link_report_consumed(
     gate_link_t *link, uint64_t workspace, uint64_t service, int64_t now_ms);
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -166,6 +166,15 @@
 	return (request->started_ms + delay_ms);
 }
 
+void
+gate_request_wait(
+    gate_request_t *request, gate_refusal_t reason, int64_t wait_ms)
+{
+	request->state = GATE_STATE_DELAYED;
+	request->pending_refusal = reason;
+	request->wake_ms = clock_now_ms() + wait_ms;
+}
+
 void
 gate_request_delay(gate_request_t *request, gate_refusal_t reason)
 {
@@ -176,9 +185,7 @@
 		gate_request_refuse(request, reason, 0);
 		return;
 	}
-	request->state = GATE_STATE_DELAYED;
-	request->pending_refusal = reason;
-	request->wake_ms = now_ms + DELAY_STEP_MS;
+	gate_request_wait(request, reason, DELAY_STEP_MS);
 }
 
 /* Sends a request that has its token, once its key is known to be valid. */
@@ -263,9 +270,7 @@
 	case GATE_PERMIT_GRANTED:
 		record_token(request, wait_ms);
 		if (wait_ms > 0) {
-			request->state = GATE_STATE_DELAYED;
-			request->pending_refusal = GATE_REFUSAL_RATE;
-			request->wake_ms = clock_now_ms() + wait_ms;
+			gate_request_wait(request, GATE_REFUSAL_RATE, wait_ms);
 			return;
 		}
 		gate_request_proceed(request);
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -17,6 +17,7 @@
 	GATE_STATE_DELAYED, /**< until wake_ms; then it is admitted anew */
 	GATE_STATE_PROBE_PERMIT, /**< a permit to probe a target */
 	GATE_STATE_RETRY_PERMIT, /**< a permit to send the request again */
+	GATE_STATE_LIMIT_PERMIT, /**< a permit for a target with a limit */
 	GATE_STATE_SENT /**< a target's response */
 } gate_state_t;
 
@@ -46,6 +47,12 @@
 	int64_t checked_ms; /**< last check for an abandoned request */
 	gate_state_t state;
 	uint32_t permit_id; /**< of the pending permit request; 0: none */
+	uint64_t permit_target; /**< key of the target that it is for */
+	uint32_t limit_refusals; /**< targets that had no permit for it */
+	int is_leader_silent; /**< the last permit request got no answer */
+	/** Key of the target that holds a permit for the request from wake_ms
+	 * on; 0: none. */
+	uint64_t reserved_target;
 	int64_t wake_ms;
 	int has_token; /**< its token is consumed */
 	gate_target_t *target; /**< referenced while an attempt runs */
@@ -125,6 +132,15 @@
 int gate_wire_read_load(const dialect_t *dialect,
     const upstream_response_t *response, uint32_t *load);
 
+/**
+ * Reads the limit that a target names.
+ *
+ * @return as of fleet_limit.h: none also for a value that is no decimal number
+ *         or comes more than once
+ */
+uint32_t gate_wire_read_limit(
+    const dialect_t *dialect, const upstream_response_t *response);
+
 /** Reads a target's keep-alive timeout. @return time in ms; 0: not given */
 int64_t gate_wire_read_keep_ms(const upstream_response_t *response);
 
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -40,6 +40,12 @@
 /* Weight of a new response in the moving mean latency of a service. */
 #define LATENCY_WEIGHT 0.05
 
+/* Preference classes of targets, from 0 (must not be used) on: ejected, open to
+ * probes, healthy but avoided by this gate, healthy. */
+#define RANK_EJECTED 1
+#define RANK_PROBE   2
+#define RANK_HEALTHY 3
+
 struct gate_table {
 	char zone[NAME_MAX_BYTES + 1];
 	rng_t rng;
@@ -233,6 +239,7 @@
 	target->slots = msg->slots > 0 ? msg->slots : 1;
 	target->state = (fleet_target_state_t)msg->state;
 	set_verdict(target, msg->verdict);
+	gate_limit_apply(&target->limit, msg->limit, now_ms);
 	target->is_listed = 1;
 }
 
@@ -331,17 +338,36 @@
 	return (score);
 }
 
+int
+gate_target_is_usable(
+    const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (target->state == FLEET_TARGET_READY &&
+	    !is_excluded(options, target));
+}
+
+/* @return 1 if a target has no permit for the request now */
+static int
+must_wait(const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (gate_limit_is_set(&target->limit) &&
+	    (options->skips_limited ||
+		gate_limit_get_wait_ms(&target->limit, options->now_ms) > 0));
+}
+
 /* @return preference class, higher is better; 0: must not be used */
 static int
 get_rank(const gate_target_t *target, const gate_pick_options_t *options)
 {
-	if (target->state != FLEET_TARGET_READY || is_excluded(options, target))
+	if (!gate_target_is_usable(target, options) ||
+	    must_wait(target, options))
 		return (0);
 	if (target->verdict == FLEET_VERDICT_EJECTED)
-		return (1);
+		return (RANK_EJECTED);
 	if (target->verdict != FLEET_VERDICT_HEALTHY)
-		return (2);
-	return (options->now_ms < target->avoid_until_ms ? 3 : 4);
+		return (RANK_PROBE);
+	return (options->now_ms < target->avoid_until_ms ? RANK_HEALTHY
+							 : RANK_HEALTHY + 1);
 }
 
 static gate_target_t *
@@ -418,14 +444,6 @@
 		options->may_repeat));
 }
 
-int
-gate_target_is_usable(
-    const gate_target_t *target, const gate_pick_options_t *options)
-{
-	return (target->state == FLEET_TARGET_READY &&
-	    !is_excluded(options, target));
-}
-
 void
 gate_service_delay_asking(gate_service_t *service, int64_t now_ms)
 {
@@ -474,6 +492,23 @@
 		has_open_target(service, options)));
 }
 
+/* @return 1 if a healthy target waits for its limit */
+static int
+has_waiting(const gate_service_t *service, const gate_pick_options_t *options)
+{
+	const gate_target_t *target;
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		target = service->targets[i];
+		if (target->verdict == FLEET_VERDICT_HEALTHY &&
+		    gate_target_is_usable(target, options) &&
+		    must_wait(target, options))
+			return (1);
+	}
+	return (0);
+}
+
 gate_choice_t
 gate_table_pick(gate_table_t *table, gate_service_t *service,
     const gate_pick_options_t *options)
@@ -482,8 +517,16 @@
 	int rank;
 
 	choice.must_ask_leader = should_ask_leader(service, options);
-	if (!choice.must_ask_leader)
-		choice.target = pick_ranked(table, service, options, &rank);
+	if (choice.must_ask_leader)
+		return (choice);
+	choice.target = pick_ranked(table, service, options, &rank);
+	if (rank >= RANK_HEALTHY || (rank > 0 && options->may_repeat))
+		return (choice);
+	/* What may not be repeated is better sent to a healthy target soon than
+	 * to an ejected one now. */
+	choice.must_reserve = has_waiting(service, options);
+	if (choice.must_reserve)
+		choice.target = NULL;
 	return (choice);
 }
 
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -16,6 +16,7 @@
 
 #include "base/rng.h"
 #include "fleet/fleet_defs.h"
+#include "gate/gate_limit.h"
 #include "proto/fleet.pb-c.h"
 
 /** Time for which this gate avoids a target that it could not reach. */
@@ -50,6 +51,7 @@
 	int64_t avoid_until_ms; /**< avoided until then */
 	int64_t cold_until_ms; /**< warming up until then */
 	int64_t idle_max_ms; /**< its keep-alive timeout; 0: unknown */
+	gate_limit_t limit; /**< requests that it takes from all gates */
 	uint32_t sent; /**< requests since the last report */
 	uint32_t successes; /**< since the last report */
 	uint32_t latency_sum_ms; /**< of these successes */
@@ -83,6 +85,7 @@
 	uint32_t tried_count;
 	int may_repeat; /**< it may be executed twice */
 	int has_leader; /**< the leader can be asked for a target */
+	int skips_limited; /**< targets with a limit count as waiting */
 	int64_t now_ms;
 } gate_pick_options_t;
 
@@ -91,6 +94,9 @@
 	gate_target_t
 	    *target; /**< NULL: none is usable, or the leader chooses */
 	int must_ask_leader; /**< the leader is to be asked for a target */
+	/** Healthy targets are at their limits: the leader is to be asked for
+	 * the next permit of one of them. */
+	int must_reserve;
 } gate_choice_t;
 
 /**
@@ -156,7 +162,8 @@
 gate_choice_t gate_table_pick(gate_table_t *table, gate_service_t *service,
     const gate_pick_options_t *options);
 
-/** @return 1 if a target is ready and the request has not tried it */
+/** @return 1 if a target is ready and the request has not tried it; it may have
+ * to wait for the target's limit */
 int gate_target_is_usable(
     const gate_target_t *target, const gate_pick_options_t *options);
 
--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -1,15 +1,19 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "base/clock.h"
 #include "base/error.h"
 #include "entry/forward.h"
+#include "fleet/fleet_limit.h"
 #include "gate/gate_request.h"
 #include "route/request_fingerprint.h"
 
 /* Keeps a value within 32 bits. */
 #define LOAD_DIGITS_MAX 9
+/* A longer text is no limit. */
+#define LIMIT_BYTES_MAX 24
 /* Longer keep-alive timeouts are cut to this one. */
 #define KEEP_MAX_S 3600
 
@@ -190,6 +194,44 @@
 	return (1);
 }
 
+/* @return limit per second; negative if the text is no decimal number */
+static double
+parse_limit(const char *text, size_t len)
+{
+	char copy[LIMIT_BYTES_MAX + 1];
+	char *end;
+	double per_s;
+
+	if (len == 0 || len > LIMIT_BYTES_MAX ||
+	    strspn(text, "0123456789.") < len)
+		return (-1);
+	memcpy(copy, text, len);
+	copy[len] = '\0';
+	per_s = strtod(copy, &end);
+	return (*end == '\0' ? per_s : -1);
+}
+
+uint32_t
+gate_wire_read_limit(
+    const dialect_t *dialect, const upstream_response_t *response)
+{
+	const upstream_header_t *found = NULL;
+	size_t i;
+
+	for (i = 0; i < response->header_count; i++) {
+		if (!forward_name_equals(
+			&response->headers[i], dialect->headers.limit))
+			continue;
+		if (found != NULL)
+			return (FLEET_LIMIT_NONE);
+		found = &response->headers[i];
+	}
+	if (found == NULL)
+		return (FLEET_LIMIT_NONE);
+	return (
+	    fleet_limit_encode(parse_limit(found->value, found->value_len)));
+}
+
 int64_t
 gate_wire_read_keep_ms(const upstream_response_t *response)
 {
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -144,6 +144,9 @@
 	hub_target_to_message(msg, &target->as);
 	msg->verdict =
 	    hub_outlier_get_verdict(feed->options.outlier, target->key);
+	if (feed->options.limits != NULL)
+		msg->limit = hub_limits_get(feed->options.limits,
+		    &(hub_limit_key_t){ target->key, target->as.born_ms });
 }
 
 /* Sends the whole table without deregistered targets. */
--- a/src/hub/hub_load.c
+++ b/src/hub/hub_load.c
@@ -1,7 +1,11 @@
 #include "hub/hub_load.h"
 
+#include <math.h>
 #include <stdlib.h>
 
+#include "base/clock.h"
+#include "fleet/fleet_limit.h"
+
 /* Older reports are ignored. */
 #define LOAD_MAX_AGE_MS 1500
 /* Weight of one update in the moving average of the time of a request. */
@@ -29,6 +33,7 @@
 struct hub_load {
 	target_load_t *targets;
 	service_load_t *services;
+	const hub_limits_t *limits; /* NULL: none */
 	hub_utilization_t list[SERVICES_MAX];
 	size_t count;
 };
@@ -121,6 +126,29 @@
 	}
 }
 
+void
+hub_load_set_limits(hub_load_t *load, const hub_limits_t *limits)
+{
+	load->limits = limits;
+}
+
+/* @return slots of a target that requests may use: a limit leaves the rest
+ * empty */
+static double
+get_usable_slots(const hub_load_t *load, const service_load_t *service,
+    const hub_target_t *target)
+{
+	double limit_per_s = -1;
+
+	if (load->limits != NULL)
+		limit_per_s = fleet_limit_decode(hub_limits_get(load->limits,
+		    &(hub_limit_key_t){ target->key, target->as.born_ms }));
+	if (limit_per_s < 0 || service->work_ms <= 0)
+		return (target->as.slots);
+	return (fmin(target->as.slots,
+	    limit_per_s * service->work_ms / (double)MS_PER_SEC));
+}
+
 static void
 add_target(hub_load_t *load, const hub_target_t *target)
 {
@@ -133,7 +161,7 @@
 	if (service == NULL || reported == NULL)
 		return;
 	service->requests += reported->requests;
-	service->slots += target->as.slots;
+	service->slots += get_usable_slots(load, service, target);
 }
 
 static double
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/fleet_limit.h"
 #include "hub/hub_internal.h"
 
 /* Further Spend records of one message are ignored. */
@@ -126,16 +127,133 @@
 	tm__fleet__join__free_unpacked(join, NULL);
 }
 
+/* @return target as the state knows it, if it still has that incarnation */
+static const hub_target_t *
+find_incarnation(const hub_t *hub, uint64_t key, uint64_t incarnation_ms)
+{
+	const hub_target_t *target = hub_state_find_target(hub->state, key);
+
+	return (target != NULL && target->as.born_ms == incarnation_ms ? target
+								       : NULL);
+}
+
+static void
+set_limit(hub_t *hub, const hub_limit_key_t *key, uint32_t value,
+    node_id_t gate, int64_t now_ms)
+{
+	const hub_target_t *target =
+	    find_incarnation(hub, key->target, key->incarnation_ms);
+
+	if (target == NULL || !hub_limits_set(hub->limits, key, value, now_ms))
+		return;
+	hub_feed_mark_target_changed(hub->feed, key->target);
+	LOG_EVENT(925, LOG_LEVEL_INFO, "limit of a target",
+	    LOG_TEXT("target", target->as.id),
+	    LOG_TEXT("service", target->as.service),
+	    LOG_NUM("is_limited", value > FLEET_LIMIT_NONE),
+	    LOG_NUM(
+		"limit_milli_per_s", MS_PER_SEC * fleet_limit_decode(value)),
+	    LOG_NUM("gate", gate));
+}
+
+static void
+handle_limit(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Limit *msg = tm__fleet__limit__unpack(NULL, len, payload);
+
+	if (msg == NULL)
+		return;
+	set_limit(hub, &(hub_limit_key_t){ msg->target, msg->born_ms },
+	    msg->limit, from, clock_now_ms());
+	tm__fleet__limit__free_unpacked(msg, NULL);
+}
+
+/* A request that asks for any target of its service with a limit. */
+typedef struct limit_query {
+	const hub_t *hub;
+	const Tm__Fleet__Spend *spend;
+} limit_query_t;
+
+/* hub_limit_filter_cb */
+static int
+allows_limited(void *ctx, const hub_limit_key_t *key)
+{
+	const limit_query_t *query = ctx;
+	const hub_target_t *target =
+	    find_incarnation(query->hub, key->target, key->incarnation_ms);
+	size_t i;
+
+	if (target == NULL || target->as.state != FLEET_TARGET_READY ||
+	    fleet_name_hash(target->as.service) != query->spend->service ||
+	    hub_outlier_get_verdict(query->hub->outlier, key->target) !=
+		FLEET_VERDICT_HEALTHY)
+		return (0);
+	for (i = 0; i < query->spend->n_excluded; i++) {
+		if (query->spend->excluded[i] == key->target)
+			return (0);
+	}
+	return (1);
+}
+
+/* Reserves a permit of the target of a service that has one first. */
+static hub_permit_t
+reserve_limited(hub_t *hub, const Tm__Fleet__Spend *spend,
+    hub_assignment_t *assignment, int64_t now_ms)
+{
+	limit_query_t query = { .hub = hub, .spend = spend };
+	hub_permit_t permit = { .is_granted = 0 };
+	hub_limit_key_t key;
+	int64_t wait_ms = hub_limits_find_first(
+	    hub->limits, allows_limited, &query, now_ms, &key);
+
+	if (wait_ms < 0)
+		return (permit);
+	permit.wait_ms = (uint32_t)wait_ms;
+	permit.is_granted = wait_ms <= spend->wait_max_ms;
+	if (permit.is_granted) {
+		assignment->target = key.target;
+		hub_limits_consume(hub->limits, &key, now_ms);
+	}
+	return (permit);
+}
+
+/* A leader that does not know the limit yet learns it from the request. */
+static hub_permit_t
+acquire_limited(
+    hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
+{
+	const hub_limit_key_t key = { spend->target, spend->born_ms };
+	hub_permit_t permit = { .is_granted = 0 };
+
+	if (hub_limits_get(hub->limits, &key) == FLEET_LIMIT_UNKNOWN)
+		set_limit(hub, &key, spend->limit, from, now_ms);
+	permit.wait_ms =
+	    (uint32_t)hub_limits_get_wait_ms(hub->limits, &key, now_ms);
+	permit.is_granted = permit.wait_ms == 0;
+	if (permit.is_granted)
+		hub_limits_consume(hub->limits, &key, now_ms);
+	return (permit);
+}
+
 /* Gates of the version before name the target. */
 static hub_assignment_t
 assign_target(
     hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
 {
 	hub_assignment_t assignment = { .is_probe = 1 };
+	const hub_target_t *target;
 
-	if (spend->target == 0)
-		return (hub_outlier_assign_target(hub->outlier, spend->service,
-		    from, spend->may_repeat, now_ms));
+	if (spend->target == 0) {
+		assignment = hub_outlier_assign_target(hub->outlier,
+		    spend->service, from, spend->may_repeat, now_ms);
+		target = hub_state_find_target(hub->state, assignment.target);
+		if (target != NULL)
+			hub_limits_consume(hub->limits,
+			    &(hub_limit_key_t){
+				target->key, target->as.born_ms },
+			    now_ms);
+		return (assignment);
+	}
 	if (hub_outlier_acquire_probe(
 		hub->outlier, spend->target, from, now_ms))
 		assignment.target = spend->target;
@@ -167,6 +285,11 @@
 		*assignment = assign_target(hub, from, spend, now_ms);
 		permit.is_granted = assignment->target != 0;
 		break;
+	case FLEET_SPEND_LIMITED:
+		if (spend->target == 0)
+			return (
+			    reserve_limited(hub, spend, assignment, now_ms));
+		return (acquire_limited(hub, from, spend, now_ms));
 	default:
 		break;
 	}
@@ -312,6 +435,10 @@
 		if (hub->was_leading)
 			handle_crash(hub, from, payload, len);
 		break;
+	case MSG_FLEET_LIMIT:
+		if (hub->was_leading)
+			handle_limit(hub, from, payload, len);
+		break;
 	default:
 		break;
 	}
--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -64,6 +64,12 @@
 	return (detector);
 }
 
+void
+hub_outlier_set_filter(hub_outlier_t *detector, hub_outlier_filter_cb filter)
+{
+	detector->filter = filter;
+}
+
 static void
 remove_target(hub_outlier_t *detector, outlier_target_t *target)
 {
@@ -475,14 +481,16 @@
 }
 
 static void
-count_target(const outlier_target_t *target, int64_t now_ms,
-    hub_outlier_counts_t *counts)
+count_target(const hub_outlier_t *detector, const outlier_target_t *target,
+    int64_t now_ms, hub_outlier_counts_t *counts)
 {
 	counts->unreachable += target->is_unreachable;
 	switch (target->verdict) {
 	case FLEET_VERDICT_HEALTHY:
 		counts->healthy++;
-		counts->idle += now_ms - target->used_ms > HUB_OUTLIER_IDLE_MS;
+		counts->idle +=
+		    now_ms - target->used_ms > HUB_OUTLIER_IDLE_MS &&
+		    outlier_may_assign(detector, target, now_ms);
 		break;
 	case FLEET_VERDICT_PROBE_REPEATABLE:
 		counts->probe_repeatable++;
@@ -508,6 +516,6 @@
 	*counts = service->totals;
 	counts->failed_share = outlier_get_failed_share(service);
 	for (target = service->targets; target != NULL; target = target->next)
-		count_target(target, now_ms, counts);
+		count_target(detector, target, now_ms, counts);
 	return (TM_OK);
 }
--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -29,6 +29,11 @@
 typedef void (*hub_outlier_cb)(
     void *ctx, uint64_t target, fleet_verdict_t verdict, const char *reason);
 
+/** Decides whether a request may be assigned to a target (its key) now.
+ * @return 1 or 0 */
+typedef int (*hub_outlier_filter_cb)(
+    void *ctx, uint64_t target, int64_t now_ms);
+
 /** An observation that a gate reports. */
 typedef struct hub_evidence {
 	uint64_t target; /**< key */
@@ -78,6 +83,11 @@
 hub_outlier_t *hub_outlier_create(
     double used_share_min, hub_outlier_cb changed, void *ctx);
 
+/** Sets which targets hub_outlier_assign_target() may choose; all by default.
+ * The filter's context is that of hub_outlier_create(). */
+void hub_outlier_set_filter(
+    hub_outlier_t *detector, hub_outlier_filter_cb filter);
+
 /** Frees everything; NULL is allowed. */
 void hub_outlier_destroy(hub_outlier_t *detector);
 
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -75,6 +75,7 @@
 	/* Share of a service's targets that may get no requests at all. */
 	double unused_share_max;
 	hub_outlier_cb changed;
+	hub_outlier_filter_cb filter; /* NULL: all targets */
 	void *ctx;
 };
 
@@ -122,6 +123,10 @@
 void outlier_limit_unused(
     hub_outlier_t *detector, const outlier_service_t *service, int64_t now_ms);
 
+/** @return 1 if the filter of the detector allows a target */
+int outlier_may_assign(const hub_outlier_t *detector,
+    const outlier_target_t *target, int64_t now_ms);
+
 /** @return 1 if a healthy target gets too few requests. One that failed or
  * stalled last is left to the ordinary choice. */
 int outlier_is_idle(const outlier_target_t *target, int64_t now_ms);
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -119,6 +119,14 @@
 		    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE)));
 }
 
+int
+outlier_may_assign(const hub_outlier_t *detector,
+    const outlier_target_t *target, int64_t now_ms)
+{
+	return (detector->filter == NULL ||
+	    detector->filter(detector->ctx, target->key, now_ms));
+}
+
 hub_assignment_t
 hub_outlier_assign_target(hub_outlier_t *detector, uint64_t id, node_id_t gate,
     int may_repeat, int64_t now_ms)
@@ -134,7 +142,8 @@
 	for (target = service->targets; target != NULL; target = target->next) {
 		if ((outlier_is_idle(target, now_ms) ||
 			is_open_to(target, gate, may_repeat)) &&
-		    (chosen == NULL || target->used_ms < chosen->used_ms))
+		    (chosen == NULL || target->used_ms < chosen->used_ms) &&
+		    outlier_may_assign(detector, target, now_ms))
 			chosen = target;
 	}
 	if (chosen == NULL) {
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &tm__fleet__crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__limit__init
+                     (Tm__Fleet__Limit         *message)
+{
+  static const Tm__Fleet__Limit init_value = TM__FLEET__LIMIT__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__limit__get_packed_size
+                     (const Tm__Fleet__Limit *message)
+{
+  assert(message->base.descriptor == &tm__fleet__limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__limit__pack
+                     (const Tm__Fleet__Limit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__limit__pack_to_buffer
+                     (const Tm__Fleet__Limit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Limit *
+       tm__fleet__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Limit *)
+     protobuf_c_message_unpack (&tm__fleet__limit__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__limit__free_unpacked
+                     (Tm__Fleet__Limit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   tm__fleet__block__init
                      (Tm__Fleet__Block         *message)
 {
@@ -1609,7 +1654,7 @@
   (ProtobufCMessageInit) tm__fleet__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__target__field_descriptors[11] =
+static const ProtobufCFieldDescriptor tm__fleet__target__field_descriptors[12] =
 {
   {
     "id",
@@ -1743,12 +1788,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Target, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__target__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   10,   /* field[10] = cold_left_ms */
   0,   /* field[0] = id */
   2,   /* field[2] = ip */
+  11,   /* field[11] = limit */
   3,   /* field[3] = port */
   9,   /* field[9] = sequence */
   4,   /* field[4] = service */
@@ -1760,7 +1818,7 @@
 static const ProtobufCIntRange tm__fleet__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor tm__fleet__target__descriptor =
 {
@@ -1770,7 +1828,7 @@
   "Tm__Fleet__Target",
   "tm.fleet",
   sizeof(Tm__Fleet__Target),
-  11,
+  12,
   tm__fleet__target__field_descriptors,
   tm__fleet__target__field_indices_by_name,
   1,  tm__fleet__target__number_ranges,
@@ -1893,7 +1951,7 @@
   (ProtobufCMessageInit) tm__fleet__table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[7] =
+static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[11] =
 {
   {
     "id",
@@ -1979,20 +2037,72 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Spend, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Spend, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "excluded",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Spend, n_excluded),
+    offsetof(Tm__Fleet__Spend, excluded),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_max_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Spend, wait_max_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__spend__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
+  7,   /* field[7] = born_ms */
+  9,   /* field[9] = excluded */
   0,   /* field[0] = id */
   3,   /* field[3] = kind */
+  8,   /* field[8] = limit */
   6,   /* field[6] = may_repeat */
   2,   /* field[2] = service */
   4,   /* field[4] = target */
+  10,   /* field[10] = wait_max_ms */
   1,   /* field[1] = workspace */
 };
 static const ProtobufCIntRange tm__fleet__spend__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor tm__fleet__spend__descriptor =
 {
@@ -2002,7 +2112,7 @@
   "Tm__Fleet__Spend",
   "tm.fleet",
   sizeof(Tm__Fleet__Spend),
-  7,
+  11,
   tm__fleet__spend__field_descriptors,
   tm__fleet__spend__field_indices_by_name,
   1,  tm__fleet__spend__number_ranges,
@@ -2407,6 +2517,70 @@
   (ProtobufCMessageInit) tm__fleet__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor tm__fleet__limit__field_descriptors[3] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Limit, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Limit, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Limit, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__limit__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  2,   /* field[2] = limit */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange tm__fleet__limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor tm__fleet__limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Limit",
+  "Limit",
+  "Tm__Fleet__Limit",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Limit),
+  3,
+  tm__fleet__limit__field_descriptors,
+  tm__fleet__limit__field_indices_by_name,
+  1,  tm__fleet__limit__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor tm__fleet__block__field_descriptors[2] =
 {
   {
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Tm__Fleet__Permits Tm__Fleet__Permits;
 typedef struct Tm__Fleet__Evidence Tm__Fleet__Evidence;
 typedef struct Tm__Fleet__Crash Tm__Fleet__Crash;
+typedef struct Tm__Fleet__Limit Tm__Fleet__Limit;
 typedef struct Tm__Fleet__Block Tm__Fleet__Block;
 typedef struct Tm__Fleet__Blocks Tm__Fleet__Blocks;
 typedef struct Tm__Fleet__Hello Tm__Fleet__Hello;
@@ -210,10 +211,14 @@
   uint32_t verdict;
   uint64_t sequence;
   uint32_t cold_left_ms;
+  /*
+   * Requests that it takes from all gates, as of fleet_limit.h.
+   */
+  uint32_t limit;
 };
 #define TM__FLEET__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__target__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -261,10 +266,23 @@
    * Of a probe without a target: the leader chooses one of the service.
    */
   protobuf_c_boolean may_repeat;
+  /*
+   * Of a request to a target with a limit: its incarnation, and the limit
+   * as the gate knows it.
+   */
+  uint64_t born_ms;
+  uint32_t limit;
+  /*
+   * Without a target: the leader chooses one of the service that has a
+   * limit, but none of these; its permit may be for later, up to a time.
+   */
+  size_t n_excluded;
+  uint64_t *excluded;
+  uint32_t wait_max_ms;
 };
 #define TM__FLEET__SPEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__spend__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Tm__Fleet__Spends
@@ -356,6 +374,24 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Gate to hub: the limit that a target names, or that it names none any more.
+ */
+struct  Tm__Fleet__Limit
+{
+  ProtobufCMessage base;
+  uint64_t target;
+  uint64_t born_ms;
+  /*
+   * As of fleet_limit.h.
+   */
+  uint32_t limit;
+};
+#define TM__FLEET__LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__limit__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Tm__Fleet__Block
 {
   ProtobufCMessage base;
@@ -735,6 +771,25 @@
 void   tm__fleet__crash__free_unpacked
                      (Tm__Fleet__Crash *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__Limit methods */
+void   tm__fleet__limit__init
+                     (Tm__Fleet__Limit         *message);
+size_t tm__fleet__limit__get_packed_size
+                     (const Tm__Fleet__Limit   *message);
+size_t tm__fleet__limit__pack
+                     (const Tm__Fleet__Limit   *message,
+                      uint8_t             *out);
+size_t tm__fleet__limit__pack_to_buffer
+                     (const Tm__Fleet__Limit   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Limit *
+       tm__fleet__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__limit__free_unpacked
+                     (Tm__Fleet__Limit *message,
+                      ProtobufCAllocator *allocator);
 /* Tm__Fleet__Block methods */
 void   tm__fleet__block__init
                      (Tm__Fleet__Block         *message);
@@ -912,6 +967,9 @@
 typedef void (*Tm__Fleet__Crash_Closure)
                  (const Tm__Fleet__Crash *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__Limit_Closure)
+                 (const Tm__Fleet__Limit *message,
+                  void *closure_data);
 typedef void (*Tm__Fleet__Block_Closure)
                  (const Tm__Fleet__Block *message,
                   void *closure_data);
@@ -953,6 +1011,7 @@
 extern const ProtobufCMessageDescriptor tm__fleet__permits__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__evidence__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__crash__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__limit__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__block__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__blocks__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__hello__descriptor;
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -12,6 +12,7 @@
 
 extern "C" {
 #include "fleet/fleet_config.h"
+#include "fleet/fleet_limit.h"
 #include "gate/gate_table.h"
 }
 
@@ -305,3 +306,25 @@
 	free(outcomes);
 	EXPECT_EQ(nullptr, gate_table_collect_outcomes(table_, &count));
 }
+
+// A request goes to a target at its limit, waits although another one is free,
+// or gets an ejected one that must not fail it.
+TEST_F(GateTable, TargetsAtTheirLimitAreLeftOut)
+{
+	Apply(1, 0, 1,
+	    { { "a" }, { "b" },
+		{ "c", "z1", FLEET_TARGET_READY, FLEET_VERDICT_EJECTED } });
+	gate_limit_apply(&Find("a")->limit, fleet_limit_encode(2), now_);
+	EXPECT_GT(PickOften(50)["a"], 0);
+	gate_limit_wait(&Find("a")->limit, 300, now_);
+	EXPECT_EQ(50, PickOften(50)["b"]);
+	gate_limit_apply(&Find("b")->limit, fleet_limit_encode(2), now_);
+	gate_limit_wait(&Find("b")->limit, 200, now_);
+	EXPECT_EQ(nullptr, Pick().target);
+	EXPECT_TRUE(Pick().must_reserve);
+	EXPECT_STREQ("c", Pick({}, 1).target->id);
+	now_ += 200;
+	EXPECT_EQ(50, PickOften(50)["b"]);
+	gate_limit_apply(&Find("a")->limit, FLEET_LIMIT_NONE, now_);
+	EXPECT_GT(PickOften(50)["a"], 0);
+}
--- a/test/unit/hub_load_test.cc
+++ b/test/unit/hub_load_test.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 
 extern "C" {
+#include "fleet/fleet_limit.h"
 #include "gate/gate_table.h"
 #include "hub/hub_load.h"
 }
@@ -183,3 +184,24 @@
 {
 	EXPECT_EQ(100, GetShare(50, 0, 1000));
 }
+
+// The slots that a limit leaves empty hide that a service is full.
+TEST_F(HubLoad, SlotsBeyondALimitDoNotCount)
+{
+	uint64_t a = Add("a");
+	uint64_t b = Add("b");
+	hub_limits_t *limits = hub_limits_create();
+	const hub_limit_key_t key = { a, 0 };
+
+	hub_load_set_limits(load_, limits);
+	hub_load_record(load_, a, 1, now_);
+	hub_load_record(load_, b, 4, now_);
+	/* One request takes 500 ms. */
+	hub_load_record_successes(load_, fleet_name_hash("s1"), 10, 5000);
+	EXPECT_DOUBLE_EQ(5.0 / 8, Update().load);
+	hub_limits_set(limits, &key, fleet_limit_encode(2), now_);
+	EXPECT_DOUBLE_EQ(5.0 / 5, Update().load);
+	hub_limits_set(limits, &key, FLEET_LIMIT_NONE, now_);
+	EXPECT_DOUBLE_EQ(5.0 / 8, Update().load);
+	hub_limits_destroy(limits);
+}
--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -598,3 +598,20 @@
 	EXPECT_EQ(1u, counts.probes_failed);
 	EXPECT_EQ(2u, counts.ejected);
 }
+
+// The leader gives an idle target with a limit a request that it does not take,
+// or counts it as one that waits for a request.
+TEST_F(HubOutlier, AFilteredTargetIsNeitherAssignedNorIdle)
+{
+	hub_outlier_counts_t counts;
+
+	AddTargets(2);
+	Pass(2 * HUB_OUTLIER_IDLE_MS, 2);
+	hub_outlier_set_filter(detector_, [](void *, uint64_t target, int64_t) {
+		return (int)(target != 1);
+	});
+	hub_outlier_count_service(detector_, kService, now_, &counts);
+	EXPECT_EQ(1u, counts.idle);
+	EXPECT_EQ(2u, Assign(kService, 1, 0));
+	EXPECT_EQ(0u, Assign(kService, 1, 0));
+}
--- /dev/null
+++ b/test/unit/limit_test.cc
@@ -0,0 +1,297 @@
+// Failures guarded against: a target gets more requests than the limit that it
+// names, summed over all gates, also when the leader changes; a target with a
+// limit gets none; a limit outlasts its end, or ends too early; a header that
+// makes no sense is taken for a limit.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include <uv.h>
+
+extern "C" {
+#include "base/rng.h"
+#include "fleet/fleet_limit.h"
+#include "gate/gate_limit.h"
+#include "gate/gate_request.h"
+#include "hub/hub_limits.h"
+}
+
+namespace {
+
+const int64_t kStart = 1000000;
+const hub_limit_key_t kTarget = { 7, 1 };
+/* Of the platform: what a limit allows in any window of this length. */
+const int64_t kWindowMs = 4000;
+const double kFactor = 1.5;
+const double kSlack = 5;
+
+class HubLimits : public testing::Test {
+      protected:
+	HubLimits() : limits_(hub_limits_create())
+	{
+	}
+	~HubLimits() override
+	{
+		hub_limits_destroy(limits_);
+	}
+
+	void
+	Set(double per_s, int64_t now_ms, const hub_limit_key_t &key = kTarget)
+	{
+		hub_limits_set(
+		    limits_, &key, fleet_limit_encode(per_s), now_ms);
+	}
+
+	int
+	Acquire(int64_t now_ms, const hub_limit_key_t &key = kTarget)
+	{
+		if (hub_limits_get_wait_ms(limits_, &key, now_ms) > 0)
+			return (0);
+		hub_limits_consume(limits_, &key, now_ms);
+		return (1);
+	}
+
+	hub_limits_t *limits_;
+};
+
+size_t
+MostInWindow(const std::vector<int64_t> &times)
+{
+	size_t most = 0;
+
+	for (size_t first = 0, i = 0; i < times.size(); i++) {
+		while (times[i] - times[first] >= kWindowMs)
+			first++;
+		most = std::max(most, i - first + 1);
+	}
+	return (most);
+}
+
+} // namespace
+
+// Bursts of requests, and leaders that follow each other, exceed a limit.
+TEST_F(HubLimits, NoWindowHoldsMoreThanTheLimitAllows)
+{
+	rng_t rng;
+
+	rng_init(&rng, 17);
+	for (double per_s : { 0.0, 0.3, 1.0, 5.2, 40.0 }) {
+		std::vector<int64_t> granted;
+
+		hub_limits_reset(limits_);
+		Set(per_s, kStart);
+		for (int64_t now = kStart; now < kStart + 60000;
+		     now += (int64_t)rng_below(&rng, 20)) {
+			if (rng_below(&rng, 200) == 0) {
+				hub_limits_reset(limits_);
+				Set(per_s, now);
+			}
+			while (Acquire(now))
+				granted.push_back(now);
+			/* Nobody asks for a while. */
+			if (rng_below(&rng, 300) == 0)
+				now += 3000;
+		}
+		EXPECT_LE((double)MostInWindow(granted),
+		    kFactor * per_s * kWindowMs / 1000 + kSlack)
+		    << per_s;
+		EXPECT_GT(granted.size(), 0u) << per_s;
+	}
+}
+
+// A limit wastes what the target can do.
+TEST_F(HubLimits, AllThatIsAllowedIsGranted)
+{
+	int granted = 0;
+
+	Set(5, kStart);
+	for (int64_t now = kStart; now <= kStart + 20000; now += 10)
+		granted += Acquire(now);
+	EXPECT_GE(granted, 99);
+	EXPECT_LE(granted, 101);
+}
+
+// The wait that a gate is told ends before there is a permit.
+TEST_F(HubLimits, AfterTheWaitThereIsAPermit)
+{
+	int64_t now = kStart;
+
+	for (double per_s : { 0.7, 1.0, 3.0, 9.0 }) {
+		Set(per_s, now);
+		while (Acquire(now)) {
+		}
+		int64_t wait_ms =
+		    hub_limits_get_wait_ms(limits_, &kTarget, now);
+		EXPECT_FALSE(Acquire(now + wait_ms - 2)) << per_s;
+		EXPECT_TRUE(Acquire(now + wait_ms)) << per_s;
+		now += 10000;
+	}
+}
+
+// Requests that wait get more permits than there are, or not in the order of
+// their coming.
+TEST_F(HubLimits, ReservedPermitsComeAtTheRateOfTheLimit)
+{
+	const hub_limit_key_t other = { 8, 1 };
+	int64_t last_ms = -1;
+	hub_limit_key_t key;
+	const auto any = [](void *, const hub_limit_key_t *) { return (1); };
+	const auto second = [](void *, const hub_limit_key_t *candidate) {
+		return ((int)(candidate->target == 8));
+	};
+
+	Set(2, kStart);
+	Set(4, kStart, other);
+	for (int i = 0; i < 30; i++) {
+		int64_t wait_ms =
+		    hub_limits_find_first(limits_, any, nullptr, kStart, &key);
+
+		EXPECT_GE(wait_ms, last_ms);
+		last_ms = wait_ms;
+		hub_limits_consume(limits_, &key, kStart);
+	}
+	EXPECT_NEAR(5000, last_ms, 10);
+	hub_limits_find_first(limits_, second, nullptr, kStart, &key);
+	EXPECT_EQ(8u, key.target);
+	Set(-1, kStart, other);
+	EXPECT_EQ(
+	    -1, hub_limits_find_first(limits_, second, nullptr, kStart, &key));
+}
+
+// The limit of an ended incarnation binds the next one, or a late report of it
+// sets one.
+TEST_F(HubLimits, BelongsToAnIncarnation)
+{
+	const hub_limit_key_t next = { kTarget.target, 2 };
+
+	Set(1, kStart);
+	EXPECT_EQ(
+	    (uint32_t)FLEET_LIMIT_UNKNOWN, hub_limits_get(limits_, &next));
+	EXPECT_EQ(0, hub_limits_get_wait_ms(limits_, &next, kStart));
+	Set(-1, kStart, next);
+	EXPECT_EQ((uint32_t)FLEET_LIMIT_NONE, hub_limits_get(limits_, &next));
+	EXPECT_TRUE(Acquire(kStart, next));
+	EXPECT_FALSE(
+	    hub_limits_set(limits_, &next, FLEET_LIMIT_UNKNOWN, kStart));
+	EXPECT_FALSE(hub_limits_set(limits_, &next, FLEET_LIMIT_NONE, kStart));
+	hub_limits_remove(limits_, next.target);
+	EXPECT_EQ(
+	    (uint32_t)FLEET_LIMIT_UNKNOWN, hub_limits_get(limits_, &next));
+}
+
+// A response that was on its way when the limit was named ends it; or the end
+// is never noticed.
+TEST(GateLimit, EndsWithAResponseToALaterRequest)
+{
+	gate_limit_t limit = {};
+	uint32_t five = fleet_limit_encode(5);
+
+	EXPECT_FALSE(
+	    gate_limit_record(&limit, FLEET_LIMIT_NONE, kStart, kStart));
+	EXPECT_TRUE(gate_limit_record(&limit, five, kStart, kStart + 10));
+	EXPECT_TRUE(gate_limit_is_set(&limit));
+	EXPECT_FALSE(gate_limit_record(
+	    &limit, FLEET_LIMIT_NONE, kStart + 5, kStart + 20));
+	EXPECT_TRUE(gate_limit_is_set(&limit));
+	gate_limit_apply(&limit, five, kStart + 30);
+	EXPECT_FALSE(gate_limit_record(&limit, five, kStart, kStart + 40));
+	EXPECT_TRUE(gate_limit_record(
+	    &limit, FLEET_LIMIT_NONE, kStart + 35, kStart + 50));
+	EXPECT_FALSE(gate_limit_is_set(&limit));
+}
+
+// The same at a gate that has the limit from the leader only.
+TEST(GateLimit, ALimitOfTheLeaderEndsWithAResponseToALaterRequest)
+{
+	gate_limit_t limit = {};
+
+	gate_limit_apply(&limit, fleet_limit_encode(5), kStart);
+	EXPECT_FALSE(gate_limit_record(
+	    &limit, FLEET_LIMIT_NONE, kStart - 1, kStart + 10));
+	EXPECT_TRUE(gate_limit_is_set(&limit));
+	EXPECT_TRUE(gate_limit_record(
+	    &limit, FLEET_LIMIT_NONE, kStart + 1, kStart + 10));
+}
+
+// A new leader, which knows no limits, lifts all of them.
+TEST(GateLimit, ALeaderWithoutKnowledgeChangesNothing)
+{
+	gate_limit_t limit = {};
+	uint32_t five = fleet_limit_encode(5);
+
+	gate_limit_record(&limit, five, kStart, kStart);
+	gate_limit_apply(&limit, FLEET_LIMIT_UNKNOWN, kStart + 10);
+	EXPECT_TRUE(gate_limit_is_set(&limit));
+	EXPECT_TRUE(gate_limit_record(&limit, five, kStart + 5, kStart + 20));
+	gate_limit_apply(&limit, FLEET_LIMIT_NONE, kStart + 30);
+	EXPECT_FALSE(gate_limit_is_set(&limit));
+}
+
+// Without a leader the gates exceed a limit together: at once, or when requests
+// come again after a pause.
+TEST(GateLimit, SharesOfAllGatesStayWithinTheLimit)
+{
+	for (uint32_t gates : { 1u, 3u, 40u, 127u }) {
+		std::vector<gate_limit_t> limits(gates);
+		std::vector<int64_t> sent;
+		rng_t rng;
+
+		rng_init(&rng, gates);
+		for (gate_limit_t &limit : limits)
+			gate_limit_record(
+			    &limit, fleet_limit_encode(5), kStart, kStart);
+		for (int64_t now = kStart; now < kStart + 300000; now += 5) {
+			gate_limit_t *limit = &limits[rng_below(&rng, gates)];
+
+			if (rng_below(&rng, 3000) == 0)
+				now += (int64_t)rng_below(&rng, 30000);
+			if (gate_limit_get_wait_ms(limit, now) == 0 &&
+			    gate_limit_take_share(
+				limit, gates, rng_unit(&rng), now))
+				sent.push_back(now);
+		}
+		EXPECT_LE((double)MostInWindow(sent),
+		    kFactor * 5 * kWindowMs / 1000 + kSlack)
+		    << gates;
+		EXPECT_GT(sent.size(), 300u) << gates;
+	}
+}
+
+namespace {
+
+uint32_t
+ReadLimit(std::vector<std::string> values)
+{
+	dialect_t dialect = {};
+	upstream_response_t response = {};
+	std::vector<upstream_header_t> headers;
+
+	dialect.headers.limit = "server-limit";
+	for (const std::string &value : values)
+		headers.push_back(
+		    { "Server-Limit", 12, value.data(), value.size() });
+	response.headers = headers.data();
+	response.header_count = headers.size();
+	return (gate_wire_read_limit(&dialect, &response));
+}
+
+} // namespace
+
+// A header that makes no sense stops all requests to a target, or lets any pass.
+TEST(GateWireLimit, OnlyOneDecimalNumberIsALimit)
+{
+	EXPECT_EQ(fleet_limit_encode(2.5), ReadLimit({ "2.5" }));
+	EXPECT_EQ(fleet_limit_encode(0), ReadLimit({ "0" }));
+	EXPECT_EQ(fleet_limit_encode(0.125), ReadLimit({ ".125" }));
+	EXPECT_DOUBLE_EQ(5.2, fleet_limit_decode(ReadLimit({ "5.2" })));
+	EXPECT_EQ((uint32_t)FLEET_LIMIT_NONE, ReadLimit({}));
+	for (const char *text : { "", "-1", "1e3", "0x10", "nan", "inf", "1,5",
+		 "5 5", "1.2.3", "99999999999", "1000000000000000000000000000",
+		 "Sat, 05 Dec 2026 08:00:00 GMT" })
+		EXPECT_EQ((uint32_t)FLEET_LIMIT_NONE, ReadLimit({ text }))
+		    << text;
+	EXPECT_EQ((uint32_t)FLEET_LIMIT_NONE, ReadLimit({ "5", "5" }));
+}
