http, gate: a repeated refusal is not taken for the answer to another request

Cause: a response without an id passed as the awaited one, and an id does not tell two sendings of one request apart.

Change: on a connection that has carried other requests a response without an id is skipped like one with another id; a connection with such a response is not reused; a connection that carried the same id lately is not taken; a request without an id gets a new connection.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -300,17 +300,27 @@
 	handle_failure(request, kind, NULL);
 }
 
-/* upstream_foreign_cb. @return 1 for a late response to an earlier request */
-static int
-is_foreign(void *ctx, const upstream_response_t *response)
+/*
+ * upstream_relate_cb. A response without the id of its request may be a repeated
+ * one of an earlier request if there was any on its connection. So a connection
+ * with such a response is used no more.
+ */
+static upstream_relation_t
+relate(void *ctx, const upstream_response_t *response)
 {
 	const gate_request_t *request = ctx;
 	const upstream_header_t *header = forward_find_header(
 	    response, gate_get_dialect(request->gate)->headers.request_id);
 
-	return (header != NULL && request->id[0] != '\0' &&
-	    (header->value_len != strlen(request->id) ||
-		memcmp(header->value, request->id, header->value_len) != 0));
+	if (request->id[0] == '\0')
+		return (UPSTREAM_OWN_LAST);
+	if (header == NULL || header->value_len == 0)
+		return (
+		    response->is_reused ? UPSTREAM_FOREIGN : UPSTREAM_OWN_LAST);
+	return (header->value_len == strlen(request->id) &&
+		    memcmp(header->value, request->id, header->value_len) == 0
+		? UPSTREAM_OWN
+		: UPSTREAM_FOREIGN);
 }
 
 /* @return longest idle time of a connection that may be reused */
@@ -333,7 +343,9 @@
 		.is_head = request->is_head,
 		.idle_max_ms = get_idle_max_ms(target),
 		.is_lenient = 1,
-		.is_foreign = is_foreign,
+		.relate = relate,
+		.id_hash = fleet_name_hash(request->id),
+		.is_new = request->id[0] == '\0',
 		.done = on_done,
 		.ctx = request,
 	};
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -28,6 +28,8 @@
 /* Bounds the idle connections to one target. */
 #define IDLE_CONNS_MAX	      32
 #define HEADER_TEXT_MAX_BYTES 16384
+/* Requests that a connection remembers by their ids. */
+#define CARRIED_IDS 8
 /* An idle connection keeps no larger buffer. */
 #define IDLE_BODY_MAX_BYTES 65536
 
@@ -51,7 +53,7 @@
 struct upstream_call {
 	upstream_conn_t *conn;
 	upstream_cb done;
-	upstream_foreign_cb is_foreign;
+	upstream_relate_cb relate;
 	void *ctx;
 	int is_head;
 	int is_lenient;
@@ -70,6 +72,8 @@
 	int is_writing;
 	int64_t idle_since_ms;
 	int64_t opened_ms; /* when the connection was asked for */
+	uint64_t carried[CARRIED_IDS]; /* id hashes of the last requests */
+	uint32_t requests; /* that it has carried */
 	buffer_t out;
 	response_t response;
 	upstream_header_t headers[UPSTREAM_HEADERS_MAX];
@@ -246,15 +250,13 @@
 	conn->headers_overflow = 0;
 }
 
-/* @return 1 if the response belongs to an earlier request */
-static int
-conn_has_foreign(
-    const upstream_conn_t *conn, const upstream_response_t *response)
+static upstream_relation_t
+conn_relate(const upstream_conn_t *conn, const upstream_response_t *response)
 {
 	const upstream_call_t *call = conn->call;
 
-	return (
-	    call->is_foreign != NULL && call->is_foreign(call->ctx, response));
+	return (call->relate != NULL ? call->relate(call->ctx, response)
+				     : UPSTREAM_OWN);
 }
 
 static void conn_take(upstream_conn_t *conn, char *bytes, size_t len);
@@ -273,11 +275,13 @@
 		.body_len = conn->response.body.len,
 		.content_length = conn->response.length,
 		.is_unframed = conn->response.until_close,
+		.is_reused = conn->requests > 1,
 	};
-	int reuse = conn->response.keeps_alive && !conn->is_writing &&
-	    !conn->response.until_close && rest == 0;
+	upstream_relation_t relation = conn_relate(conn, &response);
+	int reuse = relation == UPSTREAM_OWN && conn->response.keeps_alive &&
+	    !conn->is_writing && !conn->response.until_close && rest == 0;
 
-	if (conn_has_foreign(conn, &response)) {
+	if (relation == UPSTREAM_FOREIGN) {
 		conn_reset_response(conn);
 		if (rest > 0)
 			conn_take(conn, bytes, rest);
@@ -462,6 +466,18 @@
 	return (request->is_fresh ? IDLE_FRESH_MS : INT64_MAX);
 }
 
+static int
+conn_has_carried(const upstream_conn_t *conn, uint64_t id_hash)
+{
+	size_t i;
+
+	for (i = 0; id_hash != 0 && i < CARRIED_IDS; i++) {
+		if (conn->carried[i] == id_hash)
+			return (1);
+	}
+	return (0);
+}
+
 /* Takes an idle connection on which nothing has arrived. */
 static upstream_conn_t *
 upstream_take_idle(upstream_t *upstream, const upstream_request_t *request)
@@ -469,11 +485,16 @@
 	upstream_target_t *target =
 	    upstream_find_target(upstream, &request->to);
 	upstream_conn_t *conn;
+	upstream_conn_t *next;
 
-	while (target != NULL && (conn = target->idle) != NULL) {
+	if (target == NULL || request->is_new)
+		return (NULL);
+	DL_FOREACH_SAFE(target->idle, conn, next) {
 		if (clock_now_ms() - conn->idle_since_ms >
 		    request_get_idle_max_ms(request))
 			return (NULL);
+		if (conn_has_carried(conn, request->id_hash))
+			continue;
 		if (conn_is_quiet(conn)) {
 			conn_leave_idle(conn);
 			return (conn);
@@ -510,7 +531,8 @@
 	call->ctx = request->ctx;
 	call->is_head = request->is_head;
 	call->is_lenient = request->is_lenient;
-	call->is_foreign = request->is_foreign;
+	call->relate = request->relate;
+	conn->carried[conn->requests++ % CARRIED_IDS] = request->id_hash;
 	conn->call = call;
 	*out = call;
 	if (is_reused)
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -51,6 +51,7 @@
 	size_t body_len;
 	uint64_t content_length; /**< header of a response to HEAD */
 	int is_unframed; /**< ended with its connection: maybe not whole */
+	int is_reused; /**< the connection has carried requests before */
 } upstream_response_t;
 
 /**
@@ -61,12 +62,15 @@
 typedef void (*upstream_cb)(
     void *ctx, upstream_result_t result, const upstream_response_t *response);
 
-/**
- * Recognises the response to an earlier request, which is then skipped.
- *
- * @return 1 if the response belongs to another request
- */
-typedef int (*upstream_foreign_cb)(
+/** How a response is related to the request that waits for one. */
+typedef enum upstream_relation {
+	UPSTREAM_OWN, /**< it is the response to that request */
+	UPSTREAM_OWN_LAST, /**< so, but the connection is not to be reused */
+	UPSTREAM_FOREIGN /**< it belongs to an earlier request; skipped */
+} upstream_relation_t;
+
+/** Relates a complete response to the request that waits. */
+typedef upstream_relation_t (*upstream_relate_cb)(
     void *ctx, const upstream_response_t *response);
 
 /** What to send. */
@@ -83,7 +87,12 @@
 	 * and one that is followed by further bytes.
 	 */
 	int is_lenient;
-	upstream_foreign_cb is_foreign; /**< NULL: no response is */
+	upstream_relate_cb relate; /**< NULL: each response is its own */
+	/** Hash of the request's id: a connection that carried the same id
+	 * lately is not used, as its responses could not be told apart. 0:
+	 * none. */
+	uint64_t id_hash;
+	int is_new; /**< use no idle connection */
 	upstream_cb done;
 	void *ctx;
 } upstream_request_t;
--- a/test/functional/platform_target.py
+++ b/test/functional/platform_target.py
@@ -7,7 +7,9 @@
 
 The file of --answer is read for each request and may hold, as JSON: "headers"
 of each answer, "status" instead of 200, "work_s", "executed" (false: the answer
-says that the request did not run)."""
+says that the request did not run), "refuse_every": N (every Nth request is
+answered 503, not run), "repeat": "as it was" or "without id" (a refusal is
+written once more on its connection, ahead of the next answer)."""
 import argparse
 import asyncio
 import http.client
@@ -28,6 +30,8 @@
         self.port = 0
         self.sequence = 0
         self.born_ms = int(time.time() * 1000)
+        self.count = 0
+        self.refusals = {}  # by connection: to be written again
         self.record = open(args.record, "a", encoding="utf-8", buffering=1)
 
     def read_answer(self):
@@ -49,6 +53,7 @@
                 pass
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
+        self.refusals.pop(writer, None)
         writer.close()
 
     async def serve_one(self, reader, writer):
@@ -69,6 +74,10 @@
             os._exit(70)
         answer = self.read_answer()
         ran = answer.get("executed", True)
+        self.count += 1
+        if self.count % answer.get("refuse_every", self.count + 1) == 0:
+            ran = False
+            answer["status"] = 503
         self.write_record(headers, path, "ran" if ran else "rejected")
         await asyncio.sleep(answer.get("work_s", 0))
         more = dict(answer.get("headers", {}))
@@ -76,8 +85,12 @@
             more["Tarragonmoor-Not-Executed"] = "1"
         else:
             more["Tarragonmoor-Server-Signature"] = "sig"
-        await self.answer(writer, headers, answer.get("status", 200), more,
-                          method)
+        writer.write(self.refusals.pop(writer, b""))
+        text = await self.answer(writer, headers, answer.get("status", 200),
+                                 more, method)
+        if not ran and "repeat" in answer:
+            self.refusals[writer] = text if answer["repeat"] == "as it was" \
+                else text.replace(b"Tarragonmoor-Attempt-Id", b"X-Other")
         return True
 
     async def answer(self, writer, headers, status, more, method):
@@ -88,8 +101,10 @@
                  headers.get("tarragonmoor-attempt-id", "")]
         lines += [f"{name}: {value}" for name, value in more.items()]
         text = "\r\n".join(lines).encode() + b"\r\n\r\n"
-        writer.write(text if method == "HEAD" else text + body)
+        text = text if method == "HEAD" else text + body
+        writer.write(text)
         await writer.drain()
+        return text
 
     def announce(self):
         controls = self.args.control.split(",")
