gate: equally loaded targets get equal shares

Seen in gate_limit.sh: of four equal targets in the gate's own zone one got 12 % of the requests and one 38 %. Cause: of the sample of two, the gate replaced the first by one of its own zone; the places in the sample depend on the order of the list, so the second place held the second target half of the time. The test failed before (2 to 9 targets, up to 40 % off); a coin now decides which one is replaced.

--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -430,8 +430,10 @@
 	}
 	if (sample.any[1] == NULL)
 		return (sample.any[0]);
-	if (sample.same_zone != NULL && sample.same_zone != sample.any[1])
-		sample.any[0] = sample.same_zone;
+	/* The places of the sample depend on the order of the list. */
+	if (sample.same_zone != NULL && sample.same_zone != sample.any[0] &&
+	    sample.same_zone != sample.any[1])
+		sample.any[rng_below(&table->rng, 2)] = sample.same_zone;
 	return (
 	    pick_better(table, sample.any[0], sample.any[1], options->now_ms));
 }
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -328,3 +328,40 @@
 	gate_limit_apply(&Find("a")->limit, FLEET_LIMIT_NONE, now_);
 	EXPECT_GT(PickOften(50)["a"], 0);
 }
+
+// Targets that are equally loaded get unequal shares by their place in the list,
+// so that some get nothing for seconds.
+TEST_F(GateTable, EqualTargetsGetEqualShares)
+{
+	const int times = 40000;
+
+	for (size_t count : { 2u, 3u, 4u, 9u }) {
+		for (size_t local : { (size_t)0, (size_t)1, count }) {
+			std::vector<Row> rows;
+			std::map<std::string, int> counts;
+
+			for (size_t i = 0; i < count; i++)
+				rows.push_back(
+				    { std::string(1, (char)('a' + i)),
+					i < local ? "z1" : "z2" });
+			gate_table_destroy(table_);
+			table_ = gate_table_create("z1", count);
+			Apply(1, 0, 1, rows);
+			counts = PickOften(times);
+			/* One in the own zone is preferred, on purpose. */
+			for (size_t i = local == 1 ? 1 : 0; i < count; i++) {
+				int others = times;
+
+				if (local == 1)
+					others -= counts["a"];
+				double expected = (double)others /
+				    (double)(count - (local == 1));
+
+				EXPECT_NEAR(expected, counts[rows[i].id],
+				    0.1 * expected + 5)
+				    << count << " targets, " << local
+				    << " in the own zone, " << rows[i].id;
+			}
+		}
+	}
+}
