gate: requests at a steady pace do not put off the timer

Cause: each request that started or ended while no other ran restarted the gate's timer with its whole interval, 100 ms after the end, so that requests that come every 20 to 100 ms put it off again and again: no lease renewal, no check of deadlines.

Change: the interval changes, the due time only moves forward.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -248,7 +248,8 @@
 	gate_allowance_reset(gate->allowance);
 }
 
-/* Sets the timer interval: shorter while requests are running. */
+/* Sets the timer interval: shorter while requests are running. The next tick is
+ * never put off, as each request may change the interval twice. */
 static void
 set_tick(gate_t *gate)
 {
@@ -258,7 +259,9 @@
 	if (wanted_ms == gate->tick_ms)
 		return;
 	gate->tick_ms = wanted_ms;
-	uv_timer_start(&gate->timer, on_timer, wanted_ms, wanted_ms);
+	uv_timer_set_repeat(&gate->timer, wanted_ms);
+	if (uv_timer_get_due_in(&gate->timer) > wanted_ms)
+		uv_timer_start(&gate->timer, on_timer, wanted_ms, wanted_ms);
 }
 
 static void
