gate, hub: targets that leave or want a pause get no requests

Callers saw: requests cut off at targets that had said that they leave (DRAIN), and targets flooded that had asked for a pause (BUDGET).

Now one reader fills one type, gate_signals_t, with load, limit, leaving, pause and keep-alive time; hub_limits became hub_signals, as the leader also holds that a target leaves and tells all gates with its row. A pause binds the gate that was told.

--- a/src/fleet/dialect.h
+++ b/src/fleet/dialect.h
@@ -24,6 +24,7 @@
 	const char *expect_target; /**< a target with another id rejects */
 	const char *target; /**< id of the target that answers */
 	const char *load; /**< "running,waiting,slots" of a target */
+	const char *leaving; /**< "1": the target that answers leaves */
 	const char *limit; /**< requests per second that a target takes from
 			    * all gates together; a decimal number */
 	const char *not_run; /**< present: the target did not execute it */
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -213,37 +213,56 @@
 		gate_request_refuse(request, GATE_REFUSAL_TARGET_FAILED, 0);
 }
 
-/* Records the limit that a target names, and tells the leader what is new. */
+/* Records what a target says of itself, and tells the leader what is new. */
 static void
-record_limit(const gate_request_t *request, gate_target_t *target,
+record_signals(const gate_request_t *request, gate_target_t *target,
     const upstream_response_t *response)
 {
-	Tm__Fleet__Limit msg = TM__FLEET__LIMIT__INIT;
+	Tm__Fleet__Signals msg = TM__FLEET__SIGNALS__INIT;
+	gate_signals_t signals;
+	int64_t now_ms = clock_now_ms();
+	int is_new = 0;
 
+	gate_wire_read_signals(
+	    gate_get_dialect(request->gate), response, &signals);
+	if (signals.has_load)
+		gate_target_set_load(target, signals.load, now_ms);
+	target->idle_max_ms = signals.keep_ms;
+	if (gate_limit_record(
+		&target->limit, signals.limit, request->sent_ms, now_ms)) {
+		msg.limit = signals.limit;
+		is_new = 1;
+	}
+	if (signals.is_leaving && gate_target_set_leaving(target)) {
+		msg.is_leaving = 1;
+		is_new = 1;
+	}
+	if (signals.pause_ms > 0)
+		gate_target_pause(target, signals.pause_ms, now_ms);
+	if (signals.pause_ms > 0 || msg.is_leaving)
+		LOG_EVENT(966, LOG_LEVEL_INFO, "a target wants no requests",
+		    LOG_TEXT("request_id", request->id),
+		    LOG_TEXT("target", target->id),
+		    LOG_NUM("is_leaving", signals.is_leaving),
+		    LOG_NUM("pause_ms", signals.pause_ms));
+	if (!is_new)
+		return;
 	msg.target = target->key;
 	msg.born_ms = target->incarnation_ms;
-	msg.limit =
-	    gate_wire_read_limit(gate_get_dialect(request->gate), response);
-	if (gate_limit_record(
-		&target->limit, msg.limit, request->sent_ms, clock_now_ms()))
-		gate_link_report_limit(request->gate->link, &msg);
+	gate_link_report_signals(request->gate->link, &msg);
 }
 
 static void
 handle_response(gate_request_t *request, gate_target_t *target,
     const upstream_response_t *response)
 {
-	const dialect_t *dialect = gate_get_dialect(request->gate);
 	fleet_evidence_t kind;
-	uint32_t load;
 	int is_not_executed;
 
 	kind = response_get_evidence(request, response, &is_not_executed);
-	if (gate_wire_read_load(dialect, response, &load))
-		gate_target_set_load(target, load, clock_now_ms());
-	target->idle_max_ms = gate_wire_read_keep_ms(response);
+	/* Another target says nothing of this one. */
 	if (response->status != 421)
-		record_limit(request, target, response);
+		record_signals(request, target, response);
 	if (!stopped_at_deadline(request, response))
 		record_outcome(request, target, kind, response->status);
 	gate_target_release(target);
@@ -604,6 +623,9 @@
 		reserve_limit_permit(request);
 	else if (choice.must_reserve)
 		delay_for_limit(request);
+	else if (choice.pause_ms > 0)
+		gate_request_refuse(
+		    request, GATE_REFUSAL_PAUSED, choice.pause_ms);
 	else if (choice.target == NULL)
 		gate_request_delay(request, GATE_REFUSAL_NO_TARGET);
 	else if (gate_limit_is_set(&choice.target->limit) && has_leader)
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -453,11 +453,11 @@
 }
 
 void
-gate_link_report_limit(gate_link_t *link, const Tm__Fleet__Limit *limit)
+gate_link_report_signals(gate_link_t *link, const Tm__Fleet__Signals *signals)
 {
 	if (link->leader != NODE_ID_NONE)
 		link->options.send(link->options.send_ctx, link->leader,
-		    MSG_FLEET_LIMIT, &limit->base);
+		    MSG_FLEET_SIGNALS, &signals->base);
 }
 
 static Tm__Fleet__Spend *
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -112,8 +112,9 @@
  * without one. */
 void gate_link_report_crash(gate_link_t *link, const Tm__Fleet__Crash *crash);
 
-/** Reports the limit of a target to the leader; dropped without one. */
-void gate_link_report_limit(gate_link_t *link, const Tm__Fleet__Limit *limit);
+/** Reports what a target says of itself to the leader; dropped without one. */
+void gate_link_report_signals(
+    gate_link_t *link, const Tm__Fleet__Signals *signals);
 
 /** Queues the report of a token that was consumed without a permit. */
 void gate_link_report_consumed(
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -123,25 +123,21 @@
 void gate_wire_reply(const gate_request_t *request, h2o_req_t *req,
     const upstream_response_t *response);
 
-/**
- * Reads the load header.
- *
- * @param load  receives the running and queued requests
- * @return      1 if the header is present and well-formed
- */
-int gate_wire_read_load(const dialect_t *dialect,
-    const upstream_response_t *response, uint32_t *load);
-
-/**
- * Reads the limit that a target names.
- *
- * @return as of fleet_limit.h: none also for a value that is no decimal number
- *         or comes more than once
- */
-uint32_t gate_wire_read_limit(
-    const dialect_t *dialect, const upstream_response_t *response);
-
-/** Reads a target's keep-alive timeout. @return time in ms; 0: not given */
-int64_t gate_wire_read_keep_ms(const upstream_response_t *response);
+/** What a target says of itself in a response. */
+typedef struct gate_signals {
+	int has_load;
+	uint32_t load; /**< running and queued requests */
+	uint32_t limit; /**< as of fleet_limit.h; none if it names none */
+	int is_leaving;
+	/** Time for which a target that turned the request away wants none from
+	 * this gate, in ms; 0: it names none. */
+	int64_t pause_ms;
+	int64_t keep_ms; /**< keep-alive timeout; 0: it names none */
+} gate_signals_t;
+
+/** Reads what a target says. A value that makes no sense, or comes more than
+ * once, counts as absent. */
+void gate_wire_read_signals(const dialect_t *dialect,
+    const upstream_response_t *response, gate_signals_t *out);
 
 #endif
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -342,7 +342,8 @@
 gate_target_is_usable(
     const gate_target_t *target, const gate_pick_options_t *options)
 {
-	return (target->state == FLEET_TARGET_READY &&
+	return (target->state == FLEET_TARGET_READY && !target->is_leaving &&
+	    options->now_ms >= target->paused_until_ms &&
 	    !is_excluded(options, target));
 }
 
@@ -511,6 +512,27 @@
 	return (0);
 }
 
+/* @return shortest time until a target that wants a pause takes requests again,
+ * in ms; 0: there is none */
+static int64_t
+get_pause_ms(const gate_service_t *service, const gate_pick_options_t *options)
+{
+	const gate_target_t *target;
+	int64_t shortest_ms = 0;
+	int64_t pause_ms;
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		target = service->targets[i];
+		pause_ms = target->paused_until_ms - options->now_ms;
+		if (pause_ms > 0 && target->state == FLEET_TARGET_READY &&
+		    !target->is_leaving &&
+		    (shortest_ms == 0 || pause_ms < shortest_ms))
+			shortest_ms = pause_ms;
+	}
+	return (shortest_ms);
+}
+
 gate_choice_t
 gate_table_pick(gate_table_t *table, gate_service_t *service,
     const gate_pick_options_t *options)
@@ -529,6 +551,8 @@
 	choice.must_reserve = has_waiting(service, options);
 	if (choice.must_reserve)
 		choice.target = NULL;
+	else if (choice.target == NULL)
+		choice.pause_ms = get_pause_ms(service, options);
 	return (choice);
 }
 
@@ -609,6 +633,22 @@
 	target->has_unreported_load = 1;
 }
 
+int
+gate_target_set_leaving(gate_target_t *target)
+{
+	int is_new = !target->is_leaving;
+
+	target->is_leaving = 1;
+	return (is_new);
+}
+
+void
+gate_target_pause(gate_target_t *target, int64_t pause_ms, int64_t now_ms)
+{
+	if (now_ms + pause_ms > target->paused_until_ms)
+		target->paused_until_ms = now_ms + pause_ms;
+}
+
 void
 gate_target_avoid(gate_target_t *target, int64_t until_ms)
 {
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -52,6 +52,8 @@
 	int64_t cold_until_ms; /**< warming up until then */
 	int64_t idle_max_ms; /**< its keep-alive timeout; 0: unknown */
 	gate_limit_t limit; /**< requests that it takes from all gates */
+	int is_leaving; /**< it said so here; this incarnation stays so */
+	int64_t paused_until_ms; /**< it wants no request from this gate */
 	uint32_t sent; /**< requests since the last report */
 	uint32_t successes; /**< since the last report */
 	uint32_t latency_sum_ms; /**< of these successes */
@@ -94,6 +96,9 @@
 	gate_target_t
 	    *target; /**< NULL: none is usable, or the leader chooses */
 	int must_ask_leader; /**< the leader is to be asked for a target */
+	/** Without a target: time until one takes a request again that wants
+	 * none now, in ms; 0: there is none. */
+	int64_t pause_ms;
 	/** Healthy targets are at their limits: the leader is to be asked for
 	 * the next permit of one of them. */
 	int must_reserve;
@@ -183,6 +188,12 @@
 /** Records the load that a target reported. @param load  running and queued */
 void gate_target_set_load(gate_target_t *target, uint32_t load, int64_t now_ms);
 
+/** Records that a target leaves. @return 1 if that is new */
+int gate_target_set_leaving(gate_target_t *target);
+
+/** Records that a target wants no request from this gate for a time. */
+void gate_target_pause(gate_target_t *target, int64_t pause_ms, int64_t now_ms);
+
 /** Makes this gate avoid a target up to a time: it is used only if no other
  * healthy target is left. */
 void gate_target_avoid(gate_target_t *target, int64_t until_ms);
--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -12,8 +12,10 @@
 
 /* Keeps a value within 32 bits. */
 #define LOAD_DIGITS_MAX 9
-/* A longer text is no limit. */
-#define LIMIT_BYTES_MAX 24
+/* A longer text is no decimal number. */
+#define DECIMAL_BYTES_MAX 24
+/* A target that wants a longer pause than this makes no sense. */
+#define PAUSE_MAX_S 3600.0
 /* Longer keep-alive timeouts are cut to this one. */
 #define KEEP_MAX_S 3600
 
@@ -172,12 +174,9 @@
 	return (*at > start);
 }
 
-int
-gate_wire_read_load(const dialect_t *dialect,
-    const upstream_response_t *response, uint32_t *load)
+static int
+read_load(const upstream_header_t *header, uint32_t *load)
 {
-	const upstream_header_t *header =
-	    forward_find_header(response, dialect->headers.load);
 	const char *at;
 	const char *end;
 	uint32_t running;
@@ -194,49 +193,57 @@
 	return (1);
 }
 
-/* @return limit per second; negative if the text is no decimal number */
-static double
-parse_limit(const char *text, size_t len)
-{
-	char copy[LIMIT_BYTES_MAX + 1];
-	char *end;
-	double per_s;
-
-	if (len == 0 || len > LIMIT_BYTES_MAX ||
-	    strspn(text, "0123456789.") < len)
-		return (-1);
-	memcpy(copy, text, len);
-	copy[len] = '\0';
-	per_s = strtod(copy, &end);
-	return (*end == '\0' ? per_s : -1);
-}
-
-uint32_t
-gate_wire_read_limit(
-    const dialect_t *dialect, const upstream_response_t *response)
+/* Finds a header that must not come more than once. */
+static const upstream_header_t *
+find_single(const upstream_response_t *response, const char *name)
 {
 	const upstream_header_t *found = NULL;
 	size_t i;
 
 	for (i = 0; i < response->header_count; i++) {
-		if (!forward_name_equals(
-			&response->headers[i], dialect->headers.limit))
+		if (!forward_name_equals(&response->headers[i], name))
 			continue;
 		if (found != NULL)
-			return (FLEET_LIMIT_NONE);
+			return (NULL);
 		found = &response->headers[i];
 	}
-	if (found == NULL)
-		return (FLEET_LIMIT_NONE);
-	return (
-	    fleet_limit_encode(parse_limit(found->value, found->value_len)));
+	return (found);
+}
+
+/* @return a decimal number; negative if there is none */
+static double
+read_decimal(const upstream_header_t *header)
+{
+	char copy[DECIMAL_BYTES_MAX + 1];
+	char *end;
+	double value;
+
+	if (header == NULL || header->value_len == 0 ||
+	    header->value_len > DECIMAL_BYTES_MAX)
+		return (-1);
+	memcpy(copy, header->value, header->value_len);
+	copy[header->value_len] = '\0';
+	if (strspn(copy, "0123456789.") < header->value_len)
+		return (-1);
+	value = strtod(copy, &end);
+	return (*end == '\0' ? value : -1);
+}
+
+static int64_t
+read_pause_ms(const upstream_response_t *response)
+{
+	double pause_s = -1;
+
+	if (response->status == 503)
+		pause_s = read_decimal(find_single(response, "retry-after"));
+	if (pause_s < 0 || pause_s > PAUSE_MAX_S)
+		return (0);
+	return ((int64_t)(pause_s * (double)MS_PER_SEC));
 }
 
-int64_t
-gate_wire_read_keep_ms(const upstream_response_t *response)
+static int64_t
+read_keep_ms(const upstream_header_t *header)
 {
-	const upstream_header_t *header =
-	    forward_find_header(response, "keep-alive");
 	const char *at;
 	const char *end;
 	uint32_t keep_s;
@@ -252,3 +259,22 @@
 		return (0);
 	return ((keep_s < KEEP_MAX_S ? keep_s : KEEP_MAX_S) * MS_PER_SEC);
 }
+
+void
+gate_wire_read_signals(const dialect_t *dialect,
+    const upstream_response_t *response, gate_signals_t *out)
+{
+	const dialect_headers_t *names = &dialect->headers;
+	const upstream_header_t *leaving =
+	    forward_find_header(response, names->leaving);
+
+	out->has_load =
+	    read_load(forward_find_header(response, names->load), &out->load);
+	out->limit = fleet_limit_encode(
+	    read_decimal(find_single(response, names->limit)));
+	out->is_leaving = leaving != NULL && leaving->value_len == 1 &&
+	    leaving->value[0] == '1';
+	out->pause_ms = read_pause_ms(response);
+	out->keep_ms =
+	    read_keep_ms(forward_find_header(response, "keep-alive"));
+}
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -146,10 +146,13 @@
 {
 	hub_t *hub = ctx;
 	const hub_target_t *target = hub_state_find_target(hub->state, key);
+	hub_signal_key_t incarnation = { .target = key };
 
-	return (target != NULL &&
-	    hub_limits_get_wait_ms(hub->limits,
-		&(hub_limit_key_t){ key, target->as.born_ms }, now_ms) == 0);
+	if (target == NULL)
+		return (0);
+	incarnation.incarnation_ms = target->as.born_ms;
+	return (!hub_signals_is_leaving(hub->signals, &incarnation) &&
+	    hub_signals_get_wait_ms(hub->signals, &incarnation, now_ms) == 0);
 }
 
 /* Parses the newest document and applies it at this hub. */
@@ -198,7 +201,7 @@
 {
 	if (target->as.state == FLEET_TARGET_DEREGISTERED) {
 		hub_outlier_remove_target(hub->outlier, target->key);
-		hub_limits_remove(hub->limits, target->key);
+		hub_signals_remove(hub->signals, target->key);
 	} else {
 		hub_add_to_outlier(hub, target);
 	}
@@ -426,21 +429,21 @@
 	hub->quota = hub_quota_create(&quota);
 	hub->load = hub_load_create();
 	hub->crash = hub_crash_create();
-	hub->limits = hub_limits_create();
+	hub->signals = hub_signals_create();
 	feed.state = hub->state;
 	feed.outlier = hub->outlier;
-	feed.limits = hub->limits;
+	feed.signals = hub->signals;
 	hub->feed = hub_feed_create(&feed);
 	hub->metrics = metrics_create();
 	if (hub->metrics != NULL)
 		hub->report = hub_report_create(hub->outlier, hub->metrics);
 	if (hub->state == NULL || hub->members == NULL ||
 	    hub->outlier == NULL || hub->quota == NULL || hub->load == NULL ||
-	    hub->crash == NULL || hub->limits == NULL || hub->feed == NULL ||
+	    hub->crash == NULL || hub->signals == NULL || hub->feed == NULL ||
 	    hub->report == NULL)
 		return (TM_ENOMEM);
 	hub_outlier_set_filter(hub->outlier, may_assign_target);
-	hub_load_set_limits(hub->load, hub->limits);
+	hub_load_set_signals(hub->load, hub->signals);
 	hub->metric_leading =
 	    metrics_get(hub->metrics, "tm_hub_is_leading", "", METRIC_GAUGE);
 	hub->metric_commits = metrics_get(
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -141,12 +141,17 @@
 fill_target(
     const hub_feed_t *feed, Tm__Fleet__Target *msg, const hub_target_t *target)
 {
+	const hub_signal_key_t key = { target->key, target->as.born_ms };
+
 	hub_target_to_message(msg, &target->as);
 	msg->verdict =
 	    hub_outlier_get_verdict(feed->options.outlier, target->key);
-	if (feed->options.limits != NULL)
-		msg->limit = hub_limits_get(feed->options.limits,
-		    &(hub_limit_key_t){ target->key, target->as.born_ms });
+	if (feed->options.signals == NULL)
+		return;
+	msg->limit = hub_signals_get_limit(feed->options.signals, &key);
+	if (hub_signals_is_leaving(feed->options.signals, &key) &&
+	    msg->state == FLEET_TARGET_READY)
+		msg->state = FLEET_TARGET_DRAINING;
 }
 
 /* Sends the whole table without deregistered targets. */
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -16,7 +16,7 @@
 #include <stdint.h>
 
 #include "hub/hub_outlier.h"
-#include "hub/hub_limits.h"
+#include "hub/hub_signals.h"
 #include "hub/hub_load.h"
 #include "hub/hub_quota.h"
 #include "hub/hub_state.h"
@@ -41,7 +41,7 @@
 typedef struct hub_feed_options {
 	const hub_state_t *state;
 	const hub_outlier_t *outlier;
-	const hub_limits_t *limits; /**< NULL: targets have none */
+	const hub_signals_t *signals; /**< NULL: targets have none */
 	node_send_cb send;
 	void *send_ctx;
 	int64_t window_ms; /**< window of the rates */
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -9,7 +9,7 @@
 #include "hub/hub.h"
 #include "hub/hub_crash.h"
 #include "hub/hub_feed.h"
-#include "hub/hub_limits.h"
+#include "hub/hub_signals.h"
 #include "hub/hub_outlier.h"
 #include "hub/hub_load.h"
 #include "hub/hub_members.h"
@@ -48,7 +48,7 @@
 	hub_quota_t *quota;
 	hub_load_t *load;
 	hub_feed_t *feed;
-	hub_limits_t *limits;
+	hub_signals_t *signals;
 	hub_crash_t *crash;
 	uint64_t blocks_sequence; /* of the blocks that gates were sent last */
 	uint64_t idle_services[HUB_IDLE_SERVICES_MAX];
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -41,7 +41,7 @@
 	for (i = 0; i < hub->state->ejected_count; i++)
 		hub_outlier_restore_ejection(
 		    hub->outlier, hub->state->ejected[i], now_ms);
-	hub_limits_reset(hub->limits);
+	hub_signals_reset(hub->signals);
 	hub_crash_reset(hub->crash);
 	hub->blocks_sequence = 0;
 	for (i = 0; i < hub->state->blocked_count; i++)
--- a/src/hub/hub_load.c
+++ b/src/hub/hub_load.c
@@ -33,7 +33,7 @@
 struct hub_load {
 	target_load_t *targets;
 	service_load_t *services;
-	const hub_limits_t *limits; /* NULL: none */
+	const hub_signals_t *signals; /* NULL: none */
 	hub_utilization_t list[SERVICES_MAX];
 	size_t count;
 };
@@ -127,9 +127,9 @@
 }
 
 void
-hub_load_set_limits(hub_load_t *load, const hub_limits_t *limits)
+hub_load_set_signals(hub_load_t *load, const hub_signals_t *signals)
 {
-	load->limits = limits;
+	load->signals = signals;
 }
 
 /* @return slots of a target that requests may use: a limit leaves the rest
@@ -140,9 +140,10 @@
 {
 	double limit_per_s = -1;
 
-	if (load->limits != NULL)
-		limit_per_s = fleet_limit_decode(hub_limits_get(load->limits,
-		    &(hub_limit_key_t){ target->key, target->as.born_ms }));
+	if (load->signals != NULL)
+		limit_per_s = fleet_limit_decode(hub_signals_get_limit(
+		    load->signals,
+		    &(hub_signal_key_t){ target->key, target->as.born_ms }));
 	if (limit_per_s < 0 || service->work_ms <= 0)
 		return (target->as.slots);
 	return (fmin(target->as.slots,
--- a/src/hub/hub_load.h
+++ b/src/hub/hub_load.h
@@ -10,7 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "hub/hub_limits.h"
+#include "hub/hub_signals.h"
 #include "hub/hub_outlier.h"
 #include "hub/hub_state.h"
 
@@ -29,9 +29,9 @@
 /** Frees everything; NULL is allowed. */
 void hub_load_destroy(hub_load_t *load);
 
-/** Sets the limits of the targets, which must outlive the state; without them
+/** Sets what targets say of themselves, which must outlive the state; without them
  * all slots count. */
-void hub_load_set_limits(hub_load_t *load, const hub_limits_t *limits);
+void hub_load_set_signals(hub_load_t *load, const hub_signals_t *signals);
 
 /** Records the number of running and queued requests that a target reported. */
 void hub_load_record(
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -138,13 +138,14 @@
 }
 
 static void
-set_limit(hub_t *hub, const hub_limit_key_t *key, uint32_t value,
+set_limit(hub_t *hub, const hub_signal_key_t *key, uint32_t value,
     node_id_t gate, int64_t now_ms)
 {
 	const hub_target_t *target =
 	    find_incarnation(hub, key->target, key->incarnation_ms);
 
-	if (target == NULL || !hub_limits_set(hub->limits, key, value, now_ms))
+	if (target == NULL ||
+	    !hub_signals_set_limit(hub->signals, key, value, now_ms))
 		return;
 	hub_feed_mark_target_changed(hub->feed, key->target);
 	LOG_EVENT(925, LOG_LEVEL_INFO, "limit of a target",
@@ -157,15 +158,36 @@
 }
 
 static void
-handle_limit(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+set_leaving(
+    hub_t *hub, const hub_signal_key_t *key, node_id_t gate, int64_t now_ms)
 {
-	Tm__Fleet__Limit *msg = tm__fleet__limit__unpack(NULL, len, payload);
+	const hub_target_t *target =
+	    find_incarnation(hub, key->target, key->incarnation_ms);
+
+	if (target == NULL ||
+	    !hub_signals_set_leaving(hub->signals, key, now_ms))
+		return;
+	hub_feed_mark_target_changed(hub->feed, key->target);
+	LOG_EVENT(926, LOG_LEVEL_INFO, "a target says that it leaves",
+	    LOG_TEXT("target", target->as.id),
+	    LOG_TEXT("service", target->as.service), LOG_NUM("gate", gate));
+}
+
+static void
+handle_signals(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+{
+	Tm__Fleet__Signals *msg =
+	    tm__fleet__signals__unpack(NULL, len, payload);
+	hub_signal_key_t key;
+	int64_t now_ms = clock_now_ms();
 
 	if (msg == NULL)
 		return;
-	set_limit(hub, &(hub_limit_key_t){ msg->target, msg->born_ms },
-	    msg->limit, from, clock_now_ms());
-	tm__fleet__limit__free_unpacked(msg, NULL);
+	key = (hub_signal_key_t){ msg->target, msg->born_ms };
+	set_limit(hub, &key, msg->limit, from, now_ms);
+	if (msg->is_leaving)
+		set_leaving(hub, &key, from, now_ms);
+	tm__fleet__signals__free_unpacked(msg, NULL);
 }
 
 /* A request that asks for any target of its service with a limit. */
@@ -174,9 +196,9 @@
 	const Tm__Fleet__Spend *spend;
 } limit_query_t;
 
-/* hub_limit_filter_cb */
+/* hub_signal_filter_cb */
 static int
-allows_limited(void *ctx, const hub_limit_key_t *key)
+allows_limited(void *ctx, const hub_signal_key_t *key)
 {
 	const limit_query_t *query = ctx;
 	const hub_target_t *target =
@@ -184,6 +206,7 @@
 	size_t i;
 
 	if (target == NULL || target->as.state != FLEET_TARGET_READY ||
+	    hub_signals_is_leaving(query->hub->signals, key) ||
 	    fleet_name_hash(target->as.service) != query->spend->service ||
 	    hub_outlier_get_verdict(query->hub->outlier, key->target) !=
 		FLEET_VERDICT_HEALTHY)
@@ -202,9 +225,9 @@
 {
 	limit_query_t query = { .hub = hub, .spend = spend };
 	hub_permit_t permit = { .is_granted = 0 };
-	hub_limit_key_t key;
-	int64_t wait_ms = hub_limits_find_first(
-	    hub->limits, allows_limited, &query, now_ms, &key);
+	hub_signal_key_t key;
+	int64_t wait_ms = hub_signals_find_first(
+	    hub->signals, allows_limited, &query, now_ms, &key);
 
 	if (wait_ms < 0)
 		return (permit);
@@ -212,7 +235,7 @@
 	permit.is_granted = wait_ms <= spend->wait_max_ms;
 	if (permit.is_granted) {
 		assignment->target = key.target;
-		hub_limits_consume(hub->limits, &key, now_ms);
+		hub_signals_consume(hub->signals, &key, now_ms);
 	}
 	return (permit);
 }
@@ -222,16 +245,16 @@
 acquire_limited(
     hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
 {
-	const hub_limit_key_t key = { spend->target, spend->born_ms };
+	const hub_signal_key_t key = { spend->target, spend->born_ms };
 	hub_permit_t permit = { .is_granted = 0 };
 
-	if (hub_limits_get(hub->limits, &key) == FLEET_LIMIT_UNKNOWN)
+	if (hub_signals_get_limit(hub->signals, &key) == FLEET_LIMIT_UNKNOWN)
 		set_limit(hub, &key, spend->limit, from, now_ms);
 	permit.wait_ms =
-	    (uint32_t)hub_limits_get_wait_ms(hub->limits, &key, now_ms);
+	    (uint32_t)hub_signals_get_wait_ms(hub->signals, &key, now_ms);
 	permit.is_granted = permit.wait_ms == 0;
 	if (permit.is_granted)
-		hub_limits_consume(hub->limits, &key, now_ms);
+		hub_signals_consume(hub->signals, &key, now_ms);
 	return (permit);
 }
 
@@ -248,8 +271,8 @@
 		    spend->service, from, spend->may_repeat, now_ms);
 		target = hub_state_find_target(hub->state, assignment.target);
 		if (target != NULL)
-			hub_limits_consume(hub->limits,
-			    &(hub_limit_key_t){
+			hub_signals_consume(hub->signals,
+			    &(hub_signal_key_t){
 				target->key, target->as.born_ms },
 			    now_ms);
 		return (assignment);
@@ -435,9 +458,9 @@
 		if (hub->was_leading)
 			handle_crash(hub, from, payload, len);
 		break;
-	case MSG_FLEET_LIMIT:
+	case MSG_FLEET_SIGNALS:
 		if (hub->was_leading)
-			handle_limit(hub, from, payload, len);
+			handle_signals(hub, from, payload, len);
 		break;
 	default:
 		break;
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -637,49 +637,49 @@
   assert(message->base.descriptor == &tm__fleet__crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   tm__fleet__limit__init
-                     (Tm__Fleet__Limit         *message)
+void   tm__fleet__signals__init
+                     (Tm__Fleet__Signals         *message)
 {
-  static const Tm__Fleet__Limit init_value = TM__FLEET__LIMIT__INIT;
+  static const Tm__Fleet__Signals init_value = TM__FLEET__SIGNALS__INIT;
   *message = init_value;
 }
-size_t tm__fleet__limit__get_packed_size
-                     (const Tm__Fleet__Limit *message)
+size_t tm__fleet__signals__get_packed_size
+                     (const Tm__Fleet__Signals *message)
 {
-  assert(message->base.descriptor == &tm__fleet__limit__descriptor);
+  assert(message->base.descriptor == &tm__fleet__signals__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t tm__fleet__limit__pack
-                     (const Tm__Fleet__Limit *message,
+size_t tm__fleet__signals__pack
+                     (const Tm__Fleet__Signals *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &tm__fleet__limit__descriptor);
+  assert(message->base.descriptor == &tm__fleet__signals__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t tm__fleet__limit__pack_to_buffer
-                     (const Tm__Fleet__Limit *message,
+size_t tm__fleet__signals__pack_to_buffer
+                     (const Tm__Fleet__Signals *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &tm__fleet__limit__descriptor);
+  assert(message->base.descriptor == &tm__fleet__signals__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Tm__Fleet__Limit *
-       tm__fleet__limit__unpack
+Tm__Fleet__Signals *
+       tm__fleet__signals__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Tm__Fleet__Limit *)
-     protobuf_c_message_unpack (&tm__fleet__limit__descriptor,
+  return (Tm__Fleet__Signals *)
+     protobuf_c_message_unpack (&tm__fleet__signals__descriptor,
                                 allocator, len, data);
 }
-void   tm__fleet__limit__free_unpacked
-                     (Tm__Fleet__Limit *message,
+void   tm__fleet__signals__free_unpacked
+                     (Tm__Fleet__Signals *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &tm__fleet__limit__descriptor);
+  assert(message->base.descriptor == &tm__fleet__signals__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   tm__fleet__block__init
@@ -2517,7 +2517,7 @@
   (ProtobufCMessageInit) tm__fleet__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__limit__field_descriptors[3] =
+static const ProtobufCFieldDescriptor tm__fleet__signals__field_descriptors[4] =
 {
   {
     "target",
@@ -2525,7 +2525,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Tm__Fleet__Limit, target),
+    offsetof(Tm__Fleet__Signals, target),
     NULL,
     NULL,
     0,             /* flags */
@@ -2537,7 +2537,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Tm__Fleet__Limit, born_ms),
+    offsetof(Tm__Fleet__Signals, born_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -2549,36 +2549,49 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Tm__Fleet__Limit, limit),
+    offsetof(Tm__Fleet__Signals, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_leaving",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Signals, is_leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned tm__fleet__limit__field_indices_by_name[] = {
+static const unsigned tm__fleet__signals__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
+  3,   /* field[3] = is_leaving */
   2,   /* field[2] = limit */
   0,   /* field[0] = target */
 };
-static const ProtobufCIntRange tm__fleet__limit__number_ranges[1 + 1] =
+static const ProtobufCIntRange tm__fleet__signals__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor tm__fleet__limit__descriptor =
+const ProtobufCMessageDescriptor tm__fleet__signals__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "tm.fleet.Limit",
-  "Limit",
-  "Tm__Fleet__Limit",
+  "tm.fleet.Signals",
+  "Signals",
+  "Tm__Fleet__Signals",
   "tm.fleet",
-  sizeof(Tm__Fleet__Limit),
-  3,
-  tm__fleet__limit__field_descriptors,
-  tm__fleet__limit__field_indices_by_name,
-  1,  tm__fleet__limit__number_ranges,
-  (ProtobufCMessageInit) tm__fleet__limit__init,
+  sizeof(Tm__Fleet__Signals),
+  4,
+  tm__fleet__signals__field_descriptors,
+  tm__fleet__signals__field_indices_by_name,
+  1,  tm__fleet__signals__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__signals__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor tm__fleet__block__field_descriptors[2] =
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -29,7 +29,7 @@
 typedef struct Tm__Fleet__Permits Tm__Fleet__Permits;
 typedef struct Tm__Fleet__Evidence Tm__Fleet__Evidence;
 typedef struct Tm__Fleet__Crash Tm__Fleet__Crash;
-typedef struct Tm__Fleet__Limit Tm__Fleet__Limit;
+typedef struct Tm__Fleet__Signals Tm__Fleet__Signals;
 typedef struct Tm__Fleet__Block Tm__Fleet__Block;
 typedef struct Tm__Fleet__Blocks Tm__Fleet__Blocks;
 typedef struct Tm__Fleet__Hello Tm__Fleet__Hello;
@@ -375,9 +375,9 @@
 
 
 /*
- * Gate to hub: the limit that a target names, or that it names none any more.
+ * Gate to hub: what a target says of itself that the hub did not know.
  */
-struct  Tm__Fleet__Limit
+struct  Tm__Fleet__Signals
 {
   ProtobufCMessage base;
   uint64_t target;
@@ -386,10 +386,11 @@
    * As of fleet_limit.h.
    */
   uint32_t limit;
+  protobuf_c_boolean is_leaving;
 };
-#define TM__FLEET__LIMIT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__limit__descriptor) \
-    , 0, 0, 0 }
+#define TM__FLEET__SIGNALS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__signals__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 struct  Tm__Fleet__Block
@@ -771,24 +772,24 @@
 void   tm__fleet__crash__free_unpacked
                      (Tm__Fleet__Crash *message,
                       ProtobufCAllocator *allocator);
-/* Tm__Fleet__Limit methods */
-void   tm__fleet__limit__init
-                     (Tm__Fleet__Limit         *message);
-size_t tm__fleet__limit__get_packed_size
-                     (const Tm__Fleet__Limit   *message);
-size_t tm__fleet__limit__pack
-                     (const Tm__Fleet__Limit   *message,
+/* Tm__Fleet__Signals methods */
+void   tm__fleet__signals__init
+                     (Tm__Fleet__Signals         *message);
+size_t tm__fleet__signals__get_packed_size
+                     (const Tm__Fleet__Signals   *message);
+size_t tm__fleet__signals__pack
+                     (const Tm__Fleet__Signals   *message,
                       uint8_t             *out);
-size_t tm__fleet__limit__pack_to_buffer
-                     (const Tm__Fleet__Limit   *message,
+size_t tm__fleet__signals__pack_to_buffer
+                     (const Tm__Fleet__Signals   *message,
                       ProtobufCBuffer     *buffer);
-Tm__Fleet__Limit *
-       tm__fleet__limit__unpack
+Tm__Fleet__Signals *
+       tm__fleet__signals__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   tm__fleet__limit__free_unpacked
-                     (Tm__Fleet__Limit *message,
+void   tm__fleet__signals__free_unpacked
+                     (Tm__Fleet__Signals *message,
                       ProtobufCAllocator *allocator);
 /* Tm__Fleet__Block methods */
 void   tm__fleet__block__init
@@ -967,8 +968,8 @@
 typedef void (*Tm__Fleet__Crash_Closure)
                  (const Tm__Fleet__Crash *message,
                   void *closure_data);
-typedef void (*Tm__Fleet__Limit_Closure)
-                 (const Tm__Fleet__Limit *message,
+typedef void (*Tm__Fleet__Signals_Closure)
+                 (const Tm__Fleet__Signals *message,
                   void *closure_data);
 typedef void (*Tm__Fleet__Block_Closure)
                  (const Tm__Fleet__Block *message,
@@ -1011,7 +1012,7 @@
 extern const ProtobufCMessageDescriptor tm__fleet__permits__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__evidence__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__crash__descriptor;
-extern const ProtobufCMessageDescriptor tm__fleet__limit__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__signals__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__block__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__blocks__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__hello__descriptor;
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -365,3 +365,23 @@
 		}
 	}
 }
+
+// A request goes to a target that wants a pause or leaves; the next incarnation
+// is bound by what the one before said.
+TEST_F(GateTable, TargetsThatWantNoRequestsGetNone)
+{
+	Apply(1, 0, 1, { { "a" }, { "b" } });
+	gate_target_pause(Find("a"), 3000, now_);
+	gate_target_pause(Find("a"), 1000, now_);
+	EXPECT_EQ(50, PickOften(50)["b"]);
+	EXPECT_TRUE(gate_target_set_leaving(Find("b")));
+	EXPECT_FALSE(gate_target_set_leaving(Find("b")));
+	EXPECT_EQ(nullptr, Pick().target);
+	EXPECT_EQ(3000, Pick().pause_ms);
+	now_ += 3000;
+	EXPECT_EQ(50, PickOften(50)["a"]);
+	Row next = { "b" };
+	next.born_ms = 2;
+	Apply(1, 1, 2, { next });
+	EXPECT_GT(PickOften(50)["b"], 0);
+}
--- a/test/unit/hub_load_test.cc
+++ b/test/unit/hub_load_test.cc
@@ -190,18 +190,18 @@
 {
 	uint64_t a = Add("a");
 	uint64_t b = Add("b");
-	hub_limits_t *limits = hub_limits_create();
-	const hub_limit_key_t key = { a, 0 };
+	hub_signals_t *signals = hub_signals_create();
+	const hub_signal_key_t key = { a, 0 };
 
-	hub_load_set_limits(load_, limits);
+	hub_load_set_signals(load_, signals);
 	hub_load_record(load_, a, 1, now_);
 	hub_load_record(load_, b, 4, now_);
 	/* One request takes 500 ms. */
 	hub_load_record_successes(load_, fleet_name_hash("s1"), 10, 5000);
 	EXPECT_DOUBLE_EQ(5.0 / 8, Update().load);
-	hub_limits_set(limits, &key, fleet_limit_encode(2), now_);
+	hub_signals_set_limit(signals, &key, fleet_limit_encode(2), now_);
 	EXPECT_DOUBLE_EQ(5.0 / 5, Update().load);
-	hub_limits_set(limits, &key, FLEET_LIMIT_NONE, now_);
+	hub_signals_set_limit(signals, &key, FLEET_LIMIT_NONE, now_);
 	EXPECT_DOUBLE_EQ(5.0 / 8, Update().load);
-	hub_limits_destroy(limits);
+	hub_signals_destroy(signals);
 }
--- a/test/unit/limit_test.cc
+++ b/test/unit/limit_test.cc
@@ -16,45 +16,45 @@
 #include "fleet/fleet_limit.h"
 #include "gate/gate_limit.h"
 #include "gate/gate_request.h"
-#include "hub/hub_limits.h"
+#include "hub/hub_signals.h"
 }
 
 namespace {
 
 const int64_t kStart = 1000000;
-const hub_limit_key_t kTarget = { 7, 1 };
+const hub_signal_key_t kTarget = { 7, 1 };
 /* Of the platform: what a limit allows in any window of this length. */
 const int64_t kWindowMs = 4000;
 const double kFactor = 1.5;
 const double kSlack = 5;
 
-class HubLimits : public testing::Test {
+class HubSignals : public testing::Test {
       protected:
-	HubLimits() : limits_(hub_limits_create())
+	HubSignals() : limits_(hub_signals_create())
 	{
 	}
-	~HubLimits() override
+	~HubSignals() override
 	{
-		hub_limits_destroy(limits_);
+		hub_signals_destroy(limits_);
 	}
 
 	void
-	Set(double per_s, int64_t now_ms, const hub_limit_key_t &key = kTarget)
+	Set(double per_s, int64_t now_ms, const hub_signal_key_t &key = kTarget)
 	{
-		hub_limits_set(
+		hub_signals_set_limit(
 		    limits_, &key, fleet_limit_encode(per_s), now_ms);
 	}
 
 	int
-	Acquire(int64_t now_ms, const hub_limit_key_t &key = kTarget)
+	Acquire(int64_t now_ms, const hub_signal_key_t &key = kTarget)
 	{
-		if (hub_limits_get_wait_ms(limits_, &key, now_ms) > 0)
+		if (hub_signals_get_wait_ms(limits_, &key, now_ms) > 0)
 			return (0);
-		hub_limits_consume(limits_, &key, now_ms);
+		hub_signals_consume(limits_, &key, now_ms);
 		return (1);
 	}
 
-	hub_limits_t *limits_;
+	hub_signals_t *limits_;
 };
 
 size_t
@@ -73,7 +73,7 @@
 } // namespace
 
 // Bursts of requests, and leaders that follow each other, exceed a limit.
-TEST_F(HubLimits, NoWindowHoldsMoreThanTheLimitAllows)
+TEST_F(HubSignals, NoWindowHoldsMoreThanTheLimitAllows)
 {
 	rng_t rng;
 
@@ -81,12 +81,12 @@
 	for (double per_s : { 0.0, 0.3, 1.0, 5.2, 40.0 }) {
 		std::vector<int64_t> granted;
 
-		hub_limits_reset(limits_);
+		hub_signals_reset(limits_);
 		Set(per_s, kStart);
 		for (int64_t now = kStart; now < kStart + 60000;
 		     now += (int64_t)rng_below(&rng, 20)) {
 			if (rng_below(&rng, 200) == 0) {
-				hub_limits_reset(limits_);
+				hub_signals_reset(limits_);
 				Set(per_s, now);
 			}
 			while (Acquire(now))
@@ -103,7 +103,7 @@
 }
 
 // A limit wastes what the target can do.
-TEST_F(HubLimits, AllThatIsAllowedIsGranted)
+TEST_F(HubSignals, AllThatIsAllowedIsGranted)
 {
 	int granted = 0;
 
@@ -115,7 +115,7 @@
 }
 
 // The wait that a gate is told ends before there is a permit.
-TEST_F(HubLimits, AfterTheWaitThereIsAPermit)
+TEST_F(HubSignals, AfterTheWaitThereIsAPermit)
 {
 	int64_t now = kStart;
 
@@ -124,7 +124,7 @@
 		while (Acquire(now)) {
 		}
 		int64_t wait_ms =
-		    hub_limits_get_wait_ms(limits_, &kTarget, now);
+		    hub_signals_get_wait_ms(limits_, &kTarget, now);
 		EXPECT_FALSE(Acquire(now + wait_ms - 2)) << per_s;
 		EXPECT_TRUE(Acquire(now + wait_ms)) << per_s;
 		now += 10000;
@@ -133,13 +133,13 @@
 
 // Requests that wait get more permits than there are, or not in the order of
 // their coming.
-TEST_F(HubLimits, ReservedPermitsComeAtTheRateOfTheLimit)
+TEST_F(HubSignals, ReservedPermitsComeAtTheRateOfTheLimit)
 {
-	const hub_limit_key_t other = { 8, 1 };
+	const hub_signal_key_t other = { 8, 1 };
 	int64_t last_ms = -1;
-	hub_limit_key_t key;
-	const auto any = [](void *, const hub_limit_key_t *) { return (1); };
-	const auto second = [](void *, const hub_limit_key_t *candidate) {
+	hub_signal_key_t key;
+	const auto any = [](void *, const hub_signal_key_t *) { return (1); };
+	const auto second = [](void *, const hub_signal_key_t *candidate) {
 		return ((int)(candidate->target == 8));
 	};
 
@@ -147,39 +147,41 @@
 	Set(4, kStart, other);
 	for (int i = 0; i < 30; i++) {
 		int64_t wait_ms =
-		    hub_limits_find_first(limits_, any, nullptr, kStart, &key);
+		    hub_signals_find_first(limits_, any, nullptr, kStart, &key);
 
 		EXPECT_GE(wait_ms, last_ms);
 		last_ms = wait_ms;
-		hub_limits_consume(limits_, &key, kStart);
+		hub_signals_consume(limits_, &key, kStart);
 	}
 	EXPECT_NEAR(5000, last_ms, 10);
-	hub_limits_find_first(limits_, second, nullptr, kStart, &key);
+	hub_signals_find_first(limits_, second, nullptr, kStart, &key);
 	EXPECT_EQ(8u, key.target);
 	Set(-1, kStart, other);
 	EXPECT_EQ(
-	    -1, hub_limits_find_first(limits_, second, nullptr, kStart, &key));
+	    -1, hub_signals_find_first(limits_, second, nullptr, kStart, &key));
 }
 
 // The limit of an ended incarnation binds the next one, or a late report of it
 // sets one.
-TEST_F(HubLimits, BelongsToAnIncarnation)
+TEST_F(HubSignals, BelongsToAnIncarnation)
 {
-	const hub_limit_key_t next = { kTarget.target, 2 };
+	const hub_signal_key_t next = { kTarget.target, 2 };
 
 	Set(1, kStart);
-	EXPECT_EQ(
-	    (uint32_t)FLEET_LIMIT_UNKNOWN, hub_limits_get(limits_, &next));
-	EXPECT_EQ(0, hub_limits_get_wait_ms(limits_, &next, kStart));
+	EXPECT_EQ((uint32_t)FLEET_LIMIT_UNKNOWN,
+	    hub_signals_get_limit(limits_, &next));
+	EXPECT_EQ(0, hub_signals_get_wait_ms(limits_, &next, kStart));
 	Set(-1, kStart, next);
-	EXPECT_EQ((uint32_t)FLEET_LIMIT_NONE, hub_limits_get(limits_, &next));
+	EXPECT_EQ(
+	    (uint32_t)FLEET_LIMIT_NONE, hub_signals_get_limit(limits_, &next));
 	EXPECT_TRUE(Acquire(kStart, next));
 	EXPECT_FALSE(
-	    hub_limits_set(limits_, &next, FLEET_LIMIT_UNKNOWN, kStart));
-	EXPECT_FALSE(hub_limits_set(limits_, &next, FLEET_LIMIT_NONE, kStart));
-	hub_limits_remove(limits_, next.target);
-	EXPECT_EQ(
-	    (uint32_t)FLEET_LIMIT_UNKNOWN, hub_limits_get(limits_, &next));
+	    hub_signals_set_limit(limits_, &next, FLEET_LIMIT_UNKNOWN, kStart));
+	EXPECT_FALSE(
+	    hub_signals_set_limit(limits_, &next, FLEET_LIMIT_NONE, kStart));
+	hub_signals_remove(limits_, next.target);
+	EXPECT_EQ((uint32_t)FLEET_LIMIT_UNKNOWN,
+	    hub_signals_get_limit(limits_, &next));
 }
 
 // A response that was on its way when the limit was named ends it; or the end
@@ -262,26 +264,44 @@
 
 namespace {
 
-uint32_t
-ReadLimit(std::vector<std::string> values)
+gate_signals_t
+ReadSignals(
+    const std::string &name, std::vector<std::string> values, int status = 200)
 {
 	dialect_t dialect = {};
 	upstream_response_t response = {};
 	std::vector<upstream_header_t> headers;
+	gate_signals_t signals = {};
 
 	dialect.headers.limit = "server-limit";
+	dialect.headers.leaving = "server-leaving";
+	dialect.headers.load = "server-load";
 	for (const std::string &value : values)
 		headers.push_back(
-		    { "Server-Limit", 12, value.data(), value.size() });
+		    { name.data(), name.size(), value.data(), value.size() });
+	response.status = status;
 	response.headers = headers.data();
 	response.header_count = headers.size();
-	return (gate_wire_read_limit(&dialect, &response));
+	gate_wire_read_signals(&dialect, &response, &signals);
+	return (signals);
+}
+
+uint32_t
+ReadLimit(std::vector<std::string> values)
+{
+	return (ReadSignals("Server-Limit", values).limit);
+}
+
+int64_t
+ReadPauseMs(std::vector<std::string> values, int status = 503)
+{
+	return (ReadSignals("Retry-After", values, status).pause_ms);
 }
 
 } // namespace
 
 // A header that makes no sense stops all requests to a target, or lets any pass.
-TEST(GateWireLimit, OnlyOneDecimalNumberIsALimit)
+TEST(GateSignals, OnlyOneDecimalNumberIsALimit)
 {
 	EXPECT_EQ(fleet_limit_encode(2.5), ReadLimit({ "2.5" }));
 	EXPECT_EQ(fleet_limit_encode(0), ReadLimit({ "0" }));
@@ -295,3 +315,26 @@
 		    << text;
 	EXPECT_EQ((uint32_t)FLEET_LIMIT_NONE, ReadLimit({ "5", "5" }));
 }
+
+// The same of a pause; a 200 or 429 is taken for one.
+TEST(GateSignals, OnlyOneDecimalNumberOfA503IsAPause)
+{
+	EXPECT_EQ(3000, ReadPauseMs({ "3" }));
+	EXPECT_EQ(250, ReadPauseMs({ "0.25" }));
+	EXPECT_EQ(0, ReadPauseMs({ "3" }, 200));
+	EXPECT_EQ(0, ReadPauseMs({ "3" }, 429));
+	for (const char *text : { "", "0", "-3", "1e3", "nan", "3601", "3, 3",
+		 "Sat, 05 Dec 2026 08:00:00 GMT" })
+		EXPECT_EQ(0, ReadPauseMs({ text })) << text;
+	EXPECT_EQ(0, ReadPauseMs({ "3", "4" }));
+}
+
+// A target that says something else is taken out of use.
+TEST(GateSignals, OnlyAOneSaysThatATargetLeaves)
+{
+	EXPECT_TRUE(ReadSignals("Server-Leaving", { "1" }).is_leaving);
+	for (const char *text : { "", "0", "11", "no", "1 " })
+		EXPECT_FALSE(ReadSignals("Server-Leaving", { text }).is_leaving)
+		    << text;
+	EXPECT_FALSE(ReadSignals("X-Other", { "1" }).is_leaving);
+}
