--- a/test/functional/gate_signals.py
+++ b/test/functional/gate_signals.py
@@ -118,6 +118,10 @@
     print("if all want a pause, requests are refused:", status)
     print("at once, and until the first pause ends:", took_s < 0.3,
           0.5 < wait_s <= PAUSE_S)
+    print("the log tells why:",
+          fleet.log_has("gate0", '"event":960', '"last"', "targets_paused"),
+          all(fleet.log_has("gate0", '"event":966', f'"{target.id}"')
+              for target in targets))
 
 
 def main():
