--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -475,7 +475,7 @@
 
 	if (gate_limit_permit_use_reserved(request))
 		return;
-	pick_options.skips_limited = gate_limit_permit_is_tired(request);
+	pick_options.skips_limited = gate_limit_permit_is_exhausted(request);
 	if (service != NULL)
 		choice = gate_table_pick(gate->table, service, &pick_options);
 	if (choice.must_ask_leader)
--- a/src/gate/gate_limit_permit.c
+++ b/src/gate/gate_limit_permit.c
@@ -12,7 +12,7 @@
 #define REFUSALS_MAX 4
 
 int
-gate_limit_permit_is_tired(const gate_request_t *request)
+gate_limit_permit_is_exhausted(const gate_request_t *request)
 {
 	return (request->limit_refusals >= REFUSALS_MAX);
 }
--- a/src/gate/gate_limit_permit.h
+++ b/src/gate/gate_limit_permit.h
@@ -31,6 +31,6 @@
 
 /** @return 1 if so many targets had no permit that the request should pass over
  * those with a limit */
-int gate_limit_permit_is_tired(const gate_request_t *request);
+int gate_limit_permit_is_exhausted(const gate_request_t *request);
 
 #endif
--- a/src/hub/hub_signals.h
+++ b/src/hub/hub_signals.h
@@ -56,7 +56,7 @@
     const hub_signals_t *signals, const hub_signal_key_t *key);
 
 /** Removes a target; ignores an unknown one. */
-void hub_signals_remove(hub_signals_t *signals, uint64_t target);
+void hub_signals_remove(hub_signals_t *signals, uint64_t key);
 
 /** @return limit of a target as of fleet_limit.h */
 uint32_t hub_signals_get_limit(
--- a/test/functional/gate_crash.py
+++ b/test/functional/gate_crash.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from platform_fleet import WAIT_S, Fleet, TargetProcess, call, document
+from platform_fleet import WAIT_S, Fleet, TargetProcess, call
 
 BUILD, WORK = sys.argv[1], sys.argv[2]
 NET = f"127.{random.randrange(2, 40)}.{random.randrange(1, 250)}"
@@ -110,11 +110,7 @@
 
 def main():
     targets = []
-    for i in range(3):
-        fleet.start_hub(i, True)
-    for i in range(GATES):
-        fleet.start_gate(i)
-    fleet.control("POST", "/tarragonmoor/config/put", document(7, ["key-one"]))
+    fleet.start_all(["key-one"])
     for i in range(TARGETS):
         targets.append(TargetProcess(fleet, f"t{i}"))
     for gate in range(GATES):
--- a/test/functional/gate_limit.py
+++ b/test/functional/gate_limit.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from platform_fleet import WAIT_S, Fleet, TargetProcess, call, document
+from platform_fleet import WAIT_S, Fleet, TargetProcess, call
 
 BUILD, WORK = sys.argv[1], sys.argv[2]
 NET = f"127.{random.randrange(40, 80)}.{random.randrange(1, 250)}"
@@ -106,12 +106,7 @@
 
 
 def main():
-    for i in range(3):
-        fleet.start_hub(i, True)
-    for i in range(GATES):
-        fleet.start_gate(i)
-    fleet.control("POST", "/tarragonmoor/config/put",
-                  document(7, ["key-one"]))
+    fleet.start_all(["key-one"])
     targets = [TargetProcess(fleet, f"t{i}") for i in range(4)]
     for target in targets:
         target.set_answer(work_s=0.02)
--- a/test/functional/gate_refused.py
+++ b/test/functional/gate_refused.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-from platform_fleet import WAIT_S, Fleet, TargetProcess, call, document
+from platform_fleet import WAIT_S, Fleet, TargetProcess, call
 
 BUILD, WORK = sys.argv[1], sys.argv[2]
 NET = f"127.{random.randrange(80, 120)}.{random.randrange(1, 250)}"
@@ -44,10 +44,7 @@
 
 
 def main():
-    for i in range(3):
-        fleet.start_hub(i, True)
-    fleet.start_gate(0)
-    fleet.control("POST", "/tarragonmoor/config/put", document(7, ["key-one"]))
+    fleet.start_all(["key-one"])
     targets = [TargetProcess(fleet, f"t{i}") for i in range(2)]
     fleet.wait("gate serves", lambda: request(
         f"first-{time.monotonic()}") == 200, WAIT_S)
--- a/test/functional/gate_signals.py
+++ b/test/functional/gate_signals.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from platform_fleet import WAIT_S, Fleet, TargetProcess, call, document
+from platform_fleet import WAIT_S, Fleet, TargetProcess, call
 
 BUILD, WORK = sys.argv[1], sys.argv[2]
 NET = f"127.{random.randrange(120, 160)}.{random.randrange(1, 250)}"
@@ -125,11 +125,7 @@
 
 
 def main():
-    for i in range(3):
-        fleet.start_hub(i, True)
-    for i in range(GATES):
-        fleet.start_gate(i)
-    fleet.control("POST", "/tarragonmoor/config/put", document(7, ["key-one"]))
+    fleet.start_all(["key-one"])
     targets = [TargetProcess(fleet, f"t{i}") for i in range(6)]
     for gate in range(GATES):
         fleet.wait(f"gate {gate} serves", lambda: request(
--- a/test/functional/gate_steady.py
+++ b/test/functional/gate_steady.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-from platform_fleet import WAIT_S, Fleet, TargetProcess, call, document
+from platform_fleet import WAIT_S, Fleet, TargetProcess, call
 
 BUILD, WORK = sys.argv[1], sys.argv[2]
 NET = f"127.{random.randrange(160, 200)}.{random.randrange(1, 250)}"
@@ -23,10 +23,7 @@
 
 
 def main():
-    for i in range(3):
-        fleet.start_hub(i, True)
-    fleet.start_gate(0)
-    fleet.control("POST", "/tarragonmoor/config/put", document(7, ["key-one"]))
+    fleet.start_all(["key-one"])
     TargetProcess(fleet, "t0")
     fleet.wait("gate serves", lambda: request(
         f"first-{time.monotonic()}") == 200, WAIT_S)
--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -88,6 +88,14 @@
             "seeds": [f"{x}:{self.control_port}" for x in self.hubs],
             "fleet_secrets": ["0123456789abcdef"]})
 
+    def start_all(self, keys):
+        """Starts all hubs and gates for the first time and puts a document."""
+        for i in range(len(self.hubs)):
+            self.start_hub(i, True)
+        for i in range(len(self.gates)):
+            self.start_gate(i)
+        self.control("POST", "/tarragonmoor/config/put", document(7, keys))
+
     def control(self, method, path, body=None):
         """Asks hubs until one answers clearly, as callers of hubs do."""
         text = json.dumps(body) if isinstance(body, dict) else body
