gate: a blocked request is refused in one place; no work for a reservation that is not there

From reading the whole change: the block was looked up twice for a request that is admitted again, in two copies; each dispatch built the constraints of a choice for a reserved target that hardly any request has; one assignment was never read; two comments and the order of includes. No change of behaviour.

--- a/src/gate/gate_attempt.h
+++ b/src/gate/gate_attempt.h
@@ -56,10 +56,8 @@
  */
 void gate_request_delay(gate_request_t *request, gate_refusal_t reason);
 
-/** Waits for a time before the request is sent.
- *
- * @param reason  of the refusal if the deadline is earlier
- */
+/** Has a request wait for a time; then it is admitted anew. @param reason  of the
+ * wait */
 void gate_request_wait(
     gate_request_t *request, gate_refusal_t reason, int64_t wait_ms);
 
--- a/src/gate/gate_limit_permit.c
+++ b/src/gate/gate_limit_permit.c
@@ -128,20 +128,20 @@
 	msg.excluded = request->tried;
 	msg.n_excluded = request->tried_count;
 	msg.wait_max_ms = wait_ms > 0 ? (uint32_t)wait_ms : 0;
-	request->permit_target = 0;
 	send_request(request, &msg, on_reserved);
 }
 
 int
 gate_limit_permit_use_reserved(gate_request_t *request)
 {
-	gate_pick_options_t pick_options =
-	    gate_attempt_get_pick_options(request);
-	gate_target_t *target = NULL;
+	gate_pick_options_t pick_options;
+	gate_target_t *target;
 
-	if (request->reserved_target != 0)
-		target = gate_table_find_target(
-		    request->gate->table, request->reserved_target);
+	if (request->reserved_target == 0)
+		return (0);
+	pick_options = gate_attempt_get_pick_options(request);
+	target = gate_table_find_target(
+	    request->gate->table, request->reserved_target);
 	request->reserved_target = 0;
 	if (target == NULL || !gate_target_is_usable(target, &pick_options))
 		return (0);
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -188,18 +188,27 @@
 	gate_request_wait(request, reason, DELAY_STEP_MS);
 }
 
+/* @return 1 if the request is blocked, and so has been refused and freed */
+static int
+refuse_blocked(gate_request_t *request)
+{
+	int64_t block_ms = gate_crash_check_get_block_ms(request);
+
+	if (block_ms == 0)
+		return (0);
+	gate_request_refuse(request, GATE_REFUSAL_BLOCKED, block_ms);
+	return (1);
+}
+
 /* Sends a request that has its token, once its key is known to be valid. */
 void
 gate_request_proceed(gate_request_t *request)
 {
 	gate_t *gate = request->gate;
-	int64_t block_ms = gate_crash_check_get_block_ms(request);
 	gate_refusal_t refusal;
 
-	if (block_ms > 0) {
-		gate_request_refuse(request, GATE_REFUSAL_BLOCKED, block_ms);
+	if (refuse_blocked(request))
 		return;
-	}
 	if (request->config_version != gate->config->version &&
 	    !gate_request_is_answered(request)) {
 		if (!gate_front_is_allowed(request, &refusal)) {
@@ -323,16 +332,14 @@
 {
 	gate_t *gate = request->gate;
 	int64_t now_ms = clock_now_ms();
-	int64_t block_ms = gate_crash_check_get_block_ms(request);
 
-	if (block_ms > 0) {
-		gate_request_refuse(request, GATE_REFUSAL_BLOCKED, block_ms);
-		return;
-	}
 	if (request->has_token) {
 		gate_request_proceed(request);
 		return;
 	}
+	/* Consumes no token. */
+	if (refuse_blocked(request))
+		return;
 	if (!service_admits(request, now_ms)) {
 		gate_request_refuse(request, GATE_REFUSAL_SERVICE_FULL, 0);
 		return;
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -47,7 +47,8 @@
 	int64_t checked_ms; /**< last check for an abandoned request */
 	gate_state_t state;
 	uint32_t permit_id; /**< of the pending permit request; 0: none */
-	uint64_t permit_target; /**< key of the target that it is for */
+	uint64_t permit_target; /**< key of the target with a limit that it is
+				 * for */
 	uint32_t limit_refusals; /**< targets that had no permit for it */
 	int is_leader_silent; /**< the last permit request got no answer */
 	/** Key of the target that holds a permit for the request from wake_ms
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -16,9 +16,9 @@
 #include <stdint.h>
 
 #include "hub/hub_outlier.h"
-#include "hub/hub_signals.h"
 #include "hub/hub_load.h"
 #include "hub/hub_quota.h"
+#include "hub/hub_signals.h"
 #include "hub/hub_state.h"
 #include "proto/fleet.pb-c.h"
 
--- a/src/hub/hub_load.h
+++ b/src/hub/hub_load.h
@@ -10,8 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "hub/hub_signals.h"
 #include "hub/hub_outlier.h"
+#include "hub/hub_signals.h"
 #include "hub/hub_state.h"
 
 typedef struct hub_load hub_load_t;
@@ -29,8 +29,8 @@
 /** Frees everything; NULL is allowed. */
 void hub_load_destroy(hub_load_t *load);
 
-/** Sets what targets say of themselves, which must outlive the state; without them
- * all slots count. */
+/** Sets where the limits of targets are; without it all their slots count.
+ * @param signals  must outlive load */
 void hub_load_set_signals(hub_load_t *load, const hub_signals_t *signals);
 
 /** Records the number of running and queued requests that a target reported. */
