--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -176,7 +176,13 @@
 
 	if (msg == NULL)
 		return;
-	gate_table_apply(gate->table, msg, clock_now_ms());
+	if (!gate_table_apply(gate->table, msg, clock_now_ms()))
+		LOG_EVENT(967, LOG_LEVEL_INFO, "table of targets ignored",
+		    LOG_NUM("term", msg->term), LOG_NUM("since", msg->since),
+		    LOG_NUM("sequence", msg->sequence),
+		    LOG_NUM("own_term", gate_table_get_term(gate->table)),
+		    LOG_NUM(
+			"own_sequence", gate_table_get_sequence(gate->table)));
 	tm__fleet__table__free_unpacked(msg, NULL);
 }
 
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -37,16 +37,10 @@
 	return (hub->metrics);
 }
 
-/* Entries of earlier terms are known to be committed only once an entry of the
- * own term is. */
 int
 hub_is_leading(const hub_t *hub)
 {
-	uint64_t commit = raft_get_commit(hub->raft);
-
-	return (raft_has_quorum_contact(hub->raft, clock_now_ms()) &&
-	    raft_get_applied(hub->raft) == commit &&
-	    raft_get_entry_term(hub->raft, commit) == raft_get_term(hub->raft));
+	return (hub_role_may_serve(hub->raft, clock_now_ms()));
 }
 
 const char *
@@ -294,7 +288,7 @@
 	raft_tick(hub->raft, now_ms);
 	hub_update_role(hub, now_ms);
 	hub_members_tick(hub->members, now_ms);
-	if (hub->was_leading)
+	if (hub->role.is_serving)
 		hub_tick_leader(hub, now_ms);
 	finish_proposals(hub, raft_get_applied(hub->raft), now_ms);
 	compact(hub);
@@ -309,7 +303,7 @@
 
 	raft_flush(hub->raft, now_ms);
 	hub_update_role(hub, now_ms);
-	if (hub->was_leading)
+	if (hub->role.is_serving)
 		hub_feed_flush(hub->feed, now_ms);
 	finish_proposals(hub, raft_get_applied(hub->raft), now_ms);
 }
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -509,6 +509,12 @@
 	}
 }
 
+uint64_t
+hub_feed_get_sequence(const hub_feed_t *feed)
+{
+	return (feed->sequence);
+}
+
 uint32_t
 hub_feed_count_gates(const hub_feed_t *feed, int64_t now_ms)
 {
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -105,6 +105,9 @@
 /** Removes gates that have expired. */
 void hub_feed_tick(hub_feed_t *feed, int64_t now_ms);
 
+/** @return number of the last change of the table in this term */
+uint64_t hub_feed_get_sequence(const hub_feed_t *feed);
+
 /** @return number of gates that are not unresponsive */
 uint32_t hub_feed_count_gates(const hub_feed_t *feed, int64_t now_ms);
 
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -14,6 +14,7 @@
 #include "hub/hub_members.h"
 #include "hub/hub_quota.h"
 #include "hub/hub_report.h"
+#include "hub/hub_role.h"
 #include "hub/hub_signals.h"
 #include "net/peer.h"
 #include "raft/raft.h"
@@ -56,9 +57,8 @@
 	hub_report_t *report;
 	fleet_config_t *config; /* of the newest document */
 	proposal_t *proposals;
-	int was_leading;
-	int64_t leading_since_ms;
-	uint64_t led_term;
+	hub_role_t role;
+	int64_t leading_since_ms; /* in the term of role */
 	int64_t member_due_ms;
 	int64_t ejected_due_ms;
 	int64_t blocked_due_ms;
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -29,7 +29,6 @@
 	size_t i;
 
 	hub->leading_since_ms = now_ms;
-	hub->led_term = raft_get_term(hub->raft);
 	hub_outlier_reset(hub->outlier);
 	for (target = hub->state->targets; target != NULL;
 	     target = target->hh.next) {
@@ -37,7 +36,7 @@
 			hub_add_to_outlier(hub, target);
 	}
 	hub_quota_reset(hub->quota, now_ms);
-	hub_feed_reset(hub->feed, hub->led_term, now_ms);
+	hub_feed_reset(hub->feed, hub->role.term, now_ms);
 	for (i = 0; i < hub->state->ejected_count; i++)
 		hub_outlier_restore_ejection(
 		    hub->outlier, hub->state->ejected[i], now_ms);
@@ -46,8 +45,14 @@
 	hub->blocks_sequence = 0;
 	for (i = 0; i < hub->state->blocked_count; i++)
 		hub_crash_restore(hub->crash, hub->state->blocked[i], now_ms);
+}
+
+static void
+log_serving(const hub_t *hub, int is_resumed)
+{
 	LOG_EVENT(913, LOG_LEVEL_INFO, "serving as the leader",
-	    LOG_NUM("term", hub->led_term),
+	    LOG_NUM("term", hub->role.term), LOG_NUM("is_resumed", is_resumed),
+	    LOG_NUM("table", hub_feed_get_sequence(hub->feed)),
 	    LOG_NUM("version", hub->state->document.version),
 	    LOG_NUM("targets", HASH_COUNT(hub->state->targets)));
 }
@@ -55,17 +60,28 @@
 void
 hub_update_role(hub_t *hub, int64_t now_ms)
 {
-	int leads = hub_is_leading(hub);
+	hub_role_change_t change =
+	    hub_role_update(&hub->role, hub->raft, now_ms);
 
-	if (leads &&
-	    (!hub->was_leading || hub->led_term != raft_get_term(hub->raft)))
+	switch (change) {
+	case HUB_ROLE_STARTED:
 		begin_leading(hub, now_ms);
-	else if (!leads && hub->was_leading)
+		log_serving(hub, 0);
+		break;
+	case HUB_ROLE_RESUMED:
+		log_serving(hub, 1);
+		break;
+	case HUB_ROLE_PAUSED:
 		LOG_EVENT(914, LOG_LEVEL_INFO,
 		    "no longer serving as the leader",
-		    LOG_NUM("term", raft_get_term(hub->raft)));
-	hub->was_leading = leads;
-	metric_set(hub->metric_leading, leads);
+		    LOG_NUM("term", raft_get_term(hub->raft)),
+		    LOG_NUM("has_state",
+			hub_role_has_state(&hub->role, hub->raft)));
+		break;
+	default:
+		break;
+	}
+	metric_set(hub->metric_leading, hub->role.is_serving);
 }
 
 static void
@@ -129,7 +145,7 @@
     const hub_t *hub, Tm__Fleet__Permits *msg, uint64_t *near_limit)
 {
 	tm__fleet__permits__init(msg);
-	msg->term = hub->led_term;
+	msg->term = hub->role.term;
 	msg->has_scarce = 1;
 	msg->scarce = near_limit;
 	msg->n_scarce = hub_quota_list_near_limit(
@@ -186,7 +202,7 @@
 	size_t i;
 
 	tm__fleet__blocks__init(&out->msg);
-	out->msg.term = hub->led_term;
+	out->msg.term = hub->role.term;
 	out->msg.sequence = hub_crash_get_sequence(hub->crash);
 	for (i = 0; i < count; i++) {
 		tm__fleet__block__init(&out->msgs[i]);
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -78,7 +78,7 @@
 	uint64_t scarce[HUB_NEAR_LIMIT_MAX];
 	Tm__Fleet__Permits msg;
 
-	if (join->scarce_term == hub->led_term &&
+	if (join->scarce_term == hub->role.term &&
 	    join->scarce_sequence == hub_quota_get_sequence(hub->quota))
 		return;
 	hub_fill_near_limit(hub, &msg, scarce);
@@ -90,7 +90,7 @@
 send_blocks_if_due(
     hub_t *hub, node_id_t to, const Tm__Fleet__Join *join, int64_t now_ms)
 {
-	if (join->blocks_term != hub->led_term ||
+	if (join->blocks_term != hub->role.term ||
 	    join->blocks_sequence != hub_crash_get_sequence(hub->crash))
 		hub_send_blocks(hub, to, now_ms);
 }
@@ -109,7 +109,7 @@
 		send_redirect(hub, from, join);
 	} else {
 		hub_update_role(hub, now_ms);
-		lease.term = hub->led_term;
+		lease.term = hub->role.term;
 		lease.leader = hub->settings.ip;
 		lease.hub_count = (size_t)hub_members_list(hub->members, names);
 		lease.utilizations =
@@ -340,6 +340,10 @@
 	     i < spends->n_spends && i < SPENDS_MAX;
 	     i++) {
 		assignment = (hub_assignment_t){ .target = 0 };
+		/* Another hub may grant permits by now; reports are recorded.
+		 */
+		if (spends->spends[i]->id != 0 && !hub->role.is_serving)
+			continue;
 		permit = handle_spend(
 		    hub, from, spends->spends[i], &assignment, now_ms);
 		if (spends->spends[i]->id == 0 || permit.is_undecided)
@@ -354,7 +358,7 @@
 		reply.n_permits++;
 	}
 	reply.permits = pointers;
-	reply.term = hub->led_term;
+	reply.term = hub->role.term;
 	if (reply.n_permits > 0)
 		peer_net_send(hub->net, from, MSG_FLEET_PERMITS, &reply.base);
 	free(pointers);
@@ -426,7 +430,8 @@
 		hub_crash_clear(hub->crash, msg->fingerprint);
 	else
 		record_crash(hub, from, msg, now_ms);
-	hub_update_blocks(hub, now_ms);
+	if (hub->role.is_serving)
+		hub_update_blocks(hub, now_ms);
 	tm__fleet__crash__free_unpacked(msg, NULL);
 }
 
@@ -436,12 +441,14 @@
 {
 	hub_t *hub = ctx;
 	int64_t now_ms = clock_now_ms();
+	int has_state;
 
 	(void)incarnation;
 	if (type >= MSG_RAFT_BASE && type < MSG_RAFT_BASE + 20) {
 		raft_handle(hub->raft, from, type, payload, len, now_ms);
 		return;
 	}
+	has_state = hub_role_has_state(&hub->role, hub->raft);
 	switch (type) {
 	case MSG_FLEET_HELLO:
 		hub_members_handle(hub->members, from, payload, len, now_ms);
@@ -450,19 +457,19 @@
 		handle_join(hub, from, payload, len);
 		break;
 	case MSG_FLEET_SPENDS:
-		if (hub->was_leading)
+		if (has_state)
 			handle_spends(hub, from, payload, len);
 		break;
 	case MSG_FLEET_EVIDENCE:
-		if (hub->was_leading)
+		if (has_state)
 			handle_evidence(hub, from, payload, len);
 		break;
 	case MSG_FLEET_CRASH:
-		if (hub->was_leading)
+		if (has_state)
 			handle_crash(hub, from, payload, len);
 		break;
 	case MSG_FLEET_SIGNALS:
-		if (hub->was_leading)
+		if (has_state)
 			handle_signals(hub, from, payload, len);
 		break;
 	default:
