--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/test_hooks.h"
+#include "net/stream_end.h"
 
 #define READ_BUFFER_BYTES 65536
 /* Idle connections are closed after this time. */
@@ -357,7 +358,7 @@
 	if (conn->is_closing || count == 0)
 		return;
 	if (count < 0)
-		conn_on_end(conn, count != UV_EOF);
+		conn_on_end(conn, !stream_end_is_orderly(&conn->tcp, count));
 	else if (conn->call == NULL)
 		conn_close(conn); /* bytes that nobody asked for */
 	else
--- a/src/load/load_call.c
+++ b/src/load/load_call.c
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "net/stream_end.h"
 
 #define REQUEST_HEAD_MAX 12288
 /* The part of a response's body that is searched for the echoed request. */
@@ -172,9 +173,9 @@
 }
 
 static void
-on_end_of_stream(load_conn_t *conn)
+on_end_of_stream(load_conn_t *conn, ssize_t status)
 {
-	if (conn->call != NULL &&
+	if (conn->call != NULL && stream_end_is_orderly(&conn->tcp, status) &&
 	    response_is_complete_at_close(&conn->response))
 		finish(conn->call, NULL);
 	fail_conn(conn,
@@ -192,7 +193,7 @@
 	if (nread == 0)
 		return;
 	if (nread < 0) {
-		on_end_of_stream(conn);
+		on_end_of_stream(conn, nread);
 		return;
 	}
 	if (conn->call == NULL) {
--- /dev/null
+++ b/src/net/stream_end.c
@@ -0,0 +1,14 @@
+#include "net/stream_end.h"
+
+#include <sys/socket.h>
+
+int
+stream_end_is_orderly(const uv_tcp_t *tcp, ssize_t status)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return (status == UV_EOF &&
+	    uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
+	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
+}
--- /dev/null
+++ b/src/net/stream_end.h
@@ -0,0 +1,23 @@
+/**
+ * @file
+ * How a TCP connection ended.
+ */
+#ifndef TM_NET_STREAM_END_H
+#define TM_NET_STREAM_END_H
+
+#include <sys/types.h>
+
+#include <uv.h>
+
+/**
+ * Tells an orderly end from a reset, for bytes whose end is that of their
+ * connection. libuv reports UV_EOF also for a reset that arrived together with
+ * the last bytes; the socket still knows.
+ *
+ * @param status  negative count that the read callback was given
+ * @return        1 if the other side has ended its writes in order, so that
+ *                all that it sent was read
+ */
+int stream_end_is_orderly(const uv_tcp_t *tcp, ssize_t status);
+
+#endif
--- a/test/unit/upstream_test.cc
+++ b/test/unit/upstream_test.cc
@@ -45,6 +45,25 @@
 		is_open = 0;
 		uv_close((uv_handle_t *)&tcp, nullptr);
 	}
+
+	// Ends the connection with RST.
+	void
+	Reset()
+	{
+		ASSERT_TRUE(is_open);
+		is_open = 0;
+		ASSERT_EQ(uv_tcp_close_reset(&tcp, nullptr), 0);
+	}
+
+	// No more bytes follow: FIN.
+	void
+	EndWrites()
+	{
+		uv_os_fd_t fd = -1;
+
+		ASSERT_EQ(uv_fileno((uv_handle_t *)&tcp, &fd), 0);
+		ASSERT_EQ(shutdown(fd, SHUT_WR), 0);
+	}
 };
 
 struct Outcome {
@@ -176,7 +195,7 @@
 
 	upstream_call_t *
 	Start(Outcome *out, const std::string &bytes = "GET / HTTP/1.1\r\n\r\n",
-	    int is_head = 0, int is_fresh = 0)
+	    int is_head = 0, int is_fresh = 0, int is_lenient = 0)
 	{
 		upstream_request_t request = {};
 		upstream_call_t *call = nullptr;
@@ -186,6 +205,7 @@
 		request.len = bytes.size();
 		request.is_head = is_head;
 		request.is_fresh = is_fresh;
+		request.is_lenient = is_lenient;
 		request.done = on_done;
 		request.ctx = out;
 		EXPECT_EQ(upstream_call_start(upstream, &request, &call), 0);
@@ -227,6 +247,26 @@
 		RunUntil([&] { return upstream_get_total(upstream) == 0; });
 		return out;
 	}
+
+	// One lenient call whose answer and the end of its connection arrive
+	// together.
+	Outcome
+	ExchangeAtOnce(
+	    const std::string &answer, std::function<void(Peer *)> end)
+	{
+		Outcome out;
+		size_t before = peers.size();
+
+		Start(&out, "GET / HTTP/1.1\r\n\r\n", 0, 0, 1);
+		Peer *peer = Await(before, "\r\n\r\n");
+
+		peer->Send(answer);
+		end(peer);
+		RunUntil([&] { return out.done > 0; });
+		peer->Close();
+		RunUntil([&] { return upstream_get_total(upstream) == 0; });
+		return out;
+	}
 };
 
 const std::string ok = "HTTP/1.1 200 OK\r\n";
@@ -272,6 +312,41 @@
 	EXPECT_EQ(Exchange(ok + "\r\nhello", 1).result, UPSTREAM_TRUNCATED);
 }
 
+// The reset was read as an orderly end, and callers got half of a body as a
+// whole one.
+TEST_F(Upstream, ReportsAResetThatArrivesWithTheLastBytes)
+{
+	const std::string unframed = ok + "\r\nhello";
+	const auto reset = [](Peer *peer) { peer->Reset(); };
+
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(
+		    ExchangeAtOnce(unframed, reset).result, UPSTREAM_TRUNCATED);
+	EXPECT_EQ(
+	    ExchangeAtOnce(hello.substr(0, hello.size() - 1), reset).result,
+	    UPSTREAM_TRUNCATED);
+	EXPECT_EQ(
+	    ExchangeAtOnce(ok + "\r\n", reset).result, UPSTREAM_TRUNCATED);
+}
+
+// A response that ended in order must not count as truncated because the target
+// resets the connection afterwards.
+TEST_F(Upstream, TakesAnOrderlyEndForTheEndOfTheResponse)
+{
+	const std::string unframed = ok + "\r\nhello";
+
+	EXPECT_EQ(
+	    ExchangeAtOnce(unframed, [](Peer *peer) { peer->Close(); }).body,
+	    "hello");
+	EXPECT_EQ(ExchangeAtOnce(unframed,
+		      [](Peer *peer) {
+			      peer->EndWrites();
+			      peer->Reset();
+		      })
+		      .body,
+	    "hello");
+}
+
 TEST_F(Upstream, RefusesAmbiguousAndMalformedResponses)
 {
 	for (std::string answer : {
