--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -473,6 +473,10 @@
 	gate_choice_t choice = { .target = NULL };
 	int has_leader = pick_options.has_leader && !request->is_leader_silent;
 
+	if (!gate_request_has_time(request, 0)) {
+		gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
+		return;
+	}
 	if (gate_limit_permit_use_reserved(request))
 		return;
 	pick_options.skips_limited = gate_limit_permit_is_exhausted(request);
@@ -518,7 +522,7 @@
 static void
 check_stall(gate_request_t *request, int64_t now_ms)
 {
-	double mean_ms = request->target->service->latency_ms;
+	double mean_ms = request->target->service->latency.mean_ms;
 	int64_t age_ms = now_ms - request->sent_ms;
 
 	if (request->is_stall_reported || mean_ms <= 0 ||
--- a/src/gate/gate_attempt.h
+++ b/src/gate/gate_attempt.h
@@ -62,6 +62,12 @@
 void gate_request_schedule(
     gate_request_t *request, gate_refusal_t reason, int64_t wait_ms);
 
+/**
+ * @param wait_ms  from now until the request is sent
+ * @return         0 if the gate stops before it is likely to have the answer
+ */
+int gate_request_has_time(const gate_request_t *request, int64_t wait_ms);
+
 /** Sends a request that has its token; delays it while its key is uncertain. */
 void gate_request_proceed(gate_request_t *request);
 
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -174,6 +174,18 @@
 	return (request->started_ms + delay_ms);
 }
 
+int
+gate_request_has_time(const gate_request_t *request, int64_t wait_ms)
+{
+	const gate_t *gate = request->gate;
+	const gate_service_t *service =
+	    gate_table_find_service(gate->table, request->service);
+
+	return (gate_stop_has_time(&gate->stop, request->deadline_ms,
+	    service != NULL ? gate_latency_get_tail_ms(&service->latency) : -1,
+	    clock_now_ms() + wait_ms));
+}
+
 static void
 sleep_until(gate_request_t *request, gate_state_t state, gate_refusal_t reason,
     int64_t wake_ms)
@@ -187,6 +199,10 @@
 gate_request_schedule(
     gate_request_t *request, gate_refusal_t reason, int64_t wait_ms)
 {
+	if (!gate_request_has_time(request, wait_ms)) {
+		gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
+		return;
+	}
 	sleep_until(
 	    request, GATE_STATE_SCHEDULED, reason, clock_now_ms() + wait_ms);
 }
@@ -363,6 +379,10 @@
 	/* Consumes no token. */
 	if (refuse_blocked(request))
 		return;
+	if (!gate_request_has_time(request, 0)) {
+		gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
+		return;
+	}
 	if (!service_admits(request, now_ms)) {
 		gate_request_refuse(request, GATE_REFUSAL_SERVICE_FULL, 0);
 		return;
@@ -505,13 +525,16 @@
 }
 
 void
-gate_request_refuse_delayed(gate_t *gate)
+gate_request_refuse_delayed(gate_t *gate, int64_t now_ms)
 {
 	gate_request_t *request;
 	gate_request_t *next;
 
 	DL_FOREACH_SAFE(gate->requests, request, next) {
-		if (request->state == GATE_STATE_DELAYED)
+		if (request->state == GATE_STATE_DELAYED ||
+		    (request->state == GATE_STATE_SCHEDULED &&
+			!gate_request_has_time(
+			    request, request->wake_ms - now_ms)))
 			gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
 	}
 }
--- a/src/gate/gate_stop.c
+++ b/src/gate/gate_stop.c
@@ -51,3 +51,14 @@
 	return (gate_stop_is_requested(stop) &&
 	    now_ms >= stop->requested_ms + stop->within_ms - EXIT_MARGIN_MS);
 }
+
+int
+gate_stop_has_time(const gate_stop_t *stop, int64_t deadline_ms,
+    int64_t expected_ms, int64_t now_ms)
+{
+	int64_t end_ms = get_answers_end_ms(stop);
+
+	if (!gate_stop_is_requested(stop) || deadline_ms <= end_ms)
+		return (1);
+	return (expected_ms >= 0 && now_ms + expected_ms <= end_ms);
+}
--- a/src/gate/gate_stop.h
+++ b/src/gate/gate_stop.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * Phases of a planned stop of a gate. Decides only; gate.c carries them out.
+ * Planned stop of a gate: its phases, and which requests still have the time to
+ * be served here. Decides only; gate.c carries it out.
  */
 #ifndef TM_GATE_GATE_STOP_H
 #define TM_GATE_GATE_STOP_H
@@ -38,4 +39,15 @@
 /** @return 1 if the process must end, whatever still runs */
 int gate_stop_is_overdue(const gate_stop_t *stop, int64_t now_ms);
 
+/**
+ * Tells whether a request that is sent to a target now gets its answer before
+ * the gate ends.
+ *
+ * @param deadline_ms  time of its final answer at the latest
+ * @param expected_ms  bound of the latency of nearly all requests of its
+ *                     service; negative: unknown, it may take all its time
+ */
+int gate_stop_has_time(const gate_stop_t *stop, int64_t deadline_ms,
+    int64_t expected_ms, int64_t now_ms);
+
 #endif
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -37,8 +37,6 @@
 /* A service that the leader named longer ago no longer counts as having idle
  * targets. Longer than the interval of the leases. */
 #define IDLE_MAX_AGE_MS 700
-/* Weight of a new response in the moving mean latency of a service. */
-#define LATENCY_WEIGHT 0.05
 
 /* Preference classes of targets, from 0 (must not be used) on: ejected, open to
  * probes, healthy but avoided by this gate, healthy. */
@@ -614,15 +612,9 @@
 void
 gate_target_record_success(gate_target_t *target, int64_t latency_ms)
 {
-	gate_service_t *service = target->service;
-
 	target->successes++;
 	target->latency_sum_ms += (uint32_t)latency_ms;
-	if (service->latency_ms <= 0)
-		service->latency_ms = (double)latency_ms;
-	else
-		service->latency_ms +=
-		    LATENCY_WEIGHT * ((double)latency_ms - service->latency_ms);
+	gate_latency_record(&target->service->latency, latency_ms);
 }
 
 void
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -16,6 +16,7 @@
 
 #include "base/rng.h"
 #include "fleet/fleet_defs.h"
+#include "gate/gate_latency.h"
 #include "gate/gate_limit.h"
 #include "proto/fleet.pb-c.h"
 
@@ -69,7 +70,7 @@
 	gate_target_t **targets;
 	uint32_t count;
 	uint32_t capacity;
-	double latency_ms; /**< mean of successes; 0: unknown */
+	gate_latency_t latency; /**< of successes */
 	double utilization; /**< requests per slot in the whole fleet */
 	double work_ms; /**< service time without queueing; 0: unknown */
 	int64_t utilization_ms; /**< when the leader reported it */
--- a/test/functional/gate_stop.py
+++ b/test/functional/gate_stop.py
@@ -46,11 +46,12 @@
 class Caller(threading.Thread):
     """One request, sent some seconds after the signal."""
 
-    def __init__(self, gate, name, path, at_s):
+    def __init__(self, gate, name, path, at_s, deadline_ms=DEADLINE_MS):
         super().__init__(daemon=True)
         self.name_ = name
         self.path = path
         self.at_s = at_s
+        self.deadline_ms = deadline_ms
         self.sock = socket.create_connection(
             (fleet.gates[gate], fleet.front), timeout=20)
         self.first = (0, 0.0, {})  # status, seconds, headers
@@ -60,7 +61,7 @@
         self.sock.sendall((
             f"POST {self.path} HTTP/1.1\r\nHost: a.example\r\n"
             f"Tarragonmoor-Attempt-Id: {name}\r\n"
-            f"Tarragonmoor-Deadline-Ms: {DEADLINE_MS}\r\n"
+            f"Tarragonmoor-Deadline-Ms: {self.deadline_ms}\r\n"
             "Api-Key: key-one\r\nContent-Length: 4\r\n\r\nbody").encode())
         try:
             return read_answer(self.sock)
@@ -111,6 +112,31 @@
         x.first[1] < AT_ONCE_S - min(0, x.at_s) for x in callers))
 
 
+def check_long(target):
+    """Work of 4 s, known from requests before."""
+    target.set_answer(work_s=4)
+    warm = [Caller(1, f"warm-{i}", "/x/1", -9) for i in range(12)]
+    for caller in warm:
+        caller.start()
+    for caller in warm:
+        caller.join()
+    global signal_s
+    signal_s = time.monotonic() + 1
+    callers = [Caller(1, "long-0", "/x/1", 0.5, 4800)]
+    callers += [Caller(1, f"long-{i + 1}", "/x/1", at)
+                for i, at in enumerate((1.7, 1.9, 2.1, 2.3, 2.5))]
+    stop_gate(1, callers)
+    print("a request whose deadline is before the end is served:", callers[0].first[0])
+    print("others are refused at once:", all(
+        x.first[0] == 503 and x.first[1] < AT_ONCE_S for x in callers[1:]))
+    print("and served by another gate:", all(
+        x.second == 200 for x in callers[1:]))
+    target.set_answer()
+    ran = [entry["id"] for entry in target.read_records()]
+    print("each ran once:", sorted(x for x in ran if x.startswith("long")) ==
+          ["long-0-1"] + [f"long-{i}-2" for i in range(1, 6)])
+
+
 def check_surprise(target):
     """Work that takes longer than any before gets a final answer all the same."""
     for i in range(40):
@@ -169,6 +195,7 @@
              f"first-{i}-{time.monotonic()}"})[0] == 200)
     signal_s = time.monotonic() + 1
     check_held()
+    check_long(target)
     check_surprise(target)
     check_no_config()
 finally:
--- a/test/unit/gate_stop_test.cc
+++ b/test/unit/gate_stop_test.cc
@@ -1,8 +1,10 @@
-// Failures guarded against: a gate that stops ends before it has answered, or is
-// killed because it ends too late.
+// Failures guarded against: a gate that stops sends a request to a target that
+// cannot answer before the gate ends; it ends before it has answered; it refuses
+// what it has the time for.
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "gate/gate_latency.h"
 #include "gate/gate_stop.h"
 }
 
@@ -25,15 +27,37 @@
 
 } // namespace
 
-TEST(GateStop, RunningGateStaysSo)
+TEST(GateStop, RunningGateHasTimeForAll)
 {
 	gate_stop_t stop = {};
 
 	stop.within_ms = kWithinMs;
+	EXPECT_TRUE(gate_stop_has_time(&stop, kLateMs, -1, kStopMs));
 	EXPECT_FALSE(gate_stop_advance(&stop, kLateMs));
 	EXPECT_FALSE(gate_stop_is_overdue(&stop, kLateMs));
 }
 
+// Work of 4 s that came 2 s after the stop was cut off 3.7 s later.
+TEST(GateStop, TakesOnlyWhatFitsBeforeItsEnd)
+{
+	gate_stop_t stop = Stopping();
+	int64_t now_ms = kStopMs + 2000;
+
+	EXPECT_FALSE(gate_stop_has_time(&stop, kLateMs, 4000, now_ms));
+	EXPECT_TRUE(gate_stop_has_time(&stop, kLateMs, 1000, now_ms));
+	EXPECT_FALSE(gate_stop_has_time(&stop, kLateMs, 1000, now_ms + 3000));
+}
+
+// An answer at the deadline comes before the end, whatever the target does.
+TEST(GateStop, TakesWhatHasItsFinalAnswerBeforeItsEnd)
+{
+	gate_stop_t stop = Stopping();
+	int64_t now_ms = kStopMs + 2000;
+
+	EXPECT_TRUE(gate_stop_has_time(&stop, now_ms + 3000, -1, now_ms));
+	EXPECT_FALSE(gate_stop_has_time(&stop, now_ms + 3900, -1, now_ms));
+}
+
 TEST(GateStop, AnswersBeforeItWouldBeKilled)
 {
 	gate_stop_t stop = Stopping();
@@ -68,3 +92,16 @@
 	EXPECT_EQ(changes, 2);
 	EXPECT_EQ(stop.phase, GATE_ENDING);
 }
+
+TEST(GateLatency, TailCoversWhatVaries)
+{
+	gate_latency_t even = {}, mixed = {};
+
+	EXPECT_LT(gate_latency_get_tail_ms(&even), 0);
+	for (int i = 0; i < 400; i++) {
+		gate_latency_record(&even, 300);
+		gate_latency_record(&mixed, i % 10 == 0 ? 3000 : 300);
+	}
+	EXPECT_NEAR((double)gate_latency_get_tail_ms(&even), 300, 10);
+	EXPECT_GT(gate_latency_get_tail_ms(&mixed), 2000);
+}
