--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -47,6 +47,20 @@
 		memmove(buffer->bytes, buffer->bytes + len, buffer->len);
 }
 
+void
+buffer_trim(buffer_t *buffer)
+{
+	uint8_t *bytes;
+
+	if (buffer->len == 0 || buffer->len == buffer->size)
+		return;
+	bytes = realloc(buffer->bytes, buffer->len);
+	if (bytes == NULL)
+		return;
+	buffer->bytes = bytes;
+	buffer->size = buffer->len;
+}
+
 void
 buffer_release(buffer_t *buffer)
 {
--- a/src/base/buffer.h
+++ b/src/base/buffer.h
@@ -28,6 +28,9 @@
 /** Removes bytes from the front; len is at most buffer->len. */
 void buffer_consume(buffer_t *buffer, size_t len);
 
+/** Gives back the room at the end. */
+void buffer_trim(buffer_t *buffer);
+
 /** Frees the bytes and empties the buffer. */
 void buffer_release(buffer_t *buffer);
 
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -6,6 +6,9 @@
 #include "base/error.h"
 #include "http/http_server.h"
 
+/* A connection to a target keeps a buffer of this size for its next response. */
+#define COPIED_BODY_MAX_BYTES 65536
+
 int
 forward_append_text(buffer_t *out, const char *text)
 {
@@ -138,3 +141,16 @@
 	http_request_add_header(
 	    req, name.base, name.len, header->value, header->value_len);
 }
+
+void
+forward_send_body(h2o_req_t *req, const upstream_response_t *response,
+    response_budget_t *budget)
+{
+	if (response->owned_body == NULL ||
+	    response->body_len <= COPIED_BODY_MAX_BYTES)
+		http_request_send_body(
+		    req, (const char *)response->body, response->body_len);
+	else
+		http_request_send_buffer(
+		    req, upstream_response_take_body(response), budget);
+}
--- a/src/entry/forward.h
+++ b/src/entry/forward.h
@@ -54,4 +54,13 @@
 /** Adds a header of a target's response, its name in lower case. */
 void forward_add_header(h2o_req_t *req, const upstream_header_t *header);
 
+/**
+ * Ends the response to the caller, whose head is complete, with the body of the
+ * target's. A large body is taken over, so that the response has none after it.
+ *
+ * @param budget  counts a large body until it is written
+ */
+void forward_send_body(h2o_req_t *req, const upstream_response_t *response,
+    response_budget_t *budget);
+
 #endif
--- a/src/entry/request_wire.c
+++ b/src/entry/request_wire.c
@@ -98,8 +98,8 @@
 	req->res.reason = http_status_get_reason(response->status);
 	req->res.content_length =
 	    request->is_head ? response->content_length : response->body_len;
-	http_request_send_body(
-	    req, (const char *)response->body, response->body_len);
+	forward_send_body(
+	    req, response, upstream_get_budget(request->entry->upstream));
 }
 
 static void
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -405,6 +405,9 @@
 	gate->crash = gate_crash_create();
 	gate->link = gate_link_create(&link);
 	gate->upstream = upstream_create(gate->loop);
+	if (gate->upstream != NULL)
+		upstream_set_response_limit(
+		    gate->upstream, settings->response_limit_bytes);
 	if (gate->table == NULL || gate->allowance == NULL ||
 	    gate->usage == NULL || gate->crash == NULL || gate->link == NULL ||
 	    gate->upstream == NULL)
--- a/src/gate/gate_main.c
+++ b/src/gate/gate_main.c
@@ -1,5 +1,6 @@
 /* Main program of tm-gate, the entry VM of a fleet whose shared state is kept
  * by hubs. */
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -13,6 +14,8 @@
 #include "settings/program_signals.h"
 
 #define STOP_POLL_MS 20
+/* Buffers of this size get pages of their own. */
+#define LARGE_BUFFER_BYTES (128 * 1024)
 
 typedef struct program {
 	uv_loop_t loop;
@@ -96,6 +99,8 @@
 	program_args_t args;
 
 	program_defer_hangup();
+	/* Otherwise large buffers that were freed stay with the process. */
+	mallopt(M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
 	if (!program_args_parse(
 		argc, argv, "tm-gate", gate_default_settings, 0, &args))
 		return (args.status);
--- a/src/gate/gate_settings.c
+++ b/src/gate/gate_settings.c
@@ -4,6 +4,9 @@
 
 #include "base/error.h"
 #include "fleet/fleet_settings.h"
+#include "http/response_budget.h"
+
+#define BYTES_PER_MB ((size_t)1024 * 1024)
 
 const char gate_default_settings[] =
     "{\n"
@@ -18,6 +21,7 @@
     "  \"fleet_secrets\": [\"replace-with-32-random-bytes\"],\n"
     "  \"revoke_within_s\": 5,\n"
     "  \"stop_within_s\": 6,\n"
+    "  \"response_buffer_mb\": 96,\n"
     "  \"rate_window_s\": 5,\n"
     "  \"rate_overshoot\": 0.1,\n"
     "  \"rate_slack\": 20,\n"
@@ -45,6 +49,10 @@
 	settings->revoke_within_ms =
 	    fleet_read_time_ms(root, "revoke_within_s", 5);
 	settings->stop_within_ms = fleet_read_time_ms(root, "stop_within_s", 6);
+	settings->response_limit_bytes =
+	    (size_t)json_opt_int(root, "response_buffer_mb", 16, 65536, "MB",
+		RESPONSE_BUDGET_DEFAULT_BYTES / BYTES_PER_MB) *
+	    BYTES_PER_MB;
 	fleet_read_rate_bounds(root, &settings->rates);
 	settings->dialect = fleet_read_dialect(root);
 	settings->log_level = program_read_log_level(root);
--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -156,8 +156,8 @@
 	    request->is_head ? response->content_length : response->body_len;
 	if (response->is_unframed)
 		pass_unframed(req);
-	http_request_send_body(
-	    req, (const char *)response->body, response->body_len);
+	forward_send_body(
+	    req, response, upstream_get_budget(request->gate->upstream));
 }
 
 /* Reads digits up to a separator. @return 1 if there was at least one */
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -308,6 +308,37 @@
 	h2o_send_inline(req, body, len);
 }
 
+/* A body that is being written; lives in the memory of its request. */
+typedef struct sent_body {
+	buffer_t buffer;
+	response_budget_t *budget;
+} sent_body_t;
+
+static void
+on_body_disposed(void *memory)
+{
+	sent_body_t *body = memory;
+
+	response_budget_release(body->budget, body->buffer.size);
+	buffer_release(&body->buffer);
+}
+
+void
+http_request_send_buffer(
+    h2o_req_t *req, buffer_t body, response_budget_t *budget)
+{
+	static h2o_generator_t generator;
+	sent_body_t *sent =
+	    h2o_mem_alloc_shared(&req->pool, sizeof(*sent), on_body_disposed);
+	h2o_iovec_t bytes;
+
+	*sent = (sent_body_t){ .buffer = body, .budget = budget };
+	response_budget_hold(budget, body.size);
+	bytes = h2o_iovec_init((char *)body.bytes, body.len);
+	h2o_start_response(req, &generator);
+	h2o_send(req, &bytes, 1, 1);
+}
+
 int
 http_request_is_abandoned(const h2o_req_t *req)
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -14,7 +14,9 @@
 
 #include <h2o.h>
 
+#include "base/buffer.h"
 #include "http/http_tls.h"
+#include "http/response_budget.h"
 
 typedef struct http_server http_server_t;
 
@@ -104,6 +106,15 @@
 /** Ends a response whose head is complete; sends no body for HEAD. */
 void http_request_send_body(h2o_req_t *req, const char *body, size_t len);
 
+/**
+ * Ends a response whose head is complete with a large body, without a copy of it.
+ *
+ * @param body    taken over; freed when it is written or the caller is gone
+ * @param budget  counts the body until then
+ */
+void http_request_send_buffer(
+    h2o_req_t *req, buffer_t body, response_budget_t *budget);
+
 /** @return 1 if the caller has closed its side of the connection */
 int http_request_is_abandoned(const h2o_req_t *req);
 
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -48,6 +48,8 @@
 	uv_loop_t *loop;
 	upstream_target_t *targets;
 	uint32_t connections;
+	upstream_conn_t *active; /* with a call */
+	response_budget_t budget;
 	char read_buffer[READ_BUFFER_BYTES];
 };
 
@@ -71,6 +73,9 @@
 	int is_idle;
 	int is_closing;
 	int is_writing;
+	int is_active;
+	int is_paused; /* not read: there is no memory for the rest */
+	response_reservation_t reservation; /* for a large response */
 	int64_t idle_since_ms;
 	int64_t opened_ms; /* when the connection was asked for */
 	uint64_t carried[CARRIED_IDS]; /* id hashes of the last requests */
@@ -91,11 +96,35 @@
 {
 	upstream_t *upstream = calloc(1, sizeof(*upstream));
 
-	if (upstream != NULL)
-		upstream->loop = loop;
+	if (upstream == NULL)
+		return (NULL);
+	upstream->loop = loop;
+	upstream->budget.limit_bytes = RESPONSE_BUDGET_DEFAULT_BYTES;
 	return (upstream);
 }
 
+void
+upstream_set_response_limit(upstream_t *upstream, size_t limit_bytes)
+{
+	upstream->budget.limit_bytes = limit_bytes;
+}
+
+response_budget_t *
+upstream_get_budget(upstream_t *upstream)
+{
+	return (&upstream->budget);
+}
+
+buffer_t
+upstream_response_take_body(const upstream_response_t *response)
+{
+	buffer_t body = *response->owned_body;
+
+	*response->owned_body = (buffer_t){ 0 };
+	buffer_trim(&body);
+	return (body);
+}
+
 static uint64_t
 address_get_key(const struct sockaddr_in *addr)
 {
@@ -160,6 +189,23 @@
 	conn->is_idle = 0;
 }
 
+static void
+conn_enter_active(upstream_conn_t *conn)
+{
+	conn->is_active = 1;
+	DL_APPEND(conn->upstream->active, conn);
+}
+
+static void
+conn_leave_active(upstream_conn_t *conn)
+{
+	if (!conn->is_active)
+		return;
+	DL_DELETE(conn->upstream->active, conn);
+	conn->is_active = 0;
+	response_budget_unreserve(&conn->upstream->budget, &conn->reservation);
+}
+
 static void
 conn_close(upstream_conn_t *conn)
 {
@@ -167,6 +213,7 @@
 		return;
 	conn->is_closing = 1;
 	conn_leave_idle(conn);
+	conn_leave_active(conn);
 	uv_close((uv_handle_t *)&conn->tcp, conn_on_closed);
 }
 
@@ -197,6 +244,7 @@
 	if (call == NULL)
 		return;
 	conn->call = NULL;
+	conn_leave_active(conn);
 	call->done(call->ctx, result, response);
 	free(call);
 }
@@ -277,6 +325,7 @@
 		.content_length = conn->response.length,
 		.is_unframed = conn->response.until_close,
 		.is_reused = conn->requests > 1,
+		.owned_body = &conn->response.body,
 	};
 	upstream_relation_t relation = conn_relate(conn, &response);
 	int reuse = relation == UPSTREAM_OWN && conn->response.keeps_alive &&
@@ -303,6 +352,36 @@
 		conn_close(conn);
 }
 
+/*
+ * Reserves memory for the whole of a response once it is large.
+ *
+ * @return 0 if there is none now
+ */
+static int
+conn_reserve(upstream_conn_t *conn)
+{
+	const response_t *response = &conn->response;
+	int is_unknown = response->is_chunked || response->until_close;
+
+	if (response->body.len <= RESPONSE_BUDGET_SMALL_BYTES ||
+	    conn->reservation.bytes > 0)
+		return (1);
+	return (
+	    response_budget_reserve(&conn->upstream->budget, &conn->reservation,
+		is_unknown ? UPSTREAM_BODY_MAX_BYTES : (size_t)response->length,
+		is_unknown));
+}
+
+/* Reads no more of a large response until there is memory for it. */
+static void
+conn_pause_if_due(upstream_conn_t *conn)
+{
+	if (conn_reserve(conn))
+		return;
+	conn->is_paused = 1;
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
 static void
 conn_take(upstream_conn_t *conn, char *bytes, size_t len)
 {
@@ -316,6 +395,8 @@
 		conn_fail(conn, UPSTREAM_OVERSIZED);
 	else if (rc == 1)
 		conn_end_response(conn, bytes + len - rest, rest);
+	else
+		conn_pause_if_due(conn);
 }
 
 /*
@@ -535,6 +616,7 @@
 	call->relate = request->relate;
 	conn->carried[conn->requests++ % CARRIED_IDS] = request->id_hash;
 	conn->call = call;
+	conn_enter_active(conn);
 	*out = call;
 	if (is_reused)
 		conn_send(conn);
@@ -557,6 +639,22 @@
 	conn_close(conn);
 }
 
+/* Reads on what was paused, the earliest call first, as far as there is memory.
+ */
+static void
+upstream_resume(upstream_t *upstream)
+{
+	upstream_conn_t *conn;
+
+	DL_FOREACH(upstream->active, conn) {
+		if (!conn->is_paused || !conn_reserve(conn))
+			continue;
+		conn->is_paused = 0;
+		uv_read_start(
+		    (uv_stream_t *)&conn->tcp, conn_alloc, conn_on_read);
+	}
+}
+
 void
 upstream_tick(upstream_t *upstream, int64_t now_ms)
 {
@@ -565,6 +663,7 @@
 	upstream_conn_t *conn;
 	upstream_conn_t *next;
 
+	upstream_resume(upstream);
 	HASH_ITER(hh, upstream->targets, target, next_target) {
 		DL_FOREACH_SAFE(target->idle, conn, next) {
 			if (now_ms - conn->idle_since_ms > IDLE_MAX_MS)
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -15,8 +15,9 @@
 #include <uv.h>
 
 #include "http/response.h"
+#include "http/response_budget.h"
 
-/** Longest response body. */
+/** Longest response body; all together are bounded by a response_budget_t. */
 #define UPSTREAM_BODY_MAX_BYTES (8u * 1024 * 1024)
 /** Headers kept of a response. */
 #define UPSTREAM_HEADERS_MAX 64
@@ -52,6 +53,7 @@
 	uint64_t content_length; /**< header of a response to HEAD */
 	int is_unframed; /**< ended with its connection: maybe not whole */
 	int is_reused; /**< the connection has carried requests before */
+	buffer_t *owned_body; /**< of body; see upstream_response_take_body() */
 } upstream_response_t;
 
 /**
@@ -100,6 +102,20 @@
 /** Creates the pool of connections. @return NULL if memory is exhausted */
 upstream_t *upstream_create(uv_loop_t *loop);
 
+/** Bounds the bytes of all responses that are read or written together. */
+void upstream_set_response_limit(upstream_t *upstream, size_t limit_bytes);
+
+/** @return the budget of all responses; lives as long as the pool */
+response_budget_t *upstream_get_budget(upstream_t *upstream);
+
+/**
+ * Takes over the memory of the body within the callback, so that it is not
+ * copied. The response has no body any more.
+ *
+ * @return the bytes, to be released by the caller
+ */
+buffer_t upstream_response_take_body(const upstream_response_t *response);
+
 /**
  * Starts a call.
  *
--- a/test/unit/upstream_test.cc
+++ b/test/unit/upstream_test.cc
@@ -347,6 +347,55 @@
 	    "hello");
 }
 
+// Forty responses at once took more memory than a VM has. A large one waits for
+// its memory, small ones go on, and the large one is read on when there is some.
+TEST_F(Upstream, ReadsALargeResponseOnceThereIsMemory)
+{
+	const size_t size = 4 * RESPONSE_BUDGET_SMALL_BYTES;
+	const std::string large = ok +
+	    "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
+	    std::string(size, 'x');
+	response_budget_t *budget = upstream_get_budget(upstream);
+	Outcome waiting, small;
+	size_t sent = 0;
+
+	response_budget_hold(budget, budget->limit_bytes - size + 1);
+	Start(&waiting, get);
+	Peer *peer = Await(0, get);
+	for (int64_t end_ms = clock_now_ms() + 300; clock_now_ms() < end_ms;) {
+		uv_buf_t buf = uv_buf_init((char *)large.data() + sent,
+		    (unsigned)(large.size() - sent));
+		int n = uv_try_write((uv_stream_t *)&peer->tcp, &buf, 1);
+
+		if (n > 0)
+			sent += (size_t)n;
+		upstream_tick(upstream, clock_now_ms());
+		RunFor(1);
+	}
+	EXPECT_EQ(waiting.done, 0);
+	Start(&small, get);
+	Await(1, get)->Send(hello);
+	RunUntil([&] { return small.done == 1; });
+	EXPECT_EQ(small.body, "hello");
+	response_budget_release(budget, budget->limit_bytes - size + 1);
+	RunUntil([&] {
+		uv_buf_t buf = uv_buf_init((char *)large.data() + sent,
+		    (unsigned)(large.size() - sent));
+		int n = sent < large.size()
+		    ? uv_try_write((uv_stream_t *)&peer->tcp, &buf, 1)
+		    : 0;
+
+		if (n > 0)
+			sent += (size_t)n;
+		upstream_tick(upstream, clock_now_ms());
+		return waiting.done == 1;
+	});
+	EXPECT_EQ(waiting.result, UPSTREAM_COMPLETE);
+	EXPECT_EQ(waiting.body.size(), size);
+	EXPECT_EQ(budget->reserved_bytes, 0u);
+	EXPECT_EQ(budget->unwritten_bytes, 0u);
+}
+
 TEST_F(Upstream, RefusesAmbiguousAndMalformedResponses)
 {
 	for (std::string answer : {
