--- a/src/control/admin_api.c
+++ b/src/control/admin_api.c
@@ -305,3 +305,9 @@
 {
 	http_server_stop(api->server);
 }
+
+int
+admin_api_is_written(const admin_api_t *api)
+{
+	return (http_server_get_active(api->server) == 0);
+}
--- a/src/control/control_main.c
+++ b/src/control/control_main.c
@@ -3,6 +3,7 @@
 
 #include <uv.h>
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
 #include "control/admin_api.h"
@@ -13,6 +14,8 @@
 #define STOP_POLL_MS 20
 /* Time for the last responses to leave the process. */
 #define STOP_FLUSH_MS 200
+/* Longest time for them where a caller reads slowly. */
+#define STOP_FLUSH_MAX_MS 2000
 
 typedef struct program {
 	uv_loop_t loop;
@@ -22,6 +25,7 @@
 	program_signals_t signals;
 	uv_timer_t stop_timer;
 	int flushing;
+	int64_t flush_end_ms;
 } program_t;
 
 static void
@@ -30,13 +34,16 @@
 	program_t *program = timer->data;
 
 	if (program->flushing) {
-		uv_stop(&program->loop);
+		if (admin_api_is_written(program->api) ||
+		    clock_now_ms() >= program->flush_end_ms)
+			uv_stop(&program->loop);
 		return;
 	}
 	if (!control_is_stopped(program->control))
 		return;
 	program->flushing = 1;
-	uv_timer_start(timer, program_poll_stop, STOP_FLUSH_MS, 0);
+	program->flush_end_ms = clock_now_ms() + STOP_FLUSH_MAX_MS;
+	uv_timer_start(timer, program_poll_stop, STOP_FLUSH_MS, STOP_POLL_MS);
 }
 
 static void
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -224,13 +224,15 @@
 static void
 tick_stop(gate_t *gate, int64_t now_ms)
 {
-	if (gate->in_flight > 0)
+	if (http_server_get_active(gate->callers) > 0)
 		gate->last_busy_ms = now_ms;
 	while (gate_stop_advance(&gate->stop, now_ms)) {
 		if (gate->stop.phase == GATE_CLOSED) {
 			http_server_stop(gate->callers);
 			LOG_EVENT(952, LOG_LEVEL_INFO, "listener closed",
-			    LOG_NUM("in_flight", gate->in_flight));
+			    LOG_NUM("in_flight", gate->in_flight),
+			    LOG_NUM("unwritten",
+				http_server_get_active(gate->callers)));
 		} else {
 			gate_request_end_all(gate);
 		}
@@ -495,6 +497,7 @@
 
 	if (gate_stop_is_overdue(&gate->stop, now_ms))
 		return (1);
-	return (gate->stop.phase >= GATE_CLOSED && gate->in_flight == 0 &&
+	return (gate->stop.phase >= GATE_CLOSED &&
+	    http_server_get_active(gate->callers) == 0 &&
 	    now_ms - gate->last_busy_ms >= EXIT_IDLE_MS);
 }
--- a/src/gate/gate_main.c
+++ b/src/gate/gate_main.c
@@ -33,7 +33,9 @@
 	if (!gate_is_stopped(program->gate))
 		return;
 	LOG_EVENT(953, LOG_LEVEL_INFO, "stopped",
-	    LOG_NUM("in_flight", program->gate->in_flight));
+	    LOG_NUM("in_flight", program->gate->in_flight),
+	    LOG_NUM(
+		"unwritten", http_server_get_active(program->gate->callers)));
 	/* Another loop iteration could read a request that gets no answer. */
 	exit(0);
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -30,6 +30,7 @@
 	h2o_accept_ctx_t accept_ctx;
 	uv_tcp_t listener;
 	uint32_t connections;
+	uint32_t active; /* requests without a written response */
 	uint64_t refused;
 };
 
@@ -88,11 +89,29 @@
 	h2o_accept(&server->accept_ctx, sock);
 }
 
+/* Lives in the memory of a request, which h2o frees once the response is written
+ * or the connection has ended. */
+typedef struct active_request {
+	http_server_t *server;
+} active_request_t;
+
+static void
+on_request_disposed(void *memory)
+{
+	active_request_t *active = memory;
+
+	active->server->active--;
+}
+
 static int
 on_request(h2o_handler_t *self, h2o_req_t *req)
 {
 	server_handler_t *handler = (server_handler_t *)self;
+	active_request_t *active = h2o_mem_alloc_shared(
+	    &req->pool, sizeof(*active), on_request_disposed);
 
+	active->server = handler->server;
+	active->server->active++;
 	handler->server->options.handle(handler->server->options.ctx, req);
 	return (0);
 }
@@ -232,6 +251,12 @@
 	return (server->connections);
 }
 
+uint32_t
+http_server_get_active(const http_server_t *server)
+{
+	return (server->active);
+}
+
 uint64_t
 http_server_get_refused(const http_server_t *server)
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -71,6 +71,12 @@
 /** @return number of open connections */
 uint32_t http_server_get_connections(const http_server_t *server);
 
+/**
+ * @return number of requests that were handed over and whose response is not
+ *         written to its last byte; a connection that ended counts no more
+ */
+uint32_t http_server_get_active(const http_server_t *server);
+
 /** @return connections closed because of the cap */
 uint64_t http_server_get_refused(const http_server_t *server);
 
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -423,3 +423,9 @@
 {
 	http_server_stop(api->server);
 }
+
+int
+hub_api_is_written(const hub_api_t *api)
+{
+	return (http_server_get_active(api->server) == 0);
+}
--- a/src/hub/hub_main.c
+++ b/src/hub/hub_main.c
@@ -4,6 +4,7 @@
 
 #include <uv.h>
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
 #include "hub/hub.h"
@@ -14,6 +15,8 @@
 #define STOP_POLL_MS 20
 /* Time to send the last responses before the process ends. */
 #define STOP_FLUSH_MS 200
+/* Longest time for them where a caller reads slowly. */
+#define STOP_FLUSH_MAX_MS 2000
 
 typedef struct program {
 	uv_loop_t loop;
@@ -23,6 +26,7 @@
 	program_signals_t signals;
 	uv_timer_t stop_timer;
 	int is_flushing;
+	int64_t flush_end_ms;
 } program_t;
 
 static void
@@ -31,13 +35,16 @@
 	program_t *program = timer->data;
 
 	if (program->is_flushing) {
-		uv_stop(&program->loop);
+		if (hub_api_is_written(program->api) ||
+		    clock_now_ms() >= program->flush_end_ms)
+			uv_stop(&program->loop);
 		return;
 	}
 	if (!hub_is_stopped(program->hub))
 		return;
 	program->is_flushing = 1;
-	uv_timer_start(timer, program_poll_stop, STOP_FLUSH_MS, 0);
+	program->flush_end_ms = clock_now_ms() + STOP_FLUSH_MAX_MS;
+	uv_timer_start(timer, program_poll_stop, STOP_FLUSH_MS, STOP_POLL_MS);
 }
 
 static void
--- a/test/functional/gate_stop.py
+++ b/test/functional/gate_stop.py
@@ -16,14 +16,17 @@
 GRACE_S = 6
 SLACK_S = 0.2
 DEADLINE_MS = 12000
+# The link of a caller that is sent a large response.
+LINK_BYTES_PER_S = 2_000_000
+LARGE_BYTES = 8_000_000
 # How long a refusal may take where nothing has to be waited for.
 AT_ONCE_S = 0.3
 
 fleet = Fleet(BUILD, WORK, [f"{NET}.{i + 1}" for i in range(3)],
-              [f"{NET}.{i + 20}" for i in range(4)])
+              [f"{NET}.{i + 20}" for i in range(5)])
 
 
-def read_answer(sock):
+def read_answer(sock, bytes_per_s=None):
     """@return status and headers; 0 if the connection ended before its end"""
     got = b""
     while b"\r\n\r\n" not in got:
@@ -35,11 +38,16 @@
     lines = text.decode("latin-1").split("\r\n")
     headers = {name.lower(): value.strip() for name, _, value in (
         line.partition(":") for line in lines[1:])}
-    while len(body) < int(headers.get("content-length", 0)):
+    count = len(body)
+    started = time.monotonic()
+    while count < int(headers.get("content-length", 0)):
+        if bytes_per_s:
+            time.sleep(max(0, count / bytes_per_s -
+                           (time.monotonic() - started)))
         part = sock.recv(65536)
         if not part:
             return 0, {}
-        body += part
+        count += len(part)
     return int(lines[0].split()[1]), headers
 
 
@@ -52,8 +60,11 @@
         self.path = path
         self.at_s = at_s
         self.deadline_ms = deadline_ms
-        self.sock = socket.create_connection(
-            (fleet.gates[gate], fleet.front), timeout=20)
+        self.bytes_per_s = None
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        self.sock.settimeout(20)
+        self.sock.connect((fleet.gates[gate], fleet.front))
         self.first = (0, 0.0, {})  # status, seconds, headers
         self.second = 0
 
@@ -64,7 +75,7 @@
             f"Tarragonmoor-Deadline-Ms: {self.deadline_ms}\r\n"
             "Api-Key: key-one\r\nContent-Length: 4\r\n\r\nbody").encode())
         try:
-            return read_answer(self.sock)
+            return read_answer(self.sock, self.bytes_per_s)
         except OSError:
             return 0, {}
 
@@ -137,6 +148,21 @@
           ["long-0-1"] + [f"long-{i}-2" for i in range(1, 6)])
 
 
+def check_large(target):
+    """Responses that are written until shortly before the end."""
+    target.set_answer(body_bytes=LARGE_BYTES)
+    global signal_s
+    signal_s = time.monotonic() + 1
+    callers = [Caller(3, f"large-{i}", "/x/1", at)
+               for i, at in enumerate((-0.3, 0.5, 1.0))]
+    for caller in callers:
+        caller.bytes_per_s = LINK_BYTES_PER_S
+    stop_gate(3, callers)
+    print("large responses are whole:",
+          sum(1 for x in callers if x.first[0] == 200))
+    target.set_answer()
+
+
 def check_surprise(target):
     """Work that takes longer than any before gets a final answer all the same."""
     for i in range(40):
@@ -154,21 +180,21 @@
 
 def check_no_config():
     """A gate that can't reach hubs yet holds requests for a configuration."""
-    fleet.start("tm-gate", "gate4", {
-        "node": "gate4", "zone": "z1", "ip": f"{NET}.40",
+    fleet.start("tm-gate", "gate5", {
+        "node": "gate5", "zone": "z1", "ip": f"{NET}.40",
         "listen": f"{NET}.40:{fleet.front}",
         "ready_listen": f"{NET}.40:{fleet.ready}",
         "peer_port": fleet.peer, "metrics_port": fleet.metrics,
         "seeds": [f"{NET}.99:{fleet.control_port}"],
         "fleet_secrets": ["0123456789abcdef"]})
-    fleet.gates.insert(3, f"{NET}.40")
+    fleet.gates.insert(0, f"{NET}.40")
     fleet.wait("a gate without a configuration runs",
                lambda: not fleet_is_ready(f"{NET}.40"))
     global signal_s
     signal_s = time.monotonic() + 1
-    callers = [Caller(3, f"early-{i}", "/x/1", at)
+    callers = [Caller(0, f"early-{i}", "/x/1", at)
                for i, at in enumerate((-0.5, -0.2, 0.5))]
-    stop_gate(4, callers)
+    stop_gate(5, callers)
     print("requests that wait for a configuration are answered:",
           sum(1 for x in callers if x.first[0] == 503 and
               x.first[1] < AT_ONCE_S - min(0, x.at_s)))
@@ -187,7 +213,7 @@
     changed["Services"]["s2"] = changed["Services"]["s1"]
     fleet.control("POST", "/tarragonmoor/config/put", changed)
     target = TargetProcess(fleet, "t1")
-    for i in range(4):
+    for i in range(5):
         fleet.wait(f"gate {i} is ready", lambda i=i: fleet.is_ready(i))
         fleet.wait(f"gate {i} serves", lambda i=i: call(
             fleet.gates[i], fleet.front, "GET", "/open/1", None,
@@ -196,6 +222,7 @@
     signal_s = time.monotonic() + 1
     check_held()
     check_long(target)
+    check_large(target)
     check_surprise(target)
     check_no_config()
 finally:
--- a/test/functional/platform_target.py
+++ b/test/functional/platform_target.py
@@ -7,7 +7,7 @@
 
 The file of --answer is read for each request and may hold, as JSON: "headers"
 of each answer, "status" instead of 200, "work_s", "executed" (false: the answer
-says that the request did not run), "refuse_every": N (every Nth request is
+says that the request did not run), "body_bytes" of a longer body, "refuse_every": N (every Nth request is
 answered 503, not run), "repeat": "as it was" or "without id" (a refusal is
 written once more on its connection, ahead of the next answer)."""
 import argparse
@@ -95,6 +95,7 @@
 
     async def answer(self, writer, headers, status, more, method):
         body = b"from " + self.args.id.encode()
+        body = body.ljust(self.read_answer().get("body_bytes", 0), b".")
         lines = [f"HTTP/1.1 {status} {http.client.responses[status]}",
                  f"Content-Length: {len(body)}",
                  "Tarragonmoor-Attempt-Id: " +
