--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -279,6 +279,24 @@
 		    LOG_TEXT("error", error_get_text(err)));
 }
 
+/* Callers of proposals move on to another hub at once. */
+static void
+check_storage(hub_t *hub)
+{
+	int err = raft_get_error(hub->raft);
+	hub_failed_cb failed = hub->failed;
+	proposal_t *proposal;
+	proposal_t *next;
+
+	/* A newer epoch is not mended by another start. */
+	if (err == TM_OK || err == TM_EEPOCH || failed == NULL)
+		return;
+	hub->failed = NULL;
+	DL_FOREACH_SAFE(hub->proposals, proposal, next)
+		finish_proposal(hub, proposal, err);
+	failed(hub->failed_ctx);
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -292,6 +310,7 @@
 		hub_tick_leader(hub, now_ms);
 	finish_proposals(hub, raft_get_applied(hub->raft), now_ms);
 	compact(hub);
+	check_storage(hub);
 }
 
 /* Flushes the proposals of one loop iteration together. */
@@ -306,6 +325,7 @@
 	if (hub->role.is_serving)
 		hub_feed_flush(hub->feed, now_ms);
 	finish_proposals(hub, raft_get_applied(hub->raft), now_ms);
+	check_storage(hub);
 }
 
 void
@@ -506,6 +526,13 @@
 	return (peer_net_set_secrets(hub->net, secrets));
 }
 
+void
+hub_set_failure_callback(hub_t *hub, hub_failed_cb failed, void *ctx)
+{
+	hub->failed = failed;
+	hub->failed_ctx = ctx;
+}
+
 void
 hub_begin_stop(hub_t *hub)
 {
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -37,6 +37,16 @@
  * logged; the old secrets stay then */
 int hub_reload(hub_t *hub, const hub_settings_t *new_settings);
 
+/** Reports that the data folder has failed; see hub_set_failure_callback(). */
+typedef void (*hub_failed_cb)(void *ctx);
+
+/**
+ * Sets what is called once when a write to the data folder has failed. The hub
+ * takes no part in the log from then on: what it holds may differ from what is
+ * on disk. The process must end and be started again.
+ */
+void hub_set_failure_callback(hub_t *hub, hub_failed_cb failed, void *ctx);
+
 /** Starts a planned stop; a leader transfers its leadership first. */
 void hub_begin_stop(hub_t *hub);
 
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -64,6 +64,8 @@
 	int64_t blocked_due_ms;
 	int64_t load_due_ms;
 	uint64_t compacted;
+	hub_failed_cb failed; /* NULL once called */
+	void *failed_ctx;
 	int is_stopping;
 	int64_t stop_deadline_ms;
 	metrics_t *metrics;
--- a/src/hub/hub_main.c
+++ b/src/hub/hub_main.c
@@ -27,6 +27,7 @@
 	uv_timer_t stop_timer;
 	int is_flushing;
 	int64_t flush_end_ms;
+	int exit_status;
 } program_t;
 
 static void
@@ -59,6 +60,22 @@
 		    &program->stop_timer, program_poll_stop, 0, STOP_POLL_MS);
 }
 
+/* Ends the process with a failure, so that it is started again and reads what is
+ * on disk. */
+static void
+program_fail(void *ctx)
+{
+	program_t *program = ctx;
+
+	program->exit_status = 1;
+	LOG_EVENT(927, LOG_LEVEL_ERROR,
+	    "the data folder failed, this process ends",
+	    LOG_TEXT("remedy",
+		"check the disk and its free space; the process must be "
+		"started again"));
+	program_stop(program);
+}
+
 /* Applies seeds and secrets; an invalid file changes nothing. */
 static void
 program_reload(void *ctx)
@@ -98,6 +115,7 @@
 			"process uses the ports"));
 		return (1);
 	}
+	hub_set_failure_callback(program.hub, program_fail, &program);
 	program_watch_signals(&program.signals, &program.loop, program_stop,
 	    program_reload, &program);
 	uv_timer_init(&program.loop, &program.stop_timer);
@@ -109,7 +127,7 @@
 	uv_run(&program.loop, UV_RUN_DEFAULT);
 	/* Everything that was acknowledged is on disk; the end of the process
 	 * releases memory and connections. */
-	return (0);
+	return (program.exit_status);
 }
 
 int
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -139,7 +139,13 @@
 	int err = store_read_pair(store, STORE_VOTE_FILE, STORE_VOTE_MAGIC,
 	    &store->restore.term, &store->restore.vote);
 
-	return (err == TM_ENOENT ? TM_OK : err);
+	if (err == TM_ENOENT)
+		return (TM_OK);
+	if (err != TM_OK)
+		return (err);
+	/* The file may come from a sync that failed before the last end. */
+	return (store_write_pair(store, STORE_VOTE_FILE, STORE_VOTE_MAGIC,
+	    store->restore.term, store->restore.vote));
 }
 
 static int
--- a/src/store/store_io.c
+++ b/src/store/store_io.c
@@ -12,7 +12,7 @@
 #include "base/error.h"
 #include "base/log.h"
 
-static int
+int
 store_report_io(const char *operation)
 {
 	LOG_EVENT(223, LOG_LEVEL_ERROR,
--- a/src/store/store_io.h
+++ b/src/store/store_io.h
@@ -62,6 +62,9 @@
 /** @return the little-endian number at a position */
 uint32_t store_get_u32(const uint8_t *at);
 
+/** Logs a failed operation with errno. @return TM_EIO */
+int store_report_io(const char *operation);
+
 /** Logs that a file is corrupt. @return TM_ECORRUPT */
 int store_report_corrupt(const char *file, uint64_t offset);
 
--- a/src/store/wal.c
+++ b/src/store/wal.c
@@ -388,6 +388,15 @@
 	return (TM_OK);
 }
 
+/* After a failed sync the next start could read the frame from the page cache,
+ * and take it for durable. */
+static void
+wal_remove_unsynced(wal_t *wal)
+{
+	if (ftruncate(wal->fd, (off_t)wal->size) != 0)
+		store_report_io("truncate");
+}
+
 static int
 wal_write_frame(wal_t *wal, size_t payload)
 {
@@ -404,8 +413,12 @@
 	    WAL_FRAME_HEADER_BYTES + payload);
 	if (err == TM_OK)
 		err = store_io_sync(wal->options.faults, wal->fd);
+	if (err != TM_OK) {
+		wal_remove_unsynced(wal);
+		return (err);
+	}
 	wal->size += WAL_FRAME_HEADER_BYTES + payload;
-	return (err);
+	return (TM_OK);
 }
 
 static int
--- a/test/unit/store_test.cc
+++ b/test/unit/store_test.cc
@@ -38,13 +38,19 @@
 
 	int
 	open(size_t segment_bytes = 0)
+	{
+		faults = { -1, -1, 0 };
+		return (open_with_faults(segment_bytes));
+	}
+
+	int
+	open_with_faults(size_t segment_bytes = 0)
 	{
 		store_options_t options = { path.c_str(), segment_bytes,
 			&faults };
 
 		store_close(store);
 		store = nullptr;
-		faults = { -1, -1, 0 };
 		int err = store_open(&store, &options);
 		if (err == TM_OK)
 			storage = store_get_storage(store);
@@ -231,8 +237,22 @@
 	faults.syncs_until_failure = -1;
 	EXPECT_EQ(TM_EIO, append(2, 1));
 	EXPECT_EQ(TM_EIO, storage.truncate(storage.ctx, 1));
+	/* What was not synced may be in the page cache only. */
+	ASSERT_EQ(TM_OK, open());
+	EXPECT_EQ(count(), 1u);
+}
+
+// The page cache may show a vote whose sync failed; after a loss of power the
+// node would vote again in the same term.
+TEST_F(Store, AVoteIsSyncedAgainAtTheStart)
+{
+	ASSERT_EQ(TM_OK, open());
+	faults.syncs_until_failure = 1;
+	EXPECT_EQ(TM_EIO, storage.save_vote(storage.ctx, 2, 2));
+	faults.syncs_until_failure = 0;
+	EXPECT_EQ(TM_EIO, open_with_faults());
 	ASSERT_EQ(TM_OK, open());
-	EXPECT_GE(count(), 1u);
+	EXPECT_EQ(2u, store_get_restore(store)->term);
 }
 
 TEST_F(Store, ShortWriteLosesNothingThatWasAccepted)
