--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -128,18 +128,6 @@
 	return (err);
 }
 
-/*
- * A response without a length may be truncated, so it must not get a length
- * here. Answered as HTTP/1.0, for which h2o adds no framing of its own.
- */
-static void
-pass_unframed(h2o_req_t *req)
-{
-	req->res.content_length = SIZE_MAX;
-	req->version = 0x100;
-	req->http1_is_persistent = 0;
-}
-
 void
 gate_wire_reply(const gate_request_t *request, h2o_req_t *req,
     const upstream_response_t *response)
@@ -152,10 +140,10 @@
 	}
 	req->res.status = response->status;
 	req->res.reason = http_status_get_reason(response->status);
+	/* Also where the target's response ended with its connection: an early
+	 * end of this connection must show. */
 	req->res.content_length =
 	    request->is_head ? response->content_length : response->body_len;
-	if (response->is_unframed)
-		pass_unframed(req);
 	forward_send_body(
 	    req, response, upstream_get_budget(request->gate->upstream));
 }
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -323,7 +323,6 @@
 		.body = conn->response.body.bytes,
 		.body_len = conn->response.body.len,
 		.content_length = conn->response.length,
-		.is_unframed = conn->response.until_close,
 		.is_reused = conn->requests > 1,
 		.owned_body = &conn->response.body,
 	};
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -51,7 +51,6 @@
 	const uint8_t *body;
 	size_t body_len;
 	uint64_t content_length; /**< header of a response to HEAD */
-	int is_unframed; /**< ended with its connection: maybe not whole */
 	int is_reused; /**< the connection has carried requests before */
 	buffer_t *owned_body; /**< of body; see upstream_response_take_body() */
 } upstream_response_t;
--- a/test/functional/gate_memory.py
+++ b/test/functional/gate_memory.py
@@ -1,14 +1,13 @@
 """Targets whose responses have no end, and callers that do not read theirs,
 beside ordinary requests of another service. Prints how far the memory of the gate
 stayed within that of a VM."""
-import json
 import random
 import socket
 import sys
 import threading
 import time
 
-from platform_fleet import Fleet, TargetProcess, call, document
+from platform_fleet import Fleet, RawTarget, TargetProcess, call, document
 
 BUILD, WORK = sys.argv[1], sys.argv[2]
 NET = f"127.{random.randrange(120, 160)}.{random.randrange(1, 250)}"
@@ -22,52 +21,6 @@
 fleet = Fleet(BUILD, WORK, [f"{NET}.1"], [f"{NET}.20"])
 
 
-class RawTarget:
-    """Writes what a function returns, piece by piece, as the answer."""
-
-    def __init__(self, name, service, write):
-        self.name = name
-        self.service = service
-        self.write = write
-        self.socket = socket.create_server(("127.0.0.1", 0), backlog=256)
-        threading.Thread(target=self.accept, daemon=True).start()
-        threading.Thread(target=self.announce, daemon=True).start()
-
-    def announce(self):
-        count = 0
-        while True:
-            count += 1
-            fleet.control(
-                "POST", f"/tarragonmoor/instances/{self.name}/heartbeat", {
-                    "Service": self.service, "Zone": "z1", "Version": "v1",
-                    "Address": "127.0.0.1:%d" % self.socket.getsockname()[1],
-                    "MaxConcurrency": 100, "State": "ready", "WarmupLeftS": 0,
-                    "Sequence": count, "born": 1000})
-            time.sleep(0.5)
-
-    def accept(self):
-        while True:
-            conn = self.socket.accept()[0]
-            threading.Thread(target=self.serve, args=(conn,),
-                             daemon=True).start()
-
-    def serve(self, conn):
-        head = b""
-        try:
-            while b"\r\n\r\n" not in head:
-                part = conn.recv(65536)
-                if not part:
-                    return
-                head += part
-            fields = dict(line.lower().split(": ", 1) for line in
-                          head.decode("latin-1").split("\r\n")[1:] if line)
-            self.write(conn, fields["tarragonmoor-attempt-id"])
-        except OSError:
-            pass
-        finally:
-            conn.close()
-
-
 def head(attempt, more=""):
     return (f"HTTP/1.1 200 OK\r\nTarragonmoor-Attempt-Id: {attempt}\r\n"
             f"Tarragonmoor-Server-Signature: sig\r\n{more}\r\n").encode()
@@ -210,8 +163,8 @@
     fleet.control("POST", "/tarragonmoor/config/put", changed)
     TargetProcess(fleet, "t1")
     for i in range(3):
-        RawTarget(f"endless-{i}", "endless", write_endless)
-        RawTarget(f"large-{i}", "large", write_large)
+        RawTarget(fleet, f"endless-{i}", "endless", write_endless)
+        RawTarget(fleet, f"large-{i}", "large", write_large)
     fleet.wait("the gate is ready", lambda: fleet.is_ready(0))
     for path in ("/x/1", "/large/1"):
         fleet.wait(f"{path} is served", lambda path=path: call(
--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -182,6 +182,53 @@
             return [json.loads(line) for line in file]
 
 
+class RawTarget:
+    """A target in a thread; a function writes the answer to its connection."""
+
+    def __init__(self, fleet, name, service, write):
+        self.fleet = fleet
+        self.name = name
+        self.service = service
+        self.write = write
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=256)
+        threading.Thread(target=self.accept, daemon=True).start()
+        threading.Thread(target=self.announce, daemon=True).start()
+
+    def announce(self):
+        count = 0
+        while True:
+            count += 1
+            self.fleet.control(
+                "POST", f"/tarragonmoor/instances/{self.name}/heartbeat", {
+                    "Service": self.service, "Zone": "z1", "Version": "v1",
+                    "Address": "127.0.0.1:%d" % self.socket.getsockname()[1],
+                    "MaxConcurrency": 100, "State": "ready", "WarmupLeftS": 0,
+                    "Sequence": count, "born": 1000})
+            time.sleep(0.5)
+
+    def accept(self):
+        while True:
+            conn = self.socket.accept()[0]
+            threading.Thread(target=self.serve, args=(conn,),
+                             daemon=True).start()
+
+    def serve(self, conn):
+        head = b""
+        try:
+            while b"\r\n\r\n" not in head:
+                part = conn.recv(65536)
+                if not part:
+                    return
+                head += part
+            fields = dict(line.lower().split(": ", 1) for line in
+                          head.decode("latin-1").split("\r\n")[1:] if line)
+            self.write(conn, fields["tarragonmoor-attempt-id"])
+        except OSError:
+            pass
+        finally:
+            conn.close()
+
+
 class Target:
     """Speaks the platform's protocol of targets, and records what it ran."""
 
