gate: a stop with little time answers before the kill

From reading the change: with a stop_within_s below 2.9 s the last answers came after the process would have been killed. GateStop.AnswersWithinAShortTime shows it (new; not run on the code before).

--- a/src/gate/gate_stop.c
+++ b/src/gate/gate_stop.c
@@ -32,7 +32,8 @@
 	gate_phase_t phase = stop->phase;
 
 	if (phase == GATE_LEAVING &&
-	    now_ms - stop->requested_ms >= DRAIN_NOTICE_MS)
+	    (now_ms - stop->requested_ms >= DRAIN_NOTICE_MS ||
+		now_ms >= get_answers_end_ms(stop)))
 		stop->phase = GATE_CLOSED;
 	else if (phase == GATE_CLOSED && now_ms >= get_answers_end_ms(stop))
 		stop->phase = GATE_ENDING;
--- a/test/unit/gate_stop_test.cc
+++ b/test/unit/gate_stop_test.cc
@@ -81,6 +81,20 @@
 	EXPECT_FALSE(gate_stop_request(&stop, kStopMs));
 }
 
+// With less time than the load balancer needs, requests get their answers all the
+// same.
+TEST(GateStop, AnswersWithinAShortTime)
+{
+	gate_stop_t stop = {};
+
+	stop.within_ms = 1000;
+	gate_stop_request(&stop, kStopMs);
+	EXPECT_FALSE(gate_stop_advance(&stop, kStopMs + 600));
+	while (gate_stop_advance(&stop, kStopMs + 750))
+		EXPECT_FALSE(gate_stop_is_overdue(&stop, kStopMs + 750));
+	EXPECT_EQ(stop.phase, GATE_ENDING);
+}
+
 // A gate that was frozen through its stop passes through all phases at once.
 TEST(GateStop, CatchesUpAfterAFreeze)
 {
