http: a listener bounds the memory of large requests together

What callers would see: many large bodies at once take a gate over the memory of its VM, and all its requests end with it.

Cause: libh2o keeps each request whole, nothing bounds their sum, and the gate copied a body twice more.

Change: http_intake.c looks at each connection as it reads and refuses with 503 and Retry-After what does not fit into request_buffer_mb, by the length that its head names or the largest that is still read; the rest is drained. Bodies go to the target from where they were read.

Also: a response that belongs to an earlier request gives back its reservation.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -348,6 +348,19 @@
 	return (peer_net_create(&gate->net, &options));
 }
 
+/* The request was not read, so nothing of it is known. */
+static void
+on_intake_refused(void *ctx)
+{
+	gate_t *gate = ctx;
+
+	gate_metrics_count_answer(gate, "", 503, "buffers_full", 0);
+	LOG_EVENT(968, LOG_LEVEL_WARN,
+	    "large request refused before it was read",
+	    LOG_NUM("connections", http_server_get_connections(gate->callers)),
+	    LOG_NUM("in_flight", gate->in_flight));
+}
+
 static int
 open_listeners(gate_t *gate)
 {
@@ -357,6 +370,8 @@
 		.server_name = "tarragonmoor",
 		.connections_max = GATE_CONNECTIONS_MAX,
 		.body_max_bytes = GATE_BODY_MAX_BYTES,
+		.intake_max_bytes = gate->settings.request_limit_bytes,
+		.intake_refused = on_intake_refused,
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
 		.handle = gate_front_handle,
 		.ctx = gate,
@@ -366,6 +381,7 @@
 	options.addr = gate->settings.ready_listen;
 	options.connections_max = 64;
 	options.body_max_bytes = 1024;
+	options.intake_max_bytes = 0;
 	options.handle = handle_ready;
 	if (err == TM_OK)
 		err = http_server_create(&gate->ready, &options);
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -371,6 +371,9 @@
 
 	call.bytes = bytes.bytes;
 	call.len = bytes.len;
+	/* The request goes when its caller does, and cancels the call first. */
+	call.body = request->req->entity.base;
+	call.body_len = request->req->entity.len;
 	if (err == TM_OK)
 		err = upstream_call_start(
 		    request->gate->upstream, &call, &request->call);
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -121,7 +121,7 @@
 uint64_t gate_wire_get_fingerprint(gate_request_t *request);
 
 /**
- * Encodes the request for a target.
+ * Encodes the head of the request for a target.
  *
  * @return 0 or TM_ENOMEM; the caller releases out
  */
--- a/src/gate/gate_settings.c
+++ b/src/gate/gate_settings.c
@@ -6,7 +6,8 @@
 #include "fleet/fleet_settings.h"
 #include "http/response_budget.h"
 
-#define BYTES_PER_MB ((size_t)1024 * 1024)
+#define BYTES_PER_MB		  ((size_t)1024 * 1024)
+#define REQUEST_BUFFER_DEFAULT_MB 64
 
 const char gate_default_settings[] =
     "{\n"
@@ -21,6 +22,7 @@
     "  \"fleet_secrets\": [\"replace-with-32-random-bytes\"],\n"
     "  \"revoke_within_s\": 5,\n"
     "  \"stop_within_s\": 6,\n"
+    "  \"request_buffer_mb\": 64,\n"
     "  \"response_buffer_mb\": 96,\n"
     "  \"rate_window_s\": 5,\n"
     "  \"rate_overshoot\": 0.1,\n"
@@ -53,6 +55,10 @@
 	    (size_t)json_opt_int(root, "response_buffer_mb", 16, 65536, "MB",
 		RESPONSE_BUDGET_DEFAULT_BYTES / BYTES_PER_MB) *
 	    BYTES_PER_MB;
+	settings->request_limit_bytes =
+	    (size_t)json_opt_int(root, "request_buffer_mb", 16, 65536, "MB",
+		REQUEST_BUFFER_DEFAULT_MB) *
+	    BYTES_PER_MB;
 	fleet_read_rate_bounds(root, &settings->rates);
 	settings->dialect = fleet_read_dialect(root);
 	settings->log_level = program_read_log_level(root);
--- a/src/gate/gate_settings.h
+++ b/src/gate/gate_settings.h
@@ -29,6 +29,7 @@
 	int64_t revoke_within_ms; /**< longest use of a withdrawn key */
 	int64_t stop_within_ms; /**< from the signal to the exit */
 	size_t response_limit_bytes; /**< of all responses together */
+	size_t request_limit_bytes; /**< of all large requests together */
 	fleet_rate_bounds_t rates;
 	const dialect_t *dialect;
 	log_level_t log_level;
--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -121,11 +121,7 @@
 		err = append_caller_headers(request, out);
 	if (err == TM_OK)
 		err = append_own_headers(request, target, remaining_ms, out);
-	if (err == TM_OK)
-		err = forward_append_text(out, "\r\n");
-	if (err == TM_OK)
-		err = buffer_append(out, req->entity.base, req->entity.len);
-	return (err);
+	return (err == TM_OK ? forward_append_text(out, "\r\n") : err);
 }
 
 void
--- /dev/null
+++ b/src/http/http_intake.c
@@ -0,0 +1,199 @@
+#include "http/http_intake.h"
+
+#include <dlfcn.h>
+#include <string.h>
+
+#include <utlist.h>
+
+/* The body tells in words what the status and the time do. */
+#define REFUSAL                                                               \
+	"HTTP/1.1 503 Service Unavailable\r\n"                                \
+	"Connection: close\r\n"                                               \
+	"Retry-After: 1.000\r\n"                                              \
+	"Content-Type: application/json\r\n"                                  \
+	"Content-Length: 143\r\n"                                             \
+	"\r\n"                                                                \
+	"{\"error\":\"buffers_full\",\"run\":\"no\",\"reason\":\"too many "   \
+	"large requests are sent to this VM\",\"remedy\":\"send the request " \
+	"again after Retry-After\"}\n"
+
+typedef void (*read_start_t)(h2o_socket_t *sock, h2o_socket_cb cb);
+
+static void
+count(http_intake_conn_t *conn, size_t bytes)
+{
+	if (bytes <= HTTP_INTAKE_SMALL_BYTES)
+		bytes = 0;
+	conn->intake->held_bytes += bytes - conn->held_bytes;
+	conn->held_bytes = bytes;
+}
+
+/* h2o_socket_t.on_close.cb; also marks the sockets that are watched. */
+static void
+on_socket_closed(void *data)
+{
+	http_intake_conn_t *conn = data;
+
+	count(conn, 0);
+	DL_DELETE(conn->intake->conns, conn);
+	conn->sock = NULL;
+}
+
+static http_intake_conn_t *
+get_conn(const h2o_socket_t *sock)
+{
+	return (
+	    sock->on_close.cb == on_socket_closed ? sock->on_close.data : NULL);
+}
+
+/* Finds the length of a request whose head has arrived. */
+static void
+read_length(http_intake_conn_t *conn)
+{
+	const h2o_buffer_t *input = conn->sock->input;
+	const char *end = memmem(input->bytes, input->size, "\r\n\r\n", 4);
+	const char *at = input->bytes;
+	size_t length = 0;
+	size_t name_len = sizeof("content-length:") - 1;
+
+	if (end == NULL)
+		return;
+	conn->length = (size_t)(end - input->bytes) + 4;
+	while (
+	    at < end && (at = memchr(at, '\n', (size_t)(end - at))) != NULL) {
+		at++;
+		if ((size_t)(end - at) <= name_len ||
+		    !h2o_lcstris(at, name_len, "content-length:", name_len))
+			continue;
+		at += name_len;
+		while (at < end && *at == ' ')
+			at++;
+		for (; at < end && *at >= '0' && *at <= '9' &&
+		     length < SIZE_MAX / 100;
+		     at++)
+			length = length * 10 + (size_t)(*at - '0');
+		conn->length += length;
+		return;
+	}
+}
+
+static void
+on_refusal_sent(h2o_socket_t *sock, const char *err)
+{
+	http_intake_conn_t *conn = get_conn(sock);
+
+	/* What the caller still sends is read and dropped until it has seen the
+	 * response: a close now would reset the connection. h2o ends it when
+	 * the time for a request is over. */
+	if (conn != NULL && err == NULL)
+		uv_shutdown(&conn->shutdown, conn->stream, NULL);
+}
+
+static void
+refuse(http_intake_conn_t *conn)
+{
+	h2o_iovec_t text = h2o_iovec_init(REFUSAL, sizeof(REFUSAL) - 1);
+
+	conn->is_refused = 1;
+	count(conn, 0);
+	h2o_buffer_consume(&conn->sock->input, conn->sock->input->size);
+	h2o_socket_write(conn->sock, &text, 1, on_refusal_sent);
+	if (conn->intake->refused != NULL)
+		conn->intake->refused(conn->intake->ctx);
+}
+
+/* Refuses the largest requests that are still read until the others fit. */
+static void
+shed(http_intake_t *intake)
+{
+	http_intake_conn_t *conn;
+	http_intake_conn_t *largest;
+
+	while (intake->held_bytes > intake->limit_bytes) {
+		largest = NULL;
+		DL_FOREACH(intake->conns, conn) {
+			if (conn->held_bytes > 0 && !conn->is_running &&
+			    (largest == NULL ||
+				conn->held_bytes > largest->held_bytes))
+				largest = conn;
+		}
+		/* One alone is bounded by the longest body. */
+		if (largest == NULL ||
+		    largest->held_bytes == intake->held_bytes)
+			return;
+		refuse(largest);
+	}
+}
+
+/* h2o_socket_cb, ahead of that of h2o */
+static void
+on_read(h2o_socket_t *sock, const char *err)
+{
+	http_intake_conn_t *conn = get_conn(sock);
+	size_t size = sock->input->size;
+
+	if (err == NULL && !conn->is_refused && !conn->is_running) {
+		if (conn->length == 0)
+			read_length(conn);
+		count(conn, size > conn->length ? size : conn->length);
+		shed(conn->intake);
+	}
+	if (conn->is_refused && err == NULL)
+		h2o_buffer_consume(&sock->input, sock->input->size);
+	else
+		conn->read(sock, err);
+}
+
+void
+http_intake_watch(http_intake_t *intake, http_intake_conn_t *conn,
+    h2o_socket_t *sock, uv_stream_t *stream)
+{
+	if (intake->limit_bytes == 0)
+		return;
+	conn->intake = intake;
+	conn->sock = sock;
+	conn->stream = stream;
+	sock->on_close.cb = on_socket_closed;
+	sock->on_close.data = conn;
+	DL_APPEND(intake->conns, conn);
+}
+
+http_intake_conn_t *
+http_intake_begin(const h2o_req_t *req)
+{
+	http_intake_conn_t *conn =
+	    get_conn(req->conn->callbacks->get_socket(req->conn));
+
+	if (conn != NULL)
+		conn->is_running = 1;
+	return (conn);
+}
+
+void
+http_intake_end(http_intake_conn_t *conn)
+{
+	conn->is_running = 0;
+	conn->length = 0;
+	if (conn->sock != NULL)
+		count(conn, 0);
+}
+
+/*
+ * Takes the place of the function of libh2o, which calls it through its dynamic
+ * symbol, to see what watched connections read. functional/gate_intake fails if a
+ * later version of libh2o calls it in another way.
+ */
+void
+h2o_socket_read_start(h2o_socket_t *sock, h2o_socket_cb cb)
+{
+	static read_start_t next;
+	http_intake_conn_t *conn = get_conn(sock);
+
+	if (next == NULL)
+		next = (read_start_t)dlsym(RTLD_NEXT, "h2o_socket_read_start");
+	if (conn != NULL) {
+		conn->read = cb;
+		cb = on_read;
+	}
+	next(sock, cb);
+}
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -31,12 +31,14 @@
 	uv_tcp_t listener;
 	uint32_t connections;
 	uint32_t active; /* requests without a written response */
+	http_intake_t intake;
 	uint64_t refused;
 };
 
 typedef struct server_conn {
 	uv_tcp_t tcp;
 	http_server_t *server;
+	http_intake_conn_t intake;
 } server_conn_t;
 
 static void
@@ -86,6 +88,8 @@
 	limit_writes(&conn->tcp);
 	sock = h2o_uv_socket_create(
 	    (uv_stream_t *)&conn->tcp, (uv_close_cb)on_conn_closed);
+	http_intake_watch(
+	    &server->intake, &conn->intake, sock, (uv_stream_t *)&conn->tcp);
 	h2o_accept(&server->accept_ctx, sock);
 }
 
@@ -93,6 +97,7 @@
  * or the connection has ended. */
 typedef struct active_request {
 	http_server_t *server;
+	http_intake_conn_t *intake;
 } active_request_t;
 
 static void
@@ -101,6 +106,8 @@
 	active_request_t *active = memory;
 
 	active->server->active--;
+	if (active->intake != NULL)
+		http_intake_end(active->intake);
 }
 
 static int
@@ -112,6 +119,7 @@
 
 	active->server = handler->server;
 	active->server->active++;
+	active->intake = http_intake_begin(req);
 	handler->server->options.handle(handler->server->options.ctx, req);
 	return (0);
 }
@@ -208,6 +216,11 @@
 	if (server == NULL)
 		return (TM_ENOMEM);
 	server->options = *options;
+	server->intake = (http_intake_t){
+		.limit_bytes = options->intake_max_bytes,
+		.refused = options->intake_refused,
+		.ctx = options->ctx,
+	};
 	configure(server);
 	if (options->tls != NULL && http_tls_is_set(options->tls))
 		rc = http_tls_load(
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -15,6 +15,7 @@
 #include <h2o.h>
 
 #include "base/buffer.h"
+#include "http/http_intake.h"
 #include "http/http_tls.h"
 #include "http/response_budget.h"
 
@@ -30,6 +31,9 @@
 	const char *server_name; /**< value of the Server header */
 	uint32_t connections_max; /**< further connections are closed */
 	size_t body_max_bytes; /**< larger requests are answered with 413 */
+	/** Bound of all large requests together; others are refused with 503.
+	 * 0: none. */
+	size_t intake_max_bytes;
 	uint32_t idle_timeout_ms;
 	/** Header added to the responses that h2o makes itself; may be NULL */
 	const char *error_header;
@@ -37,6 +41,8 @@
 	const http_tls_files_t *tls; /**< NULL or unset: plain HTTP */
 	http_server_cb handle;
 	void (*refused)(void *ctx); /**< a connection over the cap; or NULL */
+	/** A request over intake_max_bytes was refused; or NULL. */
+	void (*intake_refused)(void *ctx);
 	void *ctx; /**< of the callbacks */
 } http_server_options_t;
 
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -81,6 +81,8 @@
 	uint64_t carried[CARRIED_IDS]; /* id hashes of the last requests */
 	uint32_t requests; /* that it has carried */
 	buffer_t out;
+	const char *body; /* sent after out; of the caller */
+	size_t body_len;
 	response_t response;
 	upstream_header_t headers[UPSTREAM_HEADERS_MAX];
 	size_t header_count;
@@ -294,6 +296,7 @@
 {
 	response_reset(&conn->response, conn->call->is_head,
 	    UPSTREAM_BODY_MAX_BYTES, conn_on_header, conn);
+	response_budget_unreserve(&conn->upstream->budget, &conn->reservation);
 	conn->header_count = 0;
 	conn->header_text_len = 0;
 	conn->headers_overflow = 0;
@@ -455,25 +458,40 @@
 		conn_on_end(conn, 1);
 }
 
+/* Removes bytes from the front of two buffers. */
+static void
+skip_bytes(uv_buf_t bufs[2], size_t count)
+{
+	size_t first = count < bufs[0].len ? count : bufs[0].len;
+
+	bufs[0].base += first;
+	bufs[0].len -= first;
+	if (count == first)
+		return;
+	bufs[1].base += count - first;
+	bufs[1].len -= count - first;
+}
+
 static void
 conn_send(upstream_conn_t *conn)
 {
 	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
-	uv_buf_t buf =
-	    uv_buf_init((char *)conn->out.bytes, (unsigned)conn->out.len);
+	uv_buf_t bufs[] = {
+		uv_buf_init((char *)conn->out.bytes, (unsigned)conn->out.len),
+		uv_buf_init((char *)conn->body, (unsigned)conn->body_len),
+	};
 	int count;
 
 	conn_reset_response(conn);
 	conn->call->is_sent = 1;
-	count = uv_try_write(stream, &buf, 1);
-	if (count == (int)conn->out.len)
-		return;
+	count = uv_try_write(stream, bufs, 2);
 	if (count > 0)
-		buffer_consume(&conn->out, (size_t)count);
-	buf = uv_buf_init((char *)conn->out.bytes, (unsigned)conn->out.len);
+		skip_bytes(bufs, (size_t)count);
+	if (bufs[0].len + bufs[1].len == 0)
+		return;
 	conn->is_writing = 1;
 	/* A failed write is reported by the callback or by the read side. */
-	if (uv_write(&conn->write, stream, &buf, 1, conn_on_written) != 0)
+	if (uv_write(&conn->write, stream, bufs, 2, conn_on_written) != 0)
 		conn->is_writing = 0;
 }
 
@@ -607,6 +625,8 @@
 		free(call);
 		return (TM_ENOMEM);
 	}
+	conn->body = request->body;
+	conn->body_len = request->body_len;
 	call->conn = conn;
 	call->done = request->done;
 	call->ctx = request->ctx;
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -77,8 +77,11 @@
 /** What to send. */
 typedef struct upstream_request {
 	struct sockaddr_in to;
-	const void *bytes; /**< head and body; copied */
+	const void *bytes; /**< head, or head and body; copied */
 	size_t len;
+	/** Body that follows; not copied: it must stay until the call ends. */
+	const void *body;
+	size_t body_len;
 	int is_head; /**< the method is HEAD */
 	int is_fresh; /**< do not use a connection that was idle for long */
 	/** Take no connection idle for longer; 0: decided by is_fresh. */
--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -185,8 +185,9 @@
 class RawTarget:
     """A target in a thread; a function writes the answer to its connection."""
 
-    def __init__(self, fleet, name, service, write):
+    def __init__(self, fleet, name, service, write, reads_body=False):
         self.fleet = fleet
+        self.reads_body = reads_body
         self.name = name
         self.service = service
         self.write = write
@@ -220,9 +221,21 @@
                 if not part:
                     return
                 head += part
-            fields = dict(line.lower().split(": ", 1) for line in
-                          head.decode("latin-1").split("\r\n")[1:] if line)
-            self.write(conn, fields["tarragonmoor-attempt-id"])
+            head, _, body = head.partition(b"\r\n\r\n")
+            fields = {name.lower(): value for name, value in (
+                line.split(": ", 1) for line in
+                head.decode("latin-1").split("\r\n")[1:])}
+            attempt = fields["tarragonmoor-attempt-id"]
+            if not self.reads_body:
+                self.write(conn, attempt)
+                return
+            body = bytearray(body)
+            while len(body) < int(fields.get("content-length", 0)):
+                part = conn.recv(1 << 20)
+                if not part:
+                    return
+                body += part
+            self.write(conn, attempt, bytes(body))
         except OSError:
             pass
         finally:
