hub, gate: a comparison of nothing, and memory that a search for the leader left behind

Seen with the sanitizers in gate_stop.sh: memcmp() with a null pointer where no target is ejected, and 8 bytes lost for each question to a hub that does not lead (the outcomes that it would be sent).

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -76,6 +76,7 @@
 		    gate_usage_list(gate->usage, &join->usage, clock_now_ms());
 	}
 	if (gate->outcomes == NULL) {
+		free(gate->outcome_pointers);
 		gate->outcomes =
 		    gate_table_collect_outcomes(gate->table, &count);
 		gate->outcome_pointers =
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -178,7 +178,9 @@
 		return;
 	count = hub_outlier_list_ejected(hub->outlier, targets, max);
 	if (count != state->ejected_count ||
-	    memcmp(targets, state->ejected, count * sizeof(*targets)) != 0) {
+	    (count > 0 &&
+		memcmp(targets, state->ejected, count * sizeof(*targets)) !=
+		    0)) {
 		bytes = hub_entry_encode_ejected(targets, count, &len);
 		hub_propose(hub, bytes, len, ignore_outcome, NULL);
 	}
