gate: a stopping gate holds for a second more what it has the time to serve

What callers saw: beside load, a request that had waited 0.3 s for a leader that was just elected was refused at SIGTERM (hub_gate.sh: 503 for 200; event 960: draining, tries 0, total_ms 300; leader connected 0.3 s before, event 941).

Change: a request of a service that has served here is held for 1 s after the signal, if there is time to serve it then; others are refused at once as before.

GateStop.HoldsRequestsForAShortTimeOnly (new decision); gate_stop.sh and hub_gate.sh pass.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -497,14 +497,11 @@
 void
 gate_begin_stop(gate_t *gate)
 {
-	int64_t now_ms = clock_now_ms();
-
-	if (!gate_stop_request(&gate->stop, now_ms))
+	if (!gate_stop_request(&gate->stop, clock_now_ms()))
 		return;
 	LOG_EVENT(955, LOG_LEVEL_INFO, "stop requested",
 	    LOG_NUM("in_flight", gate->in_flight));
 	gate_front_refuse_waiting(gate);
-	gate_request_refuse_delayed(gate, now_ms);
 }
 
 int
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -174,16 +174,22 @@
 	return (request->started_ms + delay_ms);
 }
 
-int
-gate_request_has_time(const gate_request_t *request, int64_t wait_ms)
+/* @return bound of the latency of the request's service; -1: unknown */
+static int64_t
+get_expected_ms(const gate_request_t *request)
 {
-	const gate_t *gate = request->gate;
 	const gate_service_t *service =
-	    gate_table_find_service(gate->table, request->service);
+	    gate_table_find_service(request->gate->table, request->service);
 
-	return (gate_stop_has_time(&gate->stop, request->deadline_ms,
-	    service != NULL ? gate_latency_get_tail_ms(&service->latency) : -1,
-	    clock_now_ms() + wait_ms));
+	return (
+	    service != NULL ? gate_latency_get_tail_ms(&service->latency) : -1);
+}
+
+int
+gate_request_has_time(const gate_request_t *request, int64_t wait_ms)
+{
+	return (gate_stop_has_time(&request->gate->stop, request->deadline_ms,
+	    get_expected_ms(request), clock_now_ms() + wait_ms));
 }
 
 static void
@@ -213,7 +219,9 @@
 	int64_t now_ms = clock_now_ms();
 
 	/* Another VM can wait as well, and has the time for it. */
-	if (gate_stop_is_requested(&request->gate->stop)) {
+	if (!gate_stop_may_hold(
+		&request->gate->stop, get_expected_ms(request), now_ms) ||
+	    !gate_request_has_time(request, 0)) {
 		gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
 		return;
 	}
@@ -524,21 +532,6 @@
 	}
 }
 
-void
-gate_request_refuse_delayed(gate_t *gate, int64_t now_ms)
-{
-	gate_request_t *request;
-	gate_request_t *next;
-
-	DL_FOREACH_SAFE(gate->requests, request, next) {
-		if (request->state == GATE_STATE_DELAYED ||
-		    (request->state == GATE_STATE_SCHEDULED &&
-			!gate_request_has_time(
-			    request, request->wake_ms - now_ms)))
-			gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
-	}
-}
-
 void
 gate_request_end_all(gate_t *gate)
 {
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -104,10 +104,6 @@
 /** Checks deadlines, delays and abandoned requests. */
 void gate_request_tick_all(gate_t *gate, int64_t now_ms);
 
-/** Refuses the requests that wait for something that may not come, or for longer
- * than the gate has: it stops. */
-void gate_request_refuse_delayed(gate_t *gate, int64_t now_ms);
-
 /** Gives all requests their final answer: the gate ends. */
 void gate_request_end_all(gate_t *gate);
 
--- a/src/gate/gate_stop.c
+++ b/src/gate/gate_stop.c
@@ -3,6 +3,9 @@
 /* Time after the request to stop for which new connections are accepted: the
  * load balancer checks once a second and needs two failures. */
 #define DRAIN_NOTICE_MS 2600
+/* Requests are held for this time after the request to stop: most elections and
+ * short cuts end within it. */
+#define HOLD_MAX_MS 1000
 /* Requests that still run get a final answer this long before the process would
  * be killed. */
 #define ANSWER_MARGIN_MS 300
@@ -53,6 +56,13 @@
 	    now_ms >= stop->requested_ms + stop->within_ms - EXIT_MARGIN_MS);
 }
 
+int
+gate_stop_may_hold(const gate_stop_t *stop, int64_t expected_ms, int64_t now_ms)
+{
+	return (!gate_stop_is_requested(stop) ||
+	    (expected_ms >= 0 && now_ms - stop->requested_ms < HOLD_MAX_MS));
+}
+
 int
 gate_stop_has_time(const gate_stop_t *stop, int64_t deadline_ms,
     int64_t expected_ms, int64_t now_ms)
--- a/src/gate/gate_stop.h
+++ b/src/gate/gate_stop.h
@@ -39,6 +39,16 @@
 /** @return 1 if the process must end, whatever still runs */
 int gate_stop_is_overdue(const gate_stop_t *stop, int64_t now_ms);
 
+/**
+ * Tells whether a request may still wait for what may come, such as a leader; for
+ * longer it is better held elsewhere.
+ *
+ * @param expected_ms  as for gate_stop_has_time(); a service that has not served
+ *                     here yet may have no target at all
+ */
+int gate_stop_may_hold(
+    const gate_stop_t *stop, int64_t expected_ms, int64_t now_ms);
+
 /**
  * Tells whether a request that is sent to a target now gets its answer before
  * the gate ends.
--- a/test/unit/gate_stop_test.cc
+++ b/test/unit/gate_stop_test.cc
@@ -81,6 +81,19 @@
 	EXPECT_FALSE(gate_stop_request(&stop, kStopMs));
 }
 
+// A request that waited for a leader which was just elected was refused at the
+// signal; held for long, it has less time elsewhere.
+TEST(GateStop, HoldsRequestsForAShortTimeOnly)
+{
+	gate_stop_t stop = {};
+
+	EXPECT_TRUE(gate_stop_may_hold(&stop, -1, kLateMs));
+	stop = Stopping();
+	EXPECT_TRUE(gate_stop_may_hold(&stop, 300, kStopMs + 500));
+	EXPECT_FALSE(gate_stop_may_hold(&stop, 300, kStopMs + 1500));
+	EXPECT_FALSE(gate_stop_may_hold(&stop, -1, kStopMs + 500));
+}
+
 // With less time than the load balancer needs, requests get their answers all the
 // same.
 TEST(GateStop, AnswersWithinAShortTime)
