--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -193,10 +193,9 @@
 }
 
 static void
-sleep_until(gate_request_t *request, gate_state_t state, gate_refusal_t reason,
-    int64_t wake_ms)
+sleep_until(gate_request_t *request, gate_refusal_t reason, int64_t wake_ms)
 {
-	request->state = state;
+	request->state = GATE_STATE_DELAYED;
 	request->pending_refusal = reason;
 	request->wake_ms = wake_ms;
 }
@@ -209,8 +208,7 @@
 		gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
 		return;
 	}
-	sleep_until(
-	    request, GATE_STATE_SCHEDULED, reason, clock_now_ms() + wait_ms);
+	sleep_until(request, reason, clock_now_ms() + wait_ms);
 }
 
 void
@@ -230,8 +228,7 @@
 		gate_request_refuse(request, reason, 0);
 		return;
 	}
-	sleep_until(
-	    request, GATE_STATE_DELAYED, reason, now_ms + DELAY_STEP_MS);
+	sleep_until(request, reason, now_ms + DELAY_STEP_MS);
 }
 
 /* @return 1 if the request is blocked, and so has been refused and freed */
@@ -525,8 +522,7 @@
 			abandon(request);
 		else if (request->state == GATE_STATE_SENT)
 			gate_attempt_tick(request, now_ms);
-		else if ((request->state == GATE_STATE_DELAYED ||
-			     request->state == GATE_STATE_SCHEDULED) &&
+		else if (request->state == GATE_STATE_DELAYED &&
 		    now_ms >= request->wake_ms)
 			admit(request);
 	}
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -15,7 +15,6 @@
 	GATE_STATE_NEW,
 	GATE_STATE_TOKEN_PERMIT, /**< a permit of the workspace */
 	GATE_STATE_DELAYED, /**< until wake_ms; then it is admitted anew */
-	GATE_STATE_SCHEDULED, /**< the time of a permit that it has, wake_ms */
 	GATE_STATE_PROBE_PERMIT, /**< a permit to probe a target */
 	GATE_STATE_RETRY_PERMIT, /**< a permit to send the request again */
 	GATE_STATE_LIMIT_PERMIT, /**< a permit for a target with a limit */
