--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -27,8 +27,7 @@
  */
 #define CONNECT_MAX_MS 500
 /* Bounds the idle connections to one target. */
-#define IDLE_CONNS_MAX	      32
-#define HEADER_TEXT_MAX_BYTES 16384
+#define IDLE_CONNS_MAX 32
 /* Requests that a connection remembers by their ids. */
 #define CARRIED_IDS 8
 
@@ -82,11 +81,7 @@
 	const char *body; /* sent after out; of the caller */
 	size_t body_len;
 	response_t response;
-	upstream_header_t headers[UPSTREAM_HEADERS_MAX];
-	size_t header_count;
-	char *header_text; /* names and values of headers */
-	size_t header_text_len;
-	int headers_overflow;
+	upstream_headers_t headers;
 	upstream_conn_t *prev;
 	upstream_conn_t *next;
 };
@@ -175,7 +170,7 @@
 	upstream_release_target(conn->upstream, conn->target);
 	buffer_release(&conn->out);
 	response_release(&conn->response);
-	free(conn->header_text);
+	upstream_headers_release(&conn->headers);
 	free(conn);
 }
 
@@ -256,48 +251,13 @@
 	conn_close(conn);
 }
 
-static const char *
-conn_copy_text(upstream_conn_t *conn, const char *text, size_t len)
-{
-	char *copy = conn->header_text + conn->header_text_len;
-
-	memcpy(copy, text, len);
-	conn->header_text_len += len;
-	return (copy);
-}
-
-static void
-conn_on_header(void *ctx, const char *name, size_t name_len, const char *value,
-    size_t value_len)
-{
-	upstream_conn_t *conn = ctx;
-	upstream_header_t *header;
-
-	if (conn->header_text == NULL)
-		conn->header_text = malloc(HEADER_TEXT_MAX_BYTES);
-	if (conn->header_text == NULL ||
-	    conn->header_count == UPSTREAM_HEADERS_MAX ||
-	    conn->header_text_len + name_len + value_len >
-		HEADER_TEXT_MAX_BYTES) {
-		conn->headers_overflow = 1;
-		return;
-	}
-	header = &conn->headers[conn->header_count++];
-	header->name = conn_copy_text(conn, name, name_len);
-	header->name_len = name_len;
-	header->value = conn_copy_text(conn, value, value_len);
-	header->value_len = value_len;
-}
-
 static void
 conn_reset_response(upstream_conn_t *conn)
 {
 	response_reset(&conn->response, conn->call->is_head,
-	    UPSTREAM_BODY_MAX_BYTES, conn_on_header, conn);
+	    UPSTREAM_BODY_MAX_BYTES, upstream_headers_add, &conn->headers);
 	response_budget_unreserve(&conn->upstream->budget, &conn->reservation);
-	conn->header_count = 0;
-	conn->header_text_len = 0;
-	conn->headers_overflow = 0;
+	upstream_headers_reset(&conn->headers);
 }
 
 static upstream_relation_t
@@ -319,8 +279,8 @@
 {
 	upstream_response_t response = {
 		.status = conn->response.status,
-		.headers = conn->headers,
-		.header_count = conn->header_count,
+		.headers = conn->headers.list,
+		.header_count = conn->headers.count,
 		.body = conn->response.body.bytes,
 		.body_len = conn->response.body.len,
 		.content_length = conn->response.length,
@@ -339,7 +299,7 @@
 	}
 	if ((rest > 0 && !conn->call->is_lenient &&
 		!test_hooks_is_off("response_check")) ||
-	    conn->headers_overflow) {
+	    conn->headers.is_overflowed) {
 		conn_fail(conn, UPSTREAM_MALFORMED);
 		return;
 	}
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -16,13 +16,12 @@
 
 #include "http/response.h"
 #include "http/response_budget.h"
+#include "http/upstream_headers.h"
 
 /** Longest response body; all together are bounded by a response_budget_t. */
 #define UPSTREAM_BODY_MAX_BYTES (8u * 1024 * 1024)
 /** An idle connection keeps no larger buffer for its next response. */
 #define UPSTREAM_KEPT_BODY_BYTES 65536
-/** Headers kept of a response. */
-#define UPSTREAM_HEADERS_MAX 64
 
 typedef struct upstream upstream_t;
 typedef struct upstream_call upstream_call_t;
@@ -37,14 +36,6 @@
 	UPSTREAM_OVERSIZED /**< longer than UPSTREAM_BODY_MAX_BYTES */
 } upstream_result_t;
 
-/** A header of a response. */
-typedef struct upstream_header {
-	const char *name;
-	size_t name_len;
-	const char *value;
-	size_t value_len;
-} upstream_header_t;
-
 /** A complete response; valid during the callback only. */
 typedef struct upstream_response {
 	int status;
