gate: a pause of more than an hour counts

A target that answers 503 with Retry-After: 7200 got requests all the time. Cause: a pause over an hour counted as a value without sense. The rule has no longest pause. Change: any length counts, cut to 30 days to keep computed times in range; refused callers come back after a minute at most, as other targets may have come.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -20,6 +20,8 @@
  * timeout, or up to the default idle time where the target gives none. */
 #define IDLE_DEFAULT_MS 1000
 #define IDLE_MARGIN_MS	1500
+/* Callers come back after this time at the latest: other targets may have come. */
+#define PAUSED_RETRY_MAX_MS 60000
 /* With less time left, a retry is not worth an attempt. */
 #define RETRY_REMAINING_MIN_MS 20
 /* A 504 this long before the deadline that the target was given still counts
@@ -491,6 +493,9 @@
 		gate_limit_permit_reserve(request);
 	else if (choice.must_reserve)
 		gate_limit_permit_wait(request);
+	else if (choice.pause_ms > PAUSED_RETRY_MAX_MS)
+		gate_request_refuse(
+		    request, GATE_REFUSAL_PAUSED, PAUSED_RETRY_MAX_MS);
 	else if (choice.pause_ms > 0)
 		gate_request_refuse(
 		    request, GATE_REFUSAL_PAUSED, choice.pause_ms);
--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -14,8 +14,9 @@
 #define LOAD_DIGITS_MAX 9
 /* A longer text is no decimal number. */
 #define DECIMAL_BYTES_MAX 24
-/* A target that wants a longer pause than this makes no sense. */
-#define PAUSE_MAX_S 3600.0
+/* Longer pauses are cut to this one, which outlasts the processes; it keeps the
+ * times that are computed with it in range. */
+#define PAUSE_MAX_S (30.0 * 24 * 3600)
 /* Longer keep-alive timeouts are cut to this one. */
 #define KEEP_MAX_S 3600
 
@@ -220,8 +221,10 @@
 
 	if (response->status == 503)
 		pause_s = read_decimal(find_single(response, "retry-after"));
-	if (pause_s < 0 || pause_s > PAUSE_MAX_S)
+	if (pause_s < 0)
 		return (0);
+	if (pause_s > PAUSE_MAX_S)
+		pause_s = PAUSE_MAX_S;
 	return ((int64_t)(pause_s * (double)MS_PER_SEC));
 }
 
--- a/test/functional/gate_signals.py
+++ b/test/functional/gate_signals.py
@@ -18,6 +18,8 @@
 REQUESTS_MAX = 2
 DRAIN_S = 2
 PAUSE_S = 3
+LONG_PAUSE_S = 7200
+CALLER_WAIT_MAX_S = 60
 
 fleet = Fleet(BUILD, WORK, [f"{NET}.{i + 1}" for i in range(3)],
               [f"{NET}.{i + 20}" for i in range(GATES)])
@@ -124,6 +126,23 @@
               for target in targets))
 
 
+def check_long_pause(targets):
+    """Each gate asks each target once more, as the short pause ends."""
+    for target in targets:
+        target.set_answer(status=503, executed=False,
+                          headers={"Retry-After": str(LONG_PAUSE_S)})
+    time.sleep(PAUSE_S + 1)
+    since = time.monotonic()
+    time.sleep(2)
+    count = sum(len(x) for target in targets
+                for x in arrivals(target, since).values())
+    print("a pause of two hours counts:", count == 0)
+    status, _, headers = request(0, "long")
+    wait_s = float(headers.get("Retry-After", 0))
+    print("callers come back sooner:", status,
+          1 < wait_s <= CALLER_WAIT_MAX_S)
+
+
 def main():
     fleet.start_all(["key-one"])
     targets = [TargetProcess(fleet, f"t{i}") for i in range(6)]
@@ -142,6 +161,7 @@
     print("callers are served:",
           statuses.count(200) >= 0.98 * len(statuses))
     check_only_target(targets)
+    check_long_pause(targets)
     stop.set()
 
 
