gate, hub: make room for new hubs where many were replaced

A gate that knew 32 hubs never learned of another, and a hub that had heard from 32 never recorded another, so that the log lost a member with each replacement. Found in the review by reading; shown by tests with 40 and 64 replacements. Cause: the lists gave no entry away, and the list of names for others cut off its last one, alive or not. Change: the entry of the hub named, or heard from, the longest ago goes to a new one; never that of the leader, of a hub named by the same message or of one in the replicated state. Hubs heard from lately are named first.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -46,6 +46,14 @@
 	    gate->net, node_id_from_name(name), name, gate->settings.peer_port);
 }
 
+static void
+on_hub_dropped(void *ctx, node_id_t hub)
+{
+	gate_t *gate = ctx;
+
+	peer_net_remove(gate->net, hub);
+}
+
 /* A dead connection may show no error; opens a new one. */
 static void
 on_reset_hub(void *ctx, node_id_t hub)
@@ -406,6 +414,7 @@
 		.send = send_to_hub,
 		.send_ctx = gate,
 		.hub_found = on_hub_found,
+		.hub_dropped = on_hub_dropped,
 		.reset_hub = on_reset_hub,
 		.fill_renewal = on_fill_renewal,
 		.set_utilization = on_set_utilization,
@@ -488,7 +497,8 @@
 	int i;
 
 	for (i = 0; i < new_settings->seed_count; i++)
-		gate_link_add_seed(gate->link, new_settings->seeds[i]);
+		gate_link_add_seed(
+		    gate->link, new_settings->seeds[i], clock_now_ms());
 	program_list_secrets(
 	    new_settings->secrets, new_settings->secret_count, secrets);
 	return (peer_net_set_secrets(gate->net, secrets));
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -18,6 +18,7 @@
 	char name[FLEET_IP_BYTES];
 	node_id_t id;
 	int64_t unanswered_ms; /* since then, or since the last reset; 0: no */
+	int64_t named_ms; /* when a hub or the settings named it last */
 } known_hub_t;
 
 typedef struct permit_request {
@@ -74,10 +75,32 @@
 	return (NULL);
 }
 
-/* @return a known hub with that name; NULL if the name is invalid or there are
- * too many */
+/* @return a free entry, or that of the hub that was named the longest ago, as it
+ * was replaced or will be named again; NULL if all were named just now */
 static known_hub_t *
-add_hub(gate_link_t *link, const char *name)
+allocate_hub(gate_link_t *link, int64_t now_ms)
+{
+	known_hub_t *oldest = NULL;
+	int i;
+
+	if (link->hub_count < FLEET_HUBS_MAX)
+		return (&link->hubs[link->hub_count++]);
+	for (i = 0; i < link->hub_count; i++) {
+		if (link->hubs[i].id != link->leader &&
+		    (oldest == NULL ||
+			link->hubs[i].named_ms < oldest->named_ms))
+			oldest = &link->hubs[i];
+	}
+	if (oldest->named_ms >= now_ms)
+		return (NULL);
+	link->options.hub_dropped(link->options.ctx, oldest->id);
+	return (oldest);
+}
+
+/* @return the hub with that name; NULL if the name is invalid or there are too
+ * many */
+static known_hub_t *
+add_hub(gate_link_t *link, const char *name, int64_t now_ms)
 {
 	node_id_t id = node_id_from_name(name);
 	known_hub_t *hub;
@@ -85,14 +108,15 @@
 	if (!node_name_is_valid(name) || strlen(name) >= FLEET_IP_BYTES)
 		return (NULL);
 	hub = find_hub(link, id);
-	if (hub != NULL)
-		return (hub);
-	if (link->hub_count == FLEET_HUBS_MAX)
-		return (NULL);
-	hub = &link->hubs[link->hub_count++];
-	hub->id = id;
-	snprintf(hub->name, sizeof(hub->name), "%s", name);
-	link->options.hub_found(link->options.ctx, hub->name);
+	if (hub == NULL) {
+		hub = allocate_hub(link, now_ms);
+		if (hub == NULL)
+			return (NULL);
+		*hub = (known_hub_t){ .id = id };
+		snprintf(hub->name, sizeof(hub->name), "%s", name);
+		link->options.hub_found(link->options.ctx, hub->name);
+	}
+	hub->named_ms = now_ms;
 	return (hub);
 }
 
@@ -107,7 +131,7 @@
 	link->options = *options;
 	link->gates = 1;
 	for (i = 0; i < options->seed_count; i++)
-		add_hub(link, options->seeds[i]);
+		add_hub(link, options->seeds[i], 0);
 	return (link);
 }
 
@@ -128,9 +152,9 @@
 }
 
 void
-gate_link_add_seed(gate_link_t *link, const char *name)
+gate_link_add_seed(gate_link_t *link, const char *name, int64_t now_ms)
 {
-	add_hub(link, name);
+	add_hub(link, name, now_ms);
 }
 
 /* Drops reports of consumed tokens; permit requests stay, as callers wait for
@@ -355,7 +379,7 @@
 	if (hub != NULL)
 		hub->unanswered_ms = 0;
 	for (i = 0; i < lease->n_hubs; i++)
-		add_hub(link, lease->hubs[i]);
+		add_hub(link, lease->hubs[i], now_ms);
 	if (lease->is_leader) {
 		apply_lease(link, from, lease, now_ms);
 	} else {
@@ -363,7 +387,8 @@
 			link->leader = NODE_ID_NONE;
 		leader = node_id_from_name(lease->leader);
 		if (link->leader == NODE_ID_NONE && leader != NODE_ID_NONE &&
-		    leader != from && add_hub(link, lease->leader) != NULL) {
+		    leader != from &&
+		    add_hub(link, lease->leader, now_ms) != NULL) {
 			link->renewal_due_ms = now_ms + GATE_LEADER_SEARCH_MS;
 			send_renewal(link, leader, now_ms);
 		}
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -65,6 +65,9 @@
 	void *send_ctx;
 	/** Called for each hub that becomes known: sets its address. */
 	void (*hub_found)(void *ctx, const char *name);
+	/** Called for each hub that was replaced by others: drops its address.
+	 */
+	void (*hub_dropped)(void *ctx, node_id_t hub);
 	/** Resets the connection to an unresponsive hub; it may be dead. */
 	void (*reset_hub)(void *ctx, node_id_t hub);
 	/**
@@ -89,7 +92,7 @@
 void gate_link_destroy(gate_link_t *link);
 
 /** Adds a seed hub of reloaded settings. */
-void gate_link_add_seed(gate_link_t *link, const char *name);
+void gate_link_add_seed(gate_link_t *link, const char *name, int64_t now_ms);
 
 /** Checks the leader, expires permit requests and renews the lease. */
 void gate_link_tick(gate_link_t *link, int64_t now_ms);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -222,7 +222,7 @@
 			on_target_change(hub, changed.replaced);
 		break;
 	case HUB_CHANGE_HUBS:
-		hub_members_merge(hub->members, hub->state);
+		hub_members_merge(hub->members, hub->state, clock_now_ms());
 		break;
 	default:
 		break;
@@ -249,7 +249,7 @@
 	(void)index;
 	if (err != TM_OK)
 		return (err);
-	hub_members_merge(hub->members, hub->state);
+	hub_members_merge(hub->members, hub->state, clock_now_ms());
 	apply_document(hub);
 	return (TM_OK);
 }
@@ -264,6 +264,15 @@
 	    hub->net, node_id_from_name(name), name, hub->settings.peer_port);
 }
 
+/* hub_dropped_cb */
+static void
+on_hub_dropped(void *ctx, node_id_t id)
+{
+	hub_t *hub = ctx;
+
+	peer_net_remove(hub->net, id);
+}
+
 static void
 compact(hub_t *hub)
 {
@@ -425,6 +434,7 @@
 		.send = peer_net_send_cb,
 		.send_ctx = hub->net,
 		.added = on_hub_added,
+		.dropped = on_hub_dropped,
 		.ctx = hub,
 	};
 	hub_feed_options_t feed = {
--- a/src/hub/hub_members.c
+++ b/src/hub/hub_members.c
@@ -11,6 +11,7 @@
 	node_id_t id;
 	int64_t last_seen_ms; /* 0: never */
 	int is_stopping;
+	int is_recorded; /* in the replicated state */
 } member_t;
 
 struct hub_members {
@@ -35,24 +36,44 @@
 	return (NULL);
 }
 
-/* @return a free entry, or that of a hub never heard from; NULL if all hubs
- * have been heard from */
+/* @return 1 if another hub may take the entry of this one */
+static int
+is_replaceable(const member_t *member, int64_t now_ms)
+{
+	return (!member->is_recorded &&
+	    (member->last_seen_ms == 0 ||
+		now_ms - member->last_seen_ms >= HUB_EXPIRY_MS));
+}
+
+/* @return a free entry, or that of the hub unheard for longest; NULL if all
+ * hubs may be alive */
 static member_t *
-allocate_member(hub_members_t *members)
+allocate_member(hub_members_t *members, int64_t now_ms)
 {
+	member_t *oldest = NULL;
+	member_t *member;
 	int i;
 
 	if (members->count < FLEET_HUBS_MAX)
 		return (&members->members[members->count++]);
 	for (i = 0; i < members->count; i++) {
-		if (members->members[i].last_seen_ms == 0)
-			return (&members->members[i]);
+		member = &members->members[i];
+		if (is_replaceable(member, now_ms) &&
+		    (oldest == NULL ||
+			member->last_seen_ms < oldest->last_seen_ms))
+			oldest = member;
 	}
-	return (NULL);
+	if (oldest != NULL)
+		members->options.dropped(members->options.ctx, oldest->id);
+	return (oldest);
 }
 
+/*
+ * @param now_ms  0 if the hub is only known from others: it takes no entry of a
+ *                hub that was heard from, as it may be gone itself
+ */
 static member_t *
-add_member(hub_members_t *members, const char *name)
+add_member(hub_members_t *members, const char *name, int64_t now_ms)
 {
 	node_id_t id = node_id_from_name(name);
 	member_t *member;
@@ -63,7 +84,7 @@
 	member = find(members, id);
 	if (member != NULL)
 		return (member);
-	member = allocate_member(members);
+	member = allocate_member(members, now_ms);
 	if (member == NULL)
 		return (NULL);
 	*member = (member_t){ .id = id };
@@ -84,7 +105,7 @@
 	snprintf(members->self, sizeof(members->self), "%s", options->self);
 	members->self_id = node_id_from_name(members->self);
 	for (i = 0; i < options->seed_count; i++)
-		add_member(members, options->seeds[i]);
+		add_member(members, options->seeds[i], 0);
 	return (members);
 }
 
@@ -95,29 +116,57 @@
 }
 
 void
-hub_members_merge(hub_members_t *members, const hub_state_t *state)
+hub_members_merge(
+    hub_members_t *members, const hub_state_t *state, int64_t now_ms)
 {
+	member_t *member;
 	int i;
 
-	for (i = 0; i < state->hub_count; i++)
-		add_member(members, state->hubs[i]);
+	for (i = 0; i < members->count; i++)
+		members->members[i].is_recorded = 0;
+	for (i = 0; i < state->hub_count; i++) {
+		member = add_member(members, state->hubs[i], now_ms);
+		if (member != NULL)
+			member->is_recorded = 1;
+	}
 }
 
 void
 hub_members_add_seed(hub_members_t *members, const char *name)
 {
-	add_member(members, name);
+	add_member(members, name, 0);
+}
+
+static int64_t
+get_newest_seen_ms(const hub_members_t *members)
+{
+	int64_t newest_ms = 0;
+	int i;
+
+	for (i = 0; i < members->count; i++) {
+		if (members->members[i].last_seen_ms > newest_ms)
+			newest_ms = members->members[i].last_seen_ms;
+	}
+	return (newest_ms);
 }
 
 int
 hub_members_list(const hub_members_t *members, const char **names)
 {
+	int64_t since_ms = get_newest_seen_ms(members) - HUB_ALIVE_MS;
+	const member_t *member;
 	int count = 0;
+	int is_rest;
 	int i;
 
 	names[count++] = members->self;
-	for (i = 0; i < members->count && count < FLEET_HUBS_MAX; i++)
-		names[count++] = members->members[i].name;
+	for (is_rest = 0; is_rest <= 1; is_rest++) {
+		for (i = 0; i < members->count && count < FLEET_HUBS_MAX; i++) {
+			member = &members->members[i];
+			if ((member->last_seen_ms < since_ms) == is_rest)
+				names[count++] = member->name;
+		}
+	}
 	return (count);
 }
 
@@ -164,13 +213,13 @@
 	if (hello == NULL)
 		return;
 	if (node_id_from_name(hello->name) == from) {
-		member = add_member(members, hello->name);
+		member = add_member(members, hello->name, now_ms);
 		if (member != NULL) {
 			member->last_seen_ms = now_ms;
 			member->is_stopping = hello->is_stopping;
 		}
 		for (i = 0; i < hello->n_hubs && i < FLEET_HUBS_MAX; i++)
-			add_member(members, hello->hubs[i]);
+			add_member(members, hello->hubs[i], 0);
 	}
 	tm__fleet__hello__free_unpacked(hello, NULL);
 }
--- a/src/hub/hub_members.h
+++ b/src/hub/hub_members.h
@@ -39,6 +39,8 @@
 /** Called for each hub that becomes known, so that the message layer learns its
  * address. */
 typedef void (*hub_added_cb)(void *ctx, const char *name);
+/** Called for each hub that is forgotten, so that its address is dropped. */
+typedef void (*hub_dropped_cb)(void *ctx, node_id_t hub);
 
 typedef struct hub_members_options {
 	const char *self; /**< name, which is the address of the hub */
@@ -47,6 +49,7 @@
 	node_send_cb send;
 	void *send_ctx;
 	hub_added_cb added;
+	hub_dropped_cb dropped;
 	void *ctx;
 } hub_members_options_t;
 
@@ -74,7 +77,8 @@
 void hub_members_destroy(hub_members_t *members);
 
 /** Adds the hubs that the replicated state names. */
-void hub_members_merge(hub_members_t *members, const hub_state_t *state);
+void hub_members_merge(
+    hub_members_t *members, const hub_state_t *state, int64_t now_ms);
 
 /** Adds a seed of changed settings. */
 void hub_members_add_seed(hub_members_t *members, const char *name);
@@ -101,7 +105,7 @@
 const char *hub_members_find_name(const hub_members_t *members, node_id_t id);
 
 /**
- * Lists the known hubs, this one included.
+ * Lists the known hubs, this one and those heard from lately first.
  *
  * @param names  receives at most FLEET_HUBS_MAX names
  * @return       number of names
--- a/test/unit/gate_link_test.cc
+++ b/test/unit/gate_link_test.cc
@@ -34,6 +34,9 @@
 		options.send = Send;
 		options.send_ctx = this;
 		options.hub_found = [](void *, const char *) {};
+		options.hub_dropped = [](void *ctx, node_id_t hub) {
+			static_cast<GateLink *>(ctx)->dropped_.push_back(hub);
+		};
 		options.reset_hub = [](void *ctx, node_id_t hub) {
 			static_cast<GateLink *>(ctx)->resets_[hub]++;
 		};
@@ -138,6 +141,7 @@
 	int usage_requests_ = 0;
 	size_t spends_ = 0;
 	std::vector<uint64_t> returned_probes_;
+	std::vector<node_id_t> dropped_; // hubs
 	std::vector<std::pair<node_id_t, uint64_t>> renewals_;
 	std::vector<gate_permit_t> permits_;
 };
@@ -156,6 +160,52 @@
 	EXPECT_EQ(10u, gate_link_get_gate_count(link_));
 }
 
+// Replaced hubs fill the list: a gate that is cut off meanwhile, or that loses its
+// leader, never finds the hubs that there are now.
+TEST_F(GateLink, FindsTheLeaderAfterManyHubsWereReplaced)
+{
+	std::vector<std::string> names;
+
+	for (int i = 0; i < 2 * FLEET_HUBS_MAX; i++) {
+		Tm__Fleet__Lease lease = TM__FLEET__LEASE__INIT;
+		std::vector<char *> hubs;
+
+		names.push_back("10.0.1." + std::to_string(i));
+		for (size_t j = names.size() < 3 ? 0 : names.size() - 3;
+		     j < names.size(); j++)
+			hubs.push_back((char *)names[j].c_str());
+		lease.hubs = hubs.data();
+		lease.n_hubs = hubs.size();
+		lease.leader = (char *)names.back().c_str();
+		now_ += 1000;
+		Handle("10.0.0.1", MSG_FLEET_LEASE, &lease.base);
+		ASSERT_FALSE(renewals_.empty());
+		ASSERT_EQ(
+		    node_id_from_name(lease.leader), renewals_.back().first);
+	}
+	EXPECT_EQ(names.size() + 2 - FLEET_HUBS_MAX, dropped_.size());
+	EXPECT_EQ(node_id_from_name("10.0.0.1"), dropped_[0]);
+}
+
+// One message names more hubs than there are entries for; those that were named
+// just now are not dropped.
+TEST_F(GateLink, AMessageWithTooManyHubsDropsNoneOfThem)
+{
+	Tm__Fleet__Lease lease = TM__FLEET__LEASE__INIT;
+	std::vector<std::string> names;
+	std::vector<char *> hubs;
+
+	for (int i = 0; i < FLEET_HUBS_MAX + 8; i++)
+		names.push_back("10.0.1." + std::to_string(i));
+	for (std::string &name : names)
+		hubs.push_back((char *)name.c_str());
+	lease.hubs = hubs.data();
+	lease.n_hubs = hubs.size();
+	lease.leader = (char *)"";
+	Handle(hubs[0], MSG_FLEET_LEASE, &lease.base);
+	EXPECT_EQ(2u, dropped_.size());
+}
+
 TEST_F(GateLink, DropsAnUnresponsiveLeader)
 {
 	AdvanceTime(1000, "10.0.0.1", 3);
--- a/test/unit/gate_return_test.cc
+++ b/test/unit/gate_return_test.cc
@@ -222,6 +222,7 @@
 		options.send = SendFromGate;
 		options.send_ctx = gate;
 		options.hub_found = [](void *, const char *) {};
+		options.hub_dropped = [](void *, node_id_t) {};
 		options.reset_hub = ResetHub;
 		options.fill_renewal = FillRenewal;
 		options.set_utilization = [](void *,
--- a/test/unit/hub_members_test.cc
+++ b/test/unit/hub_members_test.cc
@@ -45,6 +45,10 @@
 		options.send = Send;
 		options.send_ctx = hub.get();
 		options.added = [](void *, const char *) {};
+		options.dropped = [](void *ctx, node_id_t) {
+			static_cast<Hub *>(ctx)->network->dropped_++;
+		};
+		options.ctx = hub.get();
 		hub->members = hub_members_create(&options);
 		hubs_[node_id_from_name(name.c_str())] = std::move(hub);
 	}
@@ -139,11 +143,17 @@
 
 		hub_state_apply(state_, bytes, len, &unused);
 		free(bytes);
+		for (auto &entry : hubs_) {
+			if (down_.count(entry.second->name) == 0)
+				hub_members_merge(
+				    entry.second->members, state_, now_);
+		}
 	}
 
 	int64_t now_ = 1000000;
 	std::set<std::string> down_;
 	std::set<std::string> log_members_;
+	int dropped_ = 0;
 	hub_state_t *state_ = hub_state_create();
 
       private:
@@ -220,6 +230,37 @@
 	}
 }
 
+// Replaced hubs fill the list, and a new hub never becomes a member.
+TEST_F(HubMembers, AreFoundAfterManyWereReplaced)
+{
+	std::vector<std::string> alive = { "10.0.0.1", "10.0.0.2", "10.0.0.3",
+		"10.0.0.4", "10.0.0.5" };
+
+	network_.Pass(2000);
+	network_.Lead(alive[0], 60000);
+	for (int i = 0; i < FLEET_HUBS_MAX + 8; i++) {
+		std::string name = "10.0.1." + std::to_string(i);
+
+		network_.Add(name, { alive[1], alive[2] });
+		network_.down_.insert(alive[0]);
+		alive.erase(alive.begin());
+		alive.push_back(name);
+		network_.Pass(HUB_EXPIRY_MS + 10000);
+		network_.Lead(alive[0], 60000);
+		network_.Pass(1000);
+		ASSERT_EQ(std::set<std::string>(alive.begin(), alive.end()),
+		    network_.log_members_)
+		    << name;
+	}
+	EXPECT_GT(network_.dropped_, 0);
+	for (const std::string &from : alive) {
+		for (const std::string &to : alive)
+			EXPECT_TRUE(hub_members_is_alive(network_.Get(from),
+			    node_id_from_name(to.c_str()), network_.now_))
+			    << from << " " << to;
+	}
+}
+
 // The log then survives the failure of a second hub.
 TEST_F(HubMembers, UnresponsiveHubIsRemoved)
 {
