http: notice a caller that left whatever it had sent before

A caller that closes or resets its connection while bytes behind its request are unread was not noticed: its request ran on and held its target. Found in the review by reading; the same hides callers that leave with a TLS alert. Cause: the check peeked at the next byte, and an unread byte hides the end. Change: stream_end_is_pending() asks poll() for the end; gate, entry VM and tm-target use it in place of two copies of the peek. The connection of a caller that left is closed, so that what it sent behind is not run.

--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -160,6 +160,8 @@
 {
 	h2o_req_t *req = request_take_caller(request);
 
+	/* What it may have sent after this request is not run, either. */
+	req->http1_is_persistent = 0;
 	request_on_gone(request);
 	refusal_send(req, REFUSAL_OUTCOME_UNKNOWN, "", 0);
 }
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -147,6 +147,8 @@
 {
 	h2o_req_t *req = detach_caller(request);
 
+	/* What it may have sent after this request is not run, either. */
+	req->http1_is_persistent = 0;
 	on_caller_closed(request);
 	gate_refusal_send(req, GATE_REFUSAL_TARGET_FAILED, 0);
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "http/http_unparsed.h"
+#include "net/stream_end.h"
 
 #define LISTEN_BACKLOG 4096
 /* h2o has no limit on the time of a write. The kernel closes a connection
@@ -380,11 +381,8 @@
 int
 http_request_is_abandoned(const h2o_req_t *req)
 {
-	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
-	char byte;
-
-	return (recv(h2o_socket_get_fd(sock), &byte, 1,
-		    MSG_PEEK | MSG_DONTWAIT) == 0);
+	return (stream_end_is_pending(
+	    h2o_socket_get_fd(req->conn->callbacks->get_socket(req->conn))));
 }
 
 /* Headers of which a request may have one only. */
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -127,7 +127,8 @@
 void http_request_send_buffer(
     h2o_req_t *req, buffer_t body, response_budget_t *budget);
 
-/** @return 1 if the caller has closed its side of the connection */
+/** @return 1 if the caller has closed its side of the connection, or reset it,
+ * whatever it had sent before */
 int http_request_is_abandoned(const h2o_req_t *req);
 
 #endif
--- a/src/net/stream_end.c
+++ b/src/net/stream_end.c
@@ -1,5 +1,6 @@
 #include "net/stream_end.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 int
@@ -12,3 +13,12 @@
 	    uv_fileno((const uv_handle_t *)tcp, &fd) == 0 &&
 	    recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0);
 }
+
+int
+stream_end_is_pending(int fd)
+{
+	struct pollfd state = { .fd = fd, .events = POLLRDHUP };
+
+	return (poll(&state, 1, 0) > 0 &&
+	    (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+}
--- a/src/net/stream_end.h
+++ b/src/net/stream_end.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * How a TCP connection ended.
+ * Whether and how a TCP connection ended.
  */
 #ifndef TM_NET_STREAM_END_H
 #define TM_NET_STREAM_END_H
@@ -20,4 +20,12 @@
  */
 int stream_end_is_orderly(const uv_tcp_t *tcp, ssize_t status);
 
+/**
+ * Tells whether the other side has ended a connection that nobody reads, in
+ * order or not, even if bytes that it sent before are unread.
+ *
+ * @param fd  socket of the connection
+ */
+int stream_end_is_pending(int fd);
+
 #endif
--- a/src/target/target_job.c
+++ b/src/target/target_job.c
@@ -1,6 +1,5 @@
 #include "target/target_job.h"
 
-#include <errno.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,6 +13,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "net/stream_end.h"
 #include "target/target_http.h"
 
 /* How often connections are looked at for a caller that went away. */
@@ -152,18 +152,6 @@
 		target_http_reply(req, 500, "");
 }
 
-static int
-is_gone(h2o_req_t *req)
-{
-	char byte;
-	ssize_t n =
-	    recv(target_http_get_fd(req), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-
-	return (n == 0 ||
-	    (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-		errno != EINTR));
-}
-
 static target_job_t *
 find_gone(target_pool_t *pool, int64_t now_ms)
 {
@@ -173,7 +161,7 @@
 		if (job->act == TARGET_ACT_LATE || job->next_watch_ms > now_ms)
 			continue;
 		job->next_watch_ms = now_ms + WATCH_INTERVAL_MS;
-		if (is_gone(job->req))
+		if (stream_end_is_pending(target_http_get_fd(job->req)))
 			return (job);
 	}
 	return (NULL);
