hub, gate: a new incarnation shows that a target with an open port crashed

A request that crashes each target was not blocked where the ports stay open while targets start again: event 964 names each break, 924 none. Cause: only a refused connection counted as a crash. As these reports do not come in the order of the crashes, a crash counts if it is separate in time from those that counted, before or after.

--- a/src/gate/gate_crash_check.c
+++ b/src/gate/gate_crash_check.c
@@ -35,7 +35,7 @@
 }
 
 static void
-report_crash(const crash_check_t *check)
+report_crash(const crash_check_t *check, int is_unsure)
 {
 	Tm__Fleet__Crash msg = TM__FLEET__CRASH__INIT;
 	int64_t now_ms = clock_now_ms();
@@ -45,6 +45,7 @@
 	msg.born_ms = check->incarnation_ms;
 	msg.sent_age_ms = (uint32_t)(now_ms - check->sent_ms);
 	msg.broken_age_ms = (uint32_t)(now_ms - check->broken_ms);
+	msg.is_unsure = is_unsure;
 	gate_link_report_crash(check->gate->link, &msg);
 }
 
@@ -61,8 +62,7 @@
 	    LOG_TEXT("target", &check->target[0]),
 	    LOG_TEXT("result", get_result_name(result)),
 	    LOG_NUM("ran_ms", check->broken_ms - check->sent_ms));
-	if (result == CONNECT_CHECK_REFUSED)
-		report_crash(check);
+	report_crash(check, result != CONNECT_CHECK_REFUSED);
 	free(check);
 }
 
--- a/src/gate/gate_crash_check.h
+++ b/src/gate/gate_crash_check.h
@@ -2,8 +2,8 @@
  * @file
  * Reports requests that crash targets to the leading hub, and recognises those
  * that it blocks. When a connection breaks while a request is running, the
- * target has crashed if no process listens at its address any more; a target
- * that only breaks connections still accepts new ones.
+ * target has crashed if no process listens at its address any more. If one does,
+ * the hub tells a crash by the target's next incarnation.
  */
 #ifndef TM_GATE_GATE_CRASH_CHECK_H
 #define TM_GATE_GATE_CRASH_CHECK_H
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -198,6 +198,7 @@
 		hub_signals_remove(hub->signals, target->key);
 	} else {
 		hub_add_to_outlier(hub, target);
+		hub_record_incarnation(hub, target, clock_now_ms());
 	}
 	hub_feed_mark_target_changed(hub->feed, target->key);
 }
--- a/src/hub/hub_crash.c
+++ b/src/hub/hub_crash.c
@@ -7,9 +7,8 @@
 typedef struct crash_request {
 	uint64_t fingerprint;
 	uint32_t crashes; /* that count */
-	/* Targets of these crashes, by key and incarnation. */
-	uint64_t targets[HUB_CRASHES_TO_BLOCK];
-	uint64_t incarnations_ms[HUB_CRASHES_TO_BLOCK];
+	/* The last ones of these. */
+	hub_crash_report_t counted[HUB_CRASHES_TO_BLOCK];
 	int64_t broken_ms; /* of the last one */
 	uint32_t blocks; /* so far */
 	int64_t blocked_until_ms; /* 0: not blocked */
@@ -135,21 +134,26 @@
 	block(crash, request, now_ms);
 }
 
+/* Otherwise both may have a common cause, or two gates report the same one. */
+static int
+is_separate(const hub_crash_report_t *a, const hub_crash_report_t *b)
+{
+	return ((a->sent_ms >= b->broken_ms || b->sent_ms >= a->broken_ms) &&
+	    (a->target != b->target || a->incarnation_ms != b->incarnation_ms));
+}
+
 /*
- * A crash counts if the request was sent after the last one that counted, to
- * another incarnation. Otherwise both crashes may have a common cause, or two
- * gates report the same one.
+ * Reports may arrive in another order than that of the crashes.
+ *
+ * @return 1 if the crash is separate from those that counted
  */
 static int
 counts(const crash_request_t *request, const hub_crash_report_t *report)
 {
 	uint32_t i;
 
-	if (request->crashes > 0 && report->sent_ms < request->broken_ms)
-		return (0);
 	for (i = 0; i < request->crashes && i < HUB_CRASHES_TO_BLOCK; i++) {
-		if (request->targets[i] == report->target &&
-		    request->incarnations_ms[i] == report->incarnation_ms)
+		if (!is_separate(&request->counted[i], report))
 			return (0);
 	}
 	return (1);
@@ -167,9 +171,9 @@
 	if (!counts(request, report))
 		return (request->crashes);
 	slot = request->crashes % HUB_CRASHES_TO_BLOCK;
-	request->targets[slot] = report->target;
-	request->incarnations_ms[slot] = report->incarnation_ms;
-	request->broken_ms = report->broken_ms;
+	request->counted[slot] = *report;
+	if (report->broken_ms > request->broken_ms)
+		request->broken_ms = report->broken_ms;
 	request->crashes++;
 	if (request->crashes == HUB_CRASHES_TO_BLOCK - 1)
 		crash->sequence++;
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -7,6 +7,7 @@
 #define TM_HUB_HUB_INTERNAL_H
 
 #include "hub/hub.h"
+#include "hub/hub_break.h"
 #include "hub/hub_crash.h"
 #include "hub/hub_feed.h"
 #include "hub/hub_outlier.h"
@@ -51,6 +52,7 @@
 	hub_feed_t *feed;
 	hub_signals_t *signals;
 	hub_crash_t *crash;
+	hub_breaks_t breaks;
 	uint64_t blocks_sequence; /* of the blocks that gates were sent last */
 	uint64_t idle_services[HUB_IDLE_SERVICES_MAX];
 	size_t idle_service_count;
@@ -102,6 +104,10 @@
  * changed. */
 void hub_update_blocks(hub_t *hub, int64_t now_ms);
 
+/** Counts the crashes that a new incarnation of a target shows. */
+void hub_record_incarnation(
+    hub_t *hub, const hub_target_t *target, int64_t now_ms);
+
 /** Updates the reserve for gates that have not reported their usage. */
 void hub_update_gate_counts(hub_t *hub, int64_t now_ms);
 
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -392,43 +393,89 @@
 	tm__fleet__evidence__free_unpacked(msg, NULL);
 }
 
+/*
+ * @param evidence  what shows that the target crashed
+ */
 static void
-record_crash(
-    hub_t *hub, node_id_t from, const Tm__Fleet__Crash *msg, int64_t now_ms)
+record_crash(hub_t *hub, const hub_crash_report_t *report, const char *evidence,
+    int64_t now_ms)
 {
 	const hub_target_t *target =
-	    hub_state_find_target(hub->state, msg->target);
-	const hub_crash_report_t report = {
-		.fingerprint = msg->fingerprint,
-		.target = msg->target,
-		.incarnation_ms = msg->born_ms,
-		.sent_ms = now_ms - msg->sent_age_ms,
-		.broken_ms = now_ms - msg->broken_age_ms,
-	};
-	uint32_t crashes = hub_crash_record(hub->crash, &report, now_ms);
+	    hub_state_find_target(hub->state, report->target);
+	uint32_t crashes = hub_crash_record(hub->crash, report, now_ms);
 
 	metric_add(hub->metric_crashes, 1);
 	LOG_EVENT(924,
 	    crashes >= HUB_CRASHES_TO_BLOCK ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
 	    "target crashed while a request ran",
-	    LOG_NUM("fingerprint", msg->fingerprint),
+	    LOG_NUM("fingerprint", report->fingerprint),
 	    LOG_TEXT("target", target != NULL ? target->as.id : ""),
-	    LOG_NUM("gate", from), LOG_NUM("crashes", crashes),
+	    LOG_TEXT("evidence", evidence),
+	    LOG_NUM("age_ms", now_ms - report->broken_ms),
+	    LOG_NUM("crashes", crashes),
 	    LOG_NUM("is_blocked", crashes >= HUB_CRASHES_TO_BLOCK));
 }
 
+void
+hub_record_incarnation(hub_t *hub, const hub_target_t *target, int64_t now_ms)
+{
+	hub_crash_report_t reports[HUB_BREAKS_MAX];
+	size_t count;
+	size_t i;
+
+	if (!hub_is_leading(hub))
+		return;
+	count = hub_breaks_take(&hub->breaks, target, now_ms, reports);
+	for (i = 0; i < count; i++)
+		record_crash(hub, &reports[i], "new incarnation", now_ms);
+	if (count > 0 && hub->role.is_serving)
+		hub_update_blocks(hub, now_ms);
+}
+
+/* The port of the target stayed open: its next incarnation, if there is one
+ * soon, shows that it crashed. That one may be registered by now. */
 static void
-handle_crash(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
+record_break(hub_t *hub, const hub_crash_report_t *report, int64_t now_ms)
+{
+	const hub_target_t *target =
+	    hub_state_find_target(hub->state, report->target);
+	const hub_target_t *next;
+
+	/* One that is stopped on purpose ends its connections, too. */
+	if (target == NULL || target->as.state == FLEET_TARGET_DRAINING)
+		return;
+	next =
+	    hub_state_find_address(hub->state, target->as.ip, target->as.port);
+	if (next != NULL && hub_break_is_successor(report, next) &&
+	    strcmp(next->as.service, target->as.service) == 0)
+		record_crash(hub, report, "new incarnation", now_ms);
+	else if (target->as.state != FLEET_TARGET_DEREGISTERED)
+		hub_breaks_add(&hub->breaks, report, target);
+}
+
+static void
+handle_crash(hub_t *hub, const uint8_t *payload, size_t len)
 {
 	Tm__Fleet__Crash *msg = tm__fleet__crash__unpack(NULL, len, payload);
 	int64_t now_ms = clock_now_ms();
+	hub_crash_report_t report;
 
 	if (msg == NULL)
 		return;
-	if (msg->is_harmless)
+	report = (hub_crash_report_t){
+		.fingerprint = msg->fingerprint,
+		.target = msg->target,
+		.incarnation_ms = msg->born_ms,
+		.sent_ms = now_ms - msg->sent_age_ms,
+		.broken_ms = now_ms - msg->broken_age_ms,
+	};
+	if (msg->is_harmless) {
 		hub_crash_clear(hub->crash, msg->fingerprint);
+		hub_breaks_clear(&hub->breaks, msg->fingerprint);
+	} else if (msg->is_unsure)
+		record_break(hub, &report, now_ms);
 	else
-		record_crash(hub, from, msg, now_ms);
+		record_crash(hub, &report, "port closed", now_ms);
 	if (hub->role.is_serving)
 		hub_update_blocks(hub, now_ms);
 	tm__fleet__crash__free_unpacked(msg, NULL);
@@ -465,7 +512,7 @@
 		break;
 	case MSG_FLEET_CRASH:
 		if (has_state)
-			handle_crash(hub, from, payload, len);
+			handle_crash(hub, payload, len);
 		break;
 	case MSG_FLEET_SIGNALS:
 		if (has_state)
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -2414,7 +2414,7 @@
   (ProtobufCMessageInit) tm__fleet__evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__crash__field_descriptors[6] =
+static const ProtobufCFieldDescriptor tm__fleet__crash__field_descriptors[7] =
 {
   {
     "fingerprint",
@@ -2488,19 +2488,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_unsure",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Crash, is_unsure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__crash__field_indices_by_name[] = {
   3,   /* field[3] = born_ms */
   5,   /* field[5] = broken_age_ms */
   0,   /* field[0] = fingerprint */
   1,   /* field[1] = is_harmless */
+  6,   /* field[6] = is_unsure */
   4,   /* field[4] = sent_age_ms */
   2,   /* field[2] = target */
 };
 static const ProtobufCIntRange tm__fleet__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor tm__fleet__crash__descriptor =
 {
@@ -2510,7 +2523,7 @@
   "Tm__Fleet__Crash",
   "tm.fleet",
   sizeof(Tm__Fleet__Crash),
-  6,
+  7,
   tm__fleet__crash__field_descriptors,
   tm__fleet__crash__field_indices_by_name,
   1,  tm__fleet__crash__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -350,8 +350,8 @@
 
 
 /*
- * Gate to hub: a target crashed while a request ran, or it answered one that was
- * suspected of that.
+ * Gate to hub: a target crashed, or may have crashed, while a request ran, or it
+ * answered one that was suspected of that.
  */
 struct  Tm__Fleet__Crash
 {
@@ -368,10 +368,14 @@
    */
   uint32_t sent_age_ms;
   uint32_t broken_age_ms;
+  /*
+   * The connection broke, but the port of the target stayed open.
+   */
+  protobuf_c_boolean is_unsure;
 };
 #define TM__FLEET__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__crash__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/functional/gate_crash.py
+++ b/test/functional/gate_crash.py
@@ -10,6 +10,8 @@
 from platform_fleet import WAIT_S, Fleet, TargetProcess, call
 
 BUILD, WORK = sys.argv[1], sys.argv[2]
+# The ports of targets accept connections while their processes are down.
+KEEPS_PORTS = "keeps-ports" in sys.argv[3:]
 NET = f"127.{random.randrange(2, 40)}.{random.randrange(1, 250)}"
 GATES = 3
 TARGETS = 8
@@ -112,7 +114,7 @@
     targets = []
     fleet.start_all(["key-one"])
     for i in range(TARGETS):
-        targets.append(TargetProcess(fleet, f"t{i}"))
+        targets.append(TargetProcess(fleet, f"t{i}", KEEPS_PORTS))
     for gate in range(GATES):
         fleet.wait(f"gate {gate} serves", lambda: request(
             gate, f"first-{time.monotonic()}", "POST", "/x/1", None,
--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -145,13 +145,16 @@
 
 class TargetProcess:
     """A target as a process (platform_target.py); its id changes with each
-    start, its records are kept."""
+    start, its records are kept. One that keeps its port accepts connections
+    while the process is down, as behind a supervisor that holds the socket."""
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, keeps_port=False):
         self.fleet = fleet
         self.name = name
         self.starts = 0
         self.id = ""
+        self.listener = socket.create_server(
+            ("127.0.0.1", 0), backlog=256) if keeps_port else None
         self.record = f"{fleet.work}/{name}.record"
         self.answer = f"{fleet.work}/{name}.answer"
         self.start_again()
@@ -162,11 +165,16 @@
         controls = ",".join(f"{ip}:{self.fleet.control_port}"
                             for ip in self.fleet.hubs)
         here = os.path.dirname(os.path.abspath(__file__))
+        command = [sys.executable, f"{here}/platform_target.py", "--id",
+                   self.id, "--control", controls, "--record", self.record,
+                   "--answer", self.answer]
+        kept = []
+        if self.listener:
+            kept = [self.listener.fileno()]
+            command += ["--listener", str(kept[0])]
         with open(f"{self.fleet.work}/{self.name}.log", "ab") as log:
             self.fleet.processes[self.name] = subprocess.Popen(
-                [sys.executable, f"{here}/platform_target.py", "--id", self.id,
-                 "--control", controls, "--record", self.record,
-                 "--answer", self.answer], stdout=log, stderr=log)
+                command, stdout=log, stderr=log, pass_fds=kept)
 
     def set_answer(self, **answer):
         """Changes what each request is answered, see platform_target.py."""
--- a/test/functional/platform_target.py
+++ b/test/functional/platform_target.py
@@ -3,7 +3,7 @@
 when a body says so.
 
 platform_target.py --id ID --control IP:PORT,... --record FILE [--service S]
-    [--answer FILE]
+    [--answer FILE] [--listener FD]
 
 The file of --answer is read for each request and may hold, as JSON: "headers"
 of each answer, "status" instead of 200, "work_s", "executed" (false: the answer
@@ -15,6 +15,7 @@
 import http.client
 import json
 import os
+import socket
 import sys
 import threading
 import time
@@ -139,8 +140,11 @@
         return False
 
     async def run(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0,
-                                            limit=HEADERS_MAX, backlog=256)
+        listener = socket.create_server(("127.0.0.1", 0)) \
+            if self.args.listener is None \
+            else socket.socket(fileno=self.args.listener)
+        server = await asyncio.start_server(
+            self.serve, sock=listener, limit=HEADERS_MAX, backlog=256)
         self.port = server.sockets[0].getsockname()[1]
         threading.Thread(target=self.announce, daemon=True).start()
         async with server:
@@ -154,6 +158,7 @@
     parser.add_argument("--record", required=True)
     parser.add_argument("--service", default="s1")
     parser.add_argument("--answer")
+    parser.add_argument("--listener", type=int)
     asyncio.run(Target(parser.parse_args()).run())
 
 
--- a/test/unit/hub_crash_test.cc
+++ b/test/unit/hub_crash_test.cc
@@ -91,6 +91,17 @@
 	EXPECT_LT(sequence, hub_crash_get_sequence(crash_));
 }
 
+// Crashes are seen when targets start again, in any order: none of an earlier one
+// counts, and the request goes on for as long as their order varies.
+TEST_F(HubCrash, CrashesThatAreReportedLateCount)
+{
+	EXPECT_EQ(1u, Record(kRequest, 2, kStart + 500));
+	EXPECT_EQ(2u, Record(kRequest, 1, kStart));
+	EXPECT_EQ(2u, Record(kRequest, 4, kStart + 502));
+	EXPECT_EQ(3u, Record(kRequest, 3, kStart + 200));
+	EXPECT_EQ(std::vector<uint64_t>{ kRequest }, Blocked(kStart + 1000));
+}
+
 // A popular request is blocked when many targets of a rack end at once.
 TEST_F(HubCrash, CrashesAtTheSameTimeCountOnce)
 {
