store: a start does not believe what the page cache shows

After a failed write or sync a hub ends and is started again. It took what it read for durable: a frame whose sync and whose removal had failed, and names whose sync had failed. After a loss of power these were gone, or the folder counted as corrupt and the hub never started again. Cause: reading shows the page cache, not the disk. Change: a start syncs the folder before it reads names, and writes the last frame of the log again before it syncs it. All calls of the store that change something can fail in tests now (writes, syncs, opens, renames, cuts, removals).

--- a/src/store/snapshot.c
+++ b/src/store/snapshot.c
@@ -28,6 +28,7 @@
 }
 
 typedef struct snapshot_scan {
+	store_faults_t *faults;
 	int dir_fd;
 	uint64_t newest;
 	uint64_t remove_below; /* index; 0 removes none */
@@ -42,7 +43,7 @@
 	size_t len = strlen(name);
 
 	if (len > 4 && strcmp(name + len - 4, ".tmp") == 0) {
-		unlinkat(scan->dir_fd, name, 0);
+		store_io_remove(scan->faults, scan->dir_fd, name);
 		return;
 	}
 	if (sscanf(name, SNAPSHOT_NAME_FORMAT, &index) != 1)
@@ -53,7 +54,7 @@
 	if (index > scan->newest)
 		scan->newest = index;
 	if (index < scan->remove_below)
-		unlinkat(scan->dir_fd, name, 0);
+		store_io_remove(scan->faults, scan->dir_fd, name);
 }
 
 int
@@ -61,6 +62,7 @@
     store_faults_t *faults, int dir_fd, const raft_snapshot_t *snapshot)
 {
 	snapshot_scan_t scan = {
+		.faults = faults,
 		.dir_fd = dir_fd,
 		.remove_below = snapshot->index,
 	};
@@ -120,9 +122,9 @@
 }
 
 int
-snapshot_load(int dir_fd, raft_snapshot_t *snapshot)
+snapshot_load(store_faults_t *faults, int dir_fd, raft_snapshot_t *snapshot)
 {
-	snapshot_scan_t scan = { .dir_fd = dir_fd };
+	snapshot_scan_t scan = { .faults = faults, .dir_fd = dir_fd };
 	char name[STORE_PATH_MAX];
 	uint8_t *file;
 	size_t len;
--- a/src/store/snapshot.h
+++ b/src/store/snapshot.h
@@ -21,6 +21,7 @@
  * @param snapshot  index 0 if there is none; the caller frees data
  * @return          0; TM_ECORRUPT; TM_EIO; TM_ENOMEM
  */
-int snapshot_load(int dir_fd, raft_snapshot_t *snapshot);
+int snapshot_load(
+    store_faults_t *faults, int dir_fd, raft_snapshot_t *snapshot);
 
 #endif
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -213,6 +213,10 @@
 {
 	int err = store_open_dir(store, options->path);
 
+	/* The sync of a name may have failed before the last end of the
+	 * process. */
+	if (err == TM_OK)
+		err = store_io_sync(store->faults, store->dir_fd);
 	if (err == TM_OK)
 		err = store_load_disk_id(store);
 	if (err == TM_OK)
@@ -220,7 +224,8 @@
 	if (err == TM_OK)
 		err = store_sync_vote(store);
 	if (err == TM_OK)
-		err = snapshot_load(store->dir_fd, &store->restore.snapshot);
+		err = snapshot_load(
+		    store->faults, store->dir_fd, &store->restore.snapshot);
 	if (err == TM_OK)
 		err = store_load_log(store, options->segment_bytes);
 	return (err);
--- a/src/store/store_io.c
+++ b/src/store/store_io.c
@@ -30,6 +30,21 @@
 	return (TM_ECORRUPT);
 }
 
+/* Counts a call that changes something. @return 1 if it is to fail; sets errno */
+static int
+store_io_is_failing(store_faults_t *faults)
+{
+	if (faults == NULL)
+		return (0);
+	faults->call_count++;
+	if (faults->failing_call == 0 ||
+	    faults->call_count < faults->failing_call ||
+	    (faults->call_count > faults->failing_call && !faults->is_lasting))
+		return (0);
+	errno = EIO;
+	return (1);
+}
+
 /* Returns the bytes to write of len; fewer if a short write is injected. */
 static size_t
 store_io_apply_fault(store_faults_t *faults, size_t len)
@@ -49,6 +64,8 @@
 	size_t done = 0;
 	ssize_t n;
 
+	if (store_io_is_failing(faults))
+		allowed /= 2;
 	while (done < allowed) {
 		n = write(fd, (const uint8_t *)data + done, allowed - done);
 		if (n < 0 && errno == EINTR)
@@ -76,8 +93,28 @@
 		if (faults->syncs_until_failure > 0)
 			faults->syncs_until_failure--;
 	}
-	if (fsync(fd) != 0)
+	if (store_io_is_failing(faults))
 		return (store_report_io("fsync"));
+	if (faults != NULL && faults->sync != NULL)
+		faults->sync(faults->ctx, fd);
+	else if (fsync(fd) != 0)
+		return (store_report_io("fsync"));
+	return (TM_OK);
+}
+
+int
+store_io_truncate(store_faults_t *faults, int fd, size_t len)
+{
+	if (store_io_is_failing(faults) || ftruncate(fd, (off_t)len) != 0)
+		return (store_report_io("truncate"));
+	return (TM_OK);
+}
+
+int
+store_io_remove(store_faults_t *faults, int dir_fd, const char *name)
+{
+	if (store_io_is_failing(faults) || unlinkat(dir_fd, name, 0) != 0)
+		return (store_report_io("remove"));
 	return (TM_OK);
 }
 
@@ -85,10 +122,12 @@
 store_io_write_new(store_faults_t *faults, int dir_fd, const char *name,
     const void *head, size_t head_len, const void *body, size_t body_len)
 {
-	int fd = openat(
-	    dir_fd, name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+	int fd = -1;
 	int err;
 
+	if (!store_io_is_failing(faults))
+		fd = openat(dir_fd, name,
+		    O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
 	if (fd < 0)
 		return (store_report_io("open"));
 	err = store_io_write(faults, fd, head, head_len);
@@ -112,7 +151,8 @@
 	    faults, dir_fd, temp, head, head_len, body, body_len);
 	if (err != TM_OK)
 		return (err);
-	if (renameat(dir_fd, temp, dir_fd, name) != 0)
+	if (store_io_is_failing(faults) ||
+	    renameat(dir_fd, temp, dir_fd, name) != 0)
 		return (store_report_io("rename"));
 	return (store_io_sync(faults, dir_fd));
 }
--- a/src/store/store_io.h
+++ b/src/store/store_io.h
@@ -18,6 +18,12 @@
 	int64_t writable_bytes; /**< then writes are short; -1: no limit */
 	int64_t syncs_until_failure; /**< then fsync fails; -1: never */
 	uint64_t sync_count; /**< calls of store_io_sync(), failed ones too */
+	uint64_t call_count; /**< calls that change files or folders */
+	uint64_t failing_call; /**< the call that fails, from 1 on; 0: none */
+	int is_lasting; /**< the calls after it fail, too */
+	/** Takes the place of fsync(); NULL: none. */
+	void (*sync)(void *ctx, int fd);
+	void *ctx;
 } store_faults_t;
 
 /** Writes all bytes. @return 0 or TM_EIO */
@@ -27,6 +33,12 @@
 /** Flushes a file or folder to disk. @return 0 or TM_EIO */
 int store_io_sync(store_faults_t *faults, int fd);
 
+/** Cuts a file. @return 0 or TM_EIO */
+int store_io_truncate(store_faults_t *faults, int fd, size_t len);
+
+/** Removes a file. @return 0 or TM_EIO */
+int store_io_remove(store_faults_t *faults, int dir_fd, const char *name);
+
 /**
  * Replaces a file atomically: temporary file, fsync, rename, fsync of the
  * folder. The content is head followed by body.
--- a/src/store/wal.c
+++ b/src/store/wal.c
@@ -210,7 +210,7 @@
 wal_truncate_tail(wal_t *wal, const char *name, size_t at, size_t len)
 {
 	int fd = openat(wal->options.dir_fd, name, O_WRONLY | O_CLOEXEC);
-	int err = TM_EIO;
+	int err;
 
 	LOG_EVENT(220, LOG_LEVEL_WARN,
 	    "an incomplete write at the end of the log is truncated",
@@ -218,20 +218,45 @@
 	    LOG_NUM("cut_bytes", len - at));
 	if (fd < 0)
 		return (TM_EIO);
-	if (ftruncate(fd, (off_t)at) == 0)
+	err = store_io_truncate(wal->options.faults, fd, at);
+	if (err == TM_OK)
 		err = store_io_sync(wal->options.faults, fd);
 	close(fd);
 	return (err);
 }
 
+/*
+ * Writes the last frame once more: its sync may have failed before the last end
+ * of the process, and neither reading it nor another sync shows whether it is on
+ * disk.
+ */
+static int
+wal_write_last_frame(
+    wal_t *wal, const char *name, const uint8_t *data, size_t at, size_t len)
+{
+	int fd = openat(wal->options.dir_fd, name, O_WRONLY | O_CLOEXEC);
+	int err = TM_EIO;
+
+	if (fd >= 0 && lseek(fd, (off_t)at, SEEK_SET) == (off_t)at)
+		err = store_io_write(wal->options.faults, fd, data + at, len);
+	else
+		store_report_io("open");
+	if (err == TM_OK)
+		err = store_io_sync(wal->options.faults, fd);
+	if (fd >= 0)
+		close(fd);
+	return (err);
+}
+
 static int
 wal_read_frames(wal_t *wal, const char *name, const uint8_t *data, size_t len,
     int is_last, raft_log_t *log)
 {
 	uint64_t sequence = wal_get_active(wal)->sequence;
 	size_t at = WAL_HEADER_BYTES;
+	size_t last = 0; /* length of the last valid frame */
 	size_t frame;
-	int err;
+	int err = TM_OK;
 
 	if (!wal_is_header_valid(wal, data, len, sequence))
 		return (store_report_corrupt(name, 0));
@@ -248,13 +273,17 @@
 		if (err != TM_OK)
 			return (err);
 		at += frame;
+		last = frame;
 	}
 	wal->size = at;
-	if (at == len)
-		return (TM_OK);
-	if (!is_last || wal_has_later_frame(data, at, len, sequence))
+	if (at < len &&
+	    (!is_last || wal_has_later_frame(data, at, len, sequence)))
 		return (store_report_corrupt(name, at));
-	return (wal_truncate_tail(wal, name, at, len));
+	if (at < len)
+		err = wal_truncate_tail(wal, name, at, len);
+	if (err == TM_OK && is_last && last > 0)
+		err = wal_write_last_frame(wal, name, data, at - last, last);
+	return (err);
 }
 
 static int
@@ -393,8 +422,7 @@
 static void
 wal_remove_unsynced(wal_t *wal)
 {
-	if (ftruncate(wal->fd, (off_t)wal->size) != 0)
-		store_report_io("truncate");
+	store_io_truncate(wal->options.faults, wal->fd, wal->size);
 }
 
 static int
@@ -529,7 +557,8 @@
 	    wal->segments[drop].last_index <= to) {
 		wal_format_name(
 		    wal->segments[drop].sequence, name, sizeof(name));
-		if (unlinkat(wal->options.dir_fd, name, 0) != 0)
+		if (store_io_remove(wal->options.faults, wal->options.dir_fd,
+			name) != TM_OK)
 			break;
 		/*
 		 * Without a sync after each removal, a crash could leave a gap
