control: end a control VM whose data folder failed

Cause: nothing asked the log for its error after the start. Change: the process answers running changes as unknown, logs event 247 and ends with status 1, to be started again.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -205,6 +205,26 @@
 		    LOG_TEXT("remedy", error_get_remedy(err)));
 }
 
+/* Callers of changes learn at once that the outcome is unknown. */
+static void
+control_check_storage(control_t *control)
+{
+	const config_result_t unknown = { .err = TM_ETIMEDOUT };
+	int err = raft_get_error(control->raft);
+	control_failed_cb failed = control->failed;
+	control_ticket_t *ticket;
+
+	/* A newer epoch is not mended by another start. */
+	if (err == TM_OK || err == TM_EEPOCH || failed == NULL)
+		return;
+	control->failed = NULL;
+	while ((ticket = control->tickets) != NULL) {
+		control->tickets = ticket->next;
+		control_finish_ticket(control, ticket, &unknown);
+	}
+	failed(control->failed_ctx);
+}
+
 static void
 control_on_timer(uv_timer_t *timer)
 {
@@ -217,6 +237,7 @@
 	recovery_tick(control->recovery);
 	control_expire_tickets(control);
 	control_compact(control);
+	control_check_storage(control);
 	if (control->stopping && raft_is_leader(control->raft))
 		(void)raft_transfer_leadership(control->raft, control->now_ms);
 }
@@ -468,6 +489,14 @@
 		raft_get_term(control->raft));
 }
 
+void
+control_set_failure_callback(
+    control_t *control, control_failed_cb failed, void *ctx)
+{
+	control->failed = failed;
+	control->failed_ctx = ctx;
+}
+
 void
 control_begin_stop(control_t *control)
 {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -96,6 +96,13 @@
  */
 int control_set_drop(control_t *control, node_id_t to, int drop);
 
+/** Called once, when the data folder fails. */
+typedef void (*control_failed_cb)(void *ctx);
+
+/** Sets what is called when the data folder fails. */
+void control_set_failure_callback(
+    control_t *control, control_failed_cb failed, void *ctx);
+
 /** Begins a planned stop: hands over leadership, accepts no new changes. */
 void control_begin_stop(control_t *control);
 
--- a/src/control/control_internal.h
+++ b/src/control/control_internal.h
@@ -70,6 +70,8 @@
 	int64_t stop_deadline_ms;
 	int was_leader;
 	int stopping;
+	control_failed_cb failed; /* NULL once called */
+	void *failed_ctx;
 };
 
 /* control.c */
--- a/src/control/control_main.c
+++ b/src/control/control_main.c
@@ -26,6 +26,7 @@
 	uv_timer_t stop_timer;
 	int flushing;
 	int64_t flush_end_ms;
+	int exit_status;
 } program_t;
 
 static void
@@ -58,6 +59,22 @@
 		    &program->stop_timer, program_poll_stop, 0, STOP_POLL_MS);
 }
 
+/* Ends the process with a failure, so that it is started again and reads what is
+ * on disk. */
+static void
+program_fail(void *ctx)
+{
+	program_t *program = ctx;
+
+	program->exit_status = 1;
+	LOG_EVENT(247, LOG_LEVEL_ERROR,
+	    "the data folder failed, this process ends",
+	    LOG_TEXT("remedy",
+		"check the disk and its free space; the process must be "
+		"started again"));
+	program_stop(program);
+}
+
 static void
 program_use_fresh(program_t *program, control_settings_t *fresh)
 {
@@ -115,6 +132,7 @@
 			"uses the port"));
 		return (1);
 	}
+	control_set_failure_callback(program.control, program_fail, &program);
 	program_watch_signals(&program.signals, &program.loop, program_stop,
 	    program_reload, &program);
 	uv_timer_init(&program.loop, &program.stop_timer);
@@ -125,7 +143,7 @@
 	uv_run(&program.loop, UV_RUN_DEFAULT);
 	/* All that was answered is on disk. The process ends here, and its
 	 * memory and open connections with it. */
-	return (0);
+	return (program.exit_status);
 }
 
 int
