http: callers of refused large requests return one after the other

40 callers with bodies of 10 MB at a gate with room for 6: 34 were told to return after 1 s, all together, and most of them were refused again. Cause: one fixed Retry-After, whatever the room and the number of callers. Change: memory turns over once in the time for which a large request is held (average of the last ones); each refused caller is told to return its request's share of that time after the one before, within 0.2 to 30 s. The test wants two sendings of each on average, and fails before.

--- a/src/http/http_intake.c
+++ b/src/http/http_intake.c
@@ -1,15 +1,27 @@
 #include "http/http_intake.h"
 
 #include <dlfcn.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <utlist.h>
 
+#include "base/clock.h"
+
+/* Assumed until requests were held. */
+#define HOLD_DEFAULT_MS 1000
+/* Weight of a newer request in the average, as 1 of N. */
+#define HOLD_WEIGHT   4
+#define RETURN_MIN_MS 200
+#define RETURN_MAX_MS 30000
+
 /* The body tells in words what the status and the time do. */
-#define REFUSAL                                                               \
-	"HTTP/1.1 503 Service Unavailable\r\n"                                \
-	"Connection: close\r\n"                                               \
-	"Retry-After: 1.000\r\n"                                              \
+#define REFUSAL_START                          \
+	"HTTP/1.1 503 Service Unavailable\r\n" \
+	"Connection: close\r\n"                \
+	"Retry-After: "
+#define REFUSAL_END                                                           \
+	"\r\n"                                                                \
 	"Content-Type: application/json\r\n"                                  \
 	"Content-Length: 143\r\n"                                             \
 	"\r\n"                                                                \
@@ -24,10 +36,47 @@
 {
 	if (bytes <= HTTP_INTAKE_SMALL_BYTES)
 		bytes = 0;
+	if (conn->held_bytes == 0 && bytes > 0)
+		conn->held_since_ms = clock_now_ms();
 	conn->intake->held_bytes += bytes - conn->held_bytes;
 	conn->held_bytes = bytes;
 }
 
+static void
+record_hold(const http_intake_conn_t *conn)
+{
+	http_intake_t *intake = conn->intake;
+
+	if (conn->held_bytes > 0)
+		intake->hold_ms +=
+		    (clock_now_ms() - conn->held_since_ms - intake->hold_ms) /
+		    HOLD_WEIGHT;
+}
+
+/*
+ * Memory turns over once in the time for which a request is held, so that
+ * refused callers return at intervals that are their requests' shares of it.
+ *
+ * @return time until the caller should return
+ */
+static int64_t
+take_return_ms(http_intake_t *intake, size_t bytes)
+{
+	int64_t now_ms = clock_now_ms();
+	int64_t wait_ms = intake->next_return_ms - now_ms;
+
+	if (wait_ms < intake->hold_ms)
+		wait_ms = intake->hold_ms;
+	if (wait_ms < RETURN_MIN_MS)
+		wait_ms = RETURN_MIN_MS;
+	if (wait_ms > RETURN_MAX_MS)
+		wait_ms = RETURN_MAX_MS;
+	intake->next_return_ms = now_ms + wait_ms +
+	    (int64_t)((double)intake->hold_ms * (double)bytes /
+		(double)intake->limit_bytes);
+	return (wait_ms);
+}
+
 /* h2o_socket_t.on_close.cb; also marks the sockets that are watched. */
 static void
 on_socket_closed(void *data)
@@ -92,12 +141,22 @@
 static void
 refuse(http_intake_conn_t *conn)
 {
-	h2o_iovec_t text = h2o_iovec_init(REFUSAL, sizeof(REFUSAL) - 1);
+	int64_t return_ms = take_return_ms(conn->intake, conn->held_bytes);
+	h2o_iovec_t text[] = {
+		h2o_iovec_init(REFUSAL_START, sizeof(REFUSAL_START) - 1),
+		{ .base = conn->retry_after },
+		h2o_iovec_init(REFUSAL_END, sizeof(REFUSAL_END) - 1),
+	};
 
+	text[1].len =
+	    (size_t)snprintf(conn->retry_after, sizeof(conn->retry_after),
+		"%lld.%03lld", (long long)(return_ms / MS_PER_SEC),
+		(long long)(return_ms % MS_PER_SEC));
 	conn->is_refused = 1;
 	count(conn, 0);
 	h2o_buffer_consume(&conn->sock->input, conn->sock->input->size);
-	h2o_socket_write(conn->sock, &text, 1, on_refusal_sent);
+	h2o_socket_write(
+	    conn->sock, text, sizeof(text) / sizeof(text[0]), on_refusal_sent);
 	if (conn->intake->refused != NULL)
 		conn->intake->refused(conn->intake->ctx);
 }
@@ -150,6 +209,8 @@
 {
 	if (intake->limit_bytes == 0)
 		return;
+	if (intake->hold_ms == 0)
+		intake->hold_ms = HOLD_DEFAULT_MS;
 	conn->intake = intake;
 	conn->sock = sock;
 	conn->stream = stream;
@@ -174,8 +235,10 @@
 {
 	conn->is_running = 0;
 	conn->length = 0;
-	if (conn->sock != NULL)
-		count(conn, 0);
+	if (conn->sock == NULL)
+		return;
+	record_hold(conn);
+	count(conn, 0);
 }
 
 /*
--- a/src/http/http_intake.h
+++ b/src/http/http_intake.h
@@ -3,12 +3,14 @@
  * Bounds the memory of the large requests that a listener holds, together. h2o
  * keeps a whole request and hands it over only then, so that this looks at each
  * connection as it reads: a request whose length does not fit, or the largest one
- * that is still read, is refused with 503 before it is read to its end.
+ * that is still read, is refused with 503 before it is read to its end. Callers
+ * are told to return one after the other, as there will be room for them.
  */
 #ifndef TM_HTTP_HTTP_INTAKE_H
 #define TM_HTTP_HTTP_INTAKE_H
 
 #include <stddef.h>
+#include <stdint.h>
 
 #include <uv.h>
 
@@ -18,6 +20,9 @@
  * others. */
 #define HTTP_INTAKE_SMALL_BYTES ((size_t)128 * 1024)
 
+/** Size of a value of Retry-After, with the final zero. */
+#define HTTP_INTAKE_RETRY_AFTER_BYTES 16
+
 typedef struct http_intake_conn http_intake_conn_t;
 
 /** All zeros: nothing is bounded. */
@@ -25,6 +30,8 @@
 	size_t limit_bytes; /**< of all large requests together; 0: no limit */
 	size_t held_bytes;
 	http_intake_conn_t *conns;
+	int64_t hold_ms; /**< for which a large request is held, on average */
+	int64_t next_return_ms; /**< when the next refused caller may return */
 	void (*refused)(void *ctx); /**< a request was refused; may be NULL */
 	void *ctx;
 } http_intake_t;
@@ -37,9 +44,11 @@
 	uv_stream_t *stream;
 	h2o_socket_cb read; /**< of h2o */
 	size_t held_bytes; /**< counted for its request */
+	int64_t held_since_ms;
 	size_t length; /**< of head and body of the request; 0: not known */
 	int is_running; /**< its request was handed over */
 	int is_refused;
+	char retry_after[HTTP_INTAKE_RETRY_AFTER_BYTES]; /**< of a refusal */
 	uv_shutdown_t shutdown;
 	http_intake_conn_t *prev;
 	http_intake_conn_t *next;
--- a/test/functional/gate_intake.py
+++ b/test/functional/gate_intake.py
@@ -15,6 +15,9 @@
 MB = 1_000_000
 SERVED_MIN = 0.99
 WORK_S = 0.3
+# Callers that return when they were told to.
+RETURNS_S = 30
+SENDINGS_MAX = 2  # of each, on average
 
 fleet = Fleet(BUILD, WORK, [f"{NET}.1"], [f"{NET}.20"])
 received = {}  # digests of bodies by attempt
@@ -30,17 +33,30 @@
 
 
 class Caller(threading.Thread):
-    """Sends all of a body before it reads, as simple clients do."""
+    """Sends all of a body before it reads, as simple clients do. One that
+    returns sends it again after Retry-After until it is served."""
 
-    def __init__(self, name, size, chunked):
+    def __init__(self, name, size, chunked, returns=False):
         super().__init__(daemon=True)
         self.name_ = name
         self.body = random.Random(name).randbytes(size)
         self.chunked = chunked
+        self.returns = returns
+        self.sendings = 0
         self.status = 0
         self.retry_after = 0.0
 
     def run(self):
+        end = time.monotonic() + RETURNS_S
+        self.send()
+        while self.returns and self.status == 503 and self.retry_after > 0 \
+                and time.monotonic() + self.retry_after < end:
+            time.sleep(self.retry_after)
+            self.send()
+
+    def send(self):
+        self.sendings += 1
+        self.retry_after = 0.0
         length = "Transfer-Encoding: chunked" if self.chunked else \
             f"Content-Length: {len(self.body)}"
         try:
@@ -113,6 +129,22 @@
           statuses.count(200) / len(statuses) >= SERVED_MIN)
 
 
+def play_returns(what, count, size):
+    callers = [Caller(f"{what}-{i}", size, False, True) for i in range(count)]
+    started = time.monotonic()
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    sendings = sum(x.sendings for x in callers)
+    print(what, sendings, "sendings", round(time.monotonic() - started, 1),
+          "s", round(peak_mb()), "MB", file=sys.stderr)
+    print(f"{what}: all are served:", all(x.status == 200 for x in callers))
+    print(f"{what}: callers return when there is room:",
+          sendings <= SENDINGS_MAX * count)
+    print(f"{what}: memory is bounded:", peak_mb() < MEMORY_MAX_MB)
+
+
 try:
     fleet.start_all(["key-one"])
     changed = document(8, ["key-one"])
@@ -136,5 +168,6 @@
     play("40 bodies of 10 MB", 40, 10 * MB)
     play("40 bodies of 3 MB in chunks", 40, 3 * MB, True)
     play("4 bodies of 30 MB", 4, 30 * MB)
+    play_returns("40 bodies of 10 MB that return", 40, 10 * MB)
 finally:
     fleet.kill_all()
