test: a call of Upstream ends before its test does

The sanitizer build found a callback into a variable of a finished test: the last request of ReusesConnectionsThatWereIdleForLessThanTheClosedOne was never answered. It is answered now; the checks are the same.

--- a/test/unit/upstream_test.cc
+++ b/test/unit/upstream_test.cc
@@ -651,6 +651,8 @@
 	Start(&next, get);
 	RunUntil([&] { return peers[1]->received == get + get; });
 	EXPECT_EQ(peers.size(), 2u);
+	peers[1]->Send(hello);
+	RunUntil([&] { return next.done == 1; });
 }
 
 // A claim that must run once does not go out on a connection that was idle.
