test: each fleet gets a loopback address of its own

Ports are drawn on 127.0.0.1 and free between the draw and the start of a process, and whenever a process is started again; another fleet draws them meanwhile. Change: the address of a fleet is drawn, too; tls_entry keeps the one in its certificate. The chance itself was not measured.

--- a/scripts/fleet_settings.py
+++ b/scripts/fleet_settings.py
@@ -9,7 +9,9 @@
 and the burst of single workspaces, such as {"w1": [100, 50]}.
 FLEET_CONTROL_EXTRA, FLEET_ENTRY_EXTRA and
 FLEET_TARGET_EXTRA hold JSON objects that are merged into the settings;
-FLEET_PROFILE_EXTRA into the profile "standard".
+FLEET_PROFILE_EXTRA into the profile "standard". FLEET_IP is the address of all
+processes, by default one of its own for each fleet: a port is free for a moment
+whenever its process is started again, and another fleet would take it.
 """
 import hashlib
 import json
@@ -57,18 +59,21 @@
 
     def __init__(self):
         self.sockets = []
+        self.ip = os.environ.get("FLEET_IP") or "127.%d.%d.%d" % (
+            random.randrange(200, 250), random.randrange(256),
+            random.randrange(1, 255))
 
     def draw(self):
         while True:
             sock = socket.socket()
             port = random.randrange(*PORTS)
             try:
-                sock.bind(("127.0.0.1", port))
+                sock.bind((self.ip, port))
             except OSError:
                 sock.close()
                 continue
             self.sockets.append(sock)
-            return f"127.0.0.1:{port}"
+            return f"{self.ip}:{port}"
 
     def release(self):
         for sock in self.sockets:
--- a/test/functional/explain.sh
+++ b/test/functional/explain.sh
@@ -109,4 +109,4 @@
 done
 ctl --timeout-ms 500 explain request ok-1 2>/dev/null; echo "exit $?"
 ctl --entry "$(echo "$FLEET_OPS" | tr ' ' ,)" explain request ok-1 |
-    sed 's/^127.0.0.1:[0-9]*/ADDRESS/' | stable
+    sed 's/^127[0-9.]*:[0-9]*/ADDRESS/' | stable
--- a/test/functional/tls_entry.sh
+++ b/test/functional/tls_entry.sh
@@ -7,7 +7,9 @@
 make_certificate ca 127.0.0.1 11 "$work/cert.pem" "$work/key.pem"
 FLEET_ENTRY_EXTRA="{\"tls\":{\"certificate_file\":\"$PWD/$work/cert.pem\",
 \"key_file\":\"$PWD/$work/key.pem\"}}"
-export FLEET_ENTRY_EXTRA
+# As in the certificate.
+FLEET_IP=127.0.0.1
+export FLEET_ENTRY_EXTRA FLEET_IP
 scripts/fleet.sh start "$dir" control=1 entry=3 dcs=1 targets=1 workspaces=1 ||
     exit 1
 . "$dir/env"
