test: the fault soak has large responses, slow readers and endless bytes

One request in 20 is answered with 3 MB, three in ten of these callers stop reading for a time, and paths answer requests with a head, a body or noise without end. Checked: large responses are whole, no gate takes more than 200 MB. Not in it: full disks.

--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -270,6 +270,9 @@
 
             def answer(self, status, more):
                 body = b"from " + target.id.encode()
+                if status == 200:
+                    body = body.ljust(
+                        int(self.headers.get("X-Body-Bytes", 0)), b".")
                 self.send_response(status)
                 for key, value in more.items():
                     self.send_header(key, value)
--- a/test/functional/soak.py
+++ b/test/functional/soak.py
@@ -24,6 +24,18 @@
 REVOKE_S = 5
 CALL_TIMEOUT_S = 8
 RECOVERED_SHARE = 0.9
+# Of a gate, under large responses, slow readers and endless bytes.
+MEMORY_MAX_MB = 200
+LARGE_SHARE = 0.05
+LARGE_BYTES = 3_000_000
+SLOW_SHARE = 0.3  # of callers that wait for a large response
+ENDLESS_BYTES = 65536
+ENDLESS_INTERVAL_S = 0.01
+ENDLESS_STARTS = {
+    "endless_head": b"HTTP/1.1 200 OK\r\nX-Fill: ",
+    "endless_body": b"HTTP/1.1 200 OK\r\n\r\n",
+    "endless_noise": b"",
+}
 
 
 class Proxy:
@@ -57,6 +69,13 @@
                     time.sleep(0.3)
                 if mode == "silent" or (mode == "one_way" and answers):
                     continue
+                if mode in ENDLESS_STARTS and not answers:
+                    # In place of a response, not within one: a changed body of
+                    # the right length is for callers to find.
+                    source.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    self.send_endless(source, mode)
+                    break
                 if mode == "reset":
                     sink.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                     break
@@ -72,6 +91,13 @@
         sink.close()
 
 
+    def send_endless(self, sink, mode):
+        sink.sendall(ENDLESS_STARTS[mode])
+        while self.mode == mode:
+            sink.sendall(b"x" * ENDLESS_BYTES)
+            time.sleep(ENDLESS_INTERVAL_S)
+
+
 class Caller(threading.Thread):
     """Sends requests over one connection until it ends, then opens another."""
 
@@ -105,6 +131,9 @@
                    "Tarragonmoor-Deadline-Ms": "4000"}
         entry = {"id": name, "safe": is_safe, "at": time.monotonic(),
                  "key": None if is_safe else key, "status": 0}
+        is_large = self.rng.random() < LARGE_SHARE
+        if is_large:
+            headers["X-Body-Bytes"] = str(LARGE_BYTES)
         self.sent.append(entry)
         if not is_safe:
             headers["Api-Key"] = key
@@ -112,11 +141,16 @@
             conn.request("GET" if is_safe else "POST",
                          "/open/1" if is_safe else "/x/1", None, headers)
             response = conn.getresponse()
-            body = response.read()
+            body = b""
+            if is_large and self.rng.random() < SLOW_SHARE:
+                body = response.read(65536)
+                time.sleep(self.rng.uniform(0.5, 2))
+            body += response.read()
         except (OSError, http.client.HTTPException):
             return False
         entry["status"] = response.status
-        entry["body"] = body.decode(errors="replace")
+        entry["body"] = body[:64].decode(errors="replace")
+        entry["is_whole"] = not is_large or len(body) == LARGE_BYTES
         entry["echo"] = response.headers.get("Tarragonmoor-Attempt-Id")
         return not response.will_close
 
@@ -143,6 +177,7 @@
         self.is_stopped = False
         self.faults = []
         self.violations = []
+        self.peak_mb = 0
 
     # Operators
 
@@ -209,7 +244,8 @@
 
     def harm_path(self):
         proxy = self.rng.choice(self.proxies)
-        mode = self.rng.choice(["delay", "silent", "one_way", "reset"])
+        mode = self.rng.choice(
+            ["delay", "silent", "one_way", "reset", *ENDLESS_STARTS])
         for_s = self.rng.uniform(0.3, 3)
         self.faults.append(f"{mode} target {for_s:.1f}")
         proxy.mode = mode
@@ -314,10 +350,22 @@
             self.check_request(entry, ran[entry["id"]])
         self.check_recovery(sent, recovered)
         self.check_config()
+        self.check_memory()
         for name, process in self.fleet.processes.items():
             if process.poll() is not None:
                 self.violations.append(f"{name} ended: {process.returncode}")
 
+    def check_memory(self):
+        for name, process in self.fleet.processes.items():
+            if not name.startswith("gate") or process.poll() is not None:
+                continue
+            with open(f"/proc/{process.pid}/status", encoding="ascii") as file:
+                peak_mb = next(int(line.split()[1]) // 1024 for line in file
+                               if line.startswith("VmHWM:"))
+            self.peak_mb = max(self.peak_mb, peak_mb)
+            if peak_mb > MEMORY_MAX_MB:
+                self.violations.append(f"{name} took {peak_mb} MB")
+
     def check_request(self, entry, runs):
         name, status = entry["id"], entry["status"]
         if not entry["safe"] and runs > 1:
@@ -325,6 +373,7 @@
         if not entry["safe"] and status in (429, 503) and runs > 0:
             self.violations.append(f"{name}: ran, answered {status}")
         if status == 200 and (runs == 0 or entry["echo"] != name or
+                              not entry["is_whole"] or
                               not entry["body"].startswith("from t")):
             self.violations.append(f"{name}: {entry}, ran {runs}")
         if status == 404:
@@ -386,7 +435,8 @@
         soak.fleet.kill_all()
     served = sum(entry["status"] == 200 for entry in sent)
     sys.stderr.write(f"seed {args.seed}: {served} of {len(sent)} served, "
-                     f"{len(soak.faults)} faults, {len(soak.puts)} puts\n")
+                     f"{len(soak.faults)} faults, {len(soak.puts)} puts, "
+                     f"{soak.peak_mb} MB\n")
     for text in soak.violations[:20] + soak.faults * bool(soak.violations):
         sys.stderr.write(f"  {text}\n")
     count = len(soak.violations)
