gate, hub, scripts: one branch for pauses, an unused include, output of tests that exit with an error

From reading the diff. run-functional.sh shows the output of a test that exits with an error; there is no diff then.

--- a/scripts/run-functional.sh
+++ b/scripts/run-functional.sh
@@ -28,7 +28,11 @@
 		echo ok >"$out/$name.verdict"
 	else
 		echo "FAIL functional $name (exit $rc)"
-		cat "$out/$name.diff"
+		if [ $rc -eq 0 ]; then
+			cat "$out/$name.diff"
+		else
+			tail -n 20 "$out/$name.out"
+		fi
 		tail -n 20 "$out/$name.err"
 		echo failed >"$out/$name.verdict"
 	fi
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -493,12 +493,11 @@
 		gate_limit_permit_reserve(request);
 	else if (choice.must_reserve)
 		gate_limit_permit_wait(request);
-	else if (choice.pause_ms > PAUSED_RETRY_MAX_MS)
-		gate_request_refuse(
-		    request, GATE_REFUSAL_PAUSED, PAUSED_RETRY_MAX_MS);
 	else if (choice.pause_ms > 0)
-		gate_request_refuse(
-		    request, GATE_REFUSAL_PAUSED, choice.pause_ms);
+		gate_request_refuse(request, GATE_REFUSAL_PAUSED,
+		    choice.pause_ms < PAUSED_RETRY_MAX_MS
+			? choice.pause_ms
+			: PAUSED_RETRY_MAX_MS);
 	else if (choice.target == NULL)
 		gate_request_delay(request, GATE_REFUSAL_NO_TARGET);
 	else if (gate_limit_is_set(&choice.target->limit) && has_leader)
--- a/src/http/upstream_idle.h
+++ b/src/http/upstream_idle.h
@@ -15,7 +15,7 @@
 } upstream_idle_t;
 
 /**
- * Records that a target closed a connection, or let go a request sent on it.
+ * Records that a target closed a connection, idle or with a request just sent.
  *
  * @param idle_ms  how long the connection was idle
  */
--- a/src/hub/hub_break.c
+++ b/src/hub/hub_break.c
@@ -1,7 +1,5 @@
 #include "hub/hub_break.h"
 
-#include <string.h>
-
 #include "fleet/fleet_defs.h"
 
 void
