test: the two requests of gate_crash do not meet at one target

Trace (events 964 and 924): both requests were sent to t0-1 in the same millisecond; it ended under both, which is a crash of each for the gates, but it recorded only the one that it had read first. The check is right, the sanity count of the records was not. Change: the second request is sent 0.37 s after the first, so that a record stands for each. The checks are the same.

--- a/test/functional/gate_crash.py
+++ b/test/functional/gate_crash.py
@@ -17,6 +17,9 @@
 TARGETS = 8
 SENDINGS = 24
 INTERVAL_S = 0.5
+# Between the two requests, and away from the retry of the one that is repeated: a
+# target records only the request that ended it, not another one that was sent.
+OFFSET_S = 0.37
 # A restarted target is back after this time, as a new incarnation.
 RESTART_S = 2
 # Of the platform: time for a VM to learn, and retries that are allowed then.
@@ -57,7 +60,8 @@
     return call(fleet.gates[gate], fleet.front, method, path, body, headers)
 
 
-def send_crashes(kind, method, path, key, answers):
+def send_crashes(kind, method, path, key, answers, wait_s):
+    time.sleep(wait_s)
     for i in range(SENDINGS):
         started = time.monotonic()
         try:
@@ -124,9 +128,10 @@
     statuses, unsafe, safe = [], [], []
     threads = [threading.Thread(target=send_others, args=(statuses, stop)),
                threading.Thread(target=send_crashes, args=(
-                   "unrepeatable", "POST", "/x/1", "key-one", unsafe)),
+                   "unrepeatable", "POST", "/x/1", "key-one", unsafe,
+                   OFFSET_S)),
                threading.Thread(target=send_crashes, args=(
-                   "repeatable", "GET", "/open/1", None, safe))]
+                   "repeatable", "GET", "/open/1", None, safe, 0))]
     for thread in threads:
         thread.start()
     for thread in threads[1:]:
