--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -14,16 +14,19 @@
 WAIT_S = 20
 
 
-def find_port(ips):
-    """A port that is free on all addresses."""
+def find_port(ips, taken):
+    """A port that is free on all addresses and not taken; takes it."""
     while True:
         port = random.randrange(20000, 32000)
+        if port in taken:
+            continue
         socks = []
         try:
             for ip in ips:
                 sock = socket.socket()
                 socks.append(sock)
                 sock.bind((ip, port))
+            taken.add(port)
             return port
         except OSError:
             continue
@@ -47,11 +50,12 @@
         self.work = work
         self.hubs = hubs
         self.gates = gates
-        self.peer = find_port(hubs + gates)
-        self.control_port = find_port(hubs)
-        self.front = find_port(gates)
-        self.ready = find_port(gates)
-        self.metrics = find_port(hubs + gates)
+        taken = set()
+        self.peer = find_port(hubs + gates, taken)
+        self.control_port = find_port(hubs, taken)
+        self.front = find_port(gates, taken)
+        self.ready = find_port(gates, taken)
+        self.metrics = find_port(hubs + gates, taken)
         self.processes = {}
         self.log_sizes = {}  # before the last start
 
