--- a/test/unit/upstream_test.cc
+++ b/test/unit/upstream_test.cc
@@ -603,6 +603,7 @@
 	RunFor(20);
 	peers[1]->Send(hello);
 	RunUntil([&] { return kept.done == 1; });
+	RunFor(200); // longer than the wait before the close
 	Start(&next, get);
 	Await(2, get)->Send(hello);
 	RunUntil([&] { return next.done == 1; });
