--- a/test/unit/store_power_test.cc
+++ b/test/unit/store_power_test.cc
@@ -49,7 +49,7 @@
 
 	~Disk()
 	{
-		for (int fd : kept_)
+		for (const auto &[inode, fd] : opened_)
 			close(fd);
 	}
 
@@ -92,7 +92,6 @@
 			return;
 		fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
 		ASSERT_GE(fd, 0);
-		kept_.push_back(fd);
 		opened_[inode] = fd;
 	}
 
@@ -154,7 +153,6 @@
 	std::map<std::string, ino_t> names_; // synced
 	std::map<ino_t, std::string> files_; // synced
 	std::map<ino_t, int> opened_;
-	std::vector<int> kept_;
 };
 
 // What a store holds: terms of its entries, which are unique.
--- a/test/unit/upstream_test.cc
+++ b/test/unit/upstream_test.cc
@@ -627,6 +627,7 @@
 	EXPECT_EQ(lost.result, UPSTREAM_BROKEN);
 	peers[1]->Send(hello);
 	RunUntil([&] { return kept.done == 1; });
+	RunFor(200); // longer than the wait before the loss
 	Start(&next, get);
 	Await(2, get)->Send(hello);
 	RunUntil([&] { return next.done == 1; });
