hub, http, store: one place decides on the next incarnation, from reading the change

Whether a target is the successor of one that broke a request was decided in hub_break.c and again in hub_messages.c; hub_break_has_successor() does it for both. conn_record_close() records in one place. The comment on the sync of the fault layer says what is called.

--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -367,13 +367,12 @@
 conn_record_close(const upstream_conn_t *conn)
 {
 	int64_t now_ms = clock_now_ms();
+	int64_t idle_ms =
+	    conn->is_idle ? now_ms - conn->idle_since_ms : conn->idle_ms;
 
-	if (conn->is_idle)
-		upstream_idle_record_close(&conn->target->closed,
-		    now_ms - conn->idle_since_ms, now_ms);
-	else if (conn->requests > 1)
+	if (conn->is_idle || conn->requests > 1)
 		upstream_idle_record_close(
-		    &conn->target->closed, conn->idle_ms, now_ms);
+		    &conn->target->closed, idle_ms, now_ms);
 }
 
 /*
--- a/src/hub/hub_break.c
+++ b/src/hub/hub_break.c
@@ -8,16 +8,31 @@
 	*breaks = (hub_breaks_t){ .next = 0 };
 }
 
+hub_break_t
+hub_break_make(const hub_crash_report_t *report, const hub_target_t *target)
+{
+	return ((hub_break_t){
+	    .report = *report,
+	    .ip = target->as.ip,
+	    .port = target->as.port,
+	    .service = fleet_name_hash(target->as.service),
+	});
+}
+
+int
+hub_break_has_successor(const hub_break_t *item, const hub_target_t *target)
+{
+	return (target->as.state != FLEET_TARGET_DEREGISTERED &&
+	    target->as.ip == item->ip && target->as.port == item->port &&
+	    (target->key != item->report.target ||
+		target->as.born_ms != item->report.incarnation_ms) &&
+	    fleet_name_hash(target->as.service) == item->service);
+}
+
 void
-hub_breaks_add(hub_breaks_t *breaks, const hub_crash_report_t *report,
-    const hub_target_t *target)
+hub_breaks_add(hub_breaks_t *breaks, const hub_break_t *item)
 {
-	breaks->breaks[breaks->next] = (hub_break_t){
-		.report = *report,
-		.ip = target->as.ip,
-		.port = target->as.port,
-		.service = fleet_name_hash(target->as.service),
-	};
+	breaks->breaks[breaks->next] = *item;
 	breaks->next = (breaks->next + 1) % HUB_BREAKS_MAX;
 }
 
@@ -32,23 +47,12 @@
 	}
 }
 
-int
-hub_break_is_successor(
-    const hub_crash_report_t *report, const hub_target_t *target)
-{
-	return (target->as.state != FLEET_TARGET_DEREGISTERED &&
-	    (target->key != report->target ||
-		target->as.born_ms != report->incarnation_ms));
-}
-
 static int
 is_crash(const hub_break_t *item, const hub_target_t *target, int64_t now_ms)
 {
-	return (item->report.broken_ms != 0 && item->ip == target->as.ip &&
-	    item->port == target->as.port &&
+	return (item->report.broken_ms != 0 &&
 	    now_ms - item->report.broken_ms < HUB_BREAK_KEPT_MS &&
-	    item->service == fleet_name_hash(target->as.service) &&
-	    hub_break_is_successor(&item->report, target));
+	    hub_break_has_successor(item, target));
 }
 
 size_t
--- a/src/hub/hub_break.h
+++ b/src/hub/hub_break.h
@@ -36,13 +36,16 @@
 /** Forgets all breaks: this hub begins to lead. */
 void hub_breaks_reset(hub_breaks_t *breaks);
 
-/**
- * Records a break.
- *
- * @param target  the incarnation that the request was sent to
- */
-void hub_breaks_add(hub_breaks_t *breaks, const hub_crash_report_t *report,
-    const hub_target_t *target);
+/** @param target  the incarnation that the request was sent to */
+hub_break_t hub_break_make(
+    const hub_crash_report_t *report, const hub_target_t *target);
+
+/** @return 1 if a target is the next incarnation of the one of a break */
+int hub_break_has_successor(
+    const hub_break_t *item, const hub_target_t *target);
+
+/** Records a break. */
+void hub_breaks_add(hub_breaks_t *breaks, const hub_break_t *item);
 
 /** Forgets a request that a target has answered. */
 void hub_breaks_clear(hub_breaks_t *breaks, uint64_t fingerprint);
@@ -58,8 +61,4 @@
 size_t hub_breaks_take(hub_breaks_t *breaks, const hub_target_t *target,
     int64_t now_ms, hub_crash_report_t *out);
 
-/** @return 1 if one target is the successor of another incarnation */
-int hub_break_is_successor(
-    const hub_crash_report_t *report, const hub_target_t *target);
-
 #endif
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -1,5 +1,4 @@
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -440,17 +439,17 @@
 	const hub_target_t *target =
 	    hub_state_find_target(hub->state, report->target);
 	const hub_target_t *next;
+	hub_break_t item;
 
 	/* One that is stopped on purpose ends its connections, too. */
 	if (target == NULL || target->as.state == FLEET_TARGET_DRAINING)
 		return;
-	next =
-	    hub_state_find_address(hub->state, target->as.ip, target->as.port);
-	if (next != NULL && hub_break_is_successor(report, next) &&
-	    strcmp(next->as.service, target->as.service) == 0)
+	item = hub_break_make(report, target);
+	next = hub_state_find_address(hub->state, item.ip, item.port);
+	if (next != NULL && hub_break_has_successor(&item, next))
 		record_crash(hub, report, "new incarnation", now_ms);
 	else if (target->as.state != FLEET_TARGET_DEREGISTERED)
-		hub_breaks_add(&hub->breaks, report, target);
+		hub_breaks_add(&hub->breaks, &item);
 }
 
 static void
--- a/src/store/store_io.h
+++ b/src/store/store_io.h
@@ -21,7 +21,7 @@
 	uint64_t call_count; /**< calls that change files or folders */
 	uint64_t failing_call; /**< the call that fails, from 1 on; 0: none */
 	int is_lasting; /**< the calls after it fail, too */
-	/** Takes the place of fsync(); NULL: none. */
+	/** Called instead of fsync(); NULL: fsync() is called. */
 	void (*sync)(void *ctx, int fd);
 	void *ctx;
 } store_faults_t;
--- a/test/unit/hub_break_test.cc
+++ b/test/unit/hub_break_test.cc
@@ -45,8 +45,9 @@
 	Add(const hub_target_t &target, int64_t broken_ms)
 	{
 		hub_crash_report_t report = Report(target, broken_ms);
+		hub_break_t item = hub_break_make(&report, &target);
 
-		hub_breaks_add(&breaks_, &report, &target);
+		hub_breaks_add(&breaks_, &item);
 	}
 
 	size_t
