test: a fleet of members over disks that fail, fill up and hang

RaftDisks runs three or five members over real data folders whose calls fail once or for some time, whose writes are short, whose syncs hang for up to 5 s, with ends of the process and losses of power; any number of disks at once. No committed entry may change or be lost, no term may have two leaders, and a leader must be there 15 s after all disks are well. fakenet_block() holds a member in a call, and what it sends from within the call.

--- a/test/scenario/fakenet.c
+++ b/test/scenario/fakenet.c
@@ -13,6 +13,7 @@
 	fakenet_tick_cb tick;
 	int alive;
 	int frozen;
+	int64_t blocked_until_ms;
 	uint64_t cut_to; /* bit i: messages to nodes[i] are dropped */
 } fakenet_node_t;
 
@@ -98,6 +99,7 @@
 	slot->tick = tick;
 	slot->alive = 1;
 	slot->frozen = 0;
+	slot->blocked_until_ms = 0;
 	return (slot);
 }
 
@@ -147,11 +149,29 @@
 	copy->from = from;
 	copy->to = receiver;
 	spread = net->delay_max_ms - net->delay_min_ms + 1;
-	copy->due_ms = net->now_ms + net->delay_min_ms +
-	    (int64_t)rng_below(&net->rng, (uint64_t)spread);
+	copy->due_ms = net->now_ms > from->blocked_until_ms
+	    ? net->now_ms
+	    : from->blocked_until_ms;
+	copy->due_ms +=
+	    net->delay_min_ms + (int64_t)rng_below(&net->rng, (uint64_t)spread);
 	fakenet_enqueue(net, copy);
 }
 
+static int
+fakenet_runs(const fakenet_node_t *node)
+{
+	return (node->alive && !node->frozen &&
+	    node->net->now_ms >= node->blocked_until_ms);
+}
+
+int
+fakenet_is_running(fakenet_t *net, node_id_t id)
+{
+	const fakenet_node_t *node = fakenet_find(net, id);
+
+	return (node != NULL && fakenet_runs(node));
+}
+
 void
 fakenet_set_cut(fakenet_t *net, node_id_t from, node_id_t to, int cut)
 {
@@ -177,6 +197,15 @@
 		node->frozen = frozen;
 }
 
+void
+fakenet_block(fakenet_t *net, node_id_t id, int64_t duration_ms)
+{
+	fakenet_node_t *node = fakenet_find(net, id);
+
+	if (node != NULL)
+		node->blocked_until_ms = net->now_ms + duration_ms;
+}
+
 void
 fakenet_kill(fakenet_t *net, node_id_t id)
 {
@@ -211,7 +240,7 @@
 	fakenet_msg_t *msg;
 
 	while ((msg = *link) != NULL && msg->due_ms <= net->now_ms) {
-		if (!msg->to->frozen) {
+		if (fakenet_runs(msg->to)) {
 			*link = msg->next;
 			return (msg);
 		}
@@ -242,7 +271,7 @@
 
 	for (i = 0; i < net->node_count; i++) {
 		node = &net->nodes[i];
-		if (node->alive && !node->frozen)
+		if (fakenet_runs(node))
 			node->tick(node->node, net->now_ms);
 	}
 }
--- a/test/scenario/fakenet.h
+++ b/test/scenario/fakenet.h
@@ -58,6 +58,16 @@
 /** Stops a node (frozen != 0): no ticks, no deliveries until it resumes. */
 void fakenet_set_frozen(fakenet_t *net, node_id_t id, int frozen);
 
+/**
+ * Blocks a node in a call for some time, as a disk that hangs does: it gets no
+ * ticks and no deliveries, and what it sends from within the call leaves at the
+ * end of that time.
+ */
+void fakenet_block(fakenet_t *net, node_id_t id, int64_t duration_ms);
+
+/** @return 1 if a node is neither frozen, blocked nor killed */
+int fakenet_is_running(fakenet_t *net, node_id_t id);
+
 /** Removes a node with all messages to and from it. */
 void fakenet_kill(fakenet_t *net, node_id_t id);
 
--- a/test/scenario/raft_cluster.cc
+++ b/test/scenario/raft_cluster.cc
@@ -174,11 +174,27 @@
 	fakenet_run(net, ms);
 }
 
-void
+int
+RaftCluster::open_store(RaftNode *node, raft_options_t *options)
+{
+	std::string folder = data_path + "/" + node->name;
+	store_options_t store = { folder.c_str(), 0, node->faults, 0 };
+	int err = store_open(&node->store, &store);
+
+	if (err != TM_OK)
+		return (err);
+	options->disk_id = store_get_disk_id(node->store);
+	options->restore = *store_get_restore(node->store);
+	options->storage = store_get_storage(node->store);
+	return (TM_OK);
+}
+
+int
 RaftCluster::start(RaftNode *node)
 {
 	std::vector<raft_entry_t> entries;
 	raft_options_t options = {};
+	int err = TM_OK;
 
 	for (auto &item : node->disk.entries)
 		entries.push_back({ item.first, item.second.term,
@@ -201,15 +217,8 @@
 	options.restore.entry_count = entries.size();
 	options.storage = { disk_append, disk_truncate, disk_save_vote,
 		disk_save_snapshot, node };
-	if (!data_path.empty()) {
-		std::string folder = data_path + "/" + node->name;
-		store_options_t store = { folder.c_str(), 0, nullptr };
-		if (store_open(&node->store, &store) != TM_OK)
-			abort();
-		options.disk_id = store_get_disk_id(node->store);
-		options.restore = *store_get_restore(node->store);
-		options.storage = store_get_storage(node->store);
-	}
+	if (!data_path.empty())
+		err = open_store(node, &options);
 	options.send = fakenet_send;
 	options.send_ctx =
 	    fakenet_add(net, node->id, node, node_receive, node_tick);
@@ -217,8 +226,13 @@
 	options.take_snapshot = node_take_snapshot;
 	options.install_snapshot = node_install_snapshot;
 	options.ctx = node;
-	if (raft_create(&node->raft, &options, fakenet_now_ms(net)) != TM_OK)
+	if (err == TM_OK)
+		err = raft_create(&node->raft, &options, fakenet_now_ms(net));
+	if (err != TM_OK && node->faults == nullptr)
 		abort();
+	if (err != TM_OK)
+		kill(node);
+	return (err);
 }
 
 void
--- a/test/scenario/raft_cluster.h
+++ b/test/scenario/raft_cluster.h
@@ -42,6 +42,7 @@
 	node_id_t id;
 	RaftDisk disk;
 	store_t *store = nullptr; /**< used instead of disk if set */
+	store_faults_t *faults = nullptr; /**< of the store */
 	raft_t *raft = nullptr;
 	bool frozen = false;
 	bool wiped = false;
@@ -64,7 +65,9 @@
 	/** Leader with contact to a majority, or nullptr. */
 	RaftNode *leader();
 	void run(int64_t ms);
-	void start(RaftNode *node);
+	/** Starts a node; aborts on an error if it has no faults.
+	 * @return 0, or the error of its store */
+	int start(RaftNode *node);
 	void kill(RaftNode *node);
 	/** Starts a killed node with an empty disk. */
 	void wipe(RaftNode *node);
@@ -90,6 +93,8 @@
 
       private:
 	std::map<uint64_t, std::string> leaders; /* by term */
+	int open_store(RaftNode *node, raft_options_t *options);
+
 	std::vector<raft_member_t> initial;
 	uint64_t seed;
 	uint64_t next_disk = 1;
--- a/test/unit/raft_test.cc
+++ b/test/unit/raft_test.cc
@@ -477,7 +477,7 @@
 		} else if (choice == 4) {
 			cluster.isolate(node, rng_below(&rng, 2));
 		} else if (choice == 5) {
-			up ? cluster.kill(node) : cluster.start(node);
+			up ? cluster.kill(node) : (void)cluster.start(node);
 		} else if (choice == 6 && up) {
 			cluster.freeze(node, !node->frozen);
 		} else if (choice == 7 && up && may_wipe()) {
--- a/test/unit/store_power_test.cc
+++ b/test/unit/store_power_test.cc
@@ -3,14 +3,8 @@
 // was left by these in a state that it does not open again.
 #include <gtest/gtest.h>
 
-#include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +16,7 @@
 #include "base/rng.h"
 #include "store/store.h"
 }
+#include "power_disk.h"
 
 namespace fs = std::filesystem;
 
@@ -31,130 +26,6 @@
 const int kSteps = 60;
 const size_t kSegmentBytes = 256;
 
-std::string
-ReadFile(const std::string &path)
-{
-	std::ifstream in(path, std::ios::binary);
-
-	return (std::string(std::istreambuf_iterator<char>(in), {}));
-}
-
-// A folder of which a loss of power leaves what was synced. Of what was not, any
-// part may be left: names as they were or are, and files up to any length.
-class Disk {
-      public:
-	Disk(const std::string &path, rng_t *rng) : path_(path), rng_(rng)
-	{
-	}
-
-	~Disk()
-	{
-		for (const auto &[inode, fd] : opened_)
-			close(fd);
-	}
-
-	// store_faults_t.sync
-	static void
-	Sync(void *ctx, int fd)
-	{
-		static_cast<Disk *>(ctx)->Record(fd);
-	}
-
-	void
-	LosePower()
-	{
-		std::map<std::string, ino_t> names =
-		    rng_below(rng_, 2) == 0 ? names_ : ListNames();
-		std::map<std::string, std::string> left;
-
-		for (const auto &[name, inode] : names)
-			left[name] = GetLeft(inode);
-		for (const auto &item : fs::directory_iterator(path_))
-			fs::remove(item.path());
-		for (const auto &[name, content] : left) {
-			std::ofstream(path_ + "/" + name, std::ios::binary)
-			    << content;
-		}
-		files_.clear();
-		names_ = ListNames();
-		for (const auto &[name, inode] : names_)
-			files_[inode] = left[name];
-	}
-
-      private:
-	// Opens a file for as long as the disk lives: its inode is not reused.
-	void
-	Keep(ino_t inode, const std::string &path)
-	{
-		int fd;
-
-		if (opened_.count(inode) > 0)
-			return;
-		fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
-		ASSERT_GE(fd, 0);
-		opened_[inode] = fd;
-	}
-
-	std::map<std::string, ino_t>
-	ListNames()
-	{
-		std::map<std::string, ino_t> names;
-		struct stat info;
-
-		for (const auto &item : fs::directory_iterator(path_)) {
-			stat(item.path().c_str(), &info);
-			names[item.path().filename()] = info.st_ino;
-			Keep(info.st_ino, item.path());
-		}
-		return (names);
-	}
-
-	static std::string
-	ReadOpen(int fd)
-	{
-		return (ReadFile("/proc/self/fd/" + std::to_string(fd)));
-	}
-
-	void
-	Record(int fd)
-	{
-		struct stat info;
-		struct stat folder;
-
-		fstat(fd, &info);
-		stat(path_.c_str(), &folder);
-		if (info.st_ino == folder.st_ino)
-			names_ = ListNames();
-		else if (S_ISREG(info.st_mode)) {
-			Keep(
-			    info.st_ino, "/proc/self/fd/" + std::to_string(fd));
-			files_[info.st_ino] = ReadOpen(fd);
-		}
-	}
-
-	std::string
-	GetLeft(ino_t inode)
-	{
-		std::string synced = files_[inode];
-		std::string now = ReadOpen(opened_[inode]);
-		size_t more;
-
-		if (rng_below(rng_, 2) == 0)
-			return (synced);
-		if (now.compare(0, synced.size(), synced) != 0)
-			return (now);
-		more = now.size() - synced.size();
-		return (now.substr(
-		    0, synced.size() + rng_below(rng_, (uint32_t)more + 1)));
-	}
-
-	std::string path_;
-	rng_t *rng_;
-	std::map<std::string, ino_t> names_; // synced
-	std::map<ino_t, std::string> files_; // synced
-	std::map<ino_t, int> opened_;
-};
-
 // What a store holds: terms of its entries, which are unique.
 struct Content {
 	uint64_t vote_term = 0;
@@ -208,11 +79,11 @@
 		folder_ = mkdtemp(text);
 		path_ = folder_ + "/data";
 		fs::create_directory(path_);
-		disk_ = std::make_unique<Disk>(path_, &rng_);
+		disk_ = std::make_unique<PowerDisk>(path_, &rng_);
 		faults_ = {};
 		faults_.writable_bytes = -1;
 		faults_.syncs_until_failure = -1;
-		faults_.sync = Disk::Sync;
+		faults_.sync = PowerDisk::Sync;
 		faults_.ctx = disk_.get();
 		term_ = 0;
 		allowed_ = { Content() };
@@ -373,7 +244,7 @@
 	rng_t rng_;
 	std::string folder_;
 	std::string path_;
-	std::unique_ptr<Disk> disk_;
+	std::unique_ptr<PowerDisk> disk_;
 	store_faults_t faults_;
 	store_t *store_ = nullptr;
 	raft_storage_t storage_;
