store, hub, control: a start waits while its disk fails

Cause: an open of the data folder that fails ends the process.

Change: a hub and a control VM open the data folder before anything else and wait while its disk fails (events 224, 225), with attempts 0.1 to 1 s apart. A path that only an operator can mend (it does not exist, no permission) still ends the start, now as TM_EINVAL.

Store.AStartWaitsUntilTheDiskNoLongerFails and AStartDoesNotWaitForAPathThatCannotBeUsed are new. control_disk passes.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -324,7 +324,6 @@
 static int
 control_open_raft(control_t *control)
 {
-	store_options_t store = { .path = control->settings.data_dir };
 	raft_options_t options = { .self = control->self,
 		.send = peer_net_send_cb,
 		.send_ctx = control->net,
@@ -336,9 +335,6 @@
 	int err;
 	int i;
 
-	err = store_open(&control->store, &store);
-	if (err != TM_OK)
-		return (err);
 	options.disk_id = store_get_disk_id(control->store);
 	options.restore = *store_get_restore(control->store);
 	options.storage = store_get_storage(control->store);
@@ -353,11 +349,28 @@
 	return (err);
 }
 
+static void
+control_log_data_folder(const control_t *control, int err)
+{
+	LOG_EVENT(234, LOG_LEVEL_ERROR, "cannot use the data folder",
+	    LOG_TEXT("data_dir", control->settings.data_dir),
+	    LOG_TEXT("error", error_get_text(err)),
+	    LOG_TEXT("remedy", error_get_remedy(err)));
+}
+
 static int
 control_start(control_t *control, uv_loop_t *loop)
 {
-	int err = control_open_net(control, loop);
+	store_options_t store = { .path = control->settings.data_dir };
+	int err = store_open_wait(&control->store, &store);
 
+	if (err != TM_OK) {
+		control_log_data_folder(control, err);
+		return (err);
+	}
+	/* The disk may have been waited for. */
+	control->now_ms = clock_now_ms();
+	err = control_open_net(control, loop);
 	if (err != TM_OK) {
 		LOG_EVENT(232, LOG_LEVEL_ERROR, "cannot listen for peers",
 		    LOG_TEXT("error", error_get_text(err)));
@@ -370,10 +383,7 @@
 	config_state_set_watch(control->state, control_on_change, control);
 	err = control_open_raft(control);
 	if (err != TM_OK) {
-		LOG_EVENT(234, LOG_LEVEL_ERROR, "cannot use the data folder",
-		    LOG_TEXT("data_dir", control->settings.data_dir),
-		    LOG_TEXT("error", error_get_text(err)),
-		    LOG_TEXT("remedy", error_get_remedy(err)));
+		control_log_data_folder(control, err);
 		return (err);
 	}
 	uv_timer_init(loop, &control->timer);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -376,11 +376,20 @@
 	return (id != RAFT_DISK_NONE ? id : 1);
 }
 
+static int
+open_store(hub_t *hub)
+{
+	store_options_t options = { .path = hub->settings.data_dir };
+
+	if (hub->settings.is_first_start)
+		options.initial_disk_id = get_first_disk_id(hub->settings.ip);
+	return (store_open_wait(&hub->store, &options));
+}
+
 static int
 open_raft(hub_t *hub)
 {
 	const hub_settings_t *settings = &hub->settings;
-	store_options_t store = { .path = settings->data_dir };
 	raft_options_t options = {
 		.self = hub->self,
 		.send = peer_net_send_cb,
@@ -394,11 +403,6 @@
 	int err;
 	int i;
 
-	if (settings->is_first_start)
-		store.initial_disk_id = get_first_disk_id(settings->ip);
-	err = store_open(&hub->store, &store);
-	if (err != TM_OK)
-		return (err);
 	options.disk_id = store_get_disk_id(hub->store);
 	options.restore = *store_get_restore(hub->store);
 	options.storage = store_get_storage(hub->store);
@@ -506,7 +510,10 @@
 	hub->settings = *settings;
 	hub->loop = loop;
 	hub->self = node_id_from_name(settings->ip);
-	err = open_net(hub);
+	/* Others reach this hub only once its disk takes writes. */
+	err = open_store(hub);
+	if (err == TM_OK)
+		err = open_net(hub);
 	if (err == TM_OK)
 		err = create_modules(hub);
 	if (err == TM_OK)
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -27,7 +27,8 @@
 typedef void (*hub_done_cb)(void *ctx, int err);
 
 /**
- * Opens the data folder and starts to take part in the replicated log.
+ * Opens the data folder and starts to take part in the replicated log. Blocks
+ * while the disk of the folder fails.
  *
  * @return 0 or a negative error number, already logged
  */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -9,6 +9,7 @@
 #include <sys/file.h>
 #include <sys/random.h>
 #include <sys/stat.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <xxhash.h>
@@ -24,6 +25,11 @@
 #define STORE_VOTE_MAGIC UINT64_C(0x3145544f564d54)
 /** Size of a file with a magic, two numbers and a checksum. */
 #define STORE_PAIR_FILE_BYTES 32
+/** Time between two attempts of store_open_wait(): doubled from the first to the
+ * last one. A node whose disk is well again is soon back, and the log of a long
+ * failure stays short. */
+#define STORE_RETRY_MIN_MS 100
+#define STORE_RETRY_MAX_MS 1000
 
 struct store {
 	int dir_fd;
@@ -189,6 +195,19 @@
 	return (err);
 }
 
+/* Logs why the folder cannot be used. @return TM_EIO if the disk failed;
+ * TM_EINVAL if only an operator can mend it, as for a path that does not exist */
+static int
+store_report_dir(const char *operation)
+{
+	int failure = errno;
+
+	store_report_io(operation);
+	return (failure == EIO || failure == ENOSPC || failure == EDQUOT
+		? TM_EIO
+		: TM_EINVAL);
+}
+
 static int
 store_open_dir(store_t *store, const char *path)
 {
@@ -198,11 +217,11 @@
 		if (store_sync_parent(store, path) != TM_OK)
 			return (TM_EIO);
 	} else if (errno != EEXIST) {
-		return (TM_EIO);
+		return (store_report_dir("create folder"));
 	}
 	store->dir_fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
 	if (store->dir_fd < 0)
-		return (TM_EIO);
+		return (store_report_dir("open folder"));
 	if (flock(store->dir_fd, LOCK_EX | LOCK_NB) != 0)
 		return (TM_EINUSE);
 	return (TM_OK);
@@ -251,6 +270,33 @@
 	return (TM_OK);
 }
 
+int
+store_open_wait(store_t **out, const store_options_t *options)
+{
+	struct timespec pause = { .tv_sec = 0 };
+	int64_t pause_ms = STORE_RETRY_MIN_MS;
+	int err = store_open(out, options);
+
+	if (err != TM_EIO)
+		return (err);
+	LOG_EVENT(224, LOG_LEVEL_ERROR,
+	    "the disk of the data folder fails, waiting for it",
+	    LOG_TEXT("data_dir", options->path));
+	while (err == TM_EIO) {
+		pause.tv_sec = pause_ms / 1000;
+		pause.tv_nsec = pause_ms % 1000 * 1000000;
+		nanosleep(&pause, NULL);
+		pause_ms = pause_ms * 2 < STORE_RETRY_MAX_MS
+		    ? pause_ms * 2
+		    : STORE_RETRY_MAX_MS;
+		err = store_open(out, options);
+	}
+	LOG_EVENT(225, LOG_LEVEL_INFO,
+	    "the disk of the data folder no longer fails",
+	    LOG_TEXT("outcome", error_get_text(err)));
+	return (err);
+}
+
 void
 store_close(store_t *store)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -26,10 +26,20 @@
  * @return 0; TM_EINUSE if another process uses the folder; TM_ECORRUPT if a
  *         file fails its checksum or the disk id of a used folder is missing:
  *         the remedy is to empty the folder, the node then comes back as a
- *         learner; TM_EIO; TM_ENOMEM
+ *         learner; TM_EIO if the disk fails; TM_EINVAL if the path cannot be
+ *         used; TM_ENOMEM
  */
 int store_open(store_t **out, const store_options_t *options);
 
+/**
+ * Opens a data folder as store_open() does, and blocks while its disk fails. A
+ * process that ended at each attempt would be given up by supervisors that limit
+ * the number of starts.
+ *
+ * @return as store_open(), but never TM_EIO
+ */
+int store_open_wait(store_t **out, const store_options_t *options);
+
 /** Closes a folder. @param store  may be NULL */
 void store_close(store_t *store);
 
--- a/test/functional/hub_disk.py
+++ b/test/functional/hub_disk.py
@@ -22,6 +22,7 @@
 fleet = Fleet(BUILD, WORK, [f"{NET}.{i + 1}" for i in range(3)],
               [f"{NET}.20"])
 full = set()
+ends = [0] * 3
 stop = threading.Event()
 
 
@@ -46,13 +47,20 @@
 
 def start(i):
     """As Fleet.start_hub(); the hub's disk is as full as before."""
+
+    def limit_self():
+        if i in full:
+            resource.setrlimit(resource.RLIMIT_FSIZE,
+                               (1, resource.RLIM_INFINITY))
+
     name = f"hub{i}"
     path = f"{WORK}/{name}.json"
     fleet.processes[name] = None
     with open(path, "rb"), open(f"{WORK}/{name}.log", "ab") as log:
         process = Writes([f"{BUILD}/bin/tm-hub", "--settings", path],
-                         stdout=log).process
+                         stdout=log, preexec_fn=limit_self).process
     fleet.processes[name] = process
+    # It may have changed meanwhile.
     limit(i)
 
 
@@ -71,6 +79,7 @@
         for i in range(len(fleet.hubs)):
             process = fleet.processes[f"hub{i}"]
             if process is not None and process.poll() is not None:
+                ends[i] += 1
                 time.sleep(RESTART_S)
                 start(i)
         time.sleep(0.05)
@@ -116,6 +125,7 @@
             time.sleep(0.1)
         print(f"changes while the disk of hub {i} is full:",
               set(statuses))
+        print("ends meanwhile:", ends)
         full.discard(i)
         limit(i)
         fleet.wait(f"hub {i} runs", lambda i=i:
@@ -129,6 +139,20 @@
     print("read back:", read_version())
     print("the log tells why:", all(fleet.log_has(
         f"hub{i}", "the data folder failed") for i in range(3)))
+    stop.set()
+    time.sleep(RESTART_S + 0.1)
+    fleet.processes["hub0"].kill()
+    fleet.processes["hub0"].wait()
+    full.add(0)
+    start(0)
+    time.sleep(1)
+    fleet.processes["hub0"].send_signal(signal.SIGHUP)
+    time.sleep(1)
+    print("a start on a full disk waits:", fleet.processes["hub0"].poll() is
+          None and fleet.log_has("hub0", "waiting for it"))
+    fleet.processes["hub0"].terminate()
+    fleet.wait("and ends when asked to",
+               lambda: fleet.processes["hub0"].poll() is not None)
 finally:
     stop.set()
     time.sleep(0.5)
--- a/test/unit/store_test.cc
+++ b/test/unit/store_test.cc
@@ -311,3 +311,32 @@
 	ASSERT_EQ(TM_OK, open());
 	EXPECT_EQ(10u, count());
 }
+
+// A start that gave up while the disk is full would end the process each time.
+TEST_F(Store, AStartWaitsUntilTheDiskNoLongerFails)
+{
+	store_options_t options = { path.c_str(), 0, &faults, 0 };
+
+	ASSERT_EQ(TM_OK, open());
+	EXPECT_EQ(TM_OK, append(1, 3));
+	store_close(store);
+	store = nullptr;
+	faults.failing_call = faults.call_count + 1;
+	ASSERT_EQ(TM_OK, store_open_wait(&store, &options));
+	EXPECT_EQ(3u, count());
+}
+
+// Waiting for a path that an operator has to correct would hide the mistake.
+TEST_F(Store, AStartDoesNotWaitForAPathThatCannotBeUsed)
+{
+	path = fs::path(path).parent_path().string() + "/missing/data";
+	store_options_t options = { path.c_str(), 0, nullptr, 0 };
+
+	EXPECT_EQ(TM_EINVAL, store_open_wait(&store, &options));
+	path = fs::path(path).parent_path().parent_path().string() + "/data";
+	ASSERT_EQ(TM_OK, open());
+	std::string file = path + "/disk-id/data";
+	options.path = file.c_str();
+	store_t *other = nullptr;
+	EXPECT_EQ(TM_EINVAL, store_open_wait(&other, &options));
+}
