raft: a leader whose disk fails hands over at once

Cause: raft_fail() stops the member silently, so that the others find out by their election timeout.

Change: a leader whose storage fails sends TimeoutNow, as a planned stop does, to the reachable voter with the longest log. It leads no more and serves no read from then on, so the successor cannot meet a leader that still relies on its lease.

RaftDisks.ALeaderWhoseDiskFailsHandsOverAtOnce: no leader within half of an election timeout before, passes now.

--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -22,14 +22,21 @@
 void
 raft_fail(raft_t *raft, int err)
 {
+	const raft_peer_t *successor = NULL;
+
 	if (raft->error != TM_OK)
 		return;
+	if (raft->role == RAFT_LEADER)
+		successor = raft_pick_successor(raft);
 	raft->error = err;
 	raft->role = RAFT_FOLLOWER;
 	raft->leader = NODE_ID_NONE;
 	LOG_EVENT(210, LOG_LEVEL_ERROR,
 	    "storage failed; this node no longer participates: restart it",
 	    LOG_TEXT("error", error_get_text(err)));
+	/* Without it the others would wait for an election timeout. */
+	if (successor != NULL)
+		raft_send_timeout_now(raft, successor);
 }
 
 void
--- a/src/raft/raft_election.c
+++ b/src/raft/raft_election.c
@@ -291,8 +291,7 @@
 	return (TM_OK);
 }
 
-/* Picks the reachable voter with the longest log. */
-static raft_peer_t *
+raft_peer_t *
 raft_pick_successor(raft_t *raft)
 {
 	raft_peer_t *best = NULL;
@@ -311,6 +310,16 @@
 	return (best);
 }
 
+void
+raft_send_timeout_now(raft_t *raft, const raft_peer_t *successor)
+{
+	Tm__Raft__TimeoutNow message = TM__RAFT__TIMEOUT_NOW__INIT;
+
+	message.disk_id = raft->options.disk_id;
+	message.term = raft->term;
+	raft_send(raft, successor->node, MSG_RAFT_TIMEOUT_NOW, &message.base);
+}
+
 int
 raft_transfer_leadership(raft_t *raft, int64_t now_ms)
 {
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -127,7 +127,7 @@
 };
 
 /* raft.c */
-/** Stops the node after a storage error. */
+/** Stops the node after a storage error; a leader hands over. */
 void raft_fail(raft_t *raft, int err);
 /** Draws a new election timeout that starts now. */
 void raft_reset_election(raft_t *raft);
@@ -162,6 +162,10 @@
     raft_t *raft, node_id_t from, const uint8_t *payload, size_t len);
 void raft_step_down(raft_t *raft, const char *reason);
 int64_t raft_get_quorum_contact_ms(const raft_t *raft);
+/** @return the reachable voter with the longest log, or NULL */
+raft_peer_t *raft_pick_successor(raft_t *raft);
+/** Tells a voter to start an election; this node must not lead any more. */
+void raft_send_timeout_now(raft_t *raft, const raft_peer_t *successor);
 
 /* raft_recover.c */
 /** Records contact to a member if its disk holds a vote. */
--- a/src/raft/raft_replicate.c
+++ b/src/raft/raft_replicate.c
@@ -107,7 +107,6 @@
 static void
 raft_tick_transfer(raft_t *raft)
 {
-	Tm__Raft__TimeoutNow message = TM__RAFT__TIMEOUT_NOW__INIT;
 	const raft_peer_t *peer;
 
 	if (raft->transfer_until_ms == 0)
@@ -119,9 +118,7 @@
 	}
 	if (peer->match < raft_log_get_last(&raft->log))
 		return;
-	message.disk_id = raft->options.disk_id;
-	message.term = raft->term;
-	raft_send(raft, peer->node, MSG_RAFT_TIMEOUT_NOW, &message.base);
+	raft_send_timeout_now(raft, peer);
 	/*
 	 * The successor may start its election at any later time, so this node
 	 * can no longer rely on the others not to vote.
--- a/test/unit/raft_disks_test.cc
+++ b/test/unit/raft_disks_test.cc
@@ -299,3 +299,44 @@
 	printf("%d of %d seeds\n", violated, kSeeds);
 	EXPECT_GT(violated, kSeeds / 2);
 }
+
+// Without a hand-over nobody leads for an election timeout.
+TEST_F(RaftDisks, ALeaderWhoseDiskFailsHandsOverAtOnce)
+{
+	char text[] = "/tmp/tm-disks-XXXXXX";
+	std::string path = mkdtemp(text);
+	store_faults_t faults[3] = {};
+
+	{
+		RaftCluster cluster({ "a", "b", "c" }, 1, 0, true, path);
+		cluster.run(kFormMs);
+		for (size_t i = 0; i < 3; i++) {
+			RaftNode *node = cluster.nodes[i].get();
+			faults[i].writable_bytes = -1;
+			faults[i].syncs_until_failure = -1;
+			node->faults = &faults[i];
+			cluster.kill(node);
+			ASSERT_EQ(TM_OK, cluster.start(node));
+		}
+		cluster.run(kFormMs);
+		RaftNode *leader = cluster.leader();
+		ASSERT_NE(nullptr, leader);
+		leader->faults->failing_call = leader->faults->call_count + 1;
+		leader->faults->is_lasting = 1;
+		EXPECT_EQ(
+		    TM_OK, cluster.propose(leader, "refused by the disk"));
+		int64_t start_ms = fakenet_now_ms(cluster.net);
+		while (
+		    cluster.leader() == nullptr || cluster.leader() == leader) {
+			cluster.run(1);
+			ASSERT_LT(fakenet_now_ms(cluster.net) - start_ms,
+			    RAFT_ELECTION_MS / 2);
+		}
+		EXPECT_NE(TM_OK, raft_get_error(leader->raft));
+		EXPECT_EQ(TM_OK, cluster.propose(cluster.leader(), "goes on"));
+		cluster.run(kFormMs);
+		EXPECT_EQ(1u, cluster.committed.size());
+		EXPECT_TRUE(cluster.violations.empty());
+	}
+	std::filesystem::remove_all(path);
+}
