test: the fault soak fills the disks of hubs

A quarter of the faults now come with a full disk of a hub for 0.3 to 4 s, drawn apart, so that the other faults of a seed stay as they were; hubs that end for it are started again.

--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -4,6 +4,8 @@
 import json
 import os
 import random
+import resource
+import signal
 import socket
 import subprocess
 import sys
@@ -43,9 +45,13 @@
 
 
 class Fleet:
-    """Starts, calls and ends processes; hubs and gates are lists of IPs."""
+    """Starts, calls and ends processes; hubs and gates are lists of IPs.
 
-    def __init__(self, build, work, hubs, gates):
+    With fills_disks, the limit of the size of files stands in for full disks of
+    hubs, see set_full(). Logs then go through a pipe: the limit is for the data
+    folder."""
+
+    def __init__(self, build, work, hubs, gates, fills_disks=False):
         self.build = build
         self.work = work
         self.hubs = hubs
@@ -58,6 +64,48 @@
         self.metrics = find_port(hubs + gates, taken)
         self.processes = {}
         self.log_sizes = {}  # before the last start
+        self.fills_disks = fills_disks
+        self.full = set()
+        if fills_disks:
+            # Writes beyond the limit get an error, also in processes started.
+            signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+
+    def set_full(self, name, is_full):
+        """Fills the disk of a process, or makes room. It stays so over starts."""
+        if is_full:
+            self.full.add(name)
+        else:
+            self.full.discard(name)
+        self.limit(name)
+
+    def limit(self, name):
+        most = 1 if name in self.full else resource.RLIM_INFINITY
+        try:
+            resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE,
+                             (most, resource.RLIM_INFINITY))
+        except ProcessLookupError:
+            pass
+
+    def start_on_disk(self, command, name):
+        def limit_self():
+            if name in self.full:
+                resource.setrlimit(resource.RLIMIT_FSIZE,
+                                   (1, resource.RLIM_INFINITY))
+
+        def copy(source):
+            with open(f"{self.work}/{name}.log", "ab") as log:
+                for line in source:
+                    log.write(line)
+                    log.flush()
+
+        process = subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+            restore_signals=False, preexec_fn=limit_self)
+        threading.Thread(target=copy, args=(process.stdout,),
+                         daemon=True).start()
+        self.processes[name] = process
+        # It may have changed meanwhile.
+        self.limit(name)
 
     def has_logged(self, name):
         """Whether a process has written a line since its last start."""
@@ -68,11 +116,14 @@
         path = f"{self.work}/{name}.json"
         with open(path, "w", encoding="utf-8") as out:
             json.dump(settings, out)
+        command = [f"{self.build}/bin/{program}", "--settings", path]
         with open(f"{self.work}/{name}.log", "ab") as log:
             self.log_sizes[name] = log.tell()
-            self.processes[name] = subprocess.Popen(
-                [f"{self.build}/bin/{program}", "--settings", path],
-                stdout=log, stderr=log)
+            if self.fills_disks and program == "tm-hub":
+                self.start_on_disk(command, name)
+            else:
+                self.processes[name] = subprocess.Popen(
+                    command, stdout=log, stderr=log)
 
     def start_hub(self, i, first):
         self.start("tm-hub", f"hub{i}", {
--- a/test/functional/soak.py
+++ b/test/functional/soak.py
@@ -20,6 +20,8 @@
 
 CALLERS = 8
 RECOVERY_S = 15
+DISK_SHARE = 0.25  # of faults that come with a full disk
+RESTART_S = 0.3  # as a supervisor does
 # Defaults of the gates: revoke_within_s, and the time until callers give up.
 REVOKE_S = 5
 CALL_TIMEOUT_S = 8
@@ -159,11 +161,14 @@
     def __init__(self, args):
         self.seed = args.seed
         self.rng = random.Random(args.seed)
+        # Faults of disks do not change what else a seed draws.
+        self.disk_rng = random.Random(f"{args.seed} disks")
         self.args = args
         net = f"127.{50 + args.seed % 150}.{args.seed // 150 % 250}"
         self.fleet = Fleet(args.build, args.work,
                            [f"{net}.{i + 1}" for i in range(args.hubs)],
-                           [f"{net}.{i + 20}" for i in range(args.gates)])
+                           [f"{net}.{i + 20}" for i in range(args.gates)],
+                           fills_disks=True)
         self.targets = [Target(self.fleet, f"t{i}")
                         for i in range(args.targets)]
         self.proxies = []
@@ -174,6 +179,7 @@
         self.puts = []  # (version, keys, sent at, acknowledged at or None)
         self.due = []  # (time, function) that ends a fault
         self.down = set()
+        self.was_full = set()
         self.is_stopped = False
         self.faults = []
         self.violations = []
@@ -242,6 +248,25 @@
             wait_s = for_s if how == "kill" else for_s + 7
             self.end_later(wait_s, lambda: self.restart(name))
 
+    def harm_disk(self):
+        name = f"hub{self.disk_rng.randrange(self.args.hubs)}"
+        for_s = self.disk_rng.uniform(0.3, 4)
+        self.faults.append(f"full {name} {for_s:.1f}")
+        self.was_full.add(name)
+        self.fleet.set_full(name, True)
+        self.end_later(for_s, lambda: self.fleet.set_full(name, False))
+
+    def supervise(self):
+        """Starts hubs again that ended as their disk was full."""
+        while True:
+            for i in range(self.args.hubs):
+                name = f"hub{i}"
+                if name in self.down or name not in self.was_full:
+                    continue
+                if self.fleet.processes[name].poll() == 1:
+                    self.fleet.start_hub(i, False)
+            time.sleep(RESTART_S)
+
     def harm_path(self):
         proxy = self.rng.choice(self.proxies)
         mode = self.rng.choice(
@@ -311,12 +336,15 @@
         self.op_rng = random.Random(f"{self.seed} operator")
         operator = threading.Thread(target=self.operate, daemon=True)
         operator.start()
+        threading.Thread(target=self.supervise, daemon=True).start()
         callers = [Caller(self, f"c{i}") for i in range(CALLERS)]
         for caller in callers:
             caller.start()
         end = time.monotonic() + self.args.seconds
         while time.monotonic() < end:
             self.harm()
+            if self.disk_rng.random() < DISK_SHARE:
+                self.harm_disk()
             time.sleep(self.rng.expovariate(2))
             self.end_due()
         self.end_due(all_of_them=True)
