gate: a gate without a leader tries ejected targets itself

Change: after 2 s without a leader, longer than an election, a gate tries these targets itself, repeatable requests first, with at most a tenth of a service's requests and 4 s after a failed trial. The leader's verdicts hold again when it is back.

--- /dev/null
+++ b/src/gate/gate_alone.c
@@ -0,0 +1,84 @@
+#include "gate/gate_alone.h"
+
+/* Share of a service's requests that may be trials. */
+#define TRIAL_SHARE 0.1
+/* The first trials of the gates of a fleet are spread over this time. */
+#define FIRST_TRIAL_MAX_MS 2000
+/* Time from a trial to the next one, if it failed or has no outcome. */
+#define TRIAL_INTERVAL_MS 4000
+/* Repeatable requests are waited for this long, as a failed trial loses others
+ * for good. */
+#define REPEATABLE_WAIT_MS 2000
+
+void
+gate_alone_set(
+    gate_service_t *service, int is_alone, rng_t *rng, int64_t now_ms)
+{
+	gate_target_t *target;
+	uint32_t i;
+
+	if (service->is_alone == is_alone)
+		return;
+	service->is_alone = is_alone;
+	service->trial_credit = rng_unit(rng);
+	for (i = 0; i < service->count; i++) {
+		target = service->targets[i];
+		target->is_recovered = 0;
+		target->trial_due_ms =
+		    now_ms + (int64_t)rng_below(rng, FIRST_TRIAL_MAX_MS);
+	}
+}
+
+/* @return time at which a target may be tried by a request like this one */
+static int64_t
+get_due_ms(const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (target->trial_due_ms +
+	    (options->may_repeat ? 0 : REPEATABLE_WAIT_MS));
+}
+
+gate_target_t *
+gate_alone_pick(gate_service_t *service, const gate_pick_options_t *options)
+{
+	gate_target_t *chosen = NULL;
+	gate_target_t *target;
+	uint32_t i;
+
+	if (!service->is_alone)
+		return (NULL);
+	if (service->trial_credit < 1)
+		service->trial_credit += TRIAL_SHARE;
+	if (service->trial_credit < 1)
+		return (NULL);
+	for (i = 0; i < service->count; i++) {
+		target = service->targets[i];
+		if (target->verdict != FLEET_VERDICT_HEALTHY &&
+		    !target->is_recovered &&
+		    gate_target_is_usable(target, options) &&
+		    options->now_ms >= get_due_ms(target, options) &&
+		    (chosen == NULL ||
+			target->trial_due_ms < chosen->trial_due_ms))
+			chosen = target;
+	}
+	if (chosen == NULL)
+		return (NULL);
+	service->trial_credit -= 1;
+	chosen->trial_due_ms = options->now_ms + TRIAL_INTERVAL_MS;
+	return (chosen);
+}
+
+void
+gate_alone_record(gate_target_t *target, int is_success, int64_t now_ms)
+{
+	if (!target->service->is_alone)
+		return;
+	target->is_recovered = is_success;
+	if (!is_success)
+		target->trial_due_ms = now_ms + TRIAL_INTERVAL_MS;
+}
+
+int
+gate_alone_is_recovered(const gate_target_t *target)
+{
+	return (target->service->is_alone && target->is_recovered);
+}
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "entry/forward.h"
+#include "gate/gate_alone.h"
 #include "gate/gate_crash_check.h"
 #include "gate/gate_limit_permit.h"
 
@@ -103,6 +104,7 @@
 		gate_target_record_success(target, latency_ms);
 	else
 		log_attempt(request, target, kind, status, latency_ms);
+	gate_alone_record(target, kind == FLEET_EVIDENCE_SUCCESS, now_ms);
 	if (kind == FLEET_EVIDENCE_UNREACHABLE ||
 	    kind == FLEET_EVIDENCE_WRONG_TARGET)
 		gate_target_avoid(target, now_ms + GATE_AVOID_UNREACHABLE_MS);
@@ -421,6 +423,8 @@
 	    .tried_count = request->tried_count,
 	    .may_repeat = request->repeat_allowed,
 	    .has_leader = gate_link_has_leader(request->gate->link, now_ms),
+	    .is_alone = gate_link_get_answer_age_ms(
+			    request->gate->link, now_ms) > GATE_ELECTION_MAX_MS,
 	    .now_ms = now_ms,
 	});
 }
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -21,6 +21,8 @@
 #define GATE_LEASE_RENEWAL_MS 500
 /** Time without a lease after which the leader counts as unreachable. */
 #define GATE_LEADER_TIMEOUT_MS 1300
+/** An election after a crash of the leader takes less. */
+#define GATE_ELECTION_MAX_MS 2000
 /** A version counts as the newest for this time after the leader was asked: the
  * leader counts as unreachable then. */
 #define GATE_CONFIRMATION_MAX_AGE_MS \
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -18,10 +18,9 @@
 /* A request is delayed for want of a leader or a target up to this fraction of
  * its time; the remainder suffices for most responses. */
 #define DELAY_MAX_SHARE 0.7
-/* An election after a crash takes less. Once no leader has answered for longer,
- * a request is delayed up to this fraction of its soft deadline only, so that
- * the caller is refused early. */
-#define ELECTION_MAX_MS	      2000
+/* Once no leader has answered for longer than an election takes, a request is
+ * delayed up to this fraction of its soft deadline only, so that the caller is
+ * refused early. */
 #define NO_LEADER_DELAY_SHARE 0.6
 /* Interval at which a held request tries again. */
 #define DELAY_STEP_MS 60
@@ -170,7 +169,7 @@
 	    (double)(request->deadline_ms - request->started_ms));
 
 	if (gate_link_get_answer_age_ms(request->gate->link, clock_now_ms()) >
-	    ELECTION_MAX_MS)
+	    GATE_ELECTION_MAX_MS)
 		delay_ms = (int64_t)(NO_LEADER_DELAY_SHARE *
 		    (double)request->soft_deadline_ms);
 	return (request->started_ms + delay_ms);
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "fleet/fleet_config.h"
+#include "gate/gate_alone.h"
 
 /* A load that a target reported is weighted down linearly with its age, to
  * nothing at this age. */
@@ -361,10 +362,12 @@
 	if (!gate_target_is_usable(target, options) ||
 	    must_wait(target, options))
 		return (0);
-	if (target->verdict == FLEET_VERDICT_EJECTED)
-		return (RANK_EJECTED);
-	if (target->verdict != FLEET_VERDICT_HEALTHY)
-		return (RANK_PROBE);
+	if (!gate_alone_is_recovered(target)) {
+		if (target->verdict == FLEET_VERDICT_EJECTED)
+			return (RANK_EJECTED);
+		if (target->verdict != FLEET_VERDICT_HEALTHY)
+			return (RANK_PROBE);
+	}
 	return (options->now_ms < target->avoid_until_ms ? RANK_HEALTHY
 							 : RANK_HEALTHY + 1);
 }
@@ -538,9 +541,14 @@
 	gate_choice_t choice = { .target = NULL };
 	int rank;
 
+	gate_alone_set(
+	    service, options->is_alone, &table->rng, options->now_ms);
 	choice.must_ask_leader = should_ask_leader(service, options);
 	if (choice.must_ask_leader)
 		return (choice);
+	choice.target = gate_alone_pick(service, options);
+	if (choice.target != NULL)
+		return (choice);
 	choice.target = pick_ranked(table, service, options, &rank);
 	if (rank >= RANK_HEALTHY || (rank > 0 && options->may_repeat))
 		return (choice);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -59,6 +59,8 @@
 	uint32_t successes; /**< since the last report */
 	uint32_t latency_sum_ms; /**< of these successes */
 	uint32_t refs; /**< requests that refer to it */
+	int64_t trial_due_ms; /**< without a leader; see gate_alone.h */
+	int is_recovered; /**< a trial without a leader succeeded */
 	int is_listed; /**< in the newest full table or a later delta */
 	int is_removed; /**< out of the table, kept for its references */
 	UT_hash_handle hh;
@@ -77,6 +79,9 @@
 	int64_t next_ask_ms; /**< the leader is not asked before */
 	int64_t
 	    idle_ms; /**< when the leader last named it as having idle targets */
+	int is_alone; /**< without a leader; see gate_alone.h */
+	double
+	    trial_credit; /**< one is consumed by each trial without a leader */
 	UT_hash_handle hh;
 } gate_service_t;
 
@@ -88,6 +93,7 @@
 	uint32_t tried_count;
 	int may_repeat; /**< it may be executed twice */
 	int has_leader; /**< the leader can be asked for a target */
+	int is_alone; /**< no leader for longer than an election takes */
 	int skips_limited; /**< targets with a limit count as waiting */
 	int64_t now_ms;
 } gate_pick_options_t;
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -13,6 +13,7 @@
 extern "C" {
 #include "fleet/fleet_config.h"
 #include "fleet/fleet_limit.h"
+#include "gate/gate_alone.h"
 #include "gate/gate_table.h"
 }
 
@@ -77,6 +78,7 @@
 		options.tried_count = (uint32_t)tried.size();
 		options.may_repeat = may_repeat;
 		options.has_leader = has_leader;
+		options.is_alone = is_alone_;
 		options.now_ms = now_;
 		return (gate_table_pick(
 		    table_, gate_table_find_service(table_, "s1"), &options));
@@ -102,10 +104,45 @@
 		return (gate_table_find_target(table_, fleet_name_hash(id)));
 	}
 
+	// Sends a request each 100 ms without a leader. @return how many of them
+	// went to each target
+	std::map<std::string, int>
+	PickAlone(int64_t duration_ms, int may_repeat, bool fails)
+	{
+		std::map<std::string, int> counts;
+
+		is_alone_ = 1;
+		for (int64_t end = now_ + duration_ms; now_ < end;
+		     now_ += 100) {
+			gate_target_t *target = Pick({}, may_repeat, 0).target;
+
+			counts[target->id]++;
+			gate_alone_record(target,
+			    target->verdict == FLEET_VERDICT_HEALTHY || !fails,
+			    now_);
+		}
+		return (counts);
+	}
+
+	void
+	ApplyOneEjected()
+	{
+		Apply(1, 0, 1,
+		    { { "a" }, { "b" }, { "c" },
+			{ "d", "z1", FLEET_TARGET_READY,
+			    FLEET_VERDICT_EJECTED } });
+	}
+
 	gate_table_t *table_ = gate_table_create("z1", 1);
 	int64_t now_ = 1000000;
+	int is_alone_ = 0;
 };
 
+// Of the platform: a target that failed by itself is sound again after this time,
+// and has to be used within the window.
+const int64_t kSoundAfterMs = 2000;
+const int64_t kWindowMs = 2000;
+
 } // namespace
 
 TEST_F(GateTable, DrainingAndEjectedTargetsGetNoRequests)
@@ -385,3 +422,37 @@
 	Apply(1, 1, 2, { next });
 	EXPECT_GT(PickOften(50)["b"], 0);
 }
+
+// A gate that is cut off from the leader leaves out for the whole cut what was
+// ejected when it began.
+TEST_F(GateTable, WithoutALeaderARecoveredTargetIsUsedAgain)
+{
+	for (int may_repeat : { 1, 0 }) {
+		ApplyOneEjected();
+		EXPECT_GT(PickAlone(kSoundAfterMs + kWindowMs, may_repeat,
+			      false)["d"],
+		    0);
+		EXPECT_GT(PickAlone(10000, may_repeat, false)["d"], 15);
+		// The leader's verdict holds again.
+		is_alone_ = 0;
+		EXPECT_EQ(0, PickOften(100, may_repeat)["d"]);
+	}
+}
+
+// Trials of targets that still fail lose many requests.
+TEST_F(GateTable, WithoutALeaderFewRequestsTryATargetThatFails)
+{
+	ApplyOneEjected();
+	int tried = PickAlone(20000, 1, true)["d"];
+
+	EXPECT_GE(tried, 4);
+	EXPECT_LE(tried, 6);
+	for (int i = 0; i < 20; i++)
+		Apply(1, (uint64_t)i + 1, (uint64_t)i + 2,
+		    { { "e" + std::to_string(i), "z1", FLEET_TARGET_READY,
+			FLEET_VERDICT_EJECTED } });
+	std::map<std::string, int> counts = PickAlone(20000, 1, true);
+	int good = counts["a"] + counts["b"] + counts["c"];
+
+	EXPECT_GE(good, 178);
+}
