gate: a full target is no failed trial

A gate without a leader took a shed request or a stall for a failed trial, so that a recovered target was left out again for 4 s by load alone; the leader gives these little weight for the same reason. Found when reading the change; the test of recovered targets sends one more outcome, a shed request, and failed before (0 requests in 2 s).

--- a/src/gate/gate_alone.c
+++ b/src/gate/gate_alone.c
@@ -68,12 +68,13 @@
 }
 
 void
-gate_alone_record(gate_target_t *target, int is_success, int64_t now_ms)
+gate_alone_record(gate_target_t *target, fleet_evidence_t kind, int64_t now_ms)
 {
-	if (!target->service->is_alone)
+	if (!target->service->is_alone || kind == FLEET_EVIDENCE_SHED ||
+	    kind == FLEET_EVIDENCE_STALL)
 		return;
-	target->is_recovered = is_success;
-	if (!is_success)
+	target->is_recovered = kind == FLEET_EVIDENCE_SUCCESS;
+	if (!target->is_recovered)
 		target->trial_due_ms = now_ms + TRIAL_INTERVAL_MS;
 }
 
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -104,7 +104,7 @@
 		gate_target_record_success(target, latency_ms);
 	else
 		log_attempt(request, target, kind, status, latency_ms);
-	gate_alone_record(target, kind == FLEET_EVIDENCE_SUCCESS, now_ms);
+	gate_alone_record(target, kind, now_ms);
 	if (kind == FLEET_EVIDENCE_UNREACHABLE ||
 	    kind == FLEET_EVIDENCE_WRONG_TARGET)
 		gate_target_avoid(target, now_ms + GATE_AVOID_UNREACHABLE_MS);
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -118,7 +118,9 @@
 
 			counts[target->id]++;
 			gate_alone_record(target,
-			    target->verdict == FLEET_VERDICT_HEALTHY || !fails,
+			    target->verdict == FLEET_VERDICT_HEALTHY || !fails
+				? FLEET_EVIDENCE_SUCCESS
+				: FLEET_EVIDENCE_BROKEN,
 			    now_);
 		}
 		return (counts);
@@ -433,6 +435,9 @@
 			      false)["d"],
 		    0);
 		EXPECT_GT(PickAlone(10000, may_repeat, false)["d"], 15);
+		// A full target is in use nevertheless.
+		gate_alone_record(Find("d"), FLEET_EVIDENCE_SHED, now_);
+		EXPECT_GT(PickAlone(2000, may_repeat, false)["d"], 1);
 		// The leader's verdict holds again.
 		is_alone_ = 0;
 		EXPECT_EQ(0, PickOften(100, may_repeat)["d"]);
