--- a/src/gate/gate_alone.c
+++ b/src/gate/gate_alone.c
@@ -67,15 +67,19 @@
 	return (chosen);
 }
 
-void
+int
 gate_alone_record(gate_target_t *target, fleet_evidence_t kind, int64_t now_ms)
 {
+	int was_recovered = target->is_recovered;
+
 	if (!target->service->is_alone || kind == FLEET_EVIDENCE_SHED ||
 	    kind == FLEET_EVIDENCE_STALL)
-		return;
+		return (0);
 	target->is_recovered = kind == FLEET_EVIDENCE_SUCCESS;
 	if (!target->is_recovered)
 		target->trial_due_ms = now_ms + TRIAL_INTERVAL_MS;
+	return (target->is_recovered != was_recovered &&
+	    target->verdict != FLEET_VERDICT_HEALTHY);
 }
 
 int
--- a/src/gate/gate_alone.h
+++ b/src/gate/gate_alone.h
@@ -24,9 +24,13 @@
 gate_target_t *gate_alone_pick(
     gate_service_t *service, const gate_pick_options_t *options);
 
-/** Records the outcome of a request to a target. What load alone may cause says
- * nothing of it. */
-void gate_alone_record(
+/**
+ * Records the outcome of a request to a target. What load alone may cause says
+ * nothing of it.
+ *
+ * @return 1 if an ejected target is used from now on, or no longer
+ */
+int gate_alone_record(
     gate_target_t *target, fleet_evidence_t kind, int64_t now_ms);
 
 /** @return 1 if a target is to be used, although the leader has ejected it */
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -92,6 +92,21 @@
 	    LOG_NUM("latency_ms", latency_ms));
 }
 
+/* Judges an ejected target by an attempt without a leader. */
+static void
+record_alone(const gate_request_t *request, gate_target_t *target,
+    fleet_evidence_t kind, int64_t now_ms)
+{
+	if (!gate_alone_record(target, kind, now_ms))
+		return;
+	LOG_EVENT(969, LOG_LEVEL_INFO, "ejected target judged without a leader",
+	    LOG_TEXT("request_id", request->id), LOG_TEXT("target", target->id),
+	    LOG_TEXT("evidence", evidence_get_name(kind)),
+	    LOG_NUM("is_used", gate_alone_is_recovered(target)),
+	    LOG_NUM("silence_ms",
+		gate_link_get_answer_age_ms(request->gate->link, now_ms)));
+}
+
 /* Records the outcome of an attempt in the table and reports it. */
 static void
 record_outcome(gate_request_t *request, gate_target_t *target,
@@ -104,7 +119,7 @@
 		gate_target_record_success(target, latency_ms);
 	else
 		log_attempt(request, target, kind, status, latency_ms);
-	gate_alone_record(target, kind, now_ms);
+	record_alone(request, target, kind, now_ms);
 	if (kind == FLEET_EVIDENCE_UNREACHABLE ||
 	    kind == FLEET_EVIDENCE_WRONG_TARGET)
 		gate_target_avoid(target, now_ms + GATE_AVOID_UNREACHABLE_MS);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -80,8 +80,7 @@
 	int64_t
 	    idle_ms; /**< when the leader last named it as having idle targets */
 	int is_alone; /**< without a leader; see gate_alone.h */
-	double
-	    trial_credit; /**< one is consumed by each trial without a leader */
+	double trial_credit; /**< of trials without a leader */
 	UT_hash_handle hh;
 } gate_service_t;
 
