test: control_disk waits for the end of the process that it kills

Traced: the test sends SIGKILL and starts the next process on the same folder at once. The killed one may still hold the lock of the folder; the start then ends with event 234, "object is still in use". A supervisor starts a process once its predecessor has ended.

--- a/test/functional/control_disk.sh
+++ b/test/functional/control_disk.sh
@@ -38,6 +38,8 @@
 
 echo "== a disk gets full"
 eval "kill -9 \$pid_$full"
+# Until it has ended, it holds the lock of its data folder.
+eval "wait \$pid_$full" 2>/dev/null
 (
 	trap '' XFSZ
 	ulimit -f $full_blocks
