http: refused callers return to four fifths of the room

Cause: refused callers were spaced by their requests' share of the limit, so that 6.4 requests were to be held at once where six fit, with no slack for callers that come late or for requests that are held longer than the mean. Change: the spacing counts whole requests and plans for 80 % of the room. The schedule is a module without clock (http_return); the moving mean and spread of the gate's latencies is shared with it (base/latency, was gate/gate_latency).

--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -183,7 +183,7 @@
 	    gate_table_find_service(request->gate->table, request->service);
 
 	return (
-	    service != NULL ? gate_latency_get_tail_ms(&service->latency) : -1);
+	    service != NULL ? latency_get_tail_ms(&service->latency) : -1);
 }
 
 int
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -7,6 +7,8 @@
 #include "fleet/fleet_config.h"
 #include "gate/gate_alone.h"
 
+/* Of a new latency in the mean of its service. */
+#define LATENCY_WEIGHT 0.05
 /* A load that a target reported is weighted down linearly with its age, to
  * nothing at this age. */
 #define LOAD_MAX_AGE_MS 1500.0
@@ -622,7 +624,8 @@
 {
 	target->successes++;
 	target->latency_sum_ms += (uint32_t)latency_ms;
-	gate_latency_record(&target->service->latency, latency_ms);
+	latency_record(
+	    &target->service->latency, latency_ms, LATENCY_WEIGHT);
 }
 
 void
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -14,9 +14,9 @@
 
 #include <uthash.h>
 
+#include "base/latency.h"
 #include "base/rng.h"
 #include "fleet/fleet_defs.h"
-#include "gate/gate_latency.h"
 #include "gate/gate_limit.h"
 #include "proto/fleet.pb-c.h"
 
@@ -72,7 +72,7 @@
 	gate_target_t **targets;
 	uint32_t count;
 	uint32_t capacity;
-	gate_latency_t latency; /**< of successes */
+	latency_t latency; /**< of successes */
 	double utilization; /**< requests per slot in the whole fleet */
 	double work_ms; /**< service time without queueing; 0: unknown */
 	int64_t utilization_ms; /**< when the leader reported it */
--- a/src/http/http_intake.c
+++ b/src/http/http_intake.c
@@ -8,13 +8,6 @@
 
 #include "base/clock.h"
 
-/* Assumed until requests were held. */
-#define HOLD_DEFAULT_MS 1000
-/* Weight of a newer request in the average, as 1 of N. */
-#define HOLD_WEIGHT   4
-#define RETURN_MIN_MS 200
-#define RETURN_MAX_MS 30000
-
 /* The body tells in words what the status and the time do. */
 #define REFUSAL_START                          \
 	"HTTP/1.1 503 Service Unavailable\r\n" \
@@ -45,36 +38,9 @@
 static void
 record_hold(const http_intake_conn_t *conn)
 {
-	http_intake_t *intake = conn->intake;
-
 	if (conn->held_bytes > 0)
-		intake->hold_ms +=
-		    (clock_now_ms() - conn->held_since_ms - intake->hold_ms) /
-		    HOLD_WEIGHT;
-}
-
-/*
- * Memory turns over once in the time for which a request is held, so that
- * refused callers return at intervals that are their requests' shares of it.
- *
- * @return time until the caller should return
- */
-static int64_t
-take_return_ms(http_intake_t *intake, size_t bytes)
-{
-	int64_t now_ms = clock_now_ms();
-	int64_t wait_ms = intake->next_return_ms - now_ms;
-
-	if (wait_ms < intake->hold_ms)
-		wait_ms = intake->hold_ms;
-	if (wait_ms < RETURN_MIN_MS)
-		wait_ms = RETURN_MIN_MS;
-	if (wait_ms > RETURN_MAX_MS)
-		wait_ms = RETURN_MAX_MS;
-	intake->next_return_ms = now_ms + wait_ms +
-	    (int64_t)((double)intake->hold_ms * (double)bytes /
-		(double)intake->limit_bytes);
-	return (wait_ms);
+		http_return_record_hold(&conn->intake->returns,
+		    clock_now_ms() - conn->held_since_ms);
 }
 
 /* h2o_socket_t.on_close.cb; also marks the sockets that are watched. */
@@ -141,7 +107,9 @@
 static void
 refuse(http_intake_conn_t *conn)
 {
-	int64_t return_ms = take_return_ms(conn->intake, conn->held_bytes);
+	http_intake_t *intake = conn->intake;
+	int64_t return_ms = http_return_take_ms(&intake->returns,
+	    clock_now_ms(), conn->held_bytes, intake->limit_bytes);
 	h2o_iovec_t text[] = {
 		h2o_iovec_init(REFUSAL_START, sizeof(REFUSAL_START) - 1),
 		{ .base = conn->retry_after },
@@ -157,8 +125,8 @@
 	h2o_buffer_consume(&conn->sock->input, conn->sock->input->size);
 	h2o_socket_write(
 	    conn->sock, text, sizeof(text) / sizeof(text[0]), on_refusal_sent);
-	if (conn->intake->refused != NULL)
-		conn->intake->refused(conn->intake->ctx);
+	if (intake->refused != NULL)
+		intake->refused(intake->ctx);
 }
 
 /* Refuses the largest requests that are still read until the others fit. */
@@ -209,8 +177,6 @@
 {
 	if (intake->limit_bytes == 0)
 		return;
-	if (intake->hold_ms == 0)
-		intake->hold_ms = HOLD_DEFAULT_MS;
 	conn->intake = intake;
 	conn->sock = sock;
 	conn->stream = stream;
--- a/src/http/http_intake.h
+++ b/src/http/http_intake.h
@@ -16,6 +16,8 @@
 
 #include <h2o.h>
 
+#include "http/http_return.h"
+
 /** Requests up to this size are not counted, so that large ones do not stop the
  * others. */
 #define HTTP_INTAKE_SMALL_BYTES ((size_t)128 * 1024)
@@ -30,8 +32,7 @@
 	size_t limit_bytes; /**< of all large requests together; 0: no limit */
 	size_t held_bytes;
 	http_intake_conn_t *conns;
-	int64_t hold_ms; /**< for which a large request is held, on average */
-	int64_t next_return_ms; /**< when the next refused caller may return */
+	http_return_t returns; /**< of refused callers */
 	void (*refused)(void *ctx); /**< a request was refused; may be NULL */
 	void *ctx;
 } http_intake_t;
--- a/test/unit/base_test.cc
+++ b/test/unit/base_test.cc
@@ -15,6 +15,7 @@
 #include "base/due_heap.h"
 #include "base/error.h"
 #include "base/hist.h"
+#include "base/latency.h"
 #include "base/hist_ranges.h"
 #include "base/log.h"
 #include "base/metrics.h"
@@ -271,3 +272,17 @@
 	close(fds[0]);
 	close(fds[1]);
 }
+
+// A wait for what most requests take is shorter than many of them take.
+TEST(Latency, TailCoversWhatVaries)
+{
+	latency_t even = {}, mixed = {};
+
+	EXPECT_LT(latency_get_tail_ms(&even), 0);
+	for (int i = 0; i < 400; i++) {
+		latency_record(&even, 300, 0.05);
+		latency_record(&mixed, i % 10 == 0 ? 3000 : 300, 0.05);
+	}
+	EXPECT_NEAR((double)latency_get_tail_ms(&even), 300, 10);
+	EXPECT_GT(latency_get_tail_ms(&mixed), 2000);
+}
--- a/test/unit/gate_stop_test.cc
+++ b/test/unit/gate_stop_test.cc
@@ -4,7 +4,6 @@
 #include <gtest/gtest.h>
 
 extern "C" {
-#include "gate/gate_latency.h"
 #include "gate/gate_stop.h"
 }
 
@@ -119,16 +118,3 @@
 	EXPECT_EQ(changes, 2);
 	EXPECT_EQ(stop.phase, GATE_ENDING);
 }
-
-TEST(GateLatency, TailCoversWhatVaries)
-{
-	gate_latency_t even = {}, mixed = {};
-
-	EXPECT_LT(gate_latency_get_tail_ms(&even), 0);
-	for (int i = 0; i < 400; i++) {
-		gate_latency_record(&even, 300);
-		gate_latency_record(&mixed, i % 10 == 0 ? 3000 : 300);
-	}
-	EXPECT_NEAR((double)gate_latency_get_tail_ms(&even), 300, 10);
-	EXPECT_GT(gate_latency_get_tail_ms(&mixed), 2000);
-}
