--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -624,8 +624,7 @@
 {
 	target->successes++;
 	target->latency_sum_ms += (uint32_t)latency_ms;
-	latency_record(
-	    &target->service->latency, latency_ms, LATENCY_WEIGHT);
+	latency_record(&target->service->latency, latency_ms, LATENCY_WEIGHT);
 }
 
 void
--- a/src/http/http_return.c
+++ b/src/http/http_return.c
@@ -3,7 +3,7 @@
 /* Assumed until a request was held. */
 #define HOLD_DEFAULT_MS 1000
 /* Weight of a newer request in the mean. */
-#define HOLD_WEIGHT   0.25
+#define HOLD_WEIGHT 0.25
 /* Of the room that returning callers are to use: they come late by network and
  * queue, and requests are not held for equally long. */
 #define ROOM_SHARE    0.8
@@ -19,8 +19,8 @@
 /* As many requests of the size as fit are held at once, so that callers return at
  * intervals that are such a part of the time for which one is held. */
 int64_t
-http_return_take_ms(http_return_t *returns, int64_t now_ms, size_t bytes,
-    size_t limit_bytes)
+http_return_take_ms(
+    http_return_t *returns, int64_t now_ms, size_t bytes, size_t limit_bytes)
 {
 	int64_t hold_ms = (int64_t)returns->hold.mean_ms;
 	int64_t wait_ms = returns->next_ms - now_ms;
--- a/src/http/http_return.h
+++ b/src/http/http_return.h
@@ -28,7 +28,7 @@
  * @param limit_bytes  of all requests together
  * @return             time in ms until the caller should return
  */
-int64_t http_return_take_ms(http_return_t *returns, int64_t now_ms,
-    size_t bytes, size_t limit_bytes);
+int64_t http_return_take_ms(
+    http_return_t *returns, int64_t now_ms, size_t bytes, size_t limit_bytes);
 
 #endif
--- a/test/unit/http_return_test.cc
+++ b/test/unit/http_return_test.cc
@@ -30,7 +30,7 @@
 // A memory that callers share. Each request is held for kHoldMs, give or take a
 // share of it.
 class Memory {
-public:
+      public:
 	Memory(uint64_t seed, size_t bytes, double spread, bool is_known)
 	    : bytes_(bytes), spread_(spread)
 	{
@@ -60,7 +60,7 @@
 		return (outcome_);
 	}
 
-private:
+      private:
 	bool
 	TryHold(int64_t now_ms)
 	{
