--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -182,8 +182,7 @@
 	const gate_service_t *service =
 	    gate_table_find_service(request->gate->table, request->service);
 
-	return (
-	    service != NULL ? latency_get_tail_ms(&service->latency) : -1);
+	return (service != NULL ? latency_get_tail_ms(&service->latency) : -1);
 }
 
 int
