entry: bound the memory of large requests together

Change: the listener of tm-entry has request_buffer_mb (64) as that of tm-gate. Its refusals carry X-Tm-Run and a Retry-After of whole seconds, as its other ones do; they are counted (tm_entry_refusals_total, buffers_full) and logged (event 711). The two settings files read the field with the same bounds.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -34,6 +34,9 @@
 		entry->refusals[i] = metrics_get(entry->metrics,
 		    "tm_entry_refusals_total", labels, METRIC_COUNTER);
 	}
+	entry->intake_refusals =
+	    metrics_get(entry->metrics, "tm_entry_refusals_total",
+		"reason=\"" HTTP_INTAKE_ERROR "\"", METRIC_COUNTER);
 	entry->added_latency = metrics_get(
 	    entry->metrics, "tm_entry_added_latency_us", "", METRIC_HISTOGRAM);
 	entry->claim_latency = metrics_get(
@@ -41,6 +44,19 @@
 	return (TM_OK);
 }
 
+/* The request was not read, so nothing of it is known. */
+static void
+on_intake_refused(void *ctx)
+{
+	entry_t *entry = ctx;
+
+	metric_add(entry->intake_refusals, 1);
+	LOG_EVENT(711, LOG_LEVEL_WARN,
+	    "large request refused before it was read",
+	    LOG_NUM(
+		"connections", http_server_get_connections(entry->callers)));
+}
+
 static int
 entry_listen(entry_t *entry)
 {
@@ -50,6 +66,9 @@
 		.server_name = "tarragonmoor",
 		.connections_max = ENTRY_CONNECTIONS_MAX,
 		.body_max_bytes = ENTRY_BODY_MAX_BYTES,
+		.intake_max_bytes = entry->settings->request_limit_bytes,
+		.intake_whole_seconds = 1,
+		.intake_refused = on_intake_refused,
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
 		.error_header = "x-tm-run",
 		.error_value = "no",
--- a/src/entry/entry_defs.h
+++ b/src/entry/entry_defs.h
@@ -164,6 +164,7 @@
 
 	metrics_t *metrics;
 	metric_t *refusals[32]; /**< by refusal_t */
+	metric_t *intake_refusals; /**< before a request was read */
 	metric_t *added_latency; /**< time in this VM, without the target */
 	metric_t *claim_latency;
 };
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "http/http_intake.h"
 #include "settings/json_check.h"
 
 #define NOTICE_MAX_MS 60000
@@ -21,6 +22,7 @@
     "  ],\n"
     "  \"fleet_secrets\": [\"replace-with-32-random-bytes\"],\n"
     "  \"target_secrets\": [\"replace-with-another-secret\"],\n"
+    "  \"request_buffer_mb\": 64,\n"
     "  \"log_level\": \"info\"\n"
     "}\n";
 
@@ -76,6 +78,10 @@
 	http_tls_read_settings(root, &settings->tls);
 	read_controls(root, settings);
 	read_secrets(root, settings);
+	settings->request_limit_bytes =
+	    (size_t)json_opt_int(root, "request_buffer_mb", HTTP_INTAKE_MIN_MB,
+		HTTP_INTAKE_MAX_MB, "MB", HTTP_INTAKE_DEFAULT_MB) *
+	    PROGRAM_BYTES_PER_MB;
 	settings->log_level = program_read_log_level(root);
 	settings->mode = (entry_mode_t)json_opt_enum(
 	    root, "decision_mode", mode_words, ENTRY_MODE_FLEET);
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * Settings of tm-entry. Nothing in them tunes how a single VM treats
- * requests; that is stated in the profiles.
+ * Settings of tm-entry. Nothing in them but the bound of its memory tunes how a
+ * single VM treats requests; that is stated in the profiles.
  */
 #ifndef TM_ENTRY_ENTRY_SETTINGS_H
 #define TM_ENTRY_ENTRY_SETTINGS_H
@@ -44,6 +44,7 @@
 	http_tls_files_t tls; /**< of listen */
 	program_secret_t target_secrets[PEER_SECRETS_MAX];
 	int target_secret_count;
+	size_t request_limit_bytes; /**< of all large requests together */
 	log_level_t log_level;
 	entry_mode_t mode;
 	/** Time between a failing readiness check and closed listeners. */
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -363,7 +363,7 @@
 {
 	gate_t *gate = ctx;
 
-	gate_metrics_count_answer(gate, "", 503, "buffers_full", 0);
+	gate_metrics_count_answer(gate, "", 503, HTTP_INTAKE_ERROR, 0);
 	LOG_EVENT(968, LOG_LEVEL_WARN,
 	    "large request refused before it was read",
 	    LOG_NUM("connections", http_server_get_connections(gate->callers)),
--- a/src/gate/gate_settings.c
+++ b/src/gate/gate_settings.c
@@ -4,11 +4,9 @@
 
 #include "base/error.h"
 #include "fleet/fleet_settings.h"
+#include "http/http_intake.h"
 #include "http/response_budget.h"
 
-#define BYTES_PER_MB		  ((size_t)1024 * 1024)
-#define REQUEST_BUFFER_DEFAULT_MB 64
-
 const char gate_default_settings[] =
     "{\n"
     "  \"node\": \"gate-1\",\n"
@@ -53,12 +51,12 @@
 	settings->stop_within_ms = fleet_read_time_ms(root, "stop_within_s", 6);
 	settings->response_limit_bytes =
 	    (size_t)json_opt_int(root, "response_buffer_mb", 16, 65536, "MB",
-		RESPONSE_BUDGET_DEFAULT_BYTES / BYTES_PER_MB) *
-	    BYTES_PER_MB;
+		RESPONSE_BUDGET_DEFAULT_BYTES / PROGRAM_BYTES_PER_MB) *
+	    PROGRAM_BYTES_PER_MB;
 	settings->request_limit_bytes =
-	    (size_t)json_opt_int(root, "request_buffer_mb", 16, 65536, "MB",
-		REQUEST_BUFFER_DEFAULT_MB) *
-	    BYTES_PER_MB;
+	    (size_t)json_opt_int(root, "request_buffer_mb", HTTP_INTAKE_MIN_MB,
+		HTTP_INTAKE_MAX_MB, "MB", HTTP_INTAKE_DEFAULT_MB) *
+	    PROGRAM_BYTES_PER_MB;
 	fleet_read_rate_bounds(root, &settings->rates);
 	settings->dialect = fleet_read_dialect(root);
 	settings->log_level = program_read_log_level(root);
--- a/src/http/http_intake.c
+++ b/src/http/http_intake.c
@@ -11,17 +11,19 @@
 /* The body tells in words what the status and the time do. */
 #define REFUSAL_START                          \
 	"HTTP/1.1 503 Service Unavailable\r\n" \
-	"Connection: close\r\n"                \
-	"Retry-After: "
+	"Connection: close\r\n"
 #define REFUSAL_END                                                           \
-	"\r\n"                                                                \
 	"Content-Type: application/json\r\n"                                  \
 	"Content-Length: 143\r\n"                                             \
 	"\r\n"                                                                \
-	"{\"error\":\"buffers_full\",\"run\":\"no\",\"reason\":\"too many "   \
+	"{\"error\":\"" HTTP_INTAKE_ERROR                                     \
+	"\",\"run\":\"no\",\"reason\":\"too many "                            \
 	"large requests are sent to this VM\",\"remedy\":\"send the request " \
 	"again after Retry-After\"}\n"
 
+/* Start, end, and four of each header. */
+#define REFUSAL_BUFFERS_MAX 10
+
 typedef void (*read_start_t)(h2o_socket_t *sock, h2o_socket_cb cb);
 
 static void
@@ -104,27 +106,59 @@
 		uv_shutdown(&conn->shutdown, conn->stream, NULL);
 }
 
+static void
+format_retry_after(http_intake_conn_t *conn, int64_t return_ms)
+{
+	if (conn->intake->is_whole_seconds)
+		snprintf(conn->retry_after, sizeof(conn->retry_after), "%lld",
+		    (long long)((return_ms + MS_PER_SEC - 1) / MS_PER_SEC));
+	else
+		snprintf(conn->retry_after, sizeof(conn->retry_after),
+		    "%lld.%03lld", (long long)(return_ms / MS_PER_SEC),
+		    (long long)(return_ms % MS_PER_SEC));
+}
+
+/* @return number of buffers */
+static size_t
+add_header(h2o_iovec_t *text, const char *name, const char *value)
+{
+	const char *parts[] = { name, ": ", value, "\r\n" };
+	size_t i;
+
+	for (i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
+		text[i] = h2o_iovec_init(parts[i], strlen(parts[i]));
+	return (i);
+}
+
+static void
+send_refusal(http_intake_conn_t *conn)
+{
+	const http_intake_t *intake = conn->intake;
+	h2o_iovec_t text[REFUSAL_BUFFERS_MAX];
+	size_t count = 0;
+
+	text[count++] =
+	    h2o_iovec_init(REFUSAL_START, sizeof(REFUSAL_START) - 1);
+	count += add_header(&text[count], "Retry-After", conn->retry_after);
+	if (intake->header != NULL)
+		count += add_header(
+		    &text[count], intake->header, intake->header_value);
+	text[count++] = h2o_iovec_init(REFUSAL_END, sizeof(REFUSAL_END) - 1);
+	h2o_socket_write(conn->sock, text, count, on_refusal_sent);
+}
+
 static void
 refuse(http_intake_conn_t *conn)
 {
 	http_intake_t *intake = conn->intake;
 	int64_t return_ms = http_return_take_ms(&intake->returns,
 	    clock_now_ms(), conn->held_bytes, intake->limit_bytes);
-	h2o_iovec_t text[] = {
-		h2o_iovec_init(REFUSAL_START, sizeof(REFUSAL_START) - 1),
-		{ .base = conn->retry_after },
-		h2o_iovec_init(REFUSAL_END, sizeof(REFUSAL_END) - 1),
-	};
-
-	text[1].len =
-	    (size_t)snprintf(conn->retry_after, sizeof(conn->retry_after),
-		"%lld.%03lld", (long long)(return_ms / MS_PER_SEC),
-		(long long)(return_ms % MS_PER_SEC));
+
+	format_retry_after(conn, return_ms);
 	conn->is_refused = 1;
 	count(conn, 0);
 	h2o_buffer_consume(&conn->sock->input, conn->sock->input->size);
-	h2o_socket_write(
-	    conn->sock, text, sizeof(text) / sizeof(text[0]), on_refusal_sent);
+	send_refusal(conn);
 	if (intake->refused != NULL)
 		intake->refused(intake->ctx);
 }
--- a/src/http/http_intake.h
+++ b/src/http/http_intake.h
@@ -22,8 +22,16 @@
  * others. */
 #define HTTP_INTAKE_SMALL_BYTES ((size_t)128 * 1024)
 
+/** The setting "request_buffer_mb", in MB. */
+#define HTTP_INTAKE_DEFAULT_MB 64
+#define HTTP_INTAKE_MIN_MB     16
+#define HTTP_INTAKE_MAX_MB     65536
+
+/** Word for programs in the response to a refused request. */
+#define HTTP_INTAKE_ERROR "buffers_full"
+
 /** Size of a value of Retry-After, with the final zero. */
-#define HTTP_INTAKE_RETRY_AFTER_BYTES 16
+#define HTTP_INTAKE_RETRY_AFTER_BYTES 24
 
 typedef struct http_intake_conn http_intake_conn_t;
 
@@ -33,6 +41,9 @@
 	size_t held_bytes;
 	http_intake_conn_t *conns;
 	http_return_t returns; /**< of refused callers */
+	int is_whole_seconds; /**< Retry-After is rounded up to seconds */
+	const char *header; /**< added to refusals; NULL: none */
+	const char *header_value;
 	void (*refused)(void *ctx); /**< a request was refused; may be NULL */
 	void *ctx;
 } http_intake_t;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -219,6 +219,9 @@
 	server->options = *options;
 	server->intake = (http_intake_t){
 		.limit_bytes = options->intake_max_bytes,
+		.is_whole_seconds = options->intake_whole_seconds,
+		.header = options->error_header,
+		.header_value = options->error_value,
 		.refused = options->intake_refused,
 		.ctx = options->ctx,
 	};
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -34,8 +34,9 @@
 	/** Bound of all large requests together; others are refused with 503.
 	 * 0: none. */
 	size_t intake_max_bytes;
+	int intake_whole_seconds; /**< their Retry-After is rounded up to it */
 	uint32_t idle_timeout_ms;
-	/** Header added to the responses that h2o makes itself; may be NULL */
+	/** Header added to the responses that no handler makes; may be NULL */
 	const char *error_header;
 	const char *error_value;
 	const http_tls_files_t *tls; /**< NULL or unset: plain HTTP */
--- a/src/settings/program_settings.h
+++ b/src/settings/program_settings.h
@@ -13,6 +13,8 @@
 
 #define PROGRAM_SECRET_MIN_BYTES 16
 #define PROGRAM_SECRET_MAX_BYTES 255
+/** Sizes in the settings are in MB. */
+#define PROGRAM_BYTES_PER_MB ((size_t)1024 * 1024)
 
 /** Text of a secret with its end. */
 typedef char program_secret_t[PROGRAM_SECRET_MAX_BYTES + 1];
