--- a/test/functional/gate_memory.py
+++ b/test/functional/gate_memory.py
@@ -12,7 +12,7 @@
 BUILD, WORK = sys.argv[1], sys.argv[2]
 NET = f"127.{random.randrange(120, 160)}.{random.randrange(1, 250)}"
 MEMORY_MAX_MB = 200
-AT_ONCE = 40
+ENDLESS_COUNTS = (40, 150)
 SLOW_READERS = 60
 LARGE_BYTES = 7500000
 ENDLESS_BYTES_PER_S = 2000000
@@ -124,8 +124,9 @@
     print(f"{what}: ordinary requests are served:", served >= SERVED_MIN)
 
 
-def endless():
-    socks = [open_request("/endless/1", f"e-{i}") for i in range(AT_ONCE)]
+def endless(count):
+    socks = [open_request("/endless/1", f"e-{count}-{i}")
+             for i in range(count)]
     statuses = [read_all(sock)[0] for sock in socks]
     print("endless responses are refused:",
           all(x in (502, 503, 504) for x in statuses))
@@ -173,7 +174,8 @@
                          "Tarragonmoor-Attempt-Id":
                          f"first-{time.monotonic()}"})[0] == 200)
     time.sleep(1)
-    play("responses without end", endless)
+    for number in ENDLESS_COUNTS:
+        play(f"{number} responses without end", lambda n=number: endless(n))
     play("slow readers", slow_readers)
 finally:
     fleet.kill_all()
