--- a/src/http/http_intake.c
+++ b/src/http/http_intake.c
@@ -135,16 +135,15 @@
 {
 	const http_intake_t *intake = conn->intake;
 	h2o_iovec_t text[REFUSAL_BUFFERS_MAX];
-	size_t count = 0;
+	size_t used = 0;
 
-	text[count++] =
-	    h2o_iovec_init(REFUSAL_START, sizeof(REFUSAL_START) - 1);
-	count += add_header(&text[count], "Retry-After", conn->retry_after);
+	text[used++] = h2o_iovec_init(REFUSAL_START, sizeof(REFUSAL_START) - 1);
+	used += add_header(&text[used], "Retry-After", conn->retry_after);
 	if (intake->header != NULL)
-		count += add_header(
-		    &text[count], intake->header, intake->header_value);
-	text[count++] = h2o_iovec_init(REFUSAL_END, sizeof(REFUSAL_END) - 1);
-	h2o_socket_write(conn->sock, text, count, on_refusal_sent);
+		used += add_header(
+		    &text[used], intake->header, intake->header_value);
+	text[used++] = h2o_iovec_init(REFUSAL_END, sizeof(REFUSAL_END) - 1);
+	h2o_socket_write(conn->sock, text, used, on_refusal_sent);
 }
 
 static void
