--- a/src/http/http_return.c
+++ b/src/http/http_return.c
@@ -16,8 +16,8 @@
 	latency_record(&returns->hold, hold_ms, HOLD_WEIGHT);
 }
 
-/* As many requests of the size as fit are held at once, so that callers return at
- * intervals that are such a part of the time for which one is held. */
+/* If N requests of the size fit, each held for the mean time, there is room for
+ * another one after every Nth part of that time. */
 int64_t
 http_return_take_ms(
     http_return_t *returns, int64_t now_ms, size_t bytes, size_t limit_bytes)
--- a/test/unit/base_test.cc
+++ b/test/unit/base_test.cc
@@ -273,7 +273,7 @@
 	close(fds[1]);
 }
 
-// A wait for what most requests take is shorter than many of them take.
+// A bound that leaves out how much times vary is exceeded by many of them.
 TEST(Latency, TailCoversWhatVaries)
 {
 	latency_t even = {}, mixed = {};
--- a/test/unit/hub_floor_test.cc
+++ b/test/unit/hub_floor_test.cc
@@ -89,7 +89,7 @@
 	}
 
 	Fleet(const Load &load, uint64_t seed, const Net &net = {})
-	    : load_(load), net_(net), random_(seed), silence_(load.gates)
+	    : load_(load), net_(net), random_(seed), paths_(load.gates)
 	{
 		hub_feed_options_t options = {};
 
@@ -107,7 +107,7 @@
 		for (int i = 0; i < load.gates; i++) {
 			gates_.push_back(
 			    gate_table_create("zone-1", seed * 1000 + i));
-			silence_[(size_t)i].heard_ms = now_;
+			paths_[(size_t)i].heard_ms = now_;
 			Renew((size_t)i);
 		}
 	}
@@ -233,9 +233,9 @@
 		int is_probe;
 		int64_t leave_ms;
 	};
-	/* Of the leader towards a gate. */
-	struct Silence {
-		int64_t heard_ms;
+	/* Between a gate and the leader. */
+	struct Path {
+		int64_t heard_ms; /* last lease that arrived */
 		int64_t last_due_ms[2]; /* of messages, up and down */
 	};
 	/* A request that asked the leader for a target. */
@@ -305,7 +305,7 @@
 			    tm__fleet__lease__free_unpacked);
 
 			self->SendDown(gate, [self, gate, lease] {
-				self->silence_[gate].heard_ms = self->now_;
+				self->paths_[gate].heard_ms = self->now_;
 				gate_table_set_idle(self->gates_[gate],
 				    lease->idle_services,
 				    lease->n_idle_services, self->now_);
@@ -331,7 +331,7 @@
 	void
 	Deliver(size_t gate, int is_down, const std::function<void()> &act)
 	{
-		int64_t &last_ms = silence_[gate].last_due_ms[is_down];
+		int64_t &last_ms = paths_[gate].last_due_ms[is_down];
 
 		if (net_.delay_ms <= 0) {
 			act();
@@ -473,7 +473,7 @@
 	Pick(size_t gate, int may_ask)
 	{
 		gate_pick_options_t options = {};
-		int64_t silent_ms = now_ - silence_[gate].heard_ms;
+		int64_t silent_ms = now_ - paths_[gate].heard_ms;
 
 		options.now_ms = now_;
 		options.has_leader =
@@ -781,7 +781,7 @@
 	Load load_;
 	Net net_;
 	std::mt19937_64 random_;
-	std::vector<Silence> silence_;
+	std::vector<Path> paths_;
 	std::multimap<int64_t, std::function<void()>> messages_; /* by due */
 	int has_leader_ = 1;
 	int64_t lost_ms_ = INT64_MAX; /* when the last leader went */
