--- a/test/unit/fleet_config_test.cc
+++ b/test/unit/fleet_config_test.cc
@@ -102,6 +102,39 @@
 	EXPECT_EQ(nullptr, fleet_config_find_key(config_, "k22", 3));
 }
 
+// A kind of route that is not known refuses the whole document, so that a fleet
+// with routes for downloads serves nothing at all.
+TEST_F(PlatformConfig, RepeatsDownloadsAndNotWhatIsUnsafe)
+{
+	const std::string more = R"("Host":"a","MaxAttempts":2,)" +
+	    std::string(kPlain) + "}";
+
+	ASSERT_EQ(TM_OK,
+	    Read(Document(
+		R"("d":{"Kind":"download","PathPrefix":"/d/",)" + more + "," +
+		R"("u":{"Kind":"unsafe","PathPrefix":"/u/",)" + more)))
+	    << problem_;
+	ASSERT_EQ("d", FindRoute("a", "/d/1"));
+	ASSERT_EQ("u", FindRoute("a", "/u/1"));
+	EXPECT_TRUE(fleet_config_find_route(config_, "a", 1, "/d/1", 4)
+			->repeat_allowed);
+	EXPECT_FALSE(fleet_config_find_route(config_, "a", 1, "/u/1", 4)
+			 ->repeat_allowed);
+}
+
+// The operator can't mend a document that is refused without the word that is
+// wrong and the words that are right.
+TEST_F(PlatformConfig, NamesTheKindsThatAreKnown)
+{
+	EXPECT_EQ(TM_EINVAL,
+	    Read(Document(R"("r9":{"Kind":"upload","Host":"a",)"
+			  R"("PathPrefix":"/u/","MaxAttempts":2,)" +
+		std::string(kPlain) + "}")));
+	EXPECT_STREQ("r9: Kind: \"upload\" found, safe, download or unsafe "
+		     "is expected",
+	    problem_);
+}
+
 TEST_F(PlatformConfig, TakesTheLongestPrefixOfTheHost)
 {
 	ASSERT_EQ(TM_OK,
