--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -10,13 +10,10 @@
 #include "gate/gate_alone.h"
 #include "gate/gate_crash_check.h"
 #include "gate/gate_limit_permit.h"
+#include "gate/gate_stall.h"
 
 /* Connect timeout; nothing was sent by then. */
 #define CONNECT_MAX_MS 300
-/* An attempt that takes this many times the mean latency, and at least the
- * minimum, is reported as stalled; never while the mean is unknown. */
-#define STALL_RATIO  2.5
-#define STALL_MIN_MS 600
 /* Idle connections are reused until this margin before the target's keep-alive
  * timeout, or up to the default idle time where the target gives none. */
 #define IDLE_DEFAULT_MS 1000
@@ -51,12 +48,17 @@
 	return (names[kind]);
 }
 
-/* Detaches the target of the attempt that has ended. */
+/* Detaches the target of the attempt that has ended. A permit that would have
+ * ended it early is of no use any more. */
 static gate_target_t *
 end_attempt(gate_request_t *request)
 {
 	gate_target_t *target = request->target;
 
+	if (request->permit_id != 0)
+		gate_link_cancel_permit(
+		    request->gate->link, request->permit_id);
+	request->permit_id = 0;
 	request->target = NULL;
 	request->call = NULL;
 	return (target);
@@ -153,19 +155,25 @@
 		gate_request_refuse(request, request->pending_refusal, 0);
 }
 
-/* Requests a permit from the service's retry budget. */
-static void
-request_retry_permit(gate_request_t *request, gate_refusal_t pending_refusal)
+/* Asks for a permit from the service's retry budget. @return its id, or 0 */
+static uint32_t
+ask_for_retry(gate_request_t *request, gate_permit_cb done)
 {
 	Tm__Fleet__Spend msg = TM__FLEET__SPEND__INIT;
-	gate_t *gate = request->gate;
 
 	msg.kind = FLEET_SPEND_RETRY;
 	msg.service = fleet_name_hash(request->service);
+	return (gate_link_request_permit(
+	    request->gate->link, &msg, done, request, clock_now_ms()));
+}
+
+/* Repeats a request whose attempt has ended, once there is a permit. */
+static void
+request_retry_permit(gate_request_t *request, gate_refusal_t pending_refusal)
+{
 	request->pending_refusal = pending_refusal;
 	request->state = GATE_STATE_RETRY_PERMIT;
-	request->permit_id = gate_link_request_permit(
-	    gate->link, &msg, on_retry_permit, request, clock_now_ms());
+	request->permit_id = ask_for_retry(request, on_retry_permit);
 	if (request->permit_id == 0)
 		gate_request_refuse(request, pending_refusal, 0);
 }
@@ -415,6 +423,7 @@
 	request->target = target;
 	request->is_probe = is_probe;
 	request->is_stall_reported = 0;
+	request->is_repeat_asked = 0;
 	request->sent_ms = clock_now_ms();
 	request->tried[request->tried_count++] = target->key;
 	request->state = GATE_STATE_SENT;
@@ -547,21 +556,95 @@
 	    0);
 }
 
-static void
-check_stall(gate_request_t *request, int64_t now_ms)
+static gate_stall_t
+describe_stall(const gate_request_t *request, int64_t now_ms)
 {
-	double mean_ms = request->target->service->latency.mean_ms;
-	int64_t age_ms = now_ms - request->sent_ms;
+	const gate_service_t *service = request->target->service;
+	int64_t received_ms = upstream_call_get_received_ms(request->call);
+
+	/* A large response may take long to arrive. */
+	return ((gate_stall_t){
+	    .age_ms = now_ms -
+		(received_ms > request->sent_ms ? received_ms
+						: request->sent_ms),
+	    .left_ms = request->deadline_ms - now_ms,
+	    .soft_deadline_ms = request->soft_deadline_ms,
+	    .mean_ms = service->latency.mean_ms > 0 ? service->latency.mean_ms
+						    : service->work_ms,
+	    .utilization = gate_service_get_utilization(service, now_ms),
+	});
+}
 
-	if (request->is_stall_reported || mean_ms <= 0 ||
-	    age_ms < STALL_MIN_MS || (double)age_ms < STALL_RATIO * mean_ms)
-		return;
+static void
+report_stall(gate_request_t *request, int64_t age_ms)
+{
 	request->is_stall_reported = 1;
 	log_attempt(request, request->target, FLEET_EVIDENCE_STALL, 0, age_ms);
 	if (!request->is_probe)
 		report(request, request->target, FLEET_EVIDENCE_STALL, 0);
 }
 
+/* Ends an attempt that may hang; its stall was reported, unless it is a probe. */
+static void
+end_stalled(gate_request_t *request)
+{
+	gate_target_t *target;
+
+	upstream_call_cancel(request->call);
+	target = end_attempt(request);
+	if (request->is_probe)
+		record_outcome(request, target, FLEET_EVIDENCE_STALL, 0);
+	gate_target_release(target);
+	request->may_have_executed = 1;
+	request->attempts_sent++;
+}
+
+/* gate_permit_cb */
+static void
+on_repeat_permit(void *ctx, const gate_permit_reply_t *reply)
+{
+	gate_request_t *request = ctx;
+
+	request->permit_id = 0;
+	if (reply->result != GATE_PERMIT_GRANTED)
+		return;
+	LOG_EVENT(970, LOG_LEVEL_INFO, "sent to another target",
+	    LOG_TEXT("request_id", request->id),
+	    LOG_TEXT("stalled_target", request->target->id),
+	    LOG_NUM("waited_ms", clock_now_ms() - request->sent_ms),
+	    LOG_NUM("left_ms", request->deadline_ms - clock_now_ms()));
+	end_stalled(request);
+	gate_request_proceed(request);
+}
+
+/* Sends a request to another target while it waits for one that may hang; the
+ * attempt goes on until there is a permit. */
+static void
+repeat_stalled(gate_request_t *request)
+{
+	gate_pick_options_t options = gate_attempt_get_pick_options(request);
+
+	if (request->is_repeat_asked || !request->repeat_allowed ||
+	    request->attempts_sent + 1 >= request->attempts_max ||
+	    request->tried_count >= GATE_TRIED_MAX ||
+	    gate_request_is_answered(request) ||
+	    !gate_service_has_healthy(request->target->service, &options))
+		return;
+	request->is_repeat_asked = 1;
+	request->permit_id = ask_for_retry(request, on_repeat_permit);
+}
+
+static void
+check_stall(gate_request_t *request, int64_t now_ms)
+{
+	gate_stall_t stall = describe_stall(request, now_ms);
+
+	if (!request->is_stall_reported && gate_stall_is_evidence(&stall))
+		report_stall(request, stall.age_ms);
+	if (gate_stall_should_repeat(&stall))
+		repeat_stalled(request);
+}
+
 void
 gate_attempt_tick(gate_request_t *request, int64_t now_ms)
 {
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -60,6 +60,7 @@
 	upstream_call_t *call;
 	int is_probe;
 	int is_stall_reported;
+	int is_repeat_asked; /**< a permit to repeat it meanwhile was asked for */
 	int64_t sent_ms;
 	int64_t attempt_timeout_ms; /**< given to the target, from sent_ms */
 	uint64_t tried[GATE_TRIED_MAX];
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -609,6 +609,27 @@
 	service->utilization_ms = now_ms;
 }
 
+double
+gate_service_get_utilization(const gate_service_t *service, int64_t now_ms)
+{
+	return (now_ms - service->utilization_ms > UTILIZATION_MAX_AGE_MS
+		? 0
+		: service->utilization);
+}
+
+int
+gate_service_has_healthy(
+    const gate_service_t *service, const gate_pick_options_t *options)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		if (get_rank(service->targets[i], options) >= RANK_HEALTHY)
+			return (1);
+	}
+	return (0);
+}
+
 int
 gate_table_admits(gate_table_t *table, const gate_service_t *service,
     int64_t soft_deadline_ms, int32_t priority, int64_t now_ms)
@@ -619,8 +640,8 @@
 	double full;
 	double share;
 
-	if (service->work_ms <= 0 || service->utilization <= 1 ||
-	    now_ms - service->utilization_ms > UTILIZATION_MAX_AGE_MS)
+	if (service->work_ms <= 0 ||
+	    gate_service_get_utilization(service, now_ms) <= 1)
 		return (1);
 	full = ADMIT_SOFT_DEADLINE_SHARE * (double)soft_deadline_ms /
 	    service->work_ms;
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -154,6 +154,14 @@
 void gate_table_set_utilization(gate_table_t *table, uint64_t id,
     double utilization, double work_ms, int64_t now_ms);
 
+/** @return requests per slot of a service; 0 if the leader said none lately */
+double gate_service_get_utilization(
+    const gate_service_t *service, int64_t now_ms);
+
+/** @return 1 if a healthy target is left that the request has not tried */
+int gate_service_has_healthy(
+    const gate_service_t *service, const gate_pick_options_t *options);
+
 /**
  * Decides whether to admit a request to a service, so that admitted requests
  * are answered in time; the most urgent ones are admitted longest.
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -1,9 +1,7 @@
 #include "http/upstream.h"
 
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <uthash.h>
 #include <utlist.h>
@@ -60,6 +58,7 @@
 	int is_head;
 	int is_lenient;
 	int is_sent;
+	int64_t received_ms; /* last bytes of the response; 0: none */
 };
 
 struct upstream_conn {
@@ -420,8 +419,10 @@
 		conn_on_end(conn, !stream_end_is_orderly(&conn->tcp, count));
 	else if (conn->call == NULL)
 		conn_close(conn); /* bytes that nobody asked for */
-	else
+	else {
+		conn->call->received_ms = clock_now_ms();
 		conn_take(conn, buf->base, (size_t)count);
+	}
 }
 
 static void
@@ -517,22 +518,6 @@
 	return (conn);
 }
 
-/*
- * The loop may not have seen yet that the target closed the connection or sent
- * bytes on it. Such bytes would pass as the response to the next request.
- */
-static int
-conn_is_quiet(const upstream_conn_t *conn)
-{
-	uv_os_fd_t fd;
-	char byte;
-
-	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
-		return (0);
-	return (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-	    (errno == EAGAIN || errno == EWOULDBLOCK));
-}
-
 static int64_t
 request_get_idle_max_ms(const upstream_request_t *request)
 {
@@ -575,7 +560,7 @@
 			return (NULL);
 		if (conn_has_carried(conn, request->id_hash))
 			continue;
-		if (conn_is_quiet(conn)) {
+		if (stream_end_is_quiet(&conn->tcp)) {
 			conn_leave_idle(conn);
 			return (conn);
 		}
@@ -630,6 +615,12 @@
 	return (call->is_sent);
 }
 
+int64_t
+upstream_call_get_received_ms(const upstream_call_t *call)
+{
+	return (call->conn->is_paused ? clock_now_ms() : call->received_ms);
+}
+
 void
 upstream_call_cancel(upstream_call_t *call)
 {
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -123,6 +123,10 @@
 /** @return 1 once a byte of the request may have left this process */
 int upstream_call_is_sent(const upstream_call_t *call);
 
+/** @return time of the last bytes of the response, now while this process does
+ *          not read them for want of memory; 0: none came */
+int64_t upstream_call_get_received_ms(const upstream_call_t *call);
+
 /** Ends a call without a callback and closes its connection. */
 void upstream_call_cancel(upstream_call_t *call);
 
--- a/src/net/stream_end.h
+++ b/src/net/stream_end.h
@@ -28,4 +28,11 @@
  */
 int stream_end_is_pending(int fd);
 
+/**
+ * Tells whether an idle connection is still open and nothing has arrived on it.
+ * The loop may not have seen yet that the other side closed it, or sent bytes
+ * that would pass as the response to the next request.
+ */
+int stream_end_is_quiet(const uv_tcp_t *tcp);
+
 #endif
