--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -373,6 +373,16 @@
 		link->pending_lease_ms = sent_ms;
 }
 
+/* @return 1 if a hub was asked already, or cannot be: several hubs name the leader
+ * while it is busy with the gates that have asked it */
+static int
+is_asked(const known_hub_t *hub, int64_t now_ms)
+{
+	return (hub == NULL ||
+	    (hub->unanswered_ms != 0 &&
+		now_ms - hub->unanswered_ms < GATE_LEASE_RENEWAL_MS));
+}
+
 static void
 handle_lease(gate_link_t *link, node_id_t from, const uint8_t *payload,
     size_t len, int64_t now_ms)
@@ -396,7 +406,7 @@
 		leader = node_id_from_name(lease->leader);
 		if (link->leader == NODE_ID_NONE && leader != NODE_ID_NONE &&
 		    leader != from &&
-		    add_hub(link, lease->leader, now_ms) != NULL) {
+		    !is_asked(add_hub(link, lease->leader, now_ms), now_ms)) {
 			link->renewal_due_ms = now_ms + GATE_LEADER_SEARCH_MS;
 			send_renewal(link, leader, now_ms);
 		}
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -409,12 +409,36 @@
 	    (int64_t)join->up_ms >= age_ms);
 }
 
+/* Brings a gate's table up to date. */
+static void
+send_table_if_due(hub_feed_t *feed, feed_gate_t *gate,
+    const Tm__Fleet__Join *join, int64_t now_ms)
+{
+	uint64_t has =
+	    join->table_term == feed->term ? join->table_sequence : 0;
+
+	/* Pending changes are flushed first: a gate gets changes only on top
+	 * of a table that all gates have. */
+	if (has != feed->flushed)
+		flush_changes(feed, now_ms);
+	if (has == 0 && is_table_pending(gate, join, now_ms))
+		return;
+	if (has == 0) {
+		gate->table_sequence = feed->sequence;
+		gate->table_sent_ms = now_ms;
+		send_whole_table(feed, gate->id);
+		return;
+	}
+	gate->table_sequence = has;
+	if (has < feed->flushed)
+		send_changes(feed, gate, has, now_ms);
+}
+
 void
 hub_feed_renew_lease(hub_feed_t *feed, node_id_t id,
     const Tm__Fleet__Join *join, const hub_feed_lease_t *lease, int64_t now_ms)
 {
 	feed_gate_t *gate = get_gate(feed, id);
-	uint64_t has;
 
 	if (gate == NULL)
 		return;
@@ -430,25 +454,11 @@
 		    join->up_ms < (uint64_t)feed->options.window_ms;
 	if (join->gates > feed->previous_gates)
 		feed->previous_gates = join->gates;
-	/* The document goes first, as the lease names its version. */
+	/* The lease goes last: it names the version of the document, and the
+	 * renewal that answers it reports the table. */
 	send_document_if_due(feed, gate, now_ms);
+	send_table_if_due(feed, gate, join, now_ms);
 	send_lease(feed, gate, join, lease, now_ms);
-	has = join->table_term == feed->term ? join->table_sequence : 0;
-	/* Pending changes are flushed first: a gate gets changes only on top
-	 * of a table that all gates have. */
-	if (has != feed->flushed)
-		flush_changes(feed, now_ms);
-	if (has == 0 && is_table_pending(gate, join, now_ms))
-		return;
-	if (has == 0) {
-		gate->table_sequence = feed->sequence;
-		gate->table_sent_ms = now_ms;
-		send_whole_table(feed, id);
-		return;
-	}
-	gate->table_sequence = has;
-	if (has < feed->flushed)
-		send_changes(feed, gate, has, now_ms);
 }
 
 void
--- a/test/unit/gate_return_test.cc
+++ b/test/unit/gate_return_test.cc
@@ -385,7 +385,8 @@
 			if (fleet->now_ < conn->retry_ms)
 				return;
 			conn->state = State::kConnecting;
-			conn->since_ms = fleet->now_;
+			/* Steps of connections come before those of links. */
+			conn->since_ms = fleet->now_ + kStepMs;
 		}
 		if (conn->state == State::kConnecting)
 			conn->waiting.push_back(message);
