--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -116,6 +116,14 @@
 	    pressure->load_percent / 100.0, pressure->work_ms, clock_now_ms());
 }
 
+static void
+on_set_full(void *ctx, uint64_t target, uint32_t load, int64_t reported_ms)
+{
+	gate_t *gate = ctx;
+
+	gate_table_set_load(gate->table, target, load, reported_ms);
+}
+
 static void
 on_set_idle(void *ctx, const uint64_t *services, size_t count)
 {
@@ -440,6 +448,7 @@
 		.late_probe = on_late_probe,
 		.fill_renewal = on_fill_renewal,
 		.set_utilization = on_set_utilization,
+		.set_full = on_set_full,
 		.set_idle = on_set_idle,
 		.renewal_sent = on_renewal_sent,
 		.ctx = gate,
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -364,6 +364,12 @@
 	for (i = 0; i < lease->n_pressures; i++)
 		link->options.set_utilization(
 		    link->options.ctx, lease->pressures[i]);
+	for (i = 0; i < lease->n_full_targets && i < lease->n_full_loads &&
+	     i < lease->n_full_ages_ms;
+	     i++)
+		link->options.set_full(link->options.ctx,
+		    lease->full_targets[i], lease->full_loads[i],
+		    now_ms - lease->full_ages_ms[i]);
 	link->options.set_idle(
 	    link->options.ctx, lease->idle_services, lease->n_idle_services);
 	link->newest_version = lease->config_version;
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -85,6 +85,9 @@
 	void (*fill_renewal)(void *ctx, Tm__Fleet__Join *join, int needs_usage);
 	/** Applies the utilization of a service from a lease. */
 	void (*set_utilization)(void *ctx, const Tm__Fleet__Pressure *pressure);
+	/** Applies the report on a full target from a lease. */
+	void (*set_full)(
+	    void *ctx, uint64_t target, uint32_t load, int64_t reported_ms);
 	/** Applies the services with idle targets of a lease. */
 	void (*set_idle)(void *ctx, const uint64_t *services, size_t count);
 	/** Called after a renewal was sent to the leader; memory that
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -687,6 +687,18 @@
 	target->has_unreported_load = 1;
 }
 
+void
+gate_table_set_load(
+    gate_table_t *table, uint64_t target, uint32_t load, int64_t reported_ms)
+{
+	gate_target_t *found = gate_table_find_target(table, target);
+
+	if (found == NULL || found->load_ms >= reported_ms)
+		return;
+	found->load = load;
+	found->load_ms = reported_ms;
+}
+
 int
 gate_target_set_leaving(gate_target_t *target)
 {
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -213,6 +213,11 @@
 /** Records the load that a target reported. @param load  running and queued */
 void gate_target_set_load(gate_target_t *target, uint32_t load, int64_t now_ms);
 
+/** Records the load that a target reported to another gate, unless this gate has a
+ * newer one. */
+void gate_table_set_load(
+    gate_table_t *table, uint64_t target, uint32_t load, int64_t reported_ms);
+
 /** Records that a target leaves. @return 1 if that is new */
 int gate_target_set_leaving(gate_target_t *target);
 
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -349,6 +349,22 @@
 	return (known);
 }
 
+static void
+fill_full_targets(const hub_full_targets_t *full, Tm__Fleet__Lease *msg,
+    uint32_t *ages_ms, int64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < full->count; i++)
+		ages_ms[i] = (uint32_t)(now_ms - full->reported_ms[i]);
+	msg->full_targets = (uint64_t *)full->keys;
+	msg->n_full_targets = full->count;
+	msg->full_loads = (uint32_t *)full->requests;
+	msg->n_full_loads = full->count;
+	msg->full_ages_ms = ages_ms;
+	msg->n_full_ages_ms = full->count;
+}
+
 static void
 send_lease(hub_feed_t *feed, const feed_gate_t *gate,
     const Tm__Fleet__Join *join, const hub_feed_lease_t *lease, int64_t now_ms)
@@ -356,6 +372,7 @@
 	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
 	Tm__Fleet__Pressure utilizations[LOADED_SERVICES_MAX];
 	Tm__Fleet__Pressure *pointers[LOADED_SERVICES_MAX];
+	uint32_t ages_ms[HUB_LOAD_FULL_MAX];
 
 	msg.sent_ms = join->sent_ms;
 	msg.is_leader = 1;
@@ -369,6 +386,8 @@
 	msg.n_pressures = fill_loaded_services(lease, utilizations, pointers);
 	msg.idle_services = (uint64_t *)lease->idle_services;
 	msg.n_idle_services = lease->idle_service_count;
+	if (lease->full != NULL)
+		fill_full_targets(lease->full, &msg, ages_ms, now_ms);
 	feed->options.send(
 	    feed->options.send_ctx, gate->id, MSG_FLEET_LEASE, &msg.base);
 }
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -58,6 +58,7 @@
 	size_t utilization_count;
 	const uint64_t *idle_services; /**< services with idle targets */
 	size_t idle_service_count;
+	const hub_full_targets_t *full; /**< NULL: none */
 } hub_feed_lease_t;
 
 /** @return NULL if memory is exhausted */
--- a/src/hub/hub_load.c
+++ b/src/hub/hub_load.c
@@ -10,6 +10,8 @@
 #define LOAD_MAX_AGE_MS 1500
 /* Weight of one update in the moving average of the time of a request. */
 #define WORK_WEIGHT 0.1
+/* Shorter requests have ended by the time at which a gate hears of them. */
+#define FULL_WORK_MIN_MS 400
 /* Most services that are listed; further ones are left out. */
 #define SERVICES_MAX 256
 
@@ -36,6 +38,7 @@
 	const hub_signals_t *signals; /* NULL: none */
 	hub_utilization_t list[SERVICES_MAX];
 	size_t count;
+	hub_full_targets_t full;
 };
 
 hub_load_t *
@@ -150,6 +153,21 @@
 	    limit_per_s * service->work_ms / (double)MS_PER_SEC));
 }
 
+static void
+list_if_full(hub_load_t *load, const service_load_t *service,
+    const hub_target_t *target, const target_load_t *reported)
+{
+	hub_full_targets_t *full = &load->full;
+
+	if (service->work_ms < FULL_WORK_MIN_MS ||
+	    reported->requests < target->as.slots ||
+	    full->count == HUB_LOAD_FULL_MAX)
+		return;
+	full->keys[full->count] = target->key;
+	full->requests[full->count] = reported->requests;
+	full->reported_ms[full->count++] = reported->received_ms;
+}
+
 static void
 add_target(hub_load_t *load, const hub_target_t *target)
 {
@@ -163,6 +181,7 @@
 		return;
 	service->requests += reported->requests;
 	service->slots += get_usable_slots(load, service, target);
+	list_if_full(load, service, target, reported);
 }
 
 static double
@@ -205,6 +224,7 @@
 		service->requests = 0;
 		service->slots = 0;
 	}
+	load->full.count = 0;
 	for (target = state->targets; target != NULL;
 	     target = target->hh.next) {
 		if (target->as.state == FLEET_TARGET_READY &&
@@ -225,6 +245,12 @@
 	}
 }
 
+const hub_full_targets_t *
+hub_load_get_full(const hub_load_t *load)
+{
+	return (&load->full);
+}
+
 const hub_utilization_t *
 hub_load_list(const hub_load_t *load, size_t *count)
 {
--- a/src/hub/hub_load.h
+++ b/src/hub/hub_load.h
@@ -23,6 +23,17 @@
 	double work_ms; /**< mean time of a request without waiting */
 } hub_utilization_t;
 
+/** Most full targets that are listed; further ones are left out. */
+#define HUB_LOAD_FULL_MAX 256
+
+/** Targets in use without a free slot, as of the last hub_load_update(). */
+typedef struct hub_full_targets {
+	size_t count;
+	uint64_t keys[HUB_LOAD_FULL_MAX];
+	uint32_t requests[HUB_LOAD_FULL_MAX]; /**< running and queued */
+	int64_t reported_ms[HUB_LOAD_FULL_MAX]; /**< when they said so */
+} hub_full_targets_t;
+
 /** @return NULL if memory is exhausted */
 hub_load_t *hub_load_create(void);
 
@@ -46,6 +57,10 @@
 void hub_load_update(hub_load_t *load, const hub_state_t *state,
     const hub_outlier_t *outlier, int64_t now_ms);
 
+/** @return full targets of services whose requests take long enough for the
+ *          reports to be of use at the gates; valid until the next update */
+const hub_full_targets_t *hub_load_get_full(const hub_load_t *load);
+
 /** @return the services; valid until the next update */
 const hub_utilization_t *hub_load_list(const hub_load_t *load, size_t *count);
 
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -117,6 +117,7 @@
 		record_outcomes(hub, join, now_ms);
 		lease.idle_services = hub->idle_services;
 		lease.idle_service_count = hub->idle_service_count;
+		lease.full = hub_load_get_full(hub->load);
 		merge_usage(hub, join, now_ms);
 		send_near_limit_if_due(hub, from, join);
 		send_blocks_if_due(hub, from, join, now_ms);
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -1448,7 +1448,7 @@
   (ProtobufCMessageInit) tm__fleet__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[9] =
+static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[12] =
 {
   {
     "sent_ms",
@@ -1558,9 +1558,48 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "full_targets",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Lease, n_full_targets),
+    offsetof(Tm__Fleet__Lease, full_targets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full_loads",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Lease, n_full_loads),
+    offsetof(Tm__Fleet__Lease, full_loads),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full_ages_ms",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Lease, n_full_ages_ms),
+    offsetof(Tm__Fleet__Lease, full_ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__lease__field_indices_by_name[] = {
   5,   /* field[5] = config_version */
+  11,   /* field[11] = full_ages_ms */
+  10,   /* field[10] = full_loads */
+  9,   /* field[9] = full_targets */
   6,   /* field[6] = gates */
   3,   /* field[3] = hubs */
   8,   /* field[8] = idle_services */
@@ -1573,7 +1612,7 @@
 static const ProtobufCIntRange tm__fleet__lease__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor tm__fleet__lease__descriptor =
 {
@@ -1583,7 +1622,7 @@
   "Tm__Fleet__Lease",
   "tm.fleet",
   sizeof(Tm__Fleet__Lease),
-  9,
+  12,
   tm__fleet__lease__field_descriptors,
   tm__fleet__lease__field_indices_by_name,
   1,  tm__fleet__lease__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -176,10 +176,20 @@
    */
   size_t n_idle_services;
   uint64_t *idle_services;
+  /*
+   * Full targets, their running and queued requests, and the time since
+   * they reported these in ms.
+   */
+  size_t n_full_targets;
+  uint64_t *full_targets;
+  size_t n_full_loads;
+  uint32_t *full_loads;
+  size_t n_full_ages_ms;
+  uint32_t *full_ages_ms;
 };
 #define TM__FLEET__LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__lease__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/test/unit/gate_link_test.cc
+++ b/test/unit/gate_link_test.cc
@@ -49,6 +49,7 @@
 			static_cast<GateLink *>(ctx)->usage_requests_ +=
 			    needs_usage;
 		};
+		options.set_full = [](void *, uint64_t, uint32_t, int64_t) {};
 		options.set_idle = [](void *, const uint64_t *, size_t) {};
 		options.set_utilization = [](void *,
 					      const Tm__Fleet__Pressure *) {};
--- a/test/unit/gate_return_test.cc
+++ b/test/unit/gate_return_test.cc
@@ -325,6 +325,7 @@
 		options.fill_renewal = FillRenewal;
 		options.set_utilization = [](void *,
 					      const Tm__Fleet__Pressure *) {};
+		options.set_full = [](void *, uint64_t, uint32_t, int64_t) {};
 		options.set_idle = [](void *, const uint64_t *, size_t) {};
 		options.renewal_sent = [](void *) {};
 		options.ctx = gate;
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -170,6 +170,24 @@
 	EXPECT_EQ(nullptr, Pick({ fleet_name_hash("c") }).target);
 }
 
+// A load that another gate heard of replaces an older one only.
+TEST_F(GateTable, TheNewestLoadCounts)
+{
+	ASSERT_TRUE(Apply(1, 0, 1, { { "a" }, { "b" } }));
+	uint64_t a = fleet_name_hash("a");
+	gate_target_t *target = gate_table_find_target(table_, a);
+
+	gate_target_set_load(target, 1, now_);
+	gate_table_set_load(table_, a, 9, now_ - 10);
+	EXPECT_EQ(1u, target->load);
+	gate_table_set_load(table_, a, 9, now_ + 10);
+	EXPECT_EQ(9u, target->load);
+	now_ += 10;
+	for (int i = 0; i < 20; i++)
+		EXPECT_STREQ("b", Pick().target->id);
+	gate_table_set_load(table_, 12345, 9, now_);
+}
+
 TEST_F(GateTable, TriedTargetsAreLeftOut)
 {
 	Apply(1, 0, 1, { { "a" }, { "b" } });
--- a/test/unit/hub_load_test.cc
+++ b/test/unit/hub_load_test.cc
@@ -94,6 +94,30 @@
 	EXPECT_NEAR(300, Update().work_ms, 1);
 }
 
+// Gates with few requests each do not hear from most targets, and send requests to
+// full ones while others have free slots.
+TEST_F(HubLoad, ListsFullTargetsOfLongRequests)
+{
+	uint64_t a = Add("a");
+	uint64_t b = Add("b");
+	const hub_full_targets_t *full = hub_load_get_full(load_);
+
+	hub_load_record(load_, a, 4, now_);
+	hub_load_record(load_, b, 3, now_);
+	hub_load_record_successes(load_, fleet_name_hash("s1"), 10, 2000);
+	Update();
+	EXPECT_EQ(0u, full->count);
+	for (int i = 0; i < 100; i++) {
+		hub_load_record_successes(
+		    load_, fleet_name_hash("s1"), 10, 9000);
+		Update();
+	}
+	ASSERT_EQ(1u, full->count);
+	EXPECT_EQ(a, full->keys[0]);
+	EXPECT_EQ(4u, full->requests[0]);
+	EXPECT_EQ(now_, full->reported_ms[0]);
+}
+
 namespace {
 
 class GateAdmission : public testing::Test {
