--- a/test/unit/hub_outlier_test.cc
+++ b/test/unit/hub_outlier_test.cc
@@ -198,6 +198,25 @@
 	EXPECT_EQ(FLEET_VERDICT_HEALTHY, Get(3));
 }
 
+// Gray failure under load: a target that breaks one connection now and then serves
+// more requests than one that is out of use.
+TEST_F(HubOutlier, AFullServiceKeepsATargetThatBreaksOnce)
+{
+	AddTargets(8);
+	hub_outlier_set_utilization(detector_, kService, 1.2);
+	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
+	EXPECT_EQ(FLEET_VERDICT_HEALTHY, Get(3));
+	RecordEvidence(3, FLEET_EVIDENCE_BROKEN);
+	EXPECT_EQ(FLEET_VERDICT_EJECTED, Get(3));
+	RecordEvidence(4, FLEET_EVIDENCE_BROKEN);
+	hub_outlier_record_successes(detector_, 4, 5, now_);
+	RecordEvidence(4, FLEET_EVIDENCE_BROKEN);
+	EXPECT_EQ(FLEET_VERDICT_HEALTHY, Get(4));
+	hub_outlier_set_utilization(detector_, kService, 0.5);
+	RecordEvidence(5, FLEET_EVIDENCE_BROKEN);
+	EXPECT_EQ(FLEET_VERDICT_EJECTED, Get(5));
+}
+
 // A target that fails most requests for good gets few but probes.
 TEST_F(HubOutlier, ATargetThatFailsForGoodIsSeldomInUse)
 {
