--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -569,8 +569,7 @@
 						: request->sent_ms),
 	    .left_ms = request->deadline_ms - now_ms,
 	    .soft_deadline_ms = request->soft_deadline_ms,
-	    .mean_ms = service->latency.mean_ms > 0 ? service->latency.mean_ms
-						    : service->work_ms,
+	    .mean_ms = gate_service_get_expected_ms(service, now_ms),
 	    .utilization = gate_service_get_utilization(service, now_ms),
 	});
 }
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -27,8 +27,8 @@
  * share of the requests falls linearly from 1 towards 0, but not below
  * ADMIT_SHARE_MIN. */
 #define ADMIT_SOFT_DEADLINE_SHARE 0.6
-#define ADMIT_RAMP_START	  0.7
-#define ADMIT_RAMP_END		  1.3
+#define ADMIT_RAMP_START	  0.85
+#define ADMIT_RAMP_END		  1.45
 /* Each priority step below the most urgent lowers the full utilization by this
  * fraction; further steps than the maximum make no difference. */
 #define ADMIT_PRIORITY_STEP	 0.1
@@ -617,6 +617,17 @@
 		: service->utilization);
 }
 
+double
+gate_service_get_expected_ms(const gate_service_t *service, int64_t now_ms)
+{
+	double utilization = gate_service_get_utilization(service, now_ms);
+	double queued_ms =
+	    service->work_ms * (utilization > 1 ? utilization : 1);
+
+	return (service->latency.mean_ms > queued_ms ? service->latency.mean_ms
+						     : queued_ms);
+}
+
 int
 gate_service_has_healthy(
     const gate_service_t *service, const gate_pick_options_t *options)
