--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -532,6 +532,7 @@
 		return (TM_ENOENT);
 	*counts = service->totals;
 	counts->failed_share = outlier_get_failed_share(service);
+	counts->utilization = service->utilization;
 	for (target = service->targets; target != NULL; target = target->next)
 		count_target(detector, target, now_ms, counts);
 	return (TM_OK);
--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -66,6 +66,7 @@
 	uint32_t unreachable; /**< for the leader; of any of these states */
 	uint32_t idle; /**< healthy, no request for HUB_OUTLIER_IDLE_MS */
 	double failed_share; /**< of the attempts that ended lately */
+	double utilization; /**< as of hub_outlier_set_utilization() */
 	uint64_t probes_granted; /**< this and all below: since the start */
 	uint64_t probes_refused;
 	uint64_t probes_succeeded;
