--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -556,6 +556,14 @@
 	    0);
 }
 
+static int
+has_other_target(const gate_request_t *request)
+{
+	gate_pick_options_t options = gate_attempt_get_pick_options(request);
+
+	return (gate_service_has_healthy(request->target->service, &options));
+}
+
 static gate_stall_t
 describe_stall(const gate_request_t *request, int64_t now_ms)
 {
@@ -571,6 +579,7 @@
 	    .soft_deadline_ms = request->soft_deadline_ms,
 	    .mean_ms = gate_service_get_expected_ms(service, now_ms),
 	    .utilization = gate_service_get_utilization(service, now_ms),
+	    .is_stopping = gate_stop_is_requested(&request->gate->stop),
 	});
 }
 
@@ -605,7 +614,9 @@
 	gate_request_t *request = ctx;
 
 	request->permit_id = 0;
-	if (reply->result != GATE_PERMIT_GRANTED)
+	if (reply->result != GATE_PERMIT_GRANTED ||
+	    gate_stop_is_requested(&request->gate->stop) ||
+	    !has_other_target(request))
 		return;
 	LOG_EVENT(970, LOG_LEVEL_INFO, "sent to another target",
 	    LOG_TEXT("request_id", request->id),
@@ -621,13 +632,10 @@
 static void
 repeat_stalled(gate_request_t *request)
 {
-	gate_pick_options_t options = gate_attempt_get_pick_options(request);
-
 	if (request->is_repeat_asked || !request->repeat_allowed ||
 	    request->attempts_sent + 1 >= request->attempts_max ||
 	    request->tried_count >= GATE_TRIED_MAX ||
-	    gate_request_is_answered(request) ||
-	    !gate_service_has_healthy(request->target->service, &options))
+	    gate_request_is_answered(request) || !has_other_target(request))
 		return;
 	request->is_repeat_asked = 1;
 	request->permit_id = ask_for_retry(request, on_repeat_permit);
--- a/src/gate/gate_stall.c
+++ b/src/gate/gate_stall.c
@@ -20,7 +20,8 @@
 int
 gate_stall_should_repeat(const gate_stall_t *stall)
 {
-	return (stall->mean_ms > 0 && stall->utilization <= FULL_UTILIZATION &&
+	return (stall->mean_ms > 0 && !stall->is_stopping &&
+	    stall->utilization <= FULL_UTILIZATION &&
 	    (double)stall->age_ms >= STALL_RATIO * stall->mean_ms &&
 	    (double)stall->age_ms >=
 		REPEAT_SOFT_DEADLINE_SHARE * (double)stall->soft_deadline_ms &&
--- a/src/gate/gate_stall.h
+++ b/src/gate/gate_stall.h
@@ -16,6 +16,7 @@
 	int64_t soft_deadline_ms; /**< of the request */
 	double mean_ms; /**< mean latency of the service; 0: unknown */
 	double utilization; /**< requests per slot of the service */
+	int is_stopping; /**< the gate ends soon */
 } gate_stall_t;
 
 /** @return 1 if the attempt is evidence against its target */
@@ -24,7 +25,8 @@
 /**
  * Decides whether a request that may be executed twice should be sent to another
  * target. Not while the service is full: all its targets are slow then, and
- * repeated requests would add to its load.
+ * repeated requests would add to its load. Not by a gate that stops: it may have
+ * no time for another attempt, and has promised the caller the answer of this one.
  *
  * @return 1 if so
  */
--- a/test/unit/gate_stall_test.cc
+++ b/test/unit/gate_stall_test.cc
@@ -54,6 +54,17 @@
 	EXPECT_TRUE(gate_stall_is_evidence(&stall));
 }
 
+// mwamba-gw-grown, scale-2: a gate that was stopping ended a request at which its
+// target was at work, had no time for another one, and answered 502.
+TEST(GateStall, AStoppingGateEndsNoAttempt)
+{
+	gate_stall_t stall = LookupOfAge(700);
+
+	EXPECT_TRUE(gate_stall_should_repeat(&stall));
+	stall.is_stopping = 1;
+	EXPECT_FALSE(gate_stall_should_repeat(&stall));
+}
+
 // Routes of one service differ: reports that take 650 ms and thumbnails of 130 ms.
 TEST(GateStall, SlowRoutesOfAFastServiceAreNotSentAgain)
 {
