--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "entry/forward.h"
+#include "gate/gate_admission.h"
 #include "gate/gate_alone.h"
 #include "gate/gate_crash_check.h"
 #include "gate/gate_limit_permit.h"
@@ -577,8 +578,8 @@
 						: request->sent_ms),
 	    .left_ms = request->deadline_ms - now_ms,
 	    .soft_deadline_ms = request->soft_deadline_ms,
-	    .mean_ms = gate_service_get_expected_ms(service, now_ms),
-	    .utilization = gate_service_get_utilization(service, now_ms),
+	    .mean_ms = gate_admission_get_expected_ms(service, now_ms),
+	    .utilization = gate_admission_get_utilization(service, now_ms),
 	    .is_stopping = gate_stop_is_requested(&request->gate->stop),
 	});
 }
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -154,15 +154,6 @@
 void gate_table_set_utilization(gate_table_t *table, uint64_t id,
     double utilization, double work_ms, int64_t now_ms);
 
-/** @return requests per slot of a service; 0 if the leader said none lately */
-double gate_service_get_utilization(
-    const gate_service_t *service, int64_t now_ms);
-
-/** @return time that a response takes on average as far as is known, with the
- *          queues of a full service, in ms; 0: unknown */
-double gate_service_get_expected_ms(
-    const gate_service_t *service, int64_t now_ms);
-
 /** @return 1 if a healthy target is left that the request has not tried */
 int gate_service_has_healthy(
     const gate_service_t *service, const gate_pick_options_t *options);
--- a/test/unit/fleet_config_test.cc
+++ b/test/unit/fleet_config_test.cc
@@ -106,13 +106,13 @@
 // with routes for downloads serves nothing at all.
 TEST_F(PlatformConfig, RepeatsDownloadsAndNotWhatIsUnsafe)
 {
-	const std::string more = R"("Host":"a","MaxAttempts":2,)" +
-	    std::string(kPlain) + "}";
+	const std::string more =
+	    R"("Host":"a","MaxAttempts":2,)" + std::string(kPlain) + "}";
 
 	ASSERT_EQ(TM_OK,
-	    Read(Document(
-		R"("d":{"Kind":"download","PathPrefix":"/d/",)" + more + "," +
-		R"("u":{"Kind":"unsafe","PathPrefix":"/u/",)" + more)))
+	    Read(Document(R"("d":{"Kind":"download","PathPrefix":"/d/",)" +
+		more + "," + R"("u":{"Kind":"unsafe","PathPrefix":"/u/",)" +
+		more)))
 	    << problem_;
 	ASSERT_EQ("d", FindRoute("a", "/d/1"));
 	ASSERT_EQ("u", FindRoute("a", "/u/1"));
--- a/test/unit/load_model.h
+++ b/test/unit/load_model.h
@@ -17,6 +17,7 @@
 
 extern "C" {
 #include "fleet/fleet_config.h"
+#include "gate/gate_admission.h"
 #include "gate/gate_stall.h"
 #include "gate/gate_table.h"
 #include "hub/hub_load.h"
@@ -546,9 +547,9 @@
 			    pattern_.deadline_ms - now_;
 			stall.soft_deadline_ms = pattern_.soft_deadline_ms;
 			stall.mean_ms =
-			    gate_service_get_expected_ms(service, now_);
+			    gate_admission_get_expected_ms(service, now_);
 			stall.utilization =
-			    gate_service_get_utilization(service, now_);
+			    gate_admission_get_utilization(service, now_);
 			if (!attempt.is_stalled &&
 			    gate_stall_is_evidence(&stall)) {
 				attempt.is_stalled = true;
