--- a/scripts/run-valgrind.sh
+++ b/scripts/run-valgrind.sh
@@ -5,7 +5,7 @@
 set -eu
 bin=$1
 slow='*Bench*:*Property*:*Random*:*Scenario*:Proof*:RaftMechanismOff*'
-slow=$slow:RaftOnDisk*:TargetSize*:RefusalTarget*:Claims*
+slow=$slow:RaftOnDisk*:TargetSize*:RefusalTarget*:Claims*:LoadPatterns*
 own_end='EntryTables*'
 # A pause of valgrind is longer than the freeze that these tests look for.
 timed='*Freeze*'
