--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -27,10 +27,8 @@
 #define COMMON_SHARE	 0.4
 #define COMMON_WINDOW_MS 2000
 #define COMMON_WEIGHT	 0.2
-/* From this utilization on, requests wait for slots. A target that breaks one
- * connection now and then is of more use than none, so that a second one soon
- * after ejects it. */
-#define FULL_UTILIZATION   1.0
+/* While its service is full, a target that breaks one connection now and then is
+ * of more use than none, so that a second one soon after ejects it. */
 #define BROKEN_WEIGHT_FULL 0.65
 /* Share of a service's targets that only broken connections can eject. */
 #define MIN_IN_USE_SHARE 0.35
@@ -394,7 +392,7 @@
 	    is_common(target, now_ms))
 		weight *= COMMON_WEIGHT;
 	if (evidence->kind == FLEET_EVIDENCE_BROKEN &&
-	    target->service->utilization >= FULL_UTILIZATION)
+	    target->service->utilization >= OUTLIER_UTILIZATION_FULL)
 		weight = BROKEN_WEIGHT_FULL;
 	target->last_gate = evidence->gate;
 	target->last_gate_ms = now_ms;
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -17,6 +17,9 @@
 #define OUTLIER_UNREPEATABLE_BACKOFF_MS \
 	(HUB_OUTLIER_SOUND_AFTER_MS + HUB_OUTLIER_USE_WINDOW_MS)
 
+/* From this utilization on, requests wait for slots. */
+#define OUTLIER_UTILIZATION_FULL 1.0
+
 typedef struct outlier_service outlier_service_t;
 
 typedef struct outlier_target {
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -30,9 +30,8 @@
  * refused for want of it. */
 #define ESTIMATE_MAX_IDLE 0.1
 #define ESTIMATE_MAX_FULL 0.25
-/* Utilizations between which the limit rises. */
+/* From this utilization on the limit rises, until the service is full. */
 #define UTILIZATION_IDLE 0.5
-#define UTILIZATION_FULL 1.0
 /* Interval of the probes of an unreachable target: gates may still reach it. */
 #define UNREACHABLE_BACKOFF_MS 3000
 
@@ -41,7 +40,7 @@
 get_estimate_max(const outlier_service_t *service)
 {
 	double fullness = (service->utilization - UTILIZATION_IDLE) /
-	    (UTILIZATION_FULL - UTILIZATION_IDLE);
+	    (OUTLIER_UTILIZATION_FULL - UTILIZATION_IDLE);
 
 	if (outlier_count_healthy(service) < outlier_get_min_in_use(service))
 		return (1);
--- a/test/unit/load_model.h
+++ b/test/unit/load_model.h
@@ -296,9 +296,8 @@
 	}
 
 	void
-	Finish(const Request &request, int LoadFigures::*outcome)
+	Finish(int LoadFigures::*outcome)
 	{
-		(void)request;
 		figures_.asked++;
 		(figures_.*outcome)++;
 	}
@@ -333,7 +332,7 @@
 		if (!gate_table_admits(gates_[request.gate],
 			GetService(request.gate), pattern_.soft_deadline_ms, 1,
 			now_)) {
-			Finish(request, &LoadFigures::refused);
+			Finish(&LoadFigures::refused);
 			return;
 		}
 		Dispatch(request);
@@ -350,7 +349,7 @@
 			request.asks++;
 			After(kOneWayMs, [this, request] { Assign(request); });
 		} else if (choice.target == nullptr) {
-			Finish(request, &LoadFigures::shed);
+			Finish(&LoadFigures::shed);
 		} else {
 			Send(request, choice.target, choice.is_probe);
 		}
@@ -505,8 +504,7 @@
 			Report(attempt, kind, attempt.is_probe);
 		gate_target_release(attempt.target);
 		if (kind == FLEET_EVIDENCE_SUCCESS)
-			Finish(attempt.request,
-			    now_ - attempt.request.started_ms <=
+			Finish(now_ - attempt.request.started_ms <=
 				    pattern_.soft_deadline_ms
 				? &LoadFigures::in_aim
 				: &LoadFigures::late);
@@ -514,9 +512,8 @@
 		    attempt.request.tries < kTriesMax)
 			Dispatch(attempt.request);
 		else
-			Finish(attempt.request,
-			    has_run ? &LoadFigures::failed
-				    : &LoadFigures::shed);
+			Finish(has_run ? &LoadFigures::failed
+				       : &LoadFigures::shed);
 	}
 
 	void
@@ -528,7 +525,7 @@
 			return;
 		Report(attempt, FLEET_EVIDENCE_STALL, attempt.is_probe);
 		gate_target_release(attempt.target);
-		Finish(attempt.request, &LoadFigures::failed);
+		Finish(&LoadFigures::failed);
 	}
 
 	// Stalled attempts are reported, and repeated where they may be.
