platform, fleet, hub, gate: kind upload, bounds of evacuations and cold targets, requirements

An upload is a request with a large body that must not be repeated.

Settings name what else a deployment requires: requirements (words of the product or of the dialect), the time for an evacuation, the data centres and the bound on requests to cold targets. Wire fields for evacuations and cold targets are reserved here, so that the parts can be built side by side.

--- a/src/fleet/dialect.h
+++ b/src/fleet/dialect.h
@@ -29,6 +29,8 @@
 			    * all gates together; a decimal number */
 	const char *not_run; /**< present: the target did not execute it */
 	const char *signature; /**< present on responses that a target made */
+	const char
+	    *warmup_left; /**< time for which a target stays cold, in ms */
 } dialect_headers_t;
 
 /** Kind of a call to a hub. */
@@ -37,7 +39,9 @@
 	DIALECT_CALL_ANNOUNCE, /**< a target renews its registration */
 	DIALECT_CALL_LEAVE, /**< a target ends its registration */
 	DIALECT_CALL_PUT_CONFIG,
-	DIALECT_CALL_GET_CONFIG
+	DIALECT_CALL_GET_CONFIG,
+	DIALECT_CALL_EVACUATE, /**< sends nothing to a data centre's targets */
+	DIALECT_CALL_END_EVACUATION
 } dialect_call_t;
 
 /** An announcement of a target. */
@@ -62,11 +66,20 @@
 	/**
 	 * Recognises a call to a hub.
 	 *
-	 * @param target_id  receives the id that the path holds, or ""
+	 * @param subject  receives the target's id or the data centre that the
+	 *                 path holds, or ""
 	 */
 	dialect_call_t (*find_call)(const char *method, size_t method_len,
 	    const char *path, size_t path_len,
-	    char target_id[FLEET_TARGET_ID_MAX_BYTES + 1]);
+	    char subject[FLEET_TARGET_ID_MAX_BYTES + 1]);
+
+	/**
+	 * Translates a word of the platform's settings that says what the
+	 * deployment requires.
+	 *
+	 * @return set of fleet_feature_t; 0 for other words
+	 */
+	uint32_t (*find_features)(const char *word);
 
 	/**
 	 * Reads a configuration. An invalid one is rejected as a whole.
--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -1,4 +1,5 @@
 #include "fleet/fleet_config.h"
+#include "fleet/fleet_defs.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -233,6 +234,21 @@
 	return (TM_OK);
 }
 
+/* Marks the services that requests which may be repeated go to. */
+static void
+mark_repeatable(fleet_config_t *config, const fleet_route_t *route)
+{
+	fleet_service_t *service;
+	size_t i;
+
+	for (i = 0; route->repeat_allowed && i < route->part_count; i++) {
+		HASH_FIND_STR(
+		    config->services, route->parts[i].service, service);
+		if (service != NULL && route->parts[i].weight > 0)
+			service->has_repeatable = 1;
+	}
+}
+
 int
 fleet_config_finish(
     fleet_config_t *config, char problem[FLEET_CONFIG_PROBLEM_BYTES])
@@ -245,6 +261,7 @@
 		err = check_route(config, &config->routes[i], problem);
 		if (err != TM_OK)
 			return (err);
+		mark_repeatable(config, &config->routes[i]);
 	}
 	if (config->route_count > 1)
 		qsort(config->routes, config->route_count,
@@ -350,3 +367,11 @@
 	    FLEET_RATE_EXCESS_SHARE *
 		(plain * bounds->overshoot + bounds->slack));
 }
+
+uint32_t
+fleet_config_get_features(const fleet_config_t *config, uint32_t features)
+{
+	if (config != NULL && config->has_uploads)
+		features |= FLEET_FEATURE_SCARCE_CAPACITY;
+	return (features);
+}
--- a/src/fleet/fleet_config.h
+++ b/src/fleet/fleet_config.h
@@ -33,6 +33,7 @@
 	char *prefix;
 	size_t prefix_len;
 	int repeat_allowed; /**< 1: a request may be executed twice */
+	int is_upload; /**< requests have large bodies */
 	int is_open; /**< needs no key */
 	int64_t timeout_ms; /**< -1: none */
 	int64_t soft_deadline_ms; /**< a later response is worth less */
@@ -49,6 +50,9 @@
 	uint64_t id; /**< fleet_name_hash() of the name */
 	char *health_path;
 	uint32_t connections_max; /**< of a target, from all gates; 0: any */
+	double warmup_per_s; /**< requests that a cold target takes from all
+			      * gates together; 0: any */
+	int has_repeatable; /**< requests of a route to it may be repeated */
 	UT_hash_handle hh;
 } fleet_service_t;
 
@@ -84,6 +88,7 @@
 	size_t route_count;
 	fleet_service_t *services;
 	int needs_keys; /**< workspaces are declared */
+	int has_uploads; /**< there is a route for uploads */
 	fleet_workspace_t *workspaces;
 	fleet_workspace_t *workspaces_by_id;
 	fleet_key_t *keys;
@@ -170,6 +175,16 @@
 double fleet_workspace_get_limit(
     const fleet_workspace_t *workspace, const fleet_rate_bounds_t *bounds);
 
+/**
+ * @param features  that the settings require
+ * @return          set of fleet_feature_t that the settings or the document
+ *                  call for; a document with uploads needs
+ *                  FLEET_FEATURE_SCARCE_CAPACITY, as they share targets with
+ *                  requests a thousandth of their size
+ */
+uint32_t fleet_config_get_features(
+    const fleet_config_t *config, uint32_t features);
+
 /** @return id of a service, workspace or target name */
 uint64_t fleet_name_hash(const char *name);
 
--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -30,6 +30,13 @@
 /** Most hubs and seeds that a process knows. */
 #define FLEET_HUBS_MAX 32
 
+/** What a deployment requires beyond the common functions; bits of a set. */
+typedef enum fleet_feature {
+	/** Callers compete for too little capacity, or requests of very
+	 * different size share targets. */
+	FLEET_FEATURE_SCARCE_CAPACITY = 1 << 0
+} fleet_feature_t;
+
 /** State that a target announces. */
 typedef enum fleet_target_state {
 	FLEET_TARGET_READY = 0,
--- a/src/fleet/fleet_settings.c
+++ b/src/fleet/fleet_settings.c
@@ -7,7 +7,8 @@
 #include "base/clock.h"
 
 /* Largest value of a setting of a time. */
-#define SETTING_MAX_S 3600.0
+#define SETTING_MAX_S	 3600.0
+#define REQUIREMENTS_MAX 64
 /* Bounds of the settings for the excess of a rate. */
 #define RATE_OVERSHOOT_MAX 1.0
 #define RATE_SLACK_MAX	   10000.0
@@ -37,6 +38,26 @@
 	return (dialect_find(dialect_names[index]));
 }
 
+uint32_t
+fleet_read_features(json_node_t *root, const dialect_t *dialect)
+{
+	uint32_t features = 0;
+	const char *word;
+	int count =
+	    json_opt_list(root, "requirements", 0, REQUIREMENTS_MAX, "words");
+	int i;
+
+	for (i = 0; i < count; i++) {
+		word = json_list_get_text(
+		    root, "requirements", i, 1, NAME_MAX_BYTES);
+		if (strcmp(word, "scarce_capacity") == 0)
+			features |= FLEET_FEATURE_SCARCE_CAPACITY;
+		else if (dialect != NULL)
+			features |= dialect->find_features(word);
+	}
+	return (features);
+}
+
 void
 fleet_read_ip(json_node_t *root, const char *field, char ip[FLEET_IP_BYTES])
 {
--- a/src/fleet/fleet_settings.h
+++ b/src/fleet/fleet_settings.h
@@ -20,6 +20,15 @@
 /** Reads "dialect". @return NULL after an error */
 const dialect_t *fleet_read_dialect(json_node_t *root);
 
+/**
+ * Reads "requirements", words of the product ("scarce_capacity") or of the
+ * dialect; other words are ignored, as platforms list more than the product
+ * has to know.
+ *
+ * @return set of fleet_feature_t
+ */
+uint32_t fleet_read_features(json_node_t *root, const dialect_t *dialect);
+
 /** Reads a required IPv4 address as a text. */
 void fleet_read_ip(
     json_node_t *root, const char *field, char ip[FLEET_IP_BYTES]);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -148,6 +148,8 @@
 {
 	fleet_config_destroy(gate->config);
 	gate->config = config;
+	gate->features =
+	    fleet_config_get_features(config, gate->settings.features);
 	if (config->limits.idle_timeout_ms > 0)
 		http_server_set_idle_timeout(
 		    gate->callers, (uint32_t)config->limits.idle_timeout_ms);
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -52,6 +52,7 @@
 	gate_usage_t *usage;
 	gate_crash_t *crash;
 	fleet_config_t *config; /**< NULL until the first one arrives */
+	uint32_t features; /**< fleet_feature_t of settings and config */
 	Tm__Fleet__Outcome *outcomes; /**< of the renewal that is being sent */
 	Tm__Fleet__Outcome **outcome_pointers;
 	http_server_t *callers;
--- a/src/gate/gate_settings.c
+++ b/src/gate/gate_settings.c
@@ -59,6 +59,7 @@
 	    PROGRAM_BYTES_PER_MB;
 	fleet_read_rate_bounds(root, &settings->rates);
 	settings->dialect = fleet_read_dialect(root);
+	settings->features = fleet_read_features(root, settings->dialect);
 	settings->log_level = program_read_log_level(root);
 	json_node_finish(root);
 }
--- a/src/gate/gate_settings.h
+++ b/src/gate/gate_settings.h
@@ -31,6 +31,7 @@
 	size_t response_limit_bytes; /**< of all responses together */
 	size_t request_limit_bytes; /**< of all large requests together */
 	fleet_rate_bounds_t rates;
+	uint32_t features; /**< fleet_feature_t that the deployment requires */
 	const dialect_t *dialect;
 	log_level_t log_level;
 } gate_settings_t;
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -180,6 +180,8 @@
 	}
 	fleet_config_destroy(hub->config);
 	hub->config = config;
+	hub->features =
+	    fleet_config_get_features(config, hub->settings.features);
 	hub_quota_configure(hub->quota, config, clock_now_ms());
 	LOG_EVENT(912, LOG_LEVEL_INFO, "document in force",
 	    LOG_NUM("version", config->version),
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -59,6 +59,7 @@
 	hub_report_t *report;
 	int has_new_document; /* in state, not in config yet */
 	fleet_config_t *config; /* of the newest document */
+	uint32_t features; /* fleet_feature_t of settings and config */
 	proposal_t *proposals;
 	hub_role_t role;
 	int64_t leading_since_ms; /* in the term of role */
--- a/src/hub/hub_settings.c
+++ b/src/hub/hub_settings.c
@@ -8,6 +8,11 @@
 /* Bounds of the retry budget; larger values would not limit retries. */
 #define RETRY_RATIO_MAX 1.0
 #define RETRY_BURST_MAX 10000.0
+#define MS_PER_S	1000.0
+/* Bounds of the settings for evacuations and cold targets. */
+#define EVACUATE_MAX_S	     3600.0
+#define WARMUP_OVERSHOOT_MAX 100.0
+#define WARMUP_SLACK_MAX     10000.0
 
 const char hub_default_settings[] =
     "{\n"
@@ -31,6 +36,20 @@
     "  \"log_level\": \"info\"\n"
     "}\n";
 
+static void
+read_data_centres(json_node_t *root, hub_settings_t *settings)
+{
+	int i;
+
+	settings->data_centre_count = json_opt_list(
+	    root, "data_centres", 0, HUB_DATA_CENTRES_MAX, "names");
+	for (i = 0; i < settings->data_centre_count; i++)
+		strncpy(settings->data_centres[i],
+		    json_list_get_text(
+			root, "data_centres", i, 1, NAME_MAX_BYTES),
+		    NAME_MAX_BYTES);
+}
+
 static void
 read_settings(json_node_t *root, void *out)
 {
@@ -59,6 +78,15 @@
 	settings->used_share_min =
 	    json_opt_real(root, "used_share_min", 0, 1, "", 0.7);
 	settings->dialect = fleet_read_dialect(root);
+	settings->features = fleet_read_features(root, settings->dialect);
+	settings->evacuate_within_ms = (int64_t)(MS_PER_S *
+	    json_opt_real(
+		root, "evacuate_within_s", 0, EVACUATE_MAX_S, "s", 0));
+	read_data_centres(root, settings);
+	settings->warmup_overshoot = json_opt_real(
+	    root, "warmup_overshoot", 0, WARMUP_OVERSHOOT_MAX, "", 0);
+	settings->warmup_slack = json_opt_real(
+	    root, "warmup_slack", 0, WARMUP_SLACK_MAX, "requests", 0);
 	settings->log_level = program_read_log_level(root);
 	json_node_finish(root);
 }
--- a/src/hub/hub_settings.h
+++ b/src/hub/hub_settings.h
@@ -13,7 +13,8 @@
 #include "fleet/dialect.h"
 #include "settings/program_settings.h"
 
-#define HUB_PATH_MAX_BYTES 255
+#define HUB_PATH_MAX_BYTES   255
+#define HUB_DATA_CENTRES_MAX 64
 
 typedef struct hub_settings {
 	char node[NAME_MAX_BYTES + 1]; /**< for logs */
@@ -33,6 +34,15 @@
 	fleet_rate_bounds_t rates;
 	double used_share_min; /**< of a service's sound targets must get
 				* requests */
+	uint32_t features; /**< fleet_feature_t that the deployment requires */
+	int64_t evacuate_within_ms; /**< from an order to its effect at all
+				     * gates; 0: data centres are not evacuated */
+	int data_centre_count;
+	char data_centres[HUB_DATA_CENTRES_MAX]
+			 [NAME_MAX_BYTES + 1]; /**< of the deployment */
+	double warmup_overshoot; /**< of the requests that a cold target takes;
+				  * 0: no bound */
+	double warmup_slack; /**< requests beyond that in one second */
 	const dialect_t *dialect;
 	log_level_t log_level;
 } hub_settings_t;
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &tm__fleet__table__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__evacuation__init
+                     (Tm__Fleet__Evacuation         *message)
+{
+  static const Tm__Fleet__Evacuation init_value = TM__FLEET__EVACUATION__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__evacuation__get_packed_size
+                     (const Tm__Fleet__Evacuation *message)
+{
+  assert(message->base.descriptor == &tm__fleet__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__evacuation__pack
+                     (const Tm__Fleet__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__evacuation__pack_to_buffer
+                     (const Tm__Fleet__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Evacuation *
+       tm__fleet__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Evacuation *)
+     protobuf_c_message_unpack (&tm__fleet__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__evacuation__free_unpacked
+                     (Tm__Fleet__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   tm__fleet__spend__init
                      (Tm__Fleet__Spend         *message)
 {
@@ -1693,7 +1738,7 @@
   (ProtobufCMessageInit) tm__fleet__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__target__field_descriptors[12] =
+static const ProtobufCFieldDescriptor tm__fleet__target__field_descriptors[13] =
 {
   {
     "id",
@@ -1839,6 +1884,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "warmup_limit",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Target, warmup_limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__target__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
@@ -1852,12 +1909,13 @@
   6,   /* field[6] = slots */
   7,   /* field[7] = state */
   8,   /* field[8] = verdict */
+  12,   /* field[12] = warmup_limit */
   5,   /* field[5] = zone */
 };
 static const ProtobufCIntRange tm__fleet__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor tm__fleet__target__descriptor =
 {
@@ -1867,14 +1925,14 @@
   "Tm__Fleet__Target",
   "tm.fleet",
   sizeof(Tm__Fleet__Target),
-  12,
+  13,
   tm__fleet__target__field_descriptors,
   tm__fleet__target__field_indices_by_name,
   1,  tm__fleet__target__number_ranges,
   (ProtobufCMessageInit) tm__fleet__target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__table__field_descriptors[7] =
+static const ProtobufCFieldDescriptor tm__fleet__table__field_descriptors[8] =
 {
   {
     "term",
@@ -1960,8 +2018,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Tm__Fleet__Table, n_evacuated),
+    offsetof(Tm__Fleet__Table, evacuated),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__table__field_indices_by_name[] = {
+  7,   /* field[7] = evacuated */
   5,   /* field[5] = judged */
   4,   /* field[4] = removed */
   2,   /* field[2] = sequence */
@@ -1973,7 +2044,7 @@
 static const ProtobufCIntRange tm__fleet__table__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor tm__fleet__table__descriptor =
 {
@@ -1983,13 +2054,90 @@
   "Tm__Fleet__Table",
   "tm.fleet",
   sizeof(Tm__Fleet__Table),
-  7,
+  8,
   tm__fleet__table__field_descriptors,
   tm__fleet__table__field_indices_by_name,
   1,  tm__fleet__table__number_ranges,
   (ProtobufCMessageInit) tm__fleet__table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor tm__fleet__evacuation__field_descriptors[4] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Evacuation, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_ended",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Evacuation, is_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Evacuation, since_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requested_by",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Evacuation, requested_by),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__evacuation__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = is_ended */
+  3,   /* field[3] = requested_by */
+  2,   /* field[2] = since_ms */
+};
+static const ProtobufCIntRange tm__fleet__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor tm__fleet__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Evacuation",
+  "Evacuation",
+  "Tm__Fleet__Evacuation",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Evacuation),
+  4,
+  tm__fleet__evacuation__field_descriptors,
+  tm__fleet__evacuation__field_indices_by_name,
+  1,  tm__fleet__evacuation__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[11] =
 {
   {
@@ -2569,7 +2717,7 @@
   (ProtobufCMessageInit) tm__fleet__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__signals__field_descriptors[4] =
+static const ProtobufCFieldDescriptor tm__fleet__signals__field_descriptors[5] =
 {
   {
     "target",
@@ -2619,9 +2767,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_left_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Signals, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__signals__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
+  4,   /* field[4] = cold_left_ms */
   3,   /* field[3] = is_leaving */
   2,   /* field[2] = limit */
   0,   /* field[0] = target */
@@ -2629,7 +2790,7 @@
 static const ProtobufCIntRange tm__fleet__signals__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor tm__fleet__signals__descriptor =
 {
@@ -2639,7 +2800,7 @@
   "Tm__Fleet__Signals",
   "tm.fleet",
   sizeof(Tm__Fleet__Signals),
-  4,
+  5,
   tm__fleet__signals__field_descriptors,
   tm__fleet__signals__field_indices_by_name,
   1,  tm__fleet__signals__number_ranges,
@@ -2852,7 +3013,7 @@
   (ProtobufCMessageInit) tm__fleet__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__entry__field_descriptors[7] =
+static const ProtobufCFieldDescriptor tm__fleet__entry__field_descriptors[8] =
 {
   {
     "document",
@@ -2938,11 +3099,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Entry, evacuation),
+    &tm__fleet__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__entry__field_indices_by_name[] = {
   6,   /* field[6] = blocked */
   0,   /* field[0] = document */
   5,   /* field[5] = ejected */
+  7,   /* field[7] = evacuation */
   2,   /* field[2] = gone */
   3,   /* field[3] = hub */
   4,   /* field[4] = lost_hub */
@@ -2951,7 +3125,7 @@
 static const ProtobufCIntRange tm__fleet__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor tm__fleet__entry__descriptor =
 {
@@ -2961,7 +3135,7 @@
   "Tm__Fleet__Entry",
   "tm.fleet",
   sizeof(Tm__Fleet__Entry),
-  7,
+  8,
   tm__fleet__entry__field_descriptors,
   tm__fleet__entry__field_indices_by_name,
   1,  tm__fleet__entry__number_ranges,
@@ -3044,7 +3218,7 @@
   (ProtobufCMessageInit) tm__fleet__blocked__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__snapshot__field_descriptors[5] =
+static const ProtobufCFieldDescriptor tm__fleet__snapshot__field_descriptors[6] =
 {
   {
     "document",
@@ -3106,18 +3280,31 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Snapshot, n_evacuations),
+    offsetof(Tm__Fleet__Snapshot, evacuations),
+    &tm__fleet__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__snapshot__field_indices_by_name[] = {
   4,   /* field[4] = blocked */
   0,   /* field[0] = document */
   3,   /* field[3] = ejected */
+  5,   /* field[5] = evacuations */
   2,   /* field[2] = hubs */
   1,   /* field[1] = targets */
 };
 static const ProtobufCIntRange tm__fleet__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor tm__fleet__snapshot__descriptor =
 {
@@ -3127,7 +3314,7 @@
   "Tm__Fleet__Snapshot",
   "tm.fleet",
   sizeof(Tm__Fleet__Snapshot),
-  5,
+  6,
   tm__fleet__snapshot__field_descriptors,
   tm__fleet__snapshot__field_indices_by_name,
   1,  tm__fleet__snapshot__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Tm__Fleet__Document Tm__Fleet__Document;
 typedef struct Tm__Fleet__Target Tm__Fleet__Target;
 typedef struct Tm__Fleet__Table Tm__Fleet__Table;
+typedef struct Tm__Fleet__Evacuation Tm__Fleet__Evacuation;
 typedef struct Tm__Fleet__Spend Tm__Fleet__Spend;
 typedef struct Tm__Fleet__Spends Tm__Fleet__Spends;
 typedef struct Tm__Fleet__Permit Tm__Fleet__Permit;
@@ -225,10 +226,14 @@
    * Requests that it takes from all gates, as of fleet_limit.h.
    */
   uint32_t limit;
+  /*
+   * The same, only while it warms up (cold_left_ms).
+   */
+  uint32_t warmup_limit;
 };
 #define TM__FLEET__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__target__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -251,10 +256,37 @@
   uint64_t *judged;
   size_t n_verdicts;
   uint32_t *verdicts;
+  /*
+   * All data centres that are evacuated; in full tables and deltas.
+   */
+  size_t n_evacuated;
+  char **evacuated;
 };
 #define TM__FLEET__TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__table__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * An order to send nothing to the targets of a data centre, or its end.
+ */
+struct  Tm__Fleet__Evacuation
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  protobuf_c_boolean is_ended;
+  /*
+   * Wall clock of the order at the hub that took it.
+   */
+  uint64_t since_ms;
+  /*
+   * Address of the caller.
+   */
+  char *requested_by;
+};
+#define TM__FLEET__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -401,10 +433,14 @@
    */
   uint32_t limit;
   protobuf_c_boolean is_leaving;
+  /*
+   * Time for which it stays cold; 0: it names none.
+   */
+  uint32_t cold_left_ms;
 };
 #define TM__FLEET__SIGNALS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__signals__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Tm__Fleet__Block
@@ -472,10 +508,11 @@
   char *lost_hub;
   Tm__Fleet__Ejected *ejected;
   Tm__Fleet__Blocked *blocked;
+  Tm__Fleet__Evacuation *evacuation;
 };
 #define TM__FLEET__ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__entry__descriptor) \
-    , NULL, NULL, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL }
+    , NULL, NULL, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, NULL }
 
 
 /*
@@ -518,10 +555,12 @@
   uint64_t *ejected;
   size_t n_blocked;
   uint64_t *blocked;
+  size_t n_evacuations;
+  Tm__Fleet__Evacuation **evacuations;
 };
 #define TM__FLEET__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Tm__Fleet__Outcome methods */
@@ -676,6 +715,25 @@
 void   tm__fleet__table__free_unpacked
                      (Tm__Fleet__Table *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__Evacuation methods */
+void   tm__fleet__evacuation__init
+                     (Tm__Fleet__Evacuation         *message);
+size_t tm__fleet__evacuation__get_packed_size
+                     (const Tm__Fleet__Evacuation   *message);
+size_t tm__fleet__evacuation__pack
+                     (const Tm__Fleet__Evacuation   *message,
+                      uint8_t             *out);
+size_t tm__fleet__evacuation__pack_to_buffer
+                     (const Tm__Fleet__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Evacuation *
+       tm__fleet__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__evacuation__free_unpacked
+                     (Tm__Fleet__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Tm__Fleet__Spend methods */
 void   tm__fleet__spend__init
                      (Tm__Fleet__Spend         *message);
@@ -968,6 +1026,9 @@
 typedef void (*Tm__Fleet__Table_Closure)
                  (const Tm__Fleet__Table *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__Evacuation_Closure)
+                 (const Tm__Fleet__Evacuation *message,
+                  void *closure_data);
 typedef void (*Tm__Fleet__Spend_Closure)
                  (const Tm__Fleet__Spend *message,
                   void *closure_data);
@@ -1024,6 +1085,7 @@
 extern const ProtobufCMessageDescriptor tm__fleet__document__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__target__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__table__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__spend__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__spends__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__permit__descriptor;
