hub, gate: the leader shares out what a full service takes, by urgency

Where a deployment requires scarce_capacity the leader now compares what callers ask for with what the slots serve and the queues may hold, and shares it out by classes of priority; gates prefer what is usual for a workspace and a route, and decide alone by what targets shed while no leader answers. Refused callers return one after the other.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -92,6 +92,8 @@
 		join->n_usage =
 		    gate_usage_list(gate->usage, &join->usage, clock_now_ms());
 	}
+	if ((gate->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0)
+		gate_demand_fill(&gate->demands, gate->table, join);
 	if (gate->outcomes == NULL) {
 		free(gate->outcome_pointers);
 		gate->outcomes =
@@ -124,6 +126,17 @@
 	gate_table_set_load(gate->table, target, load, reported_ms);
 }
 
+static void
+on_set_admissions(
+    void *ctx, Tm__Fleet__Admission *const *admissions, size_t count)
+{
+	gate_t *gate = ctx;
+
+	gate->lease_ms = clock_now_ms();
+	gate_demand_apply(gate->table, admissions, count,
+	    gate_link_get_gate_count(gate->link), gate->lease_ms);
+}
+
 static void
 on_set_idle(void *ctx, const uint64_t *services, size_t count)
 {
@@ -137,6 +150,7 @@
 {
 	gate_t *gate = ctx;
 
+	gate_demand_reset(gate->table);
 	free(gate->outcome_pointers);
 	free(gate->outcomes);
 	gate->outcome_pointers = NULL;
@@ -450,6 +464,7 @@
 		.late_probe = on_late_probe,
 		.fill_renewal = on_fill_renewal,
 		.set_utilization = on_set_utilization,
+		.set_admissions = on_set_admissions,
 		.set_full = on_set_full,
 		.set_idle = on_set_idle,
 		.renewal_sent = on_renewal_sent,
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -122,6 +122,8 @@
 		gate_target_record_success(target, latency_ms);
 	else
 		log_attempt(request, target, kind, status, latency_ms);
+	gate_share_record_attempt(
+	    &target->service->share, kind == FLEET_EVIDENCE_SHED);
 	record_alone(request, target, kind, now_ms);
 	if (kind == FLEET_EVIDENCE_UNREACHABLE ||
 	    kind == FLEET_EVIDENCE_WRONG_TARGET)
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -14,6 +14,7 @@
 #include "base/rng.h"
 #include "gate/gate_allowance.h"
 #include "gate/gate_crash.h"
+#include "gate/gate_demand.h"
 #include "gate/gate_link.h"
 #include "gate/gate_settings.h"
 #include "gate/gate_stop.h"
@@ -55,6 +56,8 @@
 	uint32_t features; /**< fleet_feature_t of settings and config */
 	Tm__Fleet__Outcome *outcomes; /**< of the renewal that is being sent */
 	Tm__Fleet__Outcome **outcome_pointers;
+	gate_demands_t demands; /**< of the renewal that is being sent */
+	int64_t lease_ms; /**< when the newest lease came; 0: none */
 	http_server_t *callers;
 	http_server_t *ready;
 	http_server_t *metrics_server;
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -216,9 +216,11 @@
 		drop_unsent_spends(link);
 	}
 	join.told_term = link->usage_reported_term;
-	/* Only the leader uses outcomes. */
-	if (to != link->leader)
+	/* Only the leader uses outcomes and demands. */
+	if (to != link->leader) {
 		join.n_outcomes = 0;
+		join.n_demands = 0;
+	}
 	link->options.send(
 	    link->options.send_ctx, to, MSG_FLEET_JOIN, &join.base);
 	if (to == link->leader)
@@ -370,6 +372,9 @@
 		link->options.set_full(link->options.ctx,
 		    lease->full_targets[i], lease->full_loads[i],
 		    now_ms - lease->full_ages_ms[i]);
+	if (link->options.set_admissions != NULL)
+		link->options.set_admissions(
+		    link->options.ctx, lease->admissions, lease->n_admissions);
 	link->options.set_idle(
 	    link->options.ctx, lease->idle_services, lease->n_idle_services);
 	link->newest_version = lease->config_version;
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -366,20 +366,56 @@
 		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
 }
 
+/* @return 1 if the leader's decision on a full service, or the gate's own without
+ * a leader, admits the request */
+static int
+share_admits(
+    const gate_request_t *request, gate_service_t *service, int64_t now_ms)
+{
+	gate_t *gate = request->gate;
+	const gate_share_query_t query = {
+		.priority = request->priority,
+		.soft_deadline_ms = request->soft_deadline_ms,
+		.workspace = request->workspace_id,
+		.route = request->route_id,
+		.lease_ms = gate->lease_ms,
+		.now_ms = now_ms,
+	};
+	double admitted = gate_share_get(&service->share, &query);
+
+	return (admitted >= 1 || rng_unit(&gate->rng) < admitted);
+}
+
 /* Admission by utilization is decided once, when the request arrives. */
 static int
 service_admits(gate_request_t *request, int64_t now_ms)
 {
 	gate_table_t *table = request->gate->table;
-	const gate_service_t *service =
+	gate_service_t *service =
 	    gate_table_find_service(table, request->service);
 
 	if (request->state != GATE_STATE_NEW || service == NULL)
 		return (1);
+	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0)
+		return (share_admits(request, service, now_ms));
 	return (gate_table_admits(table, service, request->soft_deadline_ms,
 	    request->priority, now_ms));
 }
 
+/* @return time until the caller of a request that a full service does not admit
+ * should return; 0: the default */
+static int64_t
+get_return_ms(const gate_request_t *request, int64_t now_ms)
+{
+	gate_service_t *service =
+	    gate_table_find_service(request->gate->table, request->service);
+
+	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0 ||
+	    service == NULL)
+		return (0);
+	return (gate_share_take_return_ms(&service->share, now_ms));
+}
+
 /* Obtains a token for the request, then sends it. */
 static void
 admit(gate_request_t *request)
@@ -399,7 +435,8 @@
 		return;
 	}
 	if (!service_admits(request, now_ms)) {
-		gate_request_refuse(request, GATE_REFUSAL_SERVICE_FULL, 0);
+		gate_request_refuse(request, GATE_REFUSAL_SERVICE_FULL,
+		    get_return_ms(request, now_ms));
 		return;
 	}
 	if (request->has_rate && !gate_link_is_current(gate->link, now_ms)) {
@@ -437,6 +474,7 @@
 		request->has_rate = workspace->rate_per_s > 0;
 	}
 	request->config_version = gate->config->version;
+	request->route_id = fleet_name_hash(options->route->name);
 	request->repeat_allowed = options->route->repeat_allowed;
 	request->attempts_max = options->route->attempts_max;
 	request->priority = workspace != NULL && workspace->has_priority
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -35,6 +35,7 @@
 	char workspace[NAME_MAX_BYTES + 1]; /**< "" on open routes */
 	uint64_t config_version; /**< that allowed the request */
 	uint64_t workspace_id; /**< 0 on open routes */
+	uint64_t route_id; /**< fleet_name_hash() of its name */
 	int has_rate; /**< its workspace has a rate */
 	int repeat_allowed;
 	int is_head;
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -101,6 +101,12 @@
 	return (service);
 }
 
+gate_service_t *
+gate_table_get_services(const gate_table_t *table)
+{
+	return (table->services);
+}
+
 gate_target_t *
 gate_table_find_target(const gate_table_t *table, uint64_t key)
 {
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -18,6 +18,7 @@
 #include "base/rng.h"
 #include "fleet/fleet_defs.h"
 #include "gate/gate_limit.h"
+#include "gate/gate_share.h"
 #include "proto/fleet.pb-c.h"
 
 /** Time for which this gate avoids a target that it could not reach. */
@@ -81,6 +82,7 @@
 	    idle_ms; /**< when the leader last named it as having idle targets */
 	uint64_t kept_probe; /**< target of a grant that came late; 0: none */
 	int64_t kept_probe_ms; /**< when it came */
+	gate_share_t share; /**< admission, see gate_share.h */
 	int is_alone; /**< without a leader; see gate_alone.h */
 	double trial_credit; /**< of trials without a leader */
 	UT_hash_handle hh;
@@ -142,6 +144,9 @@
 gate_service_t *gate_table_find_service(
     const gate_table_t *table, const char *name);
 
+/** @return the first service, linked by hh.next; NULL: there is none */
+gate_service_t *gate_table_get_services(const gate_table_t *table);
+
 /** @return a target, or NULL */
 gate_target_t *gate_table_find_target(const gate_table_t *table, uint64_t key);
 
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -466,6 +466,7 @@
 	    hub_outlier_create(settings->used_share_min, on_verdict, hub);
 	hub->quota = hub_quota_create(&quota);
 	hub->load = hub_load_create();
+	hub->admission = hub_admission_create();
 	hub->crash = hub_crash_create();
 	hub->signals = hub_signals_create();
 	feed.state = hub->state;
@@ -477,8 +478,8 @@
 		hub->report = hub_report_create(hub->outlier, hub->metrics);
 	if (hub->state == NULL || hub->members == NULL ||
 	    hub->outlier == NULL || hub->quota == NULL || hub->load == NULL ||
-	    hub->crash == NULL || hub->signals == NULL || hub->feed == NULL ||
-	    hub->report == NULL)
+	    hub->admission == NULL || hub->crash == NULL ||
+	    hub->signals == NULL || hub->feed == NULL || hub->report == NULL)
 		return (TM_ENOMEM);
 	hub_outlier_set_filter(hub->outlier, may_assign_target);
 	hub_load_set_signals(hub->load, hub->signals);
@@ -492,6 +493,8 @@
 	    metrics_get(hub->metrics, "tm_hub_gates", "", METRIC_GAUGE);
 	hub->metric_crashes = metrics_get(
 	    hub->metrics, "tm_hub_target_crashes_total", "", METRIC_COUNTER);
+	hub->metric_full_services =
+	    metrics_get(hub->metrics, "tm_hub_full_services", "", METRIC_GAUGE);
 	hub->metric_blocked = metrics_get(
 	    hub->metrics, "tm_hub_blocked_requests", "", METRIC_GAUGE);
 	return (TM_OK);
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -365,6 +365,40 @@
 	msg->n_full_ages_ms = full->count;
 }
 
+/* Buffers that the decisions on full services in a lease point to. */
+typedef struct feed_admissions {
+	Tm__Fleet__Admission msgs[HUB_ADMISSION_LIST_MAX];
+	Tm__Fleet__Admission *pointers[HUB_ADMISSION_LIST_MAX];
+	uint32_t shares[HUB_ADMISSION_LIST_MAX][HUB_ADMISSION_CLASSES];
+} feed_admissions_t;
+
+static void
+fill_admissions(const hub_feed_lease_t *lease, feed_admissions_t *out,
+    Tm__Fleet__Lease *msg)
+{
+	const double thousandths = 1000;
+	const hub_admission_decision_t *decision;
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < lease->admission_count; i++) {
+		decision = &lease->admissions[i];
+		tm__fleet__admission__init(&out->msgs[i]);
+		out->msgs[i].service = decision->service;
+		for (j = 0; j < HUB_ADMISSION_CLASSES; j++)
+			out->shares[i][j] =
+			    (uint32_t)(thousandths * decision->shares[j]);
+		out->msgs[i].shares = out->shares[i];
+		out->msgs[i].n_shares = HUB_ADMISSION_CLASSES;
+		out->msgs[i].wait_ms = (uint32_t)decision->wait_ms;
+		out->msgs[i].milli_per_s =
+		    (uint32_t)(thousandths * decision->per_s);
+		out->pointers[i] = &out->msgs[i];
+	}
+	msg->admissions = out->pointers;
+	msg->n_admissions = lease->admission_count;
+}
+
 static void
 send_lease(hub_feed_t *feed, const feed_gate_t *gate,
     const Tm__Fleet__Join *join, const hub_feed_lease_t *lease, int64_t now_ms)
@@ -373,6 +407,7 @@
 	Tm__Fleet__Pressure utilizations[LOADED_SERVICES_MAX];
 	Tm__Fleet__Pressure *pointers[LOADED_SERVICES_MAX];
 	uint32_t ages_ms[HUB_LOAD_FULL_MAX];
+	feed_admissions_t admissions;
 
 	msg.sent_ms = join->sent_ms;
 	msg.is_leader = 1;
@@ -388,6 +423,7 @@
 	msg.n_idle_services = lease->idle_service_count;
 	if (lease->full != NULL)
 		fill_full_targets(lease->full, &msg, ages_ms, now_ms);
+	fill_admissions(lease, &admissions, &msg);
 	feed->options.send(
 	    feed->options.send_ctx, gate->id, MSG_FLEET_LEASE, &msg.base);
 }
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -15,6 +15,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "hub/hub_admission.h"
 #include "hub/hub_outlier.h"
 #include "hub/hub_load.h"
 #include "hub/hub_quota.h"
@@ -59,6 +60,8 @@
 	const uint64_t *idle_services; /**< services with idle targets */
 	size_t idle_service_count;
 	const hub_full_targets_t *full; /**< NULL: none */
+	const hub_admission_decision_t *admissions; /**< of full services */
+	size_t admission_count;
 } hub_feed_lease_t;
 
 /** @return NULL if memory is exhausted */
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -7,6 +7,7 @@
 #define TM_HUB_HUB_INTERNAL_H
 
 #include "hub/hub.h"
+#include "hub/hub_admission.h"
 #include "hub/hub_break.h"
 #include "hub/hub_crash.h"
 #include "hub/hub_feed.h"
@@ -49,6 +50,7 @@
 	hub_outlier_t *outlier;
 	hub_quota_t *quota;
 	hub_load_t *load;
+	hub_admission_t *admission;
 	hub_feed_t *feed;
 	hub_signals_t *signals;
 	hub_crash_t *crash;
@@ -67,6 +69,7 @@
 	int64_t ejected_due_ms;
 	int64_t blocked_due_ms;
 	int64_t load_due_ms;
+	int64_t full_log_due_ms;
 	uint64_t compacted;
 	hub_failed_cb failed; /* NULL once called */
 	void *failed_ctx;
@@ -79,6 +82,7 @@
 	metric_t *metric_gates;
 	metric_t *metric_crashes;
 	metric_t *metric_blocked;
+	metric_t *metric_full_services;
 };
 
 /** Starts or stops to serve as the leader, following the replicated log. */
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -9,6 +9,8 @@
 #define SLOW_TICK_MS 250
 /* Interval at which the load of the services is computed. */
 #define LOAD_MS 200
+/* Interval at which full services are logged. */
+#define FULL_LOG_MS 1000
 /* Interval at which the list of ejected targets is proposed, if it changed. */
 #define PROPOSE_EJECTED_MS 1000
 /* Interval at which the list of blocked requests is proposed, if it changed. */
@@ -36,6 +38,7 @@
 			hub_add_to_outlier(hub, target);
 	}
 	hub_quota_reset(hub->quota, now_ms);
+	hub_admission_reset(hub->admission, now_ms);
 	hub_feed_reset(hub->feed, hub->role.term, now_ms);
 	for (i = 0; i < hub->state->ejected_count; i++)
 		hub_outlier_restore_ejection(
@@ -358,6 +361,52 @@
 		    hub->outlier, list[i].service, list[i].load);
 }
 
+static void
+log_full_services(hub_t *hub, int64_t now_ms)
+{
+	const double percent = 100;
+	size_t count;
+	const hub_admission_decision_t *list =
+	    hub_admission_list(hub->admission, &count);
+	size_t i;
+
+	if (now_ms < hub->full_log_due_ms)
+		return;
+	hub->full_log_due_ms = now_ms + FULL_LOG_MS;
+	for (i = 0; i < count; i++)
+		LOG_EVENT(928, LOG_LEVEL_INFO, "service is full",
+		    LOG_NUM("service", list[i].service),
+		    LOG_NUM(
+			"utilization_percent", percent * list[i].utilization),
+		    LOG_NUM("goal_percent", percent * list[i].goal),
+		    LOG_NUM("asked_per_s", list[i].asked_per_s),
+		    LOG_NUM("taken_per_s", list[i].per_s),
+		    LOG_NUM("wait_ms", list[i].wait_ms));
+}
+
+static void
+update_admission(hub_t *hub, int64_t now_ms)
+{
+	hub_admission_load_t loads[HUB_LOAD_SERVICES_MAX];
+	size_t count;
+	const hub_utilization_t *list = hub_load_list(hub->load, &count);
+	size_t i;
+
+	if ((hub->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
+		return;
+	for (i = 0; i < count; i++)
+		loads[i] = (hub_admission_load_t){
+			.service = list[i].service,
+			.slots = list[i].slots,
+			.requests = list[i].load * list[i].slots,
+			.work_ms = list[i].work_ms,
+		};
+	hub_admission_update(hub->admission, loads, count, now_ms);
+	hub_admission_list(hub->admission, &count);
+	metric_set(hub->metric_full_services, (int64_t)count);
+	log_full_services(hub, now_ms);
+}
+
 static void
 update_idle_services(hub_t *hub, int64_t now_ms)
 {
@@ -389,6 +438,7 @@
 		hub_load_update(hub->load, hub->state, hub->outlier, now_ms);
 		update_idle_services(hub, now_ms);
 		update_utilizations(hub);
+		update_admission(hub, now_ms);
 	}
 	hub_crash_tick(hub->crash, now_ms);
 	hub_update_blocks(hub, now_ms);
--- a/src/hub/hub_load.c
+++ b/src/hub/hub_load.c
@@ -12,8 +12,6 @@
 #define WORK_WEIGHT 0.1
 /* Shorter requests have ended by the time at which a gate hears of them. */
 #define FULL_WORK_MIN_MS 400
-/* Most services that are listed; further ones are left out. */
-#define SERVICES_MAX 256
 
 typedef struct target_load {
 	uint64_t key;
@@ -36,7 +34,7 @@
 	target_load_t *targets;
 	service_load_t *services;
 	const hub_signals_t *signals; /* NULL: none */
-	hub_utilization_t list[SERVICES_MAX];
+	hub_utilization_t list[HUB_LOAD_SERVICES_MAX];
 	size_t count;
 	hub_full_targets_t full;
 };
@@ -235,12 +233,13 @@
 	load->count = 0;
 	HASH_ITER(hh, load->services, service, next) {
 		update_work(service);
-		if (load->count == SERVICES_MAX)
+		if (load->count == HUB_LOAD_SERVICES_MAX)
 			continue;
 		load->list[load->count++] = (hub_utilization_t){
 			.service = service->id,
 			.load = get_utilization(service),
 			.work_ms = service->work_ms,
+			.slots = service->slots,
 		};
 	}
 }
--- a/src/hub/hub_load.h
+++ b/src/hub/hub_load.h
@@ -21,8 +21,12 @@
 	uint64_t service;
 	double load; /**< requests per slot of the targets in use */
 	double work_ms; /**< mean time of a request without waiting */
+	double slots; /**< of the targets in use */
 } hub_utilization_t;
 
+/** Most services that are listed; further ones are left out. */
+#define HUB_LOAD_SERVICES_MAX 256
+
 /** Most full targets that are listed; further ones are left out. */
 #define HUB_LOAD_FULL_MAX 256
 
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -51,6 +51,15 @@
 		record_outcome(hub, join->outcomes[i], now_ms);
 }
 
+static void
+record_demands(hub_t *hub, const Tm__Fleet__Join *join)
+{
+	size_t i;
+
+	for (i = 0; i < join->n_demands; i++)
+		hub_admission_record_demand(hub->admission, join->demands[i]);
+}
+
 static void
 merge_usage(hub_t *hub, const Tm__Fleet__Join *join, int64_t now_ms)
 {
@@ -115,6 +124,9 @@
 		lease.utilizations =
 		    hub_load_list(hub->load, &lease.utilization_count);
 		record_outcomes(hub, join, now_ms);
+		record_demands(hub, join);
+		lease.admissions =
+		    hub_admission_list(hub->admission, &lease.admission_count);
 		lease.idle_services = hub->idle_services;
 		lease.idle_service_count = hub->idle_service_count;
 		lease.full = hub_load_get_full(hub->load);
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -187,6 +187,96 @@
   assert(message->base.descriptor == &tm__fleet__join__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__demand__init
+                     (Tm__Fleet__Demand         *message)
+{
+  static const Tm__Fleet__Demand init_value = TM__FLEET__DEMAND__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__demand__get_packed_size
+                     (const Tm__Fleet__Demand *message)
+{
+  assert(message->base.descriptor == &tm__fleet__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__demand__pack
+                     (const Tm__Fleet__Demand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__demand__pack_to_buffer
+                     (const Tm__Fleet__Demand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Demand *
+       tm__fleet__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Demand *)
+     protobuf_c_message_unpack (&tm__fleet__demand__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__demand__free_unpacked
+                     (Tm__Fleet__Demand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   tm__fleet__admission__init
+                     (Tm__Fleet__Admission         *message)
+{
+  static const Tm__Fleet__Admission init_value = TM__FLEET__ADMISSION__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__admission__get_packed_size
+                     (const Tm__Fleet__Admission *message)
+{
+  assert(message->base.descriptor == &tm__fleet__admission__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__admission__pack
+                     (const Tm__Fleet__Admission *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__admission__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__admission__pack_to_buffer
+                     (const Tm__Fleet__Admission *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__admission__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Admission *
+       tm__fleet__admission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Admission *)
+     protobuf_c_message_unpack (&tm__fleet__admission__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__admission__free_unpacked
+                     (Tm__Fleet__Admission *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__admission__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   tm__fleet__lease__init
                      (Tm__Fleet__Lease         *message)
 {
@@ -1247,7 +1337,7 @@
   (ProtobufCMessageInit) tm__fleet__usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__join__field_descriptors[17] =
+static const ProtobufCFieldDescriptor tm__fleet__join__field_descriptors[18] =
 {
   {
     "sent_ms",
@@ -1453,12 +1543,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demands",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Join, n_demands),
+    offsetof(Tm__Fleet__Join, demands),
+    &tm__fleet__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__join__field_indices_by_name[] = {
   14,   /* field[14] = alone_ms */
   16,   /* field[16] = blocks_sequence */
   15,   /* field[15] = blocks_term */
   1,   /* field[1] = config_version */
+  17,   /* field[17] = demands */
   9,   /* field[9] = gates */
   4,   /* field[4] = is_stopping */
   5,   /* field[5] = outcomes */
@@ -1473,10 +1576,11 @@
   10,   /* field[10] = usage_ahead */
   7,   /* field[7] = usage_part_ms */
 };
-static const ProtobufCIntRange tm__fleet__join__number_ranges[1 + 1] =
+static const ProtobufCIntRange tm__fleet__join__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 20, 17 },
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor tm__fleet__join__descriptor =
 {
@@ -1486,14 +1590,155 @@
   "Tm__Fleet__Join",
   "tm.fleet",
   sizeof(Tm__Fleet__Join),
-  17,
+  18,
   tm__fleet__join__field_descriptors,
   tm__fleet__join__field_indices_by_name,
-  1,  tm__fleet__join__number_ranges,
+  2,  tm__fleet__join__number_ranges,
   (ProtobufCMessageInit) tm__fleet__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[12] =
+static const ProtobufCFieldDescriptor tm__fleet__demand__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Demand, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Demand, n_requests),
+    offsetof(Tm__Fleet__Demand, requests),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "soft_deadline_sum_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Demand, soft_deadline_sum_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__demand__field_indices_by_name[] = {
+  1,   /* field[1] = requests */
+  0,   /* field[0] = service */
+  2,   /* field[2] = soft_deadline_sum_ms */
+};
+static const ProtobufCIntRange tm__fleet__demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor tm__fleet__demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Demand",
+  "Demand",
+  "Tm__Fleet__Demand",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Demand),
+  3,
+  tm__fleet__demand__field_descriptors,
+  tm__fleet__demand__field_indices_by_name,
+  1,  tm__fleet__demand__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__admission__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Admission, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Admission, n_shares),
+    offsetof(Tm__Fleet__Admission, shares),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Admission, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "milli_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Admission, milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__admission__field_indices_by_name[] = {
+  3,   /* field[3] = milli_per_s */
+  0,   /* field[0] = service */
+  1,   /* field[1] = shares */
+  2,   /* field[2] = wait_ms */
+};
+static const ProtobufCIntRange tm__fleet__admission__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor tm__fleet__admission__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Admission",
+  "Admission",
+  "Tm__Fleet__Admission",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Admission),
+  4,
+  tm__fleet__admission__field_descriptors,
+  tm__fleet__admission__field_indices_by_name,
+  1,  tm__fleet__admission__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__admission__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[13] =
 {
   {
     "sent_ms",
@@ -1639,8 +1884,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "admissions",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Lease, n_admissions),
+    offsetof(Tm__Fleet__Lease, admissions),
+    &tm__fleet__admission__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__lease__field_indices_by_name[] = {
+  12,   /* field[12] = admissions */
   5,   /* field[5] = config_version */
   11,   /* field[11] = full_ages_ms */
   10,   /* field[10] = full_loads */
@@ -1654,10 +1912,11 @@
   0,   /* field[0] = sent_ms */
   4,   /* field[4] = term */
 };
-static const ProtobufCIntRange tm__fleet__lease__number_ranges[1 + 1] =
+static const ProtobufCIntRange tm__fleet__lease__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 20, 12 },
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor tm__fleet__lease__descriptor =
 {
@@ -1667,10 +1926,10 @@
   "Tm__Fleet__Lease",
   "tm.fleet",
   sizeof(Tm__Fleet__Lease),
-  12,
+  13,
   tm__fleet__lease__field_descriptors,
   tm__fleet__lease__field_indices_by_name,
-  1,  tm__fleet__lease__number_ranges,
+  2,  tm__fleet__lease__number_ranges,
   (ProtobufCMessageInit) tm__fleet__lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -19,6 +19,8 @@
 typedef struct Tm__Fleet__Pressure Tm__Fleet__Pressure;
 typedef struct Tm__Fleet__Usage Tm__Fleet__Usage;
 typedef struct Tm__Fleet__Join Tm__Fleet__Join;
+typedef struct Tm__Fleet__Demand Tm__Fleet__Demand;
+typedef struct Tm__Fleet__Admission Tm__Fleet__Admission;
 typedef struct Tm__Fleet__Lease Tm__Fleet__Lease;
 typedef struct Tm__Fleet__Document Tm__Fleet__Document;
 typedef struct Tm__Fleet__Target Tm__Fleet__Target;
@@ -150,10 +152,58 @@
    */
   uint64_t blocks_term;
   uint64_t blocks_sequence;
+  size_t n_demands;
+  Tm__Fleet__Demand **demands;
 };
 #define TM__FLEET__JOIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__join__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Requests for a service that callers sent to a gate since its last report, by
+ * class of priority, the most urgent first.
+ */
+struct  Tm__Fleet__Demand
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  size_t n_requests;
+  uint32_t *requests;
+  /*
+   * Sum of their soft deadlines.
+   */
+  uint64_t soft_deadline_sum_ms;
+};
+#define TM__FLEET__DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__demand__descriptor) \
+    , 0, 0,NULL, 0 }
+
+
+/*
+ * Of a service that is full: what gates admit.
+ */
+struct  Tm__Fleet__Admission
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  /*
+   * Share of the requests of a class in thousandths, the most urgent first.
+   */
+  size_t n_shares;
+  uint32_t *shares;
+  /*
+   * Time until the service is likely to have room.
+   */
+  uint32_t wait_ms;
+  /*
+   * Requests that it takes meanwhile, from all gates, in thousandths per s.
+   */
+  uint32_t milli_per_s;
+};
+#define TM__FLEET__ADMISSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__admission__descriptor) \
+    , 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -187,10 +237,12 @@
   uint32_t *full_loads;
   size_t n_full_ages_ms;
   uint32_t *full_ages_ms;
+  size_t n_admissions;
+  Tm__Fleet__Admission **admissions;
 };
 #define TM__FLEET__LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__lease__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -639,6 +691,44 @@
 void   tm__fleet__join__free_unpacked
                      (Tm__Fleet__Join *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__Demand methods */
+void   tm__fleet__demand__init
+                     (Tm__Fleet__Demand         *message);
+size_t tm__fleet__demand__get_packed_size
+                     (const Tm__Fleet__Demand   *message);
+size_t tm__fleet__demand__pack
+                     (const Tm__Fleet__Demand   *message,
+                      uint8_t             *out);
+size_t tm__fleet__demand__pack_to_buffer
+                     (const Tm__Fleet__Demand   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Demand *
+       tm__fleet__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__demand__free_unpacked
+                     (Tm__Fleet__Demand *message,
+                      ProtobufCAllocator *allocator);
+/* Tm__Fleet__Admission methods */
+void   tm__fleet__admission__init
+                     (Tm__Fleet__Admission         *message);
+size_t tm__fleet__admission__get_packed_size
+                     (const Tm__Fleet__Admission   *message);
+size_t tm__fleet__admission__pack
+                     (const Tm__Fleet__Admission   *message,
+                      uint8_t             *out);
+size_t tm__fleet__admission__pack_to_buffer
+                     (const Tm__Fleet__Admission   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Admission *
+       tm__fleet__admission__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__admission__free_unpacked
+                     (Tm__Fleet__Admission *message,
+                      ProtobufCAllocator *allocator);
 /* Tm__Fleet__Lease methods */
 void   tm__fleet__lease__init
                      (Tm__Fleet__Lease         *message);
@@ -1014,6 +1104,12 @@
 typedef void (*Tm__Fleet__Join_Closure)
                  (const Tm__Fleet__Join *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__Demand_Closure)
+                 (const Tm__Fleet__Demand *message,
+                  void *closure_data);
+typedef void (*Tm__Fleet__Admission_Closure)
+                 (const Tm__Fleet__Admission *message,
+                  void *closure_data);
 typedef void (*Tm__Fleet__Lease_Closure)
                  (const Tm__Fleet__Lease *message,
                   void *closure_data);
@@ -1081,6 +1177,8 @@
 extern const ProtobufCMessageDescriptor tm__fleet__pressure__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__usage__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__join__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__demand__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__admission__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__lease__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__document__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__target__descriptor;
