hub: evacuated data centres in the replicated state and in all tables

Each table and delta carries the whole list: a gate that missed messages lacks none of it. An ended evacuation stays in the list, so that an end is accepted again when its acknowledgement was lost and the targets have left meanwhile.

--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -30,6 +30,9 @@
 /** Most hubs and seeds that a process knows. */
 #define FLEET_HUBS_MAX 32
 
+/** Most data centres that are evacuated at the same time. */
+#define FLEET_EVACUATIONS_MAX 64
+
 /** What a deployment requires beyond the common functions; bits of a set. */
 typedef enum fleet_feature {
 	/** Callers compete for too little capacity, or requests of very
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -132,6 +132,13 @@
 		feed->is_urgent = 1;
 }
 
+void
+hub_feed_mark_evacuations_changed(hub_feed_t *feed)
+{
+	feed->sequence++;
+	feed->is_urgent = 1;
+}
+
 void
 hub_feed_mark_document_changed(hub_feed_t *feed)
 {
@@ -155,6 +162,16 @@
 		msg->state = FLEET_TARGET_DRAINING;
 }
 
+/* Each table has the whole list: a gate that missed changes lacks none of it. */
+static void
+fill_evacuated(const hub_feed_t *feed, Tm__Fleet__Table *table,
+    char *names[FLEET_EVACUATIONS_MAX])
+{
+	table->evacuated = names;
+	table->n_evacuated =
+	    hub_evacuations_list(&feed->options.state->evacuations, names);
+}
+
 /* Sends the whole table without deregistered targets. */
 static void
 send_whole_table(hub_feed_t *feed, node_id_t to)
@@ -165,8 +182,10 @@
 	Tm__Fleet__Target *msgs = calloc(count + 1, sizeof(*msgs));
 	Tm__Fleet__Target **pointers =
 	    calloc(count + 1, sizeof(Tm__Fleet__Target *));
+	char *evacuated[FLEET_EVACUATIONS_MAX];
 	const hub_target_t *target;
 
+	fill_evacuated(feed, &table, evacuated);
 	table.term = feed->term;
 	table.sequence = feed->sequence;
 	table.targets = pointers;
@@ -193,6 +212,7 @@
 	uint64_t *removed;
 	uint64_t *judged;
 	uint32_t *verdicts;
+	char *evacuated[FLEET_EVACUATIONS_MAX];
 } feed_changes_t;
 
 static void
@@ -253,6 +273,7 @@
 	table->removed = changes->removed;
 	table->judged = changes->judged;
 	table->verdicts = changes->verdicts;
+	fill_evacuated(feed, table, changes->evacuated);
 	for (row = feed->rows; row != NULL; row = row->hh.next) {
 		if (row->sequence > base)
 			add_change(feed, table, changes, row);
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -93,6 +93,9 @@
 void hub_feed_mark_verdict_changed(
     hub_feed_t *feed, uint64_t key, fleet_verdict_t verdict);
 
+/** Marks the list of evacuated data centres as changed; sent urgently. */
+void hub_feed_mark_evacuations_changed(hub_feed_t *feed);
+
 /** Marks the document as changed. */
 void hub_feed_mark_document_changed(hub_feed_t *feed);
 
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -38,6 +38,7 @@
 	free(state->blocked);
 	state->blocked = NULL;
 	state->blocked_count = 0;
+	state->evacuations.count = 0;
 }
 
 void
@@ -268,6 +269,11 @@
 						    : HUB_CHANGE_NONE;
 	else if (entry->lost_hub[0] != '\0')
 		change = apply_lost_hub(state, entry->lost_hub);
+	else if (entry->evacuation != NULL)
+		change = hub_evacuations_apply(
+			     &state->evacuations, entry->evacuation)
+		    ? HUB_CHANGE_EVACUATIONS
+		    : HUB_CHANGE_NONE;
 	tm__fleet__entry__free_unpacked(entry, NULL);
 	return (change);
 }
@@ -381,6 +387,44 @@
 	return (encode(&entry.base, len));
 }
 
+/* Buffers that a snapshot points to. */
+typedef struct evacuation_messages {
+	Tm__Fleet__Evacuation msgs[FLEET_EVACUATIONS_MAX];
+	Tm__Fleet__Evacuation *pointers[FLEET_EVACUATIONS_MAX];
+} evacuation_messages_t;
+
+static void
+fill_evacuations(const hub_evacuations_t *list, Tm__Fleet__Snapshot *snapshot,
+    evacuation_messages_t *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < list->count; i++) {
+		hub_evacuation_to_message(&out->msgs[i], &list->items[i]);
+		out->pointers[i] = &out->msgs[i];
+	}
+	snapshot->evacuations = out->pointers;
+	snapshot->n_evacuations = list->count;
+}
+
+/* Ended evacuations are part of the list, so that it is copied as it is. */
+static void
+restore_evacuations(
+    hub_evacuations_t *list, const Tm__Fleet__Snapshot *snapshot)
+{
+	Tm__Fleet__Evacuation order;
+	size_t i;
+
+	list->count = 0;
+	for (i = 0; i < snapshot->n_evacuations; i++) {
+		order = *snapshot->evacuations[i];
+		order.is_ended = 0;
+		if (hub_evacuations_apply(list, &order))
+			list->items[list->count - 1].is_ended =
+			    snapshot->evacuations[i]->is_ended;
+	}
+}
+
 uint8_t *
 hub_state_encode(const hub_state_t *state, size_t *len)
 {
@@ -390,6 +434,7 @@
 	Tm__Fleet__Target **pointers =
 	    calloc(count + 1, sizeof(Tm__Fleet__Target *));
 	char *hubs[FLEET_HUBS_MAX];
+	evacuation_messages_t evacuations;
 	Tm__Fleet__Document document;
 	hub_target_t *target;
 	hub_target_t *next;
@@ -404,6 +449,7 @@
 	snapshot.n_blocked = state->blocked_count;
 	snapshot.hubs = hubs;
 	snapshot.n_hubs = (size_t)state->hub_count;
+	fill_evacuations(&state->evacuations, &snapshot, &evacuations);
 	if (state->has_document) {
 		hub_document_to_message(&document, &state->document);
 		snapshot.document = &document;
@@ -444,6 +490,7 @@
 	    snapshot->n_ejected);
 	set_list(&state->blocked, &state->blocked_count, snapshot->blocked,
 	    snapshot->n_blocked);
+	restore_evacuations(&state->evacuations, snapshot);
 	if (snapshot->document != NULL)
 		err = set_document(state, snapshot->document);
 	tm__fleet__snapshot__free_unpacked(snapshot, NULL);
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -1,9 +1,8 @@
 /**
  * @file
  * Replicated state of the hubs: the newest configuration document, the
- * registered targets, the ejected ones, the blocked requests and the addresses
- * of the hubs. Entries
- * are applied in the order of the log, so that all hubs hold the same state.
+ * registered targets, the ejected ones, the blocked requests, the evacuated data
+ * centres and the addresses of the hubs. Entries are applied in the order of the log, so that all hubs hold the same state.
  * The caller owns it. Does no I/O and reads no clock.
  */
 #ifndef TM_HUB_HUB_STATE_H
@@ -15,6 +14,7 @@
 #include <uthash.h>
 
 #include "fleet/dialect.h"
+#include "hub/hub_evacuation.h"
 #include "proto/fleet.pb-c.h"
 
 /** Most targets, including deregistered ones that have not expired. */
@@ -47,6 +47,7 @@
 	size_t ejected_count;
 	uint64_t *blocked; /**< fingerprints of blocked requests */
 	size_t blocked_count;
+	hub_evacuations_t evacuations;
 } hub_state_t;
 
 /** What an entry changed. */
@@ -54,7 +55,8 @@
 	HUB_CHANGE_NONE,
 	HUB_CHANGE_DOCUMENT,
 	HUB_CHANGE_TARGET,
-	HUB_CHANGE_HUBS
+	HUB_CHANGE_HUBS,
+	HUB_CHANGE_EVACUATIONS
 } hub_change_t;
 
 /** @return an empty state; NULL if memory is exhausted */
