gate: nothing is sent to targets of evacuated data centres

The choice of a target, probes, reserved permits and trials without a leader all ask gate_target_is_usable(), which now knows the list. Requests that run go on. A service whose usable targets are all evacuated refuses at once with 503 service_evacuated, before a token of the workspace is consumed.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -192,10 +192,26 @@
 	tm__fleet__document__free_unpacked(msg, NULL);
 }
 
+static void
+log_evacuation(const gate_evacuation_t *before, const Tm__Fleet__Table *msg)
+{
+	gate_evacuation_t known = *before;
+
+	if (!gate_evacuation_set(&known, msg->evacuated, msg->n_evacuated))
+		return;
+	LOG_EVENT(971, LOG_LEVEL_INFO, "evacuated data centres",
+	    LOG_NUM("count", msg->n_evacuated),
+	    LOG_TEXT("last",
+		msg->n_evacuated > 0 ? msg->evacuated[msg->n_evacuated - 1]
+				     : ""),
+	    LOG_NUM("term", msg->term), LOG_NUM("sequence", msg->sequence));
+}
+
 static void
 handle_table(gate_t *gate, const uint8_t *payload, size_t len)
 {
 	Tm__Fleet__Table *msg = tm__fleet__table__unpack(NULL, len, payload);
+	gate_evacuation_t before = *gate_table_get_evacuation(gate->table);
 
 	if (msg == NULL)
 		return;
@@ -206,6 +222,8 @@
 		    LOG_NUM("own_term", gate_table_get_term(gate->table)),
 		    LOG_NUM(
 			"own_sequence", gate_table_get_sequence(gate->table)));
+	else
+		log_evacuation(&before, msg);
 	tm__fleet__table__free_unpacked(msg, NULL);
 }
 
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -516,7 +516,9 @@
 	pick_options.skips_limited = gate_limit_permit_is_exhausted(request);
 	if (service != NULL)
 		choice = gate_table_pick(gate->table, service, &pick_options);
-	if (choice.is_probe)
+	if (choice.is_evacuated)
+		gate_request_refuse(request, GATE_REFUSAL_EVACUATED, 0);
+	else if (choice.is_probe)
 		gate_attempt_send(request, choice.target, 1);
 	else if (choice.must_ask_leader)
 		ask_for_target(request);
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -30,6 +30,9 @@
 #define RETRY_AFTER_DEFAULT_MS 400
 /* Retry-After while this VM drains: another one can take the request now. */
 #define RETRY_AFTER_DRAINING_MS 20
+/* Retry-After while all targets of a service are evacuated: evacuations last
+ * longer than a caller waits, and a caller should miss little of their end. */
+#define RETRY_AFTER_EVACUATED_MS 2000
 
 int
 gate_request_is_answered(const gate_request_t *request)
@@ -89,8 +92,14 @@
 static int64_t
 get_default_retry_ms(gate_refusal_t refusal)
 {
-	return (refusal == GATE_REFUSAL_DRAINING ? RETRY_AFTER_DRAINING_MS
-						 : RETRY_AFTER_DEFAULT_MS);
+	switch (refusal) {
+	case GATE_REFUSAL_DRAINING:
+		return (RETRY_AFTER_DRAINING_MS);
+	case GATE_REFUSAL_EVACUATED:
+		return (RETRY_AFTER_EVACUATED_MS);
+	default:
+		return (RETRY_AFTER_DEFAULT_MS);
+	}
 }
 
 void
@@ -380,6 +389,15 @@
 	    request->priority, now_ms));
 }
 
+static int
+is_evacuated(const gate_request_t *request)
+{
+	const gate_service_t *service =
+	    gate_table_find_service(request->gate->table, request->service);
+
+	return (service != NULL && gate_service_is_evacuated(service));
+}
+
 /* Obtains a token for the request, then sends it. */
 static void
 admit(gate_request_t *request)
@@ -398,6 +416,10 @@
 		gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
 		return;
 	}
+	if (is_evacuated(request)) {
+		gate_request_refuse(request, GATE_REFUSAL_EVACUATED, 0);
+		return;
+	}
 	if (!service_admits(request, now_ms)) {
 		gate_request_refuse(request, GATE_REFUSAL_SERVICE_FULL, 0);
 		return;
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -35,6 +35,7 @@
 	rng_t rng;
 	gate_target_t *targets;
 	gate_service_t *services;
+	gate_evacuation_t evacuation;
 	uint64_t term;
 	uint64_t sequence;
 };
@@ -221,6 +222,9 @@
 	target->addr.sin_family = AF_INET;
 	target->addr.sin_addr.s_addr = msg->ip;
 	target->addr.sin_port = htons((uint16_t)msg->port);
+	target->data_centre = fleet_name_hash(msg->zone);
+	target->is_evacuated =
+	    gate_evacuation_has(&table->evacuation, target->data_centre);
 	target->is_same_zone = strcmp(msg->zone, table->zone) == 0;
 	target->slots = msg->slots > 0 ? msg->slots : 1;
 	target->state = (fleet_target_state_t)msg->state;
@@ -229,6 +233,25 @@
 	target->is_listed = 1;
 }
 
+static void
+apply_evacuation(gate_table_t *table, const Tm__Fleet__Table *msg)
+{
+	gate_target_t *target;
+
+	if (!gate_evacuation_set(
+		&table->evacuation, msg->evacuated, msg->n_evacuated))
+		return;
+	for (target = table->targets; target != NULL; target = target->hh.next)
+		target->is_evacuated = gate_evacuation_has(
+		    &table->evacuation, target->data_centre);
+}
+
+const gate_evacuation_t *
+gate_table_get_evacuation(const gate_table_t *table)
+{
+	return (&table->evacuation);
+}
+
 /* Starts a full table: remove_unlisted() drops what it does not list. */
 static void
 mark_all_unlisted(gate_table_t *table)
@@ -265,6 +288,7 @@
 	    (msg->term != table->term || msg->since > table->sequence ||
 		msg->sequence <= table->sequence))
 		return (0);
+	apply_evacuation(table, msg);
 	if (msg->since == 0)
 		mark_all_unlisted(table);
 	for (i = 0; i < msg->n_removed; i++) {
@@ -329,6 +353,7 @@
     const gate_target_t *target, const gate_pick_options_t *options)
 {
 	return (target->state == FLEET_TARGET_READY && !target->is_leaving &&
+	    !target->is_evacuated &&
 	    options->now_ms >= target->paused_until_ms &&
 	    !is_excluded(options, target));
 }
@@ -538,7 +563,7 @@
 		target = service->targets[i];
 		pause_ms = target->paused_until_ms - options->now_ms;
 		if (pause_ms > 0 && target->state == FLEET_TARGET_READY &&
-		    !target->is_leaving &&
+		    !target->is_leaving && !target->is_evacuated &&
 		    (shortest_ms == 0 || pause_ms < shortest_ms))
 			shortest_ms = pause_ms;
 	}
@@ -552,6 +577,9 @@
 	gate_choice_t choice = { .target = NULL };
 	int rank;
 
+	choice.is_evacuated = gate_service_is_evacuated(service);
+	if (choice.is_evacuated)
+		return (choice);
 	gate_alone_set(
 	    service, options->is_alone, &table->rng, options->now_ms);
 	choice.target = gate_probe_take(service, options);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -17,6 +17,7 @@
 #include "base/latency.h"
 #include "base/rng.h"
 #include "fleet/fleet_defs.h"
+#include "gate/gate_evacuation.h"
 #include "gate/gate_limit.h"
 #include "proto/fleet.pb-c.h"
 
@@ -41,6 +42,8 @@
 	uint64_t incarnation_ms; /**< wall clock of its start */
 	struct sockaddr_in addr;
 	struct gate_service *service;
+	uint64_t data_centre; /**< fleet_name_hash() of its zone */
+	int is_evacuated; /**< its data centre is */
 	int is_same_zone; /**< in the gate's own zone */
 	uint32_t slots;
 	fleet_target_state_t state;
@@ -111,6 +114,7 @@
 	/** Healthy targets are at their limits: the leader is to be asked for
 	 * the next permit of one of them. */
 	int must_reserve;
+	int is_evacuated; /**< all targets of the service are evacuated */
 } gate_choice_t;
 
 /**
@@ -233,6 +237,9 @@
 Tm__Fleet__Outcome *gate_table_collect_outcomes(
     gate_table_t *table, size_t *count);
 
+/** @return the evacuated data centres as of the last applied message */
+const gate_evacuation_t *gate_table_get_evacuation(const gate_table_t *table);
+
 /** @return number of targets */
 uint32_t gate_table_count(const gate_table_t *table);
 
