hub: evacuated targets count neither in outlier detection nor in the load

They get no requests by order: counted as idle or unused they would be given requests and probes, counted as targets they would let the others be ejected, and their slots would hide how full the others are.

--- a/src/hub/hub_load.c
+++ b/src/hub/hub_load.c
@@ -228,6 +228,8 @@
 	for (target = state->targets; target != NULL;
 	     target = target->hh.next) {
 		if (target->as.state == FLEET_TARGET_READY &&
+		    !hub_evacuations_has(
+			&state->evacuations, target->as.zone) &&
 		    hub_outlier_get_verdict(outlier, target->key) ==
 			FLEET_VERDICT_HEALTHY)
 			add_target(load, target);
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -207,6 +207,8 @@
 	size_t i;
 
 	if (target == NULL || target->as.state != FLEET_TARGET_READY ||
+	    hub_evacuations_has(
+		&query->hub->state->evacuations, target->as.zone) ||
 	    hub_signals_is_leaving(query->hub->signals, key) ||
 	    fleet_name_hash(target->as.service) != query->spend->service ||
 	    hub_outlier_get_verdict(query->hub->outlier, key->target) !=
--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -165,6 +165,20 @@
 		target->is_draining = 1;
 }
 
+void
+hub_outlier_set_evacuated(
+    hub_outlier_t *detector, uint64_t key, int is_evacuated, int64_t now_ms)
+{
+	outlier_target_t *target = outlier_find(detector, key);
+
+	if (target == NULL || target->is_evacuated == is_evacuated)
+		return;
+	target->is_evacuated = is_evacuated;
+	/* The span in which it is to get a request begins with the end. */
+	if (!is_evacuated)
+		target->used_ms = now_ms;
+}
+
 void
 hub_outlier_remove_target(hub_outlier_t *detector, uint64_t key)
 {
@@ -197,7 +211,13 @@
 	target->decayed_ms = now_ms;
 }
 
-/* Counts the targets of a service that are not unreachable. */
+int
+outlier_is_present(const outlier_target_t *target)
+{
+	return (!target->is_unreachable && !target->is_evacuated);
+}
+
+/* Counts the targets of a service that are present. */
 uint32_t
 outlier_count_targets(const outlier_service_t *service)
 {
@@ -205,7 +225,7 @@
 	uint32_t total = 0;
 
 	for (target = service->targets; target != NULL; target = target->next)
-		total += !target->is_unreachable;
+		total += outlier_is_present(target);
 	return (total);
 }
 
@@ -223,7 +243,7 @@
 	uint32_t healthy = 0;
 
 	for (target = service->targets; target != NULL; target = target->next)
-		healthy += !target->is_unreachable &&
+		healthy += outlier_is_present(target) &&
 		    target->verdict == FLEET_VERDICT_HEALTHY;
 	return (healthy);
 }
@@ -233,7 +253,7 @@
 static int
 may_eject(const outlier_target_t *target, fleet_evidence_t kind)
 {
-	return (target->is_unreachable || kind == FLEET_EVIDENCE_BROKEN ||
+	return (!outlier_is_present(target) || kind == FLEET_EVIDENCE_BROKEN ||
 	    target->verdict != FLEET_VERDICT_HEALTHY ||
 	    outlier_count_healthy(target->service) >
 		outlier_get_min_in_use(target->service));
@@ -342,7 +362,7 @@
 	target->overloaded_ms = now_ms;
 	for (other = target->service->targets; other != NULL;
 	     other = other->next)
-		overloaded += !other->is_unreachable &&
+		overloaded += outlier_is_present(other) &&
 		    other->overloaded_ms != 0 &&
 		    now_ms - other->overloaded_ms <= COMMON_WINDOW_MS;
 	return ((double)overloaded >
@@ -499,6 +519,10 @@
 count_target(const hub_outlier_t *detector, const outlier_target_t *target,
     int64_t now_ms, hub_outlier_counts_t *counts)
 {
+	if (target->is_evacuated) {
+		counts->evacuated++;
+		return;
+	}
 	counts->unreachable += target->is_unreachable;
 	switch (target->verdict) {
 	case FLEET_VERDICT_HEALTHY:
--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -65,6 +65,7 @@
 	uint32_t probe; /**< open to probes by any request */
 	uint32_t unreachable; /**< for the leader; of any of these states */
 	uint32_t idle; /**< healthy, no request for HUB_OUTLIER_IDLE_MS */
+	uint32_t evacuated; /**< in none of the states above */
 	double failed_share; /**< of the attempts that ended lately */
 	double utilization; /**< as of hub_outlier_set_utilization() */
 	uint64_t probes_granted; /**< this and all below: since the start */
@@ -109,6 +110,14 @@
 /** Marks a target as draining: no request is assigned to it any more. */
 void hub_outlier_set_draining(hub_outlier_t *detector, uint64_t key);
 
+/**
+ * Sets whether the data centre of a target is evacuated. Such a target counts
+ * neither as one of its service nor as healthy, idle or unused, and gets no
+ * requests or probes.
+ */
+void hub_outlier_set_evacuated(
+    hub_outlier_t *detector, uint64_t key, int is_evacuated, int64_t now_ms);
+
 /** Ejects a target that the previous leader had ejected; ignores an unknown
  * one. */
 void hub_outlier_restore_ejection(
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -44,6 +44,7 @@
 	 * the gate or its path may be the cause; NODE_ID_NONE: none. */
 	node_id_t doubted_gate;
 	int is_draining;
+	int is_evacuated; /* its data centre is */
 	int is_unreachable; /* unresponsive for TARGET_TIMEOUT_MS */
 	int64_t announced_ms;
 	int64_t success_ms; /* last successful response */
@@ -93,7 +94,10 @@
 void outlier_eject(hub_outlier_t *detector, outlier_target_t *target,
     fleet_evidence_t kind, int64_t now_ms);
 
-/** @return targets of a service that are not unreachable, and healthy ones */
+/** @return 1 if a target may be in use: it is neither unreachable nor evacuated */
+int outlier_is_present(const outlier_target_t *target);
+
+/** @return targets of a service that are present, and healthy ones */
 uint32_t outlier_count_targets(const outlier_service_t *service);
 uint32_t outlier_count_healthy(const outlier_service_t *service);
 
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -139,7 +139,8 @@
 
 	if (target == NULL)
 		return (0);
-	if (!is_probing(target) || target->probe_gate != NODE_ID_NONE) {
+	if (!is_probing(target) || target->is_evacuated ||
+	    target->probe_gate != NODE_ID_NONE) {
 		target->service->totals.probes_refused++;
 		return (0);
 	}
@@ -151,7 +152,7 @@
 outlier_is_idle(const outlier_target_t *target, int64_t now_ms)
 {
 	return (target->verdict == FLEET_VERDICT_HEALTHY &&
-	    !target->is_unreachable && !target->is_draining &&
+	    outlier_is_present(target) && !target->is_draining &&
 	    target->evidence_ms <= target->success_ms &&
 	    now_ms - target->used_ms > HUB_OUTLIER_IDLE_MS);
 }
@@ -160,7 +161,7 @@
 is_open_to(const outlier_target_t *target, node_id_t gate, int may_repeat)
 {
 	return (target->probe_gate == NODE_ID_NONE && !target->is_draining &&
-	    target->doubted_gate != gate &&
+	    !target->is_evacuated && target->doubted_gate != gate &&
 	    (target->verdict == FLEET_VERDICT_PROBE ||
 		(may_repeat &&
 		    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE)));
@@ -249,7 +250,7 @@
 	if (target->probe_gate != NODE_ID_NONE &&
 	    now_ms - target->probe_ms > PROBE_TIMEOUT_MS)
 		target->probe_gate = NODE_ID_NONE;
-	if (target->probe_gate != NODE_ID_NONE)
+	if (target->probe_gate != NODE_ID_NONE || target->is_evacuated)
 		return;
 	/* Without a second gate the result of the first one stands. */
 	if (target->doubted_gate != NODE_ID_NONE &&
@@ -279,7 +280,7 @@
 static int
 is_unused(const outlier_target_t *target, int64_t now_ms)
 {
-	return (!target->is_unreachable &&
+	return (outlier_is_present(target) &&
 	    target->verdict != FLEET_VERDICT_HEALTHY &&
 	    target->verdict != FLEET_VERDICT_PROBE &&
 	    now_ms - target->failed_ms > HUB_OUTLIER_SOUND_AFTER_MS);
--- a/src/hub/hub_report.c
+++ b/src/hub/hub_report.c
@@ -92,6 +92,7 @@
 	set_targets(report, service, "probe", counts->probe);
 	set_targets(report, service, "unreachable", counts->unreachable);
 	set_targets(report, service, "idle", counts->idle);
+	set_targets(report, service, "evacuated", counts->evacuated);
 }
 
 static void
