hub: calls to start, end and list evacuations

The calls of the dialect and the product's own /v1/evacuations lead to the same decision and are acknowledged once their entry is committed; without evacuate_within_s both stay 404. Every accepted order goes through the log, also a repeated one, so that its acknowledgement never overtakes an order before it.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -195,6 +195,9 @@
 	    fleet_name_hash(target->as.service), target->as.born_ms);
 	if (target->as.state == FLEET_TARGET_DRAINING)
 		hub_outlier_set_draining(hub->outlier, target->key);
+	hub_outlier_set_evacuated(hub->outlier, target->key,
+	    hub_evacuations_has(&hub->state->evacuations, target->as.zone),
+	    clock_now_ms());
 }
 
 static void
@@ -232,6 +235,9 @@
 	case HUB_CHANGE_HUBS:
 		hub_members_merge(hub->members, hub->state, clock_now_ms());
 		break;
+	case HUB_CHANGE_EVACUATIONS:
+		hub_apply_evacuation(hub, clock_now_ms());
+		break;
 	default:
 		break;
 	}
@@ -252,11 +258,13 @@
 on_install_snapshot(void *ctx, uint64_t index, const uint8_t *data, size_t len)
 {
 	hub_t *hub = ctx;
+	hub_evacuations_t evacuations = hub->state->evacuations;
 	int err = hub_state_restore(hub->state, data, len);
 
 	(void)index;
 	if (err != TM_OK)
 		return (err);
+	hub_restore_evacuations(hub, &evacuations, clock_now_ms());
 	hub_members_merge(hub->members, hub->state, clock_now_ms());
 	hub->has_new_document = 1;
 	return (TM_OK);
@@ -494,6 +502,8 @@
 	    hub->metrics, "tm_hub_target_crashes_total", "", METRIC_COUNTER);
 	hub->metric_blocked = metrics_get(
 	    hub->metrics, "tm_hub_blocked_requests", "", METRIC_GAUGE);
+	hub->metric_evacuated = metrics_get(
+	    hub->metrics, "tm_hub_evacuated_data_centres", "", METRIC_GAUGE);
 	return (TM_OK);
 }
 
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -1,5 +1,6 @@
 #include "hub/hub_api.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,8 @@
 /* Retry-After of responses with status 503, in seconds: time after which a
  * caller should ask a hub without a leader again. */
 #define RETRY_AFTER "0.3"
+/* Calls of the product itself, beside those of the dialect. */
+#define EVACUATIONS_PATH "/v1/evacuations"
 
 struct hub_api {
 	hub_t *hub;
@@ -25,14 +28,24 @@
 	http_server_t *metrics_server;
 };
 
+/* What the entry of a call holds. */
+typedef enum api_entry {
+	API_ENTRY_CONFIG,
+	API_ENTRY_TARGET,
+	API_ENTRY_EVACUATION
+} api_entry_t;
+
 /* A call whose entry is not committed yet. */
 typedef struct api_call {
 	hub_api_t *api;
 	h2o_req_t *req; /* NULL: the caller has closed the connection */
 	struct api_link *link;
-	char target_id[FLEET_TARGET_ID_MAX_BYTES + 1];
-	int is_config;
-	uint64_t version;
+	api_entry_t entry;
+	/* Target or data centre */
+	char subject[FLEET_TARGET_ID_MAX_BYTES + 1];
+	uint64_t version; /* of a document */
+	int is_end; /* of an evacuation */
+	int wants_list; /* the response lists the evacuations */
 } api_call_t;
 
 typedef struct api_link {
@@ -120,39 +133,77 @@
 	http_request_reply(req, 200, JSON_TYPE, body, len);
 }
 
-/* hub_done_cb */
 static void
-on_committed(void *ctx, int err)
+reply_evacuations(hub_api_t *api, h2o_req_t *req)
 {
-	api_call_t *call = ctx;
-	h2o_req_t *req = call->req;
+	char *text =
+	    hub_evacuations_format(&hub_get_state(api->hub)->evacuations);
+
+	if (text == NULL)
+		reply_error(req, 503, "out of memory");
+	else
+		http_request_reply(req, 200, JSON_TYPE, text, strlen(text));
+	free(text);
+}
 
-	if (call->is_config)
+static void
+log_order(const char *data_centre, int is_end, const char *outcome,
+    const h2o_req_t *req)
+{
+	LOG_EVENT(933, LOG_LEVEL_INFO, "evacuation ordered",
+	    LOG_TEXT("data_centre", data_centre), LOG_NUM("is_end", is_end),
+	    LOG_TEXT("outcome", outcome), LOG_NUM("is_answered", req != NULL));
+}
+
+static void
+log_committed(const api_call_t *call, int err)
+{
+	const h2o_req_t *req = call->req;
+
+	if (call->entry == API_ENTRY_EVACUATION)
+		log_order(
+		    call->subject, call->is_end, error_get_text(err), req);
+	else if (call->entry == API_ENTRY_CONFIG)
 		LOG_EVENT(930, LOG_LEVEL_INFO, "document proposed",
 		    LOG_NUM("version", call->version),
 		    LOG_TEXT("outcome", error_get_text(err)),
 		    LOG_NUM("is_answered", req != NULL));
 	else
 		LOG_EVENT(931, LOG_LEVEL_INFO, "target proposed",
-		    LOG_TEXT("target", call->target_id),
+		    LOG_TEXT("target", call->subject),
 		    LOG_TEXT("outcome", error_get_text(err)),
 		    LOG_NUM("is_answered", req != NULL));
+}
+
+/* hub_done_cb */
+static void
+on_committed(void *ctx, int err)
+{
+	api_call_t *call = ctx;
+	h2o_req_t *req = call->req;
+
+	log_committed(call, err);
 	if (req != NULL) {
 		call->link->call = NULL;
 		if (err != TM_OK)
 			reply_error(req, 503, "the outcome is not known");
-		else if (call->is_config)
-			http_request_reply(req, 200, JSON_TYPE, "{}", 2);
-		else
+		else if (call->entry == API_ENTRY_TARGET)
 			reply_announced(call->api, req);
+		else if (call->wants_list)
+			reply_evacuations(call->api, req);
+		else
+			http_request_reply(req, 200, JSON_TYPE, "{}", 2);
 	}
 	free(call);
 }
 
-/* @param bytes  entry from malloc(); freed by the callee */
+/*
+ * @param what   describes the call
+ * @param bytes  entry from malloc(); freed by the callee
+ */
 static void
-propose(hub_api_t *api, h2o_req_t *req, const char *target_id, uint64_t version,
-    uint8_t *bytes, size_t len)
+propose(hub_api_t *api, h2o_req_t *req, const api_call_t *what, uint8_t *bytes,
+    size_t len)
 {
 	api_call_t *call = create_call(api, req);
 	int err;
@@ -163,11 +214,11 @@
 		reply_error(req, 503, "out of memory");
 		return;
 	}
-	call->is_config = target_id == NULL;
-	call->version = version;
-	if (target_id != NULL)
-		snprintf(
-		    call->target_id, sizeof(call->target_id), "%s", target_id);
+	call->entry = what->entry;
+	memcpy(call->subject, what->subject, sizeof(call->subject));
+	call->version = what->version;
+	call->is_end = what->is_end;
+	call->wants_list = what->wants_list;
 	err = hub_propose(api->hub, bytes, len, on_committed, call);
 	if (err == TM_OK)
 		return;
@@ -176,6 +227,18 @@
 	reply_error(req, 503, error_get_text(err));
 }
 
+static void
+propose_target(hub_api_t *api, h2o_req_t *req, const dialect_announcement_t *as)
+{
+	api_call_t what = { .entry = API_ENTRY_TARGET };
+	uint8_t *bytes;
+	size_t len;
+
+	snprintf(what.subject, sizeof(what.subject), "%s", as->id);
+	bytes = hub_entry_encode_target(as, &len);
+	propose(api, req, &what, bytes, len);
+}
+
 /* @return 1 if an announcement is older than what is known, and is ignored */
 static int
 is_outdated(
@@ -214,8 +277,6 @@
 	const dialect_t *dialect = hub_get_settings(api->hub)->dialect;
 	uint64_t key = fleet_name_hash(target_id);
 	dialect_announcement_t as = { .born_ms = 0 };
-	uint8_t *bytes;
-	size_t len;
 
 	snprintf(as.id, sizeof(as.id), "%s", target_id);
 	if (dialect->read_announcement(
@@ -232,8 +293,7 @@
 		reply_announced(api, req);
 		return;
 	}
-	bytes = hub_entry_encode_target(&as, &len);
-	propose(api, req, target_id, 0, bytes, len);
+	propose_target(api, req, &as);
 }
 
 static void
@@ -245,8 +305,6 @@
 	    hub_state_find_target(state, fleet_name_hash(target_id));
 	dialect_announcement_t as;
 	uint64_t born_ms;
-	uint8_t *bytes;
-	size_t len;
 
 	born_ms = dialect->read_leave(req->entity.base, req->entity.len);
 	if (known == NULL || known->as.state == FLEET_TARGET_DEREGISTERED ||
@@ -256,13 +314,16 @@
 	}
 	as = known->as;
 	as.state = FLEET_TARGET_DEREGISTERED;
-	bytes = hub_entry_encode_target(&as, &len);
-	propose(api, req, target_id, 0, bytes, len);
+	propose_target(api, req, &as);
 }
 
 static void
 propose_document(hub_api_t *api, h2o_req_t *req, const fleet_config_t *config)
 {
+	api_call_t what = {
+		.entry = API_ENTRY_CONFIG,
+		.version = config->version,
+	};
 	hub_document_t document;
 	uint8_t *bytes = NULL;
 	size_t len = 0;
@@ -276,7 +337,7 @@
 		reply_error(req, 413, "the document is too large");
 		return;
 	}
-	propose(api, req, NULL, config->version, bytes, len);
+	propose(api, req, &what, bytes, len);
 }
 
 static void
@@ -324,15 +385,128 @@
 	free(plain);
 }
 
+static void
+read_peer(const h2o_req_t *req, char ip[FLEET_IP_BYTES])
+{
+	struct sockaddr_storage addr = { .ss_family = AF_UNSPEC };
+	const struct sockaddr_in *addr4 = (const struct sockaddr_in *)&addr;
+
+	ip[0] = '\0';
+	req->conn->callbacks->get_peername(req->conn, (struct sockaddr *)&addr);
+	if (addr.ss_family == AF_INET)
+		inet_ntop(AF_INET, &addr4->sin_addr, ip, FLEET_IP_BYTES);
+}
+
+static void
+refuse_order(h2o_req_t *req, const hub_evacuation_t *order,
+    hub_evacuation_answer_t answer)
+{
+	char reason[128];
+
+	if (answer == HUB_EVACUATION_FULL) {
+		log_order(order->data_centre, order->is_ended,
+		    "too many evacuations", req);
+		reply_error(req, 409,
+		    "the largest number of data centres is evacuated; end "
+		    "another evacuation first");
+		return;
+	}
+	log_order(order->data_centre, order->is_ended, "unknown", req);
+	snprintf(reason, sizeof(reason),
+	    "no data centre '%s' in data_centres or of a target",
+	    order->data_centre);
+	reply_error(req, 404, reason);
+}
+
+static void
+handle_order(hub_api_t *api, h2o_req_t *req, const char *data_centre,
+    int is_end, int wants_list)
+{
+	hub_evacuation_t order = {
+		.is_ended = is_end,
+		.since_ms = (uint64_t)clock_wall_ms(),
+	};
+	api_call_t what = {
+		.entry = API_ENTRY_EVACUATION,
+		.is_end = is_end,
+		.wants_list = wants_list,
+	};
+	hub_evacuation_answer_t answer;
+	uint8_t *bytes;
+	size_t len;
+
+	snprintf(
+	    order.data_centre, sizeof(order.data_centre), "%s", data_centre);
+	snprintf(what.subject, sizeof(what.subject), "%s", data_centre);
+	read_peer(req, order.requested_by);
+	answer = hub_evacuation_check(
+	    hub_get_state(api->hub), hub_get_settings(api->hub), &order);
+	if (answer != HUB_EVACUATION_ACCEPTED) {
+		refuse_order(req, &order, answer);
+		return;
+	}
+	bytes = hub_evacuation_encode(&order, &len);
+	propose(api, req, &what, bytes, len);
+}
+
+/* Reads a call to EVACUATIONS_PATH. @param name  receives the data centre; ""
+ * for the list */
+static dialect_call_t
+find_own_call(const h2o_req_t *req, char name[FLEET_TARGET_ID_MAX_BYTES + 1])
+{
+	const size_t prefix_len = strlen(EVACUATIONS_PATH);
+	const char *path = req->path_normalized.base;
+	size_t len = req->path_normalized.len;
+
+	name[0] = '\0';
+	if (len < prefix_len || memcmp(path, EVACUATIONS_PATH, prefix_len) != 0)
+		return (DIALECT_CALL_UNKNOWN);
+	path += prefix_len;
+	len -= prefix_len;
+	if (len == 0)
+		return (h2o_memis(req->method.base, req->method.len,
+			    H2O_STRLIT("GET"))
+			? DIALECT_CALL_EVACUATE
+			: DIALECT_CALL_UNKNOWN);
+	if (len < 2 || len - 1 > FLEET_TARGET_ID_MAX_BYTES || path[0] != '/' ||
+	    memchr(path + 1, '/', len - 1) != NULL)
+		return (DIALECT_CALL_UNKNOWN);
+	memcpy(name, path + 1, len - 1);
+	name[len - 1] = '\0';
+	if (h2o_memis(req->method.base, req->method.len, H2O_STRLIT("PUT")))
+		return (DIALECT_CALL_EVACUATE);
+	if (h2o_memis(req->method.base, req->method.len, H2O_STRLIT("DELETE")))
+		return (DIALECT_CALL_END_EVACUATION);
+	return (DIALECT_CALL_UNKNOWN);
+}
+
+/* @return kind of a call; unknown also if it is not enabled */
+static dialect_call_t
+find_call(const hub_api_t *api, const h2o_req_t *req,
+    char subject[FLEET_TARGET_ID_MAX_BYTES + 1], int *is_own)
+{
+	const hub_settings_t *settings = hub_get_settings(api->hub);
+	dialect_call_t call = find_own_call(req, subject);
+
+	*is_own = call != DIALECT_CALL_UNKNOWN;
+	if (!*is_own)
+		call = settings->dialect->find_call(req->method.base,
+		    req->method.len, req->path.base, req->path.len, subject);
+	if ((call == DIALECT_CALL_EVACUATE ||
+		call == DIALECT_CALL_END_EVACUATION) &&
+	    settings->evacuate_within_ms == 0)
+		return (DIALECT_CALL_UNKNOWN);
+	return (call);
+}
+
 /* http_server_cb */
 static void
 handle(void *ctx, h2o_req_t *req)
 {
 	hub_api_t *api = ctx;
-	const dialect_t *dialect = hub_get_settings(api->hub)->dialect;
-	char target_id[FLEET_TARGET_ID_MAX_BYTES + 1];
-	dialect_call_t call = dialect->find_call(req->method.base,
-	    req->method.len, req->path.base, req->path.len, target_id);
+	char subject[FLEET_TARGET_ID_MAX_BYTES + 1];
+	int is_own;
+	dialect_call_t call = find_call(api, req, subject, &is_own);
 
 	if (call == DIALECT_CALL_UNKNOWN) {
 		reply_error(req, 404, "no such call");
@@ -344,14 +518,23 @@
 	}
 	switch (call) {
 	case DIALECT_CALL_ANNOUNCE:
-		handle_announce(api, req, target_id);
+		handle_announce(api, req, subject);
 		break;
 	case DIALECT_CALL_LEAVE:
-		handle_leave(api, req, target_id);
+		handle_leave(api, req, subject);
 		break;
 	case DIALECT_CALL_PUT_CONFIG:
 		handle_put(api, req);
 		break;
+	case DIALECT_CALL_EVACUATE:
+		if (is_own && subject[0] == '\0')
+			reply_evacuations(api, req);
+		else
+			handle_order(api, req, subject, 0, is_own);
+		break;
+	case DIALECT_CALL_END_EVACUATION:
+		handle_order(api, req, subject, 1, is_own);
+		break;
 	default:
 		handle_get(api, req);
 		break;
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -79,6 +79,7 @@
 	metric_t *metric_gates;
 	metric_t *metric_crashes;
 	metric_t *metric_blocked;
+	metric_t *metric_evacuated;
 };
 
 /** Starts or stops to serve as the leader, following the replicated log. */
@@ -87,6 +88,14 @@
 /** Adds a registered target to the outlier detector, or updates it. */
 void hub_add_to_outlier(hub_t *hub, const hub_target_t *target);
 
+/** Puts the order that the state has just applied into force at this hub. */
+void hub_apply_evacuation(hub_t *hub, int64_t now_ms);
+
+/** The same after a snapshot has replaced the state. @param before  evacuations
+ * of the state that it replaced */
+void hub_restore_evacuations(
+    hub_t *hub, const hub_evacuations_t *before, int64_t now_ms);
+
 /** Most workspaces near their limit that are sent to gates. */
 #define HUB_NEAR_LIMIT_MAX 1024
 
