--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -394,6 +394,40 @@
 	return (send_and_print(api, o, &call));
 }
 
+static ctl_exit_t
+send_order(ctl_api_t *api, const ctl_options_t *o, const char *method)
+{
+	char path[PATH_MAX_BYTES];
+	char name[PATH_MAX_BYTES / 2];
+	ctl_call_t call = { .method = method,
+		.path = path,
+		.body = "{}",
+		.body_len = 2,
+		.if_version = -1 };
+
+	ctl_escape(o->words[2], name, sizeof(name));
+	snprintf(path, sizeof(path), "/v1/evacuations/%s", name);
+	return (send_and_print(api, o, &call));
+}
+
+static ctl_exit_t
+run_evacuation_start(ctl_api_t *api, const ctl_options_t *o)
+{
+	return (send_order(api, o, "PUT"));
+}
+
+static ctl_exit_t
+run_evacuation_end(ctl_api_t *api, const ctl_options_t *o)
+{
+	return (send_order(api, o, "DELETE"));
+}
+
+static ctl_exit_t
+run_evacuation_list(ctl_api_t *api, const ctl_options_t *o)
+{
+	return (send_query(api, o, "/v1/evacuations"));
+}
+
 static const command_t commands[] = {
 	{ { "apply", NULL }, 1, 1, "apply FILE", run_apply },
 	{ { "get", NULL }, 2, 2, "get KIND NAME", run_get },
@@ -412,6 +446,12 @@
 	{ { "status", NULL }, 0, 0, "status", ctl_fleet_run_status },
 	{ { "explain", NULL }, 2, 2, "explain request|workspace|target NAME",
 	    ctl_fleet_run_explain },
+	{ { "evacuation", "start" }, 1, 1, "evacuation start DATA_CENTRE",
+	    run_evacuation_start },
+	{ { "evacuation", "end" }, 1, 1, "evacuation end DATA_CENTRE",
+	    run_evacuation_end },
+	{ { "evacuation", "list" }, 0, 0, "evacuation list",
+	    run_evacuation_list },
 };
 
 #define COMMANDS ((int)(sizeof(commands) / sizeof(commands[0])))
@@ -437,6 +477,12 @@
 	return (NULL);
 }
 
+int
+ctl_command_asks_hubs(const ctl_options_t *o)
+{
+	return (strcmp(o->words[0], "evacuation") == 0);
+}
+
 static int
 reject(const char *what, const char *found, const char *allowed)
 {
@@ -460,6 +506,9 @@
 			fprintf(stderr, "  %s\n", commands[i].usage);
 		return (TM_EINVAL);
 	}
+	if (ctl_command_asks_hubs(o) && (o->dry_run || o->if_version >= 0))
+		return (reject("option", "--dry-run or --if-version",
+		    "neither with evacuation"));
 	if (c->run == run_apply && o->if_version >= 0)
 		return (reject("--if-version", "a number",
 		    "none with apply; it is for single objects"));
--- a/src/ctl/ctl_command.h
+++ b/src/ctl/ctl_command.h
@@ -32,6 +32,9 @@
  */
 int ctl_command_check(const ctl_options_t *options);
 
+/** @return 1 if a command asks hubs, which take no token, instead of control */
+int ctl_command_asks_hubs(const ctl_options_t *options);
+
 /** Percent-encodes a path segment or a query value. */
 void ctl_escape(const char *text, char *out, size_t size);
 
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -150,7 +150,7 @@
 	status = read_entries(a, &api);
 	if (status == 0)
 		status = read_servers(a, &api);
-	if (status == 0)
+	if (status == 0 && !ctl_command_asks_hubs(&options))
 		status = read_token(a, &api);
 	if (status != 0)
 		return (status);
@@ -175,7 +175,8 @@
 	       "  rate set WORKSPACE RATE BURST | history | status |\n"
 	       "  recover [CONFIRMATION] |\n"
 	       "  snapshot save FILE | snapshot restore FILE |\n"
-	       "  explain request|workspace|target NAME\n"
+	       "  explain request|workspace|target NAME |\n"
+	       "  evacuation start|end DATA_CENTRE | evacuation list\n"
 	       "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable,\n"
 	       "  4 version conflict\n");
 }
@@ -186,7 +187,7 @@
 	arguments_t a = {
 		.help = arg_lit0("h", "help", "print this text"),
 		.server = arg_strn("s", "server", "IP:PORT[,...]", 0, 16,
-		    "control VMs; default: $" SERVERS_VARIABLE),
+		    "control VMs, or hubs for evacuation; default: $" SERVERS_VARIABLE),
 		.entry = arg_strn("e", "entry", "IP:PORT[,...]", 0, 16,
 		    "status, explain: ops listeners instead of the directory"),
 		.token_file = arg_file0("t", "token-file", "FILE",
