--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -64,6 +64,7 @@
         self.metrics = find_port(hubs + gates, taken)
         self.processes = {}
         self.log_sizes = {}  # before the last start
+        self.hub_settings = {}  # more settings of each hub
         self.fills_disks = fills_disks
         self.full = set()
         if fills_disks:
@@ -132,7 +133,8 @@
             "listen": f"{self.hubs[i]}:{self.control_port}",
             "peer_port": self.peer, "metrics_port": self.metrics,
             "seeds": [f"{x}:{self.control_port}" for x in self.hubs],
-            "is_first_start": first, "fleet_secrets": ["0123456789abcdef"]})
+            "is_first_start": first, "fleet_secrets": ["0123456789abcdef"],
+            **self.hub_settings})
 
     def start_gate(self, i):
         self.start("tm-gate", f"gate{i}", {
@@ -203,9 +205,10 @@
     start, its records are kept. One that keeps its port accepts connections
     while the process is down, as behind a supervisor that holds the socket."""
 
-    def __init__(self, fleet, name, keeps_port=False):
+    def __init__(self, fleet, name, keeps_port=False, zone="z1"):
         self.fleet = fleet
         self.name = name
+        self.zone = zone
         self.starts = 0
         self.id = ""
         self.listener = socket.create_server(
@@ -222,7 +225,7 @@
         here = os.path.dirname(os.path.abspath(__file__))
         command = [sys.executable, f"{here}/platform_target.py", "--id",
                    self.id, "--control", controls, "--record", self.record,
-                   "--answer", self.answer]
+                   "--answer", self.answer, "--zone", self.zone]
         kept = []
         if self.listener:
             kept = [self.listener.fileno()]
--- a/test/functional/platform_target.py
+++ b/test/functional/platform_target.py
@@ -114,8 +114,8 @@
             self.sequence += 1
             body = json.dumps({
                 "Service": self.args.service,
-                "Address": f"127.0.0.1:{self.port}", "Zone": "z1",
-                "Version": "v1", "MaxConcurrency": 8, "State": "ready",
+                "Address": f"127.0.0.1:{self.port}",
+                "Zone": self.args.zone, "Version": "v1", "MaxConcurrency": 8, "State": "ready",
                 "WarmupLeftS": 0, "Sequence": self.sequence,
                 "born": self.born_ms})
             for control in controls:
@@ -157,6 +157,7 @@
     parser.add_argument("--control", required=True)
     parser.add_argument("--record", required=True)
     parser.add_argument("--service", default="s1")
+    parser.add_argument("--zone", default="z1")
     parser.add_argument("--answer")
     parser.add_argument("--listener", type=int)
     asyncio.run(Target(parser.parse_args()).run())
