hub: index of targets by address

Each announcement that the leader decides on, and each entry of a target, scanned all targets for the owner of its address. The state keeps an index of the registered targets; HubState.IndexOfAddressesAgreesWithAScan compares it with a scan over 20,000 random entries.

--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -25,6 +25,7 @@
 	hub_target_t *target;
 	hub_target_t *next;
 
+	HASH_CLEAR(by_address, state->addresses);
 	HASH_ITER(hh, state->targets, target, next) {
 		HASH_DELETE(hh, state->targets, target);
 		free(target);
@@ -61,15 +62,30 @@
 hub_target_t *
 hub_state_find_address(const hub_state_t *state, uint32_t ip, uint16_t port)
 {
+	const hub_address_t address = { ip, port };
 	hub_target_t *target;
-	hub_target_t *next;
 
-	HASH_ITER(hh, state->targets, target, next) {
-		if (target->as.ip == ip && target->as.port == port &&
-		    target->as.state != FLEET_TARGET_DEREGISTERED)
-			return (target);
-	}
-	return (NULL);
+	HASH_FIND(
+	    by_address, state->addresses, &address, sizeof(address), target);
+	return (target);
+}
+
+static void
+remove_from_index(hub_state_t *state, hub_target_t *target)
+{
+	if (target->address.port != 0)
+		HASH_DELETE(by_address, state->addresses, target);
+	target->address = (hub_address_t){ .port = 0 };
+}
+
+static void
+add_to_index(hub_state_t *state, hub_target_t *target)
+{
+	if (target->as.state == FLEET_TARGET_DEREGISTERED)
+		return;
+	target->address = (hub_address_t){ target->as.ip, target->as.port };
+	HASH_ADD(by_address, state->addresses, address, sizeof(target->address),
+	    target);
 }
 
 int
@@ -143,13 +159,16 @@
 		target->key = key;
 		HASH_ADD(hh, state->targets, key, sizeof(key), target);
 	}
+	remove_from_index(state, target);
 	target->as = as;
 	/* An address belongs to the newest incarnation. */
 	if (as.state != FLEET_TARGET_DEREGISTERED && owner != NULL &&
 	    owner != target) {
+		remove_from_index(state, owner);
 		owner->as.state = FLEET_TARGET_DEREGISTERED;
 		changed->replaced = owner;
 	}
+	add_to_index(state, target);
 	changed->target = target;
 	return (HUB_CHANGE_TARGET);
 }
@@ -163,6 +182,7 @@
 	if (target == NULL || target->as.born_ms != msg->born_ms ||
 	    target->as.state != FLEET_TARGET_DEREGISTERED)
 		return (HUB_CHANGE_NONE);
+	remove_from_index(state, target);
 	HASH_DELETE(hh, state->targets, target);
 	free(target);
 	return (HUB_CHANGE_NONE);
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -20,13 +20,22 @@
 /** Most targets, including deregistered ones that have not expired. */
 #define HUB_TARGETS_MAX 20000
 
+/** Address of a target. */
+typedef struct hub_address {
+	uint32_t ip;
+	uint32_t port;
+} hub_address_t;
+
 /** One incarnation of a target as its last committed entry describes it. */
 typedef struct hub_target {
 	uint64_t key; /**< fleet_name_hash() of the id */
 	dialect_announcement_t as;
 	/** When the leader saw that it is deregistered; 0: not yet. */
 	int64_t gone_ms;
+	/** Of as while it is registered, else all zero: key of the index. */
+	hub_address_t address;
 	UT_hash_handle hh;
+	UT_hash_handle by_address;
 } hub_target_t;
 
 /** The newest accepted document. */
@@ -41,6 +50,7 @@
 	hub_document_t document; /**< version 0: none */
 	int has_document;
 	hub_target_t *targets;
+	hub_target_t *addresses; /**< index of the registered targets */
 	char hubs[FLEET_HUBS_MAX][FLEET_IP_BYTES];
 	int hub_count;
 	uint64_t *ejected; /**< keys of ejected targets */
--- a/test/unit/hub_state_test.cc
+++ b/test/unit/hub_state_test.cc
@@ -2,8 +2,10 @@
 // announcement or document replaces a newer one; a snapshot loses something.
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <cstring>
+#include <random>
 #include <string>
 
 extern "C" {
@@ -81,6 +83,20 @@
 		return (text);
 	}
 
+	const hub_target_t *
+	ScanForAddress(uint32_t ip, uint16_t port) const
+	{
+		const hub_target_t *target;
+
+		for (target = state_->targets; target != nullptr;
+		     target = (const hub_target_t *)target->hh.next) {
+			if (target->as.ip == ip && target->as.port == port &&
+			    target->as.state != FLEET_TARGET_DEREGISTERED)
+				return (target);
+		}
+		return (nullptr);
+	}
+
 	fleet_target_state_t
 	GetState(const char *id) const
 	{
@@ -230,3 +246,59 @@
 	EXPECT_EQ(nullptr, zip_unpack(zipped, len, 5));
 	free(zipped);
 }
+
+// The index by address named a target that had left the address, or missed the one
+// that had taken it.
+TEST_F(HubState, IndexOfAddressesAgreesWithAScan)
+{
+	std::mt19937 random(11);
+
+	for (int step = 0; step < 20000; step++) {
+		std::string id = "t" + std::to_string(random() % 40);
+		dialect_announcement_t as =
+		    MakeTarget(id.c_str(), random() % 50, 1 + random() % 30,
+			static_cast<fleet_target_state_t>(random() % 3));
+		size_t len;
+
+		as.port = 1 + random() % 2;
+		if (random() % 10 == 0) {
+			uint8_t *bytes =
+			    hub_entry_encode_expired_target(&as, &len);
+
+			Apply(bytes, len);
+		} else {
+			ApplyTarget(as);
+		}
+		ASSERT_EQ(ScanForAddress(as.ip, as.port),
+		    hub_state_find_address(state_, as.ip, as.port))
+		    << "step " << step;
+	}
+}
+
+// Each announcement scanned all targets for the owner of its address.
+TEST_F(HubState, TimeToFindAnAddressDoesNotGrowWithTheTargets)
+{
+	const int kFinds = 30000;
+	double us_by_count[2];
+	int row = 0;
+
+	for (uint32_t count : { 300U, 3000U }) {
+		for (uint32_t i = 0; i < count; i++)
+			ApplyTarget(MakeTarget(
+			    ("t" + std::to_string(i)).c_str(), 100, 1 + i));
+		auto start = std::chrono::steady_clock::now();
+		for (int i = 0; i < kFinds; i++)
+			ASSERT_NE(nullptr,
+			    hub_state_find_address(
+				state_, 1 + (uint32_t)i % count, 80));
+		us_by_count[row++] =
+		    std::chrono::duration<double, std::micro>(
+			std::chrono::steady_clock::now() - start)
+			.count() /
+		    kFinds;
+	}
+	printf("find_address: %.3f us of 300, %.3f us of 3000 targets\n",
+	    us_by_count[0], us_by_count[1]);
+	/* A scan takes ten times as long. */
+	EXPECT_LT(us_by_count[1], 5 * us_by_count[0] + 0.1);
+}
