hub: hubs that do not lead answer announcements

Cause: every hub redirected each announcement to the leader, so that 3,000 targets kept 3,000 connections to it and made 2,000 calls/s there, while the other hubs were idle (docs/CAPACITY.md: nothing served at 300 machines).

Change: any hub takes announcements and deregistrations. One that does not lead answers those that repeat what the leader has confirmed to it, and tells the leader in batches which targets announced themselves. It passes all others on and acknowledges them once they are committed, or answers 503 after 0.9 s. It acts only while the leader has answered a batch of the last 1.2 s; answers name the targets that have changed since. This does not need a copy of the log, which only the up to five hubs with a seat have. From 300 targets on they are spread over the other hubs by rendezvous hashing; below, they announce themselves at the leader as before.

An announcement that is older than one heard of the same incarnation now changes nothing even if that one changed nothing either.

Ruled out: answering from the copy of the log, as most hubs have none, and one that lost its seat keeps an old one.

--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -22,6 +22,8 @@
 #define MSG_FLEET_CRASH	   (MSG_FLEET_BASE + 9)
 #define MSG_FLEET_BLOCKS   (MSG_FLEET_BASE + 10)
 #define MSG_FLEET_SIGNALS  (MSG_FLEET_BASE + 11)
+#define MSG_FLEET_RELAY	   (MSG_FLEET_BASE + 12)
+#define MSG_FLEET_RELAYED  (MSG_FLEET_BASE + 13)
 
 /** Size of the text of an IPv4 address with its NUL. */
 #define FLEET_IP_BYTES 16
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -197,9 +197,21 @@
 		hub_outlier_set_draining(hub->outlier, target->key);
 }
 
+/* Other hubs forget what the leader has confirmed of a target that changes; of a
+ * new one they know nothing. */
+static void
+record_change(hub_t *hub, const hub_target_t *target)
+{
+	hub_outlier_info_t info;
+
+	if (hub_outlier_get_info(hub->outlier, target->key, &info) == TM_OK)
+		hub_changes_add(&hub->changes, target->key);
+}
+
 static void
 on_target_change(hub_t *hub, const hub_target_t *target)
 {
+	record_change(hub, target);
 	if (target->as.state == FLEET_TARGET_DEREGISTERED) {
 		hub_outlier_remove_target(hub->outlier, target->key);
 		hub_signals_remove(hub->signals, target->key);
@@ -327,6 +339,7 @@
 	if (hub->role.is_serving)
 		hub_tick_leader(hub, now_ms);
 	finish_proposals(hub, raft_get_applied(hub->raft), now_ms);
+	hub_announcements_tick(hub, now_ms);
 	compact(hub);
 	check_storage(hub);
 }
@@ -344,15 +357,10 @@
 	if (hub->role.is_serving)
 		hub_feed_flush(hub->feed, now_ms);
 	finish_proposals(hub, raft_get_applied(hub->raft), now_ms);
+	hub_announcements_flush(hub, now_ms);
 	check_storage(hub);
 }
 
-void
-hub_record_announcement(hub_t *hub, uint64_t target)
-{
-	hub_outlier_record_announcement(hub->outlier, target, clock_now_ms());
-}
-
 static int
 open_net(hub_t *hub)
 {
@@ -494,7 +502,7 @@
 	    hub->metrics, "tm_hub_target_crashes_total", "", METRIC_COUNTER);
 	hub->metric_blocked = metrics_get(
 	    hub->metrics, "tm_hub_blocked_requests", "", METRIC_GAUGE);
-	return (TM_OK);
+	return (hub_announcements_create(hub));
 }
 
 static void
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -78,7 +78,31 @@
 int hub_propose(
     hub_t *hub, uint8_t *bytes, size_t len, hub_done_cb done, void *ctx);
 
-/** Records that a target has announced itself to this leader. */
-void hub_record_announcement(hub_t *hub, uint64_t target);
+/** An announcement, or the end of a registration, has taken effect already. */
+#define HUB_ACKNOWLEDGED 1
+
+/**
+ * Handles an announcement of a target; a hub that does not lead may pass it on
+ * to the leader.
+ *
+ * @param done  called once, never from within, and only after TM_OK; with 0 the
+ *              announcement is to be acknowledged
+ * @return      HUB_ACKNOWLEDGED; TM_OK if done will be called; TM_EUNAVAIL
+ *              without contact with the leader; another negative error number
+ */
+int hub_announce(
+    hub_t *hub, const dialect_announcement_t *as, hub_done_cb done, void *ctx);
+
+/** Handles the end of a registration; as hub_announce().
+ * @param born_ms  incarnation; 0: not known */
+int hub_leave(
+    hub_t *hub, const char *id, uint64_t born_ms, hub_done_cb done, void *ctx);
+
+/** @return name of the hub at which a target should announce itself, or NULL for
+ * any hub */
+const char *hub_choose_for_target(hub_t *hub, const char *id);
+
+/** @return 1 if targets are spread over the hubs */
+int hub_is_spreading(const hub_t *hub);
 
 #endif
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -32,6 +32,7 @@
 	struct api_link *link;
 	char target_id[FLEET_TARGET_ID_MAX_BYTES + 1];
 	int is_config;
+	int is_leave; /* ends the registration of the target */
 	uint64_t version;
 } api_call_t;
 
@@ -106,17 +107,21 @@
 	return (call);
 }
 
+/* Names the hub for the next announcements, whose port is that of this hub. */
 static void
-reply_announced(hub_api_t *api, h2o_req_t *req)
+reply_announced(hub_api_t *api, h2o_req_t *req, const char *target_id)
 {
 	const hub_settings_t *settings = hub_get_settings(api->hub);
+	const char *hub = hub_choose_for_target(api->hub, target_id);
 	char address[ADDRESS_BYTES];
 	char body[ANNOUNCED_BYTES];
 	size_t len;
 
-	snprintf(address, sizeof(address), "%s:%u", settings->ip,
-	    ntohs(settings->listen.sin_port));
-	len = settings->dialect->write_announced(body, sizeof(body), address);
+	if (hub != NULL)
+		snprintf(address, sizeof(address), "%s:%u", hub,
+		    ntohs(settings->listen.sin_port));
+	len = settings->dialect->write_announced(
+	    body, sizeof(body), hub != NULL ? address : NULL);
 	http_request_reply(req, 200, JSON_TYPE, body, len);
 }
 
@@ -141,33 +146,32 @@
 		call->link->call = NULL;
 		if (err != TM_OK)
 			reply_error(req, 503, "the outcome is not known");
-		else if (call->is_config)
+		else if (call->is_config || call->is_leave)
 			http_request_reply(req, 200, JSON_TYPE, "{}", 2);
 		else
-			reply_announced(call->api, req);
+			reply_announced(call->api, req, call->target_id);
 	}
 	free(call);
 }
 
-/* @param bytes  entry from malloc(); freed by the callee */
+/* @param bytes  entry of a document from malloc(); freed by the callee */
 static void
-propose(hub_api_t *api, h2o_req_t *req, const char *target_id, uint64_t version,
-    uint8_t *bytes, size_t len)
+propose(hub_api_t *api, h2o_req_t *req, uint64_t version, uint8_t *bytes,
+    size_t len)
 {
 	api_call_t *call = create_call(api, req);
 	int err;
 
 	if (call == NULL || bytes == NULL) {
+		if (call != NULL)
+			call->link->call = NULL;
 		free(call);
 		free(bytes);
 		reply_error(req, 503, "out of memory");
 		return;
 	}
-	call->is_config = target_id == NULL;
+	call->is_config = 1;
 	call->version = version;
-	if (target_id != NULL)
-		snprintf(
-		    call->target_id, sizeof(call->target_id), "%s", target_id);
 	err = hub_propose(api->hub, bytes, len, on_committed, call);
 	if (err == TM_OK)
 		return;
@@ -176,46 +180,55 @@
 	reply_error(req, 503, error_get_text(err));
 }
 
-/* @return 1 if an announcement is older than what is known, and is ignored */
-static int
-is_outdated(
-    const hub_state_t *state, const dialect_announcement_t *as, uint64_t key)
+/* A hub that cannot decide sends the target to the leader, but not all targets of
+ * a large fleet, which the leader could not serve. */
+static void
+reply_without_contact(hub_api_t *api, h2o_req_t *req)
 {
-	const hub_target_t *known = hub_state_find_target(state, key);
-	const hub_target_t *owner;
-
-	if (known != NULL) {
-		if (as->born_ms < known->as.born_ms)
-			return (1);
-		if (as->born_ms == known->as.born_ms &&
-		    (known->as.state == FLEET_TARGET_DEREGISTERED ||
-			as->sequence < known->as.sequence))
-			return (1);
-	}
-	owner = hub_state_find_address(state, as->ip, as->port);
-	return (owner != NULL && owner->key != key &&
-	    as->born_ms < owner->as.born_ms);
+	if (hub_is_spreading(api->hub))
+		reply_error(req, 503, "no contact with the leader");
+	else
+		redirect_to_leader(api, req);
 }
 
-/* @return 1 if an announcement changes nothing that is replicated */
-static int
-is_unchanged(const hub_target_t *known, const dialect_announcement_t *as)
+/* @param err  of hub_announce() or hub_leave(); the call waits with TM_OK */
+static void
+reply_unless_waiting(hub_api_t *api, h2o_req_t *req, api_call_t *call, int err)
 {
-	return (known != NULL && known->as.born_ms == as->born_ms &&
-	    known->as.state == as->state && known->as.ip == as->ip &&
-	    known->as.port == as->port && known->as.slots == as->slots &&
-	    strcmp(known->as.service, as->service) == 0);
+	if (err == TM_OK)
+		return;
+	call->link->call = NULL;
+	if (err == TM_EUNAVAIL)
+		reply_without_contact(api, req);
+	else if (err < 0)
+		reply_error(req, 503, error_get_text(err));
+	else if (call->is_leave)
+		http_request_reply(req, 200, JSON_TYPE, "{}", 2);
+	else
+		reply_announced(api, req, call->target_id);
+	free(call);
+}
+
+/* @return NULL if memory is exhausted; then it is answered */
+static api_call_t *
+create_target_call(hub_api_t *api, h2o_req_t *req, const char *target_id)
+{
+	api_call_t *call = create_call(api, req);
+
+	if (call == NULL) {
+		reply_error(req, 503, "out of memory");
+		return (NULL);
+	}
+	snprintf(call->target_id, sizeof(call->target_id), "%s", target_id);
+	return (call);
 }
 
 static void
 handle_announce(hub_api_t *api, h2o_req_t *req, const char *target_id)
 {
-	const hub_state_t *state = hub_get_state(api->hub);
 	const dialect_t *dialect = hub_get_settings(api->hub)->dialect;
-	uint64_t key = fleet_name_hash(target_id);
 	dialect_announcement_t as = { .born_ms = 0 };
-	uint8_t *bytes;
-	size_t len;
+	api_call_t *call;
 
 	snprintf(as.id, sizeof(as.id), "%s", target_id);
 	if (dialect->read_announcement(
@@ -223,41 +236,25 @@
 		reply_error(req, 400, "the announcement names no target");
 		return;
 	}
-	if (is_outdated(state, &as, key)) {
-		reply_announced(api, req);
-		return;
-	}
-	hub_record_announcement(api->hub, key);
-	if (is_unchanged(hub_state_find_target(state, key), &as)) {
-		reply_announced(api, req);
-		return;
-	}
-	bytes = hub_entry_encode_target(&as, &len);
-	propose(api, req, target_id, 0, bytes, len);
+	call = create_target_call(api, req, target_id);
+	if (call != NULL)
+		reply_unless_waiting(api, req, call,
+		    hub_announce(api->hub, &as, on_committed, call));
 }
 
 static void
 handle_leave(hub_api_t *api, h2o_req_t *req, const char *target_id)
 {
-	const hub_state_t *state = hub_get_state(api->hub);
 	const dialect_t *dialect = hub_get_settings(api->hub)->dialect;
-	const hub_target_t *known =
-	    hub_state_find_target(state, fleet_name_hash(target_id));
-	dialect_announcement_t as;
-	uint64_t born_ms;
-	uint8_t *bytes;
-	size_t len;
+	uint64_t born_ms =
+	    dialect->read_leave(req->entity.base, req->entity.len);
+	api_call_t *call = create_target_call(api, req, target_id);
 
-	born_ms = dialect->read_leave(req->entity.base, req->entity.len);
-	if (known == NULL || known->as.state == FLEET_TARGET_DEREGISTERED ||
-	    (born_ms != 0 && born_ms < known->as.born_ms)) {
-		http_request_reply(req, 200, JSON_TYPE, "{}", 2);
+	if (call == NULL)
 		return;
-	}
-	as = known->as;
-	as.state = FLEET_TARGET_DEREGISTERED;
-	bytes = hub_entry_encode_target(&as, &len);
-	propose(api, req, target_id, 0, bytes, len);
+	call->is_leave = 1;
+	reply_unless_waiting(api, req, call,
+	    hub_leave(api->hub, target_id, born_ms, on_committed, call));
 }
 
 static void
@@ -276,7 +273,7 @@
 		reply_error(req, 413, "the document is too large");
 		return;
 	}
-	propose(api, req, NULL, config->version, bytes, len);
+	propose(api, req, config->version, bytes, len);
 }
 
 static void
@@ -338,17 +335,19 @@
 		reply_error(req, 404, "no such call");
 		return;
 	}
+	if (call == DIALECT_CALL_ANNOUNCE) {
+		handle_announce(api, req, target_id);
+		return;
+	}
+	if (call == DIALECT_CALL_LEAVE) {
+		handle_leave(api, req, target_id);
+		return;
+	}
 	if (!hub_is_leading(api->hub)) {
 		redirect_to_leader(api, req);
 		return;
 	}
 	switch (call) {
-	case DIALECT_CALL_ANNOUNCE:
-		handle_announce(api, req, target_id);
-		break;
-	case DIALECT_CALL_LEAVE:
-		handle_leave(api, req, target_id);
-		break;
 	case DIALECT_CALL_PUT_CONFIG:
 		handle_put(api, req);
 		break;
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -7,6 +7,7 @@
 #define TM_HUB_HUB_INTERNAL_H
 
 #include "hub/hub.h"
+#include "hub/hub_announce.h"
 #include "hub/hub_break.h"
 #include "hub/hub_crash.h"
 #include "hub/hub_feed.h"
@@ -14,6 +15,7 @@
 #include "hub/hub_load.h"
 #include "hub/hub_members.h"
 #include "hub/hub_quota.h"
+#include "hub/hub_relay.h"
 #include "hub/hub_report.h"
 #include "hub/hub_role.h"
 #include "hub/hub_signals.h"
@@ -35,6 +37,16 @@
 	struct proposal *next;
 } proposal_t;
 
+/** A decision of this leader on what another hub has passed on. */
+typedef struct passed_answer {
+	node_id_t hub;
+	uint32_t id;
+	uint64_t revision; /**< that the hub knew */
+	enum { PASSED_CONFIRMED, PASSED_IGNORED, PASSED_REFUSED } outcome;
+	struct passed_answer *prev;
+	struct passed_answer *next;
+} passed_answer_t;
+
 struct hub {
 	hub_settings_t settings;
 	node_id_t self;
@@ -53,6 +65,13 @@
 	hub_signals_t *signals;
 	hub_crash_t *crash;
 	hub_breaks_t breaks;
+	hub_relay_t *relay; /* while another hub leads */
+	hub_changes_t changes; /* of targets, while this one leads */
+	passed_answer_t *answers; /* to be sent */
+	int is_spreading; /* targets over the hubs */
+	int was_relaying; /* as logged last */
+	int64_t relay_report_due_ms;
+	hub_relay_stats_t relay_reported; /* as logged and counted last */
 	uint64_t blocks_sequence; /* of the blocks that gates were sent last */
 	uint64_t idle_services[HUB_IDLE_SERVICES_MAX];
 	size_t idle_service_count;
@@ -79,6 +98,10 @@
 	metric_t *metric_gates;
 	metric_t *metric_crashes;
 	metric_t *metric_blocked;
+	metric_t *metric_announced;
+	metric_t *metric_passed;
+	metric_t *metric_refused;
+	metric_t *metric_passed_to_us;
 };
 
 /** Starts or stops to serve as the leader, following the replicated log. */
@@ -113,6 +136,23 @@
 /** Updates the reserve for gates that have not reported their usage. */
 void hub_update_gate_counts(hub_t *hub, int64_t now_ms);
 
+/** Creates what announcements need. @return 0, TM_ENOMEM, TM_EIO */
+int hub_announcements_create(hub_t *hub);
+
+/** Names the leader to the relay, sends what is due and answers other hubs. */
+void hub_announcements_tick(hub_t *hub, int64_t now_ms);
+
+/** Sends what waits for other hubs; once per iteration of the loop. */
+void hub_announcements_flush(hub_t *hub, int64_t now_ms);
+
+/** Handles MSG_FLEET_RELAY. */
+void hub_announcements_receive(
+    hub_t *hub, node_id_t from, const uint8_t *payload, size_t len);
+
+/** Records that a registered target has announced itself, at this leader or
+ * through another hub. */
+void hub_record_announcement(hub_t *hub, const dialect_announcement_t *as);
+
 /** Runs the periodic work of the leader. */
 void hub_tick_leader(hub_t *hub, int64_t now_ms);
 
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -43,6 +43,7 @@
 	hub_signals_reset(hub->signals);
 	hub_crash_reset(hub->crash);
 	hub_breaks_reset(&hub->breaks);
+	hub->changes.revision = 0;
 	hub->blocks_sequence = 0;
 	for (i = 0; i < hub->state->blocked_count; i++)
 		hub_crash_restore(hub->crash, hub->state->blocked[i], now_ms);
--- a/src/hub/hub_members.c
+++ b/src/hub/hub_members.c
@@ -172,6 +172,25 @@
 	return (count);
 }
 
+int
+hub_members_list_alive(
+    const hub_members_t *members, const char **names, int64_t now_ms)
+{
+	const member_t *member;
+	int count = 0;
+	int i;
+
+	if (!members->is_stopping)
+		names[count++] = members->self;
+	for (i = 0; i < members->count && count < FLEET_HUBS_MAX; i++) {
+		member = &members->members[i];
+		if (member->last_seen_ms != 0 && !member->is_stopping &&
+		    now_ms - member->last_seen_ms <= HUB_ALIVE_MS)
+			names[count++] = member->name;
+	}
+	return (count);
+}
+
 static void
 send_hello(hub_members_t *members)
 {
--- a/src/hub/hub_members.h
+++ b/src/hub/hub_members.h
@@ -124,6 +124,15 @@
  */
 int hub_members_list(const hub_members_t *members, const char **names);
 
+/**
+ * Lists the hubs that are alive and do not stop, this one included.
+ *
+ * @param names  receives at most FLEET_HUBS_MAX names
+ * @return       number of names
+ */
+int hub_members_list_alive(
+    const hub_members_t *members, const char **names, int64_t now_ms);
+
 /** @return 1 if the hub was heard from within HUB_ALIVE_MS, or is this one */
 int hub_members_is_alive(
     const hub_members_t *members, node_id_t id, int64_t now_ms);
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -499,6 +499,12 @@
 	case MSG_FLEET_HELLO:
 		hub_members_handle(hub->members, from, payload, len, now_ms);
 		break;
+	case MSG_FLEET_RELAY:
+		hub_announcements_receive(hub, from, payload, len);
+		break;
+	case MSG_FLEET_RELAYED:
+		hub_relay_handle_answer(hub->relay, from, payload, len, now_ms);
+		break;
 	case MSG_FLEET_JOIN:
 		handle_join(hub, from, payload, len);
 		break;
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -88,6 +88,17 @@
 	    target);
 }
 
+uint64_t
+hub_target_get_sequence(const hub_target_t *target)
+{
+	if (target->as.born_ms == 0)
+		return (0);
+	if (target->heard_born_ms != target->as.born_ms ||
+	    target->heard_sequence < target->as.sequence)
+		return (target->as.sequence);
+	return (target->heard_sequence);
+}
+
 int
 hub_state_has_hub(const hub_state_t *state, const char *name)
 {
@@ -111,8 +122,9 @@
 	return (1);
 }
 
-static int
-read_target(const Tm__Fleet__Target *msg, dialect_announcement_t *as)
+int
+hub_target_from_message(
+    const Tm__Fleet__Target *msg, dialect_announcement_t *as)
 {
 	memset(as, 0, sizeof(*as));
 	if (!copy_name(as->id, sizeof(as->id), msg->id) ||
@@ -140,7 +152,7 @@
 	hub_target_t *target;
 	uint64_t key;
 
-	if (!read_target(msg, &as))
+	if (!hub_target_from_message(msg, &as))
 		return (HUB_CHANGE_NONE);
 	key = fleet_name_hash(as.id);
 	target = hub_state_find_target(state, key);
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -32,6 +32,10 @@
 	dialect_announcement_t as;
 	/** When the leader saw that it is deregistered; 0: not yet. */
 	int64_t gone_ms;
+	/** Highest sequence of an announcement that this leader heard, and its
+	 * incarnation; not replicated. */
+	uint64_t heard_sequence;
+	uint64_t heard_born_ms;
 	/** Of as while it is registered, else all zero: key of the index. */
 	hub_address_t address;
 	UT_hash_handle hh;
@@ -101,6 +105,10 @@
 hub_target_t *hub_state_find_address(
     const hub_state_t *state, uint32_t ip, uint16_t port);
 
+/** @return highest sequence that is known of the incarnation; 0 for one that does
+ * not say when it started, as a later one may start from 0 again */
+uint64_t hub_target_get_sequence(const hub_target_t *target);
+
 /** @return 1 if the name is that of a known hub */
 int hub_state_has_hub(const hub_state_t *state, const char *name);
 
@@ -141,4 +149,8 @@
 void hub_target_to_message(
     Tm__Fleet__Target *msg, const dialect_announcement_t *as);
 
+/** Reads a message with a target. @return 1 if it is a valid one, else 0 */
+int hub_target_from_message(
+    const Tm__Fleet__Target *msg, dialect_announcement_t *as);
+
 #endif
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -1042,6 +1042,186 @@
   assert(message->base.descriptor == &tm__fleet__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__announced__init
+                     (Tm__Fleet__Announced         *message)
+{
+  static const Tm__Fleet__Announced init_value = TM__FLEET__ANNOUNCED__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__announced__get_packed_size
+                     (const Tm__Fleet__Announced *message)
+{
+  assert(message->base.descriptor == &tm__fleet__announced__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__announced__pack
+                     (const Tm__Fleet__Announced *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__announced__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__announced__pack_to_buffer
+                     (const Tm__Fleet__Announced *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__announced__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Announced *
+       tm__fleet__announced__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Announced *)
+     protobuf_c_message_unpack (&tm__fleet__announced__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__announced__free_unpacked
+                     (Tm__Fleet__Announced *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__announced__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   tm__fleet__passed__init
+                     (Tm__Fleet__Passed         *message)
+{
+  static const Tm__Fleet__Passed init_value = TM__FLEET__PASSED__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__passed__get_packed_size
+                     (const Tm__Fleet__Passed *message)
+{
+  assert(message->base.descriptor == &tm__fleet__passed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__passed__pack
+                     (const Tm__Fleet__Passed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__passed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__passed__pack_to_buffer
+                     (const Tm__Fleet__Passed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__passed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Passed *
+       tm__fleet__passed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Passed *)
+     protobuf_c_message_unpack (&tm__fleet__passed__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__passed__free_unpacked
+                     (Tm__Fleet__Passed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__passed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   tm__fleet__relay__init
+                     (Tm__Fleet__Relay         *message)
+{
+  static const Tm__Fleet__Relay init_value = TM__FLEET__RELAY__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__relay__get_packed_size
+                     (const Tm__Fleet__Relay *message)
+{
+  assert(message->base.descriptor == &tm__fleet__relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__relay__pack
+                     (const Tm__Fleet__Relay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__relay__pack_to_buffer
+                     (const Tm__Fleet__Relay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Relay *
+       tm__fleet__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Relay *)
+     protobuf_c_message_unpack (&tm__fleet__relay__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__relay__free_unpacked
+                     (Tm__Fleet__Relay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   tm__fleet__relayed__init
+                     (Tm__Fleet__Relayed         *message)
+{
+  static const Tm__Fleet__Relayed init_value = TM__FLEET__RELAYED__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__relayed__get_packed_size
+                     (const Tm__Fleet__Relayed *message)
+{
+  assert(message->base.descriptor == &tm__fleet__relayed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__relayed__pack
+                     (const Tm__Fleet__Relayed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__relayed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__relayed__pack_to_buffer
+                     (const Tm__Fleet__Relayed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__relayed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Relayed *
+       tm__fleet__relayed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Relayed *)
+     protobuf_c_message_unpack (&tm__fleet__relayed__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__relayed__free_unpacked
+                     (Tm__Fleet__Relayed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__relayed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor tm__fleet__outcome__field_descriptors[5] =
 {
   {
@@ -3321,3 +3501,402 @@
   (ProtobufCMessageInit) tm__fleet__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor tm__fleet__announced__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Announced, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Announced, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Announced, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_left_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Announced, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__announced__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  3,   /* field[3] = cold_left_ms */
+  2,   /* field[2] = sequence */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange tm__fleet__announced__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor tm__fleet__announced__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Announced",
+  "Announced",
+  "Tm__Fleet__Announced",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Announced),
+  4,
+  tm__fleet__announced__field_descriptors,
+  tm__fleet__announced__field_indices_by_name,
+  1,  tm__fleet__announced__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__announced__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__passed__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Passed, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Passed, target),
+    &tm__fleet__target__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_leave",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Passed, is_leave),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__passed__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  2,   /* field[2] = is_leave */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange tm__fleet__passed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor tm__fleet__passed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Passed",
+  "Passed",
+  "Tm__Fleet__Passed",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Passed),
+  3,
+  tm__fleet__passed__field_descriptors,
+  tm__fleet__passed__field_indices_by_name,
+  1,  tm__fleet__passed__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__passed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__relay__field_descriptors[6] =
+{
+  {
+    "sent_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relay, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relay, leader_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relay, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relay, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "announced",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Relay, n_announced),
+    offsetof(Tm__Fleet__Relay, announced),
+    &tm__fleet__announced__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "passed",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Relay, n_passed),
+    offsetof(Tm__Fleet__Relay, passed),
+    &tm__fleet__passed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__relay__field_indices_by_name[] = {
+  4,   /* field[4] = announced */
+  1,   /* field[1] = leader_ms */
+  5,   /* field[5] = passed */
+  3,   /* field[3] = revision */
+  0,   /* field[0] = sent_ms */
+  2,   /* field[2] = term */
+};
+static const ProtobufCIntRange tm__fleet__relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor tm__fleet__relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Relay",
+  "Relay",
+  "Tm__Fleet__Relay",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Relay),
+  6,
+  tm__fleet__relay__field_descriptors,
+  tm__fleet__relay__field_indices_by_name,
+  1,  tm__fleet__relay__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__relayed__field_descriptors[10] =
+{
+  {
+    "sent_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relayed, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relayed, leader_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relayed, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relayed, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relayed, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Relayed, n_changed),
+    offsetof(Tm__Fleet__Relayed, changed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Relayed, n_confirmed),
+    offsetof(Tm__Fleet__Relayed, confirmed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ignored",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Relayed, n_ignored),
+    offsetof(Tm__Fleet__Relayed, ignored),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Relayed, n_refused),
+    offsetof(Tm__Fleet__Relayed, refused),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Relayed, targets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__relayed__field_indices_by_name[] = {
+  5,   /* field[5] = changed */
+  6,   /* field[6] = confirmed */
+  7,   /* field[7] = ignored */
+  1,   /* field[1] = leader_ms */
+  8,   /* field[8] = refused */
+  4,   /* field[4] = revision */
+  0,   /* field[0] = sent_ms */
+  3,   /* field[3] = since */
+  9,   /* field[9] = targets */
+  2,   /* field[2] = term */
+};
+static const ProtobufCIntRange tm__fleet__relayed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor tm__fleet__relayed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Relayed",
+  "Relayed",
+  "Tm__Fleet__Relayed",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Relayed),
+  10,
+  tm__fleet__relayed__field_descriptors,
+  tm__fleet__relayed__field_indices_by_name,
+  1,  tm__fleet__relayed__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__relayed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -38,6 +38,10 @@
 typedef struct Tm__Fleet__Ejected Tm__Fleet__Ejected;
 typedef struct Tm__Fleet__Blocked Tm__Fleet__Blocked;
 typedef struct Tm__Fleet__Snapshot Tm__Fleet__Snapshot;
+typedef struct Tm__Fleet__Announced Tm__Fleet__Announced;
+typedef struct Tm__Fleet__Passed Tm__Fleet__Passed;
+typedef struct Tm__Fleet__Relay Tm__Fleet__Relay;
+typedef struct Tm__Fleet__Relayed Tm__Fleet__Relayed;
 
 
 /* --- enums --- */
@@ -563,6 +567,111 @@
     , NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * A target that announced itself at a hub and changed nothing.
+ */
+struct  Tm__Fleet__Announced
+{
+  ProtobufCMessage base;
+  uint64_t target;
+  uint64_t born_ms;
+  uint64_t sequence;
+  /*
+   * Time for which it stays cold; 0: it is warm.
+   */
+  uint32_t cold_left_ms;
+};
+#define TM__FLEET__ANNOUNCED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__announced__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * An announcement, or the end of a registration, that the leader decides on.
+ */
+struct  Tm__Fleet__Passed
+{
+  ProtobufCMessage base;
+  uint32_t id;
+  Tm__Fleet__Target *target;
+  /*
+   * Only the id and, if it is known, the incarnation of target count.
+   */
+  protobuf_c_boolean is_leave;
+};
+#define TM__FLEET__PASSED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__passed__descriptor) \
+    , 0, NULL, 0 }
+
+
+/*
+ * Hub to leader, periodically: targets that announced themselves at this hub.
+ */
+struct  Tm__Fleet__Relay
+{
+  ProtobufCMessage base;
+  /*
+   * Clock of the sender.
+   */
+  uint64_t sent_ms;
+  /*
+   * Newest clock and term of the leader that it knows; 0: none.
+   */
+  uint64_t leader_ms;
+  uint64_t term;
+  /*
+   * Of the changed targets that it knows.
+   */
+  uint64_t revision;
+  size_t n_announced;
+  Tm__Fleet__Announced **announced;
+  size_t n_passed;
+  Tm__Fleet__Passed **passed;
+};
+#define TM__FLEET__RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__relay__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * Leader to hub, in answer to a Relay, and once an entry is committed.
+ */
+struct  Tm__Fleet__Relayed
+{
+  ProtobufCMessage base;
+  /*
+   * Of the Relay; 0: not in answer to one.
+   */
+  uint64_t sent_ms;
+  uint64_t leader_ms;
+  uint64_t term;
+  /*
+   * Targets that changed after a revision, in this order. The hub forgets all
+   * targets if it does not know that revision.
+   */
+  uint64_t since;
+  uint64_t revision;
+  size_t n_changed;
+  uint64_t *changed;
+  /*
+   * Passed on: committed as announced; of no effect, as outdated; not known.
+   */
+  size_t n_confirmed;
+  uint32_t *confirmed;
+  size_t n_ignored;
+  uint32_t *ignored;
+  size_t n_refused;
+  uint32_t *refused;
+  /*
+   * In the fleet.
+   */
+  uint32_t targets;
+};
+#define TM__FLEET__RELAYED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__relayed__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
 /* Tm__Fleet__Outcome methods */
 void   tm__fleet__outcome__init
                      (Tm__Fleet__Outcome         *message);
@@ -1000,6 +1109,82 @@
 void   tm__fleet__snapshot__free_unpacked
                      (Tm__Fleet__Snapshot *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__Announced methods */
+void   tm__fleet__announced__init
+                     (Tm__Fleet__Announced         *message);
+size_t tm__fleet__announced__get_packed_size
+                     (const Tm__Fleet__Announced   *message);
+size_t tm__fleet__announced__pack
+                     (const Tm__Fleet__Announced   *message,
+                      uint8_t             *out);
+size_t tm__fleet__announced__pack_to_buffer
+                     (const Tm__Fleet__Announced   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Announced *
+       tm__fleet__announced__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__announced__free_unpacked
+                     (Tm__Fleet__Announced *message,
+                      ProtobufCAllocator *allocator);
+/* Tm__Fleet__Passed methods */
+void   tm__fleet__passed__init
+                     (Tm__Fleet__Passed         *message);
+size_t tm__fleet__passed__get_packed_size
+                     (const Tm__Fleet__Passed   *message);
+size_t tm__fleet__passed__pack
+                     (const Tm__Fleet__Passed   *message,
+                      uint8_t             *out);
+size_t tm__fleet__passed__pack_to_buffer
+                     (const Tm__Fleet__Passed   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Passed *
+       tm__fleet__passed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__passed__free_unpacked
+                     (Tm__Fleet__Passed *message,
+                      ProtobufCAllocator *allocator);
+/* Tm__Fleet__Relay methods */
+void   tm__fleet__relay__init
+                     (Tm__Fleet__Relay         *message);
+size_t tm__fleet__relay__get_packed_size
+                     (const Tm__Fleet__Relay   *message);
+size_t tm__fleet__relay__pack
+                     (const Tm__Fleet__Relay   *message,
+                      uint8_t             *out);
+size_t tm__fleet__relay__pack_to_buffer
+                     (const Tm__Fleet__Relay   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Relay *
+       tm__fleet__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__relay__free_unpacked
+                     (Tm__Fleet__Relay *message,
+                      ProtobufCAllocator *allocator);
+/* Tm__Fleet__Relayed methods */
+void   tm__fleet__relayed__init
+                     (Tm__Fleet__Relayed         *message);
+size_t tm__fleet__relayed__get_packed_size
+                     (const Tm__Fleet__Relayed   *message);
+size_t tm__fleet__relayed__pack
+                     (const Tm__Fleet__Relayed   *message,
+                      uint8_t             *out);
+size_t tm__fleet__relayed__pack_to_buffer
+                     (const Tm__Fleet__Relayed   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Relayed *
+       tm__fleet__relayed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__relayed__free_unpacked
+                     (Tm__Fleet__Relayed *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Tm__Fleet__Outcome_Closure)
@@ -1071,6 +1256,18 @@
 typedef void (*Tm__Fleet__Snapshot_Closure)
                  (const Tm__Fleet__Snapshot *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__Announced_Closure)
+                 (const Tm__Fleet__Announced *message,
+                  void *closure_data);
+typedef void (*Tm__Fleet__Passed_Closure)
+                 (const Tm__Fleet__Passed *message,
+                  void *closure_data);
+typedef void (*Tm__Fleet__Relay_Closure)
+                 (const Tm__Fleet__Relay *message,
+                  void *closure_data);
+typedef void (*Tm__Fleet__Relayed_Closure)
+                 (const Tm__Fleet__Relayed *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1100,6 +1297,10 @@
 extern const ProtobufCMessageDescriptor tm__fleet__ejected__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__blocked__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__snapshot__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__announced__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__passed__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__relay__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__relayed__descriptor;
 
 PROTOBUF_C__END_DECLS
 
