hub: 3,000 connections of targets and operators

A hub has 3,896 descriptors and accepted 2,000 connections, so that 3,000 targets did not fit even where the rest was free. 300 gates, 63 hubs with a connection each way and the files leave room for 3,000. Not measured with as many connections.

--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -10,7 +10,9 @@
 #include "http/http_server.h"
 #include "raft/raft.h"
 
-#define CONNECTIONS_MAX 2000
+/* The rest of the 3,896 descriptors of a hub is for 300 gates, 63 hubs, their
+ * reconnections, and files. */
+#define CONNECTIONS_MAX 3000
 #define IDLE_TIMEOUT_MS 30000
 #define ADDRESS_BYTES	(FLEET_IP_BYTES + 8)
 #define ANNOUNCED_BYTES 128
