hub, gate: up to 64 hubs; a lease names at most 16

A fleet of 300 machines has some 40 hubs, and each process knew at most 32: targets and gates had no use of the others. A lease named all of them, twice a second to each gate: on paper 40 names of 12 bytes are 290 kB/s at the leader of 300 gates. It now names 16, in turn if there are more, as HubMembersNamed.LeasesNameAllHubsInTurn shows; fleets with fewer hubs are named all, as before.

--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -30,7 +30,7 @@
 /** Longest id of a target. */
 #define FLEET_TARGET_ID_MAX_BYTES 63
 /** Most hubs and seeds that a process knows. */
-#define FLEET_HUBS_MAX 32
+#define FLEET_HUBS_MAX 64
 
 /** What a deployment requires beyond the common functions; bits of a set. */
 typedef enum fleet_feature {
--- a/src/hub/hub_members.c
+++ b/src/hub/hub_members.c
@@ -21,6 +21,7 @@
 	node_id_t self_id;
 	member_t members[FLEET_HUBS_MAX];
 	int count;
+	int named; /* number of names listed in turn */
 	int64_t due_ms;
 	int is_stopping;
 	uint64_t leading_term; /* of this hub */
@@ -172,6 +173,26 @@
 	return (count);
 }
 
+int
+hub_members_list_some(hub_members_t *members, const char **names)
+{
+	const char *all[FLEET_HUBS_MAX];
+	int count = hub_members_list(members, all);
+	int listed = 0;
+
+	names[listed++] = all[0];
+	while (listed < count && listed < HUB_NAMED_MAX) {
+		/* In their order, those heard lately first, if all fit. */
+		if (count <= HUB_NAMED_MAX)
+			names[listed] = all[listed];
+		else
+			names[listed] = all[1 + members->named++ % (count - 1)];
+		listed++;
+	}
+	members->named %= count;
+	return (listed);
+}
+
 int
 hub_members_list_alive(
     const hub_members_t *members, const char **names, int64_t now_ms)
--- a/src/hub/hub_members.h
+++ b/src/hub/hub_members.h
@@ -16,6 +16,8 @@
 #include "hub/hub_state.h"
 #include "raft/raft.h"
 
+/** Most hubs that a lease names: it goes to each gate twice a second. */
+#define HUB_NAMED_MAX 16
 /** Most members of the log: two of them may fail at the same time. */
 #define HUB_LOG_MEMBERS_MAX 5
 /** Unresponsive hubs are removed without a replacement only while the log has
@@ -124,6 +126,15 @@
  */
 int hub_members_list(const hub_members_t *members, const char **names);
 
+/**
+ * Lists some of the known hubs: this one, and others in turn, so that a gate that is
+ * named some of them each time learns all.
+ *
+ * @param names  receives at most HUB_NAMED_MAX names
+ * @return       number of names
+ */
+int hub_members_list_some(hub_members_t *members, const char **names);
+
 /**
  * Lists the hubs that are alive and do not stop, this one included.
  *
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -11,12 +11,12 @@
 static void
 send_redirect(hub_t *hub, node_id_t to, const Tm__Fleet__Join *join)
 {
-	const char *names[FLEET_HUBS_MAX];
+	const char *names[HUB_NAMED_MAX];
 	const char *leader = hub_get_leader(hub);
 	hub_feed_lease_t lease = {
 		.leader = leader != NULL ? leader : "",
 		.hubs = names,
-		.hub_count = (size_t)hub_members_list(hub->members, names),
+		.hub_count = (size_t)hub_members_list_some(hub->members, names),
 	};
 
 	hub_feed_redirect(hub->feed, to, join, &lease);
@@ -99,7 +99,7 @@
 handle_join(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
 {
 	Tm__Fleet__Join *join = tm__fleet__join__unpack(NULL, len, payload);
-	const char *names[FLEET_HUBS_MAX];
+	const char *names[HUB_NAMED_MAX];
 	hub_feed_lease_t lease = { .hubs = names };
 	int64_t now_ms = clock_now_ms();
 
@@ -111,7 +111,8 @@
 		hub_update_role(hub, now_ms);
 		lease.term = hub->role.term;
 		lease.leader = hub->settings.ip;
-		lease.hub_count = (size_t)hub_members_list(hub->members, names);
+		lease.hub_count =
+		    (size_t)hub_members_list_some(hub->members, names);
 		lease.utilizations =
 		    hub_load_list(hub->load, &lease.utilization_count);
 		record_outcomes(hub, join, now_ms);
--- a/test/unit/hub_members_test.cc
+++ b/test/unit/hub_members_test.cc
@@ -365,3 +365,38 @@
 	EXPECT_EQ(nullptr,
 	    hub_members_find_leader(network_.Get("10.0.0.5"), network_.now_));
 }
+
+// Of a fleet with more hubs than a lease names, gates never learned some; or each
+// lease named all of them.
+TEST(HubMembersNamed, LeasesNameAllHubsInTurn)
+{
+	std::vector<std::string> seeds;
+	std::vector<const char *> texts;
+	hub_members_options_t options = {};
+	std::set<std::string> named;
+	int leases = 0;
+
+	for (int i = 1; i <= 40; i++)
+		seeds.push_back("10.0.0." + std::to_string(i));
+	for (const std::string &seed : seeds)
+		texts.push_back(seed.c_str());
+	options.self = "10.0.0.1";
+	options.seeds = texts.data();
+	options.seed_count = (int)texts.size();
+	options.send = [](void *, node_id_t, uint16_t,
+			   const ProtobufCMessage *) {};
+	options.added = [](void *, const char *) {};
+	options.dropped = [](void *, node_id_t) {};
+	hub_members_t *members = hub_members_create(&options);
+	for (; named.size() < 40 && leases < 5; leases++) {
+		const char *names[HUB_NAMED_MAX];
+		int count = hub_members_list_some(members, names);
+
+		ASSERT_EQ(HUB_NAMED_MAX, count);
+		EXPECT_STREQ("10.0.0.1", names[0]);
+		named.insert(names, names + count);
+	}
+	EXPECT_EQ(40U, named.size());
+	EXPECT_EQ(3, leases);
+	hub_members_destroy(members);
+}
