--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -59,10 +59,16 @@
 	return (target);
 }
 
+static uint64_t
+make_address(uint32_t ip, uint16_t port)
+{
+	return ((uint64_t)ip << 16 | port);
+}
+
 hub_target_t *
 hub_state_find_address(const hub_state_t *state, uint32_t ip, uint16_t port)
 {
-	const hub_address_t address = { ip, port };
+	uint64_t address = make_address(ip, port);
 	hub_target_t *target;
 
 	HASH_FIND(
@@ -73,9 +79,9 @@
 static void
 remove_from_index(hub_state_t *state, hub_target_t *target)
 {
-	if (target->address.port != 0)
+	if (target->address != 0)
 		HASH_DELETE(by_address, state->addresses, target);
-	target->address = (hub_address_t){ .port = 0 };
+	target->address = 0;
 }
 
 static void
@@ -83,7 +89,7 @@
 {
 	if (target->as.state == FLEET_TARGET_DEREGISTERED)
 		return;
-	target->address = (hub_address_t){ target->as.ip, target->as.port };
+	target->address = make_address(target->as.ip, target->as.port);
 	HASH_ADD(by_address, state->addresses, address, sizeof(target->address),
 	    target);
 }
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -20,12 +20,6 @@
 /** Most targets, including deregistered ones that have not expired. */
 #define HUB_TARGETS_MAX 20000
 
-/** Address of a target. */
-typedef struct hub_address {
-	uint32_t ip;
-	uint32_t port;
-} hub_address_t;
-
 /** One incarnation of a target as its last committed entry describes it. */
 typedef struct hub_target {
 	uint64_t key; /**< fleet_name_hash() of the id */
@@ -36,8 +30,8 @@
 	 * incarnation; not replicated. */
 	uint64_t heard_sequence;
 	uint64_t heard_born_ms;
-	/** Of as while it is registered, else all zero: key of the index. */
-	hub_address_t address;
+	/** Address and port while it is registered, else 0: key of the index. */
+	uint64_t address;
 	UT_hash_handle hh;
 	UT_hash_handle by_address;
 } hub_target_t;
