--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -22,13 +22,15 @@
 #define MSG_FLEET_CRASH	   (MSG_FLEET_BASE + 9)
 #define MSG_FLEET_BLOCKS   (MSG_FLEET_BASE + 10)
 #define MSG_FLEET_SIGNALS  (MSG_FLEET_BASE + 11)
+#define MSG_FLEET_RELAY	   (MSG_FLEET_BASE + 12)
+#define MSG_FLEET_RELAYED  (MSG_FLEET_BASE + 13)
 
 /** Size of the text of an IPv4 address with its NUL. */
 #define FLEET_IP_BYTES 16
 /** Longest id of a target. */
 #define FLEET_TARGET_ID_MAX_BYTES 63
 /** Most hubs and seeds that a process knows. */
-#define FLEET_HUBS_MAX 32
+#define FLEET_HUBS_MAX 64
 
 /** Most data centres that are evacuated at the same time. */
 #define FLEET_EVACUATIONS_MAX 64
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -11,7 +11,7 @@
 #include "http/http_server.h"
 #include "raft/raft.h"
 
-#define CONNECTIONS_MAX 2000
+#define CONNECTIONS_MAX 3000
 #define IDLE_TIMEOUT_MS 30000
 #define ADDRESS_BYTES	(FLEET_IP_BYTES + 8)
 #define ANNOUNCED_BYTES 128
@@ -44,6 +44,7 @@
 	/* Target or data centre */
 	char subject[FLEET_TARGET_ID_MAX_BYTES + 1];
 	uint64_t version; /* of a document */
+	int is_leave; /* ends the registration of the target */
 	int is_end; /* of an evacuation */
 	int wants_list; /* the response lists the evacuations */
 } api_call_t;
@@ -119,17 +120,21 @@
 	return (call);
 }
 
+/* Names the hub for the next announcements, whose port is that of this hub. */
 static void
-reply_announced(hub_api_t *api, h2o_req_t *req)
+reply_announced(hub_api_t *api, h2o_req_t *req, const char *target_id)
 {
 	const hub_settings_t *settings = hub_get_settings(api->hub);
+	const char *hub = hub_choose_for_target(api->hub, target_id);
 	char address[ADDRESS_BYTES];
 	char body[ANNOUNCED_BYTES];
 	size_t len;
 
-	snprintf(address, sizeof(address), "%s:%u", settings->ip,
-	    ntohs(settings->listen.sin_port));
-	len = settings->dialect->write_announced(body, sizeof(body), address);
+	if (hub != NULL)
+		snprintf(address, sizeof(address), "%s:%u", hub,
+		    ntohs(settings->listen.sin_port));
+	len = settings->dialect->write_announced(
+	    body, sizeof(body), hub != NULL ? address : NULL);
 	http_request_reply(req, 200, JSON_TYPE, body, len);
 }
 
@@ -187,8 +192,8 @@
 		call->link->call = NULL;
 		if (err != TM_OK)
 			reply_error(req, 503, "the outcome is not known");
-		else if (call->entry == API_ENTRY_TARGET)
-			reply_announced(call->api, req);
+		else if (call->entry == API_ENTRY_TARGET && !call->is_leave)
+			reply_announced(call->api, req, call->subject);
 		else if (call->wants_list)
 			reply_evacuations(call->api, req);
 		else
@@ -209,6 +214,8 @@
 	int err;
 
 	if (call == NULL || bytes == NULL) {
+		if (call != NULL)
+			call->link->call = NULL;
 		free(call);
 		free(bytes);
 		reply_error(req, 503, "out of memory");
@@ -227,56 +234,56 @@
 	reply_error(req, 503, error_get_text(err));
 }
 
+/* A hub that cannot decide sends the target to the leader, but not all targets of
+ * a large fleet, which the leader could not serve. */
 static void
-propose_target(hub_api_t *api, h2o_req_t *req, const dialect_announcement_t *as)
+reply_without_contact(hub_api_t *api, h2o_req_t *req)
 {
-	api_call_t what = { .entry = API_ENTRY_TARGET };
-	uint8_t *bytes;
-	size_t len;
-
-	snprintf(what.subject, sizeof(what.subject), "%s", as->id);
-	bytes = hub_entry_encode_target(as, &len);
-	propose(api, req, &what, bytes, len);
+	if (hub_is_spreading(api->hub))
+		reply_error(req, 503, "no contact with the leader");
+	else
+		redirect_to_leader(api, req);
 }
 
-/* @return 1 if an announcement is older than what is known, and is ignored */
-static int
-is_outdated(
-    const hub_state_t *state, const dialect_announcement_t *as, uint64_t key)
+/* @param err  of hub_announce() or hub_leave(); the call waits with TM_OK */
+static void
+reply_unless_waiting(hub_api_t *api, h2o_req_t *req, api_call_t *call, int err)
 {
-	const hub_target_t *known = hub_state_find_target(state, key);
-	const hub_target_t *owner;
-
-	if (known != NULL) {
-		if (as->born_ms < known->as.born_ms)
-			return (1);
-		if (as->born_ms == known->as.born_ms &&
-		    (known->as.state == FLEET_TARGET_DEREGISTERED ||
-			as->sequence < known->as.sequence))
-			return (1);
-	}
-	owner = hub_state_find_address(state, as->ip, as->port);
-	return (owner != NULL && owner->key != key &&
-	    as->born_ms < owner->as.born_ms);
+	if (err == TM_OK)
+		return;
+	call->link->call = NULL;
+	if (err == TM_EUNAVAIL)
+		reply_without_contact(api, req);
+	else if (err < 0)
+		reply_error(req, 503, error_get_text(err));
+	else if (call->is_leave)
+		http_request_reply(req, 200, JSON_TYPE, "{}", 2);
+	else
+		reply_announced(api, req, call->subject);
+	free(call);
 }
 
-/* @return 1 if an announcement changes nothing that is replicated */
-static int
-is_unchanged(const hub_target_t *known, const dialect_announcement_t *as)
+/* @return NULL if memory is exhausted; then it is answered */
+static api_call_t *
+create_target_call(hub_api_t *api, h2o_req_t *req, const char *target_id)
 {
-	return (known != NULL && known->as.born_ms == as->born_ms &&
-	    known->as.state == as->state && known->as.ip == as->ip &&
-	    known->as.port == as->port && known->as.slots == as->slots &&
-	    strcmp(known->as.service, as->service) == 0);
+	api_call_t *call = create_call(api, req);
+
+	if (call == NULL) {
+		reply_error(req, 503, "out of memory");
+		return (NULL);
+	}
+	call->entry = API_ENTRY_TARGET;
+	snprintf(call->subject, sizeof(call->subject), "%s", target_id);
+	return (call);
 }
 
 static void
 handle_announce(hub_api_t *api, h2o_req_t *req, const char *target_id)
 {
-	const hub_state_t *state = hub_get_state(api->hub);
 	const dialect_t *dialect = hub_get_settings(api->hub)->dialect;
-	uint64_t key = fleet_name_hash(target_id);
 	dialect_announcement_t as = { .born_ms = 0 };
+	api_call_t *call;
 
 	snprintf(as.id, sizeof(as.id), "%s", target_id);
 	if (dialect->read_announcement(
@@ -284,37 +291,25 @@
 		reply_error(req, 400, "the announcement names no target");
 		return;
 	}
-	if (is_outdated(state, &as, key)) {
-		reply_announced(api, req);
-		return;
-	}
-	hub_record_announcement(api->hub, key);
-	if (is_unchanged(hub_state_find_target(state, key), &as)) {
-		reply_announced(api, req);
-		return;
-	}
-	propose_target(api, req, &as);
+	call = create_target_call(api, req, target_id);
+	if (call != NULL)
+		reply_unless_waiting(api, req, call,
+		    hub_announce(api->hub, &as, on_committed, call));
 }
 
 static void
 handle_leave(hub_api_t *api, h2o_req_t *req, const char *target_id)
 {
-	const hub_state_t *state = hub_get_state(api->hub);
 	const dialect_t *dialect = hub_get_settings(api->hub)->dialect;
-	const hub_target_t *known =
-	    hub_state_find_target(state, fleet_name_hash(target_id));
-	dialect_announcement_t as;
-	uint64_t born_ms;
-
-	born_ms = dialect->read_leave(req->entity.base, req->entity.len);
-	if (known == NULL || known->as.state == FLEET_TARGET_DEREGISTERED ||
-	    (born_ms != 0 && born_ms < known->as.born_ms)) {
-		http_request_reply(req, 200, JSON_TYPE, "{}", 2);
+	uint64_t born_ms =
+	    dialect->read_leave(req->entity.base, req->entity.len);
+	api_call_t *call = create_target_call(api, req, target_id);
+
+	if (call == NULL)
 		return;
-	}
-	as = known->as;
-	as.state = FLEET_TARGET_DEREGISTERED;
-	propose_target(api, req, &as);
+	call->is_leave = 1;
+	reply_unless_waiting(api, req, call,
+	    hub_leave(api->hub, target_id, born_ms, on_committed, call));
 }
 
 static void
@@ -512,17 +507,19 @@
 		reply_error(req, 404, "no such call");
 		return;
 	}
+	if (call == DIALECT_CALL_ANNOUNCE) {
+		handle_announce(api, req, subject);
+		return;
+	}
+	if (call == DIALECT_CALL_LEAVE) {
+		handle_leave(api, req, subject);
+		return;
+	}
 	if (!hub_is_leading(api->hub)) {
 		redirect_to_leader(api, req);
 		return;
 	}
 	switch (call) {
-	case DIALECT_CALL_ANNOUNCE:
-		handle_announce(api, req, subject);
-		break;
-	case DIALECT_CALL_LEAVE:
-		handle_leave(api, req, subject);
-		break;
 	case DIALECT_CALL_PUT_CONFIG:
 		handle_put(api, req);
 		break;
--- a/src/hub/hub_members.c
+++ b/src/hub/hub_members.c
@@ -21,6 +21,7 @@
 	node_id_t self_id;
 	member_t members[FLEET_HUBS_MAX];
 	int count;
+	int named; /* number of names listed in turn */
 	int64_t due_ms;
 	int is_stopping;
 	uint64_t leading_term; /* of this hub */
@@ -172,6 +173,45 @@
 	return (count);
 }
 
+int
+hub_members_list_some(hub_members_t *members, const char **names)
+{
+	const char *all[FLEET_HUBS_MAX];
+	int count = hub_members_list(members, all);
+	int listed = 0;
+
+	names[listed++] = all[0];
+	while (listed < count && listed < HUB_NAMED_MAX) {
+		/* In their order, those heard lately first, if all fit. */
+		if (count <= HUB_NAMED_MAX)
+			names[listed] = all[listed];
+		else
+			names[listed] = all[1 + members->named++ % (count - 1)];
+		listed++;
+	}
+	members->named %= count;
+	return (listed);
+}
+
+int
+hub_members_list_alive(
+    const hub_members_t *members, const char **names, int64_t now_ms)
+{
+	const member_t *member;
+	int count = 0;
+	int i;
+
+	if (!members->is_stopping)
+		names[count++] = members->self;
+	for (i = 0; i < members->count && count < FLEET_HUBS_MAX; i++) {
+		member = &members->members[i];
+		if (member->last_seen_ms != 0 && !member->is_stopping &&
+		    now_ms - member->last_seen_ms <= HUB_ALIVE_MS)
+			names[count++] = member->name;
+	}
+	return (count);
+}
+
 static void
 send_hello(hub_members_t *members)
 {
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -25,6 +25,7 @@
 	hub_target_t *target;
 	hub_target_t *next;
 
+	HASH_CLEAR(by_address, state->addresses);
 	HASH_ITER(hh, state->targets, target, next) {
 		HASH_DELETE(hh, state->targets, target);
 		free(target);
@@ -59,18 +60,50 @@
 	return (target);
 }
 
+static uint64_t
+make_address(uint32_t ip, uint16_t port)
+{
+	return ((uint64_t)ip << 16 | port);
+}
+
 hub_target_t *
 hub_state_find_address(const hub_state_t *state, uint32_t ip, uint16_t port)
 {
+	uint64_t address = make_address(ip, port);
 	hub_target_t *target;
-	hub_target_t *next;
 
-	HASH_ITER(hh, state->targets, target, next) {
-		if (target->as.ip == ip && target->as.port == port &&
-		    target->as.state != FLEET_TARGET_DEREGISTERED)
-			return (target);
-	}
-	return (NULL);
+	HASH_FIND(
+	    by_address, state->addresses, &address, sizeof(address), target);
+	return (target);
+}
+
+static void
+remove_from_index(hub_state_t *state, hub_target_t *target)
+{
+	if (target->address != 0)
+		HASH_DELETE(by_address, state->addresses, target);
+	target->address = 0;
+}
+
+static void
+add_to_index(hub_state_t *state, hub_target_t *target)
+{
+	if (target->as.state == FLEET_TARGET_DEREGISTERED)
+		return;
+	target->address = make_address(target->as.ip, target->as.port);
+	HASH_ADD(by_address, state->addresses, address, sizeof(target->address),
+	    target);
+}
+
+uint64_t
+hub_target_get_sequence(const hub_target_t *target)
+{
+	if (target->as.born_ms == 0)
+		return (0);
+	if (target->heard_born_ms != target->as.born_ms ||
+	    target->heard_sequence < target->as.sequence)
+		return (target->as.sequence);
+	return (target->heard_sequence);
 }
 
 int
@@ -96,8 +129,9 @@
 	return (1);
 }
 
-static int
-read_target(const Tm__Fleet__Target *msg, dialect_announcement_t *as)
+int
+hub_target_from_message(
+    const Tm__Fleet__Target *msg, dialect_announcement_t *as)
 {
 	memset(as, 0, sizeof(*as));
 	if (!copy_name(as->id, sizeof(as->id), msg->id) ||
@@ -125,7 +159,7 @@
 	hub_target_t *target;
 	uint64_t key;
 
-	if (!read_target(msg, &as))
+	if (!hub_target_from_message(msg, &as))
 		return (HUB_CHANGE_NONE);
 	key = fleet_name_hash(as.id);
 	target = hub_state_find_target(state, key);
@@ -144,13 +178,16 @@
 		target->key = key;
 		HASH_ADD(hh, state->targets, key, sizeof(key), target);
 	}
+	remove_from_index(state, target);
 	target->as = as;
 	/* An address belongs to the newest incarnation. */
 	if (as.state != FLEET_TARGET_DEREGISTERED && owner != NULL &&
 	    owner != target) {
+		remove_from_index(state, owner);
 		owner->as.state = FLEET_TARGET_DEREGISTERED;
 		changed->replaced = owner;
 	}
+	add_to_index(state, target);
 	changed->target = target;
 	return (HUB_CHANGE_TARGET);
 }
@@ -164,6 +201,7 @@
 	if (target == NULL || target->as.born_ms != msg->born_ms ||
 	    target->as.state != FLEET_TARGET_DEREGISTERED)
 		return (HUB_CHANGE_NONE);
+	remove_from_index(state, target);
 	HASH_DELETE(hh, state->targets, target);
 	free(target);
 	return (HUB_CHANGE_NONE);
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -26,7 +26,14 @@
 	dialect_announcement_t as;
 	/** When the leader saw that it is deregistered; 0: not yet. */
 	int64_t gone_ms;
+	/** Highest sequence of an announcement that this leader heard, and its
+	 * incarnation; not replicated. */
+	uint64_t heard_sequence;
+	uint64_t heard_born_ms;
+	/** Address and port while it is registered, else 0: key of the index. */
+	uint64_t address;
 	UT_hash_handle hh;
+	UT_hash_handle by_address;
 } hub_target_t;
 
 /** The newest accepted document. */
@@ -41,6 +48,7 @@
 	hub_document_t document; /**< version 0: none */
 	int has_document;
 	hub_target_t *targets;
+	hub_target_t *addresses; /**< index of the registered targets */
 	char hubs[FLEET_HUBS_MAX][FLEET_IP_BYTES];
 	int hub_count;
 	uint64_t *ejected; /**< keys of ejected targets */
@@ -93,6 +101,10 @@
 hub_target_t *hub_state_find_address(
     const hub_state_t *state, uint32_t ip, uint16_t port);
 
+/** @return highest sequence that is known of the incarnation; 0 for one that does
+ * not say when it started, as a later one may start from 0 again */
+uint64_t hub_target_get_sequence(const hub_target_t *target);
+
 /** @return 1 if the name is that of a known hub */
 int hub_state_has_hub(const hub_state_t *state, const char *name);
 
@@ -133,4 +145,8 @@
 void hub_target_to_message(
     Tm__Fleet__Target *msg, const dialect_announcement_t *as);
 
+/** Reads a message with a target. @return 1 if it is a valid one, else 0 */
+int hub_target_from_message(
+    const Tm__Fleet__Target *msg, dialect_announcement_t *as);
+
 #endif
