hub: no confirmation of a target that changed after the decision

Answers to other hubs are sent once per iteration of the loop. A target that changed between the decision and the sending was confirmed with the newer revision, so that the other hub went by it until its next change. Such an announcement is acknowledged without being confirmed. Found by reading; hub_announce, hub_gate, hub_disk and hub_power passed.

--- a/src/hub/hub_announcements.c
+++ b/src/hub/hub_announcements.c
@@ -177,6 +177,7 @@
 	answer->hub = passed->from;
 	answer->id = passed->id;
 	answer->revision = passed->revision;
+	answer->decided = passed->hub->changes.revision;
 	answer->outcome = outcome;
 	DL_APPEND(hub->answers, answer);
 }
@@ -328,6 +329,17 @@
 	tm__fleet__relay__free_unpacked(msg, NULL);
 }
 
+/* The target of a confirmed announcement may have changed after the decision: it is
+ * acknowledged then, but the other hub must not go by it. */
+static int
+get_final_outcome(const hub_t *hub, const passed_answer_t *answer)
+{
+	if (answer->outcome == PASSED_CONFIRMED &&
+	    answer->decided != hub->changes.revision)
+		return (PASSED_IGNORED);
+	return (answer->outcome);
+}
+
 /* Sends all answers that wait for the hub of the first one. */
 static void
 send_answers(hub_t *hub)
@@ -340,12 +352,13 @@
 	Tm__Fleet__Relayed msg;
 	passed_answer_t *answer;
 	passed_answer_t *next;
+	int outcome;
 
 	DL_FOREACH_SAFE(hub->answers, answer, next) {
-		if (answer->hub != to ||
-		    counts[answer->outcome] == HUB_CHANGES_MAX)
+		outcome = get_final_outcome(hub, answer);
+		if (answer->hub != to || counts[outcome] == HUB_CHANGES_MAX)
 			continue;
-		ids[answer->outcome][counts[answer->outcome]++] = answer->id;
+		ids[outcome][counts[outcome]++] = answer->id;
 		if (answer->revision < since)
 			since = answer->revision;
 		DL_DELETE(hub->answers, answer);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -42,6 +42,7 @@
 	node_id_t hub;
 	uint32_t id;
 	uint64_t revision; /**< that the hub knew */
+	uint64_t decided; /**< revision of this decision */
 	enum { PASSED_CONFIRMED, PASSED_IGNORED, PASSED_REFUSED } outcome;
 	struct passed_answer *prev;
 	struct passed_answer *next;
