--- a/test/unit/hub_relay_test.cc
+++ b/test/unit/hub_relay_test.cc
@@ -649,6 +649,59 @@
 	EXPECT_EQ(0, DrainAtDyingHub(HUB_RELAY_TEST_PASS_NONE));
 }
 
+// Draining was acknowledged although the leader was lost before it was committed;
+// or the target could not repeat it at the next leader.
+TEST(HubRelay, LeaderChangesHalfway)
+{
+	Fleet fleet(5, 300);
+	int first = TM_OK;
+	int second = TM_ETIMEDOUT;
+
+	Settle(&fleet);
+	Target &target = fleet.targets_[7];
+	target.due_ms = INT64_MAX;
+	target.as.state = FLEET_TARGET_DRAINING;
+	target.as.sequence++;
+	fleet.Call(2, target.as, false, [&](int outcome) { first = outcome; });
+	/* The leader has it, but does not commit it any more. */
+	fleet.Run(20);
+	fleet.hubs_[0]->is_down = true;
+	fleet.SetLeader(1);
+	EXPECT_EQ(TM_ENOTLEADER, first);
+	EXPECT_EQ(FLEET_TARGET_READY, fleet.GetState("t7"));
+	fleet.Run(1000);
+	target.as.sequence++;
+	fleet.Call(3, target.as, false, [&](int outcome) { second = outcome; });
+	fleet.Run(1000);
+	EXPECT_EQ(TM_OK, second);
+	EXPECT_EQ(FLEET_TARGET_DRAINING, fleet.GetState("t7"));
+}
+
+// A deregistration whose answer was lost could not be repeated, or revived.
+TEST(HubRelay, DecisionIsLostOnItsWayBack)
+{
+	Fleet fleet(5, 300);
+	int first = TM_OK;
+	int second = TM_ETIMEDOUT;
+
+	Settle(&fleet);
+	Target &target = fleet.targets_[7];
+	dialect_announcement_t late = target.as;
+	target.due_ms = INT64_MAX;
+	fleet.Call(2, target.as, true, [&](int outcome) { first = outcome; });
+	fleet.Run(20);
+	fleet.hubs_[2]->is_cut = true;
+	fleet.Run(1500);
+	EXPECT_EQ(TM_ETIMEDOUT, first);
+	EXPECT_EQ(FLEET_TARGET_DEREGISTERED, fleet.GetState("t7"));
+	fleet.Call(3, target.as, true, [&](int outcome) { second = outcome; });
+	late.sequence++;
+	fleet.Call(4, late, false, [](int) {});
+	fleet.Run(1000);
+	EXPECT_EQ(TM_OK, second);
+	EXPECT_EQ(FLEET_TARGET_DEREGISTERED, fleet.GetState("t7"));
+}
+
 /* A target deregisters at one hub; its announcement of before comes late to the
  * hub that knows it. @return 1 if that hub answers by itself */
 static int
