hub, gate: permits for cold targets

Cause: a cold target crashes at a rate well above what it tolerates, and gates that each know only of their own requests sent it 18 and 19 in a second.

Change: while a target is cold, each request to it needs a permit of a bucket at the leader, beside the limit that the target names itself (hub_warmup, hub_signals, gate_limit). It ends by itself at the gates. Whether a target is cold comes from its announcements, also those that change nothing else, from its responses, and from the replicated log for a new leader.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -256,6 +256,12 @@
 		msg.limit = signals.limit;
 		is_new = 1;
 	}
+	if (gate_limit_record_cold(
+		&target->limit, signals.cold_left_ms, now_ms)) {
+		msg.cold_left_ms = signals.cold_left_ms;
+		target->cold_until_ms = now_ms + signals.cold_left_ms;
+		is_new = 1;
+	}
 	if (signals.is_leaving && gate_target_set_leaving(target)) {
 		msg.is_leaving = 1;
 		is_new = 1;
@@ -531,9 +537,12 @@
 			: PAUSED_RETRY_MAX_MS);
 	else if (choice.target == NULL)
 		gate_request_delay(request, GATE_REFUSAL_NO_TARGET);
-	else if (gate_limit_is_set(&choice.target->limit) && has_leader)
+	else if (gate_limit_needs_permit(
+		     &choice.target->limit, pick_options.now_ms) &&
+	    has_leader)
 		gate_limit_permit_request(request, choice.target);
-	else if (gate_limit_is_set(&choice.target->limit))
+	else if (gate_limit_needs_permit(
+		     &choice.target->limit, pick_options.now_ms))
 		gate_limit_permit_use_share(request, choice.target);
 	else
 		gate_attempt_send(request, choice.target, 0);
--- a/src/gate/gate_limit.c
+++ b/src/gate/gate_limit.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "fleet/fleet_limit.h"
+#include "fleet/fleet_warmup.h"
 
 /* A limit that changes by a smaller fraction stays as it is. */
 #define CHANGE_MIN_SHARE 0.1
@@ -13,6 +14,9 @@
 /* The permits of many gates come at random; this share of the limit leaves room
  * for those that come close together. */
 #define SHARE_OF_LIMIT 0.5
+/* An end of the time in which a target is cold that moves by less is not reported:
+ * responses take different times. */
+#define COLD_TOLERANCE_MS 300
 /* Without a permit the target is left out for this time. */
 #define SHARE_WAIT_MS 100
 
@@ -62,12 +66,53 @@
 	return (value != limit->fleet_value);
 }
 
+void
+gate_limit_apply_warmup(
+    gate_limit_t *limit, uint32_t value, uint32_t left_ms, int64_t now_ms)
+{
+	if (value <= FLEET_LIMIT_NONE) {
+		/* Told to be warm, it may turn cold again at any time. */
+		if (gate_limit_is_cold(limit, now_ms))
+			limit->cold_until_ms = 0;
+		limit->warmup = FLEET_LIMIT_UNKNOWN;
+		limit->warmup_until_ms = 0;
+		return;
+	}
+	limit->warmup = value;
+	limit->warmup_until_ms = now_ms + left_ms;
+	limit->cold_until_ms = limit->warmup_until_ms;
+}
+
+int
+gate_limit_record_cold(gate_limit_t *limit, uint32_t left_ms, int64_t now_ms)
+{
+	int64_t until_ms = now_ms + left_ms;
+
+	if (left_ms == 0 || until_ms - limit->cold_until_ms < COLD_TOLERANCE_MS)
+		return (0);
+	limit->cold_until_ms = until_ms;
+	return (1);
+}
+
 int
 gate_limit_is_set(const gate_limit_t *limit)
 {
 	return (limit->value > FLEET_LIMIT_NONE);
 }
 
+int
+gate_limit_is_cold(const gate_limit_t *limit, int64_t now_ms)
+{
+	return (limit->warmup > FLEET_LIMIT_NONE &&
+	    now_ms < limit->warmup_until_ms);
+}
+
+int
+gate_limit_needs_permit(const gate_limit_t *limit, int64_t now_ms)
+{
+	return (gate_limit_is_set(limit) || gate_limit_is_cold(limit, now_ms));
+}
+
 void
 gate_limit_wait(gate_limit_t *limit, int64_t wait_ms, int64_t now_ms)
 {
@@ -77,18 +122,32 @@
 int64_t
 gate_limit_get_wait_ms(const gate_limit_t *limit, int64_t now_ms)
 {
-	return (gate_limit_is_set(limit) && now_ms < limit->wait_until_ms
+	return (gate_limit_needs_permit(limit, now_ms) &&
+		    now_ms < limit->wait_until_ms
 		? limit->wait_until_ms - now_ms
 		: 0);
 }
 
+/* @return requests per second that all gates without a leader may send together */
+static double
+get_alone_per_s(const gate_limit_t *limit, int64_t now_ms)
+{
+	double named = SHARE_OF_LIMIT * fleet_limit_decode(limit->value);
+	double cold =
+	    FLEET_WARMUP_ALONE_SHARE * fleet_limit_decode(limit->warmup);
+
+	if (!gate_limit_is_cold(limit, now_ms))
+		return (named);
+	return (gate_limit_is_set(limit) ? fmin(named, cold) : cold);
+}
+
 int
 gate_limit_take_share(
     gate_limit_t *limit, uint32_t gates, double phase, int64_t now_ms)
 {
 	int64_t elapsed_ms = now_ms - limit->share_ms;
-	double per_ms = SHARE_OF_LIMIT * fleet_limit_decode(limit->value) /
-	    (double)MS_PER_SEC / gates;
+	double per_ms =
+	    get_alone_per_s(limit, now_ms) / (double)MS_PER_SEC / gates;
 
 	if (limit->share_ms == 0 || elapsed_ms > SHARE_MAX_AGE_MS)
 		limit->share = phase;
--- a/src/gate/gate_limit.h
+++ b/src/gate/gate_limit.h
@@ -1,8 +1,9 @@
 /**
  * @file
- * The limit of one target at a gate: what the target names in its responses
- * here, and what the leading hub knows. The table owns one for each target. Does
- * no I/O and reads no clock.
+ * The limits of one target at a gate: the one that the target names in its
+ * responses, as seen here and as the leading hub knows it, and the one while the
+ * target is cold, which is the leader's alone. The table owns them for each
+ * target. Does no I/O and reads no clock.
  */
 #ifndef TM_GATE_GATE_LIMIT_H
 #define TM_GATE_GATE_LIMIT_H
@@ -17,6 +18,10 @@
 	int64_t wait_until_ms; /**< no permit before */
 	double share; /**< permits left without a leader */
 	int64_t share_ms; /**< when share was computed */
+	uint32_t warmup; /**< limit while it is cold, as of fleet_limit.h */
+	int64_t warmup_until_ms; /**< that one ends then */
+	int64_t cold_until_ms; /**< the latest end that the leader was told or
+				* told itself */
 } gate_limit_t;
 
 /** Applies what the leader knows. */
@@ -34,9 +39,32 @@
 int gate_limit_record(
     gate_limit_t *limit, uint32_t value, int64_t sent_ms, int64_t now_ms);
 
-/** @return 1 if each request to the target needs a permit */
+/**
+ * Applies the leader's limit for a cold target. It ends by itself.
+ *
+ * @param value    as of fleet_limit.h; unknown: the target is warm
+ * @param left_ms  time until the target is warm
+ */
+void gate_limit_apply_warmup(
+    gate_limit_t *limit, uint32_t value, uint32_t left_ms, int64_t now_ms);
+
+/**
+ * Records the time for which a response says that its target stays cold.
+ *
+ * @return 1 if the leader must be told
+ */
+int gate_limit_record_cold(
+    gate_limit_t *limit, uint32_t left_ms, int64_t now_ms);
+
+/** @return 1 if the target names a limit */
 int gate_limit_is_set(const gate_limit_t *limit);
 
+/** @return 1 if the limit of a cold target is in force */
+int gate_limit_is_cold(const gate_limit_t *limit, int64_t now_ms);
+
+/** @return 1 if each request to the target needs a permit */
+int gate_limit_needs_permit(const gate_limit_t *limit, int64_t now_ms);
+
 /** Records that the leader grants no permit for a time. */
 void gate_limit_wait(gate_limit_t *limit, int64_t wait_ms, int64_t now_ms);
 
@@ -44,7 +72,7 @@
 int64_t gate_limit_get_wait_ms(const gate_limit_t *limit, int64_t now_ms);
 
 /**
- * Consumes a permit of this gate's share of the limit, as no leader answers.
+ * Consumes a permit of this gate's share of the limits, as no leader answers.
  *
  * @param gates  number of gates in the fleet
  * @param phase  random, 0 to 1: part of a permit that the share starts with, so
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -138,6 +138,7 @@
 	 * this gate, in ms; 0: it names none. */
 	int64_t pause_ms;
 	int64_t keep_ms; /**< keep-alive timeout; 0: it names none */
+	uint32_t cold_left_ms; /**< it stays cold; 0: it names none */
 } gate_signals_t;
 
 /** Reads what a target says. A value that makes no sense, or comes more than
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -204,6 +204,7 @@
 {
 	uint64_t key = fleet_name_hash(msg->id);
 	gate_target_t *target = gate_table_find_target(table, key);
+	int was_cold;
 
 	/* State of an earlier incarnation does not apply to a new one. */
 	if (target != NULL &&
@@ -226,6 +227,11 @@
 	target->state = (fleet_target_state_t)msg->state;
 	set_verdict(target, msg->verdict);
 	gate_limit_apply(&target->limit, msg->limit, now_ms);
+	was_cold = gate_limit_is_cold(&target->limit, now_ms);
+	gate_limit_apply_warmup(
+	    &target->limit, msg->warmup_limit, msg->cold_left_ms, now_ms);
+	if (was_cold || gate_limit_is_cold(&target->limit, now_ms))
+		target->cold_until_ms = target->limit.warmup_until_ms;
 	target->is_listed = 1;
 }
 
@@ -337,7 +343,7 @@
 static int
 must_wait(const gate_target_t *target, const gate_pick_options_t *options)
 {
-	return (gate_limit_is_set(&target->limit) &&
+	return (gate_limit_needs_permit(&target->limit, options->now_ms) &&
 	    (options->skips_limited ||
 		gate_limit_get_wait_ms(&target->limit, options->now_ms) > 0));
 }
--- a/src/gate/gate_wire.c
+++ b/src/gate/gate_wire.c
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "entry/forward.h"
 #include "fleet/fleet_limit.h"
+#include "fleet/fleet_warmup.h"
 #include "gate/gate_request.h"
 #include "route/request_fingerprint.h"
 
@@ -228,6 +229,18 @@
 	return ((int64_t)(pause_s * (double)MS_PER_SEC));
 }
 
+/* @return whole milliseconds for which a target stays cold; 0: it names none */
+static uint32_t
+read_cold_left_ms(const upstream_header_t *header)
+{
+	double left_ms = read_decimal(header);
+
+	if (left_ms < 0 || left_ms > FLEET_WARMUP_MAX_MS ||
+	    memchr(header->value, '.', header->value_len) != NULL)
+		return (0);
+	return ((uint32_t)left_ms);
+}
+
 static int64_t
 read_keep_ms(const upstream_header_t *header)
 {
@@ -259,6 +272,10 @@
 	    read_load(forward_find_header(response, names->load), &out->load);
 	out->limit = fleet_limit_encode(
 	    read_decimal(find_single(response, names->limit)));
+	out->cold_left_ms = 0;
+	if (names->warmup_left != NULL)
+		out->cold_left_ms = read_cold_left_ms(
+		    find_single(response, names->warmup_left));
 	out->is_leaving = leaving != NULL && leaving->value_len == 1 &&
 	    leaving->value[0] == '1';
 	out->pause_ms = read_pause_ms(response);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -183,6 +183,7 @@
 	hub->features =
 	    fleet_config_get_features(config, hub->settings.features);
 	hub_quota_configure(hub->quota, config, clock_now_ms());
+	hub_warmup_report_cold(hub->warmup, clock_now_ms());
 	LOG_EVENT(912, LOG_LEVEL_INFO, "document in force",
 	    LOG_NUM("version", config->version),
 	    LOG_NUM("routes", config->route_count));
@@ -207,6 +208,7 @@
 		hub_add_to_outlier(hub, target);
 		hub_record_incarnation(hub, target, clock_now_ms());
 	}
+	hub_cold_apply(hub, target);
 	hub_feed_mark_target_changed(hub->feed, target->key);
 }
 
@@ -478,7 +480,7 @@
 	if (hub->state == NULL || hub->members == NULL ||
 	    hub->outlier == NULL || hub->quota == NULL || hub->load == NULL ||
 	    hub->crash == NULL || hub->signals == NULL || hub->feed == NULL ||
-	    hub->report == NULL)
+	    hub->report == NULL || hub_cold_create(hub) != TM_OK)
 		return (TM_ENOMEM);
 	hub_outlier_set_filter(hub->outlier, may_assign_target);
 	hub_load_set_signals(hub->load, hub->signals);
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -81,4 +81,15 @@
 /** Records that a target has announced itself to this leader. */
 void hub_record_announcement(hub_t *hub, uint64_t target);
 
+/** Records at this leader how long a target says that it stays cold. */
+void hub_record_warmup(hub_t *hub, const dialect_announcement_t *as);
+
+/** @return 1 if that must be replicated: the target turned cold or warm, or stays
+ * cold for longer */
+int hub_is_warmup_new(const hub_t *hub, const hub_target_t *known,
+    const dialect_announcement_t *as);
+
+/** Records that all targets of a data centre may have turned cold unnoticed. */
+void hub_suspect_data_centre(hub_t *hub, const char *name, int64_t now_ms);
+
 #endif
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -214,6 +214,7 @@
 	const dialect_t *dialect = hub_get_settings(api->hub)->dialect;
 	uint64_t key = fleet_name_hash(target_id);
 	dialect_announcement_t as = { .born_ms = 0 };
+	const hub_target_t *known;
 	uint8_t *bytes;
 	size_t len;
 
@@ -228,7 +229,10 @@
 		return;
 	}
 	hub_record_announcement(api->hub, key);
-	if (is_unchanged(hub_state_find_target(state, key), &as)) {
+	hub_record_warmup(api->hub, &as);
+	known = hub_state_find_target(state, key);
+	if (is_unchanged(known, &as) &&
+	    !hub_is_warmup_new(api->hub, known, &as)) {
 		reply_announced(api, req);
 		return;
 	}
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -5,6 +5,8 @@
 
 #include <uthash.h>
 
+#include "fleet/fleet_limit.h"
+
 /* Most loaded services in a lease. */
 #define LOADED_SERVICES_MAX 64
 
@@ -139,10 +141,11 @@
 }
 
 static void
-fill_target(
-    const hub_feed_t *feed, Tm__Fleet__Target *msg, const hub_target_t *target)
+fill_target(const hub_feed_t *feed, Tm__Fleet__Target *msg,
+    const hub_target_t *target, int64_t now_ms)
 {
 	const hub_signal_key_t key = { target->key, target->as.born_ms };
+	uint32_t cold_left_ms;
 
 	hub_target_to_message(msg, &target->as);
 	msg->verdict =
@@ -150,6 +153,10 @@
 	if (feed->options.signals == NULL)
 		return;
 	msg->limit = hub_signals_get_limit(feed->options.signals, &key);
+	msg->warmup_limit = hub_signals_get_warmup(
+	    feed->options.signals, &key, now_ms, &cold_left_ms);
+	if (msg->warmup_limit != FLEET_LIMIT_UNKNOWN)
+		msg->cold_left_ms = cold_left_ms;
 	if (hub_signals_is_leaving(feed->options.signals, &key) &&
 	    msg->state == FLEET_TARGET_READY)
 		msg->state = FLEET_TARGET_DRAINING;
@@ -157,7 +164,7 @@
 
 /* Sends the whole table without deregistered targets. */
 static void
-send_whole_table(hub_feed_t *feed, node_id_t to)
+send_whole_table(hub_feed_t *feed, node_id_t to, int64_t now_ms)
 {
 	Tm__Fleet__Table table = TM__FLEET__TABLE__INIT;
 	const hub_state_t *state = feed->options.state;
@@ -175,7 +182,7 @@
 	     target = target->hh.next) {
 		if (target->as.state == FLEET_TARGET_DEREGISTERED)
 			continue;
-		fill_target(feed, &msgs[table.n_targets], target);
+		fill_target(feed, &msgs[table.n_targets], target, now_ms);
 		pointers[table.n_targets] = &msgs[table.n_targets];
 		table.n_targets++;
 	}
@@ -220,7 +227,7 @@
 
 static void
 add_change(const hub_feed_t *feed, Tm__Fleet__Table *table,
-    feed_changes_t *changes, const feed_row_t *row)
+    feed_changes_t *changes, const feed_row_t *row, int64_t now_ms)
 {
 	const hub_target_t *target =
 	    hub_state_find_target(feed->options.state, row->key);
@@ -234,7 +241,7 @@
 		    hub_outlier_get_verdict(feed->options.outlier, row->key);
 	} else {
 		msg = &changes->targets[table->n_targets];
-		fill_target(feed, msg, target);
+		fill_target(feed, msg, target, now_ms);
 		changes->pointers[table->n_targets++] = msg;
 	}
 }
@@ -242,7 +249,7 @@
 /* Fills a table with the rows that changed after a sequence. */
 static void
 collect_changes(const hub_feed_t *feed, Tm__Fleet__Table *table, uint64_t base,
-    feed_changes_t *changes)
+    feed_changes_t *changes, int64_t now_ms)
 {
 	const feed_row_t *row;
 
@@ -255,7 +262,7 @@
 	table->verdicts = changes->verdicts;
 	for (row = feed->rows; row != NULL; row = row->hh.next) {
 		if (row->sequence > base)
-			add_change(feed, table, changes, row);
+			add_change(feed, table, changes, row, now_ms);
 	}
 }
 
@@ -269,7 +276,7 @@
 	feed_gate_t *next;
 
 	if (alloc_changes(&changes, HASH_COUNT(feed->rows))) {
-		collect_changes(feed, &table, base, &changes);
+		collect_changes(feed, &table, base, &changes, now_ms);
 		HASH_ITER(hh, feed->gates, gate, next) {
 			if ((only != NULL && gate != only) ||
 			    gate->table_sequence != base ||
@@ -445,7 +452,7 @@
 	if (has == 0) {
 		gate->table_sequence = feed->sequence;
 		gate->table_sent_ms = now_ms;
-		send_whole_table(feed, gate->id);
+		send_whole_table(feed, gate->id, now_ms);
 		return;
 	}
 	gate->table_sequence = has;
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * State of tm-hub, shared by hub.c, hub_lead.c and hub_messages.c. One hub_t
+ * State of tm-hub, shared by hub.c, hub_cold.c, hub_lead.c and hub_messages.c. One hub_t
  * owns all modules below; all functions run on its event loop.
  */
 #ifndef TM_HUB_HUB_INTERNAL_H
@@ -17,6 +17,7 @@
 #include "hub/hub_report.h"
 #include "hub/hub_role.h"
 #include "hub/hub_signals.h"
+#include "hub/hub_warmup.h"
 #include "net/peer.h"
 #include "raft/raft.h"
 #include "store/store.h"
@@ -51,6 +52,7 @@
 	hub_load_t *load;
 	hub_feed_t *feed;
 	hub_signals_t *signals;
+	hub_warmup_t *warmup;
 	hub_crash_t *crash;
 	hub_breaks_t breaks;
 	uint64_t blocks_sequence; /* of the blocks that gates were sent last */
@@ -79,6 +81,9 @@
 	metric_t *metric_gates;
 	metric_t *metric_crashes;
 	metric_t *metric_blocked;
+	metric_t *metric_cold;
+	metric_t *metric_cold_granted;
+	metric_t *metric_cold_refused;
 };
 
 /** Starts or stops to serve as the leader, following the replicated log. */
@@ -116,6 +121,37 @@
 /** Runs the periodic work of the leader. */
 void hub_tick_leader(hub_t *hub, int64_t now_ms);
 
+/** hub_done_cb of a proposal whose outcome shows in the state. */
+void hub_ignore_outcome(void *ctx, int err);
+
+/** Creates the state of cold targets and its metrics. @return 0 or TM_ENOMEM */
+int hub_cold_create(hub_t *hub);
+
+/** Takes cold targets over from the replicated log: this hub begins to lead. */
+void hub_cold_begin(hub_t *hub, int64_t now_ms);
+
+/** Follows an entry of the log on a target. */
+void hub_cold_apply(hub_t *hub, const hub_target_t *target);
+
+/** Records that a target said in a response how long it stays cold. */
+void hub_cold_record_response(
+    hub_t *hub, const hub_signal_key_t *key, uint32_t left_ms, int64_t now_ms);
+
+/** Counts a permit of a target, if it is cold. */
+void hub_cold_count_permit(
+    hub_t *hub, const hub_signal_key_t *key, int is_granted, int64_t now_ms);
+
+/** @return 1 if a permit of a target may be reserved for so long ahead */
+int hub_cold_may_reserve(const hub_t *hub, const hub_signal_key_t *key,
+    int64_t wait_ms, int64_t now_ms);
+
+/** Prolongs suspicions and counts cold targets. */
+void hub_cold_tick(hub_t *hub, int64_t now_ms);
+
+/** hub_warmup_cb; ctx is the hub_t. */
+void hub_cold_on_change(
+    void *ctx, const hub_warmup_change_t *change, int64_t now_ms);
+
 /** peer_receive_cb; ctx is the hub_t. */
 void hub_messages_receive(void *ctx, node_id_t from, uint64_t incarnation,
     uint16_t type, const uint8_t *payload, size_t len);
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -41,6 +41,7 @@
 		hub_outlier_restore_ejection(
 		    hub->outlier, hub->state->ejected[i], now_ms);
 	hub_signals_reset(hub->signals);
+	hub_cold_begin(hub, now_ms);
 	hub_crash_reset(hub->crash);
 	hub_breaks_reset(&hub->breaks);
 	hub->blocks_sequence = 0;
@@ -87,8 +88,8 @@
 	metric_set(hub->metric_leading, hub->role.is_serving);
 }
 
-static void
-ignore_outcome(void *ctx, int err)
+void
+hub_ignore_outcome(void *ctx, int err)
 {
 	(void)ctx;
 	(void)err;
@@ -100,7 +101,7 @@
 	size_t len;
 	uint8_t *bytes = hub_entry_encode_hub(name, is_lost, &len);
 
-	hub_propose(hub, bytes, len, ignore_outcome, NULL);
+	hub_propose(hub, bytes, len, hub_ignore_outcome, NULL);
 }
 
 /* One change of members at a time. */
@@ -185,7 +186,7 @@
 		memcmp(targets, state->ejected, count * sizeof(*targets)) !=
 		    0)) {
 		bytes = hub_entry_encode_ejected(targets, count, &len);
-		hub_propose(hub, bytes, len, ignore_outcome, NULL);
+		hub_propose(hub, bytes, len, hub_ignore_outcome, NULL);
 	}
 	free(targets);
 }
@@ -253,7 +254,7 @@
 		    count * sizeof(fingerprints[0])) == 0))
 		return;
 	bytes = hub_entry_encode_blocked(fingerprints, count, &len);
-	hub_propose(hub, bytes, len, ignore_outcome, NULL);
+	hub_propose(hub, bytes, len, hub_ignore_outcome, NULL);
 }
 
 void
@@ -285,7 +286,7 @@
 	as.state = FLEET_TARGET_DEREGISTERED;
 	bytes = is_removed ? hub_entry_encode_expired_target(&as, &len)
 			   : hub_entry_encode_target(&as, &len);
-	hub_propose(hub, bytes, len, ignore_outcome, NULL);
+	hub_propose(hub, bytes, len, hub_ignore_outcome, NULL);
 }
 
 /* @return 1 if a target is to be removed or deregistered: it was deregistered
@@ -390,6 +391,7 @@
 		update_idle_services(hub, now_ms);
 		update_utilizations(hub);
 	}
+	hub_cold_tick(hub, now_ms);
 	hub_crash_tick(hub->crash, now_ms);
 	hub_update_blocks(hub, now_ms);
 	if (now_ms >= hub->ejected_due_ms) {
--- a/src/hub/hub_load.c
+++ b/src/hub/hub_load.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 
 #include "base/clock.h"
-#include "fleet/fleet_limit.h"
 
 /* Older reports are ignored. */
 #define LOAD_MAX_AGE_MS 1500
@@ -139,14 +138,14 @@
  * empty */
 static double
 get_usable_slots(const hub_load_t *load, const service_load_t *service,
-    const hub_target_t *target)
+    const hub_target_t *target, int64_t now_ms)
 {
 	double limit_per_s = -1;
 
 	if (load->signals != NULL)
-		limit_per_s = fleet_limit_decode(hub_signals_get_limit(
-		    load->signals,
-		    &(hub_signal_key_t){ target->key, target->as.born_ms }));
+		limit_per_s = hub_signals_get_rate_per_s(load->signals,
+		    &(hub_signal_key_t){ target->key, target->as.born_ms },
+		    now_ms);
 	if (limit_per_s < 0 || service->work_ms <= 0)
 		return (target->as.slots);
 	return (fmin(target->as.slots,
@@ -169,7 +168,7 @@
 }
 
 static void
-add_target(hub_load_t *load, const hub_target_t *target)
+add_target(hub_load_t *load, const hub_target_t *target, int64_t now_ms)
 {
 	service_load_t *service =
 	    get_service(load, fleet_name_hash(target->as.service));
@@ -180,7 +179,7 @@
 	if (service == NULL || reported == NULL)
 		return;
 	service->requests += reported->requests;
-	service->slots += get_usable_slots(load, service, target);
+	service->slots += get_usable_slots(load, service, target, now_ms);
 	list_if_full(load, service, target, reported);
 }
 
@@ -230,7 +229,7 @@
 		if (target->as.state == FLEET_TARGET_READY &&
 		    hub_outlier_get_verdict(outlier, target->key) ==
 			FLEET_VERDICT_HEALTHY)
-			add_target(load, target);
+			add_target(load, target, now_ms);
 	}
 	load->count = 0;
 	HASH_ITER(hh, load->services, service, next) {
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -188,6 +188,8 @@
 	set_limit(hub, &key, msg->limit, from, now_ms);
 	if (msg->is_leaving)
 		set_leaving(hub, &key, from, now_ms);
+	if (msg->cold_left_ms > 0)
+		hub_cold_record_response(hub, &key, msg->cold_left_ms, now_ms);
 	tm__fleet__signals__free_unpacked(msg, NULL);
 }
 
@@ -233,7 +235,9 @@
 	if (wait_ms < 0)
 		return (permit);
 	permit.wait_ms = (uint32_t)wait_ms;
-	permit.is_granted = wait_ms <= spend->wait_max_ms;
+	permit.is_granted = wait_ms <= spend->wait_max_ms &&
+	    hub_cold_may_reserve(hub, &key, wait_ms, now_ms);
+	hub_cold_count_permit(hub, &key, permit.is_granted, now_ms);
 	if (permit.is_granted) {
 		assignment->target = key.target;
 		hub_signals_consume(hub->signals, &key, now_ms);
@@ -254,6 +258,7 @@
 	permit.wait_ms =
 	    (uint32_t)hub_signals_get_wait_ms(hub->signals, &key, now_ms);
 	permit.is_granted = permit.wait_ms == 0;
+	hub_cold_count_permit(hub, &key, permit.is_granted, now_ms);
 	if (permit.is_granted)
 		hub_signals_consume(hub->signals, &key, now_ms);
 	return (permit);
