hub, gate: unit tests of cold targets; the end of a cold phase is never too early

Cause: an end that moved by less than a tolerance was not told, so a target could count as warm up to 300 ms too early.

--- a/src/gate/gate_limit.c
+++ b/src/gate/gate_limit.c
@@ -14,9 +14,6 @@
 /* The permits of many gates come at random; this share of the limit leaves room
  * for those that come close together. */
 #define SHARE_OF_LIMIT 0.5
-/* An end of the time in which a target is cold that moves by less is not reported:
- * responses take different times. */
-#define COLD_TOLERANCE_MS 300
 /* Without a permit the target is left out for this time. */
 #define SHARE_WAIT_MS 100
 
@@ -88,9 +85,9 @@
 {
 	int64_t until_ms = now_ms + left_ms;
 
-	if (left_ms == 0 || until_ms - limit->cold_until_ms < COLD_TOLERANCE_MS)
+	if (left_ms == 0 || until_ms <= limit->cold_until_ms)
 		return (0);
-	limit->cold_until_ms = until_ms;
+	limit->cold_until_ms = until_ms + FLEET_WARMUP_MARGIN_MS;
 	return (1);
 }
 
--- a/src/hub/hub_cold.c
+++ b/src/hub/hub_cold.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "fleet/fleet_limit.h"
+#include "fleet/fleet_warmup.h"
 #include "hub/hub_internal.h"
 
 /* @return permits per second of a cold target of a service; negative: it has no
@@ -137,7 +138,7 @@
 	if (get_rate_per_s(hub, fleet_name_hash(as->service)) < 0)
 		return (0);
 	return ((known_ms > 0) != (as->cold_left_ms > 0) ||
-	    as->cold_left_ms > known_ms + HUB_WARMUP_TOLERANCE_MS);
+	    as->cold_left_ms > known_ms + FLEET_WARMUP_MARGIN_MS);
 }
 
 void
--- a/src/hub/hub_warmup.c
+++ b/src/hub/hub_warmup.c
@@ -93,14 +93,24 @@
 	warmup->changed(warmup->ctx, &change, now_ms);
 }
 
+/* @return 1 if an end is covered by the one that gates know, and not much earlier */
+static int
+is_covered(const warmup_target_t *target, int64_t until_ms)
+{
+	int64_t early_ms = target->cold_until_ms - until_ms;
+
+	return (early_ms >= -FLEET_WARMUP_MARGIN_MS &&
+	    early_ms <= FLEET_WARMUP_MARGIN_MS);
+}
+
 /* Moves the end of the time for which a target is cold. Gates end it themselves
- * at the time that they know, so that small moves need not be told. */
+ * at the time that they know, so that small moves need not be told.
+ * @param until_ms  with the margin; in the past: warm */
 static void
 set_until(const hub_warmup_t *warmup, warmup_target_t *target, int64_t until_ms,
     hub_warmup_source_t source, int64_t now_ms)
 {
 	int was_cold = is_cold(target, now_ms);
-	int64_t moved_ms = until_ms - target->cold_until_ms;
 
 	if (until_ms <= now_ms)
 		until_ms = 0;
@@ -108,8 +118,7 @@
 		target->cold_until_ms = 0;
 		return;
 	}
-	if (until_ms != 0 && was_cold &&
-	    llabs(moved_ms) <= HUB_WARMUP_TOLERANCE_MS)
+	if (until_ms != 0 && was_cold && is_covered(target, until_ms))
 		return;
 	target->cold_until_ms = until_ms;
 	report_change(warmup, target, was_cold, source, now_ms);
@@ -144,10 +153,13 @@
 	return (target);
 }
 
+/* @return end of a time that a target names, with the margin */
 static int64_t
 get_end_ms(uint32_t left_ms, int64_t now_ms)
 {
-	return (now_ms +
+	if (left_ms == 0)
+		return (now_ms);
+	return (now_ms + FLEET_WARMUP_MARGIN_MS +
 	    (left_ms < FLEET_WARMUP_MAX_MS ? left_ms : FLEET_WARMUP_MAX_MS));
 }
 
--- a/src/hub/hub_warmup.h
+++ b/src/hub/hub_warmup.h
@@ -32,9 +32,6 @@
  * the leader before may be used for that long, so those of a new leader begin
  * with a debt of this time. */
 #define HUB_WARMUP_RESERVE_MAX_MS 500
-/** A target counts as changed if its end of warming up moves by more than this;
- * announcements take different times to arrive. */
-#define HUB_WARMUP_TOLERANCE_MS 300
 /** A suspected target is cold for this time, which is prolonged until it is heard
  * of. Announcements come every 1.5 s. */
 #define HUB_WARMUP_SUSPECT_MS 4000
--- a/test/unit/hub_load_test.cc
+++ b/test/unit/hub_load_test.cc
@@ -229,3 +229,26 @@
 	EXPECT_DOUBLE_EQ(5.0 / 8, Update().load);
 	hub_signals_destroy(signals);
 }
+
+// The slots that a cold target may not fill hide that a service is full.
+TEST_F(HubLoad, SlotsBeyondTheLimitOfAColdTargetDoNotCount)
+{
+	uint64_t a = Add("a");
+	uint64_t b = Add("b");
+	hub_signals_t *signals = hub_signals_create();
+	const hub_signal_key_t key = { a, 0 };
+	const hub_warmup_limit_t cold = { fleet_limit_encode(2), 2, now_ + 1000,
+		0 };
+
+	hub_load_set_signals(load_, signals);
+	hub_load_record(load_, a, 1, now_);
+	hub_load_record(load_, b, 4, now_);
+	/* One request takes 500 ms. */
+	hub_load_record_successes(load_, fleet_name_hash("s1"), 10, 5000);
+	EXPECT_DOUBLE_EQ(5.0 / 8, Update().load);
+	hub_signals_set_warmup(signals, &key, &cold, now_);
+	EXPECT_DOUBLE_EQ(5.0 / 5, Update().load);
+	now_ += 1000;
+	EXPECT_DOUBLE_EQ(5.0 / 8, Update().load);
+	hub_signals_destroy(signals);
+}
--- a/test/unit/signals_test.cc
+++ b/test/unit/signals_test.cc
@@ -184,6 +184,107 @@
 	    hub_signals_get_limit(limits_, &next));
 }
 
+namespace {
+
+hub_warmup_limit_t
+Warmup(double per_s, int64_t until_ms, int64_t debt_ms = 0)
+{
+	return (hub_warmup_limit_t{
+	    fleet_limit_encode(per_s), 2, until_ms, debt_ms });
+}
+
+} // namespace
+
+// A cold target without a limit of its own gets any number of requests; or it gets
+// permits only after it is warm.
+TEST_F(HubSignals, AColdTargetNeedsPermitsUntilItIsWarm)
+{
+	const hub_warmup_limit_t limit = Warmup(5, kStart + 3000);
+	uint32_t left_ms;
+	int granted = 0;
+
+	hub_signals_set_warmup(limits_, &kTarget, &limit, kStart);
+	EXPECT_EQ(200, hub_signals_get_wait_ms(limits_, &kTarget, kStart));
+	for (int64_t now = kStart; now < kStart + 3000; now += 10)
+		granted += Acquire(now);
+	EXPECT_GE(granted, 14);
+	EXPECT_LE(granted, 15);
+	EXPECT_EQ(fleet_limit_encode(5),
+	    hub_signals_get_warmup(limits_, &kTarget, kStart + 2000, &left_ms));
+	EXPECT_EQ(1000u, left_ms);
+	EXPECT_DOUBLE_EQ(
+	    5, hub_signals_get_rate_per_s(limits_, &kTarget, kStart + 2000));
+	for (int i = 0; i < 50; i++)
+		EXPECT_TRUE(Acquire(kStart + 3000));
+	EXPECT_EQ((uint32_t)FLEET_LIMIT_UNKNOWN,
+	    hub_signals_get_warmup(limits_, &kTarget, kStart + 3000, &left_ms));
+	EXPECT_LT(
+	    hub_signals_get_rate_per_s(limits_, &kTarget, kStart + 3000), 0);
+}
+
+// The larger of two limits counts, or the end of one ends the other.
+TEST_F(HubSignals, TheSmallerOfTwoLimitsCounts)
+{
+	for (double named : { 2.0, 50.0 }) {
+		const hub_warmup_limit_t limit = Warmup(5, kStart + 10000);
+		int granted = 0;
+
+		hub_signals_reset(limits_);
+		Set(named, kStart);
+		hub_signals_set_warmup(limits_, &kTarget, &limit, kStart);
+		EXPECT_DOUBLE_EQ(std::min(named, 5.0),
+		    hub_signals_get_rate_per_s(limits_, &kTarget, kStart));
+		for (int64_t now = kStart; now < kStart + 10000; now += 10)
+			granted += Acquire(now);
+		EXPECT_NEAR(10 * std::min(named, 5.0), granted, 1) << named;
+	}
+	Set(-1, kStart + 100);
+	EXPECT_GT(
+	    hub_signals_get_rate_per_s(limits_, &kTarget, kStart + 100), 0);
+}
+
+// Each announcement fills the bucket, or empties it.
+TEST_F(HubSignals, ALongerTimeKeepsTheBucket)
+{
+	hub_warmup_limit_t limit = Warmup(5, kStart + 3000);
+	int granted = 0;
+
+	for (int64_t now = kStart; now < kStart + 9000; now += 10) {
+		if (now % 500 == 0) {
+			limit.until_ms = now + 3000;
+			hub_signals_set_warmup(limits_, &kTarget, &limit, now);
+		}
+		granted += Acquire(now);
+	}
+	EXPECT_NEAR(45, granted, 1);
+}
+
+// A new leader grants permits while those that were reserved at the one before are
+// still used.
+TEST_F(HubSignals, ANewLeaderBeginsWithTheDebtOfTheOneBefore)
+{
+	const hub_warmup_limit_t limit = Warmup(4, kStart + 9000, 500);
+
+	hub_signals_set_warmup(limits_, &kTarget, &limit, kStart);
+	EXPECT_FALSE(Acquire(kStart + 740));
+	EXPECT_TRUE(Acquire(kStart + 750));
+}
+
+// A request that finds all targets cold gets a permit of none of them.
+TEST_F(HubSignals, PermitsOfColdTargetsAreReserved)
+{
+	const hub_warmup_limit_t limit = Warmup(4, kStart + 9000);
+	const auto any = [](void *, const hub_signal_key_t *) { return (1); };
+	hub_signal_key_t key = {};
+
+	hub_signals_set_warmup(limits_, &kTarget, &limit, kStart);
+	EXPECT_EQ(
+	    250, hub_signals_find_first(limits_, any, nullptr, kStart, &key));
+	EXPECT_EQ(7u, key.target);
+	EXPECT_EQ(-1,
+	    hub_signals_find_first(limits_, any, nullptr, kStart + 9000, &key));
+}
+
 // A response that was on its way when the limit was named ends it; or the end
 // is never noticed.
 TEST(GateLimit, EndsWithAResponseToALaterRequest)
@@ -279,6 +380,90 @@
 	}
 }
 
+// A response without a limit ends the one of a cold target, or it never ends.
+TEST(GateLimit, TheLimitOfAColdTargetEndsByItself)
+{
+	gate_limit_t limit = {};
+
+	gate_limit_apply_warmup(&limit, fleet_limit_encode(5), 3000, kStart);
+	EXPECT_TRUE(gate_limit_needs_permit(&limit, kStart));
+	EXPECT_FALSE(gate_limit_is_set(&limit));
+	EXPECT_FALSE(gate_limit_record(
+	    &limit, FLEET_LIMIT_NONE, kStart + 10, kStart + 20));
+	gate_limit_apply(&limit, FLEET_LIMIT_NONE, kStart + 30);
+	EXPECT_TRUE(gate_limit_needs_permit(&limit, kStart + 2999));
+	gate_limit_wait(&limit, 5000, kStart + 2000);
+	EXPECT_EQ(4001, gate_limit_get_wait_ms(&limit, kStart + 2999));
+	EXPECT_FALSE(gate_limit_needs_permit(&limit, kStart + 3000));
+	EXPECT_EQ(0, gate_limit_get_wait_ms(&limit, kStart + 3000));
+}
+
+// A later row does not prolong it, or one of a warm target does not end it.
+TEST(GateLimit, ALaterRowProlongsAndEndsTheLimitOfAColdTarget)
+{
+	gate_limit_t limit = {};
+
+	gate_limit_apply_warmup(&limit, fleet_limit_encode(5), 1000, kStart);
+	gate_limit_apply_warmup(
+	    &limit, fleet_limit_encode(5), 3000, kStart + 500);
+	EXPECT_TRUE(gate_limit_is_cold(&limit, kStart + 3400));
+	gate_limit_apply_warmup(&limit, FLEET_LIMIT_UNKNOWN, 0, kStart + 600);
+	EXPECT_FALSE(gate_limit_is_cold(&limit, kStart + 600));
+}
+
+// The limit that a target names ends with its warming up.
+TEST(GateLimit, ANamedLimitOutlastsTheWarmup)
+{
+	gate_limit_t limit = {};
+
+	gate_limit_record(&limit, fleet_limit_encode(9), kStart, kStart);
+	gate_limit_apply_warmup(&limit, fleet_limit_encode(5), 1000, kStart);
+	EXPECT_TRUE(gate_limit_needs_permit(&limit, kStart + 2000));
+}
+
+// Each response of a cold target is reported.
+TEST(GateLimit, OnlyALongerTimeIsReported)
+{
+	gate_limit_t limit = {};
+
+	EXPECT_FALSE(gate_limit_record_cold(&limit, 0, kStart));
+	EXPECT_TRUE(gate_limit_record_cold(&limit, 3000, kStart));
+	EXPECT_FALSE(gate_limit_record_cold(&limit, 2500, kStart + 500));
+	EXPECT_FALSE(gate_limit_record_cold(&limit, 2540, kStart + 600));
+	EXPECT_TRUE(gate_limit_record_cold(&limit, 3000, kStart + 1000));
+	gate_limit_apply_warmup(
+	    &limit, fleet_limit_encode(5), 3000, kStart + 5000);
+	EXPECT_FALSE(gate_limit_record_cold(&limit, 2950, kStart + 5020));
+	/* The leader heard that it is warm; it turned cold again. */
+	gate_limit_apply_warmup(&limit, FLEET_LIMIT_UNKNOWN, 0, kStart + 5500);
+	EXPECT_TRUE(gate_limit_record_cold(&limit, 2000, kStart + 5600));
+}
+
+// Without a leader the gates send a cold target more than their share together.
+TEST(GateLimit, SharesOfAColdTargetStayWithinAQuarter)
+{
+	for (uint32_t gates : { 6u, 127u }) {
+		std::vector<gate_limit_t> limits(gates);
+		const int64_t end = kStart + 200000;
+		rng_t rng;
+		int sent = 0;
+
+		rng_init(&rng, gates);
+		for (gate_limit_t &limit : limits)
+			gate_limit_apply_warmup(
+			    &limit, fleet_limit_encode(6), 200000, kStart);
+		for (int64_t now = kStart; now < end; now += 1) {
+			gate_limit_t *limit = &limits[rng_below(&rng, gates)];
+
+			if (gate_limit_get_wait_ms(limit, now) == 0)
+				sent += gate_limit_take_share(
+				    limit, gates, rng_unit(&rng), now);
+		}
+		EXPECT_LE(sent, 1.05 * 200 * 6 / 4 + gates);
+		EXPECT_GE(sent, 0.9 * 200 * 6 / 4 - gates);
+	}
+}
+
 namespace {
 
 gate_signals_t
@@ -293,6 +478,7 @@
 	dialect.headers.limit = "server-limit";
 	dialect.headers.leaving = "server-leaving";
 	dialect.headers.load = "server-load";
+	dialect.headers.warmup_left = "server-warmup-ms";
 	for (const std::string &value : values)
 		headers.push_back(
 		    { name.data(), name.size(), value.data(), value.size() });
@@ -358,6 +544,21 @@
 	EXPECT_EQ(month_ms, ReadPauseMs({ "999999999999999999999999" }));
 }
 
+// A header that makes no sense makes a target cold; or a cold one counts as warm.
+TEST(GateSignals, OnlyWholeMillisecondsAreATimeOfWarmingUp)
+{
+	const std::string name = "Server-Warmup-Ms";
+
+	EXPECT_EQ(2990u, ReadSignals(name, { "2990" }).cold_left_ms);
+	EXPECT_EQ(3600000u, ReadSignals(name, { "3600000" }).cold_left_ms);
+	EXPECT_EQ(0u, ReadSignals(name, { "0" }).cold_left_ms);
+	EXPECT_EQ(0u, ReadSignals(name, {}).cold_left_ms);
+	for (const char *text : { "", "-1", "1.5", "1e3", "0x10", "3600001",
+		 "5 5", "2990ms", "99999999999999999999999999" })
+		EXPECT_EQ(0u, ReadSignals(name, { text }).cold_left_ms) << text;
+	EXPECT_EQ(0u, ReadSignals(name, { "5", "5" }).cold_left_ms);
+}
+
 // A target that says something else is taken out of use.
 TEST(GateSignals, OnlyAOneSaysThatATargetLeaves)
 {
