hub: gates are told of a cold target before the entry is written

Cause: the entry that a target turned cold was written first, and a sync of a slow disk blocked the leader for 8 s; gates sent 56 requests in a second meanwhile. And the service of a target was looked up by a key that the list does not have, so that no limit was set at all.

Change: rows of cold targets are written to the gates at once (peer_net_flush). Functional test gate_cold: six gates, three hubs, one and then four of four targets cold, the leading hub killed meanwhile.

--- a/src/hub/hub_cold.c
+++ b/src/hub/hub_cold.c
@@ -1,5 +1,3 @@
-#include <uthash.h>
-
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
@@ -7,20 +5,26 @@
 #include "fleet/fleet_warmup.h"
 #include "hub/hub_internal.h"
 
-/* @return permits per second of a cold target of a service; negative: it has no
- * bound */
+/* @return permits per second of a cold target; negative: it has no bound */
 static double
-get_rate_per_s(const hub_t *hub, uint64_t service)
+get_rate_per_s(const hub_t *hub, const fleet_service_t *service)
+{
+	return (service != NULL
+		? hub_warmup_get_rate_per_s(service->warmup_per_s,
+		      hub->settings.warmup_overshoot,
+		      hub->settings.warmup_slack)
+		: -1);
+}
+
+static const fleet_service_t *
+find_service(const hub_t *hub, uint64_t id)
 {
-	const fleet_service_t *found = NULL;
+	const fleet_service_t *service =
+	    hub->config != NULL ? hub->config->services : NULL;
 
-	if (hub->settings.warmup_overshoot <= 0 || hub->config == NULL)
-		return (-1);
-	HASH_FIND(hh, hub->config->services, &service, sizeof(service), found);
-	return (found != NULL ? hub_warmup_get_rate_per_s(found->warmup_per_s,
-				    hub->settings.warmup_overshoot,
-				    hub->settings.warmup_slack)
-			      : -1);
+	while (service != NULL && service->id != id)
+		service = service->hh.next;
+	return (service);
 }
 
 static const char *
@@ -65,7 +69,7 @@
 	hub_t *hub = ctx;
 	const hub_target_t *target =
 	    hub_state_find_target(hub->state, change->key.target);
-	double per_s = get_rate_per_s(hub, change->service);
+	double per_s = get_rate_per_s(hub, find_service(hub, change->service));
 	const hub_warmup_limit_t limit = {
 		.value = fleet_limit_encode(per_s),
 		.burst = HUB_WARMUP_BURST,
@@ -124,9 +128,20 @@
 	const hub_target_t *known =
 	    hub_state_find_target(hub->state, report.key.target);
 
-	if (known != NULL && known->as.born_ms == as->born_ms &&
-	    hub_role_has_state(&hub->role, hub->raft))
-		hub_warmup_record(hub->warmup, &report, clock_now_ms());
+	uint64_t sequence = hub_feed_get_sequence(hub->feed);
+	int64_t now_ms = clock_now_ms();
+
+	if (known == NULL || known->as.born_ms != as->born_ms ||
+	    !hub_role_has_state(&hub->role, hub->raft))
+		return;
+	hub_warmup_record(hub->warmup, &report, now_ms);
+	if (!hub->role.is_serving ||
+	    hub_feed_get_sequence(hub->feed) == sequence)
+		return;
+	/* Gates are told before the entry is written: a sync of a slow disk blocks
+	 * this hub, for 8 s in a test. */
+	hub_feed_flush(hub->feed, now_ms);
+	peer_net_flush(hub->net);
 }
 
 int
@@ -135,7 +150,9 @@
 {
 	uint32_t known_ms = known->as.cold_left_ms;
 
-	if (get_rate_per_s(hub, fleet_name_hash(as->service)) < 0)
+	if (hub->config == NULL ||
+	    get_rate_per_s(
+		hub, fleet_config_find_service(hub->config, as->service)) < 0)
 		return (0);
 	return ((known_ms > 0) != (as->cold_left_ms > 0) ||
 	    as->cold_left_ms > known_ms + FLEET_WARMUP_MARGIN_MS);
--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -25,10 +25,9 @@
 		peer_conn_accept(net);
 }
 
-static void
-peer_net_on_flush(uv_prepare_t *handle)
+void
+peer_net_flush(peer_net_t *net)
 {
-	peer_net_t *net = handle->data;
 	peer_conn_t *conn;
 	peer_conn_t *next;
 
@@ -36,6 +35,12 @@
 		peer_conn_flush(conn);
 }
 
+static void
+peer_net_on_flush(uv_prepare_t *handle)
+{
+	peer_net_flush(handle->data);
+}
+
 static void
 peer_net_on_timer(uv_timer_t *handle)
 {
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -101,6 +101,9 @@
 int peer_net_send(
     peer_net_t *net, node_id_t to, uint16_t type, const ProtobufCMessage *msg);
 
+/** Writes queued messages now, not at the end of the iteration of the loop. */
+void peer_net_flush(peer_net_t *net);
+
 /** node_send_cb over peer_net_send(); ctx is the peer_net_t. */
 void peer_net_send_cb(
     void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg);
--- a/test/functional/platform_target.py
+++ b/test/functional/platform_target.py
@@ -9,7 +9,9 @@
 of each answer, "status" instead of 200, "work_s", "executed" (false: the answer
 says that the request did not run), "body_bytes" of a longer body, "refuse_every": N (every Nth request is
 answered 503, not run), "repeat": "as it was" or "without id" (a refusal is
-written once more on its connection, ahead of the next answer)."""
+written once more on its connection, ahead of the next answer). With "cold_until", a
+wall clock in s, announcements say how long it stays cold, and it records when one
+was acknowledged ("told cold")."""
 import argparse
 import asyncio
 import http.client
@@ -112,14 +114,17 @@
         controls = self.args.control.split(",")
         while True:
             self.sequence += 1
+            cold_s = self.read_answer().get("cold_until", 0) - time.time()
             body = json.dumps({
                 "Service": self.args.service,
                 "Address": f"127.0.0.1:{self.port}", "Zone": "z1",
                 "Version": "v1", "MaxConcurrency": 8, "State": "ready",
-                "WarmupLeftS": 0, "Sequence": self.sequence,
+                "WarmupLeftS": max(cold_s, 0), "Sequence": self.sequence,
                 "born": self.born_ms})
             for control in controls:
                 if self.announce_at(control, body):
+                    if cold_s > 0:
+                        self.write_record({}, "", "told cold")
                     break
             time.sleep(BEAT_S)
 
