--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -26,6 +26,7 @@
 	uint32_t verdict = FLEET_VERDICT_HEALTHY;
 	uint64_t born_ms = 1;
 	uint32_t cold_left_ms = 0;
+	uint32_t warmup_limit = FLEET_LIMIT_UNKNOWN;
 };
 
 class GateTable : public testing::Test {
@@ -56,6 +57,7 @@
 			targets[i].verdict = rows[i].verdict;
 			targets[i].born_ms = rows[i].born_ms;
 			targets[i].cold_left_ms = rows[i].cold_left_ms;
+			targets[i].warmup_limit = rows[i].warmup_limit;
 			pointers.push_back(&targets[i]);
 		}
 		msg.term = term;
@@ -423,6 +425,31 @@
 	EXPECT_GT(PickOften(50)["a"], 0);
 }
 
+// A request goes to a cold target that has no permit, or a target stays cold at a
+// gate that gets no row when it is warm; or a row does not end it.
+TEST_F(GateTable, ColdTargetsNeedPermitsUntilTheyAreWarm)
+{
+	const uint32_t five = fleet_limit_encode(5);
+
+	Apply(1, 0, 1, { { "a" }, { "b", "z1", 0, 0, 1, 3000, five } });
+	EXPECT_TRUE(gate_limit_needs_permit(&Find("b")->limit, now_));
+	EXPECT_FALSE(gate_limit_needs_permit(&Find("a")->limit, now_));
+	gate_limit_wait(&Find("b")->limit, 200, now_);
+	EXPECT_EQ(50, PickOften(50)["a"]);
+	Apply(1, 1, 2, { { "a", "z1", 0, 0, 1, 2000, five } });
+	gate_limit_wait(&Find("a")->limit, 100, now_);
+	EXPECT_TRUE(Pick().must_reserve);
+	now_ += 3000;
+	EXPECT_FALSE(Pick().must_reserve);
+	EXPECT_GT(PickOften(50)["b"], 0);
+	EXPECT_FALSE(gate_limit_needs_permit(&Find("b")->limit, now_));
+	Apply(1, 2, 3, { { "a", "z1", 0, 0, 1, 5000, five } });
+	EXPECT_EQ(50, PickOften(50)["b"]);
+	Apply(1, 3, 4, { { "a", "z1", 0, 0, 1, 5000 } });
+	EXPECT_FALSE(gate_limit_needs_permit(&Find("a")->limit, now_));
+	EXPECT_GT(PickOften(50)["a"], 0);
+}
+
 // Targets that are equally loaded get unequal shares by their place in the list,
 // so that some get nothing for seconds.
 TEST_F(GateTable, EqualTargetsGetEqualShares)
