hub: a new leader keeps the suspicion that a data centre turned cold

Cause: the suspicion was the leader's alone; a leader that changed right after the end of an evacuation took all targets of the data centre for warm.

Change: all hubs record it as they apply the entry; a hub that begins to lead within 10 s suspects the targets again until they announce themselves.

--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -89,7 +89,8 @@
 int hub_is_warmup_new(const hub_t *hub, const hub_target_t *known,
     const dialect_announcement_t *as);
 
-/** Records that all targets of a data centre may have turned cold unnoticed. */
+/** Records that all targets of a data centre may have turned cold unnoticed. To be
+ * called at all hubs, as they apply the entry that says so. */
 void hub_suspect_data_centre(hub_t *hub, const char *name, int64_t now_ms);
 
 #endif
--- a/src/hub/hub_warmup.c
+++ b/src/hub/hub_warmup.c
@@ -19,8 +19,15 @@
 	UT_hash_handle hh;
 } warmup_target_t;
 
+typedef struct suspicion {
+	uint64_t data_centre;
+	int64_t since_ms;
+} suspicion_t;
+
 struct hub_warmup {
 	warmup_target_t *targets;
+	suspicion_t suspicions[HUB_WARMUP_SUSPECTS_MAX];
+	size_t suspicion_count;
 	hub_warmup_cb changed;
 	void *ctx;
 };
@@ -163,23 +170,6 @@
 	    (left_ms < FLEET_WARMUP_MAX_MS ? left_ms : FLEET_WARMUP_MAX_MS));
 }
 
-void
-hub_warmup_restore(
-    hub_warmup_t *warmup, const hub_warmup_report_t *report, int64_t now_ms)
-{
-	warmup_target_t *target = find(warmup, report->key.target);
-
-	if (target != NULL &&
-	    target->incarnation_ms >= report->key.incarnation_ms)
-		return;
-	target = get(warmup, report);
-	if (target == NULL)
-		return;
-	target->sequence = report->sequence;
-	set_until(warmup, target, get_end_ms(report->left_ms, now_ms),
-	    HUB_WARMUP_REPLICATED, now_ms);
-}
-
 void
 hub_warmup_record(
     hub_warmup_t *warmup, const hub_warmup_report_t *report, int64_t now_ms)
@@ -219,12 +209,68 @@
 		    warmup, target, until_ms, HUB_WARMUP_SUSPECTED, now_ms);
 }
 
+/* Replaces the suspicion before of the same data centre, or the oldest. */
+static void
+keep_suspicion(hub_warmup_t *warmup, uint64_t data_centre, int64_t now_ms)
+{
+	suspicion_t *oldest = &warmup->suspicions[0];
+	suspicion_t *at;
+	size_t i;
+
+	for (i = 0; i < warmup->suspicion_count; i++) {
+		at = &warmup->suspicions[i];
+		if (at->data_centre == data_centre) {
+			oldest = at;
+			break;
+		}
+		if (at->since_ms < oldest->since_ms)
+			oldest = at;
+	}
+	if (i == warmup->suspicion_count &&
+	    warmup->suspicion_count < HUB_WARMUP_SUSPECTS_MAX)
+		oldest = &warmup->suspicions[warmup->suspicion_count++];
+	*oldest = (suspicion_t){ data_centre, now_ms };
+}
+
+static int
+is_suspicious(const hub_warmup_t *warmup, uint64_t data_centre, int64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < warmup->suspicion_count; i++) {
+		if (warmup->suspicions[i].data_centre == data_centre)
+			return (now_ms - warmup->suspicions[i].since_ms <
+			    HUB_WARMUP_SUSPECT_KEEP_MS);
+	}
+	return (0);
+}
+
+void
+hub_warmup_restore(
+    hub_warmup_t *warmup, const hub_warmup_report_t *report, int64_t now_ms)
+{
+	warmup_target_t *target = find(warmup, report->key.target);
+
+	if (target != NULL &&
+	    target->incarnation_ms >= report->key.incarnation_ms)
+		return;
+	target = get(warmup, report);
+	if (target == NULL)
+		return;
+	target->sequence = report->sequence;
+	set_until(warmup, target, get_end_ms(report->left_ms, now_ms),
+	    HUB_WARMUP_REPLICATED, now_ms);
+	if (is_suspicious(warmup, target->data_centre, now_ms))
+		suspect(warmup, target, now_ms);
+}
+
 uint32_t
 hub_warmup_suspect(hub_warmup_t *warmup, uint64_t data_centre, int64_t now_ms)
 {
 	warmup_target_t *target;
 	uint32_t count = 0;
 
+	keep_suspicion(warmup, data_centre, now_ms);
 	for (target = warmup->targets; target != NULL;
 	     target = target->hh.next) {
 		if (target->data_centre != data_centre)
--- a/src/hub/hub_warmup.h
+++ b/src/hub/hub_warmup.h
@@ -39,6 +39,12 @@
  * their time is over. */
 #define HUB_WARMUP_PROLONG_MS 1500
 
+/** A suspicion is kept for this time for a hub that begins to lead: an election
+ * and several announcements. */
+#define HUB_WARMUP_SUSPECT_KEEP_MS 10000
+/** Most suspicions that are kept; data centres are fewer. */
+#define HUB_WARMUP_SUSPECTS_MAX 64
+
 typedef struct hub_warmup hub_warmup_t;
 
 /** What the state of a target comes from. */
@@ -77,7 +83,7 @@
 /** Frees everything; NULL is allowed. */
 void hub_warmup_destroy(hub_warmup_t *warmup);
 
-/** Drops everything: this hub begins to lead. */
+/** Drops everything but suspicions: this hub begins to lead. */
 void hub_warmup_reset(hub_warmup_t *warmup);
 
 /** Adds a target as the replicated log has it, unless its incarnation is known.
@@ -96,7 +102,8 @@
 
 /**
  * Records that all targets of a data centre may have turned cold unnoticed. They
- * count as cold until an announcement that is received later says otherwise.
+ * count as cold until an announcement that is received later says otherwise. All
+ * hubs record it: one that begins to lead soon suspects the targets that it adds.
  *
  * @param data_centre  hash of its name
  * @return             number of its targets
--- a/test/unit/hub_warmup_test.cc
+++ b/test/unit/hub_warmup_test.cc
@@ -210,6 +210,31 @@
 	EXPECT_EQ(0u, hub_warmup_tick(warmup_, kStart + 22000 + kMargin));
 }
 
+// The hub that leads next takes the targets of a suspected data centre for warm; or
+// it suspects them for ever.
+TEST_F(HubWarmup, ANewLeaderSuspectsTheSameDataCentres)
+{
+	const hub_warmup_report_t here = { kTarget, 5, kHere, 4, 0 };
+	const hub_warmup_report_t there = { { 9, 1 }, 5, kThere, 4, 0 };
+
+	/* A follower has no targets. */
+	for (uint64_t i = 100; i < 300; i++)
+		hub_warmup_suspect(warmup_, i, kStart - 1000);
+	EXPECT_EQ(0u, hub_warmup_suspect(warmup_, kHere, kStart));
+	EXPECT_EQ(0u, hub_warmup_suspect(warmup_, kHere, kStart + 1));
+	hub_warmup_reset(warmup_);
+	hub_warmup_restore(warmup_, &here, kStart + 2000);
+	hub_warmup_restore(warmup_, &there, kStart + 2000);
+	EXPECT_GT(Left(kStart + 2000), 0);
+	EXPECT_EQ(0, Left(kStart + 2000, there.key));
+	Announce(5, 0, kStart + 2100);
+	EXPECT_EQ(0, Left(kStart + 2100));
+	hub_warmup_reset(warmup_);
+	hub_warmup_restore(
+	    warmup_, &here, kStart + 1 + HUB_WARMUP_SUSPECT_KEEP_MS);
+	EXPECT_EQ(0, Left(kStart + 1 + HUB_WARMUP_SUSPECT_KEEP_MS));
+}
+
 // What a service tolerates changes, and its cold targets keep their permits.
 TEST_F(HubWarmup, ColdTargetsAreReportedAgain)
 {
