--- a/src/hub/hub_announcements.c
+++ b/src/hub/hub_announcements.c
@@ -66,17 +66,18 @@
 	uint8_t *bytes;
 	size_t len;
 
-	switch (hub_announce_judge(hub->state, as)) {
-	case HUB_ANNOUNCE_OUTDATED:
+	hub_announce_effect_t effect = hub_announce_judge(hub->state, as);
+
+	if (effect == HUB_ANNOUNCE_OUTDATED)
 		return (HUB_ACKNOWLEDGED);
-	case HUB_ANNOUNCE_REPEATED:
-		hub_record_announcement(hub, as);
+	hub_record_announcement(hub, as);
+	hub_record_warmup(hub, as);
+	if (effect == HUB_ANNOUNCE_REPEATED &&
+	    !hub_is_warmup_new(hub,
+		hub_state_find_target(hub->state, fleet_name_hash(as->id)), as))
 		return (HUB_ACKNOWLEDGED);
-	default:
-		hub_record_announcement(hub, as);
-		bytes = hub_entry_encode_target(as, &len);
-		return (hub_propose(hub, bytes, len, done, ctx));
-	}
+	bytes = hub_entry_encode_target(as, &len);
+	return (hub_propose(hub, bytes, len, done, ctx));
 }
 
 /* Ends a registration as the leader; as hub_leave(). */
@@ -294,14 +295,20 @@
 record_announced(hub_t *hub, const Tm__Fleet__Relay *msg, int64_t now_ms)
 {
 	const Tm__Fleet__Announced *item;
+	dialect_announcement_t as;
 	size_t i;
 
 	for (i = 0; i < msg->n_announced; i++) {
 		item = msg->announced[i];
-		if (hub_announce_record(hub->state, item->target, item->born_ms,
-			item->sequence))
-			hub_outlier_record_announcement(
-			    hub->outlier, item->target, now_ms);
+		if (!hub_announce_record(hub->state, item->target,
+			item->born_ms, item->sequence))
+			continue;
+		hub_outlier_record_announcement(
+		    hub->outlier, item->target, now_ms);
+		as = hub_state_find_target(hub->state, item->target)->as;
+		as.sequence = item->sequence;
+		as.cold_left_ms = item->cold_left_ms;
+		hub_record_warmup(hub, &as);
 	}
 }
 
--- a/src/hub/hub_evacuation_apply.c
+++ b/src/hub/hub_evacuation_apply.c
@@ -3,16 +3,6 @@
 #include "base/log.h"
 #include "hub/hub_internal.h"
 
-/* Called at every hub when an evacuation has ended. The targets of the data
- * centre may be cold: what bounds the requests to them is to start here. */
-static void
-on_evacuation_ended(hub_t *hub, const char *data_centre, int64_t now_ms)
-{
-	(void)hub;
-	(void)data_centre;
-	(void)now_ms;
-}
-
 static void
 log_change(const hub_evacuation_t *item)
 {
@@ -50,7 +40,7 @@
 	update_targets(hub, now_ms);
 	hub_feed_mark_evacuations_changed(hub->feed);
 	if (changed->is_ended)
-		on_evacuation_ended(hub, changed->data_centre, now_ms);
+		hub_suspect_data_centre(hub, changed->data_centre, now_ms);
 }
 
 /* Only hubs that do not lead get snapshots; the feed starts anew when they
@@ -66,7 +56,7 @@
 	for (i = 0; i < before->count; i++) {
 		if (!before->items[i].is_ended &&
 		    !hub_evacuations_has(after, before->items[i].data_centre))
-			on_evacuation_ended(
+			hub_suspect_data_centre(
 			    hub, before->items[i].data_centre, now_ms);
 	}
 }
