hub, gate: with scarce capacity, targets return by the expected loss

Cause: one broken connection ejected a target for 4 s or more, in calm and in a full service, and targets waited for repeatable requests that do not exist. Every gate was told of each target open to a probe, also while its probe ran.

Change, only with FLEET_FEATURE_SCARCE_CAPACITY: the leader estimates how likely each target out of use still fails, corrected by the results of probes, and probes and returns it by limits that rise with the utilization. A target that breaks one connection is kept while few such targets fail. Shed requests, and stalls of many targets, do not eject targets that serve others. Targets that may be sound are counted against those in use. Leases offer each target that waits to one gate, which asks once; a late grant may be used by any request of that gate.

Known: services with repeatable requests are refused as many questions as before.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -11,6 +11,7 @@
 #include "gate/gate_alone.h"
 #include "gate/gate_crash_check.h"
 #include "gate/gate_limit_permit.h"
+#include "gate/gate_probe.h"
 #include "gate/gate_stall.h"
 
 /* Connect timeout; nothing was sent by then. */
@@ -481,11 +482,14 @@
 }
 
 static void
-ask_for_target(gate_request_t *request)
+ask_for_target(gate_request_t *request, gate_service_t *service)
 {
 	Tm__Fleet__Spend msg = TM__FLEET__SPEND__INIT;
 	gate_t *gate = request->gate;
 
+	/* The leader offers a target that waits to one request. */
+	if ((gate->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0)
+		gate_probe_use_offer(service);
 	msg.kind = FLEET_SPEND_PROBE;
 	msg.service = fleet_name_hash(request->service);
 	msg.may_repeat = request->repeat_allowed;
@@ -519,7 +523,7 @@
 	if (choice.is_probe)
 		gate_attempt_send(request, choice.target, 1);
 	else if (choice.must_ask_leader)
-		ask_for_target(request);
+		ask_for_target(request, service);
 	else if (choice.must_reserve && has_leader)
 		gate_limit_permit_reserve(request);
 	else if (choice.must_reserve)
--- a/src/gate/gate_probe.c
+++ b/src/gate/gate_probe.c
@@ -24,6 +24,23 @@
 	return (NULL);
 }
 
+void
+gate_probe_use_offer(gate_service_t *service)
+{
+	service->idle_ms = 0;
+	service->has_offers = 1;
+}
+
+/* A leader that offers targets to single gates opens them to any request without
+ * a verdict that says so. */
+static int
+allows_kept_probe(const gate_service_t *service, const gate_target_t *target,
+    const gate_pick_options_t *options)
+{
+	return (options->may_repeat || target->verdict == FLEET_VERDICT_PROBE ||
+	    (service->has_offers && target->verdict == FLEET_VERDICT_EJECTED));
+}
+
 gate_target_t *
 gate_probe_take(gate_service_t *service, const gate_pick_options_t *options)
 {
@@ -33,7 +50,7 @@
 		return (NULL);
 	target = find_target(service, service->kept_probe);
 	if (target == NULL || !gate_target_is_usable(target, options) ||
-	    (target->verdict != FLEET_VERDICT_PROBE && !options->may_repeat))
+	    !allows_kept_probe(service, target, options))
 		return (NULL);
 	service->kept_probe = 0;
 	return (target);
--- a/src/gate/gate_probe.h
+++ b/src/gate/gate_probe.h
@@ -20,4 +20,8 @@
  * @return its target; 0: there is none */
 uint64_t gate_probe_drop(gate_service_t *service, int64_t now_ms);
 
+/** Records that a request asks for the target that the leader has offered to this
+ * gate: others do not. */
+void gate_probe_use_offer(gate_service_t *service);
+
 #endif
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -79,6 +79,7 @@
 	int64_t next_ask_ms; /**< the leader is not asked before */
 	int64_t
 	    idle_ms; /**< when the leader last named it as having idle targets */
+	int has_offers; /**< the leader offers targets to single gates */
 	uint64_t kept_probe; /**< target of a grant that came late; 0: none */
 	int64_t kept_probe_ms; /**< when it came */
 	int is_alone; /**< without a leader; see gate_alone.h */
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -152,6 +152,19 @@
 	    hub_signals_get_wait_ms(hub->signals, &incarnation, now_ms) == 0);
 }
 
+static void
+configure_outlier(hub_t *hub)
+{
+	const fleet_service_t *service;
+
+	hub_outlier_set_scarce(
+	    hub->outlier, (hub->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0);
+	for (service = hub->config->services; service != NULL;
+	     service = service->hh.next)
+		hub_outlier_set_repeatable(
+		    hub->outlier, service->id, service->has_repeatable);
+}
+
 /* Parses the newest document, if it is new, and applies it at this hub. Entries of
  * the log come many at a time after a start, and only the last document counts. */
 static void
@@ -183,6 +196,7 @@
 	hub->features =
 	    fleet_config_get_features(config, hub->settings.features);
 	hub_quota_configure(hub->quota, config, clock_now_ms());
+	configure_outlier(hub);
 	LOG_EVENT(912, LOG_LEVEL_INFO, "document in force",
 	    LOG_NUM("version", config->version),
 	    LOG_NUM("routes", config->route_count));
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -95,11 +95,36 @@
 		hub_send_blocks(hub, to, now_ms);
 }
 
+/* With scarce capacity a gate is told only of services of which a target waits
+ * for its request; others would ask for nothing.
+ * @param idle  receives the list, HUB_IDLE_SERVICES_MAX at most */
+static void
+list_idle_services(hub_t *hub, node_id_t gate, uint64_t *idle,
+    hub_feed_lease_t *lease, int64_t now_ms)
+{
+	const fleet_service_t *service;
+
+	lease->idle_services = hub->idle_services;
+	lease->idle_service_count = hub->idle_service_count;
+	if ((hub->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0 ||
+	    hub->config == NULL)
+		return;
+	lease->idle_services = idle;
+	lease->idle_service_count = 0;
+	for (service = hub->config->services; service != NULL &&
+	     lease->idle_service_count < HUB_IDLE_SERVICES_MAX;
+	     service = service->hh.next) {
+		if (hub_outlier_offer(hub->outlier, service->id, gate, now_ms))
+			idle[lease->idle_service_count++] = service->id;
+	}
+}
+
 static void
 handle_join(hub_t *hub, node_id_t from, const uint8_t *payload, size_t len)
 {
 	Tm__Fleet__Join *join = tm__fleet__join__unpack(NULL, len, payload);
 	const char *names[FLEET_HUBS_MAX];
+	uint64_t idle[HUB_IDLE_SERVICES_MAX];
 	hub_feed_lease_t lease = { .hubs = names };
 	int64_t now_ms = clock_now_ms();
 
@@ -115,8 +140,7 @@
 		lease.utilizations =
 		    hub_load_list(hub->load, &lease.utilization_count);
 		record_outcomes(hub, join, now_ms);
-		lease.idle_services = hub->idle_services;
-		lease.idle_service_count = hub->idle_service_count;
+		list_idle_services(hub, from, idle, &lease, now_ms);
 		lease.full = hub_load_get_full(hub->load);
 		merge_usage(hub, join, now_ms);
 		send_near_limit_if_due(hub, from, join);
--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -6,6 +6,7 @@
 #include <utlist.h>
 
 #include "base/error.h"
+#include "hub/hub_outlier_scarce.h"
 
 /* A target whose failure score reaches this is ejected. */
 #define FAILURE_SCORE_LIMIT 1.0
@@ -128,10 +129,28 @@
 	if (service == NULL)
 		return (NULL);
 	service->id = id;
+	service->has_repeatable = 1;
+	outlier_scarce_init_service(service);
 	HASH_ADD(hh, detector->services, id, sizeof(service->id), service);
 	return (service);
 }
 
+void
+hub_outlier_set_scarce(hub_outlier_t *detector, int is_scarce)
+{
+	detector->is_scarce = is_scarce;
+}
+
+void
+hub_outlier_set_repeatable(
+    hub_outlier_t *detector, uint64_t id, int has_repeatable)
+{
+	outlier_service_t *service = get_service(detector, id);
+
+	if (service != NULL)
+		service->has_repeatable = has_repeatable;
+}
+
 void
 hub_outlier_add_target(hub_outlier_t *detector, uint64_t key, uint64_t service,
     uint64_t incarnation_ms)
@@ -178,6 +197,7 @@
 outlier_set_verdict(hub_outlier_t *detector, outlier_target_t *target,
     fleet_verdict_t verdict, const char *reason)
 {
+	target->is_open = 0;
 	if (target->verdict == verdict)
 		return;
 	target->verdict = verdict;
@@ -253,7 +273,10 @@
 		target->ejections++;
 		target->service->totals.ejections++;
 	}
-	outlier_estimate_failure(target, now_ms);
+	if (detector->is_scarce)
+		outlier_scarce_estimate_failure(target, now_ms);
+	else
+		outlier_estimate_failure(target, now_ms);
 	target->failed_ms = now_ms;
 	target->failure_score = 0;
 	outlier_set_verdict(detector, target, FLEET_VERDICT_EJECTED, reason);
@@ -366,6 +389,31 @@
 		    evidence_info[evidence->kind].weight, now_ms);
 }
 
+/* @return how much evidence against a target in use adds to its failure score */
+static double
+get_weight(const hub_outlier_t *detector, outlier_target_t *target,
+    const hub_evidence_t *evidence, int64_t now_ms)
+{
+	double weight = evidence_info[evidence->kind].weight;
+	int is_shared = (evidence->kind == FLEET_EVIDENCE_STALL ||
+			    evidence->kind == FLEET_EVIDENCE_SHED) &&
+	    is_common(target, now_ms);
+
+	if (evidence->kind == FLEET_EVIDENCE_UNREACHABLE &&
+	    evidence->gate == target->last_gate &&
+	    now_ms - target->last_gate_ms < SAME_GATE_MS)
+		weight *= SAME_GATE_WEIGHT;
+	if (is_shared)
+		weight *= COMMON_WEIGHT;
+	if (detector->is_scarce)
+		return (outlier_scarce_get_weight(
+		    target, evidence->kind, weight, is_shared, now_ms));
+	if (evidence->kind == FLEET_EVIDENCE_BROKEN &&
+	    target->service->utilization >= OUTLIER_UTILIZATION_FULL)
+		weight = BROKEN_WEIGHT_FULL;
+	return (weight);
+}
+
 void
 hub_outlier_record_evidence(
     hub_outlier_t *detector, const hub_evidence_t *evidence, int64_t now_ms)
@@ -382,18 +430,7 @@
 	}
 	if (target->verdict != FLEET_VERDICT_HEALTHY)
 		return;
-	weight = evidence_info[evidence->kind].weight;
-	if (evidence->kind == FLEET_EVIDENCE_UNREACHABLE &&
-	    evidence->gate == target->last_gate &&
-	    now_ms - target->last_gate_ms < SAME_GATE_MS)
-		weight *= SAME_GATE_WEIGHT;
-	if ((evidence->kind == FLEET_EVIDENCE_STALL ||
-		evidence->kind == FLEET_EVIDENCE_SHED) &&
-	    is_common(target, now_ms))
-		weight *= COMMON_WEIGHT;
-	if (evidence->kind == FLEET_EVIDENCE_BROKEN &&
-	    target->service->utilization >= OUTLIER_UTILIZATION_FULL)
-		weight = BROKEN_WEIGHT_FULL;
+	weight = get_weight(detector, target, evidence, now_ms);
 	target->last_gate = evidence->gate;
 	target->last_gate_ms = now_ms;
 	decay_failure_score(target, now_ms);
@@ -456,6 +493,8 @@
 	outlier_target_t *next;
 
 	HASH_ITER(hh, detector->services, service, next_service) {
+		if (detector->is_scarce)
+			continue;
 		outlier_update_backoff(service);
 		outlier_limit_unused(detector, service, now_ms);
 	}
@@ -467,6 +506,10 @@
 			outlier_eject(detector, target,
 			    FLEET_EVIDENCE_UNREACHABLE, now_ms);
 	}
+	if (!detector->is_scarce)
+		return;
+	HASH_ITER(hh, detector->services, service, next_service)
+		outlier_scarce_update_service(detector, service, now_ms);
 }
 
 fleet_verdict_t
@@ -500,6 +543,10 @@
     int64_t now_ms, hub_outlier_counts_t *counts)
 {
 	counts->unreachable += target->is_unreachable;
+	if (target->is_open) {
+		counts->probe++;
+		return;
+	}
 	switch (target->verdict) {
 	case FLEET_VERDICT_HEALTHY:
 		counts->healthy++;
--- a/src/hub/hub_outlier.h
+++ b/src/hub/hub_outlier.h
@@ -89,6 +89,25 @@
 void hub_outlier_set_filter(
     hub_outlier_t *detector, hub_outlier_filter_cb filter);
 
+/** Sets whether callers compete for the capacity of the services
+ * (FLEET_FEATURE_SCARCE_CAPACITY): probes and returns then follow the expected
+ * loss, and gates ask for a target only after hub_outlier_offer(). 0 at first. */
+void hub_outlier_set_scarce(hub_outlier_t *detector, int is_scarce);
+
+/** Sets whether requests to a service may be repeated; 1 at first. Does nothing
+ * if memory is exhausted. */
+void hub_outlier_set_repeatable(
+    hub_outlier_t *detector, uint64_t id, int has_repeatable);
+
+/**
+ * Decides whether a gate is told now that a service has targets which wait for a
+ * request. Each such target is offered to one gate at a time.
+ *
+ * @return 1 if the gate's lease is to name the service
+ */
+int hub_outlier_offer(
+    hub_outlier_t *detector, uint64_t id, node_id_t gate, int64_t now_ms);
+
 /** Frees everything; NULL is allowed. */
 void hub_outlier_destroy(hub_outlier_t *detector);
 
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -20,8 +20,17 @@
 /* From this utilization on, requests wait for slots. */
 #define OUTLIER_UTILIZATION_FULL 1.0
 
+/* Most gates that are told at a time that a service has targets which wait. */
+#define OUTLIER_OFFERS_MAX 256
+
 typedef struct outlier_service outlier_service_t;
 
+/* A gate that was told to ask for a target. */
+typedef struct outlier_offer {
+	node_id_t gate;
+	int64_t made_ms;
+} outlier_offer_t;
+
 typedef struct outlier_target {
 	uint64_t key;
 	outlier_service_t *service;
@@ -43,6 +52,12 @@
 	/* Gate whose probe hung, until another gate has probed the target, as
 	 * the gate or its path may be the cause; NODE_ID_NONE: none. */
 	node_id_t doubted_gate;
+	/* With scarce capacity: any request may probe it. Gates are not told, so
+	 * that only those with an offer ask. */
+	int is_open;
+	int is_confirmed; /* a second request failed at or after its ejection */
+	int64_t confirmed_ms; /* last failed probe; 0: none */
+	int64_t broken_ms; /* connection broken in use, if it was kept; or 0 */
 	int is_draining;
 	int is_unreachable; /* unresponsive for TARGET_TIMEOUT_MS */
 	int64_t announced_ms;
@@ -67,6 +82,17 @@
 	 * the targets in use are enough, probes wait longer. */
 	int64_t early_backoff_ms;
 	double utilization; /* requests per slot of the targets in use */
+	int has_repeatable; /* some of its requests may be repeated */
+	/* With scarce capacity: the estimate right after an ejection, and the
+	 * time constant of its decay, as the results of probes suggest. */
+	double ejected_estimate;
+	double recovery_ms;
+	/* With scarce capacity: targets that wait for a request by any gate, as
+	 * of the last tick, less those assigned since; gates told of them. */
+	uint32_t waiting;
+	uint32_t offer_count;
+	double asking_share; /* of the gates told, those that ask in time */
+	outlier_offer_t offers[OUTLIER_OFFERS_MAX];
 	hub_outlier_counts_t totals; /* only what is counted since the start */
 	UT_hash_handle hh;
 };
@@ -76,6 +102,7 @@
 	outlier_service_t *services;
 	/* Share of a service's targets that may get no requests at all. */
 	double unused_share_max;
+	int is_scarce; /* FLEET_FEATURE_SCARCE_CAPACITY */
 	hub_outlier_cb changed;
 	hub_outlier_filter_cb filter; /* NULL: all targets */
 	void *ctx;
@@ -106,6 +133,9 @@
 /** @return rate of the attempts that ended lately */
 double outlier_get_attempts_per_ms(const outlier_service_t *service);
 
+/** @return 1 if a target waits for a request that need not be repeatable */
+int outlier_is_waiting(const outlier_target_t *target, int64_t now_ms);
+
 /** Records a failure of a target that is, or becomes, ejected. */
 void outlier_estimate_failure(outlier_target_t *target, int64_t now_ms);
 
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "hub/hub_outlier_scarce.h"
+
 /* An ejected target gets no request for this time after its last failure, then
  * probes by repeatable requests. */
 #define PROBE_BACKOFF_MS 1000
@@ -37,19 +39,21 @@
 
 /* @return highest estimate at which a target of the service is used */
 static double
-get_estimate_max(const outlier_service_t *service)
+get_estimate_max(
+    const hub_outlier_t *detector, const outlier_service_t *service)
 {
 	double fullness = (service->utilization - UTILIZATION_IDLE) /
 	    (OUTLIER_UTILIZATION_FULL - UTILIZATION_IDLE);
 
 	if (outlier_count_healthy(service) < outlier_get_min_in_use(service))
 		return (1);
+	if (detector->is_scarce)
+		return (outlier_scarce_get_estimate_max(service));
 	return (ESTIMATE_MAX_IDLE +
 	    fmin(fmax(fullness, 0), 1) *
 		(ESTIMATE_MAX_FULL - ESTIMATE_MAX_IDLE));
 }
 
-/* @return probability that a target still fails */
 static double
 get_estimate(const outlier_target_t *target, int64_t now_ms)
 {
@@ -88,6 +92,19 @@
 	    target->doubted_gate == NODE_ID_NONE && !target->is_unreachable);
 }
 
+/* With scarce capacity the failure counts from when the probe was sent: a target
+ * may have recovered before the hang was noticed. */
+static void
+fail_probe(hub_outlier_t *detector, outlier_target_t *target,
+    fleet_evidence_t kind, int64_t now_ms)
+{
+	outlier_eject(detector, target, kind, now_ms);
+	if (!detector->is_scarce)
+		return;
+	target->failed_ms = target->probe_ms;
+	target->estimate_ms = target->probe_ms;
+}
+
 void
 outlier_record_probe(hub_outlier_t *detector, outlier_target_t *target,
     const hub_evidence_t *evidence, int64_t now_ms)
@@ -102,8 +119,12 @@
 		target->success_ms = now_ms;
 		target->doubted_gate = NODE_ID_NONE;
 		target->service->totals.probes_succeeded++;
-		estimate_success(target, now_ms);
-		if (target->estimate <= get_estimate_max(target->service))
+		if (detector->is_scarce)
+			outlier_scarce_estimate_success(target, now_ms);
+		else
+			estimate_success(target, now_ms);
+		if (target->estimate <=
+		    get_estimate_max(detector, target->service))
 			outlier_set_verdict(detector, target,
 			    FLEET_VERDICT_HEALTHY, "probes succeeded");
 		return;
@@ -112,14 +133,14 @@
 		if (is_inconclusive(target, evidence))
 			target->doubted_gate = evidence->gate;
 		else
-			outlier_eject(detector, target, evidence->kind, now_ms);
+			fail_probe(detector, target, evidence->kind, now_ms);
 	}
 }
 
 static int
 is_probing(const outlier_target_t *target)
 {
-	return (target->verdict == FLEET_VERDICT_PROBE ||
+	return (target->is_open || target->verdict == FLEET_VERDICT_PROBE ||
 	    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE);
 }
 
@@ -161,11 +182,19 @@
 {
 	return (target->probe_gate == NODE_ID_NONE && !target->is_draining &&
 	    target->doubted_gate != gate &&
-	    (target->verdict == FLEET_VERDICT_PROBE ||
+	    (target->is_open || target->verdict == FLEET_VERDICT_PROBE ||
 		(may_repeat &&
 		    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE)));
 }
 
+int
+outlier_is_waiting(const outlier_target_t *target, int64_t now_ms)
+{
+	return (outlier_is_idle(target, now_ms) ||
+	    (target->is_open && target->probe_gate == NODE_ID_NONE &&
+		!target->is_draining));
+}
+
 int
 outlier_may_assign(const hub_outlier_t *detector,
     const outlier_target_t *target, int64_t now_ms)
@@ -193,6 +222,7 @@
 		    outlier_may_assign(detector, target, now_ms))
 			chosen = target;
 	}
+	outlier_scarce_end_offer(service, gate, chosen != NULL);
 	if (chosen == NULL) {
 		service->totals.probes_refused++;
 		return (assignment);
@@ -254,16 +284,20 @@
 	/* Without a second gate the result of the first one stands. */
 	if (target->doubted_gate != NODE_ID_NONE &&
 	    now_ms - target->used_ms > PROBE_BACKOFF_MS) {
-		outlier_eject(detector, target, FLEET_EVIDENCE_STALL, now_ms);
+		fail_probe(detector, target, FLEET_EVIDENCE_STALL, now_ms);
 		return;
 	}
-	if (target->is_unreachable) {
+	if (target->is_unreachable && !detector->is_scarce) {
 		if (idle_ms >= UNREACHABLE_BACKOFF_MS)
 			outlier_set_verdict(detector, target,
 			    FLEET_VERDICT_PROBE,
 			    "unreachable for the leader, probed through the gates");
 		return;
 	}
+	if (detector->is_scarce) {
+		outlier_scarce_offer_probe(detector, target, now_ms);
+		return;
+	}
 	if (is_open_to_any(target, now_ms))
 		outlier_set_verdict(detector, target, FLEET_VERDICT_PROBE,
 		    "any request may probe it");
--- a/test/unit/floor_model.h
+++ b/test/unit/floor_model.h
@@ -20,6 +20,7 @@
 #include "fleet/fleet_config.h"
 #include "gate/gate_alone.h"
 #include "gate/gate_link.h"
+#include "gate/gate_probe.h"
 #include "gate/gate_table.h"
 #include "hub/hub_feed.h"
 }
@@ -49,6 +50,8 @@
 	/* Share of the gates at which requests hang, whatever the target, in
 	 * time of trouble. */
 	double hanging_gates;
+	/* FLEET_FEATURE_SCARCE_CAPACITY is on at hub and gates. */
+	bool is_scarce;
 };
 
 /* Messages between gates and the leader, in order for each gate. */
@@ -95,6 +98,8 @@
 		hub_feed_options_t options = {};
 
 		outlier_ = hub_outlier_create(0.7, OnVerdict, this);
+		hub_outlier_set_scarce(outlier_, load.is_scarce);
+		hub_outlier_set_repeatable(outlier_, service_, !load.is_scarce);
 		options.state = state_;
 		options.outlier = outlier_;
 		options.send = Send;
@@ -196,6 +201,7 @@
 			checked_++;
 			worst_ = std::min(
 			    worst_, (double)window.used / window.sound);
+			share_sum_ += (double)window.used / window.sound;
 			EXPECT_GE(window.used, kUsedShareMin * window.sound)
 			    << window.used << " of " << window.sound
 			    << " sound targets used from " << window.start
@@ -212,6 +218,7 @@
 	}
 
 	double worst_ = 1;
+	double share_sum_ = 0; /* of the windows checked */
 	int asks_ = 0; /* for permits to probe */
 	int unserved_ = 0;
 	int requests_ = 0;
@@ -449,7 +456,9 @@
 		lease.term = term_;
 		lease.leader = "10.0.0.1";
 		lease.idle_services = &service_;
-		lease.idle_service_count = has_idle_;
+		lease.idle_service_count = load_.is_scarce
+		    ? (size_t)hub_outlier_offer(outlier_, service_, i + 1, now_)
+		    : (size_t)has_idle_;
 		join.table_term = table_term;
 		join.table_sequence = sequence;
 		hub_feed_renew_lease(feed_, i + 1, &join, &lease, now_);
@@ -496,6 +505,8 @@
 		auto question = std::make_shared<Question>(Question{ gate, 0 });
 
 		asks_++;
+		if (load_.is_scarce)
+			gate_probe_use_offer(GetService(gate));
 		SendUp(gate, [this, question] {
 			hub_assignment_t assignment = hub_outlier_assign_target(
 			    outlier_, service_, question->gate + 1, 0, now_);
--- a/test/unit/load_model.h
+++ b/test/unit/load_model.h
@@ -18,6 +18,7 @@
 extern "C" {
 #include "fleet/fleet_config.h"
 #include "gate/gate_admission.h"
+#include "gate/gate_probe.h"
 #include "gate/gate_stall.h"
 #include "gate/gate_table.h"
 #include "hub/hub_load.h"
@@ -44,6 +45,7 @@
 	double bad_ms = 4500; // mean length
 	double well_ms = 4500; // mean time between, at these targets
 	double fails = 0.85; // share of requests in a bad phase
+	double fails_well = 0; // share at any other time, by a reset
 	Fault fault = Fault::kReset;
 	// A burst from one time to another, as a multiple of the load.
 	double burst = 1;
@@ -52,6 +54,8 @@
 	// Targets that are lost from that time on.
 	double lost_share = 0;
 	int64_t lost_from_ms = 0;
+	// FLEET_FEATURE_SCARCE_CAPACITY is on at hub and gates.
+	bool is_scarce = false;
 };
 
 struct LoadFigures {
@@ -62,7 +66,13 @@
 	int shed = 0; // by targets that were full
 	int failed = 0;
 	double in_use = 0; // of the sound targets, sum over the samples
+	double healthy = 0; // targets in use, sum over the samples
+	double healthy_min = 1e9; // in a second
 	int samples = 0;
+	int probes_granted = 0;
+	int probes_refused = 0;
+	int probes_failed = 0;
+	int ejections = 0;
 
 	void
 	Add(const LoadFigures &other)
@@ -74,7 +84,13 @@
 		shed += other.shed;
 		failed += other.failed;
 		in_use += other.in_use;
+		healthy += other.healthy;
+		healthy_min = std::min(healthy_min, other.healthy_min);
 		samples += other.samples;
+		probes_granted += other.probes_granted;
+		probes_refused += other.probes_refused;
+		probes_failed += other.probes_failed;
+		ejections += other.ejections;
 	}
 
 	double
@@ -89,6 +105,12 @@
 		return (samples > 0 ? in_use / samples : 0);
 	}
 
+	double
+	GetHealthy() const
+	{
+		return (samples > 0 ? healthy / samples : 0);
+	}
+
 	double
 	Share(int count) const
 	{
@@ -102,6 +124,9 @@
 	    : pattern_(pattern), random_(seed)
 	{
 		outlier_ = hub_outlier_create(0.7, OnVerdict, this);
+		hub_outlier_set_scarce(outlier_, pattern.is_scarce);
+		hub_outlier_set_repeatable(
+		    outlier_, service_, pattern.repeatable > 0);
 		targets_.resize((size_t)pattern.targets);
 		for (size_t i = 0; i < targets_.size(); i++)
 			AddTarget(i);
@@ -140,7 +165,17 @@
 	TakeFigures()
 	{
 		LoadFigures taken = figures_;
-
+		hub_outlier_counts_t counts = {};
+
+		hub_outlier_count_service(outlier_, service_, now_, &counts);
+		taken.probes_granted =
+		    (int)(counts.probes_granted - taken_.probes_granted);
+		taken.probes_refused =
+		    (int)(counts.probes_refused - taken_.probes_refused);
+		taken.probes_failed =
+		    (int)(counts.probes_failed - taken_.probes_failed);
+		taken.ejections = (int)(counts.ejections - taken_.ejections);
+		taken_ = counts;
 		figures_ = LoadFigures();
 		return (taken);
 	}
@@ -347,6 +382,8 @@
 
 		if (choice.must_ask_leader) {
 			request.asks++;
+			if (pattern_.is_scarce)
+				gate_probe_use_offer(GetService(request.gate));
 			After(kOneWayMs, [this, request] { Assign(request); });
 		} else if (choice.target == nullptr) {
 			Finish(&LoadFigures::shed);
@@ -409,6 +446,12 @@
 			FailAt(target, id);
 			return;
 		}
+		if (pattern_.fails_well > 0 && Draw() < pattern_.fails_well) {
+			After(kResetMs, [this, id] {
+				End(id, FLEET_EVIDENCE_BROKEN, true);
+			});
+			return;
+		}
 		if (target.running < pattern_.slots) {
 			Start(target, id);
 		} else if ((int)target.queue.size() < pattern_.queue) {
@@ -620,6 +663,9 @@
 			for (size_t k = 0; k < full->count; k++)
 				gate_table_set_load(gates_[i], full->keys[k],
 				    full->requests[k], full->reported_ms[k]);
+			if (pattern_.is_scarce)
+				has_idle_ = (size_t)hub_outlier_offer(
+				    outlier_, service_, i + 1, now_);
 			gate_table_set_idle(
 			    gates_[i], &service_, has_idle_, now_);
 		}
@@ -675,8 +721,11 @@
 	{
 		int sound = 0;
 		int in_use = 0;
+		int healthy = 0;
 
 		for (const Target &target : targets_) {
+			healthy += hub_outlier_get_verdict(outlier_,
+				       target.key) == FLEET_VERDICT_HEALTHY;
 			if (target.is_bad || target.is_lost ||
 			    now_ - target.well_since_ms <
 				HUB_OUTLIER_SOUND_AFTER_MS)
@@ -689,6 +738,13 @@
 			return;
 		figures_.in_use += (double)in_use / sound;
 		figures_.samples++;
+		figures_.healthy += healthy;
+		healthy_sum_ += healthy;
+		if (now_ % 1000 != 0)
+			return;
+		figures_.healthy_min =
+		    std::min(figures_.healthy_min, healthy_sum_ / 10);
+		healthy_sum_ = 0;
 	}
 
 	double
@@ -750,6 +806,8 @@
 	size_t has_idle_ = 0;
 	double credit_ = 0;
 	LoadFigures figures_;
+	double healthy_sum_ = 0;
+	hub_outlier_counts_t taken_ = {};
 };
 
 #endif
--- /dev/null
+++ b/test/unit/scarce_floor_test.cc
@@ -0,0 +1,116 @@
+// Failure guarded against: while a tenth to a half of the requests to a service are
+// not served, sound targets of it get none for 2 s.
+#include <gtest/gtest.h>
+
+#include "floor_model.h"
+
+using namespace floor_model;
+
+namespace {
+
+const int kSeeds = 20;
+
+/* 20 s as usual, 10 s of trouble, 10 s as usual. */
+void
+Play(Load load)
+{
+	int unserved = 0;
+	int requests = 0;
+	int checked = 0;
+	int asks = 0;
+	double worst = 1;
+	double sum = 0;
+
+	load.is_scarce = true;
+	for (int seed = 1; seed <= kSeeds; seed++) {
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		Fleet fleet(load, (uint64_t)seed);
+
+		fleet.Run(20000);
+		fleet.SetTrouble(1);
+		fleet.Run(10000);
+		fleet.SetTrouble(0);
+		fleet.Run(10000);
+		fleet.ExpectSoundTargetsUsed();
+		unserved += fleet.unserved_;
+		requests += fleet.requests_;
+		checked += fleet.GetCheckedWindows();
+		asks += fleet.asks_;
+		worst = std::min(worst, fleet.worst_);
+		sum += fleet.share_sum_;
+	}
+	EXPECT_GT(checked, 0);
+	printf("used of sound: worst %.2f mean %.2f in %d windows; %d of %d "
+	       "requests not served, %d asked the leader\n",
+	    worst, sum / checked, checked, unserved, requests, asks);
+}
+
+/* 20 s as usual, then 10 s of trouble, over a net and with the loss of a leader. */
+void
+PlayOverNet(Load load, const Net &net, int64_t leaderless_ms)
+{
+	int checked = 0;
+	double worst = 1;
+
+	load.is_scarce = true;
+	for (int seed = 1; seed <= kSeeds; seed++) {
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		Fleet fleet(load, (uint64_t)seed, net);
+
+		fleet.Run(20000);
+		if (leaderless_ms > 0)
+			fleet.LoseLeader(leaderless_ms);
+		fleet.SetTrouble(1);
+		fleet.Run(10000);
+		fleet.ExpectSoundTargetsUsed();
+		checked += fleet.GetCheckedWindows();
+		worst = std::min(worst, fleet.worst_);
+	}
+	EXPECT_GT(checked, 0);
+	printf("used of sound: worst %.2f in %d windows\n", worst, checked);
+}
+
+} // namespace
+
+// Small service: 31 targets, two requests a second for each gate.
+TEST(ScarceFloor, SoundTargetsOfASmallServiceGetRequests)
+{
+	Play({ 31, 82, 177, 320, 6300, 2700 });
+}
+
+// Small service in which half of the targets fail at any time.
+TEST(ScarceFloor, SoundTargetsOfASmallServiceGetRequestsWhileHalfFail)
+{
+	Play({ 31, 82, 177, 320, 3000, 3000 });
+}
+
+// Few gates are offered a target: those that hang use up the offers.
+TEST(ScarceFloor, SoundTargetsOfASmallServiceGetRequestsWhileSomeGatesHang)
+{
+	Play({ 31, 82, 177, 320, 6300, 2700, 0.3 });
+}
+
+// Large service without repeatable requests.
+TEST(ScarceFloor, SoundTargetsOfALargeServiceGetRequests)
+{
+	Play({ 150, 82, 605, 470, 6300, 2700 });
+}
+
+// Few requests for each target.
+TEST(ScarceFloor, SoundTargetsOfAServiceWithFewRequestsGetRequests)
+{
+	Play({ 75, 127, 50, 440, 14000, 6000 });
+}
+
+// Late answers: a grant comes after its request has gone elsewhere, and no other
+// request makes the probe, as the verdict does not say that it may.
+TEST(ScarceFloor, SoundTargetsGetRequestsWhileTheLeaderAnswersLate)
+{
+	PlayOverNet({ 54, 83, 300, 230, 9000, 4000 }, { 150, 0.05 }, 0);
+}
+
+// Change of leader: the new one knows neither offers nor estimates.
+TEST(ScarceFloor, SoundTargetsGetRequestsFromANewLeaderOverASlowNet)
+{
+	PlayOverNet({ 54, 83, 300, 230, 9000, 4000 }, { 80, 0.05 }, 1400);
+}
