gate: prefer a subset of each service's targets

With many gates each one sends a target too few requests to use a connection twice before the target closes it: 27,410 new connections for 49,313 requests at 82 gates and 262 targets.

With FLEET_FEATURE_SCARCE_CAPACITY a gate orders the targets of a service by rendezvous hashing and prefers the first usable ones, as many as its request rate, the reuse time and the coverage of the service by all gates need. A new connection has a price in the choice. A target without a recent report counts as having the mean load: as empty, it drew all gates that prefer it when it came back, and fewer sound targets stayed in use.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -10,6 +10,7 @@
 #include "fleet/zip.h"
 #include "gate/gate_defs.h"
 #include "gate/gate_metrics.h"
+#include "gate/gate_policy.h"
 #include "gate/gate_request.h"
 
 /* Key lease as a fraction of revoke_within_s. */
@@ -314,6 +315,7 @@
 	int64_t now_ms = clock_now_ms();
 
 	gate_link_tick(gate->link, now_ms);
+	gate_policy_tick(gate, now_ms);
 	return_kept_probes(gate, now_ms);
 	reset_allowance(gate);
 	gate_front_tick(gate, now_ms);
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -15,10 +15,6 @@
 
 /* Connect timeout; nothing was sent by then. */
 #define CONNECT_MAX_MS 300
-/* Idle connections are reused until this margin before the target's keep-alive
- * timeout, or up to the default idle time where the target gives none. */
-#define IDLE_DEFAULT_MS 1000
-#define IDLE_MARGIN_MS	1500
 /* Callers come back after this time at the latest: other targets may have come. */
 #define PAUSED_RETRY_MAX_MS 60000
 /* With less time left, a retry is not worth an attempt. */
@@ -288,6 +284,7 @@
 		record_signals(request, target, response);
 	if (!stopped_at_deadline(request, response))
 		record_outcome(request, target, kind, response->status);
+	gate_idle_add(&target->idle, clock_now_ms());
 	gate_target_release(target);
 	if (!is_not_executed && !gate_request_is_answered(request))
 		gate_crash_check_record_answer(request);
@@ -365,15 +362,6 @@
 		: UPSTREAM_FOREIGN);
 }
 
-/* @return longest idle time of a connection that may be reused */
-static int64_t
-get_idle_max_ms(const gate_target_t *target)
-{
-	if (target->idle_max_ms <= IDLE_MARGIN_MS)
-		return (IDLE_DEFAULT_MS);
-	return (target->idle_max_ms - IDLE_MARGIN_MS);
-}
-
 /* Writes the request to a target. @return 0 or a negative error number */
 static int
 start(gate_request_t *request, gate_target_t *target)
@@ -383,7 +371,7 @@
 	upstream_request_t call = {
 		.to = target->addr,
 		.is_head = request->is_head,
-		.idle_max_ms = get_idle_max_ms(target),
+		.idle_max_ms = gate_subset_get_reuse_ms(target->idle_max_ms),
 		.is_lenient = 1,
 		.relate = relate,
 		.id_hash = fleet_name_hash(request->id),
@@ -421,6 +409,9 @@
 		return;
 	}
 	gate_target_acquire(target);
+	gate_metrics_count_connection(gate,
+	    gate_idle_take(&target->idle,
+		gate_subset_get_reuse_ms(target->idle_max_ms), clock_now_ms()));
 	request->target = target;
 	request->is_probe = is_probe;
 	request->is_stall_reported = 0;
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -66,11 +66,13 @@
 	int64_t last_busy_ms; /**< last time at which a request was running */
 	gate_stop_t stop;
 	int64_t started_ms;
+	int64_t subsets_reported_ms; /**< last time in the log */
 	metrics_t *metrics;
 	metric_t *metric_requests;
 	metric_t *metric_in_flight;
 	metric_t *metric_latency;
 	metric_t *metric_attempts;
+	metric_t *metric_new_connections;
 	metric_t *metric_log_dropped;
 };
 
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "gate/gate_policy.h"
 
 #define LABELS_BYTES 160
 /* With more workspaces none gets a histogram of its own; workspace names come
@@ -21,6 +22,8 @@
 	    gate->metrics, "tm_gate_requests_total", "", METRIC_COUNTER);
 	gate->metric_attempts = metrics_get(
 	    gate->metrics, "tm_gate_attempts_total", "", METRIC_COUNTER);
+	gate->metric_new_connections = metrics_get(
+	    gate->metrics, "tm_gate_connections_total", "", METRIC_COUNTER);
 	gate->metric_in_flight = metrics_get(
 	    gate->metrics, "tm_gate_requests_in_flight", "", METRIC_GAUGE);
 	gate->metric_latency = metrics_get(
@@ -71,9 +74,17 @@
 	    1);
 }
 
+void
+gate_metrics_count_connection(gate_t *gate, int is_reused)
+{
+	if (!is_reused)
+		metric_add(gate->metric_new_connections, 1);
+}
+
 void
 gate_metrics_update(gate_t *gate)
 {
 	metric_set(gate->metric_in_flight, gate->in_flight);
+	gate_policy_update_metrics(gate);
 	metric_set(gate->metric_log_dropped, (int64_t)log_get_dropped());
 }
--- a/src/gate/gate_metrics.h
+++ b/src/gate/gate_metrics.h
@@ -23,6 +23,9 @@
 /** Counts the evidence of a failed attempt. @param kind  its label value */
 void gate_metrics_count_evidence(gate_t *gate, const char *kind);
 
+/** Counts the connection of an attempt. */
+void gate_metrics_count_connection(gate_t *gate, int is_reused);
+
 /** Updates the gauges; call before the metrics are formatted. */
 void gate_metrics_update(gate_t *gate);
 
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -33,6 +33,7 @@
 struct gate_table {
 	char zone[NAME_MAX_BYTES + 1];
 	rng_t rng;
+	gate_policy_t policy;
 	gate_target_t *targets;
 	gate_service_t *services;
 	uint64_t term;
@@ -68,11 +69,31 @@
 	HASH_ITER(hh, table->services, service, next_service) {
 		HASH_DELETE(hh, table->services, service);
 		free(service->targets);
+		gate_subset_release(&service->subset);
 		free(service);
 	}
 	free(table);
 }
 
+void
+gate_table_set_policy(gate_table_t *table, const gate_policy_t *policy)
+{
+	gate_service_t *service;
+
+	/* The preferences depend on the gate's name. */
+	for (service = table->services;
+	     policy->gate != table->policy.gate && service != NULL;
+	     service = service->hh.next)
+		service->subset.is_ordered = 0;
+	table->policy = *policy;
+}
+
+gate_service_t *
+gate_table_get_services(const gate_table_t *table)
+{
+	return (table->services);
+}
+
 uint64_t
 gate_table_get_term(const gate_table_t *table)
 {
@@ -142,6 +163,7 @@
 		service->capacity = capacity;
 	}
 	service->targets[service->count++] = target;
+	service->subset.is_ordered = 0;
 	target->service = service;
 	return (1);
 }
@@ -155,6 +177,7 @@
 		if (service->targets[i] != target)
 			continue;
 		service->targets[i] = service->targets[--service->count];
+		service->subset.is_ordered = 0;
 		return;
 	}
 }
@@ -299,23 +322,27 @@
 }
 
 /* Estimates the concurrent requests at a target: the larger of the aged report
- * and this gate's own requests. */
+ * and this gate's own requests. The report gives way to what is expected of an
+ * unknown target. */
 static double
-estimate_load(const gate_target_t *target, int64_t now_ms)
+estimate_load(const gate_target_t *target, double expected, int64_t now_ms)
 {
 	double age_ms = (double)(now_ms - target->load_ms);
-	double reported = 0;
+	double reported = expected;
 
 	if (target->load_ms != 0 && age_ms < LOAD_MAX_AGE_MS)
-		reported = target->load * (1 - age_ms / LOAD_MAX_AGE_MS);
+		reported +=
+		    (target->load - expected) * (1 - age_ms / LOAD_MAX_AGE_MS);
 	return (reported > target->in_flight ? reported : target->in_flight);
 }
 
-/* @return load per slot with bonus and penalty; lower is better */
-static double
-get_score(const gate_target_t *target, int64_t now_ms)
+double
+gate_target_get_score(
+    const gate_target_t *target, double expected_load, int64_t now_ms)
 {
-	double score = estimate_load(target, now_ms) / target->slots;
+	double score =
+	    estimate_load(target, expected_load * target->slots, now_ms) /
+	    target->slots;
 
 	if (now_ms < target->cold_until_ms)
 		score += COLD_PENALTY;
@@ -359,12 +386,19 @@
 							 : RANK_HEALTHY + 1);
 }
 
+int
+gate_target_is_preferable(
+    const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (get_rank(target, options) == RANK_HEALTHY + 1);
+}
+
 static gate_target_t *
 pick_better(
     gate_table_t *table, gate_target_t *a, gate_target_t *b, int64_t now_ms)
 {
-	double score_a = get_score(a, now_ms);
-	double score_b = get_score(b, now_ms);
+	double score_a = gate_target_get_score(a, 0, now_ms);
+	double score_b = gate_target_get_score(b, 0, now_ms);
 
 	if (score_a == score_b)
 		return (rng_below(&table->rng, 2) == 0 ? a : b);
@@ -427,6 +461,23 @@
 	    pick_better(table, sample.any[0], sample.any[1], options->now_ms));
 }
 
+/* Chooses among the targets that this gate prefers, and among all if none of
+ * these is healthy and not avoided. */
+static gate_target_t *
+pick_preferred(gate_table_t *table, gate_service_t *service,
+    const gate_pick_options_t *options, int *rank)
+{
+	gate_target_t *target = NULL;
+
+	if ((table->policy.features & FLEET_FEATURE_SCARCE_CAPACITY) != 0)
+		target = gate_subset_pick(
+		    service, &table->policy, options, &table->rng);
+	if (target == NULL)
+		return (pick_ranked(table, service, options, rank));
+	*rank = RANK_HEALTHY + 1;
+	return (target);
+}
+
 static int
 allows_probe(const gate_target_t *target, const gate_pick_options_t *options)
 {
@@ -564,7 +615,7 @@
 	choice.target = gate_alone_pick(service, options);
 	if (choice.target != NULL)
 		return (choice);
-	choice.target = pick_ranked(table, service, options, &rank);
+	choice.target = pick_preferred(table, service, options, &rank);
 	if (rank >= RANK_HEALTHY || (rank > 0 && options->may_repeat))
 		return (choice);
 	/* What may not be repeated is better sent to a healthy target soon than
@@ -644,6 +695,8 @@
 	target->load = load;
 	target->load_ms = now_ms;
 	target->has_unreported_load = 1;
+	gate_subset_record_load(
+	    &target->service->subset, (double)load / target->slots, now_ms);
 }
 
 void
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -18,6 +18,7 @@
 #include "base/rng.h"
 #include "fleet/fleet_defs.h"
 #include "gate/gate_limit.h"
+#include "gate/gate_subset.h"
 #include "proto/fleet.pb-c.h"
 
 /** Time for which this gate avoids a target that it could not reach. */
@@ -52,6 +53,8 @@
 	int64_t avoid_until_ms; /**< avoided until then */
 	int64_t cold_until_ms; /**< warming up until then */
 	int64_t idle_max_ms; /**< its keep-alive timeout; 0: unknown */
+	gate_idle_t idle; /**< connections to it */
+	uint64_t preference; /**< of this gate; see gate_subset.h */
 	gate_limit_t limit; /**< requests that it takes from all gates */
 	int is_leaving; /**< it said so here; this incarnation stays so */
 	int64_t paused_until_ms; /**< it wants no request from this gate */
@@ -83,6 +86,7 @@
 	int64_t kept_probe_ms; /**< when it came */
 	int is_alone; /**< without a leader; see gate_alone.h */
 	double trial_credit; /**< of trials without a leader */
+	gate_subset_t subset; /**< targets that this gate prefers */
 	UT_hash_handle hh;
 } gate_service_t;
 
@@ -125,6 +129,10 @@
 /** Frees everything; NULL is allowed. */
 void gate_table_destroy(gate_table_t *table);
 
+/** Sets how targets are chosen. With a policy of all zeros, as in a new table,
+ * all targets of a service are equal. */
+void gate_table_set_policy(gate_table_t *table, const gate_policy_t *policy);
+
 /**
  * Applies a full table or a delta. Older terms and deltas on another base are
  * ignored.
@@ -142,6 +150,9 @@
 gate_service_t *gate_table_find_service(
     const gate_table_t *table, const char *name);
 
+/** @return the first service; the others follow in hh.next. NULL: none */
+gate_service_t *gate_table_get_services(const gate_table_t *table);
+
 /** @return a target, or NULL */
 gate_target_t *gate_table_find_target(const gate_table_t *table, uint64_t key);
 
@@ -193,6 +204,18 @@
 int gate_target_is_usable(
     const gate_target_t *target, const gate_pick_options_t *options);
 
+/** @return 1 if a target is healthy, not avoided, and takes the request now */
+int gate_target_is_preferable(
+    const gate_target_t *target, const gate_pick_options_t *options);
+
+/**
+ * @param expected_load  load per slot that is assumed where no recent one is
+ *                       known
+ * @return               load per slot with bonus and penalty; lower is better
+ */
+double gate_target_get_score(
+    const gate_target_t *target, double expected_load, int64_t now_ms);
+
 /** Records that the leader had no target for a request of a service. */
 void gate_service_delay_asking(gate_service_t *service, int64_t now_ms);
 
--- a/test/unit/load_model.h
+++ b/test/unit/load_model.h
@@ -52,6 +52,8 @@
 	// Targets that are lost from that time on.
 	double lost_share = 0;
 	int64_t lost_from_ms = 0;
+	uint32_t features = 0; // of the gates
+	int64_t keep_alive_ms = 10000; // of the targets' connections
 };
 
 struct LoadFigures {
@@ -63,6 +65,10 @@
 	int failed = 0;
 	double in_use = 0; // of the sound targets, sum over the samples
 	int samples = 0;
+	int sent = 0;
+	int same_zone = 0; // sent within a zone
+	int connected = 0; // sent on new connections
+	std::vector<int64_t> latencies_ms; // of the served
 
 	void
 	Add(const LoadFigures &other)
@@ -75,6 +81,11 @@
 		failed += other.failed;
 		in_use += other.in_use;
 		samples += other.samples;
+		sent += other.sent;
+		same_zone += other.same_zone;
+		connected += other.connected;
+		latencies_ms.insert(latencies_ms.end(),
+		    other.latencies_ms.begin(), other.latencies_ms.end());
 	}
 
 	double
@@ -89,6 +100,22 @@
 		return (samples > 0 ? in_use / samples : 0);
 	}
 
+	double
+	GetConnected() const
+	{
+		return (sent > 0 ? (double)connected / sent : 0);
+	}
+
+	int64_t
+	GetLatencyMs(double quantile)
+	{
+		if (latencies_ms.empty())
+			return (0);
+		std::sort(latencies_ms.begin(), latencies_ms.end());
+		return (latencies_ms[(
+		    size_t)(quantile * (double)(latencies_ms.size() - 1))]);
+	}
+
 	double
 	Share(int count) const
 	{
@@ -110,6 +137,15 @@
 			    ("zone-" + std::to_string(i % pattern.zones))
 				.c_str(),
 			    seed * 1000 + i));
+		for (size_t i = 0; i < gates_.size(); i++) {
+			gate_policy_t policy = {};
+
+			policy.features = pattern.features;
+			policy.gate = fleet_name_hash(
+			    ("gate-" + std::to_string(i)).c_str());
+			policy.gate_count = (uint32_t)pattern.gates;
+			gate_table_set_policy(gates_[i], &policy);
+		}
 		SendTable(0);
 	}
 
@@ -386,6 +422,10 @@
 		request.tries++;
 		request.tried.push_back(target->key);
 		gate_target_acquire(target);
+		figures_.sent++;
+		figures_.same_zone += target->is_same_zone;
+		figures_.connected += !gate_idle_take(&target->idle,
+		    gate_subset_get_reuse_ms(target->idle_max_ms), now_);
 		attempts_[id] = Attempt{ request, target, indices_[target->key],
 			now_, is_probe, false, false };
 		After(1, [this, id] { Reach(id); });
@@ -499,10 +539,15 @@
 			gate_target_set_load(attempt.target,
 			    (uint32_t)(target.running + target.queue.size()),
 			    now_);
+			attempt.target->idle_max_ms = pattern_.keep_alive_ms;
+			gate_idle_add(&attempt.target->idle, now_);
 		}
 		if (kind != FLEET_EVIDENCE_SUCCESS || attempt.is_probe)
 			Report(attempt, kind, attempt.is_probe);
 		gate_target_release(attempt.target);
+		if (kind == FLEET_EVIDENCE_SUCCESS)
+			figures_.latencies_ms.push_back(
+			    now_ - attempt.request.started_ms);
 		if (kind == FLEET_EVIDENCE_SUCCESS)
 			Finish(now_ - attempt.request.started_ms <=
 				    pattern_.soft_deadline_ms
