gate: close idle connections before the target does

A target that closes a connection after its keep-alive timeout looks like one that closes connections without a word: the gate then reuses connections for less than half of that time, 5 s instead of 8.5 s at a timeout of 10 s, for a minute. With FLEET_FEATURE_SCARCE_CAPACITY the gate closes a connection that it may not reuse any more.

Upstream.* pass, with the new ClosesIdleConnectionsBeforeTheTarget.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -381,6 +381,11 @@
 	};
 	int err;
 
+	/* If the target closed it, connections would be reused after less than
+	 * half of the time that the target keeps them. */
+	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0 &&
+	    target->idle_max_ms > 0)
+		call.idle_close_ms = call.idle_max_ms;
 	request->attempt_timeout_ms = request->deadline_ms - now_ms;
 	err = gate_wire_encode(
 	    request, target, request->attempt_timeout_ms, &bytes);
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -76,6 +76,7 @@
 	response_reservation_t reservation; /* for a large response */
 	int64_t idle_since_ms;
 	int64_t idle_ms; /* how long it was idle before its call */
+	int64_t idle_close_ms; /* closed once it is idle for longer */
 	int64_t opened_ms; /* when the connection was asked for */
 	uint64_t carried[CARRIED_IDS]; /* id hashes of the last requests */
 	uint32_t requests; /* that it has carried */
@@ -601,6 +602,8 @@
 	call->is_lenient = request->is_lenient;
 	call->relate = request->relate;
 	conn->carried[conn->requests++ % CARRIED_IDS] = request->id_hash;
+	conn->idle_close_ms =
+	    request->idle_close_ms > 0 ? request->idle_close_ms : IDLE_MAX_MS;
 	conn->call = call;
 	conn_enter_active(conn);
 	*out = call;
@@ -658,7 +661,7 @@
 	upstream_resume(upstream);
 	HASH_ITER(hh, upstream->targets, target, next_target) {
 		DL_FOREACH_SAFE(target->idle, conn, next) {
-			if (now_ms - conn->idle_since_ms > IDLE_MAX_MS)
+			if (now_ms - conn->idle_since_ms > conn->idle_close_ms)
 				conn_close(conn);
 		}
 	}
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -79,6 +79,9 @@
 	int is_fresh; /**< do not use a connection that was idle for long */
 	/** Take no connection idle for longer; 0: decided by is_fresh. */
 	int64_t idle_max_ms;
+	/** Close the connection once it was idle for longer afterwards; 0: for
+	 * longer than the default. */
+	int64_t idle_close_ms;
 	/**
 	 * Accept a response without a length that ends with its connection,
 	 * and one that is followed by further bytes.
--- a/test/unit/upstream_test.cc
+++ b/test/unit/upstream_test.cc
@@ -103,6 +103,7 @@
 	std::vector<std::unique_ptr<Peer>> peers;
 	Peer missing;
 	int reads = 1; // new peers are read from
+	int64_t idle_close_ms = 0; // of further calls
 
 	static void
 	on_alloc(uv_handle_t *, size_t, uv_buf_t *buf)
@@ -206,6 +207,7 @@
 		request.is_head = is_head;
 		request.is_fresh = is_fresh;
 		request.is_lenient = is_lenient;
+		request.idle_close_ms = idle_close_ms;
 		request.done = on_done;
 		request.ctx = out;
 		EXPECT_EQ(upstream_call_start(upstream, &request, &call), 0);
@@ -657,6 +659,31 @@
 	RunUntil([&] { return next.done == 1; });
 }
 
+// A target that closes connections after its keep-alive timeout counts as one that
+// closes them without a word, so that connections are reused for half of it.
+TEST_F(Upstream, ClosesIdleConnectionsBeforeTheTarget)
+{
+	Outcome first, next, last;
+
+	idle_close_ms = 100;
+	Start(&first, get);
+	Await(0, get)->Send(hello);
+	RunUntil([&] { return first.done == 1; });
+	RunFor(120);
+	upstream_tick(upstream, clock_now_ms());
+	RunUntil([&] { return peers[0]->is_ended == 1; });
+	Start(&next, get);
+	Await(1, get)->Send(hello);
+	RunUntil([&] { return next.done == 1; });
+	RunFor(80);
+	upstream_tick(upstream, clock_now_ms());
+	Start(&last, get);
+	RunUntil([&] { return peers[1]->received == get + get; });
+	EXPECT_EQ(peers.size(), 2u);
+	peers[1]->Send(hello);
+	RunUntil([&] { return last.done == 1; });
+}
+
 // A claim that must run once does not go out on a connection that was idle.
 TEST_F(Upstream, OpensAFreshConnectionAfterAWait)
 {
