gate: learn costs of requests and speeds of targets

A slow target had as many requests per slot as a fast one, so that each of them took several times as long.

With FLEET_FEATURE_SCARCE_CAPACITY a gate learns the cost of requests by class (route, method, body size) and workspace, and with it the slowness of each target, which weighs the load per slot. Estimates are bounded in number and in what one response or workspace moves, and grow old.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -466,14 +466,15 @@
 	    gate_allowance_create(&settings->rates, rng_next(&gate->rng));
 	gate->usage = gate_usage_create();
 	gate->crash = gate_crash_create();
+	gate->cost = gate_cost_create();
 	gate->link = gate_link_create(&link);
 	gate->upstream = upstream_create(gate->loop);
 	if (gate->upstream != NULL)
 		upstream_set_response_limit(
 		    gate->upstream, settings->response_limit_bytes);
 	if (gate->table == NULL || gate->allowance == NULL ||
-	    gate->usage == NULL || gate->crash == NULL || gate->link == NULL ||
-	    gate->upstream == NULL)
+	    gate->usage == NULL || gate->crash == NULL || gate->cost == NULL ||
+	    gate->link == NULL || gate->upstream == NULL)
 		return (TM_ENOMEM);
 	return (gate_metrics_create(gate));
 }
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -232,6 +232,24 @@
 		gate_request_refuse(request, GATE_REFUSAL_TARGET_FAILED, 0);
 }
 
+/* Learns from a successful response, after the load in it was recorded. */
+static void
+record_cost(const gate_request_t *request, gate_target_t *target)
+{
+	int64_t now_ms = clock_now_ms();
+	gate_cost_outcome_t outcome = {
+		.latency_ms = (double)(now_ms - request->sent_ms),
+		.now_ms = now_ms,
+	};
+
+	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
+		return;
+	if (now_ms == target->load_ms)
+		outcome.load = (double)(target->load + 1) / target->slots;
+	gate_cost_record(
+	    request->gate->cost, &request->cost_key, &target->speed, &outcome);
+}
+
 /* Records what a target says of itself, and tells the leader what is new. */
 static void
 record_signals(const gate_request_t *request, gate_target_t *target,
@@ -282,6 +300,8 @@
 	/* Another target says nothing of this one. */
 	if (response->status != 421)
 		record_signals(request, target, response);
+	if (kind == FLEET_EVIDENCE_SUCCESS)
+		record_cost(request, target);
 	if (!stopped_at_deadline(request, response))
 		record_outcome(request, target, kind, response->status);
 	gate_idle_add(&target->idle, clock_now_ms());
--- /dev/null
+++ b/src/gate/gate_cost.c
@@ -0,0 +1,259 @@
+#include "gate/gate_cost.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+/* Places of classes and of workspaces within classes, and the places in which
+ * an entry may be. The entry that was used least recently gives way. */
+#define CLASSES	   1024
+#define WORKSPACES 2048
+#define PLACES	   4
+/* An entry without responses for this time is unknown. */
+#define ENTRY_MAX_AGE_MS 60000
+/* Smallest weight of a response in the mean of a class: the cost of a route may
+ * change within a day. */
+#define CLASS_WEIGHT_MIN 0.02
+/* Of a response of the workspace that had the last one in the class: one
+ * workspace alone must not set the mean for others. */
+#define SAME_WORKSPACE_WEIGHT 0.25
+/* Smallest weight of a response in the mean of a workspace. */
+#define WORKSPACE_WEIGHT_MIN 0.05
+/* Responses after which a workspace counts half by its own mean, half by that
+ * of its class. */
+#define WORKSPACE_SHRINKAGE 10.0
+#define RESPONSES_MAX	    50.0
+/* A response moves a mean as if it had cost at most this multiple of it. */
+#define OUTLIER_RATIO 8.0
+/* The same for the speed of a target. */
+#define SPEED_RATIO 4.0
+/* Responses after which the speed counts half. */
+#define SPEED_SHRINKAGE 4.0
+/* Largest weight of the past, and the time constant of its decay. */
+#define SPEED_WEIGHT_MAX 20.0
+#define SPEED_DECAY_MS	 30000.0
+
+/* A mean over responses. */
+typedef struct entry {
+	uint64_t key; /* 0: free */
+	double mean; /* ms of a class, multiple of it of a workspace */
+	double responses;
+	int64_t used_ms;
+	uint64_t last_workspace;
+} entry_t;
+
+struct gate_cost {
+	entry_t classes[CLASSES];
+	entry_t workspaces[WORKSPACES];
+	gate_cost_totals_t totals;
+};
+
+gate_cost_t *
+gate_cost_create(void)
+{
+	return (calloc(1, sizeof(gate_cost_t)));
+}
+
+void
+gate_cost_destroy(gate_cost_t *cost)
+{
+	free(cost);
+}
+
+uint64_t
+gate_cost_get_class(
+    const char *route, const char *method, size_t method_len, size_t body_len)
+{
+	uint64_t size_class = 0;
+
+	for (; body_len > 0; body_len /= 4)
+		size_class++;
+	return (
+	    XXH64(route, strlen(route), XXH64(method, method_len, size_class)));
+}
+
+static double
+limit(double value, double low, double high)
+{
+	return (fmin(fmax(value, low), high));
+}
+
+static uint64_t
+get_workspace_key(const gate_cost_key_t *key)
+{
+	return (key->class_id ^ (key->workspace * 0x9e3779b97f4a7c15ULL));
+}
+
+/* @return the entry of a key that is not too old, or NULL */
+static const entry_t *
+find(const entry_t *entries, size_t count, uint64_t key, int64_t now_ms)
+{
+	const entry_t *entry;
+	size_t i;
+
+	for (i = 0; i < PLACES; i++) {
+		entry = &entries[(key + i) % count];
+		if (entry->key == key && entry->responses > 0 &&
+		    now_ms - entry->used_ms <= ENTRY_MAX_AGE_MS)
+			return (entry);
+	}
+	return (NULL);
+}
+
+/* @return the entry of a key; an old or a new one is empty */
+static entry_t *
+get(entry_t *entries, size_t count, uint64_t key, int64_t now_ms)
+{
+	entry_t *oldest = &entries[key % count];
+	entry_t *entry;
+	size_t i;
+
+	for (i = 0; i < PLACES; i++) {
+		entry = &entries[(key + i) % count];
+		if (entry->key == key) {
+			oldest = entry;
+			break;
+		}
+		if (entry->used_ms < oldest->used_ms)
+			oldest = entry;
+	}
+	if (oldest->key != key || now_ms - oldest->used_ms > ENTRY_MAX_AGE_MS)
+		*oldest = (entry_t){ .key = key };
+	oldest->used_ms = now_ms;
+	return (oldest);
+}
+
+/* @return cost of the requests of a workspace as a multiple of the class */
+static double
+get_factor(const gate_cost_t *cost, const gate_cost_key_t *key, int64_t now_ms)
+{
+	const entry_t *entry;
+
+	if (key->workspace == 0)
+		return (1);
+	entry =
+	    find(cost->workspaces, WORKSPACES, get_workspace_key(key), now_ms);
+	if (entry == NULL)
+		return (1);
+	return ((entry->mean * entry->responses + WORKSPACE_SHRINKAGE) /
+	    (entry->responses + WORKSPACE_SHRINKAGE));
+}
+
+double
+gate_cost_expect(
+    const gate_cost_t *cost, const gate_cost_key_t *key, int64_t now_ms)
+{
+	const entry_t *entry =
+	    find(cost->classes, CLASSES, key->class_id, now_ms);
+
+	return (
+	    entry != NULL ? entry->mean * get_factor(cost, key, now_ms) : 0);
+}
+
+/* Moves the mean of an entry towards a response. */
+static void
+move(entry_t *entry, double seen, double weight_min, double share)
+{
+	double weight = fmax(weight_min, 1 / (entry->responses + 1)) * share;
+
+	entry->mean += weight * (seen - entry->mean);
+	if (entry->responses < RESPONSES_MAX)
+		entry->responses += 1;
+}
+
+static void
+record_workspace(
+    gate_cost_t *cost, const gate_cost_key_t *key, double ratio, int64_t now_ms)
+{
+	entry_t *entry;
+
+	if (key->workspace == 0)
+		return;
+	entry =
+	    get(cost->workspaces, WORKSPACES, get_workspace_key(key), now_ms);
+	if (entry->responses <= 0)
+		entry->mean = 1;
+	move(entry, ratio, WORKSPACE_WEIGHT_MIN, 1);
+}
+
+/* @param cost_ms  of a request, as seen */
+static void
+record_cost(gate_cost_t *cost, const gate_cost_key_t *key, double cost_ms,
+    int64_t now_ms)
+{
+	entry_t *entry = get(cost->classes, CLASSES, key->class_id, now_ms);
+	double factor = get_factor(cost, key, now_ms);
+	double share = 1;
+
+	if (entry->responses <= 0)
+		entry->mean = cost_ms;
+	record_workspace(cost, key,
+	    limit(cost_ms / entry->mean, 1 / OUTLIER_RATIO, OUTLIER_RATIO),
+	    now_ms);
+	if (key->workspace != 0 && key->workspace == entry->last_workspace)
+		share = SAME_WORKSPACE_WEIGHT;
+	move(entry,
+	    limit(cost_ms / factor, entry->mean / OUTLIER_RATIO,
+		entry->mean * OUTLIER_RATIO),
+	    CLASS_WEIGHT_MIN, share);
+	entry->last_workspace = key->workspace;
+}
+
+/* @return weight of what is known of a target's speed */
+static double
+get_weight(const gate_speed_t *speed, int64_t now_ms)
+{
+	return (speed->weight *
+	    exp(-(double)(now_ms - speed->updated_ms) / SPEED_DECAY_MS));
+}
+
+double
+gate_speed_get_slowness(const gate_speed_t *speed, int64_t now_ms)
+{
+	double weight;
+
+	if (speed->weight <= 0)
+		return (1);
+	weight = get_weight(speed, now_ms);
+	return ((speed->slowness * weight + SPEED_SHRINKAGE) /
+	    (weight + SPEED_SHRINKAGE));
+}
+
+static void
+record_speed(gate_speed_t *speed, double ratio, int64_t now_ms)
+{
+	double weight = get_weight(speed, now_ms);
+
+	speed->slowness = (speed->slowness * weight + ratio) / (weight + 1);
+	speed->weight = fmin(weight + 1, SPEED_WEIGHT_MAX);
+	speed->updated_ms = now_ms;
+}
+
+void
+gate_cost_record(gate_cost_t *cost, const gate_cost_key_t *key,
+    gate_speed_t *speed, const gate_cost_outcome_t *outcome)
+{
+	double expected_ms = gate_cost_expect(cost, key, outcome->now_ms);
+	double slowness = gate_speed_get_slowness(speed, outcome->now_ms);
+	/* In a full target a request takes its time once for each request
+	 * that shares its slot. */
+	double seen_ms = fmax(outcome->latency_ms, 1) / fmax(outcome->load, 1);
+
+	if (expected_ms > 0) {
+		cost->totals.responses++;
+		cost->totals.expected_ms += (uint64_t)(expected_ms * slowness);
+		cost->totals.seen_ms += (uint64_t)seen_ms;
+		record_speed(speed,
+		    limit(seen_ms / expected_ms, 1 / SPEED_RATIO, SPEED_RATIO),
+		    outcome->now_ms);
+	}
+	record_cost(cost, key, seen_ms / slowness, outcome->now_ms);
+}
+
+const gate_cost_totals_t *
+gate_cost_get_totals(const gate_cost_t *cost)
+{
+	return (&cost->totals);
+}
--- /dev/null
+++ b/src/gate/gate_cost.h
@@ -0,0 +1,70 @@
+/**
+ * @file
+ * What requests cost targets, and how fast targets are. A request costs the
+ * time for which a target of average speed runs it. Both are learned from
+ * responses: the cost by class of requests (route, method and body size) and by
+ * workspace within the class, the speed by how much longer a target takes than
+ * the cost says. Estimates grow old. Does no I/O and reads no clock. See
+ * docs/design/choice-of-target.md.
+ */
+#ifndef TM_GATE_GATE_COST_H
+#define TM_GATE_GATE_COST_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct gate_cost gate_cost_t;
+
+/** What is known of a request before it is sent. */
+typedef struct gate_cost_key {
+	uint64_t class_id; /**< gate_cost_get_class() */
+	uint64_t workspace; /**< 0: none */
+} gate_cost_key_t;
+
+/** Speed of a target; starts as zero. */
+typedef struct gate_speed {
+	double slowness; /**< seen time as a multiple of the cost */
+	double weight; /**< in responses, as of updated_ms */
+	int64_t updated_ms;
+} gate_speed_t;
+
+/** A successful response. */
+typedef struct gate_cost_outcome {
+	double latency_ms;
+	double load; /**< requests per slot of the target, as it reported */
+	int64_t now_ms;
+} gate_cost_outcome_t;
+
+/** Sums for reports. */
+typedef struct gate_cost_totals {
+	uint64_t responses; /**< for which there was an estimate */
+	uint64_t expected_ms; /**< by cost and speed */
+	uint64_t seen_ms; /**< without queueing */
+} gate_cost_totals_t;
+
+/** @return NULL if memory is exhausted */
+gate_cost_t *gate_cost_create(void);
+
+/** NULL is allowed. */
+void gate_cost_destroy(gate_cost_t *cost);
+
+/** @return class of requests; body sizes within a factor of four are alike */
+uint64_t gate_cost_get_class(
+    const char *route, const char *method, size_t method_len, size_t body_len);
+
+/** @return expected cost in ms; 0: unknown */
+double gate_cost_expect(
+    const gate_cost_t *cost, const gate_cost_key_t *key, int64_t now_ms);
+
+/** Learns from a response. */
+void gate_cost_record(gate_cost_t *cost, const gate_cost_key_t *key,
+    gate_speed_t *speed, const gate_cost_outcome_t *outcome);
+
+/** @return time of a request at a target as a multiple of its cost; 1 while
+ *          little is known */
+double gate_speed_get_slowness(const gate_speed_t *speed, int64_t now_ms);
+
+/** @return sums since the start */
+const gate_cost_totals_t *gate_cost_get_totals(const gate_cost_t *cost);
+
+#endif
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -51,6 +51,8 @@
 	int64_t allowance_ms; /**< lease request at its last reset */
 	gate_usage_t *usage;
 	gate_crash_t *crash;
+	gate_cost_t *cost;
+	uint64_t costs_reported; /**< responses until the last report */
 	fleet_config_t *config; /**< NULL until the first one arrives */
 	uint32_t features; /**< fleet_feature_t of settings and config */
 	Tm__Fleet__Outcome *outcomes; /**< of the renewal that is being sent */
--- a/src/gate/gate_policy.c
+++ b/src/gate/gate_policy.c
@@ -32,6 +32,21 @@
 	}
 }
 
+/* Compares what requests were expected to take with what they took. */
+static void
+report_costs(gate_t *gate)
+{
+	const gate_cost_totals_t *totals = gate_cost_get_totals(gate->cost);
+
+	if (totals->responses == gate->costs_reported)
+		return;
+	gate->costs_reported = totals->responses;
+	LOG_EVENT(974, LOG_LEVEL_DEBUG, "expected and seen times of requests",
+	    LOG_NUM("responses", totals->responses),
+	    LOG_NUM("expected_ms", totals->expected_ms),
+	    LOG_NUM("seen_ms", totals->seen_ms));
+}
+
 void
 gate_policy_tick(gate_t *gate, int64_t now_ms)
 {
@@ -50,14 +65,22 @@
 		return;
 	gate->subsets_reported_ms = now_ms;
 	report_subsets(gate);
+	report_costs(gate);
 }
 
 void
 gate_policy_update_metrics(gate_t *gate)
 {
+	const gate_cost_totals_t *totals = gate_cost_get_totals(gate->cost);
 	char labels[LABELS_BYTES];
 	gate_service_t *service;
 
+	metric_set(metrics_get(gate->metrics, "tm_gate_expected_time_ms", "",
+		       METRIC_GAUGE),
+	    (int64_t)totals->expected_ms);
+	metric_set(metrics_get(
+		       gate->metrics, "tm_gate_seen_time_ms", "", METRIC_GAUGE),
+	    (int64_t)totals->seen_ms);
 	for (service = gate_table_get_services(gate->table); service != NULL;
 	     service = service->hh.next) {
 		if (service->subset.size == 0)
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -445,6 +445,11 @@
 	request->soft_deadline_ms = options->route->soft_deadline_ms > 0
 	    ? options->route->soft_deadline_ms
 	    : options->deadline_ms - options->started_ms;
+	request->cost_key = (gate_cost_key_t){
+		.class_id = gate_cost_get_class(options->route->name,
+		    req->method.base, req->method.len, req->entity.len),
+		.workspace = request->workspace_id,
+	};
 	request->started_ms = options->started_ms;
 	request->deadline_ms = options->deadline_ms;
 	request->checked_ms = options->started_ms;
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -67,6 +67,7 @@
 	uint32_t tried_count;
 	uint32_t attempts_sent; /**< attempts that may have reached a target */
 	int may_have_executed;
+	gate_cost_key_t cost_key;
 	uint64_t fingerprint; /**< 0: not computed yet */
 	gate_refusal_t pending_refusal; /**< sent if no attempt follows */
 	gate_request_t *prev;
--- a/src/gate/gate_subset.c
+++ b/src/gate/gate_subset.c
@@ -268,7 +268,8 @@
 	    ? subset->mean_load
 	    : 0;
 
-	return (gate_target_get_score(target, expected, now_ms));
+	return (gate_target_get_score(target, expected,
+	    gate_speed_get_slowness(&target->speed, now_ms), now_ms));
 }
 
 static double
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -337,12 +337,14 @@
 }
 
 double
-gate_target_get_score(
-    const gate_target_t *target, double expected_load, int64_t now_ms)
+gate_target_get_score(const gate_target_t *target, double expected_load,
+    double slowness, int64_t now_ms)
 {
-	double score =
+	double load =
 	    estimate_load(target, expected_load * target->slots, now_ms) /
 	    target->slots;
+	/* The request itself takes a slot's time, too. */
+	double score = load + (load + 1) * (slowness - 1);
 
 	if (now_ms < target->cold_until_ms)
 		score += COLD_PENALTY;
@@ -397,8 +399,8 @@
 pick_better(
     gate_table_t *table, gate_target_t *a, gate_target_t *b, int64_t now_ms)
 {
-	double score_a = gate_target_get_score(a, 0, now_ms);
-	double score_b = gate_target_get_score(b, 0, now_ms);
+	double score_a = gate_target_get_score(a, 0, 1, now_ms);
+	double score_b = gate_target_get_score(b, 0, 1, now_ms);
 
 	if (score_a == score_b)
 		return (rng_below(&table->rng, 2) == 0 ? a : b);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -17,6 +17,7 @@
 #include "base/latency.h"
 #include "base/rng.h"
 #include "fleet/fleet_defs.h"
+#include "gate/gate_cost.h"
 #include "gate/gate_limit.h"
 #include "gate/gate_subset.h"
 #include "proto/fleet.pb-c.h"
@@ -54,6 +55,7 @@
 	int64_t cold_until_ms; /**< warming up until then */
 	int64_t idle_max_ms; /**< its keep-alive timeout; 0: unknown */
 	gate_idle_t idle; /**< connections to it */
+	gate_speed_t speed;
 	uint64_t preference; /**< of this gate; see gate_subset.h */
 	gate_limit_t limit; /**< requests that it takes from all gates */
 	int is_leaving; /**< it said so here; this incarnation stays so */
@@ -211,10 +213,11 @@
 /**
  * @param expected_load  load per slot that is assumed where no recent one is
  *                       known
+ * @param slowness       of gate_speed_get_slowness()
  * @return               load per slot with bonus and penalty; lower is better
  */
-double gate_target_get_score(
-    const gate_target_t *target, double expected_load, int64_t now_ms);
+double gate_target_get_score(const gate_target_t *target, double expected_load,
+    double slowness, int64_t now_ms);
 
 /** Records that the leader had no target for a request of a service. */
 void gate_service_delay_asking(gate_service_t *service, int64_t now_ms);
--- /dev/null
+++ b/test/unit/gate_cost_test.cc
@@ -0,0 +1,241 @@
+// Failures guarded against: slow targets get as many requests as fast ones, and
+// their requests are late; a target counts as slow because it was given costly
+// requests; one workspace changes what is expected of the requests of others; an
+// estimate outlives what it was learned from.
+#include <gtest/gtest.h>
+
+#include "load_model.h"
+
+namespace {
+
+class GateCost : public testing::Test {
+      protected:
+	~GateCost() override
+	{
+		gate_cost_destroy(cost_);
+	}
+
+	void
+	Record(uint64_t class_id, uint64_t workspace, double latency_ms,
+	    gate_speed_t *speed, double load = 0)
+	{
+		gate_cost_key_t key = { class_id, workspace };
+		gate_cost_outcome_t outcome = { latency_ms, load, now_ };
+
+		gate_cost_record(cost_, &key, speed, &outcome);
+		now_ += 20;
+	}
+
+	double
+	Expect(uint64_t class_id, uint64_t workspace = 0)
+	{
+		gate_cost_key_t key = { class_id, workspace };
+
+		return (gate_cost_expect(cost_, &key, now_));
+	}
+
+	double
+	GetSlowness(const gate_speed_t &speed)
+	{
+		return (gate_speed_get_slowness(&speed, now_));
+	}
+
+	int64_t now_ = 1000;
+	gate_cost_t *cost_ = gate_cost_create();
+	gate_speed_t average_ = {};
+};
+
+// Requests that cost 470 ms on average, with a tail of 3 in 100 at seven times
+// that nothing tells beforehand, on a light route and one ten times as costly.
+LoadPattern
+UnevenRequests(int gates, int targets, double utilization)
+{
+	LoadPattern pattern;
+
+	pattern.gates = gates;
+	pattern.targets = targets;
+	pattern.zones = 2;
+	pattern.work_ms = 470;
+	pattern.soft_deadline_ms = 1880;
+	pattern.bad_share = 0;
+	pattern.utilization = utilization;
+	pattern.tail_share = 0.03;
+	pattern.tail_ratio = 7;
+	pattern.heavy_ratio = 10;
+	return (pattern);
+}
+
+LoadFigures
+Play(const LoadPattern &pattern, uint32_t features, const char *name)
+{
+	LoadPattern played = pattern;
+	LoadFigures figures;
+
+	played.features = features;
+	for (uint64_t seed = 1; seed <= 2; seed++) {
+		LoadModel model(played, seed);
+
+		model.Run(20000);
+		model.TakeFigures();
+		model.Run(20000);
+		figures.Add(model.TakeFigures());
+	}
+	printf("%s, %d gates, %d targets at %.2f, %s: p50 %lld ms, p99 %lld "
+	       "ms, late %.4f, refused %.4f, shed %.4f\n",
+	    name, pattern.gates, pattern.targets, pattern.utilization,
+	    features != 0 ? "subset and speed" : "all targets",
+	    (long long)figures.GetLatencyMs(0.5),
+	    (long long)figures.GetLatencyMs(0.99), figures.Share(figures.late),
+	    figures.Share(figures.refused), figures.Share(figures.shed));
+	return (figures);
+}
+
+} // namespace
+
+// Targets of speeds 1 : 2 : 4: a slow one has as many requests per slot as a fast
+// one, each of which takes four times as long.
+TEST(GateCostModel, SparesSlowTargets)
+{
+	const int sizes[][2] = { { 12, 40 }, { 82, 150 }, { 278, 211 } };
+
+	for (auto &size : sizes) {
+		for (double utilization : { 0.4, 0.7, 0.95 }) {
+			LoadPattern pattern =
+			    UnevenRequests(size[0], size[1], utilization);
+
+			pattern.has_speeds = true;
+			LoadFigures all = Play(pattern, 0, "speeds");
+			LoadFigures part = Play(
+			    pattern, FLEET_FEATURE_SCARCE_CAPACITY, "speeds");
+
+			EXPECT_LT(
+			    part.GetLatencyMs(0.99), all.GetLatencyMs(0.99));
+			// Late, refused or shed: a refusal makes none late.
+			EXPECT_LE(1 - part.Share(part.in_aim),
+			    0.85 * (1 - all.Share(all.in_aim)));
+			EXPECT_GE(part.GetServed(), all.GetServed() - 0.01);
+		}
+	}
+}
+
+// Where targets are alike, the noise of their speeds costs more than it gains.
+TEST(GateCostModel, LosesNothingWhereTargetsAreAlike)
+{
+	for (double utilization : { 0.4, 0.7, 0.95 }) {
+		LoadPattern pattern = UnevenRequests(82, 150, utilization);
+		LoadFigures all = Play(pattern, 0, "alike");
+		LoadFigures part =
+		    Play(pattern, FLEET_FEATURE_SCARCE_CAPACITY, "alike");
+
+		EXPECT_LE(part.Share(part.late), all.Share(all.late) + 0.005);
+		EXPECT_GE(part.GetServed(), all.GetServed() - 0.01);
+	}
+}
+
+// The routes exchange their costs in the middle of the day.
+TEST(GateCostModel, FollowsCostsThatChange)
+{
+	LoadPattern pattern = UnevenRequests(82, 150, 0.7);
+
+	pattern.has_speeds = true;
+	pattern.change_ms = 20000;
+	LoadFigures all = Play(pattern, 0, "change");
+	LoadFigures part =
+	    Play(pattern, FLEET_FEATURE_SCARCE_CAPACITY, "change");
+
+	EXPECT_LE(part.Share(part.late), all.Share(all.late));
+	EXPECT_LT(part.GetLatencyMs(0.99), all.GetLatencyMs(0.99));
+}
+
+// A target that was given costly requests counts as slow.
+TEST_F(GateCost, TellsSpeedFromCost)
+{
+	gate_speed_t loaded = {};
+	gate_speed_t slow = {};
+
+	for (int i = 0; i < 100; i++) {
+		Record(1, 0, 100, &average_);
+		Record(2, 0, 1000, &loaded);
+		if (i >= 20)
+			Record(1, 0, 400, &slow);
+		for (int k = 0; k < 4; k++)
+			Record(2, 0, 1000, &average_);
+	}
+	EXPECT_NEAR(GetSlowness(loaded), GetSlowness(average_), 0.2);
+	EXPECT_GT(GetSlowness(slow), 2 * GetSlowness(average_));
+}
+
+// Queueing at a full target counts as cost or as slowness.
+TEST_F(GateCost, LeavesOutQueueing)
+{
+	gate_speed_t full = {};
+
+	for (int i = 0; i < 50; i++) {
+		Record(1, 0, 100, &average_);
+		Record(1, 0, 300, &full, 3);
+	}
+	EXPECT_NEAR(Expect(1), 100, 10);
+	EXPECT_NEAR(GetSlowness(full), 1, 0.1);
+}
+
+// Nine in ten requests of a route are of one workspace and cost twenty times as
+// much: what is expected of the others must not follow.
+TEST_F(GateCost, KeepsWorkspacesApart)
+{
+	for (int i = 0; i < 200; i++)
+		Record(1, 1 + (uint64_t)(i % 20), 100, &average_);
+	for (int i = 0; i < 1000; i++)
+		Record(1, i % 10 == 0 ? 1 + (uint64_t)(i / 10 % 20) : 99,
+		    i % 10 == 0 ? 100 : 2000, &average_);
+	printf("expected of the workspace %.0f ms, of others %.0f ms, of an "
+	       "unknown one %.0f ms, slowness %.2f\n",
+	    Expect(1, 99), Expect(1, 5), Expect(1, 1000),
+	    GetSlowness(average_));
+	EXPECT_GT(Expect(1, 99), 500);
+	EXPECT_LT(Expect(1, 5), 250);
+}
+
+// A single response of a workspace sets its estimate.
+TEST_F(GateCost, NeedsEvidenceOfAWorkspace)
+{
+	for (int i = 0; i < 100; i++)
+		Record(1, 1 + (uint64_t)(i % 20), 100, &average_);
+	Record(1, 77, 5000, &average_);
+	EXPECT_LT(Expect(1, 77), 200);
+}
+
+// The cost of a route changes within the day.
+TEST_F(GateCost, FollowsAClass)
+{
+	for (int i = 0; i < 500; i++)
+		Record(1, (uint64_t)(i % 20), 100, &average_);
+	for (int i = 0; i < 200; i++)
+		Record(1, (uint64_t)(i % 20), 400, &average_);
+	EXPECT_NEAR(Expect(1) * GetSlowness(average_), 400, 80);
+}
+
+// What was learned long ago decides.
+TEST_F(GateCost, GrowsOld)
+{
+	gate_speed_t slow = {};
+
+	for (int i = 0; i < 100; i++) {
+		Record(1, 5, 100, &average_);
+		Record(1, 5, 400, &slow);
+	}
+	EXPECT_GT(GetSlowness(slow), 1.5);
+	now_ += 240000;
+	EXPECT_NEAR(GetSlowness(slow), 1, 0.1);
+	EXPECT_EQ(Expect(1, 5), 0);
+}
+
+// Routes and workspaces without number displace those that are in use.
+TEST_F(GateCost, KeepsWhatIsInUse)
+{
+	for (int i = 0; i < 50000; i++) {
+		Record(1000 + (uint64_t)i * 7919, (uint64_t)i, 10, &average_);
+		if (i % 10 == 0)
+			Record(1, 5, 100, &average_);
+	}
+	EXPECT_GT(Expect(1, 5), 0);
+}
--- a/test/unit/load_model.h
+++ b/test/unit/load_model.h
@@ -54,6 +54,14 @@
 	int64_t lost_from_ms = 0;
 	uint32_t features = 0; // of the gates
 	int64_t keep_alive_ms = 10000; // of the targets' connections
+	bool has_speeds = false; // targets of speeds 1 : 2 : 4
+	// A fifth of the requests have a route whose cost is a multiple of the
+	// others'. From change_ms on it is the cost of the others.
+	double heavy_ratio = 1;
+	int64_t change_ms = INT64_MAX;
+	// A share of the requests costs a multiple; nothing tells them apart.
+	double tail_share = 0;
+	double tail_ratio = 1;
 };
 
 struct LoadFigures {
@@ -145,6 +153,7 @@
 			    ("gate-" + std::to_string(i)).c_str());
 			policy.gate_count = (uint32_t)pattern.gates;
 			gate_table_set_policy(gates_[i], &policy);
+			costs_.push_back(gate_cost_create());
 		}
 		SendTable(0);
 	}
@@ -159,6 +168,8 @@
 			gate_target_release(entry.second.target);
 		for (gate_table_t *gate : gates_)
 			gate_table_destroy(gate);
+		for (gate_cost_t *cost : costs_)
+			gate_cost_destroy(cost);
 		hub_load_destroy(load_);
 		hub_outlier_destroy(outlier_);
 		hub_state_destroy(state_);
@@ -188,6 +199,7 @@
 	static constexpr int64_t kLoadMs = 200;
 	static constexpr int64_t kResetMs = 2;
 	static constexpr int kTriesMax = 2;
+	static constexpr double kHeavyShare = 0.2;
 
 	struct Target {
 		uint64_t key = 0;
@@ -197,6 +209,7 @@
 		int64_t change_ms = 0;
 		int64_t well_since_ms = 0;
 		int running = 0;
+		double speed = 1;
 		std::deque<uint64_t> queue; // attempts
 	};
 	struct Request {
@@ -205,6 +218,8 @@
 		bool may_repeat;
 		int tries = 0;
 		int asks = 0;
+		gate_cost_key_t cost_key = {};
+		double cost = 1; // as a multiple of the mean
 		std::vector<uint64_t> tried;
 	};
 	struct Attempt {
@@ -238,6 +253,26 @@
 		    std::lognormal_distribution<double>(-0.125, 0.5)(random_)));
 	}
 
+	// Draws the route of a request and its cost, as a multiple of the mean.
+	void
+	DrawCost(Request *request)
+	{
+		bool is_heavy =
+		    pattern_.heavy_ratio > 1 && Draw() < kHeavyShare;
+		bool has_changed = now_ - start_ms_ >= pattern_.change_ms;
+		double heavy_share =
+		    has_changed ? 1 - kHeavyShare : kHeavyShare;
+
+		request->cost_key.class_id = is_heavy ? 2 : 1;
+		request->cost =
+		    is_heavy != has_changed ? pattern_.heavy_ratio : 1;
+		request->cost /= 1 + heavy_share * (pattern_.heavy_ratio - 1);
+		if (pattern_.tail_share > 0 && Draw() < pattern_.tail_share)
+			request->cost *= pattern_.tail_ratio;
+		request->cost /=
+		    1 + pattern_.tail_share * (pattern_.tail_ratio - 1);
+	}
+
 	static void
 	OnVerdict(
 	    void *ctx, uint64_t target, fleet_verdict_t verdict, const char *)
@@ -269,6 +304,8 @@
 		target.has_phases = (double)((i * 7) % targets_.size()) <
 		    pattern_.bad_share * (double)targets_.size();
 		target.change_ms = now_ + DrawMs(pattern_.well_ms);
+		if (pattern_.has_speeds)
+			target.speed = (1 << (i / 2 % 3)) * 3.0 / 7;
 		hub_outlier_add_target(outlier_, target.key, service_, 1);
 		indices_[target.key] = i;
 	}
@@ -365,6 +402,7 @@
 		request.started_ms = now_;
 		request.gate = random_() % gates_.size();
 		request.may_repeat = Draw() < pattern_.repeatable;
+		DrawCost(&request);
 		if (!gate_table_admits(gates_[request.gate],
 			GetService(request.gate), pattern_.soft_deadline_ms, 1,
 			now_)) {
@@ -484,7 +522,8 @@
 	{
 		target.running++;
 		attempts_[id].is_running = true;
-		After(DrawWorkMs(),
+		After((int64_t)((double)DrawWorkMs() *
+			  attempts_[id].request.cost / target.speed),
 		    [this, id] { End(id, FLEET_EVIDENCE_SUCCESS, true); });
 	}
 
@@ -542,6 +581,17 @@
 			attempt.target->idle_max_ms = pattern_.keep_alive_ms;
 			gate_idle_add(&attempt.target->idle, now_);
 		}
+		if (kind == FLEET_EVIDENCE_SUCCESS && pattern_.features != 0) {
+			gate_cost_outcome_t outcome = {};
+
+			outcome.latency_ms = (double)(now_ - attempt.sent_ms);
+			outcome.load = (double)(attempt.target->load + 1) /
+			    attempt.target->slots;
+			outcome.now_ms = now_;
+			gate_cost_record(costs_[attempt.request.gate],
+			    &attempt.request.cost_key, &attempt.target->speed,
+			    &outcome);
+		}
 		if (kind != FLEET_EVIDENCE_SUCCESS || attempt.is_probe)
 			Report(attempt, kind, attempt.is_probe);
 		gate_target_release(attempt.target);
@@ -787,6 +837,7 @@
 	std::vector<Target> targets_;
 	std::map<uint64_t, size_t> indices_;
 	std::vector<gate_table_t *> gates_;
+	std::vector<gate_cost_t *> costs_;
 	std::map<uint64_t, fleet_verdict_t> changed_;
 	std::multimap<int64_t, std::function<void()>> events_;
 	std::map<uint64_t, Attempt> attempts_;
