gate: weigh the gate's own requests by their expected cost

Light and heavy requests counted alike in the load of a target.

With FLEET_FEATURE_SCARCE_CAPACITY each request of the gate counts at its target by the expected cost of its class and workspace as a multiple of the service's mean, limited to 5 times and a fifth.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -56,6 +56,8 @@
 		gate_link_cancel_permit(
 		    request->gate->link, request->permit_id);
 	request->permit_id = 0;
+	target->excess -= request->excess;
+	request->excess = 0;
 	request->target = NULL;
 	request->call = NULL;
 	return (target);
@@ -422,6 +424,20 @@
 	return (err);
 }
 
+/* Counts the expected work of a request at its target. */
+static void
+add_excess(gate_request_t *request, gate_target_t *target)
+{
+	const gate_t *gate = request->gate;
+
+	if ((gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
+		return;
+	request->excess = gate_cost_get_weight(gate->cost, &request->cost_key,
+			      &target->service->mean_cost_ms, clock_now_ms()) -
+	    1;
+	target->excess += request->excess;
+}
+
 void
 gate_attempt_send(gate_request_t *request, gate_target_t *target, int is_probe)
 {
@@ -437,6 +453,7 @@
 	gate_metrics_count_connection(gate,
 	    gate_idle_take(&target->idle,
 		gate_subset_get_reuse_ms(target->idle_max_ms), clock_now_ms()));
+	add_excess(request, target);
 	request->target = target;
 	request->is_probe = is_probe;
 	request->is_stall_reported = 0;
--- a/src/gate/gate_cost.c
+++ b/src/gate/gate_cost.c
@@ -35,6 +35,11 @@
 #define SPEED_WEIGHT_MAX 20.0
 #define SPEED_DECAY_MS	 30000.0
 
+/* Weight of a request in the mean cost of a service, and the largest ratio
+ * between a request and this mean that counts. */
+#define MEAN_WEIGHT  0.02
+#define WEIGHT_RATIO 5.0
+
 /* A mean over responses. */
 typedef struct entry {
 	uint64_t key; /* 0: free */
@@ -152,6 +157,20 @@
 	    entry != NULL ? entry->mean * get_factor(cost, key, now_ms) : 0);
 }
 
+double
+gate_cost_get_weight(const gate_cost_t *cost, const gate_cost_key_t *key,
+    double *mean_ms, int64_t now_ms)
+{
+	double expected_ms = gate_cost_expect(cost, key, now_ms);
+
+	if (expected_ms <= 0)
+		return (1);
+	if (*mean_ms <= 0)
+		*mean_ms = expected_ms;
+	*mean_ms += MEAN_WEIGHT * (expected_ms - *mean_ms);
+	return (limit(expected_ms / *mean_ms, 1 / WEIGHT_RATIO, WEIGHT_RATIO));
+}
+
 /* Moves the mean of an entry towards a response. */
 static void
 move(entry_t *entry, double seen, double weight_min, double share)
--- a/src/gate/gate_cost.h
+++ b/src/gate/gate_cost.h
@@ -56,6 +56,15 @@
 double gate_cost_expect(
     const gate_cost_t *cost, const gate_cost_key_t *key, int64_t now_ms);
 
+/**
+ * Expresses the expected cost of a request in requests of mean cost.
+ *
+ * @param mean_ms  mean cost of the service's requests, 0 at first; updated
+ * @return         within bounds; 1 while the cost is unknown
+ */
+double gate_cost_get_weight(const gate_cost_t *cost, const gate_cost_key_t *key,
+    double *mean_ms, int64_t now_ms);
+
 /** Learns from a response. */
 void gate_cost_record(gate_cost_t *cost, const gate_cost_key_t *key,
     gate_speed_t *speed, const gate_cost_outcome_t *outcome);
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -68,6 +68,7 @@
 	uint32_t attempts_sent; /**< attempts that may have reached a target */
 	int may_have_executed;
 	gate_cost_key_t cost_key;
+	double excess; /**< of its attempt, in gate_target_t.excess */
 	uint64_t fingerprint; /**< 0: not computed yet */
 	gate_refusal_t pending_refusal; /**< sent if no attempt follows */
 	gate_request_t *prev;
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -1,6 +1,7 @@
 #include "gate/gate_table.h"
 
 #include <stdio.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -340,9 +341,9 @@
 gate_target_get_score(const gate_target_t *target, double expected_load,
     double slowness, int64_t now_ms)
 {
-	double load =
-	    estimate_load(target, expected_load * target->slots, now_ms) /
-	    target->slots;
+	double requests =
+	    estimate_load(target, expected_load * target->slots, now_ms);
+	double load = fmax(0, requests + target->excess) / target->slots;
 	/* The request itself takes a slot's time, too. */
 	double score = load + (load + 1) * (slowness - 1);
 
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -56,6 +56,9 @@
 	int64_t idle_max_ms; /**< its keep-alive timeout; 0: unknown */
 	gate_idle_t idle; /**< connections to it */
 	gate_speed_t speed;
+	/** Expected work of this gate's requests beyond their number, in
+	 * requests of mean cost; may be negative. */
+	double excess;
 	uint64_t preference; /**< of this gate; see gate_subset.h */
 	gate_limit_t limit; /**< requests that it takes from all gates */
 	int is_leaving; /**< it said so here; this incarnation stays so */
@@ -88,6 +91,7 @@
 	int64_t kept_probe_ms; /**< when it came */
 	int is_alone; /**< without a leader; see gate_alone.h */
 	double trial_credit; /**< of trials without a leader */
+	double mean_cost_ms; /**< see gate_cost_get_weight() */
 	gate_subset_t subset; /**< targets that this gate prefers */
 	UT_hash_handle hh;
 } gate_service_t;
--- a/test/unit/gate_cost_test.cc
+++ b/test/unit/gate_cost_test.cc
@@ -214,6 +214,33 @@
 	EXPECT_NEAR(Expect(1) * GetSlowness(average_), 400, 80);
 }
 
+// A light and a heavy request count the same, so that a target gets more work than
+// others by its number of requests; one beyond bounds decides alone.
+TEST_F(GateCost, WeighsRequests)
+{
+	gate_cost_key_t light = { 1, 0 };
+	gate_cost_key_t heavy = { 2, 0 };
+	gate_cost_key_t huge = { 3, 0 };
+	gate_cost_key_t unknown = { 4, 0 };
+	double mean_ms = 0;
+
+	for (int i = 0; i < 100; i++) {
+		Record(1, 0, 100, &average_);
+		Record(2, 0, 300, &average_);
+		Record(3, 0, 100000, &average_);
+	}
+	for (int i = 0; i < 500; i++) {
+		gate_cost_get_weight(cost_, &light, &mean_ms, now_);
+		gate_cost_get_weight(cost_, &heavy, &mean_ms, now_);
+	}
+	EXPECT_NEAR(
+	    gate_cost_get_weight(cost_, &light, &mean_ms, now_), 0.5, 0.1);
+	EXPECT_NEAR(
+	    gate_cost_get_weight(cost_, &heavy, &mean_ms, now_), 1.5, 0.1);
+	EXPECT_LE(gate_cost_get_weight(cost_, &huge, &mean_ms, now_), 5);
+	EXPECT_EQ(gate_cost_get_weight(cost_, &unknown, &mean_ms, now_), 1);
+}
+
 // What was learned long ago decides.
 TEST_F(GateCost, GrowsOld)
 {
--- a/test/unit/load_model.h
+++ b/test/unit/load_model.h
@@ -219,6 +219,7 @@
 		int tries = 0;
 		int asks = 0;
 		gate_cost_key_t cost_key = {};
+		double excess = 0;
 		double cost = 1; // as a multiple of the mean
 		std::vector<uint64_t> tried;
 	};
@@ -458,6 +459,13 @@
 		uint64_t id = ++last_id_;
 
 		request.tries++;
+		if (pattern_.features != 0)
+			request.excess =
+			    gate_cost_get_weight(costs_[request.gate],
+				&request.cost_key,
+				&target->service->mean_cost_ms, now_) -
+			    1;
+		target->excess += request.excess;
 		request.tried.push_back(target->key);
 		gate_target_acquire(target);
 		figures_.sent++;
@@ -553,6 +561,7 @@
 			return (false);
 		*attempt = found->second;
 		attempts_.erase(found);
+		attempt->target->excess -= attempt->request.excess;
 		if (attempt->is_running)
 			FreeSlot(attempt->index);
 		return (true);
