--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -10,6 +10,7 @@
 #include "fleet/zip.h"
 #include "gate/gate_defs.h"
 #include "gate/gate_metrics.h"
+#include "gate/gate_policy.h"
 #include "gate/gate_request.h"
 
 /* Key lease as a fraction of revoke_within_s. */
@@ -346,6 +347,7 @@
 	int64_t now_ms = clock_now_ms();
 
 	gate_link_tick(gate->link, now_ms);
+	gate_policy_tick(gate, now_ms);
 	return_kept_probes(gate, now_ms);
 	reset_allowance(gate);
 	gate_front_tick(gate, now_ms);
@@ -497,14 +499,15 @@
 	    gate_allowance_create(&settings->rates, rng_next(&gate->rng));
 	gate->usage = gate_usage_create();
 	gate->crash = gate_crash_create();
+	gate->cost = gate_cost_create();
 	gate->link = gate_link_create(&link);
 	gate->upstream = upstream_create(gate->loop);
 	if (gate->upstream != NULL)
 		upstream_set_response_limit(
 		    gate->upstream, settings->response_limit_bytes);
 	if (gate->table == NULL || gate->allowance == NULL ||
-	    gate->usage == NULL || gate->crash == NULL || gate->link == NULL ||
-	    gate->upstream == NULL)
+	    gate->usage == NULL || gate->crash == NULL || gate->cost == NULL ||
+	    gate->link == NULL || gate->upstream == NULL)
 		return (TM_ENOMEM);
 	return (gate_metrics_create(gate));
 }
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -16,10 +16,6 @@
 
 /* Connect timeout; nothing was sent by then. */
 #define CONNECT_MAX_MS 300
-/* Idle connections are reused until this margin before the target's keep-alive
- * timeout, or up to the default idle time where the target gives none. */
-#define IDLE_DEFAULT_MS 1000
-#define IDLE_MARGIN_MS	1500
 /* Callers come back after this time at the latest: other targets may have come. */
 #define PAUSED_RETRY_MAX_MS 60000
 /* With less time left, a retry is not worth an attempt. */
@@ -61,6 +57,8 @@
 		gate_link_cancel_permit(
 		    request->gate->link, request->permit_id);
 	request->permit_id = 0;
+	target->excess -= request->excess;
+	request->excess = 0;
 	request->target = NULL;
 	request->call = NULL;
 	return (target);
@@ -239,6 +237,24 @@
 		gate_request_refuse(request, GATE_REFUSAL_TARGET_FAILED, 0);
 }
 
+/* Learns from a successful response, after the load in it was recorded. */
+static void
+record_cost(const gate_request_t *request, gate_target_t *target)
+{
+	int64_t now_ms = clock_now_ms();
+	gate_cost_outcome_t outcome = {
+		.latency_ms = (double)(now_ms - request->sent_ms),
+		.now_ms = now_ms,
+	};
+
+	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
+		return;
+	if (now_ms == target->load_ms)
+		outcome.load = (double)(target->load + 1) / target->slots;
+	gate_cost_record(
+	    request->gate->cost, &request->cost_key, &target->speed, &outcome);
+}
+
 /* Records what a target says of itself, and tells the leader what is new. */
 static void
 record_signals(const gate_request_t *request, gate_target_t *target,
@@ -295,8 +311,11 @@
 	/* Another target says nothing of this one. */
 	if (response->status != 421)
 		record_signals(request, target, response);
+	if (kind == FLEET_EVIDENCE_SUCCESS)
+		record_cost(request, target);
 	if (!stopped_at_deadline(request, response))
 		record_outcome(request, target, kind, response->status);
+	gate_idle_add(&target->idle, clock_now_ms());
 	gate_target_release(target);
 	if (!is_not_executed && !gate_request_is_answered(request))
 		gate_crash_check_record_answer(request);
@@ -374,15 +393,6 @@
 		: UPSTREAM_FOREIGN);
 }
 
-/* @return longest idle time of a connection that may be reused */
-static int64_t
-get_idle_max_ms(const gate_target_t *target)
-{
-	if (target->idle_max_ms <= IDLE_MARGIN_MS)
-		return (IDLE_DEFAULT_MS);
-	return (target->idle_max_ms - IDLE_MARGIN_MS);
-}
-
 /* Writes the request to a target. @return 0 or a negative error number */
 static int
 start(gate_request_t *request, gate_target_t *target)
@@ -392,7 +402,7 @@
 	upstream_request_t call = {
 		.to = target->addr,
 		.is_head = request->is_head,
-		.idle_max_ms = get_idle_max_ms(target),
+		.idle_max_ms = gate_subset_get_reuse_ms(target->idle_max_ms),
 		.is_lenient = 1,
 		.relate = relate,
 		.id_hash = fleet_name_hash(request->id),
@@ -402,6 +412,11 @@
 	};
 	int err;
 
+	/* If the target closed it, connections would be reused after less than
+	 * half of the time that the target keeps them. */
+	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0 &&
+	    target->idle_max_ms > 0)
+		call.idle_close_ms = call.idle_max_ms;
 	request->attempt_timeout_ms = request->deadline_ms - now_ms;
 	err = gate_wire_encode(
 	    request, target, request->attempt_timeout_ms, &bytes);
@@ -418,6 +433,20 @@
 	return (err);
 }
 
+/* Counts the expected work of a request at its target. */
+static void
+add_excess(gate_request_t *request, gate_target_t *target)
+{
+	const gate_t *gate = request->gate;
+
+	if ((gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
+		return;
+	request->excess = gate_cost_get_weight(gate->cost, &request->cost_key,
+			      &target->service->mean_cost_ms, clock_now_ms()) -
+	    1;
+	target->excess += request->excess;
+}
+
 void
 gate_attempt_send(gate_request_t *request, gate_target_t *target, int is_probe)
 {
@@ -430,6 +459,10 @@
 		return;
 	}
 	gate_target_acquire(target);
+	gate_metrics_count_connection(gate,
+	    gate_idle_take(&target->idle,
+		gate_subset_get_reuse_ms(target->idle_max_ms), clock_now_ms()));
+	add_excess(request, target);
 	request->target = target;
 	request->is_probe = is_probe;
 	request->is_stall_reported = 0;
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -52,6 +52,8 @@
 	int64_t allowance_ms; /**< lease request at its last reset */
 	gate_usage_t *usage;
 	gate_crash_t *crash;
+	gate_cost_t *cost;
+	uint64_t costs_reported; /**< responses until the last report */
 	fleet_config_t *config; /**< NULL until the first one arrives */
 	uint32_t features; /**< fleet_feature_t of settings and config */
 	Tm__Fleet__Outcome *outcomes; /**< of the renewal that is being sent */
@@ -69,11 +71,13 @@
 	int64_t last_busy_ms; /**< last time at which a request was running */
 	gate_stop_t stop;
 	int64_t started_ms;
+	int64_t subsets_reported_ms; /**< last time in the log */
 	metrics_t *metrics;
 	metric_t *metric_requests;
 	metric_t *metric_in_flight;
 	metric_t *metric_latency;
 	metric_t *metric_attempts;
+	metric_t *metric_new_connections;
 	metric_t *metric_log_dropped;
 };
 
--- a/test/unit/load_model.h
+++ b/test/unit/load_model.h
@@ -56,6 +56,16 @@
 	int64_t lost_from_ms = 0;
 	// FLEET_FEATURE_SCARCE_CAPACITY is on at hub and gates.
 	bool is_scarce = false;
+	uint32_t features = 0; // of the gates
+	int64_t keep_alive_ms = 10000; // of the targets' connections
+	bool has_speeds = false; // targets of speeds 1 : 2 : 4
+	// A fifth of the requests have a route whose cost is a multiple of the
+	// others'. From change_ms on it is the cost of the others.
+	double heavy_ratio = 1;
+	int64_t change_ms = INT64_MAX;
+	// A share of the requests costs a multiple; nothing tells them apart.
+	double tail_share = 0;
+	double tail_ratio = 1;
 };
 
 struct LoadFigures {
@@ -73,6 +83,10 @@
 	int probes_refused = 0;
 	int probes_failed = 0;
 	int ejections = 0;
+	int sent = 0;
+	int same_zone = 0; // sent within a zone
+	int connected = 0; // sent on new connections
+	std::vector<int64_t> latencies_ms; // of the served
 
 	void
 	Add(const LoadFigures &other)
@@ -91,6 +105,11 @@
 		probes_refused += other.probes_refused;
 		probes_failed += other.probes_failed;
 		ejections += other.ejections;
+		sent += other.sent;
+		same_zone += other.same_zone;
+		connected += other.connected;
+		latencies_ms.insert(latencies_ms.end(),
+		    other.latencies_ms.begin(), other.latencies_ms.end());
 	}
 
 	double
@@ -111,6 +130,22 @@
 		return (samples > 0 ? healthy / samples : 0);
 	}
 
+	double
+	GetConnected() const
+	{
+		return (sent > 0 ? (double)connected / sent : 0);
+	}
+
+	int64_t
+	GetLatencyMs(double quantile)
+	{
+		if (latencies_ms.empty())
+			return (0);
+		std::sort(latencies_ms.begin(), latencies_ms.end());
+		return (latencies_ms[(
+		    size_t)(quantile * (double)(latencies_ms.size() - 1))]);
+	}
+
 	double
 	Share(int count) const
 	{
@@ -135,6 +170,16 @@
 			    ("zone-" + std::to_string(i % pattern.zones))
 				.c_str(),
 			    seed * 1000 + i));
+		for (size_t i = 0; i < gates_.size(); i++) {
+			gate_policy_t policy = {};
+
+			policy.features = pattern.features;
+			policy.gate = fleet_name_hash(
+			    ("gate-" + std::to_string(i)).c_str());
+			policy.gate_count = (uint32_t)pattern.gates;
+			gate_table_set_policy(gates_[i], &policy);
+			costs_.push_back(gate_cost_create());
+		}
 		SendTable(0);
 	}
 
@@ -148,6 +193,8 @@
 			gate_target_release(entry.second.target);
 		for (gate_table_t *gate : gates_)
 			gate_table_destroy(gate);
+		for (gate_cost_t *cost : costs_)
+			gate_cost_destroy(cost);
 		hub_load_destroy(load_);
 		hub_outlier_destroy(outlier_);
 		hub_state_destroy(state_);
@@ -187,6 +234,7 @@
 	static constexpr int64_t kLoadMs = 200;
 	static constexpr int64_t kResetMs = 2;
 	static constexpr int kTriesMax = 2;
+	static constexpr double kHeavyShare = 0.2;
 
 	struct Target {
 		uint64_t key = 0;
@@ -196,6 +244,7 @@
 		int64_t change_ms = 0;
 		int64_t well_since_ms = 0;
 		int running = 0;
+		double speed = 1;
 		std::deque<uint64_t> queue; // attempts
 	};
 	struct Request {
@@ -204,6 +253,9 @@
 		bool may_repeat;
 		int tries = 0;
 		int asks = 0;
+		gate_cost_key_t cost_key = {};
+		double excess = 0;
+		double cost = 1; // as a multiple of the mean
 		std::vector<uint64_t> tried;
 	};
 	struct Attempt {
@@ -237,6 +289,26 @@
 		    std::lognormal_distribution<double>(-0.125, 0.5)(random_)));
 	}
 
+	// Draws the route of a request and its cost, as a multiple of the mean.
+	void
+	DrawCost(Request *request)
+	{
+		bool is_heavy =
+		    pattern_.heavy_ratio > 1 && Draw() < kHeavyShare;
+		bool has_changed = now_ - start_ms_ >= pattern_.change_ms;
+		double heavy_share =
+		    has_changed ? 1 - kHeavyShare : kHeavyShare;
+
+		request->cost_key.class_id = is_heavy ? 2 : 1;
+		request->cost =
+		    is_heavy != has_changed ? pattern_.heavy_ratio : 1;
+		request->cost /= 1 + heavy_share * (pattern_.heavy_ratio - 1);
+		if (pattern_.tail_share > 0 && Draw() < pattern_.tail_share)
+			request->cost *= pattern_.tail_ratio;
+		request->cost /=
+		    1 + pattern_.tail_share * (pattern_.tail_ratio - 1);
+	}
+
 	static void
 	OnVerdict(
 	    void *ctx, uint64_t target, fleet_verdict_t verdict, const char *)
@@ -268,6 +340,8 @@
 		target.has_phases = (double)((i * 7) % targets_.size()) <
 		    pattern_.bad_share * (double)targets_.size();
 		target.change_ms = now_ + DrawMs(pattern_.well_ms);
+		if (pattern_.has_speeds)
+			target.speed = (1 << (i / 2 % 3)) * 3.0 / 7;
 		hub_outlier_add_target(outlier_, target.key, service_, 1);
 		indices_[target.key] = i;
 	}
@@ -364,6 +438,7 @@
 		request.started_ms = now_;
 		request.gate = random_() % gates_.size();
 		request.may_repeat = Draw() < pattern_.repeatable;
+		DrawCost(&request);
 		if (!gate_table_admits(gates_[request.gate],
 			GetService(request.gate), pattern_.soft_deadline_ms, 1,
 			now_)) {
@@ -421,8 +496,19 @@
 		uint64_t id = ++last_id_;
 
 		request.tries++;
+		if (pattern_.features != 0)
+			request.excess =
+			    gate_cost_get_weight(costs_[request.gate],
+				&request.cost_key,
+				&target->service->mean_cost_ms, now_) -
+			    1;
+		target->excess += request.excess;
 		request.tried.push_back(target->key);
 		gate_target_acquire(target);
+		figures_.sent++;
+		figures_.same_zone += target->is_same_zone;
+		figures_.connected += !gate_idle_take(&target->idle,
+		    gate_subset_get_reuse_ms(target->idle_max_ms), now_);
 		attempts_[id] = Attempt{ request, target, indices_[target->key],
 			now_, is_probe, false, false };
 		After(1, [this, id] { Reach(id); });
@@ -487,7 +573,8 @@
 	{
 		target.running++;
 		attempts_[id].is_running = true;
-		After(DrawWorkMs(),
+		After((int64_t)((double)DrawWorkMs() *
+			  attempts_[id].request.cost / target.speed),
 		    [this, id] { End(id, FLEET_EVIDENCE_SUCCESS, true); });
 	}
 
@@ -517,6 +604,7 @@
 			return (false);
 		*attempt = found->second;
 		attempts_.erase(found);
+		attempt->target->excess -= attempt->request.excess;
 		if (attempt->is_running)
 			FreeSlot(attempt->index);
 		return (true);
@@ -542,10 +630,26 @@
 			gate_target_set_load(attempt.target,
 			    (uint32_t)(target.running + target.queue.size()),
 			    now_);
+			attempt.target->idle_max_ms = pattern_.keep_alive_ms;
+			gate_idle_add(&attempt.target->idle, now_);
+		}
+		if (kind == FLEET_EVIDENCE_SUCCESS && pattern_.features != 0) {
+			gate_cost_outcome_t outcome = {};
+
+			outcome.latency_ms = (double)(now_ - attempt.sent_ms);
+			outcome.load = (double)(attempt.target->load + 1) /
+			    attempt.target->slots;
+			outcome.now_ms = now_;
+			gate_cost_record(costs_[attempt.request.gate],
+			    &attempt.request.cost_key, &attempt.target->speed,
+			    &outcome);
 		}
 		if (kind != FLEET_EVIDENCE_SUCCESS || attempt.is_probe)
 			Report(attempt, kind, attempt.is_probe);
 		gate_target_release(attempt.target);
+		if (kind == FLEET_EVIDENCE_SUCCESS)
+			figures_.latencies_ms.push_back(
+			    now_ - attempt.request.started_ms);
 		if (kind == FLEET_EVIDENCE_SUCCESS)
 			Finish(now_ - attempt.request.started_ms <=
 				    pattern_.soft_deadline_ms
@@ -798,6 +902,7 @@
 	std::vector<Target> targets_;
 	std::map<uint64_t, size_t> indices_;
 	std::vector<gate_table_t *> gates_;
+	std::vector<gate_cost_t *> costs_;
 	std::map<uint64_t, fleet_verdict_t> changed_;
 	std::multimap<int64_t, std::function<void()>> events_;
 	std::map<uint64_t, Attempt> attempts_;
