test: no leak of the contexts of calls that never end

The sanitizer build reported the contexts of calls that were open when the model of HubRelay ended. HubRelay*, HubAnnounce*, RelaySizes, HubScale* and HubState* pass with it (37 tests); hub_announce and hub_gate passed with the programs of that build.

--- a/test/unit/hub_relay_test.cc
+++ b/test/unit/hub_relay_test.cc
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <cstdio>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <random>
@@ -348,13 +349,11 @@
 			done(TM_OK);
 			return;
 		}
-		Wait *wait = new Wait{ hub, done };
+		waits_.push_back({ hub, done });
 		if (decision == HUB_RELAY_REFUSE ||
-		    hub_relay_pass(hub->relay, &as, is_leave, OnDecided, wait,
-			now_) != TM_OK) {
-			delete wait;
+		    hub_relay_pass(hub->relay, &as, is_leave, OnDecided,
+			&waits_.back(), now_) != TM_OK)
 			done(TM_EUNAVAIL);
-		}
 	}
 
 	static void
@@ -364,7 +363,6 @@
 
 		if (!wait->hub->is_down)
 			wait->done(err);
-		delete wait;
 	}
 
 	int
@@ -502,6 +500,7 @@
 	hub_changes_t changes_ = {};
 	std::vector<std::unique_ptr<Hub>> hubs_;
 	std::vector<Target> targets_;
+	std::list<Wait> waits_; // contexts of OnDecided(), also of ended calls
 	std::map<uint64_t, size_t> by_key_;
 	std::multimap<int64_t, std::function<void()>> events_;
 	std::mt19937 random_{ 7 };
