test: hub_announce calls only hubs that run

After the leader was killed the test called the second of the hubs that do not lead, which was the killed one if that came later in its list: three failures in a row on the same code that had passed before.

--- a/test/functional/hub_announce.py
+++ b/test/functional/hub_announce.py
@@ -103,8 +103,10 @@
 
 
 def followers():
+    """Hubs that run and do not lead."""
     leader = find_leader()
-    return [ip for i, ip in enumerate(HUBS) if i != leader]
+    return [ip for i, ip in enumerate(HUBS) if i != leader and
+            fleet.processes[f"hub{i}"].poll() is None]
 
 
 def set_hubs(announcers):
