gate, hub: admission after an outage, by class, with long queues

Found in a review. A gate counted requests while it had no leader and reported them at once when it was back: the leader took 30 s of demand for 200 ms and had all gates refuse. One mean of unusual requests for all classes let a less urgent class be served more often. A service with very long queues took nothing, and a class without requests had share 1. Requests refused for their workspace's rate counted as demand.

--- a/src/gate/gate_demand.c
+++ b/src/gate/gate_demand.c
@@ -58,12 +58,11 @@
 	gate_service_t *service;
 	size_t i;
 
-	for (service = gate_table_get_services(table); service != NULL;
-	     service = service->hh.next) {
-		for (i = 0; i < count; i++) {
-			if (admissions[i]->service == service->id)
-				gate_share_apply(&service->share, admissions[i],
-				    gates, now_ms);
-		}
+	for (i = 0; i < count; i++) {
+		service =
+		    gate_table_find_service_id(table, admissions[i]->service);
+		if (service != NULL)
+			gate_share_apply(
+			    &service->share, admissions[i], gates, now_ms);
 	}
 }
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -329,6 +329,18 @@
 	gate_request_proceed(request);
 }
 
+/* A request over the rate of its workspace asks nothing of its service. */
+static void
+uncount(const gate_request_t *request)
+{
+	gate_service_t *service =
+	    gate_table_find_service(request->gate->table, request->service);
+
+	if (service != NULL)
+		gate_share_uncount(&service->share, request->priority,
+		    request->soft_deadline_ms);
+}
+
 /* gate_permit_cb */
 static void
 on_token(void *ctx, const gate_permit_reply_t *reply)
@@ -348,6 +360,7 @@
 		gate_request_proceed(request);
 		return;
 	case GATE_PERMIT_REFUSED:
+		uncount(request);
 		gate_request_refuse(request, GATE_REFUSAL_RATE, wait_ms);
 		return;
 	default:
--- a/src/gate/gate_share.c
+++ b/src/gate/gate_share.c
@@ -62,26 +62,35 @@
 }
 
 /* Requests that are usual for their flows come first, those beyond share what is
- * left. @return probability for a request of a flow */
+ * left.
+ *
+ * @param unusual  mean part of the class's requests that is beyond
+ * @return         probability for a request of a flow */
 static double
-share_out(const gate_share_t *share, double admitted, double usual)
+share_out(double unusual, double admitted, double usual)
 {
-	double all_usual = 1 - share->unusual;
+	double all_usual = 1 - unusual;
 	double beyond = 0;
 
-	if (admitted > all_usual && share->unusual > 0)
-		beyond = (admitted - all_usual) / share->unusual;
+	if (admitted > all_usual && unusual > 0)
+		beyond = (admitted - all_usual) / unusual;
 	return (usual * fmin(admitted / all_usual, 1) + (1 - usual) * beyond);
 }
 
+static int
+has_lease(const gate_share_query_t *query)
+{
+	return (query->lease_ms != 0 &&
+	    query->now_ms - query->lease_ms <= LEASE_MAX_AGE_MS);
+}
+
 /* @return share of the requests of a class that is admitted */
 static double
 get_admitted(const gate_share_t *share, const gate_share_query_t *query)
 {
 	uint32_t priority_class = get_class(query->priority);
 
-	if (query->lease_ms == 0 ||
-	    query->now_ms - query->lease_ms > LEASE_MAX_AGE_MS)
+	if (!has_lease(query))
 		return (decide_alone(share, priority_class));
 	return (share->decided_ms == query->lease_ms
 		? share->shares[priority_class]
@@ -91,12 +100,19 @@
 double
 gate_share_get(gate_share_t *share, const gate_share_query_t *query)
 {
+	uint32_t priority_class = get_class(query->priority);
+	double *unusual = &share->unusual[priority_class];
 	double admitted = get_admitted(share, query);
 	int is_full = admitted < ADMIT_ALL;
 	double usual = 1;
 
-	share->requests[get_class(query->priority)]++;
-	share->soft_deadline_sum_ms += (uint64_t)query->soft_deadline_ms;
+	/* A new leader must not take the requests of a whole outage for those of
+	 * one interval. */
+	if (has_lease(query)) {
+		share->requests[priority_class]++;
+		share->soft_deadline_sum_ms +=
+		    (uint64_t)query->soft_deadline_ms;
+	}
 	if (query->workspace != 0)
 		usual = gate_flows_record(&share->workspaces, query->workspace,
 		    1, is_full, query->now_ms);
@@ -105,16 +121,34 @@
 	    &share->routes, query->route, usual, is_full, query->now_ms);
 	if (!is_full)
 		return (1);
-	share->unusual += UNUSUAL_WEIGHT * (1 - usual - share->unusual);
-	return (share_out(share, admitted, usual));
+	*unusual += UNUSUAL_WEIGHT * (1 - usual - *unusual);
+	return (share_out(*unusual, admitted, usual));
+}
+
+void
+gate_share_uncount(
+    gate_share_t *share, int32_t priority, int64_t soft_deadline_ms)
+{
+	uint32_t priority_class = get_class(priority);
+
+	if (share->requests[priority_class] == 0)
+		return;
+	share->requests[priority_class]--;
+	share->soft_deadline_sum_ms -=
+	    share->soft_deadline_sum_ms < (uint64_t)soft_deadline_ms
+	    ? share->soft_deadline_sum_ms
+	    : (uint64_t)soft_deadline_ms;
 }
 
 int64_t
 gate_share_take_return_ms(gate_share_t *share, int64_t now_ms)
 {
+	int is_decided = share->decided_ms != 0 &&
+	    now_ms - share->decided_ms <= LEASE_MAX_AGE_MS;
 	int64_t first_ms =
-	    now_ms + (share->wait_ms > 0 ? share->wait_ms : RETURN_DEFAULT_MS);
-	double gap_ms = share->per_s > 0 ? MS_PER_S / share->per_s : 0;
+	    now_ms + (is_decided ? share->wait_ms : RETURN_DEFAULT_MS);
+	double gap_ms =
+	    is_decided && share->per_s > 0 ? MS_PER_S / share->per_s : 0;
 
 	if (share->return_ms < first_ms)
 		share->return_ms = first_ms;
--- a/src/gate/gate_share.h
+++ b/src/gate/gate_share.h
@@ -27,9 +27,8 @@
 	double per_s; /**< requests that this gate may send meanwhile */
 	int64_t return_ms; /**< when the next refused caller may return */
 	double shed_share; /**< of the recent attempts */
-	double
-	    unusual; /**< mean part of requests beyond what is usual for their
-			 * flows */
+	/** Mean part of a class's requests beyond what is usual for their flows. */
+	double unusual[GATE_SHARE_CLASSES];
 	gate_flows_t workspaces;
 	gate_flows_t routes;
 } gate_share_t;
@@ -54,6 +53,11 @@
 /** Counts a request. @return probability with which it is to be sent */
 double gate_share_get(gate_share_t *share, const gate_share_query_t *query);
 
+/** Takes a counted request back that is refused for another reason than a full
+ * service, so that others get its place. */
+void gate_share_uncount(
+    gate_share_t *share, int32_t priority, int64_t soft_deadline_ms);
+
 /** @return time until a caller that is refused should return, in ms; callers
  *          get one time after the other */
 int64_t gate_share_take_return_ms(gate_share_t *share, int64_t now_ms);
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -111,7 +111,12 @@
 gate_service_t *
 gate_table_find_service(const gate_table_t *table, const char *name)
 {
-	uint64_t id = fleet_name_hash(name);
+	return (gate_table_find_service_id(table, fleet_name_hash(name)));
+}
+
+gate_service_t *
+gate_table_find_service_id(const gate_table_t *table, uint64_t id)
+{
 	gate_service_t *service;
 
 	HASH_FIND(hh, table->services, &id, sizeof(id), service);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -163,6 +163,10 @@
 gate_service_t *gate_table_find_service(
     const gate_table_t *table, const char *name);
 
+/** @return a service by fleet_name_hash() of its name, or NULL */
+gate_service_t *gate_table_find_service_id(
+    const gate_table_t *table, uint64_t id);
+
 /** @return the first service; the others follow in hh.next. NULL: none */
 gate_service_t *gate_table_get_services(const gate_table_t *table);
 
--- a/src/hub/hub_admission.c
+++ b/src/hub/hub_admission.c
@@ -22,6 +22,11 @@
 #define GOAL_MIN 1.6
 /* Least share of a class, of the share that all classes get together. */
 #define CLASS_SHARE_MIN 0.35
+/* A service takes at least this share of what its slots serve, however long its
+ * queues are, so that no class gets nothing. */
+#define DRAIN_SHARE_MIN 0.2
+/* Smaller rates are what is left of earlier requests. */
+#define DEMAND_MIN_PER_S 0.01
 /* Above this share nothing is refused. */
 #define SHARE_ALL 0.98
 /* Bounds of the time after which callers are told to return. */
@@ -95,6 +100,7 @@
 	for (service = admission->services; service != NULL;
 	     service = service->hh.next) {
 		service->is_full = 0;
+		service->soft_deadline_sum_ms = 0;
 		memset(service->asked, 0, sizeof(service->asked));
 		memset(service->per_s, 0, sizeof(service->per_s));
 	}
@@ -175,7 +181,9 @@
 	size_t i;
 
 	for (i = 0; i < HUB_ADMISSION_CLASSES; i++) {
-		extra = service->per_s[i] > 0 ? left / service->per_s[i] : 1;
+		extra = service->per_s[i] >= DEMAND_MIN_PER_S
+		    ? left / service->per_s[i]
+		    : left > DEMAND_MIN_PER_S;
 		shares[i] = least + fmin(fmax(extra, 0), 1 - least);
 		left -= (shares[i] - least) * service->per_s[i];
 	}
@@ -186,6 +194,7 @@
 {
 	double total = sum_demand(service);
 	double surplus;
+	double served;
 	hub_admission_decision_t *decision = &service->decision;
 	double utilization;
 
@@ -193,13 +202,13 @@
 	if (load->slots <= 0 || load->work_ms <= 0 || total <= 0)
 		return;
 	utilization = load->requests / load->slots;
+	served = load->slots * MS_PER_S / load->work_ms;
 	decision->service = service->id;
 	decision->asked_per_s = total;
 	decision->utilization = utilization;
 	decision->goal = get_goal(service, load);
 	surplus = (decision->goal - utilization) * load->slots / GOAL_TIME_S;
-	decision->per_s =
-	    fmax(load->slots * MS_PER_S / load->work_ms + surplus, 0);
+	decision->per_s = fmax(served + surplus, DRAIN_SHARE_MIN * served);
 	if (decision->per_s >= SHARE_ALL * total)
 		return;
 	service->is_full = 1;
@@ -234,14 +243,16 @@
 		return;
 	admission->updated_ms = now_ms;
 	for (service = admission->services; service != NULL;
-	     service = service->hh.next)
+	     service = service->hh.next) {
 		update_demand(service, elapsed_ms);
+		service->is_full = 0;
+	}
+	admission->count = 0;
 	if (now_ms - admission->since_ms < REPORTS_COMPLETE_MS)
 		return;
 	for (i = 0; i < count; i++) {
 		service = get_service(admission, loads[i].service);
 		if (service != NULL)
-
 			decide(service, &loads[i]);
 	}
 	fill_list(admission);
--- a/src/hub/hub_admission.h
+++ b/src/hub/hub_admission.h
@@ -7,7 +7,7 @@
  * no clock.
  *
  * A service takes what its slots can serve, and what fills its queues to a goal
- * or drains them to it within a second. The most urgent class comes first; each
+ * or drains them to it within 1.5 s. The most urgent class comes first; each
  * other one keeps a small share, so that none is starved.
  */
 #ifndef TM_HUB_HUB_ADMISSION_H
@@ -50,14 +50,14 @@
 /** Frees everything; NULL is allowed. */
 void hub_admission_destroy(hub_admission_t *admission);
 
-/** Drops everything but the configuration: this hub begins to lead. */
+/** Drops what gates reported: this hub begins to lead. */
 void hub_admission_reset(hub_admission_t *admission, int64_t now_ms);
 
 /** Records requests that callers sent to a gate. */
 void hub_admission_record_demand(
     hub_admission_t *admission, const Tm__Fleet__Demand *demand);
 
-/** Decides anew. Services that are not given keep their last decision. */
+/** Decides anew. Services that are not given are not full. */
 void hub_admission_update(hub_admission_t *admission,
     const hub_admission_load_t *loads, size_t count, int64_t now_ms);
 
--- a/test/unit/admission_test.cc
+++ b/test/unit/admission_test.cc
@@ -362,3 +362,107 @@
 	for (int i = 0; i < 100; i++)
 		EXPECT_LE(gate_share_take_return_ms(&share, 1000), 3000);
 }
+
+// A gate that comes back after an outage reports one interval, not all requests of
+// the outage, for which the leader would refuse those of all gates.
+TEST(Admission, AnOutageIsNotReportedAsDemand)
+{
+	gate_share_t share = {};
+	gate_share_query_t query = { .soft_deadline_ms = 1000, .route = 1 };
+
+	query.lease_ms = 1000;
+	for (query.now_ms = 1100; query.now_ms < 31000; query.now_ms += 10)
+		gate_share_get(&share, &query);
+	EXPECT_LE(share.requests[0], 71u);
+	EXPECT_EQ(share.requests[0] * 1000u, share.soft_deadline_sum_ms);
+}
+
+// One class's burst must not raise what another class gets: a less urgent class
+// would be served more often.
+TEST(Admission, ABurstOfOneClassLeavesTheOthersTheirShare)
+{
+	gate_share_t share = {};
+	Tm__Fleet__Admission msg = TM__FLEET__ADMISSION__INIT;
+	uint32_t permille[GATE_SHARE_CLASSES] = { 800, 600, 600, 600 };
+	gate_share_query_t urgent = { .priority = 0,
+		.soft_deadline_ms = 1000,
+		.workspace = 1,
+		.route = 1 };
+	gate_share_query_t other = { .priority = 1,
+		.soft_deadline_ms = 1000,
+		.workspace = 2,
+		.route = 2 };
+	double served[2] = { 0, 0 };
+	int count = 0;
+
+	msg.shares = permille;
+	msg.n_shares = GATE_SHARE_CLASSES;
+	for (int64_t now = 1000; now < 14000; now += 10) {
+		urgent.now_ms = other.now_ms = now;
+		urgent.lease_ms = other.lease_ms = now;
+		if (now >= 10000)
+			gate_share_apply(&share, &msg, 1, now);
+		/* From 10 s on half of the urgent requests are a burst. */
+		double first = gate_share_get(&share, &urgent);
+		if (now >= 10000)
+			gate_share_get(&share, &urgent);
+		double second = gate_share_get(&share, &other);
+		if (now < 12000)
+			continue;
+		served[0] += first;
+		served[1] += second;
+		count++;
+	}
+	EXPECT_NEAR(0.8, served[0] / count, 0.05);
+	EXPECT_NEAR(0.6, served[1] / count, 0.05);
+}
+
+// Long queues, and a class that has asked nothing so far: no class gets nothing,
+// and the last one does not get all that it may ask next.
+TEST(Admission, AServiceWithLongQueuesStillTakesRequests)
+{
+	hub_admission_t *admission = hub_admission_create();
+	Tm__Fleet__Demand demand = TM__FLEET__DEMAND__INIT;
+	uint32_t requests[GATE_SHARE_CLASSES] = { 60, 60, 60, 0 };
+	const hub_admission_load_t load = { kService, 100, 900, 500 };
+	size_t count = 0;
+
+	hub_admission_reset(admission, 0);
+	demand.service = kService;
+	demand.requests = requests;
+	demand.n_requests = GATE_SHARE_CLASSES;
+	demand.soft_deadline_sum_ms = 180 * 1000;
+	for (int64_t now = 200; now <= 4000; now += 200) {
+		hub_admission_record_demand(admission, &demand);
+		hub_admission_update(admission, &load, 1, now);
+	}
+	const hub_admission_decision_t *list =
+	    hub_admission_list(admission, &count);
+	ASSERT_EQ(1u, count);
+	EXPECT_GT(list[0].per_s, 0);
+	for (double share : list[0].shares)
+		EXPECT_GT(share, 0);
+	EXPECT_LE(list[0].shares[3], list[0].shares[2]);
+	hub_admission_destroy(admission);
+}
+
+// Requests over their workspace's rate ask nothing of the service.
+TEST(Admission, RequestsOverTheRateAreTakenBack)
+{
+	gate_share_t share = {};
+	gate_share_query_t query = { .priority = 2,
+		.soft_deadline_ms = 700,
+		.route = 1,
+		.lease_ms = 1000,
+		.now_ms = 1001 };
+
+	gate_share_get(&share, &query);
+	gate_share_get(&share, &query);
+	gate_share_uncount(&share, 2, 700);
+	EXPECT_EQ(1u, share.requests[2]);
+	EXPECT_EQ(700u, share.soft_deadline_sum_ms);
+	gate_share_uncount(&share, 2, 700);
+	gate_share_uncount(&share, 2, 700);
+	EXPECT_EQ(0u, share.requests[2]);
+	EXPECT_EQ(0u, share.soft_deadline_sum_ms);
+}
