gate, hub: leases say whether the leader decides on admission

A gate with the feature took a lease without decisions as "nothing is full" also from a leader that does not decide (an earlier version, or no requirements in its settings).

291 unit tests of gate and hub pass.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -239,7 +239,8 @@
 
 /* Learns from a successful response, after the load in it was recorded. */
 static void
-record_cost(const gate_request_t *request, gate_target_t *target)
+record_cost(
+    const gate_request_t *request, gate_target_t *target, int64_t received_ms)
 {
 	int64_t now_ms = clock_now_ms();
 	gate_cost_outcome_t outcome = {
@@ -249,7 +250,7 @@
 
 	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
 		return;
-	if (now_ms == target->load_ms)
+	if (target->load_ms >= received_ms)
 		outcome.load = (double)(target->load + 1) / target->slots;
 	gate_cost_record(
 	    request->gate->cost, &request->cost_key, &target->speed, &outcome);
@@ -304,6 +305,7 @@
 handle_response(gate_request_t *request, gate_target_t *target,
     const upstream_response_t *response)
 {
+	int64_t received_ms = clock_now_ms();
 	fleet_evidence_t kind;
 	int is_not_executed;
 
@@ -312,7 +314,7 @@
 	if (response->status != 421)
 		record_signals(request, target, response);
 	if (kind == FLEET_EVIDENCE_SUCCESS)
-		record_cost(request, target);
+		record_cost(request, target, received_ms);
 	if (!stopped_at_deadline(request, response))
 		record_outcome(request, target, kind, response->status);
 	gate_idle_add(&target->idle, clock_now_ms());
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -372,7 +372,7 @@
 		link->options.set_full(link->options.ctx,
 		    lease->full_targets[i], lease->full_loads[i],
 		    now_ms - lease->full_ages_ms[i]);
-	if (link->options.set_admissions != NULL)
+	if (link->options.set_admissions != NULL && lease->decides_admission)
 		link->options.set_admissions(
 		    link->options.ctx, lease->admissions, lease->n_admissions);
 	link->options.set_idle(
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -88,8 +88,8 @@
 	/** Applies the report on a full target from a lease. */
 	void (*set_full)(
 	    void *ctx, uint64_t target, uint32_t load, int64_t reported_ms);
-	/** Applies the decisions on full services of a lease; NULL: they are not
-	 * used. */
+	/** Applies the decisions on full services of a lease whose leader decides
+	 * on admission; NULL: they are not used. */
 	void (*set_admissions)(
 	    void *ctx, Tm__Fleet__Admission *const *admissions, size_t count);
 	/** Applies the services with idle targets of a lease. */
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -468,6 +468,7 @@
 		    (uint32_t)(thousandths * decision->per_s);
 		out->pointers[i] = &out->msgs[i];
 	}
+	msg->decides_admission = lease->decides_admission;
 	msg->admissions = out->pointers;
 	msg->n_admissions = lease->admission_count;
 }
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -62,6 +62,7 @@
 	const hub_full_targets_t *full; /**< NULL: none */
 	const hub_admission_decision_t *admissions; /**< of full services */
 	size_t admission_count;
+	int decides_admission; /**< services without a decision are not full */
 } hub_feed_lease_t;
 
 /** @return NULL if memory is exhausted */
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -416,7 +416,9 @@
 	hub_outlier_counts_t counts;
 
 	hub->idle_service_count = 0;
-	if (hub->config == NULL)
+	/* With scarce capacity leases offer targets to single gates. */
+	if (hub->config == NULL ||
+	    (hub->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0)
 		return;
 	for (service = hub->config->services;
 	     service != NULL && hub->idle_service_count < HUB_IDLE_SERVICES_MAX;
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -153,6 +153,8 @@
 		record_demands(hub, join);
 		lease.admissions =
 		    hub_admission_list(hub->admission, &lease.admission_count);
+		lease.decides_admission =
+		    (hub->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0;
 		list_idle_services(hub, from, idle, &lease, now_ms);
 		lease.full = hub_load_get_full(hub->load);
 		merge_usage(hub, join, now_ms);
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -1918,7 +1918,7 @@
   (ProtobufCMessageInit) tm__fleet__admission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[13] =
+static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[14] =
 {
   {
     "sent_ms",
@@ -2076,10 +2076,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "decides_admission",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Lease, decides_admission),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__lease__field_indices_by_name[] = {
   12,   /* field[12] = admissions */
   5,   /* field[5] = config_version */
+  13,   /* field[13] = decides_admission */
   11,   /* field[11] = full_ages_ms */
   10,   /* field[10] = full_loads */
   9,   /* field[9] = full_targets */
@@ -2096,7 +2109,7 @@
 {
   { 1, 0 },
   { 20, 12 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor tm__fleet__lease__descriptor =
 {
@@ -2106,7 +2119,7 @@
   "Tm__Fleet__Lease",
   "tm.fleet",
   sizeof(Tm__Fleet__Lease),
-  13,
+  14,
   tm__fleet__lease__field_descriptors,
   tm__fleet__lease__field_indices_by_name,
   2,  tm__fleet__lease__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -243,10 +243,14 @@
   uint32_t *full_ages_ms;
   size_t n_admissions;
   Tm__Fleet__Admission **admissions;
+  /*
+   * Services without an entry in admissions are not full.
+   */
+  protobuf_c_boolean decides_admission;
 };
 #define TM__FLEET__LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__lease__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
