--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -1,5 +1,4 @@
 #include "gate/gate_attempt.h"
-#include "gate/gate_metrics.h"
 
 #include <string.h>
 
@@ -8,8 +7,9 @@
 #include "base/log.h"
 #include "entry/forward.h"
 #include "gate/gate_admission.h"
-#include "gate/gate_alone.h"
 #include "gate/gate_crash_check.h"
+#include "gate/gate_evidence.h"
+#include "gate/gate_metrics.h"
 #include "gate/gate_limit_permit.h"
 #include "gate/gate_probe.h"
 #include "gate/gate_stall.h"
@@ -24,28 +24,6 @@
  * as caused by that deadline. */
 #define DEADLINE_SLACK_MS 50
 
-static void
-report(const gate_request_t *request, const gate_target_t *target,
-    fleet_evidence_t kind, int is_probe)
-{
-	Tm__Fleet__Evidence evidence = TM__FLEET__EVIDENCE__INIT;
-
-	evidence.target = target->key;
-	evidence.born_ms = target->incarnation_ms;
-	evidence.kind = kind;
-	evidence.is_trial = is_probe;
-	gate_link_report(request->gate->link, &evidence);
-}
-
-static const char *
-evidence_get_name(fleet_evidence_t kind)
-{
-	static const char *const names[] = { "good", "unreachable", "broken",
-		"wrong", "error", "shed", "stall", "other target", "unused" };
-
-	return (names[kind]);
-}
-
 /* Detaches the target of the attempt that has ended. A permit that would have
  * ended it early is of no use any more. */
 static gate_target_t *
@@ -75,66 +53,11 @@
 	upstream_call_cancel(request->call);
 	target = end_attempt(request);
 	if (request->is_probe)
-		report(request, target, FLEET_EVIDENCE_PROBE_UNUSED, 1);
+		gate_evidence_report(
+		    request, target, FLEET_EVIDENCE_PROBE_UNUSED, 1);
 	gate_target_release(target);
 }
 
-static void
-log_attempt(const gate_request_t *request, const gate_target_t *target,
-    fleet_evidence_t kind, int status, int64_t latency_ms)
-{
-	gate_metrics_count_evidence(request->gate, evidence_get_name(kind));
-	LOG_EVENT(962, LOG_LEVEL_INFO, "attempt failed",
-	    LOG_TEXT("request_id", request->id), LOG_TEXT("target", target->id),
-	    LOG_NUM("verdict", target->verdict),
-	    LOG_NUM("term", gate_table_get_term(request->gate->table)),
-	    LOG_NUM("table", gate_table_get_sequence(request->gate->table)),
-	    LOG_TEXT("evidence", evidence_get_name(kind)),
-	    LOG_NUM("status", status), LOG_NUM("is_trial", request->is_probe),
-	    LOG_NUM("latency_ms", latency_ms));
-}
-
-/* Judges an ejected target by an attempt without a leader. */
-static void
-record_alone(const gate_request_t *request, gate_target_t *target,
-    fleet_evidence_t kind, int64_t now_ms)
-{
-	if (!gate_alone_record(target, kind, now_ms))
-		return;
-	LOG_EVENT(969, LOG_LEVEL_INFO, "ejected target judged without a leader",
-	    LOG_TEXT("request_id", request->id), LOG_TEXT("target", target->id),
-	    LOG_TEXT("evidence", evidence_get_name(kind)),
-	    LOG_NUM("is_used", gate_alone_is_recovered(target)),
-	    LOG_NUM("silence_ms",
-		gate_link_get_answer_age_ms(request->gate->link, now_ms)));
-}
-
-/* Records the outcome of an attempt in the table and reports it. */
-static void
-record_outcome(gate_request_t *request, gate_target_t *target,
-    fleet_evidence_t kind, int status)
-{
-	int64_t now_ms = clock_now_ms();
-	int64_t latency_ms = now_ms - request->sent_ms;
-
-	if (kind == FLEET_EVIDENCE_SUCCESS)
-		gate_target_record_success(target, latency_ms);
-	else
-		log_attempt(request, target, kind, status, latency_ms);
-	gate_share_record_attempt(
-	    &target->service->share, kind == FLEET_EVIDENCE_SHED);
-	record_alone(request, target, kind, now_ms);
-	if (kind == FLEET_EVIDENCE_UNREACHABLE ||
-	    kind == FLEET_EVIDENCE_WRONG_TARGET)
-		gate_target_avoid(target, now_ms + GATE_AVOID_UNREACHABLE_MS);
-	else if (kind == FLEET_EVIDENCE_SHED)
-		gate_target_avoid(target, now_ms + GATE_AVOID_SHED_MS);
-	else if (kind == FLEET_EVIDENCE_BROKEN)
-		gate_target_avoid(target, now_ms + GATE_AVOID_SHED_MS);
-	if (kind != FLEET_EVIDENCE_SUCCESS || request->is_probe)
-		report(request, target, kind, request->is_probe);
-}
-
 static int
 can_retry(const gate_request_t *request)
 {
@@ -237,70 +160,6 @@
 		gate_request_refuse(request, GATE_REFUSAL_TARGET_FAILED, 0);
 }
 
-/* Learns from a successful response, after the load in it was recorded. */
-static void
-record_cost(
-    const gate_request_t *request, gate_target_t *target, int64_t received_ms)
-{
-	int64_t now_ms = clock_now_ms();
-	gate_cost_outcome_t outcome = {
-		.latency_ms = (double)(now_ms - request->sent_ms),
-		.now_ms = now_ms,
-	};
-
-	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
-		return;
-	if (target->load_ms >= received_ms)
-		outcome.load = (double)(target->load + 1) / target->slots;
-	gate_cost_record(
-	    request->gate->cost, &request->cost_key, &target->speed, &outcome);
-}
-
-/* Records what a target says of itself, and tells the leader what is new. */
-static void
-record_signals(const gate_request_t *request, gate_target_t *target,
-    const upstream_response_t *response)
-{
-	Tm__Fleet__Signals msg = TM__FLEET__SIGNALS__INIT;
-	gate_signals_t signals;
-	int64_t now_ms = clock_now_ms();
-	int is_new = 0;
-
-	gate_wire_read_signals(
-	    gate_get_dialect(request->gate), response, &signals);
-	if (signals.has_load)
-		gate_target_set_load(target, signals.load, now_ms);
-	target->idle_max_ms = signals.keep_ms;
-	if (gate_limit_record(
-		&target->limit, signals.limit, request->sent_ms, now_ms)) {
-		msg.limit = signals.limit;
-		is_new = 1;
-	}
-	if (gate_limit_record_cold(
-		&target->limit, signals.cold_left_ms, now_ms)) {
-		msg.cold_left_ms = signals.cold_left_ms;
-		target->cold_until_ms = now_ms + signals.cold_left_ms;
-		is_new = 1;
-	}
-	if (signals.is_leaving && gate_target_set_leaving(target)) {
-		msg.is_leaving = 1;
-		is_new = 1;
-	}
-	if (signals.pause_ms > 0)
-		gate_target_pause(target, signals.pause_ms, now_ms);
-	if (signals.pause_ms > 0 || msg.is_leaving)
-		LOG_EVENT(966, LOG_LEVEL_INFO, "a target wants no requests",
-		    LOG_TEXT("request_id", request->id),
-		    LOG_TEXT("target", target->id),
-		    LOG_NUM("is_leaving", signals.is_leaving),
-		    LOG_NUM("pause_ms", signals.pause_ms));
-	if (!is_new)
-		return;
-	msg.target = target->key;
-	msg.born_ms = target->incarnation_ms;
-	gate_link_report_signals(request->gate->link, &msg);
-}
-
 static void
 handle_response(gate_request_t *request, gate_target_t *target,
     const upstream_response_t *response)
@@ -312,11 +171,11 @@
 	kind = response_get_evidence(request, response, &is_not_executed);
 	/* Another target says nothing of this one. */
 	if (response->status != 421)
-		record_signals(request, target, response);
+		gate_evidence_record_signals(request, target, response);
 	if (kind == FLEET_EVIDENCE_SUCCESS)
-		record_cost(request, target, received_ms);
+		gate_evidence_record_cost(request, target, received_ms);
 	if (!stopped_at_deadline(request, response))
-		record_outcome(request, target, kind, response->status);
+		gate_evidence_record(request, target, kind, response->status);
 	gate_idle_add(&target->idle, clock_now_ms());
 	gate_target_release(target);
 	if (!is_not_executed && !gate_request_is_answered(request))
@@ -333,7 +192,7 @@
 static void
 handle_unreachable(gate_request_t *request, gate_target_t *target)
 {
-	record_outcome(request, target, FLEET_EVIDENCE_UNREACHABLE, 0);
+	gate_evidence_record(request, target, FLEET_EVIDENCE_UNREACHABLE, 0);
 	gate_target_release(target);
 	if (gate_request_is_answered(request) ||
 	    request->tried_count >= GATE_TRIED_MAX)
@@ -365,7 +224,7 @@
 	default:
 		break;
 	}
-	record_outcome(request, target, kind, 0);
+	gate_evidence_record(request, target, kind, 0);
 	if (kind == FLEET_EVIDENCE_BROKEN && !gate_request_is_answered(request))
 		gate_crash_check_start(request, target);
 	gate_target_release(target);
@@ -456,7 +315,8 @@
 
 	if (start(request, target) != TM_OK) {
 		if (is_probe)
-			report(request, target, FLEET_EVIDENCE_PROBE_UNUSED, 1);
+			gate_evidence_report(
+			    request, target, FLEET_EVIDENCE_PROBE_UNUSED, 1);
 		gate_request_refuse(request, GATE_REFUSAL_OVERLOADED, 0);
 		return;
 	}
@@ -599,7 +459,7 @@
 
 	upstream_call_cancel(request->call);
 	target = end_attempt(request);
-	record_outcome(request, target,
+	gate_evidence_record(request, target,
 	    is_sent ? FLEET_EVIDENCE_STALL : FLEET_EVIDENCE_UNREACHABLE, 0);
 	gate_target_release(target);
 	request->may_have_executed |= is_sent;
@@ -640,9 +500,11 @@
 report_stall(gate_request_t *request, int64_t age_ms)
 {
 	request->is_stall_reported = 1;
-	log_attempt(request, request->target, FLEET_EVIDENCE_STALL, 0, age_ms);
+	gate_evidence_log(
+	    request, request->target, FLEET_EVIDENCE_STALL, 0, age_ms);
 	if (!request->is_probe)
-		report(request, request->target, FLEET_EVIDENCE_STALL, 0);
+		gate_evidence_report(
+		    request, request->target, FLEET_EVIDENCE_STALL, 0);
 }
 
 /* Ends an attempt that may hang; its stall was reported, unless it is a probe. */
@@ -654,7 +516,7 @@
 	upstream_call_cancel(request->call);
 	target = end_attempt(request);
 	if (request->is_probe)
-		record_outcome(request, target, FLEET_EVIDENCE_STALL, 0);
+		gate_evidence_record(request, target, FLEET_EVIDENCE_STALL, 0);
 	gate_target_release(target);
 	request->may_have_executed = 1;
 	request->attempts_sent++;
--- /dev/null
+++ b/src/gate/gate_choice.c
@@ -0,0 +1,316 @@
+#include "gate/gate_choice.h"
+
+#include <math.h>
+
+#include "gate/gate_alone.h"
+#include "gate/gate_limit.h"
+#include "gate/gate_probe.h"
+
+/* A load that a target reported is weighted down linearly with its age, to
+ * nothing at this age. */
+#define LOAD_MAX_AGE_MS 1500.0
+/* Subtracted from the load per slot of a target in the gate's own zone: it is
+ * preferred until its slots are fuller than those of others by this fraction.
+ */
+#define SAME_ZONE_BONUS 0.35
+/* Added to the load per slot of a target that is still warming up. */
+#define COLD_PENALTY 0.5
+/* A service that the leader named longer ago no longer counts as having idle
+ * targets. Longer than the interval of the leases. */
+#define IDLE_MAX_AGE_MS 700
+
+/* Preference classes of targets, from 0 (must not be used) on: ejected, open to
+ * probes, healthy but avoided by this gate, healthy. */
+#define RANK_EJECTED 1
+#define RANK_PROBE   2
+#define RANK_HEALTHY 3
+
+static int
+is_excluded(const gate_pick_options_t *options, const gate_target_t *target)
+{
+	uint32_t i;
+
+	for (i = 0; i < options->tried_count; i++) {
+		if (options->tried[i] == target->key)
+			return (1);
+	}
+	return (0);
+}
+
+/* Estimates the concurrent requests at a target: the larger of the aged report
+ * and this gate's own requests. The report gives way to what is expected of an
+ * unknown target. */
+static double
+estimate_load(const gate_target_t *target, double expected, int64_t now_ms)
+{
+	double age_ms = (double)(now_ms - target->load_ms);
+	double reported = expected;
+
+	if (target->load_ms != 0 && age_ms < LOAD_MAX_AGE_MS)
+		reported +=
+		    (target->load - expected) * (1 - age_ms / LOAD_MAX_AGE_MS);
+	return (reported > target->in_flight ? reported : target->in_flight);
+}
+
+double
+gate_target_get_score(const gate_target_t *target, double expected_load,
+    double slowness, int64_t now_ms)
+{
+	double requests =
+	    estimate_load(target, expected_load * target->slots, now_ms);
+	double load = fmax(0, requests + target->excess) / target->slots;
+	/* The request itself takes a slot's time, too. */
+	double score = load + (load + 1) * (slowness - 1);
+
+	if (now_ms < target->cold_until_ms)
+		score += COLD_PENALTY;
+	if (target->is_same_zone)
+		score -= SAME_ZONE_BONUS;
+	return (score);
+}
+
+int
+gate_target_is_usable(
+    const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (target->state == FLEET_TARGET_READY && !target->is_leaving &&
+	    !target->is_evacuated &&
+	    options->now_ms >= target->paused_until_ms &&
+	    !is_excluded(options, target));
+}
+
+/* @return 1 if a target has no permit for the request now */
+static int
+must_wait(const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (gate_limit_needs_permit(&target->limit, options->now_ms) &&
+	    (options->skips_limited ||
+		gate_limit_get_wait_ms(&target->limit, options->now_ms) > 0));
+}
+
+/* @return preference class, higher is better; 0: must not be used */
+static int
+get_rank(const gate_target_t *target, const gate_pick_options_t *options)
+{
+	if (!gate_target_is_usable(target, options) ||
+	    must_wait(target, options))
+		return (0);
+	if (!gate_alone_is_recovered(target)) {
+		if (target->verdict == FLEET_VERDICT_EJECTED)
+			return (RANK_EJECTED);
+		if (target->verdict != FLEET_VERDICT_HEALTHY)
+			return (RANK_PROBE);
+	}
+	return (options->now_ms < target->avoid_until_ms ? RANK_HEALTHY
+							 : RANK_HEALTHY + 1);
+}
+
+int
+gate_target_is_preferable(
+    const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (get_rank(target, options) == RANK_HEALTHY + 1);
+}
+
+static gate_target_t *
+pick_better(rng_t *rng, gate_target_t *a, gate_target_t *b, int64_t now_ms)
+{
+	double score_a = gate_target_get_score(a, 0, 1, now_ms);
+	double score_b = gate_target_get_score(b, 0, 1, now_ms);
+
+	if (score_a == score_b)
+		return (rng_below(rng, 2) == 0 ? a : b);
+	return (score_a < score_b ? a : b);
+}
+
+/* Random candidates among the targets of the best rank so far. */
+typedef struct pick_sample {
+	gate_target_t *any[2];
+	uint32_t seen;
+	gate_target_t *same_zone;
+	uint32_t same_zone_seen;
+} pick_sample_t;
+
+/* Reservoir sampling: keeps two of all targets without replacement, and one of
+ * the gate's own zone. */
+static void
+sample_add(rng_t *rng, pick_sample_t *sample, gate_target_t *target)
+{
+	sample->seen++;
+	if (sample->seen <= 2)
+		sample->any[sample->seen - 1] = target;
+	else if (rng_below(rng, sample->seen) < 2)
+		sample->any[rng_below(rng, 2)] = target;
+	if (!target->is_same_zone)
+		return;
+	sample->same_zone_seen++;
+	if (rng_below(rng, sample->same_zone_seen) == 0)
+		sample->same_zone = target;
+}
+
+/* Power of two choices among the targets of the best rank; one of them is in
+ * the gate's own zone if there is any. */
+static gate_target_t *
+pick_ranked(rng_t *rng, const gate_service_t *service,
+    const gate_pick_options_t *options, int *rank)
+{
+	pick_sample_t sample = { .seen = 0 };
+	uint32_t i;
+	int target_rank;
+
+	*rank = 0;
+	for (i = 0; i < service->count; i++) {
+		target_rank = get_rank(service->targets[i], options);
+		if (target_rank == 0 || target_rank < *rank)
+			continue;
+		if (target_rank > *rank) {
+			*rank = target_rank;
+			sample = (pick_sample_t){ .seen = 0 };
+		}
+		sample_add(rng, &sample, service->targets[i]);
+	}
+	if (sample.any[1] == NULL)
+		return (sample.any[0]);
+	/* The places of the sample depend on the order of the list. */
+	if (sample.same_zone != NULL && sample.same_zone != sample.any[0] &&
+	    sample.same_zone != sample.any[1])
+		sample.any[rng_below(rng, 2)] = sample.same_zone;
+	return (
+	    pick_better(rng, sample.any[0], sample.any[1], options->now_ms));
+}
+
+/* Chooses among the targets that this gate prefers, and among all if none of
+ * these is healthy and not avoided. */
+static gate_target_t *
+pick_preferred(gate_service_t *service, const gate_policy_t *policy, rng_t *rng,
+    const gate_pick_options_t *options, int *rank)
+{
+	gate_target_t *target = NULL;
+
+	if ((policy->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0)
+		target = gate_subset_pick(service, policy, options, rng);
+	if (target == NULL)
+		return (pick_ranked(rng, service, options, rank));
+	*rank = RANK_HEALTHY + 1;
+	return (target);
+}
+
+static int
+allows_probe(const gate_target_t *target, const gate_pick_options_t *options)
+{
+	return (target->verdict == FLEET_VERDICT_PROBE ||
+	    (target->verdict == FLEET_VERDICT_PROBE_REPEATABLE &&
+		options->may_repeat));
+}
+
+static int
+has_open_target(
+    const gate_service_t *service, const gate_pick_options_t *options)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		if (allows_probe(service->targets[i], options) &&
+		    gate_target_is_usable(service->targets[i], options))
+			return (1);
+	}
+	return (0);
+}
+
+/* @return 1 if a target of the service waits for a request like this one */
+static int
+should_ask_leader(
+    const gate_service_t *service, const gate_pick_options_t *options)
+{
+	int64_t idle_age_ms = options->now_ms - service->idle_ms;
+
+	return (options->has_leader &&
+	    options->now_ms >= service->next_ask_ms &&
+	    ((service->idle_ms != 0 && idle_age_ms <= IDLE_MAX_AGE_MS) ||
+		has_open_target(service, options)));
+}
+
+/* @return 1 if a healthy target waits for its limit */
+static int
+has_waiting(const gate_service_t *service, const gate_pick_options_t *options)
+{
+	const gate_target_t *target;
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		target = service->targets[i];
+		if (target->verdict == FLEET_VERDICT_HEALTHY &&
+		    gate_target_is_usable(target, options) &&
+		    must_wait(target, options))
+			return (1);
+	}
+	return (0);
+}
+
+/* @return shortest time until a target that wants a pause takes requests again,
+ * in ms; 0: there is none */
+static int64_t
+get_pause_ms(const gate_service_t *service, const gate_pick_options_t *options)
+{
+	const gate_target_t *target;
+	int64_t shortest_ms = 0;
+	int64_t pause_ms;
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		target = service->targets[i];
+		pause_ms = target->paused_until_ms - options->now_ms;
+		if (pause_ms > 0 && target->state == FLEET_TARGET_READY &&
+		    !target->is_leaving && !target->is_evacuated &&
+		    (shortest_ms == 0 || pause_ms < shortest_ms))
+			shortest_ms = pause_ms;
+	}
+	return (shortest_ms);
+}
+
+int
+gate_service_has_healthy(
+    const gate_service_t *service, const gate_pick_options_t *options)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		if (get_rank(service->targets[i], options) >= RANK_HEALTHY)
+			return (1);
+	}
+	return (0);
+}
+
+gate_choice_t
+gate_choice_make(gate_service_t *service, const gate_policy_t *policy,
+    rng_t *rng, const gate_pick_options_t *options)
+{
+	gate_choice_t choice = { .target = NULL };
+	int rank;
+
+	choice.is_evacuated = gate_service_is_evacuated(service);
+	if (choice.is_evacuated)
+		return (choice);
+	gate_alone_set(service, options->is_alone, rng, options->now_ms);
+	choice.target = gate_probe_take(service, options);
+	choice.is_probe = choice.target != NULL;
+	if (choice.is_probe)
+		return (choice);
+	choice.must_ask_leader = should_ask_leader(service, options);
+	if (choice.must_ask_leader)
+		return (choice);
+	choice.target = gate_alone_pick(service, options);
+	if (choice.target != NULL)
+		return (choice);
+	choice.target = pick_preferred(service, policy, rng, options, &rank);
+	if (rank >= RANK_HEALTHY || (rank > 0 && options->may_repeat))
+		return (choice);
+	/* What may not be repeated is better sent to a healthy target soon than
+	 * to an ejected one now. */
+	choice.must_reserve = has_waiting(service, options);
+	if (choice.must_reserve)
+		choice.target = NULL;
+	else if (choice.target == NULL)
+		choice.pause_ms = get_pause_ms(service, options);
+	return (choice);
+}
--- a/src/gate/gate_probe.c
+++ b/src/gate/gate_probe.c
@@ -38,8 +38,7 @@
     const gate_pick_options_t *options)
 {
 	return (options->may_repeat || target->verdict == FLEET_VERDICT_PROBE ||
-	    (service->has_offers &&
-		target->verdict != FLEET_VERDICT_HEALTHY));
+	    (service->has_offers && target->verdict != FLEET_VERDICT_HEALTHY));
 }
 
 gate_target_t *
