hub: members of the log are spread over the data centres

Where the settings say that the fleet survives the loss of a data centre (lost_data_centres_max), hello messages name the hub's data centre, and the leader adds members where there are fewest. HubMembersSpread.NoDataCentreHasAMajority; 16 tests of members pass.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -477,6 +477,8 @@
 		.self = settings->ip,
 		.seeds = seeds,
 		.seed_count = settings->seed_count,
+		.data_centre =
+		    settings->lost_data_centres_max > 0 ? settings->zone : "",
 		.send = peer_net_send_cb,
 		.send_ctx = hub->net,
 		.added = on_hub_added,
--- a/src/hub/hub_members.c
+++ b/src/hub/hub_members.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/fleet_config.h"
 #include "proto/fleet.pb-c.h"
 
 typedef struct member {
@@ -13,6 +14,7 @@
 	int is_stopping;
 	int is_recorded; /* in the replicated state */
 	uint64_t leading_term; /* in which it leads; 0: it does not */
+	uint64_t data_centre; /* hash of its name; 0: unknown */
 } member_t;
 
 struct hub_members {
@@ -25,6 +27,7 @@
 	int64_t due_ms;
 	int is_stopping;
 	uint64_t leading_term; /* of this hub */
+	char data_centre[NAME_MAX_BYTES + 1]; /* of this hub; "": unknown */
 };
 
 static member_t *
@@ -107,6 +110,9 @@
 	members->options = *options;
 	snprintf(members->self, sizeof(members->self), "%s", options->self);
 	members->self_id = node_id_from_name(members->self);
+	if (options->data_centre != NULL)
+		snprintf(members->data_centre, sizeof(members->data_centre),
+		    "%s", options->data_centre);
 	for (i = 0; i < options->seed_count; i++)
 		add_member(members, options->seeds[i], 0);
 	return (members);
@@ -224,6 +230,7 @@
 	hello.hubs = (char **)names;
 	hello.is_stopping = members->is_stopping;
 	hello.leading_term = members->leading_term;
+	hello.data_centre = members->data_centre;
 	for (i = 0; i < members->count; i++)
 		members->options.send(members->options.send_ctx,
 		    members->members[i].id, MSG_FLEET_HELLO, &hello.base);
@@ -288,6 +295,9 @@
 			member->last_seen_ms = now_ms;
 			member->is_stopping = hello->is_stopping;
 			member->leading_term = hello->leading_term;
+			member->data_centre = hello->data_centre[0] != '\0'
+			    ? fleet_name_hash(hello->data_centre)
+			    : 0;
 		}
 		for (i = 0; i < hello->n_hubs && i < FLEET_HUBS_MAX; i++)
 			add_member(members, hello->hubs[i], 0);
@@ -358,11 +368,40 @@
 	return (HUB_STEP_NONE);
 }
 
+static uint64_t
+get_data_centre(const hub_members_t *members, node_id_t id)
+{
+	const member_t *member = find(members, id);
+
+	if (id == members->self_id && members->data_centre[0] != '\0')
+		return (fleet_name_hash(members->data_centre));
+	return (member != NULL ? member->data_centre : 0);
+}
+
+/* @return log members in the data centre of a hub; 0 if that is unknown */
+static int
+count_neighbours(const hub_members_t *members, const hub_members_view_t *view,
+    const member_t *member)
+{
+	int count = 0;
+	int i;
+
+	for (i = 0; i < view->log_member_count; i++)
+		count += member->data_centre != 0 &&
+		    get_data_centre(members, view->log_members[i].node) ==
+			member->data_centre;
+	return (count);
+}
+
+/* Finds a hub that may become a log member, in the data centre with the fewest. */
 static const member_t *
 find_candidate(const hub_members_t *members, const hub_members_view_t *view,
     int64_t now_ms)
 {
+	const member_t *candidate = NULL;
 	const member_t *member;
+	int fewest = 0;
+	int neighbours;
 	int i;
 
 	for (i = 0; i < members->count; i++) {
@@ -370,10 +409,15 @@
 		if (!member->is_stopping &&
 		    hub_members_is_alive(members, member->id, now_ms) &&
 		    hub_state_has_hub(view->state, member->name) &&
-		    !is_log_member(view, member->id))
-			return (member);
+		    !is_log_member(view, member->id)) {
+			neighbours = count_neighbours(members, view, member);
+			if (candidate != NULL && neighbours >= fewest)
+				continue;
+			candidate = member;
+			fewest = neighbours;
+		}
 	}
-	return (NULL);
+	return (candidate);
 }
 
 /*
--- a/src/hub/hub_members.h
+++ b/src/hub/hub_members.h
@@ -51,6 +51,9 @@
 	const char *self; /**< name, which is the address of the hub */
 	const char *const *seeds; /**< names; copied */
 	int seed_count;
+	/** Of this hub, if members of the log are to be spread over the data
+	 * centres, so that the loss of one leaves a majority; "": they are not. */
+	const char *data_centre;
 	node_send_cb send;
 	void *send_ctx;
 	hub_added_cb added;
--- a/src/hub/hub_settings.c
+++ b/src/hub/hub_settings.c
@@ -83,6 +83,8 @@
 	    json_opt_real(
 		root, "evacuate_within_s", 0, EVACUATE_MAX_S, "s", 0));
 	read_data_centres(root, settings);
+	settings->lost_data_centres_max = (int)json_opt_int(
+	    root, "lost_data_centres_max", 0, HUB_DATA_CENTRES_MAX, "", 0);
 	settings->warmup_overshoot = json_opt_real(
 	    root, "warmup_overshoot", 0, WARMUP_OVERSHOOT_MAX, "", 0);
 	settings->warmup_slack = json_opt_real(
--- a/src/hub/hub_settings.h
+++ b/src/hub/hub_settings.h
@@ -40,6 +40,7 @@
 	int data_centre_count;
 	char data_centres[HUB_DATA_CENTRES_MAX]
 			 [NAME_MAX_BYTES + 1]; /**< of the deployment */
+	int lost_data_centres_max; /**< that the log must survive */
 	double warmup_overshoot; /**< of the requests that a cold target takes;
 				  * 0: no bound */
 	double warmup_slack; /**< requests beyond that in one second */
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -3387,7 +3387,7 @@
   (ProtobufCMessageInit) tm__fleet__blocks__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor tm__fleet__hello__field_descriptors[5] =
 {
   {
     "name",
@@ -3437,8 +3437,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Hello, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__hello__field_indices_by_name[] = {
+  4,   /* field[4] = data_centre */
   1,   /* field[1] = hubs */
   2,   /* field[2] = is_stopping */
   3,   /* field[3] = leading_term */
@@ -3448,7 +3461,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor tm__fleet__hello__descriptor =
 {
@@ -3458,7 +3471,7 @@
   "Tm__Fleet__Hello",
   "tm.fleet",
   sizeof(Tm__Fleet__Hello),
-  4,
+  5,
   tm__fleet__hello__field_descriptors,
   tm__fleet__hello__field_indices_by_name,
   2,  tm__fleet__hello__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -549,10 +549,14 @@
    * Term in which it serves as the leader; 0: it does not.
    */
   uint64_t leading_term;
+  /*
+   * Where it runs, if members of the log are spread over data centres.
+   */
+  char *data_centre;
 };
 #define TM__FLEET__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/test/unit/hub_members_test.cc
+++ b/test/unit/hub_members_test.cc
@@ -31,7 +31,8 @@
 	}
 
 	void
-	Add(const std::string &name, const std::vector<std::string> &seeds)
+	Add(const std::string &name, const std::vector<std::string> &seeds,
+	    const std::string &data_centre = "")
 	{
 		auto hub = std::make_unique<Hub>(Hub{ this, name, nullptr });
 		std::vector<const char *> texts;
@@ -40,6 +41,7 @@
 		for (const std::string &seed : seeds)
 			texts.push_back(seed.c_str());
 		options.self = hub->name.c_str();
+		options.data_centre = data_centre.c_str();
 		options.seeds = texts.data();
 		options.seed_count = (int)texts.size();
 		options.send = Send;
@@ -400,3 +402,35 @@
 	EXPECT_EQ(3, leases);
 	hub_members_destroy(members);
 }
+
+// Three of five members of the log in one data centre: its loss, or a link that it
+// loses, takes the majority, and callers elsewhere get no newer configuration.
+TEST(HubMembersSpread, NoDataCentreHasAMajority)
+{
+	const std::vector<std::string> seeds = { "10.1.0.1", "10.2.0.1",
+		"10.3.0.1" };
+
+	for (int first = 1; first <= 3; first++) {
+		HubNetwork network;
+		std::map<std::string, int> members;
+
+		for (int i = 1; i <= 4; i++)
+			for (int j = 0; j < 3; j++) {
+				std::string place =
+				    std::to_string((first + j - 1) % 3 + 1);
+
+				network.Add(
+				    "10." + place + ".0." + std::to_string(i),
+				    seeds, "dc" + place);
+			}
+		network.log_members_.insert(seeds.begin(), seeds.end());
+		network.Pass(2000);
+		network.Lead("10.1.0.1", 2000);
+		EXPECT_EQ(5u, network.log_members_.size());
+		for (const std::string &name : network.log_members_)
+			members[name.substr(0, 4)]++;
+		for (const auto &entry : members)
+			EXPECT_LE(entry.second, 2) << entry.first;
+		hub_state_destroy(network.state_);
+	}
+}
