gate: explain where a request would go

Operators could see why a request was refused, not where one would go. Adds gate_explain, which reads the configuration and the table of targets and changes neither, and GET /v1/explain on the metrics listener. The conditions of the choice become queries of the table. Compiled; not tested yet.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "fleet/zip.h"
 #include "gate/gate_defs.h"
+#include "gate/gate_explain_http.h"
 #include "gate/gate_metrics.h"
 #include "gate/gate_policy.h"
 #include "gate/gate_request.h"
@@ -390,6 +391,10 @@
 	size_t len = 0;
 	char *text;
 
+	if (gate_explain_http_matches(req)) {
+		gate_explain_http_handle(gate, req);
+		return;
+	}
 	gate_metrics_update(gate);
 	text = metrics_format(gate->metrics, &len);
 	http_request_reply(req, text != NULL ? 200 : 503,
--- a/src/gate/gate_probe.c
+++ b/src/gate/gate_probe.c
@@ -42,7 +42,8 @@
 }
 
 gate_target_t *
-gate_probe_take(gate_service_t *service, const gate_pick_options_t *options)
+gate_probe_find(
+    const gate_service_t *service, const gate_pick_options_t *options)
 {
 	gate_target_t *target;
 
@@ -52,7 +53,16 @@
 	if (target == NULL || !gate_target_is_usable(target, options) ||
 	    !allows_kept_probe(service, target, options))
 		return (NULL);
-	service->kept_probe = 0;
+	return (target);
+}
+
+gate_target_t *
+gate_probe_take(gate_service_t *service, const gate_pick_options_t *options)
+{
+	gate_target_t *target = gate_probe_find(service, options);
+
+	if (target != NULL)
+		service->kept_probe = 0;
 	return (target);
 }
 
--- a/src/gate/gate_probe.h
+++ b/src/gate/gate_probe.h
@@ -12,6 +12,10 @@
 /** Keeps a probe of a target. @return 0: the service keeps one already */
 int gate_probe_keep(gate_service_t *service, uint64_t target, int64_t now_ms);
 
+/** @return target of the kept probe that the request may make, or NULL */
+gate_target_t *gate_probe_find(
+    const gate_service_t *service, const gate_pick_options_t *options);
+
 /** Takes the kept probe. @return NULL: there is none that the request may make */
 gate_target_t *gate_probe_take(
     gate_service_t *service, const gate_pick_options_t *options);
--- a/src/gate/gate_share.c
+++ b/src/gate/gate_share.c
@@ -74,14 +74,20 @@
 	return (usual * fmin(admitted / all_usual, 1) + (1 - usual) * beyond);
 }
 
+static int
+has_lease(const gate_share_query_t *query)
+{
+	return (query->lease_ms != 0 &&
+	    query->now_ms - query->lease_ms <= LEASE_MAX_AGE_MS);
+}
+
 /* @return share of the requests of a class that is admitted */
 static double
 get_admitted(const gate_share_t *share, const gate_share_query_t *query)
 {
 	uint32_t priority_class = get_class(query->priority);
 
-	if (query->lease_ms == 0 ||
-	    query->now_ms - query->lease_ms > LEASE_MAX_AGE_MS)
+	if (!has_lease(query))
 		return (decide_alone(share, priority_class));
 	return (share->decided_ms == query->lease_ms
 		? share->shares[priority_class]
@@ -109,6 +115,22 @@
 	return (share_out(share, admitted, usual));
 }
 
+gate_share_answer_t
+gate_share_preview(const gate_share_t *share, const gate_share_query_t *query)
+{
+	gate_share_t copy = *share;
+	gate_share_answer_t answer = {
+		.priority_class = get_class(query->priority),
+		.class_share = get_admitted(share, query),
+		.admitted = gate_share_get(&copy, query),
+	};
+
+	if (answer.class_share < ADMIT_ALL)
+		answer.reason =
+		    has_lease(query) ? GATE_SHARE_LEADER : GATE_SHARE_ALONE;
+	return (answer);
+}
+
 int64_t
 gate_share_take_return_ms(gate_share_t *share, int64_t now_ms)
 {
--- a/src/gate/gate_share.h
+++ b/src/gate/gate_share.h
@@ -48,6 +48,25 @@
 void gate_share_apply(gate_share_t *share, const Tm__Fleet__Admission *decision,
     uint32_t gates, int64_t now_ms);
 
+/** Why a share of requests is admitted. */
+typedef enum gate_share_reason {
+	GATE_SHARE_NOT_FULL,
+	GATE_SHARE_LEADER, /**< the decision of the newest lease */
+	GATE_SHARE_ALONE /**< no lease lately: by what targets shed */
+} gate_share_reason_t;
+
+/** What gate_share_get() would return, and why. */
+typedef struct gate_share_answer {
+	gate_share_reason_t reason;
+	uint32_t priority_class;
+	double class_share; /**< of all requests of the class */
+	double admitted; /**< of requests of this workspace and route */
+} gate_share_answer_t;
+
+/** @return how a request would be admitted; counts nothing */
+gate_share_answer_t gate_share_preview(
+    const gate_share_t *share, const gate_share_query_t *query);
+
 /** Records whether a target had room for a request. */
 void gate_share_record_attempt(gate_share_t *share, int is_shed);
 
--- a/src/gate/gate_subset.c
+++ b/src/gate/gate_subset.c
@@ -342,6 +342,109 @@
 	return (other != NULL ? get_better(member, other, now_ms) : member);
 }
 
+/* Orders copies of the targets, so that those of the table stay as they are. */
+static void
+copy_targets(const gate_service_t *service, gate_service_t *copy,
+    gate_target_t *targets, gate_target_t **pointers)
+{
+	uint32_t i;
+
+	*copy = *service;
+	copy->targets = pointers;
+	copy->subset.is_ordered = 0;
+	copy->subset.ordered = pointers + service->count;
+	copy->subset.members = pointers + 2 * (size_t)service->count;
+	copy->subset.capacity = service->count;
+	copy->capacity = service->count;
+	for (i = 0; i < service->count; i++) {
+		targets[i] = *service->targets[i];
+		targets[i].service = copy;
+		pointers[i] = &targets[i];
+	}
+}
+
+/* @return the target of the table that a copy stands for */
+static const gate_target_t *
+find_original(const gate_service_t *service, const gate_target_t *copies,
+    const gate_target_t *copy)
+{
+	return (service->targets[copy - copies]);
+}
+
+uint32_t
+gate_subset_preview(const gate_service_t *service, const gate_policy_t *policy,
+    const gate_pick_options_t *options, gate_candidate_t *candidates)
+{
+	gate_target_t *copies = calloc(service->count + 1, sizeof(*copies));
+	gate_target_t **pointers =
+	    calloc(3 * (size_t)service->count + 1, sizeof(gate_target_t *));
+	gate_service_t *copy = calloc(1, sizeof(*copy));
+	usable_t usable;
+	uint32_t count = 0;
+	uint32_t i;
+
+	if (copies != NULL && pointers != NULL && copy != NULL) {
+		copy_targets(service, copy, copies, pointers);
+		usable = count_usable(copy, options);
+		if (usable.same_zone + usable.others > 0 &&
+		    order(copy, policy)) {
+			record_request(&copy->subset, options->now_ms);
+			update_size(&copy->subset, &usable, policy);
+			list_members(copy, options, &usable);
+			count = copy->subset.member_count;
+		}
+	}
+	for (i = 0; i < count; i++)
+		candidates[i] = (gate_candidate_t){
+			.target = find_original(
+			    service, copies, copy->subset.members[i]),
+			.score =
+			    get_cost(copy->subset.members[i], options->now_ms),
+		};
+	free(copies);
+	free(pointers);
+	free(copy);
+	return (count);
+}
+
+static int
+compare_score(const void *a, const void *b)
+{
+	const gate_candidate_t *first = a;
+	const gate_candidate_t *second = b;
+
+	if (first->score != second->score)
+		return (first->score < second->score ? -1 : 1);
+	return (strcmp(first->target->id, second->target->id));
+}
+
+/* The first of the two is one of the own zone, if there is any, the second one
+ * any other; the one with the lower score is taken. */
+void
+gate_subset_set_chances(gate_candidate_t *candidates, uint32_t count)
+{
+	uint32_t same_zone = 0;
+	uint32_t first_count;
+	uint32_t worse_first = 0;
+	int is_first;
+	uint32_t i;
+
+	qsort(candidates, count, sizeof(*candidates), compare_score);
+	for (i = 0; i < count; i++)
+		same_zone += candidates[i].target->is_same_zone != 0;
+	first_count = same_zone > 0 ? same_zone : count;
+	if (count == 1)
+		candidates[0].chance = 1;
+	for (i = count; count > 1 && i-- > 0;) {
+		is_first =
+		    same_zone == 0 || candidates[i].target->is_same_zone != 0;
+		candidates[i].chance =
+		    ((double)(is_first ? count - 1 - i : 0) + worse_first) /
+		    ((double)first_count * (count - 1));
+		worse_first += (uint32_t)is_first;
+	}
+}
+
 void
 gate_subset_release(gate_subset_t *subset)
 {
--- a/src/gate/gate_subset.h
+++ b/src/gate/gate_subset.h
@@ -86,6 +86,30 @@
     const gate_policy_t *policy, const struct gate_pick_options *options,
     rng_t *rng);
 
+/** A target with the chance that gate_subset_pick() or the choice among all
+ * targets takes it; see gate_subset_set_chances(). */
+typedef struct gate_candidate {
+	const struct gate_target *target;
+	double score; /**< load per slot with bonus and penalties */
+	double chance; /**< 0 to 1 */
+} gate_candidate_t;
+
+/**
+ * Lists the targets that the gate prefers now, as a request would find them.
+ * Changes nothing.
+ *
+ * @param candidates  room for all targets of the service; receives target and
+ *                    score
+ * @return            number of candidates; 0 without memory
+ */
+uint32_t gate_subset_preview(const struct gate_service *service,
+    const gate_policy_t *policy, const struct gate_pick_options *options,
+    gate_candidate_t *candidates);
+
+/** Sorts candidates by their scores, the best first, and sets the chance of each
+ * in a choice of the better of two, one of which is in the gate's own zone. */
+void gate_subset_set_chances(gate_candidate_t *candidates, uint32_t count);
+
 /** Frees the lists. */
 void gate_subset_release(gate_subset_t *subset);
 
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -25,12 +25,6 @@
  * targets. Longer than the interval of the leases. */
 #define IDLE_MAX_AGE_MS 700
 
-/* Preference classes of targets, from 0 (must not be used) on: ejected, open to
- * probes, healthy but avoided by this gate, healthy. */
-#define RANK_EJECTED 1
-#define RANK_PROBE   2
-#define RANK_HEALTHY 3
-
 struct gate_table {
 	char zone[NAME_MAX_BYTES + 1];
 	rng_t rng;
@@ -90,6 +84,12 @@
 	table->policy = *policy;
 }
 
+const gate_policy_t *
+gate_table_get_policy(const gate_table_t *table)
+{
+	return (&table->policy);
+}
+
 uint64_t
 gate_table_get_term(const gate_table_t *table)
 {
@@ -403,28 +403,29 @@
 		gate_limit_get_wait_ms(&target->limit, options->now_ms) > 0));
 }
 
-/* @return preference class, higher is better; 0: must not be used */
-static int
-get_rank(const gate_target_t *target, const gate_pick_options_t *options)
+int
+gate_target_get_rank(
+    const gate_target_t *target, const gate_pick_options_t *options)
 {
 	if (!gate_target_is_usable(target, options) ||
 	    must_wait(target, options))
 		return (0);
 	if (!gate_alone_is_recovered(target)) {
 		if (target->verdict == FLEET_VERDICT_EJECTED)
-			return (RANK_EJECTED);
+			return (GATE_RANK_EJECTED);
 		if (target->verdict != FLEET_VERDICT_HEALTHY)
-			return (RANK_PROBE);
+			return (GATE_RANK_PROBE);
 	}
-	return (options->now_ms < target->avoid_until_ms ? RANK_HEALTHY
-							 : RANK_HEALTHY + 1);
+	return (options->now_ms < target->avoid_until_ms
+		? GATE_RANK_HEALTHY
+		: GATE_RANK_PREFERABLE);
 }
 
 int
 gate_target_is_preferable(
     const gate_target_t *target, const gate_pick_options_t *options)
 {
-	return (get_rank(target, options) == RANK_HEALTHY + 1);
+	return (gate_target_get_rank(target, options) == GATE_RANK_PREFERABLE);
 }
 
 static gate_target_t *
@@ -476,7 +477,8 @@
 
 	*rank = 0;
 	for (i = 0; i < service->count; i++) {
-		target_rank = get_rank(service->targets[i], options);
+		target_rank =
+		    gate_target_get_rank(service->targets[i], options);
 		if (target_rank == 0 || target_rank < *rank)
 			continue;
 		if (target_rank > *rank) {
@@ -508,7 +510,7 @@
 		    service, &table->policy, options, &table->rng);
 	if (target == NULL)
 		return (pick_ranked(table, service, options, rank));
-	*rank = RANK_HEALTHY + 1;
+	*rank = GATE_RANK_PREFERABLE;
 	return (target);
 }
 
@@ -579,9 +581,8 @@
 	return (0);
 }
 
-/* @return 1 if a target of the service waits for a request like this one */
-static int
-should_ask_leader(
+int
+gate_service_asks_leader(
     const gate_service_t *service, const gate_pick_options_t *options)
 {
 	int64_t idle_age_ms = options->now_ms - service->idle_ms;
@@ -592,9 +593,9 @@
 		has_open_target(service, options)));
 }
 
-/* @return 1 if a healthy target waits for its limit */
-static int
-has_waiting(const gate_service_t *service, const gate_pick_options_t *options)
+int
+gate_service_has_waiting(
+    const gate_service_t *service, const gate_pick_options_t *options)
 {
 	const gate_target_t *target;
 	uint32_t i;
@@ -609,10 +610,9 @@
 	return (0);
 }
 
-/* @return shortest time until a target that wants a pause takes requests again,
- * in ms; 0: there is none */
-static int64_t
-get_pause_ms(const gate_service_t *service, const gate_pick_options_t *options)
+int64_t
+gate_service_get_pause_ms(
+    const gate_service_t *service, const gate_pick_options_t *options)
 {
 	const gate_target_t *target;
 	int64_t shortest_ms = 0;
@@ -646,22 +646,22 @@
 	choice.is_probe = choice.target != NULL;
 	if (choice.is_probe)
 		return (choice);
-	choice.must_ask_leader = should_ask_leader(service, options);
+	choice.must_ask_leader = gate_service_asks_leader(service, options);
 	if (choice.must_ask_leader)
 		return (choice);
 	choice.target = gate_alone_pick(service, options);
 	if (choice.target != NULL)
 		return (choice);
 	choice.target = pick_preferred(table, service, options, &rank);
-	if (rank >= RANK_HEALTHY || (rank > 0 && options->may_repeat))
+	if (rank >= GATE_RANK_HEALTHY || (rank > 0 && options->may_repeat))
 		return (choice);
 	/* What may not be repeated is better sent to a healthy target soon than
 	 * to an ejected one now. */
-	choice.must_reserve = has_waiting(service, options);
+	choice.must_reserve = gate_service_has_waiting(service, options);
 	if (choice.must_reserve)
 		choice.target = NULL;
 	else if (choice.target == NULL)
-		choice.pause_ms = get_pause_ms(service, options);
+		choice.pause_ms = gate_service_get_pause_ms(service, options);
 	return (choice);
 }
 
@@ -686,7 +686,8 @@
 	uint32_t i;
 
 	for (i = 0; i < service->count; i++) {
-		if (get_rank(service->targets[i], options) >= RANK_HEALTHY)
+		if (gate_target_get_rank(service->targets[i], options) >=
+		    GATE_RANK_HEALTHY)
 			return (1);
 	}
 	return (0);
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -35,6 +35,15 @@
 /** Largest number of targets that one request is sent to. */
 #define GATE_TRIED_MAX 8
 
+/* Preference classes of targets, from 0 (must not be used) on. */
+#define GATE_RANK_EJECTED 1
+/** Open to probes. */
+#define GATE_RANK_PROBE 2
+/** Healthy, but avoided by this gate. */
+#define GATE_RANK_HEALTHY 3
+/** Healthy and not avoided. */
+#define GATE_RANK_PREFERABLE 4
+
 struct gate_service;
 
 /** A target; valid until the next change of the table unless a reference is
@@ -155,6 +164,9 @@
 int gate_table_apply(
     gate_table_t *table, const Tm__Fleet__Table *msg, int64_t now_ms);
 
+/** @return how targets are chosen */
+const gate_policy_t *gate_table_get_policy(const gate_table_t *table);
+
 /** @return term and sequence of the last applied message; 0: none */
 uint64_t gate_table_get_term(const gate_table_t *table);
 uint64_t gate_table_get_sequence(const gate_table_t *table);
@@ -212,6 +224,25 @@
 gate_choice_t gate_table_pick(gate_table_t *table, gate_service_t *service,
     const gate_pick_options_t *options);
 
+/** @return 1 if a target of the service waits for a request like this one, so that
+ * the leader is to be asked for it */
+int gate_service_asks_leader(
+    const gate_service_t *service, const gate_pick_options_t *options);
+
+/** @return 1 if a healthy target waits for its limit */
+int gate_service_has_waiting(
+    const gate_service_t *service, const gate_pick_options_t *options);
+
+/** @return shortest time until a target that wants a pause takes requests again,
+ * in ms; 0: there is none */
+int64_t gate_service_get_pause_ms(
+    const gate_service_t *service, const gate_pick_options_t *options);
+
+/** @return preference class (GATE_RANK_...), higher is better; 0: must not be
+ * used */
+int gate_target_get_rank(
+    const gate_target_t *target, const gate_pick_options_t *options);
+
 /** @return 1 if a target is ready and the request has not tried it; it may have
  * to wait for the target's limit */
 int gate_target_is_usable(
