tmctl: explain route

Prints the answer of a gate's GET /v1/explain. The key of a workspace is read from a file and sent as a bearer token, so that it is in no list of processes. A gate without a configuration answers with 409: tmctl sends a call again after 503. Compiled; not run yet.

--- a/src/ctl/ctl_command.c
+++ b/src/ctl/ctl_command.c
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "ctl/ctl_fleet.h"
 #include "ctl/ctl_print.h"
+#include "ctl/ctl_route.h"
 #include "ctl/ctl_snapshot.h"
 #include "settings/json_check.h"
 
@@ -444,6 +445,8 @@
 	    ctl_snapshot_run_restore },
 	{ { "history", NULL }, 0, 0, "history", run_history },
 	{ { "status", NULL }, 0, 0, "status", ctl_fleet_run_status },
+	{ { "explain", "route" }, 0, 0, "explain route --host HOST --path PATH",
+	    ctl_route_run_explain },
 	{ { "explain", NULL }, 2, 2, "explain request|workspace|target NAME",
 	    ctl_fleet_run_explain },
 	{ { "evacuation", "start" }, 1, 1, "evacuation start DATA_CENTRE",
@@ -477,12 +480,18 @@
 	return (NULL);
 }
 
-int
-ctl_command_asks_hubs(const ctl_options_t *o)
+static int
+asks_hubs(const ctl_options_t *o)
 {
 	return (strcmp(o->words[0], "evacuation") == 0);
 }
 
+int
+ctl_command_needs_no_token(const ctl_options_t *o)
+{
+	return (asks_hubs(o) || find_command(o)->run == ctl_route_run_explain);
+}
+
 static int
 reject(const char *what, const char *found, const char *allowed)
 {
@@ -506,9 +515,11 @@
 			fprintf(stderr, "  %s\n", commands[i].usage);
 		return (TM_EINVAL);
 	}
-	if (ctl_command_asks_hubs(o) && (o->dry_run || o->if_version >= 0))
+	if (asks_hubs(o) && (o->dry_run || o->if_version >= 0))
 		return (reject("option", "--dry-run or --if-version",
 		    "neither with evacuation"));
+	if (c->run == ctl_route_run_explain)
+		return (ctl_route_check(o));
 	if (c->run == run_apply && o->if_version >= 0)
 		return (reject("--if-version", "a number",
 		    "none with apply; it is for single objects"));
--- a/src/ctl/ctl_command.h
+++ b/src/ctl/ctl_command.h
@@ -9,6 +9,15 @@
 
 #include "ctl/ctl_api.h"
 
+/** Request that explain route asks about. */
+typedef struct ctl_route_options {
+	const char *host; /**< NULL: not given */
+	const char *path; /**< NULL: not given */
+	const char *method;
+	const char *key_file; /**< key of a workspace; NULL: none */
+	int64_t bytes; /**< of the body */
+} ctl_route_options_t;
+
 /** Command with its options. */
 typedef struct ctl_options {
 	const char *const *words; /**< command and arguments */
@@ -20,6 +29,7 @@
 	int has_change_id; /**< 1: given, 0: drawn */
 	const char *after; /**< a name or a version; NULL: not given */
 	int64_t limit; /**< -1: not given */
+	ctl_route_options_t route;
 } ctl_options_t;
 
 /** Draws a random change id. @return 0 or TM_EIO */
@@ -32,8 +42,9 @@
  */
 int ctl_command_check(const ctl_options_t *options);
 
-/** @return 1 if a command asks hubs, which take no token, instead of control */
-int ctl_command_asks_hubs(const ctl_options_t *options);
+/** @return 1 if a command asks hubs or a gate, which take no token, instead of
+ * control */
+int ctl_command_needs_no_token(const ctl_options_t *options);
 
 /** Percent-encodes a path segment or a query value. */
 void ctl_escape(const char *text, char *out, size_t size);
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -27,6 +27,11 @@
 	struct arg_int *timeout_ms;
 	struct arg_str *after;
 	struct arg_int *limit;
+	struct arg_str *host;
+	struct arg_str *path;
+	struct arg_str *method;
+	struct arg_int *bytes;
+	struct arg_file *key_file;
 	struct arg_str *words;
 	struct arg_end *end;
 } arguments_t;
@@ -107,6 +112,17 @@
 		"0123456789._-") == len);
 }
 
+static void
+read_route(const arguments_t *a, ctl_route_options_t *route)
+{
+	route->host = a->host->count > 0 ? a->host->sval[0] : NULL;
+	route->path = a->path->count > 0 ? a->path->sval[0] : NULL;
+	route->method = a->method->count > 0 ? a->method->sval[0] : "GET";
+	route->bytes = a->bytes->count > 0 ? a->bytes->ival[0] : 0;
+	route->key_file =
+	    a->key_file->count > 0 ? a->key_file->filename[0] : NULL;
+}
+
 static int
 read_options(const arguments_t *a, ctl_options_t *o)
 {
@@ -118,6 +134,7 @@
 	o->if_version = a->if_version->count > 0 ? a->if_version->ival[0] : -1;
 	o->after = a->after->count > 0 ? a->after->sval[0] : NULL;
 	o->limit = a->limit->count > 0 ? a->limit->ival[0] : -1;
+	read_route(a, &o->route);
 	if (a->if_version->count > 0 && o->if_version < 0)
 		return (fail("--if-version", "a negative number",
 		    "give the version that get prints, or 0 for a new object"));
@@ -150,7 +167,7 @@
 	status = read_entries(a, &api);
 	if (status == 0)
 		status = read_servers(a, &api);
-	if (status == 0 && !ctl_command_asks_hubs(&options))
+	if (status == 0 && !ctl_command_needs_no_token(&options))
 		status = read_token(a, &api);
 	if (status != 0)
 		return (status);
@@ -176,6 +193,7 @@
 	       "  recover [CONFIRMATION] |\n"
 	       "  snapshot save FILE | snapshot restore FILE |\n"
 	       "  explain request|workspace|target NAME |\n"
+	       "  explain route --host HOST --path PATH |\n"
 	       "  evacuation start|end DATA_CENTRE | evacuation list\n"
 	       "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable,\n"
 	       "  4 version conflict\n");
@@ -187,7 +205,7 @@
 	arguments_t a = {
 		.help = arg_lit0("h", "help", "print this text"),
 		.server = arg_strn("s", "server", "IP:PORT[,...]", 0, 16,
-		    "control VMs, or hubs for evacuation; default: $" SERVERS_VARIABLE),
+		    "control VMs, hubs for evacuation, or a gate for explain route; default: $" SERVERS_VARIABLE),
 		.entry = arg_strn("e", "entry", "IP:PORT[,...]", 0, 16,
 		    "status, explain: ops listeners instead of the directory"),
 		.token_file = arg_file0("t", "token-file", "FILE",
@@ -205,12 +223,23 @@
 		.after =
 		    arg_str0(NULL, "after", "NAME", "list what follows this"),
 		.limit = arg_int0(NULL, "limit", "N", "list at most N"),
+		.host = arg_str0(
+		    NULL, "host", "HOST", "explain route: host of the request"),
+		.path = arg_str0(
+		    NULL, "path", "PATH", "explain route: path of the request"),
+		.method = arg_str0(NULL, "method", "METHOD",
+		    "explain route: method; default GET"),
+		.bytes = arg_int0(NULL, "bytes", "N",
+		    "explain route: size of the body; default 0"),
+		.key_file = arg_file0(NULL, "key-file", "FILE",
+		    "explain route: key of a workspace"),
 		.words = arg_strn(NULL, NULL, "COMMAND", 1, 5, "see below"),
 		.end = arg_end(8),
 	};
 	void *table[] = { a.help, a.server, a.entry, a.token_file, a.ca_file,
 		a.json, a.dry_run, a.if_version, a.change_id, a.timeout_ms,
-		a.after, a.limit, a.words, a.end };
+		a.after, a.limit, a.host, a.path, a.method, a.bytes, a.key_file,
+		a.words, a.end };
 	int status = CTL_EXIT_USAGE;
 
 	if (arg_nullcheck(table) != 0) {
--- a/src/gate/gate_explain_http.c
+++ b/src/gate/gate_explain_http.c
@@ -427,7 +427,7 @@
 		refuse(req, 503, "no_memory", "memory is exhausted",
 		    "try again, and check the memory of the gate");
 	else if (result->problem == GATE_EXPLAIN_NO_CONFIG)
-		refuse(req, 503, "no_config",
+		refuse(req, 409, "no_config",
 		    "the gate has no configuration yet",
 		    "check that hubs have a configuration and that the gate "
 		    "reaches them");
