explain route: tests, docs; tells whether the configuration is confirmed

A route that is missing may be in a newer configuration, as requests are told (config_unsure); the answer says so.

--- a/src/ctl/ctl_route.c
+++ b/src/ctl/ctl_route.c
@@ -62,10 +62,11 @@
 static void
 print_gate(const json_t *gate)
 {
-	printf("gate %s in %s: configuration %lld, table of term %lld and "
+	printf("gate %s in %s: configuration %lld%s, table of term %lld and "
 	       "sequence %lld, %s, ",
 	    ctl_get_text(gate, "node"), ctl_get_text(gate, "data_centre"),
 	    (long long)get_int(gate, "config_version"),
+	    is_set(gate, "config_confirmed") ? "" : " (not confirmed lately)",
 	    (long long)get_int(gate, "table_term"),
 	    (long long)get_int(gate, "table_sequence"),
 	    is_set(gate, "has_leader") ? "a leader answers"
--- a/src/gate/gate_explain_http.c
+++ b/src/gate/gate_explain_http.c
@@ -375,12 +375,14 @@
 static json_t *
 describe_gate(const gate_t *gate, int64_t now_ms)
 {
-	return (json_pack("{s:s, s:s, s:I, s:I, s:I, s:b, s:I}", "node",
+	return (json_pack("{s:s, s:s, s:I, s:b, s:I, s:I, s:b, s:I}", "node",
 	    gate->settings.node, "data_centre", gate->settings.zone,
-	    "config_version", (json_int_t)gate->config->version, "table_term",
-	    (json_int_t)gate_table_get_term(gate->table), "table_sequence",
-	    (json_int_t)gate_table_get_sequence(gate->table), "has_leader",
-	    gate_link_has_leader(gate->link, now_ms), "lease_age_ms",
+	    "config_version", (json_int_t)gate->config->version,
+	    "config_confirmed", gate_link_is_confirmed(gate->link, now_ms),
+	    "table_term", (json_int_t)gate_table_get_term(gate->table),
+	    "table_sequence", (json_int_t)gate_table_get_sequence(gate->table),
+	    "has_leader", gate_link_has_leader(gate->link, now_ms),
+	    "lease_age_ms",
 	    (json_int_t)(gate->lease_ms != 0 ? now_ms - gate->lease_ms : -1)));
 }
 
@@ -433,7 +435,11 @@
 		    "reaches them");
 	else if (result->problem == GATE_EXPLAIN_NO_ROUTE)
 		refuse(req, 404, "no_route",
-		    "no route has this host and a prefix of this path",
+		    gate_link_is_confirmed(gate->link, now_ms)
+			? "no route has this host and a prefix of this path"
+			: "no route has this host and a prefix of this path; "
+			  "a newer configuration may have one, as no leader "
+			  "has confirmed this one lately",
 		    "check host and path, and the routes of the configuration");
 	else
 		reply_explanation(gate, req, result);
--- a/src/gate/gate_subset.c
+++ b/src/gate/gate_subset.c
@@ -383,7 +383,8 @@
 	uint32_t count = 0;
 	uint32_t i;
 
-	if (copies != NULL && pointers != NULL && copy != NULL) {
+	if (copies != NULL && pointers != NULL && copy != NULL &&
+	    service->count > 0) {
 		copy_targets(service, copy, copies, pointers);
 		usable = count_usable(copy, options);
 		if (usable.same_zone + usable.others > 0 &&
--- a/test/unit/gate_explain_test.cc
+++ b/test/unit/gate_explain_test.cc
@@ -47,6 +47,7 @@
 		workspace = fleet_config_add_workspace(config_, "w1");
 		workspace->rate_per_s = 100;
 		fleet_config_add_key(config_, workspace, "key-one");
+		config_->needs_keys = 1;
 		EXPECT_EQ(TM_OK, fleet_config_finish(config_, problem));
 		query_.config = config_;
 		query_.table = table_;
@@ -171,7 +172,7 @@
 
 	EXPECT_EQ(GATE_EXPLAIN_OK, result.problem);
 	EXPECT_STREQ("r1", result.route->name);
-	EXPECT_EQ(GATE_EXPLAIN_KEY_KNOWN, result.key);
+	ASSERT_EQ(GATE_EXPLAIN_KEY_KNOWN, result.key);
 	EXPECT_STREQ("w1", result.workspace->name);
 	EXPECT_EQ(2, result.priority);
 	EXPECT_EQ(5000, result.timeout_ms);
@@ -305,3 +306,57 @@
 			    << part.candidates[i].id << " " << features;
 	}
 }
+
+// The part of a large service that the gate is said to prefer is not the one that
+// its requests get.
+TEST_F(GateExplain, PreferredPart)
+{
+	std::vector<Row> rows;
+	gate_pick_options_t options = {};
+	gate_service_t *service;
+
+	for (int i = 0; i < 60; i++)
+		rows.push_back({ "t" + std::to_string(i) });
+	Apply(rows);
+	const gate_explain_part_t part = First();
+
+	options.now_ms = now_;
+	service = gate_table_find_service(table_, "s1");
+	gate_table_pick(table_, service, &options);
+	EXPECT_EQ(60u, part.counts.usable);
+	EXPECT_LT(part.candidate_total, 60u);
+	ASSERT_EQ(service->subset.member_count, part.candidate_total);
+	for (uint32_t i = 0; i < part.candidate_count; i++) {
+		bool is_member = false;
+
+		for (uint32_t k = 0; k < service->subset.member_count; k++)
+			is_member |= strcmp(service->subset.members[k]->id,
+					 part.candidates[i].id) == 0;
+		EXPECT_TRUE(is_member) << part.candidates[i].id;
+	}
+}
+
+// An explanation uses up a random number, so that it changes the choices of later
+// requests.
+TEST_F(GateExplain, LaterChoicesStay)
+{
+	std::vector<std::string> ids[2];
+
+	for (auto &list : ids) {
+		gate_table_destroy(table_);
+		query_.table = table_ = gate_table_create("z1", 1);
+		UsePolicy(FLEET_FEATURE_SCARCE_CAPACITY);
+		Apply({ { "a" }, { "b" }, { "c" }, { "d" }, { "e" } });
+		for (int i = 0; i < 100; i++) {
+			gate_pick_options_t options = {};
+
+			options.now_ms = now_;
+			if (&list == &ids[1])
+				Explain();
+			list.push_back(gate_table_pick(table_,
+			    gate_table_find_service(table_, "s1"), &options)
+					   .target->id);
+		}
+	}
+	EXPECT_TRUE(ids[0] == ids[1]);
+}
