gate: 20 explanations of routes in a second

Callers of the metrics listener are not known; many calls could hold up requests and try out keys. Others get 429.

--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -71,6 +71,8 @@
 	int64_t last_busy_ms; /**< last time at which a request was running */
 	gate_stop_t stop;
 	int64_t started_ms;
+	int64_t explained_ms; /**< start of a second of explanations */
+	uint32_t explained; /**< since then */
 	int64_t subsets_reported_ms; /**< last time in the log */
 	metrics_t *metrics;
 	metric_t *metric_requests;
--- a/src/gate/gate_explain_http.c
+++ b/src/gate/gate_explain_http.c
@@ -17,6 +17,9 @@
 #define WORD_MAX_BYTES	 16
 #define KEY_MAX_BYTES	 256
 #define BYTES_DIGITS_MAX 12
+/* Callers of the listener are not known: more calls in a second are refused, so
+ * that they neither hold up requests nor try out many keys. */
+#define CALLS_PER_S 20
 /* Shares and times are shown to this many digits. */
 #define REAL_DIGITS 6
 
@@ -446,8 +449,19 @@
 	free(result);
 }
 
+/* Counts a call. @return 1 if it may be answered */
+static int
+take_call(gate_t *gate, int64_t now_ms)
+{
+	if (now_ms - gate->explained_ms >= MS_PER_SEC) {
+		gate->explained_ms = now_ms;
+		gate->explained = 0;
+	}
+	return (gate->explained++ < CALLS_PER_S);
+}
+
 void
-gate_explain_http_handle(const gate_t *gate, h2o_req_t *req)
+gate_explain_http_handle(gate_t *gate, h2o_req_t *req)
 {
 	call_t call = { .host = "" };
 	const char *problem;
@@ -457,6 +471,12 @@
 		    "use GET");
 		return;
 	}
+	if (!take_call(gate, clock_now_ms())) {
+		refuse(req, 429, "too_many_calls",
+		    "the gate answers 20 such calls in a second",
+		    "wait a second");
+		return;
+	}
 	problem = read_call(&call, req);
 	if (problem != NULL)
 		refuse(req, 400, "malformed", problem,
--- a/test/functional/explain_route.py
+++ b/test/functional/explain_route.py
@@ -31,6 +31,7 @@
                "--bytes", "4", *words]
     if key:
         command += ["--key-file", key]
+    time.sleep(0.06)  # a gate answers 20 calls in a second
     return subprocess.run(command, capture_output=True, text=True, timeout=30,
                           check=False)
 
@@ -144,6 +145,9 @@
                           "/v1/explain")[0])
     print("long path:", call(fleet.gates[0], fleet.metrics, "GET",
                              "/v1/explain?host=a&path=/" + "x" * 1100)[0])
+    print("many calls:", 429 in [call(
+        fleet.gates[0], fleet.metrics, "GET",
+        "/v1/explain?host=a.example&path=/x/1")[0] for _ in range(60)])
     with open(f"{WORK}/gate0.log", encoding="utf-8") as log:
         print("key in the log:", KEY in log.read())
 
