--- a/test/functional/explain_route.py
+++ b/test/functional/explain_route.py
@@ -92,6 +92,24 @@
     return explain()["targets"]["usable"] == count
 
 
+def show_wrong_calls():
+    """Calls that reach no gate, or are refused before they are sent."""
+    for words in (["--path", "/x/1"], ["--host", "a", "--path", "x"],
+                  ["--host", "a", "--path", "/", "--bytes", "-1"],
+                  ["--host", "a", "--path", "/", "--server", "127.0.0.1:1"],
+                  ["--host", "a", "--path", "/", "--key-file", WORK]):
+        done = subprocess.run(
+            [f"{BUILD}/bin/tmctl", "--server", server, "explain", "route",
+             *words], capture_output=True, text=True, timeout=30, check=False)
+        print("exit", done.returncode,
+              done.stderr.replace(WORK, "WORK").strip())
+    done = subprocess.run(
+        [f"{BUILD}/bin/tmctl", "--server", "127.0.0.1:1", "--timeout-ms", "300",
+         "explain", "route", "--host", "a", "--path", "/"],
+        capture_output=True, text=True, timeout=30, check=False)
+    print("no gate: exit", done.returncode)
+
+
 def main():
     with open(key_file, "w", encoding="utf-8") as out:
         out.write(KEY + "\n")
@@ -101,6 +119,7 @@
         fleet.start_hub(i, True)
     fleet.start_gate(0)
     fleet.wait("the gate listens", read_metrics)
+    show_wrong_calls()
     show("no configuration", tmctl())
     fleet.control("POST", "/tarragonmoor/config/put", document(7, [KEY]))
     fleet.wait("configured", lambda: tmctl().returncode == 0)
