--- a/src/gate/gate_share.c
+++ b/src/gate/gate_share.c
@@ -140,6 +140,22 @@
 	    : (uint64_t)soft_deadline_ms;
 }
 
+gate_share_answer_t
+gate_share_preview(const gate_share_t *share, const gate_share_query_t *query)
+{
+	gate_share_t copy = *share;
+	gate_share_answer_t answer = {
+		.priority_class = get_class(query->priority),
+		.class_share = get_admitted(share, query),
+		.admitted = gate_share_get(&copy, query),
+	};
+
+	if (answer.class_share < ADMIT_ALL)
+		answer.reason =
+		    has_lease(query) ? GATE_SHARE_LEADER : GATE_SHARE_ALONE;
+	return (answer);
+}
+
 int64_t
 gate_share_take_return_ms(gate_share_t *share, int64_t now_ms)
 {
--- a/src/gate/gate_table.c
+++ b/src/gate/gate_table.c
@@ -71,6 +71,12 @@
 	table->policy = *policy;
 }
 
+const gate_policy_t *
+gate_table_get_policy(const gate_table_t *table)
+{
+	return (&table->policy);
+}
+
 uint64_t
 gate_table_get_term(const gate_table_t *table)
 {
