hub: an announcement from before a suspicion does not end it

A batch of a relaying hub could name an announcement that a target had made before its data centre was suspected. The target, which had turned cold since, counted as warm at all gates. Batches now say how long ago an announcement came (age_ms), and the leader ignores what may be older than the suspicion. An entry of the log does not end a suspicion either.

The end of each suspicion also sent the feed to all gates at once. Only targets that turn cold need that; those of one batch are now sent together, before the first entry is written.

HubWarmup.OnlyWhatATargetSaysAfterTheSuspicionEndsIt fails without the check and passes with it. The single flush for a batch has no test.

--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -105,8 +105,12 @@
 /** @return 1 if targets are spread over the hubs */
 int hub_is_spreading(const hub_t *hub);
 
-/** Records at this leader how long a target says that it stays cold. */
-void hub_record_warmup(hub_t *hub, const dialect_announcement_t *as);
+/** Records at this leader how long a target says that it stays cold, and tells
+ * gates at once if it turned cold.
+ *
+ * @param said_ms  earliest time at which the target can have said it */
+void hub_record_warmup(
+    hub_t *hub, const dialect_announcement_t *as, int64_t said_ms);
 
 /** @return 1 if that must be replicated: the target turned cold or warm, or stays
  * cold for longer */
--- a/src/hub/hub_announcements.c
+++ b/src/hub/hub_announcements.c
@@ -19,6 +19,7 @@
 	uint32_t id;
 	uint64_t revision;
 	int is_leave;
+	int64_t said_ms; /* earliest time of it, by the clock of this hub */
 	dialect_announcement_t as;
 } passed_t;
 
@@ -60,18 +61,17 @@
 
 /* Decides on an announcement as the leader; as hub_announce(). */
 static int
-decide(
-    hub_t *hub, const dialect_announcement_t *as, hub_done_cb done, void *ctx)
+decide(hub_t *hub, const dialect_announcement_t *as, int64_t said_ms,
+    hub_done_cb done, void *ctx)
 {
+	hub_announce_effect_t effect = hub_announce_judge(hub->state, as);
 	uint8_t *bytes;
 	size_t len;
 
-	hub_announce_effect_t effect = hub_announce_judge(hub->state, as);
-
 	if (effect == HUB_ANNOUNCE_OUTDATED)
 		return (HUB_ACKNOWLEDGED);
 	hub_record_announcement(hub, as);
-	hub_record_warmup(hub, as);
+	hub_record_warmup(hub, as, said_ms);
 	if (effect == HUB_ANNOUNCE_REPEATED &&
 	    !hub_is_warmup_new(hub,
 		hub_state_find_target(hub->state, fleet_name_hash(as->id)), as))
@@ -115,8 +115,8 @@
 	int64_t now_ms = clock_now_ms();
 
 	if (hub_is_leading(hub))
-		return (
-		    count(hub->metric_announced, decide(hub, as, done, ctx)));
+		return (count(
+		    hub->metric_announced, decide(hub, as, now_ms, done, ctx)));
 	switch (hub_relay_decide(hub->relay, as, now_ms)) {
 	case HUB_RELAY_ANSWER:
 		return (HUB_ACKNOWLEDGED);
@@ -213,9 +213,18 @@
 	free(passed);
 }
 
+/* @return earliest time, by the clock of this hub, of what another hub got some
+ * time before it sent a message */
+static int64_t
+get_said_ms(const Tm__Fleet__Relay *relay, uint32_t age_ms)
+{
+	return ((int64_t)relay->leader_ms - age_ms);
+}
+
 /* @return 1 if the texts fit */
 static int
-read_passed(const Tm__Fleet__Passed *msg, passed_t *out)
+read_passed(
+    const Tm__Fleet__Relay *relay, const Tm__Fleet__Passed *msg, passed_t *out)
 {
 	const Tm__Fleet__Target *target = msg->target;
 
@@ -229,6 +238,7 @@
 	}
 	out->id = msg->id;
 	out->is_leave = msg->is_leave;
+	out->said_ms = get_said_ms(relay, msg->age_ms);
 	return (1);
 }
 
@@ -244,7 +254,7 @@
 	passed->hub = hub;
 	passed->from = from;
 	passed->revision = relay->revision;
-	if (!read_passed(msg, passed)) {
+	if (!read_passed(relay, msg, passed)) {
 		free(passed);
 		return;
 	}
@@ -255,7 +265,8 @@
 		err = decide_leave(hub, passed->as.id, passed->as.born_ms,
 		    on_passed_committed, passed);
 	else
-		err = decide(hub, &passed->as, on_passed_committed, passed);
+		err = decide(hub, &passed->as, passed->said_ms,
+		    on_passed_committed, passed);
 	if (err == TM_OK)
 		return;
 	add_answer(hub, passed,
@@ -308,8 +319,27 @@
 		as = hub_state_find_target(hub->state, item->target)->as;
 		as.sequence = item->sequence;
 		as.cold_left_ms = item->cold_left_ms;
-		hub_record_warmup(hub, &as);
+		hub_cold_record(hub, &as, get_said_ms(msg, item->age_ms));
+	}
+}
+
+/* Gates are told once of all targets of a batch that turned cold, before the first
+ * entry is written. */
+static void
+record_passed_cold(hub_t *hub, const Tm__Fleet__Relay *msg)
+{
+	uint64_t sequence = hub_feed_get_sequence(hub->feed);
+	passed_t passed = { .hub = hub };
+	size_t i;
+
+	for (i = 0; i < msg->n_passed; i++) {
+		if (read_passed(msg, msg->passed[i], &passed) &&
+		    !passed.is_leave && passed.as.cold_left_ms > 0 &&
+		    hub_announce_judge(hub->state, &passed.as) !=
+			HUB_ANNOUNCE_OUTDATED)
+			hub_cold_record(hub, &passed.as, passed.said_ms);
 	}
+	hub_cold_flush(hub, sequence);
 }
 
 void
@@ -327,8 +357,10 @@
 	if (hub_is_leading(hub) && !hub->is_stopping) {
 		hub_update_role(hub, now_ms);
 		is_late = hub_announce_is_late(msg, hub->role.term, now_ms);
-		if (!is_late)
+		if (!is_late) {
 			record_announced(hub, msg, now_ms);
+			record_passed_cold(hub, msg);
+		}
 		answer_batch(hub, from, msg);
 		for (i = 0; i < msg->n_passed; i++)
 			handle_passed(hub, from, msg, msg->passed[i], is_late);
--- a/src/hub/hub_cold.c
+++ b/src/hub/hub_cold.c
@@ -93,7 +93,7 @@
 }
 
 static hub_warmup_report_t
-make_report(const dialect_announcement_t *as)
+make_report(const dialect_announcement_t *as, int64_t said_ms)
 {
 	return ((hub_warmup_report_t){
 	    .key = { fleet_name_hash(as->id), as->born_ms },
@@ -101,6 +101,7 @@
 	    .data_centre = fleet_name_hash(as->zone),
 	    .sequence = as->sequence,
 	    .left_ms = as->cold_left_ms,
+	    .said_ms = said_ms,
 	});
 }
 
@@ -115,35 +116,46 @@
 	     target = target->hh.next) {
 		if (target->as.state == FLEET_TARGET_DEREGISTERED)
 			continue;
-		report = make_report(&target->as);
+		report = make_report(&target->as, 0);
 		hub_warmup_restore(hub->warmup, &report, now_ms);
 	}
 }
 
 /* A target that the log doesn't have yet follows with its entry. */
 void
-hub_record_warmup(hub_t *hub, const dialect_announcement_t *as)
+hub_cold_record(hub_t *hub, const dialect_announcement_t *as, int64_t said_ms)
 {
-	const hub_warmup_report_t report = make_report(as);
+	const hub_warmup_report_t report = make_report(as, said_ms);
 	const hub_target_t *known =
 	    hub_state_find_target(hub->state, report.key.target);
 
-	uint64_t sequence = hub_feed_get_sequence(hub->feed);
-	int64_t now_ms = clock_now_ms();
+	if (known != NULL && known->as.born_ms == as->born_ms &&
+	    hub_role_has_state(&hub->role, hub->raft))
+		hub_warmup_record(hub->warmup, &report, clock_now_ms());
+}
 
-	if (known == NULL || known->as.born_ms != as->born_ms ||
-	    !hub_role_has_state(&hub->role, hub->raft))
-		return;
-	hub_warmup_record(hub->warmup, &report, now_ms);
+void
+hub_cold_flush(hub_t *hub, uint64_t sequence)
+{
 	if (!hub->role.is_serving ||
 	    hub_feed_get_sequence(hub->feed) == sequence)
 		return;
-	/* Gates are told before the entry is written: a sync of a slow disk blocks
-	 * this hub, for 8 s in a test. */
-	hub_feed_flush(hub->feed, now_ms);
+	hub_feed_flush(hub->feed, clock_now_ms());
 	peer_net_flush(hub->net);
 }
 
+/* That targets are warm again may wait: after the suspicion of a whole data centre,
+ * each of its targets would have all gates told. */
+void
+hub_record_warmup(hub_t *hub, const dialect_announcement_t *as, int64_t said_ms)
+{
+	uint64_t sequence = hub_feed_get_sequence(hub->feed);
+
+	hub_cold_record(hub, as, said_ms);
+	if (as->cold_left_ms > 0)
+		hub_cold_flush(hub, sequence);
+}
+
 int
 hub_is_warmup_new(const hub_t *hub, const hub_target_t *known,
     const dialect_announcement_t *as)
@@ -158,10 +170,11 @@
 	    as->cold_left_ms > known_ms + FLEET_WARMUP_MARGIN_MS);
 }
 
+/* An entry may be older than a suspicion, and does not end it. */
 void
 hub_cold_apply(hub_t *hub, const hub_target_t *target)
 {
-	const hub_warmup_report_t report = make_report(&target->as);
+	const hub_warmup_report_t report = make_report(&target->as, 0);
 
 	if (target->as.state == FLEET_TARGET_DEREGISTERED)
 		hub_warmup_remove(hub->warmup, target->key);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -184,6 +184,14 @@
 /** Takes cold targets over from the replicated log: this hub begins to lead. */
 void hub_cold_begin(hub_t *hub, int64_t now_ms);
 
+/** As hub_record_warmup(), but gates are not told yet. */
+void hub_cold_record(
+    hub_t *hub, const dialect_announcement_t *as, int64_t said_ms);
+
+/** Tells gates of targets that changed since a sequence of the feed, before the
+ * entries are written: a sync of a slow disk blocks this hub, for 8 s in a test. */
+void hub_cold_flush(hub_t *hub, uint64_t sequence);
+
 /** Follows an entry of the log on a target. */
 void hub_cold_apply(hub_t *hub, const hub_target_t *target);
 
--- a/src/hub/hub_relay.c
+++ b/src/hub/hub_relay.c
@@ -26,6 +26,7 @@
 	int is_untold; /* announced itself since the last batch */
 	int64_t told_ms; /* batch with it that is not answered; 0: none */
 	int64_t announced_ms;
+	int64_t answered_ms; /* last announcement that was answered here */
 	UT_hash_handle hh;
 } relay_target_t;
 
@@ -210,6 +211,7 @@
 		return (HUB_RELAY_PASS);
 	known->sequence = as->sequence;
 	known->announced_ms = now_ms;
+	known->answered_ms = now_ms;
 	known->is_untold = 1;
 	relay->stats.answered++;
 	return (HUB_RELAY_ANSWER);
@@ -278,12 +280,14 @@
 		item->target = target->key;
 		item->born_ms = target->born_ms;
 		item->sequence = target->sequence;
+		item->age_ms = (uint32_t)(now_ms - target->answered_ms);
 		msg->announced[msg->n_announced++] = item;
 	}
 }
 
 static void
-fill_passed(hub_relay_t *relay, Tm__Fleet__Relay *msg, relay_batch_t *batch)
+fill_passed(hub_relay_t *relay, Tm__Fleet__Relay *msg, relay_batch_t *batch,
+    int64_t now_ms)
 {
 	relay_pass_t *pass;
 	Tm__Fleet__Passed *item;
@@ -305,6 +309,7 @@
 		item->id = pass->id;
 		item->target = &batch->targets[msg->n_passed];
 		item->is_leave = pass->is_leave;
+		item->age_ms = (uint32_t)(now_ms - pass->passed_ms);
 		msg->passed[msg->n_passed++] = item;
 	}
 }
@@ -322,7 +327,7 @@
 	msg.term = relay->term;
 	msg.revision = relay->revision;
 	fill_announced(relay, &msg, batch, now_ms);
-	fill_passed(relay, &msg, batch);
+	fill_passed(relay, &msg, batch, now_ms);
 	relay->batch_ms = now_ms;
 	relay->options.send(
 	    relay->options.send_ctx, relay->leader, MSG_FLEET_RELAY, &msg.base);
--- a/src/hub/hub_warmup.c
+++ b/src/hub/hub_warmup.c
@@ -16,6 +16,7 @@
 	uint64_t sequence; /* of its last announcement */
 	int64_t cold_until_ms; /* 0: warm */
 	int is_suspected; /* cold until it announces itself */
+	int64_t suspected_ms;
 	UT_hash_handle hh;
 } warmup_target_t;
 
@@ -175,14 +176,21 @@
     hub_warmup_t *warmup, const hub_warmup_report_t *report, int64_t now_ms)
 {
 	warmup_target_t *target = get(warmup, report);
+	int64_t until_ms = get_end_ms(report->left_ms, now_ms);
 
 	if (target == NULL ||
 	    (target->sequence != 0 && report->sequence <= target->sequence))
 		return;
+	/* The target may have turned cold after it said this. */
+	if (target->is_suspected && report->said_ms < target->suspected_ms) {
+		if (until_ms > target->cold_until_ms)
+			set_until(warmup, target, until_ms,
+			    HUB_WARMUP_ANNOUNCED, now_ms);
+		return;
+	}
 	target->sequence = report->sequence;
 	target->is_suspected = 0;
-	set_until(warmup, target, get_end_ms(report->left_ms, now_ms),
-	    HUB_WARMUP_ANNOUNCED, now_ms);
+	set_until(warmup, target, until_ms, HUB_WARMUP_ANNOUNCED, now_ms);
 }
 
 void
@@ -232,15 +240,18 @@
 	*oldest = (suspicion_t){ data_centre, now_ms };
 }
 
-static int
-is_suspicious(const hub_warmup_t *warmup, uint64_t data_centre, int64_t now_ms)
+/* @return when a data centre was suspected; 0: not lately */
+static int64_t
+get_suspected_ms(
+    const hub_warmup_t *warmup, uint64_t data_centre, int64_t now_ms)
 {
 	size_t i;
 
 	for (i = 0; i < warmup->suspicion_count; i++) {
-		if (warmup->suspicions[i].data_centre == data_centre)
-			return (now_ms - warmup->suspicions[i].since_ms <
-			    HUB_WARMUP_SUSPECT_KEEP_MS);
+		if (warmup->suspicions[i].data_centre == data_centre &&
+		    now_ms - warmup->suspicions[i].since_ms <
+			HUB_WARMUP_SUSPECT_KEEP_MS)
+			return (warmup->suspicions[i].since_ms);
 	}
 	return (0);
 }
@@ -260,7 +271,9 @@
 	target->sequence = report->sequence;
 	set_until(warmup, target, get_end_ms(report->left_ms, now_ms),
 	    HUB_WARMUP_REPLICATED, now_ms);
-	if (is_suspicious(warmup, target->data_centre, now_ms))
+	target->suspected_ms =
+	    get_suspected_ms(warmup, target->data_centre, now_ms);
+	if (target->suspected_ms != 0)
 		suspect(warmup, target, now_ms);
 }
 
@@ -276,6 +289,7 @@
 		if (target->data_centre != data_centre)
 			continue;
 		count++;
+		target->suspected_ms = now_ms;
 		suspect(warmup, target, now_ms);
 	}
 	return (count);
--- a/src/hub/hub_warmup.h
+++ b/src/hub/hub_warmup.h
@@ -75,6 +75,8 @@
 	uint64_t data_centre; /**< hash of its name */
 	uint64_t sequence; /**< grows with each announcement; 0: unknown */
 	uint32_t left_ms; /**< time for which it stays cold; 0: warm */
+	/** Earliest time at which the target can have said it; 0: unknown. */
+	int64_t said_ms;
 } hub_warmup_report_t;
 
 /** @return NULL if memory is exhausted */
@@ -91,7 +93,8 @@
 void hub_warmup_restore(
     hub_warmup_t *warmup, const hub_warmup_report_t *report, int64_t now_ms);
 
-/** Records an announcement. One that comes late or twice is ignored. */
+/** Records an announcement. One that comes late or twice is ignored. One that the
+ * target may have made before it was suspected does not end the suspicion. */
 void hub_warmup_record(
     hub_warmup_t *warmup, const hub_warmup_report_t *report, int64_t now_ms);
 
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -3760,7 +3760,7 @@
   (ProtobufCMessageInit) tm__fleet__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__announced__field_descriptors[4] =
+static const ProtobufCFieldDescriptor tm__fleet__announced__field_descriptors[5] =
 {
   {
     "target",
@@ -3810,8 +3810,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Announced, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__announced__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
   1,   /* field[1] = born_ms */
   3,   /* field[3] = cold_left_ms */
   2,   /* field[2] = sequence */
@@ -3820,7 +3833,7 @@
 static const ProtobufCIntRange tm__fleet__announced__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor tm__fleet__announced__descriptor =
 {
@@ -3830,14 +3843,14 @@
   "Tm__Fleet__Announced",
   "tm.fleet",
   sizeof(Tm__Fleet__Announced),
-  4,
+  5,
   tm__fleet__announced__field_descriptors,
   tm__fleet__announced__field_indices_by_name,
   1,  tm__fleet__announced__number_ranges,
   (ProtobufCMessageInit) tm__fleet__announced__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__passed__field_descriptors[3] =
+static const ProtobufCFieldDescriptor tm__fleet__passed__field_descriptors[4] =
 {
   {
     "id",
@@ -3875,8 +3888,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Passed, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__passed__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
   0,   /* field[0] = id */
   2,   /* field[2] = is_leave */
   1,   /* field[1] = target */
@@ -3884,7 +3910,7 @@
 static const ProtobufCIntRange tm__fleet__passed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor tm__fleet__passed__descriptor =
 {
@@ -3894,7 +3920,7 @@
   "Tm__Fleet__Passed",
   "tm.fleet",
   sizeof(Tm__Fleet__Passed),
-  3,
+  4,
   tm__fleet__passed__field_descriptors,
   tm__fleet__passed__field_indices_by_name,
   1,  tm__fleet__passed__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -632,10 +632,14 @@
    * Time for which it stays cold; 0: it is warm.
    */
   uint32_t cold_left_ms;
+  /*
+   * Time since it came, by the clock of the sender.
+   */
+  uint32_t age_ms;
 };
 #define TM__FLEET__ANNOUNCED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__announced__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -650,10 +654,14 @@
    * Only the id and, if it is known, the incarnation of target count.
    */
   protobuf_c_boolean is_leave;
+  /*
+   * Time since it came, by the clock of the sender.
+   */
+  uint32_t age_ms;
 };
 #define TM__FLEET__PASSED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__passed__descriptor) \
-    , 0, NULL, 0 }
+    , 0, NULL, 0, 0 }
 
 
 /*
--- a/test/unit/hub_relay_model.h
+++ b/test/unit/hub_relay_model.h
@@ -193,10 +193,13 @@
 		uint64_t since =
 		    msg->term == term_ ? msg->revision : UINT64_MAX;
 
-		for (size_t i = 0; i < msg->n_announced && !is_late; i++)
+		for (size_t i = 0; i < msg->n_announced && !is_late; i++) {
+			said_ms_[msg->announced[i]->target] =
+			    (int64_t)msg->leader_ms - msg->announced[i]->age_ms;
 			Record(msg->announced[i]->target,
 			    msg->announced[i]->born_ms,
 			    msg->announced[i]->sequence);
+		}
 		Answer(leader, from, msg->sent_ms, since, 0, 0);
 		for (size_t i = 0; i < msg->n_passed; i++) {
 			dialect_announcement_t as = {};
@@ -492,6 +495,7 @@
 	uint64_t term_ = 1;
 	bool spreads_;
 	unsigned lost_permille_ = 0;
+	std::map<uint64_t, int64_t> said_ms_; // as the leader was told
 	int64_t silent_ms_ = 0;
 	hub_state_t *state_ = hub_state_create();
 	hub_changes_t changes_ = {};
--- a/test/unit/hub_relay_test.cc
+++ b/test/unit/hub_relay_test.cc
@@ -316,6 +316,34 @@
 	EXPECT_EQ(HUB_RELAY_PASS, hub_relay_decide(relay, &other, fleet.now_));
 }
 
+// The leader took an announcement that it was told of late for a newer one.
+TEST(HubRelay, LeaderIsNotToldALaterTimeOfAnAnnouncement)
+{
+	Fleet fleet(5, 300);
+
+	Settle(&fleet);
+	Target &target = fleet.targets_[7];
+	Fleet::Hub *hub = fleet.hubs_[(size_t)target.home].get();
+	uint64_t key = fleet_name_hash(target.as.id);
+	target.due_ms = INT64_MAX;
+	dialect_announcement_t other = fleet.targets_[8].as;
+	fleet.targets_[8].due_ms = INT64_MAX;
+	for (int offset_ms = 0; offset_ms < 100; offset_ms += 5) {
+		/* Its confirmation brings a later time of the leader. */
+		other.sequence++;
+		other.slots++;
+		fleet.Call(target.home, other, false, [](int) {});
+		fleet.Run(offset_ms);
+		int64_t said_ms = fleet.now_;
+		target.as.sequence++;
+		ASSERT_EQ(HUB_RELAY_ANSWER,
+		    hub_relay_decide(hub->relay, &target.as, fleet.now_));
+		fleet.Run(2 * HUB_RELAY_BATCH_MS);
+		EXPECT_LE(fleet.said_ms_[key], said_ms);
+		EXPECT_GT(fleet.said_ms_[key], said_ms - kIntervalMs);
+	}
+}
+
 /* @return 1 if a hub that is cut off from the leader for 2 s answers */
 static int
 AnswersWhenCutOff(uint32_t switches)
--- a/test/unit/hub_warmup_test.cc
+++ b/test/unit/hub_warmup_test.cc
@@ -36,10 +36,11 @@
 
 	void
 	Announce(uint64_t sequence, uint32_t left_ms, int64_t now_ms,
-	    const hub_signal_key_t &key = kTarget, uint64_t data_centre = kHere)
+	    const hub_signal_key_t &key = kTarget, uint64_t data_centre = kHere,
+	    int64_t said_ms = INT64_MAX)
 	{
 		const hub_warmup_report_t report = { key, 5, data_centre,
-			sequence, left_ms };
+			sequence, left_ms, said_ms };
 
 		hub_warmup_record(warmup_, &report, now_ms);
 	}
@@ -162,8 +163,8 @@
 // A new leader takes cold targets for warm ones, or an older state for news.
 TEST_F(HubWarmup, ANewLeaderTakesTheTimeOfTheLog)
 {
-	const hub_warmup_report_t cold = { kTarget, 5, kHere, 4, 3000 };
-	const hub_warmup_report_t late = { kTarget, 5, kHere, 2, 9000 };
+	const hub_warmup_report_t cold = { kTarget, 5, kHere, 4, 3000, 0 };
+	const hub_warmup_report_t late = { kTarget, 5, kHere, 2, 9000, 0 };
 
 	hub_warmup_restore(warmup_, &cold, kStart);
 	hub_warmup_restore(warmup_, &late, kStart);
@@ -210,12 +211,28 @@
 	EXPECT_EQ(0u, hub_warmup_tick(warmup_, kStart + 22000 + kMargin));
 }
 
+// A hub told late what a target had said before the suspicion, and the target, which
+// was cold by then, counted as warm.
+TEST_F(HubWarmup, OnlyWhatATargetSaysAfterTheSuspicionEndsIt)
+{
+	Announce(1, 0, kStart);
+	hub_warmup_suspect(warmup_, kHere, kStart + 100);
+	Announce(2, 0, kStart + 200, kTarget, kHere, kStart + 99);
+	Announce(2, 200, kStart + 200, kTarget, kHere, kStart + 99);
+	EXPECT_GT(Left(kStart + 2000), 0);
+	/* Prolonging it makes no suspicion newer. */
+	hub_warmup_tick(warmup_, kStart + 3500);
+	EXPECT_GT(Left(kStart + 3500), HUB_WARMUP_PROLONG_MS);
+	Announce(2, 0, kStart + 3600, kTarget, kHere, kStart + 100);
+	EXPECT_EQ(0, Left(kStart + 3600));
+}
+
 // The hub that leads next takes the targets of a suspected data centre for warm; or
 // it suspects them for ever.
 TEST_F(HubWarmup, ANewLeaderSuspectsTheSameDataCentres)
 {
-	const hub_warmup_report_t here = { kTarget, 5, kHere, 4, 0 };
-	const hub_warmup_report_t there = { { 9, 1 }, 5, kThere, 4, 0 };
+	const hub_warmup_report_t here = { kTarget, 5, kHere, 4, 0, 0 };
+	const hub_warmup_report_t there = { { 9, 1 }, 5, kThere, 4, 0, 0 };
 
 	/* A follower has no targets. */
 	for (uint64_t i = 100; i < 300; i++)
--- a/test/unit/warmup_model.h
+++ b/test/unit/warmup_model.h
@@ -241,11 +241,11 @@
 		hub_warmup_record(warmup_, &report, now_);
 	}
 
-	static hub_warmup_report_t
-	Report(const Target &target, uint32_t left_ms)
+	hub_warmup_report_t
+	Report(const Target &target, uint32_t left_ms) const
 	{
 		return (hub_warmup_report_t{
-		    { target.key, 1 }, 2, 1, target.sequence, left_ms });
+		    { target.key, 1 }, 2, 1, target.sequence, left_ms, now_ });
 	}
 
 	static void
