hub: evacuated targets are not offered for probes

An ejected target that was open to probes when its data centre was evacuated went on to count as waiting, so gates were told to ask for it all the time, though none is granted. It counts no longer, and is closed at the start.

HubOutlierScarce.AnEvacuatedTargetThatWaitedIsNotOffered fails before and passes now.

--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -196,6 +196,8 @@
 	/* The span in which it is to get a request begins with the end. */
 	if (!is_evacuated)
 		target->used_ms = now_ms;
+	else
+		target->is_open = 0;
 }
 
 void
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -193,7 +193,7 @@
 {
 	return (outlier_is_idle(target, now_ms) ||
 	    (target->is_open && target->probe_gate == NODE_ID_NONE &&
-		!target->is_draining));
+		!target->is_draining && !target->is_evacuated));
 }
 
 int
--- a/test/unit/hub_outlier_scarce_test.cc
+++ b/test/unit/hub_outlier_scarce_test.cc
@@ -122,6 +122,21 @@
 	EXPECT_EQ(0u, Count().probes_refused);
 }
 
+// Questions for nothing: gates are told to ask for a target of an evacuated data
+// centre, which none is granted.
+TEST_F(HubOutlierScarce, AnEvacuatedTargetThatWaitedIsNotOffered)
+{
+	Record(3, FLEET_EVIDENCE_BROKEN);
+	Pass(1500);
+	hub_outlier_set_evacuated(detector_, 3, 1, now_);
+	Pass(100);
+	EXPECT_FALSE(Offer(1));
+	hub_outlier_set_evacuated(detector_, 3, 0, now_);
+	Pass(100);
+	EXPECT_TRUE(Offer(1));
+	EXPECT_EQ(3u, Assign(1));
+}
+
 // Lost offer: the gate that was told has no request, and the target waits on.
 TEST_F(HubOutlierScarce, AnOfferThatIsNotTakenGoesToAnotherGate)
 {
