hub: a lower sequence counts if a target says no start time

After a restart such a target has the same incarnation and lower sequences. A relaying hub answered it from memory as outdated, also when it drained, and the leader ignored that it was cold. The relaying hub now passes it on, and hub_warmup_record() goes by the sequence only where there is a start time.

HubRelay.WithoutAStartTimeALowerSequenceIsPassedOn and HubWarmup.WithoutAStartTimeALowerSequenceCounts fail before and pass now.

--- a/src/hub/hub_relay.c
+++ b/src/hub/hub_relay.c
@@ -184,7 +184,16 @@
 is_outdated(const relay_target_t *known, const dialect_announcement_t *as)
 {
 	return (as->born_ms < known->born_ms ||
-	    (as->born_ms == known->born_ms && as->sequence < known->sequence));
+	    (as->born_ms == known->born_ms && as->born_ms != 0 &&
+		as->sequence < known->sequence));
+}
+
+/* @return 1 if it may be of another start: without a start time, sequences begin
+ * anew in the same incarnation */
+static int
+may_be_restarted(const relay_target_t *known, const dialect_announcement_t *as)
+{
+	return (as->born_ms == 0 && as->sequence < known->sequence);
 }
 
 hub_relay_decision_t
@@ -207,7 +216,7 @@
 		relay->stats.answered++;
 		return (HUB_RELAY_ANSWER);
 	}
-	if (!is_repeated(known, as))
+	if (may_be_restarted(known, as) || !is_repeated(known, as))
 		return (HUB_RELAY_PASS);
 	known->sequence = as->sequence;
 	known->announced_ms = now_ms;
@@ -424,7 +433,8 @@
 		target->key = key;
 		HASH_ADD(hh, relay->targets, key, sizeof(target->key), target);
 	}
-	if (target->born_ms != as->born_ms || target->sequence < as->sequence)
+	if (target->born_ms != as->born_ms || as->born_ms == 0 ||
+	    target->sequence < as->sequence)
 		target->sequence = as->sequence;
 	target->born_ms = as->born_ms;
 	target->service = fleet_name_hash(as->service);
--- a/src/hub/hub_warmup.c
+++ b/src/hub/hub_warmup.c
@@ -179,7 +179,8 @@
 	int64_t until_ms = get_end_ms(report->left_ms, now_ms);
 
 	if (target == NULL ||
-	    (target->sequence != 0 && report->sequence <= target->sequence))
+	    (target->incarnation_ms != 0 && target->sequence != 0 &&
+		report->sequence <= target->sequence))
 		return;
 	/* The target may have turned cold after it said this. */
 	if (target->is_suspected && report->said_ms < target->suspected_ms) {
--- a/src/hub/hub_warmup.h
+++ b/src/hub/hub_warmup.h
@@ -93,7 +93,8 @@
 void hub_warmup_restore(
     hub_warmup_t *warmup, const hub_warmup_report_t *report, int64_t now_ms);
 
-/** Records an announcement. One that comes late or twice is ignored. One that the
+/** Records an announcement. One that comes late or twice is ignored, unless the
+ * target says no start time: its next start may begin with any sequence. One that the
  * target may have made before it was suspected does not end the suspicion. */
 void hub_warmup_record(
     hub_warmup_t *warmup, const hub_warmup_report_t *report, int64_t now_ms);
--- a/test/unit/hub_relay_test.cc
+++ b/test/unit/hub_relay_test.cc
@@ -344,6 +344,29 @@
 	}
 }
 
+// A target without a start time restarted with lower sequences, and its draining
+// was acknowledged without the leader.
+TEST(HubRelay, WithoutAStartTimeALowerSequenceIsPassedOn)
+{
+	Fleet fleet(5, 300);
+
+	Settle(&fleet);
+	hub_relay_t *relay = fleet.hubs_[1]->relay;
+	dialect_announcement_t as = fleet.targets_[7].as;
+	snprintf(as.id, sizeof(as.id), "restarted");
+	as.born_ms = 0;
+	as.port++;
+	as.sequence = 50;
+	fleet.Call(1, as, false, [](int) {});
+	fleet.Run(200);
+	as.sequence = 51;
+	EXPECT_EQ(HUB_RELAY_ANSWER, hub_relay_decide(relay, &as, fleet.now_));
+	as.sequence = 1;
+	EXPECT_EQ(HUB_RELAY_PASS, hub_relay_decide(relay, &as, fleet.now_));
+	as.state = FLEET_TARGET_DRAINING;
+	EXPECT_EQ(HUB_RELAY_PASS, hub_relay_decide(relay, &as, fleet.now_));
+}
+
 /* @return 1 if a hub that is cut off from the leader for 2 s answers */
 static int
 AnswersWhenCutOff(uint32_t switches)
--- a/test/unit/hub_warmup_test.cc
+++ b/test/unit/hub_warmup_test.cc
@@ -121,6 +121,17 @@
 	EXPECT_EQ(0, Left(kStart + 4700));
 }
 
+// A target without a start time restarted cold with a lower sequence, and counted as
+// warm.
+TEST_F(HubWarmup, WithoutAStartTimeALowerSequenceCounts)
+{
+	const hub_signal_key_t key = { 7, 0 };
+
+	Announce(50, 0, kStart, key);
+	Announce(1, 3000, kStart + 1500, key);
+	EXPECT_EQ(3000 + kMargin, Left(kStart + 1500, key));
+}
+
 // What an earlier incarnation said holds for the next one.
 TEST_F(HubWarmup, ANewIncarnationStartsAnew)
 {
