hub: an entry proposed before another one does not undo it

Two announcements of an incarnation may be proposed before either is applied, and the state checked the start time only: an entry that was decided on older state undid a deregistration or draining. Within an incarnation a deregistration is now final and a lower sequence is ignored. The end of a registration is exempt from the sequence, as it has the one that was known when it was decided.

Hubs of the version before apply such entries; until all are replaced, copies may differ in the targets concerned.

HubState.AnOlderEntryOfAnIncarnationUndoesNothing fails before and passes now.

--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -150,6 +150,18 @@
 	return (1);
 }
 
+/* @return 1 if an entry was proposed before one that is applied. The end of a
+ * registration has the sequence that was known when it was decided. */
+static int
+is_outdated(const hub_target_t *known, const dialect_announcement_t *as)
+{
+	if (as->born_ms != known->as.born_ms || as->born_ms == 0)
+		return (as->born_ms < known->as.born_ms);
+	return (known->as.state == FLEET_TARGET_DEREGISTERED ||
+	    (as->state != FLEET_TARGET_DEREGISTERED &&
+		as->sequence < known->as.sequence));
+}
+
 static hub_change_t
 apply_target(hub_state_t *state, const Tm__Fleet__Target *msg,
     hub_changed_targets_t *changed)
@@ -163,7 +175,7 @@
 		return (HUB_CHANGE_NONE);
 	key = fleet_name_hash(as.id);
 	target = hub_state_find_target(state, key);
-	if (target != NULL && as.born_ms < target->as.born_ms)
+	if (target != NULL && is_outdated(target, &as))
 		return (HUB_CHANGE_NONE);
 	owner = hub_state_find_address(state, as.ip, as.port);
 	if (owner != NULL && owner->key != key &&
--- a/test/unit/hub_state_test.cc
+++ b/test/unit/hub_state_test.cc
@@ -163,6 +163,34 @@
 	EXPECT_EQ(FLEET_TARGET_READY, GetState("a"));
 }
 
+// Two announcements of an incarnation were proposed at once: the entry of the older
+// one undid a deregistration, or draining.
+TEST_F(HubState, AnOlderEntryOfAnIncarnationUndoesNothing)
+{
+	dialect_announcement_t old = MakeTarget("a", 100, 7);
+	dialect_announcement_t drain =
+	    MakeTarget("a", 100, 7, FLEET_TARGET_DRAINING);
+
+	old.sequence = 4;
+	drain.sequence = 5;
+	ApplyTarget(old);
+	ApplyTarget(drain);
+	EXPECT_EQ(HUB_CHANGE_NONE, ApplyTarget(old));
+	EXPECT_EQ(FLEET_TARGET_DRAINING, GetState("a"));
+	/* The end of a registration was decided on the state before. */
+	old.state = FLEET_TARGET_DEREGISTERED;
+	EXPECT_EQ(HUB_CHANGE_TARGET, ApplyTarget(old));
+	drain.sequence = 6;
+	EXPECT_EQ(HUB_CHANGE_NONE, ApplyTarget(drain));
+	EXPECT_EQ(FLEET_TARGET_DEREGISTERED, GetState("a"));
+	/* Without a start time the next start can't be told apart. */
+	old = MakeTarget("b", 0, 8);
+	old.sequence = 9;
+	ApplyTarget(old);
+	old.sequence = 1;
+	EXPECT_EQ(HUB_CHANGE_TARGET, ApplyTarget(old));
+}
+
 TEST_F(HubState, DeregisteredTargetsAreKeptUntilExpired)
 {
 	dialect_announcement_t as = MakeTarget("a", 100, 7);
