--- a/src/hub/hub_evacuation.c
+++ b/src/hub/hub_evacuation.c
@@ -148,6 +148,26 @@
 	return (count);
 }
 
+size_t
+hub_evacuations_list_ended(const hub_evacuations_t *before,
+    const hub_evacuations_t *after, const char *names[HUB_ENDED_MAX])
+{
+	size_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < after->count; i++) {
+		if (after->items[i].is_ended)
+			names[count++] = after->items[i].data_centre;
+	}
+	/* Those that have made room for others. */
+	for (i = 0; i < before->count; i++) {
+		if (!before->items[i].is_ended &&
+		    find(after, before->items[i].data_centre) < 0)
+			names[count++] = before->items[i].data_centre;
+	}
+	return (count);
+}
+
 void
 hub_evacuation_to_message(
     Tm__Fleet__Evacuation *msg, const hub_evacuation_t *order)
--- a/src/hub/hub_evacuation.h
+++ b/src/hub/hub_evacuation.h
@@ -35,6 +35,9 @@
 	hub_evacuation_t items[FLEET_EVACUATIONS_MAX];
 } hub_evacuations_t;
 
+/** Most data centres that hub_evacuations_list_ended() lists. */
+#define HUB_ENDED_MAX (2 * FLEET_EVACUATIONS_MAX)
+
 /** What becomes of an order. */
 typedef enum hub_evacuation_answer {
 	HUB_EVACUATION_ACCEPTED, /**< to be proposed */
@@ -67,6 +70,16 @@
 size_t hub_evacuations_list(
     const hub_evacuations_t *list, char *names[FLEET_EVACUATIONS_MAX]);
 
+/**
+ * Lists the data centres whose evacuation has ended in a list that replaces
+ * another one, as the end itself may not have been seen here.
+ *
+ * @param names  receives pointers into both lists
+ * @return       number of names
+ */
+size_t hub_evacuations_list_ended(const hub_evacuations_t *before,
+    const hub_evacuations_t *after, const char *names[HUB_ENDED_MAX]);
+
 /** Initializes a message with an order; it refers to the order's texts. */
 void hub_evacuation_to_message(
     Tm__Fleet__Evacuation *msg, const hub_evacuation_t *order);
--- a/src/hub/hub_evacuation_apply.c
+++ b/src/hub/hub_evacuation_apply.c
@@ -44,19 +44,18 @@
 }
 
 /* Only hubs that do not lead get snapshots; the feed starts anew when they
- * begin to. */
+ * begin to. A snapshot does not tell when an evacuation ended: it may have been
+ * right before this hub leads. */
 void
 hub_restore_evacuations(
     hub_t *hub, const hub_evacuations_t *before, int64_t now_ms)
 {
-	const hub_evacuations_t *after = &hub->state->evacuations;
-	uint32_t i;
+	const char *names[HUB_ENDED_MAX];
+	size_t count =
+	    hub_evacuations_list_ended(before, &hub->state->evacuations, names);
+	size_t i;
 
 	update_targets(hub, now_ms);
-	for (i = 0; i < before->count; i++) {
-		if (!before->items[i].is_ended &&
-		    !hub_evacuations_has(after, before->items[i].data_centre))
-			hub_suspect_data_centre(
-			    hub, before->items[i].data_centre, now_ms);
-	}
+	for (i = 0; i < count; i++)
+		hub_suspect_data_centre(hub, names[i], now_ms);
 }
--- a/test/unit/hub_evacuation_test.cc
+++ b/test/unit/hub_evacuation_test.cc
@@ -324,6 +324,26 @@
 	hub_state_destroy(copy);
 }
 
+// A hub that had not seen the end of an evacuation, as it started from a snapshot,
+// took the targets that had turned cold meanwhile for warm.
+TEST_F(HubEvacuation, EndsThatASnapshotBringsAreListed)
+{
+	const hub_evacuations_t none = {};
+	const char *names[HUB_ENDED_MAX];
+
+	Order("dc1");
+	Order("dc2");
+	const hub_evacuations_t before = state_->evacuations;
+	Order("dc2", true);
+	ASSERT_EQ(
+	    1u, hub_evacuations_list_ended(&none, &state_->evacuations, names));
+	EXPECT_STREQ("dc2", names[0]);
+	ASSERT_EQ(1u,
+	    hub_evacuations_list_ended(&before, &state_->evacuations, names));
+	EXPECT_STREQ("dc2", names[0]);
+	EXPECT_EQ(2u, hub_evacuations_list_ended(&before, &none, names));
+}
+
 // Operators did not see who had asked, and since when.
 TEST_F(HubEvacuation, ListNamesCallerAndTime)
 {
