hub: a new leader that suspects targets starts them with a debt

It reported them as suspected, so their permits began without a debt, although permits of the leader before, reserved up to 500 ms ahead, may still be used. They are now reported like the cold targets of the log.

HubWarmup.ANewLeaderSuspectsTheSameDataCentres checks it; that check fails before and passes now.

--- a/src/hub/hub_warmup.c
+++ b/src/hub/hub_warmup.c
@@ -208,14 +208,14 @@
 }
 
 static void
-suspect(hub_warmup_t *warmup, warmup_target_t *target, int64_t now_ms)
+suspect(hub_warmup_t *warmup, warmup_target_t *target,
+    hub_warmup_source_t source, int64_t now_ms)
 {
 	int64_t until_ms = now_ms + HUB_WARMUP_SUSPECT_MS;
 
 	target->is_suspected = 1;
 	if (until_ms > target->cold_until_ms)
-		set_until(
-		    warmup, target, until_ms, HUB_WARMUP_SUSPECTED, now_ms);
+		set_until(warmup, target, until_ms, source, now_ms);
 }
 
 /* Replaces the suspicion before of the same data centre, or the oldest. */
@@ -275,7 +275,7 @@
 	target->suspected_ms =
 	    get_suspected_ms(warmup, target->data_centre, now_ms);
 	if (target->suspected_ms != 0)
-		suspect(warmup, target, now_ms);
+		suspect(warmup, target, HUB_WARMUP_REPLICATED, now_ms);
 }
 
 uint32_t
@@ -291,7 +291,7 @@
 			continue;
 		count++;
 		target->suspected_ms = now_ms;
-		suspect(warmup, target, now_ms);
+		suspect(warmup, target, HUB_WARMUP_SUSPECTED, now_ms);
 	}
 	return (count);
 }
@@ -306,7 +306,7 @@
 	     target = target->hh.next) {
 		if (target->is_suspected &&
 		    target->cold_until_ms - now_ms < HUB_WARMUP_PROLONG_MS)
-			suspect(warmup, target, now_ms);
+			suspect(warmup, target, HUB_WARMUP_SUSPECTED, now_ms);
 		count += (uint32_t)is_cold(target, now_ms);
 	}
 	return (count);
--- a/test/unit/hub_warmup_test.cc
+++ b/test/unit/hub_warmup_test.cc
@@ -255,6 +255,9 @@
 	hub_warmup_restore(warmup_, &there, kStart + 2000);
 	EXPECT_GT(Left(kStart + 2000), 0);
 	EXPECT_EQ(0, Left(kStart + 2000, there.key));
+	/* The permits of the leader before may still be used. */
+	ASSERT_EQ(1u, changes_.size());
+	EXPECT_EQ(HUB_WARMUP_REPLICATED, changes_[0].source);
 	Announce(5, 0, kStart + 2100);
 	EXPECT_EQ(0, Left(kStart + 2100));
 	hub_warmup_reset(warmup_);
