hub, gate: a permit is for one incarnation of a target

The leader granted permits for an incarnation that it no longer had without counting them, and gates used a permit by the key of the target: requests reached the next, cold start uncounted. The leader refuses these, and gates drop a permit if the target has restarted since, and ask again. The leader does not name the incarnation of a reservation: it is the one that the gate knows on receipt. No unit test covers this.

--- a/src/gate/gate_limit_permit.c
+++ b/src/gate/gate_limit_permit.c
@@ -17,6 +17,15 @@
 	return (request->limit_refusals >= REFUSALS_MAX);
 }
 
+/* @return 1 if a target is in the incarnation that a permit is for. A target that
+ * has restarted since is cold again, and the permit was not counted for it. */
+static int
+is_permitted(const gate_request_t *request, const gate_target_t *target)
+{
+	return (target != NULL &&
+	    target->incarnation_ms == request->permit_incarnation_ms);
+}
+
 /* gate_permit_cb */
 static void
 on_permit(void *ctx, const gate_permit_reply_t *reply)
@@ -30,6 +39,8 @@
 	int is_granted = reply->result == GATE_PERMIT_GRANTED;
 
 	request->permit_id = 0;
+	if (!is_permitted(request, target))
+		target = NULL;
 	if (reply->result == GATE_PERMIT_UNKNOWN) {
 		request->is_leader_silent = 1;
 	} else if (target != NULL && is_granted &&
@@ -82,6 +93,7 @@
 	msg.born_ms = target->incarnation_ms;
 	msg.limit = target->limit.value;
 	request->permit_target = target->key;
+	request->permit_incarnation_ms = target->incarnation_ms;
 	send_request(request, &msg, on_permit);
 }
 
@@ -99,10 +111,17 @@
 on_reserved(void *ctx, const gate_permit_reply_t *reply)
 {
 	gate_request_t *request = ctx;
+	const gate_target_t *target;
 
 	request->permit_id = 0;
 	if (reply->result == GATE_PERMIT_GRANTED) {
+		/* The leader names no incarnation: it is the one that the gate
+		 * knows now. */
+		target =
+		    gate_table_find_target(request->gate->table, reply->target);
 		request->reserved_target = reply->target;
+		request->permit_incarnation_ms =
+		    target != NULL ? target->incarnation_ms : 0;
 		gate_request_schedule(
 		    request, GATE_REFUSAL_LIMITED, reply->wait_ms);
 	} else if (reply->result == GATE_PERMIT_REFUSED) {
@@ -143,7 +162,8 @@
 	target = gate_table_find_target(
 	    request->gate->table, request->reserved_target);
 	request->reserved_target = 0;
-	if (target == NULL || !gate_target_is_usable(target, &pick_options))
+	if (!is_permitted(request, target) ||
+	    !gate_target_is_usable(target, &pick_options))
 		return (0);
 	gate_attempt_send(request, target, 0);
 	return (1);
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -55,6 +55,7 @@
 	/** Key of the target that holds a permit for the request from wake_ms
 	 * on; 0: none. */
 	uint64_t reserved_target;
+	uint64_t permit_incarnation_ms; /**< of either of them */
 	int64_t wake_ms;
 	int has_token; /**< its token is consumed */
 	gate_target_t *target; /**< referenced while an attempt runs */
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -284,7 +284,19 @@
 	return (permit);
 }
 
-/* A leader that does not know the limit yet learns it from the request. */
+/* @return 1 if a target is still in the incarnation that a gate means */
+static int
+is_current(const hub_t *hub, const hub_signal_key_t *key)
+{
+	const hub_target_t *target =
+	    hub_state_find_target(hub->state, key->target);
+
+	return (target != NULL && target->as.born_ms == key->incarnation_ms &&
+	    target->as.state != FLEET_TARGET_DEREGISTERED);
+}
+
+/* A leader that does not know the limit yet learns it from the request. No permit
+ * counts for an incarnation before: the next one has limits of its own. */
 static hub_permit_t
 acquire_limited(
     hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
@@ -292,6 +304,8 @@
 	const hub_signal_key_t key = { spend->target, spend->born_ms };
 	hub_permit_t permit = { .is_granted = 0 };
 
+	if (!is_current(hub, &key))
+		return (permit);
 	if (hub_signals_get_limit(hub->signals, &key) == FLEET_LIMIT_UNKNOWN)
 		set_limit(hub, &key, spend->limit, from, now_ms);
 	permit.wait_ms =
