--- a/src/hub/hub_relay.h
+++ b/src/hub/hub_relay.h
@@ -8,9 +8,8 @@
  * It acts only while it is in contact with the leader: the newest answer of the
  * leader is to a batch of the last HUB_RELAY_LEASE_MS. Each answer names the
  * targets that have changed since the last, which are forgotten here. What a lost
- * batch told is told again. A new
- * leader confirms all targets anew. The caller owns the state. Does no I/O but
- * through the send callback, and reads no clock.
+ * batch told is told again. A new leader confirms all targets anew. The caller owns
+ * the state. Does no I/O but through the send callback, and reads no clock.
  */
 #ifndef TM_HUB_HUB_RELAY_H
 #define TM_HUB_HUB_RELAY_H
