--- a/test/unit/hub_relay_test.cc
+++ b/test/unit/hub_relay_test.cc
@@ -316,6 +316,57 @@
 	EXPECT_EQ(HUB_RELAY_PASS, hub_relay_decide(relay, &other, fleet.now_));
 }
 
+// The leader took an announcement that it was told of late for a newer one.
+TEST(HubRelay, LeaderIsNotToldALaterTimeOfAnAnnouncement)
+{
+	Fleet fleet(5, 300);
+
+	Settle(&fleet);
+	Target &target = fleet.targets_[7];
+	Fleet::Hub *hub = fleet.hubs_[(size_t)target.home].get();
+	uint64_t key = fleet_name_hash(target.as.id);
+	target.due_ms = INT64_MAX;
+	dialect_announcement_t other = fleet.targets_[8].as;
+	fleet.targets_[8].due_ms = INT64_MAX;
+	for (int offset_ms = 0; offset_ms < 100; offset_ms += 5) {
+		/* Its confirmation brings a later time of the leader. */
+		other.sequence++;
+		other.slots++;
+		fleet.Call(target.home, other, false, [](int) {});
+		fleet.Run(offset_ms);
+		int64_t said_ms = fleet.now_;
+		target.as.sequence++;
+		ASSERT_EQ(HUB_RELAY_ANSWER,
+		    hub_relay_decide(hub->relay, &target.as, fleet.now_));
+		fleet.Run(2 * HUB_RELAY_BATCH_MS);
+		EXPECT_LE(fleet.said_ms_[key], said_ms);
+		EXPECT_GT(fleet.said_ms_[key], said_ms - kIntervalMs);
+	}
+}
+
+// A target without a start time restarted with lower sequences, and its draining
+// was acknowledged without the leader.
+TEST(HubRelay, WithoutAStartTimeALowerSequenceIsPassedOn)
+{
+	Fleet fleet(5, 300);
+
+	Settle(&fleet);
+	hub_relay_t *relay = fleet.hubs_[1]->relay;
+	dialect_announcement_t as = fleet.targets_[7].as;
+	snprintf(as.id, sizeof(as.id), "restarted");
+	as.born_ms = 0;
+	as.port++;
+	as.sequence = 50;
+	fleet.Call(1, as, false, [](int) {});
+	fleet.Run(200);
+	as.sequence = 51;
+	EXPECT_EQ(HUB_RELAY_ANSWER, hub_relay_decide(relay, &as, fleet.now_));
+	as.sequence = 1;
+	EXPECT_EQ(HUB_RELAY_PASS, hub_relay_decide(relay, &as, fleet.now_));
+	as.state = FLEET_TARGET_DRAINING;
+	EXPECT_EQ(HUB_RELAY_PASS, hub_relay_decide(relay, &as, fleet.now_));
+}
+
 /* @return 1 if a hub that is cut off from the leader for 2 s answers */
 static int
 AnswersWhenCutOff(uint32_t switches)
