--- a/src/hub/hub_cold.c
+++ b/src/hub/hub_cold.c
@@ -198,7 +198,8 @@
 		return;
 	targets =
 	    hub_warmup_suspect(hub->warmup, fleet_name_hash(name), now_ms);
-	if (!hub_role_has_state(&hub->role, hub->raft))
+	/* A snapshot is restored before the log is there. */
+	if (hub->raft == NULL || !hub_role_has_state(&hub->role, hub->raft))
 		return;
 	LOG_EVENT(936, LOG_LEVEL_INFO,
 	    "targets of a data centre count as cold until they announce themselves",
