hub: admission counts the slots of targets without a recent report

A target that gets few requests reports seldom: with ten targets for each machine about a third had no report of the last 1.5 s, and right after a change of leader nearly none had. Admission took the service for that much smaller. HubLoad.TargetsInUseWithoutAReportHaveSlots; 18 tests of load and admission pass.

--- a/src/hub/hub_admission.h
+++ b/src/hub/hub_admission.h
@@ -28,7 +28,7 @@
 /** A service as hub_load sees it. */
 typedef struct hub_admission_load {
 	uint64_t service;
-	double slots; /**< of the targets in use */
+	double slots; /**< of the targets in use; 0: none tells its load */
 	double requests; /**< running and queued there */
 	double work_ms; /**< mean time of a request without waiting */
 } hub_admission_load_t;
--- a/src/hub/hub_load.c
+++ b/src/hub/hub_load.c
@@ -23,6 +23,7 @@
 	uint64_t id;
 	double requests; /* of targets in use with a current load */
 	double slots;
+	double slots_in_use; /* of all targets in use */
 	double work_ms;
 	uint32_t successes; /* since the last update */
 	uint64_t latency_sum_ms;
@@ -171,13 +172,18 @@
 	service_load_t *service =
 	    get_service(load, fleet_name_hash(target->as.service));
 	target_load_t *reported;
+	double usable;
 
 	HASH_FIND(
 	    hh, load->targets, &target->key, sizeof(target->key), reported);
-	if (service == NULL || reported == NULL)
+	if (service == NULL)
+		return;
+	usable = get_usable_slots(load, service, target, now_ms);
+	service->slots_in_use += usable;
+	if (reported == NULL)
 		return;
 	service->requests += reported->requests;
-	service->slots += get_usable_slots(load, service, target, now_ms);
+	service->slots += usable;
 	list_if_full(load, service, target, reported);
 }
 
@@ -220,6 +226,7 @@
 	HASH_ITER(hh, load->services, service, next) {
 		service->requests = 0;
 		service->slots = 0;
+		service->slots_in_use = 0;
 	}
 	load->full.count = 0;
 	for (target = state->targets; target != NULL;
@@ -240,7 +247,7 @@
 			.service = service->id,
 			.load = get_utilization(service),
 			.work_ms = service->work_ms,
-			.slots = service->slots,
+			.slots = service->slots > 0 ? service->slots_in_use : 0,
 		};
 	}
 }
--- a/src/hub/hub_load.h
+++ b/src/hub/hub_load.h
@@ -21,7 +21,7 @@
 	uint64_t service;
 	double load; /**< requests per slot of the targets in use */
 	double work_ms; /**< mean time of a request without waiting */
-	double slots; /**< of the targets in use */
+	double slots; /**< of all targets in use, with a current load or not */
 } hub_utilization_t;
 
 /** Most services that are listed; further ones are left out. */
--- a/test/unit/hub_load_test.cc
+++ b/test/unit/hub_load_test.cc
@@ -83,6 +83,20 @@
 	EXPECT_DOUBLE_EQ(0, Update().load);
 }
 
+// Targets that get few requests report seldom: admission would take their service
+// for a smaller one, and refuse what fits.
+TEST_F(HubLoad, TargetsInUseWithoutAReportHaveSlots)
+{
+	uint64_t a = Add("a");
+
+	Add("b");
+	Add("c");
+	EXPECT_DOUBLE_EQ(0, Update().slots);
+	hub_load_record(load_, a, 2, now_);
+	EXPECT_DOUBLE_EQ(2.0 / 4, Update().load);
+	EXPECT_DOUBLE_EQ(12, Update().slots);
+}
+
 TEST_F(HubLoad, WorkTimeExcludesWaiting)
 {
 	uint64_t a = Add("a");
