--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -1,5 +1,4 @@
 #include "fleet/fleet_config.h"
-#include "fleet/fleet_defs.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +8,7 @@
 #include <xxhash.h>
 
 #include "base/error.h"
+#include "fleet/fleet_defs.h"
 
 #define MS_PER_S 1000.0
 
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -1,4 +1,5 @@
 #include "hub/hub_feed.h"
+#include "hub/hub_feed_lease.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -14,8 +15,6 @@
  * tables are not worth it. */
 #define TABLE_REUSE_MS	 50
 #define TABLE_REUSE_ROWS 300
-/* Most loaded services in a lease. */
-#define LOADED_SERVICES_MAX 64
 
 typedef struct feed_gate {
 	node_id_t id;
@@ -385,30 +384,6 @@
 	return (gate);
 }
 
-/* Lists the services with at least one request per slot; gates need no others.
- */
-static size_t
-fill_loaded_services(const hub_feed_lease_t *lease, Tm__Fleet__Pressure *msgs,
-    Tm__Fleet__Pressure **pointers)
-{
-	size_t count = 0;
-	size_t i;
-
-	for (i = 0; i < lease->utilization_count && count < LOADED_SERVICES_MAX;
-	     i++) {
-		if (lease->utilizations[i].load < 1)
-			continue;
-		tm__fleet__pressure__init(&msgs[count]);
-		msgs[count].service = lease->utilizations[i].service;
-		msgs[count].load_percent =
-		    (uint32_t)(100 * lease->utilizations[i].load);
-		msgs[count].work_ms = (uint32_t)lease->utilizations[i].work_ms;
-		pointers[count] = &msgs[count];
-		count++;
-	}
-	return (count);
-}
-
 /* @return number of gates that have not expired, including those that this new
  * leader has not heard from yet */
 static uint32_t
@@ -422,66 +397,12 @@
 	return (known);
 }
 
-static void
-fill_full_targets(const hub_full_targets_t *full, Tm__Fleet__Lease *msg,
-    uint32_t *ages_ms, int64_t now_ms)
-{
-	size_t i;
-
-	for (i = 0; i < full->count; i++)
-		ages_ms[i] = (uint32_t)(now_ms - full->reported_ms[i]);
-	msg->full_targets = (uint64_t *)full->keys;
-	msg->n_full_targets = full->count;
-	msg->full_loads = (uint32_t *)full->requests;
-	msg->n_full_loads = full->count;
-	msg->full_ages_ms = ages_ms;
-	msg->n_full_ages_ms = full->count;
-}
-
-/* Buffers that the decisions on full services in a lease point to. */
-typedef struct feed_admissions {
-	Tm__Fleet__Admission msgs[HUB_ADMISSION_LIST_MAX];
-	Tm__Fleet__Admission *pointers[HUB_ADMISSION_LIST_MAX];
-	uint32_t shares[HUB_ADMISSION_LIST_MAX][HUB_ADMISSION_CLASSES];
-} feed_admissions_t;
-
-static void
-fill_admissions(const hub_feed_lease_t *lease, feed_admissions_t *out,
-    Tm__Fleet__Lease *msg)
-{
-	const double thousandths = 1000;
-	const hub_admission_decision_t *decision;
-	size_t i;
-	size_t j;
-
-	for (i = 0; i < lease->admission_count; i++) {
-		decision = &lease->admissions[i];
-		tm__fleet__admission__init(&out->msgs[i]);
-		out->msgs[i].service = decision->service;
-		for (j = 0; j < HUB_ADMISSION_CLASSES; j++)
-			out->shares[i][j] =
-			    (uint32_t)(thousandths * decision->shares[j]);
-		out->msgs[i].shares = out->shares[i];
-		out->msgs[i].n_shares = HUB_ADMISSION_CLASSES;
-		out->msgs[i].wait_ms = (uint32_t)decision->wait_ms;
-		out->msgs[i].milli_per_s =
-		    (uint32_t)(thousandths * decision->per_s);
-		out->pointers[i] = &out->msgs[i];
-	}
-	msg->decides_admission = lease->decides_admission;
-	msg->admissions = out->pointers;
-	msg->n_admissions = lease->admission_count;
-}
-
 static void
 send_lease(hub_feed_t *feed, const feed_gate_t *gate,
     const Tm__Fleet__Join *join, const hub_feed_lease_t *lease, int64_t now_ms)
 {
 	Tm__Fleet__Lease msg = TM__FLEET__LEASE__INIT;
-	Tm__Fleet__Pressure utilizations[LOADED_SERVICES_MAX];
-	Tm__Fleet__Pressure *pointers[LOADED_SERVICES_MAX];
-	uint32_t ages_ms[HUB_LOAD_FULL_MAX];
-	feed_admissions_t admissions;
+	hub_feed_lease_parts_t parts;
 
 	msg.sent_ms = join->sent_ms;
 	msg.is_leader = 1;
@@ -491,13 +412,7 @@
 	msg.term = lease->term;
 	msg.config_version = feed->options.state->document.version;
 	msg.gates = get_fleet_size(feed, now_ms);
-	msg.pressures = pointers;
-	msg.n_pressures = fill_loaded_services(lease, utilizations, pointers);
-	msg.idle_services = (uint64_t *)lease->idle_services;
-	msg.n_idle_services = lease->idle_service_count;
-	if (lease->full != NULL)
-		fill_full_targets(lease->full, &msg, ages_ms, now_ms);
-	fill_admissions(lease, &admissions, &msg);
+	hub_feed_lease_fill(lease, &parts, &msg, now_ms);
 	feed->options.send(
 	    feed->options.send_ctx, gate->id, MSG_FLEET_LEASE, &msg.base);
 }
