--- a/Makefile
+++ b/Makefile
@@ -174,11 +174,12 @@
 
 install-files: all
 	install -d $(INSTALL_DIR)/bin $(INSTALL_DIR)/share/man/man1 \
-		$(DOC_DIR)/examples $(UNIT_DIR)
+		$(DOC_DIR)/examples $(DOC_DIR)/design $(UNIT_DIR)
 	install -m 0755 $(BINS) $(INSTALL_DIR)/bin
 	install -m 0644 man/*.1 $(INSTALL_DIR)/share/man/man1
 	install -m 0644 README.md CONTRIBUTING.md docs/*.md $(DOC_DIR)
 	sed -i 's|](docs/|](|g' $(DOC_DIR)/README.md $(DOC_DIR)/CONTRIBUTING.md
+	install -m 0644 docs/design/*.md $(DOC_DIR)/design
 	cp -r examples/. $(DOC_DIR)/examples
 	chmod -R u=rwX,go=rX $(DOC_DIR)/examples
 	for unit in contrib/systemd/*.service; do \
--- a/src/gate/gate_explain_http.c
+++ b/src/gate/gate_explain_http.c
@@ -386,7 +386,9 @@
 	    "table_sequence", (json_int_t)gate_table_get_sequence(gate->table),
 	    "has_leader", gate_link_has_leader(gate->link, now_ms),
 	    "lease_age_ms",
-	    (json_int_t)(gate->lease_ms != 0 ? now_ms - gate->lease_ms : -1)));
+	    (json_int_t)(gate_link_get_term(gate->link) != 0
+		    ? gate_link_get_answer_age_ms(gate->link, now_ms)
+		    : -1)));
 }
 
 static void
