gate, hub: read-through of the whole change

No behaviour changes.

- The service of a request is looked up once in its admission, not up to three times.
- One constant for the classes of priority that gates and hubs exchange, one for the default deadline of a gate, and one function for the priority of a request; each was there twice.
- What gate_choice.c defines is declared in gate_choice.h; what only the modules of the hub call is declared in hub_internal.h.
- The count of forgotten targets in the relay was never read, and is gone.
- Reasons for the numbers of connections and hubs are at the constants; comments that repeated a header are gone, one that had been lost is back.

--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -205,7 +205,8 @@
 	arguments_t a = {
 		.help = arg_lit0("h", "help", "print this text"),
 		.server = arg_strn("s", "server", "IP:PORT[,...]", 0, 16,
-		    "control VMs, hubs for evacuation, or a gate for explain route; default: $" SERVERS_VARIABLE),
+		    "control VMs, hubs for evacuation, or a gate for explain "
+		    "route; default: $" SERVERS_VARIABLE),
 		.entry = arg_strn("e", "entry", "IP:PORT[,...]", 0, 16,
 		    "status, explain: ops listeners instead of the directory"),
 		.token_file = arg_file0("t", "token-file", "FILE",
--- a/src/fleet/dialect.h
+++ b/src/fleet/dialect.h
@@ -29,8 +29,8 @@
 			    * all gates together; a decimal number */
 	const char *not_run; /**< present: the target did not execute it */
 	const char *signature; /**< present on responses that a target made */
-	const char
-	    *warmup_left; /**< time for which a target stays cold, in ms */
+	/** Time for which a target stays cold, in ms; NULL: it has none. */
+	const char *warmup_left;
 } dialect_headers_t;
 
 /** Kind of a call to a hub. */
--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -368,6 +368,15 @@
 		(plain * bounds->overshoot + bounds->slack));
 }
 
+int32_t
+fleet_route_get_priority(
+    const fleet_route_t *route, const fleet_workspace_t *workspace)
+{
+	return (workspace != NULL && workspace->has_priority
+		? workspace->priority
+		: route->priority);
+}
+
 uint32_t
 fleet_config_get_features(const fleet_config_t *config, uint32_t features)
 {
--- a/src/fleet/fleet_config.h
+++ b/src/fleet/fleet_config.h
@@ -175,6 +175,11 @@
 double fleet_workspace_get_limit(
     const fleet_workspace_t *workspace, const fleet_rate_bounds_t *bounds);
 
+/** @return priority of a request: that of its workspace, if it has one, else of
+ * the route. @param workspace  NULL: none */
+int32_t fleet_route_get_priority(
+    const fleet_route_t *route, const fleet_workspace_t *workspace);
+
 /**
  * @param features  that the settings require
  * @return          set of fleet_feature_t that the settings or the document
--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -29,12 +29,17 @@
 #define FLEET_IP_BYTES 16
 /** Longest id of a target. */
 #define FLEET_TARGET_ID_MAX_BYTES 63
-/** Most hubs and seeds that a process knows. */
+/** Most hubs and seeds that a process knows; a fleet of 300 machines has some
+ * 40. */
 #define FLEET_HUBS_MAX 64
 
 /** Most data centres that are evacuated at the same time. */
 #define FLEET_EVACUATIONS_MAX 64
 
+/** Classes of priority in demands and decisions on admission, the most urgent
+ * first; larger priorities are in the last one. */
+#define FLEET_PRIORITY_CLASSES 4
+
 /** What a deployment requires beyond the common functions; bits of a set. */
 typedef enum fleet_feature {
 	/** Callers compete for too little capacity, or requests of very
--- a/src/gate/gate_alone.c
+++ b/src/gate/gate_alone.c
@@ -1,5 +1,7 @@
 #include "gate/gate_alone.h"
 
+#include "gate/gate_choice.h"
+
 /* Share of a service's requests that may be trials. */
 #define TRIAL_SHARE 0.1
 /* The first trials of the gates of a fleet are spread over this time. */
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -7,10 +7,11 @@
 #include "base/log.h"
 #include "entry/forward.h"
 #include "gate/gate_admission.h"
+#include "gate/gate_choice.h"
 #include "gate/gate_crash_check.h"
 #include "gate/gate_evidence.h"
-#include "gate/gate_metrics.h"
 #include "gate/gate_limit_permit.h"
+#include "gate/gate_metrics.h"
 #include "gate/gate_probe.h"
 #include "gate/gate_stall.h"
 
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -59,9 +59,9 @@
 	Tm__Fleet__Outcome *outcomes; /**< of the renewal that is being sent */
 	Tm__Fleet__Outcome **outcome_pointers;
 	gate_demands_t demands; /**< of the renewal that is being sent */
-	int64_t
-	    lease_ms; /**< when the newest lease came whose leader decides on
-			   * admission; 0: none */
+	/** When the newest lease came whose leader decides on admission; 0:
+	 * none. */
+	int64_t lease_ms;
 	http_server_t *callers;
 	http_server_t *ready;
 	http_server_t *metrics_server;
--- a/src/gate/gate_demand.c
+++ b/src/gate/gate_demand.c
@@ -7,7 +7,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < GATE_SHARE_CLASSES; i++) {
+	for (i = 0; i < FLEET_PRIORITY_CLASSES; i++) {
 		if (share->requests[i] > 0)
 			return (1);
 	}
@@ -31,7 +31,7 @@
 		tm__fleet__demand__init(msg);
 		msg->service = service->id;
 		msg->requests = service->share.requests;
-		msg->n_requests = GATE_SHARE_CLASSES;
+		msg->n_requests = FLEET_PRIORITY_CLASSES;
 		msg->soft_deadline_sum_ms = service->share.soft_deadline_sum_ms;
 		demands->pointers[join->n_demands++] = msg;
 	}
--- a/src/gate/gate_evidence.c
+++ b/src/gate/gate_evidence.c
@@ -57,7 +57,6 @@
 		gate_link_get_answer_age_ms(request->gate->link, now_ms)));
 }
 
-/* Records the outcome of an attempt in the table and reports it. */
 void
 gate_evidence_record(gate_request_t *request, gate_target_t *target,
     fleet_evidence_t kind, int status)
@@ -83,7 +82,6 @@
 		gate_evidence_report(request, target, kind, request->is_probe);
 }
 
-/* Learns from a successful response, after the load in it was recorded. */
 void
 gate_evidence_record_cost(
     const gate_request_t *request, gate_target_t *target, int64_t received_ms)
@@ -102,7 +100,6 @@
 	    request->gate->cost, &request->cost_key, &target->speed, &outcome);
 }
 
-/* Records what a target says of itself, and tells the leader what is new. */
 void
 gate_evidence_record_signals(const gate_request_t *request,
     gate_target_t *target, const upstream_response_t *response)
--- a/src/gate/gate_explain.c
+++ b/src/gate/gate_explain.c
@@ -7,10 +7,9 @@
 #include "base/error.h"
 #include "fleet/fleet_limit.h"
 #include "gate/gate_admission.h"
+#include "gate/gate_choice.h"
 #include "gate/gate_probe.h"
-
-/* Deadline of a request if its route sets none, as in gate_front.c. */
-#define DEADLINE_DEFAULT_MS 30000
+#include "gate/gate_settings.h"
 
 static void
 find_workspace(const gate_explain_query_t *query, gate_explain_t *result)
@@ -38,11 +37,9 @@
 		.workspace = workspace != NULL ? workspace->id : 0,
 	};
 
-	result->priority = workspace != NULL && workspace->has_priority
-	    ? workspace->priority
-	    : route->priority;
-	result->timeout_ms =
-	    route->timeout_ms > 0 ? route->timeout_ms : DEADLINE_DEFAULT_MS;
+	result->priority = fleet_route_get_priority(route, workspace);
+	result->timeout_ms = route->timeout_ms > 0 ? route->timeout_ms
+						   : GATE_DEADLINE_DEFAULT_MS;
 	result->soft_deadline_ms = route->soft_deadline_ms > 0
 	    ? route->soft_deadline_ms
 	    : result->timeout_ms;
--- a/src/gate/gate_explain_http.c
+++ b/src/gate/gate_explain_http.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "gate/gate_choice.h"
 #include "gate/gate_explain.h"
 
 #define CALL_PATH	 "/v1/explain"
--- a/src/gate/gate_front.c
+++ b/src/gate/gate_front.c
@@ -8,8 +8,6 @@
 
 /* Longest deadline header, in digits of milliseconds. */
 #define DEADLINE_DIGITS_MAX 9
-/* Deadline of a request if neither its caller nor its route sets one. */
-#define DEADLINE_DEFAULT_MS 30000
 
 /* Requests wait at most this long, and at most this many of them, for the first
  * configuration; a starting process gets it within about this time. */
@@ -217,7 +215,8 @@
 set_deadline(front_check_t *check)
 {
 	int64_t timeout_ms = check->options.route->timeout_ms;
-	int64_t limit_ms = timeout_ms > 0 ? timeout_ms : DEADLINE_DEFAULT_MS;
+	int64_t limit_ms =
+	    timeout_ms > 0 ? timeout_ms : GATE_DEADLINE_DEFAULT_MS;
 	int64_t requested_ms = read_deadline_ms(check);
 
 	if (requested_ms >= 0 && requested_ms < limit_ms)
--- a/src/gate/gate_limit_permit.c
+++ b/src/gate/gate_limit_permit.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "fleet/fleet_config.h"
 #include "gate/gate_attempt.h"
+#include "gate/gate_choice.h"
 
 /* Longest time for which a request waits for a permit of a target with a limit,
  * as a fraction of its soft deadline. */
--- a/src/gate/gate_probe.c
+++ b/src/gate/gate_probe.c
@@ -1,5 +1,7 @@
 #include "gate/gate_probe.h"
 
+#include "gate/gate_choice.h"
+
 #define KEEP_MS 500
 
 int
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -410,49 +410,35 @@
 
 /* Admission by utilization is decided once, when the request arrives. */
 static int
-service_admits(gate_request_t *request, int64_t now_ms)
+service_admits(
+    const gate_request_t *request, gate_service_t *service, int64_t now_ms)
 {
-	gate_table_t *table = request->gate->table;
-	gate_service_t *service =
-	    gate_table_find_service(table, request->service);
-
 	if (request->state != GATE_STATE_NEW || service == NULL)
 		return (1);
 	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0)
 		return (share_admits(request, service, now_ms));
-	return (gate_table_admits(table, service, request->soft_deadline_ms,
-	    request->priority, now_ms));
+	return (gate_table_admits(request->gate->table, service,
+	    request->soft_deadline_ms, request->priority, now_ms));
 }
 
 /* @return time until the caller of a request that a full service does not admit
  * should return; 0: the default */
 static int64_t
-get_return_ms(const gate_request_t *request, int64_t now_ms)
+get_return_ms(
+    const gate_request_t *request, gate_service_t *service, int64_t now_ms)
 {
-	gate_service_t *service =
-	    gate_table_find_service(request->gate->table, request->service);
-
-	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0 ||
-	    service == NULL)
+	if ((request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
 		return (0);
 	return (gate_share_take_return_ms(&service->share, now_ms));
 }
 
-static int
-is_evacuated(const gate_request_t *request)
-{
-	const gate_service_t *service =
-	    gate_table_find_service(request->gate->table, request->service);
-
-	return (service != NULL && gate_service_is_evacuated(service));
-}
-
 /* Obtains a token for the request, then sends it. */
 static void
 admit(gate_request_t *request)
 {
 	gate_t *gate = request->gate;
 	int64_t now_ms = clock_now_ms();
+	gate_service_t *service;
 
 	if (request->has_token) {
 		gate_request_proceed(request);
@@ -465,13 +451,14 @@
 		gate_request_refuse(request, GATE_REFUSAL_DRAINING, 0);
 		return;
 	}
-	if (is_evacuated(request)) {
+	service = gate_table_find_service(gate->table, request->service);
+	if (service != NULL && gate_service_is_evacuated(service)) {
 		gate_request_refuse(request, GATE_REFUSAL_EVACUATED, 0);
 		return;
 	}
-	if (!service_admits(request, now_ms)) {
+	if (!service_admits(request, service, now_ms)) {
 		gate_request_refuse(request, GATE_REFUSAL_SERVICE_FULL,
-		    get_return_ms(request, now_ms));
+		    get_return_ms(request, service, now_ms));
 		return;
 	}
 	if (request->has_rate && !gate_link_is_current(gate->link, now_ms)) {
@@ -512,9 +499,7 @@
 	request->route_id = fleet_name_hash(options->route->name);
 	request->repeat_allowed = options->route->repeat_allowed;
 	request->attempts_max = options->route->attempts_max;
-	request->priority = workspace != NULL && workspace->has_priority
-	    ? workspace->priority
-	    : options->route->priority;
+	request->priority = fleet_route_get_priority(options->route, workspace);
 	request->soft_deadline_ms = options->route->soft_deadline_ms > 0
 	    ? options->route->soft_deadline_ms
 	    : options->deadline_ms - options->started_ms;
--- a/src/gate/gate_settings.h
+++ b/src/gate/gate_settings.h
@@ -14,6 +14,9 @@
 #include "fleet/dialect.h"
 #include "settings/program_settings.h"
 
+/** Deadline of a request if neither its caller nor its route sets one. */
+#define GATE_DEADLINE_DEFAULT_MS 30000
+
 typedef struct gate_settings {
 	char node[NAME_MAX_BYTES + 1]; /**< for logs */
 	char zone[NAME_MAX_BYTES + 1];
--- a/src/gate/gate_share.c
+++ b/src/gate/gate_share.c
@@ -26,8 +26,8 @@
 {
 	if (priority < 0)
 		return (0);
-	return (priority < GATE_SHARE_CLASSES ? (uint32_t)priority
-					      : GATE_SHARE_CLASSES - 1);
+	return (priority < FLEET_PRIORITY_CLASSES ? (uint32_t)priority
+						  : FLEET_PRIORITY_CLASSES - 1);
 }
 
 void
@@ -36,7 +36,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < GATE_SHARE_CLASSES; i++)
+	for (i = 0; i < FLEET_PRIORITY_CLASSES; i++)
 		share->shares[i] =
 		    i < decision->n_shares ? decision->shares[i] / 1000.0 : 1;
 	share->decided_ms = now_ms;
--- a/src/gate/gate_share.h
+++ b/src/gate/gate_share.h
@@ -11,24 +11,22 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "fleet/fleet_defs.h"
 #include "gate/gate_flows.h"
 #include "proto/fleet.pb-c.h"
 
-/** Classes of priority, the most urgent first; see hub_admission.h. */
-#define GATE_SHARE_CLASSES 4
-
 /** All zeros: the service is not full. */
 typedef struct gate_share {
-	uint32_t requests[GATE_SHARE_CLASSES]; /**< since the last report */
+	uint32_t requests[FLEET_PRIORITY_CLASSES]; /**< since the last report */
 	uint64_t soft_deadline_sum_ms; /**< of these requests */
-	double shares[GATE_SHARE_CLASSES]; /**< that the leader admits */
+	double shares[FLEET_PRIORITY_CLASSES]; /**< that the leader admits */
 	int64_t decided_ms; /**< when the lease with them came; 0: never */
 	int64_t wait_ms; /**< until there is likely to be room */
 	double per_s; /**< requests that this gate may send meanwhile */
 	int64_t return_ms; /**< when the next refused caller may return */
 	double shed_share; /**< of the recent attempts */
 	/** Mean part of a class's requests beyond what is usual for their flows. */
-	double unusual[GATE_SHARE_CLASSES];
+	double unusual[FLEET_PRIORITY_CLASSES];
 	gate_flows_t workspaces;
 	gate_flows_t routes;
 } gate_share_t;
--- a/src/gate/gate_subset.c
+++ b/src/gate/gate_subset.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "gate/gate_choice.h"
 #include "gate/gate_table.h"
 
 /* Idle connections are reused until this margin before the target's keep-alive
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -35,15 +35,6 @@
 /** Largest number of targets that one request is sent to. */
 #define GATE_TRIED_MAX 8
 
-/* Preference classes of targets, from 0 (must not be used) on. */
-#define GATE_RANK_EJECTED 1
-/** Open to probes. */
-#define GATE_RANK_PROBE 2
-/** Healthy, but avoided by this gate. */
-#define GATE_RANK_HEALTHY 3
-/** Healthy and not avoided. */
-#define GATE_RANK_PREFERABLE 4
-
 struct gate_service;
 
 /** A target; valid until the next change of the table unless a reference is
@@ -194,10 +185,6 @@
 void gate_table_set_utilization(gate_table_t *table, uint64_t id,
     double utilization, double work_ms, int64_t now_ms);
 
-/** @return 1 if a healthy target is left that the request has not tried */
-int gate_service_has_healthy(
-    const gate_service_t *service, const gate_pick_options_t *options);
-
 /**
  * Decides whether to admit a request to a service, so that admitted requests
  * are answered in time; the most urgent ones are admitted longest.
@@ -228,43 +215,6 @@
 gate_choice_t gate_table_pick(gate_table_t *table, gate_service_t *service,
     const gate_pick_options_t *options);
 
-/** @return 1 if a target of the service waits for a request like this one, so that
- * the leader is to be asked for it */
-int gate_service_asks_leader(
-    const gate_service_t *service, const gate_pick_options_t *options);
-
-/** @return 1 if a healthy target waits for its limit */
-int gate_service_has_waiting(
-    const gate_service_t *service, const gate_pick_options_t *options);
-
-/** @return shortest time until a target that wants a pause takes requests again,
- * in ms; 0: there is none */
-int64_t gate_service_get_pause_ms(
-    const gate_service_t *service, const gate_pick_options_t *options);
-
-/** @return preference class (GATE_RANK_...), higher is better; 0: must not be
- * used */
-int gate_target_get_rank(
-    const gate_target_t *target, const gate_pick_options_t *options);
-
-/** @return 1 if a target is ready and the request has not tried it; it may have
- * to wait for the target's limit */
-int gate_target_is_usable(
-    const gate_target_t *target, const gate_pick_options_t *options);
-
-/** @return 1 if a target is healthy, not avoided, and takes the request now */
-int gate_target_is_preferable(
-    const gate_target_t *target, const gate_pick_options_t *options);
-
-/**
- * @param expected_load  load per slot that is assumed where no recent one is
- *                       known
- * @param slowness       of gate_speed_get_slowness()
- * @return               load per slot with bonus and penalty; lower is better
- */
-double gate_target_get_score(const gate_target_t *target, double expected_load,
-    double slowness, int64_t now_ms);
-
 /** Records that the leader had no target for a request of a service. */
 void gate_service_delay_asking(gate_service_t *service, int64_t now_ms);
 
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -105,20 +105,4 @@
 /** @return 1 if targets are spread over the hubs */
 int hub_is_spreading(const hub_t *hub);
 
-/** Records at this leader how long a target says that it stays cold, and tells
- * gates at once if it turned cold.
- *
- * @param said_ms  earliest time at which the target can have said it */
-void hub_record_warmup(
-    hub_t *hub, const dialect_announcement_t *as, int64_t said_ms);
-
-/** @return 1 if that must be replicated: the target turned cold or warm, or stays
- * cold for longer */
-int hub_is_warmup_new(const hub_t *hub, const hub_target_t *known,
-    const dialect_announcement_t *as);
-
-/** Records that all targets of a data centre may have turned cold unnoticed. To be
- * called at all hubs, as they apply the entry that says so. */
-void hub_suspect_data_centre(hub_t *hub, const char *name, int64_t now_ms);
-
 #endif
--- a/src/hub/hub_admission.c
+++ b/src/hub/hub_admission.c
@@ -37,8 +37,8 @@
 	uint64_t id;
 	double soft_deadline_sum_ms; /* since the last update */
 	double soft_deadline_ms; /* mean of the requests; 0: none so far */
-	double asked[HUB_ADMISSION_CLASSES]; /* since the last update */
-	double per_s[HUB_ADMISSION_CLASSES];
+	double asked[FLEET_PRIORITY_CLASSES]; /* since the last update */
+	double per_s[FLEET_PRIORITY_CLASSES];
 	hub_admission_decision_t decision;
 	int is_full;
 	UT_hash_handle hh;
@@ -116,9 +116,9 @@
 	if (service == NULL)
 		return;
 	for (i = 0; i < demand->n_requests; i++)
-		service->asked[i < HUB_ADMISSION_CLASSES
+		service->asked[i < FLEET_PRIORITY_CLASSES
 			? i
-			: HUB_ADMISSION_CLASSES - 1] += demand->requests[i];
+			: FLEET_PRIORITY_CLASSES - 1] += demand->requests[i];
 	service->soft_deadline_sum_ms += (double)demand->soft_deadline_sum_ms;
 }
 
@@ -129,7 +129,7 @@
 	double asked = 0;
 	size_t i;
 
-	for (i = 0; i < HUB_ADMISSION_CLASSES; i++)
+	for (i = 0; i < FLEET_PRIORITY_CLASSES; i++)
 		asked += service->asked[i];
 	if (asked > 0 && service->soft_deadline_ms <= 0)
 		service->soft_deadline_ms =
@@ -139,7 +139,7 @@
 		    (service->soft_deadline_sum_ms / asked -
 			service->soft_deadline_ms);
 	service->soft_deadline_sum_ms = 0;
-	for (i = 0; i < HUB_ADMISSION_CLASSES; i++) {
+	for (i = 0; i < FLEET_PRIORITY_CLASSES; i++) {
 		service->per_s[i] = service->per_s[i] * keep +
 		    (1 - keep) * service->asked[i] * MS_PER_S / elapsed_ms;
 		service->asked[i] = 0;
@@ -152,7 +152,7 @@
 	double sum = 0;
 	size_t i;
 
-	for (i = 0; i < HUB_ADMISSION_CLASSES; i++)
+	for (i = 0; i < FLEET_PRIORITY_CLASSES; i++)
 		sum += service->per_s[i];
 	return (sum);
 }
@@ -173,14 +173,14 @@
  * rest by urgency. */
 static void
 share_out(const admission_service_t *service, double per_s, double total,
-    double shares[HUB_ADMISSION_CLASSES])
+    double shares[FLEET_PRIORITY_CLASSES])
 {
 	double least = CLASS_SHARE_MIN * fmin(1, per_s / total);
 	double left = per_s - least * total;
 	double extra;
 	size_t i;
 
-	for (i = 0; i < HUB_ADMISSION_CLASSES; i++) {
+	for (i = 0; i < FLEET_PRIORITY_CLASSES; i++) {
 		extra = service->per_s[i] >= DEMAND_MIN_PER_S
 		    ? left / service->per_s[i]
 		    : left > DEMAND_MIN_PER_S;
--- a/src/hub/hub_admission.h
+++ b/src/hub/hub_admission.h
@@ -16,12 +16,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "fleet/fleet_defs.h"
 #include "proto/fleet.pb-c.h"
 
 /** Most services that are listed; further ones are not restricted. */
 #define HUB_ADMISSION_LIST_MAX 64
-/** Classes of priority; larger priorities are in the last one. */
-#define HUB_ADMISSION_CLASSES 4
 
 typedef struct hub_admission hub_admission_t;
 
@@ -36,7 +35,7 @@
 /** Decision on a full service. */
 typedef struct hub_admission_decision {
 	uint64_t service;
-	double shares[HUB_ADMISSION_CLASSES]; /**< 0 to 1 */
+	double shares[FLEET_PRIORITY_CLASSES]; /**< 0 to 1 */
 	int64_t wait_ms; /**< until there is likely to be room */
 	double per_s; /**< requests that the service takes */
 	double asked_per_s; /**< requests that callers send */
--- a/src/hub/hub_announcements.c
+++ b/src/hub/hub_announcements.c
@@ -101,7 +101,7 @@
 }
 
 static int
-count(metric_t *metric, int err)
+count_unless_failed(metric_t *metric, int err)
 {
 	if (err >= TM_OK)
 		metric_add(metric, 1);
@@ -115,7 +115,7 @@
 	int64_t now_ms = clock_now_ms();
 
 	if (hub_is_leading(hub))
-		return (count(
+		return (count_unless_failed(
 		    hub->metric_announced, decide(hub, as, now_ms, done, ctx)));
 	switch (hub_relay_decide(hub->relay, as, now_ms)) {
 	case HUB_RELAY_ANSWER:
@@ -134,7 +134,7 @@
 	dialect_announcement_t as = { .born_ms = born_ms };
 
 	if (hub_is_leading(hub))
-		return (count(hub->metric_announced,
+		return (count_unless_failed(hub->metric_announced,
 		    decide_leave(hub, id, born_ms, done, ctx)));
 	strncpy(as.id, id, sizeof(as.id) - 1);
 	return (hub_relay_pass(hub->relay, &as, 1, done, ctx, clock_now_ms()));
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -11,6 +11,8 @@
 #include "http/http_server.h"
 #include "raft/raft.h"
 
+/* 300 gates, 63 hubs with a connection each way and the files leave room for so
+ * many in the 3,896 descriptors of a hub. */
 #define CONNECTIONS_MAX 3000
 #define IDLE_TIMEOUT_MS 30000
 #define ADDRESS_BYTES	(FLEET_IP_BYTES + 8)
--- a/src/hub/hub_api.h
+++ b/src/hub/hub_api.h
@@ -2,7 +2,8 @@
  * @file
  * HTTP interface of a hub for targets and operators, and its metrics. Any hub
  * answers targets; of the other calls only the leader answers, to which the
- * other hubs redirect. The API owns its listeners and reaches the state through hub.h only.
+ * other hubs redirect. The API owns its listeners and reaches the state through
+ * hub.h only.
  */
 #ifndef TM_HUB_HUB_API_H
 #define TM_HUB_HUB_API_H
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -1,5 +1,4 @@
 #include "hub/hub_feed.h"
-#include "hub/hub_feed_lease.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +7,7 @@
 
 #include "base/error.h"
 #include "fleet/fleet_limit.h"
+#include "hub/hub_feed_lease.h"
 #include "net/packed_msg.h"
 
 /* A whole table is packed once for the gates that join within this time: after a
--- a/src/hub/hub_feed_lease.c
+++ b/src/hub/hub_feed_lease.c
@@ -53,11 +53,11 @@
 		decision = &lease->admissions[i];
 		tm__fleet__admission__init(&out->admissions[i]);
 		out->admissions[i].service = decision->service;
-		for (j = 0; j < HUB_ADMISSION_CLASSES; j++)
+		for (j = 0; j < FLEET_PRIORITY_CLASSES; j++)
 			out->shares[i][j] =
 			    (uint32_t)(thousandths * decision->shares[j]);
 		out->admissions[i].shares = out->shares[i];
-		out->admissions[i].n_shares = HUB_ADMISSION_CLASSES;
+		out->admissions[i].n_shares = FLEET_PRIORITY_CLASSES;
 		out->admissions[i].wait_ms = (uint32_t)decision->wait_ms;
 		out->admissions[i].milli_per_s =
 		    (uint32_t)(thousandths * decision->per_s);
--- a/src/hub/hub_feed_lease.h
+++ b/src/hub/hub_feed_lease.h
@@ -17,7 +17,7 @@
 	uint32_t ages_ms[HUB_LOAD_FULL_MAX];
 	Tm__Fleet__Admission admissions[HUB_ADMISSION_LIST_MAX];
 	Tm__Fleet__Admission *admission_pointers[HUB_ADMISSION_LIST_MAX];
-	uint32_t shares[HUB_ADMISSION_LIST_MAX][HUB_ADMISSION_CLASSES];
+	uint32_t shares[HUB_ADMISSION_LIST_MAX][FLEET_PRIORITY_CLASSES];
 } hub_feed_lease_parts_t;
 
 /** Fills a message with the utilization of services, idle services, full targets
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * State of tm-hub, shared by hub.c, hub_cold.c, hub_lead.c and hub_messages.c. One hub_t
- * owns all modules below; all functions run on its event loop.
+ * State of tm-hub, shared by hub.c, hub_announcements.c, hub_cold.c,
+ * hub_evacuation_apply.c, hub_lead.c and hub_messages.c. One hub_t owns all
+ * modules below; all functions run on its event loop.
  */
 #ifndef TM_HUB_HUB_INTERNAL_H
 #define TM_HUB_HUB_INTERNAL_H
@@ -184,6 +185,22 @@
 /** Takes cold targets over from the replicated log: this hub begins to lead. */
 void hub_cold_begin(hub_t *hub, int64_t now_ms);
 
+/** Records at this leader how long a target says that it stays cold, and tells
+ * gates at once if it turned cold.
+ *
+ * @param said_ms  earliest time at which the target can have said it */
+void hub_record_warmup(
+    hub_t *hub, const dialect_announcement_t *as, int64_t said_ms);
+
+/** @return 1 if that must be replicated: the target turned cold or warm, or stays
+ * cold for longer */
+int hub_is_warmup_new(const hub_t *hub, const hub_target_t *known,
+    const dialect_announcement_t *as);
+
+/** Records that all targets of a data centre may have turned cold unnoticed. To be
+ * called at all hubs, as they apply the entry that says so. */
+void hub_suspect_data_centre(hub_t *hub, const char *name, int64_t now_ms);
+
 /** As hub_record_warmup(), but gates are not told yet. */
 void hub_cold_record(
     hub_t *hub, const dialect_announcement_t *as, int64_t said_ms);
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -54,6 +54,7 @@
 		(ESTIMATE_MAX_FULL - ESTIMATE_MAX_IDLE));
 }
 
+/* @return probability that a target still fails */
 static double
 get_estimate(const outlier_target_t *target, int64_t now_ms)
 {
--- a/src/hub/hub_relay.c
+++ b/src/hub/hub_relay.c
@@ -401,7 +401,6 @@
 	if (is_off(relay, HUB_RELAY_TEST_NO_CHANGES))
 		return;
 	if (msg->term != relay->term || msg->since > relay->revision) {
-		relay->stats.forgotten += HASH_COUNT(relay->targets);
 		forget_targets(relay);
 		relay->revision = msg->revision;
 		return;
@@ -410,7 +409,6 @@
 		/* Answers overlap; this one may be known. */
 		if (msg->since + i + 1 <= relay->revision)
 			continue;
-		relay->stats.forgotten++;
 		forget_target(relay, msg->changed[i]);
 	}
 	if (msg->revision > relay->revision)
--- a/src/hub/hub_relay.h
+++ b/src/hub/hub_relay.h
@@ -69,7 +69,6 @@
 	uint64_t passed;
 	uint64_t refused;
 	uint64_t unanswered; /**< passed on, without a decision in time */
-	uint64_t forgotten; /**< targets that changed elsewhere */
 } hub_relay_stats_t;
 
 /**
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -2,7 +2,8 @@
  * @file
  * Replicated state of the hubs: the newest configuration document, the
  * registered targets, the ejected ones, the blocked requests, the evacuated data
- * centres and the addresses of the hubs. Entries are applied in the order of the log, so that all hubs hold the same state.
+ * centres and the addresses of the hubs. Entries are applied in the order of the
+ * log, so that all hubs hold the same state.
  * The caller owns it. Does no I/O and reads no clock.
  */
 #ifndef TM_HUB_HUB_STATE_H
--- a/test/unit/admission_test.cc
+++ b/test/unit/admission_test.cc
@@ -168,12 +168,12 @@
 		gate_share_t *share = &shares_[gate];
 		Tm__Fleet__Demand demand = TM__FLEET__DEMAND__INIT;
 		Tm__Fleet__Admission msg = TM__FLEET__ADMISSION__INIT;
-		uint32_t permille[GATE_SHARE_CLASSES];
+		uint32_t permille[FLEET_PRIORITY_CLASSES];
 		size_t count;
 
 		demand.service = kService;
 		demand.requests = share->requests;
-		demand.n_requests = GATE_SHARE_CLASSES;
+		demand.n_requests = FLEET_PRIORITY_CLASSES;
 		demand.soft_deadline_sum_ms = share->soft_deadline_sum_ms;
 		hub_admission_record_demand(admission_, &demand);
 		memset(share->requests, 0, sizeof(share->requests));
@@ -183,10 +183,10 @@
 		    hub_admission_list(admission_, &count);
 		if (count == 0)
 			return;
-		for (size_t i = 0; i < GATE_SHARE_CLASSES; i++)
+		for (size_t i = 0; i < FLEET_PRIORITY_CLASSES; i++)
 			permille[i] = (uint32_t)(1000 * list[0].shares[i]);
 		msg.shares = permille;
-		msg.n_shares = GATE_SHARE_CLASSES;
+		msg.n_shares = FLEET_PRIORITY_CLASSES;
 		gate_share_apply(
 		    share, &msg, (uint32_t)shares_.size(), now_ms + 1);
 	}
@@ -324,11 +324,11 @@
 {
 	gate_share_t share = {};
 	Tm__Fleet__Admission msg = TM__FLEET__ADMISSION__INIT;
-	uint32_t permille[GATE_SHARE_CLASSES] = { 300, 300, 300, 300 };
+	uint32_t permille[FLEET_PRIORITY_CLASSES] = { 300, 300, 300, 300 };
 	gate_share_query_t query = { .soft_deadline_ms = 1000, .route = 1 };
 
 	msg.shares = permille;
-	msg.n_shares = GATE_SHARE_CLASSES;
+	msg.n_shares = FLEET_PRIORITY_CLASSES;
 	gate_share_apply(&share, &msg, 4, 5000);
 	query.lease_ms = 5000;
 	query.now_ms = 5100;
@@ -383,7 +383,7 @@
 {
 	gate_share_t share = {};
 	Tm__Fleet__Admission msg = TM__FLEET__ADMISSION__INIT;
-	uint32_t permille[GATE_SHARE_CLASSES] = { 800, 600, 600, 600 };
+	uint32_t permille[FLEET_PRIORITY_CLASSES] = { 800, 600, 600, 600 };
 	gate_share_query_t urgent = { .priority = 0,
 		.soft_deadline_ms = 1000,
 		.workspace = 1,
@@ -396,7 +396,7 @@
 	int count = 0;
 
 	msg.shares = permille;
-	msg.n_shares = GATE_SHARE_CLASSES;
+	msg.n_shares = FLEET_PRIORITY_CLASSES;
 	for (int64_t now = 1000; now < 14000; now += 10) {
 		urgent.now_ms = other.now_ms = now;
 		urgent.lease_ms = other.lease_ms = now;
@@ -423,14 +423,14 @@
 {
 	hub_admission_t *admission = hub_admission_create();
 	Tm__Fleet__Demand demand = TM__FLEET__DEMAND__INIT;
-	uint32_t requests[GATE_SHARE_CLASSES] = { 60, 60, 60, 0 };
+	uint32_t requests[FLEET_PRIORITY_CLASSES] = { 60, 60, 60, 0 };
 	const hub_admission_load_t load = { kService, 100, 900, 500 };
 	size_t count = 0;
 
 	hub_admission_reset(admission, 0);
 	demand.service = kService;
 	demand.requests = requests;
-	demand.n_requests = GATE_SHARE_CLASSES;
+	demand.n_requests = FLEET_PRIORITY_CLASSES;
 	demand.soft_deadline_sum_ms = 180 * 1000;
 	for (int64_t now = 200; now <= 4000; now += 200) {
 		hub_admission_record_demand(admission, &demand);
--- a/test/unit/gate_evacuation_test.cc
+++ b/test/unit/gate_evacuation_test.cc
@@ -12,6 +12,7 @@
 #include "fleet/fleet_config.h"
 #include "fleet/fleet_limit.h"
 #include "gate/gate_refusal.h"
+#include "gate/gate_choice.h"
 #include "gate/gate_table.h"
 }
 
