--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -352,6 +352,7 @@
 	    .tried = request->tried,
 	    .tried_count = request->tried_count,
 	    .may_repeat = request->repeat_allowed,
+	    .is_retry = request->attempts_sent > 0,
 	    .has_leader = gate_link_has_leader(request->gate->link, now_ms),
 	    .is_alone = gate_link_get_answer_age_ms(
 			    request->gate->link, now_ms) > GATE_ELECTION_MAX_MS,
--- a/src/gate/gate_choice.c
+++ b/src/gate/gate_choice.c
@@ -276,6 +276,28 @@
 	return (0);
 }
 
+/* Leaves the choice to a probe, to the leader or to a trial without a leader. A
+ * request that has failed once takes none of these chances while a healthy target
+ * is left: few requests have more attempts than two.
+ *
+ * @return 1 if the choice is made */
+static int
+choose_probe(gate_service_t *service, const gate_pick_options_t *options,
+    gate_choice_t *choice)
+{
+	if (options->is_retry && gate_service_has_healthy(service, options))
+		return (0);
+	choice->target = gate_probe_take(service, options);
+	choice->is_probe = choice->target != NULL;
+	if (choice->is_probe)
+		return (1);
+	choice->must_ask_leader = gate_service_asks_leader(service, options);
+	if (choice->must_ask_leader)
+		return (1);
+	choice->target = gate_alone_pick(service, options);
+	return (choice->target != NULL);
+}
+
 gate_choice_t
 gate_choice_make(gate_service_t *service, const gate_policy_t *policy,
     rng_t *rng, const gate_pick_options_t *options)
@@ -287,15 +309,7 @@
 	if (choice.is_evacuated)
 		return (choice);
 	gate_alone_set(service, options->is_alone, rng, options->now_ms);
-	choice.target = gate_probe_take(service, options);
-	choice.is_probe = choice.target != NULL;
-	if (choice.is_probe)
-		return (choice);
-	choice.must_ask_leader = gate_service_asks_leader(service, options);
-	if (choice.must_ask_leader)
-		return (choice);
-	choice.target = gate_alone_pick(service, options);
-	if (choice.target != NULL)
+	if (choose_probe(service, options, &choice))
 		return (choice);
 	choice.target = pick_preferred(service, policy, rng, options, &rank);
 	if (rank >= GATE_RANK_HEALTHY || (rank > 0 && options->may_repeat))
--- a/src/gate/gate_stall.h
+++ b/src/gate/gate_stall.h
@@ -24,7 +24,9 @@
 
 /**
  * Decides whether a request that may be executed twice should be sent to another
- * target. Not while the service is full: all its targets are slow then, and
+ * target. Not with less time left than it has taken: if the request is costly and
+ * its target does not hang, another target needs as long, and the attempt that is
+ * ended might have succeeded in time. Not while the service is full: all its targets are slow then, and
  * repeated requests would add to its load. Not by a gate that stops: it may have
  * no time for another attempt, and has promised the caller the answer of this one.
  *
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -109,6 +109,7 @@
 	const uint64_t *tried; /**< keys of targets to exclude */
 	uint32_t tried_count;
 	int may_repeat; /**< it may be executed twice */
+	int is_retry; /**< an attempt failed: the next one is not a probe */
 	int has_leader; /**< the leader can be asked for a target */
 	int is_alone; /**< no leader for longer than an election takes */
 	int skips_limited; /**< targets with a limit count as waiting */
--- a/test/unit/gate_stall_test.cc
+++ b/test/unit/gate_stall_test.cc
@@ -87,3 +87,20 @@
 	EXPECT_FALSE(gate_stall_should_repeat(&stall));
 	EXPECT_FALSE(gate_stall_is_evidence(&stall));
 }
+
+// iblea-gw-grown, a calm day: 188 lookups were sent to a second target after 1.6 of
+// 3 s, 161 of them failed. Most were costly, and their targets did not hang.
+TEST(GateStall, ACostlyRequestIsNotSentAgainTooLateToEnd)
+{
+	gate_stall_t stall = {};
+
+	stall.age_ms = 1610;
+	stall.left_ms = 1390;
+	stall.soft_deadline_ms = 2000;
+	stall.mean_ms = 610;
+	stall.utilization = 0.4;
+	EXPECT_FALSE(gate_stall_should_repeat(&stall));
+	EXPECT_TRUE(gate_stall_is_evidence(&stall));
+	stall.left_ms = 1610;
+	EXPECT_TRUE(gate_stall_should_repeat(&stall));
+}
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -81,6 +81,7 @@
 		options.may_repeat = may_repeat;
 		options.has_leader = has_leader;
 		options.is_alone = is_alone_;
+		options.is_retry = is_retry_;
 		options.now_ms = now_;
 		return (gate_table_pick(
 		    table_, gate_table_find_service(table_, "s1"), &options));
@@ -140,6 +141,7 @@
 	gate_table_t *table_ = gate_table_create("z1", 1);
 	int64_t now_ = 1000000;
 	int is_alone_ = 0;
+	int is_retry_ = 0;
 };
 
 // Of the platform: a target that failed by itself is sound again after this time,
@@ -543,3 +545,23 @@
 
 	EXPECT_GE(good, 178);
 }
+
+// iblea-gw-grown, a calm day: 68 of 107 lost lookups were used as probes twice, and
+// both targets failed.
+TEST_F(GateTable, ARetryIsNoProbeWhileATargetIsHealthy)
+{
+	Row open = { "b", "z1", FLEET_TARGET_READY,
+		FLEET_VERDICT_PROBE_REPEATABLE };
+	uint64_t a = fleet_name_hash("a");
+	uint64_t b = fleet_name_hash("b");
+
+	Apply(1, 0, 1, { { "a" }, open });
+	EXPECT_TRUE(Pick({}, 1).must_ask_leader);
+	is_retry_ = 1;
+	EXPECT_EQ(a, Pick({}, 1).target->key);
+	EXPECT_TRUE(gate_table_keep_probe(table_, b, now_));
+	EXPECT_EQ(a, Pick({}, 1).target->key);
+	/* None is left: a probe is worth more than a refusal. */
+	EXPECT_EQ(b, Pick({ a }, 1).target->key);
+	EXPECT_TRUE(Pick({ a }, 1).must_ask_leader);
+}
