hub: announcements wait for a leader; a busy leader gets fewer batches

Cause: after all processes were killed, targets that get 503 call the next hub at once, and hubs that do not know the number of targets yet redirect all of them to the new leader. Relaying hubs passed on what they got every 20 ms also while the leader had not answered the last message.

Change: without contact, announcements of a large fleet, or of one whose size is not known yet, wait for contact for 0.9 s in place of a 503 or a redirect. The next early message to the leader waits for the answer to the last.

The model of announcements sends decisions of one message together, as hub_announcements.c does.

--- a/src/hub/hub_announcements.c
+++ b/src/hub/hub_announcements.c
@@ -465,6 +465,8 @@
 
 	hub_relay_set_leader(
 	    hub->relay, id == hub->self ? NODE_ID_NONE : id, now_ms);
+	if (hub_is_leading(hub))
+		hub_relay_end_waiting(hub->relay);
 	hub_relay_tick(hub->relay, now_ms);
 	hub->is_spreading =
 	    hub_announce_is_spread(hub->is_spreading, get_target_count(hub));
--- a/src/hub/hub_relay.c
+++ b/src/hub/hub_relay.c
@@ -8,6 +8,7 @@
 
 #include "base/error.h"
 #include "fleet/fleet_config.h"
+#include "hub/hub_announce.h"
 #include "hub/hub_state.h"
 
 /* Most targets and passed announcements of one batch; the rest follows with the
@@ -141,8 +142,11 @@
 	relay->leader_ms = 0;
 	relay->batch_ms = now_ms - HUB_RELAY_IDLE_BATCH_MS;
 	forget_targets(relay);
-	DL_FOREACH_SAFE(relay->passes, pass, next)
-		finish_pass(relay, pass, TM_ENOTLEADER);
+	/* What waits for contact was told to no leader. */
+	DL_FOREACH_SAFE(relay->passes, pass, next) {
+		if (pass->is_sent || is_off(relay, HUB_RELAY_TEST_NO_WAITING))
+			finish_pass(relay, pass, TM_ENOTLEADER);
+	}
 }
 
 /* Notices that this hub was frozen. */
@@ -156,19 +160,35 @@
 	relay->ticked_ms = now_ms;
 }
 
+static int
+is_settling(const hub_relay_t *relay, int64_t now_ms)
+{
+	return (relay->resumed_ms != 0 &&
+	    now_ms - relay->resumed_ms < HUB_RELAY_SETTLE_MS);
+}
+
 int
 hub_relay_is_in_contact(hub_relay_t *relay, int64_t now_ms)
 {
 	check_time(relay, now_ms);
-	if (relay->leader == NODE_ID_NONE || relay->contact_ms == 0)
-		return (0);
-	if (relay->resumed_ms != 0 &&
-	    now_ms - relay->resumed_ms < HUB_RELAY_SETTLE_MS)
+	if (relay->leader == NODE_ID_NONE || relay->contact_ms == 0 ||
+	    is_settling(relay, now_ms))
 		return (0);
 	return (now_ms - relay->contact_ms <= HUB_RELAY_LEASE_MS ||
 	    is_off(relay, HUB_RELAY_TEST_NO_LEASE));
 }
 
+/* Targets of a fleet that is known to be small follow a redirect to the leader.
+ * What is read after a pause of this hub may be old. */
+static int
+may_wait(const hub_relay_t *relay, int64_t now_ms)
+{
+	return (!is_settling(relay, now_ms) &&
+	    (relay->target_count == 0 ||
+		relay->target_count >= HUB_SPREAD_END) &&
+	    !is_off(relay, HUB_RELAY_TEST_NO_WAITING));
+}
+
 /* @return 1 if an announcement repeats what the leader has confirmed */
 static int
 is_repeated(const relay_target_t *known, const dialect_announcement_t *as)
@@ -204,6 +224,8 @@
 	relay_target_t *known;
 
 	if (!hub_relay_is_in_contact(relay, now_ms)) {
+		if (may_wait(relay, now_ms))
+			return (HUB_RELAY_PASS);
 		relay->stats.refused++;
 		return (HUB_RELAY_REFUSE);
 	}
@@ -232,7 +254,8 @@
 {
 	relay_pass_t *pass;
 
-	if (!hub_relay_is_in_contact(relay, now_ms)) {
+	if (!hub_relay_is_in_contact(relay, now_ms) &&
+	    !may_wait(relay, now_ms)) {
 		relay->stats.refused++;
 		return (TM_EUNAVAIL);
 	}
@@ -336,7 +359,9 @@
 	msg.term = relay->term;
 	msg.revision = relay->revision;
 	fill_announced(relay, &msg, batch, now_ms);
-	fill_passed(relay, &msg, batch, now_ms);
+	/* A leader takes nothing from a hub that does not know its term yet. */
+	if (hub_relay_is_in_contact(relay, now_ms))
+		fill_passed(relay, &msg, batch, now_ms);
 	relay->batch_ms = now_ms;
 	relay->options.send(
 	    relay->options.send_ctx, relay->leader, MSG_FLEET_RELAY, &msg.base);
@@ -363,16 +388,30 @@
 	}
 }
 
+/* A leader that is busy gets fewer and larger batches: the next one waits for the
+ * answer to the last, which does not wait for its decisions.
+ * @return 1 if what was passed on may be sent before the next regular batch */
+static int
+may_send_early(hub_relay_t *relay, int64_t now_ms)
+{
+	return (relay->has_unsent && relay->leader != NODE_ID_NONE &&
+	    now_ms - relay->batch_ms >= HUB_RELAY_GATHER_MS &&
+	    (relay->contact_ms >= relay->batch_ms ||
+		is_off(relay, HUB_RELAY_TEST_NO_PACING)) &&
+	    hub_relay_is_in_contact(relay, now_ms));
+}
+
 /* @return 1 if a message to the leader is due */
 static int
-is_due(const hub_relay_t *relay, int64_t now_ms)
+is_due(hub_relay_t *relay, int64_t now_ms)
 {
 	int64_t since_ms = now_ms - relay->batch_ms;
 
-	if (relay->has_unsent && since_ms >= HUB_RELAY_GATHER_MS)
+	if (may_send_early(relay, now_ms))
 		return (1);
-	return (since_ms >= (relay->targets != NULL ? HUB_RELAY_BATCH_MS
-						    : HUB_RELAY_IDLE_BATCH_MS));
+	return (since_ms >= (relay->targets != NULL || relay->passes != NULL
+				    ? HUB_RELAY_BATCH_MS
+				    : HUB_RELAY_IDLE_BATCH_MS));
 }
 
 void
@@ -387,11 +426,20 @@
 void
 hub_relay_flush(hub_relay_t *relay, int64_t now_ms)
 {
-	if (relay->has_unsent && relay->leader != NODE_ID_NONE &&
-	    now_ms - relay->batch_ms >= HUB_RELAY_GATHER_MS)
+	if (may_send_early(relay, now_ms))
 		send_batch(relay, now_ms);
 }
 
+void
+hub_relay_end_waiting(hub_relay_t *relay)
+{
+	relay_pass_t *pass;
+	relay_pass_t *next;
+
+	DL_FOREACH_SAFE(relay->passes, pass, next)
+		finish_pass(relay, pass, TM_ENOTLEADER);
+}
+
 /* Forgets the targets that have changed since the last answer. */
 static void
 forget_changed(hub_relay_t *relay, const Tm__Fleet__Relayed *msg)
--- a/src/hub/hub_relay.h
+++ b/src/hub/hub_relay.h
@@ -6,10 +6,12 @@
  * acknowledges only once the leader has confirmed them.
  *
  * It acts only while it is in contact with the leader: the newest answer of the
- * leader is to a batch of the last HUB_RELAY_LEASE_MS. Each answer names the
- * targets that have changed since the last, which are forgotten here. What a lost
- * batch told is told again. A new leader confirms all targets anew. The caller owns
- * the state. Does no I/O but through the send callback, and reads no clock.
+ * leader is to a batch of the last HUB_RELAY_LEASE_MS. Without contact,
+ * announcements of a large fleet wait, as targets that are refused call the next
+ * hub at once. Each answer names the targets that have changed since the last,
+ * which are forgotten here. What a lost batch told is told again. A new leader
+ * confirms all targets anew. The caller owns the state. Does no I/O but through the
+ * send callback, and reads no clock.
  */
 #ifndef TM_HUB_HUB_RELAY_H
 #define TM_HUB_HUB_RELAY_H
@@ -27,7 +29,7 @@
 /** Time from the sending of a batch for which its answer allows this hub to act.
  * One lost batch is tolerated. */
 #define HUB_RELAY_LEASE_MS 1200
-/** Longest wait for the leader's decision; a target waits for 1 s. */
+/** Longest wait for a leader and its decision; a target waits for 1 s. */
 #define HUB_RELAY_PASS_MAX_MS 900
 /** Announcements that the leader decides on wait this long for others. */
 #define HUB_RELAY_GATHER_MS 20
@@ -44,6 +46,8 @@
 #define HUB_RELAY_TEST_NO_CHANGES  2u
 #define HUB_RELAY_TEST_NO_SETTLING 4u
 #define HUB_RELAY_TEST_PASS_NONE   8u /**< answers without the leader */
+#define HUB_RELAY_TEST_NO_WAITING  16u /**< refuses without contact */
+#define HUB_RELAY_TEST_NO_PACING   32u /**< sends before the last answer */
 
 typedef struct hub_relay hub_relay_t;
 
@@ -60,7 +64,8 @@
 typedef enum hub_relay_decision {
 	HUB_RELAY_ANSWER, /**< acknowledge it; the leader is told */
 	HUB_RELAY_PASS, /**< hub_relay_pass() */
-	HUB_RELAY_REFUSE /**< there is no contact with the leader */
+	HUB_RELAY_REFUSE /**< there is no contact with the leader, and the fleet
+			  * is small or this hub was frozen */
 } hub_relay_decision_t;
 
 /** Counts since the start. */
@@ -86,7 +91,7 @@
 void hub_relay_destroy(hub_relay_t *relay);
 
 /** Names the hub that leads; NODE_ID_NONE: none is known, or this one. A change
- * ends all that was passed on, with TM_ENOTLEADER. */
+ * ends all that was sent to the leader, with TM_ENOTLEADER. */
 void hub_relay_set_leader(hub_relay_t *relay, node_id_t leader, int64_t now_ms);
 
 /** Decides on an announcement. */
@@ -97,13 +102,13 @@
 int hub_relay_is_in_contact(hub_relay_t *relay, int64_t now_ms);
 
 /**
- * Passes an announcement on to the leader; done is called once, never from
- * within.
+ * Passes an announcement on to the leader, as soon as there is contact; done is
+ * called once, never from within.
  *
  * @param is_leave  the target ends its registration; only its id and, if not 0,
  *                  born_ms count
- * @return          0, TM_EUNAVAIL without contact, TM_ENOMEM; done is not called
- *                  after an error
+ * @return          0, TM_EUNAVAIL if hub_relay_decide() refuses, TM_ENOMEM; done
+ *                  is not called after an error
  */
 int hub_relay_pass(hub_relay_t *relay, const dialect_announcement_t *as,
     int is_leave, hub_relay_done_cb done, void *ctx, int64_t now_ms);
@@ -111,6 +116,9 @@
 /** Sends what is due, and ends what has waited too long. */
 void hub_relay_tick(hub_relay_t *relay, int64_t now_ms);
 
+/** Ends all that waits, with TM_ENOTLEADER: a hub that leads passes nothing on. */
+void hub_relay_end_waiting(hub_relay_t *relay);
+
 /** Sends what was passed on, if it has waited for long enough. */
 void hub_relay_flush(hub_relay_t *relay, int64_t now_ms);
 
--- a/test/unit/hub_relay_model.h
+++ b/test/unit/hub_relay_model.h
@@ -27,6 +27,7 @@
 const int kIntervalMs = 1500;
 const int kCallMs = 1000;
 const int kIgnored = 1; // outcome of what was passed on
+const int kRedirected = 2; // to the leader
 const int kTargetTimeoutMs = 4500; // of hub_outlier.c
 
 std::vector<uint8_t>
@@ -42,6 +43,7 @@
 	dialect_announcement_t as = {};
 	int64_t due_ms = 0;
 	int home = -1; // HeartbeatUrl; -1: any hub of its list
+	int connected = -1; // hub of its connection
 	int next = 0; // of its list
 	int64_t acked_ms = 0;
 	int64_t heard_ms = 0; // by the leader
@@ -60,6 +62,9 @@
 		hub_relay_t *relay;
 		bool is_down = false;
 		bool is_cut = false;
+		int starts = 0;
+		double busy_ms = 0; // until then
+		bool has_tick = false; // waits for its time
 		uint64_t calls = 0;
 		uint64_t messages = 0;
 		uint64_t bytes = 0;
@@ -98,7 +103,7 @@
 		}
 	}
 
-	~Fleet()
+	virtual ~Fleet()
 	{
 		for (auto &hub : hubs_)
 			hub_relay_destroy(hub->relay);
@@ -143,6 +148,24 @@
 		events_.emplace(time_ms, std::move(action));
 	}
 
+	/* A hub does one thing after the other; what takes no time in the model is
+	 * done at once. */
+	void
+	Work(Hub *hub, double cost_ms, std::function<void()> action)
+	{
+		int starts = hub->starts;
+
+		if (message_ms_ <= 0) {
+			action();
+			return;
+		}
+		hub->busy_ms = std::max(hub->busy_ms, (double)now_) + cost_ms;
+		At((int64_t)hub->busy_ms, [=] {
+			if (!hub->is_down && hub->starts == starts)
+				action();
+		});
+	}
+
 	static void
 	Send(
 	    void *ctx, node_id_t to, uint16_t type, const ProtobufCMessage *msg)
@@ -156,6 +179,8 @@
 	Deliver(
 	    Hub *from, node_id_t to, uint16_t type, std::vector<uint8_t> bytes)
 	{
+		from->busy_ms =
+		    std::max(from->busy_ms, (double)now_) + message_ms_;
 		for (auto &hub : hubs_) {
 			Hub *receiver = hub.get();
 
@@ -164,8 +189,11 @@
 			    random_() % 1000 < lost_permille_)
 				continue;
 			At(now_ + kLatencyMs, [=] {
-				if (!receiver->is_down && !receiver->is_cut)
+				if (receiver->is_down || receiver->is_cut)
+					return;
+				Work(receiver, message_ms_, [=] {
 					Receive(receiver, from, type, bytes);
+				});
 			});
 		}
 	}
@@ -295,13 +323,63 @@
 			hub_changes_add(&changes_, changed.replaced->key);
 	}
 
+	/* An answer to a batch is sent at once, decisions together. */
 	void
 	Answer(Hub *leader, Hub *to, uint64_t sent_ms, uint64_t since,
 	    uint32_t id, int err)
+	{
+		if (id == 0) {
+			SendAnswer(leader, to, sent_ms, since, {});
+			return;
+		}
+		answers_[{ leader->index, to->index }].push_back(
+		    { id, err, since, changes_.revision, term_ });
+	}
+
+	struct Decision {
+		uint32_t id;
+		int err;
+		uint64_t since;
+		uint64_t revision;
+		uint64_t term;
+	};
+
+	void
+	FlushAnswers()
+	{
+		auto answers = std::move(answers_);
+
+		answers_.clear();
+		for (auto &item : answers) {
+			uint64_t since = UINT64_MAX;
+
+			if (item.second[0].term != term_)
+				continue;
+			for (const Decision &decision : item.second)
+				since = std::min(since, decision.since);
+			SendAnswer(hubs_[(size_t)item.first.first].get(),
+			    hubs_[(size_t)item.first.second].get(), 0, since,
+			    item.second);
+		}
+	}
+
+	void
+	SendAnswer(Hub *leader, Hub *to, uint64_t sent_ms, uint64_t since,
+	    const std::vector<Decision> &decisions)
 	{
 		Tm__Fleet__Relayed msg = TM__FLEET__RELAYED__INIT;
 		std::vector<uint64_t> changed(HUB_CHANGES_MAX);
-
+		std::vector<uint32_t> confirmed, ignored, refused;
+
+		for (const Decision &decision : decisions) {
+			if (decision.err < 0)
+				refused.push_back(decision.id);
+			else if (decision.err > 0 ||
+			    decision.revision != changes_.revision)
+				ignored.push_back(decision.id);
+			else
+				confirmed.push_back(decision.id);
+		}
 		msg.sent_ms = sent_ms;
 		msg.leader_ms = (uint64_t)now_;
 		msg.term = term_;
@@ -311,16 +389,12 @@
 		msg.changed = changed.data();
 		msg.revision = changes_.revision;
 		msg.targets = (uint32_t)HASH_COUNT(state_->targets);
-		if (id != 0 && err == TM_OK) {
-			msg.confirmed = &id;
-			msg.n_confirmed = 1;
-		} else if (id != 0 && err > 0) {
-			msg.ignored = &id;
-			msg.n_ignored = 1;
-		} else if (id != 0) {
-			msg.refused = &id;
-			msg.n_refused = 1;
-		}
+		msg.confirmed = confirmed.data();
+		msg.n_confirmed = confirmed.size();
+		msg.ignored = ignored.data();
+		msg.n_ignored = ignored.size();
+		msg.refused = refused.data();
+		msg.n_refused = refused.size();
 		Deliver(leader, to->id, MSG_FLEET_RELAYED, Pack(&msg.base));
 	}
 
@@ -349,6 +423,12 @@
 			done(TM_OK);
 			return;
 		}
+		if (decision == HUB_RELAY_REFUSE && redirects_ &&
+		    leader_ >= 0 &&
+		    hub_relay_get_target_count(hub->relay) < HUB_SPREAD_MIN) {
+			done(kRedirected);
+			return;
+		}
 		waits_.push_back({ hub, done });
 		if (decision == HUB_RELAY_REFUSE ||
 		    hub_relay_pass(hub->relay, &as, is_leave, OnDecided,
@@ -398,8 +478,16 @@
 
 		target.as.sequence++;
 		target.due_ms = now_ + kIntervalMs;
-		Call(at, target.as, false,
-		    [=](int err) { EndCall(i, call, err); });
+		double cost_ms =
+		    target.connected == at ? kept_call_ms_ : new_call_ms_;
+		dialect_announcement_t as = target.as;
+		target.connected = at;
+		Hub *hub = hubs_[(size_t)at].get();
+		if (!hub->is_down)
+			Work(hub, cost_ms, [=] {
+				Call(at, as, false,
+				    [=](int err) { EndCall(i, call, err); });
+			});
 		At(now_ + kCallMs, [=] { EndCall(i, call, TM_ETIMEDOUT); });
 	}
 
@@ -411,6 +499,11 @@
 		if (target.calls != call)
 			return;
 		target.calls++;
+		if (err == kRedirected && leader_ >= 0) {
+			target.home = leader_;
+			target.due_ms = now_;
+			return;
+		}
 		if (err != TM_OK) {
 			target.home = -1;
 			target.due_ms = now_;
@@ -433,10 +526,9 @@
 				events_.erase(events_.begin());
 				action();
 			}
-			for (auto &hub : hubs_) {
-				if (!hub->is_down)
-					hub_relay_tick(hub->relay, now_);
-			}
+			FlushAnswers();
+			for (auto &hub : hubs_)
+				Tick(hub.get());
 			for (size_t i = 0; i < targets_.size(); i++) {
 				by_key_[fleet_name_hash(targets_[i].as.id)] = i;
 				if (now_ >= targets_[i].due_ms)
@@ -444,9 +536,28 @@
 			}
 			if (leader_ >= 0)
 				Watch();
+			Step();
 		}
 	}
 
+	/* What a derived model does in each step. */
+	virtual void
+	Step()
+	{
+	}
+
+	void
+	Tick(Hub *hub)
+	{
+		if (hub->is_down || hub->has_tick)
+			return;
+		hub->has_tick = true;
+		Work(hub, 0, [=] {
+			hub->has_tick = false;
+			hub_relay_tick(hub->relay, now_);
+		});
+	}
+
 	/* The longest time for which the leader did not hear a target. */
 	void
 	Watch()
@@ -495,6 +606,10 @@
 	uint64_t term_ = 1;
 	bool spreads_;
 	unsigned lost_permille_ = 0;
+	bool redirects_ = false; // as hub_api.c in fleets that seem small
+	double message_ms_ = 0; // time of a hub for each message
+	double kept_call_ms_ = 0; // for each call, and on a new connection
+	double new_call_ms_ = 0;
 	std::map<uint64_t, int64_t> said_ms_; // as the leader was told
 	int64_t silent_ms_ = 0;
 	hub_state_t *state_ = hub_state_create();
@@ -502,6 +617,7 @@
 	std::vector<std::unique_ptr<Hub>> hubs_;
 	std::vector<Target> targets_;
 	std::list<Wait> waits_; // contexts of OnDecided(), also of ended calls
+	std::map<std::pair<int, int>, std::vector<Decision>> answers_;
 	std::map<uint64_t, size_t> by_key_;
 	std::multimap<int64_t, std::function<void()>> events_;
 	std::mt19937 random_{ 7 };
--- a/test/unit/hub_relay_test.cc
+++ b/test/unit/hub_relay_test.cc
@@ -533,3 +533,135 @@
 	}
 	hub_state_destroy(state);
 }
+
+namespace {
+
+/* A hub alone; counts messages, and keeps outcomes. */
+struct LoneRelay {
+	LoneRelay()
+	{
+		hub_relay_options_t options = {};
+
+		options.send = [](void *ctx, node_id_t, uint16_t,
+				   const ProtobufCMessage *msg) {
+			auto *self = static_cast<LoneRelay *>(ctx);
+
+			self->passed +=
+			    ((const Tm__Fleet__Relay *)msg)->n_passed;
+			self->batches++;
+		};
+		options.send_ctx = this;
+		relay = hub_relay_create(&options);
+	}
+
+	~LoneRelay()
+	{
+		hub_relay_destroy(relay);
+	}
+
+	int
+	Announce(int64_t now_ms)
+	{
+		dialect_announcement_t as = Fleet::Announce("t1", 100, 1);
+
+		if (hub_relay_decide(relay, &as, now_ms) != HUB_RELAY_PASS)
+			return (TM_EUNAVAIL);
+		return (hub_relay_pass(
+		    relay, &as, 0,
+		    [](void *ctx, int err) {
+			    static_cast<LoneRelay *>(ctx)->outcomes.push_back(
+				err);
+		    },
+		    this, now_ms));
+	}
+
+	void
+	Answer(uint32_t targets, int64_t now_ms, uint64_t term = 1)
+	{
+		Tm__Fleet__Relayed msg = TM__FLEET__RELAYED__INIT;
+
+		msg.sent_ms = msg.leader_ms = (uint64_t)now_ms;
+		msg.term = term;
+		msg.targets = targets;
+		std::vector<uint8_t> bytes = Pack(&msg.base);
+		hub_relay_handle_answer(
+		    relay, 7, bytes.data(), bytes.size(), now_ms);
+	}
+
+	hub_relay_t *relay;
+	size_t passed = 0;
+	int batches = 0;
+	std::vector<int> outcomes;
+};
+
+} // namespace
+
+// Each target of a large fleet called hub after hub while there was no leader.
+TEST(HubRelay, AnnouncementsWaitForALeader)
+{
+	LoneRelay hub;
+
+	hub_relay_tick(hub.relay, 1000);
+	EXPECT_EQ(TM_OK, hub.Announce(1000));
+	hub_relay_tick(hub.relay, 1300);
+	EXPECT_EQ(0, hub.batches);
+	/* A leader whose term is not known yet would refuse it. */
+	hub_relay_set_leader(hub.relay, 7, 1350);
+	hub_relay_tick(hub.relay, 1350);
+	EXPECT_EQ(1, hub.batches);
+	EXPECT_EQ(0U, hub.passed);
+	EXPECT_TRUE(hub.outcomes.empty());
+	hub.Answer(1000, 1360);
+	hub_relay_flush(hub.relay, 1380);
+	EXPECT_EQ(1U, hub.passed);
+	EXPECT_TRUE(hub.outcomes.empty());
+	/* The next leader may not have what was sent. */
+	hub_relay_set_leader(hub.relay, 8, 1390);
+	EXPECT_EQ(std::vector<int>{ TM_ENOTLEADER }, hub.outcomes);
+}
+
+// A target waits for 1 s; what waited for longer must not be passed on.
+TEST(HubRelay, WaitingEndsInTime)
+{
+	LoneRelay hub;
+
+	EXPECT_EQ(TM_OK, hub.Announce(1000));
+	hub_relay_tick(hub.relay, 1000 + HUB_RELAY_PASS_MAX_MS);
+	EXPECT_EQ(std::vector<int>{ TM_ETIMEDOUT }, hub.outcomes);
+	hub_relay_set_leader(hub.relay, 7, 1950);
+	hub.Answer(1000, 1950);
+	hub_relay_tick(hub.relay, 2000);
+	EXPECT_EQ(0U, hub.passed);
+}
+
+// A hub that led kept announcements until their end, as it passes nothing on.
+TEST(HubRelay, WaitingEndsAtAHubThatLeads)
+{
+	LoneRelay hub;
+
+	EXPECT_EQ(TM_OK, hub.Announce(1000));
+	hub_relay_end_waiting(hub.relay);
+	EXPECT_EQ(std::vector<int>{ TM_ENOTLEADER }, hub.outcomes);
+}
+
+// Targets of a small fleet are redirected to the leader at once, as before.
+TEST(HubRelay, NothingWaitsInASmallFleet)
+{
+	LoneRelay hub;
+
+	hub_relay_set_leader(hub.relay, 7, 1000);
+	hub.Answer(HUB_SPREAD_END - 1, 1000);
+	hub_relay_tick(hub.relay, 1900);
+	EXPECT_EQ(TM_EUNAVAIL, hub.Announce(1000 + HUB_RELAY_LEASE_MS + 1));
+	EXPECT_EQ(1U, hub_relay_get_stats(hub.relay)->refused);
+}
+
+// What is read after a pause of the hub may be old, and must not wait for a leader
+// that would take it for new.
+TEST(HubRelay, NothingWaitsAfterAPause)
+{
+	LoneRelay hub;
+
+	hub_relay_tick(hub.relay, 1000);
+	EXPECT_EQ(TM_EUNAVAIL, hub.Announce(1000 + HUB_RELAY_FROZEN_MS + 1));
+}
