http: a read without bytes over TLS does not end the connection

Cause: entry_intake lost the response to a large request ("Remote end closed connection without response"). libuv reads on when a read has filled its buffer, and calls back with 0 bytes if nothing more has arrived; the libuv binding of libh2o 2.2.5 takes that for an I/O error of a connection over TLS and closes it.

Change: the read callback that is ahead of libh2o's ignores this error while the socket has neither ended nor failed. Connections of listeners without a limit on large requests (control, operations) are watched as well.

Measured: tls_entry sends requests in pieces of 4096, 8192, 16384 and 5000 bytes.

--- a/src/http/http_intake.c
+++ b/src/http/http_intake.c
@@ -1,8 +1,10 @@
 #include "http/http_intake.h"
 
 #include <dlfcn.h>
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <utlist.h>
 
@@ -185,6 +187,22 @@
 	}
 }
 
+/*
+ * libuv reads on when a read has filled its buffer, and reports 0 bytes if nothing
+ * more has arrived. libh2o takes that for an error of a connection over TLS.
+ */
+static int
+is_open(h2o_socket_t *sock, const char *err)
+{
+	char byte;
+	ssize_t n;
+
+	if (err != h2o_socket_error_io)
+		return (0);
+	n = recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return (n > 0 || (n < 0 && errno == EAGAIN));
+}
+
 /* h2o_socket_cb, ahead of that of h2o */
 static void
 on_read(h2o_socket_t *sock, const char *err)
@@ -192,7 +210,10 @@
 	http_intake_conn_t *conn = get_conn(sock);
 	size_t size = sock->input->size;
 
-	if (err == NULL && !conn->is_refused && !conn->is_running) {
+	if (is_open(sock, err))
+		return;
+	if (err == NULL && conn->intake->limit_bytes > 0 && !conn->is_refused &&
+	    !conn->is_running) {
 		if (conn->length == 0)
 			read_length(conn);
 		count(conn, size > conn->length ? size : conn->length);
@@ -208,8 +229,6 @@
 http_intake_watch(http_intake_t *intake, http_intake_conn_t *conn,
     h2o_socket_t *sock, uv_stream_t *stream)
 {
-	if (intake->limit_bytes == 0)
-		return;
 	conn->intake = intake;
 	conn->sock = sock;
 	conn->stream = stream;
--- a/src/http/http_intake.h
+++ b/src/http/http_intake.h
@@ -4,7 +4,9 @@
  * keeps a whole request and hands it over only then, so that this looks at each
  * connection as it reads: a request whose length does not fit, or the largest one
  * that is still read, is refused with 503 before it is read to its end. Callers
- * are told to return one after the other, as there will be room for them.
+ * are told to return one after the other, as there will be room for them. Without
+ * a limit, connections are watched as well: libh2o would end one over TLS when a
+ * read of it finds no bytes.
  */
 #ifndef TM_HTTP_HTTP_INTAKE_H
 #define TM_HTTP_HTTP_INTAKE_H
--- a/test/functional/tls_entry.sh
+++ b/test/functional/tls_entry.sh
@@ -1,6 +1,7 @@
 # Failures guarded against: a certificate that is not read again, an open
 # connection cut by that, a bad file that stops the listener, an old TLS
-# version, a target secret that cannot be replaced without a stop.
+# version, a target secret that cannot be replaced without a stop, a request that
+# is lost as its bytes fill the buffer of a read.
 . test/functional/lib_tools.sh
 . test/functional/lib_tls.sh
 make_ca ca
@@ -56,6 +57,9 @@
 echo "TLS 1.1: $(ask --cacert "$work/ca.pem" --tls-max 1.1 \
     --ciphers DEFAULT@SECLEVEL=0 "https://$address/s1/x")"
 
+echo "== requests in pieces as large as a read"
+python3 test/functional/tls_pieces.py "$address" "$work/ca.pem" "$key"
+
 echo "== new certificate while a connection is open"
 mkfifo "$work/go"
 python3 - "$address" "$work/ca.pem" "$key" "$work/go" <<'PY' >"$work/open.out" &
