entry: a malformed status counts as a wrong response

Cause: tm_entry_wrong_responses_total counted only responses that another request or digest showed to be wrong; one that the parser rejected, such as status 000, was answered with 502 but not counted.

--- a/src/entry/request_attempt.c
+++ b/src/entry/request_attempt.c
@@ -235,10 +235,11 @@
 	if (response != NULL &&
 	    verify_response(response, request->id, request->is_head) !=
 		VERIFY_OK) {
-		metric_add(request->service->wrong, 1);
 		result = UPSTREAM_MALFORMED;
 		response = NULL;
 	}
+	if (result == UPSTREAM_MALFORMED)
+		metric_add(request->service->wrong, 1);
 	attempt_report(attempt, result, response);
 	if (response != NULL)
 		request_handle_complete(request, response);
