control: a move of a shard follows the heartbeat that allows it

Cause: control looked for a move every 500 ms, also when the look before found none. A returned VM gets one membership at a time and reports with its heartbeat (1 s) that it has read it; if it takes 500 to 900 ms, the next look comes too late after the heartbeat and each move takes two heartbeats. rebalance has time for one each: 30 s and 40 moves of 1.0 s within 80 s.

Change: after a look without a move, the next plan (100 ms) looks again. Two moves are still 500 ms apart.

Measured: PlacementDays.ReturnedVmGetsAMembershipWithEachHeartbeat (800 ms to read a shard, 10 phases of the heartbeat) fails without the change for 4 phases (28 memberships in place of 40 in 50 s) and passes with it; Placement* pass.

--- a/src/control/placement_move.c
+++ b/src/control/placement_move.c
@@ -194,7 +194,6 @@
 	if (view->now_ms < placement->next_move_ms ||
 	    (placement->test_switches & PLACEMENT_TEST_NO_MOVES) != 0)
 		return (0);
-	placement->next_move_ms = view->now_ms + PLACEMENT_MOVE_MS;
 	placement_note_behind(view);
 	lowest = placement_list_least(view);
 	if (lowest == UINT32_MAX)
@@ -203,6 +202,9 @@
 		placement_weigh_shard(view, shard, lowest, &best);
 	if (best.gain == 0)
 		return (0);
+	/* Without a move, the next plan tries again: a VM that a heartbeat has
+	 * just reported as ready must be chosen before the one after it. */
+	placement->next_move_ms = view->now_ms + PLACEMENT_MOVE_MS;
 	out->shard = best.shard;
 	out->is_move = 1;
 	out->group = *config_state_get_group(view->state, best.shard);
--- a/test/unit/placement_days.h
+++ b/test/unit/placement_days.h
@@ -279,7 +279,7 @@
 		static placement_change_t changes[CONFIG_SHARDS];
 		size_t n;
 
-		now += kPlanMs;
+		now += plan_ms;
 		StepVms();
 		for (Shard &shard : shards)
 			StepShard(shard);
@@ -367,6 +367,7 @@
 
 	int64_t now = 1000000;
 	int64_t beat_ms = 0;
+	int64_t plan_ms = kPlanMs;
 	int64_t transfer_ms = 300;
 	uint64_t index = 0;
 	int64_t longest_unready_ms = 0;
--- a/test/unit/placement_days_test.cc
+++ b/test/unit/placement_days_test.cc
@@ -78,6 +78,35 @@
 	EXPECT_LE(held.second - held.first, 1);
 }
 
+// Memberships of a VM that comes back, 50 s after it may get some. Control plans
+// this long after it heard heartbeats, first.
+int
+HeldAfterReturn(int64_t phase_ms)
+{
+	Days days(7, 3, 1);
+	int held = 0;
+
+	days.plan_ms = 100;
+	days.transfer_ms = 800;
+	days.Kill(days.vms[2], 15000);
+	days.Run(20000);
+	days.beat_ms += phase_ms;
+	days.Run(PLACEMENT_STABLE_MS + 50000);
+	for (auto &shard : days.shards) {
+		for (auto &holder : shard.holders)
+			held += holder.vm == 2;
+	}
+	return held;
+}
+
+// Guards against moves at half the rate: the VM has read its last shard between two
+// heartbeats, and the next attempt to move one is long after the heartbeat.
+TEST(PlacementDays, ReturnedVmGetsAMembershipWithEachHeartbeat)
+{
+	for (int64_t phase_ms = 0; phase_ms < Days::kBeatMs; phase_ms += 100)
+		EXPECT_GE(HeldAfterReturn(phase_ms), 40) << phase_ms;
+}
+
 // A rack of 20 VMs, then a data centre, are lost while moves are under way.
 void
 LoseDuringMoves(Days &days, int vms, int dcs)
