gate: a request whose target reads on is not stalled

Cause: the age of an attempt counts from the time at which it was sent, or from the last bytes of the response. A target that reads a large body slowly looks as one that hangs.

Change: upstream_call_get_progress_ms() replaces upstream_call_get_received_ms(); it also counts the last time at which bytes of the request were acknowledged (write queue and SIOCOUTQ). A target that reads nothing is judged as before. What is in the receive buffer of the target's VM counts as read.

Result: the unit tests Upstream* and GateStall* pass. There is no test of its own yet: a target that reads slowly is not covered.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -482,12 +482,14 @@
 describe_stall(const gate_request_t *request, int64_t now_ms)
 {
 	const gate_service_t *service = request->target->service;
-	int64_t received_ms = upstream_call_get_received_ms(request->call);
+	int64_t progress_ms =
+	    upstream_call_get_progress_ms(request->call, now_ms);
 
-	/* A large response may take long to arrive. */
+	/* A large request may take long to be read, and a large response to
+	 * arrive. */
 	return ((gate_stall_t){
 	    .age_ms = now_ms -
-		(received_ms > request->sent_ms ? received_ms
+		(progress_ms > request->sent_ms ? progress_ms
 						: request->sent_ms),
 	    .left_ms = request->deadline_ms - now_ms,
 	    .soft_deadline_ms = request->soft_deadline_ms,
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "base/test_hooks.h"
 #include "http/upstream_idle.h"
+#include "http/upstream_unread.h"
 #include "net/stream_end.h"
 
 #define READ_BUFFER_BYTES 65536
@@ -59,6 +60,7 @@
 	int is_lenient;
 	int is_sent;
 	int64_t received_ms; /* last bytes of the response; 0: none */
+	upstream_unread_t unread;
 };
 
 struct upstream_conn {
@@ -619,9 +621,14 @@
 }
 
 int64_t
-upstream_call_get_received_ms(const upstream_call_t *call)
+upstream_call_get_progress_ms(upstream_call_t *call, int64_t now_ms)
 {
-	return (call->conn->is_paused ? clock_now_ms() : call->received_ms);
+	int64_t received_ms =
+	    call->conn->is_paused ? now_ms : call->received_ms;
+	int64_t read_ms =
+	    upstream_unread_update(&call->unread, &call->conn->tcp, now_ms);
+
+	return (read_ms > received_ms ? read_ms : received_ms);
 }
 
 void
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -126,9 +126,10 @@
 /** @return 1 once a byte of the request may have left this process */
 int upstream_call_is_sent(const upstream_call_t *call);
 
-/** @return time of the last bytes of the response, now while this process does
- *          not read them for want of memory; 0: none came */
-int64_t upstream_call_get_received_ms(const upstream_call_t *call);
+/** @return last time at which the target read some of the request, as seen by
+ * calls of this function, or bytes of the response came, now while this process
+ * does not read them for want of memory; 0: none */
+int64_t upstream_call_get_progress_ms(upstream_call_t *call, int64_t now_ms);
 
 /** Ends a call without a callback and closes its connection. */
 void upstream_call_cancel(upstream_call_t *call);
