--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -24,6 +24,7 @@
 #define MSG_FLEET_SIGNALS  (MSG_FLEET_BASE + 11)
 #define MSG_FLEET_RELAY	   (MSG_FLEET_BASE + 12)
 #define MSG_FLEET_RELAYED  (MSG_FLEET_BASE + 13)
+#define MSG_FLEET_UPLOADS  (MSG_FLEET_BASE + 14)
 
 /** Size of the text of an IPv4 address with its NUL. */
 #define FLEET_IP_BYTES 16
@@ -36,6 +37,10 @@
 /** Most data centres that are evacuated at the same time. */
 #define FLEET_EVACUATIONS_MAX 64
 
+/** A request with a larger body is counted at its target, if the document has a
+ * route for uploads. */
+#define FLEET_UPLOAD_MIN_BYTES (16 * 1024)
+
 /** Classes of priority in demands and decisions on admission, the most urgent
  * first; larger priorities are in the last one. */
 #define FLEET_PRIORITY_CLASSES 4
@@ -85,7 +90,8 @@
 	FLEET_SPEND_REQUEST = 0, /**< token of the workspace */
 	FLEET_SPEND_RETRY = 1, /**< share of the service's retry budget */
 	FLEET_SPEND_PROBE = 2, /**< the right to probe a target */
-	FLEET_SPEND_LIMITED = 3 /**< a request to a target with a limit */
+	FLEET_SPEND_LIMITED = 3, /**< a request to a target with a limit */
+	FLEET_SPEND_UPLOAD = 4 /**< a large request */
 } fleet_spend_kind_t;
 
 #endif
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -1312,6 +1312,141 @@
   assert(message->base.descriptor == &tm__fleet__relayed__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   tm__fleet__upload_bound__init
+                     (Tm__Fleet__UploadBound         *message)
+{
+  static const Tm__Fleet__UploadBound init_value = TM__FLEET__UPLOAD_BOUND__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__upload_bound__get_packed_size
+                     (const Tm__Fleet__UploadBound *message)
+{
+  assert(message->base.descriptor == &tm__fleet__upload_bound__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__upload_bound__pack
+                     (const Tm__Fleet__UploadBound *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__upload_bound__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__upload_bound__pack_to_buffer
+                     (const Tm__Fleet__UploadBound *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__upload_bound__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__UploadBound *
+       tm__fleet__upload_bound__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__UploadBound *)
+     protobuf_c_message_unpack (&tm__fleet__upload_bound__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__upload_bound__free_unpacked
+                     (Tm__Fleet__UploadBound *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__upload_bound__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   tm__fleet__upload__init
+                     (Tm__Fleet__Upload         *message)
+{
+  static const Tm__Fleet__Upload init_value = TM__FLEET__UPLOAD__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__upload__get_packed_size
+                     (const Tm__Fleet__Upload *message)
+{
+  assert(message->base.descriptor == &tm__fleet__upload__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__upload__pack
+                     (const Tm__Fleet__Upload *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__upload__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__upload__pack_to_buffer
+                     (const Tm__Fleet__Upload *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__upload__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Upload *
+       tm__fleet__upload__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Upload *)
+     protobuf_c_message_unpack (&tm__fleet__upload__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__upload__free_unpacked
+                     (Tm__Fleet__Upload *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__upload__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   tm__fleet__uploads__init
+                     (Tm__Fleet__Uploads         *message)
+{
+  static const Tm__Fleet__Uploads init_value = TM__FLEET__UPLOADS__INIT;
+  *message = init_value;
+}
+size_t tm__fleet__uploads__get_packed_size
+                     (const Tm__Fleet__Uploads *message)
+{
+  assert(message->base.descriptor == &tm__fleet__uploads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t tm__fleet__uploads__pack
+                     (const Tm__Fleet__Uploads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &tm__fleet__uploads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t tm__fleet__uploads__pack_to_buffer
+                     (const Tm__Fleet__Uploads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &tm__fleet__uploads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Tm__Fleet__Uploads *
+       tm__fleet__uploads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Tm__Fleet__Uploads *)
+     protobuf_c_message_unpack (&tm__fleet__uploads__descriptor,
+                                allocator, len, data);
+}
+void   tm__fleet__uploads__free_unpacked
+                     (Tm__Fleet__Uploads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &tm__fleet__uploads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor tm__fleet__outcome__field_descriptors[5] =
 {
   {
@@ -1918,7 +2053,7 @@
   (ProtobufCMessageInit) tm__fleet__admission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[14] =
+static const ProtobufCFieldDescriptor tm__fleet__lease__field_descriptors[15] =
 {
   {
     "sent_ms",
@@ -2088,6 +2223,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upload_bounds",
+    50,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Lease, n_upload_bounds),
+    offsetof(Tm__Fleet__Lease, upload_bounds),
+    &tm__fleet__upload_bound__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__lease__field_indices_by_name[] = {
   12,   /* field[12] = admissions */
@@ -2104,12 +2251,14 @@
   7,   /* field[7] = pressures */
   0,   /* field[0] = sent_ms */
   4,   /* field[4] = term */
+  14,   /* field[14] = upload_bounds */
 };
-static const ProtobufCIntRange tm__fleet__lease__number_ranges[2 + 1] =
+static const ProtobufCIntRange tm__fleet__lease__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 20, 12 },
-  { 0, 14 }
+  { 50, 14 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor tm__fleet__lease__descriptor =
 {
@@ -2119,10 +2268,10 @@
   "Tm__Fleet__Lease",
   "tm.fleet",
   sizeof(Tm__Fleet__Lease),
-  14,
+  15,
   tm__fleet__lease__field_descriptors,
   tm__fleet__lease__field_indices_by_name,
-  2,  tm__fleet__lease__number_ranges,
+  3,  tm__fleet__lease__number_ranges,
   (ProtobufCMessageInit) tm__fleet__lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2590,7 +2739,7 @@
   (ProtobufCMessageInit) tm__fleet__evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[11] =
+static const ProtobufCFieldDescriptor tm__fleet__spend__field_descriptors[14] =
 {
   {
     "id",
@@ -2724,24 +2873,64 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bytes",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Spend, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Spend, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upload",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Spend, upload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__spend__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   7,   /* field[7] = born_ms */
+  11,   /* field[11] = bytes */
   9,   /* field[9] = excluded */
   0,   /* field[0] = id */
   3,   /* field[3] = kind */
+  12,   /* field[12] = left_ms */
   8,   /* field[8] = limit */
   6,   /* field[6] = may_repeat */
   2,   /* field[2] = service */
   4,   /* field[4] = target */
+  13,   /* field[13] = upload */
   10,   /* field[10] = wait_max_ms */
   1,   /* field[1] = workspace */
 };
-static const ProtobufCIntRange tm__fleet__spend__number_ranges[1 + 1] =
+static const ProtobufCIntRange tm__fleet__spend__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 20, 11 },
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor tm__fleet__spend__descriptor =
 {
@@ -2751,10 +2940,10 @@
   "Tm__Fleet__Spend",
   "tm.fleet",
   sizeof(Tm__Fleet__Spend),
-  11,
+  14,
   tm__fleet__spend__field_descriptors,
   tm__fleet__spend__field_indices_by_name,
-  1,  tm__fleet__spend__number_ranges,
+  2,  tm__fleet__spend__number_ranges,
   (ProtobufCMessageInit) tm__fleet__spend__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4211,3 +4400,247 @@
   (ProtobufCMessageInit) tm__fleet__relayed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor tm__fleet__upload_bound__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__UploadBound, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__UploadBound, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__upload_bound__field_indices_by_name[] = {
+  1,   /* field[1] = bytes */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange tm__fleet__upload_bound__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor tm__fleet__upload_bound__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.UploadBound",
+  "UploadBound",
+  "Tm__Fleet__UploadBound",
+  "tm.fleet",
+  sizeof(Tm__Fleet__UploadBound),
+  2,
+  tm__fleet__upload_bound__field_descriptors,
+  tm__fleet__upload_bound__field_indices_by_name,
+  1,  tm__fleet__upload_bound__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__upload_bound__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__upload__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Upload, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Upload, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Upload, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Upload, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Upload, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Upload, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__upload__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
+  4,   /* field[4] = bytes */
+  0,   /* field[0] = id */
+  5,   /* field[5] = left_ms */
+  3,   /* field[3] = service */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange tm__fleet__upload__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor tm__fleet__upload__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Upload",
+  "Upload",
+  "Tm__Fleet__Upload",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Upload),
+  6,
+  tm__fleet__upload__field_descriptors,
+  tm__fleet__upload__field_indices_by_name,
+  1,  tm__fleet__upload__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__upload__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor tm__fleet__uploads__field_descriptors[5] =
+{
+  {
+    "running",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Uploads, n_running),
+    offsetof(Tm__Fleet__Uploads, running),
+    &tm__fleet__upload__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Uploads, n_answered),
+    offsetof(Tm__Fleet__Uploads, answered),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unanswered",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Uploads, n_unanswered),
+    offsetof(Tm__Fleet__Uploads, unanswered),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "broken",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Tm__Fleet__Uploads, n_broken),
+    offsetof(Tm__Fleet__Uploads, broken),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bounds",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Tm__Fleet__Uploads, n_bounds),
+    offsetof(Tm__Fleet__Uploads, bounds),
+    &tm__fleet__upload_bound__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned tm__fleet__uploads__field_indices_by_name[] = {
+  1,   /* field[1] = answered */
+  4,   /* field[4] = bounds */
+  3,   /* field[3] = broken */
+  0,   /* field[0] = running */
+  2,   /* field[2] = unanswered */
+};
+static const ProtobufCIntRange tm__fleet__uploads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor tm__fleet__uploads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "tm.fleet.Uploads",
+  "Uploads",
+  "Tm__Fleet__Uploads",
+  "tm.fleet",
+  sizeof(Tm__Fleet__Uploads),
+  5,
+  tm__fleet__uploads__field_descriptors,
+  tm__fleet__uploads__field_indices_by_name,
+  1,  tm__fleet__uploads__number_ranges,
+  (ProtobufCMessageInit) tm__fleet__uploads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -44,6 +44,9 @@
 typedef struct Tm__Fleet__Passed Tm__Fleet__Passed;
 typedef struct Tm__Fleet__Relay Tm__Fleet__Relay;
 typedef struct Tm__Fleet__Relayed Tm__Fleet__Relayed;
+typedef struct Tm__Fleet__UploadBound Tm__Fleet__UploadBound;
+typedef struct Tm__Fleet__Upload Tm__Fleet__Upload;
+typedef struct Tm__Fleet__Uploads Tm__Fleet__Uploads;
 
 
 /* --- enums --- */
@@ -247,10 +250,15 @@
    * Services without an entry in admissions are not full.
    */
   protobuf_c_boolean decides_admission;
+  /*
+   * What a target of a service can hold, as far as it is known.
+   */
+  size_t n_upload_bounds;
+  Tm__Fleet__UploadBound **upload_bounds;
 };
 #define TM__FLEET__LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__lease__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -381,10 +389,17 @@
   size_t n_excluded;
   uint64_t *excluded;
   uint32_t wait_max_ms;
+  /*
+   * Of a large request: its body, the time until its deadline, and the id
+   * of its permit at this gate. The leader may choose another target.
+   */
+  uint32_t bytes;
+  uint32_t left_ms;
+  uint32_t upload;
 };
 #define TM__FLEET__SPEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__spend__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Tm__Fleet__Spends
@@ -740,6 +755,61 @@
     , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * Bytes of large requests that a target of a service can hold.
+ */
+struct  Tm__Fleet__UploadBound
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  uint64_t bytes;
+};
+#define TM__FLEET__UPLOAD_BOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__upload_bound__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * A large request that a gate has at a target.
+ */
+struct  Tm__Fleet__Upload
+{
+  ProtobufCMessage base;
+  uint32_t id;
+  uint64_t target;
+  uint64_t born_ms;
+  uint64_t service;
+  uint32_t bytes;
+  uint32_t left_ms;
+};
+#define TM__FLEET__UPLOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__upload__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Gate to hub: large requests that ended; with each renewal also those that run
+ * and the bounds that the gate knows, as a new leader has none of this.
+ */
+struct  Tm__Fleet__Uploads
+{
+  ProtobufCMessage base;
+  size_t n_running;
+  Tm__Fleet__Upload **running;
+  size_t n_answered;
+  uint32_t *answered;
+  size_t n_unanswered;
+  uint32_t *unanswered;
+  size_t n_broken;
+  uint32_t *broken;
+  size_t n_bounds;
+  Tm__Fleet__UploadBound **bounds;
+};
+#define TM__FLEET__UPLOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__uploads__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 /* Tm__Fleet__Outcome methods */
 void   tm__fleet__outcome__init
                      (Tm__Fleet__Outcome         *message);
@@ -1291,6 +1361,63 @@
 void   tm__fleet__relayed__free_unpacked
                      (Tm__Fleet__Relayed *message,
                       ProtobufCAllocator *allocator);
+/* Tm__Fleet__UploadBound methods */
+void   tm__fleet__upload_bound__init
+                     (Tm__Fleet__UploadBound         *message);
+size_t tm__fleet__upload_bound__get_packed_size
+                     (const Tm__Fleet__UploadBound   *message);
+size_t tm__fleet__upload_bound__pack
+                     (const Tm__Fleet__UploadBound   *message,
+                      uint8_t             *out);
+size_t tm__fleet__upload_bound__pack_to_buffer
+                     (const Tm__Fleet__UploadBound   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__UploadBound *
+       tm__fleet__upload_bound__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__upload_bound__free_unpacked
+                     (Tm__Fleet__UploadBound *message,
+                      ProtobufCAllocator *allocator);
+/* Tm__Fleet__Upload methods */
+void   tm__fleet__upload__init
+                     (Tm__Fleet__Upload         *message);
+size_t tm__fleet__upload__get_packed_size
+                     (const Tm__Fleet__Upload   *message);
+size_t tm__fleet__upload__pack
+                     (const Tm__Fleet__Upload   *message,
+                      uint8_t             *out);
+size_t tm__fleet__upload__pack_to_buffer
+                     (const Tm__Fleet__Upload   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Upload *
+       tm__fleet__upload__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__upload__free_unpacked
+                     (Tm__Fleet__Upload *message,
+                      ProtobufCAllocator *allocator);
+/* Tm__Fleet__Uploads methods */
+void   tm__fleet__uploads__init
+                     (Tm__Fleet__Uploads         *message);
+size_t tm__fleet__uploads__get_packed_size
+                     (const Tm__Fleet__Uploads   *message);
+size_t tm__fleet__uploads__pack
+                     (const Tm__Fleet__Uploads   *message,
+                      uint8_t             *out);
+size_t tm__fleet__uploads__pack_to_buffer
+                     (const Tm__Fleet__Uploads   *message,
+                      ProtobufCBuffer     *buffer);
+Tm__Fleet__Uploads *
+       tm__fleet__uploads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   tm__fleet__uploads__free_unpacked
+                     (Tm__Fleet__Uploads *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Tm__Fleet__Outcome_Closure)
@@ -1380,6 +1507,15 @@
 typedef void (*Tm__Fleet__Relayed_Closure)
                  (const Tm__Fleet__Relayed *message,
                   void *closure_data);
+typedef void (*Tm__Fleet__UploadBound_Closure)
+                 (const Tm__Fleet__UploadBound *message,
+                  void *closure_data);
+typedef void (*Tm__Fleet__Upload_Closure)
+                 (const Tm__Fleet__Upload *message,
+                  void *closure_data);
+typedef void (*Tm__Fleet__Uploads_Closure)
+                 (const Tm__Fleet__Uploads *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1415,6 +1551,9 @@
 extern const ProtobufCMessageDescriptor tm__fleet__passed__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__relay__descriptor;
 extern const ProtobufCMessageDescriptor tm__fleet__relayed__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__upload_bound__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__upload__descriptor;
+extern const ProtobufCMessageDescriptor tm__fleet__uploads__descriptor;
 
 PROTOBUF_C__END_DECLS
 
