hub: bytes of large requests bounded at each target

Cause: a target crashes if the requests that it holds exceed its memory, and no gate knows what the others have at it.

Active only with a route for uploads.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -514,7 +514,8 @@
 	    hub->outlier == NULL || hub->quota == NULL || hub->load == NULL ||
 	    hub->admission == NULL || hub->crash == NULL ||
 	    hub->signals == NULL || hub->feed == NULL || hub->report == NULL ||
-	    hub_cold_create(hub) != TM_OK)
+	    hub_cold_create(hub) != TM_OK ||
+	    hub_upload_permit_create(hub) != TM_OK)
 		return (TM_ENOMEM);
 	hub_outlier_set_filter(hub->outlier, may_assign_target);
 	hub_load_set_signals(hub->load, hub->signals);
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -20,6 +20,7 @@
 #include "hub/hub_load.h"
 #include "hub/hub_quota.h"
 #include "hub/hub_signals.h"
+#include "hub/hub_upload.h"
 #include "hub/hub_state.h"
 #include "proto/fleet.pb-c.h"
 
@@ -63,6 +64,8 @@
 	const hub_admission_decision_t *admissions; /**< of full services */
 	size_t admission_count;
 	int decides_admission; /**< services without a decision are not full */
+	const hub_upload_bound_t *upload_bounds;
+	size_t upload_bound_count; /**< at most HUB_UPLOAD_BOUNDS_MAX */
 } hub_feed_lease_t;
 
 /** @return NULL if memory is exhausted */
--- a/src/hub/hub_feed_lease.c
+++ b/src/hub/hub_feed_lease.c
@@ -68,6 +68,22 @@
 	msg->n_admissions = lease->admission_count;
 }
 
+static void
+fill_upload_bounds(const hub_feed_lease_t *lease, hub_feed_lease_parts_t *out,
+    Tm__Fleet__Lease *msg)
+{
+	size_t i;
+
+	for (i = 0; i < lease->upload_bound_count; i++) {
+		tm__fleet__upload_bound__init(&out->bounds[i]);
+		out->bounds[i].service = lease->upload_bounds[i].service;
+		out->bounds[i].bytes = lease->upload_bounds[i].bytes;
+		out->bound_pointers[i] = &out->bounds[i];
+	}
+	msg->upload_bounds = out->bound_pointers;
+	msg->n_upload_bounds = lease->upload_bound_count;
+}
+
 void
 hub_feed_lease_fill(const hub_feed_lease_t *lease,
     hub_feed_lease_parts_t *parts, Tm__Fleet__Lease *msg, int64_t now_ms)
@@ -80,4 +96,5 @@
 	if (lease->full != NULL)
 		fill_full_targets(lease->full, msg, parts->ages_ms, now_ms);
 	fill_admissions(lease, parts, msg);
+	fill_upload_bounds(lease, parts, msg);
 }
--- a/src/hub/hub_feed_lease.h
+++ b/src/hub/hub_feed_lease.h
@@ -18,6 +18,8 @@
 	Tm__Fleet__Admission admissions[HUB_ADMISSION_LIST_MAX];
 	Tm__Fleet__Admission *admission_pointers[HUB_ADMISSION_LIST_MAX];
 	uint32_t shares[HUB_ADMISSION_LIST_MAX][FLEET_PRIORITY_CLASSES];
+	Tm__Fleet__UploadBound bounds[HUB_UPLOAD_BOUNDS_MAX];
+	Tm__Fleet__UploadBound *bound_pointers[HUB_UPLOAD_BOUNDS_MAX];
 } hub_feed_lease_parts_t;
 
 /** Fills a message with the utilization of services, idle services, full targets
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -1,7 +1,7 @@
 /**
  * @file
  * State of tm-hub, shared by hub.c, hub_announcements.c, hub_cold.c,
- * hub_evacuation_apply.c, hub_lead.c and hub_messages.c. One hub_t owns all
+ * hub_evacuation_apply.c, hub_lead.c, hub_messages.c and hub_upload_permit.c. One hub_t owns all
  * modules below; all functions run on its event loop.
  */
 #ifndef TM_HUB_HUB_INTERNAL_H
@@ -21,6 +21,7 @@
 #include "hub/hub_report.h"
 #include "hub/hub_role.h"
 #include "hub/hub_signals.h"
+#include "hub/hub_upload.h"
 #include "hub/hub_warmup.h"
 #include "net/peer.h"
 #include "raft/raft.h"
@@ -69,6 +70,7 @@
 	hub_feed_t *feed;
 	hub_signals_t *signals;
 	hub_warmup_t *warmup;
+	hub_upload_t *upload;
 	hub_crash_t *crash;
 	hub_breaks_t breaks;
 	hub_relay_t *relay; /* while another hub leads */
@@ -114,6 +116,9 @@
 	metric_t *metric_cold;
 	metric_t *metric_cold_granted;
 	metric_t *metric_cold_refused;
+	metric_t *metric_upload_bytes;
+	metric_t *metric_upload_granted;
+	metric_t *metric_upload_refused;
 };
 
 /** Starts or stops to serve as the leader, following the replicated log. */
@@ -224,6 +229,38 @@
 int hub_cold_may_reserve(const hub_t *hub, const hub_signal_key_t *key,
     int64_t wait_ms, int64_t now_ms);
 
+/** Creates the state of large requests and its metrics. @return 0 or TM_ENOMEM */
+int hub_upload_permit_create(hub_t *hub);
+
+/** @return 1 if large requests need permits: the document has a route for uploads */
+int hub_upload_permit_is_active(const hub_t *hub);
+
+/**
+ * Grants a permit for a large request at the target that its gate prefers, or at
+ * the one of the service that holds the fewest bytes.
+ *
+ * @param assignment  receives the target
+ */
+hub_permit_t hub_upload_permit_acquire(hub_t *hub, node_id_t from,
+    const Tm__Fleet__Spend *spend, hub_assignment_t *assignment,
+    int64_t now_ms);
+
+/** Handles MSG_FLEET_UPLOADS. @param incarnation  of the gate's process */
+void hub_upload_permit_receive(hub_t *hub, node_id_t from, uint64_t incarnation,
+    const uint8_t *payload, size_t len);
+
+/** Learns from a crash of a target. */
+void hub_upload_permit_record_crash(
+    hub_t *hub, uint64_t target, uint64_t incarnation_ms, int64_t now_ms);
+
+/** Ends overdue permits, raises bounds and updates the metric. */
+void hub_upload_permit_tick(hub_t *hub, int64_t now_ms);
+
+/** @return 1 if a target may be chosen for a request that names targets that it
+ * excludes; defined in hub_messages.c */
+int hub_allows_target(const hub_t *hub, const hub_target_t *target,
+    const Tm__Fleet__Spend *spend);
+
 /** Prolongs suspicions and counts cold targets. */
 void hub_cold_tick(hub_t *hub, int64_t now_ms);
 
--- a/src/hub/hub_lead.c
+++ b/src/hub/hub_lead.c
@@ -45,6 +45,7 @@
 		    hub->outlier, hub->state->ejected[i], now_ms);
 	hub_signals_reset(hub->signals);
 	hub_cold_begin(hub, now_ms);
+	hub_upload_reset(hub->upload, now_ms);
 	hub_crash_reset(hub->crash);
 	hub_breaks_reset(&hub->breaks);
 	hub->changes.revision = 0;
@@ -445,6 +446,7 @@
 		update_admission(hub, now_ms);
 	}
 	hub_cold_tick(hub, now_ms);
+	hub_upload_permit_tick(hub, now_ms);
 	hub_crash_tick(hub->crash, now_ms);
 	hub_update_blocks(hub, now_ms);
 	if (now_ms >= hub->ejected_due_ms) {
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -134,6 +134,7 @@
 	Tm__Fleet__Join *join = tm__fleet__join__unpack(NULL, len, payload);
 	const char *names[HUB_NAMED_MAX];
 	uint64_t idle[HUB_IDLE_SERVICES_MAX];
+	hub_upload_bound_t bounds[HUB_UPLOAD_BOUNDS_MAX];
 	hub_feed_lease_t lease = { .hubs = names };
 	int64_t now_ms = clock_now_ms();
 
@@ -156,6 +157,9 @@
 		lease.decides_admission =
 		    (hub->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0;
 		list_idle_services(hub, from, idle, &lease, now_ms);
+		lease.upload_bounds = bounds;
+		lease.upload_bound_count =
+		    hub_upload_list_bounds(hub->upload, bounds);
 		lease.full = hub_load_get_full(hub->load);
 		merge_usage(hub, join, now_ms);
 		send_near_limit_if_due(hub, from, join);
@@ -238,30 +242,39 @@
 	const Tm__Fleet__Spend *spend;
 } limit_query_t;
 
-/* hub_signal_filter_cb */
-static int
-allows_limited(void *ctx, const hub_signal_key_t *key)
+int
+hub_allows_target(
+    const hub_t *hub, const hub_target_t *target, const Tm__Fleet__Spend *spend)
 {
-	const limit_query_t *query = ctx;
-	const hub_target_t *target =
-	    find_incarnation(query->hub, key->target, key->incarnation_ms);
+	const hub_signal_key_t key = { target->key, target->as.born_ms };
 	size_t i;
 
-	if (target == NULL || target->as.state != FLEET_TARGET_READY ||
-	    hub_evacuations_has(
-		&query->hub->state->evacuations, target->as.zone) ||
-	    hub_signals_is_leaving(query->hub->signals, key) ||
-	    fleet_name_hash(target->as.service) != query->spend->service ||
-	    hub_outlier_get_verdict(query->hub->outlier, key->target) !=
+	if (target->as.state != FLEET_TARGET_READY ||
+	    hub_evacuations_has(&hub->state->evacuations, target->as.zone) ||
+	    hub_signals_is_leaving(hub->signals, &key) ||
+	    fleet_name_hash(target->as.service) != spend->service ||
+	    hub_outlier_get_verdict(hub->outlier, target->key) !=
 		FLEET_VERDICT_HEALTHY)
 		return (0);
-	for (i = 0; i < query->spend->n_excluded; i++) {
-		if (query->spend->excluded[i] == key->target)
+	for (i = 0; i < spend->n_excluded; i++) {
+		if (spend->excluded[i] == target->key)
 			return (0);
 	}
 	return (1);
 }
 
+/* hub_signal_filter_cb */
+static int
+allows_limited(void *ctx, const hub_signal_key_t *key)
+{
+	const limit_query_t *query = ctx;
+	const hub_target_t *target =
+	    find_incarnation(query->hub, key->target, key->incarnation_ms);
+
+	return (target != NULL &&
+	    hub_allows_target(query->hub, target, query->spend));
+}
+
 /* Reserves a permit of the target of a service that has one first. */
 static hub_permit_t
 reserve_limited(hub_t *hub, const Tm__Fleet__Spend *spend,
@@ -374,6 +387,9 @@
 			return (
 			    reserve_limited(hub, spend, assignment, now_ms));
 		return (acquire_limited(hub, from, spend, now_ms));
+	case FLEET_SPEND_UPLOAD:
+		return (hub_upload_permit_acquire(
+		    hub, from, spend, assignment, now_ms));
 	default:
 		break;
 	}
@@ -464,6 +480,8 @@
 	    hub_state_find_target(hub->state, report->target);
 	uint32_t crashes = hub_crash_record(hub->crash, report, now_ms);
 
+	hub_upload_permit_record_crash(
+	    hub, report->target, report->incarnation_ms, now_ms);
 	metric_add(hub->metric_crashes, 1);
 	LOG_EVENT(924,
 	    crashes >= HUB_CRASHES_TO_BLOCK ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
@@ -549,7 +567,6 @@
 	int64_t now_ms = clock_now_ms();
 	int has_state;
 
-	(void)incarnation;
 	if (type >= MSG_RAFT_BASE && type < MSG_RAFT_BASE + 20) {
 		raft_handle(hub->raft, from, type, payload, len, now_ms);
 		return;
@@ -580,6 +597,11 @@
 		if (has_state)
 			handle_crash(hub, payload, len);
 		break;
+	case MSG_FLEET_UPLOADS:
+		if (has_state)
+			hub_upload_permit_receive(
+			    hub, from, incarnation, payload, len);
+		break;
 	case MSG_FLEET_SIGNALS:
 		if (has_state)
 			handle_signals(hub, from, payload, len);
--- a/src/hub/hub_settings.c
+++ b/src/hub/hub_settings.c
@@ -13,6 +13,7 @@
 #define EVACUATE_MAX_S	     3600.0
 #define WARMUP_OVERSHOOT_MAX 100.0
 #define WARMUP_SLACK_MAX     10000.0
+#define TARGET_MEMORY_MAX_MB 65536
 
 const char hub_default_settings[] =
     "{\n"
@@ -89,6 +90,8 @@
 	    root, "warmup_overshoot", 0, WARMUP_OVERSHOOT_MAX, "", 0);
 	settings->warmup_slack = json_opt_real(
 	    root, "warmup_slack", 0, WARMUP_SLACK_MAX, "requests", 0);
+	settings->target_memory_mb = (int)json_opt_int(
+	    root, "target_memory_mb", 0, TARGET_MEMORY_MAX_MB, "MB", 0);
 	settings->log_level = program_read_log_level(root);
 	json_node_finish(root);
 }
--- a/src/hub/hub_settings.h
+++ b/src/hub/hub_settings.h
@@ -44,6 +44,8 @@
 	double warmup_overshoot; /**< of the requests that a cold target takes;
 				  * 0: no bound */
 	double warmup_slack; /**< requests beyond that in one second */
+	/** Memory of a target for requests, in MB; 0: it is learned. */
+	int target_memory_mb;
 	const dialect_t *dialect;
 	log_level_t log_level;
 } hub_settings_t;
