gate: permits for large requests

Change: a gate asks the leader for a permit, reports ends at once and what runs with each renewal, and keeps to an even share of half the bound while no leader answers. A request without room is refused at once: 503 uploads_full, not run, with Retry-After.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -13,6 +13,7 @@
 #include "gate/gate_metrics.h"
 #include "gate/gate_policy.h"
 #include "gate/gate_request.h"
+#include "gate/gate_upload_permit.h"
 
 /* Key lease as a fraction of revoke_within_s. */
 #define KEY_LEASE_SHARE 0.8
@@ -139,6 +140,15 @@
 	    gate_link_get_gate_count(gate->link), gate->lease_ms);
 }
 
+static void
+on_set_upload_bounds(
+    void *ctx, Tm__Fleet__UploadBound *const *bounds, size_t count)
+{
+	gate_t *gate = ctx;
+
+	gate_upload_set_bounds(gate->upload, bounds, count);
+}
+
 static void
 on_set_idle(void *ctx, const uint64_t *services, size_t count)
 {
@@ -152,6 +162,7 @@
 {
 	gate_t *gate = ctx;
 
+	gate_upload_permit_report(gate, 1);
 	gate_demand_reset(gate->table);
 	free(gate->outcome_pointers);
 	free(gate->outcomes);
@@ -364,6 +375,7 @@
 	gate_t *gate = check->data;
 
 	gate_link_flush(gate->link, clock_now_ms());
+	gate_upload_permit_report(gate, 0);
 	set_tick(gate);
 }
 
@@ -491,6 +503,7 @@
 		.set_utilization = on_set_utilization,
 		.set_admissions = on_set_admissions,
 		.set_full = on_set_full,
+		.set_upload_bounds = on_set_upload_bounds,
 		.set_idle = on_set_idle,
 		.renewal_sent = on_renewal_sent,
 		.ctx = gate,
@@ -505,6 +518,7 @@
 	gate->usage = gate_usage_create();
 	gate->crash = gate_crash_create();
 	gate->cost = gate_cost_create();
+	gate->upload = gate_upload_create();
 	gate->link = gate_link_create(&link);
 	gate->upstream = upstream_create(gate->loop);
 	if (gate->upstream != NULL)
@@ -512,7 +526,8 @@
 		    gate->upstream, settings->response_limit_bytes);
 	if (gate->table == NULL || gate->allowance == NULL ||
 	    gate->usage == NULL || gate->crash == NULL || gate->cost == NULL ||
-	    gate->link == NULL || gate->upstream == NULL)
+	    gate->upload == NULL || gate->link == NULL ||
+	    gate->upstream == NULL)
 		return (TM_ENOMEM);
 	return (gate_metrics_create(gate));
 }
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -14,6 +14,7 @@
 #include "gate/gate_metrics.h"
 #include "gate/gate_probe.h"
 #include "gate/gate_stall.h"
+#include "gate/gate_upload_permit.h"
 
 /* Connect timeout; nothing was sent by then. */
 #define CONNECT_MAX_MS 300
@@ -36,6 +37,7 @@
 		gate_link_cancel_permit(
 		    request->gate->link, request->permit_id);
 	request->permit_id = 0;
+	gate_upload_permit_finish(request, GATE_UPLOAD_UNANSWERED);
 	target->excess -= request->excess;
 	request->excess = 0;
 	request->target = NULL;
@@ -202,15 +204,31 @@
 		gate_request_proceed(request);
 }
 
+static gate_upload_end_t
+get_upload_end(upstream_result_t result)
+{
+	switch (result) {
+	case UPSTREAM_COMPLETE:
+		return (GATE_UPLOAD_ANSWERED);
+	case UPSTREAM_BROKEN:
+	case UPSTREAM_TRUNCATED:
+		return (GATE_UPLOAD_BROKEN);
+	default:
+		return (GATE_UPLOAD_UNANSWERED);
+	}
+}
+
 /* upstream_cb */
 static void
 on_done(
     void *ctx, upstream_result_t result, const upstream_response_t *response)
 {
 	gate_request_t *request = ctx;
-	gate_target_t *target = end_attempt(request);
+	gate_target_t *target;
 	fleet_evidence_t kind = FLEET_EVIDENCE_WRONG;
 
+	gate_upload_permit_finish(request, get_upload_end(result));
+	target = end_attempt(request);
 	switch (result) {
 	case UPSTREAM_COMPLETE:
 		handle_response(request, target, response);
@@ -322,6 +340,7 @@
 		return;
 	}
 	gate_target_acquire(target);
+	gate_upload_permit_begin(request, target);
 	gate_metrics_count_connection(gate,
 	    gate_idle_take(&target->idle,
 		gate_subset_get_reuse_ms(target->idle_max_ms), clock_now_ms()));
@@ -430,6 +449,9 @@
 		gate_attempt_send(request, choice.target, 1);
 	else if (choice.must_ask_leader)
 		ask_for_target(request, service);
+	else if ((choice.target != NULL || choice.must_reserve) &&
+	    gate_upload_permit_is_needed(request))
+		gate_upload_permit_acquire(request, choice.target, has_leader);
 	else if (choice.must_reserve && has_leader)
 		gate_limit_permit_reserve(request);
 	else if (choice.must_reserve)
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -19,6 +19,7 @@
 #include "gate/gate_settings.h"
 #include "gate/gate_stop.h"
 #include "gate/gate_table.h"
+#include "gate/gate_upload.h"
 #include "gate/gate_usage.h"
 #include "http/http_server.h"
 #include "http/upstream.h"
@@ -53,6 +54,7 @@
 	gate_usage_t *usage;
 	gate_crash_t *crash;
 	gate_cost_t *cost;
+	gate_upload_t *upload;
 	uint64_t costs_reported; /**< responses until the last report */
 	fleet_config_t *config; /**< NULL until the first one arrives */
 	uint32_t features; /**< fleet_feature_t of settings and config */
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -375,6 +375,9 @@
 	if (link->options.set_admissions != NULL && lease->decides_admission)
 		link->options.set_admissions(
 		    link->options.ctx, lease->admissions, lease->n_admissions);
+	if (link->options.set_upload_bounds != NULL)
+		link->options.set_upload_bounds(link->options.ctx,
+		    lease->upload_bounds, lease->n_upload_bounds);
 	link->options.set_idle(
 	    link->options.ctx, lease->idle_services, lease->n_idle_services);
 	link->newest_version = lease->config_version;
@@ -529,6 +532,16 @@
 		    MSG_FLEET_SIGNALS, &signals->base);
 }
 
+int
+gate_link_report_uploads(gate_link_t *link, const Tm__Fleet__Uploads *uploads)
+{
+	if (link->leader == NODE_ID_NONE)
+		return (0);
+	link->options.send(link->options.send_ctx, link->leader,
+	    MSG_FLEET_UPLOADS, &uploads->base);
+	return (1);
+}
+
 static Tm__Fleet__Spend *
 queue_spend(gate_link_t *link, int64_t now_ms)
 {
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -92,6 +92,10 @@
 	 * on admission; NULL: they are not used. */
 	void (*set_admissions)(
 	    void *ctx, Tm__Fleet__Admission *const *admissions, size_t count);
+	/** Applies what targets of services can hold, of a lease; NULL: it is not
+	 * used. */
+	void (*set_upload_bounds)(
+	    void *ctx, Tm__Fleet__UploadBound *const *bounds, size_t count);
 	/** Applies the services with idle targets of a lease. */
 	void (*set_idle)(void *ctx, const uint64_t *services, size_t count);
 	/** Called after a renewal was sent to the leader; memory that
@@ -137,6 +141,11 @@
 void gate_link_report_signals(
     gate_link_t *link, const Tm__Fleet__Signals *signals);
 
+/** Reports large requests to the leader. @return 0 without one: nothing was
+ * sent */
+int gate_link_report_uploads(
+    gate_link_t *link, const Tm__Fleet__Uploads *uploads);
+
 /** Queues the report of a token that was consumed without a permit. */
 void gate_link_report_consumed(
     gate_link_t *link, uint64_t workspace, uint64_t service, int64_t now_ms);
--- a/src/gate/gate_request.c
+++ b/src/gate/gate_request.c
@@ -12,6 +12,7 @@
 #include "gate/gate_attempt.h"
 #include "gate/gate_crash_check.h"
 #include "gate/gate_metrics.h"
+#include "gate/gate_upload_permit.h"
 
 /* Interval of the check that the caller's connection is still open. */
 #define ABANDON_CHECK_INTERVAL_MS 100
@@ -63,6 +64,7 @@
 
 	if (request->permit_id != 0)
 		gate_link_cancel_permit(gate->link, request->permit_id);
+	gate_upload_permit_finish(request, GATE_UPLOAD_UNANSWERED);
 	DL_DELETE(gate->requests, request);
 	gate->in_flight--;
 	detach_caller(request);
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -18,6 +18,7 @@
 	GATE_STATE_PROBE_PERMIT, /**< a permit to probe a target */
 	GATE_STATE_RETRY_PERMIT, /**< a permit to send the request again */
 	GATE_STATE_LIMIT_PERMIT, /**< a permit for a target with a limit */
+	GATE_STATE_UPLOAD_PERMIT, /**< a permit for a large request */
 	GATE_STATE_SENT /**< a target's response */
 } gate_state_t;
 
@@ -69,6 +70,7 @@
 	uint32_t tried_count;
 	uint32_t attempts_sent; /**< attempts that may have reached a target */
 	int may_have_executed;
+	uint32_t upload_id; /**< in gate_t.upload; 0: none */
 	gate_cost_key_t cost_key;
 	double excess; /**< of its attempt, in gate_target_t.excess */
 	uint64_t fingerprint; /**< 0: not computed yet */
