gate: setting choice; reports compare the cost of requests by service

Cost and speed of targets decided the choice with scarce capacity and could not be switched off, so that no deployment could show what they gain; only two sums over all services told whether the estimates were right.

The setting choice is work (default, as before) or requests: cost and speed then have no effect on the choice, subsets and reported loads stay, and both are still learned.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -301,7 +301,8 @@
 {
 	const gate_t *gate = request->gate;
 
-	if ((gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
+	if ((gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0 ||
+	    gate->settings.choice != GATE_CHOICE_BY_WORK)
 		return;
 	request->excess = gate_cost_get_weight(gate->cost, &request->cost_key,
 			      &target->service->mean_cost_ms, clock_now_ms()) -
--- a/src/gate/gate_cost.c
+++ b/src/gate/gate_cost.c
@@ -40,6 +40,9 @@
 #define MEAN_WEIGHT  0.02
 #define WEIGHT_RATIO 5.0
 
+/* An estimate that is off by more than this factor counts as missed. */
+#define MISSED_RATIO 2.0
+
 /* A mean over responses. */
 typedef struct entry {
 	uint64_t key; /* 0: free */
@@ -52,7 +55,6 @@
 struct gate_cost {
 	entry_t classes[CLASSES];
 	entry_t workspaces[WORKSPACES];
-	gate_cost_totals_t totals;
 };
 
 gate_cost_t *
@@ -220,9 +222,8 @@
 	entry->last_workspace = key->workspace;
 }
 
-/* @return weight of what is known of a target's speed */
-static double
-get_weight(const gate_speed_t *speed, int64_t now_ms)
+double
+gate_speed_get_weight(const gate_speed_t *speed, int64_t now_ms)
 {
 	return (speed->weight *
 	    exp(-(double)(now_ms - speed->updated_ms) / SPEED_DECAY_MS));
@@ -235,7 +236,7 @@
 
 	if (speed->weight <= 0)
 		return (1);
-	weight = get_weight(speed, now_ms);
+	weight = gate_speed_get_weight(speed, now_ms);
 	return ((speed->slowness * weight + SPEED_SHRINKAGE) /
 	    (weight + SPEED_SHRINKAGE));
 }
@@ -243,16 +244,28 @@
 static void
 record_speed(gate_speed_t *speed, double ratio, int64_t now_ms)
 {
-	double weight = get_weight(speed, now_ms);
+	double weight = gate_speed_get_weight(speed, now_ms);
 
 	speed->slowness = (speed->slowness * weight + ratio) / (weight + 1);
 	speed->weight = fmin(weight + 1, SPEED_WEIGHT_MAX);
 	speed->updated_ms = now_ms;
 }
 
+static void
+compare(gate_cost_totals_t *totals, double expected_ms, double seen_ms)
+{
+	totals->responses++;
+	totals->expected_ms += (uint64_t)lround(expected_ms);
+	totals->seen_ms += (uint64_t)lround(seen_ms);
+	if (seen_ms > MISSED_RATIO * expected_ms ||
+	    expected_ms > MISSED_RATIO * seen_ms)
+		totals->missed++;
+}
+
 void
 gate_cost_record(gate_cost_t *cost, const gate_cost_key_t *key,
-    gate_speed_t *speed, const gate_cost_outcome_t *outcome)
+    gate_speed_t *speed, gate_cost_totals_t *totals,
+    const gate_cost_outcome_t *outcome)
 {
 	double expected_ms = gate_cost_expect(cost, key, outcome->now_ms);
 	double slowness = gate_speed_get_slowness(speed, outcome->now_ms);
@@ -261,18 +274,10 @@
 	double seen_ms = fmax(outcome->latency_ms, 1) / fmax(outcome->load, 1);
 
 	if (expected_ms > 0) {
-		cost->totals.responses++;
-		cost->totals.expected_ms += (uint64_t)(expected_ms * slowness);
-		cost->totals.seen_ms += (uint64_t)seen_ms;
+		compare(totals, expected_ms * slowness, seen_ms);
 		record_speed(speed,
 		    limit(seen_ms / expected_ms, 1 / SPEED_RATIO, SPEED_RATIO),
 		    outcome->now_ms);
 	}
 	record_cost(cost, key, seen_ms / slowness, outcome->now_ms);
 }
-
-const gate_cost_totals_t *
-gate_cost_get_totals(const gate_cost_t *cost)
-{
-	return (&cost->totals);
-}
--- a/src/gate/gate_cost.h
+++ b/src/gate/gate_cost.h
@@ -35,11 +35,12 @@
 	int64_t now_ms;
 } gate_cost_outcome_t;
 
-/** Sums for reports. */
+/** Comparison of estimates and outcomes; starts as zero. */
 typedef struct gate_cost_totals {
 	uint64_t responses; /**< for which there was an estimate */
 	uint64_t expected_ms; /**< by cost and speed */
 	uint64_t seen_ms; /**< without queueing */
+	uint64_t missed; /**< responses off by more than a factor of two */
 } gate_cost_totals_t;
 
 /** @return NULL if memory is exhausted */
@@ -65,15 +66,21 @@
 double gate_cost_get_weight(const gate_cost_t *cost, const gate_cost_key_t *key,
     double *mean_ms, int64_t now_ms);
 
-/** Learns from a response. */
+/**
+ * Learns from a response.
+ *
+ * @param totals  of the service; compares the response with the estimate
+ */
 void gate_cost_record(gate_cost_t *cost, const gate_cost_key_t *key,
-    gate_speed_t *speed, const gate_cost_outcome_t *outcome);
+    gate_speed_t *speed, gate_cost_totals_t *totals,
+    const gate_cost_outcome_t *outcome);
+
+/** @return number of responses that tell the speed of a target; falls with
+ *          their age */
+double gate_speed_get_weight(const gate_speed_t *speed, int64_t now_ms);
 
 /** @return time of a request at a target as a multiple of its cost; 1 while
  *          little is known */
 double gate_speed_get_slowness(const gate_speed_t *speed, int64_t now_ms);
 
-/** @return sums since the start */
-const gate_cost_totals_t *gate_cost_get_totals(const gate_cost_t *cost);
-
 #endif
--- a/src/gate/gate_evidence.c
+++ b/src/gate/gate_evidence.c
@@ -96,8 +96,8 @@
 		return;
 	if (target->load_ms >= received_ms)
 		outcome.load = (double)(target->load + 1) / target->slots;
-	gate_cost_record(
-	    request->gate->cost, &request->cost_key, &target->speed, &outcome);
+	gate_cost_record(request->gate->cost, &request->cost_key,
+	    &target->speed, &target->service->costs, &outcome);
 }
 
 void
--- a/src/gate/gate_settings.c
+++ b/src/gate/gate_settings.c
@@ -25,10 +25,14 @@
     "  \"rate_window_s\": 5,\n"
     "  \"rate_overshoot\": 0.1,\n"
     "  \"rate_slack\": 20,\n"
+    "  \"choice\": \"work\",\n"
     "  \"dialect\": \"platform\",\n"
     "  \"log_level\": \"info\"\n"
     "}\n";
 
+/* In the order of gate_choice_by_t. */
+static const char *const choice_names[] = { "work", "requests", NULL };
+
 static void
 read_settings(json_node_t *root, void *out)
 {
@@ -60,6 +64,8 @@
 	fleet_read_rate_bounds(root, &settings->rates);
 	settings->dialect = fleet_read_dialect(root);
 	settings->features = fleet_read_features(root, settings->dialect);
+	settings->choice = (gate_choice_by_t)json_opt_enum(
+	    root, "choice", choice_names, GATE_CHOICE_BY_WORK);
 	settings->log_level = program_read_log_level(root);
 	json_node_finish(root);
 }
--- a/src/gate/gate_settings.h
+++ b/src/gate/gate_settings.h
@@ -12,6 +12,7 @@
 
 #include "base/log.h"
 #include "fleet/dialect.h"
+#include "gate/gate_subset.h"
 #include "settings/program_settings.h"
 
 /** Deadline of a request if neither its caller nor its route sets one. */
@@ -35,6 +36,7 @@
 	size_t request_limit_bytes; /**< of all large requests together */
 	fleet_rate_bounds_t rates;
 	uint32_t features; /**< fleet_feature_t that the deployment requires */
+	gate_choice_by_t choice; /**< of a target */
 	const dialect_t *dialect;
 	log_level_t log_level;
 } gate_settings_t;
--- a/src/gate/gate_subset.c
+++ b/src/gate/gate_subset.c
@@ -262,22 +262,26 @@
 }
 
 static double
-get_score(const gate_target_t *target, int64_t now_ms)
+get_score(
+    const gate_target_t *target, const gate_policy_t *policy, int64_t now_ms)
 {
+	double slowness = policy->choice == GATE_CHOICE_BY_WORK
+	    ? gate_speed_get_slowness(&target->speed, now_ms)
+	    : 1;
 	const gate_subset_t *subset = &target->service->subset;
 	double expected = now_ms - subset->mean_load_ms <= MEAN_LOAD_MAX_AGE_MS
 	    ? subset->mean_load
 	    : 0;
 
-	return (gate_target_get_score(target, expected,
-	    gate_speed_get_slowness(&target->speed, now_ms), now_ms));
+	return (gate_target_get_score(target, expected, slowness, now_ms));
 }
 
 static double
-get_cost(const gate_target_t *target, int64_t now_ms)
+get_cost(
+    const gate_target_t *target, const gate_policy_t *policy, int64_t now_ms)
 {
 	int64_t reuse_ms = gate_subset_get_reuse_ms(target->idle_max_ms);
-	double cost = get_score(target, now_ms);
+	double cost = get_score(target, policy, now_ms);
 
 	if (!gate_idle_has(&target->idle, reuse_ms, now_ms))
 		cost += CONNECT_COST;
@@ -285,16 +289,18 @@
 }
 
 static gate_target_t *
-get_better(gate_target_t *a, gate_target_t *b, int64_t now_ms)
+get_better(gate_target_t *a, gate_target_t *b, const gate_policy_t *policy,
+    int64_t now_ms)
 {
-	return (get_cost(a, now_ms) <= get_cost(b, now_ms) ? a : b);
+	return (
+	    get_cost(a, policy, now_ms) <= get_cost(b, policy, now_ms) ? a : b);
 }
 
 /* Power of two choices; one of them is in the gate's own zone if there is any.
  */
 static gate_target_t *
-pick_member(
-    const gate_subset_t *subset, uint32_t same_zone, int64_t now_ms, rng_t *rng)
+pick_member(const gate_subset_t *subset, uint32_t same_zone,
+    const gate_policy_t *policy, int64_t now_ms, rng_t *rng)
 {
 	uint32_t first = (uint32_t)rng_below(
 	    rng, same_zone > 0 ? same_zone : subset->member_count);
@@ -306,7 +312,7 @@
 	if (second >= first)
 		second++;
 	return (get_better(
-	    subset->members[first], subset->members[second], now_ms));
+	    subset->members[first], subset->members[second], policy, now_ms));
 }
 
 /* @return a random target that the gate need not prefer, or NULL */
@@ -336,11 +342,12 @@
 		return (NULL);
 	update_size(&service->subset, &usable, policy);
 	same_zone = list_members(service, options, &usable);
-	member = pick_member(&service->subset, same_zone, now_ms, rng);
-	if (get_score(member, now_ms) < FULL_LOAD)
+	member = pick_member(&service->subset, same_zone, policy, now_ms, rng);
+	if (get_score(member, policy, now_ms) < FULL_LOAD)
 		return (member);
 	other = pick_other(service, options, rng);
-	return (other != NULL ? get_better(member, other, now_ms) : member);
+	return (
+	    other != NULL ? get_better(member, other, policy, now_ms) : member);
 }
 
 /* Orders copies of the targets, so that those of the table stay as they are. */
@@ -400,8 +407,8 @@
 		candidates[i] = (gate_candidate_t){
 			.target = find_original(
 			    service, copies, copy->subset.members[i]),
-			.score =
-			    get_cost(copy->subset.members[i], options->now_ms),
+			.score = get_cost(
+			    copy->subset.members[i], policy, options->now_ms),
 		};
 	free(copies);
 	free(pointers);
--- a/src/gate/gate_subset.h
+++ b/src/gate/gate_subset.h
@@ -19,9 +19,16 @@
 struct gate_service;
 struct gate_pick_options;
 
+/** What the choice among the preferred targets weighs. */
+typedef enum gate_choice_by {
+	GATE_CHOICE_BY_WORK, /**< expected cost of requests, speed of targets */
+	GATE_CHOICE_BY_REQUESTS /**< the number of requests per slot only */
+} gate_choice_by_t;
+
 /** How a gate chooses targets. */
 typedef struct gate_policy {
 	uint32_t features; /**< fleet_feature_t */
+	gate_choice_by_t choice; /**< with FLEET_FEATURE_SCARCE_CAPACITY */
 	uint64_t gate; /**< hash of the gate's name, the same after a restart */
 	uint32_t gate_count; /**< gates of the fleet, this one included */
 } gate_policy_t;
--- a/test/functional/platform_fleet.py
+++ b/test/functional/platform_fleet.py
@@ -65,6 +65,7 @@
         self.processes = {}
         self.log_sizes = {}  # before the last start
         self.hub_settings = {}  # more settings of each hub
+        self.gate_settings = {}  # more settings of a gate, by its number
         self.fills_disks = fills_disks
         self.full = set()
         if fills_disks:
@@ -143,7 +144,8 @@
             "ready_listen": f"{self.gates[i]}:{self.ready}",
             "peer_port": self.peer, "metrics_port": self.metrics,
             "seeds": [f"{x}:{self.control_port}" for x in self.hubs],
-            "fleet_secrets": ["0123456789abcdef"]})
+            "fleet_secrets": ["0123456789abcdef"],
+            **self.gate_settings.get(i, {})})
 
     def start_all(self, keys):
         """Starts all hubs and gates for the first time and puts a document."""
--- a/test/unit/gate_cost_test.cc
+++ b/test/unit/gate_cost_test.cc
@@ -1,7 +1,8 @@
 // Failures guarded against: slow targets get as many requests as fast ones, and
 // their requests are late; a target counts as slow because it was given costly
 // requests; one workspace changes what is expected of the requests of others; an
-// estimate outlives what it was learned from.
+// estimate outlives what it was learned from; with the choice by requests, cost or
+// speed still decide; reports of estimates hide that they are wrong.
 #include <gtest/gtest.h>
 
 #include "load_model.h"
@@ -22,7 +23,7 @@
 		gate_cost_key_t key = { class_id, workspace };
 		gate_cost_outcome_t outcome = { latency_ms, load, now_ };
 
-		gate_cost_record(cost_, &key, speed, &outcome);
+		gate_cost_record(cost_, &key, speed, &totals_, &outcome);
 		now_ += 20;
 	}
 
@@ -43,6 +44,7 @@
 	int64_t now_ = 1000;
 	gate_cost_t *cost_ = gate_cost_create();
 	gate_speed_t average_ = {};
+	gate_cost_totals_t totals_ = {};
 };
 
 // Requests that cost 470 ms on average, with a tail of 3 in 100 at seven times
@@ -132,6 +134,24 @@
 	}
 }
 
+// The setting "requests" has no effect on where requests go, so that a comparison
+// of both settings shows nothing.
+TEST(GateCostModel, LeavesOutCostAndSpeedByRequests)
+{
+	LoadPattern pattern = UnevenRequests(82, 150, 0.7);
+
+	pattern.has_speeds = true;
+	LoadFigures work =
+	    Play(pattern, FLEET_FEATURE_SCARCE_CAPACITY, "by work");
+	pattern.choice = GATE_CHOICE_BY_REQUESTS;
+	LoadFigures requests =
+	    Play(pattern, FLEET_FEATURE_SCARCE_CAPACITY, "by requests");
+
+	EXPECT_LE(1 - work.Share(work.in_aim),
+	    0.85 * (1 - requests.Share(requests.in_aim)));
+	EXPECT_LT(work.GetLatencyMs(0.99), requests.GetLatencyMs(0.99));
+}
+
 // The routes exchange their costs in the middle of the day.
 TEST(GateCostModel, FollowsCostsThatChange)
 {
@@ -147,6 +167,33 @@
 	EXPECT_LT(part.GetLatencyMs(0.99), all.GetLatencyMs(0.99));
 }
 
+// Estimates that are wrong by less and by more than a factor of two look alike, or
+// errors in both directions cancel out.
+TEST_F(GateCost, CountsMissedEstimates)
+{
+	for (int i = 0; i < 200; i++)
+		Record(1, 0, 100, &average_);
+	EXPECT_EQ(totals_.responses, 199u); // none was expected of the first
+	EXPECT_EQ(totals_.missed, 0u);
+	totals_ = {};
+	for (int i = 0; i < 10; i++) {
+		gate_speed_t unknown = {};
+
+		Record(1, 0, 180, &unknown);
+	}
+	EXPECT_EQ(totals_.missed, 0u);
+	for (int i = 0; i < 5; i++) {
+		gate_speed_t unknown = {};
+
+		Record(1, 0, 300, &unknown);
+		Record(1, 0, 20, &unknown);
+	}
+	EXPECT_EQ(totals_.missed, 10u);
+	EXPECT_EQ(totals_.responses, 20u);
+	EXPECT_EQ(totals_.seen_ms, 10u * 180 + 5 * 320);
+	EXPECT_NEAR((double)totals_.expected_ms, 20 * 110, 400);
+}
+
 // A target that was given costly requests counts as slow.
 TEST_F(GateCost, TellsSpeedFromCost)
 {
--- a/test/unit/gate_subset_test.cc
+++ b/test/unit/gate_subset_test.cc
@@ -293,6 +293,31 @@
 	EXPECT_GE(outside, 70);
 }
 
+// A slow target, and one with costly requests, stay without requests although the
+// choice is by requests.
+TEST_F(GateSubsetPick, ChoosesByRequests)
+{
+	std::map<gate_target_t *, int> members = Pick(300);
+	gate_target_t *slow = nullptr;
+	int by_work = 0;
+	int by_requests = 0;
+
+	for (auto &entry : members) {
+		if (slow == nullptr || entry.second > members[slow])
+			slow = entry.first;
+	}
+	slow->speed = { 4, 20, now_ };
+	by_work = Pick(100)[slow];
+	policy_.choice = GATE_CHOICE_BY_REQUESTS;
+	gate_table_set_policy(table_, &policy_);
+	slow->speed = { 4, 20, now_ };
+	by_requests = Pick(100)[slow];
+	printf("of 100 requests to a slow target: by work %d, by requests %d\n",
+	    by_work, by_requests);
+	EXPECT_LE(by_work, 2);
+	EXPECT_GE(by_requests, 10);
+}
+
 // Most requests cross zones although the own zone has room.
 TEST_F(GateSubsetPick, PrefersOwnZone)
 {
--- a/test/unit/load_model.h
+++ b/test/unit/load_model.h
@@ -57,6 +57,7 @@
 	// FLEET_FEATURE_SCARCE_CAPACITY is on at hub and gates.
 	bool is_scarce = false;
 	uint32_t features = 0; // of the gates
+	gate_choice_by_t choice = GATE_CHOICE_BY_WORK;
 	int64_t keep_alive_ms = 10000; // of the targets' connections
 	bool has_speeds = false; // targets of speeds 1 : 2 : 4
 	// A fifth of the requests have a route whose cost is a multiple of the
@@ -174,6 +175,7 @@
 			gate_policy_t policy = {};
 
 			policy.features = pattern.features;
+			policy.choice = pattern.choice;
 			policy.gate = fleet_name_hash(
 			    ("gate-" + std::to_string(i)).c_str());
 			policy.gate_count = (uint32_t)pattern.gates;
@@ -496,7 +498,8 @@
 		uint64_t id = ++last_id_;
 
 		request.tries++;
-		if (pattern_.features != 0)
+		if (pattern_.features != 0 &&
+		    pattern_.choice == GATE_CHOICE_BY_WORK)
 			request.excess =
 			    gate_cost_get_weight(costs_[request.gate],
 				&request.cost_key,
@@ -642,7 +645,7 @@
 			outcome.now_ms = now_;
 			gate_cost_record(costs_[attempt.request.gate],
 			    &attempt.request.cost_key, &attempt.target->speed,
-			    &outcome);
+			    &attempt.target->service->costs, &outcome);
 		}
 		if (kind != FLEET_EVIDENCE_SUCCESS || attempt.is_probe)
 			Report(attempt, kind, attempt.is_probe);
