gate, hub: gates without a leader keep to the bound of targets that turn cold

Gates that were cut off before a target turned cold did not know it: in the model a target got 21 and 22 requests in one second (127 and 278 gates, 12 a second each, nine tenths cut off), 16.7 are allowed.

Rows of warm targets now carry what a cold one tolerates (warmup_limit with no time left; no new field), so that a gate has it before it loses the leader. Without a leader it spaces its requests to each such target: a gate that sent less than its share of the rate keeps to that share, any other to 0.7 of it. Hubs without warmup_overshoot and services without WarmupPerS send no value, and gates with a leader are not affected.

The test that only printed figures of this case (FiguresOfTargetsThatTurnColdUnknownToGatesCutOff) is replaced by ones that hold the bound.

--- a/src/gate/gate_alone.c
+++ b/src/gate/gate_alone.c
@@ -57,6 +57,7 @@
 		if (target->verdict != FLEET_VERDICT_HEALTHY &&
 		    !target->is_recovered &&
 		    gate_target_is_usable(target, options) &&
+		    !gate_limit_is_spaced(&target->limit, options->now_ms) &&
 		    options->now_ms >= get_due_ms(target, options) &&
 		    (chosen == NULL ||
 			target->trial_due_ms < chosen->trial_due_ms))
--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -323,6 +323,7 @@
 		return;
 	}
 	gate_target_acquire(target);
+	gate_limit_record_sent(&target->limit, clock_now_ms());
 	gate_metrics_count_connection(gate,
 	    gate_idle_take(&target->idle,
 		gate_subset_get_reuse_ms(target->idle_max_ms), clock_now_ms()));
--- a/src/gate/gate_choice.c
+++ b/src/gate/gate_choice.c
@@ -77,6 +77,9 @@
 static int
 must_wait(const gate_target_t *target, const gate_pick_options_t *options)
 {
+	if (!options->has_leader &&
+	    gate_limit_is_spaced(&target->limit, options->now_ms))
+		return (1);
 	return (gate_limit_needs_permit(&target->limit, options->now_ms) &&
 	    (options->skips_limited ||
 		gate_limit_get_wait_ms(&target->limit, options->now_ms) > 0));
@@ -276,6 +279,53 @@
 	return (0);
 }
 
+/* @return 1 if the gate sends the service less than its share. Where all do, the
+ * service's requests stay within the bound by themselves. */
+static int
+is_below_share(
+    const gate_service_t *service, const gate_policy_t *policy, int64_t now_ms)
+{
+	double sent_per_s = 0;
+	double share_per_s = 0;
+	const gate_limit_t *limit;
+	double per_s;
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		limit = &service->targets[i]->limit;
+		per_s = gate_limit_get_sent_per_s(limit, now_ms);
+		if (per_s < 0)
+			return (0);
+		sent_per_s += per_s;
+		share_per_s +=
+		    gate_limit_get_light_per_s(limit, policy->gate_count);
+	}
+	return (sent_per_s < share_per_s);
+}
+
+/* Begins or ends the spacing of requests to targets that may be cold. */
+static void
+set_spacing(gate_service_t *service, const gate_policy_t *policy, rng_t *rng,
+    const gate_pick_options_t *options)
+{
+	gate_limit_t *limit;
+	int is_light;
+	uint32_t i;
+
+	if (service->is_spaced == !options->has_leader)
+		return;
+	service->is_spaced = !options->has_leader;
+	is_light = is_below_share(service, policy, options->now_ms);
+	for (i = 0; i < service->count; i++) {
+		limit = &service->targets[i]->limit;
+		if (service->is_spaced)
+			gate_limit_begin_spacing(limit, policy->gate_count,
+			    is_light, rng_unit(rng), options->now_ms);
+		else
+			gate_limit_end_spacing(limit);
+	}
+}
+
 gate_choice_t
 gate_choice_make(gate_service_t *service, const gate_policy_t *policy,
     rng_t *rng, const gate_pick_options_t *options)
@@ -286,6 +336,7 @@
 	choice.is_evacuated = gate_service_is_evacuated(service);
 	if (choice.is_evacuated)
 		return (choice);
+	set_spacing(service, policy, rng, options);
 	gate_alone_set(service, options->is_alone, rng, options->now_ms);
 	choice.target = gate_probe_take(service, options);
 	choice.is_probe = choice.target != NULL;
--- a/src/gate/gate_limit.h
+++ b/src/gate/gate_limit.h
@@ -22,6 +22,15 @@
 	int64_t warmup_until_ms; /**< that one ends then */
 	int64_t cold_until_ms; /**< the latest end that the leader was told or
 				* told itself */
+	/** What the target tolerates whenever it turns cold, as of
+	 * fleet_limit.h; unknown: cold targets of its service have no bound. */
+	uint32_t cold_value;
+	int64_t listed_ms; /**< when the leader first told that value */
+	double sent_rate; /**< requests of this gate per second, lately */
+	int64_t sent_ms; /**< last request of this gate */
+	int64_t
+	    spacing_ms; /**< between requests without a leader; 0: has one */
+	int64_t spaced_from_ms; /**< none before, without a leader */
 } gate_limit_t;
 
 /** Applies what the leader knows. */
@@ -42,12 +51,43 @@
 /**
  * Applies the leader's limit for a cold target. It ends by itself.
  *
- * @param value    as of fleet_limit.h; unknown: the target is warm
- * @param left_ms  time until the target is warm
+ * @param value    as of fleet_limit.h; unknown: the target is warm, and its
+ *                 service has no bound
+ * @param left_ms  time until the target is warm; 0: it is
  */
 void gate_limit_apply_warmup(
     gate_limit_t *limit, uint32_t value, uint32_t left_ms, int64_t now_ms);
 
+/**
+ * The gate has no leader from now on, so that the target may turn cold unnoticed:
+ * requests are spaced so that all gates together keep to its bound.
+ *
+ * @param gates     number of gates in the fleet
+ * @param is_light  this gate sends less than its share
+ * @param phase     random, 0 to 1: part of the spacing before the first request
+ *                  of a gate that is not light, so that the gates do not send
+ *                  these at the same time
+ */
+void gate_limit_begin_spacing(gate_limit_t *limit, uint32_t gates, int is_light,
+    double phase, int64_t now_ms);
+
+/** @return requests per second that a light gate of a fleet without a leader may
+ *          send to the target; negative: it has no bound */
+double gate_limit_get_light_per_s(const gate_limit_t *limit, uint32_t gates);
+
+/** @return requests of this gate to the target per second; negative: it has not
+ *          been known for long enough to tell */
+double gate_limit_get_sent_per_s(const gate_limit_t *limit, int64_t now_ms);
+
+/** The gate has a leader again. */
+void gate_limit_end_spacing(gate_limit_t *limit);
+
+/** Records a request to the target. */
+void gate_limit_record_sent(gate_limit_t *limit, int64_t now_ms);
+
+/** @return 1 if the target must get no request now, as it may be cold */
+int gate_limit_is_spaced(const gate_limit_t *limit, int64_t now_ms);
+
 /**
  * Records the time for which a response says that its target stays cold.
  *
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -96,6 +96,7 @@
 	int64_t kept_probe_ms; /**< when it came */
 	gate_share_t share; /**< admission, see gate_share.h */
 	int is_alone; /**< without a leader; see gate_alone.h */
+	int is_spaced; /**< without a leader; see gate_limit_begin_spacing() */
 	double trial_credit; /**< of trials without a leader */
 	double mean_cost_ms; /**< see gate_cost_get_weight() */
 	gate_cost_totals_t costs; /**< of its responses */
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -172,6 +172,7 @@
 {
 	char problem[FLEET_CONFIG_PROBLEM_BYTES] = "";
 	fleet_config_t *config = NULL;
+	fleet_config_t *old;
 	char *plain;
 	int err = TM_ENOMEM;
 
@@ -191,12 +192,13 @@
 		    LOG_TEXT("error", error_get_text(err)));
 		return;
 	}
-	fleet_config_destroy(hub->config);
+	old = hub->config;
 	hub->config = config;
 	hub->features =
 	    fleet_config_get_features(config, hub->settings.features);
 	hub_quota_configure(hub->quota, config, clock_now_ms());
-	hub_warmup_report_cold(hub->warmup, clock_now_ms());
+	hub_cold_apply_config(hub, old, clock_now_ms());
+	fleet_config_destroy(old);
 	configure_outlier(hub);
 	LOG_EVENT(912, LOG_LEVEL_INFO, "document in force",
 	    LOG_NUM("version", config->version),
@@ -506,6 +508,8 @@
 	feed.state = hub->state;
 	feed.outlier = hub->outlier;
 	feed.signals = hub->signals;
+	feed.get_cold_value = hub_cold_get_value;
+	feed.cold_ctx = hub;
 	hub->feed = hub_feed_create(&feed);
 	hub->metrics = metrics_create();
 	if (hub->metrics != NULL)
--- a/src/hub/hub_cold.c
+++ b/src/hub/hub_cold.c
@@ -27,6 +27,40 @@
 	return (service);
 }
 
+uint32_t
+hub_cold_get_value(void *ctx, const char *service)
+{
+	const hub_t *hub = ctx;
+	double per_s = hub->config != NULL
+	    ? get_rate_per_s(
+		  hub, fleet_config_find_service(hub->config, service))
+	    : -1;
+
+	return (per_s > 0 ? fleet_limit_encode(per_s) : FLEET_LIMIT_UNKNOWN);
+}
+
+void
+hub_cold_apply_config(hub_t *hub, const fleet_config_t *old, int64_t now_ms)
+{
+	const hub_target_t *target;
+	const fleet_service_t *before;
+	const fleet_service_t *after;
+
+	hub_warmup_report_cold(hub->warmup, now_ms);
+	if (hub->settings.warmup_overshoot <= 0)
+		return;
+	for (target = hub->state->targets; target != NULL;
+	     target = target->hh.next) {
+		before = old != NULL
+		    ? fleet_config_find_service(old, target->as.service)
+		    : NULL;
+		after =
+		    fleet_config_find_service(hub->config, target->as.service);
+		if (get_rate_per_s(hub, before) != get_rate_per_s(hub, after))
+			hub_feed_mark_target_changed(hub->feed, target->key);
+	}
+}
+
 static const char *
 source_get_name(hub_warmup_source_t source)
 {
--- a/src/hub/hub_feed.c
+++ b/src/hub/hub_feed.c
@@ -173,6 +173,11 @@
 	msg->limit = hub_signals_get_limit(feed->options.signals, &key);
 	msg->warmup_limit = hub_signals_get_warmup(
 	    feed->options.signals, &key, now_ms, &cold_left_ms);
+	/* Gates must know it before they lose the leader. */
+	if (msg->warmup_limit == FLEET_LIMIT_UNKNOWN &&
+	    feed->options.get_cold_value != NULL)
+		msg->warmup_limit = feed->options.get_cold_value(
+		    feed->options.cold_ctx, target->as.service);
 	if (msg->warmup_limit != FLEET_LIMIT_UNKNOWN)
 		msg->cold_left_ms = cold_left_ms;
 	if (hub_signals_is_leaving(feed->options.signals, &key) &&
--- a/src/hub/hub_feed.h
+++ b/src/hub/hub_feed.h
@@ -44,6 +44,11 @@
 	const hub_state_t *state;
 	const hub_outlier_t *outlier;
 	const hub_signals_t *signals; /**< NULL: targets have none */
+	/** @return what a cold target of a service tolerates, as of
+	 * fleet_limit.h; FLEET_LIMIT_UNKNOWN: there is no bound. NULL: none has
+	 * one */
+	uint32_t (*get_cold_value)(void *ctx, const char *service);
+	void *cold_ctx;
 	node_send_cb send;
 	void *send_ctx;
 	int64_t window_ms; /**< window of the rates */
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -227,6 +227,14 @@
 /** Prolongs suspicions and counts cold targets. */
 void hub_cold_tick(hub_t *hub, int64_t now_ms);
 
+/** get_cold_value of the feed; ctx is the hub_t. */
+uint32_t hub_cold_get_value(void *ctx, const char *service);
+
+/** Applies what the services of a new document say of cold targets. @param old  the
+ * document before; NULL: none */
+void hub_cold_apply_config(
+    hub_t *hub, const fleet_config_t *old, int64_t now_ms);
+
 /** hub_warmup_cb; ctx is the hub_t. */
 void hub_cold_on_change(
     void *ctx, const hub_warmup_change_t *change, int64_t now_ms);
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -287,7 +287,8 @@
    */
   uint32_t limit;
   /*
-   * The same, only while it warms up (cold_left_ms).
+   * The same, while it warms up (cold_left_ms). While it is warm: what it
+   * takes whenever it turns cold, for gates that lose the leader.
    */
   uint32_t warmup_limit;
 };
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -425,6 +425,39 @@
 	EXPECT_GT(PickOften(50)["a"], 0);
 }
 
+// A gate that loses its leader sends a target that may turn cold what it sent
+// before; or it goes on so when a leader is back.
+TEST_F(GateTable, TargetsThatMayTurnColdGetFewRequestsWithoutALeader)
+{
+	const uint32_t five = fleet_limit_encode(5);
+	gate_policy_t policy = {};
+	gate_pick_options_t options = {};
+	int sent = 0;
+	int held = 0;
+
+	policy.gate_count = 10;
+	gate_table_set_policy(table_, &policy);
+	Apply(1, 0, 1, { { "a", "z1", 0, 0, 1, 0, five } });
+	for (int i = 0; i < 1000; i++, now_ += 10) {
+		options.now_ms = now_;
+		options.has_leader = i < 100 || i >= 900;
+		gate_choice_t choice = gate_table_pick(
+		    table_, gate_table_find_service(table_, "s1"), &options);
+
+		if (choice.target == nullptr) {
+			EXPECT_TRUE(choice.must_reserve);
+			held++;
+			continue;
+		}
+		gate_limit_record_sent(&choice.target->limit, now_);
+		sent += !options.has_leader;
+	}
+	// 8 s of at most 5 requests per second and 10 gates.
+	EXPECT_GE(sent, 2);
+	EXPECT_LE(sent, 4);
+	EXPECT_EQ(held, 800 - sent);
+}
+
 // A request goes to a cold target that has no permit, or a target stays cold at a
 // gate that gets no row when it is warm; or a row does not end it.
 TEST_F(GateTable, ColdTargetsNeedPermitsUntilTheyAreWarm)
--- a/test/unit/hub_feed_test.cc
+++ b/test/unit/hub_feed_test.cc
@@ -8,6 +8,7 @@
 
 extern "C" {
 #include "gate/gate_table.h"
+#include "fleet/fleet_limit.h"
 #include "hub/hub_feed.h"
 }
 
@@ -27,6 +28,9 @@
 		options.send = Send;
 		options.send_ctx = this;
 		options.window_ms = 5000;
+		options.signals = signals_;
+		options.get_cold_value = GetColdValue;
+		options.cold_ctx = this;
 		feed_ = hub_feed_create(&options);
 		hub_feed_reset(feed_, kTerm, now_);
 	}
@@ -36,10 +40,18 @@
 		for (auto &gate : gates_)
 			gate_table_destroy(gate.second);
 		hub_feed_destroy(feed_);
+		hub_signals_destroy(signals_);
 		hub_outlier_destroy(outlier_);
 		hub_state_destroy(state_);
 	}
 
+	static uint32_t
+	GetColdValue(void *ctx, const char *service)
+	{
+		EXPECT_STREQ(service, "orders");
+		return (static_cast<HubFeed *>(ctx)->cold_value_);
+	}
+
 	static void
 	OnVerdict(
 	    void *ctx, uint64_t target, fleet_verdict_t verdict, const char *)
@@ -127,6 +139,8 @@
 	hub_state_t *state_ = hub_state_create();
 	hub_outlier_t *outlier_;
 	hub_feed_t *feed_;
+	hub_signals_t *signals_ = hub_signals_create();
+	uint32_t cold_value_ = FLEET_LIMIT_UNKNOWN;
 	std::map<node_id_t, gate_table_t *> gates_;
 	size_t bytes_ = 0;
 };
@@ -149,6 +163,27 @@
 	EXPECT_LE(bytes_, 24u);
 }
 
+// A gate learns what cold targets tolerate only once one is cold: after it was cut
+// off it never does. Targets count as cold by it.
+TEST_F(HubFeed, GatesKnowWhatWarmTargetsTolerateWhenCold)
+{
+	uint64_t target = AddTarget("a", 1);
+	const gate_limit_t *limit;
+
+	Join(1);
+	limit = &gate_table_find_target(gates_[1], target)->limit;
+	EXPECT_EQ(FLEET_LIMIT_UNKNOWN, (int)limit->cold_value);
+	cold_value_ = fleet_limit_encode(5);
+	hub_feed_mark_target_changed(feed_, target);
+	hub_feed_flush(feed_, now_);
+	EXPECT_EQ(cold_value_, limit->cold_value);
+	EXPECT_FALSE(gate_limit_is_cold(limit, now_));
+	cold_value_ = FLEET_LIMIT_UNKNOWN;
+	hub_feed_mark_target_changed(feed_, target);
+	hub_feed_flush(feed_, now_);
+	EXPECT_EQ(FLEET_LIMIT_UNKNOWN, (int)limit->cold_value);
+}
+
 // The gate missed the announcement and the verdict that followed it.
 TEST_F(HubFeed, AGateThatMissedTheTargetGetsAllOfIt)
 {
--- a/test/unit/signals_test.cc
+++ b/test/unit/signals_test.cc
@@ -421,6 +421,76 @@
 	EXPECT_TRUE(gate_limit_needs_permit(&limit, kStart + 2000));
 }
 
+// A target that may be cold gets requests at once after another without a leader, or
+// none for ever; one without a bound, or a gate with a leader, is held back.
+TEST(GateLimit, RequestsAreSpacedWithoutALeader)
+{
+	const uint32_t five = fleet_limit_encode(5);
+	gate_limit_t limit = {};
+	gate_limit_t unbounded = {};
+
+	gate_limit_begin_spacing(&unbounded, 10, 0, 1, kStart);
+	gate_limit_record_sent(&unbounded, kStart);
+	EXPECT_FALSE(gate_limit_is_spaced(&unbounded, kStart));
+	gate_limit_apply_warmup(&limit, five, 0, kStart);
+	EXPECT_FALSE(gate_limit_is_cold(&limit, kStart));
+	EXPECT_FALSE(gate_limit_needs_permit(&limit, kStart));
+	gate_limit_record_sent(&limit, kStart);
+	EXPECT_FALSE(gate_limit_is_spaced(&limit, kStart));
+	/* 10 gates: a request every 2.9 s from each, 2 s from a light one. */
+	gate_limit_begin_spacing(&limit, 10, 0, 0.2, kStart + 100);
+	EXPECT_TRUE(gate_limit_is_spaced(&limit, kStart + 670));
+	EXPECT_FALSE(gate_limit_is_spaced(&limit, kStart + 673));
+	gate_limit_record_sent(&limit, kStart + 700);
+	EXPECT_TRUE(gate_limit_is_spaced(&limit, kStart + 3555));
+	EXPECT_FALSE(gate_limit_is_spaced(&limit, kStart + 3560));
+	gate_limit_begin_spacing(&limit, 10, 1, 0.2, kStart + 3600);
+	EXPECT_FALSE(gate_limit_is_spaced(&limit, kStart + 3600));
+	gate_limit_record_sent(&limit, kStart + 3600);
+	EXPECT_TRUE(gate_limit_is_spaced(&limit, kStart + 5599));
+	EXPECT_FALSE(gate_limit_is_spaced(&limit, kStart + 5600));
+	gate_limit_record_sent(&limit, kStart + 5600);
+	gate_limit_end_spacing(&limit);
+	EXPECT_FALSE(gate_limit_is_spaced(&limit, kStart + 5601));
+}
+
+// A gate without a leader that hears of a cold target from the target itself goes on
+// as if it only might be cold; or a known one is held back twice.
+TEST(GateLimit, ResponsesTellColdTargetsWithoutALeader)
+{
+	gate_limit_t limit = {};
+
+	gate_limit_apply_warmup(&limit, fleet_limit_encode(5), 0, kStart);
+	EXPECT_TRUE(gate_limit_record_cold(&limit, 1000, kStart));
+	EXPECT_FALSE(gate_limit_is_cold(&limit, kStart + 1));
+	gate_limit_begin_spacing(&limit, 10, 0, 1, kStart + 10);
+	EXPECT_TRUE(gate_limit_is_spaced(&limit, kStart + 20));
+	EXPECT_TRUE(gate_limit_record_cold(&limit, 3000, kStart + 20));
+	EXPECT_TRUE(gate_limit_is_cold(&limit, kStart + 3019));
+	EXPECT_TRUE(gate_limit_needs_permit(&limit, kStart + 3019));
+	EXPECT_FALSE(gate_limit_is_spaced(&limit, kStart + 30));
+	EXPECT_FALSE(gate_limit_is_cold(&limit, kStart + 3200));
+}
+
+// A gate that has just learned of a target takes itself for one that sends little.
+TEST(GateLimit, TheRateOfAGateIsKnownAfterATime)
+{
+	gate_limit_t limit = {};
+	int64_t now = kStart;
+
+	EXPECT_LT(gate_limit_get_sent_per_s(&limit, now), 0);
+	gate_limit_apply_warmup(&limit, fleet_limit_encode(5), 0, now);
+	for (; now < kStart + 9000; now += 500)
+		gate_limit_record_sent(&limit, now);
+	EXPECT_LT(gate_limit_get_sent_per_s(&limit, now), 0);
+	for (; now < kStart + 12000; now += 500)
+		gate_limit_record_sent(&limit, now);
+	EXPECT_NEAR(gate_limit_get_sent_per_s(&limit, now), 2, 0.2);
+	for (; now < kStart + 120000; now += 500)
+		gate_limit_record_sent(&limit, now);
+	EXPECT_NEAR(gate_limit_get_sent_per_s(&limit, now), 2, 0.2);
+}
+
 // Each response of a cold target is reported.
 TEST(GateLimit, OnlyALongerTimeIsReported)
 {
--- a/test/unit/warmup_model.h
+++ b/test/unit/warmup_model.h
@@ -28,6 +28,7 @@
 	uint32_t warm_load = 0; // that the gates know of each warm target
 	double lost = 0; // share of the leader's answers
 	bool has_permits = true; // the mechanism
+	bool has_spacing = true; // that of gates without a leader
 	uint64_t seed = 1;
 };
 
@@ -48,7 +49,11 @@
 		for (size_t i = 0; i < targets_.size(); i++)
 			AddTarget(i);
 		for (Gate &gate : gates_) {
+			gate_policy_t policy = {};
+
+			policy.gate_count = (uint32_t)pattern.gates;
 			gate.table = gate_table_create("z", random_());
+			gate_table_set_policy(gate.table, &policy);
 			gate.delay_ms = 1 + (int64_t)(Draw() * 20);
 			ApplyTable(gate, 0, All());
 		}
@@ -144,6 +149,7 @@
 	int refused_late = 0; // held for longer than a reservation may take
 	int refused_without_time = 0;
 	int refused_in_touch = 0;
+	int refused_cut_off = 0;
 	int room_by_rate = 0; // refused in touch while one got less than kPerS
 	int served_by_cold = 0;
 
@@ -320,6 +326,11 @@
 			msg->port = 1;
 			msg->warmup_limit = hub_signals_get_warmup(
 			    signals_, &key, now_, &msg->cold_left_ms);
+			if (msg->warmup_limit == FLEET_LIMIT_UNKNOWN &&
+			    pattern_.has_spacing)
+				msg->warmup_limit = fleet_limit_encode(
+				    hub_warmup_get_rate_per_s(
+					kPerS, kOvershoot, kSlack));
 		}
 		return (msgs);
 	}
@@ -534,6 +545,7 @@
 		refused_late += now_ - request->started_ms > 1000;
 		refused_without_time += retry_after_ms <= 0;
 		refused_in_touch += is_in_touch;
+		refused_cut_off += !is_in_touch;
 		if (!is_in_touch)
 			return;
 		for (const Target &target : targets_) {
@@ -559,6 +571,7 @@
 
 		(void)request;
 		gate_target_acquire(target);
+		gate_limit_record_sent(&target->limit, now_);
 		running_[id] = target;
 		served++;
 		At(now_ + delay_ms, [this, i] { Reach(i); });
--- a/test/unit/warmup_model_test.cc
+++ b/test/unit/warmup_model_test.cc
@@ -172,15 +172,15 @@
 	});
 }
 
-// Permits hide that gates which were cut off before a target turned cold can't know
-// it. This is what the target gets then; it is no bound that holds.
-TEST(WarmupModel, FiguresOfTargetsThatTurnColdUnknownToGatesCutOff)
+// The bound holds without the mechanism, so that the tests below prove nothing.
+TEST(WarmupModel, WithoutSpacingGatesCutOffExceedTheBound)
 {
-	for (double per_s : { 4.0, 12.0 }) {
+	for (int gates : { 127, 278 }) {
 		WarmupPattern pattern;
 		Figures figures;
 
-		pattern.per_s = per_s;
+		pattern.has_spacing = false;
+		pattern.gates = gates;
 		for (pattern.seed = 1; pattern.seed <= kSeeds; pattern.seed++) {
 			WarmupModel model(pattern);
 			model.Run(1000);
@@ -190,8 +190,96 @@
 			model.Run(4000);
 			figures.Add(model);
 		}
-		printf("%.0f requests/s for each target: ", per_s);
-		figures.Print("cold after the cut", pattern.gates);
-		EXPECT_GT(figures.served_by_cold, 0);
+		figures.Print("without spacing", gates);
+		EXPECT_GT((double)figures.most, WarmupModel::kBound);
+	}
+}
+
+// Gates that were cut off before a target turned cold can't know it: soon after the
+// fleet has started, and later, when they know what they usually send.
+TEST(WarmupModel, GatesCutOffBeforeATargetTurnsColdStayWithinTheBound)
+{
+	for (double per_s : { 4.0, 12.0 }) {
+		for (double share : { 0.5, 0.9, 1.0 }) {
+			WarmupPattern base;
+
+			base.per_s = per_s;
+			printf(
+			    "%.0f requests/s for each target, %.1f cut off\n",
+			    per_s, share);
+			ForEach("cold after the cut", base,
+			    [share](WarmupModel &model) {
+				    model.Run(1000);
+				    model.CutOff(share, 6000);
+				    model.Run(500);
+				    model.TurnCold(0, 4, 3000);
+				    model.Run(4000);
+			    });
+			ForEach(
+			    "cold later", base, [share](WarmupModel &model) {
+				    model.Run(60000);
+				    model.CutOff(share, 60000);
+				    model.Run(500);
+				    model.TurnCold(0, 4, 3000);
+				    model.Run(5000);
+				    model.TurnCold(4, 8, 3000);
+				    model.Run(20000);
+				    model.TurnCold(8, 12, 8000);
+				    model.Run(20000);
+			    });
+		}
+	}
+}
+
+// Gates that are cut off refuse requests although no target is cold and the
+// service sends each target less than it tolerates.
+TEST(WarmupModel, GatesCutOffServeWhatColdTargetsWouldTolerate)
+{
+	for (double per_s : { 4.0, 12.0 }) {
+		for (int gates : { 127, 278 }) {
+			int refused = 0;
+			int asked = 0;
+			WarmupPattern pattern;
+
+			pattern.per_s = per_s;
+			pattern.gates = gates;
+			for (pattern.seed = 1; pattern.seed <= kSeeds;
+			     pattern.seed++) {
+				WarmupModel model(pattern);
+				model.Run(30000);
+				EXPECT_EQ(0, model.refused);
+				asked -= model.served;
+				model.CutOff(0.9, 20000);
+				model.Run(20000);
+				asked += model.served + model.refused;
+				refused += model.refused;
+				EXPECT_EQ(0, model.refused_in_touch);
+			}
+			printf("%.0f requests/s for each target, %d gates, 0.9 "
+			       "cut off, none cold: %d of %d refused\n",
+			    per_s, gates, refused, asked);
+			if (per_s < WarmupModel::kPerS)
+				EXPECT_LE(refused, 0.05 * asked);
+			else // what is above the bound of the gates cut off
+				EXPECT_LE(refused,
+				    (1 - 0.6 * WarmupModel::kPerS / per_s) *
+					asked);
+		}
 	}
 }
+
+// Gates space requests although they have a leader, or their leader has no bound.
+TEST(WarmupModel, GatesInTouchRefuseNothing)
+{
+	WarmupPattern pattern;
+
+	WarmupModel in_touch(pattern);
+	in_touch.Run(20000);
+	EXPECT_EQ(0, in_touch.refused);
+	pattern.has_spacing = false;
+	WarmupModel unbounded(pattern);
+	unbounded.Run(10000);
+	unbounded.CutOff(1, 10000);
+	unbounded.Run(10000);
+	EXPECT_EQ(0, unbounded.refused);
+}
