--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -319,7 +319,8 @@
 {
 	const gate_t *gate = request->gate;
 
-	if ((gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0)
+	if ((gate->features & FLEET_FEATURE_SCARCE_CAPACITY) == 0 ||
+	    gate->settings.choice != GATE_CHOICE_BY_WORK)
 		return;
 	request->excess = gate_cost_get_weight(gate->cost, &request->cost_key,
 			      &target->service->mean_cost_ms, clock_now_ms()) -
@@ -341,6 +342,7 @@
 	}
 	gate_target_acquire(target);
 	gate_upload_permit_begin(request, target);
+	gate_limit_record_sent(&target->limit, clock_now_ms());
 	gate_metrics_count_connection(gate,
 	    gate_idle_take(&target->idle,
 		gate_subset_get_reuse_ms(target->idle_max_ms), clock_now_ms()));
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -96,8 +96,12 @@
 	int64_t kept_probe_ms; /**< when it came */
 	gate_share_t share; /**< admission, see gate_share.h */
 	int is_alone; /**< without a leader; see gate_alone.h */
+	int is_spaced; /**< without a leader; see gate_limit_begin_spacing() */
 	double trial_credit; /**< of trials without a leader */
 	double mean_cost_ms; /**< see gate_cost_get_weight() */
+	gate_cost_totals_t costs; /**< of its responses */
+	gate_cost_totals_t costs_reported; /**< in the log */
+	int64_t costs_reported_ms; /**< time of that report */
 	gate_subset_t subset; /**< targets that this gate prefers */
 	UT_hash_handle hh;
 } gate_service_t;
