raft: elect a leader when writes of votes are slow

Cause: with a disk whose fsync takes 150 ms or more, hubs elected no leader for tens of seconds. A candidate saves its vote before it asks for votes; the write blocks the loop, and the next tick ran before the votes were read and, as the election timeout had passed meanwhile, began another election. Voters wrote twice for one vote (the new term, then the vote). A leader counted the time of its own writes as silence of the others.

Change: a tick that comes late extends the election timeout by the delay, and a candidate's by the same once more for the voters, at most 2 s; a late tick does not count against followers; term and vote are saved in one write. Whether a leader may serve is decided as before (raft_has_quorum_contact()).

Writes that take longer than the election timeout of the hubs (400 ms) still leave no steady leader: votes and entries are written on the loop.

--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -68,13 +68,18 @@
 
 void
 raft_become_follower(raft_t *raft, uint64_t term, node_id_t leader)
+{
+	raft_become_voter(raft, term, NODE_ID_NONE, leader);
+}
+
+void
+raft_become_voter(raft_t *raft, uint64_t term, node_id_t vote, node_id_t leader)
 {
 	int was_leader = raft->role == RAFT_LEADER;
 
 	if (raft_check_epoch(raft, term) != TM_OK)
 		return;
-	if (term > raft->term &&
-	    raft_save_vote(raft, term, NODE_ID_NONE) != TM_OK)
+	if (term > raft->term && raft_save_vote(raft, term, vote) != TM_OK)
 		return;
 	if (leader != raft->leader && leader != NODE_ID_NONE) {
 		char id[17];
@@ -310,12 +315,41 @@
 	free(raft);
 }
 
+/*
+ * A node that wrote to a slow disk, or did not run, has not read yet what the
+ * others sent meanwhile: that time does not count against them. A candidate also
+ * allows the voters the time that it needed itself to save its vote. Otherwise,
+ * with writes about as long as the election timeout, each candidate starts
+ * another election before the votes arrive, and no node is ever elected.
+ */
+static void
+raft_excuse_delay(raft_t *raft)
+{
+	int64_t last_ms = raft->ticked_ms;
+	int64_t late_ms = raft->now_ms - last_ms - raft->options.heartbeat_ms;
+	int64_t latest_ms = raft->now_ms + 2 * raft->options.election_ms;
+
+	raft->ticked_ms = raft->now_ms;
+	raft->held_up_ms = last_ms != 0 && late_ms > 0 ? late_ms : 0;
+	if (raft->held_up_ms == 0)
+		return;
+	raft->election_due_ms += late_ms;
+	/* It may have been set after the delay. */
+	if (raft->election_due_ms > latest_ms)
+		raft->election_due_ms = latest_ms;
+	if (raft->role == RAFT_CANDIDATE)
+		raft->election_due_ms += late_ms < RAFT_VOTERS_DELAY_MAX_MS
+		    ? late_ms
+		    : RAFT_VOTERS_DELAY_MAX_MS;
+}
+
 void
 raft_tick(raft_t *raft, int64_t now_ms)
 {
 	raft->now_ms = now_ms;
 	if (raft->error != TM_OK)
 		return;
+	raft_excuse_delay(raft);
 	raft_tick_bootstrap(raft);
 	if (raft->role == RAFT_LEADER)
 		raft_tick_leader(raft);
--- a/src/raft/raft_election.c
+++ b/src/raft/raft_election.c
@@ -164,8 +164,6 @@
 raft_decide_vote(
     raft_t *raft, node_id_t from, const Tm__Raft__VoteRequest *request)
 {
-	int err;
-
 	if (raft_has_live_leader(raft) && !request->transfer)
 		return (0);
 	if (request->pre_vote)
@@ -173,14 +171,18 @@
 		    raft_is_up_to_date(raft, request));
 	if (request->term < raft->term)
 		return (0);
+	/* One write for the term and the vote: with a slow disk, a second one
+	 * makes the vote too late for the candidate. */
 	if (request->term > raft->term)
-		raft_become_follower(raft, request->term, NODE_ID_NONE);
+		raft_become_voter(raft, request->term,
+		    raft_is_up_to_date(raft, request) ? from : NODE_ID_NONE,
+		    NODE_ID_NONE);
 	if (raft->error != TM_OK || !raft_is_up_to_date(raft, request))
 		return (0);
-	if (raft->vote != NODE_ID_NONE)
-		return (raft->vote == from);
-	err = raft_save_vote(raft, raft->term, from);
-	if (err != TM_OK)
+	if (raft->vote != NODE_ID_NONE && raft->vote != from)
+		return (0);
+	if (raft->vote == NODE_ID_NONE &&
+	    raft_save_vote(raft, raft->term, from) != TM_OK)
 		return (0);
 	raft->role = RAFT_FOLLOWER;
 	raft_reset_election(raft);
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -42,6 +42,8 @@
 #define RAFT_LOG_MAX_BYTES (64 * 1024 * 1024)
 /** Interval at which a member without a configuration sends a hello. */
 #define RAFT_HELLO_INTERVAL_MS 200
+/** Maximum time that a candidate allows voters for their writes. */
+#define RAFT_VOTERS_DELAY_MAX_MS 2000
 
 typedef enum raft_role {
 	RAFT_FOLLOWER,
@@ -96,6 +98,8 @@
 	raft_options_t options;
 	rng_t rng;
 	int64_t now_ms;
+	int64_t ticked_ms; /**< last raft_tick(); 0 if none */
+	int64_t held_up_ms; /**< how late that one was */
 	raft_role_t role;
 	uint64_t term;
 	node_id_t vote;
@@ -133,6 +137,9 @@
 void raft_reset_election(raft_t *raft);
 int raft_save_vote(raft_t *raft, uint64_t term, node_id_t vote);
 void raft_become_follower(raft_t *raft, uint64_t term, node_id_t leader);
+/** Becomes a follower; a new term is saved together with the vote in it. */
+void raft_become_voter(
+    raft_t *raft, uint64_t term, node_id_t vote, node_id_t leader);
 void raft_advance_applied(raft_t *raft);
 void raft_count_malformed(raft_t *raft, node_id_t from, uint16_t type);
 void raft_send(
--- a/src/raft/raft_replicate.c
+++ b/src/raft/raft_replicate.c
@@ -135,7 +135,10 @@
 		return (0);
 	if (since_ms < raft->leader_since_ms)
 		since_ms = raft->leader_since_ms;
-	return (raft->now_ms - since_ms > raft->options.election_ms);
+	/* The replies that came while this node was held up are not read yet.
+	 * Whether it may still serve is up to raft_has_quorum_contact(). */
+	return (raft->now_ms - raft->held_up_ms - since_ms >
+	    raft->options.election_ms);
 }
 
 void
--- a/test/scenario/raft_cluster.cc
+++ b/test/scenario/raft_cluster.cc
@@ -8,11 +8,26 @@
 #include "base/error.h"
 }
 
+static void
+spend_syncs(RaftNode *node, int count)
+{
+	fakenet_t *net = node->cluster->net;
+	int64_t now_ms = fakenet_now_ms(net);
+
+	if (node->sync_ms == 0)
+		return;
+	if (node->busy_until_ms < now_ms)
+		node->busy_until_ms = now_ms;
+	node->busy_until_ms += count * node->sync_ms;
+	fakenet_block(net, node->id, node->busy_until_ms - now_ms);
+}
+
 static int
 disk_append(void *ctx, const raft_entry_t *entries, size_t count)
 {
 	RaftDisk *disk = &((RaftNode *)ctx)->disk;
 
+	spend_syncs((RaftNode *)ctx, 1);
 	for (size_t i = 0; i < count; i++)
 		disk->entries[entries[i].index] = { entries[i].term,
 			entries[i].kind,
@@ -36,6 +51,8 @@
 {
 	RaftDisk *disk = &((RaftNode *)ctx)->disk;
 
+	/* Of the file and of its folder. */
+	spend_syncs((RaftNode *)ctx, 2);
 	if (term == disk->term && disk->vote != NODE_ID_NONE &&
 	    disk->vote != vote)
 		((RaftNode *)ctx)->cluster->violate("a vote was changed");
--- a/test/scenario/raft_cluster.h
+++ b/test/scenario/raft_cluster.h
@@ -44,6 +44,8 @@
 	store_t *store = nullptr; /**< used instead of disk if set */
 	store_faults_t *faults = nullptr; /**< of the store */
 	raft_t *raft = nullptr;
+	int64_t sync_ms = 0; /**< of the disk; the node waits for it */
+	int64_t busy_until_ms = 0; /**< end of the last sync */
 	bool frozen = false;
 	bool wiped = false;
 	std::map<uint64_t, std::string> state; /**< applied data by index */
--- a/test/unit/raft_test.cc
+++ b/test/unit/raft_test.cc
@@ -66,6 +66,54 @@
 	EXPECT_EQ(1u, cluster.committed.size());
 }
 
+/* The disk of each node takes sync_ms for a sync. @return time until
+ * an entry of the first leader after a kill is committed; -1: none is */
+static int64_t
+elect_with_slow_disks(uint64_t seed, int64_t sync_ms)
+{
+	RaftCluster cluster({ "a", "b", "c" }, seed, 0);
+	size_t count;
+
+	cluster.run(5000);
+	if (cluster.leader() == nullptr)
+		return (-1);
+	cluster.kill(cluster.leader());
+	for (auto &node : cluster.nodes)
+		node->sync_ms = sync_ms;
+	count = cluster.committed.size();
+	for (int64_t ms = 0; ms < 30000; ms += 50) {
+		cluster.run(50);
+		if (cluster.leader() != nullptr)
+			cluster.propose(cluster.leader(), "x");
+		if (cluster.committed.size() > count)
+			return (ms);
+	}
+	return (-1);
+}
+
+/* Guards against elections that end before votes have been written. */
+TEST_F(Raft, LeaderIsElectedWithSlowDisks)
+{
+	int64_t worst_ms;
+	int64_t took_ms;
+	int none;
+
+	for (int64_t sync_ms : { 100, 150, 200, 250, 300 }) {
+		worst_ms = 0;
+		none = 0;
+		for (uint64_t seed = 1; seed <= 20; seed++) {
+			took_ms = elect_with_slow_disks(seed, sync_ms);
+			none += took_ms < 0;
+			worst_ms = std::max(worst_ms, took_ms);
+		}
+		printf("syncs of %lld ms: a leader after at most %lld ms, "
+		       "none in %d of 20\n",
+		    (long long)sync_ms, (long long)worst_ms, none);
+		EXPECT_EQ(0, none);
+		EXPECT_LE(worst_ms, 15000);
+	}
+}
+
 TEST_F(Raft, RandomBytesAreRejected)
 {
 	RaftCluster cluster({ "a", "b", "c" }, 1, 0);
