test: gate_hang announces that its targets close connections

Cause: the targets of this test close each connection after the response without "Connection: close". Beside load, a request of the warm-up that races with the close is a failure of the target, which is ejected before the test begins. If it is the sound one, all reads go to the hanging one ("reads served: 0 of 12", and 1 of 12 in a run that was logged: pair-1 ejected, "connection broken"); if it is the other one, no read goes to both ("some reads were sent to both: False", run with warm-2 broken at pair-2).

The responses now have the header; the checks are the same.

--- a/test/functional/gate_hang.py
+++ b/test/functional/gate_hang.py
@@ -27,8 +27,12 @@
 
 
 def answer(conn, attempt, length=2):
+    # RawTarget closes the connection after the response. Without the header the
+    # gate keeps it, and a request that races with the close is a failure of
+    # the target, which is then ejected.
     conn.sendall((f"HTTP/1.1 200 OK\r\nTarragonmoor-Attempt-Id: {attempt}\r\n"
                   "Tarragonmoor-Server-Signature: sig\r\n"
+                  "Connection: close\r\n"
                   f"Content-Length: {length}\r\n\r\n").encode())
 
 
