--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -477,16 +477,44 @@
 		gate_attempt_send(request, choice.target, 0);
 }
 
+/* @return 1 if the target of a large request still reads it, or responds */
+static int
+is_progressing(const gate_request_t *request, int64_t now_ms)
+{
+	int64_t progress_ms;
+
+	if (!gate_upload_permit_is_needed(request))
+		return (0);
+	progress_ms = upstream_call_get_progress_ms(request->call, now_ms);
+	return (progress_ms > request->sent_ms &&
+	    now_ms - progress_ms < GATE_STALL_MIN_MS);
+}
+
+/* Records an attempt that had no response by the deadline. A target that reads
+ * slowly has not failed; its probe counts as not made. */
+static void
+record_time_out(
+    gate_request_t *request, gate_target_t *target, int is_sent, int is_slow)
+{
+	if (is_slow && request->is_probe)
+		gate_evidence_report(
+		    request, target, FLEET_EVIDENCE_PROBE_UNUSED, 1);
+	else if (!is_slow)
+		gate_evidence_record(request, target,
+		    is_sent ? FLEET_EVIDENCE_STALL : FLEET_EVIDENCE_UNREACHABLE,
+		    0);
+}
+
 void
 gate_attempt_time_out(gate_request_t *request)
 {
 	gate_target_t *target;
 	int is_sent = upstream_call_is_sent(request->call);
+	int is_slow = is_sent && is_progressing(request, clock_now_ms());
 
 	upstream_call_cancel(request->call);
 	target = end_attempt(request);
-	gate_evidence_record(request, target,
-	    is_sent ? FLEET_EVIDENCE_STALL : FLEET_EVIDENCE_UNREACHABLE, 0);
+	record_time_out(request, target, is_sent, is_slow);
 	gate_target_release(target);
 	request->may_have_executed |= is_sent;
 	gate_request_refuse(request,
@@ -575,6 +603,10 @@
 static void
 repeat_stalled(gate_request_t *request)
 {
+	/* The permit of a large request ends with its attempt, and there may be
+	 * none for another one. */
+	if (gate_upload_permit_is_needed(request))
+		return;
 	if (request->is_repeat_asked || !request->repeat_allowed ||
 	    request->attempts_sent + 1 >= request->attempts_max ||
 	    request->tried_count >= GATE_TRIED_MAX ||
--- a/src/gate/gate_choice.c
+++ b/src/gate/gate_choice.c
@@ -325,6 +325,22 @@
 	return (sent_per_s < share_per_s);
 }
 
+/* @return 1 if a target that may be cold is not spaced: it is new in the table */
+static int
+has_unspaced(const gate_service_t *service, const gate_policy_t *policy)
+{
+	const gate_limit_t *limit;
+	uint32_t i;
+
+	for (i = 0; i < service->count; i++) {
+		limit = &service->targets[i]->limit;
+		if (limit->spacing_ms == 0 &&
+		    gate_limit_get_light_per_s(limit, policy->gate_count) > 0)
+			return (1);
+	}
+	return (0);
+}
+
 /* Begins or ends the spacing of requests to targets that may be cold. */
 static void
 set_spacing(gate_service_t *service, const gate_policy_t *policy, rng_t *rng,
@@ -334,17 +350,18 @@
 	int is_light;
 	uint32_t i;
 
-	if (service->is_spaced == !options->has_leader)
+	if (service->is_spaced == !options->has_leader &&
+	    (options->has_leader || !has_unspaced(service, policy)))
 		return;
 	service->is_spaced = !options->has_leader;
 	is_light = is_below_share(service, policy, options->now_ms);
 	for (i = 0; i < service->count; i++) {
 		limit = &service->targets[i]->limit;
-		if (service->is_spaced)
+		if (!service->is_spaced)
+			gate_limit_end_spacing(limit);
+		else if (limit->spacing_ms == 0)
 			gate_limit_begin_spacing(limit, policy->gate_count,
 			    is_light, rng_unit(rng), options->now_ms);
-		else
-			gate_limit_end_spacing(limit);
 	}
 }
 
--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -256,6 +256,21 @@
 	link->leader = NODE_ID_NONE;
 }
 
+/* Drops a request for a permit that was not sent: it points to the memory of the
+ * caller's request, which may end now. */
+static void
+drop_spend(gate_link_t *link, uint32_t id)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < link->pending_spend_count; i++) {
+		if (link->pending_spends[i].msg.id != id)
+			link->pending_spends[kept++] = link->pending_spends[i];
+	}
+	link->pending_spend_count = kept;
+}
+
 static void
 expire_permit_requests(gate_link_t *link, int64_t now_ms)
 {
@@ -267,6 +282,7 @@
 		if (now_ms < request->deadline_ms)
 			continue;
 		HASH_DELETE(hh, link->permit_requests, request);
+		drop_spend(link, request->id);
 		request->done(request->ctx, &unknown);
 		free(request);
 	}
@@ -603,6 +619,7 @@
 	if (request == NULL)
 		return;
 	HASH_DELETE(hh, link->permit_requests, request);
+	drop_spend(link, id);
 	free(request);
 }
 
--- a/src/gate/gate_stall.c
+++ b/src/gate/gate_stall.c
@@ -2,8 +2,7 @@
 
 /* An attempt that takes this many times the mean latency, and at least the
  * minimum, is stalled; never while the mean is unknown. */
-#define STALL_RATIO  2.5
-#define STALL_MIN_MS 600
+#define STALL_RATIO 2.5
 /* A request is sent again after this share of its soft deadline, as routes of
  * one service may differ in their latency. */
 #define REPEAT_SOFT_DEADLINE_SHARE 0.8
@@ -13,7 +12,7 @@
 int
 gate_stall_is_evidence(const gate_stall_t *stall)
 {
-	return (stall->mean_ms > 0 && stall->age_ms >= STALL_MIN_MS &&
+	return (stall->mean_ms > 0 && stall->age_ms >= GATE_STALL_MIN_MS &&
 	    (double)stall->age_ms >= STALL_RATIO * stall->mean_ms);
 }
 
--- a/src/gate/gate_stall.h
+++ b/src/gate/gate_stall.h
@@ -9,6 +9,9 @@
 
 #include <stdint.h>
 
+/** An attempt is not stalled before it has made no progress for this time. */
+#define GATE_STALL_MIN_MS 600
+
 /** A running attempt of a request. */
 typedef struct gate_stall {
 	int64_t age_ms; /**< since it was sent */
--- a/src/gate/gate_upload_permit.c
+++ b/src/gate/gate_upload_permit.c
@@ -113,6 +113,9 @@
 	msg.service = item.service;
 	msg.target = item.target;
 	msg.born_ms = item.incarnation_ms;
+	msg.may_repeat = request->repeat_allowed;
+	if (target != NULL)
+		msg.limit = target->limit.value;
 	msg.excluded = request->tried;
 	msg.n_excluded = request->tried_count;
 	msg.bytes = item.bytes;
@@ -149,7 +152,8 @@
 	}
 	request->is_leader_silent = 0;
 	request->limit_refusals = 0;
-	gate_request_delay(request, GATE_REFUSAL_UPLOADS_FULL);
+	gate_request_delay(request,
+	    target != NULL ? GATE_REFUSAL_UPLOADS_FULL : GATE_REFUSAL_LIMITED);
 }
 
 void
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -235,6 +235,10 @@
 /** @return 1 if large requests need permits: the document has a route for uploads */
 int hub_upload_permit_is_active(const hub_t *hub);
 
+/** Records that a gate was heard, so that its permits are kept and those of its
+ * process before are dropped. @param incarnation  of the gate's process */
+void hub_upload_permit_hear(hub_t *hub, node_id_t from, uint64_t incarnation);
+
 /**
  * Grants a permit for a large request at the target that its gate prefers, or at
  * the one of the service that holds the fewest bytes.
--- a/src/hub/hub_messages.c
+++ b/src/hub/hub_messages.c
@@ -252,9 +252,7 @@
 	if (target->as.state != FLEET_TARGET_READY ||
 	    hub_evacuations_has(&hub->state->evacuations, target->as.zone) ||
 	    hub_signals_is_leaving(hub->signals, &key) ||
-	    fleet_name_hash(target->as.service) != spend->service ||
-	    hub_outlier_get_verdict(hub->outlier, target->key) !=
-		FLEET_VERDICT_HEALTHY)
+	    fleet_name_hash(target->as.service) != spend->service)
 		return (0);
 	for (i = 0; i < spend->n_excluded; i++) {
 		if (spend->excluded[i] == target->key)
@@ -272,7 +270,9 @@
 	    find_incarnation(query->hub, key->target, key->incarnation_ms);
 
 	return (target != NULL &&
-	    hub_allows_target(query->hub, target, query->spend));
+	    hub_allows_target(query->hub, target, query->spend) &&
+	    hub_outlier_get_verdict(query->hub->outlier, target->key) ==
+		FLEET_VERDICT_HEALTHY);
 }
 
 /* Reserves a permit of the target of a service that has one first. */
@@ -310,8 +310,22 @@
 	    target->as.state != FLEET_TARGET_DEREGISTERED);
 }
 
-/* A leader that does not know the limit yet learns it from the request. No permit
- * counts for an incarnation before: the next one has limits of its own. */
+/* A leader that does not know the limit of a target yet learns it from a request.
+ * @return 0 if the target is not in the incarnation that the gate means */
+static int
+learn_limit(
+    hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
+{
+	const hub_signal_key_t key = { spend->target, spend->born_ms };
+
+	if (!is_current(hub, &key))
+		return (0);
+	if (hub_signals_get_limit(hub->signals, &key) == FLEET_LIMIT_UNKNOWN)
+		set_limit(hub, &key, spend->limit, from, now_ms);
+	return (1);
+}
+
+/* No permit counts for an incarnation before: the next one has limits of its own. */
 static hub_permit_t
 acquire_limited(
     hub_t *hub, node_id_t from, const Tm__Fleet__Spend *spend, int64_t now_ms)
@@ -319,10 +333,8 @@
 	const hub_signal_key_t key = { spend->target, spend->born_ms };
 	hub_permit_t permit = { .is_granted = 0 };
 
-	if (!is_current(hub, &key))
+	if (!learn_limit(hub, from, spend, now_ms))
 		return (permit);
-	if (hub_signals_get_limit(hub->signals, &key) == FLEET_LIMIT_UNKNOWN)
-		set_limit(hub, &key, spend->limit, from, now_ms);
 	permit.wait_ms =
 	    (uint32_t)hub_signals_get_wait_ms(hub->signals, &key, now_ms);
 	permit.is_granted = permit.wait_ms == 0;
@@ -388,6 +400,7 @@
 			    reserve_limited(hub, spend, assignment, now_ms));
 		return (acquire_limited(hub, from, spend, now_ms));
 	case FLEET_SPEND_UPLOAD:
+		learn_limit(hub, from, spend, now_ms);
 		return (hub_upload_permit_acquire(
 		    hub, from, spend, assignment, now_ms));
 	default:
@@ -586,8 +599,10 @@
 		handle_join(hub, from, payload, len);
 		break;
 	case MSG_FLEET_SPENDS:
-		if (has_state)
-			handle_spends(hub, from, payload, len);
+		if (!has_state)
+			break;
+		hub_upload_permit_hear(hub, from, incarnation);
+		handle_spends(hub, from, payload, len);
 		break;
 	case MSG_FLEET_EVIDENCE:
 		if (has_state)
--- a/src/hub/hub_upload.c
+++ b/src/hub/hub_upload.c
@@ -347,7 +347,8 @@
 		return;
 	service->duration_ms += DURATION_WEIGHT *
 	    ((double)(now_ms - permit->since_ms) - service->duration_ms);
-	if ((double)target->bytes >= FULL_SHARE * service->bound)
+	if (service->bound > 0 &&
+	    (double)target->bytes >= FULL_SHARE * service->bound)
 		service->is_filled = 1;
 }
 
@@ -496,15 +497,18 @@
 }
 
 void
-hub_upload_restore_bound(hub_upload_t *upload, const hub_upload_bound_t *bound)
+hub_upload_restore_bound(
+    hub_upload_t *upload, const hub_upload_bound_t *bound, int64_t now_ms)
 {
 	upload_service_t *service;
 
 	if (upload->memory_bound > 0 || bound->bytes == 0)
 		return;
 	service = get_service(upload, bound->service);
-	if (service != NULL && service->bound == 0)
+	if (service != NULL && service->bound == 0) {
 		service->bound = (double)bound->bytes;
+		service->changed_ms = now_ms;
+	}
 }
 
 int64_t
--- a/src/hub/hub_upload.h
+++ b/src/hub/hub_upload.h
@@ -121,7 +121,7 @@
 /** Takes a bound over that the leader before has told its gates, if there is
  * none yet. */
 void hub_upload_restore_bound(
-    hub_upload_t *upload, const hub_upload_bound_t *bound);
+    hub_upload_t *upload, const hub_upload_bound_t *bound, int64_t now_ms);
 
 /** Counts a refusal. @return time until a target of the service is likely to have
  * room for its request, in ms */
--- a/src/hub/hub_upload_permit.c
+++ b/src/hub/hub_upload_permit.c
@@ -43,27 +43,48 @@
 	    hub_signals_get_wait_ms(hub->signals, &key, now_ms) == 0);
 }
 
-/* @return the target that the gate prefers if it takes the request, else the one
- * that holds the fewest bytes; NULL if none takes it */
+static int
+is_healthy(const hub_t *hub, const hub_target_t *target)
+{
+	return (hub_outlier_get_verdict(hub->outlier, target->key) ==
+	    FLEET_VERDICT_HEALTHY);
+}
+
+/* @return the target that the gate prefers, if it takes the request */
 static const hub_target_t *
-choose(hub_t *hub, const Tm__Fleet__Spend *spend, int64_t now_ms)
+get_preferred(hub_t *hub, const Tm__Fleet__Spend *spend, int64_t now_ms)
 {
 	const hub_target_t *target =
 	    hub_state_find_target(hub->state, spend->target);
-	const hub_target_t *best = NULL;
-	uint64_t least = 0;
+
+	return (target != NULL && target->as.born_ms == spend->born_ms &&
+		    takes(hub, target, spend, now_ms)
+		? target
+		: NULL);
+}
+
+/* @return the target that the gate prefers if it is healthy and takes the request,
+ * else the healthy one that holds the fewest bytes. A repeatable request may go to
+ * the preferred one if no healthy target takes it. NULL: none takes it */
+static const hub_target_t *
+choose(hub_t *hub, const Tm__Fleet__Spend *spend, int64_t now_ms)
+{
+	const hub_target_t *preferred = get_preferred(hub, spend, now_ms);
+	const hub_target_t *best = spend->may_repeat ? preferred : NULL;
+	const hub_target_t *target;
+	uint64_t least = UINT64_MAX;
 	uint64_t bytes;
 
-	if (target != NULL && target->as.born_ms == spend->born_ms &&
-	    takes(hub, target, spend, now_ms))
-		return (target);
+	if (preferred != NULL && is_healthy(hub, preferred))
+		return (preferred);
 	for (target = hub->state->targets; target != NULL;
 	     target = target->hh.next) {
-		if (!takes(hub, target, spend, now_ms))
+		if (!is_healthy(hub, target) ||
+		    !takes(hub, target, spend, now_ms))
 			continue;
 		bytes = hub_upload_get_bytes(
 		    hub->upload, target->key, target->as.born_ms);
-		if (best != NULL && bytes >= least)
+		if (bytes >= least)
 			continue;
 		best = target;
 		least = bytes;
@@ -157,6 +178,13 @@
 		hub_upload_add(hub->upload, &permit, now_ms);
 }
 
+void
+hub_upload_permit_hear(hub_t *hub, node_id_t from, uint64_t incarnation)
+{
+	if (hub_upload_permit_is_active(hub))
+		hub_upload_hear(hub->upload, from, incarnation, clock_now_ms());
+}
+
 void
 hub_upload_permit_receive(hub_t *hub, node_id_t from, uint64_t incarnation,
     const uint8_t *payload, size_t len)
@@ -173,7 +201,7 @@
 	for (i = 0; i < msg->n_bounds; i++) {
 		bound = (hub_upload_bound_t){ msg->bounds[i]->service,
 			msg->bounds[i]->bytes };
-		hub_upload_restore_bound(hub->upload, &bound);
+		hub_upload_restore_bound(hub->upload, &bound, now_ms);
 	}
 	for (i = 0; i < msg->n_running; i++)
 		add_running(hub, from, msg->running[i], now_ms);
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -100,6 +100,7 @@
 	int64_t now_ms;
 	int64_t ticked_ms; /**< last raft_tick(); 0 if none */
 	int64_t held_up_ms; /**< how late that one was */
+	int is_excused; /**< a late tick has extended the election timeout */
 	raft_role_t role;
 	uint64_t term;
 	node_id_t vote;
--- a/test/unit/hub_upload_test.cc
+++ b/test/unit/hub_upload_test.cc
@@ -192,7 +192,7 @@
 	int64_t now_ms = kStart;
 	uint64_t bound;
 
-	hub_upload_restore_bound(upload_, &learned);
+	hub_upload_restore_bound(upload_, &learned, kStart);
 	for (int64_t end = now_ms + 60000; now_ms < end; now_ms += 100)
 		hub_upload_tick(upload_, now_ms);
 	EXPECT_EQ(hub_upload_get_bound(upload_, kService), 1000 * kKb);
@@ -222,8 +222,8 @@
 	EXPECT_EQ(Bytes(), 0u);
 	EXPECT_FALSE(hub_upload_is_settled(upload_, kStart + 999));
 	EXPECT_TRUE(hub_upload_is_settled(upload_, kStart + 1000));
-	hub_upload_restore_bound(upload_, &learned);
-	hub_upload_restore_bound(upload_, &other);
+	hub_upload_restore_bound(upload_, &learned, kStart);
+	hub_upload_restore_bound(upload_, &other, kStart);
 	ASSERT_EQ(hub_upload_list_bounds(upload_, out), 1u);
 	EXPECT_EQ(out[0].bytes, 800 * kKb);
 }
@@ -243,3 +243,16 @@
 	EXPECT_GT(last, first);
 	EXPECT_LE(last, 10000);
 }
+
+// A bound that a new leader takes over rises at once, as if targets had held nearly
+// as much for the usual time.
+TEST_F(HubUpload, ABoundTakenOverRisesNoSoonerThanALearnedOne)
+{
+	const hub_upload_bound_t learned = { kService, 1000 * kKb };
+
+	Add(1, 1, 100 * kKb);
+	hub_upload_finish(upload_, 1, 1, HUB_UPLOAD_ANSWERED, kStart + 50);
+	hub_upload_restore_bound(upload_, &learned, kStart + 100);
+	hub_upload_tick(upload_, kStart + 200);
+	EXPECT_EQ(hub_upload_get_bound(upload_, kService), 1000 * kKb);
+}
--- a/test/unit/upload_model.h
+++ b/test/unit/upload_model.h
@@ -299,7 +299,7 @@
 			const hub_upload_bound_t bound = {
 				msg.bounds[i]->service, msg.bounds[i]->bytes
 			};
-			hub_upload_restore_bound(hub_, &bound);
+			hub_upload_restore_bound(hub_, &bound, now_);
 		}
 		for (size_t i = 0; i < msg.n_running; i++) {
 			const Tm__Fleet__Upload *item = msg.running[i];
