gate: a leader that has not answered is not asked at each redirect

Cause: a gate without a leader asks a hub every 150 ms, and each names the leader.

Change: the limit counts from the last renewal.

The new test of GateLink fails without the change (14 renewals for at most 9) and passes with it. Functional tests were not run.

--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -18,6 +18,7 @@
 	char name[FLEET_IP_BYTES];
 	node_id_t id;
 	int64_t unanswered_ms; /* since then, or since the last reset; 0: no */
+	int64_t asked_ms; /* when it was asked last; 0: never */
 	int64_t named_ms; /* when a hub or the settings named it last */
 } known_hub_t;
 
@@ -203,6 +204,7 @@
 static void
 expect_answer(gate_link_t *link, known_hub_t *hub, int64_t now_ms)
 {
+	hub->asked_ms = now_ms;
 	if (hub->unanswered_ms == 0)
 		hub->unanswered_ms = now_ms;
 	else if (now_ms - hub->unanswered_ms >= HUB_ANSWER_TIMEOUT_MS &&
@@ -402,14 +404,14 @@
 		link->pending_lease_ms = sent_ms;
 }
 
-/* @return 1 if a hub was asked already, or cannot be: several hubs name the leader
+/* @return 1 if a hub was asked lately, or cannot be: several hubs name the leader
  * while it is busy with the gates that have asked it */
 static int
 is_asked(const known_hub_t *hub, int64_t now_ms)
 {
 	return (hub == NULL ||
 	    (hub->unanswered_ms != 0 &&
-		now_ms - hub->unanswered_ms < GATE_LEASE_RENEWAL_MS));
+		now_ms - hub->asked_ms < GATE_LEASE_RENEWAL_MS));
 }
 
 static void
--- a/test/unit/gate_link_test.cc
+++ b/test/unit/gate_link_test.cc
@@ -332,6 +332,32 @@
 	EXPECT_EQ(1, resets_[hub]);
 }
 
+// 210 gates that started asked a busy leader again with each hub that named it, every
+// 150 ms: 2,600 renewals waited there, each for an answer.
+TEST_F(GateLink, ALeaderThatDoesNotAnswerYetIsAskedNoMoreOften)
+{
+	const node_id_t leader = node_id_from_name("10.0.0.7");
+	size_t asked = 0; // because a hub named it
+	long total;
+
+	for (int64_t end = now_ + 4000; now_ < end;) {
+		size_t before = renewals_.size();
+
+		received_[leader] = now_;
+		AdvanceTime(50, "", 0);
+		if (renewals_.size() == before ||
+		    renewals_.back().first == leader)
+			continue;
+		before = renewals_.size();
+		Redirect("10.0.0.1", "10.0.0.7");
+		asked += renewals_.size() - before;
+	}
+	total = std::count_if(renewals_.begin(), renewals_.end(),
+	    [&](const auto &renewal) { return (renewal.first == leader); });
+	EXPECT_GE(total, 4000 / (2 * GATE_LEASE_RENEWAL_MS));
+	EXPECT_LE(asked, 4000u / GATE_LEASE_RENEWAL_MS + 1);
+}
+
 // A VM back from a long cut answered 404 for a route that had been added
 // meanwhile, and the caller gave up.
 TEST_F(GateLink, OnlyAConfirmedVersionTellsWhatDoesNotExist)
