--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -18,6 +18,7 @@
 	char name[FLEET_IP_BYTES];
 	node_id_t id;
 	int64_t unanswered_ms; /* since then, or since the last reset; 0: no */
+	int64_t asked_ms; /* when it was asked last; 0: never */
 	int64_t named_ms; /* when a hub or the settings named it last */
 } known_hub_t;
 
@@ -182,14 +183,32 @@
 	link->options.reset_hub(link->options.ctx, hub->id);
 }
 
+/* @return 1 if a hub that has sent no lease since then counts as silent. A lease
+ * follows the document and the table on the same connection, so that it may be
+ * late while bytes of these arrive. */
+static int
+is_silent(
+    const gate_link_t *link, node_id_t hub, int64_t since_ms, int64_t now_ms)
+{
+	int64_t received_ms;
+
+	if (now_ms - since_ms >= GATE_RECEIVING_MAX_MS)
+		return (1);
+	received_ms = link->options.get_received_ms(link->options.ctx, hub);
+	return (
+	    received_ms == 0 || now_ms - received_ms > GATE_LEADER_TIMEOUT_MS);
+}
+
 /* Records a message to a hub; opens the connection anew if the hub has not
- * answered earlier ones. */
+ * answered earlier ones and is silent. */
 static void
 expect_answer(gate_link_t *link, known_hub_t *hub, int64_t now_ms)
 {
+	hub->asked_ms = now_ms;
 	if (hub->unanswered_ms == 0)
 		hub->unanswered_ms = now_ms;
-	else if (now_ms - hub->unanswered_ms >= HUB_ANSWER_TIMEOUT_MS)
+	else if (now_ms - hub->unanswered_ms >= HUB_ANSWER_TIMEOUT_MS &&
+	    is_silent(link, hub->id, hub->unanswered_ms, now_ms))
 		reset_hub(link, hub, now_ms);
 }
 
@@ -246,7 +265,8 @@
 	known_hub_t *hub = find_hub(link, link->leader);
 
 	if (link->leader == NODE_ID_NONE ||
-	    now_ms - link->last_received_ms <= GATE_LEADER_TIMEOUT_MS)
+	    now_ms - link->last_received_ms <= GATE_LEADER_TIMEOUT_MS ||
+	    !is_silent(link, link->leader, link->last_received_ms, now_ms))
 		return;
 	LOG_EVENT(940, LOG_LEVEL_WARN, "the leading hub does not answer",
 	    LOG_NUM("term", link->term),
@@ -403,14 +423,14 @@
 		link->pending_lease_ms = sent_ms;
 }
 
-/* @return 1 if a hub was asked already, or cannot be: several hubs name the leader
+/* @return 1 if a hub was asked lately, or cannot be: several hubs name the leader
  * while it is busy with the gates that have asked it */
 static int
 is_asked(const known_hub_t *hub, int64_t now_ms)
 {
 	return (hub == NULL ||
 	    (hub->unanswered_ms != 0 &&
-		now_ms - hub->unanswered_ms < GATE_LEASE_RENEWAL_MS));
+		now_ms - hub->asked_ms < GATE_LEASE_RENEWAL_MS));
 }
 
 static void
