hub: announcements wait for a leader only in fleets of 300 targets or more

Cause: they waited from 240 on, where hubs that have contact redirect up to 300. In such a fleet (262 targets) a hub cut off from the leader kept an announcement for 0.9 s in place of a redirect at once.

--- a/src/hub/hub_relay.c
+++ b/src/hub/hub_relay.c
@@ -185,7 +185,7 @@
 {
 	return (!is_settling(relay, now_ms) &&
 	    (relay->target_count == 0 ||
-		relay->target_count >= HUB_SPREAD_END) &&
+		relay->target_count >= HUB_SPREAD_MIN) &&
 	    !is_off(relay, HUB_RELAY_TEST_NO_WAITING));
 }
 
