raft: late ticks extend an election timeout by 2 s in all

One late tick for each timeout, as since the review, is less than a node needs whose writes are slow several times in a row; without an end it waits ever longer.

--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -46,7 +46,7 @@
 
 	raft->election_due_ms = raft->now_ms + base_ms +
 	    (int64_t)rng_below(&raft->rng, (uint64_t)base_ms);
-	raft->is_excused = 0;
+	raft->excused_ms = 0;
 }
 
 int
@@ -321,9 +321,9 @@
  * others sent meanwhile: that time does not count against them. A candidate also
  * allows the voters the time that it needed itself to save its vote. Otherwise,
  * with writes about as long as the election timeout, each candidate starts
- * another election before the votes arrive, and no node is ever elected. Only one
- * delay counts for each timeout: a node whose ticks are all late must not wait ever
- * longer.
+ * another election before the votes arrive, and no node is ever elected. The
+ * delays count up to a maximum for each timeout: a node whose ticks are all late
+ * must not wait ever longer.
  */
 static void
 raft_excuse_delay(raft_t *raft)
@@ -334,9 +334,9 @@
 
 	raft->ticked_ms = raft->now_ms;
 	raft->held_up_ms = last_ms != 0 && late_ms > 0 ? late_ms : 0;
-	if (raft->held_up_ms == 0 || raft->is_excused)
+	if (raft->held_up_ms == 0 || raft->excused_ms >= RAFT_EXCUSED_MAX_MS)
 		return;
-	raft->is_excused = 1;
+	raft->excused_ms += late_ms;
 	raft->election_due_ms += late_ms;
 	/* It may have been set after the delay. */
 	if (raft->election_due_ms > latest_ms)
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -44,6 +44,8 @@
 #define RAFT_HELLO_INTERVAL_MS 200
 /** Maximum time that a candidate allows voters for their writes. */
 #define RAFT_VOTERS_DELAY_MAX_MS 2000
+/** Late ticks extend an election timeout until they add up to this time. */
+#define RAFT_EXCUSED_MAX_MS 2000
 
 typedef enum raft_role {
 	RAFT_FOLLOWER,
@@ -100,7 +102,8 @@
 	int64_t now_ms;
 	int64_t ticked_ms; /**< last raft_tick(); 0 if none */
 	int64_t held_up_ms; /**< how late that one was */
-	int is_excused; /**< a late tick has extended the election timeout */
+	int64_t
+	    excused_ms; /**< of late ticks, since the election timeout was set */
 	raft_role_t role;
 	uint64_t term;
 	node_id_t vote;
