gate: costly requests stay at their target only with scarce capacity

Cause: a stalled request was not sent again with less time left than it had taken, on all deployments. Change: the condition holds with scarce capacity, which deployments name whose requests differ much. GateStall.WithEvenCostsAHangingRequestIsSentAgainWhileTheMeanIsLeft fails without the change.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -549,6 +549,8 @@
 	    .mean_ms = gate_admission_get_expected_ms(service, now_ms),
 	    .utilization = gate_admission_get_utilization(service, now_ms),
 	    .is_stopping = gate_stop_is_requested(&request->gate->stop),
+	    .has_uneven_costs =
+		(request->gate->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0,
 	});
 }
 
--- a/src/gate/gate_stall.c
+++ b/src/gate/gate_stall.c
@@ -24,6 +24,6 @@
 	    (double)stall->age_ms >= STALL_RATIO * stall->mean_ms &&
 	    (double)stall->age_ms >=
 		REPEAT_SOFT_DEADLINE_SHARE * (double)stall->soft_deadline_ms &&
-	    stall->left_ms >= stall->age_ms &&
+	    (!stall->has_uneven_costs || stall->left_ms >= stall->age_ms) &&
 	    (double)stall->left_ms >= stall->mean_ms);
 }
--- a/src/gate/gate_stall.h
+++ b/src/gate/gate_stall.h
@@ -20,6 +20,9 @@
 	double mean_ms; /**< mean latency of the service; 0: unknown */
 	double utilization; /**< requests per slot of the service */
 	int is_stopping; /**< the gate ends soon */
+	/** Requests that look alike differ much in what they cost: one that is
+	 * late need not be at a target that hangs. */
+	int has_uneven_costs;
 } gate_stall_t;
 
 /** @return 1 if the attempt is evidence against its target */
@@ -27,9 +30,9 @@
 
 /**
  * Decides whether a request that may be executed twice should be sent to another
- * target. Not with less time left than it has taken: if the request is costly and
- * its target does not hang, another target needs as long, and the attempt that is
- * ended might have succeeded in time. Not while the service is full: all its targets are slow then, and
+ * target. With uneven costs, not with less time left than it has taken: if the
+ * request is costly and its target does not hang, another target needs as long, and
+ * the attempt that is ended might have succeeded in time. Not while the service is full: all its targets are slow then, and
  * repeated requests would add to its load. Not by a gate that stops: it may have
  * no time for another attempt, and has promised the caller the answer of this one.
  *
--- a/test/unit/gate_stall_test.cc
+++ b/test/unit/gate_stall_test.cc
@@ -99,8 +99,25 @@
 	stall.soft_deadline_ms = 2000;
 	stall.mean_ms = 610;
 	stall.utilization = 0.4;
+	stall.has_uneven_costs = 1;
 	EXPECT_FALSE(gate_stall_should_repeat(&stall));
 	EXPECT_TRUE(gate_stall_is_evidence(&stall));
 	stall.left_ms = 1610;
 	EXPECT_TRUE(gate_stall_should_repeat(&stall));
 }
+
+// psipark-hq: targets hang for seconds, forms have 3 s, and none that hung was sent
+// to another target any more.
+TEST(GateStall, WithEvenCostsAHangingRequestIsSentAgainWhileTheMeanIsLeft)
+{
+	gate_stall_t stall = {};
+
+	stall.age_ms = 1630;
+	stall.left_ms = 1370;
+	stall.soft_deadline_ms = 1500;
+	stall.mean_ms = 650;
+	stall.utilization = 0.4;
+	EXPECT_TRUE(gate_stall_should_repeat(&stall));
+	stall.left_ms = 600;
+	EXPECT_FALSE(gate_stall_should_repeat(&stall));
+}
