gate: services without a bound for cold targets draw no random numbers for spacing

Cause: a gate without a leader drew a random number for each target also where nothing is spaced, which changed the choices of all services.

--- a/src/gate/gate_choice.c
+++ b/src/gate/gate_choice.c
@@ -359,7 +359,8 @@
 		limit = &service->targets[i]->limit;
 		if (!service->is_spaced)
 			gate_limit_end_spacing(limit);
-		else if (limit->spacing_ms == 0)
+		else if (limit->spacing_ms == 0 &&
+		    gate_limit_get_light_per_s(limit, policy->gate_count) > 0)
 			gate_limit_begin_spacing(limit, policy->gate_count,
 			    is_light, rng_unit(rng), options->now_ms);
 	}
