--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * State of tm-hub, shared by hub.c, hub_announcements.c, hub_cold.c,
- * hub_evacuation_apply.c, hub_lead.c, hub_messages.c and hub_upload_permit.c. One hub_t owns all
- * modules below; all functions run on its event loop.
+ * hub_evacuation_apply.c, hub_lead.c, hub_messages.c and hub_upload_permit.c. One
+ * hub_t owns all modules below; all functions run on its event loop.
  */
 #ifndef TM_HUB_HUB_INTERNAL_H
 #define TM_HUB_HUB_INTERNAL_H
