control: a new leader counts a VM from its join

Cause: placement_start() drops since_ms of each VM, so that a new control leader counted the 30 s of PLACEMENT_STABLE_MS again; with leaders that change more often, a VM that came back gets no memberships (functional rebalance: 31 s without a move).

Change: each control VM notes, by its own clock, since when an incarnation has been in its directory, also while it follows. Moves count from that. What a process cannot know counts as new: a restarted VM, one that left and joined again, and all VMs for a control VM that itself started later. The first move of a new leader waits for three heartbeats, as it would pass over VMs that it has not heard of yet.

--- a/src/control/control_fleet.c
+++ b/src/control/control_fleet.c
@@ -406,6 +406,8 @@
 void
 control_run_fleet(control_t *control)
 {
+	placement_note_directory(
+	    control->placement, control->state, control->now_ms);
 	control_issue_tick(control);
 	control_report(control);
 	if (!control_is_ready_leader(control) || control->stopping)
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -29,6 +29,7 @@
 	if (placement == NULL)
 		return;
 	placement_clear(placement);
+	placement_free_known(placement);
 	free(placement->nodes);
 	free(placement->least);
 	free(placement);
@@ -43,7 +44,7 @@
 	placement->directory_index = 0;
 	placement->directory_ms = now_ms;
 	placement->first_ms = now_ms;
-	placement->next_move_ms = now_ms;
+	placement->next_move_ms = now_ms + PLACEMENT_FRESH_MS;
 }
 
 void
@@ -83,8 +84,6 @@
 	if (incarnation < beat->incarnation ||
 	    (incarnation == beat->incarnation && heard_ms <= beat->heard_ms))
 		return;
-	if (incarnation > beat->incarnation)
-		beat->since_ms = heard_ms;
 	beat->incarnation = incarnation;
 	beat->heard_ms = heard_ms;
 	beat->reports_ready = reports_ready;
@@ -311,7 +310,7 @@
 }
 
 static void
-placement_note_directory(
+placement_note_joins(
     placement_t *placement, const config_state_t *state, int64_t now_ms)
 {
 	uint64_t index = config_state_get_directory_index(state);
@@ -378,6 +377,7 @@
 	size_t i;
 
 	placement_note_directory(placement, state, now_ms);
+	placement_note_joins(placement, state, now_ms);
 	if (placement_view_open(&view, placement, state, now_ms) != TM_OK)
 		return (0);
 	count = placement_plan_repairs(&view, out);
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -36,7 +36,10 @@
 #define PLACEMENT_MAX_PER_DC 2
 /** A holder counts as heard for a move within this time: three heartbeats. */
 #define PLACEMENT_FRESH_MS 3000
-/** A VM gets memberships by moves once it was heard for this time. */
+/**
+ * A VM gets memberships by moves once its incarnation has been in the directory
+ * of the control leader for this time.
+ */
 #define PLACEMENT_STABLE_MS 30000
 /**
  * After a move the group is changed again once the new holder reports that it
@@ -73,10 +76,21 @@
 
 /**
  * Starts over when this node becomes leader: all nodes count as alive now,
- * because their heartbeats went to another leader.
+ * because their heartbeats went to another leader. The directory notes stay. The
+ * first move waits for PLACEMENT_FRESH_MS: until then VMs that were not heard yet
+ * would be passed over.
  */
 void placement_start(placement_t *placement, int64_t now_ms);
 
+/**
+ * Notes since when each incarnation has been in the directory, by the clock of
+ * this node. To be called while another node leads, too. What was in the directory
+ * before this process had it counts as new: a move may come too late, but never
+ * too early.
+ */
+void placement_note_directory(
+    placement_t *placement, const config_state_t *state, int64_t now_ms);
+
 /** Sets PLACEMENT_TEST_* switches, for proofs only. */
 void placement_set_test_switches(placement_t *placement, uint32_t switches);
 
--- a/src/control/placement_internal.h
+++ b/src/control/placement_internal.h
@@ -17,11 +17,19 @@
 	node_id_t node;
 	uint64_t incarnation;
 	int64_t heard_ms;
-	int64_t since_ms; /**< first heartbeat of this incarnation */
 	int reports_ready;
 	uint8_t ready[CONFIG_SHARDS]; /**< 1: ready holder of the shard */
 } placement_beat_t;
 
+/** Since when this control VM has had an incarnation in its directory. */
+typedef struct placement_known {
+	UT_hash_handle hh;
+	node_id_t node;
+	uint64_t incarnation;
+	int64_t since_ms;
+	uint64_t directory_index; /**< newest directory that lists the VM */
+} placement_known_t;
+
 typedef struct placement_shard {
 	int64_t changed_ms; /**< 0: not by this leader */
 	/** When a slot got a new holder from this leader; 0: never. */
@@ -33,6 +41,7 @@
 typedef struct placement_node {
 	const config_node_t *config;
 	const placement_beat_t *beat; /**< NULL: none */
+	const placement_known_t *known; /**< NULL: without memory for it */
 	uint32_t data_centre; /**< index; UINT32_MAX if it is no entry VM */
 	uint32_t held; /**< memberships */
 	int usable; /**< may become a holder */
@@ -47,6 +56,8 @@
 
 struct placement {
 	placement_beat_t *beats;
+	placement_known_t *known; /**< kept while another VM leads */
+	uint64_t known_index; /**< directory that known is from */
 	int64_t start_ms;
 	uint64_t directory_index; /**< as of the last plan */
 	int64_t directory_ms; /**< when it changed last */
@@ -96,6 +107,12 @@
 void placement_set_slot(const placement_view_t *view, uint32_t shard,
     config_group_t *group, int slot, const placement_node_t *node);
 
+/* placement_known.c */
+/** @return NULL if the directory lacks the node */
+const placement_known_t *placement_find_known(
+    const placement_t *placement, node_id_t node);
+void placement_free_known(placement_t *placement);
+
 /* placement_move.c */
 /** Finds the next move. @return 1 if out is set */
 int placement_plan_move(const placement_view_t *view, placement_change_t *out);
--- a/src/control/placement_move.c
+++ b/src/control/placement_move.c
@@ -54,13 +54,16 @@
 	}
 }
 
-/* A VM that restarts again and again must not take memberships each time. */
+/* A VM that restarts again and again must not take memberships each time. The
+ * time counts from the join, which each control VM has in its directory, so that
+ * a change of the leader does not begin it again. */
 static int
 placement_may_receive(
     const placement_view_t *view, const placement_node_t *node)
 {
 	return (placement_is_heard(view, node) && !node->behind &&
-	    view->now_ms - node->beat->since_ms >= PLACEMENT_STABLE_MS);
+	    node->known != NULL &&
+	    view->now_ms - node->known->since_ms >= PLACEMENT_STABLE_MS);
 }
 
 static void
--- a/src/control/placement_view.c
+++ b/src/control/placement_view.c
@@ -77,6 +77,8 @@
 		memset(node, 0, sizeof(*node));
 		node->config = nodes[i];
 		node->beat = placement_find_beat(view->placement, nodes[i]->id);
+		node->known =
+		    placement_find_known(view->placement, nodes[i]->id);
 		node->data_centre = placement_index_dc(view, names, nodes[i]);
 		node->usable = placement_is_usable(view, nodes[i], node->beat);
 	}
--- a/test/unit/placement_days.h
+++ b/test/unit/placement_days.h
@@ -54,10 +54,12 @@
 	};
 
 	Days(int count, int data_centres, uint64_t seed, uint32_t switches = 0)
-	    : state(config_state_create()), placement(placement_create())
+	    : state(config_state_create()), placement(placement_create()),
+	      follower(placement_create())
 	{
 		rng_init(&rng, seed);
 		placement_set_test_switches(placement, switches);
+		placement_set_test_switches(follower, switches);
 		placement_start(placement, now);
 		for (int i = 0; i < count; i++)
 			Add("dc-" + std::to_string(i % data_centres));
@@ -67,9 +69,26 @@
 	~Days()
 	{
 		placement_destroy(placement);
+		placement_destroy(follower);
 		config_state_destroy(state);
 	}
 
+	// Another control VM leads; heartbeats went to the leader before only.
+	void
+	ChangeLeader()
+	{
+		std::swap(placement, follower);
+		placement_start(placement, now);
+	}
+
+	// The control VM that does not lead starts again.
+	void
+	RestartFollower()
+	{
+		placement_destroy(follower);
+		follower = placement_create();
+	}
+
 	void
 	Add(const std::string &data_centre)
 	{
@@ -92,6 +111,18 @@
 
 	void
 	Join(const Vm &vm)
+	{
+		Announce(vm, &Feed__Entry::join);
+	}
+
+	void
+	Leave(const Vm &vm)
+	{
+		Announce(vm, &Feed__Entry::leave);
+	}
+
+	void
+	Announce(const Vm &vm, Feed__Node *Feed__Entry::*kind)
 	{
 		Feed__Node node = FEED__NODE__INIT;
 		Feed__Entry entry = FEED__ENTRY__INIT;
@@ -102,7 +133,7 @@
 		node.peer_port = 1;
 		node.data_centre = (char *)vm.data_centre.c_str();
 		node.draining = vm.draining;
-		entry.join = &node;
+		entry.*kind = &node;
 		Apply(EntryBuilder::Encode(entry));
 	}
 
@@ -285,6 +316,7 @@
 			StepShard(shard);
 		if (now - beat_ms >= kBeatMs)
 			Beat();
+		placement_note_directory(follower, state, now);
 		n = placement_plan(placement, state, now, changes);
 		changed = n > 0;
 		for (size_t i = 0; i < n; i++)
@@ -365,6 +397,18 @@
 		return { low, high };
 	}
 
+	int
+	CountHeld(size_t vm)
+	{
+		int held = 0;
+
+		for (const Shard &shard : shards) {
+			for (const Holder &holder : shard.holders)
+				held += holder.vm == vm;
+		}
+		return held;
+	}
+
 	int64_t now = 1000000;
 	int64_t beat_ms = 0;
 	int64_t plan_ms = kPlanMs;
@@ -376,6 +420,7 @@
 	rng_t rng;
 	config_state_t *state;
 	placement_t *placement;
+	placement_t *follower;
 	std::vector<Vm> vms;
 	std::map<node_id_t, size_t> places;
 	Shard shards[CONFIG_SHARDS];
--- a/test/unit/placement_days_test.cc
+++ b/test/unit/placement_days_test.cc
@@ -84,7 +84,6 @@
 HeldAfterReturn(int64_t phase_ms)
 {
 	Days days(7, 3, 1);
-	int held = 0;
 
 	days.plan_ms = 100;
 	days.transfer_ms = 800;
@@ -92,11 +91,7 @@
 	days.Run(20000);
 	days.beat_ms += phase_ms;
 	days.Run(PLACEMENT_STABLE_MS + 50000);
-	for (auto &shard : days.shards) {
-		for (auto &holder : shard.holders)
-			held += holder.vm == 2;
-	}
-	return held;
+	return days.CountHeld(2);
 }
 
 // Guards against moves at half the rate: the VM has read its last shard between two
@@ -107,6 +102,96 @@
 		EXPECT_GE(HeldAfterReturn(phase_ms), 40) << phase_ms;
 }
 
+// A VM comes back 15 s after it was killed.
+void
+LoseAndReturn(Days &days)
+{
+	days.plan_ms = 100;
+	days.transfer_ms = 800;
+	days.Kill(days.vms[2], 15000);
+	days.Run(15000 + days.plan_ms);
+	ASSERT_TRUE(days.vms[2].alive);
+	ASSERT_EQ(days.CountHeld(2), 0);
+}
+
+// Guards against a VM that gets no memberships while control leaders change: each
+// new one counted the time of a VM from its own start.
+TEST(PlacementDays, NewLeadersCountAVmFromItsJoin)
+{
+	Days days(7, 3, 1);
+	int64_t back_ms;
+
+	LoseAndReturn(days);
+	back_ms = days.now;
+	while (days.now - back_ms < PLACEMENT_STABLE_MS - 10000) {
+		days.Run(9000);
+		days.ChangeLeader();
+		EXPECT_EQ(days.CountHeld(2), 0) << days.now - back_ms;
+	}
+	// The last change was after 27 s; the bound is that of functional rebalance.
+	days.Run(back_ms + 80000 - days.now);
+	EXPECT_GE(days.CountHeld(2), 40);
+	EXPECT_LE(days.longest_unready_ms, kUnreadyMs);
+	EXPECT_EQ(days.quarantines, 0);
+}
+
+// Guards against moves to a VM that has only just restarted: for the new leader
+// its earlier incarnation is old enough.
+TEST(PlacementDays, NewLeaderTakesARestartedVmForNew)
+{
+	Days days(7, 3, 1);
+
+	days.ChangeLeader();
+	LoseAndReturn(days);
+	days.ChangeLeader();
+	days.moves = 0;
+	days.Run(PLACEMENT_STABLE_MS - Days::kBeatMs);
+	EXPECT_EQ(days.moves, 0);
+	EXPECT_EQ(days.CountHeld(2), 0);
+	days.Run(10000);
+	EXPECT_GT(days.CountHeld(2), 0);
+}
+
+// Guards against moves by a leader whose process cannot know since when the
+// directory lists a VM, as it started later.
+TEST(PlacementDays, LeaderThatStartedLateCountsFromItsStart)
+{
+	Days days(7, 3, 1);
+
+	LoseAndReturn(days);
+	days.Run(20000);
+	days.RestartFollower();
+	days.Run(5000);
+	days.ChangeLeader();
+	days.moves = 0;
+	days.Run(PLACEMENT_STABLE_MS - 5000 - Days::kBeatMs);
+	EXPECT_EQ(days.moves, 0);
+	days.Run(10000);
+	EXPECT_GT(days.CountHeld(2), 0);
+}
+
+// Guards against a VM that left the directory, came back with the same incarnation
+// and counts as one that was there all the time.
+TEST(PlacementDays, VmThatLeftTheDirectoryCountsFromItsNextJoin)
+{
+	Days days(7, 3, 1);
+	Days::Vm &vm = days.vms[2];
+
+	days.Kill(vm, 0);
+	days.Run(20000);
+	ASSERT_EQ(days.CountHeld(2), 0);
+	days.Leave(vm);
+	days.Run(1000);
+	vm.alive = true;
+	days.Join(vm);
+	days.ChangeLeader();
+	days.moves = 0;
+	days.Run(PLACEMENT_STABLE_MS - Days::kBeatMs);
+	EXPECT_EQ(days.moves, 0);
+	days.Run(10000);
+	EXPECT_GT(days.CountHeld(2), 0);
+}
+
 // A rack of 20 VMs, then a data centre, are lost while moves are under way.
 void
 LoseDuringMoves(Days &days, int vms, int dcs)
