test: files of whole fleets in memory; logs of control tests stay

Cause: only .sh tests that source lib.sh had their data folders in memory. Fleets of .fleet tests, and of .sh tests that source lib_tools.sh, were on the disk of the build folder: config, once, move, recovery and metrics failed beside builds while an fsync, or a line of a log, took 9 to 16 s. hub_slow_disk is the test of slow disks.

Change: with FLEET_TMPDIR, which run-functional.sh causes to be set where there is room in memory, fleet.sh has the files of a fleet there and moves them to the build folder when the fleet stops. Benches and demos do not set it. A test that is out of time ends its processes and keeps its files. Logs of tests that source lib.sh stay in the build folder: control_session could not be traced without them.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -10,7 +10,9 @@
 #
 # DIR is made under build/. It holds NAME.json, NAME.log, NAME.pid, the
 # addresses in fleet.json and env, the operator token in token, and the key of
-# each workspace in key.WORKSPACE. BUILD names the build folder.
+# each workspace in key.WORKSPACE. BUILD names the build folder. With FLEET_TMPDIR,
+# DIR is a link into that folder until stop, which moves the files to DIR: an fsync
+# or a log line then waits for no disk that others use.
 set -u
 BUILD=${BUILD:-build}
 WAIT_S=${FLEET_WAIT_S:-20}
@@ -150,6 +152,35 @@
 	done
 }
 
+# Removes the files of an earlier fleet.
+remove_files() {
+	if [ -L "$dir" ]; then
+		files=$(readlink "$dir")
+		case $files in
+		*/tm-fleet.*) rm -rf "$files" ;;
+		esac
+	fi
+	rm -rf "$dir"
+}
+
+make_dir() {
+	if [ -z "${FLEET_TMPDIR:-}" ]; then
+		mkdir -p "$dir"
+		return
+	fi
+	mkdir -p "$(dirname "$dir")"
+	files=$(cd "$FLEET_TMPDIR" && mktemp -d "$PWD/tm-fleet.XXXXXX") || exit 1
+	ln -s "$files" "$dir"
+}
+
+# Moves the files of a fleet that has stopped from FLEET_TMPDIR to DIR.
+keep_files() {
+	[ -L "$dir" ] || return 0
+	files=$(readlink "$dir")
+	rm "$dir"
+	mv "$files" "$dir"
+}
+
 [ $# -ge 2 ] || die "usage: fleet.sh start|stop|run|signal|status DIR ..."
 command=$1
 dir=$2
@@ -163,8 +194,8 @@
 		. "$dir/env"
 		stop_all
 	fi
-	rm -rf "$dir"
-	mkdir -p "$dir"
+	remove_files
+	make_dir
 	python3 "$here/fleet_settings.py" "$dir" "$@" || exit 1
 fi
 [ -f "$dir/env" ] || die "no fleet in '$dir'; run start first"
@@ -180,10 +211,14 @@
 			}
 		done
 		stop_all
+		keep_files
 		die "start failed; the logs are in $dir"
 	fi
 	;;
-stop) stop_all ;;
+stop)
+	stop_all
+	keep_files
+	;;
 run) run_one "${1:?name}" ;;
 signal) send "${1:?name}" "${2:?signal}" || die "$1 does not run" ;;
 status)
--- a/scripts/run-functional.sh
+++ b/scripts/run-functional.sh
@@ -4,9 +4,10 @@
 # file with the line "#long" runs under "make prove" only. FUNCTIONAL_JOBS tests
 # run at the same time (1).
 # A line "functional: NAME ..." in KNOWN-RED.txt passes over that test.
-# Without TMPDIR, the data folders of the tests are in memory where there is room
-# and programs may run from it: all hubs of a test share one disk, and an fsync was
-# seen to take 13 s beside builds, during which no hub can acknowledge anything.
+# Without TMPDIR, the data folders of the tests, also those of whole fleets, are in
+# memory where there is room and programs may run from it: all hubs or control VMs of
+# a test share one disk, and an fsync was seen to take 13 s beside builds, during which
+# none of them can acknowledge anything.
 # hub_slow_disk tests slow disks.
 set -u
 MEMORY_DIR=/dev/shm
--- a/test/functional/fleet_scenario.py
+++ b/test/functional/fleet_scenario.py
@@ -7,12 +7,14 @@
 expectation prints "ok" or "FAILED"; the exit status is 1 if one failed. Checks
 of requests read the records of the targets. --off sets TM_TEST_OFF, which
 switches a mechanism off in test builds. Only processes of this fleet are ended.
+With TMPDIR, the files of the fleet are there while it runs.
 """
 import http.client
 import json
 import os
 import shlex
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -30,7 +32,7 @@
         self.dir = f"{BUILD}/check/fleet-{self.name}"
         self.build = BUILD
         self.failed = 0
-        self.extra = {}
+        self.extra = {"FLEET_TMPDIR": os.environ.get("TMPDIR", "")}
         self.info = {}
         self.keys = {}
         self.aliases = {}
@@ -407,6 +409,8 @@
     if sys.argv[2:3] == ["--off"]:
         os.environ["TM_TEST_OFF"] = sys.argv[3]
     scenario = Scenario(path)
+    # A test that is out of time ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     try:
         with open(path, encoding="utf-8") as file:
             scenario.run(file.readlines())
--- a/test/functional/lib.sh
+++ b/test/functional/lib.sh
@@ -7,12 +7,17 @@
 work=$(mktemp -d "${TMPDIR:-/tmp}/tm-test.XXXXXX")
 pids=
 
-# Ends the processes that the test started, each by its id.
+# Ends the processes that the test started, each by its id. Their logs stay in the
+# build folder.
 cleanup() {
 	for pid in $pids; do
 		kill -9 "$pid" 2>/dev/null
 	done
 	wait 2>/dev/null
+	logs=${BUILD:-build}/check/logs-$(basename "$0" .sh)
+	rm -rf "$logs"
+	mkdir -p "$logs"
+	cp "$work"/*.log "$logs" 2>/dev/null
 	rm -rf "$work"
 }
 trap cleanup EXIT
--- a/test/functional/lib_tools.sh
+++ b/test/functional/lib_tools.sh
@@ -3,6 +3,8 @@
 work=$dir.work
 memory=
 rm -rf "$work"
+# fleet.sh puts its files there, too.
+export FLEET_TMPDIR="${TMPDIR:-}"
 if [ -n "${TMPDIR:-}" ]; then
 	memory=$(mktemp -d "$TMPDIR/tm-test.XXXXXX") || exit 1
 	ln -s "$memory" "$work"
@@ -17,6 +19,7 @@
 	[ -n "$memory" ] && rm -f "$work" && mv "$memory" "$work"
 }
 trap cleanup EXIT
+trap 'exit 1' INT TERM
 
 # wait_for FILE: until the file has content.
 wait_for() {
