test: expect voters also waits until the VMs have what the leader has

Cause of config "missing" (504, outcome unknown): the scenario sends a change right after control-1 of 4 was killed, when all of the other 3 are needed. "expect voters 4" before that was met at once, as control-4, which had been restarted, says that it votes before it has contact to the leader. Until it calls (0.6 to 1.2 s, its election timeout) there is no majority, and the leader steps down; with elections slowed down by a disk that stalls, the 5 s of a change end, and 504 is the right answer: the caller is told that the outcome is unknown.

Change: the expectation is stricter. It also demands a ready leader, and that all voters have its commit index.

--- a/test/functional/fleet_checks.py
+++ b/test/functional/fleet_checks.py
@@ -111,9 +111,18 @@
         self.report(self.poll(read_time_s(within), is_so))
 
     def expect_voters(self, count, within="30s"):
+        """So many control VMs vote, and each has all that the leader has.
+
+        A VM that has just started says that it votes before it has contact to
+        the others; a majority that needs it cannot accept a change yet.
+        """
         def is_so():
-            return sum(bool(self.admin(c, "GET", "/v1/status", timeout=1)[1]
-                            .get("voter")) for c in self.controls) == int(count)
+            voters = [v for v in (self.admin(c, "GET", "/v1/status",
+                                             timeout=1)[1]
+                                  for c in self.controls) if v.get("voter")]
+            return (len(voters) == int(count)
+                    and any(v["ready"] for v in voters)
+                    and len({v["commit"] for v in voters}) == 1)
         self.report(self.poll(read_time_s(within), is_so))
 
     def expect_gone(self, names, within="20s"):
