gate: count and log why connections to targets are opened

Cause: 0.39 new connections per request were seen on a deployment, and nothing told why: the counter was an estimate of the gate, and the pool did not know what a new connection replaces. Change: the pool remembers how connections to a target ended and takes each new one for the replacement of the latest that could have been reused. The gate counts it by reason and by why the target was chosen (tm_gate_new_connections_total, event 981 by service every 30 s). tm_gate_connections_total counts what the pool opened. Pool: connections are taken in upstream_conn.c, targets are in upstream_target.c and kept for 60 s after their last connection; what is reused does not change.

--- a/src/gate/gate_attempt.c
+++ b/src/gate/gate_attempt.c
@@ -328,6 +328,21 @@
 	target->excess += request->excess;
 }
 
+static void
+count_connection(gate_request_t *request, gate_target_t *target, int is_probe)
+{
+	gate_attempt_origin_t attempt = {
+		.is_probe = is_probe,
+		.is_assigned = request->is_assigned,
+		.is_retry = request->tried_count > 0,
+	};
+	int is_expected = gate_idle_take(&target->idle,
+	    gate_subset_get_reuse_ms(target->idle_max_ms), clock_now_ms());
+
+	request->is_assigned = 0;
+	gate_metrics_count_connection(request, target, &attempt, is_expected);
+}
+
 void
 gate_attempt_send(gate_request_t *request, gate_target_t *target, int is_probe)
 {
@@ -343,9 +358,7 @@
 	gate_target_acquire(target);
 	gate_upload_permit_begin(request, target);
 	gate_limit_record_sent(&target->limit, clock_now_ms());
-	gate_metrics_count_connection(gate,
-	    gate_idle_take(&target->idle,
-		gate_subset_get_reuse_ms(target->idle_max_ms), clock_now_ms()));
+	count_connection(request, target, is_probe);
 	add_excess(request, target);
 	request->target = target;
 	request->is_probe = is_probe;
@@ -397,6 +410,7 @@
 	if (reply->result == GATE_PERMIT_GRANTED)
 		target = gate_table_find_target(table, reply->target);
 	if (target != NULL && gate_target_is_usable(target, &pick_options)) {
+		request->is_assigned = 1;
 		gate_attempt_send(request, target, reply->is_probe);
 		return;
 	}
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -6,6 +6,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "gate/gate_policy.h"
+#include "gate/gate_request.h"
 
 #define LABELS_BYTES 160
 /* With more workspaces none gets a histogram of its own; workspace names come
@@ -75,10 +76,18 @@
 }
 
 void
-gate_metrics_count_connection(gate_t *gate, int is_reused)
+gate_metrics_count_connection(const gate_request_t *request,
+    gate_target_t *target, const gate_attempt_origin_t *attempt,
+    int is_expected)
 {
-	if (!is_reused)
+	gate_t *gate = request->gate;
+	gate_attempt_kind_t kind = gate_connections_classify(target, attempt);
+	upstream_origin_t origin = gate_connections_record(
+	    target, kind, upstream_call_get_origin(request->call), is_expected);
+
+	if (origin != UPSTREAM_ORIGIN_REUSED)
 		metric_add(gate->metric_new_connections, 1);
+	gate_connections_update_metrics(gate->metrics, kind, origin);
 }
 
 void
--- a/src/gate/gate_metrics.h
+++ b/src/gate/gate_metrics.h
@@ -23,8 +23,14 @@
 /** Counts the evidence of a failed attempt. @param kind  its label value */
 void gate_metrics_count_evidence(gate_t *gate, const char *kind);
 
-/** Counts the connection of an attempt. */
-void gate_metrics_count_connection(gate_t *gate, int is_reused);
+/**
+ * Counts the connection of the attempt that was started for a request.
+ *
+ * @param is_expected  the choice assumed an idle connection
+ */
+void gate_metrics_count_connection(const gate_request_t *request,
+    gate_target_t *target, const gate_attempt_origin_t *attempt,
+    int is_expected);
 
 /** Updates the gauges; call before the metrics are formatted. */
 void gate_metrics_update(gate_t *gate);
--- a/src/gate/gate_policy.c
+++ b/src/gate/gate_policy.c
@@ -66,6 +66,7 @@
 	policy.gate = fleet_name_hash(name);
 	gate_table_set_policy(gate->table, &policy);
 	gate_cost_report_tick(gate->table, now_ms);
+	gate_connections_tick(gate->table, now_ms);
 	if (now_ms - gate->subsets_reported_ms < REPORT_INTERVAL_MS)
 		return;
 	gate->subsets_reported_ms = now_ms;
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -62,6 +62,7 @@
 	gate_target_t *target; /**< referenced while an attempt runs */
 	upstream_call_t *call;
 	int is_probe;
+	int is_assigned; /**< the leader chose the target of its next attempt */
 	int is_stall_reported;
 	int is_repeat_asked; /**< a permit to repeat it meanwhile was asked for */
 	int64_t sent_ms;
--- a/src/gate/gate_subset.c
+++ b/src/gate/gate_subset.c
@@ -454,6 +454,18 @@
 	}
 }
 
+int
+gate_subset_has(const gate_subset_t *subset, const gate_target_t *target)
+{
+	uint32_t i;
+
+	for (i = 0; i < subset->member_count; i++) {
+		if (subset->members[i] == target)
+			return (1);
+	}
+	return (subset->member_count == 0);
+}
+
 void
 gate_subset_release(gate_subset_t *subset)
 {
--- a/src/gate/gate_subset.h
+++ b/src/gate/gate_subset.h
@@ -117,6 +117,11 @@
  * in a choice of the better of two, one of which is in the gate's own zone. */
 void gate_subset_set_chances(gate_candidate_t *candidates, uint32_t count);
 
+/** @return 1 if a target was preferred at the last choice, or if there was none
+ * among preferred targets */
+int gate_subset_has(
+    const gate_subset_t *subset, const struct gate_target *target);
+
 /** Frees the lists. */
 void gate_subset_release(gate_subset_t *subset);
 
--- a/src/gate/gate_table.h
+++ b/src/gate/gate_table.h
@@ -17,6 +17,7 @@
 #include "base/latency.h"
 #include "base/rng.h"
 #include "fleet/fleet_defs.h"
+#include "gate/gate_connections.h"
 #include "gate/gate_cost.h"
 #include "gate/gate_evacuation.h"
 #include "gate/gate_limit.h"
@@ -59,6 +60,7 @@
 	int64_t cold_until_ms; /**< warming up until then */
 	int64_t idle_max_ms; /**< its keep-alive timeout; 0: unknown */
 	gate_idle_t idle; /**< connections to it */
+	int is_connected; /**< this gate has opened a connection to it */
 	gate_speed_t speed;
 	/** Expected work of this gate's requests beyond their number, in
 	 * requests of mean cost; may be negative. */
@@ -103,6 +105,7 @@
 	gate_cost_totals_t costs_reported; /**< in the log */
 	int64_t costs_reported_ms; /**< time of that report */
 	gate_subset_t subset; /**< targets that this gate prefers */
+	gate_connections_t connections; /**< why they were opened */
 	UT_hash_handle hh;
 } gate_service_t;
 
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -3,24 +3,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
 #include <utlist.h>
 
 #include "base/buffer.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/test_hooks.h"
-#include "http/upstream_idle.h"
-#include "http/upstream_unread.h"
+#include "http/upstream_conn.h"
 #include "net/stream_end.h"
 
-#define READ_BUFFER_BYTES 65536
 /* Idle connections are closed after this time. */
 #define IDLE_MAX_MS 30000
-/* A target may close a connection at the moment a request is sent on it. A
- * request that may not be repeated does not take that risk on a connection
- * that was idle for longer than this. */
-#define IDLE_FRESH_MS 1000
 /*
  * A request is not written to a connection that took longer to open. Its token
  * and its claim were checked before, and this VM may have been frozen since.
@@ -28,68 +21,6 @@
 #define CONNECT_MAX_MS 500
 /* Bounds the idle connections to one target. */
 #define IDLE_CONNS_MAX 32
-/* Requests that a connection remembers by their ids. */
-#define CARRIED_IDS 8
-
-typedef struct upstream_conn upstream_conn_t;
-
-typedef struct upstream_target {
-	uint64_t key; /* address and port */
-	uint32_t connections;
-	uint32_t idle_count;
-	upstream_conn_t *idle; /* last used first */
-	upstream_idle_t closed; /* idle connections that it closed */
-	UT_hash_handle hh;
-} upstream_target_t;
-
-struct upstream {
-	uv_loop_t *loop;
-	upstream_target_t *targets;
-	uint32_t connections;
-	upstream_conn_t *active; /* with a call */
-	response_budget_t budget;
-	char read_buffer[READ_BUFFER_BYTES];
-};
-
-struct upstream_call {
-	upstream_conn_t *conn;
-	upstream_cb done;
-	upstream_relate_cb relate;
-	void *ctx;
-	int is_head;
-	int is_lenient;
-	int is_sent;
-	int64_t received_ms; /* last bytes of the response; 0: none */
-	upstream_unread_t unread;
-};
-
-struct upstream_conn {
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	uv_write_t write;
-	upstream_t *upstream;
-	upstream_target_t *target;
-	upstream_call_t *call;
-	int is_idle;
-	int is_closing;
-	int is_writing;
-	int is_active;
-	int is_paused; /* not read: there is no memory for the rest */
-	response_reservation_t reservation; /* for a large response */
-	int64_t idle_since_ms;
-	int64_t idle_ms; /* how long it was idle before its call */
-	int64_t idle_close_ms; /* closed once it is idle for longer */
-	int64_t opened_ms; /* when the connection was asked for */
-	uint64_t carried[CARRIED_IDS]; /* id hashes of the last requests */
-	uint32_t requests; /* that it has carried */
-	buffer_t out;
-	const char *body; /* sent after out; of the caller */
-	size_t body_len;
-	response_t response;
-	upstream_headers_t headers;
-	upstream_conn_t *prev;
-	upstream_conn_t *next;
-};
 
 upstream_t *
 upstream_create(uv_loop_t *loop)
@@ -125,44 +56,17 @@
 	return (body);
 }
 
-static uint64_t
-address_get_key(const struct sockaddr_in *addr)
-{
-	return ((uint64_t)addr->sin_addr.s_addr << 16 | addr->sin_port);
-}
-
-static upstream_target_t *
-upstream_find_target(const upstream_t *upstream, const struct sockaddr_in *addr)
-{
-	uint64_t key = address_get_key(addr);
-	upstream_target_t *target;
-
-	HASH_FIND(hh, upstream->targets, &key, sizeof(key), target);
-	return (target);
-}
-
-static upstream_target_t *
-upstream_get_target(upstream_t *upstream, const struct sockaddr_in *addr)
-{
-	upstream_target_t *target = upstream_find_target(upstream, addr);
-
-	if (target != NULL)
-		return (target);
-	target = calloc(1, sizeof(*target));
-	if (target == NULL)
-		return (NULL);
-	target->key = address_get_key(addr);
-	HASH_ADD(hh, upstream->targets, key, sizeof(target->key), target);
-	return (target);
-}
-
+/* What the target showed by closing connections is forgotten with its last one.
+ */
 static void
 upstream_release_target(upstream_t *upstream, upstream_target_t *target)
 {
 	if (target->connections > 0)
 		return;
-	HASH_DEL(upstream->targets, target);
-	free(target);
+	target->closed = (upstream_idle_t){ .closed_at_ms = 0 };
+	target->empty_ms = clock_now_ms();
+	if (upstream->is_ending)
+		upstream_target_remove_old(&upstream->targets, INT64_MAX);
 }
 
 static void
@@ -179,20 +83,11 @@
 	free(conn);
 }
 
-static void
-conn_leave_idle(upstream_conn_t *conn)
-{
-	if (!conn->is_idle)
-		return;
-	DL_DELETE(conn->target->idle, conn);
-	conn->target->idle_count--;
-	conn->is_idle = 0;
-}
-
 static void
 conn_enter_active(upstream_conn_t *conn)
 {
 	conn->is_active = 1;
+	conn->target->busy++;
 	DL_APPEND(conn->upstream->active, conn);
 }
 
@@ -203,16 +98,19 @@
 		return;
 	DL_DELETE(conn->upstream->active, conn);
 	conn->is_active = 0;
+	conn->target->busy--;
 	response_budget_unreserve(&conn->upstream->budget, &conn->reservation);
 }
 
-static void
-conn_close(upstream_conn_t *conn)
+void
+upstream_conn_close(upstream_conn_t *conn, upstream_origin_t cause)
 {
 	if (conn->is_closing)
 		return;
 	conn->is_closing = 1;
-	conn_leave_idle(conn);
+	if (!conn->is_replaced)
+		upstream_ends_add(&conn->target->ends, cause, clock_now_ms());
+	upstream_conn_leave_idle(conn);
 	conn_leave_active(conn);
 	uv_close((uv_handle_t *)&conn->tcp, conn_on_closed);
 }
@@ -221,7 +119,7 @@
 conn_set_idle(upstream_conn_t *conn)
 {
 	if (conn->target->idle_count >= IDLE_CONNS_MAX) {
-		conn_close(conn);
+		upstream_conn_close(conn, UPSTREAM_ORIGIN_DROPPED);
 		return;
 	}
 	if (conn->response.body.size > UPSTREAM_KEPT_BODY_BYTES)
@@ -252,8 +150,12 @@
 static void
 conn_fail(upstream_conn_t *conn, upstream_result_t result)
 {
+	upstream_origin_t cause = conn->call != NULL
+	    ? UPSTREAM_ORIGIN_FAILED
+	    : UPSTREAM_ORIGIN_CLOSED_IDLE;
+
 	conn_finish_call(conn, result, NULL);
-	conn_close(conn);
+	upstream_conn_close(conn, cause);
 }
 
 static void
@@ -293,8 +195,9 @@
 		.owned_body = &conn->response.body,
 	};
 	upstream_relation_t relation = conn_relate(conn, &response);
-	int reuse = relation == UPSTREAM_OWN && conn->response.keeps_alive &&
-	    !conn->is_writing && !conn->response.until_close && rest == 0;
+	int is_kept = conn->response.keeps_alive && !conn->response.until_close;
+	int reuse = relation == UPSTREAM_OWN && is_kept && !conn->is_writing &&
+	    rest == 0;
 
 	if (relation == UPSTREAM_FOREIGN) {
 		conn_reset_response(conn);
@@ -314,7 +217,9 @@
 	if (reuse)
 		conn_set_idle(conn);
 	else
-		conn_close(conn);
+		upstream_conn_close(conn,
+		    is_kept ? UPSTREAM_ORIGIN_DROPPED
+			    : UPSTREAM_ORIGIN_CLOSED_LAST);
 }
 
 /*
@@ -364,19 +269,6 @@
 		conn_pause_if_due(conn);
 }
 
-/* The target closed a connection that is idle, or was until its call. */
-static void
-conn_record_close(const upstream_conn_t *conn)
-{
-	int64_t now_ms = clock_now_ms();
-	int64_t idle_ms =
-	    conn->is_idle ? now_ms - conn->idle_since_ms : conn->idle_ms;
-
-	if (conn->is_idle || conn->requests > 1)
-		upstream_idle_record_close(
-		    &conn->target->closed, idle_ms, now_ms);
-}
-
 /*
  * The connection ended. A response without length or chunks ends like this
  * too, but then nothing tells a whole response from a part of one.
@@ -398,7 +290,7 @@
 	    (response->has_head || response->head_len > 0))
 		conn_fail(conn, UPSTREAM_TRUNCATED);
 	else {
-		conn_record_close(conn);
+		upstream_conn_record_close(conn);
 		conn_fail(conn, UPSTREAM_BROKEN);
 	}
 }
@@ -408,7 +300,8 @@
 {
 	upstream_conn_t *conn = handle->data;
 
-	*buf = uv_buf_init(conn->upstream->read_buffer, READ_BUFFER_BYTES);
+	*buf = uv_buf_init(
+	    conn->upstream->read_buffer, UPSTREAM_READ_BUFFER_BYTES);
 }
 
 static void
@@ -421,7 +314,8 @@
 	if (count < 0)
 		conn_on_end(conn, !stream_end_is_orderly(&conn->tcp, count));
 	else if (conn->call == NULL)
-		conn_close(conn); /* bytes that nobody asked for */
+		/* Bytes that nobody asked for. */
+		upstream_conn_close(conn, UPSTREAM_ORIGIN_DROPPED);
 	else {
 		conn->call->received_ms = clock_now_ms();
 		conn_take(conn, buf->base, (size_t)count);
@@ -491,10 +385,10 @@
 	conn_send(conn);
 }
 
-static upstream_conn_t *
-conn_open(upstream_t *upstream, const struct sockaddr_in *to)
+upstream_conn_t *
+upstream_conn_open(upstream_t *upstream, const struct sockaddr_in *to)
 {
-	upstream_target_t *target = upstream_get_target(upstream, to);
+	upstream_target_t *target = upstream_target_get(&upstream->targets, to);
 	upstream_conn_t *conn;
 
 	if (target == NULL)
@@ -512,86 +406,33 @@
 	conn->write.data = conn;
 	upstream->connections++;
 	target->connections++;
+	target->is_known = 1;
 	uv_tcp_init(upstream->loop, &conn->tcp);
 	if (uv_tcp_connect(&conn->connect, &conn->tcp,
 		(const struct sockaddr *)to, conn_on_connect) != 0) {
-		conn_close(conn);
+		upstream_conn_close(conn, UPSTREAM_ORIGIN_FAILED);
 		return (NULL);
 	}
 	return (conn);
 }
 
-static int64_t
-request_get_idle_max_ms(const upstream_request_t *request)
-{
-	if (request->idle_max_ms > 0)
-		return (request->idle_max_ms);
-	return (request->is_fresh ? IDLE_FRESH_MS : INT64_MAX);
-}
-
-static int
-conn_has_carried(const upstream_conn_t *conn, uint64_t id_hash)
-{
-	size_t i;
-
-	for (i = 0; id_hash != 0 && i < CARRIED_IDS; i++) {
-		if (conn->carried[i] == id_hash)
-			return (1);
-	}
-	return (0);
-}
-
-/* Takes an idle connection on which nothing has arrived. */
-static upstream_conn_t *
-upstream_take_idle(upstream_t *upstream, const upstream_request_t *request)
-{
-	upstream_target_t *target =
-	    upstream_find_target(upstream, &request->to);
-	upstream_conn_t *conn;
-	upstream_conn_t *next;
-	int64_t now_ms;
-	int64_t max_ms;
-
-	if (target == NULL || request->is_new)
-		return (NULL);
-	now_ms = clock_now_ms();
-	max_ms = upstream_idle_get_max_ms(
-	    &target->closed, request_get_idle_max_ms(request), now_ms);
-	DL_FOREACH_SAFE(target->idle, conn, next) {
-		conn->idle_ms = now_ms - conn->idle_since_ms;
-		if (conn->idle_ms > max_ms)
-			return (NULL);
-		if (conn_has_carried(conn, request->id_hash))
-			continue;
-		if (stream_end_is_quiet(&conn->tcp)) {
-			conn_leave_idle(conn);
-			return (conn);
-		}
-		conn_record_close(conn);
-		conn_close(conn);
-	}
-	return (NULL);
-}
-
 int
 upstream_call_start(upstream_t *upstream, const upstream_request_t *request,
     upstream_call_t **out)
 {
-	upstream_conn_t *conn = upstream_take_idle(upstream, request);
-	int is_reused = conn != NULL;
 	upstream_call_t *call = calloc(1, sizeof(*call));
+	upstream_conn_t *conn;
 
 	if (call == NULL)
 		return (TM_ENOMEM);
-	if (conn == NULL)
-		conn = conn_open(upstream, &request->to);
+	conn = upstream_conn_get(upstream, request, &call->origin);
 	if (conn == NULL) {
 		free(call);
 		return (TM_ENOMEM);
 	}
 	conn->out.len = 0;
 	if (buffer_append(&conn->out, request->bytes, request->len) != TM_OK) {
-		conn_close(conn);
+		upstream_conn_close(conn, UPSTREAM_ORIGIN_DROPPED);
 		free(call);
 		return (TM_ENOMEM);
 	}
@@ -603,13 +444,14 @@
 	call->is_head = request->is_head;
 	call->is_lenient = request->is_lenient;
 	call->relate = request->relate;
-	conn->carried[conn->requests++ % CARRIED_IDS] = request->id_hash;
+	conn->carried[conn->requests++ % UPSTREAM_CARRIED_IDS] =
+	    request->id_hash;
 	conn->idle_close_ms =
 	    request->idle_close_ms > 0 ? request->idle_close_ms : IDLE_MAX_MS;
 	conn->call = call;
 	conn_enter_active(conn);
 	*out = call;
-	if (is_reused)
+	if (call->origin == UPSTREAM_ORIGIN_REUSED)
 		conn_send(conn);
 	return (TM_OK);
 }
@@ -620,6 +462,12 @@
 	return (call->is_sent);
 }
 
+upstream_origin_t
+upstream_call_get_origin(const upstream_call_t *call)
+{
+	return (call->origin);
+}
+
 int64_t
 upstream_call_get_progress_ms(upstream_call_t *call, int64_t now_ms)
 {
@@ -638,7 +486,7 @@
 
 	conn->call = NULL;
 	free(call);
-	conn_close(conn);
+	upstream_conn_close(conn, UPSTREAM_ORIGIN_CANCELLED);
 }
 
 /* Reads on what was paused, the earliest call first, as far as there is memory.
@@ -669,14 +517,16 @@
 	HASH_ITER(hh, upstream->targets, target, next_target) {
 		DL_FOREACH_SAFE(target->idle, conn, next) {
 			if (now_ms - conn->idle_since_ms > conn->idle_close_ms)
-				conn_close(conn);
+				upstream_conn_close(conn, UPSTREAM_ORIGIN_IDLE);
 		}
 	}
+	upstream_target_remove_old(&upstream->targets, now_ms);
 }
 
 void
 upstream_close_idle(upstream_t *upstream)
 {
+	upstream->is_ending = 1;
 	upstream_tick(upstream, INT64_MAX);
 }
 
@@ -684,7 +534,8 @@
 upstream_get_connections(
     const upstream_t *upstream, const struct sockaddr_in *to)
 {
-	const upstream_target_t *target = upstream_find_target(upstream, to);
+	const upstream_target_t *target =
+	    upstream_target_find(upstream->targets, to);
 
 	return (target != NULL ? target->connections : 0);
 }
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -17,6 +17,7 @@
 #include "http/response.h"
 #include "http/response_budget.h"
 #include "http/upstream_headers.h"
+#include "http/upstream_origin.h"
 
 /** Longest response body; all together are bounded by a response_budget_t. */
 #define UPSTREAM_BODY_MAX_BYTES (8u * 1024 * 1024)
@@ -126,6 +127,9 @@
 /** @return 1 once a byte of the request may have left this process */
 int upstream_call_is_sent(const upstream_call_t *call);
 
+/** @return where the connection of a call comes from */
+upstream_origin_t upstream_call_get_origin(const upstream_call_t *call);
+
 /** @return last time at which the target read some of the request, as seen by
  * calls of this function, or bytes of the response came, now while this process
  * does not read them for want of memory; 0: none */
@@ -144,7 +148,8 @@
 /** @return open connections to all targets */
 uint32_t upstream_get_total(const upstream_t *upstream);
 
-/** Closes all idle connections. */
+/** Closes all idle connections and forgets what is known of targets: the pool
+ * ends. */
 void upstream_close_idle(upstream_t *upstream);
 
 #endif
