--- a/test/functional/gate_cost.py
+++ b/test/functional/gate_cost.py
@@ -22,6 +22,8 @@
 SENDERS = 8
 # Of a target: with fewer the service is full at times on a busy machine, and refuses.
 SLOTS = 64
+REASONS = ("first", "busy", "idle", "idle_learned", "closed_idle",
+           "closed_last", "failed", "cancelled", "dropped", "id")
 
 fleet = Fleet(BUILD, WORK, [f"{NET}.{i + 1}" for i in range(3)],
               [f"{NET}.20", f"{NET}.21"])
@@ -65,6 +67,22 @@
                 if f'"event":{number},' in line]
 
 
+def check_connections(gate):
+    """Whether the reasons of new connections add up, in the log and as metrics."""
+    events = read_events(gate, 981)
+    text = call(fleet.gates[gate], fleet.metrics, "GET",
+                "/metrics")[1].decode()
+    by_reason = re.findall(
+        r'tm_gate_new_connections_total\{[^}]*\} (\d+)', text)
+    total = int(re.search(r"tm_gate_connections_total (\d+)", text)[1])
+    print(events, by_reason, total, file=sys.stderr)
+    print("  connections logged:", len(events) > 0, all(
+        0 <= event["opened"] <= event["attempts"] and event["opened"] ==
+        sum(event[reason] for reason in REASONS) for event in events))
+    print("  connections counted:",
+          0 < total == sum(int(value) for value in by_reason))
+
+
 def main():
     global fast_target
     fleet.start_all(["key-one"])
@@ -108,6 +126,7 @@
                   event["missed"] >= 0)
         print(read_events(gate, 978) + read_events(gate, 979),
               file=sys.stderr)
+        check_connections(gate)
     # By work the slow target gets too few requests to be known for long.
     print("the slowest target stands out:",
           read_metric(1, "tm_gate_slowest_target_percent") > 120)
