rate: a late arrival counts from the time at which it came

Change: the level that counts from the time of the late arrival is tracked as a further alternative; what it admits is paid by the drift credit. VMs name arrivals as late from 3 ms on. Tokens are granted as before, so the bound does not depend on it.

RateBucket.TokenAccruesFromTheTimeOfADelayedArrival fails without the change.

--- a/src/rate/rate_bucket.c
+++ b/src/rate/rate_bucket.c
@@ -366,6 +366,43 @@
 	return (admitted + rate_bucket_admit_up_to_level(bucket, arrivals));
 }
 
+/* Tracks the level after delayed arrivals that came when the bucket was full: the
+ * tokens that accrued since then are missing in the admission level. */
+static void
+rate_bucket_track_delay(rate_bucket_t *bucket, int64_t late_ms)
+{
+	int64_t per_ms = bucket->rate_us / 1000;
+	int64_t level = bucket->burst;
+
+	if (late_ms <= bucket->burst / (per_ms + 1))
+		level = bucket->admission_level + per_ms * late_ms;
+	rate_bucket_add_alternative(
+	    bucket, level < bucket->burst ? level : bucket->burst);
+}
+
+void
+rate_bucket_count_delayed(
+    rate_bucket_t *bucket, uint32_t arrivals, int64_t late_ms)
+{
+	int was_full = bucket->admission_level >= bucket->burst;
+
+	rate_bucket_count_arrivals(bucket, arrivals);
+	if (was_full && late_ms > 0)
+		rate_bucket_track_delay(bucket, late_ms);
+}
+
+uint32_t
+rate_bucket_admit_delayed(
+    rate_bucket_t *bucket, uint32_t arrivals, int64_t late_ms)
+{
+	int was_full = bucket->admission_level >= bucket->burst;
+	uint32_t admitted = rate_bucket_admit_arrivals(bucket, arrivals);
+
+	if (was_full && late_ms > 0)
+		rate_bucket_track_delay(bucket, late_ms);
+	return (admitted);
+}
+
 uint32_t
 rate_bucket_admit_late_arrivals(rate_bucket_t *bucket, uint32_t arrivals)
 {
--- a/src/rate/rate_bucket.h
+++ b/src/rate/rate_bucket.h
@@ -148,6 +148,20 @@
  */
 uint32_t rate_bucket_admit_arrivals(rate_bucket_t *bucket, uint32_t arrivals);
 
+/**
+ * As rate_bucket_count_arrivals(), for arrivals that the VM reported with a delay.
+ * If the admission bucket was full, the tokens that accrued since the oldest of
+ * them arrived are not in its level: they are in a further alternative level.
+ *
+ * @param late_ms  age of the oldest arrival; 0: not delayed
+ */
+void rate_bucket_count_delayed(
+    rate_bucket_t *bucket, uint32_t arrivals, int64_t late_ms);
+
+/** The same for rate_bucket_admit_arrivals(). */
+uint32_t rate_bucket_admit_delayed(
+    rate_bucket_t *bucket, uint32_t arrivals, int64_t late_ms);
+
 /**
  * Admits delayed arrivals, whose tokens in the admission bucket may have been
  * deducted for arrivals after them. Uses the drift credit only.
--- a/src/rate/rate_defs.h
+++ b/src/rate/rate_defs.h
@@ -61,6 +61,11 @@
  * this changes the decision, the bucket tracks the outcome of both decisions.
  */
 #define RATE_ARRIVAL_TOLERANCE_MS 15
+/**
+ * A VM reports an arrival as late if it held it for this long: above the 1 to 2 ms
+ * of a message within a data centre, arrivals at other VMs after it are known first.
+ */
+#define RATE_LATE_MIN_MS 3
 /** Maximum number of levels tracked besides the admission level. */
 #define RATE_ALTERNATIVES_MAX 8
 /** Time of a leader change whose arrivals the admission bucket is credited. */
--- a/src/rate/rate_local.c
+++ b/src/rate/rate_local.c
@@ -158,7 +158,7 @@
 		msg->fresh++;
 		/* The list is ordered by age, oldest first. */
 		if (msg->fresh == 1 &&
-		    now_ms - pending->since_ms >= RATE_ARRIVAL_TOLERANCE_MS / 2)
+		    now_ms - pending->since_ms >= RATE_LATE_MIN_MS)
 			msg->late_ms = (uint32_t)(now_ms - pending->since_ms);
 	}
 }
--- a/src/rate/rate_serve.c
+++ b/src/rate/rate_serve.c
@@ -303,7 +303,8 @@
 	waiter->sequence = request->sequence;
 	waiter->sent_ms = request->sent_ms;
 	waiter->waiting = request->need;
-	admitted = rate_bucket_admit_arrivals(bucket, request->fresh);
+	admitted =
+	    rate_bucket_admit_delayed(bucket, request->fresh, request->late_ms);
 	if (request->late_ms > 0)
 		admitted += rate_bucket_admit_late_arrivals(
 		    bucket, request->fresh - admitted);
@@ -336,7 +337,8 @@
 	if (request->need == 0 ||
 	    (bucket->waiters == NULL &&
 		request->need <= rate_bucket_get_available(bucket))) {
-		rate_bucket_count_arrivals(bucket, request->fresh);
+		rate_bucket_count_delayed(
+		    bucket, request->fresh, request->late_ms);
 		rate_leader_grant_request(
 		    leader, bucket, vm, relay, request, now_ms);
 		rate_leader_serve(leader, bucket, now_ms);
--- a/test/unit/rate_test.cc
+++ b/test/unit/rate_test.cc
@@ -133,6 +133,52 @@
 
 // Guards against a new leader that grants tokens which prefetch of the earlier
 // one may still spend.
+// Guards against requests within the rate refused after one that a VM reported
+// late: the bucket was full, and the token accrues from the arrival on.
+TEST(RateBucket, TokenAccruesFromTheTimeOfADelayedArrival)
+{
+	const int64_t late_ms = 20;
+
+	for (bool has_token : { true, false }) {
+		rate_bucket_t bucket = {};
+
+		bucket.rate_us = 10 * RATE_UTOKENS;
+		bucket.burst = RATE_UTOKENS;
+		rate_bucket_refill(&bucket, 1000, 0);
+		if (has_token)
+			rate_bucket_count_delayed(&bucket, 1, late_ms);
+		else
+			EXPECT_EQ(
+			    1u, rate_bucket_admit_delayed(&bucket, 1, late_ms));
+		// 70 ms after the arrival, then 102 ms.
+		rate_bucket_refill(&bucket, 1050, 0);
+		EXPECT_EQ(0u, rate_bucket_admit_arrivals(&bucket, 1));
+		rate_bucket_refill(&bucket, 1082, 0);
+		EXPECT_EQ(1u, rate_bucket_admit_arrivals(&bucket, 1));
+		// It is a close case, which the credit pays.
+		EXPECT_EQ(
+		    rate_bucket_get_drift_credit_max(&bucket) - RATE_UTOKENS,
+		    bucket.drift_credit);
+	}
+}
+
+// Guards against a queue of requests over the rate because they are reported late.
+TEST(RateBucket, DelayedArrivalsAreAdmittedAtTheRateOnly)
+{
+	rate_bucket_t bucket = {};
+	uint32_t admitted = 0;
+
+	bucket.rate_us = 100 * RATE_UTOKENS;
+	bucket.burst = 10 * RATE_UTOKENS;
+	rate_bucket_refill(&bucket, 1000, 0);
+	for (int64_t t = 1010; t <= 61000; t += 10) {
+		rate_bucket_refill(&bucket, t, 0);
+		admitted += rate_bucket_admit_delayed(&bucket, 10, 20);
+	}
+	EXPECT_GE(admitted, 6000u);
+	EXPECT_LE(admitted, 6000u + 10 + 100 * RATE_DRIFT_CREDIT_MS / 1000 + 1);
+}
+
 TEST(RateBucket, NewLeaderCountsPrefetchLongerThanNeed)
 {
 	rate_bucket_t bucket = {};
