hub: with scarce capacity, the share of sound targets holds though probes are lost

Cause: the bound of 0.27 that may go without a request was taken of all targets in use, also of those that fail; targets with a probe in flight did not count, though a lost grant keeps one for 4 s; and a new leader, which knows of no failures yet, took each service for a calm one and left targets out for 5 s that failed a probe.

Change: the bound is taken of the targets in use that have not failed for 2 s. A probe without a result after 1.4 s no longer keeps its target: it counts as unused and may be opened to another gate; the result of the first one still counts. For 4 s after it has taken ejections over, a leader takes each service for one in trouble.

--- a/src/hub/hub_outlier.c
+++ b/src/hub/hub_outlier.c
@@ -218,6 +218,7 @@
 		return;
 	target->verdict = verdict;
 	target->probe_gate = NODE_ID_NONE;
+	target->late_gate = NODE_ID_NONE;
 	if (verdict == FLEET_VERDICT_EJECTED)
 		target->doubted_gate = NODE_ID_NONE;
 	detector->changed(detector->ctx, target->key, verdict, reason);
@@ -469,6 +470,7 @@
 
 	if (target == NULL)
 		return;
+	detector->restored_ms = now_ms;
 	/* The time is not known; half of the backoff has passed on average. */
 	target->failed_ms = now_ms - OUTLIER_UNREPEATABLE_BACKOFF_MS / 2;
 	outlier_estimate_failure(target, target->failed_ms);
--- a/src/hub/hub_outlier_internal.h
+++ b/src/hub/hub_outlier_internal.h
@@ -49,6 +49,10 @@
 	int64_t estimate_ms;
 	node_id_t probe_gate; /* NODE_ID_NONE: no probe in flight */
 	int64_t probe_ms; /* when the probe was granted */
+	/* Gate whose probe had no result when the target was opened to another
+	 * one, as its grant or its result may be lost; NODE_ID_NONE: none. */
+	node_id_t late_gate;
+	int64_t late_ms; /* when that probe was granted */
 	/* Gate whose probe hung, until another gate has probed the target, as
 	 * the gate or its path may be the cause; NODE_ID_NONE: none. */
 	node_id_t doubted_gate;
@@ -104,6 +108,8 @@
 	/* Share of a service's targets that may get no requests at all. */
 	double unused_share_max;
 	int is_scarce; /* FLEET_FEATURE_SCARCE_CAPACITY */
+	int64_t
+	    restored_ms; /* last ejection taken over from a leader; 0: none */
 	hub_outlier_cb changed;
 	hub_outlier_filter_cb filter; /* NULL: all targets */
 	void *ctx;
--- a/src/hub/hub_outlier_probe.c
+++ b/src/hub/hub_outlier_probe.c
@@ -97,22 +97,42 @@
  * may have recovered before the hang was noticed. */
 static void
 fail_probe(hub_outlier_t *detector, outlier_target_t *target,
-    fleet_evidence_t kind, int64_t now_ms)
+    fleet_evidence_t kind, int64_t sent_ms, int64_t now_ms)
 {
 	outlier_eject(detector, target, kind, now_ms);
 	if (!detector->is_scarce)
 		return;
-	target->failed_ms = target->probe_ms;
-	target->estimate_ms = target->probe_ms;
+	target->failed_ms = sent_ms;
+	target->estimate_ms = sent_ms;
+}
+
+/* Takes the probe in flight that a gate reports on.
+ * @param sent_ms  receives when it was granted
+ * @return         0: the gate has none */
+static int
+end_probe(outlier_target_t *target, node_id_t gate, int64_t *sent_ms)
+{
+	if (target->probe_gate == gate) {
+		target->probe_gate = NODE_ID_NONE;
+		*sent_ms = target->probe_ms;
+		return (1);
+	}
+	if (target->late_gate == gate) {
+		target->late_gate = NODE_ID_NONE;
+		*sent_ms = target->late_ms;
+		return (1);
+	}
+	return (0);
 }
 
 void
 outlier_record_probe(hub_outlier_t *detector, outlier_target_t *target,
     const hub_evidence_t *evidence, int64_t now_ms)
 {
-	if (target->probe_gate != evidence->gate)
+	int64_t sent_ms;
+
+	if (!end_probe(target, evidence->gate, &sent_ms))
 		return;
-	target->probe_gate = NODE_ID_NONE;
 	switch (evidence->kind) {
 	case FLEET_EVIDENCE_PROBE_UNUSED:
 		return;
@@ -134,7 +154,8 @@
 		if (is_inconclusive(target, evidence))
 			target->doubted_gate = evidence->gate;
 		else
-			fail_probe(detector, target, evidence->kind, now_ms);
+			fail_probe(
+			    detector, target, evidence->kind, sent_ms, now_ms);
 	}
 }
 
@@ -184,6 +205,7 @@
 {
 	return (target->probe_gate == NODE_ID_NONE && !target->is_draining &&
 	    !target->is_evacuated && target->doubted_gate != gate &&
+	    target->late_gate != gate &&
 	    (target->is_open || target->verdict == FLEET_VERDICT_PROBE ||
 		(may_repeat &&
 		    target->verdict == FLEET_VERDICT_PROBE_REPEATABLE)));
@@ -281,12 +303,16 @@
 	if (target->probe_gate != NODE_ID_NONE &&
 	    now_ms - target->probe_ms > PROBE_TIMEOUT_MS)
 		target->probe_gate = NODE_ID_NONE;
+	if (target->late_gate != NODE_ID_NONE &&
+	    now_ms - target->late_ms > PROBE_TIMEOUT_MS)
+		target->late_gate = NODE_ID_NONE;
 	if (target->probe_gate != NODE_ID_NONE || target->is_evacuated)
 		return;
 	/* Without a second gate the result of the first one stands. */
 	if (target->doubted_gate != NODE_ID_NONE &&
 	    now_ms - target->used_ms > PROBE_BACKOFF_MS) {
-		fail_probe(detector, target, FLEET_EVIDENCE_STALL, now_ms);
+		fail_probe(detector, target, FLEET_EVIDENCE_STALL,
+		    target->probe_ms, now_ms);
 		return;
 	}
 	if (target->is_unreachable && !detector->is_scarce) {
--- a/src/hub/hub_outlier_scarce.c
+++ b/src/hub/hub_outlier_scarce.c
@@ -33,6 +33,10 @@
 #define UNUSED_MS 1400
 /* From this failed share on any target that is out of use may be a sound one. */
 #define FAILED_SHARE_TROUBLE 0.05
+/* A new leader takes each service for one in trouble for this time, until it knows
+ * the failed share and the utilization. Gates report every 500 ms, and may need
+ * more than 1 s to find the leader. */
+#define NEW_LEADER_MS 4000
 /* A gate that does not ask within this time probably has no request for the
  * service, and another one is told. */
 #define OFFER_TIMEOUT_MS 300
@@ -279,34 +283,51 @@
 }
 
 /* @return 1 if a target that may be sound has had no request lately and waits
- * for none */
+ * for none. A probe without a result by then may never have been sent: its grant
+ * is lost if the gate has lost contact. */
 static int
 is_unused(const outlier_target_t *target, int64_t now_ms)
 {
+	int is_waiting = target->is_open && target->probe_gate == NODE_ID_NONE;
+
 	return (target->verdict != FLEET_VERDICT_HEALTHY &&
-	    outlier_is_present(target) && !target->is_draining &&
-	    !target->is_open && target->probe_gate == NODE_ID_NONE &&
+	    outlier_is_present(target) && !target->is_draining && !is_waiting &&
 	    now_ms - target->failed_ms >= UNUSED_MS &&
 	    now_ms - target->probe_ms >= UNUSED_MS);
 }
 
-/* @return how much of a sound target an unused one is taken for. In trouble any
- * may have recovered right after its last failure; otherwise it is the
- * probability, as probes that fail would be most of the loss. */
-static double
-get_sound_weight(const outlier_target_t *target, int64_t now_ms)
+/* @return 1 if so many requests may be lost that the share of the sound targets
+ * counts. A new leader does not know yet. */
+static int
+is_in_trouble(const hub_outlier_t *detector, const outlier_service_t *service,
+    int64_t now_ms)
 {
-	const outlier_service_t *service = target->service;
+	return (is_full(service) ||
+	    outlier_get_failed_share(service) >= FAILED_SHARE_TROUBLE ||
+	    (detector->restored_ms != 0 &&
+		now_ms - detector->restored_ms < NEW_LEADER_MS));
+}
 
-	if (is_full(service) ||
-	    outlier_get_failed_share(service) >= FAILED_SHARE_TROUBLE)
-		return (1);
-	return (1 - get_estimate(target, now_ms));
+/* @return targets in use that have not failed for a time. Others may be in use as
+ * well: a full service keeps targets that fail now and then, and slow ones. */
+static uint32_t
+count_sound_in_use(const outlier_service_t *service, int64_t now_ms)
+{
+	const outlier_target_t *target;
+	uint32_t sound = 0;
+
+	for (target = service->targets; target != NULL; target = target->next)
+		sound += outlier_is_present(target) &&
+		    target->verdict == FLEET_VERDICT_HEALTHY &&
+		    (target->evidence_ms == 0 ||
+			now_ms - target->evidence_ms >=
+			    HUB_OUTLIER_SOUND_AFTER_MS);
+	return (sound);
 }
 
 static outlier_target_t *
-find_longest_unused(
-    const outlier_service_t *service, int64_t now_ms, double *sound)
+find_longest_unused(const outlier_service_t *service, int is_in_trouble,
+    int64_t now_ms, double *sound)
 {
 	outlier_target_t *longest = NULL;
 	outlier_target_t *target;
@@ -315,27 +336,44 @@
 	for (target = service->targets; target != NULL; target = target->next) {
 		if (!is_unused(target, now_ms))
 			continue;
-		*sound += get_sound_weight(target, now_ms);
+		*sound += is_in_trouble ? 1 : 1 - get_estimate(target, now_ms);
 		if (longest == NULL || target->failed_ms < longest->failed_ms)
 			longest = target;
 	}
 	return (longest);
 }
 
-/* The share is one of the sound targets; those that certainly are, are in use. */
+/* Opens a target to any request; a probe without a result still counts. */
+static void
+open_target(outlier_target_t *target)
+{
+	target->is_open = 1;
+	if (target->probe_gate == NODE_ID_NONE)
+		return;
+	target->late_gate = target->probe_gate;
+	target->late_ms = target->probe_ms;
+	target->probe_gate = NODE_ID_NONE;
+}
+
+/* The share is one of the sound targets; those that certainly are, are in use.
+ * In trouble any of the others may have recovered right after its last failure;
+ * otherwise each counts by the probability of that, as probes that fail would be
+ * most of the loss. */
 static void
 limit_unused(
     hub_outlier_t *detector, outlier_service_t *service, int64_t now_ms)
 {
+	int in_trouble = is_in_trouble(detector, service, now_ms);
 	double allowed =
-	    detector->unused_share_max * outlier_count_healthy(service);
+	    detector->unused_share_max * count_sound_in_use(service, now_ms);
 	outlier_target_t *target;
 	double sound;
 
-	target = find_longest_unused(service, now_ms, &sound);
+	target = find_longest_unused(service, in_trouble, now_ms, &sound);
 	while (target != NULL && sound > allowed) {
-		target->is_open = 1;
-		target = find_longest_unused(service, now_ms, &sound);
+		open_target(target);
+		target =
+		    find_longest_unused(service, in_trouble, now_ms, &sound);
 	}
 }
 
--- a/test/unit/hub_outlier_scarce_test.cc
+++ b/test/unit/hub_outlier_scarce_test.cc
@@ -81,6 +81,37 @@
 			    .target);
 	}
 
+	/* Gates ask for targets that wait. @return how many there are */
+	int
+	AssignAll(node_id_t first_gate)
+	{
+		int count = 0;
+
+		while (Assign(first_gate + (node_id_t)count) != 0)
+			count++;
+		return (count);
+	}
+
+	/* Ejects the first targets, and lets their first probes fail. */
+	void
+	EjectFirst(uint64_t count)
+	{
+		for (uint64_t key = 1; key <= count; key++)
+			Record(key, FLEET_EVIDENCE_BROKEN);
+		Pass(500);
+		FailProbes();
+	}
+
+	void
+	FailProbes()
+	{
+		node_id_t gate = 100;
+
+		for (uint64_t target = Assign(gate); target != 0;
+		     target = Assign(++gate))
+			Record(target, FLEET_EVIDENCE_BROKEN, gate, 1);
+	}
+
 	hub_outlier_counts_t
 	Count() const
 	{
@@ -206,6 +237,70 @@
 	EXPECT_GE(Count().probe, 5u);
 }
 
+// Grants that are lost: each target is kept for 4 s for a gate that has lost
+// contact, and none of them counts as unused.
+TEST_F(HubOutlierScarce, AProbeWithoutAResultGoesToAnotherGate)
+{
+	for (uint64_t key = 1; key <= 4; key++)
+		Record(key, FLEET_EVIDENCE_BROKEN);
+	hub_outlier_set_utilization(detector_, kService, 1);
+	Pass(500);
+	ASSERT_EQ(4, AssignAll(11));
+	Pass(1300);
+	EXPECT_EQ(0, AssignAll(21));
+	Pass(200);
+	/* At most 0.27 of 6 in use go without a request. */
+	EXPECT_EQ(3, AssignAll(21));
+}
+
+// The first gate was only slow: its result is ignored, and the target waits for
+// the next one.
+TEST_F(HubOutlierScarce, TheResultOfALateProbeCounts)
+{
+	for (uint64_t key = 1; key <= 4; key++)
+		Record(key, FLEET_EVIDENCE_BROKEN);
+	hub_outlier_set_utilization(detector_, kService, 1);
+	Pass(500);
+	uint64_t target = Assign(11);
+	ASSERT_EQ(3, AssignAll(12));
+	Pass(1500);
+	ASSERT_EQ(3, AssignAll(21));
+	ASSERT_FALSE(IsHealthy(target));
+	Record(target, FLEET_EVIDENCE_SUCCESS, 11, 1);
+	EXPECT_TRUE(IsHealthy(target));
+}
+
+// A new leader knows of no failures, and leaves targets out for 5 s that failed one
+// probe.
+TEST_F(HubOutlierScarce, ANewLeaderProbesTargetsThatMayBeSoundIn2s)
+{
+	hub_outlier_reset(detector_);
+	for (uint64_t key = 1; key <= kTargets; key++)
+		hub_outlier_add_target(detector_, key, kService, 1);
+	for (uint64_t key = 1; key <= 4; key++)
+		hub_outlier_restore_ejection(detector_, key, now_);
+	Pass(100);
+	FailProbes();
+	Pass(1500);
+	EXPECT_EQ(3, AssignAll(21));
+}
+
+// Targets in use that fail count as sound ones, so that more of those out of use go
+// without a request than the share allows.
+TEST_F(HubOutlierScarce, TargetsInUseThatFailAllowNoOthersToGoUnused)
+{
+	EjectFirst(3);
+	hub_outlier_set_utilization(detector_, kService, 1);
+	for (int i = 0; i < 3; i++) {
+		for (uint64_t key = 4; key <= 7; key++)
+			Record(key, FLEET_EVIDENCE_ERROR, (node_id_t)key);
+		Pass(500);
+	}
+	ASSERT_EQ(7u, Count().healthy);
+	/* 0.27 of the 3 that do not fail is less than one. */
+	EXPECT_EQ(3, AssignAll(21));
+}
+
 // Changed decisions: without the feature, probes by any request come after 4 s.
 TEST_F(HubOutlierScarce, WithoutTheFeatureProbesComeAsBefore)
 {
