--- a/test/unit/rate_test.cc
+++ b/test/unit/rate_test.cc
@@ -131,8 +131,6 @@
 	    rate_bucket_admit_arrivals(&bucket, 1), 1u); // if it was admitted
 }
 
-// Guards against a new leader that grants tokens which prefetch of the earlier
-// one may still spend.
 // Guards against requests within the rate refused after one that a VM reported
 // late: the bucket was full, and the token accrues from the arrival on.
 TEST(RateBucket, TokenAccruesFromTheTimeOfADelayedArrival)
@@ -179,6 +177,8 @@
 	EXPECT_LE(admitted, 6000u + 10 + 100 * RATE_DRIFT_CREDIT_MS / 1000 + 1);
 }
 
+// Guards against a new leader that grants tokens which prefetch of the earlier
+// one may still spend.
 TEST(RateBucket, NewLeaderCountsPrefetchLongerThanNeed)
 {
 	rate_bucket_t bucket = {};
