gate_link: permits in a file of their own

Change: requests for permits, reports of consumed tokens and the list of workspaces near their limits are in gate_permits.[ch]; the link owns them and sends. Its functions are as before. No change of behaviour.

--- a/src/gate/gate_link.c
+++ b/src/gate/gate_link.c
@@ -4,12 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
-
 #include "base/log.h"
 
-/* Queue of spends that are not yet sent to a leader; the oldest is dropped. */
-#define PENDING_SPENDS_MAX 2048
 /* Time without an answer after which the connection to a hub is opened anew: a
  * cut may have left it dead, or waiting for seconds until the next attempt. */
 #define HUB_ANSWER_TIMEOUT_MS GATE_LEADER_TIMEOUT_MS
@@ -22,19 +18,6 @@
 	int64_t named_ms; /* when a hub or the settings named it last */
 } known_hub_t;
 
-typedef struct permit_request {
-	uint32_t id;
-	gate_permit_cb done;
-	void *ctx;
-	int64_t deadline_ms;
-	UT_hash_handle hh;
-} permit_request_t;
-
-typedef struct pending_spend {
-	Tm__Fleet__Spend msg;
-	int64_t consumed_ms;
-} pending_spend_t;
-
 struct gate_link {
 	gate_link_options_t options;
 	known_hub_t hubs[FLEET_HUBS_MAX];
@@ -56,14 +39,7 @@
 	int64_t confirmed_ms; /* send time of the newest lease for the version
 			       * in use; 0: none */
 	int64_t pending_lease_ms; /* send time of its lease; 0: none waits */
-	pending_spend_t pending_spends[PENDING_SPENDS_MAX];
-	size_t pending_spend_count;
-	permit_request_t *permit_requests;
-	uint32_t last_request_id;
-	uint64_t near_limit_term; /* whose leader sent the list; 0: none */
-	uint64_t near_limit_sequence;
-	uint64_t *near_limit; /* sorted as sent */
-	size_t near_limit_count;
+	gate_permits_t *permits;
 };
 
 static known_hub_t *
@@ -131,6 +107,11 @@
 
 	if (link == NULL)
 		return (NULL);
+	link->permits = gate_permits_create();
+	if (link->permits == NULL) {
+		free(link);
+		return (NULL);
+	}
 	link->options = *options;
 	link->gates = 1;
 	for (i = 0; i < options->seed_count; i++)
@@ -141,16 +122,9 @@
 void
 gate_link_destroy(gate_link_t *link)
 {
-	permit_request_t *request;
-	permit_request_t *next;
-
 	if (link == NULL)
 		return;
-	HASH_ITER(hh, link->permit_requests, request, next) {
-		HASH_DELETE(hh, link->permit_requests, request);
-		free(request);
-	}
-	free(link->near_limit);
+	gate_permits_destroy(link->permits);
 	free(link);
 }
 
@@ -160,21 +134,6 @@
 	add_hub(link, name, now_ms);
 }
 
-/* Drops reports of consumed tokens; permit requests stay, as callers wait for
- * their answers. */
-static void
-drop_unsent_spends(gate_link_t *link)
-{
-	size_t kept = 0;
-	size_t i;
-
-	for (i = 0; i < link->pending_spend_count; i++) {
-		if (link->pending_spends[i].msg.id != 0)
-			link->pending_spends[kept++] = link->pending_spends[i];
-	}
-	link->pending_spend_count = kept;
-}
-
 static void
 reset_hub(gate_link_t *link, known_hub_t *hub, int64_t now_ms)
 {
@@ -226,13 +185,12 @@
 	join.alone_ms = (uint32_t)link->options.key_lease_ms;
 	/* 0 until a leader has reported the count. */
 	join.gates = link->term != 0 ? link->gates : 0;
-	join.scarce_term = link->near_limit_term;
-	join.scarce_sequence = link->near_limit_sequence;
+	gate_permits_fill_join(link->permits, &join);
 	link->options.fill_renewal(link->options.ctx, &join, needs_usage);
 	/* The usage includes the tokens of unsent reports. */
 	if (needs_usage) {
 		link->usage_reported_term = link->term;
-		drop_unsent_spends(link);
+		gate_permits_drop_reports(link->permits);
 	}
 	join.told_term = link->usage_reported_term;
 	/* Only the leader uses outcomes and demands. */
@@ -276,45 +234,13 @@
 	link->leader = NODE_ID_NONE;
 }
 
-/* Drops a request for a permit that was not sent: it points to the memory of the
- * caller's request, which may end now. */
-static void
-drop_spend(gate_link_t *link, uint32_t id)
-{
-	size_t kept = 0;
-	size_t i;
-
-	for (i = 0; i < link->pending_spend_count; i++) {
-		if (link->pending_spends[i].msg.id != id)
-			link->pending_spends[kept++] = link->pending_spends[i];
-	}
-	link->pending_spend_count = kept;
-}
-
-static void
-expire_permit_requests(gate_link_t *link, int64_t now_ms)
-{
-	const gate_permit_reply_t unknown = { .result = GATE_PERMIT_UNKNOWN };
-	permit_request_t *request;
-	permit_request_t *next;
-
-	HASH_ITER(hh, link->permit_requests, request, next) {
-		if (now_ms < request->deadline_ms)
-			continue;
-		HASH_DELETE(hh, link->permit_requests, request);
-		drop_spend(link, request->id);
-		request->done(request->ctx, &unknown);
-		free(request);
-	}
-}
-
 void
 gate_link_tick(gate_link_t *link, int64_t now_ms)
 {
 	if (link->started_ms == 0)
 		link->started_ms = now_ms;
 	check_leader(link, now_ms);
-	expire_permit_requests(link, now_ms);
+	gate_permits_expire(link->permits, now_ms);
 	if (now_ms < link->renewal_due_ms)
 		return;
 	if (link->leader != NODE_ID_NONE) {
@@ -330,22 +256,11 @@
 gate_link_flush(gate_link_t *link, int64_t now_ms)
 {
 	Tm__Fleet__Spends msg = TM__FLEET__SPENDS__INIT;
-	Tm__Fleet__Spend *pointers[PENDING_SPENDS_MAX];
-	pending_spend_t *spend;
-	size_t i;
 
-	if (link->pending_spend_count == 0 || link->leader == NODE_ID_NONE)
-		return;
-	for (i = 0; i < link->pending_spend_count; i++) {
-		spend = &link->pending_spends[i];
-		spend->msg.age_ms = (uint32_t)(now_ms - spend->consumed_ms);
-		pointers[i] = &spend->msg;
-	}
-	msg.spends = pointers;
-	msg.n_spends = link->pending_spend_count;
-	link->options.send(
-	    link->options.send_ctx, link->leader, MSG_FLEET_SPENDS, &msg.base);
-	link->pending_spend_count = 0;
+	if (link->leader != NODE_ID_NONE &&
+	    gate_permits_take(link->permits, &msg, now_ms))
+		link->options.send(link->options.send_ctx, link->leader,
+		    MSG_FLEET_SPENDS, &msg.base);
 }
 
 static void
@@ -464,23 +379,6 @@
 	tm__fleet__lease__free_unpacked(lease, NULL);
 }
 
-static void
-apply_near_limit(gate_link_t *link, const Tm__Fleet__Permits *permits)
-{
-	uint64_t *copy = calloc(permits->n_scarce + 1, sizeof(*copy));
-
-	if (copy == NULL)
-		return;
-	if (permits->n_scarce > 0)
-		memcpy(
-		    copy, permits->scarce, permits->n_scarce * sizeof(*copy));
-	free(link->near_limit);
-	link->near_limit = copy;
-	link->near_limit_count = permits->n_scarce;
-	link->near_limit_sequence = permits->scarce_sequence;
-	link->near_limit_term = permits->term;
-}
-
 void
 gate_link_report(gate_link_t *link, const Tm__Fleet__Evidence *evidence)
 {
@@ -500,48 +398,6 @@
 	gate_link_report(link, &evidence);
 }
 
-static void
-complete_permit_request(gate_link_t *link, const Tm__Fleet__Permit *permit)
-{
-	const gate_permit_reply_t reply = {
-		.result = permit->is_granted ? GATE_PERMIT_GRANTED
-					     : GATE_PERMIT_REFUSED,
-		.wait_ms = permit->retry_after_ms,
-		.target = permit->target,
-		.is_probe = permit->is_trial,
-	};
-	permit_request_t *request;
-
-	HASH_FIND(hh, link->permit_requests, &permit->id, sizeof(permit->id),
-	    request);
-	if (request == NULL) {
-		if (reply.result == GATE_PERMIT_GRANTED && reply.is_probe)
-			link->options.late_probe(
-			    link->options.ctx, reply.target);
-		return;
-	}
-	HASH_DELETE(hh, link->permit_requests, request);
-	request->done(request->ctx, &reply);
-	free(request);
-}
-
-static void
-handle_permits(gate_link_t *link, const uint8_t *payload, size_t len)
-{
-	Tm__Fleet__Permits *permits =
-	    tm__fleet__permits__unpack(NULL, len, payload);
-	size_t i;
-
-	if (permits == NULL)
-		return;
-	/* The list may arrive before the lease that names its leader. */
-	if (permits->has_scarce && permits->term >= link->near_limit_term)
-		apply_near_limit(link, permits);
-	for (i = 0; i < permits->n_permits; i++)
-		complete_permit_request(link, permits->permits[i]);
-	tm__fleet__permits__free_unpacked(permits, NULL);
-}
-
 void
 gate_link_handle(gate_link_t *link, node_id_t from, uint16_t type,
     const uint8_t *payload, size_t len, int64_t now_ms)
@@ -549,7 +405,8 @@
 	if (type == MSG_FLEET_LEASE)
 		handle_lease(link, from, payload, len, now_ms);
 	else if (type == MSG_FLEET_PERMITS)
-		handle_permits(link, payload, len);
+		gate_permits_handle(link->permits, payload, len,
+		    link->options.late_probe, link->options.ctx);
 }
 
 void
@@ -578,69 +435,25 @@
 	return (1);
 }
 
-static Tm__Fleet__Spend *
-queue_spend(gate_link_t *link, int64_t now_ms)
-{
-	pending_spend_t *spend;
-
-	if (link->pending_spend_count == PENDING_SPENDS_MAX) {
-		memmove(&link->pending_spends[0], &link->pending_spends[1],
-		    sizeof(link->pending_spends[0]) * (PENDING_SPENDS_MAX - 1));
-		link->pending_spend_count--;
-	}
-	spend = &link->pending_spends[link->pending_spend_count++];
-	spend->consumed_ms = now_ms;
-	tm__fleet__spend__init(&spend->msg);
-	return (&spend->msg);
-}
-
 void
 gate_link_report_consumed(
     gate_link_t *link, uint64_t workspace, uint64_t service, int64_t now_ms)
 {
-	Tm__Fleet__Spend *spend = queue_spend(link, now_ms);
-
-	spend->kind = FLEET_SPEND_REQUEST;
-	spend->workspace = workspace;
-	spend->service = service;
+	gate_permits_report_consumed(link->permits, workspace, service, now_ms);
 }
 
 uint32_t
 gate_link_request_permit(gate_link_t *link, const Tm__Fleet__Spend *request,
     gate_permit_cb done, void *ctx, int64_t now_ms)
 {
-	permit_request_t *pending = calloc(1, sizeof(*pending));
-	Tm__Fleet__Spend *spend;
-
-	if (pending == NULL)
-		return (0);
-	if (++link->last_request_id == 0)
-		link->last_request_id = 1;
-	pending->id = link->last_request_id;
-	pending->done = done;
-	pending->ctx = ctx;
-	pending->deadline_ms = now_ms + GATE_PERMIT_TIMEOUT_MS;
-	HASH_ADD(hh, link->permit_requests, id, sizeof(pending->id), pending);
-	/* Without a leader the request expires at its deadline. */
-	if (link->leader != NODE_ID_NONE) {
-		spend = queue_spend(link, now_ms);
-		*spend = *request;
-		spend->id = pending->id;
-	}
-	return (pending->id);
+	return (gate_permits_request(link->permits, request,
+	    link->leader != NODE_ID_NONE, done, ctx, now_ms));
 }
 
 void
 gate_link_cancel_permit(gate_link_t *link, uint32_t id)
 {
-	permit_request_t *request;
-
-	HASH_FIND(hh, link->permit_requests, &id, sizeof(id), request);
-	if (request == NULL)
-		return;
-	HASH_DELETE(hh, link->permit_requests, request);
-	drop_spend(link, id);
-	free(request);
+	gate_permits_cancel(link->permits, id);
 }
 
 int
@@ -680,15 +493,8 @@
 int
 gate_link_is_near_limit(const gate_link_t *link, uint64_t workspace)
 {
-	size_t i;
-
-	if (link->term == 0 || link->near_limit_term != link->term)
-		return (1);
-	for (i = 0; i < link->near_limit_count; i++) {
-		if (link->near_limit[i] == workspace)
-			return (1);
-	}
-	return (0);
+	return (
+	    gate_permits_is_near_limit(link->permits, link->term, workspace));
 }
 
 uint32_t
--- a/src/gate/gate_link.h
+++ b/src/gate/gate_link.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "fleet/fleet_defs.h"
+#include "gate/gate_permits.h"
 #include "proto/fleet.pb-c.h"
 
 /** Interval between lease renewals. */
@@ -37,33 +38,9 @@
 /** While the newest answered request is at most this old, the leader is assumed
  * to receive reports of consumed tokens. */
 #define GATE_LEADER_CURRENT_MS 650
-/** A permit request without an answer expires after this time. */
-#define GATE_PERMIT_TIMEOUT_MS 250
 
 typedef struct gate_link gate_link_t;
 
-/** Result of a permit request. */
-typedef enum gate_permit {
-	GATE_PERMIT_GRANTED,
-	GATE_PERMIT_REFUSED,
-	GATE_PERMIT_UNKNOWN /**< no leader answered */
-} gate_permit_t;
-
-/** Answer to a permit request. */
-typedef struct gate_permit_reply {
-	gate_permit_t result;
-	/** Granted: delay before the permit may be used; refused: delay before
-	 * another request makes sense. */
-	uint32_t wait_ms;
-	uint64_t
-	    target; /**< key of the target that the leader chose; 0: none */
-	int is_probe; /**< that target is not healthy */
-} gate_permit_reply_t;
-
-/** Reports the answer to a permit request, once, never from within
- * gate_link_request_permit(). */
-typedef void (*gate_permit_cb)(void *ctx, const gate_permit_reply_t *reply);
-
 typedef struct gate_link_options {
 	const char *const *seeds; /**< names of hubs; copied */
 	int seed_count;
