--- a/src/gate/gate_alone.c
+++ b/src/gate/gate_alone.c
@@ -4,42 +4,47 @@
 
 /* Share of a service's requests that may be trials. */
 #define TRIAL_SHARE 0.1
-/* The first trials of the gates of a fleet are spread over this time: half of the
- * span in which a sound target is to get a request. */
-#define FIRST_TRIAL_MAX_MS 1000
+/* The first trials of the gates of a fleet are spread over this time; with scarce
+ * capacity over half of the 2 s in which a sound target is to get a request. */
+#define FIRST_TRIAL_MAX_MS	  2000
+#define FIRST_TRIAL_SCARCE_MAX_MS 1000
 /* Time from a trial to the next one, if it failed or has no outcome. */
 #define TRIAL_INTERVAL_MS 4000
 /* Repeatable requests are waited for this long, as a failed trial loses others
  * for good. */
 #define REPEATABLE_WAIT_MS 2000
-/* A service that had no repeatable request at this gate for this long waits for
- * none. */
+/* With scarce capacity, a service that had no repeatable request at this gate for
+ * this long waits for none. */
 #define REPEATABLE_MAX_AGE_MS 10000
 
 void
-gate_alone_set(
-    gate_service_t *service, int is_alone, rng_t *rng, int64_t now_ms)
+gate_alone_set(gate_service_t *service, int is_alone, int is_scarce, rng_t *rng,
+    int64_t now_ms)
 {
+	int64_t spread_ms =
+	    is_scarce ? FIRST_TRIAL_SCARCE_MAX_MS : FIRST_TRIAL_MAX_MS;
 	gate_target_t *target;
 	uint32_t i;
 
 	if (service->is_alone == is_alone)
 		return;
 	service->is_alone = is_alone;
+	service->is_scarce = is_scarce;
 	service->trial_credit = rng_unit(rng);
 	for (i = 0; i < service->count; i++) {
 		target = service->targets[i];
 		target->is_recovered = 0;
 		target->trial_due_ms =
-		    now_ms + (int64_t)rng_below(rng, FIRST_TRIAL_MAX_MS);
+		    now_ms + (int64_t)rng_below(rng, (uint64_t)spread_ms);
 	}
 }
 
 static int
 expects_repeatable(const gate_service_t *service, int64_t now_ms)
 {
-	return (service->repeatable_ms != 0 &&
-	    now_ms - service->repeatable_ms <= REPEATABLE_MAX_AGE_MS);
+	return (!service->is_scarce ||
+	    (service->repeatable_ms != 0 &&
+		now_ms - service->repeatable_ms <= REPEATABLE_MAX_AGE_MS));
 }
 
 /* @return time at which a target may be tried by a request like this one */
--- a/src/gate/gate_alone.h
+++ b/src/gate/gate_alone.h
@@ -10,10 +10,14 @@
 
 #include "gate/gate_table.h"
 
-/** Records whether a gate is alone; a service forgets earlier trials when that
- * begins. */
-void gate_alone_set(
-    gate_service_t *service, int is_alone, rng_t *rng, int64_t now_ms);
+/**
+ * Records whether a gate is alone; a service forgets earlier trials when that
+ * begins.
+ *
+ * @param is_scarce  FLEET_FEATURE_SCARCE_CAPACITY is on: trials begin sooner
+ */
+void gate_alone_set(gate_service_t *service, int is_alone, int is_scarce,
+    rng_t *rng, int64_t now_ms);
 
 /**
  * Chooses the ejected target that has waited longest for a trial, at most for a
--- a/src/gate/gate_choice.c
+++ b/src/gate/gate_choice.c
@@ -377,7 +377,9 @@
 	if (choice.is_evacuated)
 		return (choice);
 	set_spacing(service, policy, rng, options);
-	gate_alone_set(service, options->is_alone, rng, options->now_ms);
+	gate_alone_set(service, options->is_alone,
+	    (policy->features & FLEET_FEATURE_SCARCE_CAPACITY) != 0, rng,
+	    options->now_ms);
 	if (choose_probe(service, options, &choice))
 		return (choice);
 	choice.target = pick_preferred(service, policy, rng, options, &rank);
--- a/test/unit/gate_table_test.cc
+++ b/test/unit/gate_table_test.cc
@@ -129,6 +129,16 @@
 		return (counts);
 	}
 
+	void
+	SetFeatures(uint32_t features)
+	{
+		gate_policy_t policy = {};
+
+		policy.features = features;
+		policy.gate_count = 1;
+		gate_table_set_policy(table_, &policy);
+	}
+
 	void
 	ApplyOneEjected()
 	{
@@ -565,6 +575,7 @@
 // and a target that has recovered gets nothing in its first window.
 TEST_F(GateTable, WithoutALeaderATargetWaitsForNoRequestThatNeverComes)
 {
+	SetFeatures(FLEET_FEATURE_SCARCE_CAPACITY);
 	ApplyOneEjected();
 	EXPECT_GT(PickAlone(kWindowMs, 0, false)["d"], 0);
 }
@@ -573,11 +584,19 @@
 // make.
 TEST_F(GateTable, WithoutALeaderRepeatableRequestsMakeTheFirstTrials)
 {
+	SetFeatures(FLEET_FEATURE_SCARCE_CAPACITY);
 	ApplyOneEjected();
 	Pick({}, 1, 0);
 	EXPECT_EQ(0, PickAlone(kWindowMs, 0, false)["d"]);
 }
 
+// Trials that begin sooner on deployments that do not ask for it.
+TEST_F(GateTable, WithoutScarceCapacityTrialsWaitForRepeatableRequests)
+{
+	ApplyOneEjected();
+	EXPECT_EQ(0, PickAlone(kWindowMs, 0, false)["d"]);
+}
+
 // Trials of targets that still fail lose many requests.
 TEST_F(GateTable, WithoutALeaderFewRequestsTryATargetThatFails)
 {
