gate_cost: a target far slower than its service counts for itself

Cause: slowness counted to the power that the evidence of the whole service supports, so that one slow target among equal ones, as after a fault, was taken for noise.

Change: a slowness that is more than three of its own standard errors off counts for itself, less what chance may have given it.

--- a/src/gate/gate_cost.c
+++ b/src/gate/gate_cost.c
@@ -267,8 +267,9 @@
 	double slowness = get_slowness(speed, now_ms);
 
 	/* Geometric means of ratios to arithmetic means are less than 1 alike. */
-	return (limit(gate_cost_fit_apply(&service->speeds,
-			  slowness / gate_cost_fit_get_mean(&service->speeds)),
+	return (limit(gate_cost_fit_apply_mean(&service->speeds,
+			  slowness / gate_cost_fit_get_mean(&service->speeds),
+			  gate_speed_get_weight(speed, now_ms)),
 	    1 / SPEED_RATIO, SPEED_RATIO));
 }
 
--- a/src/gate/gate_cost_fit.c
+++ b/src/gate/gate_cost_fit.c
@@ -9,6 +9,9 @@
  * targets are alike, 0.6 % are above it by chance at any time; with 4, a gate with
  * 4 requests/s needs so long that half of the gain from speeds 1 : 2 : 4 is lost. */
 #define ERRORS_MIN 2.5
+/* A single forecast counts from this many of its own standard errors on: 0.3 % of
+ * those of equal targets are above it by chance. */
+#define OWN_ERRORS_MIN 3.0
 /* Responses that tell nothing yet of the standard error itself. */
 #define RESPONSES_MIN 8.0
 
@@ -79,3 +82,28 @@
 {
 	return (fit->share > 0 ? pow(forecast, fit->share) : 1);
 }
+
+/* How far a forecast counts by its own outcomes, whatever the others say: the part
+ * of its square that chance does not explain (positive-part shrinkage). */
+static double
+get_own_share(const gate_cost_fit_t *fit, double forecast, double responses)
+{
+	double log_sq = log(forecast) * log(forecast);
+	double variance;
+
+	if (fit->weight <= RESPONSES_MIN || responses <= 0 || log_sq <= 0)
+		return (0);
+	variance = (fit->seen_sq - fit->seen * fit->seen / fit->weight) /
+	    (fit->weight - 1);
+	return (1 -
+	    OWN_ERRORS_MIN * OWN_ERRORS_MIN * variance / (responses * log_sq));
+}
+
+double
+gate_cost_fit_apply_mean(
+    const gate_cost_fit_t *fit, double forecast, double responses)
+{
+	double own = get_own_share(fit, forecast, responses);
+
+	return (pow(forecast, fmax(fit->share, own)));
+}
--- a/src/gate/gate_cost_fit.h
+++ b/src/gate/gate_cost_fit.h
@@ -42,4 +42,13 @@
 /** @return the forecast as far as it counts; between 1 and the forecast */
 double gate_cost_fit_apply(const gate_cost_fit_t *fit, double forecast);
 
+/**
+ * The same for a forecast that is the mean of some outcomes. One that is far more
+ * off than these can be by chance counts also where the others do not differ.
+ *
+ * @param responses  number of outcomes in it
+ */
+double gate_cost_fit_apply_mean(
+    const gate_cost_fit_t *fit, double forecast, double responses);
+
 #endif
