--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -48,16 +48,21 @@
 
 
 class Upstream:
-    """A sound server: keeps connections, echoes the attempt id, signs what it ran
-    and announces itself. answer(attempt, path) returns the seconds of work and the
-    body."""
+    """A sound server: keeps connections, echoes the attempt id, signs what it ran,
+    tells its load, turns away what its queue has no place for, and announces itself.
+    answer(attempt, path) returns the seconds of work and the body."""
 
-    def __init__(self, fleet, record, name, answer, service="s1"):
+    def __init__(self, fleet, record, name, answer, service="s1", slots=64,
+                 queue=64):
         self.fleet = fleet
         self.record = record
         self.id = name
         self.answer = answer
         self.service = service
+        self.slots = slots
+        self.queue = queue
+        self.free = None  # semaphore of the slots
+        self.held = 0  # requests that run or wait
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.port = 0
@@ -65,6 +70,7 @@
         self.answered = set()  # attempt ids whose answer was taken whole
 
     async def start(self):
+        self.free = asyncio.Semaphore(self.slots)
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
         asyncio.create_task(self.announce())
@@ -92,17 +98,34 @@
             await self.send(writer, 421, "Misdirected Request", attempt,
                             ["Tarragonmoor-Not-Executed: 1"], b"")
             return
-        self.ran.append(attempt)
-        self.record.write("run", upstream=self.id, attempt=attempt,
-                          tenant=fields.get("tarragonmoor-tenant-id", "-"))
-        work_s, body = self.answer(attempt, path)
-        await asyncio.sleep(work_s)
-        await self.send(writer, 200, "OK", attempt,
-                        ["Tarragonmoor-Server-Signature: " + self.id], body)
+        if self.held >= self.slots + self.queue:
+            self.record.write("reject", upstream=self.id, attempt=attempt)
+            await self.send(writer, 503, "Service Unavailable", attempt, [
+                "Tarragonmoor-Not-Executed: 1", self.format_load()], b"")
+            return
+        self.held += 1
+        try:
+            async with self.free:
+                self.ran.append(attempt)
+                self.record.write(
+                    "run", upstream=self.id, attempt=attempt,
+                    tenant=fields.get("tarragonmoor-tenant-id", "-"))
+                work_s, body = self.answer(attempt, path)
+                await asyncio.sleep(work_s)
+        finally:
+            self.held -= 1
+        await self.send(writer, 200, "OK", attempt, [
+            "Tarragonmoor-Server-Signature: " + self.id,
+            self.format_load()], body)
         self.answered.add(attempt)
         self.record.write("answer", upstream=self.id, attempt=attempt,
                           bytes=len(body))
 
+    def format_load(self):
+        running = min(self.held, self.slots)
+        return (f"Tarragonmoor-Server-Load: {running},{self.held - running},"
+                f"{self.slots}")
+
     @staticmethod
     async def send(writer, status, reason, attempt, more, body):
         lines = [f"HTTP/1.1 {status} {reason}",
@@ -115,7 +138,7 @@
         while True:
             self.sequence += 1
             body = {"Service": self.service, "Zone": "z1", "Version": "v1",
-                    "Address": f"127.0.0.1:{self.port}", "MaxConcurrency": 64,
+                    "Address": f"127.0.0.1:{self.port}", "MaxConcurrency": self.slots,
                     "State": "ready", "WarmupLeftS": 0,
                     "Sequence": self.sequence, "born": self.born}
             await control(
