--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,34 +1,33 @@
-"""Another writer sends three heartbeats, one for the address of each of three of
-the six upstreams of a service. They name a service that the configuration does not
-have. The rule (FLOOR) is broken if the sound upstreams behind those addresses get no
-more requests while the service has too little room."""
+"""A gate is stopped (SIGTERM) while clients that pipeline safe requests wait for
+the first answer. Each client has sent its second request by then, as a write of its
+own. The rule is broken if a first request, which an upstream ran and answered
+whole, gets no complete answer."""
 import asyncio
 import os
+import signal
+import socket
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common-2"))
 
 import stand_ins as sa  # noqa: E402
 
-FLOOR_SHARE, WINDOW_S = 0.7, 2
-UNSERVED_MIN, UNSERVED_MAX = 0.1, 0.5
-UPSTREAMS, STRAY = 6, 3
-SLOTS, QUEUE, WORK_S = 4, 8, 0.2
-PER_S = 85  # of 120 that all upstreams can run
-DEADLINE_MS = 1500
-BEFORE_S, AFTER_S = 8, 25
-# The tests of the rule begin after the times that it leaves to heartbeats and to
-# machines, twice ConnectivityWindowS, have passed.
-SETTLE_S = 6
-STEP_S = 0.25
+WORK_S = 0.6
+SECOND_AFTER_S = 0.1
+STOP_AFTER_S = 0.3
+DEADLINE_MS = 5000
+CLIENTS = 6  # of each group
+# Receive buffer of the client, 0: the kernel's own size; bytes of the answers. A
+# link with a small window, and the longest answer in the site files; a longer
+# answer over a plain socket.
+GROUPS = {"small-window": (4096, 30000), "plain": (0, 400000)}
 
 
 def document():
     return {"Version": 7, "Routes": {"r1": {
         "Host": "a.example", "PathPrefix": "/x/", "Kind": "safe",
-        "TimeoutS": 3, "TargetLatencyS": 1.2, "Priority": 0, "Service": "s1",
+        "TimeoutS": 5, "TargetLatencyS": 2, "Priority": 0, "Service": "s1",
         "MaxAttempts": 2, "Anonymous": False}},
         "Services": {"s1": {"HealthPath": "/health", "MaxConns": 360}},
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864,
@@ -37,125 +36,105 @@
                            "Burst": 0}}}
 
 
-class Client:
-    """Sends requests at a constant rate, each on an idle kept connection."""
-
-    def __init__(self, fleet, record):
-        self.fleet = fleet
-        self.record = record
-        self.idle = [[] for _ in fleet.gates]
-        self.sent = {}  # time by attempt
-        self.served = set()
-
-    async def request(self, number):
-        attempt = f"a-{number}"
-        gate = number % len(self.fleet.gates)
-        self.sent[attempt] = time.monotonic()
-        status = 0
-        try:
-            if self.idle[gate]:
-                reader, writer = self.idle[gate].pop()
-            else:
-                reader, writer = await asyncio.open_connection(
-                    self.fleet.gates[gate], self.fleet.front)
-            writer.write((
-                f"GET /x/{number} HTTP/1.1\r\nHost: a.example\r\n"
-                f"Tarragonmoor-Attempt-Id: {attempt}\r\n"
-                f"Tarragonmoor-Deadline-Ms: {DEADLINE_MS}\r\n"
-                "Api-Key: key-one\r\n\r\n").encode())
-            text = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-            await reader.readexactly(
-                int(text.split("content-length:")[1].split()[0]))
-            status = int(text.split(" ")[1])
-            self.idle[gate].append((reader, writer))
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        if status == 200:
-            self.served.add(attempt)
-        self.record.write("get", attempt=attempt, status=status)
-
-    async def run(self, stop):
-        started = time.monotonic()
-        number = 0
-        tasks = []
-        while not stop.is_set():
-            number += 1
-            tasks.append(asyncio.create_task(self.request(number)))
-            await asyncio.sleep(
-                max(0, started + number / PER_S - time.monotonic()))
-        await asyncio.gather(*tasks)
-
-
-def find_breaks(client, arrivals, begin, end):
-    """@return windows in which the rule is broken, of those from begin to end"""
-    found, windows = [], 0
-    while begin + WINDOW_S <= end:
-        until = begin + WINDOW_S
-        used = sum(1 for times in arrivals
-                   if any(begin <= at < until for at in times))
-        sent = [attempt for attempt, at in client.sent.items()
-                if begin <= at < until]
-        unserved = sum(1 for attempt in sent if attempt not in client.served)
-        share = unserved / max(1, len(sent))
-        windows += 1
-        if (0 < used < FLOOR_SHARE * UPSTREAMS and
-                UNSERVED_MIN < share < UNSERVED_MAX):
-            found.append((begin, used, share))
-        begin += STEP_S
-    return found, windows
+def answer(_attempt, path):
+    return WORK_S, b"x" * int(path.rsplit("/", 1)[1])
+
+
+def request(attempt, size):
+    return (f"GET /x/{size} HTTP/1.1\r\nHost: a.example\r\n"
+            f"Tarragonmoor-Attempt-Id: {attempt}\r\n"
+            f"Tarragonmoor-Deadline-Ms: {DEADLINE_MS}\r\n"
+            f"Api-Key: key-one\r\n\r\n").encode()
+
+
+async def read_answer(loop, sock, rest):
+    """@return status, whether it is whole, bytes of its body, what follows it"""
+    data = rest
+    try:
+        while b"\r\n\r\n" not in data:
+            part = await loop.sock_recv(sock, 65536)
+            if not part:
+                return 0, False, 0, b""
+            data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        length = [int(line.split(":")[1]) for line in lines
+                  if line.lower().startswith("content-length:")][0]
+        status = int(lines[0].split(" ")[1])
+    except OSError:
+        return 0, False, 0, b""
+    try:
+        while len(body) < length:
+            part = await loop.sock_recv(sock, 65536)
+            if not part:
+                break
+            body += part
+    except OSError:
+        pass
+    return status, len(body) >= length, min(len(body), length), body[length:]
+
+
+async def client(fleet, record, name, buffer, size, outcome):
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setblocking(False)
+    if buffer:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+    await loop.sock_connect(sock, (fleet.gates[0], fleet.front))
+    try:
+        for number in (1, 2):
+            attempt = f"{name}-{number}"
+            record.write("send", attempt=attempt, gate=fleet.gates[0])
+            await loop.sock_sendall(sock, request(attempt, size))
+            await asyncio.sleep(SECOND_AFTER_S)
+        rest = b""
+        for number in (1, 2):
+            attempt = f"{name}-{number}"
+            status, is_whole, length, rest = await asyncio.wait_for(
+                read_answer(loop, sock, rest), DEADLINE_MS / 1000 + 1)
+            outcome[attempt] = (status, is_whole)
+            record.write("get", attempt=attempt, status=status,
+                         whole=is_whole, bytes=length)
+            if not is_whole:
+                return
+    except asyncio.TimeoutError:
+        record.write("no-answer", client=name)
+    finally:
+        sock.close()
 
 
 async def play(fleet, record):
     sa.start_processes(fleet)
-    arrivals = [[] for _ in range(UPSTREAMS)]
-
-    def make_answer(index):
-        def answer(_attempt, _path):
-            arrivals[index].append(time.monotonic())
-            return WORK_S, b"done"
-        return answer
-
-    upstreams = [sa.Upstream(fleet, record, f"u{i}", make_answer(i),
-                             slots=SLOTS, queue=QUEUE)
-                 for i in range(UPSTREAMS)]
+    upstreams = [sa.Upstream(fleet, record, f"u{i}", answer) for i in range(4)]
     status, _ = await sa.control(
         fleet, "POST", "/tarragonmoor/config/put", document(), sa.START_MAX_S)
     if status != 200:
         return sa.NOT_RUN
     for upstream in upstreams:
         await upstream.start()
-    for gate in range(len(fleet.gates)):
-        if not await sa.wait_for(lambda: sa.is_ready(fleet, gate)):
-            return sa.NOT_RUN
+    if not await sa.wait_for(lambda: sa.is_ready(fleet, 0)):
+        return sa.NOT_RUN
+    # All machines are in touch, and upstreams are known, by then.
     await asyncio.sleep(5)
-    client, stop = Client(fleet, record), asyncio.Event()
-    load = asyncio.create_task(client.run(stop))
-    await asyncio.sleep(BEFORE_S)
-    for upstream in upstreams[:STRAY]:
-        if not sa.has_trouble():
-            break
-        status, _ = await sa.control(
-            fleet, "POST",
-            f"/tarragonmoor/instances/other-{upstream.id}/heartbeat", {
-                "Service": "not-in-the-configuration", "Zone": "z1",
-                "Version": "v1", "Address": f"127.0.0.1:{upstream.port}",
-                "MaxConcurrency": SLOTS, "State": "ready", "WarmupLeftS": 0,
-                "Sequence": 1, "born": int(time.time() * 1000)})
-        record.write("stray-heartbeat", address=upstream.port, status=status)
-    begin = time.monotonic() + SETTLE_S
-    await asyncio.sleep(AFTER_S)
-    end = time.monotonic() - DEADLINE_MS / 1000
-    stop.set()
-    await load
-    found, windows = find_breaks(client, arrivals, begin, end)
-    for at, used, share in found:
-        record.write("FLOOR", window_from=round(at - record.started, 3),
-                     upstreams_used=used, unserved=round(share, 3))
-    record.write("sum", windows=windows, broken=len(found),
-                 served=len(client.served), sent=len(client.sent))
-    if not client.served:
+    outcome = {}
+    clients = [asyncio.create_task(client(
+        fleet, record, f"{group}-{i}", buffer, size, outcome))
+        for group, (buffer, size) in GROUPS.items() for i in range(CLIENTS)]
+    await asyncio.sleep(STOP_AFTER_S)
+    if sa.has_trouble():
+        record.write("SIGTERM", gate=fleet.gates[0])
+        fleet.processes["gate0"].send_signal(signal.SIGTERM)
+    await asyncio.gather(*clients)
+    answered = set().union(*(upstream.answered for upstream in upstreams))
+    firsts = [f"{group}-{i}-1" for group in GROUPS for i in range(CLIENTS)]
+    lost = [attempt for attempt in firsts if attempt in answered and
+            not outcome.get(attempt, (0, False))[1]]
+    for attempt in lost:
+        record.write("LOST", attempt=attempt)
+    record.write("sum", answered_by_upstreams=len(answered), lost=len(lost))
+    if not answered.intersection(firsts):
         return sa.NOT_RUN
-    return sa.BROKEN if found else sa.HELD
+    return sa.BROKEN if lost else sa.HELD
 
 
 if __name__ == "__main__":
--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -147,11 +147,12 @@
             await asyncio.sleep(BEAT_S)
 
 
-async def call_once(ip, port, method, path, text, redirects=2):
+async def call_once(ip, port, method, path, text, redirects=2,
+                    max_s=CALL_MAX_S):
     """One call of control. @return status and body; status 0: no answer"""
     try:
         reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(ip, port), CALL_MAX_S)
+            asyncio.open_connection(ip, port), max_s)
     except (OSError, asyncio.TimeoutError):
         return 0, b""
     try:
@@ -159,7 +160,7 @@
             f"{method} {path} HTTP/1.1\r\nHost: control\r\n"
             f"Content-Type: application/json\r\nConnection: close\r\n"
             f"Content-Length: {len(text)}\r\n\r\n{text}".encode())
-        answer = await asyncio.wait_for(reader.read(-1), CALL_MAX_S)
+        answer = await asyncio.wait_for(reader.read(-1), max_s)
     except (OSError, asyncio.TimeoutError):
         return 0, b""
     finally:
@@ -173,7 +174,8 @@
         return status, body
     place = [line for line in lines if line.lower().startswith("location:")]
     host = place[0].split("//")[1].split(":")[0]
-    return await call_once(host, port, method, path, text, redirects - 1)
+    return await call_once(host, port, method, path, text, redirects - 1,
+                           max_s)
 
 
 async def control(fleet, method, path, body=None, max_s=5):
