--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -66,22 +66,27 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.port = 0
+        self.is_leaving = False
+        self.server = None
+        self.writers = set()
         self.ran = []  # attempt ids
         self.answered = set()  # attempt ids whose answer was taken whole
 
     async def start(self):
         self.free = asyncio.Semaphore(self.slots)
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
         asyncio.create_task(self.announce())
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 await self.serve_one(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def serve_one(self, reader, writer):
@@ -134,18 +139,38 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         await writer.drain()
 
+    async def say(self, state, max_s):
+        """@return whether a heartbeat was acknowledged"""
+        self.sequence += 1
+        status, _ = await control(
+            self.fleet, "POST",
+            f"/tarragonmoor/instances/{self.id}/heartbeat", {
+                "Service": self.service, "Zone": "z1", "Version": "v1",
+                "Address": f"127.0.0.1:{self.port}",
+                "MaxConcurrency": self.slots, "State": state,
+                "WarmupLeftS": 0, "Sequence": self.sequence,
+                "born": self.born}, max_s)
+        return status == 200
+
     async def announce(self):
-        while True:
-            self.sequence += 1
-            body = {"Service": self.service, "Zone": "z1", "Version": "v1",
-                    "Address": f"127.0.0.1:{self.port}", "MaxConcurrency": self.slots,
-                    "State": "ready", "WarmupLeftS": 0,
-                    "Sequence": self.sequence, "born": self.born}
-            await control(
-                self.fleet, "POST",
-                f"/tarragonmoor/instances/{self.id}/heartbeat", body)
+        while not self.is_leaving:
+            await self.say("ready", BEAT_S)
             await asyncio.sleep(BEAT_S)
 
+    async def leave(self, max_s, serve_s):
+        """Says that it leaves, serves on and exits. @return whether that was
+        acknowledged in time"""
+        self.is_leaving = True
+        is_acknowledged = await self.say("draining", max_s)
+        self.record.write("leave", upstream=self.id,
+                          acknowledged=is_acknowledged)
+        await asyncio.sleep(serve_s)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        self.record.write("exit", upstream=self.id)
+        return is_acknowledged
+
 
 async def call_once(ip, port, method, path, text, redirects=2,
                     max_s=CALL_MAX_S):
