http: a connection ends in order when bytes of its caller are unread

Cause: libh2o reads nothing while a request runs, and calls uv_close() once the kernel has taken the last byte. The request that the caller had sent behind it was unread, so that Linux sent a reset and dropped what had not arrived. The stop has nothing to do with it but for the close: 413 with an unread body, 400, and responses over TLS were lost as well.

Why this works: uv_close() is the last step of libh2o on each of its paths, after the last bytes of TLS. Processes end once what they sent has arrived, within the bounds that they had.

Ruled out: the process ends too early (it ends seconds later); the gate gives the response up (event 960 says 200). Rejected: to drop unread bytes once before the close, as bytes that arrive after it reset the connection, too; a stand-in for h2o_socket_close(), which comes before the last bytes of TLS.

--- a/src/control/admin_api.c
+++ b/src/control/admin_api.c
@@ -307,7 +307,7 @@
 }
 
 int
-admin_api_is_written(const admin_api_t *api)
+admin_api_is_delivered(const admin_api_t *api)
 {
-	return (http_server_get_active(api->server) == 0);
+	return (http_server_is_delivered(api->server));
 }
--- a/src/control/admin_api.h
+++ b/src/control/admin_api.h
@@ -36,8 +36,8 @@
 /** Stops listening; open connections stay. */
 void admin_api_close(admin_api_t *api);
 
-/** @return 1 if all responses are written to their last bytes */
-int admin_api_is_written(const admin_api_t *api);
+/** @return 1 if all responses have arrived, see http_server_is_delivered() */
+int admin_api_is_delivered(const admin_api_t *api);
 
 /** @return number of routes of the API */
 size_t admin_api_get_route_count(void);
--- a/src/control/control_main.c
+++ b/src/control/control_main.c
@@ -35,7 +35,7 @@
 	program_t *program = timer->data;
 
 	if (program->flushing) {
-		if (admin_api_is_written(program->api) ||
+		if (admin_api_is_delivered(program->api) ||
 		    clock_now_ms() >= program->flush_end_ms)
 			uv_stop(&program->loop);
 		return;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -143,7 +143,7 @@
 	int64_t waited_ms = now_ms - entry->phase_since_ms;
 
 	if (entry->in_flight > 0 || waited_ms < FLUSH_MS ||
-	    http_server_get_active(entry->callers) > 0)
+	    !http_server_is_delivered(entry->callers))
 		return;
 	if (waited_ms < HAND_OVER_MAX_MS &&
 	    (entry_is_leading(entry, now_ms) || entry_is_holding(entry)))
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -643,6 +643,6 @@
 	if (gate_stop_is_overdue(&gate->stop, now_ms))
 		return (1);
 	return (gate->stop.phase >= GATE_CLOSED &&
-	    http_server_get_active(gate->callers) == 0 &&
+	    http_server_is_delivered(gate->callers) &&
 	    now_ms - gate->last_busy_ms >= EXIT_IDLE_MS);
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "base/error.h"
+#include "http/http_linger.h"
 #include "http/http_unparsed.h"
 #include "net/stream_end.h"
 
@@ -33,6 +34,7 @@
 	uint32_t connections;
 	uint32_t active; /* requests without a written response */
 	http_intake_t intake;
+	http_linger_t linger;
 	uint64_t refused;
 };
 
@@ -40,6 +42,7 @@
 	uv_tcp_t tcp;
 	http_server_t *server;
 	http_intake_conn_t intake;
+	http_linger_conn_t linger;
 } server_conn_t;
 
 static void
@@ -62,6 +65,14 @@
 		    sizeof(timeout_ms));
 }
 
+/* A connection that only waits for its caller to close makes room for a new one. */
+static int
+has_room(http_server_t *server)
+{
+	return (server->connections <= server->options.connections_max ||
+	    http_linger_end_oldest(&server->linger));
+}
+
 static void
 on_accept(uv_stream_t *listener, int status)
 {
@@ -78,7 +89,7 @@
 	server->connections++;
 	uv_tcp_init(listener->loop, &conn->tcp);
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0 ||
-	    server->connections > server->options.connections_max) {
+	    !has_room(server)) {
 		server->refused++;
 		if (server->options.refused != NULL)
 			server->options.refused(server->options.ctx);
@@ -91,6 +102,8 @@
 	    (uv_stream_t *)&conn->tcp, (uv_close_cb)on_conn_closed);
 	http_intake_watch(
 	    &server->intake, &conn->intake, sock, (uv_stream_t *)&conn->tcp);
+	http_linger_watch(
+	    &server->linger, &conn->linger, (uv_stream_t *)&conn->tcp);
 	h2o_accept(&server->accept_ctx, sock);
 }
 
@@ -231,6 +244,7 @@
 		    options->tls, &server->accept_ctx.ssl_ctx, &error);
 	if (rc != TM_OK)
 		return (rc);
+	http_linger_init(&server->linger, options->loop);
 	uv_tcp_init(options->loop, &server->listener);
 	server->listener.data = server;
 	rc = uv_tcp_bind(
@@ -274,6 +288,13 @@
 	return (server->active);
 }
 
+int
+http_server_is_delivered(const http_server_t *server)
+{
+	return (server->active == 0 && server->linger.count == 0 &&
+	    !http_linger_has_undelivered(&server->linger));
+}
+
 uint64_t
 http_server_get_refused(const http_server_t *server)
 {
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -607,7 +607,7 @@
 }
 
 int
-hub_api_is_written(const hub_api_t *api)
+hub_api_is_delivered(const hub_api_t *api)
 {
-	return (http_server_get_active(api->server) == 0);
+	return (http_server_is_delivered(api->server));
 }
--- a/src/hub/hub_api.h
+++ b/src/hub/hub_api.h
@@ -24,7 +24,7 @@
 /** Stops to accept calls. */
 void hub_api_close(hub_api_t *api);
 
-/** @return 1 if all responses are written to their last bytes */
-int hub_api_is_written(const hub_api_t *api);
+/** @return 1 if all responses have arrived, see http_server_is_delivered() */
+int hub_api_is_delivered(const hub_api_t *api);
 
 #endif
