hub: announcements of services that no configuration names displace no target

Cause: an address belonged to the incarnation that started last, whatever its service, so that the target was deregistered; its own heartbeats were those of an incarnation that had ended, and had no effect until both rows expired.

Why this works: the entry of a document names its services. Where an announcement meets a target by id or by address, the one whose service the document names prevails, in the replicated state as well as in the decision of the leader, so that start time, sequence, state, the hub that passes it on and a change of leader make no difference. A target displaced before the first document returns.

Ruled out: outlier detection (no verdict is logged) and the tables of the gates (the targets are missing in what the hubs send). Rejected: to refuse announcements of services that are not named, as their targets could be used only with the first announcement after the document that names them.

--- a/src/hub/hub_announce.c
+++ b/src/hub/hub_announce.c
@@ -4,26 +4,42 @@
 
 #include <xxhash.h>
 
+/* @return 1 if a later announcement of a target is known */
+static int
+is_outdated(const hub_state_t *state, const hub_target_t *known,
+    const dialect_announcement_t *as)
+{
+	if (as->born_ms != known->as.born_ms)
+		return (as->born_ms < known->as.born_ms);
+	return ((known->as.state == FLEET_TARGET_DEREGISTERED &&
+		    !hub_state_may_return(state, known, as)) ||
+	    as->sequence < known->as.sequence ||
+	    as->sequence < hub_target_get_sequence(known));
+}
+
 hub_announce_effect_t
 hub_announce_judge(const hub_state_t *state, const dialect_announcement_t *as)
 {
 	uint64_t key = fleet_name_hash(as->id);
 	const hub_target_t *known = hub_state_find_target(state, key);
-	const hub_target_t *owner;
+	const hub_target_t *owner =
+	    hub_state_find_address(state, as->ip, as->port);
+	int compared;
 
 	if (known != NULL) {
-		if (as->born_ms < known->as.born_ms)
+		compared = hub_state_compare_services(state, as, known);
+		if (compared < 0)
+			return (HUB_ANNOUNCE_UNNAMED);
+		if (compared == 0 && is_outdated(state, known, as))
 			return (HUB_ANNOUNCE_OUTDATED);
-		if (as->born_ms == known->as.born_ms &&
-		    (known->as.state == FLEET_TARGET_DEREGISTERED ||
-			as->sequence < known->as.sequence ||
-			as->sequence < hub_target_get_sequence(known)))
+	}
+	if (owner != NULL && owner->key != key) {
+		compared = hub_state_compare_services(state, as, owner);
+		if (compared < 0)
+			return (HUB_ANNOUNCE_UNNAMED);
+		if (compared == 0 && as->born_ms < owner->as.born_ms)
 			return (HUB_ANNOUNCE_OUTDATED);
 	}
-	owner = hub_state_find_address(state, as->ip, as->port);
-	if (owner != NULL && owner->key != key &&
-	    as->born_ms < owner->as.born_ms)
-		return (HUB_ANNOUNCE_OUTDATED);
 	if (known != NULL && known->as.born_ms == as->born_ms &&
 	    known->as.state == as->state && known->as.ip == as->ip &&
 	    known->as.port == as->port && known->as.slots == as->slots &&
@@ -32,6 +48,13 @@
 	return (HUB_ANNOUNCE_CHANGED);
 }
 
+int
+hub_announce_has_effect(hub_announce_effect_t effect)
+{
+	return (
+	    effect == HUB_ANNOUNCE_REPEATED || effect == HUB_ANNOUNCE_CHANGED);
+}
+
 int
 hub_announce_record(
     const hub_state_t *state, uint64_t key, uint64_t born_ms, uint64_t sequence)
--- a/src/hub/hub_announce.h
+++ b/src/hub/hub_announce.h
@@ -29,6 +29,9 @@
 /** What an announcement means to the replicated state. */
 typedef enum hub_announce_effect {
 	HUB_ANNOUNCE_OUTDATED, /**< a later one is known: no effect */
+	/** No effect: the document does not name its service, and a target of one
+	 * that it names has its id or its address. */
+	HUB_ANNOUNCE_UNNAMED,
 	HUB_ANNOUNCE_REPEATED, /**< shows only that the target is alive */
 	HUB_ANNOUNCE_CHANGED /**< to be proposed */
 } hub_announce_effect_t;
@@ -39,6 +42,9 @@
 	uint64_t keys[HUB_CHANGES_MAX]; /**< of revision i at i modulo size */
 } hub_changes_t;
 
+/** @return 1 if an announcement shows that its target is alive */
+int hub_announce_has_effect(hub_announce_effect_t effect);
+
 /** @return effect of an announcement */
 hub_announce_effect_t hub_announce_judge(
     const hub_state_t *state, const dialect_announcement_t *as);
--- a/src/hub/hub_announcements.c
+++ b/src/hub/hub_announcements.c
@@ -45,6 +45,7 @@
 	hub->metric_announced = get_metric(hub, "outcome=\"answered\"");
 	hub->metric_passed = get_metric(hub, "outcome=\"passed_on\"");
 	hub->metric_refused = get_metric(hub, "outcome=\"refused\"");
+	hub->metric_ignored = get_metric(hub, "outcome=\"ignored\"");
 	hub->metric_passed_to_us = get_metric(hub, "outcome=\"decided\"");
 	return (hub->relay != NULL ? TM_OK : TM_ENOMEM);
 }
@@ -59,6 +60,15 @@
 		    hub->outlier, key, clock_now_ms());
 }
 
+/* Logged with the next report, as another writer may send many. */
+static void
+record_unnamed(hub_t *hub, const dialect_announcement_t *as)
+{
+	metric_add(hub->metric_ignored, 1);
+	hub->unnamed_count++;
+	hub->unnamed = *as;
+}
+
 /* Decides on an announcement as the leader; as hub_announce(). */
 static int
 decide(hub_t *hub, const dialect_announcement_t *as, int64_t said_ms,
@@ -68,7 +78,9 @@
 	uint8_t *bytes;
 	size_t len;
 
-	if (effect == HUB_ANNOUNCE_OUTDATED)
+	if (effect == HUB_ANNOUNCE_UNNAMED)
+		record_unnamed(hub, as);
+	if (!hub_announce_has_effect(effect))
 		return (HUB_ACKNOWLEDGED);
 	hub_record_announcement(hub, as);
 	hub_record_warmup(hub, as, said_ms);
@@ -335,8 +347,8 @@
 	for (i = 0; i < msg->n_passed; i++) {
 		if (read_passed(msg, msg->passed[i], &passed) &&
 		    !passed.is_leave && passed.as.cold_left_ms > 0 &&
-		    hub_announce_judge(hub->state, &passed.as) !=
-			HUB_ANNOUNCE_OUTDATED)
+		    hub_announce_has_effect(
+			hub_announce_judge(hub->state, &passed.as)))
 			hub_cold_record(hub, &passed.as, passed.said_ms);
 	}
 	hub_cold_flush(hub, sequence);
@@ -421,6 +433,20 @@
 		send_answers(hub);
 }
 
+static void
+report_unnamed(hub_t *hub)
+{
+	if (hub->unnamed_count == 0)
+		return;
+	LOG_EVENT(929, LOG_LEVEL_WARN,
+	    "announcements ignored, their service is not in the configuration",
+	    LOG_NUM("count", hub->unnamed_count),
+	    LOG_TEXT("target", hub->unnamed.id),
+	    LOG_TEXT("service", hub->unnamed.service),
+	    LOG_NUM("port", hub->unnamed.port));
+	hub->unnamed_count = 0;
+}
+
 /* Tells of the contact with the leader, and of announcements that it did not
  * confirm, at most once in REPORT_MS. */
 static void
@@ -433,6 +459,7 @@
 	if (now_ms < hub->relay_report_due_ms)
 		return;
 	hub->relay_report_due_ms = now_ms + REPORT_MS;
+	report_unnamed(hub);
 	if (is_relaying != hub->was_relaying)
 		LOG_EVENT(938, LOG_LEVEL_INFO,
 		    "announcements are passed on to the leader",
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -326,7 +326,8 @@
 	size_t len = 0;
 
 	if (hub_document_compress(&document, config->version, req->entity.base,
-		req->entity.len) == TM_OK)
+		req->entity.len) == TM_OK &&
+	    hub_document_set_services(&document, config) == TM_OK)
 		bytes = hub_entry_encode_document(&document, &len);
 	hub_document_release(&document);
 	if (bytes != NULL && len > RAFT_ENTRY_MAX_BYTES) {
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -80,6 +80,8 @@
 	int was_relaying; /* as logged last */
 	int64_t relay_report_due_ms;
 	hub_relay_stats_t relay_reported; /* as logged and counted last */
+	uint64_t unnamed_count; /* ignored since the last report */
+	dialect_announcement_t unnamed; /* the last of them */
 	uint64_t blocks_sequence; /* of the blocks that gates were sent last */
 	uint64_t idle_services[HUB_IDLE_SERVICES_MAX];
 	size_t idle_service_count;
@@ -112,6 +114,7 @@
 	metric_t *metric_announced;
 	metric_t *metric_passed;
 	metric_t *metric_refused;
+	metric_t *metric_ignored;
 	metric_t *metric_passed_to_us;
 	metric_t *metric_cold;
 	metric_t *metric_cold_granted;
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -16,6 +16,7 @@
 hub_document_release(hub_document_t *document)
 {
 	free(document->zipped);
+	free(document->services);
 	*document = (hub_document_t){ .version = 0 };
 }
 
@@ -150,6 +151,46 @@
 	return (1);
 }
 
+static int
+compare_hashes(const void *a, const void *b)
+{
+	const uint64_t *left = a;
+	const uint64_t *right = b;
+
+	return ((*left > *right) - (*left < *right));
+}
+
+/* @return 1 also while the services of the document are not known */
+static int
+names_service(const hub_document_t *document, const char *service)
+{
+	uint64_t hash = fleet_name_hash(service);
+
+	return (document->service_count == 0 ||
+	    bsearch(&hash, document->services, document->service_count,
+		sizeof(hash), compare_hashes) != NULL);
+}
+
+int
+hub_state_compare_services(const hub_state_t *state,
+    const dialect_announcement_t *as, const hub_target_t *target)
+{
+	return (names_service(&state->document, as->service) -
+	    names_service(&state->document, target->as.service));
+}
+
+int
+hub_state_may_return(const hub_state_t *state, const hub_target_t *known,
+    const dialect_announcement_t *as)
+{
+	const hub_target_t *owner =
+	    hub_state_find_address(state, as->ip, as->port);
+
+	return (known->is_displaced && known->as.born_ms == as->born_ms &&
+	    as->sequence >= known->as.sequence && owner != NULL &&
+	    hub_state_compare_services(state, as, owner) > 0);
+}
+
 /* @return 1 if an entry was proposed before one that is applied. The end of a
  * registration has the sequence that was known when it was decided. */
 static int
@@ -162,6 +203,29 @@
 		as->sequence < known->as.sequence));
 }
 
+/* @return 1 if an announcement has no effect on a target with its id */
+static int
+is_superseded(const hub_state_t *state, const hub_target_t *known,
+    const dialect_announcement_t *as)
+{
+	int compared = hub_state_compare_services(state, as, known);
+
+	return (compared < 0 ||
+	    (compared == 0 && is_outdated(known, as) &&
+		!hub_state_may_return(state, known, as)));
+}
+
+/* @return 1 if an announcement does not get the address of a target */
+static int
+is_kept_off(const hub_state_t *state, const hub_target_t *owner,
+    const dialect_announcement_t *as)
+{
+	int compared = hub_state_compare_services(state, as, owner);
+
+	return (
+	    compared < 0 || (compared == 0 && as->born_ms < owner->as.born_ms));
+}
+
 static hub_change_t
 apply_target(hub_state_t *state, const Tm__Fleet__Target *msg,
     hub_changed_targets_t *changed)
@@ -175,11 +239,11 @@
 		return (HUB_CHANGE_NONE);
 	key = fleet_name_hash(as.id);
 	target = hub_state_find_target(state, key);
-	if (target != NULL && is_outdated(target, &as))
+	if (target != NULL && is_superseded(state, target, &as))
 		return (HUB_CHANGE_NONE);
 	owner = hub_state_find_address(state, as.ip, as.port);
 	if (owner != NULL && owner->key != key &&
-	    as.born_ms < owner->as.born_ms)
+	    is_kept_off(state, owner, &as))
 		return (HUB_CHANGE_NONE);
 	if (target == NULL) {
 		if (HASH_COUNT(state->targets) >= HUB_TARGETS_MAX)
@@ -192,11 +256,13 @@
 	}
 	remove_from_index(state, target);
 	target->as = as;
+	target->is_displaced = msg->is_displaced;
 	/* An address belongs to the newest incarnation. */
 	if (as.state != FLEET_TARGET_DEREGISTERED && owner != NULL &&
 	    owner != target) {
 		remove_from_index(state, owner);
 		owner->as.state = FLEET_TARGET_DEREGISTERED;
+		owner->is_displaced = 1;
 		changed->replaced = owner;
 	}
 	add_to_index(state, target);
@@ -223,17 +289,27 @@
 set_document(hub_state_t *state, const Tm__Fleet__Document *msg)
 {
 	uint8_t *copy = malloc(msg->zipped.len + 1);
+	uint64_t *services = calloc(msg->n_services + 1, sizeof(*services));
 
-	if (copy == NULL)
+	if (copy == NULL || services == NULL) {
+		free(copy);
+		free(services);
 		return (TM_ENOMEM);
+	}
 	if (msg->zipped.len > 0)
 		memcpy(copy, msg->zipped.data, msg->zipped.len);
-	free(state->document.zipped);
+	if (msg->n_services > 0)
+		memcpy(services, msg->services,
+		    msg->n_services * sizeof(*services));
+	qsort(services, msg->n_services, sizeof(*services), compare_hashes);
+	hub_document_release(&state->document);
 	state->document = (hub_document_t){
 		.version = msg->version,
 		.zipped = copy,
 		.zipped_len = msg->zipped.len,
 		.plain_len = msg->plain_bytes,
+		.services = services,
+		.service_count = msg->n_services,
 	};
 	state->has_document = 1;
 	return (TM_OK);
@@ -367,13 +443,23 @@
 	msg->plain_bytes = (uint32_t)document->plain_len;
 }
 
+/* As hub_document_to_message(), for another hub. */
+static void
+document_to_hub_message(
+    Tm__Fleet__Document *msg, const hub_document_t *document)
+{
+	hub_document_to_message(msg, document);
+	msg->services = document->services;
+	msg->n_services = document->service_count;
+}
+
 uint8_t *
 hub_entry_encode_document(const hub_document_t *document, size_t *len)
 {
 	Tm__Fleet__Entry entry = TM__FLEET__ENTRY__INIT;
 	Tm__Fleet__Document msg;
 
-	hub_document_to_message(&msg, document);
+	document_to_hub_message(&msg, document);
 	entry.document = &msg;
 	return (encode(&entry.base, len));
 }
@@ -501,13 +587,15 @@
 	snapshot.n_hubs = (size_t)state->hub_count;
 	fill_evacuations(&state->evacuations, &snapshot, &evacuations);
 	if (state->has_document) {
-		hub_document_to_message(&document, &state->document);
+		document_to_hub_message(&document, &state->document);
 		snapshot.document = &document;
 	}
 	if (msgs != NULL && pointers != NULL) {
 		HASH_ITER(hh, state->targets, target, next) {
 			hub_target_to_message(
 			    &msgs[snapshot.n_targets], &target->as);
+			msgs[snapshot.n_targets].is_displaced =
+			    target->is_displaced;
 			pointers[snapshot.n_targets] =
 			    &msgs[snapshot.n_targets];
 			snapshot.n_targets++;
@@ -556,6 +644,27 @@
 	return (document->zipped != NULL ? TM_OK : TM_ENOMEM);
 }
 
+int
+hub_document_set_services(
+    hub_document_t *document, const fleet_config_t *config)
+{
+	const fleet_service_t *service;
+	size_t count = HASH_COUNT(config->services);
+	uint64_t *services = calloc(count + 1, sizeof(*services));
+
+	if (services == NULL)
+		return (TM_ENOMEM);
+	count = 0;
+	for (service = config->services; service != NULL;
+	     service = service->hh.next)
+		services[count++] = service->id;
+	free(document->services);
+	document->services = services;
+	document->service_count = count;
+	qsort(services, count, sizeof(*services), compare_hashes);
+	return (TM_OK);
+}
+
 char *
 hub_document_decompress(const hub_document_t *document)
 {
--- a/src/hub/hub_state.h
+++ b/src/hub/hub_state.h
@@ -31,6 +31,8 @@
 	 * incarnation; not replicated. */
 	uint64_t heard_sequence;
 	uint64_t heard_born_ms;
+	/** Deregistered, as another target got its address. */
+	int is_displaced;
 	/** Address and port while it is registered, else 0: key of the index. */
 	uint64_t address;
 	UT_hash_handle hh;
@@ -43,6 +45,8 @@
 	uint8_t *zipped;
 	size_t zipped_len;
 	size_t plain_len;
+	uint64_t *services; /**< hashes of their names, ascending */
+	size_t service_count; /**< 0: not known */
 } hub_document_t;
 
 typedef struct hub_state {
@@ -82,7 +86,8 @@
 
 /**
  * Applies an entry. A document that is not newer and an announcement of an
- * older incarnation change nothing.
+ * older incarnation change nothing; nor does one whose service the document does
+ * not name, where a target of a service that it names has the id or the address.
  *
  * @return what changed; HUB_CHANGE_NONE also for a malformed entry
  */
@@ -102,6 +107,26 @@
 hub_target_t *hub_state_find_address(
     const hub_state_t *state, uint32_t ip, uint16_t port);
 
+/**
+ * Compares an announcement with a target that has its id or its address by their
+ * services: the document names those of its targets, while an announcement of
+ * another service may come from a writer that is no target of this fleet.
+ *
+ * @return 1 if the document names only the service of the announcement, -1 if it
+ *         names only that of the target, else 0
+ */
+int hub_state_compare_services(const hub_state_t *state,
+    const dialect_announcement_t *as, const hub_target_t *target);
+
+/**
+ * Tells whether a target gets its address back: it lost the address to one whose
+ * service the document does not name, as that one came before the document.
+ *
+ * @param known  deregistered target with the id of the announcement
+ */
+int hub_state_may_return(const hub_state_t *state, const hub_target_t *known,
+    const dialect_announcement_t *as);
+
 /** @return highest sequence that is known of the incarnation; 0 for one that does
  * not say when it started, as a later one may start from 0 again */
 uint64_t hub_target_get_sequence(const hub_target_t *target);
@@ -133,12 +158,17 @@
 int hub_document_compress(
     hub_document_t *document, uint64_t version, const char *plain, size_t len);
 
+/** Adds the services of a document to it. @return 0 or TM_ENOMEM */
+int hub_document_set_services(
+    hub_document_t *document, const fleet_config_t *config);
+
 /** @return the plain text from malloc(), or NULL */
 char *hub_document_decompress(const hub_document_t *document);
 
 void hub_document_release(hub_document_t *document);
 
-/** Initializes a message with a document; it refers to the document's bytes. */
+/** Initializes a message with a document, without its services; it refers to the
+ * document's bytes. */
 void hub_document_to_message(
     Tm__Fleet__Document *msg, const hub_document_t *document);
 
--- a/src/proto/fleet.pb-c.c
+++ b/src/proto/fleet.pb-c.c
@@ -2315,7 +2315,7 @@
   (ProtobufCMessageInit) tm__fleet__lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__document__field_descriptors[3] =
+static const ProtobufCFieldDescriptor tm__fleet__document__field_descriptors[4] =
 {
   {
     "version",
@@ -2353,16 +2353,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "services",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Tm__Fleet__Document, n_services),
+    offsetof(Tm__Fleet__Document, services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__document__field_indices_by_name[] = {
   2,   /* field[2] = plain_bytes */
+  3,   /* field[3] = services */
   0,   /* field[0] = version */
   1,   /* field[1] = zipped */
 };
 static const ProtobufCIntRange tm__fleet__document__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor tm__fleet__document__descriptor =
 {
@@ -2372,14 +2385,14 @@
   "Tm__Fleet__Document",
   "tm.fleet",
   sizeof(Tm__Fleet__Document),
-  3,
+  4,
   tm__fleet__document__field_descriptors,
   tm__fleet__document__field_indices_by_name,
   1,  tm__fleet__document__number_ranges,
   (ProtobufCMessageInit) tm__fleet__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor tm__fleet__target__field_descriptors[13] =
+static const ProtobufCFieldDescriptor tm__fleet__target__field_descriptors[14] =
 {
   {
     "id",
@@ -2537,12 +2550,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_displaced",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Tm__Fleet__Target, is_displaced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned tm__fleet__target__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   10,   /* field[10] = cold_left_ms */
   0,   /* field[0] = id */
   2,   /* field[2] = ip */
+  13,   /* field[13] = is_displaced */
   11,   /* field[11] = limit */
   3,   /* field[3] = port */
   9,   /* field[9] = sequence */
@@ -2556,7 +2582,7 @@
 static const ProtobufCIntRange tm__fleet__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor tm__fleet__target__descriptor =
 {
@@ -2566,7 +2592,7 @@
   "Tm__Fleet__Target",
   "tm.fleet",
   sizeof(Tm__Fleet__Target),
-  13,
+  14,
   tm__fleet__target__field_descriptors,
   tm__fleet__target__field_indices_by_name,
   1,  tm__fleet__target__number_ranges,
--- a/src/proto/fleet.pb-c.h
+++ b/src/proto/fleet.pb-c.h
@@ -284,10 +284,16 @@
   uint64_t version;
   ProtobufCBinaryData zipped;
   uint32_t plain_bytes;
+  /*
+   * Between hubs: hashes of the names of its services, ascending. Empty: not
+   * known.
+   */
+  size_t n_services;
+  uint64_t *services;
 };
 #define TM__FLEET__DOCUMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__document__descriptor) \
-    , 0, {0,NULL}, 0 }
+    , 0, {0,NULL}, 0, 0,NULL }
 
 
 struct  Tm__Fleet__Target
@@ -313,10 +319,14 @@
    * takes whenever it turns cold, for gates that lose the leader.
    */
   uint32_t warmup_limit;
+  /*
+   * In snapshots: deregistered, as another target got its address.
+   */
+  protobuf_c_boolean is_displaced;
 };
 #define TM__FLEET__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&tm__fleet__target__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
