hub: a leave that no target has written ends no registration

A call that ends a registration, with a body that cannot be read, a start of another type, or a service that no configuration names, took the target with that id out of use until both rows had expired.

Cause: a body without a readable start counted as one of any incarnation, and the service was not read at all.

Any other body must be an object whose start and service, if it has them, are of their types; else the answer is 400. A service is compared as that of an announcement is, also at the hubs that pass the call on.

PlatformLeave.ReadsTheIncarnation had asserted that a start of another type reads as none. That was the fault; ThatCannotBeReadIsRejected asks for an error there, and for six more bodies.

--- a/src/fleet/dialect.h
+++ b/src/fleet/dialect.h
@@ -99,11 +99,14 @@
 	    const char *bytes, size_t len, dialect_announcement_t *out);
 
 	/**
-	 * Reads the body of a target's last call.
+	 * Reads the body of a target's last call, which may be empty.
 	 *
-	 * @return wall clock of its start in ms; 0 if the body has none
+	 * @param out  receives the start, 0 if there is none, and the service, empty
+	 *             if there is none
+	 * @return     0, or TM_EFORMAT if the body cannot be read
 	 */
-	uint64_t (*read_leave)(const char *bytes, size_t len);
+	int (*read_leave)(
+	    const char *bytes, size_t len, dialect_announcement_t *out);
 
 	/**
 	 * Writes the response to an announcement.
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -94,9 +94,9 @@
     hub_t *hub, const dialect_announcement_t *as, hub_done_cb done, void *ctx);
 
 /** Handles the end of a registration; as hub_announce().
- * @param born_ms  incarnation; 0: not known */
+ * @param as  its id, incarnation (0: not known) and service ("": not known) */
 int hub_leave(
-    hub_t *hub, const char *id, uint64_t born_ms, hub_done_cb done, void *ctx);
+    hub_t *hub, const dialect_announcement_t *as, hub_done_cb done, void *ctx);
 
 /** @return name of the hub at which a target should announce itself, or NULL for
  * any hub */
--- a/src/hub/hub_announcements.c
+++ b/src/hub/hub_announcements.c
@@ -94,18 +94,23 @@
 
 /* Ends a registration as the leader; as hub_leave(). */
 static int
-decide_leave(
-    hub_t *hub, const char *id, uint64_t born_ms, hub_done_cb done, void *ctx)
+decide_leave(hub_t *hub, const dialect_announcement_t *leave, hub_done_cb done,
+    void *ctx)
 {
 	const hub_target_t *known =
-	    hub_state_find_target(hub->state, fleet_name_hash(id));
+	    hub_state_find_target(hub->state, fleet_name_hash(leave->id));
 	dialect_announcement_t as;
 	uint8_t *bytes;
 	size_t len;
 
 	if (known == NULL || known->as.state == FLEET_TARGET_DEREGISTERED ||
-	    (born_ms != 0 && born_ms < known->as.born_ms))
+	    (leave->born_ms != 0 && leave->born_ms < known->as.born_ms))
 		return (HUB_ACKNOWLEDGED);
+	if (leave->service[0] != '\0' &&
+	    hub_state_compare_services(hub->state, leave, known) < 0) {
+		record_unnamed(hub, leave);
+		return (HUB_ACKNOWLEDGED);
+	}
 	as = known->as;
 	as.state = FLEET_TARGET_DEREGISTERED;
 	bytes = hub_entry_encode_target(&as, &len);
@@ -141,15 +146,12 @@
 
 int
 hub_leave(
-    hub_t *hub, const char *id, uint64_t born_ms, hub_done_cb done, void *ctx)
+    hub_t *hub, const dialect_announcement_t *as, hub_done_cb done, void *ctx)
 {
-	dialect_announcement_t as = { .born_ms = born_ms };
-
 	if (hub_is_leading(hub))
-		return (count_unless_failed(hub->metric_announced,
-		    decide_leave(hub, id, born_ms, done, ctx)));
-	strncpy(as.id, id, sizeof(as.id) - 1);
-	return (hub_relay_pass(hub->relay, &as, 1, done, ctx, clock_now_ms()));
+		return (count_unless_failed(
+		    hub->metric_announced, decide_leave(hub, as, done, ctx)));
+	return (hub_relay_pass(hub->relay, as, 1, done, ctx, clock_now_ms()));
 }
 
 static size_t
@@ -241,11 +243,15 @@
 	const Tm__Fleet__Target *target = msg->target;
 
 	if (target == NULL ||
-	    (msg->is_leave && strlen(target->id) >= sizeof(out->as.id)) ||
+	    (msg->is_leave &&
+		(strlen(target->id) >= sizeof(out->as.id) ||
+		    strlen(target->service) >= sizeof(out->as.service))) ||
 	    (!msg->is_leave && !hub_target_from_message(target, &out->as)))
 		return (0);
 	if (msg->is_leave) {
 		memcpy(out->as.id, target->id, strlen(target->id) + 1);
+		memcpy(out->as.service, target->service,
+		    strlen(target->service) + 1);
 		out->as.born_ms = target->born_ms;
 	}
 	out->id = msg->id;
@@ -274,8 +280,8 @@
 	if (is_late)
 		err = TM_ESTALE;
 	else if (passed->is_leave)
-		err = decide_leave(hub, passed->as.id, passed->as.born_ms,
-		    on_passed_committed, passed);
+		err =
+		    decide_leave(hub, &passed->as, on_passed_committed, passed);
 	else
 		err = decide(hub, &passed->as, passed->said_ms,
 		    on_passed_committed, passed);
--- a/src/hub/hub_api.c
+++ b/src/hub/hub_api.c
@@ -303,15 +303,22 @@
 handle_leave(hub_api_t *api, h2o_req_t *req, const char *target_id)
 {
 	const dialect_t *dialect = hub_get_settings(api->hub)->dialect;
-	uint64_t born_ms =
-	    dialect->read_leave(req->entity.base, req->entity.len);
-	api_call_t *call = create_target_call(api, req, target_id);
+	dialect_announcement_t as = { .born_ms = 0 };
+	api_call_t *call;
 
+	snprintf(as.id, sizeof(as.id), "%s", target_id);
+	if (dialect->read_leave(req->entity.base, req->entity.len, &as) !=
+	    TM_OK) {
+		reply_error(
+		    req, 400, "the body is neither empty nor that of a target");
+		return;
+	}
+	call = create_target_call(api, req, target_id);
 	if (call == NULL)
 		return;
 	call->is_leave = 1;
-	reply_unless_waiting(api, req, call,
-	    hub_leave(api->hub, target_id, born_ms, on_committed, call));
+	reply_unless_waiting(
+	    api, req, call, hub_leave(api->hub, &as, on_committed, call));
 }
 
 static void
--- a/test/functional/hub_other_writer.py
+++ b/test/functional/hub_other_writer.py
@@ -69,7 +69,11 @@
         "Address": f"127.0.0.1:{target.port}", "MaxConcurrency": 4,
         "State": "ready", "WarmupLeftS": 0, "Sequence": 1,
         "born": int(time.time() * 1000), **fields})
-    path = f"/tarragonmoor/instances/{name}/heartbeat"
+    post(f"/tarragonmoor/instances/{name}/heartbeat", body)
+
+
+def post(path, body):
+    """Calls each hub."""
     for i, ip in enumerate(HUBS):
         if fleet.processes[f"hub{i}"].poll() is not None:
             continue
@@ -80,13 +84,18 @@
 
 
 def write_all():
-    """An address; an id with a later start, or a higher sequence; a state."""
+    """An address; an id with a later start, or a higher sequence; a state; leaves
+    with bodies that no target writes."""
     write_other(targets[0])
     write_other(targets[1], id=targets[1].id)
     write_other(targets[1], id=targets[1].id, born=1000, Sequence=10**6,
                 Address="127.0.0.1:9")
     write_other(targets[2], id=targets[2].id, State="draining")
     write_other(targets[2], State="not-a-state", Service="s1")
+    path = f"/tarragonmoor/instances/{targets[2].id}/deregister"
+    post(path, "\x00not a body")
+    post(path, json.dumps({"born": "today"}))
+    post(path, json.dumps({"Service": "not-in-the-configuration"}))
 
 
 def main():
--- a/test/unit/platform_dialect_test.cc
+++ b/test/unit/platform_dialect_test.cc
@@ -36,6 +36,12 @@
 	return (Platform()->read_announcement(text.data(), text.size(), out));
 }
 
+int
+ReadLeave(const std::string &text, dialect_announcement_t *out)
+{
+	return (Platform()->read_leave(text.data(), text.size(), out));
+}
+
 const char kHeartbeat[] =
     R"({"Service":"s1","Address":"10.128.0.9:8080","Zone":"z1",)"
     R"("Version":"v1","MaxConcurrency":4,"State":"ready",)"
@@ -146,7 +152,24 @@
 
 TEST(PlatformLeave, ReadsTheIncarnation)
 {
-	EXPECT_EQ(5u, Platform()->read_leave("{\"born\":5}", 10));
-	EXPECT_EQ(0u, Platform()->read_leave("", 0));
-	EXPECT_EQ(0u, Platform()->read_leave("{\"born\":\"x\"}", 12));
+	dialect_announcement_t as = {};
+
+	EXPECT_EQ(TM_OK, ReadLeave("{\"born\":5,\"Service\":\"s1\"}", &as));
+	EXPECT_EQ(5u, as.born_ms);
+	EXPECT_STREQ("s1", as.service);
+	EXPECT_EQ(TM_OK, ReadLeave("", &as));
+	EXPECT_EQ(0u, as.born_ms);
+	EXPECT_STREQ("", as.service);
+	EXPECT_EQ(TM_OK, ReadLeave("{}", &as));
+}
+
+// One that no target writes ended the registration of any incarnation.
+TEST(PlatformLeave, ThatCannotBeReadIsRejected)
+{
+	dialect_announcement_t as = {};
+
+	for (const char *body :
+	    { "{\"born\":\"x\"}", "{\"born\":1.5}", "{\"Service\":7}",
+		"{\"Service\":\"\"}", "[]", "{", "\xff\xfe{" })
+		EXPECT_EQ(TM_EFORMAT, ReadLeave(body, &as)) << body;
 }
