hub: which service has an id is for the leader to decide

Cause: an announcement that is older than one confirmed at this hub was answered there, whatever its service; only the leader compares services with its document. One of another service is passed on now.

Evidence: HubRelay.WhichServiceHasAnIdIsForTheLeader fails without the change (answered in place of passed on).

--- a/src/hub/hub_relay.c
+++ b/src/hub/hub_relay.c
@@ -199,10 +199,13 @@
 	    known->service == fleet_name_hash(as->service));
 }
 
-/* @return 1 if a later announcement of the target was acknowledged here */
+/* @return 1 if a later announcement of the target was acknowledged here. Which of
+ * two services has the id is for the leader to decide, by its document. */
 static int
 is_outdated(const relay_target_t *known, const dialect_announcement_t *as)
 {
+	if (known->service != fleet_name_hash(as->service))
+		return (0);
 	return (as->born_ms < known->born_ms ||
 	    (as->born_ms == known->born_ms && as->born_ms != 0 &&
 		as->sequence < known->sequence));
--- a/test/unit/hub_relay_test.cc
+++ b/test/unit/hub_relay_test.cc
@@ -316,6 +316,25 @@
 	EXPECT_EQ(HUB_RELAY_PASS, hub_relay_decide(relay, &other, fleet.now_));
 }
 
+// Another writer had announced the id before, with a later start and a service that
+// the document does not name: the hub answered the target without the leader.
+TEST(HubRelay, WhichServiceHasAnIdIsForTheLeader)
+{
+	Fleet fleet(5, 300);
+
+	Settle(&fleet);
+	Target &target = fleet.targets_[7];
+	hub_relay_t *relay = fleet.hubs_[(size_t)target.home]->relay;
+	dialect_announcement_t other = target.as;
+	snprintf(other.service, sizeof(other.service), "s2");
+	other.born_ms--;
+	EXPECT_EQ(HUB_RELAY_PASS, hub_relay_decide(relay, &other, fleet.now_));
+	other = target.as;
+	other.born_ms--;
+	EXPECT_EQ(
+	    HUB_RELAY_ANSWER, hub_relay_decide(relay, &other, fleet.now_));
+}
+
 // The leader took an announcement that it was told of late for a newer one.
 TEST(HubRelay, LeaderIsNotToldALaterTimeOfAnAnnouncement)
 {
