--- a/test/functional/soak.py
+++ b/test/functional/soak.py
@@ -16,11 +16,12 @@
 import threading
 import time
 
-from platform_fleet import Fleet, Target, document
+from platform_fleet import Fleet, Target, call, document
 
 CALLERS = 8
 RECOVERY_S = 15
 DISK_SHARE = 0.25  # of faults that come with a full disk
+WRITER_SHARE = 0.15  # of faults that come with announcements of another writer
 RESTART_S = 0.3  # as a supervisor does
 # Defaults of the gates: revoke_within_s, and the time until callers give up.
 REVOKE_S = 5
@@ -163,6 +164,7 @@
         self.rng = random.Random(args.seed)
         # Faults of disks do not change what else a seed draws.
         self.disk_rng = random.Random(f"{args.seed} disks")
+        self.writer_rng = random.Random(f"{args.seed} writer")
         self.args = args
         net = f"127.{50 + args.seed % 150}.{args.seed // 150 % 250}"
         self.fleet = Fleet(args.build, args.work,
@@ -267,6 +269,25 @@
                     self.fleet.start_hub(i, False)
             time.sleep(RESTART_S)
 
+    def write_other(self):
+        """Announces a service that no document names, with the address or the id
+        of each target. No hub may believe it."""
+        self.faults.append("another writer")
+        for target in self.targets:
+            is_own_id = self.writer_rng.random() < 0.5
+            name = "other" if is_own_id else target.id
+            try:
+                call(self.writer_rng.choice(self.fleet.hubs),
+                     self.fleet.control_port, "POST",
+                     f"/tarragonmoor/instances/{name}/heartbeat", json.dumps({
+                         "Service": "other", "Zone": "z1", "Version": "v1",
+                         "Address": f"127.0.0.1:{target.port}",
+                         "MaxConcurrency": 4, "State": "ready",
+                         "WarmupLeftS": 0, "Sequence": 10 ** 6,
+                         "born": int(time.time() * 1000)}), timeout=1)
+            except (OSError, http.client.HTTPException):
+                pass
+
     def harm_path(self):
         proxy = self.rng.choice(self.proxies)
         mode = self.rng.choice(
@@ -345,6 +366,8 @@
             self.harm()
             if self.disk_rng.random() < DISK_SHARE:
                 self.harm_disk()
+            if self.writer_rng.random() < WRITER_SHARE:
+                threading.Thread(target=self.write_other, daemon=True).start()
             time.sleep(self.rng.expovariate(2))
             self.end_due()
         self.end_due(all_of_them=True)
