--- a/src/hub/hub_announce.c
+++ b/src/hub/hub_announce.c
@@ -49,7 +49,7 @@
 }
 
 int
-hub_announce_has_effect(hub_announce_effect_t effect)
+hub_announce_is_current(hub_announce_effect_t effect)
 {
 	return (
 	    effect == HUB_ANNOUNCE_REPEATED || effect == HUB_ANNOUNCE_CHANGED);
--- a/src/hub/hub_announce.h
+++ b/src/hub/hub_announce.h
@@ -42,8 +42,8 @@
 	uint64_t keys[HUB_CHANGES_MAX]; /**< of revision i at i modulo size */
 } hub_changes_t;
 
-/** @return 1 if an announcement shows that its target is alive */
-int hub_announce_has_effect(hub_announce_effect_t effect);
+/** @return 1 if an announcement is the newest of its target, which is alive then */
+int hub_announce_is_current(hub_announce_effect_t effect);
 
 /** @return effect of an announcement */
 hub_announce_effect_t hub_announce_judge(
--- a/src/hub/hub_announcements.c
+++ b/src/hub/hub_announcements.c
@@ -80,7 +80,7 @@
 
 	if (effect == HUB_ANNOUNCE_UNNAMED)
 		record_unnamed(hub, as);
-	if (!hub_announce_has_effect(effect))
+	if (!hub_announce_is_current(effect))
 		return (HUB_ACKNOWLEDGED);
 	hub_record_announcement(hub, as);
 	hub_record_warmup(hub, as, said_ms);
@@ -353,7 +353,7 @@
 	for (i = 0; i < msg->n_passed; i++) {
 		if (read_passed(msg, msg->passed[i], &passed) &&
 		    !passed.is_leave && passed.as.cold_left_ms > 0 &&
-		    hub_announce_has_effect(
+		    hub_announce_is_current(
 			hub_announce_judge(hub->state, &passed.as)))
 			hub_cold_record(hub, &passed.as, passed.said_ms);
 	}
--- a/src/hub/hub_state.c
+++ b/src/hub/hub_state.c
@@ -175,6 +175,9 @@
 hub_state_compare_services(const hub_state_t *state,
     const dialect_announcement_t *as, const hub_target_t *target)
 {
+	/* Nearly all announcements repeat what is known. */
+	if (strcmp(as->service, target->as.service) == 0)
+		return (0);
 	return (names_service(&state->document, as->service) -
 	    names_service(&state->document, target->as.service));
 }
