--- a/review/12/case.py
+++ b/review/12/case.py
@@ -97,10 +97,10 @@
 def run(small):
     small.start(document(7, ["key-one"]))
     player = Player(small)
-    for _ in range(LEADERS):
+    for i in range(LEADERS):
         for _ in range(CRASHES_A_LEADER):
             player.crash_one()
-        if WORKS:
+        if WORKS and i + 1 < LEADERS:
             player.kill_leader()
     crashes = [item["t"] for item in small.read_runs()
                if item["what"] == "crashed"]
