gate: log and count requests on connections that the gate has closed

A request that comes on a closed connection is read and dropped by http_linger, and nothing told so: a caller without an answer could not be told from one that had left. Event 982 names how long before the request the gate had closed the connection, what was unread then, and how long the connection had been idle. Event 950 names the idle timeout in force.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -199,7 +199,8 @@
 	gate_link_set_version(gate->link, config->version);
 	LOG_EVENT(950, LOG_LEVEL_INFO, "configuration in force",
 	    LOG_NUM("version", config->version),
-	    LOG_NUM("routes", config->route_count));
+	    LOG_NUM("routes", config->route_count),
+	    LOG_NUM("idle_timeout_ms", config->limits.idle_timeout_ms));
 }
 
 /* An older version never replaces a newer one. */
@@ -482,6 +483,21 @@
 	    LOG_NUM("in_flight", gate->in_flight));
 }
 
+/* A caller used a connection that this gate had closed. */
+static void
+on_late(void *ctx, const http_late_request_t *late)
+{
+	const gate_t *gate = ctx;
+
+	metric_add(gate->metric_late_requests, 1);
+	LOG_EVENT(982, LOG_LEVEL_WARN, "request on a closed connection dropped",
+	    LOG_NUM("bytes", late->bytes),
+	    LOG_NUM("unread_bytes", late->unread_bytes),
+	    LOG_NUM("closed_ms", late->closed_ms),
+	    LOG_NUM("idle_ms", late->idle_ms),
+	    LOG_NUM("is_stopping", gate_stop_is_requested(&gate->stop)));
+}
+
 static int
 open_listeners(gate_t *gate)
 {
@@ -493,6 +509,7 @@
 		.body_max_bytes = GATE_BODY_MAX_BYTES,
 		.intake_max_bytes = gate->settings.request_limit_bytes,
 		.intake_refused = on_intake_refused,
+		.late = on_late,
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
 		.handle = gate_front_handle,
 		.ctx = gate,
@@ -503,6 +520,7 @@
 	options.connections_max = 64;
 	options.body_max_bytes = 1024;
 	options.intake_max_bytes = 0;
+	options.late = NULL;
 	options.handle = handle_ready;
 	if (err == TM_OK)
 		err = http_server_create(&gate->ready, &options);
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -84,6 +84,7 @@
 	metric_t *metric_latency;
 	metric_t *metric_attempts;
 	metric_t *metric_new_connections;
+	metric_t *metric_late_requests;
 	metric_t *metric_log_dropped;
 };
 
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -25,6 +25,8 @@
 	    gate->metrics, "tm_gate_attempts_total", "", METRIC_COUNTER);
 	gate->metric_new_connections = metrics_get(
 	    gate->metrics, "tm_gate_connections_total", "", METRIC_COUNTER);
+	gate->metric_late_requests = metrics_get(
+	    gate->metrics, "tm_gate_late_requests_total", "", METRIC_COUNTER);
 	gate->metric_in_flight = metrics_get(
 	    gate->metrics, "tm_gate_requests_in_flight", "", METRIC_GAUGE);
 	gate->metric_latency = metrics_get(
--- a/src/http/http_linger.c
+++ b/src/http/http_linger.c
@@ -72,12 +72,32 @@
 	*buf = uv_buf_init(dropped, sizeof(dropped));
 }
 
+static void
+report_drop(http_linger_conn_t *conn, size_t bytes)
+{
+	const http_linger_t *linger = conn->linger;
+	const http_linger_drop_t drop = {
+		.bytes = bytes,
+		.unread_bytes = conn->unread_bytes,
+		.closed_ms =
+		    clock_now_ms() - (conn->end_ms - HTTP_LINGER_MAX_MS),
+	};
+
+	conn->is_reported = 1;
+	if (linger->dropped != NULL)
+		linger->dropped(linger->ctx, conn, &drop);
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t read_bytes, const uv_buf_t *buf)
 {
+	http_linger_conn_t *conn = find_watched((uv_handle_t *)stream);
+
 	(void)buf;
 	if (read_bytes < 0)
-		finish(find_watched((uv_handle_t *)stream));
+		finish(conn);
+	else if (read_bytes > 0 && !conn->is_reported)
+		report_drop(conn, (size_t)read_bytes);
 }
 
 /* libuv 1.44 calls it also where the stream is closed before. */
@@ -103,6 +123,18 @@
 	    (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK));
 }
 
+static size_t
+get_unread_bytes(const http_linger_conn_t *conn)
+{
+	uv_os_fd_t fd;
+	int unread_bytes = 0;
+
+	if (uv_fileno((const uv_handle_t *)conn->stream, &fd) != 0 ||
+	    ioctl(fd, FIONREAD, &unread_bytes) != 0)
+		return (0);
+	return ((size_t)unread_bytes);
+}
+
 /* @return 0 if the connection cannot wait */
 static int
 wait_for_caller(http_linger_conn_t *conn)
@@ -118,6 +150,7 @@
 	/* Fails where the sending side has ended before. */
 	uv_shutdown(&conn->shutdown, conn->stream, on_shutdown);
 	conn->end_ms = clock_now_ms() + HTTP_LINGER_MAX_MS;
+	conn->unread_bytes = get_unread_bytes(conn);
 	conn->is_waiting = 1;
 	if (linger->waiting == NULL)
 		uv_timer_start(&linger->timer, on_timer, HTTP_LINGER_MAX_MS, 0);
--- a/src/http/http_linger.h
+++ b/src/http/http_linger.h
@@ -19,9 +19,22 @@
 
 typedef struct http_linger_conn http_linger_conn_t;
 
+/** Bytes that a caller sent on a connection that its listener had closed. */
+typedef struct http_linger_drop {
+	size_t bytes; /**< dropped with the first read */
+	size_t unread_bytes; /**< of these, what had arrived before the close */
+	int64_t closed_ms; /**< time since the close */
+} http_linger_drop_t;
+
+/** Called once for a connection, with the first bytes that are dropped there. */
+typedef void (*http_linger_drop_cb)(
+    void *ctx, const http_linger_conn_t *conn, const http_linger_drop_t *drop);
+
 /** The closed connections of a listener that wait for their callers. */
 typedef struct http_linger {
 	uv_timer_t timer;
+	http_linger_drop_cb dropped; /**< or NULL */
+	void *ctx; /**< of the callback */
 	http_linger_conn_t *waiting; /**< the oldest first */
 	uint32_t count;
 } http_linger_t;
@@ -34,7 +47,9 @@
 	uv_close_cb closed;
 	uv_shutdown_t shutdown;
 	int64_t end_ms; /**< when the wait ends */
+	size_t unread_bytes; /**< when it was closed */
 	int is_waiting;
+	int is_reported; /**< its first dropped bytes */
 	UT_hash_handle hh; /**< by stream */
 	http_linger_conn_t *prev;
 	http_linger_conn_t *next;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "http/http_linger.h"
 #include "http/http_unparsed.h"
@@ -43,6 +44,7 @@
 	http_server_t *server;
 	http_intake_conn_t intake;
 	http_linger_conn_t linger;
+	int64_t idle_since_ms; /* end of the last response, or accept */
 } server_conn_t;
 
 static void
@@ -54,6 +56,26 @@
 	free(conn);
 }
 
+/* http_linger_drop_cb */
+static void
+on_dropped(
+    void *ctx, const http_linger_conn_t *linger, const http_linger_drop_t *drop)
+{
+	const http_server_t *server = ctx;
+	const server_conn_t *conn =
+	    H2O_STRUCT_FROM_MEMBER(const server_conn_t, linger, linger);
+	const http_late_request_t late = {
+		.bytes = drop->bytes,
+		.unread_bytes = drop->unread_bytes,
+		.closed_ms = drop->closed_ms,
+		.idle_ms =
+		    clock_now_ms() - drop->closed_ms - conn->idle_since_ms,
+	};
+
+	if (server->options.late != NULL)
+		server->options.late(server->options.ctx, &late);
+}
+
 static void
 limit_writes(const uv_tcp_t *tcp)
 {
@@ -86,6 +108,7 @@
 	if (conn == NULL)
 		return;
 	conn->server = server;
+	conn->idle_since_ms = clock_now_ms();
 	server->connections++;
 	uv_tcp_init(listener->loop, &conn->tcp);
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0 ||
@@ -120,8 +143,11 @@
 	active_request_t *active = memory;
 
 	active->server->active--;
-	if (active->intake != NULL)
-		http_intake_end(active->intake);
+	if (active->intake == NULL)
+		return;
+	http_intake_end(active->intake);
+	H2O_STRUCT_FROM_MEMBER(server_conn_t, intake, active->intake)
+	    ->idle_since_ms = clock_now_ms();
 }
 
 static int
@@ -245,6 +271,8 @@
 	if (rc != TM_OK)
 		return (rc);
 	http_linger_init(&server->linger, options->loop);
+	server->linger.dropped = on_dropped;
+	server->linger.ctx = server;
 	uv_tcp_init(options->loop, &server->listener);
 	server->listener.data = server;
 	rc = uv_tcp_bind(
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -21,6 +21,15 @@
 
 typedef struct http_server http_server_t;
 
+/** What a caller sent on a connection that the listener had closed; it gets no
+ * answer. */
+typedef struct http_late_request {
+	size_t bytes; /**< of the first read */
+	size_t unread_bytes; /**< of these, what had arrived before the close */
+	int64_t closed_ms; /**< time since the close */
+	int64_t idle_ms; /**< from the last response, or accept, to the close */
+} http_late_request_t;
+
 /** Handles a request; it may answer later. */
 typedef void (*http_server_cb)(void *ctx, h2o_req_t *req);
 
@@ -44,6 +53,8 @@
 	void (*refused)(void *ctx); /**< a connection over the cap; or NULL */
 	/** A request over intake_max_bytes was refused; or NULL. */
 	void (*intake_refused)(void *ctx);
+	/** Bytes came on a connection that was closed; once for each; or NULL. */
+	void (*late)(void *ctx, const http_late_request_t *late);
 	void *ctx; /**< of the callbacks */
 } http_server_options_t;
 
