gate: tell callers how long they may use an idle connection

A gate closes a kept connection 15 s (IdleTimeoutS) after its last response. Callers that use it until it is closed lose the request that is on its way at that moment.

Responses that keep their connection name four fifths of the timeout in Keep-Alive, in whole seconds; the last fifth covers the way of a request. Below 1.25 s the connection is kept for longer than the timeout, so that the announced second holds.

Three tests of HttpIdle; two of them fail without the announcement, the third guards that closing responses have none.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -511,6 +511,7 @@
 		.intake_refused = on_intake_refused,
 		.late = on_late,
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+		.announces_idle = 1,
 		.handle = gate_front_handle,
 		.ctx = gate,
 	};
@@ -521,6 +522,7 @@
 	options.body_max_bytes = 1024;
 	options.intake_max_bytes = 0;
 	options.late = NULL;
+	options.announces_idle = 0;
 	options.handle = handle_ready;
 	if (err == TM_OK)
 		err = http_server_create(&gate->ready, &options);
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,6 +1,7 @@
 #include "http/http_server.h"
 
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -18,6 +19,8 @@
 #define WRITE_TIMEOUT_MS 30000u
 /* The timer of libh2o does not end connections; http_idle does. */
 #define LIBRARY_TIMEOUT_MS (24 * 3600 * 1000)
+/* "timeout=" and a number. */
+#define ANNOUNCEMENT_BYTES 32
 
 typedef struct server_handler {
 	h2o_handler_t super;
@@ -214,6 +217,25 @@
 	return (0);
 }
 
+/* Tells the caller for how long it may use the connection. */
+static void
+on_keep_alive(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+	http_server_t *server = ((server_filter_t *)self)->server;
+	http_intake_conn_t *intake = http_intake_find(req);
+	char value[ANNOUNCEMENT_BYTES];
+	int len;
+
+	if (req->http1_is_persistent && intake != NULL) {
+		len = snprintf(value, sizeof(value), "timeout=%u",
+		    http_idle_announce(
+			&server->idle, &get_server_conn(intake)->idle));
+		http_request_add_header(
+		    req, "keep-alive", 10, value, (size_t)len);
+	}
+	h2o_setup_next_ostream(req, slot);
+}
+
 /*
  * Marks the responses that h2o makes itself, such as 400 and 413. They belong
  * to the fallback path; what the handler sends, also a target's error, does
@@ -268,6 +290,8 @@
 	    (server_handler_t *)h2o_create_handler(path, sizeof(*handler));
 	handler->super.on_req = on_request;
 	handler->server = server;
+	if (options->announces_idle)
+		add_filter(server, path, on_keep_alive);
 	if (options->error_header != NULL)
 		add_filter(server, &host->fallback_path, on_response);
 	if (options->error_header != NULL)
--- a/test/unit/http_idle_test.cc
+++ b/test/unit/http_idle_test.cc
@@ -13,11 +13,12 @@
 class HttpIdle : public HttpListener {
       protected:
 	void
-	ListenIdle(uint32_t idle_timeout_ms)
+	ListenIdle(uint32_t idle_timeout_ms, int announces_idle = 0)
 	{
 		http_server_options_t options = {};
 
 		options.idle_timeout_ms = idle_timeout_ms;
+		options.announces_idle = announces_idle;
 		options.late = CountLate;
 		Listen(10, nullptr, &options);
 	}
@@ -194,6 +195,42 @@
 	GetAnswer(&caller);
 }
 
+// Callers that are not told how long they may use a connection use it until it is
+// closed, and their request crosses the close.
+TEST_F(HttpIdle, CallersAreToldLessThanTheTimeout)
+{
+	ListenIdle(15000, 1);
+	Caller caller(addr_);
+
+	GetAnswer(&caller);
+	EXPECT_TRUE(caller.HasText("keep-alive: timeout=12\r\n"));
+}
+
+// Whole seconds below a short timeout do not exist, so it is kept for longer.
+TEST_F(HttpIdle, AnAnnouncedSecondIsKept)
+{
+	ListenIdle(kIdleMs, 1);
+	int64_t since_ms = NowMs();
+	Caller caller(addr_);
+
+	GetAnswer(&caller);
+	EXPECT_TRUE(caller.HasText("keep-alive: timeout=1\r\n"));
+	EXPECT_GE(MeasureEnd(&caller, since_ms), 1250);
+}
+
+// A caller may not use a connection that is closed behind its response.
+TEST_F(HttpIdle, AClosedConnectionIsNotAnnounced)
+{
+	ListenIdle(15000, 1);
+	Caller caller(addr_);
+
+	StartRequest(&caller, "/");
+	Answer(2);
+	EXPECT_FALSE(IsOpenAfter(&caller, kPatienceMs));
+	EXPECT_EQ(1u, caller.CountAnswers());
+	EXPECT_FALSE(caller.HasText("keep-alive"));
+}
+
 // A request behind a response that closes its connection gets no answer; unless this
 // is told, its caller cannot be told from one that left.
 TEST_F(HttpIdle, ARequestBehindAClosingResponseIsReported)
