http: do not read requests behind the close of an idle connection

Behind the close of an idle connection no response is on its way, but the request that crosses the close was read whole and dropped, so that its caller got neither an answer nor a refusal and could not know that it had not run. The connection is closed at once now, as before, and only if the last response has arrived; the kernel resets what comes later.

HttpIdle.ARequestThatCrossesTheCloseIsNotRead fails without it.

--- a/src/http/http_linger.c
+++ b/src/http/http_linger.c
@@ -225,6 +225,6 @@
 		return;
 	}
 	conn->closed = closed;
-	if (is_ended_by_caller(conn) || !wait_for_caller(conn))
+	if (conn->is_idle || is_ended_by_caller(conn) || !wait_for_caller(conn))
 		finish(conn);
 }
--- a/src/http/http_linger.h
+++ b/src/http/http_linger.h
@@ -5,6 +5,10 @@
  * sent ahead, resets the connection, and the kernel drops what it has not
  * delivered. Here the sending side ends first; what still arrives is read and
  * dropped until the caller closes as well, or for HTTP_LINGER_MAX_MS.
+ *
+ * A connection that is closed as idle has nothing to lose and does not wait: a
+ * request that crosses its close must not be read, as its caller may repeat only
+ * what was not read.
  */
 #ifndef TM_HTTP_HTTP_LINGER_H
 #define TM_HTTP_HTTP_LINGER_H
@@ -48,6 +52,7 @@
 	uv_shutdown_t shutdown;
 	int64_t end_ms; /**< when the wait ends */
 	size_t unread_bytes; /**< when it was closed */
+	int is_idle; /**< it ends without a wait: no response is on its way */
 	int is_waiting;
 	int is_reported; /**< its first dropped bytes */
 	UT_hash_handle hh; /**< by stream */
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -122,8 +122,11 @@
 		http_idle_wait(&server->idle, idle);
 		return;
 	}
-	if (!http_intake_close(&conn->intake))
-		http_idle_retry(&server->idle, idle);
+	conn->linger.is_idle = !idle->is_receiving;
+	if (http_intake_close(&conn->intake))
+		return;
+	conn->linger.is_idle = 0;
+	http_idle_retry(&server->idle, idle);
 }
 
 static void
--- a/test/unit/http_idle_test.cc
+++ b/test/unit/http_idle_test.cc
@@ -231,6 +231,26 @@
 	EXPECT_FALSE(caller.HasText("keep-alive"));
 }
 
+// A request that crossed the close of an idle connection was read, so that its
+// caller could not repeat it.
+TEST_F(HttpIdle, ARequestThatCrossesTheCloseIsNotRead)
+{
+	ListenIdle(kIdleMs);
+	Caller caller(addr_);
+
+	GetAnswer(&caller);
+	caller.reads_ = false;
+	RunUntil(
+	    &caller, [] { return (false); }, kIdleMs + 100);
+	EXPECT_EQ(0u, http_server_get_connections(server_));
+	caller.Send(kRequest);
+	caller.reads_ = true;
+	RunUntil(
+	    &caller, [] { return (false); }, 100);
+	EXPECT_TRUE(caller.is_ended_ || caller.is_reset_);
+	EXPECT_EQ(0, late_count_);
+}
+
 // A request behind a response that closes its connection gets no answer; unless this
 // is told, its caller cannot be told from one that left.
 TEST_F(HttpIdle, ARequestBehindAClosingResponseIsReported)
