--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include <utlist.h>
+
 #include "base/clock.h"
 #include "base/error.h"
 #include "http/http_idle.h"
@@ -398,11 +400,28 @@
 	return (server->active);
 }
 
+/* @return 1 if a request has arrived that was not read */
+static int
+has_unread(const http_server_t *server)
+{
+	const http_idle_conn_t *idle;
+	const server_conn_t *conn;
+
+	DL_FOREACH(server->idle.conns, idle) {
+		conn = H2O_STRUCT_FROM_MEMBER(const server_conn_t, idle, idle);
+		if (conn->intake.sock != NULL &&
+		    !stream_end_is_quiet(&conn->tcp))
+			return (1);
+	}
+	return (0);
+}
+
 int
 http_server_is_delivered(const http_server_t *server)
 {
 	return (server->active == 0 && server->linger.count == 0 &&
-	    !http_linger_has_undelivered(&server->linger));
+	    !http_linger_has_undelivered(&server->linger) &&
+	    !has_unread(server));
 }
 
 uint64_t
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -100,7 +100,7 @@
 uint32_t http_server_get_active(const http_server_t *server);
 
 /**
- * @return 1 if no request is active, what was sent on open connections has
+ * @return 1 if no request is active or unread, what was sent on open connections has
  *         arrived, and each caller whose connection was closed has closed it, too,
  *         or had HTTP_LINGER_MAX_MS to do so; the end of the process may cut off
  *         responses before
--- a/test/unit/http_idle_test.cc
+++ b/test/unit/http_idle_test.cc
@@ -268,3 +268,20 @@
 	EXPECT_EQ(kRequest.size(), late_.unread_bytes);
 	EXPECT_LT(late_.idle_ms, kIdleMs);
 }
+
+// A process that ends with unread requests resets them.
+TEST_F(HttpIdle, AnUnreadRequestIsNotDelivered)
+{
+	ListenIdle(kLongIdleMs);
+	Caller caller(addr_);
+
+	GetAnswer(&caller);
+	ASSERT_TRUE(RunUntil(
+	    &caller, [&] { return (http_server_is_delivered(server_)); }));
+	caller.Send(kRequest);
+	caller.Step();
+	EXPECT_FALSE(http_server_is_delivered(server_));
+	Serve(&caller, [&] { return (caller.CountAnswers() == 2); });
+	EXPECT_TRUE(RunUntil(
+	    &caller, [&] { return (http_server_is_delivered(server_)); }));
+}
