gate: read what has arrived before requests time out

Cause: libuv runs timers before it polls. When the process was late (paused, or without CPU time), the tick ended requests at their deadline, and reported stalls of sound targets, although the responses had arrived in time and lay unread. At the end of a stop, the tick refused such requests in the same way, or the timer of the stop ended the process before that tick: those callers got no answer at all.

Change: a tick more than one interval late runs after the poll, which an idle handle keeps from blocking; a tick on time runs as before. The whole tick waits, so that the timeouts of hub replies are checked after these are read, too. An overdue stop ends the process only after the tick that gives the last answers.

Not covered: a response of which more than one pass of libuv reads (32 buffers of 64 KB) is unread.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -365,13 +365,17 @@
 {
 	uint64_t wanted_ms =
 	    gate->in_flight > 0 ? GATE_TICK_MS : GATE_IDLE_TICK_MS;
+	uint64_t due_in_ms;
 
 	if (wanted_ms == gate->tick_ms)
 		return;
 	gate->tick_ms = wanted_ms;
 	uv_timer_set_repeat(&gate->timer, wanted_ms);
-	if (uv_timer_get_due_in(&gate->timer) > wanted_ms)
-		uv_timer_start(&gate->timer, on_timer, wanted_ms, wanted_ms);
+	due_in_ms = uv_timer_get_due_in(&gate->timer);
+	if (due_in_ms <= wanted_ms)
+		return;
+	uv_timer_start(&gate->timer, on_timer, wanted_ms, wanted_ms);
+	gate->due_ms -= (int64_t)(due_in_ms - wanted_ms);
 }
 
 /* A probe that no request has used in time goes back to the leader. */
@@ -385,11 +389,8 @@
 }
 
 static void
-on_timer(uv_timer_t *timer)
+tick(gate_t *gate, int64_t now_ms)
 {
-	gate_t *gate = timer->data;
-	int64_t now_ms = clock_now_ms();
-
 	gate_link_tick(gate->link, now_ms);
 	gate_policy_tick(gate, now_ms);
 	return_kept_probes(gate, now_ms);
@@ -401,11 +402,37 @@
 		tick_stop(gate, now_ms);
 }
 
+/* uv_idle_cb; while it is active, the poll does not block */
+static void
+on_idle(uv_idle_t *idle)
+{
+	(void)idle;
+}
+
+/* libuv runs timers before it polls. If the process was late, responses that
+ * arrived in time may be unread; a late tick runs after the poll. */
+static void
+on_timer(uv_timer_t *timer)
+{
+	gate_t *gate = timer->data;
+	int64_t now_ms = clock_now_ms();
+
+	if (now_ms - gate->due_ms > (int64_t)gate->tick_ms)
+		uv_idle_start(&gate->late_tick, on_idle);
+	else
+		tick(gate, now_ms);
+	gate->due_ms = now_ms + (int64_t)gate->tick_ms;
+}
+
 static void
 on_check(uv_check_t *check)
 {
 	gate_t *gate = check->data;
 
+	if (uv_is_active((uv_handle_t *)&gate->late_tick)) {
+		uv_idle_stop(&gate->late_tick);
+		tick(gate, clock_now_ms());
+	}
 	gate_link_flush(gate->link, clock_now_ms());
 	gate_upload_permit_report(gate, 0);
 	set_tick(gate);
@@ -590,11 +617,13 @@
 	uv_timer_init(gate->loop, &gate->timer);
 	gate->timer.data = gate;
 	gate->tick_ms = GATE_IDLE_TICK_MS;
+	gate->due_ms = clock_now_ms() + GATE_IDLE_TICK_MS;
 	uv_timer_start(
 	    &gate->timer, on_timer, GATE_IDLE_TICK_MS, GATE_IDLE_TICK_MS);
 	uv_check_init(gate->loop, &gate->check);
 	gate->check.data = gate;
 	uv_check_start(&gate->check, on_check);
+	uv_idle_init(gate->loop, &gate->late_tick);
 }
 
 int
@@ -660,7 +689,9 @@
 {
 	int64_t now_ms = clock_now_ms();
 
-	if (gate_stop_is_overdue(&gate->stop, now_ms))
+	/* After a pause, the tick that ends the requests may still be due. */
+	if (gate_stop_is_overdue(&gate->stop, now_ms) &&
+	    gate->stop.phase == GATE_ENDING)
 		return (1);
 	return (gate->stop.phase >= GATE_CLOSED &&
 	    http_server_is_delivered(gate->callers) &&
--- a/src/gate/gate_defs.h
+++ b/src/gate/gate_defs.h
@@ -45,7 +45,9 @@
 	rng_t rng;
 	uv_timer_t timer;
 	uv_check_t check;
+	uv_idle_t late_tick; /**< active while a late tick waits for the poll */
 	uint64_t tick_ms; /**< current interval of the timer */
+	int64_t due_ms; /**< time at which the timer should run */
 	peer_net_t *net;
 	gate_link_t *link;
 	gate_table_t *table;
