http: read once more before a connection ends by its time

A timer that ends a connection on which a part of a request had arrived did not look at the socket: a rest that came while the process was busy was read and dropped. Unread bytes also restarted a whole timeout, so that records of TLS without a request kept a connection open, and a caller that took its last response slowly was never idle. A connection whose time is over is left for one more turn of the loop now if bytes are unread, and a response may take 60 s to arrive.

HttpIdle.ARestThatArrivedBeforeTheTimeoutIsRead fails without it.

--- a/src/http/http_idle.c
+++ b/src/http/http_idle.c
@@ -91,20 +91,19 @@
 	int64_t kept_ms =
 	    (int64_t)announced_s * MS_PER_SEC * KEPT_PARTS / ANNOUNCED_PARTS;
 
-	conn->announced_ms =
-	    kept_ms > idle->timeout_ms ? kept_ms : idle->timeout_ms;
+	conn->kept_ms = kept_ms > idle->timeout_ms ? kept_ms : idle->timeout_ms;
 	return (announced_s);
 }
 
 void
 http_idle_wait(http_idle_t *idle, http_idle_conn_t *conn)
 {
-	int64_t kept_ms =
-	    conn->announced_ms > 0 ? conn->announced_ms : idle->timeout_ms;
+	int64_t kept_ms = conn->kept_ms > 0 ? conn->kept_ms : idle->timeout_ms;
 
 	conn->since_ms = clock_now_ms();
-	conn->announced_ms = 0;
+	conn->kept_ms = 0;
 	conn->is_receiving = 0;
+	conn->is_postponed = 0;
 	insert(idle, conn, conn->since_ms + kept_ms);
 }
 
@@ -123,6 +122,27 @@
 	insert(idle, conn, clock_now_ms() + RETRY_MS);
 }
 
+int
+http_idle_postpone(http_idle_t *idle, http_idle_conn_t *conn)
+{
+	if (conn->is_postponed)
+		return (0);
+	conn->is_postponed = 1;
+	http_idle_retry(idle, conn);
+	return (1);
+}
+
+int
+http_idle_extend(http_idle_t *idle, http_idle_conn_t *conn)
+{
+	int64_t now_ms = clock_now_ms();
+
+	if (now_ms - conn->since_ms >= HTTP_IDLE_DELIVERY_MAX_MS)
+		return (0);
+	insert(idle, conn, now_ms + idle->timeout_ms);
+	return (1);
+}
+
 void
 http_idle_remove(http_idle_t *idle, http_idle_conn_t *conn)
 {
--- a/src/http/http_idle.h
+++ b/src/http/http_idle.h
@@ -16,6 +16,8 @@
 
 #include <uv.h>
 
+#define HTTP_IDLE_DELIVERY_MAX_MS 60000
+
 typedef struct http_idle_conn http_idle_conn_t;
 
 /** The time of a connection is over. */
@@ -34,11 +36,10 @@
 struct http_idle_conn {
 	int64_t since_ms; /**< end of the last response, or accept */
 	int64_t end_ms;
-	int64_t
-	    announced_ms; /**< time to keep it for after its response; 0: the
-				   timeout */
+	int64_t kept_ms; /**< as the caller was told; 0: the timeout */
 	int is_listed;
 	int is_receiving; /**< a part of a request has arrived */
+	int is_postponed; /**< its time is over, the loop reads once more */
 	http_idle_conn_t *prev;
 	http_idle_conn_t *next;
 };
@@ -62,9 +63,16 @@
 /** Bytes of a request have arrived; the whole of it has the timeout to arrive. */
 void http_idle_receive(http_idle_t *idle, http_idle_conn_t *conn);
 
+/** The loop reads once more before the connection ends. @return 0 if it has done so */
+int http_idle_postpone(http_idle_t *idle, http_idle_conn_t *conn);
+
 /** The connection can't be closed yet, as a response is written there. */
 void http_idle_retry(http_idle_t *idle, http_idle_conn_t *conn);
 
+/** The caller still receives the last response.
+ * @return 0 if it has had HTTP_IDLE_DELIVERY_MAX_MS for it */
+int http_idle_extend(http_idle_t *idle, http_idle_conn_t *conn);
+
 /** A request runs on the connection, or the connection has ended. */
 void http_idle_remove(http_idle_t *idle, http_idle_conn_t *conn);
 
--- a/src/http/http_intake.c
+++ b/src/http/http_intake.c
@@ -102,8 +102,8 @@
 	http_intake_conn_t *conn = get_conn(sock);
 
 	/* What the caller still sends is read and dropped until it has seen the
-	 * response: a close now would reset the connection. h2o ends it when
-	 * the time for a request is over. */
+	 * response: a close now would reset the connection. http_idle ends it
+	 * when the time for a request is over. */
 	if (conn != NULL && err == NULL)
 		uv_shutdown(&conn->shutdown, conn->stream, NULL);
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -101,16 +101,6 @@
 	http_idle_receive(&conn->server->idle, &conn->idle);
 }
 
-/* @return 1 if the caller may still rely on the connection */
-static int
-is_in_use(const server_conn_t *conn)
-{
-	/* Timers run before the loop reads, so a request may have arrived while the
-	 * process was busy. */
-	return (!stream_end_is_quiet(&conn->tcp) ||
-	    http_linger_is_undelivered(&conn->linger));
-}
-
 /* http_idle_cb */
 static void
 on_idle_ended(void *ctx, http_idle_conn_t *idle)
@@ -120,10 +110,15 @@
 
 	if (conn->intake.sock == NULL)
 		return;
-	if (!idle->is_receiving && is_in_use(conn)) {
-		http_idle_wait(&server->idle, idle);
+	/* Timers run before the loop reads, so a request may have arrived while the
+	 * process was busy. */
+	if (!stream_end_is_quiet(&conn->tcp) &&
+	    http_idle_postpone(&server->idle, idle))
 		return;
-	}
+	if (!idle->is_receiving && http_linger_is_undelivered(&conn->linger) &&
+	    http_idle_extend(&server->idle, idle))
+		return;
+	/* http_intake_close() reaches uv_close(), which reads the flag. */
 	conn->linger.is_idle = !idle->is_receiving;
 	if (http_intake_close(&conn->intake))
 		return;
--- a/test/unit/http_idle_test.cc
+++ b/test/unit/http_idle_test.cc
@@ -119,6 +119,23 @@
 	EXPECT_FALSE(caller.is_ended_);
 }
 
+// The same for the rest of a request of which a part was read before.
+TEST_F(HttpIdle, ARestThatArrivedBeforeTheTimeoutIsRead)
+{
+	ListenIdle(kIdleMs);
+	Caller caller(addr_);
+
+	GetAnswer(&caller);
+	caller.Send(kRequest.substr(0, 10));
+	EXPECT_TRUE(IsOpenAfter(&caller, kIdleMs / 3));
+	caller.Send(kRequest.substr(10));
+	caller.Step();
+	Block(kIdleMs);
+	Serve(&caller,
+	    [&] { return (caller.CountAnswers() == 2 || caller.is_ended_); });
+	EXPECT_EQ(2u, caller.CountAnswers());
+}
+
 // The time of a request ran from the response before it, so that one that came late
 // on its connection and took some time to arrive was cut off.
 TEST_F(HttpIdle, ARequestHasTheWholeTimeoutToArrive)
