http: large bodies may take longer than the idle timeout

A request had the idle timeout from its first byte to its last, however steadily it arrived. The time starts anew with each 16 KiB now; a caller that sends single bytes is still bounded.

HttpIdle.ABodyThatArrivesSteadilyMayTakeLonger fails without it.

--- a/src/http/http_idle.c
+++ b/src/http/http_idle.c
@@ -108,11 +108,15 @@
 }
 
 void
-http_idle_receive(http_idle_t *idle, http_idle_conn_t *conn)
+http_idle_receive(http_idle_t *idle, http_idle_conn_t *conn, size_t bytes)
 {
-	if (conn->is_receiving)
+	if (!conn->is_receiving)
+		conn->counted_bytes = 0;
+	else if (bytes < conn->counted_bytes + HTTP_IDLE_PROGRESS_BYTES)
 		return;
 	conn->is_receiving = 1;
+	conn->is_postponed = 0;
+	conn->counted_bytes = bytes;
 	insert(idle, conn, clock_now_ms() + idle->timeout_ms);
 }
 
--- a/src/http/http_idle.h
+++ b/src/http/http_idle.h
@@ -12,10 +12,12 @@
 #ifndef TM_HTTP_HTTP_IDLE_H
 #define TM_HTTP_HTTP_IDLE_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 #include <uv.h>
 
+#define HTTP_IDLE_PROGRESS_BYTES  16384
 #define HTTP_IDLE_DELIVERY_MAX_MS 60000
 
 typedef struct http_idle_conn http_idle_conn_t;
@@ -37,6 +39,7 @@
 	int64_t since_ms; /**< end of the last response, or accept */
 	int64_t end_ms;
 	int64_t kept_ms; /**< as the caller was told; 0: the timeout */
+	size_t counted_bytes; /**< of its request, when the end was set */
 	int is_listed;
 	int is_receiving; /**< a part of a request has arrived */
 	int is_postponed; /**< its time is over, the loop reads once more */
@@ -60,8 +63,14 @@
 /** The connection waits for its first or next request. */
 void http_idle_wait(http_idle_t *idle, http_idle_conn_t *conn);
 
-/** Bytes of a request have arrived; the whole of it has the timeout to arrive. */
-void http_idle_receive(http_idle_t *idle, http_idle_conn_t *conn);
+/**
+ * Bytes of a request have arrived. The rest has the timeout to arrive, anew with each
+ * HTTP_IDLE_PROGRESS_BYTES: a large body on a narrow link takes longer, while a caller
+ * that sends single bytes does not hold the connection.
+ *
+ * @param bytes  of the request that have arrived so far
+ */
+void http_idle_receive(http_idle_t *idle, http_idle_conn_t *conn, size_t bytes);
 
 /** The loop reads once more before the connection ends. @return 0 if it has done so */
 int http_idle_postpone(http_idle_t *idle, http_idle_conn_t *conn);
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -98,7 +98,8 @@
 {
 	server_conn_t *conn = get_server_conn(intake);
 
-	http_idle_receive(&conn->server->idle, &conn->idle);
+	http_idle_receive(
+	    &conn->server->idle, &conn->idle, intake->sock->input->size);
 }
 
 /* http_idle_cb */
--- a/test/unit/http_idle_test.cc
+++ b/test/unit/http_idle_test.cc
@@ -153,6 +153,27 @@
 	EXPECT_EQ(2u, caller.CountAnswers());
 }
 
+// A body that arrives without a pause, but for longer than the timeout, was cut off.
+TEST_F(HttpIdle, ABodyThatArrivesSteadilyMayTakeLonger)
+{
+	constexpr int kParts = 6;
+	const std::string part(20000, 'x');
+
+	body_max_bytes_ = kParts * part.size();
+	ListenIdle(kIdleMs);
+	Caller caller(addr_);
+
+	caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+	    std::to_string(kParts * part.size()) + "\r\n\r\n");
+	for (int i = 0; i < kParts; i++) {
+		ASSERT_TRUE(IsOpenAfter(&caller, kIdleMs / 3));
+		caller.Send(part);
+	}
+	Serve(&caller,
+	    [&] { return (caller.CountAnswers() == 1 || caller.is_ended_); });
+	EXPECT_EQ(1u, caller.CountAnswers());
+}
+
 // A request that never arrives whole does not hold its connection for good.
 TEST_F(HttpIdle, ARequestThatDoesNotArriveEnds)
 {
--- a/test/unit/http_listener.h
+++ b/test/unit/http_listener.h
@@ -198,7 +198,7 @@
 		options.addr.sin_port = FindPort();
 		options.server_name = "test";
 		options.connections_max = connections_max;
-		options.body_max_bytes = kBodyMaxBytes;
+		options.body_max_bytes = body_max_bytes_;
 		if (own == nullptr)
 			options.idle_timeout_ms = 60000;
 		options.tls = tls;
@@ -268,6 +268,7 @@
 		    RunUntil(caller, [&] { return (request_ != nullptr); }));
 	}
 
+	size_t body_max_bytes_ = kBodyMaxBytes;
 	Listener *listener_ = MakeListener();
 	struct sockaddr_in addr_ = {};
 	http_server_t *server_ = nullptr;
