--- a/src/http/http_idle.h
+++ b/src/http/http_idle.h
@@ -17,7 +17,9 @@
 
 #include <uv.h>
 
-#define HTTP_IDLE_PROGRESS_BYTES  16384
+/** Part of a request whose arrival restarts the time for the rest. */
+#define HTTP_IDLE_PROGRESS_BYTES 16384
+/** Longest time after a response for which its caller may still receive it. */
 #define HTTP_IDLE_DELIVERY_MAX_MS 60000
 
 typedef struct http_idle_conn http_idle_conn_t;
--- a/src/http/http_intake.h
+++ b/src/http/http_intake.h
@@ -48,7 +48,7 @@
 	const char *header_value;
 	void (*refused)(void *ctx); /**< a request was refused; may be NULL */
 	void *ctx;
-	/** Bytes of a request arrived, or the rest of one that is refused; NULL. */
+	/** Bytes of a request, or of one that is refused, arrived; or NULL. */
 	void (*arrived)(http_intake_conn_t *conn);
 } http_intake_t;
 
